--- /dev/null
+++ b/include/bamboostile/control/node.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include "bamboostile/consensus/replica.h"
+#include "bamboostile/control/disk_thread.h"
+#include "bamboostile/fleet/state.h"
+#include "bamboostile/membership/registry.h"
+#include "bamboostile/rpc/channel.h"
+#include "bamboostile/waves/planner.h"
+
+#include <kj/async-io.h>
+
+#include <functional>
+#include <list>
+
+namespace bamboostile::control {
+
+struct NodeOptions
+{
+  std::string m_address;
+  consensus::ReplicaOptions m_replica;
+  membership::Options m_membership;
+  std::uint64_t m_snapshotEvery = 2000;
+  Duration m_syncHold = Millis{ 400 };
+  Duration m_inForcePatience = Millis{ 4000 };
+  /** Asks the platform to restart a released instance; asked again while it
+   * has not come back. */
+  std::function<void(const fleet::Instance&)> m_restart;
+};
+
+/** What became of a proposed command. */
+struct Decided
+{
+  /** Set where the command is committed and applied. */
+  std::optional<fleet::Effect> m_effect;
+  Index m_index;
+  consensus::Error m_error = consensus::Error::kNone;
+};
+
+/**
+ * @brief A control replica: binds agreement, state and membership to a disk,
+ * to its peers and to the clock.
+ *
+ * Lives on one KJ event loop. It decides nothing itself.
+ */
+class Node : private kj::TaskSet::ErrorHandler
+{
+public:
+  Node(NodeOptions aOptions,
+       storage::Opened aOpened,
+       std::unique_ptr<storage::LogStore> aStore,
+       kj::AsyncIoProvider& aProvider,
+       std::function<void(const storage::Failure&)> aOnDiskFailure);
+
+  kj::Promise<Decided> Propose(fleet::Command aCommand);
+
+  /** This replica may answer for the group now. */
+  bool IsServing() const;
+  std::string LeaderAddress() const;
+  kj::Promise<bool> WaitInForce(Index aRevision);
+  /** Returns once the view moved past aRevision, or after the hold time. */
+  kj::Promise<void> WaitViewChange(Index aRevision);
+  kj::Promise<consensus::Error> AddMember(std::string aAddress);
+
+  consensus::Replica& Replica() { return m_replica; }
+  const fleet::State& State() const { return m_state; }
+  membership::Registry& Registry() { return m_registry; }
+  const NodeOptions& Options() const { return m_options; }
+  void Deliver(const consensus::Message& aMessage);
+  consensus::Error Bootstrap();
+  consensus::Error RemoveMember(const InstanceId& aInstance);
+  std::string StatusJson() const;
+  bool IsEmptyReplica() const;
+
+private:
+  struct Peer
+  {
+    kj::Own<rpc::Channel> m_channel;
+    std::size_t m_outstanding = 0;
+    TimePoint m_lastAnswer;
+  };
+
+  struct Waiter
+  {
+    Term m_term;
+    kj::Own<kj::PromiseFulfiller<Decided>> m_fulfiller;
+  };
+
+  struct InForceWaiter
+  {
+    Index m_revision;
+    TimePoint m_until;
+    kj::Own<kj::PromiseFulfiller<bool>> m_fulfiller;
+  };
+
+  void taskFailed(kj::Exception&& aException) override;
+  kj::Promise<void> TickLoop();
+  kj::Promise<void> DiskLoop();
+  void Pump();
+  void Run(consensus::Persist aPersist);
+  void Run(consensus::Send aSend);
+  void Run(consensus::Apply aApply);
+  void Run(consensus::Restore aRestore);
+  void FollowRole();
+  void FailWaiters();
+  void WakeViewWaiters();
+  void CheckInForce();
+  void Lead(TimePoint aNow);
+  void ExpireOutcomes(TimePoint aNow);
+  void AdvanceWaves(TimePoint aNow);
+  void ProposeAlone(fleet::Command aCommand);
+  void MaybeCompact();
+  Peer* FindPeer(const consensus::ReplicaId& aId);
+
+  NodeOptions m_options;
+  kj::AsyncIoProvider& m_provider;
+  kj::Timer& m_timer;
+  std::function<void(const storage::Failure&)> m_onDiskFailure;
+  consensus::Replica m_replica;
+  fleet::State m_state;
+  membership::Registry m_registry;
+  rpc::Mailbox<DiskReport> m_reports;
+  DiskThread m_disk;
+  bool m_wasLeader = false;
+  bool m_pumping = false;
+  std::size_t m_proposedAlone = 0;
+  TimePoint m_nextDuties;
+  struct Mark
+  {
+    Index m_index;
+    TimePoint m_at;
+  };
+  /** When which part of the log was seen; expiry of outcomes goes by it. */
+  std::deque<Mark> m_marks;
+  std::map<std::string, Peer> m_peers;
+  std::map<Index, Waiter> m_waiters;
+  std::list<InForceWaiter> m_inForce;
+  std::vector<kj::Own<kj::PromiseFulfiller<void>>> m_viewWaiters;
+  kj::TaskSet m_tasks;
+};
+
+/** The RPC face of a node. */
+schema::Control::Client MakeControlServer(Node& aNode);
+
+/** Accepts RPC connections until the promise is dropped. */
+kj::Promise<void> Listen(Node& aNode,
+                         kj::AsyncIoProvider& aProvider,
+                         const std::string& aAddress);
+
+} // namespace bamboostile::control
--- /dev/null
+++ b/include/bamboostile/fleet/state.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "bamboostile/fleet/commands.h"
+#include "bamboostile/outcome/ledger.h"
+
+#include <deque>
+#include <set>
+#include <unordered_map>
+
+namespace bamboostile::fleet {
+
+/** An object that entries no longer need to know. */
+struct Removal
+{
+  Index m_revision;
+  std::variant<PoolId, ServiceId, InstanceId> m_object;
+};
+
+/** What an entry needs to route: all of it, or what changed since then. */
+struct View
+{
+  /** Position up to which this view is complete. */
+  Index m_revision;
+  /** The receiver drops what it had before. */
+  bool m_full = false;
+  std::vector<Pool> m_pools;
+  std::vector<Service> m_services;
+  std::vector<Instance> m_instances;
+  std::optional<Config> m_config;
+  std::vector<Removal> m_removals;
+};
+
+/** What applying one command brought; each command kind sets its own part. */
+using Effect = std::variant<std::monostate, CallReply, outcome::BeginReply>;
+
+/**
+ * @brief The replicated state: pools, services, instances, configuration,
+ * waves, and the outcomes of requests.
+ *
+ * A deterministic state machine over the log. Replicas that applied the same
+ * commands are equal, whatever their clocks.
+ */
+class State
+{
+public:
+  Effect Apply(Index aIndex, const Command& aCommand);
+
+  Index Applied() const { return m_applied; }
+  /** Position of the last change that entries need to know. */
+  Index ViewRevision() const { return m_viewRevision; }
+  View ViewSince(Index aRevision) const;
+
+  const std::map<PoolId, Pool>& Pools() const { return m_pools; }
+  const std::map<ServiceId, Service>& Services() const { return m_services; }
+  const std::map<InstanceId, Instance>& Instances() const
+  {
+    return m_instances;
+  }
+  const std::map<WaveId, Wave>& Waves() const { return m_waves; }
+  const Config& CurrentConfig() const { return m_config; }
+  const outcome::Ledger& Outcomes() const { return m_outcomes; }
+
+  /** The first answer to an operation, while it is remembered. */
+  const CallReply* FindReply(const OperationId& aOperation) const;
+
+  std::string Encode() const;
+  /** Throws nothing; an empty result means that the bytes are damaged. */
+  static std::optional<State> Decode(const std::string& aBytes);
+
+private:
+  friend struct StateCodec;
+
+  CallReply Execute(Index aIndex, const OperatorCall& aCall);
+  void Remember(const OperationId& aOperation, const CallReply& aReply);
+
+  CallReply On(const PutPool&, const OperatorCall&, Index);
+  CallReply On(const RemovePool&, const OperatorCall&, Index);
+  CallReply On(const DrainPool&, const OperatorCall&, Index);
+  CallReply On(const PutService&, const OperatorCall&, Index);
+  CallReply On(const RemoveService&, const OperatorCall&, Index);
+  CallReply On(const MoveInstance&, const OperatorCall&, Index);
+  CallReply On(const CordonInstance&, const OperatorCall&, Index);
+  CallReply On(const RemoveInstance&, const OperatorCall&, Index);
+  CallReply On(const SetConfig&, const OperatorCall&, Index);
+  CallReply On(const CreateWave&, const OperatorCall&, Index);
+  CallReply On(const SetWaveState&, const OperatorCall&, Index);
+
+  void Apply(Index aIndex, const Announcement& aAnnouncement);
+  void Apply(Index aIndex, const LoseInstances& aLoss);
+  void Apply(Index aIndex, const AdvanceWave& aAdvance);
+  void Apply(Index aIndex, const CloseWave& aClose);
+  void ReleaseFromWave(Index aIndex, const Wave& aWave);
+  std::optional<PoolId> PoolFor(const Announcement& aAnnouncement) const;
+  void Modified(Index aIndex) { m_viewRevision = aIndex; }
+  void Removed(Index aIndex,
+               std::variant<PoolId, ServiceId, InstanceId> aObject);
+
+  Index m_applied;
+  Index m_viewRevision;
+  /** Removals at or before this position are forgotten; an entry that is
+   * further behind gets a full view. */
+  Index m_removalHorizon;
+  std::map<PoolId, Pool> m_pools;
+  std::map<ServiceId, Service> m_services;
+  std::map<InstanceId, Instance> m_instances;
+  std::map<WaveId, Wave> m_waves;
+  Config m_config;
+  std::deque<Removal> m_removals;
+  std::unordered_map<OperationId, CallReply> m_replies;
+  std::deque<OperationId> m_replyOrder;
+  outcome::Ledger m_outcomes;
+};
+
+std::string EncodeCommand(const Command& aCommand);
+std::optional<Command> DecodeCommand(const std::string& aBytes);
+std::string EncodeView(const View& aView);
+std::optional<View> DecodeView(const std::string& aBytes);
+std::string EncodeRecord(const outcome::Record& aRecord);
+std::optional<outcome::Record> DecodeRecord(const std::string& aBytes);
+
+} // namespace bamboostile::fleet
--- /dev/null
+++ b/include/bamboostile/rpc/channel.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "internal.capnp.h"
+
+#include <capnp/rpc-twoparty.h>
+
+#include <kj/async-io.h>
+#include <kj/refcount.h>
+
+#include <string>
+
+namespace bamboostile::rpc {
+
+/**
+ * @brief A connection to one control replica that is made on first use and
+ * made anew after Drop().
+ *
+ * Users call Drop() when a call failed or took too long: a connection across
+ * a silent cut looks alive for minutes otherwise.
+ */
+class Channel : public kj::Refcounted
+{
+public:
+  Channel(kj::Network& aNetwork, std::string aAddress);
+
+  schema::Control::Client Get();
+  void Drop();
+  const std::string& Address() const { return m_address; }
+
+private:
+  struct Link
+  {
+    kj::Own<kj::AsyncIoStream> m_stream;
+    kj::Own<capnp::TwoPartyClient> m_client;
+  };
+
+  kj::Network& m_network;
+  std::string m_address;
+  std::uint64_t m_generation = 0;
+  kj::Maybe<schema::Control::Client> m_control;
+  kj::Maybe<kj::Own<Link>> m_link;
+};
+
+} // namespace bamboostile::rpc
--- /dev/null
+++ b/include/bamboostile/settings/settings.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "bamboostile/units/ids.h"
+#include "bamboostile/units/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bamboostile::settings {
+
+struct Address
+{
+  std::string m_host;
+  std::uint16_t m_port = 0;
+
+  std::string ToText() const;
+  bool operator==(const Address&) const = default;
+};
+
+/** Reads "IP:port"; empty where it is none. */
+std::optional<Address> ParseAddress(const std::string& aText);
+
+struct Limits
+{
+  std::uint64_t m_bodyBytes = 1024 * 1024;
+  std::uint64_t m_headerBytes = 16 * 1024;
+  Millis m_readTimeout{ 10'000 };
+  /** The longest deadline that a caller may ask for. */
+  Millis m_maxTimeout{ 60'000 };
+  std::uint32_t m_connections = 4096;
+};
+
+struct Trace
+{
+  std::optional<std::string> m_file;
+  std::optional<std::string> m_url;
+  double m_samplePercent = 100;
+};
+
+struct Settings
+{
+  InstanceId m_instance;
+  ZoneId m_zone;
+  RackId m_rack;
+  bool m_control = false;
+  bool m_entry = false;
+  std::vector<Address> m_controlSeeds;
+  std::optional<Address> m_rpc;
+  std::optional<Address> m_http;
+  std::optional<Address> m_platform;
+  std::optional<std::string> m_dataFolder;
+  std::uint32_t m_snapshotEvery = 2000;
+  Limits m_limits;
+  std::string m_logLevel = "info";
+  std::optional<std::string> m_logFile;
+  Trace m_trace;
+};
+
+/** What is wrong with a settings file: where, what was found, what may be. */
+struct Problem
+{
+  std::string m_file;
+  std::string m_field;
+  std::string m_value;
+  std::string m_allowed;
+};
+
+std::string ToText(const Problem& aProblem);
+
+/** Reads and checks a file: against the JSON Schema, then for meaning. */
+std::optional<Settings> Load(const std::string& aFile, Problem& aProblem);
+
+/** The same for text at hand; aFile only names it in messages. */
+std::optional<Settings> Parse(const std::string& aText,
+                              const std::string& aFile,
+                              Problem& aProblem);
+
+} // namespace bamboostile::settings
--- /dev/null
+++ b/include/bamboostile/storage/log_store.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "bamboostile/consensus/replica.h"
+
+#include <cstdint>
+#include <filesystem>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <sys/types.h>
+
+namespace bamboostile::storage {
+
+enum class Error
+{
+  kNone,
+  kIo,
+  kLocked,
+  kDamaged,
+  kIncomplete,
+  kStopped,
+};
+
+const char* Describe(Error aError) noexcept;
+
+/** The last reason why a call of this layer failed. */
+struct Failure
+{
+  Error m_error = Error::kNone;
+  std::filesystem::path m_file;
+  std::uint64_t m_offset = 0;
+  std::string m_detail;
+};
+
+/** One line that names the file and the offset. */
+std::string ToText(const Failure& aFailure);
+
+/** The system calls that can fail under us; tests replace them. */
+struct FileCalls
+{
+  std::function<ssize_t(int, const void*, std::size_t)> m_write;
+  std::function<int(int)> m_sync;
+
+  static FileCalls Posix();
+};
+
+/** Bytes cut off at the end of the log: a write that was never completed. */
+struct CutTail
+{
+  std::filesystem::path m_file;
+  std::uint64_t m_offset = 0;
+  std::uint64_t m_bytes = 0;
+};
+
+struct Opened
+{
+  consensus::ReplicaId m_self;
+  /** The folder was empty: this replica has a new incarnation. */
+  bool m_fresh = false;
+  consensus::RecoveredState m_recovered;
+  std::optional<CutTail> m_cut;
+};
+
+/**
+ * @brief The data folder of one replica: identity, votes, log and snapshot.
+ *
+ * Each Write() is one checksummed frame, synced before it returns. Once a
+ * write or sync failed, nothing is written any more: what the kernel then
+ * holds is unknown, and a second sync may report success for lost pages.
+ * One thread at a time may use it.
+ */
+class LogStore
+{
+public:
+  static std::unique_ptr<LogStore> Open(const std::filesystem::path& aFolder,
+                                        const InstanceId& aInstance,
+                                        Opened& aOpened,
+                                        Failure& aFailure,
+                                        FileCalls aCalls = FileCalls::Posix());
+  ~LogStore();
+  LogStore(const LogStore&) = delete;
+  LogStore& operator=(const LogStore&) = delete;
+
+  /** Writes and syncs; a snapshot starts a new file with it. */
+  bool Write(const consensus::Persist& aPersist, Failure& aFailure);
+
+  /** Bytes of the log file that a restart has to read. */
+  std::uint64_t LogBytes() const { return m_size; }
+
+private:
+  LogStore(std::filesystem::path aFolder, FileCalls aCalls);
+
+  bool Lock(Failure& aFailure);
+  bool FindGeneration(Failure& aFailure);
+  bool ReadIdentity(const InstanceId& aInstance,
+                    Opened& aOpened,
+                    Failure& aFailure);
+  bool CreateIdentity(const InstanceId& aInstance,
+                      Opened& aOpened,
+                      Failure& aFailure);
+  bool ReadLog(Opened& aOpened, Failure& aFailure);
+  bool OpenLog(Failure& aFailure);
+  bool Append(const std::string& aFrame, Failure& aFailure);
+  bool Replace(const consensus::Persist& aPersist, Failure& aFailure);
+  bool WriteWhole(const std::filesystem::path& aFile,
+                  const std::string& aBytes,
+                  Failure& aFailure);
+  bool SyncFolder(Failure& aFailure);
+  bool Fail(Failure& aFailure, const std::filesystem::path& aFile);
+  std::filesystem::path LogFile(std::uint64_t aGeneration) const;
+
+  std::filesystem::path m_folder;
+  FileCalls m_calls;
+  int m_lock = -1;
+  int m_log = -1;
+  std::uint64_t m_generation = 0;
+  std::uint64_t m_size = 0;
+  consensus::HardState m_hardState;
+  std::optional<Failure> m_stopped;
+};
+
+} // namespace bamboostile::storage
--- /dev/null
+++ b/include/bamboostile/telemetry/metrics.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace bamboostile::telemetry {
+
+/**
+ * @brief Counters, gauges and latency summaries of one thread.
+ *
+ * Names carry their labels, as in `requests_total{outcome="done"}`. The
+ * quantiles are estimates by the P-square method of Boost.Accumulators.
+ */
+class Metrics
+{
+public:
+  Metrics();
+  ~Metrics();
+  Metrics(Metrics&&) noexcept;
+  Metrics& operator=(Metrics&&) noexcept;
+
+  void Count(const std::string& aName, double aBy = 1);
+  void Set(const std::string& aName, double aValue);
+  void Observe(const std::string& aName, double aSeconds);
+
+  /** Prometheus text format, version 0.0.4. */
+  std::string Render() const;
+
+private:
+  struct Summary;
+
+  std::map<std::string, double> m_counters;
+  std::map<std::string, double> m_gauges;
+  std::map<std::string, std::unique_ptr<Summary>> m_summaries;
+};
+
+} // namespace bamboostile::telemetry
--- /dev/null
+++ b/schema/internal.capnp
@@ -0,0 +1,190 @@
+@0xd4f20c7be19a3865;
+# Between the system's own processes, and the frames of the data folder.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("bamboostile::schema");
+using Ops = import "operators.capnp";
+
+struct ReplicaId {
+  instance @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct Member {
+  id @0 :ReplicaId;
+  address @1 :Text;
+  voter @2 :Bool;
+}
+
+struct LogEntry {
+  index @0 :UInt64;
+  term @1 :UInt64;
+  union {
+    noop @2 :Void;
+    command @3 :Data;
+    membership @4 :List(Member);
+  }
+}
+
+struct Snapshot {
+  index @0 :UInt64;
+  term @1 :UInt64;
+  membership @2 :List(Member);
+  state @3 :Data;
+}
+
+struct HardState {
+  term @0 :UInt64;
+  hasVote @1 :Bool;
+  votedFor @2 :ReplicaId;
+}
+
+struct Frame {
+  # One synced write of the data folder.
+  hasHardState @0 :Bool;
+  hardState @1 :HardState;
+  hasSnapshot @2 :Bool;
+  snapshot @3 :Snapshot;
+  entries @4 :List(LogEntry);
+}
+
+struct Message {
+  from @0 :ReplicaId;
+  to @1 :ReplicaId;
+  term @2 :UInt64;
+  union {
+    voteRequest :group {
+      preVote @3 :Bool;
+      lastIndex @4 :UInt64;
+      lastTerm @5 :UInt64;
+    }
+    voteReply :group {
+      replyPreVote @6 :Bool;
+      granted @7 :Bool;
+    }
+    append :group {
+      previousIndex @8 :UInt64;
+      previousTerm @9 :UInt64;
+      entries @10 :List(LogEntry);
+      commit @11 :UInt64;
+      sentAt @12 :Int64;
+    }
+    appendReply :group {
+      accepted @13 :Bool;
+      match @14 :UInt64;
+      replySentAt @15 :Int64;
+    }
+    installSnapshot :group {
+      snapshot @16 :Snapshot;
+      snapshotSentAt @17 :Int64;
+    }
+  }
+}
+
+struct EntryId {
+  instance @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct Announcement {
+  id @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+  service @3 :Text;
+  pool @4 :Text;
+  zone @5 :Text;
+  rack @6 :Text;
+  address @7 :Text;
+  slots @8 :UInt32;
+  connections @9 :UInt32;
+  cores @10 :UInt32;
+  memoryMb @11 :UInt32;
+  accelerators @12 :UInt32;
+  leaving @13 :Bool;
+}
+
+struct InFlight {
+  # Requests an entry has under way at an instance that is going out.
+  id @0 :Text;
+  count @1 :UInt32;
+}
+
+struct SyncRequest {
+  entry @0 :EntryId;
+  zone @1 :Text;
+  http @2 :Text;
+  revision @3 :UInt64;
+  # The view in force at this entry.
+  renewals @4 :List(UInt64);
+  # One number for each (instance, incarnation) heard from; see RenewalKey.
+  inFlight @5 :List(InFlight);
+  leaving @6 :Bool;
+}
+
+enum SyncOutcome {
+  ok @0;
+  notLeader @1;
+}
+
+struct SyncReply {
+  outcome @0 :SyncOutcome;
+  leaderAddress @1 :Text;
+  leaseMs @2 :UInt32;
+  # Counted by the entry from when it sent the request.
+  view @3 :Data;
+  controlAddresses @4 :List(Text);
+  term @5 :UInt64;
+  revision @6 :UInt64;
+  liveEntries @7 :UInt32;
+  position @8 :UInt32;
+  # Rank of this entry among the live ones; decides the slots it owns.
+}
+
+struct Begin {
+  request @0 :Text;
+  attempt @1 :UInt32;
+  digest @2 :Data;
+  holder @3 :EntryId;
+  ticket @4 :UInt64;
+  refused @5 :Bool;
+}
+
+struct Resolve {
+  request @0 :Text;
+  attempt @1 :UInt32;
+  holder @2 :EntryId;
+  ticket @3 :UInt64;
+  state @4 :UInt8;
+  answer @5 :Data;
+}
+
+enum LedgerOutcome {
+  granted @0;
+  recorded @1;
+  digestMismatch @2;
+  attemptNotAllowed @3;
+  notFound @4;
+  notLeader @5;
+  undecided @6;
+}
+
+struct LedgerReply {
+  outcome @0 :LedgerOutcome;
+  record @1 :Data;
+  holderGone @2 :Bool;
+  # The entry that holds the attempt is no longer known to be alive.
+  leaderAddress @3 :Text;
+}
+
+interface Control {
+  deliver @0 (message :Message);
+  identify @1 () -> (id :ReplicaId, empty :Bool);
+  sync @2 (request :SyncRequest) -> (reply :SyncReply);
+  begin @3 (begin :Begin) -> (reply :LedgerReply);
+  resolve @4 (resolve :Resolve) -> (reply :LedgerReply);
+  lookup @5 (request :Text) -> (reply :LedgerReply);
+  operators @6 () -> (operators :Ops.Operators);
+  announce @7 (announcements :List(Announcement))
+      -> (outcome :SyncOutcome, leaderAddress :Text);
+  # Answered once the announcements are committed.
+}
--- /dev/null
+++ b/schema/operators.capnp
@@ -0,0 +1,120 @@
+@0xb1a7c3d58e204f96;
+# The contract with operators: every call the command line makes, and any
+# program may make. The same structs are kept as JSON files for review.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("bamboostile::schema");
+
+enum WaveTarget {
+  running @0;
+  paused @1;
+  cancelled @2;
+}
+
+struct Service {
+  id @0 :Text;
+  maxUnavailablePercent @1 :UInt32 = 20;
+  # Instances that may be out at once, whatever the reason.
+  defaultTimeoutMs @2 :UInt32 = 5000;
+  retryBudgetPercent @3 :UInt32 = 10;
+  # Retries allowed in percent of first attempts.
+  queueLimit @4 :UInt32 = 256;
+  # Requests that may wait at one entry.
+  postIsIdempotent @5 :Bool = false;
+  # POST and PATCH may run twice without harm.
+  surviveRack @6 :Bool = false;
+  # A wave leaves room for the largest rack to fail as well.
+}
+
+struct Config {
+  maxRequests @0 :UInt32 = 4096;
+  ejectionCeilingPercent @1 :UInt32 = 30;
+  panicPercent @2 :UInt32 = 50;
+  sameZoneFirst @3 :Bool = true;
+  outcomeKeepSeconds @4 :UInt32 = 900;
+  keptAnswerBytes @5 :UInt32 = 65536;
+  note @6 :Text;
+}
+
+struct OperatorCall {
+  operationId @0 :Text;
+  # Chosen by the sender. Sent again, the same id gets the first answer.
+  operator @1 :Text;
+  expectedRevision @2 :UInt64;
+  # The object's revision as the operator saw it; 0 for a new object.
+  union {
+    putPool :group {
+      pool @3 :Text;
+      service @4 :Text;
+      home @5 :Text;
+    }
+    removePool @6 :Text;
+    drainPool :group {
+      pool @7 :Text;
+      draining @8 :Bool = true;
+    }
+    putService @9 :Service;
+    removeService @10 :Text;
+    moveInstance :group {
+      instance @11 :Text;
+      pool @12 :Text;
+    }
+    cordonInstance :group {
+      instance @13 :Text;
+      cordoned @14 :Bool = true;
+    }
+    removeInstance @15 :Text;
+    setConfig @16 :Config;
+    createWave :group {
+      wave @17 :Text;
+      pool @18 :Text;
+    }
+    setWaveState :group {
+      wave @19 :Text;
+      state @20 :WaveTarget;
+    }
+  }
+}
+
+struct CallList {
+  calls @0 :List(OperatorCall);
+}
+
+enum CallOutcome {
+  done @0;
+  conflict @1;
+  notFound @2;
+  invalid @3;
+  inUse @4;
+  notLeader @5;
+  # Nothing was done; leaderAddress says where to go, if it is known.
+  unknown @6;
+  # The call may take effect; send it again with the same operation id.
+}
+
+struct CallReply {
+  outcome @0 :CallOutcome;
+  revision @1 :UInt64;
+  message @2 :Text;
+  winner @3 :Text;
+  winnerOperator @4 :Text;
+  leaderAddress @5 :Text;
+  inForce @6 :Bool;
+  # Every entry that may still serve has the change.
+}
+
+enum ControlChange {
+  init @0;
+  # Makes a replica with an empty data folder the first of a new group.
+  add @1;
+  # Admits the replica at an address, also in place of a lost one.
+  remove @2;
+}
+
+interface Operators {
+  submit @0 (call :OperatorCall) -> (reply :CallReply);
+  status @1 () -> (json :Text, reply :CallReply);
+  # The state as one JSON document; only from a leader confirmed by a quorum.
+  control @2 (change :ControlChange, instance :Text, address :Text)
+      -> (reply :CallReply);
+}
--- /dev/null
+++ b/src/admission/queue.cpp
@@ -0,0 +1,82 @@
+#include "bamboostile/admission/queue.h"
+
+namespace bamboostile::admission {
+
+namespace {
+
+std::size_t
+Position(Class aClass)
+{
+  return static_cast<std::size_t>(aClass);
+}
+
+} // namespace
+
+void
+Queue::Push(const Ticket& aTicket)
+{
+  m_classes[Position(aTicket.m_class)].insert(aTicket);
+}
+
+std::optional<Ticket>
+Queue::Pop()
+{
+  for (std::set<Ticket>& waiting : m_classes) {
+    if (!waiting.empty()) {
+      const Ticket first = *waiting.begin();
+      waiting.erase(waiting.begin());
+      return first;
+    }
+  }
+  return std::nullopt;
+}
+
+void
+Queue::Remove(const Ticket& aTicket)
+{
+  m_classes[Position(aTicket.m_class)].erase(aTicket);
+}
+
+std::size_t
+Queue::Size() const
+{
+  std::size_t size = 0;
+  for (const std::set<Ticket>& waiting : m_classes) {
+    size += waiting.size();
+  }
+  return size;
+}
+
+Duration
+Queue::EstimateWait(const Ticket& aTicket, const Service& aService) const
+{
+  // All of the newcomer's class counts as ahead of it, also what has a later
+  // deadline: newcomers with earlier ones will come, and an estimate that is
+  // too short breaks a promise, while one too long only refuses sooner.
+  std::size_t ahead = 0;
+  for (std::size_t i = 0; i <= Position(aTicket.m_class); ++i) {
+    ahead += m_classes[i].size();
+  }
+  if (aService.m_capacity == 0 ||
+      (ahead == 0 && aService.m_inFlight < aService.m_capacity)) {
+    return Duration::zero();
+  }
+  return aService.m_meanTime * static_cast<Duration::rep>(ahead + 1) /
+         static_cast<Duration::rep>(aService.m_capacity);
+}
+
+std::vector<Ticket>
+Queue::TakeLate(Duration aMinimalTime, TimePoint aNow)
+{
+  std::vector<Ticket> late;
+  for (std::set<Ticket>& waiting : m_classes) {
+    while (!waiting.empty() &&
+           waiting.begin()->m_deadline < aNow + aMinimalTime) {
+      late.push_back(*waiting.begin());
+      waiting.erase(waiting.begin());
+    }
+  }
+  return late;
+}
+
+} // namespace bamboostile::admission
--- /dev/null
+++ b/src/consensus/replica.cpp
@@ -0,0 +1,860 @@
+#include "bamboostile/consensus/replica.h"
+
+#include <algorithm>
+
+namespace bamboostile::consensus {
+
+namespace {
+
+/** Entries sent ahead of what a peer acknowledged; past this we wait. */
+constexpr std::uint64_t kMaxEntriesInFlight = 4096;
+constexpr Duration kSnapshotRetry = Millis{ 2000 };
+
+std::size_t
+SizeOf(const LogEntry& aEntry)
+{
+  constexpr std::size_t kOverhead = 32;
+  const auto* command = std::get_if<CommandBytes>(&aEntry.m_payload);
+  return kOverhead + (command != nullptr ? command->m_bytes.size() : 0);
+}
+
+} // namespace
+
+Replica::Replica(ReplicaId aSelf,
+                 ReplicaOptions aOptions,
+                 RecoveredState aRecovered,
+                 TimePoint aNow)
+  : m_self(std::move(aSelf))
+  , m_options(aOptions)
+  , m_hardState(std::move(aRecovered.m_hardState))
+  , m_log(aRecovered.m_entries.begin(), aRecovered.m_entries.end())
+  , m_randomState(aOptions.m_seed * 0x9E3779B97F4A7C15ULL + 1)
+{
+  if (aRecovered.m_snapshot) {
+    m_snapshot = std::move(*aRecovered.m_snapshot);
+    m_actions.push_back(Restore{ m_snapshot });
+  }
+  m_memberships.push_back({ m_snapshot.m_index, m_snapshot.m_membership });
+  for (const LogEntry& entry : m_log) {
+    if (const auto* change = std::get_if<Membership>(&entry.m_payload)) {
+      m_memberships.push_back({ entry.m_index, *change });
+    }
+  }
+  m_commit = m_snapshot.m_index;
+  m_applied = m_snapshot.m_index;
+  m_persistedIndex = LastIndex();
+  // A restarted replica has forgotten that it heard from a leader a moment
+  // ago. Voting at once would break the lease of that leader, which counts on
+  // m_electionMin of silence; so it starts as if it had just heard from one.
+  m_leaderHeardAt = aNow;
+  ResetElectionDeadline(aNow);
+}
+
+Error
+Replica::Bootstrap(std::string aAddress, TimePoint aNow)
+{
+  if (LastIndex() != Index{} || m_hardState.m_term != Term{}) {
+    return Error::kNotEmpty;
+  }
+  Membership founding;
+  founding.m_members.push_back({ m_self, std::move(aAddress), true });
+  m_hardState.m_term = Term{ 1 };
+  PersistHardState();
+  LogEntry entry{ Index{ 1 }, Term{ 1 }, founding };
+  m_log.push_back(entry);
+  m_memberships.push_back({ entry.m_index, founding });
+  PersistEntries({ entry });
+  StartElection(aNow);
+  return Error::kNone;
+}
+
+const Membership&
+Replica::CurrentMembership() const
+{
+  return m_memberships.back().m_membership;
+}
+
+Index
+Replica::LastIndex() const
+{
+  return m_log.empty() ? m_snapshot.m_index : m_log.back().m_index;
+}
+
+Term
+Replica::LastTerm() const
+{
+  return m_log.empty() ? m_snapshot.m_term : m_log.back().m_term;
+}
+
+const LogEntry*
+Replica::EntryAt(Index aIndex) const
+{
+  if (aIndex <= m_snapshot.m_index || aIndex > LastIndex()) {
+    return nullptr;
+  }
+  return &m_log[aIndex.Get() - m_snapshot.m_index.Get() - 1];
+}
+
+std::optional<Term>
+Replica::TermAt(Index aIndex) const
+{
+  if (aIndex == m_snapshot.m_index) {
+    return m_snapshot.m_term;
+  }
+  const LogEntry* entry = EntryAt(aIndex);
+  return entry != nullptr ? std::optional{ entry->m_term } : std::nullopt;
+}
+
+bool
+Replica::IsUpToDate(Index aLastIndex, Term aLastTerm) const
+{
+  if (aLastTerm != LastTerm()) {
+    return aLastTerm > LastTerm();
+  }
+  return aLastIndex >= LastIndex();
+}
+
+Index
+Replica::MatchOf(const ReplicaId& aId) const
+{
+  if (aId == m_self) {
+    return m_persistedIndex;
+  }
+  const auto found = m_progress.find(aId);
+  return found == m_progress.end() ? Index{} : found->second.m_match;
+}
+
+std::vector<Action>
+Replica::TakeActions()
+{
+  return std::exchange(m_actions, {});
+}
+
+bool
+Replica::IsReady() const
+{
+  return m_role == Role::kLeader && m_commit >= m_termStart;
+}
+
+TimePoint
+Replica::QuorumContact(TimePoint aNow) const
+{
+  std::vector<TimePoint> contacts;
+  for (const Member& member : CurrentMembership().m_members) {
+    if (!member.m_voter) {
+      continue;
+    }
+    const auto found = m_progress.find(member.m_id);
+    if (member.m_id == m_self) {
+      contacts.push_back(aNow);
+    } else if (found == m_progress.end() ||
+               m_regressed.contains(member.m_id)) {
+      contacts.push_back(TimePoint{});
+    } else {
+      contacts.push_back(found->second.m_lastAckSentAt);
+    }
+  }
+  if (contacts.empty()) {
+    return TimePoint{};
+  }
+  std::sort(contacts.rbegin(), contacts.rend());
+  return contacts[contacts.size() / 2];
+}
+
+bool
+Replica::HoldsLease(TimePoint aNow) const
+{
+  if (m_role != Role::kLeader) {
+    return false;
+  }
+  const Duration lease =
+    m_options.m_electionMin * (100 - m_options.m_driftPercent) / 100;
+  return aNow < QuorumContact(aNow) + lease;
+}
+
+// ---------------------------------------------------------------- elections
+
+std::uint64_t
+Replica::NextRandom()
+{
+  m_randomState ^= m_randomState << 13;
+  m_randomState ^= m_randomState >> 7;
+  m_randomState ^= m_randomState << 17;
+  return m_randomState;
+}
+
+void
+Replica::ResetElectionDeadline(TimePoint aNow)
+{
+  const auto spread = m_options.m_electionSpread.count();
+  const Duration random{ static_cast<Duration::rep>(
+    NextRandom() % static_cast<std::uint64_t>(std::max<Duration::rep>(
+                     spread, 1))) };
+  m_electionDeadline = aNow + m_options.m_electionMin + random;
+}
+
+void
+Replica::Tick(TimePoint aNow)
+{
+  if (m_role == Role::kLeader) {
+    const Duration patience = m_options.m_electionMin +
+                              m_options.m_electionSpread;
+    const TimePoint contact =
+      std::max(QuorumContact(aNow), m_leaderSince);
+    // Cut off from the quorum: another leader may exist by now. Going on
+    // would keep callers waiting for commits that can never come.
+    if (contact + patience < aNow) {
+      BecomeFollower(m_hardState.m_term, aNow);
+      return;
+    }
+    PromoteSyncedLearner(aNow);
+    if (aNow >= m_nextHeartbeat) {
+      SendAppends(aNow, true);
+    }
+    return;
+  }
+  if (aNow >= m_electionDeadline && CurrentMembership().IsVoter(m_self)) {
+    StartPreVote(aNow);
+  }
+}
+
+void
+Replica::BecomeFollower(Term aTerm, TimePoint aNow)
+{
+  if (aTerm > m_hardState.m_term) {
+    m_hardState = HardState{ aTerm, std::nullopt };
+    PersistHardState();
+  }
+  m_role = Role::kFollower;
+  m_inPreVote = false;
+  m_leader.reset();
+  m_progress.clear();
+  m_regressed.clear();
+  ResetElectionDeadline(aNow);
+}
+
+// Asking first, without a new term: a replica that comes back from a long
+// isolation would otherwise force an election on a healthy group by its high
+// term alone.
+void
+Replica::StartPreVote(TimePoint aNow)
+{
+  m_role = Role::kCandidate;
+  m_inPreVote = true;
+  m_leader.reset();
+  m_votes = { m_self };
+  ResetElectionDeadline(aNow);
+  if (HasVoteQuorum()) {
+    StartElection(aNow);
+    return;
+  }
+  RequestVotes(true);
+}
+
+void
+Replica::StartElection(TimePoint aNow)
+{
+  m_role = Role::kCandidate;
+  m_inPreVote = false;
+  m_leader.reset();
+  m_hardState = HardState{ Term{ m_hardState.m_term.Get() + 1 }, m_self };
+  PersistHardState();
+  m_votes = { m_self };
+  ResetElectionDeadline(aNow);
+  if (HasVoteQuorum()) {
+    BecomeLeader(aNow);
+    return;
+  }
+  RequestVotes(false);
+}
+
+void
+Replica::RequestVotes(bool aPreVote)
+{
+  for (const Member& member : CurrentMembership().m_members) {
+    if (member.m_voter && member.m_id != m_self) {
+      SendWhenSynced(member.m_id,
+                     VoteRequest{ aPreVote, LastIndex(), LastTerm() });
+    }
+  }
+}
+
+bool
+Replica::HasVoteQuorum() const
+{
+  std::size_t granted = 0;
+  for (const ReplicaId& id : m_votes) {
+    granted += CurrentMembership().IsVoter(id) ? 1 : 0;
+  }
+  return granted > CurrentMembership().VoterCount() / 2;
+}
+
+void
+Replica::BecomeLeader(TimePoint aNow)
+{
+  m_role = Role::kLeader;
+  m_leader = m_self;
+  m_leaderSince = aNow;
+  m_progress.clear();
+  m_regressed.clear();
+  // An entry of the own term: only by committing it does a new leader learn
+  // which entries of earlier terms are committed.
+  AppendOwn(Noop{}, aNow);
+  m_termStart = LastIndex();
+  SendAppends(aNow, true);
+}
+
+void
+Replica::FollowLeader(const ReplicaId& aLeader, TimePoint aNow)
+{
+  m_role = Role::kFollower;
+  m_inPreVote = false;
+  m_leader = aLeader;
+  m_leaderHeardAt = aNow;
+  ResetElectionDeadline(aNow);
+}
+
+void
+Replica::Receive(const Message& aMessage, TimePoint aNow)
+{
+  // A message for an earlier life of this instance: its folder is gone, and
+  // with it the votes and entries that the sender counts on.
+  if (aMessage.m_to != m_self) {
+    return;
+  }
+  const auto* vote = std::get_if<VoteRequest>(&aMessage.m_body);
+  if (vote != nullptr) {
+    On(aMessage.m_from, *vote, aMessage.m_term, aNow);
+    return;
+  }
+  if (aMessage.m_term > m_hardState.m_term) {
+    const auto* reply = std::get_if<VoteReply>(&aMessage.m_body);
+    const bool preVoteGrant =
+      reply != nullptr && reply->m_preVote && reply->m_granted;
+    if (!preVoteGrant) {
+      BecomeFollower(aMessage.m_term, aNow);
+    }
+  }
+  std::visit(
+    [&](const auto& aBody) {
+      On(aMessage.m_from, aBody, aMessage.m_term, aNow);
+    },
+    aMessage.m_body);
+}
+
+void
+Replica::On(const ReplicaId& aFrom,
+            const VoteRequest& aVote,
+            Term aTerm,
+            TimePoint aNow)
+{
+  // Within m_electionMin of hearing from a leader no vote is given: the lease
+  // under which that leader answers reads rests on it.
+  const bool leaderAlive = m_role == Role::kLeader
+                             ? HoldsLease(aNow)
+                             : aNow < m_leaderHeardAt + m_options.m_electionMin;
+  if (leaderAlive || aTerm < m_hardState.m_term) {
+    if (aTerm < m_hardState.m_term) {
+      SendWhenSynced(aFrom, VoteReply{ aVote.m_preVote, false });
+    }
+    return;
+  }
+  if (aVote.m_preVote) {
+    if (IsUpToDate(aVote.m_lastIndex, aVote.m_lastTerm)) {
+      SendWhenSynced(aFrom, VoteReply{ true, true });
+    }
+    return;
+  }
+  if (aTerm > m_hardState.m_term) {
+    BecomeFollower(aTerm, aNow);
+  }
+  const bool free =
+    !m_hardState.m_votedFor || *m_hardState.m_votedFor == aFrom;
+  const bool granted =
+    free && IsUpToDate(aVote.m_lastIndex, aVote.m_lastTerm) &&
+    m_role != Role::kLeader;
+  if (granted) {
+    m_hardState.m_votedFor = aFrom;
+    PersistHardState();
+    ResetElectionDeadline(aNow);
+  }
+  SendWhenSynced(aFrom, VoteReply{ false, granted });
+}
+
+void
+Replica::On(const ReplicaId& aFrom,
+            const VoteReply& aReply,
+            Term aTerm,
+            TimePoint aNow)
+{
+  if (m_role != Role::kCandidate || aReply.m_preVote != m_inPreVote ||
+      !aReply.m_granted || aTerm > m_hardState.m_term) {
+    return;
+  }
+  if (!aReply.m_preVote && aTerm != m_hardState.m_term) {
+    return;
+  }
+  m_votes.insert(aFrom);
+  if (!HasVoteQuorum()) {
+    return;
+  }
+  if (m_inPreVote) {
+    StartElection(aNow);
+  } else {
+    BecomeLeader(aNow);
+  }
+}
+
+// -------------------------------------------------------------- replication
+
+Error
+Replica::Propose(std::string aCommand, TimePoint aNow, Index& aIndex)
+{
+  if (m_role != Role::kLeader) {
+    return Error::kNotLeader;
+  }
+  AppendOwn(CommandBytes{ std::move(aCommand) }, aNow);
+  aIndex = LastIndex();
+  SendAppends(aNow, false);
+  return Error::kNone;
+}
+
+void
+Replica::AppendOwn(Payload aPayload, TimePoint /*aNow*/)
+{
+  LogEntry entry{ Next(LastIndex()), m_hardState.m_term, std::move(aPayload) };
+  if (const auto* change = std::get_if<Membership>(&entry.m_payload)) {
+    m_memberships.push_back({ entry.m_index, *change });
+  }
+  m_log.push_back(entry);
+  PersistEntries({ std::move(entry) });
+}
+
+void
+Replica::SendAppends(TimePoint aNow, bool aHeartbeat)
+{
+  if (aHeartbeat) {
+    m_nextHeartbeat = aNow + m_options.m_heartbeat;
+  }
+  for (const Member& member : CurrentMembership().m_members) {
+    if (member.m_id != m_self) {
+      SendAppendTo(member.m_id, aNow, aHeartbeat);
+    }
+  }
+}
+
+void
+Replica::SendAppendTo(const ReplicaId& aPeer, TimePoint aNow, bool aHeartbeat)
+{
+  const auto [found, isNew] = m_progress.try_emplace(aPeer);
+  Progress& progress = found->second;
+  if (isNew) {
+    progress.m_next = Next(LastIndex());
+  }
+  if (m_regressed.contains(aPeer)) {
+    return;
+  }
+  const Index previous = Previous(progress.m_next);
+  const std::optional<Term> previousTerm = TermAt(previous);
+  if (!previousTerm) {
+    if (aNow >= progress.m_lastSnapshotAt + kSnapshotRetry) {
+      progress.m_lastSnapshotAt = aNow;
+      SendNow(aPeer, InstallSnapshot{ m_snapshot, aNow });
+    }
+    return;
+  }
+  AppendRequest append{ previous, *previousTerm, {}, m_commit, aNow };
+  const bool blocked =
+    progress.m_probing || previous.Get() - progress.m_match.Get() >
+                            kMaxEntriesInFlight;
+  std::size_t bytes = 0;
+  if (!blocked) {
+    while (progress.m_next <= LastIndex() &&
+           bytes < m_options.m_maxBatchBytes) {
+      const LogEntry& entry = *EntryAt(progress.m_next);
+      bytes += SizeOf(entry);
+      append.m_entries.push_back(entry);
+      progress.m_next = Next(progress.m_next);
+    }
+  }
+  if (aHeartbeat || !append.m_entries.empty()) {
+    SendNow(aPeer, std::move(append));
+  }
+}
+
+void
+Replica::On(const ReplicaId& aFrom,
+            const AppendRequest& aAppend,
+            Term aTerm,
+            TimePoint aNow)
+{
+  if (aTerm < m_hardState.m_term) {
+    SendWhenSynced(aFrom, AppendReply{ false, LastIndex(), aAppend.m_sentAt });
+    return;
+  }
+  FollowLeader(aFrom, aNow);
+  const bool known = aAppend.m_previousIndex < m_snapshot.m_index ||
+                     TermAt(aAppend.m_previousIndex) == aAppend.m_previousTerm;
+  if (!known) {
+    const Index last = std::min(LastIndex(), Previous(aAppend.m_previousIndex));
+    SendWhenSynced(aFrom, AppendReply{ false, last, aAppend.m_sentAt });
+    return;
+  }
+  std::vector<LogEntry> added;
+  Index match = aAppend.m_previousIndex;
+  for (const LogEntry& entry : aAppend.m_entries) {
+    match = entry.m_index;
+    if (entry.m_index <= m_snapshot.m_index) {
+      continue;
+    }
+    const std::optional<Term> held = TermAt(entry.m_index);
+    if (held == entry.m_term) {
+      continue;
+    }
+    if (held) {
+      TruncateFrom(entry.m_index);
+    }
+    if (const auto* change = std::get_if<Membership>(&entry.m_payload)) {
+      m_memberships.push_back({ entry.m_index, *change });
+    }
+    m_log.push_back(entry);
+    added.push_back(entry);
+  }
+  if (!added.empty()) {
+    PersistEntries(std::move(added));
+  }
+  CommitTo(std::min(aAppend.m_commit, match));
+  if (aAppend.m_entries.empty() && m_syncedTicket >= m_hardStateTicket) {
+    // A bare heartbeat claims only what is on disk already, so that a slow
+    // disk does not silence a healthy follower.
+    SendNow(aFrom,
+            AppendReply{ true,
+                         std::min(match, m_persistedIndex),
+                         aAppend.m_sentAt });
+    return;
+  }
+  SendWhenSynced(aFrom, AppendReply{ true, match, aAppend.m_sentAt });
+}
+
+void
+Replica::On(const ReplicaId& aFrom,
+            const AppendReply& aReply,
+            Term aTerm,
+            TimePoint aNow)
+{
+  const auto found = m_progress.find(aFrom);
+  if (m_role != Role::kLeader || aTerm != m_hardState.m_term ||
+      found == m_progress.end()) {
+    return;
+  }
+  Progress& progress = found->second;
+  if (!aReply.m_accepted) {
+    const bool stale = aReply.m_sentAt <= progress.m_lastAckSentAt;
+    // The follower acknowledged more than it now holds: its folder went back
+    // to an old copy. Counting it again could elect a leader without
+    // acknowledged entries, so it stays out until it is replaced.
+    if (!stale && aReply.m_match < progress.m_match) {
+      m_regressed.insert(aFrom);
+      return;
+    }
+    if (!stale) {
+      progress.m_next =
+        std::max(Next(progress.m_match),
+                 std::min(progress.m_next, Next(aReply.m_match)));
+      progress.m_probing = true;
+      SendAppendTo(aFrom, aNow, true);
+    }
+    return;
+  }
+  progress.m_lastAckSentAt =
+    std::max(progress.m_lastAckSentAt, aReply.m_sentAt);
+  progress.m_match = std::max(progress.m_match, aReply.m_match);
+  progress.m_next = std::max(progress.m_next, Next(progress.m_match));
+  progress.m_probing = false;
+  AdvanceCommit(aNow);
+  if (m_role == Role::kLeader && progress.m_next <= LastIndex()) {
+    SendAppendTo(aFrom, aNow, false);
+  }
+}
+
+void
+Replica::On(const ReplicaId& aFrom,
+            const InstallSnapshot& aInstall,
+            Term aTerm,
+            TimePoint aNow)
+{
+  if (aTerm < m_hardState.m_term) {
+    return;
+  }
+  FollowLeader(aFrom, aNow);
+  const Snapshot& snapshot = aInstall.m_snapshot;
+  if (snapshot.m_index <= m_commit) {
+    SendWhenSynced(aFrom, AppendReply{ true, m_commit, aInstall.m_sentAt });
+    return;
+  }
+  const bool keepsTail = TermAt(snapshot.m_index) == snapshot.m_term;
+  while (!m_log.empty() &&
+         (!keepsTail || m_log.front().m_index <= snapshot.m_index)) {
+    m_log.pop_front();
+  }
+  m_snapshot = snapshot;
+  std::vector<MembershipAt> later{ { snapshot.m_index,
+                                     snapshot.m_membership } };
+  for (const LogEntry& entry : m_log) {
+    if (const auto* change = std::get_if<Membership>(&entry.m_payload)) {
+      later.push_back({ entry.m_index, *change });
+    }
+  }
+  m_memberships = std::move(later);
+  m_commit = snapshot.m_index;
+  m_applied = snapshot.m_index;
+  m_actions.push_back(Restore{ m_snapshot });
+  const std::uint64_t ticket = NewTicket();
+  m_ticketIndex[ticket] = LastIndex();
+  m_actions.push_back(
+    Persist{ ticket, std::nullopt, m_snapshot, { m_log.begin(), m_log.end() } });
+  SendWhenSynced(aFrom,
+                 AppendReply{ true, snapshot.m_index, aInstall.m_sentAt });
+}
+
+void
+Replica::AdvanceCommit(TimePoint aNow)
+{
+  if (m_role != Role::kLeader) {
+    return;
+  }
+  std::vector<Index> matches;
+  for (const Member& member : CurrentMembership().m_members) {
+    if (member.m_voter) {
+      const bool counted = !m_regressed.contains(member.m_id);
+      matches.push_back(counted ? MatchOf(member.m_id) : Index{});
+    }
+  }
+  if (matches.empty()) {
+    return;
+  }
+  std::sort(matches.rbegin(), matches.rend());
+  const Index quorum = matches[matches.size() / 2];
+  // Entries of earlier terms count only through one of this term: a quorum
+  // holding an old entry does not keep a later leader from replacing it.
+  if (quorum > m_commit && TermAt(quorum) == m_hardState.m_term) {
+    CommitTo(quorum);
+    StepDownIfRemoved(aNow);
+  }
+}
+
+void
+Replica::CommitTo(Index aIndex)
+{
+  m_commit = std::max(m_commit, std::min(aIndex, LastIndex()));
+  if (m_applied >= m_commit) {
+    return;
+  }
+  Apply apply;
+  while (m_applied < m_commit) {
+    m_applied = Next(m_applied);
+    apply.m_entries.push_back(*EntryAt(m_applied));
+  }
+  m_actions.push_back(std::move(apply));
+}
+
+// --------------------------------------------------------------- membership
+
+bool
+Replica::IsChangePending() const
+{
+  return m_memberships.back().m_index > m_commit;
+}
+
+Error
+Replica::ProposeMembership(Membership aMembership, TimePoint aNow)
+{
+  if (m_role != Role::kLeader) {
+    return Error::kNotLeader;
+  }
+  if (!IsReady()) {
+    return Error::kNotReady;
+  }
+  // One voter at a time: quorums before and after then overlap, which holds
+  // only while no second change is under way.
+  if (IsChangePending()) {
+    return Error::kChangePending;
+  }
+  AppendOwn(std::move(aMembership), aNow);
+  SendAppends(aNow, true);
+  return Error::kNone;
+}
+
+Error
+Replica::AddMember(Member aMember, TimePoint aNow)
+{
+  if (CurrentMembership().Find(aMember.m_id) != nullptr) {
+    return Error::kAlreadyMember;
+  }
+  Membership changed = CurrentMembership();
+  aMember.m_voter = false;
+  changed.m_members.push_back(std::move(aMember));
+  return ProposeMembership(std::move(changed), aNow);
+}
+
+Error
+Replica::RemoveMember(const InstanceId& aInstance, TimePoint aNow)
+{
+  Membership changed = CurrentMembership();
+  auto& members = changed.m_members;
+  const auto found =
+    std::find_if(members.begin(), members.end(), [&](const Member& aOne) {
+      return aOne.m_id.m_instance == aInstance;
+    });
+  if (found == members.end()) {
+    return Error::kUnknownMember;
+  }
+  if (found->m_voter && changed.VoterCount() == 1) {
+    return Error::kLastVoter;
+  }
+  members.erase(found);
+  return ProposeMembership(std::move(changed), aNow);
+}
+
+void
+Replica::PromoteSyncedLearner(TimePoint aNow)
+{
+  if (!IsReady() || IsChangePending()) {
+    return;
+  }
+  for (const Member& member : CurrentMembership().m_members) {
+    if (member.m_voter || MatchOf(member.m_id) < m_commit) {
+      continue;
+    }
+    Membership changed = CurrentMembership();
+    const auto isEarlierLife = [&](const Member& aOne) {
+      return aOne.m_id.m_instance == member.m_id.m_instance &&
+             aOne.m_id != member.m_id;
+    };
+    const auto removed = std::erase_if(changed.m_members, isEarlierLife);
+    if (removed == 0) {
+      for (Member& one : changed.m_members) {
+        one.m_voter = one.m_voter || one.m_id == member.m_id;
+      }
+    }
+    ProposeMembership(std::move(changed), aNow);
+    return;
+  }
+}
+
+void
+Replica::StepDownIfRemoved(TimePoint aNow)
+{
+  if (!IsChangePending() && !CurrentMembership().IsVoter(m_self)) {
+    SendAppends(aNow, true);
+    BecomeFollower(m_hardState.m_term, aNow);
+  }
+}
+
+// --------------------------------------------------------------------- disk
+
+void
+Replica::Compact(Index aApplied, std::string aState)
+{
+  const std::optional<Term> term = TermAt(aApplied);
+  if (!term || aApplied <= m_snapshot.m_index || aApplied > m_applied) {
+    return;
+  }
+  std::size_t inForce = 0;
+  while (inForce + 1 < m_memberships.size() &&
+         m_memberships[inForce + 1].m_index <= aApplied) {
+    ++inForce;
+  }
+  m_memberships.erase(m_memberships.begin(), m_memberships.begin() + inForce);
+  m_snapshot = Snapshot{
+    aApplied, *term, m_memberships.front().m_membership, std::move(aState)
+  };
+  while (!m_log.empty() && m_log.front().m_index <= aApplied) {
+    m_log.pop_front();
+  }
+  const std::uint64_t ticket = NewTicket();
+  m_ticketIndex[ticket] = LastIndex();
+  m_actions.push_back(
+    Persist{ ticket, std::nullopt, m_snapshot, { m_log.begin(), m_log.end() } });
+}
+
+void
+Replica::TruncateFrom(Index aIndex)
+{
+  while (!m_log.empty() && m_log.back().m_index >= aIndex) {
+    m_log.pop_back();
+  }
+  while (m_memberships.size() > 1 && m_memberships.back().m_index >= aIndex) {
+    m_memberships.pop_back();
+  }
+  m_persistedIndex = std::min(m_persistedIndex, Previous(aIndex));
+  // Writes still on their way hold entries that are replaced now; their
+  // completion must not count for the entries that take the same positions.
+  for (auto& [ticket, index] : m_ticketIndex) {
+    index = std::min(index, Previous(aIndex));
+  }
+}
+
+void
+Replica::PersistHardState()
+{
+  m_hardStateTicket = NewTicket();
+  m_actions.push_back(
+    Persist{ m_hardStateTicket, m_hardState, std::nullopt, {} });
+}
+
+void
+Replica::PersistEntries(std::vector<LogEntry> aEntries)
+{
+  const std::uint64_t ticket = NewTicket();
+  m_ticketIndex[ticket] = aEntries.back().m_index;
+  m_actions.push_back(
+    Persist{ ticket, std::nullopt, std::nullopt, std::move(aEntries) });
+}
+
+void
+Replica::OnPersisted(std::uint64_t aTicket, TimePoint aNow)
+{
+  m_syncedTicket = std::max(m_syncedTicket, aTicket);
+  while (!m_ticketIndex.empty() &&
+         m_ticketIndex.begin()->first <= m_syncedTicket) {
+    m_persistedIndex =
+      std::max(m_persistedIndex, m_ticketIndex.begin()->second);
+    m_ticketIndex.erase(m_ticketIndex.begin());
+  }
+  m_persistedIndex = std::min(m_persistedIndex, LastIndex());
+  while (!m_held.empty() && m_held.front().m_ticket <= m_syncedTicket) {
+    m_actions.push_back(Send{ std::move(m_held.front().m_message) });
+    m_held.pop_front();
+  }
+  AdvanceCommit(aNow);
+}
+
+Message
+Replica::Compose(const ReplicaId& aTo, MessageBody aBody) const
+{
+  Term term = m_hardState.m_term;
+  const auto* vote = std::get_if<VoteRequest>(&aBody);
+  if (vote != nullptr && vote->m_preVote) {
+    term = Term{ term.Get() + 1 };
+  }
+  return Message{ m_self, aTo, term, std::move(aBody) };
+}
+
+void
+Replica::SendNow(const ReplicaId& aTo, MessageBody aBody)
+{
+  m_actions.push_back(Send{ Compose(aTo, std::move(aBody)) });
+}
+
+void
+Replica::SendWhenSynced(const ReplicaId& aTo, MessageBody aBody)
+{
+  if (m_syncedTicket >= m_lastTicket) {
+    SendNow(aTo, std::move(aBody));
+    return;
+  }
+  m_held.push_back({ m_lastTicket, Compose(aTo, std::move(aBody)) });
+}
+
+} // namespace bamboostile::consensus
--- /dev/null
+++ b/src/control/node.cpp
@@ -0,0 +1,466 @@
+#include "bamboostile/control/node.h"
+
+#include "bamboostile/telemetry/log.h"
+#include "bamboostile/units/visit.h"
+#include "bamboostile/wire/consensus_codec.h"
+
+#include <algorithm>
+
+namespace bamboostile::control {
+
+namespace {
+
+using telemetry::Level;
+using telemetry::LogLine;
+
+constexpr Duration kTick = Millis{ 20 };
+constexpr Duration kDutyInterval = Millis{ 200 };
+/** A frozen peer would otherwise collect messages without end. */
+constexpr std::size_t kMaxOutstanding = 256;
+constexpr Duration kPeerSilence = Millis{ 2000 };
+constexpr Duration kMarkInterval = Millis{ 5000 };
+
+kj::Duration
+ToKj(Duration aDuration)
+{
+  return aDuration.count() * kj::MICROSECONDS;
+}
+
+consensus::ReplicaOptions
+WithSeed(consensus::ReplicaOptions aOptions, const consensus::ReplicaId& aSelf)
+{
+  aOptions.m_seed = aSelf.m_incarnation.Get();
+  return aOptions;
+}
+
+} // namespace
+
+Node::Node(NodeOptions aOptions,
+           storage::Opened aOpened,
+           std::unique_ptr<storage::LogStore> aStore,
+           kj::AsyncIoProvider& aProvider,
+           std::function<void(const storage::Failure&)> aOnDiskFailure)
+  : m_options(std::move(aOptions))
+  , m_provider(aProvider)
+  , m_timer(aProvider.getTimer())
+  , m_onDiskFailure(std::move(aOnDiskFailure))
+  , m_replica(aOpened.m_self,
+              WithSeed(m_options.m_replica, aOpened.m_self),
+              std::move(aOpened.m_recovered),
+              MonotonicNow())
+  , m_registry(m_options.m_membership)
+  , m_disk(std::move(aStore), m_reports)
+  , m_tasks(*this)
+{
+  Pump();
+  m_tasks.add(TickLoop());
+  m_tasks.add(DiskLoop());
+}
+
+void
+Node::taskFailed(kj::Exception&& aException)
+{
+  LogLine(Level::kWarning, "control task failed")
+    .With("reason", std::string{ aException.getDescription().cStr() })
+    .Write();
+}
+
+// -------------------------------------------------------------------- loops
+
+kj::Promise<void>
+Node::TickLoop()
+{
+  const TimePoint now = MonotonicNow();
+  m_replica.Tick(now);
+  Pump();
+  FollowRole();
+  CheckInForce();
+  if (now >= m_nextDuties) {
+    m_nextDuties = now + kDutyInterval;
+    if (IsServing()) {
+      Lead(now);
+    }
+  }
+  return m_timer.afterDelay(ToKj(kTick)).then([this]() { return TickLoop(); });
+}
+
+kj::Promise<void>
+Node::DiskLoop()
+{
+  return m_reports.Take().then([this](std::vector<DiskReport> aReports) {
+    for (const DiskReport& report : aReports) {
+      if (report.m_failure) {
+        m_onDiskFailure(*report.m_failure);
+        return kj::Promise<void>(kj::READY_NOW);
+      }
+      m_replica.OnPersisted(report.m_ticket, MonotonicNow());
+    }
+    Pump();
+    return DiskLoop();
+  });
+}
+
+void
+Node::Pump()
+{
+  if (m_pumping) {
+    return;
+  }
+  m_pumping = true;
+  for (auto actions = m_replica.TakeActions(); !actions.empty();
+       actions = m_replica.TakeActions()) {
+    for (consensus::Action& action : actions) {
+      std::visit([this](auto& aOne) { Run(std::move(aOne)); }, action);
+    }
+    MaybeCompact();
+  }
+  m_pumping = false;
+}
+
+void
+Node::Run(consensus::Persist aPersist)
+{
+  m_disk.Write(std::move(aPersist));
+}
+
+Node::Peer*
+Node::FindPeer(const consensus::ReplicaId& aId)
+{
+  const consensus::Member* member = m_replica.CurrentMembership().Find(aId);
+  if (member == nullptr) {
+    return nullptr;
+  }
+  Peer& peer = m_peers[member->m_address];
+  if (peer.m_channel.get() == nullptr) {
+    peer.m_channel =
+      kj::refcounted<rpc::Channel>(m_provider.getNetwork(), member->m_address);
+    peer.m_lastAnswer = MonotonicNow();
+  }
+  return &peer;
+}
+
+void
+Node::Run(consensus::Send aSend)
+{
+  Peer* peer = FindPeer(aSend.m_message.m_to);
+  if (peer == nullptr) {
+    return;
+  }
+  const TimePoint now = MonotonicNow();
+  // A silent cut keeps the connection open; TCP would wait minutes before it
+  // tries again. A new connection finds out at once when the cut is over.
+  if (peer->m_outstanding > 0 && now > peer->m_lastAnswer + kPeerSilence) {
+    peer->m_channel->Drop();
+    peer->m_lastAnswer = now;
+  }
+  if (peer->m_outstanding >= kMaxOutstanding) {
+    return;
+  }
+  if (peer->m_outstanding == 0) {
+    peer->m_lastAnswer = now;
+  }
+  ++peer->m_outstanding;
+  auto request = peer->m_channel->Get().deliverRequest();
+  wire::Write(aSend.m_message, request.initMessage());
+  m_tasks.add(request.send().ignoreResult().then(
+    [peer]() {
+      --peer->m_outstanding;
+      peer->m_lastAnswer = MonotonicNow();
+    },
+    [peer](kj::Exception&&) {
+      --peer->m_outstanding;
+      peer->m_channel->Drop();
+    }));
+}
+
+void
+Node::Run(consensus::Apply aApply)
+{
+  const Index viewBefore = m_state.ViewRevision();
+  for (const consensus::LogEntry& entry : aApply.m_entries) {
+    Decided decided;
+    decided.m_index = entry.m_index;
+    if (const auto* bytes =
+          std::get_if<consensus::CommandBytes>(&entry.m_payload)) {
+      if (const auto command = fleet::DecodeCommand(bytes->m_bytes)) {
+        decided.m_effect = m_state.Apply(entry.m_index, *command);
+      }
+    }
+    const auto waiter = m_waiters.find(entry.m_index);
+    if (waiter == m_waiters.end()) {
+      continue;
+    }
+    // Another leader's entry took this position: ours was never decided.
+    if (waiter->second.m_term != entry.m_term) {
+      decided.m_effect.reset();
+      decided.m_error = consensus::Error::kNotLeader;
+    }
+    waiter->second.m_fulfiller->fulfill(kj::mv(decided));
+    m_waiters.erase(waiter);
+  }
+  if (m_state.ViewRevision() != viewBefore) {
+    WakeViewWaiters();
+  }
+}
+
+void
+Node::Run(consensus::Restore aRestore)
+{
+  auto state = fleet::State::Decode(aRestore.m_snapshot.m_state);
+  if (!state) {
+    m_onDiskFailure(storage::Failure{ storage::Error::kDamaged,
+                                      "snapshot",
+                                      aRestore.m_snapshot.m_index.Get(),
+                                      "the state does not decode" });
+    return;
+  }
+  m_state = std::move(*state);
+  WakeViewWaiters();
+}
+
+void
+Node::MaybeCompact()
+{
+  const Index applied = m_state.Applied();
+  const Index snapshot = m_replica.SnapshotIndex();
+  if (applied > snapshot &&
+      applied.Get() - snapshot.Get() >= m_options.m_snapshotEvery) {
+    m_replica.Compact(applied, m_state.Encode());
+  }
+}
+
+void
+Node::FollowRole()
+{
+  const bool leads = m_replica.CurrentRole() == consensus::Role::kLeader;
+  if (leads == m_wasLeader) {
+    return;
+  }
+  m_wasLeader = leads;
+  LogLine(Level::kInfo, leads ? "became leader" : "stopped being leader")
+    .With("term", m_replica.CurrentTerm().Get())
+    .With("commit", m_replica.CommitIndex().Get())
+    .Write();
+  if (leads) {
+    m_registry.Reset(MonotonicNow());
+    m_marks.clear();
+  } else {
+    FailWaiters();
+  }
+}
+
+// Whether these commands are committed is for a later leader to find out;
+// their senders ask it with the same ids.
+void
+Node::FailWaiters()
+{
+  for (auto& [index, waiter] : m_waiters) {
+    Decided decided;
+    decided.m_index = index;
+    decided.m_error = consensus::Error::kNotLeader;
+    waiter.m_fulfiller->fulfill(kj::mv(decided));
+  }
+  m_waiters.clear();
+  WakeViewWaiters();
+}
+
+// ----------------------------------------------------------- leader's duties
+
+void
+Node::ProposeAlone(fleet::Command aCommand)
+{
+  ++m_proposedAlone;
+  m_tasks.add(Propose(std::move(aCommand)).then([this](Decided) {
+    --m_proposedAlone;
+  }));
+}
+
+void
+Node::Lead(TimePoint aNow)
+{
+  // One round at a time: what is proposed but not applied would be proposed
+  // again and again.
+  if (m_proposedAlone > 0) {
+    return;
+  }
+  const auto lost = m_registry.FindLost(m_state.Instances(), aNow);
+  if (!lost.empty()) {
+    ProposeAlone(fleet::LoseInstances{ lost });
+  }
+  ExpireOutcomes(aNow);
+  AdvanceWaves(aNow);
+}
+
+void
+Node::ExpireOutcomes(TimePoint aNow)
+{
+  if (m_marks.empty() || aNow >= m_marks.back().m_at + kMarkInterval) {
+    m_marks.push_back({ m_state.Applied(), aNow });
+  }
+  const Duration keep =
+    std::chrono::seconds{ m_state.CurrentConfig().m_outcomeKeepSeconds };
+  std::optional<Index> upTo;
+  while (!m_marks.empty() && m_marks.front().m_at + keep < aNow) {
+    upTo = m_marks.front().m_index;
+    m_marks.pop_front();
+  }
+  if (upTo && m_state.Outcomes().Size() > 0) {
+    ProposeAlone(outcome::Expire{ *upTo });
+  }
+}
+
+void
+Node::AdvanceWaves(TimePoint aNow)
+{
+  const waves::Observed observed{ [&](const fleet::Instance& aInstance) {
+    return m_registry.IsEmpty(aInstance, aNow);
+  } };
+  for (fleet::Command& command : waves::NextSteps(m_state, observed)) {
+    ProposeAlone(std::move(command));
+  }
+  if (m_options.m_restart) {
+    for (const fleet::Instance* instance : waves::Released(m_state)) {
+      m_options.m_restart(*instance);
+    }
+  }
+}
+
+// -------------------------------------------------------------------- calls
+
+kj::Promise<Decided>
+Node::Propose(fleet::Command aCommand)
+{
+  Index index;
+  const consensus::Error error = m_replica.Propose(
+    fleet::EncodeCommand(aCommand), MonotonicNow(), index);
+  if (error != consensus::Error::kNone) {
+    Decided refused;
+    refused.m_error = error;
+    return refused;
+  }
+  auto pair = kj::newPromiseAndFulfiller<Decided>();
+  m_waiters[index] =
+    Waiter{ m_replica.CurrentTerm(), kj::mv(pair.fulfiller) };
+  Pump();
+  return kj::mv(pair.promise);
+}
+
+bool
+Node::IsServing() const
+{
+  return m_replica.IsReady() && m_replica.HoldsLease(MonotonicNow());
+}
+
+std::string
+Node::LeaderAddress() const
+{
+  const auto leader = m_replica.Leader();
+  if (!leader) {
+    return {};
+  }
+  const consensus::Member* member =
+    m_replica.CurrentMembership().Find(*leader);
+  return member != nullptr ? member->m_address : std::string{};
+}
+
+kj::Promise<bool>
+Node::WaitInForce(Index aRevision)
+{
+  auto pair = kj::newPromiseAndFulfiller<bool>();
+  m_inForce.push_back(
+    InForceWaiter{ aRevision,
+                   MonotonicNow() + m_options.m_inForcePatience,
+                   kj::mv(pair.fulfiller) });
+  CheckInForce();
+  return kj::mv(pair.promise);
+}
+
+void
+Node::CheckInForce()
+{
+  const TimePoint now = MonotonicNow();
+  for (auto it = m_inForce.begin(); it != m_inForce.end();) {
+    const bool holds =
+      IsServing() && m_registry.InForce(it->m_revision, now);
+    if (!holds && now < it->m_until) {
+      ++it;
+      continue;
+    }
+    it->m_fulfiller->fulfill(kj::cp(holds));
+    it = m_inForce.erase(it);
+  }
+}
+
+kj::Promise<void>
+Node::WaitViewChange(Index aRevision)
+{
+  if (m_state.ViewRevision() > aRevision) {
+    return kj::READY_NOW;
+  }
+  // Those whose hold time ended are of no use any more.
+  std::erase_if(m_viewWaiters,
+                [](auto& aOne) { return !aOne->isWaiting(); });
+  auto pair = kj::newPromiseAndFulfiller<void>();
+  m_viewWaiters.push_back(kj::mv(pair.fulfiller));
+  return pair.promise.exclusiveJoin(
+    m_timer.afterDelay(ToKj(m_options.m_syncHold)));
+}
+
+void
+Node::WakeViewWaiters()
+{
+  for (auto& waiter : std::exchange(m_viewWaiters, {})) {
+    waiter->fulfill();
+  }
+}
+
+void
+Node::Deliver(const consensus::Message& aMessage)
+{
+  m_replica.Receive(aMessage, MonotonicNow());
+  Pump();
+  FollowRole();
+}
+
+bool
+Node::IsEmptyReplica() const
+{
+  return m_replica.LastIndex() == Index{};
+}
+
+consensus::Error
+Node::Bootstrap()
+{
+  const auto error = m_replica.Bootstrap(m_options.m_address, MonotonicNow());
+  Pump();
+  FollowRole();
+  return error;
+}
+
+kj::Promise<consensus::Error>
+Node::AddMember(std::string aAddress)
+{
+  auto channel =
+    kj::refcounted<rpc::Channel>(m_provider.getNetwork(), aAddress);
+  auto identified = channel->Get().identifyRequest().send();
+  return identified.then(
+    [this, address = std::move(aAddress), channel = kj::mv(channel)](
+      auto aReply) mutable {
+      const consensus::Member member{ wire::Read(aReply.getId()),
+                                      address,
+                                      false };
+      const auto error = m_replica.AddMember(member, MonotonicNow());
+      Pump();
+      return error;
+    });
+}
+
+consensus::Error
+Node::RemoveMember(const InstanceId& aInstance)
+{
+  const auto error = m_replica.RemoveMember(aInstance, MonotonicNow());
+  Pump();
+  return error;
+}
+
+} // namespace bamboostile::control
--- /dev/null
+++ b/src/control/server.cpp
@@ -0,0 +1,423 @@
+#include "bamboostile/control/node.h"
+#include "bamboostile/telemetry/log.h"
+#include "bamboostile/units/visit.h"
+#include "bamboostile/wire/consensus_codec.h"
+#include "bamboostile/wire/entry_codec.h"
+#include "bamboostile/wire/operator_codec.h"
+
+#include "../wire/text.h"
+
+#include <algorithm>
+
+namespace bamboostile::control {
+
+namespace {
+
+using telemetry::Level;
+using telemetry::LogLine;
+using wire::ToData;
+using wire::ToString;
+
+schema::LedgerOutcome
+ToOutcome(outcome::Verdict aVerdict)
+{
+  switch (aVerdict) {
+    case outcome::Verdict::kGranted:
+      return schema::LedgerOutcome::GRANTED;
+    case outcome::Verdict::kRecorded:
+      return schema::LedgerOutcome::RECORDED;
+    case outcome::Verdict::kDigestMismatch:
+      return schema::LedgerOutcome::DIGEST_MISMATCH;
+    case outcome::Verdict::kAttemptNotAllowed:
+      return schema::LedgerOutcome::ATTEMPT_NOT_ALLOWED;
+  }
+  return schema::LedgerOutcome::UNDECIDED;
+}
+
+membership::SyncReport
+ReadSync(schema::SyncRequest::Reader aFrom)
+{
+  membership::SyncReport report;
+  report.m_entry = wire::Read(aFrom.getEntry());
+  report.m_zone = ZoneId{ ToString(aFrom.getZone()) };
+  report.m_httpAddress = ToString(aFrom.getHttp());
+  report.m_revision = Index{ aFrom.getRevision() };
+  report.m_leaving = aFrom.getLeaving();
+  for (const std::uint64_t key : aFrom.getRenewals()) {
+    report.m_renewals.push_back(key);
+  }
+  for (auto one : aFrom.getInFlight()) {
+    report.m_inFlight.push_back(
+      { InstanceId{ ToString(one.getId()) }, one.getCount() });
+  }
+  return report;
+}
+
+class OperatorServer final : public schema::Operators::Server
+{
+public:
+  explicit OperatorServer(Node& aNode)
+    : m_node(aNode)
+  {
+  }
+
+  kj::Promise<void> submit(SubmitContext aContext) override
+  {
+    auto reply = aContext.getResults().initReply();
+    if (!m_node.IsServing()) {
+      RefuseAsFollower(reply);
+      return kj::READY_NOW;
+    }
+    wire::CallError error;
+    const auto call = wire::Read(aContext.getParams().getCall(), error);
+    if (!call) {
+      reply.setOutcome(schema::CallOutcome::INVALID);
+      reply.setMessage(error.m_message);
+      return kj::READY_NOW;
+    }
+    LogLine(Level::kInfo, "operator call")
+      .With("operation", call->m_operation.Get())
+      .With("operator", call->m_operator)
+      .Write();
+    return m_node.Propose(*call).then(
+      [this, aContext](Decided aDecided) mutable {
+        return Conclude(aContext, aDecided);
+      });
+  }
+
+  kj::Promise<void> status(StatusContext aContext) override
+  {
+    auto results = aContext.getResults();
+    if (!m_node.IsServing()) {
+      RefuseAsFollower(results.initReply());
+      return kj::READY_NOW;
+    }
+    results.setJson(m_node.StatusJson());
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> control(ControlContext aContext) override
+  {
+    const auto params = aContext.getParams();
+    switch (params.getChange()) {
+      case schema::ControlChange::INIT:
+        Report(aContext.getResults().initReply(), m_node.Bootstrap());
+        return kj::READY_NOW;
+      case schema::ControlChange::ADD:
+        if (!m_node.IsServing()) {
+          RefuseAsFollower(aContext.getResults().initReply());
+          return kj::READY_NOW;
+        }
+        return m_node.AddMember(ToString(params.getAddress()))
+          .then(
+            [this, aContext](consensus::Error aError) mutable {
+              Report(aContext.getResults().initReply(), aError);
+            },
+            [aContext](kj::Exception&& aException) mutable {
+              auto reply = aContext.getResults().initReply();
+              reply.setOutcome(schema::CallOutcome::INVALID);
+              reply.setMessage(
+                kj::str("address: ", aException.getDescription()));
+            });
+      case schema::ControlChange::REMOVE:
+        if (!m_node.IsServing()) {
+          RefuseAsFollower(aContext.getResults().initReply());
+          return kj::READY_NOW;
+        }
+        Report(aContext.getResults().initReply(),
+               m_node.RemoveMember(
+                 InstanceId{ ToString(params.getInstance()) }));
+        return kj::READY_NOW;
+    }
+    return kj::READY_NOW;
+  }
+
+private:
+  void RefuseAsFollower(schema::CallReply::Builder aReply)
+  {
+    aReply.setOutcome(schema::CallOutcome::NOT_LEADER);
+    aReply.setMessage("this replica does not lead, or is cut off");
+    aReply.setLeaderAddress(m_node.LeaderAddress());
+  }
+
+  void Report(schema::CallReply::Builder aReply, consensus::Error aError)
+  {
+    switch (aError) {
+      case consensus::Error::kNone:
+        aReply.setOutcome(schema::CallOutcome::DONE);
+        return;
+      case consensus::Error::kNotLeader:
+      case consensus::Error::kNotReady:
+        RefuseAsFollower(aReply);
+        return;
+      case consensus::Error::kUnknownMember:
+        aReply.setOutcome(schema::CallOutcome::NOT_FOUND);
+        break;
+      case consensus::Error::kChangePending:
+        aReply.setOutcome(schema::CallOutcome::IN_USE);
+        break;
+      case consensus::Error::kAlreadyMember:
+      case consensus::Error::kLastVoter:
+      case consensus::Error::kNotEmpty:
+        aReply.setOutcome(schema::CallOutcome::INVALID);
+        break;
+    }
+    aReply.setMessage(consensus::Describe(aError));
+  }
+
+  kj::Promise<void> Conclude(SubmitContext aContext, const Decided& aDecided)
+  {
+    auto reply = aContext.getResults().initReply();
+    const fleet::CallReply* answer =
+      aDecided.m_effect ? std::get_if<fleet::CallReply>(&*aDecided.m_effect)
+                        : nullptr;
+    if (answer == nullptr) {
+      reply.setOutcome(schema::CallOutcome::UNKNOWN);
+      reply.setMessage("the leader changed; send the call again with the "
+                       "same operation id");
+      return kj::READY_NOW;
+    }
+    wire::Write(*answer, reply);
+    if (answer->m_refusal != fleet::Refusal::kNone) {
+      return kj::READY_NOW;
+    }
+    return m_node.WaitInForce(answer->m_revision)
+      .then([aContext](bool aInForce) mutable {
+        aContext.getResults().getReply().setInForce(aInForce);
+      });
+  }
+
+  Node& m_node;
+};
+
+class ControlServer final : public schema::Control::Server
+{
+public:
+  explicit ControlServer(Node& aNode)
+    : m_node(aNode)
+  {
+  }
+
+  kj::Promise<void> deliver(DeliverContext aContext) override
+  {
+    m_node.Deliver(wire::Read(aContext.getParams().getMessage()));
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> identify(IdentifyContext aContext) override
+  {
+    auto results = aContext.getResults();
+    wire::Write(m_node.Replica().Self(), results.initId());
+    results.setEmpty(m_node.IsEmptyReplica());
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> sync(SyncContext aContext) override
+  {
+    if (!m_node.IsServing()) {
+      RefuseAsFollower(aContext.getResults().initReply());
+      return kj::READY_NOW;
+    }
+    const auto report = ReadSync(aContext.getParams().getRequest());
+    m_node.Registry().OnSync(report, MonotonicNow());
+    if (report.m_leaving) {
+      aContext.getResults().initReply();
+      return kj::READY_NOW;
+    }
+    return m_node.WaitViewChange(report.m_revision)
+      .then([this, aContext, report]() mutable {
+        AnswerSync(aContext, std::move(report));
+      });
+  }
+
+  kj::Promise<void> announce(AnnounceContext aContext) override
+  {
+    auto results = aContext.getResults();
+    if (!m_node.IsServing()) {
+      results.setOutcome(schema::SyncOutcome::NOT_LEADER);
+      results.setLeaderAddress(m_node.LeaderAddress());
+      return kj::READY_NOW;
+    }
+    fleet::AnnounceInstances command;
+    for (auto one : aContext.getParams().getAnnouncements()) {
+      command.m_announcements.push_back(wire::Read(one));
+      const auto& said = command.m_announcements.back();
+      m_node.Registry().OnAlive(
+        said.m_id, said.m_incarnation, MonotonicNow());
+    }
+    return m_node.Propose(std::move(command))
+      .then([aContext](Decided aDecided) mutable {
+        aContext.getResults().setOutcome(
+          aDecided.m_effect ? schema::SyncOutcome::OK
+                            : schema::SyncOutcome::NOT_LEADER);
+      });
+  }
+
+  kj::Promise<void> begin(BeginContext aContext) override
+  {
+    if (!m_node.IsServing()) {
+      RefuseAsFollower(aContext.getResults().initReply());
+      return kj::READY_NOW;
+    }
+    return m_node.Propose(wire::Read(aContext.getParams().getBegin()))
+      .then([this, aContext](Decided aDecided) mutable {
+        auto reply = aContext.getResults().initReply();
+        const auto* begun =
+          aDecided.m_effect
+            ? std::get_if<outcome::BeginReply>(&*aDecided.m_effect)
+            : nullptr;
+        if (begun == nullptr) {
+          reply.setOutcome(schema::LedgerOutcome::UNDECIDED);
+          return;
+        }
+        reply.setOutcome(ToOutcome(begun->m_verdict));
+        if (begun->m_verdict == outcome::Verdict::kRecorded) {
+          Write(begun->m_record, reply);
+        }
+      });
+  }
+
+  kj::Promise<void> resolve(ResolveContext aContext) override
+  {
+    if (!m_node.IsServing()) {
+      RefuseAsFollower(aContext.getResults().initReply());
+      return kj::READY_NOW;
+    }
+    return m_node.Propose(wire::Read(aContext.getParams().getResolve()))
+      .then([aContext](Decided aDecided) mutable {
+        aContext.getResults().initReply().setOutcome(
+          aDecided.m_effect ? schema::LedgerOutcome::RECORDED
+                            : schema::LedgerOutcome::UNDECIDED);
+      });
+  }
+
+  kj::Promise<void> lookup(LookupContext aContext) override
+  {
+    auto reply = aContext.getResults().initReply();
+    if (!m_node.IsServing()) {
+      RefuseAsFollower(reply);
+      return kj::READY_NOW;
+    }
+    const outcome::Record* record = m_node.State().Outcomes().Find(
+      RequestId{ ToString(aContext.getParams().getRequest()) });
+    if (record == nullptr) {
+      reply.setOutcome(schema::LedgerOutcome::NOT_FOUND);
+      return kj::READY_NOW;
+    }
+    reply.setOutcome(schema::LedgerOutcome::RECORDED);
+    Write(*record, reply);
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> operators(OperatorsContext aContext) override
+  {
+    aContext.getResults().setOperators(kj::heap<OperatorServer>(m_node));
+    return kj::READY_NOW;
+  }
+
+private:
+  template<typename Reply>
+  void RefuseAsFollower(Reply aReply)
+  {
+    using Outcome = decltype(aReply.asReader().getOutcome());
+    aReply.setOutcome(Outcome::NOT_LEADER);
+    aReply.setLeaderAddress(m_node.LeaderAddress());
+  }
+
+  void Write(const outcome::Record& aRecord, schema::LedgerReply::Builder aTo)
+  {
+    aTo.setRecord(ToData(fleet::EncodeRecord(aRecord)));
+    aTo.setHolderGone(
+      !m_node.Registry().IsAlive(aRecord.m_holder, MonotonicNow()));
+  }
+
+  void AnswerSync(SyncContext aContext, membership::SyncReport aReport)
+  {
+    auto reply = aContext.getResults().initReply();
+    // The lease of an entry rests on ours: a leader that was cut off while
+    // this call waited must not give one.
+    if (!m_node.IsServing()) {
+      RefuseAsFollower(reply);
+      return;
+    }
+    const TimePoint now = MonotonicNow();
+    membership::Registry& registry = m_node.Registry();
+    aReport.m_renewals.clear();
+    registry.OnSync(aReport, now);
+    const fleet::State& state = m_node.State();
+    reply.setOutcome(schema::SyncOutcome::OK);
+    reply.setLeaseMs(ToMillis(registry.EntryLease()).count());
+    reply.setTerm(m_node.Replica().CurrentTerm().Get());
+    reply.setRevision(state.ViewRevision().Get());
+    if (state.ViewRevision() != aReport.m_revision) {
+      reply.setView(
+        ToData(fleet::EncodeView(state.ViewSince(aReport.m_revision))));
+    }
+    const auto live = registry.LiveEntries(now);
+    const auto self =
+      std::find_if(live.begin(), live.end(), [&](const auto& aOne) {
+        return aOne.m_entry == aReport.m_entry;
+      });
+    reply.setLiveEntries(live.size());
+    reply.setPosition(self - live.begin());
+    const auto& members = m_node.Replica().CurrentMembership().m_members;
+    auto addresses = reply.initControlAddresses(members.size());
+    for (std::size_t i = 0; i < members.size(); ++i) {
+      addresses.set(i, members[i].m_address);
+    }
+  }
+
+  Node& m_node;
+};
+
+/** One accepted connection, with its own reader limits. */
+struct Accepted
+{
+  kj::Own<kj::AsyncIoStream> m_stream;
+  capnp::TwoPartyVatNetwork m_network;
+  capnp::RpcSystem<capnp::rpc::twoparty::VatId> m_rpc;
+
+  Accepted(kj::Own<kj::AsyncIoStream> aStream,
+           capnp::Capability::Client aBootstrap)
+    : m_stream(kj::mv(aStream))
+    , m_network(*m_stream, capnp::rpc::twoparty::Side::SERVER)
+    , m_rpc(capnp::makeRpcServer(m_network, kj::mv(aBootstrap)))
+  {
+  }
+};
+
+kj::Promise<void>
+AcceptLoop(Node& aNode, kj::ConnectionReceiver& aReceiver)
+{
+  return aReceiver.accept().then(
+    [&aNode, &aReceiver](kj::Own<kj::AsyncIoStream>&& aStream) {
+      auto accepted =
+        kj::heap<Accepted>(kj::mv(aStream), MakeControlServer(aNode));
+      auto ended = accepted->m_network.onDisconnect();
+      ended.attach(kj::mv(accepted)).detach([](kj::Exception&&) {});
+      return AcceptLoop(aNode, aReceiver);
+    });
+}
+
+} // namespace
+
+schema::Control::Client
+MakeControlServer(Node& aNode)
+{
+  return kj::heap<ControlServer>(aNode);
+}
+
+kj::Promise<void>
+Listen(Node& aNode,
+       kj::AsyncIoProvider& aProvider,
+       const std::string& aAddress)
+{
+  return aProvider.getNetwork().parseAddress(aAddress).then(
+    [&aNode](kj::Own<kj::NetworkAddress>&& aParsed) {
+      auto receiver = aParsed->listen();
+      auto loop = AcceptLoop(aNode, *receiver);
+      return loop.attach(kj::mv(receiver));
+    });
+}
+
+} // namespace bamboostile::control
--- /dev/null
+++ b/src/entry/caller_headers.cpp
@@ -0,0 +1,126 @@
+#include "caller_headers.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace bamboostile::entry::internal {
+
+namespace {
+
+constexpr std::size_t kMaxKeyLength = 128;
+constexpr std::uint32_t kMaxAttempt = 1000;
+
+std::optional<std::uint64_t>
+ParseNumber(const std::string& aText,
+            std::uint64_t aMinimum,
+            std::uint64_t aMaximum)
+{
+  std::uint64_t value = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [at, error] = std::from_chars(aText.data(), end, value);
+  const bool sound = error == std::errc{} && at == end && value >= aMinimum &&
+                     value <= aMaximum;
+  return sound ? std::optional{ value } : std::nullopt;
+}
+
+bool
+IsKey(const std::string& aText)
+{
+  return !aText.empty() && aText.size() <= kMaxKeyLength &&
+         std::all_of(aText.begin(), aText.end(), [](char aOne) {
+           return aOne > ' ' && aOne < '\x7f' && aOne != '/';
+         });
+}
+
+std::optional<admission::Class>
+ParseClass(const std::string& aText)
+{
+  if (aText == "urgent") {
+    return admission::Class::kUrgent;
+  }
+  if (aText == "normal") {
+    return admission::Class::kNormal;
+  }
+  if (aText == "batch") {
+    return admission::Class::kBatch;
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+bool
+IsIdempotentMethod(const std::string& aMethod)
+{
+  constexpr std::array<const char*, 6> kIdempotent{ "GET",    "HEAD",
+                                                    "PUT",    "DELETE",
+                                                    "OPTIONS", "TRACE" };
+  return std::find(kIdempotent.begin(), kIdempotent.end(), aMethod) !=
+         kIdempotent.end();
+}
+
+http::Headers
+WithoutOwn(const http::Headers& aHeaders)
+{
+  constexpr std::array<const char*, 11> kOwn{
+    kOutcomeHeader, kRequestIdHeader, kReasonHeader,  kRetryAfterMsHeader,
+    kNotRunHeader,  kKeyHeader,       kTimeoutHeader, kAttemptHeader,
+    kClassHeader,   kTraceHeader,     "Host"
+  };
+  http::Headers kept = http::WithoutHopByHop(aHeaders);
+  std::erase_if(kept, [&](const http::Header& aHeader) {
+    return std::any_of(kOwn.begin(), kOwn.end(), [&](const char* aName) {
+      return http::EqualsIgnoringCase(aHeader.m_name, aName);
+    });
+  });
+  return kept;
+}
+
+std::optional<request::Arrival>
+ReadCallerHeaders(const http::Request& aRequest,
+                  const settings::Limits& aLimits,
+                  HeaderProblem& aProblem)
+{
+  request::Arrival arrival;
+  arrival.m_idempotentMethod = IsIdempotentMethod(aRequest.m_method);
+  if (const auto key = http::FindHeader(aRequest.m_headers, kKeyHeader)) {
+    if (!IsKey(*key)) {
+      aProblem = { kKeyHeader, "1 to 128 visible ASCII characters, no slash" };
+      return std::nullopt;
+    }
+    arrival.m_keyed = true;
+    arrival.m_request = RequestId{ *key };
+  }
+  if (const auto text = http::FindHeader(aRequest.m_headers, kTimeoutHeader)) {
+    const auto longest =
+      static_cast<std::uint64_t>(aLimits.m_maxTimeout.count());
+    const auto millis = ParseNumber(*text, 1, longest);
+    if (!millis) {
+      aProblem = { kTimeoutHeader,
+                   "milliseconds from 1 to " + std::to_string(longest) };
+      return std::nullopt;
+    }
+    arrival.m_timeout = Millis{ *millis };
+  }
+  if (const auto text = http::FindHeader(aRequest.m_headers, kAttemptHeader)) {
+    const auto attempt = ParseNumber(*text, 1, kMaxAttempt);
+    if (!attempt) {
+      aProblem = { kAttemptHeader,
+                   "a number from 1 to " + std::to_string(kMaxAttempt) };
+      return std::nullopt;
+    }
+    arrival.m_attempt = static_cast<std::uint32_t>(*attempt);
+  }
+  if (const auto text = http::FindHeader(aRequest.m_headers, kClassHeader)) {
+    const auto known = ParseClass(*text);
+    if (!known) {
+      aProblem = { kClassHeader, "urgent, normal or batch" };
+      return std::nullopt;
+    }
+    arrival.m_class = *known;
+  }
+  return arrival;
+}
+
+} // namespace bamboostile::entry::internal
--- /dev/null
+++ b/src/entry/frontend.cpp
@@ -0,0 +1,747 @@
+#include "bamboostile/entry/frontend.h"
+
+#include "announcement_json.h"
+#include "bamboostile/telemetry/log.h"
+#include "bamboostile/units/visit.h"
+#include "caller_headers.h"
+#include "digest.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bamboostile::entry {
+
+namespace {
+
+using Json = nlohmann::json;
+using internal::kOutcomeHeader;
+using internal::kRequestIdHeader;
+using request::AttemptEnd;
+
+constexpr Millis kTickPeriod{ 5 };
+constexpr Duration kLookupPatience = Millis{ 2000 };
+/** After the stop is asked for, requests that were on their way still get
+ * their answer here. */
+constexpr Duration kDrainGrace = Millis{ 500 };
+constexpr const char* kOutcomesPath = "/v1/outcomes/";
+constexpr const char* kUpstreamsPath = "/v1/upstreams/";
+constexpr const char* kJsonType = "application/json";
+
+constexpr std::uint32_t kOk = 200;
+constexpr std::uint32_t kAccepted = 202;
+constexpr std::uint32_t kBadRequest = 400;
+constexpr std::uint32_t kNotFound = 404;
+constexpr std::uint32_t kMethodNotAllowed = 405;
+constexpr std::uint32_t kConflict = 409;
+constexpr std::uint32_t kGone = 410;
+constexpr std::uint32_t kUnprocessable = 422;
+constexpr std::uint32_t kUnavailable = 503;
+constexpr std::uint32_t kTimeout = 504;
+
+const char*
+ReasonPhrase(std::uint32_t aStatus)
+{
+  switch (aStatus) {
+    case kOk:
+      return "OK";
+    case kAccepted:
+      return "Accepted";
+    case kBadRequest:
+      return "Bad Request";
+    case kNotFound:
+      return "Not Found";
+    case kMethodNotAllowed:
+      return "Method Not Allowed";
+    case kConflict:
+      return "Conflict";
+    case kGone:
+      return "Gone";
+    case kUnprocessable:
+      return "Unprocessable Content";
+    case kUnavailable:
+      return "Service Unavailable";
+    case kTimeout:
+      return "Gateway Timeout";
+    default:
+      return "Status";
+  }
+}
+
+http::Response
+JsonResponse(std::uint32_t aStatus, const Json& aBody)
+{
+  http::Response response;
+  response.m_status = aStatus;
+  response.m_reason = ReasonPhrase(aStatus);
+  response.m_headers.push_back({ "Content-Type", kJsonType });
+  response.m_body =
+    aBody.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
+  return response;
+}
+
+http::Response
+FieldError(const std::string& aField, const std::string& aAllowed)
+{
+  http::Response response = JsonResponse(
+    kBadRequest,
+    { { "error", "bad input" }, { "field", aField }, { "allowed", aAllowed } });
+  response.m_headers.push_back({ kOutcomeHeader, "not-run" });
+  return response;
+}
+
+/** Seconds, rounded up, as Retry-After wants them; exact milliseconds beside
+ * it for callers that know us. */
+void
+AddRetryAfter(http::Response& aResponse, Duration aAfter)
+{
+  const auto millis = std::max<std::int64_t>(ToMillis(aAfter).count(), 0);
+  constexpr std::int64_t kMillisPerSecond = 1000;
+  const auto seconds = (millis + kMillisPerSecond - 1) / kMillisPerSecond;
+  aResponse.m_headers.push_back({ "Retry-After", std::to_string(seconds) });
+  aResponse.m_headers.push_back(
+    { internal::kRetryAfterMsHeader, std::to_string(millis) });
+}
+
+std::uint32_t
+StatusOf(const request::Conclude& aConclude)
+{
+  switch (aConclude.m_reason) {
+    case request::Reason::kUnknownService:
+      return kNotFound;
+    case request::Reason::kDigestMismatch:
+      return kUnprocessable;
+    case request::Reason::kAttemptNotAllowed:
+      return kConflict;
+    default:
+      return aConclude.m_state == outcome::State::kNotRun ? kUnavailable
+                                                          : kTimeout;
+  }
+}
+
+http::Response
+FromAnswer(const outcome::Answer& aAnswer)
+{
+  http::Response response;
+  response.m_status = aAnswer.m_status;
+  response.m_reason = ReasonPhrase(aAnswer.m_status);
+  for (const outcome::Header& header : aAnswer.m_headers) {
+    response.m_headers.push_back({ header.m_name, header.m_value });
+  }
+  response.m_body = aAnswer.m_body;
+  // Half an answer must not pass for the whole; the caller learns that its
+  // request was run, and that the body is gone.
+  if (aAnswer.m_bodyDropped) {
+    response = JsonResponse(
+      kGone,
+      { { "error", "the answer was too large to be kept" },
+        { "status", aAnswer.m_status } });
+  }
+  return response;
+}
+
+outcome::Answer
+ToAnswer(const http::Response& aResponse, std::size_t aKeptBytes)
+{
+  outcome::Answer answer;
+  answer.m_status = aResponse.m_status;
+  for (const http::Header& header : internal::WithoutOwn(aResponse.m_headers)) {
+    answer.m_headers.push_back({ header.m_name, header.m_value });
+  }
+  answer.m_bodyDropped = aResponse.m_body.size() > aKeptBytes;
+  if (!answer.m_bodyDropped) {
+    answer.m_body = aResponse.m_body;
+  }
+  return answer;
+}
+
+request::AttemptEnd
+ToEnd(http::CallEnd aEnd)
+{
+  switch (aEnd) {
+    case http::CallEnd::kAnswered:
+      return AttemptEnd::kAnswered;
+    case http::CallEnd::kNotSent:
+      return AttemptEnd::kNotSent;
+    case http::CallEnd::kTimedOut:
+      return AttemptEnd::kTimedOut;
+    case http::CallEnd::kBroken:
+      break;
+  }
+  return AttemptEnd::kBroken;
+}
+
+bool
+StartsWith(const std::string& aText, const char* aPrefix)
+{
+  return aText.rfind(aPrefix, 0) == 0;
+}
+
+std::string
+PathOf(const std::string& aTarget)
+{
+  return aTarget.substr(0, aTarget.find('?'));
+}
+
+double
+Seconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+} // namespace
+
+Frontend::Frontend(FrontendOptions aOptions,
+                   rpc::Mailbox<LinkMessage>& aLink,
+                   std::shared_ptr<opentracing::Tracer> aTracer)
+  : m_options(std::move(aOptions))
+  , m_link(aLink)
+  , m_tracer(std::move(aTracer))
+  , m_engine(m_options.m_engine,
+             m_options.m_self,
+             m_options.m_settings.m_zone)
+  , m_leaseUntil(std::make_shared<std::atomic<std::int64_t>>(0))
+  , m_client(std::make_unique<http::Client>())
+{
+  const settings::Settings& settings = m_options.m_settings;
+  http::ServerOptions options;
+  options.m_address = settings.m_http->m_host;
+  options.m_port = settings.m_http->m_port;
+  options.m_maxBodyBytes = settings.m_limits.m_bodyBytes;
+  options.m_maxHeaderBytes = settings.m_limits.m_headerBytes;
+  options.m_readTimeout = settings.m_limits.m_readTimeout;
+  options.m_handleTimeout = settings.m_limits.m_maxTimeout + Millis{ 10'000 };
+  options.m_maxConnections = settings.m_limits.m_connections;
+  m_server = std::make_unique<http::Server>(
+    options, [this](auto aExchange) { Handle(std::move(aExchange)); });
+  m_server->Every(kTickPeriod, [this]() { Tick(); });
+}
+
+Frontend::~Frontend()
+{
+  Stop();
+}
+
+bool
+Frontend::Start(std::string& aReason)
+{
+  return m_server->Start(aReason);
+}
+
+void
+Frontend::Stop()
+{
+  m_client->Stop();
+  m_server->Stop();
+}
+
+void
+Frontend::OnLease(LeaseGranted aLease)
+{
+  m_server->Post([this, lease = std::move(aLease)]() {
+    const TimePoint now = MonotonicNow();
+    if (lease.m_view) {
+      m_engine.OnView(*lease.m_view, now);
+    }
+    m_engine.OnLease(lease.m_until, lease.m_position, lease.m_count, now);
+    m_leaseUntil->store(lease.m_until.time_since_epoch().count());
+    Pump();
+    ReportApplied();
+  });
+}
+
+void
+Frontend::Drain(std::function<void()> aDone)
+{
+  m_server->Post([this, done = std::move(aDone)]() {
+    m_draining = true;
+    m_drainFrom = MonotonicNow();
+    m_onDrained = done;
+    m_engine.Drain();
+  });
+}
+
+// ----------------------------------------------------------------- incoming
+
+void
+Frontend::Handle(std::shared_ptr<http::Exchange> aExchange)
+{
+  const std::string path = PathOf(aExchange->Incoming().m_target);
+  if (path == "/healthz") {
+    HandleProbe(aExchange, true);
+  } else if (path == "/readyz") {
+    const bool ready = !m_draining && m_engine.HasLease(MonotonicNow());
+    HandleProbe(aExchange, ready);
+  } else if (path == "/metrics") {
+    http::Response response;
+    response.m_headers.push_back(
+      { "Content-Type", "text/plain; version=0.0.4" });
+    response.m_body = RenderMetrics();
+    aExchange->Respond(std::move(response));
+  } else if (StartsWith(path, kOutcomesPath)) {
+    HandleOutcome(std::move(aExchange));
+  } else if (StartsWith(path, kUpstreamsPath)) {
+    HandleUpstream(std::move(aExchange));
+  } else {
+    HandleForward(std::move(aExchange));
+  }
+}
+
+void
+Frontend::HandleProbe(const std::shared_ptr<http::Exchange>& aExchange,
+                      bool aHealthy)
+{
+  http::Response response = JsonResponse(
+    aHealthy ? kOk : kUnavailable,
+    { { "ready", aHealthy }, { "revision", m_engine.Revision().Get() } });
+  aExchange->Respond(std::move(response));
+}
+
+void
+Frontend::HandleForward(std::shared_ptr<http::Exchange> aExchange)
+{
+  const http::Request& incoming = aExchange->Incoming();
+  internal::HeaderProblem problem;
+  auto arrival = internal::ReadCallerHeaders(
+    incoming, m_options.m_settings.m_limits, problem);
+  const std::string path = PathOf(incoming.m_target);
+  const std::size_t slash = path.find('/', 1);
+  const std::string service =
+    path.size() > 1 ? path.substr(1, slash == std::string::npos ? slash
+                                                                : slash - 1)
+                    : "";
+  if (arrival && (service.empty() || path[0] != '/')) {
+    problem = { "(path)", "/{service}/..." };
+    arrival.reset();
+  }
+  if (!arrival) {
+    m_metrics.Count("bad_requests_total");
+    aExchange->Respond(FieldError(problem.m_field, problem.m_allowed));
+    return;
+  }
+  if (!arrival->m_keyed) {
+    arrival->m_request = RequestId{ internal::RandomId() };
+  }
+  const TimePoint now = MonotonicNow();
+  const LocalId local{ ++m_lastLocal };
+  arrival->m_local = local;
+  arrival->m_service = ServiceId{ service };
+  if (!arrival->m_idempotentMethod) {
+    arrival->m_digest = internal::RequestDigest(
+      incoming.m_method, incoming.m_target, incoming.m_body);
+  }
+  Pending& pending = m_pending[local];
+  pending.m_body = std::make_shared<const std::string>(aExchange->TakeBody());
+  pending.m_request = arrival->m_request;
+  pending.m_arrivedAt = now;
+  pending.m_service = service;
+  pending.m_deadline =
+    now + arrival->m_timeout.value_or(m_options.m_settings.m_limits.m_maxTimeout);
+  if (m_tracer) {
+    const auto parent = telemetry::TraceContext::FromTraceParent(
+      http::FindHeader(incoming.m_headers, internal::kTraceHeader)
+        .value_or(""));
+    pending.m_span =
+      telemetry::StartSpanBelow(*m_tracer, "entry.request", parent);
+    pending.m_span->SetTag("request.id", arrival->m_request.Get());
+    pending.m_span->SetTag("service", service);
+  }
+  pending.m_exchange = std::move(aExchange);
+  m_open = m_pending.size();
+  m_engine.OnArrival(std::move(*arrival), now);
+  Pump();
+}
+
+void
+Frontend::HandleOutcome(std::shared_ptr<http::Exchange> aExchange)
+{
+  const http::Request& incoming = aExchange->Incoming();
+  const std::string id =
+    PathOf(incoming.m_target).substr(std::string{ kOutcomesPath }.size());
+  if (incoming.m_method != "GET") {
+    aExchange->Respond(
+      JsonResponse(kMethodNotAllowed, { { "allowed", "GET" } }));
+    return;
+  }
+  const auto answer = [id](const request::BeginResult& aResult) {
+    http::Response response;
+    std::string outcome = "unknown";
+    if (aResult.m_outcome == request::BeginOutcome::kUndecided) {
+      response = JsonResponse(
+        kUnavailable, { { "error", "the control group did not answer" } });
+      AddRetryAfter(response, Millis{ 1000 });
+    } else if (!aResult.m_record) {
+      response = JsonResponse(
+        kNotFound, { { "error", "no record: never seen here, or forgotten" } });
+    } else if (aResult.m_record->m_answer) {
+      outcome = outcome::Describe(aResult.m_record->m_state);
+      response = FromAnswer(*aResult.m_record->m_answer);
+    } else {
+      const bool lost =
+        aResult.m_record->m_state == outcome::State::kInProgress &&
+        aResult.m_holderGone;
+      outcome = lost ? "unknown" : outcome::Describe(aResult.m_record->m_state);
+      const bool running = outcome == "in-progress";
+      response = JsonResponse(running ? kAccepted : kOk,
+                              { { "outcome", outcome },
+                                { "requestId", id },
+                                { "attempt", aResult.m_record->m_attempt } });
+    }
+    response.m_headers.push_back({ kOutcomeHeader, outcome });
+    response.m_headers.push_back({ kRequestIdHeader, id });
+    return response;
+  };
+  m_link.Put(Lookup{
+    RequestId{ id },
+    kLookupPatience,
+    [this, exchange = std::move(aExchange), answer](
+      request::BeginResult aResult) {
+      m_server->Post([exchange, answer, result = std::move(aResult)]() {
+        exchange->Respond(answer(result));
+      });
+    } });
+}
+
+// ---------------------------------------------------------------- upstreams
+
+void
+Frontend::HandleUpstream(std::shared_ptr<http::Exchange> aExchange)
+{
+  const http::Request& incoming = aExchange->Incoming();
+  const InstanceId id{ PathOf(incoming.m_target)
+                         .substr(std::string{ kUpstreamsPath }.size()) };
+  if (id.Get().empty() || id.Get().size() > 128 ||
+      id.Get().find('/') != std::string::npos) {
+    aExchange->Respond(
+      FieldError("id", "1 to 128 characters without a slash"));
+  } else if (incoming.m_method == "PUT") {
+    PutUpstream(std::move(aExchange), id);
+  } else if (incoming.m_method == "DELETE") {
+    DeleteUpstream(std::move(aExchange), id);
+  } else {
+    aExchange->Respond(
+      JsonResponse(kMethodNotAllowed, { { "allowed", "PUT, DELETE" } }));
+  }
+}
+
+void
+Frontend::PutUpstream(std::shared_ptr<http::Exchange> aExchange,
+                      const InstanceId& aId)
+{
+  internal::FieldProblem problem;
+  const auto said = internal::ParseAnnouncement(
+    aId, aExchange->Incoming().m_body, problem);
+  if (!said) {
+    aExchange->Respond(FieldError(problem.m_field, problem.m_allowed));
+    return;
+  }
+  const fleet::Instance* known = m_engine.Find(aId);
+  const bool renews = known != nullptr && !known->m_lost &&
+                      internal::SaysTheSame(known->m_announced, *said);
+  if (!renews) {
+    SendAnnouncement(std::move(aExchange), *said);
+    return;
+  }
+  m_link.Put(Renew{ membership::RenewalKey(aId, said->m_incarnation) });
+  aExchange->Respond(JsonResponse(kOk, { { "state", "renewed" } }));
+}
+
+void
+Frontend::DeleteUpstream(std::shared_ptr<http::Exchange> aExchange,
+                         const InstanceId& aId)
+{
+  const fleet::Instance* known = m_engine.Find(aId);
+  if (known == nullptr) {
+    aExchange->Respond(JsonResponse(
+      kNotFound, { { "error", "no such upstream at this entry" } }));
+    return;
+  }
+  fleet::Announcement leaving = known->m_announced;
+  leaving.m_state = fleet::InstanceState::kLeaving;
+  ++leaving.m_sequence;
+  SendAnnouncement(std::move(aExchange), leaving);
+}
+
+// Answered once it is committed: an upstream that was told "leaving" may
+// count on it that every entry stops within the lease.
+void
+Frontend::SendAnnouncement(std::shared_ptr<http::Exchange> aExchange,
+                           fleet::Announcement aAnnouncement)
+{
+  m_link.Put(Announce{
+    std::move(aAnnouncement),
+    [this, exchange = std::move(aExchange)](bool aDone) {
+      m_server->Post([exchange, aDone]() {
+        http::Response response =
+          aDone ? JsonResponse(kOk, { { "state", "recorded" } })
+                : JsonResponse(
+                    kUnavailable,
+                    { { "error", "the control group did not record it" } });
+        if (!aDone) {
+          AddRetryAfter(response, Millis{ 1000 });
+        }
+        exchange->Respond(std::move(response));
+      });
+    } });
+}
+
+// ------------------------------------------------------------------ engine
+
+void
+Frontend::Tick()
+{
+  m_engine.Tick(MonotonicNow());
+  Pump();
+  const bool graceOver = MonotonicNow() > m_drainFrom + kDrainGrace;
+  if (m_draining && m_onDrained && m_pending.empty() && graceOver) {
+    m_server->StopAccepting();
+    m_link.Put(Leave{ std::exchange(m_onDrained, nullptr) });
+  }
+  if (m_reportedLeftovers || !m_engine.Leftovers().empty()) {
+    ReportApplied();
+  }
+}
+
+void
+Frontend::ReportApplied()
+{
+  Applied applied;
+  applied.m_revision = m_engine.Revision();
+  for (const auto& [id, count] : m_engine.Leftovers()) {
+    applied.m_inFlight.push_back({ id, count });
+  }
+  m_reportedLeftovers = !applied.m_inFlight.empty();
+  m_link.Put(std::move(applied));
+}
+
+void
+Frontend::Pump()
+{
+  for (auto actions = m_engine.TakeActions(); !actions.empty();
+       actions = m_engine.TakeActions()) {
+    for (request::Action& action : actions) {
+      std::visit([this](auto& aOne) { Carry(std::move(aOne)); }, action);
+    }
+  }
+}
+
+void
+Frontend::Carry(request::AskBegin aAsk)
+{
+  Pending& pending = m_pending.at(aAsk.m_local);
+  if (pending.m_span) {
+    pending.m_step = m_tracer->StartSpan(
+      "entry.record", { opentracing::ChildOf(&pending.m_span->context()) });
+  }
+  const LocalId local = aAsk.m_local;
+  m_link.Put(Begin{
+    std::move(aAsk.m_begin),
+    aAsk.m_patience,
+    [this, local](request::BeginResult aResult) {
+      m_server->Post([this, local, result = std::move(aResult)]() {
+        const auto found = m_pending.find(local);
+        if (found != m_pending.end()) {
+          found->second.m_step.reset();
+        }
+        m_engine.OnBegin(local, result, MonotonicNow());
+        Pump();
+      });
+    } });
+}
+
+void
+Frontend::Carry(request::AskRecord aAsk)
+{
+  const LocalId local = aAsk.m_local;
+  m_link.Put(
+    Lookup{ std::move(aAsk.m_request),
+            aAsk.m_patience,
+            [this, local](request::BeginResult aResult) {
+              m_server->Post([this, local, result = std::move(aResult)]() {
+                m_engine.OnBegin(local, result, MonotonicNow());
+                Pump();
+              });
+            } });
+}
+
+http::Call
+Frontend::MakeCall(const Pending& aPending,
+                   const request::Dispatch& aDispatch) const
+{
+  const http::Request& incoming = aPending.m_exchange->Incoming();
+  http::Call call;
+  call.m_address = aDispatch.m_upstream.m_address;
+  call.m_method = incoming.m_method;
+  call.m_target = incoming.m_target;
+  call.m_headers = internal::WithoutOwn(incoming.m_headers);
+  call.m_headers.push_back(
+    { internal::kKeyHeader, aPending.m_request.Get() });
+  call.m_headers.push_back(
+    { internal::kTimeoutHeader,
+      std::to_string(ToMillis(aDispatch.m_timeout).count()) });
+  if (aPending.m_step) {
+    call.m_headers.push_back(
+      { internal::kTraceHeader,
+        telemetry::ContextOf(*aPending.m_step).ToTraceParent() });
+  }
+  call.m_body = aPending.m_body;
+  call.m_timeout = aDispatch.m_timeout;
+  call.m_onlyOnce = aDispatch.m_onlyOnce;
+  // An entry that was frozen wakes up here and goes on as if nothing had
+  // happened; by then its lease may be over and the upstream on its way out.
+  call.m_maySend = [lease = m_leaseUntil]() {
+    return MonotonicNow().time_since_epoch().count() < lease->load();
+  };
+  return call;
+}
+
+void
+Frontend::Carry(request::Dispatch aDispatch)
+{
+  Pending& pending = m_pending.at(aDispatch.m_local);
+  if (pending.m_span) {
+    pending.m_step = m_tracer->StartSpan(
+      "upstream.call", { opentracing::ChildOf(&pending.m_span->context()) });
+    pending.m_step->SetTag("upstream", aDispatch.m_upstream.m_instance.Get());
+    pending.m_step->SetTag("attempt", aDispatch.m_number);
+  }
+  const LocalId local = aDispatch.m_local;
+  const std::uint32_t number = aDispatch.m_number;
+  m_client->Start(
+    MakeCall(pending, aDispatch),
+    [this, local, number](http::CallResult aResult) {
+      auto shared = std::make_shared<http::CallResult>(std::move(aResult));
+      m_server->Post([this, local, number, shared]() {
+        OnCallDone(local, number, std::move(*shared));
+      });
+    });
+}
+
+void
+Frontend::OnCallDone(LocalId aLocal,
+                     std::uint32_t aNumber,
+                     http::CallResult aResult)
+{
+  request::AttemptResult result;
+  result.m_end = ToEnd(aResult.m_end);
+  result.m_status = aResult.m_response.m_status;
+  result.m_took = aResult.m_took;
+  result.m_provesNotRun =
+    result.m_end == AttemptEnd::kAnswered &&
+    http::FindHeader(aResult.m_response.m_headers, internal::kNotRunHeader) ==
+      "true";
+  const auto found = m_pending.find(aLocal);
+  if (found != m_pending.end()) {
+    Pending& pending = found->second;
+    if (pending.m_step) {
+      pending.m_step->SetTag("status", result.m_status);
+      pending.m_step->SetTag("end", aResult.m_detail);
+      pending.m_step.reset();
+    }
+    if (result.m_end != AttemptEnd::kAnswered) {
+      telemetry::LogLine(telemetry::Level::kDebug, "attempt failed")
+        .With("request", pending.m_request.Get())
+        .With("detail", aResult.m_detail)
+        .Write();
+    }
+    pending.m_answer = std::move(aResult.m_response);
+  }
+  m_metrics.Observe("upstream_seconds", Seconds(result.m_took));
+  m_engine.OnAttempt(aLocal, aNumber, result, MonotonicNow());
+  Pump();
+}
+
+void
+Frontend::Carry(const request::Relay& aRelay)
+{
+  Pending& pending = m_pending.at(aRelay.m_local);
+  http::Response response = std::move(pending.m_answer);
+  response.m_headers = internal::WithoutOwn(response.m_headers);
+  response.m_headers.push_back({ kOutcomeHeader, "done" });
+  Respond(pending, std::move(response));
+  m_pending.erase(aRelay.m_local);
+  m_open = m_pending.size();
+}
+
+void
+Frontend::Carry(request::Resolve aResolve)
+{
+  if (aResolve.m_withAnswer) {
+    aResolve.m_resolve.m_answer =
+      ToAnswer(m_pending.at(aResolve.m_local).m_answer,
+               m_engine.CurrentConfig().m_keptAnswerBytes);
+  }
+  m_link.Put(Resolve{ std::move(aResolve.m_resolve) });
+}
+
+void
+Frontend::Carry(request::Conclude aConclude)
+{
+  Pending& pending = m_pending.at(aConclude.m_local);
+  const char* outcome = outcome::Describe(aConclude.m_state);
+  http::Response response;
+  if (aConclude.m_recorded) {
+    response = FromAnswer(*aConclude.m_recorded);
+  } else {
+    response = JsonResponse(StatusOf(aConclude),
+                            { { "outcome", outcome },
+                              { "reason", Describe(aConclude.m_reason) },
+                              { "requestId", pending.m_request.Get() } });
+    const bool retry = aConclude.m_retryAfter.has_value() ||
+                       response.m_status == kUnavailable;
+    if (retry) {
+      AddRetryAfter(response,
+                    aConclude.m_retryAfter.value_or(Duration::zero()));
+    }
+  }
+  response.m_headers.push_back({ kOutcomeHeader, outcome });
+  response.m_headers.push_back(
+    { internal::kReasonHeader, Describe(aConclude.m_reason) });
+  m_metrics.Count(std::string{ "concluded_total{reason=\"" } +
+                  Describe(aConclude.m_reason) + "\"}");
+  telemetry::LogLine(telemetry::Level::kInfo, "request concluded")
+    .With("request", pending.m_request.Get())
+    .With("service", pending.m_service)
+    .With("outcome", outcome)
+    .With("reason", Describe(aConclude.m_reason))
+    .Write();
+  Respond(pending, std::move(response));
+  m_pending.erase(aConclude.m_local);
+  m_open = m_pending.size();
+}
+
+void
+Frontend::Respond(Pending& aPending, http::Response aResponse)
+{
+  aResponse.m_headers.push_back(
+    { kRequestIdHeader, aPending.m_request.Get() });
+  aResponse.m_close = m_draining;
+  if (aPending.m_span) {
+    aPending.m_span->SetTag("status", aResponse.m_status);
+    aPending.m_span->Finish();
+  }
+  m_metrics.Observe("request_seconds",
+                    Seconds(MonotonicNow() - aPending.m_arrivedAt));
+  aPending.m_exchange->Respond(std::move(aResponse));
+}
+
+std::string
+Frontend::RenderMetrics()
+{
+  const request::Counters& counters = m_engine.Count();
+  telemetry::Metrics& metrics = m_metrics;
+  metrics.Set("requests_done",
+              static_cast<double>(counters.m_done));
+  metrics.Set("requests_not_run",
+              static_cast<double>(counters.m_notRun));
+  metrics.Set("requests_unknown",
+              static_cast<double>(counters.m_unknown));
+  metrics.Set("retries", static_cast<double>(counters.m_retries));
+  metrics.Set("requests_open", static_cast<double>(m_engine.Size()));
+  metrics.Set("requests_queued",
+              static_cast<double>(m_engine.QueuedCount()));
+  metrics.Set("view_revision",
+              static_cast<double>(m_engine.Revision().Get()));
+  metrics.Set("lease_held", m_engine.HasLease(MonotonicNow()) ? 1 : 0);
+  return metrics.Render();
+}
+
+} // namespace bamboostile::entry
--- /dev/null
+++ b/src/storage/log_store.cpp
@@ -0,0 +1,440 @@
+#include "bamboostile/storage/log_store.h"
+
+#include "bamboostile/wire/consensus_codec.h"
+#include "frame.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <unistd.h>
+
+namespace bamboostile::storage {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr const char* kIdentityFile = "identity.json";
+constexpr const char* kLockFile = "lock";
+constexpr const char* kLogPrefix = "log-";
+constexpr const char* kTemporary = ".new";
+constexpr mode_t kFileMode = 0600;
+
+std::optional<std::string>
+ReadFile(const fs::path& aFile)
+{
+  std::ifstream in(aFile, std::ios::binary);
+  if (!in) {
+    return std::nullopt;
+  }
+  std::ostringstream bytes;
+  bytes << in.rdbuf();
+  return bytes.str();
+}
+
+std::optional<std::uint64_t>
+GenerationOf(const fs::path& aFile)
+{
+  const std::string name = aFile.filename().string();
+  const std::string prefix = kLogPrefix;
+  if (name.rfind(prefix, 0) != 0 || name.ends_with(kTemporary)) {
+    return std::nullopt;
+  }
+  try {
+    return std::stoull(name.substr(prefix.size()));
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::uint64_t
+RandomIncarnation()
+{
+  std::random_device device;
+  const std::uint64_t high = device();
+  return (high << 32 | device()) >> 1;
+}
+
+/** Lays one recovered frame over what the frames before it gave. */
+void
+Merge(consensus::Persist aFrame, consensus::RecoveredState& aState)
+{
+  if (aFrame.m_hardState) {
+    aState.m_hardState = *aFrame.m_hardState;
+  }
+  auto& entries = aState.m_entries;
+  if (aFrame.m_snapshot) {
+    aState.m_snapshot = std::move(aFrame.m_snapshot);
+    entries.clear();
+  }
+  for (consensus::LogEntry& entry : aFrame.m_entries) {
+    while (!entries.empty() && entries.back().m_index >= entry.m_index) {
+      entries.pop_back();
+    }
+    entries.push_back(std::move(entry));
+  }
+}
+
+} // namespace
+
+const char*
+Describe(Error aError) noexcept
+{
+  switch (aError) {
+    case Error::kNone:
+      return "no error";
+    case Error::kIo:
+      return "the disk refused";
+    case Error::kLocked:
+      return "another process uses this data folder";
+    case Error::kDamaged:
+      return "damaged data before the last write; restore the folder from a "
+             "backup or empty it and have the replica replaced";
+    case Error::kIncomplete:
+      return "a part of the data folder is missing";
+    case Error::kStopped:
+      return "stopped after an earlier failure";
+  }
+  return "unknown storage error";
+}
+
+std::string
+ToText(const Failure& aFailure)
+{
+  std::ostringstream text;
+  text << aFailure.m_file.string() << " at offset " << aFailure.m_offset << ": "
+       << Describe(aFailure.m_error);
+  if (!aFailure.m_detail.empty()) {
+    text << " (" << aFailure.m_detail << ")";
+  }
+  return text.str();
+}
+
+FileCalls
+FileCalls::Posix()
+{
+  return { [](int aFd, const void* aBytes, std::size_t aCount) {
+            return ::write(aFd, aBytes, aCount);
+          },
+           [](int aFd) { return ::fsync(aFd); } };
+}
+
+LogStore::LogStore(fs::path aFolder, FileCalls aCalls)
+  : m_folder(std::move(aFolder))
+  , m_calls(std::move(aCalls))
+{
+}
+
+LogStore::~LogStore()
+{
+  if (m_log >= 0) {
+    ::close(m_log);
+  }
+  if (m_lock >= 0) {
+    ::close(m_lock);
+  }
+}
+
+bool
+LogStore::Fail(Failure& aFailure, const fs::path& aFile)
+{
+  aFailure = { Error::kIo, aFile, m_size, std::strerror(errno) };
+  m_stopped = aFailure;
+  return false;
+}
+
+fs::path
+LogStore::LogFile(std::uint64_t aGeneration) const
+{
+  return m_folder / (kLogPrefix + std::to_string(aGeneration));
+}
+
+std::unique_ptr<LogStore>
+LogStore::Open(const fs::path& aFolder,
+               const InstanceId& aInstance,
+               Opened& aOpened,
+               Failure& aFailure,
+               FileCalls aCalls)
+{
+  std::error_code ignored;
+  fs::create_directories(aFolder, ignored);
+  std::unique_ptr<LogStore> store(new LogStore(aFolder, std::move(aCalls)));
+  const bool ready = store->Lock(aFailure) &&
+                     store->FindGeneration(aFailure) &&
+                     store->ReadIdentity(aInstance, aOpened, aFailure) &&
+                     store->ReadLog(aOpened, aFailure) &&
+                     store->OpenLog(aFailure);
+  return ready ? std::move(store) : nullptr;
+}
+
+bool
+LogStore::Lock(Failure& aFailure)
+{
+  const fs::path file = m_folder / kLockFile;
+  m_lock = ::open(file.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, kFileMode);
+  if (m_lock < 0) {
+    return Fail(aFailure, file);
+  }
+  if (::flock(m_lock, LOCK_EX | LOCK_NB) != 0) {
+    aFailure = { Error::kLocked, file, 0, "" };
+    return false;
+  }
+  return true;
+}
+
+bool
+LogStore::FindGeneration(Failure& aFailure)
+{
+  std::error_code error;
+  for (const auto& item : fs::directory_iterator(m_folder, error)) {
+    if (item.path().string().ends_with(kTemporary)) {
+      std::error_code ignored;
+      fs::remove(item.path(), ignored);
+      continue;
+    }
+    m_generation =
+      std::max(m_generation, GenerationOf(item.path()).value_or(0));
+  }
+  if (error) {
+    aFailure = { Error::kIo, m_folder, 0, error.message() };
+    return false;
+  }
+  return true;
+}
+
+bool
+LogStore::ReadIdentity(const InstanceId& aInstance,
+                       Opened& aOpened,
+                       Failure& aFailure)
+{
+  const fs::path file = m_folder / kIdentityFile;
+  const std::optional<std::string> bytes = ReadFile(file);
+  if (!bytes) {
+    return CreateIdentity(aInstance, aOpened, aFailure);
+  }
+  const auto json = nlohmann::json::parse(*bytes, nullptr, false);
+  const bool sound = json.is_object() && json.contains("instance") &&
+                     json.contains("incarnation") &&
+                     json["incarnation"].is_number_unsigned();
+  if (!sound) {
+    aFailure = { Error::kDamaged, file, 0, "not an identity" };
+    return false;
+  }
+  aOpened.m_self = { InstanceId{ json["instance"].get<std::string>() },
+                     Incarnation{ json["incarnation"].get<std::uint64_t>() } };
+  if (aOpened.m_self.m_instance != aInstance) {
+    aFailure = { Error::kDamaged,
+                 file,
+                 0,
+                 "the folder belongs to instance '" +
+                   aOpened.m_self.m_instance.Get() + "'" };
+    return false;
+  }
+  if (m_generation == 0) {
+    aFailure = { Error::kIncomplete, file, 0, "there is no log beside it" };
+    return false;
+  }
+  return true;
+}
+
+bool
+LogStore::CreateIdentity(const InstanceId& aInstance,
+                         Opened& aOpened,
+                         Failure& aFailure)
+{
+  const fs::path log = LogFile(std::max<std::uint64_t>(m_generation, 1));
+  std::error_code ignored;
+  // A log without the identity that owns it: whose votes are in it is not
+  // known, so nobody may go on from it.
+  if (m_generation > 0 && fs::file_size(log, ignored) > 0) {
+    aFailure = { Error::kIncomplete,
+                 m_folder / kIdentityFile,
+                 0,
+                 "a log is there, its identity is not" };
+    return false;
+  }
+  m_generation = std::max<std::uint64_t>(m_generation, 1);
+  aOpened.m_fresh = true;
+  aOpened.m_self = { aInstance, Incarnation{ RandomIncarnation() } };
+  const nlohmann::json json{
+    { "instance", aInstance.Get() },
+    { "incarnation", aOpened.m_self.m_incarnation.Get() }
+  };
+  // The empty log first: an identity on disk then always has a log beside it.
+  return WriteWhole(log, "", aFailure) &&
+         WriteWhole(m_folder / kIdentityFile, json.dump(), aFailure);
+}
+
+bool
+LogStore::ReadLog(Opened& aOpened, Failure& aFailure)
+{
+  const fs::path file = LogFile(m_generation);
+  const std::optional<std::string> bytes = ReadFile(file);
+  if (!bytes) {
+    return Fail(aFailure, file);
+  }
+  std::size_t offset = 0;
+  while (offset < bytes->size()) {
+    const internal::FrameAt frame = internal::ReadFrame(*bytes, offset);
+    std::optional<consensus::Persist> persist;
+    if (frame.m_state == internal::FrameState::kGood) {
+      persist = wire::DecodeFrame(frame.m_body);
+    }
+    if (persist) {
+      Merge(std::move(*persist), aOpened.m_recovered);
+      offset = frame.m_end;
+      continue;
+    }
+    // A write is synced before the next one starts, so only the last can be
+    // incomplete. A sound frame behind the bad one shows damage to data that
+    // was acknowledged; cutting there would lose it in silence.
+    const auto later = internal::FindLaterFrame(*bytes, offset);
+    if (later || frame.m_state == internal::FrameState::kGood) {
+      aFailure = { Error::kDamaged,
+                   file,
+                   offset,
+                   later ? "a sound record follows at offset " +
+                             std::to_string(*later)
+                         : "the record does not decode" };
+      return false;
+    }
+    aOpened.m_cut = CutTail{ file, offset, bytes->size() - offset };
+    break;
+  }
+  m_size = offset;
+  m_hardState = aOpened.m_recovered.m_hardState;
+  return true;
+}
+
+bool
+LogStore::OpenLog(Failure& aFailure)
+{
+  const fs::path file = LogFile(m_generation);
+  m_log = ::open(file.c_str(), O_WRONLY | O_CLOEXEC, kFileMode);
+  const bool placed =
+    m_log >= 0 && ::ftruncate(m_log, static_cast<off_t>(m_size)) == 0 &&
+    ::lseek(m_log, static_cast<off_t>(m_size), SEEK_SET) >= 0;
+  if (!placed || m_calls.m_sync(m_log) != 0) {
+    return Fail(aFailure, file);
+  }
+  for (const auto& item : fs::directory_iterator(m_folder)) {
+    const auto generation = GenerationOf(item.path());
+    if (generation && *generation < m_generation) {
+      std::error_code ignored;
+      fs::remove(item.path(), ignored);
+    }
+  }
+  return true;
+}
+
+bool
+LogStore::Write(const consensus::Persist& aPersist, Failure& aFailure)
+{
+  if (m_stopped) {
+    aFailure = *m_stopped;
+    aFailure.m_error = Error::kStopped;
+    return false;
+  }
+  if (aPersist.m_hardState) {
+    m_hardState = *aPersist.m_hardState;
+  }
+  if (aPersist.m_snapshot) {
+    return Replace(aPersist, aFailure);
+  }
+  return Append(internal::Seal(wire::EncodeFrame(aPersist)), aFailure);
+}
+
+bool
+LogStore::Append(const std::string& aFrame, Failure& aFailure)
+{
+  std::size_t written = 0;
+  while (written < aFrame.size()) {
+    const ssize_t count = m_calls.m_write(
+      m_log, aFrame.data() + written, aFrame.size() - written);
+    if (count < 0 && errno == EINTR) {
+      continue;
+    }
+    if (count <= 0) {
+      return Fail(aFailure, LogFile(m_generation));
+    }
+    written += static_cast<std::size_t>(count);
+  }
+  if (m_calls.m_sync(m_log) != 0) {
+    return Fail(aFailure, LogFile(m_generation));
+  }
+  m_size += aFrame.size();
+  return true;
+}
+
+// The new file carries vote, snapshot and all later entries; until its rename
+// is synced the old one stays complete.
+bool
+LogStore::Replace(const consensus::Persist& aPersist, Failure& aFailure)
+{
+  consensus::Persist whole = aPersist;
+  whole.m_hardState = m_hardState;
+  const std::string frame = internal::Seal(wire::EncodeFrame(whole));
+  const fs::path next = LogFile(m_generation + 1);
+  if (!WriteWhole(next, frame, aFailure)) {
+    return false;
+  }
+  ::close(m_log);
+  ++m_generation;
+  m_size = frame.size();
+  return OpenLog(aFailure);
+}
+
+bool
+LogStore::WriteWhole(const fs::path& aFile,
+                     const std::string& aBytes,
+                     Failure& aFailure)
+{
+  const fs::path temporary = aFile.string() + kTemporary;
+  const int fd = ::open(
+    temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, kFileMode);
+  if (fd < 0) {
+    return Fail(aFailure, temporary);
+  }
+  std::size_t written = 0;
+  bool sound = true;
+  while (sound && written < aBytes.size()) {
+    const ssize_t count =
+      m_calls.m_write(fd, aBytes.data() + written, aBytes.size() - written);
+    sound = count > 0;
+    written += sound ? static_cast<std::size_t>(count) : 0;
+  }
+  sound = sound && m_calls.m_sync(fd) == 0;
+  if (!sound) {
+    Fail(aFailure, temporary);
+    ::close(fd);
+    return false;
+  }
+  ::close(fd);
+  if (::rename(temporary.c_str(), aFile.c_str()) != 0) {
+    return Fail(aFailure, aFile);
+  }
+  return SyncFolder(aFailure);
+}
+
+bool
+LogStore::SyncFolder(Failure& aFailure)
+{
+  const int fd = ::open(m_folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  const bool synced = fd >= 0 && m_calls.m_sync(fd) == 0;
+  if (!synced) {
+    Fail(aFailure, m_folder);
+  }
+  if (fd >= 0) {
+    ::close(fd);
+  }
+  return synced;
+}
+
+} // namespace bamboostile::storage
--- /dev/null
+++ b/src/wire/consensus_codec.cpp
@@ -0,0 +1,310 @@
+#include "bamboostile/wire/consensus_codec.h"
+
+#include "bamboostile/units/visit.h"
+#include "text.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+
+#include <kj/exception.h>
+
+namespace bamboostile::wire {
+
+namespace {
+
+using consensus::AppendReply;
+using consensus::AppendRequest;
+using consensus::CommandBytes;
+using consensus::InstallSnapshot;
+using consensus::LogEntry;
+using consensus::Member;
+using consensus::Membership;
+using consensus::Noop;
+using consensus::Snapshot;
+using consensus::VoteReply;
+using consensus::VoteRequest;
+
+/** Snapshots of the whole state travel as one message. */
+constexpr std::uint64_t kMaxWords = 64ULL * 1024 * 1024;
+
+TimePoint
+ToTime(std::int64_t aMicros)
+{
+  return TimePoint{ Duration{ aMicros } };
+}
+
+std::int64_t
+FromTime(TimePoint aTime)
+{
+  return aTime.time_since_epoch().count();
+}
+
+void
+Write(const Membership& aFrom, capnp::List<schema::Member>::Builder aTo)
+{
+  for (std::size_t i = 0; i < aFrom.m_members.size(); ++i) {
+    const Member& member = aFrom.m_members[i];
+    wire::Write(member.m_id, aTo[i].initId());
+    aTo[i].setAddress(member.m_address);
+    aTo[i].setVoter(member.m_voter);
+  }
+}
+
+Membership
+ReadMembership(capnp::List<schema::Member>::Reader aFrom)
+{
+  Membership membership;
+  for (auto member : aFrom) {
+    membership.m_members.push_back({ wire::Read(member.getId()),
+                                     ToString(member.getAddress()),
+                                     member.getVoter() });
+  }
+  return membership;
+}
+
+void
+Write(const LogEntry& aFrom, schema::LogEntry::Builder aTo)
+{
+  aTo.setIndex(aFrom.m_index.Get());
+  aTo.setTerm(aFrom.m_term.Get());
+  std::visit(
+    Overloaded{
+      [&](const Noop&) { aTo.setNoop(); },
+      [&](const CommandBytes& aCommand) {
+        aTo.setCommand(ToData(aCommand.m_bytes));
+      },
+      [&](const Membership& aMembership) {
+        Write(aMembership, aTo.initMembership(aMembership.m_members.size()));
+      },
+    },
+    aFrom.m_payload);
+}
+
+LogEntry
+ReadEntry(schema::LogEntry::Reader aFrom)
+{
+  LogEntry entry{ Index{ aFrom.getIndex() }, Term{ aFrom.getTerm() }, Noop{} };
+  if (aFrom.isCommand()) {
+    entry.m_payload = CommandBytes{ ToString(aFrom.getCommand()) };
+  } else if (aFrom.isMembership()) {
+    entry.m_payload = ReadMembership(aFrom.getMembership());
+  }
+  return entry;
+}
+
+template<typename Builder>
+void
+WriteEntries(const std::vector<LogEntry>& aEntries, Builder aTo)
+{
+  for (std::size_t i = 0; i < aEntries.size(); ++i) {
+    Write(aEntries[i], aTo[i]);
+  }
+}
+
+std::vector<LogEntry>
+ReadEntries(capnp::List<schema::LogEntry>::Reader aFrom)
+{
+  std::vector<LogEntry> entries;
+  entries.reserve(aFrom.size());
+  for (auto entry : aFrom) {
+    entries.push_back(ReadEntry(entry));
+  }
+  return entries;
+}
+
+void
+Write(const Snapshot& aFrom, schema::Snapshot::Builder aTo)
+{
+  aTo.setIndex(aFrom.m_index.Get());
+  aTo.setTerm(aFrom.m_term.Get());
+  Write(aFrom.m_membership,
+        aTo.initMembership(aFrom.m_membership.m_members.size()));
+  aTo.setState(ToData(aFrom.m_state));
+}
+
+Snapshot
+ReadSnapshot(schema::Snapshot::Reader aFrom)
+{
+  return { Index{ aFrom.getIndex() },
+           Term{ aFrom.getTerm() },
+           ReadMembership(aFrom.getMembership()),
+           ToString(aFrom.getState()) };
+}
+
+void
+WriteBody(const VoteRequest& aBody, schema::Message::Builder aTo)
+{
+  auto to = aTo.initVoteRequest();
+  to.setPreVote(aBody.m_preVote);
+  to.setLastIndex(aBody.m_lastIndex.Get());
+  to.setLastTerm(aBody.m_lastTerm.Get());
+}
+
+void
+WriteBody(const VoteReply& aBody, schema::Message::Builder aTo)
+{
+  auto to = aTo.initVoteReply();
+  to.setReplyPreVote(aBody.m_preVote);
+  to.setGranted(aBody.m_granted);
+}
+
+void
+WriteBody(const AppendRequest& aBody, schema::Message::Builder aTo)
+{
+  auto to = aTo.initAppend();
+  to.setPreviousIndex(aBody.m_previousIndex.Get());
+  to.setPreviousTerm(aBody.m_previousTerm.Get());
+  WriteEntries(aBody.m_entries, to.initEntries(aBody.m_entries.size()));
+  to.setCommit(aBody.m_commit.Get());
+  to.setSentAt(FromTime(aBody.m_sentAt));
+}
+
+void
+WriteBody(const AppendReply& aBody, schema::Message::Builder aTo)
+{
+  auto to = aTo.initAppendReply();
+  to.setAccepted(aBody.m_accepted);
+  to.setMatch(aBody.m_match.Get());
+  to.setReplySentAt(FromTime(aBody.m_sentAt));
+}
+
+void
+WriteBody(const InstallSnapshot& aBody, schema::Message::Builder aTo)
+{
+  auto to = aTo.initInstallSnapshot();
+  Write(aBody.m_snapshot, to.initSnapshot());
+  to.setSnapshotSentAt(FromTime(aBody.m_sentAt));
+}
+
+consensus::MessageBody
+ReadBody(schema::Message::Reader aFrom)
+{
+  switch (aFrom.which()) {
+    case schema::Message::VOTE_REQUEST: {
+      auto from = aFrom.getVoteRequest();
+      return VoteRequest{ from.getPreVote(),
+                          Index{ from.getLastIndex() },
+                          Term{ from.getLastTerm() } };
+    }
+    case schema::Message::VOTE_REPLY: {
+      auto from = aFrom.getVoteReply();
+      return VoteReply{ from.getReplyPreVote(), from.getGranted() };
+    }
+    case schema::Message::APPEND: {
+      auto from = aFrom.getAppend();
+      return AppendRequest{ Index{ from.getPreviousIndex() },
+                            Term{ from.getPreviousTerm() },
+                            ReadEntries(from.getEntries()),
+                            Index{ from.getCommit() },
+                            ToTime(from.getSentAt()) };
+    }
+    case schema::Message::APPEND_REPLY: {
+      auto from = aFrom.getAppendReply();
+      return AppendReply{ from.getAccepted(),
+                          Index{ from.getMatch() },
+                          ToTime(from.getReplySentAt()) };
+    }
+    case schema::Message::INSTALL_SNAPSHOT: {
+      auto from = aFrom.getInstallSnapshot();
+      return InstallSnapshot{ ReadSnapshot(from.getSnapshot()),
+                              ToTime(from.getSnapshotSentAt()) };
+    }
+  }
+  return VoteReply{};
+}
+
+} // namespace
+
+void
+Write(const consensus::ReplicaId& aId, schema::ReplicaId::Builder aTo)
+{
+  aTo.setInstance(aId.m_instance.Get());
+  aTo.setIncarnation(aId.m_incarnation.Get());
+}
+
+consensus::ReplicaId
+Read(schema::ReplicaId::Reader aFrom)
+{
+  return { InstanceId{ ToString(aFrom.getInstance()) },
+           Incarnation{ aFrom.getIncarnation() } };
+}
+
+void
+Write(const consensus::Message& aMessage, schema::Message::Builder aTo)
+{
+  Write(aMessage.m_from, aTo.initFrom());
+  Write(aMessage.m_to, aTo.initTo());
+  aTo.setTerm(aMessage.m_term.Get());
+  std::visit([&](const auto& aBody) { WriteBody(aBody, aTo); },
+             aMessage.m_body);
+}
+
+consensus::Message
+Read(schema::Message::Reader aFrom)
+{
+  return { Read(aFrom.getFrom()),
+           Read(aFrom.getTo()),
+           Term{ aFrom.getTerm() },
+           ReadBody(aFrom) };
+}
+
+std::string
+EncodeFrame(const consensus::Persist& aPersist)
+{
+  capnp::MallocMessageBuilder message;
+  auto frame = message.initRoot<schema::Frame>();
+  if (aPersist.m_hardState) {
+    frame.setHasHardState(true);
+    auto to = frame.initHardState();
+    to.setTerm(aPersist.m_hardState->m_term.Get());
+    if (aPersist.m_hardState->m_votedFor) {
+      to.setHasVote(true);
+      Write(*aPersist.m_hardState->m_votedFor, to.initVotedFor());
+    }
+  }
+  if (aPersist.m_snapshot) {
+    frame.setHasSnapshot(true);
+    Write(*aPersist.m_snapshot, frame.initSnapshot());
+  }
+  WriteEntries(aPersist.m_entries,
+               frame.initEntries(aPersist.m_entries.size()));
+  const auto words = capnp::messageToFlatArray(message);
+  const auto bytes = words.asBytes();
+  return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
+}
+
+std::optional<consensus::Persist>
+DecodeFrame(std::string_view aBytes)
+{
+  // Cap'n Proto reads 64-bit words in place, so the bytes are moved to where
+  // they are aligned.
+  const std::size_t count = aBytes.size() / sizeof(capnp::word);
+  auto words = kj::heapArray<capnp::word>(count);
+  std::copy_n(aBytes.data(),
+              count * sizeof(capnp::word),
+              reinterpret_cast<char*>(words.begin()));
+  std::optional<consensus::Persist> persist;
+  const auto problem = kj::runCatchingExceptions([&]() {
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = kMaxWords;
+    capnp::FlatArrayMessageReader reader(words, options);
+    const auto frame = reader.getRoot<schema::Frame>();
+    consensus::Persist read;
+    if (frame.getHasHardState()) {
+      const auto from = frame.getHardState();
+      consensus::HardState state{ Term{ from.getTerm() }, std::nullopt };
+      if (from.getHasVote()) {
+        state.m_votedFor = Read(from.getVotedFor());
+      }
+      read.m_hardState = state;
+    }
+    if (frame.getHasSnapshot()) {
+      read.m_snapshot = ReadSnapshot(frame.getSnapshot());
+    }
+    read.m_entries = ReadEntries(frame.getEntries());
+    persist = std::move(read);
+  });
+  return problem == nullptr ? persist : std::nullopt;
+}
+
+} // namespace bamboostile::wire
--- /dev/null
+++ b/tools/bamboostile/main.cpp
@@ -0,0 +1,198 @@
+#include "commands.h"
+
+#include <boost/program_options.hpp>
+
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <sstream>
+
+namespace {
+
+namespace po = boost::program_options;
+using namespace bamboostile::cli;
+
+using Run = ExitCode (*)(const Common&, const Words&);
+
+struct Command
+{
+  Run m_run;
+  const char* m_usage;
+};
+
+const std::map<std::string, Command>&
+Commands()
+{
+  static const std::map<std::string, Command> kCommands{
+    { "status",
+      { RunStatus,
+        "status\n  Shows replicas, entries, services, pools, instances and "
+        "waves.\n  Example: bamboostile status --json\n" } },
+    { "pool",
+      { RunPool,
+        "pool list | put ID --service S [--home TEXT] | drain ID | resume ID "
+        "| remove ID\n  Example: bamboostile pool put desk-a-new --service "
+        "desk-a --home provider-b\n" } },
+    { "service",
+      { RunService,
+        "service list | put ID [--max-unavailable-percent N] "
+        "[--survive-rack true|false]\n    [--default-timeout-ms N] "
+        "[--retry-budget-percent N] [--queue-limit N]\n    "
+        "[--post-is-idempotent true|false] | remove ID\n  Example: bamboostile "
+        "service put desk-a --default-timeout-ms 3000\n" } },
+    { "instance",
+      { RunInstance,
+        "instance list | move ID --pool P | cordon ID | uncordon ID | remove "
+        "ID\n  Example: bamboostile instance move w-17 --pool desk-a-new\n" } },
+    { "wave",
+      { RunWave,
+        "wave list | plan --pool P | create ID --pool P | start ID | pause ID "
+        "| resume ID | cancel ID\n  Example: bamboostile wave create dec-1 "
+        "--pool desk-a-old\n" } },
+    { "config",
+      { RunConfig,
+        "config show | status | set FIELD=VALUE...\n  Example: bamboostile "
+        "config set panicPercent=40 note=month-end\n" } },
+    { "control",
+      { RunControl,
+        "control list | init | add IP:PORT | remove INSTANCE\n  Example: "
+        "bamboostile control add 10.0.0.2:7100\n" } },
+    { "request",
+      { RunRequest,
+        "request METHOD TARGET --entry IP:PORT [--key ID] [--timeout-ms N] "
+        "[--class C]\n    [--attempt N] [--body TEXT]\n  Example: bamboostile "
+        "request POST /desk-a/reviews --entry 127.0.0.1:8080 --key r-1 --body "
+        "'{}'\n" } },
+    { "apply",
+      { RunApply,
+        "apply FILE\n  Carries out a reviewed JSON file of operator calls; "
+        "calls whose result already holds are left out.\n  Example: "
+        "bamboostile apply examples/corrib.json\n" } },
+    { "diff",
+      { RunDiff,
+        "diff FILE\n  Shows what apply would change, and changes nothing.\n  "
+        "Example: bamboostile diff examples/corrib.json\n" } },
+  };
+  return kCommands;
+}
+
+po::options_description
+CommonOptions()
+{
+  const char* control = std::getenv("BAMBOOSTILE_CONTROL");
+  const char* user = std::getenv("USER");
+  po::options_description options("Options of every command");
+  options.add_options()("help,h", "show help")(
+    "control",
+    po::value<std::string>()->default_value(
+      control != nullptr ? control : "127.0.0.1:7101"),
+    "control replicas, IP:PORT with commas between; also BAMBOOSTILE_CONTROL")(
+    "json", "print JSON")("operator",
+                          po::value<std::string>()->default_value(
+                            user != nullptr ? user : "operator"),
+                          "who is named to others as the author")(
+    "operation-id",
+    po::value<std::string>(),
+    "id of the call; the same id again gets the first answer")(
+    "expect",
+    po::value<std::uint64_t>(),
+    "revision the object must have; without it, the present one")(
+    "patience-ms",
+    po::value<unsigned>()->default_value(10'000),
+    "how long to look for a leader");
+  return options;
+}
+
+void
+PrintHelp(std::ostream& aOut)
+{
+  aOut << "bamboostile COMMAND ... [options]\n\n";
+  for (const auto& [name, command] : Commands()) {
+    aOut << "  " << command.m_usage;
+  }
+  aOut << "\n"
+       << CommonOptions()
+       << "\nExit codes: 0 done, 1 refused with a reason, 2 bad input, 3 "
+          "outcome unknown\n(send the call again with the operation id that "
+          "is printed).\n";
+}
+
+std::vector<std::string>
+SplitAddresses(const std::string& aText)
+{
+  std::vector<std::string> addresses;
+  std::istringstream parts(aText);
+  std::string part;
+  while (std::getline(parts, part, ',')) {
+    if (!part.empty()) {
+      addresses.push_back(part);
+    }
+  }
+  return addresses;
+}
+
+Common
+ReadCommon(const po::variables_map& aValues)
+{
+  Common common;
+  common.m_control = SplitAddresses(aValues["control"].as<std::string>());
+  common.m_patienceMs = aValues["patience-ms"].as<unsigned>();
+  common.m_json = aValues.count("json") > 0;
+  common.m_operator = aValues["operator"].as<std::string>();
+  if (aValues.count("operation-id") > 0) {
+    common.m_operationId = aValues["operation-id"].as<std::string>();
+  }
+  if (aValues.count("expect") > 0) {
+    common.m_expected = aValues["expect"].as<std::uint64_t>();
+  }
+  return common;
+}
+
+ExitCode
+Main(int aCount, char** aArguments)
+{
+  if (aCount < 2 || std::string{ aArguments[1] } == "--help" ||
+      std::string{ aArguments[1] } == "-h") {
+    PrintHelp(aCount < 2 ? std::cerr : std::cout);
+    return aCount < 2 ? ExitCode::kBadInput : ExitCode::kDone;
+  }
+  const auto found = Commands().find(aArguments[1]);
+  if (found == Commands().end()) {
+    return BadInput("command: '" + std::string{ aArguments[1] } +
+                    "' is not one of those that --help lists");
+  }
+  po::variables_map values;
+  Words words;
+  try {
+    const auto parsed = po::command_line_parser(aCount - 1, aArguments + 1)
+                          .options(CommonOptions())
+                          .allow_unregistered()
+                          .run();
+    po::store(parsed, values);
+    words = po::collect_unrecognized(parsed.options, po::include_positional);
+  } catch (const po::error& error) {
+    return BadInput(error.what());
+  }
+  if (values.count("help") > 0) {
+    std::cout << found->second.m_usage << "\n" << CommonOptions();
+    return ExitCode::kDone;
+  }
+  const Common common = ReadCommon(values);
+  if (common.m_control.empty()) {
+    return BadInput("--control: no address given");
+  }
+  return found->second.m_run(common, words);
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  try {
+    return static_cast<int>(Main(aCount, aArguments));
+  } catch (const std::exception& error) {
+    std::cerr << "bamboostile: " << error.what() << "\n";
+    return static_cast<int>(ExitCode::kUnknown);
+  }
+}
--- /dev/null
+++ b/tools/bamboostiled/main.cpp
@@ -0,0 +1,370 @@
+#include "platform.h"
+
+#include "bamboostile/control/node.h"
+#include "bamboostile/entry/frontend.h"
+#include "bamboostile/entry/link.h"
+#include "bamboostile/settings/settings.h"
+#include "bamboostile/telemetry/log.h"
+#include "bamboostile/telemetry/trace.h"
+
+#include <boost/program_options.hpp>
+
+#include <kj/async-unix.h>
+
+#include <csignal>
+#include <iostream>
+#include <random>
+#include <thread>
+
+namespace {
+
+namespace po = boost::program_options;
+using namespace bamboostile;
+using telemetry::Level;
+using telemetry::LogLine;
+
+constexpr int kExitDone = 0;
+constexpr int kExitFailed = 1;
+constexpr int kExitBadInput = 2;
+/** After the last answer was handed over, it still has to leave. */
+constexpr auto kFlush = std::chrono::milliseconds{ 300 };
+
+std::uint64_t
+RandomNumber()
+{
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32 | device()) >> 1;
+}
+
+std::shared_ptr<opentracing::Tracer>
+MakeTracer(const settings::Settings& aSettings)
+{
+  telemetry::TracerOptions options;
+  options.m_instance = aSettings.m_instance.Get();
+  options.m_samplePercent = aSettings.m_trace.m_samplePercent;
+  options.m_seed = RandomNumber();
+  if (aSettings.m_trace.m_file) {
+    return telemetry::MakeTracer(
+      options, telemetry::MakeFileSink(*aSettings.m_trace.m_file));
+  }
+  if (aSettings.m_trace.m_url) {
+    const std::string rest =
+      aSettings.m_trace.m_url->substr(std::string{ "http://" }.size());
+    const std::size_t slash = rest.find('/');
+    const std::string address = rest.substr(0, slash);
+    const std::string target =
+      slash == std::string::npos ? "/v1/traces" : rest.substr(slash);
+    auto client = std::make_shared<http::Client>();
+    return telemetry::MakeTracer(
+      options, [client, address, target](std::string aDocument) {
+        http::Call call;
+        call.m_address = address;
+        call.m_method = "POST";
+        call.m_target = target;
+        call.m_headers = { { "Content-Type", "application/json" } };
+        call.m_body = std::make_shared<const std::string>(std::move(aDocument));
+        call.m_timeout = std::chrono::seconds{ 5 };
+        client->Start(std::move(call), [](const http::CallResult&) {});
+      });
+  }
+  return nullptr;
+}
+
+/** Health and readiness of a process that takes no callers. */
+class ProbeServer
+{
+public:
+  ProbeServer(const settings::Address& aAddress, std::string& aReason)
+  {
+    http::ServerOptions options;
+    options.m_address = aAddress.m_host;
+    options.m_port = aAddress.m_port;
+    m_server = std::make_unique<http::Server>(
+      options, [this](const std::shared_ptr<http::Exchange>& aExchange) {
+        Answer(*aExchange);
+      });
+    m_started = m_server->Start(aReason);
+  }
+
+  bool IsStarted() const { return m_started; }
+
+  void Publish(bool aReady, std::string aMetrics)
+  {
+    m_server->Post([this, aReady, text = std::move(aMetrics)]() {
+      m_ready = aReady;
+      m_metrics = text;
+    });
+  }
+
+private:
+  void Answer(http::Exchange& aExchange) const
+  {
+    const std::string& target = aExchange.Incoming().m_target;
+    http::Response response;
+    response.m_headers.push_back({ "Content-Type", "text/plain" });
+    if (target == "/metrics") {
+      response.m_body = m_metrics;
+    } else if (target == "/healthz") {
+      response.m_body = "ok\n";
+    } else if (target == "/readyz") {
+      response.m_status = m_ready ? 200 : 503;
+      response.m_body = m_ready ? "ready\n" : "no leader is known\n";
+    } else {
+      response.m_status = 404;
+    }
+    aExchange.Respond(std::move(response));
+  }
+
+  bool m_ready = false;
+  std::string m_metrics;
+  bool m_started = false;
+  std::unique_ptr<http::Server> m_server;
+};
+
+/** The parts of a running process; which ones there are follows from the
+ * roles. */
+class Daemon
+{
+public:
+  explicit Daemon(settings::Settings aSettings)
+    : m_settings(std::move(aSettings))
+  {
+  }
+
+  int Run()
+  {
+    kj::UnixEventPort::captureSignal(SIGTERM);
+    kj::UnixEventPort::captureSignal(SIGINT);
+    auto io = kj::setupAsyncIo();
+    m_io = &io;
+    if (m_settings.m_control && !StartControl()) {
+      return kExitFailed;
+    }
+    if (m_settings.m_entry && !StartEntry()) {
+      return kExitFailed;
+    }
+    LogLine(Level::kInfo, "started")
+      .With("zone", m_settings.m_zone.Get())
+      .With("control", m_settings.m_control)
+      .With("entry", m_settings.m_entry)
+      .Write();
+    const int code = WaitForStop().wait(io.waitScope);
+    if (m_tracer) {
+      m_tracer->Close();
+    }
+    if (m_frontend) {
+      std::this_thread::sleep_for(kFlush);
+      m_frontend->Stop();
+    }
+    LogLine(Level::kInfo, "stopped").With("code", code).Write();
+    // The loop's objects refer to each other across it; the process ends, so
+    // nothing is gained by taking them apart, and all that counts is synced.
+    std::cout.flush();
+    std::_Exit(code);
+  }
+
+private:
+  bool StartControl()
+  {
+    storage::Opened opened;
+    storage::Failure failure;
+    auto store = storage::LogStore::Open(
+      *m_settings.m_dataFolder, m_settings.m_instance, opened, failure);
+    if (!store) {
+      LogLine(Level::kError, "the data folder cannot be used")
+        .With("reason", storage::ToText(failure))
+        .Write();
+      return false;
+    }
+    if (opened.m_cut) {
+      LogLine(Level::kWarning, "an incomplete last write was cut off")
+        .With("file", opened.m_cut->m_file.string())
+        .With("offset", opened.m_cut->m_offset)
+        .With("bytes", opened.m_cut->m_bytes)
+        .Write();
+    }
+    LogLine(Level::kInfo, "data folder opened")
+      .With("incarnation", opened.m_self.m_incarnation.Get())
+      .With("fresh", opened.m_fresh)
+      .Write();
+    control::NodeOptions options;
+    options.m_address = m_settings.m_rpc->ToText();
+    options.m_snapshotEvery = m_settings.m_snapshotEvery;
+    if (m_settings.m_platform) {
+      m_platform = std::make_unique<daemon::Platform>(
+        m_settings.m_platform->ToText());
+      options.m_restart = [this](const fleet::Instance& aInstance) {
+        m_platform->Restart(aInstance);
+      };
+    }
+    m_node = std::make_unique<control::Node>(
+      std::move(options),
+      std::move(opened),
+      std::move(store),
+      *m_io->provider,
+      [](const storage::Failure& aFailure) {
+        // A replica that cannot keep its promises on disk must not go on
+        // giving them from memory.
+        LogLine(Level::kError, "the disk failed, stopping")
+          .With("reason", storage::ToText(aFailure))
+          .Write();
+        std::_Exit(kExitFailed);
+      });
+    m_listening =
+      control::Listen(*m_node, *m_io->provider, m_settings.m_rpc->ToText())
+        .eagerlyEvaluate([](kj::Exception&& aException) {
+          LogLine(Level::kError, "cannot listen for RPC")
+            .With("reason", std::string{ aException.getDescription().cStr() })
+            .Write();
+          std::_Exit(kExitFailed);
+        });
+    if (m_settings.m_http && !m_settings.m_entry) {
+      std::string reason;
+      m_probes = std::make_unique<ProbeServer>(*m_settings.m_http, reason);
+      if (!m_probes->IsStarted()) {
+        LogLine(Level::kError, "cannot listen for HTTP")
+          .With("reason", reason)
+          .Write();
+        return false;
+      }
+      m_publishing = PublishLoop().eagerlyEvaluate(nullptr);
+    }
+    return true;
+  }
+
+  kj::Promise<void> PublishLoop()
+  {
+    telemetry::Metrics metrics;
+    consensus::Replica& replica = m_node->Replica();
+    const bool leads = m_node->IsServing();
+    metrics.Set("term", static_cast<double>(replica.CurrentTerm().Get()));
+    metrics.Set("commit_index",
+                static_cast<double>(replica.CommitIndex().Get()));
+    metrics.Set("snapshot_index",
+                static_cast<double>(replica.SnapshotIndex().Get()));
+    metrics.Set("leader", leads ? 1 : 0);
+    metrics.Set("outcomes",
+                static_cast<double>(m_node->State().Outcomes().Size()));
+    m_probes->Publish(replica.Leader().has_value(), metrics.Render());
+    return m_io->provider->getTimer()
+      .afterDelay(1 * kj::SECONDS)
+      .then([this]() { return PublishLoop(); });
+  }
+
+  bool StartEntry()
+  {
+    entry::FrontendOptions options;
+    options.m_settings = m_settings;
+    options.m_self = { m_settings.m_instance, Incarnation{ RandomNumber() } };
+    options.m_engine.m_routing.m_seed = RandomNumber();
+    m_tracer = MakeTracer(m_settings);
+    m_frontend =
+      std::make_unique<entry::Frontend>(options, m_inbox, m_tracer);
+    std::string reason;
+    if (!m_frontend->Start(reason)) {
+      LogLine(Level::kError, "cannot listen for HTTP")
+        .With("reason", reason)
+        .Write();
+      return false;
+    }
+    entry::LinkOptions link;
+    link.m_self = options.m_self;
+    link.m_zone = m_settings.m_zone;
+    link.m_httpAddress = m_settings.m_http->ToText();
+    for (const settings::Address& seed : m_settings.m_controlSeeds) {
+      link.m_seeds.push_back(seed.ToText());
+    }
+    m_link = std::make_unique<entry::Link>(
+      link, *m_io->provider, m_inbox, [this](entry::LeaseGranted aLease) {
+        m_frontend->OnLease(std::move(aLease));
+      });
+    return true;
+  }
+
+  kj::Promise<void> Signal()
+  {
+    auto& port = m_io->unixEventPort;
+    return port.onSignal(SIGTERM)
+      .ignoreResult()
+      .exclusiveJoin(port.onSignal(SIGINT).ignoreResult());
+  }
+
+  kj::Promise<int> WaitForStop()
+  {
+    return Signal().then([this]() -> kj::Promise<int> {
+      LogLine(Level::kInfo, "stopping").Write();
+      if (!m_frontend) {
+        return kExitDone;
+      }
+      auto pair = kj::newPromiseAndCrossThreadFulfiller<void>();
+      m_drained = kj::mv(pair.fulfiller);
+      m_frontend->Drain([this]() { m_drained->fulfill(); });
+      auto finished = pair.promise.then([]() { return kExitDone; });
+      auto forced = Signal().then([this]() {
+        LogLine(Level::kWarning, "stopped by force")
+          .With("abandonedRequests", m_frontend->OpenRequests())
+          .Write();
+        return kExitFailed;
+      });
+      return finished.exclusiveJoin(kj::mv(forced));
+    });
+  }
+
+  settings::Settings m_settings;
+  kj::AsyncIoContext* m_io = nullptr;
+  std::unique_ptr<daemon::Platform> m_platform;
+  std::unique_ptr<control::Node> m_node;
+  kj::Promise<void> m_listening = nullptr;
+  kj::Promise<void> m_publishing = nullptr;
+  std::unique_ptr<ProbeServer> m_probes;
+  std::shared_ptr<opentracing::Tracer> m_tracer;
+  rpc::Mailbox<entry::LinkMessage> m_inbox;
+  std::unique_ptr<entry::Frontend> m_frontend;
+  std::unique_ptr<entry::Link> m_link;
+  kj::Own<kj::CrossThreadPromiseFulfiller<void>> m_drained;
+};
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  po::options_description options("bamboostiled");
+  options.add_options()("help,h", "show help")(
+    "settings", po::value<std::string>(), "the settings file (JSON)")(
+    "check", "check the settings and exit");
+  po::variables_map values;
+  try {
+    po::store(po::parse_command_line(aCount, aArguments, options), values);
+  } catch (const po::error& error) {
+    std::cerr << "bamboostiled: " << error.what() << "\n";
+    return kExitBadInput;
+  }
+  if (values.count("help") > 0) {
+    std::cout << options
+              << "\nExample: bamboostiled --settings "
+                 "examples/settings/entry.json\n"
+                 "Exit codes: 0 stopped as asked, 1 failed, 2 bad input.\n";
+    return kExitDone;
+  }
+  if (values.count("settings") == 0) {
+    std::cerr << "bamboostiled: --settings FILE is missing\n";
+    return kExitBadInput;
+  }
+  settings::Problem problem;
+  auto loaded =
+    settings::Load(values["settings"].as<std::string>(), problem);
+  if (!loaded) {
+    std::cerr << "bamboostiled: " << settings::ToText(problem) << "\n";
+    return kExitBadInput;
+  }
+  if (values.count("check") > 0) {
+    std::cout << "the settings are sound\n";
+    return kExitDone;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  telemetry::InitLog(loaded->m_instance.Get(),
+                     *telemetry::ParseLevel(loaded->m_logLevel),
+                     loaded->m_logFile);
+  return Daemon(std::move(*loaded)).Run();
+}
