Answer members that the own membership does not name

Cause: a replica with an empty folder, or one that lags behind a membership change, received entries but found no address for its reply, so a learner stayed behind for ever (seen: behind=11 after 30 s).

Ruled out: answering over the connection the message came by, as replies then depend on which side connected last.

Change: each message names its sender's address.

--- a/include/bamboostile/control/node.h
+++ b/include/bamboostile/control/node.h
@@ -65,7 +65,7 @@
   const fleet::State& State() const { return m_state; }
   membership::Registry& Registry() { return m_registry; }
   const NodeOptions& Options() const { return m_options; }
-  void Deliver(const consensus::Message& aMessage);
+  void Deliver(const consensus::Message& aMessage, std::string aReplyTo);
   consensus::Error Bootstrap();
   consensus::Error RemoveMember(const InstanceId& aInstance);
   std::string StatusJson() const;
@@ -109,6 +109,7 @@
   void AdvanceWaves(TimePoint aNow);
   void ProposeAlone(fleet::Command aCommand);
   void MaybeCompact();
+  std::optional<std::string> AddressOf(const consensus::ReplicaId& aId) const;
   Peer* FindPeer(const consensus::ReplicaId& aId);
 
   NodeOptions m_options;
@@ -132,6 +133,8 @@
   /** When which part of the log was seen; expiry of outcomes goes by it. */
   std::deque<Mark> m_marks;
   std::map<std::string, Peer> m_peers;
+  /** Of senders that the membership here does not name. */
+  std::map<consensus::ReplicaId, std::string> m_replyTo;
   std::map<Index, Waiter> m_waiters;
   std::list<InForceWaiter> m_inForce;
   std::vector<kj::Own<kj::PromiseFulfiller<void>>> m_viewWaiters;
--- a/schema/internal.capnp
+++ b/schema/internal.capnp
@@ -177,7 +177,9 @@
 }
 
 interface Control {
-  deliver @0 (message :Message);
+  deliver @0 (message :Message, replyTo :Text);
+  # replyTo is the sender's address: a new replica, or one that lags, does not
+  # know the member that writes to it.
   identify @1 () -> (id :ReplicaId, empty :Bool);
   sync @2 (request :SyncRequest) -> (reply :SyncReply);
   begin @3 (begin :Begin) -> (reply :LedgerReply);
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -123,17 +123,28 @@
   m_disk.Write(std::move(aPersist));
 }
 
+std::optional<std::string>
+Node::AddressOf(const consensus::ReplicaId& aId) const
+{
+  if (const auto* member = m_replica.CurrentMembership().Find(aId)) {
+    return member->m_address;
+  }
+  const auto found = m_replyTo.find(aId);
+  return found == m_replyTo.end() ? std::nullopt
+                                  : std::optional{ found->second };
+}
+
 Node::Peer*
 Node::FindPeer(const consensus::ReplicaId& aId)
 {
-  const consensus::Member* member = m_replica.CurrentMembership().Find(aId);
-  if (member == nullptr) {
+  const std::optional<std::string> address = AddressOf(aId);
+  if (!address) {
     return nullptr;
   }
-  Peer& peer = m_peers[member->m_address];
+  Peer& peer = m_peers[*address];
   if (peer.m_channel.get() == nullptr) {
     peer.m_channel =
-      kj::refcounted<rpc::Channel>(m_provider.getNetwork(), member->m_address);
+      kj::refcounted<rpc::Channel>(m_provider.getNetwork(), *address);
     peer.m_lastAnswer = MonotonicNow();
   }
   return &peer;
@@ -162,6 +173,7 @@
   ++peer->m_outstanding;
   auto request = peer->m_channel->Get().deliverRequest();
   wire::Write(aSend.m_message, request.initMessage());
+  request.setReplyTo(m_options.m_address);
   m_tasks.add(request.send().ignoreResult().then(
     [peer]() {
       --peer->m_outstanding;
@@ -415,8 +427,11 @@
 }
 
 void
-Node::Deliver(const consensus::Message& aMessage)
+Node::Deliver(const consensus::Message& aMessage, std::string aReplyTo)
 {
+  if (m_replica.CurrentMembership().Find(aMessage.m_from) == nullptr) {
+    m_replyTo[aMessage.m_from] = std::move(aReplyTo);
+  }
   m_replica.Receive(aMessage, MonotonicNow());
   Pump();
   FollowRole();
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -200,7 +200,9 @@
 
   kj::Promise<void> deliver(DeliverContext aContext) override
   {
-    m_node.Deliver(wire::Read(aContext.getParams().getMessage()));
+    const auto params = aContext.getParams();
+    m_node.Deliver(wire::Read(params.getMessage()),
+                   ToString(params.getReplyTo()));
     return kj::READY_NOW;
   }
 
--- a/tools/bamboostile/main.cpp
+++ b/tools/bamboostile/main.cpp
@@ -163,9 +163,11 @@
   }
   po::variables_map values;
   Words words;
+  // The parsed options keep a pointer to their description.
+  const po::options_description known = CommonOptions();
   try {
     const auto parsed = po::command_line_parser(aCount - 1, aArguments + 1)
-                          .options(CommonOptions())
+                          .options(known)
                           .allow_unregistered()
                           .run();
     po::store(parsed, values);
--- a/tools/bamboostile/operator_commands.cpp
+++ b/tools/bamboostile/operator_commands.cpp
@@ -205,14 +205,21 @@
   return ExitCode::kDone;
 }
 
+/** Opens a session of its own, of which a thread can have one at a time. */
+std::optional<Json>
+FetchStatus(const Common& aCommon, Reply& aFailure)
+{
+  Session session(aCommon.m_control, aCommon.m_patienceMs);
+  return session.Status(aFailure);
+}
+
 std::optional<Json>
 FindInStatus(const Common& aCommon,
              const char* aList,
              const std::string& aId)
 {
-  Session session(aCommon.m_control, aCommon.m_patienceMs);
   Reply failure;
-  const auto status = session.Status(failure);
+  const auto status = FetchStatus(aCommon, failure);
   if (!status) {
     return std::nullopt;
   }
@@ -455,9 +462,8 @@
   if (action != "show" && action != "status" && action != "set") {
     return BadInput("config: show, status or set FIELD=VALUE");
   }
-  Session session(aCommon.m_control, aCommon.m_patienceMs);
   Reply failure;
-  const auto status = session.Status(failure);
+  const auto status = FetchStatus(aCommon, failure);
   if (!status) {
     Print(aCommon, "", "-", failure);
     return failure.m_exit;
