--- a/include/bamboostile/consensus/replica.h
+++ b/include/bamboostile/consensus/replica.h
@@ -97,6 +97,8 @@
   {
     Index m_next;
     Index m_match;
+    /** When m_match last grew. */
+    TimePoint m_matchKnownAt;
     TimePoint m_lastAckSentAt;
     TimePoint m_lastSnapshotAt;
     bool m_probing = true;
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -552,8 +552,11 @@
     const bool stale = aReply.m_sentAt <= progress.m_lastAckSentAt;
     // The follower acknowledged more than it now holds: its folder went back
     // to an old copy. Counting it again could elect a leader without
-    // acknowledged entries, so it stays out until it is replaced.
-    if (!stale && aReply.m_match < progress.m_match) {
+    // acknowledged entries, so it stays out until it is replaced. Messages
+    // overtake each other, so only an answer to a request that left after
+    // the acknowledgement had arrived proves it.
+    const bool after = aReply.m_sentAt > progress.m_matchKnownAt;
+    if (after && aReply.m_match < progress.m_match) {
       m_regressed.insert(aFrom);
       return;
     }
@@ -568,7 +571,10 @@
   }
   progress.m_lastAckSentAt =
     std::max(progress.m_lastAckSentAt, aReply.m_sentAt);
-  progress.m_match = std::max(progress.m_match, aReply.m_match);
+  if (aReply.m_match > progress.m_match) {
+    progress.m_match = aReply.m_match;
+    progress.m_matchKnownAt = aNow;
+  }
   progress.m_next = std::max(progress.m_next, Next(progress.m_match));
   progress.m_probing = false;
   AdvanceCommit(aNow);
--- /dev/null
+++ b/tests/support/main.cpp
@@ -0,0 +1,7 @@
+#include <CppUTest/CommandLineTestRunner.h>
+
+int
+main(int aCount, char** aArguments)
+{
+  return CommandLineTestRunner::RunAllTests(aCount, aArguments);
+}
--- /dev/null
+++ b/tests/support/replicas.cpp
@@ -0,0 +1,416 @@
+#include "replicas.h"
+
+#include "bamboostile/units/visit.h"
+
+#include <sstream>
+
+namespace bamboostile::test {
+
+namespace {
+
+using consensus::Apply;
+using consensus::Persist;
+using consensus::Restore;
+using consensus::Send;
+
+constexpr Duration kStep = Millis{ 1 };
+constexpr Duration kTickEvery = Millis{ 10 };
+
+std::string
+AddressOf(std::size_t aAt)
+{
+  return "r" + std::to_string(aAt);
+}
+
+std::string
+TextOf(const consensus::LogEntry& aEntry)
+{
+  std::ostringstream text;
+  text << aEntry.m_term.Get() << ":";
+  if (const auto* command =
+        std::get_if<consensus::CommandBytes>(&aEntry.m_payload)) {
+    text << command->m_bytes;
+  } else {
+    text << "#" << aEntry.m_payload.index();
+  }
+  return text.str();
+}
+
+void
+WriteTo(consensus::RecoveredState& aDisk, const Persist& aPersist)
+{
+  if (aPersist.m_hardState) {
+    aDisk.m_hardState = *aPersist.m_hardState;
+  }
+  auto& entries = aDisk.m_entries;
+  if (aPersist.m_snapshot) {
+    aDisk.m_snapshot = aPersist.m_snapshot;
+    entries.clear();
+  }
+  for (const auto& entry : aPersist.m_entries) {
+    while (!entries.empty() && entries.back().m_index >= entry.m_index) {
+      entries.pop_back();
+    }
+    entries.push_back(entry);
+  }
+}
+
+} // namespace
+
+Replicas::Replicas(std::size_t aCount, std::uint64_t aSeed, Faults aFaults)
+  : m_random(aSeed)
+  , m_faults(aFaults)
+  , m_nodes(aCount)
+{
+  for (std::size_t i = 0; i < aCount; ++i) {
+    m_nodes[i].m_rate = 0.96 + 0.08 * Chance();
+    LoseDisk(i);
+    Start(i);
+  }
+}
+
+double
+Replicas::Chance()
+{
+  return std::uniform_real_distribution<double>{ 0, 1 }(m_random);
+}
+
+Duration
+Replicas::RandomUpTo(Duration aMost)
+{
+  return Duration{ static_cast<Duration::rep>(Chance() * aMost.count()) };
+}
+
+void
+Replicas::Fail(const std::string& aWhat)
+{
+  if (m_violation.empty()) {
+    m_violation = aWhat;
+  }
+}
+
+TimePoint
+Replicas::LocalNow(std::size_t aAt) const
+{
+  return TimePoint{ Duration{ static_cast<Duration::rep>(
+    m_now.time_since_epoch().count() * m_nodes[aAt].m_rate) } };
+}
+
+bool
+Replicas::Form()
+{
+  At(0).Bootstrap(AddressOf(0), LocalNow(0));
+  Drain(0);
+  for (std::size_t i = 1; i < Size(); ++i) {
+    const auto admitted = [&]() {
+      const auto leader = Leader();
+      if (leader && IsUp(i)) {
+        At(*leader).AddMember({ At(i).Self(), AddressOf(i), false },
+                              LocalNow(*leader));
+        Drain(*leader);
+      }
+      return leader && At(*leader).CurrentMembership().VoterCount() == i + 1;
+    };
+    if (!RunUntil(admitted, std::chrono::seconds{ 30 })) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void
+Replicas::Run(Duration aTime)
+{
+  const TimePoint until = m_now + aTime;
+  while (m_now < until) {
+    Step();
+  }
+}
+
+bool
+Replicas::RunUntil(const std::function<bool()>& aDone, Duration aLimit)
+{
+  const TimePoint until = m_now + aLimit;
+  while (m_now < until) {
+    if (aDone()) {
+      return true;
+    }
+    Run(kTickEvery);
+  }
+  return aDone();
+}
+
+void
+Replicas::Step()
+{
+  m_now += kStep;
+  while (!m_events.empty() && m_events.begin()->first <= m_now) {
+    Event event = std::move(m_events.begin()->second);
+    m_events.erase(m_events.begin());
+    Deliver(std::move(event));
+  }
+  if (m_now.time_since_epoch() % kTickEvery == Duration::zero()) {
+    for (std::size_t i = 0; i < Size(); ++i) {
+      if (IsUp(i) && !m_nodes[i].m_frozen) {
+        At(i).Tick(LocalNow(i));
+        Drain(i);
+      }
+    }
+    CheckLeases();
+  }
+}
+
+void
+Replicas::Deliver(Event aEvent)
+{
+  Node& node = m_nodes[aEvent.m_node];
+  if (node.m_replica == nullptr || node.m_life != aEvent.m_life) {
+    return;
+  }
+  // A frozen process finds everything in its buffers when it wakes.
+  if (node.m_frozen) {
+    m_events.emplace(m_now + kTickEvery, std::move(aEvent));
+    return;
+  }
+  if (aEvent.m_persist) {
+    WriteTo(node.m_disk.m_state, *aEvent.m_persist);
+    node.m_replica->OnPersisted(aEvent.m_persist->m_ticket,
+                                LocalNow(aEvent.m_node));
+  } else {
+    node.m_replica->Receive(*aEvent.m_message, LocalNow(aEvent.m_node));
+  }
+  Drain(aEvent.m_node);
+}
+
+void
+Replicas::Drain(std::size_t aAt)
+{
+  for (consensus::Action& action : At(aAt).TakeActions()) {
+    Handle(aAt, std::move(action));
+  }
+  if (At(aAt).CurrentRole() == consensus::Role::kLeader) {
+    const auto [found, isNew] =
+      m_leaders.try_emplace(At(aAt).CurrentTerm(), At(aAt).Self());
+    if (found->second != At(aAt).Self()) {
+      Fail("two leaders in term " + std::to_string(found->first.Get()));
+    }
+  }
+}
+
+void
+Replicas::Handle(std::size_t aAt, consensus::Action aAction)
+{
+  std::visit(
+    Overloaded{
+      [&](Persist& aPersist) {
+        // One disk works in order: never earlier than the write before.
+        TimePoint at = m_now + RandomUpTo(m_faults.m_maxSync);
+        for (const auto& [time, event] : m_events) {
+          const bool same = event.m_node == aAt && event.m_persist &&
+                            event.m_life == m_nodes[aAt].m_life;
+          at = same ? std::max(at, time) : at;
+        }
+        m_events.emplace(at,
+                         Event{ aAt,
+                                m_nodes[aAt].m_life,
+                                std::nullopt,
+                                std::move(aPersist) });
+      },
+      [&](Send& aSend) {
+        const auto to = NodeOf(aSend.m_message.m_to);
+        if (!to || m_cuts.contains({ aAt, *to }) ||
+            Chance() < m_faults.m_loss) {
+          return;
+        }
+        const int copies = Chance() < m_faults.m_duplicate ? 2 : 1;
+        for (int i = 0; i < copies; ++i) {
+          m_events.emplace(m_now + RandomUpTo(m_faults.m_maxDelay),
+                           Event{ *to,
+                                  m_nodes[*to].m_life,
+                                  aSend.m_message,
+                                  std::nullopt });
+        }
+      },
+      [&](Apply& aApply) {
+        for (const auto& entry : aApply.m_entries) {
+          Record(aAt, entry);
+        }
+      },
+      [&](Restore& aRestore) {
+        m_nodes[aAt].m_applied = aRestore.m_snapshot.m_index;
+        if (aRestore.m_snapshot.m_state != StateOf(aAt)) {
+          Fail("a snapshot differs from the history");
+        }
+      },
+    },
+    aAction);
+}
+
+/** The state is the whole history up to what was applied. */
+std::string
+Replicas::StateOf(std::size_t aAt) const
+{
+  std::string state;
+  for (const auto& [index, text] : m_history) {
+    if (index > m_nodes[aAt].m_applied) {
+      break;
+    }
+    state += text + ";";
+  }
+  return state;
+}
+
+void
+Replicas::Record(std::size_t aAt, const consensus::LogEntry& aEntry)
+{
+  Node& node = m_nodes[aAt];
+  if (aEntry.m_index != Next(node.m_applied)) {
+    Fail("replica " + std::to_string(aAt) + " skipped to " +
+         std::to_string(aEntry.m_index.Get()));
+  }
+  node.m_applied = aEntry.m_index;
+  const std::string text = TextOf(aEntry);
+  const auto [found, isNew] = m_history.try_emplace(aEntry.m_index, text);
+  if (found->second != text) {
+    Fail("position " + std::to_string(aEntry.m_index.Get()) + " was " +
+         found->second + " and became " + text);
+  }
+  if (node.m_replica->CurrentRole() == consensus::Role::kLeader) {
+    m_acknowledged[aEntry.m_index] = text;
+  }
+}
+
+void
+Replicas::CheckLeases()
+{
+  for (std::size_t i = 0; i < Size(); ++i) {
+    const bool answers = IsUp(i) && !m_nodes[i].m_frozen && At(i).IsReady() &&
+                         At(i).HoldsLease(LocalNow(i));
+    if (!answers || m_acknowledged.empty()) {
+      continue;
+    }
+    if (m_nodes[i].m_applied < m_acknowledged.rbegin()->first) {
+      Fail("replica " + std::to_string(i) + " answers reads at " +
+           std::to_string(m_nodes[i].m_applied.Get()) + " after " +
+           std::to_string(m_acknowledged.rbegin()->first.Get()) +
+           " was acknowledged");
+    }
+  }
+}
+
+std::optional<std::size_t>
+Replicas::NodeOf(const consensus::ReplicaId& aId) const
+{
+  for (std::size_t i = 0; i < Size(); ++i) {
+    if (IsUp(i) && m_nodes[i].m_replica->Self().m_instance == aId.m_instance) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
+void
+Replicas::Crash(std::size_t aAt)
+{
+  m_nodes[aAt].m_replica.reset();
+  ++m_nodes[aAt].m_life;
+  m_nodes[aAt].m_frozen = false;
+}
+
+void
+Replicas::Start(std::size_t aAt)
+{
+  Node& node = m_nodes[aAt];
+  ++node.m_life;
+  node.m_applied = Index{};
+  consensus::ReplicaOptions options = m_faults.m_options;
+  options.m_seed = m_random();
+  node.m_replica = std::make_unique<consensus::Replica>(
+    consensus::ReplicaId{ InstanceId{ AddressOf(aAt) },
+                          node.m_disk.m_incarnation },
+    options,
+    node.m_disk.m_state,
+    LocalNow(aAt));
+  Drain(aAt);
+}
+
+void
+Replicas::LoseDisk(std::size_t aAt)
+{
+  Crash(aAt);
+  m_nodes[aAt].m_disk = Disk{ {}, Incarnation{ ++m_lastIncarnation } };
+}
+
+void
+Replicas::CopyDisk(std::size_t aAt)
+{
+  m_nodes[aAt].m_copy = m_nodes[aAt].m_disk;
+}
+
+void
+Replicas::RestoreDisk(std::size_t aAt)
+{
+  Crash(aAt);
+  m_nodes[aAt].m_disk = m_nodes[aAt].m_copy;
+}
+
+void
+Replicas::Freeze(std::size_t aAt, bool aFrozen)
+{
+  m_nodes[aAt].m_frozen = aFrozen;
+}
+
+void
+Replicas::Cut(std::size_t aFrom, std::size_t aTo, bool aCut)
+{
+  if (aCut) {
+    m_cuts.insert({ aFrom, aTo });
+  } else {
+    m_cuts.erase({ aFrom, aTo });
+  }
+}
+
+void
+Replicas::Isolate(std::size_t aAt, bool aIsolated)
+{
+  for (std::size_t i = 0; i < Size(); ++i) {
+    if (i != aAt) {
+      Cut(aAt, i, aIsolated);
+      Cut(i, aAt, aIsolated);
+    }
+  }
+}
+
+std::optional<std::size_t>
+Replicas::Leader() const
+{
+  std::optional<std::size_t> leader;
+  for (std::size_t i = 0; i < Size(); ++i) {
+    const bool leads =
+      IsUp(i) && !m_nodes[i].m_frozen &&
+      m_nodes[i].m_replica->CurrentRole() == consensus::Role::kLeader;
+    const bool newest =
+      leads && (!leader || m_nodes[*leader].m_replica->CurrentTerm() <
+                             m_nodes[i].m_replica->CurrentTerm());
+    if (newest) {
+      leader = i;
+    }
+  }
+  return leader;
+}
+
+bool
+Replicas::Propose(const std::string& aCommand)
+{
+  const auto leader = Leader();
+  if (!leader) {
+    return false;
+  }
+  Index index;
+  const auto error =
+    At(*leader).Propose(aCommand, LocalNow(*leader), index);
+  Drain(*leader);
+  return error == consensus::Error::kNone;
+}
+
+} // namespace bamboostile::test
--- /dev/null
+++ b/tests/unit/consensus/replica_test.cpp
@@ -0,0 +1,421 @@
+#include "replicas.h"
+
+#include "check.h"
+
+using namespace bamboostile;
+using test::Faults;
+using test::Replicas;
+
+namespace {
+
+constexpr Duration kLong = std::chrono::seconds{ 30 };
+
+/** Longer than every timeout of a replica. */
+constexpr Duration kPastTimeouts = std::chrono::seconds{ 4 };
+
+bool
+Write(Replicas& aReplicas, const std::string& aCommand)
+{
+  const std::size_t before = aReplicas.Acknowledged().size();
+  return aReplicas.RunUntil([&]() { return aReplicas.Propose(aCommand); },
+                            kLong) &&
+         aReplicas.RunUntil(
+           [&]() { return aReplicas.Acknowledged().size() > before; }, kLong);
+}
+
+bool
+Holds(const Replicas& aReplicas, const std::string& aCommand)
+{
+  for (const auto& [index, text] : aReplicas.Acknowledged()) {
+    if (text.ends_with(":" + aCommand)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace
+
+TEST_GROUP(Replica)
+{
+  void Sound(const Replicas& aReplicas)
+  {
+    CHECK_STRING("", aReplicas.Violation());
+  }
+};
+
+TEST(Replica, EmptyReplica_WithoutBootstrap_NeverVotesOrLeads)
+{
+  Replicas replicas(3, 1, {});
+  replicas.Run(kLong);
+  CHECK_FALSE(replicas.Leader().has_value());
+  for (std::size_t i = 0; i < replicas.Size(); ++i) {
+    LONGS_EQUAL(0, replicas.At(i).CurrentTerm().Get());
+  }
+}
+
+TEST(Replica, Group_Formed_CommitsAndAppliesEverywhere)
+{
+  Replicas replicas(3, 2, {});
+  CHECK(replicas.Form());
+  CHECK(Write(replicas, "a"));
+  replicas.Run(kPastTimeouts);
+  for (std::size_t i = 0; i < replicas.Size(); ++i) {
+    CHECK(replicas.AppliedBy(i) == replicas.AppliedBy(0));
+  }
+  Sound(replicas);
+}
+
+// The operator has an answer, then the leader dies. A new one must have the
+// change: the answer was given only after a quorum had synced it.
+TEST(Replica, Leader_KilledAfterAcknowledgement_ChangeSurvives)
+{
+  Replicas replicas(3, 3, {});
+  CHECK(replicas.Form());
+  CHECK(Write(replicas, "a"));
+  const std::size_t old = *replicas.Leader();
+  replicas.Crash(old);
+  CHECK(Write(replicas, "b"));
+  const std::size_t now = *replicas.Leader();
+  CHECK(now != old);
+  LONGS_EQUAL(replicas.Acknowledged().rbegin()->first.Get(),
+              replicas.AppliedBy(now).Get());
+  CHECK(Holds(replicas, "a"));
+  Sound(replicas);
+}
+
+// All processes die at once, with writes between the queue and the disk. What
+// was acknowledged had been synced by a quorum, and comes back.
+TEST(Replica, AllKilledAtOnce_Restarted_NothingAcknowledgedIsLost)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Faults slow;
+    slow.m_maxSync = Millis{ 20 };
+    Replicas replicas(3, seed, slow);
+    CHECK(replicas.Form());
+    CHECK(Write(replicas, "a"));
+    for (int i = 0; i < 10; ++i) {
+      replicas.Propose("b" + std::to_string(i));
+    }
+    replicas.Run(Millis{ 7 });
+    for (std::size_t i = 0; i < replicas.Size(); ++i) {
+      replicas.Crash(i);
+    }
+    for (std::size_t i = 0; i < replicas.Size(); ++i) {
+      replicas.Start(i);
+    }
+    CHECK(Write(replicas, "c"));
+    Sound(replicas);
+  }
+}
+
+// A minority loses its disks, comes back empty, and must not vote as its old
+// self: its lost vote or entries could let a second leader win. It is admitted
+// again as a new life, and only then, synced, does it count.
+TEST(Replica, LostDisk_ComesBackEmpty_CannotVoteUntilAdmittedAndSynced)
+{
+  Replicas replicas(3, 5, {});
+  CHECK(replicas.Form());
+  CHECK(Write(replicas, "a"));
+  const std::size_t leader = *replicas.Leader();
+  const std::size_t lost = (leader + 1) % 3;
+  const std::size_t other = (leader + 2) % 3;
+  replicas.LoseDisk(lost);
+  replicas.Start(lost);
+  // The leader goes too. Two of three processes run, but one of them lost its
+  // memory: they must not make a leader.
+  replicas.Crash(leader);
+  replicas.Run(kLong);
+  CHECK_FALSE(replicas.Leader().has_value());
+  replicas.Start(leader);
+  CHECK(Write(replicas, "b"));
+  const std::size_t now = *replicas.Leader();
+  CHECK(now == leader || now == other);
+  replicas.At(now).AddMember({ replicas.At(lost).Self(), "r", false },
+                             replicas.LocalNow(now));
+  replicas.Drain(now);
+  const auto repaired = [&]() {
+    const auto& membership = replicas.At(now).CurrentMembership();
+    return membership.IsVoter(replicas.At(lost).Self()) &&
+           membership.m_members.size() == 3;
+  };
+  CHECK(replicas.RunUntil(repaired, kLong));
+  Sound(replicas);
+}
+
+// One replica was lost and repaired a moment ago; now a second one dies. What
+// was acknowledged in between must be on the repaired one.
+TEST(Replica, SecondLoss_RightBehindRepairOfFirst_LosesNothing)
+{
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    Replicas replicas(3, seed, {});
+    CHECK(replicas.Form());
+    CHECK(Write(replicas, "a"));
+    std::size_t leader = *replicas.Leader();
+    const std::size_t first = (leader + 1) % 3;
+    const std::size_t second = (leader + 2) % 3;
+    replicas.LoseDisk(first);
+    replicas.Start(first);
+    replicas.At(leader).AddMember({ replicas.At(first).Self(), "r", false },
+                                  replicas.LocalNow(leader));
+    replicas.Drain(leader);
+    const auto repaired = [&]() {
+      return replicas.At(leader).CurrentMembership().IsVoter(
+        replicas.At(first).Self());
+    };
+    CHECK(replicas.RunUntil(repaired, kLong));
+    CHECK(Write(replicas, "b"));
+    replicas.LoseDisk(second);
+    CHECK(Write(replicas, "c"));
+    replicas.Crash(leader);
+    replicas.Start(leader);
+    CHECK(Write(replicas, "d"));
+    CHECK(Holds(replicas, "a"));
+    CHECK(Holds(replicas, "b"));
+    Sound(replicas);
+  }
+}
+
+// A folder is restored from an old backup while the leader lives: the replica
+// has forgotten entries that it acknowledged. The leader notices at its first
+// answer and stops counting it, also for its lease.
+TEST(Replica, OldCopyOfFolder_Restored_IsNoticedAndNotCounted)
+{
+  Replicas replicas(3, 7, {});
+  CHECK(replicas.Form());
+  CHECK(Write(replicas, "a"));
+  const std::size_t leader = *replicas.Leader();
+  const std::size_t old = (leader + 1) % 3;
+  replicas.CopyDisk(old);
+  CHECK(Write(replicas, "b"));
+  replicas.Run(Millis{ 500 });
+  replicas.RestoreDisk(old);
+  replicas.Start(old);
+  replicas.Run(Millis{ 700 });
+  CHECK(replicas.At(leader).Regressed().contains(replicas.At(old).Self()));
+  CHECK(Write(replicas, "c"));
+  Sound(replicas);
+}
+
+// The leader stops for longer than every timeout and wakes up believing that
+// it still leads. Its first look at the clock must end that.
+TEST(Replica, Leader_FrozenPastTimeoutsThenWoken_GivesNoStaleRead)
+{
+  Replicas replicas(3, 8, {});
+  CHECK(replicas.Form());
+  CHECK(Write(replicas, "a"));
+  const std::size_t old = *replicas.Leader();
+  replicas.Freeze(old, true);
+  CHECK(Write(replicas, "b"));
+  CHECK_FALSE(replicas.At(old).HoldsLease(replicas.LocalNow(old)));
+  replicas.Freeze(old, false);
+  CHECK_FALSE(replicas.At(old).HoldsLease(replicas.LocalNow(old)));
+  CHECK(Write(replicas, "c"));
+  Sound(replicas);
+}
+
+// A leader is cut off in silence for long. The others go on; it steps down by
+// itself, so that its callers go elsewhere; and when it is back, nobody needs
+// another election because of it.
+TEST(Replica, Leader_IsolatedLong_StepsDownAndDisturbsNobodyOnReturn)
+{
+  Replicas replicas(3, 9, {});
+  CHECK(replicas.Form());
+  const std::size_t old = *replicas.Leader();
+  replicas.Isolate(old, true);
+  CHECK(Write(replicas, "a"));
+  replicas.Run(std::chrono::minutes{ 3 });
+  CHECK(replicas.At(old).CurrentRole() != consensus::Role::kLeader);
+  const std::size_t elections = replicas.ElectionCount();
+  replicas.Isolate(old, false);
+  replicas.Run(std::chrono::seconds{ 20 });
+  LONGS_EQUAL(elections, replicas.ElectionCount());
+  CHECK(replicas.AppliedBy(old) == replicas.AppliedBy(*replicas.Leader()));
+  Sound(replicas);
+}
+
+// The leader can send but hears nothing. Its heartbeats keep the others from
+// electing, so it has to give up by itself.
+TEST(Replica, Leader_CutInOneDirection_GroupGoesOn)
+{
+  for (const bool hears : { false, true }) {
+    Replicas replicas(3, 10, {});
+    CHECK(replicas.Form());
+    const std::size_t old = *replicas.Leader();
+    for (std::size_t i = 0; i < 3; ++i) {
+      if (i != old) {
+        replicas.Cut(hears ? old : i, hears ? i : old, true);
+      }
+    }
+    replicas.Run(kPastTimeouts);
+    CHECK(Write(replicas, "a"));
+    CHECK(*replicas.Leader() != old);
+    Sound(replicas);
+  }
+}
+
+// A voter restarts within the lease of its leader. It has forgotten that it
+// heard from it; if it voted at once, a second leader could win while the
+// first still answers reads.
+TEST(Replica, Follower_RestartedInsideLease_DoesNotVoteAtOnce)
+{
+  Replicas replicas(3, 11, {});
+  CHECK(replicas.Form());
+  const std::size_t leader = *replicas.Leader();
+  const std::size_t one = (leader + 1) % 3;
+  replicas.Crash(one);
+  replicas.Start(one);
+  consensus::Message vote{ replicas.At((leader + 2) % 3).Self(),
+                           replicas.At(one).Self(),
+                           Term{ 99 },
+                           consensus::VoteRequest{
+                             false, Index{ 1000 }, Term{ 98 } } };
+  replicas.At(one).Receive(vote, replicas.LocalNow(one));
+  replicas.Drain(one);
+  CHECK(replicas.At(one).CurrentTerm() < Term{ 99 });
+}
+
+TEST(Replica, MembershipChange_WhileAnotherPends_IsRefused)
+{
+  Replicas replicas(3, 12, {});
+  CHECK(replicas.Form());
+  replicas.Run(kPastTimeouts);
+  const std::size_t leader = *replicas.Leader();
+  auto& replica = replicas.At(leader);
+  const TimePoint now = replicas.LocalNow(leader);
+  CHECK(replica.RemoveMember(replicas.At((leader + 1) % 3).Self().m_instance,
+                             now) == consensus::Error::kNone);
+  CHECK(replica.RemoveMember(replicas.At((leader + 2) % 3).Self().m_instance,
+                             now) == consensus::Error::kChangePending);
+}
+
+TEST(Replica, LastVoter_Removal_IsRefused)
+{
+  Replicas replicas(1, 13, {});
+  CHECK(replicas.Form());
+  CHECK(replicas.RunUntil([&]() { return replicas.At(0).IsReady(); }, kLong));
+  CHECK(replicas.At(0).RemoveMember(replicas.At(0).Self().m_instance,
+                                    replicas.LocalNow(0)) ==
+        consensus::Error::kLastVoter);
+}
+
+TEST(Replica, Laggard_BehindSnapshot_CatchesUpFromIt)
+{
+  Replicas replicas(3, 14, {});
+  CHECK(replicas.Form());
+  const std::size_t leader = *replicas.Leader();
+  const std::size_t behind = (leader + 1) % 3;
+  replicas.Crash(behind);
+  for (int i = 0; i < 50; ++i) {
+    CHECK(Write(replicas, "x" + std::to_string(i)));
+  }
+  replicas.At(leader).Compact(replicas.AppliedBy(leader),
+                              replicas.StateOf(leader));
+  replicas.Drain(leader);
+  replicas.Start(behind);
+  const auto caughtUp = [&]() {
+    return replicas.AppliedBy(behind) == replicas.AppliedBy(leader);
+  };
+  CHECK(replicas.RunUntil(caughtUp, kLong));
+  Sound(replicas);
+}
+
+namespace {
+
+const consensus::ReplicaId kA{ InstanceId{ "a" }, Incarnation{ 1 } };
+const consensus::ReplicaId kB{ InstanceId{ "b" }, Incarnation{ 1 } };
+const consensus::ReplicaId kC{ InstanceId{ "c" }, Incarnation{ 1 } };
+
+consensus::LogEntry
+Command(std::uint64_t aIndex, std::uint64_t aTerm)
+{
+  return { Index{ aIndex }, Term{ aTerm }, consensus::CommandBytes{ "x" } };
+}
+
+consensus::RecoveredState
+ThreeVoters()
+{
+  consensus::Membership three;
+  for (const auto& id : { kA, kB, kC }) {
+    three.m_members.push_back({ id, id.m_instance.Get(), true });
+  }
+  consensus::RecoveredState state;
+  state.m_hardState.m_term = Term{ 1 };
+  state.m_entries.push_back({ Index{ 1 }, Term{ 1 }, three });
+  return state;
+}
+
+/** Syncs everything handed to the disk so far. */
+std::vector<consensus::Action>
+SyncAll(consensus::Replica& aReplica, TimePoint aNow)
+{
+  std::vector<consensus::Action> all;
+  for (auto actions = aReplica.TakeActions(); !actions.empty();
+       actions = aReplica.TakeActions()) {
+    for (auto& action : actions) {
+      if (auto* persist = std::get_if<consensus::Persist>(&action)) {
+        aReplica.OnPersisted(persist->m_ticket, aNow);
+      }
+      all.push_back(std::move(action));
+    }
+  }
+  return all;
+}
+
+} // namespace
+
+// An entry of an earlier term sits on a quorum, but no entry of the new
+// leader's own term does. A replica with a later term could still win and
+// replace it; reporting it as decided would let it be taken back.
+TEST(Replica, Leader_EntryOfEarlierTermOnQuorum_IsNotCommittedByCounting)
+{
+  const TimePoint start{ std::chrono::hours{ 1 } };
+  auto state = ThreeVoters();
+  state.m_hardState.m_term = Term{ 3 };
+  state.m_entries.push_back(Command(2, 2));
+  consensus::Replica replica(kA, {}, state, start);
+  const TimePoint later = start + kPastTimeouts;
+  replica.Tick(later);
+  SyncAll(replica, later);
+  const Term candidate{ 4 };
+  replica.Receive(
+    { kB, kA, Term{ 3 }, consensus::VoteReply{ true, true } }, later);
+  SyncAll(replica, later);
+  replica.Receive({ kB, kA, candidate, consensus::VoteReply{ false, true } },
+                  later);
+  SyncAll(replica, later);
+  CHECK(replica.CurrentRole() == consensus::Role::kLeader);
+  replica.Receive(
+    { kB, kA, candidate, consensus::AppendReply{ true, Index{ 2 }, later } },
+    later);
+  LONGS_EQUAL(0, replica.CommitIndex().Get());
+  replica.Receive(
+    { kB, kA, candidate, consensus::AppendReply{ true, Index{ 3 }, later } },
+    later);
+  LONGS_EQUAL(3, replica.CommitIndex().Get());
+}
+
+// Entries are on their way to the disk when a new leader replaces them. The
+// old write completes; it must not count for what took the same positions.
+TEST(Replica, Follower_WriteCompletesAfterTruncation_DoesNotCountForNewEntries)
+{
+  const TimePoint now{ std::chrono::hours{ 1 } };
+  consensus::Replica replica(kA, {}, ThreeVoters(), now);
+  consensus::AppendRequest old{
+    Index{ 1 }, Term{ 1 }, { Command(2, 2), Command(3, 2) }, Index{ 0 }, now
+  };
+  replica.Receive({ kB, kA, Term{ 2 }, old }, now);
+  std::uint64_t oldTicket = 0;
+  for (const auto& action : replica.TakeActions()) {
+    if (const auto* persist = std::get_if<consensus::Persist>(&action)) {
+      oldTicket = persist->m_ticket;
+    }
+  }
+  consensus::AppendRequest fresh{
+    Index{ 1 }, Term{ 1 }, { Command(2, 3), Command(3, 3) }, Index{ 0 }, now
+  };
+  replica.Receive({ kC, kA, Term{ 3 }, fresh }, now);
+  replica.TakeActions();
+  replica.OnPersisted(oldTicket, now);
+  LONGS_EQUAL(1, replica.MatchOf(kA).Get());
+}
