--- a/fakes/upstream.cpp
+++ b/fakes/upstream.cpp
@@ -129,19 +129,17 @@
 
   void Finish(http::Exchange& aExchange)
   {
-    const auto id = http::FindHeader(aExchange.Incoming().m_headers,
-                                     "Idempotency-Key");
+    const auto id =
+      http::FindHeader(aExchange.Incoming().m_headers, "Idempotency-Key");
     http::Response response;
     response.m_status = m_mode == Mode::kFail ? 500 : 200;
     response.m_reason = m_mode == Mode::kFail ? "Failed" : "OK";
     response.m_headers.push_back({ "Content-Type", "application/json" });
-    response.m_body = Json{ { "servedBy", m_options.m_id },
-                            { "requestId", id.value_or("") },
-                            { "echo", aExchange.Incoming().m_body } }
-                        .dump(-1,
-                              ' ',
-                              false,
-                              Json::error_handler_t::replace);
+    response.m_body = Json{
+      { "servedBy", m_options.m_id },
+      { "requestId", id.value_or("") },
+      { "echo", aExchange.Incoming().m_body }
+    }.dump(-1, ' ', false, Json::error_handler_t::replace);
     aExchange.Respond(std::move(response));
   }
 
@@ -238,8 +236,8 @@
     "rack", po::value(&options.m_rack)->required())(
     "port", po::value(&options.m_port)->required())(
     "entry", po::value(&options.m_entries)->multitoken())(
-    "slots", po::value(&options.m_slots))(
-    "service-ms", po::value(&options.m_serviceMs))(
+    "slots", po::value(&options.m_slots))("service-ms",
+                                          po::value(&options.m_serviceMs))(
     "announce-ms", po::value(&options.m_announceMs))(
     "incarnation", po::value(&options.m_incarnation));
   try {
--- a/include/bamboostile/consensus/types.h
+++ b/include/bamboostile/consensus/types.h
@@ -40,8 +40,7 @@
 };
 
 struct Noop
-{
-};
+{};
 
 /** An encoded state machine command; the log does not look inside. */
 struct CommandBytes
--- a/include/bamboostile/control/node.h
+++ b/include/bamboostile/control/node.h
@@ -42,7 +42,7 @@
  *
  * Lives on one KJ event loop. It decides nothing itself.
  */
-class Node : private kj::TaskSet::ErrorHandler
+class Node final : private kj::TaskSet::ErrorHandler
 {
 public:
   Node(NodeOptions aOptions,
@@ -51,7 +51,7 @@
        kj::AsyncIoProvider& aProvider,
        std::function<void(const storage::Failure&)> aOnDiskFailure);
 
-  kj::Promise<Decided> Propose(fleet::Command aCommand);
+  kj::Promise<Decided> Propose(const fleet::Command& aCommand);
 
   /** This replica may answer for the group now. */
   bool IsServing() const;
@@ -97,9 +97,9 @@
   kj::Promise<void> DiskLoop();
   void Pump();
   void Run(consensus::Persist aPersist);
-  void Run(consensus::Send aSend);
-  void Run(consensus::Apply aApply);
-  void Run(consensus::Restore aRestore);
+  void Run(const consensus::Send& aSend);
+  void Run(const consensus::Apply& aApply);
+  void Run(const consensus::Restore& aRestore);
   void FollowRole();
   void FailWaiters();
   void WakeViewWaiters();
@@ -107,7 +107,7 @@
   void Lead(TimePoint aNow);
   void ExpireOutcomes(TimePoint aNow);
   void AdvanceWaves(TimePoint aNow);
-  void ProposeAlone(fleet::Command aCommand);
+  void ProposeAlone(const fleet::Command& aCommand);
   void MaybeCompact();
   std::optional<std::string> AddressOf(const consensus::ReplicaId& aId) const;
   Peer* FindPeer(const consensus::ReplicaId& aId);
--- a/include/bamboostile/entry/frontend.h
+++ b/include/bamboostile/entry/frontend.h
@@ -79,7 +79,7 @@
   void Pump();
   void Carry(request::AskBegin aAsk);
   void Carry(request::AskRecord aAsk);
-  void Carry(request::Dispatch aDispatch);
+  void Carry(const request::Dispatch& aDispatch);
   void Carry(const request::Relay& aRelay);
   void Carry(request::Resolve aResolve);
   void Carry(request::Conclude aConclude);
--- a/include/bamboostile/entry/link.h
+++ b/include/bamboostile/entry/link.h
@@ -89,7 +89,7 @@
  * Finds the leader, keeps the lease and the view current, and carries calls
  * for the record of requests. All calls it repeats are idempotent.
  */
-class Link : private kj::TaskSet::ErrorHandler
+class Link final : private kj::TaskSet::ErrorHandler
 {
 public:
   Link(LinkOptions aOptions,
--- a/include/bamboostile/request/types.h
+++ b/include/bamboostile/request/types.h
@@ -19,7 +19,8 @@
   /** The caller chose the id: copies may be on their way to other entries. */
   bool m_keyed = false;
   std::uint32_t m_attempt = 1;
-  /** GET and its like, PUT and DELETE; POST and PATCH if the service says so. */
+  /** GET and its like, PUT and DELETE; POST and PATCH if the service says so.
+   */
   bool m_idempotentMethod = false;
   admission::Class m_class = admission::Class::kNormal;
   std::string m_digest;
--- a/include/bamboostile/routing/router.h
+++ b/include/bamboostile/routing/router.h
@@ -120,8 +120,7 @@
   std::size_t SampleRandom(const Positions& aFrom);
   std::size_t SampleOwned(const Positions& aFrom,
                           const std::set<RackId>& aAvoid);
-  std::size_t SampleTwo(const Positions& aFrom,
-                        const std::set<RackId>& aAvoid);
+  std::size_t SampleTwo(const Positions& aFrom, const std::set<RackId>& aAvoid);
   std::size_t ScanLeast(const Positions& aFrom);
   std::size_t ChooseIn(const Positions& aFrom, const std::set<RackId>& aAvoid);
   void MaybeEject(Upstream& aUpstream, TimePoint aNow);
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -147,8 +147,7 @@
     const auto found = m_progress.find(member.m_id);
     if (member.m_id == m_self) {
       contacts.push_back(aNow);
-    } else if (found == m_progress.end() ||
-               m_regressed.contains(member.m_id)) {
+    } else if (found == m_progress.end() || m_regressed.contains(member.m_id)) {
       contacts.push_back(TimePoint{});
     } else {
       contacts.push_back(found->second.m_lastAckSentAt);
@@ -188,8 +187,8 @@
 {
   const auto spread = m_options.m_electionSpread.count();
   const Duration random{ static_cast<Duration::rep>(
-    NextRandom() % static_cast<std::uint64_t>(std::max<Duration::rep>(
-                     spread, 1))) };
+    NextRandom() %
+    static_cast<std::uint64_t>(std::max<Duration::rep>(spread, 1))) };
   m_electionDeadline = aNow + m_options.m_electionMin + random;
 }
 
@@ -197,10 +196,9 @@
 Replica::Tick(TimePoint aNow)
 {
   if (m_role == Role::kLeader) {
-    const Duration patience = m_options.m_electionMin +
-                              m_options.m_electionSpread;
-    const TimePoint contact =
-      std::max(QuorumContact(aNow), m_leaderSince);
+    const Duration patience =
+      m_options.m_electionMin + m_options.m_electionSpread;
+    const TimePoint contact = std::max(QuorumContact(aNow), m_leaderSince);
     // Cut off from the quorum: another leader may exist by now. Going on
     // would keep callers waiting for commits that can never come.
     if (contact + patience < aNow) {
@@ -368,11 +366,10 @@
   if (aTerm > m_hardState.m_term) {
     BecomeFollower(aTerm, aNow);
   }
-  const bool free =
-    !m_hardState.m_votedFor || *m_hardState.m_votedFor == aFrom;
-  const bool granted =
-    free && IsUpToDate(aVote.m_lastIndex, aVote.m_lastTerm) &&
-    m_role != Role::kLeader;
+  const bool free = !m_hardState.m_votedFor || *m_hardState.m_votedFor == aFrom;
+  const bool granted = free &&
+                       IsUpToDate(aVote.m_lastIndex, aVote.m_lastTerm) &&
+                       m_role != Role::kLeader;
   if (granted) {
     m_hardState.m_votedFor = aFrom;
     PersistHardState();
@@ -465,8 +462,8 @@
   }
   AppendRequest append{ previous, *previousTerm, {}, m_commit, aNow };
   const bool blocked =
-    progress.m_probing || previous.Get() - progress.m_match.Get() >
-                            kMaxEntriesInFlight;
+    progress.m_probing ||
+    previous.Get() - progress.m_match.Get() > kMaxEntriesInFlight;
   std::size_t bytes = 0;
   if (!blocked) {
     while (progress.m_next <= LastIndex() &&
@@ -527,10 +524,9 @@
   if (aAppend.m_entries.empty() && m_syncedTicket >= m_hardStateTicket) {
     // A bare heartbeat claims only what is on disk already, so that a slow
     // disk does not silence a healthy follower.
-    SendNow(aFrom,
-            AppendReply{ true,
-                         std::min(match, m_persistedIndex),
-                         aAppend.m_sentAt });
+    SendNow(
+      aFrom,
+      AppendReply{ true, std::min(match, m_persistedIndex), aAppend.m_sentAt });
     return;
   }
   SendWhenSynced(aFrom, AppendReply{ true, match, aAppend.m_sentAt });
@@ -617,8 +613,8 @@
   m_actions.push_back(Restore{ m_snapshot });
   const std::uint64_t ticket = NewTicket();
   m_ticketIndex[ticket] = LastIndex();
-  m_actions.push_back(
-    Persist{ ticket, std::nullopt, m_snapshot, { m_log.begin(), m_log.end() } });
+  m_actions.push_back(Persist{
+    ticket, std::nullopt, m_snapshot, { m_log.begin(), m_log.end() } });
   SendWhenSynced(aFrom,
                  AppendReply{ true, snapshot.m_index, aInstall.m_sentAt });
 }
@@ -780,8 +776,8 @@
   }
   const std::uint64_t ticket = NewTicket();
   m_ticketIndex[ticket] = LastIndex();
-  m_actions.push_back(
-    Persist{ ticket, std::nullopt, m_snapshot, { m_log.begin(), m_log.end() } });
+  m_actions.push_back(Persist{
+    ticket, std::nullopt, m_snapshot, { m_log.begin(), m_log.end() } });
 }
 
 void
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -87,7 +87,7 @@
 kj::Promise<void>
 Node::DiskLoop()
 {
-  return m_reports.Take().then([this](std::vector<DiskReport> aReports) {
+  return m_reports.Take().then([this](const std::vector<DiskReport>& aReports) {
     for (const DiskReport& report : aReports) {
       if (report.m_failure) {
         m_onDiskFailure(*report.m_failure);
@@ -151,7 +151,7 @@
 }
 
 void
-Node::Run(consensus::Send aSend)
+Node::Run(const consensus::Send& aSend)
 {
   Peer* peer = FindPeer(aSend.m_message.m_to);
   if (peer == nullptr) {
@@ -186,7 +186,7 @@
 }
 
 void
-Node::Run(consensus::Apply aApply)
+Node::Run(const consensus::Apply& aApply)
 {
   const Index viewBefore = m_state.ViewRevision();
   for (const consensus::LogEntry& entry : aApply.m_entries) {
@@ -216,7 +216,7 @@
 }
 
 void
-Node::Run(consensus::Restore aRestore)
+Node::Run(const consensus::Restore& aRestore)
 {
   auto state = fleet::State::Decode(aRestore.m_snapshot.m_state);
   if (!state) {
@@ -279,12 +279,11 @@
 // ----------------------------------------------------------- leader's duties
 
 void
-Node::ProposeAlone(fleet::Command aCommand)
+Node::ProposeAlone(const fleet::Command& aCommand)
 {
   ++m_proposedAlone;
-  m_tasks.add(Propose(std::move(aCommand)).then([this](Decided) {
-    --m_proposedAlone;
-  }));
+  m_tasks.add(
+    Propose(aCommand).then([this](const Decided&) { --m_proposedAlone; }));
 }
 
 void
@@ -327,8 +326,8 @@
   const waves::Observed observed{ [&](const fleet::Instance& aInstance) {
     return m_registry.IsEmpty(aInstance, aNow);
   } };
-  for (fleet::Command& command : waves::NextSteps(m_state, observed)) {
-    ProposeAlone(std::move(command));
+  for (const fleet::Command& command : waves::NextSteps(m_state, observed)) {
+    ProposeAlone(command);
   }
   if (m_options.m_restart) {
     for (const fleet::Instance* instance : waves::Released(m_state)) {
@@ -340,19 +339,18 @@
 // -------------------------------------------------------------------- calls
 
 kj::Promise<Decided>
-Node::Propose(fleet::Command aCommand)
+Node::Propose(const fleet::Command& aCommand)
 {
   Index index;
-  const consensus::Error error = m_replica.Propose(
-    fleet::EncodeCommand(aCommand), MonotonicNow(), index);
+  const consensus::Error error =
+    m_replica.Propose(fleet::EncodeCommand(aCommand), MonotonicNow(), index);
   if (error != consensus::Error::kNone) {
     Decided refused;
     refused.m_error = error;
     return refused;
   }
   auto pair = kj::newPromiseAndFulfiller<Decided>();
-  m_waiters[index] =
-    Waiter{ m_replica.CurrentTerm(), kj::mv(pair.fulfiller) };
+  m_waiters[index] = Waiter{ m_replica.CurrentTerm(), kj::mv(pair.fulfiller) };
   Pump();
   return kj::mv(pair.promise);
 }
@@ -370,8 +368,7 @@
   if (!leader) {
     return {};
   }
-  const consensus::Member* member =
-    m_replica.CurrentMembership().Find(*leader);
+  const consensus::Member* member = m_replica.CurrentMembership().Find(*leader);
   return member != nullptr ? member->m_address : std::string{};
 }
 
@@ -392,8 +389,7 @@
 {
   const TimePoint now = MonotonicNow();
   for (auto it = m_inForce.begin(); it != m_inForce.end();) {
-    const bool holds =
-      IsServing() && m_registry.InForce(it->m_revision, now);
+    const bool holds = IsServing() && m_registry.InForce(it->m_revision, now);
     if (!holds && now < it->m_until) {
       ++it;
       continue;
@@ -410,8 +406,7 @@
     return kj::READY_NOW;
   }
   // Those whose hold time ended are of no use any more.
-  std::erase_if(m_viewWaiters,
-                [](auto& aOne) { return !aOne->isWaiting(); });
+  std::erase_if(m_viewWaiters, [](auto& aOne) { return !aOne->isWaiting(); });
   auto pair = kj::newPromiseAndFulfiller<void>();
   m_viewWaiters.push_back(kj::mv(pair.fulfiller));
   return pair.promise.exclusiveJoin(
@@ -458,16 +453,16 @@
   auto channel =
     kj::refcounted<rpc::Channel>(m_provider.getNetwork(), aAddress);
   auto identified = channel->Get().identifyRequest().send();
-  return identified.then(
-    [this, address = std::move(aAddress), channel = kj::mv(channel)](
-      auto aReply) mutable {
-      const consensus::Member member{ wire::Read(aReply.getId()),
-                                      address,
-                                      false };
-      const auto error = m_replica.AddMember(member, MonotonicNow());
-      Pump();
-      return error;
-    });
+  return identified.then([this,
+                          address = std::move(aAddress),
+                          channel = kj::mv(channel)](auto aReply) mutable {
+    const consensus::Member member{ wire::Read(aReply.getId()),
+                                    address,
+                                    false };
+    const auto error = m_replica.AddMember(member, MonotonicNow());
+    Pump();
+    return error;
+  });
 }
 
 consensus::Error
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -80,7 +80,7 @@
       .With("operator", call->m_operator)
       .Write();
     return m_node.Propose(*call).then(
-      [this, aContext](Decided aDecided) mutable {
+      [this, aContext](const Decided& aDecided) mutable {
         return Conclude(aContext, aDecided);
       });
   }
@@ -124,9 +124,9 @@
           RefuseAsFollower(aContext.getResults().initReply());
           return kj::READY_NOW;
         }
-        Report(aContext.getResults().initReply(),
-               m_node.RemoveMember(
-                 InstanceId{ ToString(params.getInstance()) }));
+        Report(
+          aContext.getResults().initReply(),
+          m_node.RemoveMember(InstanceId{ ToString(params.getInstance()) }));
         return kj::READY_NOW;
     }
     return kj::READY_NOW;
@@ -220,7 +220,7 @@
       RefuseAsFollower(aContext.getResults().initReply());
       return kj::READY_NOW;
     }
-    const auto report = ReadSync(aContext.getParams().getRequest());
+    auto report = ReadSync(aContext.getParams().getRequest());
     m_node.Registry().OnSync(report, MonotonicNow());
     if (report.m_leaving) {
       aContext.getResults().initReply();
@@ -244,14 +244,13 @@
     for (auto one : aContext.getParams().getAnnouncements()) {
       command.m_announcements.push_back(wire::Read(one));
       const auto& said = command.m_announcements.back();
-      m_node.Registry().OnAlive(
-        said.m_id, said.m_incarnation, MonotonicNow());
+      m_node.Registry().OnAlive(said.m_id, said.m_incarnation, MonotonicNow());
     }
-    return m_node.Propose(std::move(command))
-      .then([aContext](Decided aDecided) mutable {
-        aContext.getResults().setOutcome(
-          aDecided.m_effect ? schema::SyncOutcome::OK
-                            : schema::SyncOutcome::NOT_LEADER);
+    return m_node.Propose(command)
+      .then([aContext](const Decided& aDecided) mutable {
+        aContext.getResults().setOutcome(aDecided.m_effect
+                                           ? schema::SyncOutcome::OK
+                                           : schema::SyncOutcome::NOT_LEADER);
       });
   }
 
@@ -262,7 +261,7 @@
       return kj::READY_NOW;
     }
     return m_node.Propose(wire::Read(aContext.getParams().getBegin()))
-      .then([this, aContext](Decided aDecided) mutable {
+      .then([this, aContext](const Decided& aDecided) mutable {
         auto reply = aContext.getResults().initReply();
         const auto* begun =
           aDecided.m_effect
@@ -286,7 +285,7 @@
       return kj::READY_NOW;
     }
     return m_node.Propose(wire::Read(aContext.getParams().getResolve()))
-      .then([aContext](Decided aDecided) mutable {
+      .then([aContext](const Decided& aDecided) mutable {
         aContext.getResults().initReply().setOutcome(
           aDecided.m_effect ? schema::LedgerOutcome::RECORDED
                             : schema::LedgerOutcome::UNDECIDED);
@@ -410,9 +409,7 @@
 }
 
 kj::Promise<void>
-Listen(Node& aNode,
-       kj::AsyncIoProvider& aProvider,
-       const std::string& aAddress)
+Listen(Node& aNode, kj::AsyncIoProvider& aProvider, const std::string& aAddress)
 {
   return aProvider.getNetwork().parseAddress(aAddress).then(
     [&aNode](kj::Own<kj::NetworkAddress>&& aParsed) {
--- a/src/control/status.cpp
+++ b/src/control/status.cpp
@@ -174,8 +174,7 @@
   }
   Json instances = Values(m_state.Instances());
   for (Json& instance : instances) {
-    const auto& known =
-      m_state.Instances().at(InstanceId{ instance.at("id") });
+    const auto& known = m_state.Instances().at(InstanceId{ instance.at("id") });
     instance["empty"] = m_registry.IsEmpty(known, now);
   }
   Json waves = Values(m_state.Waves());
--- a/src/entry/announcement_json.cpp
+++ b/src/entry/announcement_json.cpp
@@ -34,10 +34,9 @@
       return {};
     }
     const Json& value = m_json[aField];
-    const bool sound = value.is_string() &&
-                       !value.get_ref<const std::string&>().empty() &&
-                       value.get_ref<const std::string&>().size() <=
-                         kMaxIdLength;
+    const bool sound =
+      value.is_string() && !value.get_ref<const std::string&>().empty() &&
+      value.get_ref<const std::string&>().size() <= kMaxIdLength;
     if (!sound) {
       Complain(aField, "a text of 1 to 128 characters");
       return {};
@@ -101,8 +100,8 @@
   said.m_id = aId;
   said.m_incarnation = Incarnation{ reader.Number(
     "incarnation", 1, std::numeric_limits<std::uint64_t>::max(), {}) };
-  said.m_sequence = reader.Number(
-    "sequence", 0, std::numeric_limits<std::uint64_t>::max(), 0);
+  said.m_sequence =
+    reader.Number("sequence", 0, std::numeric_limits<std::uint64_t>::max(), 0);
   said.m_service = ServiceId{ reader.Text("service", true) };
   const std::string pool = reader.Text("pool", false);
   if (!pool.empty()) {
@@ -119,9 +118,8 @@
   said.m_cores = reader.Count("cores", 0);
   said.m_memoryMb = reader.Count("memoryMb", 0);
   said.m_accelerators = reader.Count("accelerators", 0);
-  const std::string state = json.contains("state")
-                              ? reader.Text("state", true)
-                              : std::string{ "up" };
+  const std::string state =
+    json.contains("state") ? reader.Text("state", true) : std::string{ "up" };
   if (state == "leaving") {
     said.m_state = fleet::InstanceState::kLeaving;
   } else if (state != "up") {
--- a/src/entry/caller_headers.cpp
+++ b/src/entry/caller_headers.cpp
@@ -19,8 +19,8 @@
   std::uint64_t value = 0;
   const char* end = aText.data() + aText.size();
   const auto [at, error] = std::from_chars(aText.data(), end, value);
-  const bool sound = error == std::errc{} && at == end && value >= aMinimum &&
-                     value <= aMaximum;
+  const bool sound =
+    error == std::errc{} && at == end && value >= aMinimum && value <= aMaximum;
   return sound ? std::optional{ value } : std::nullopt;
 }
 
@@ -53,9 +53,9 @@
 bool
 IsIdempotentMethod(const std::string& aMethod)
 {
-  constexpr std::array<const char*, 6> kIdempotent{ "GET",    "HEAD",
-                                                    "PUT",    "DELETE",
-                                                    "OPTIONS", "TRACE" };
+  constexpr std::array<const char*, 6> kIdempotent{
+    "GET", "HEAD", "PUT", "DELETE", "OPTIONS", "TRACE"
+  };
   return std::find(kIdempotent.begin(), kIdempotent.end(), aMethod) !=
          kIdempotent.end();
 }
--- a/src/entry/frontend.cpp
+++ b/src/entry/frontend.cpp
@@ -130,10 +130,10 @@
   // Half an answer must not pass for the whole; the caller learns that its
   // request was run, and that the body is gone.
   if (aAnswer.m_bodyDropped) {
-    response = JsonResponse(
-      kGone,
-      { { "error", "the answer was too large to be kept" },
-        { "status", aAnswer.m_status } });
+    response =
+      JsonResponse(kGone,
+                   { { "error", "the answer was too large to be kept" },
+                     { "status", aAnswer.m_status } });
   }
   return response;
 }
@@ -195,9 +195,7 @@
   : m_options(std::move(aOptions))
   , m_link(aLink)
   , m_tracer(std::move(aTracer))
-  , m_engine(m_options.m_engine,
-             m_options.m_self,
-             m_options.m_settings.m_zone)
+  , m_engine(m_options.m_engine, m_options.m_self, m_options.m_settings.m_zone)
   , m_leaseUntil(std::make_shared<std::atomic<std::int64_t>>(0))
   , m_client(std::make_unique<http::Client>())
 {
@@ -305,9 +303,9 @@
   const std::string path = PathOf(incoming.m_target);
   const std::size_t slash = path.find('/', 1);
   const std::string service =
-    path.size() > 1 ? path.substr(1, slash == std::string::npos ? slash
-                                                                : slash - 1)
-                    : "";
+    path.size() > 1
+      ? path.substr(1, slash == std::string::npos ? slash : slash - 1)
+      : "";
   if (arrival && (service.empty() || path[0] != '/')) {
     problem = { "(path)", "/{service}/..." };
     arrival.reset();
@@ -333,8 +331,8 @@
   pending.m_request = arrival->m_request;
   pending.m_arrivedAt = now;
   pending.m_service = service;
-  pending.m_deadline =
-    now + arrival->m_timeout.value_or(m_options.m_settings.m_limits.m_maxTimeout);
+  pending.m_deadline = now + arrival->m_timeout.value_or(
+                               m_options.m_settings.m_limits.m_maxTimeout);
   if (m_tracer) {
     const auto parent = telemetry::TraceContext::FromTraceParent(
       http::FindHeader(incoming.m_headers, internal::kTraceHeader)
@@ -389,15 +387,15 @@
     response.m_headers.push_back({ kRequestIdHeader, id });
     return response;
   };
-  m_link.Put(Lookup{
-    RequestId{ id },
-    kLookupPatience,
-    [this, exchange = std::move(aExchange), answer](
-      request::BeginResult aResult) {
-      m_server->Post([exchange, answer, result = std::move(aResult)]() {
-        exchange->Respond(answer(result));
-      });
-    } });
+  m_link.Put(Lookup{ RequestId{ id },
+                     kLookupPatience,
+                     [this, exchange = std::move(aExchange), answer](
+                       request::BeginResult aResult) {
+                       m_server->Post(
+                         [exchange, answer, result = std::move(aResult)]() {
+                           exchange->Respond(answer(result));
+                         });
+                     } });
 }
 
 // ---------------------------------------------------------------- upstreams
@@ -406,12 +404,12 @@
 Frontend::HandleUpstream(std::shared_ptr<http::Exchange> aExchange)
 {
   const http::Request& incoming = aExchange->Incoming();
-  const InstanceId id{ PathOf(incoming.m_target)
-                         .substr(std::string{ kUpstreamsPath }.size()) };
+  const InstanceId id{
+    PathOf(incoming.m_target).substr(std::string{ kUpstreamsPath }.size())
+  };
   if (id.Get().empty() || id.Get().size() > 128 ||
       id.Get().find('/') != std::string::npos) {
-    aExchange->Respond(
-      FieldError("id", "1 to 128 characters without a slash"));
+    aExchange->Respond(FieldError("id", "1 to 128 characters without a slash"));
   } else if (incoming.m_method == "PUT") {
     PutUpstream(std::move(aExchange), id);
   } else if (incoming.m_method == "DELETE") {
@@ -427,8 +425,8 @@
                       const InstanceId& aId)
 {
   internal::FieldProblem problem;
-  const auto said = internal::ParseAnnouncement(
-    aId, aExchange->Incoming().m_body, problem);
+  const auto said =
+    internal::ParseAnnouncement(aId, aExchange->Incoming().m_body, problem);
   if (!said) {
     aExchange->Respond(FieldError(problem.m_field, problem.m_allowed));
     return;
@@ -532,34 +530,34 @@
       "entry.record", { opentracing::ChildOf(&pending.m_span->context()) });
   }
   const LocalId local = aAsk.m_local;
-  m_link.Put(Begin{
-    std::move(aAsk.m_begin),
-    aAsk.m_patience,
-    [this, local](request::BeginResult aResult) {
-      m_server->Post([this, local, result = std::move(aResult)]() {
-        const auto found = m_pending.find(local);
-        if (found != m_pending.end()) {
-          found->second.m_step.reset();
-        }
-        m_engine.OnBegin(local, result, MonotonicNow());
-        Pump();
-      });
-    } });
+  m_link.Put(Begin{ std::move(aAsk.m_begin),
+                    aAsk.m_patience,
+                    [this, local](request::BeginResult aResult) {
+                      m_server->Post(
+                        [this, local, result = std::move(aResult)]() {
+                          const auto found = m_pending.find(local);
+                          if (found != m_pending.end()) {
+                            found->second.m_step.reset();
+                          }
+                          m_engine.OnBegin(local, result, MonotonicNow());
+                          Pump();
+                        });
+                    } });
 }
 
 void
 Frontend::Carry(request::AskRecord aAsk)
 {
   const LocalId local = aAsk.m_local;
-  m_link.Put(
-    Lookup{ std::move(aAsk.m_request),
-            aAsk.m_patience,
-            [this, local](request::BeginResult aResult) {
-              m_server->Post([this, local, result = std::move(aResult)]() {
-                m_engine.OnBegin(local, result, MonotonicNow());
-                Pump();
-              });
-            } });
+  m_link.Put(Lookup{ std::move(aAsk.m_request),
+                     aAsk.m_patience,
+                     [this, local](request::BeginResult aResult) {
+                       m_server->Post(
+                         [this, local, result = std::move(aResult)]() {
+                           m_engine.OnBegin(local, result, MonotonicNow());
+                           Pump();
+                         });
+                     } });
 }
 
 http::Call
@@ -572,8 +570,7 @@
   call.m_method = incoming.m_method;
   call.m_target = incoming.m_target;
   call.m_headers = internal::WithoutOwn(incoming.m_headers);
-  call.m_headers.push_back(
-    { internal::kKeyHeader, aPending.m_request.Get() });
+  call.m_headers.push_back({ internal::kKeyHeader, aPending.m_request.Get() });
   call.m_headers.push_back(
     { internal::kTimeoutHeader,
       std::to_string(ToMillis(aDispatch.m_timeout).count()) });
@@ -594,7 +591,7 @@
 }
 
 void
-Frontend::Carry(request::Dispatch aDispatch)
+Frontend::Carry(const request::Dispatch& aDispatch)
 {
   Pending& pending = m_pending.at(aDispatch.m_local);
   if (pending.m_span) {
@@ -605,14 +602,14 @@
   }
   const LocalId local = aDispatch.m_local;
   const std::uint32_t number = aDispatch.m_number;
-  m_client->Start(
-    MakeCall(pending, aDispatch),
-    [this, local, number](http::CallResult aResult) {
-      auto shared = std::make_shared<http::CallResult>(std::move(aResult));
-      m_server->Post([this, local, number, shared]() {
-        OnCallDone(local, number, std::move(*shared));
-      });
-    });
+  m_client->Start(MakeCall(pending, aDispatch),
+                  [this, local, number](http::CallResult aResult) {
+                    auto shared =
+                      std::make_shared<http::CallResult>(std::move(aResult));
+                    m_server->Post([this, local, number, shared]() {
+                      OnCallDone(local, number, std::move(*shared));
+                    });
+                  });
 }
 
 void
@@ -624,10 +621,9 @@
   result.m_end = ToEnd(aResult.m_end);
   result.m_status = aResult.m_response.m_status;
   result.m_took = aResult.m_took;
-  result.m_provesNotRun =
-    result.m_end == AttemptEnd::kAnswered &&
-    http::FindHeader(aResult.m_response.m_headers, internal::kNotRunHeader) ==
-      "true";
+  result.m_provesNotRun = result.m_end == AttemptEnd::kAnswered &&
+                          http::FindHeader(aResult.m_response.m_headers,
+                                           internal::kNotRunHeader) == "true";
   const auto found = m_pending.find(aLocal);
   if (found != m_pending.end()) {
     Pending& pending = found->second;
@@ -685,8 +681,8 @@
                             { { "outcome", outcome },
                               { "reason", Describe(aConclude.m_reason) },
                               { "requestId", pending.m_request.Get() } });
-    const bool retry = aConclude.m_retryAfter.has_value() ||
-                       response.m_status == kUnavailable;
+    const bool retry =
+      aConclude.m_retryAfter.has_value() || response.m_status == kUnavailable;
     if (retry) {
       AddRetryAfter(response,
                     aConclude.m_retryAfter.value_or(Duration::zero()));
@@ -711,8 +707,7 @@
 void
 Frontend::Respond(Pending& aPending, http::Response aResponse)
 {
-  aResponse.m_headers.push_back(
-    { kRequestIdHeader, aPending.m_request.Get() });
+  aResponse.m_headers.push_back({ kRequestIdHeader, aPending.m_request.Get() });
   aResponse.m_close = m_draining;
   if (aPending.m_span) {
     aPending.m_span->SetTag("status", aResponse.m_status);
@@ -728,18 +723,13 @@
 {
   const request::Counters& counters = m_engine.Count();
   telemetry::Metrics& metrics = m_metrics;
-  metrics.Set("requests_done",
-              static_cast<double>(counters.m_done));
-  metrics.Set("requests_not_run",
-              static_cast<double>(counters.m_notRun));
-  metrics.Set("requests_unknown",
-              static_cast<double>(counters.m_unknown));
+  metrics.Set("requests_done", static_cast<double>(counters.m_done));
+  metrics.Set("requests_not_run", static_cast<double>(counters.m_notRun));
+  metrics.Set("requests_unknown", static_cast<double>(counters.m_unknown));
   metrics.Set("retries", static_cast<double>(counters.m_retries));
   metrics.Set("requests_open", static_cast<double>(m_engine.Size()));
-  metrics.Set("requests_queued",
-              static_cast<double>(m_engine.QueuedCount()));
-  metrics.Set("view_revision",
-              static_cast<double>(m_engine.Revision().Get()));
+  metrics.Set("requests_queued", static_cast<double>(m_engine.QueuedCount()));
+  metrics.Set("view_revision", static_cast<double>(m_engine.Revision().Get()));
   metrics.Set("lease_held", m_engine.HasLease(MonotonicNow()) ? 1 : 0);
   return metrics.Render();
 }
--- a/src/entry/link.cpp
+++ b/src/entry/link.cpp
@@ -102,8 +102,7 @@
 {
   auto& channel = m_channels[m_current];
   if (channel.get() == nullptr) {
-    channel =
-      kj::refcounted<rpc::Channel>(m_provider.getNetwork(), m_current);
+    channel = kj::refcounted<rpc::Channel>(m_provider.getNetwork(), m_current);
   }
   return *channel;
 }
@@ -119,8 +118,7 @@
     m_current = aHint;
     return;
   }
-  const auto at =
-    std::find(m_addresses.begin(), m_addresses.end(), m_current);
+  const auto at = std::find(m_addresses.begin(), m_addresses.end(), m_current);
   const std::size_t next =
     at == m_addresses.end() ? 0 : at - m_addresses.begin() + 1;
   m_current = m_addresses[next % m_addresses.size()];
@@ -190,8 +188,7 @@
   // The lease counts from before the request leaves, so that delay on the
   // way, or a freeze in between, can only shorten it.
   const TimePoint sentAt = MonotonicNow();
-  kj::Promise<capnp::Response<schema::Control::SyncResults>> sent =
-    call.send();
+  kj::Promise<capnp::Response<schema::Control::SyncResults>> sent = call.send();
   return WithTimeout(kj::mv(sent))
     .then(
       [this, sentAt, address, renewals, leaving](
@@ -292,6 +289,7 @@
   }
   auto batch = std::exchange(m_announcements, {});
   std::vector<fleet::Announcement> said;
+  said.reserve(batch.size());
   for (const Announce& one : batch) {
     said.push_back(one.m_announcement);
   }
@@ -307,8 +305,9 @@
   };
   auto held = kj::heap(kj::mv(attempt));
   auto& run = *held;
-  return run(run).attach(kj::mv(held)).then(
-    [this, batch = std::move(batch)](bool aDone) {
+  return run(run)
+    .attach(kj::mv(held))
+    .then([this, batch = std::move(batch)](bool aDone) {
       for (const Announce& one : batch) {
         one.m_done(aDone);
       }
@@ -362,7 +361,8 @@
   wire::Write(aBegin, call.initBegin());
   kj::Promise<capnp::Response<schema::Control::BeginResults>> sent =
     call.send();
-  const Duration left = std::max<Duration>(aUntil - MonotonicNow(), Millis{ 1 });
+  const Duration left =
+    std::max<Duration>(aUntil - MonotonicNow(), Millis{ 1 });
   return m_timer
     .timeoutAfter(ToKj(std::min(left, m_options.m_tryTimeout)), kj::mv(sent))
     .then(
@@ -385,10 +385,9 @@
       }
       // The same holder and ticket: if the first call was committed after
       // all, this one gets its answer.
-      return Pause().then(
-        [this, begin = std::move(begin), aUntil]() mutable {
-          return BeginUntil(std::move(begin), aUntil);
-        });
+      return Pause().then([this, begin = std::move(begin), aUntil]() mutable {
+        return BeginUntil(std::move(begin), aUntil);
+      });
     });
 }
 
--- a/src/fleet/state.cpp
+++ b/src/fleet/state.cpp
@@ -46,10 +46,10 @@
   if (aCall.m_expected == current) {
     return std::nullopt;
   }
-  CallReply reply = Refuse(
-    Refusal::kConflict,
-    "expected revision " + std::to_string(aCall.m_expected.Get()) + ", it is " +
-      std::to_string(current.Get()));
+  CallReply reply =
+    Refuse(Refusal::kConflict,
+           "expected revision " + std::to_string(aCall.m_expected.Get()) +
+             ", it is " + std::to_string(current.Get()));
   reply.m_revision = current;
   if (aCurrent != nullptr) {
     reply.m_winner = aCurrent->m_operation;
@@ -69,8 +69,8 @@
 CallReply
 NotFound(const char* aKind, const std::string& aId)
 {
-  return Refuse(Refusal::kNotFound, std::string{ aKind } + " '" + aId +
-                                      "' does not exist");
+  return Refuse(Refusal::kNotFound,
+                std::string{ aKind } + " '" + aId + "' does not exist");
 }
 
 CallReply
@@ -123,34 +123,33 @@
 State::Apply(Index aIndex, const Command& aCommand)
 {
   m_applied = aIndex;
-  return std::visit(
-    Overloaded{
-      [&](const OperatorCall& aCall) -> Effect {
-        return Execute(aIndex, aCall);
-      },
-      [&](const AnnounceInstances& aMany) -> Effect {
-        for (const Announcement& one : aMany.m_announcements) {
-          Apply(aIndex, one);
-        }
-        return {};
-      },
-      [&](const outcome::Begin& aBegin) -> Effect {
-        return m_outcomes.Apply(aIndex, aBegin);
-      },
-      [&](const outcome::Resolve& aResolve) -> Effect {
-        m_outcomes.Apply(aIndex, aResolve);
-        return {};
-      },
-      [&](const outcome::Expire& aExpire) -> Effect {
-        m_outcomes.Apply(aIndex, aExpire);
-        return {};
-      },
-      [&](const auto& aOther) -> Effect {
-        Apply(aIndex, aOther);
-        return {};
-      },
-    },
-    aCommand);
+  return std::visit(Overloaded{
+                      [&](const OperatorCall& aCall) -> Effect {
+                        return Execute(aIndex, aCall);
+                      },
+                      [&](const AnnounceInstances& aMany) -> Effect {
+                        for (const Announcement& one : aMany.m_announcements) {
+                          Apply(aIndex, one);
+                        }
+                        return {};
+                      },
+                      [&](const outcome::Begin& aBegin) -> Effect {
+                        return m_outcomes.Apply(aIndex, aBegin);
+                      },
+                      [&](const outcome::Resolve& aResolve) -> Effect {
+                        m_outcomes.Apply(aIndex, aResolve);
+                        return {};
+                      },
+                      [&](const outcome::Expire& aExpire) -> Effect {
+                        m_outcomes.Apply(aIndex, aExpire);
+                        return {};
+                      },
+                      [&](const auto& aOther) -> Effect {
+                        Apply(aIndex, aOther);
+                        return {};
+                      },
+                    },
+                    aCommand);
 }
 
 const CallReply*
@@ -167,7 +166,7 @@
   if (const CallReply* first = FindReply(aCall.m_operation)) {
     return *first;
   }
-  const CallReply reply = std::visit(
+  CallReply reply = std::visit(
     [&](const auto& aOne) { return On(aOne, aCall, aIndex); }, aCall.m_call);
   Remember(aCall.m_operation, reply);
   return reply;
@@ -226,8 +225,8 @@
   if (pool == nullptr) {
     return NotFound("pool", aRemove.m_pool.Get());
   }
-  const auto user = std::find_if(
-    m_instances.begin(), m_instances.end(), [&](const auto& aOne) {
+  const auto user =
+    std::find_if(m_instances.begin(), m_instances.end(), [&](const auto& aOne) {
       return aOne.second.m_pool == aRemove.m_pool;
     });
   if (user != m_instances.end()) {
@@ -344,7 +343,9 @@
 }
 
 CallReply
-State::On(const CordonInstance& aCordon, const OperatorCall& aCall, Index aIndex)
+State::On(const CordonInstance& aCordon,
+          const OperatorCall& aCall,
+          Index aIndex)
 {
   Instance* instance = FindIn(m_instances, aCordon.m_instance);
   const Change* current = instance != nullptr ? &instance->m_change : nullptr;
@@ -374,8 +375,8 @@
   if (instance == nullptr) {
     return NotFound("instance", aRemove.m_instance.Get());
   }
-  const bool gone = instance->m_lost || instance->m_announced.m_state ==
-                                          InstanceState::kLeaving;
+  const bool gone = instance->m_lost ||
+                    instance->m_announced.m_state == InstanceState::kLeaving;
   if (!gone || instance->m_wave) {
     return Refuse(Refusal::kInUse,
                   "instance: it is neither lost nor leaving, or a wave works "
@@ -390,8 +391,7 @@
 State::On(const SetConfig& aSet, const OperatorCall& aCall, Index aIndex)
 {
   const bool fresh = m_config.m_change.m_revision == Index{};
-  if (auto lost =
-        CheckRevision(aCall, fresh ? nullptr : &m_config.m_change)) {
+  if (auto lost = CheckRevision(aCall, fresh ? nullptr : &m_config.m_change)) {
     return *lost;
   }
   const Config& wanted = aSet.m_config;
@@ -505,9 +505,8 @@
     // Reordered or repeated announcements, and those of an earlier life,
     // would otherwise bring back an address or state that is gone.
     const bool sameLife = aAnnouncement.m_incarnation == held.m_incarnation;
-    const bool older =
-      aAnnouncement.m_incarnation < held.m_incarnation ||
-      (sameLife && aAnnouncement.m_sequence < held.m_sequence);
+    const bool older = aAnnouncement.m_incarnation < held.m_incarnation ||
+                       (sameLife && aAnnouncement.m_sequence < held.m_sequence);
     const bool repeated = sameLife && !instance.m_lost &&
                           aAnnouncement.m_sequence == held.m_sequence;
     if (older || repeated) {
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -178,14 +178,13 @@
     CURL* easy = curl_easy_init();
     transfer.m_easy = easy;
     for (const Header& header : call.m_headers) {
-      const std::string line =
-        header.m_value.empty() ? header.m_name + ";"
-                               : header.m_name + ": " + header.m_value;
+      const std::string line = header.m_value.empty()
+                                 ? header.m_name + ";"
+                                 : header.m_name + ": " + header.m_value;
       transfer.m_list = curl_slist_append(transfer.m_list, line.c_str());
     }
     transfer.m_list = curl_slist_append(transfer.m_list, "Expect:");
-    const auto left =
-      transfer.m_startedAt + call.m_timeout - MonotonicNow();
+    const auto left = transfer.m_startedAt + call.m_timeout - MonotonicNow();
     const long timeoutMs = std::max<long>(ToMillis(left).count(), 1);
     curl_easy_setopt(
       easy, CURLOPT_URL, ("http://" + call.m_address + "/").c_str());
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -9,12 +9,16 @@
 
 namespace {
 
-constexpr std::array<const char*, 10> kHopByHop{
-  "connection",        "keep-alive", "proxy-authenticate",
-  "proxy-authorization", "proxy-connection", "te",
-  "trailer",           "transfer-encoding", "upgrade",
-  "content-length"
-};
+constexpr std::array<const char*, 10> kHopByHop{ "connection",
+                                                 "keep-alive",
+                                                 "proxy-authenticate",
+                                                 "proxy-authorization",
+                                                 "proxy-connection",
+                                                 "te",
+                                                 "trailer",
+                                                 "transfer-encoding",
+                                                 "upgrade",
+                                                 "content-length" };
 
 std::string
 Trim(const std::string& aText)
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -163,8 +163,7 @@
   Impl& impl = *m_impl;
   const ServerOptions& options = impl.m_options;
   impl.m_server = std::make_unique<RestinioServer>(
-    restinio::external_io_context(impl.m_context),
-    [&](auto& aSettings) {
+    restinio::external_io_context(impl.m_context), [&](auto& aSettings) {
       aSettings.port(options.m_port)
         .address(options.m_address)
         .max_parallel_connections(options.m_maxConnections)
@@ -173,7 +172,7 @@
         .read_next_http_message_timelimit(options.m_readTimeout)
         .write_http_response_timelimit(options.m_readTimeout)
         .handle_request_timeout(options.m_handleTimeout)
-        .request_handler([&impl](restinio::request_handle_t aRequest) {
+        .request_handler([&impl](const restinio::request_handle_t& aRequest) {
           return impl.Handle(aRequest);
         });
     });
--- a/src/membership/registry.cpp
+++ b/src/membership/registry.cpp
@@ -9,10 +9,7 @@
 std::uint64_t
 RenewalKey(const InstanceId& aInstance, Incarnation aIncarnation)
 {
-  return StableHash{}
-    .Add(aInstance.Get())
-    .Add(aIncarnation.Get())
-    .Get();
+  return StableHash{}.Add(aInstance.Get()).Add(aIncarnation.Get()).Get();
 }
 
 void
@@ -61,8 +58,7 @@
       continue;
     }
     if (end < aNow) {
-      m_orphansUntil =
-        std::max(m_orphansUntil, end + m_options.m_orphanGrace);
+      m_orphansUntil = std::max(m_orphansUntil, end + m_options.m_orphanGrace);
     }
     ++it;
   }
@@ -82,11 +78,10 @@
   if (aNow < m_since + LeaseWithDrift()) {
     return false;
   }
-  return std::all_of(
-    m_entries.begin(), m_entries.end(), [&](const auto& aOne) {
-      const EntryStatus& entry = aOne.second;
-      return entry.m_leaseEnd < aNow || entry.m_revision >= aRevision;
-    });
+  return std::all_of(m_entries.begin(), m_entries.end(), [&](const auto& aOne) {
+    const EntryStatus& entry = aOne.second;
+    return entry.m_leaseEnd < aNow || entry.m_revision >= aRevision;
+  });
 }
 
 bool
@@ -96,19 +91,16 @@
     return false;
   }
   const InstanceId& id = aInstance.m_announced.m_id;
-  return std::all_of(
-    m_entries.begin(), m_entries.end(), [&](const auto& aOne) {
-      const EntryStatus& entry = aOne.second;
-      // An entry whose lease ran out sends nothing new, but what it sent may
-      // still run: its last word counts until the grace is over.
-      const bool vanished =
-        entry.m_leaseEnd + m_options.m_orphanGrace < aNow;
-      const auto found = entry.m_inFlight.find(id);
-      const bool idle =
-        found == entry.m_inFlight.end() || found->second == 0;
-      const bool silent = entry.m_leaseEnd < aNow;
-      return vanished || (idle && !silent);
-    });
+  return std::all_of(m_entries.begin(), m_entries.end(), [&](const auto& aOne) {
+    const EntryStatus& entry = aOne.second;
+    // An entry whose lease ran out sends nothing new, but what it sent may
+    // still run: its last word counts until the grace is over.
+    const bool vanished = entry.m_leaseEnd + m_options.m_orphanGrace < aNow;
+    const auto found = entry.m_inFlight.find(id);
+    const bool idle = found == entry.m_inFlight.end() || found->second == 0;
+    const bool silent = entry.m_leaseEnd < aNow;
+    return vanished || (idle && !silent);
+  });
 }
 
 bool
@@ -169,9 +161,9 @@
   // looks the same. Dropping them all would turn the cut into an outage, and
   // entries find dead ones by themselves.
   constexpr std::size_t kTooFewToJudge = 4;
-  const bool many = lost.size() * 100 >
-                    counted * static_cast<std::size_t>(
-                                m_options.m_suspectSelfPercent);
+  const bool many =
+    lost.size() * 100 >
+    counted * static_cast<std::size_t>(m_options.m_suspectSelfPercent);
   if (counted >= kTooFewToJudge && many) {
     return {};
   }
--- a/src/request/engine.cpp
+++ b/src/request/engine.cpp
@@ -198,13 +198,12 @@
   for (const fleet::Service& service : aView.m_services) {
     const auto [found, isNew] = m_services.try_emplace(
       service.m_id,
-      ServiceState{
-        service,
-        routing::Router(m_options.m_routing, m_zone),
-        admission::Queue{},
-        admission::RetryBudget{ service.m_retryBudgetPercent },
-        0,
-        false });
+      ServiceState{ service,
+                    routing::Router(m_options.m_routing, m_zone),
+                    admission::Queue{},
+                    admission::RetryBudget{ service.m_retryBudgetPercent },
+                    0,
+                    false });
     found->second.m_service = service;
     found->second.m_removed = false;
     found->second.m_budget.SetPercent(service.m_retryBudgetPercent);
@@ -213,16 +212,16 @@
   for (const fleet::Instance& instance : aView.m_instances) {
     const auto held = m_instances.find(instance.m_announced.m_id);
     const bool changedService =
-      held != m_instances.end() && held->second.m_announced.m_service !=
-                                     instance.m_announced.m_service;
+      held != m_instances.end() &&
+      held->second.m_announced.m_service != instance.m_announced.m_service;
     if (changedService) {
       held->second.m_lost = true;
       Place(held->second);
     }
     m_instances[instance.m_announced.m_id] = instance;
   }
-  const bool poolsChanged = !aView.m_pools.empty() ||
-                            !aView.m_services.empty() || aView.m_full;
+  const bool poolsChanged =
+    !aView.m_pools.empty() || !aView.m_services.empty() || aView.m_full;
   if (poolsChanged) {
     for (const auto& [id, instance] : m_instances) {
       Place(instance);
@@ -248,8 +247,7 @@
                 TimePoint aNow)
 {
   m_leaseUntil = std::max(m_leaseUntil, aUntil);
-  const bool shareChanged =
-    aPosition != m_position || aCount != m_entryCount;
+  const bool shareChanged = aPosition != m_position || aCount != m_entryCount;
   m_position = aPosition;
   m_entryCount = aCount;
   for (auto& [id, service] : m_services) {
@@ -469,13 +467,13 @@
   // exists that could run.
   Put(request, aLocal, outcome::State::kNotRun, false);
   const bool provedNotRun = !request.m_arrival.m_keyed;
-  Finish(aLocal,
-         Conclude{ aLocal,
-                   provedNotRun ? outcome::State::kNotRun
-                                : outcome::State::kUnknown,
-                   refusing ? request.m_refusal : Reason::kNoRecord,
-                   kLeaseRetryAfter,
-                   std::nullopt });
+  Finish(
+    aLocal,
+    Conclude{ aLocal,
+              provedNotRun ? outcome::State::kNotRun : outcome::State::kUnknown,
+              refusing ? request.m_refusal : Reason::kNoRecord,
+              kLeaseRetryAfter,
+              std::nullopt });
 }
 
 void
@@ -619,8 +617,7 @@
       aResult.m_provesNotRun ||
       (request.m_mayRepeat && SaysTryElsewhere(aResult.m_status));
     const bool triesLeft = request.m_attempts < m_options.m_maxAttempts;
-    const bool again = elsewhere && triesLeft &&
-                       request.m_deadline > aNow &&
+    const bool again = elsewhere && triesLeft && request.m_deadline > aNow &&
                        service.m_budget.TakeRetry();
     if (again) {
       ++m_counters.m_retries;
@@ -632,11 +629,11 @@
       FinishWithAnswer(aLocal);
     }
   } else {
-    const Reason reason = aResult.m_end == AttemptEnd::kNotSent
-                            ? Reason::kNotSent
-                            : (aResult.m_end == AttemptEnd::kTimedOut
-                                 ? Reason::kTimedOut
-                                 : Reason::kBroken);
+    const Reason reason =
+      aResult.m_end == AttemptEnd::kNotSent
+        ? Reason::kNotSent
+        : (aResult.m_end == AttemptEnd::kTimedOut ? Reason::kTimedOut
+                                                  : Reason::kBroken);
     RetryOrGiveUp(aLocal, request, reason, aNow);
   }
   Pump(service, aNow);
@@ -655,8 +652,7 @@
   const bool harmless = aRequest.m_mayRepeat || !aRequest.m_sentBefore;
   const bool again = harmless &&
                      aRequest.m_attempts < m_options.m_maxAttempts &&
-                     aRequest.m_deadline > aNow &&
-                     service.m_budget.TakeRetry();
+                     aRequest.m_deadline > aNow && service.m_budget.TakeRetry();
   if (!again) {
     GiveUp(aLocal, aReason, kShortRetryAfter);
     return;
@@ -718,13 +714,12 @@
                std::optional<Duration> aRetryAfter)
 {
   const Request& request = m_requests.at(aLocal);
-  const outcome::State state = request.m_sentBefore ? outcome::State::kUnknown
-                                                    : outcome::State::kNotRun;
+  const outcome::State state =
+    request.m_sentBefore ? outcome::State::kUnknown : outcome::State::kNotRun;
   if (request.m_recorded) {
     Put(request, aLocal, state, false);
   }
-  Finish(aLocal,
-         Conclude{ aLocal, state, aReason, aRetryAfter, std::nullopt });
+  Finish(aLocal, Conclude{ aLocal, state, aReason, aRetryAfter, std::nullopt });
 }
 
 void
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -45,8 +45,7 @@
     StableHash{}.Add(aUpstream.m_id.Get()).Get() % m_entryCount;
   const std::uint32_t whole = aUpstream.m_slots / m_entryCount;
   const std::uint32_t remainder = aUpstream.m_slots % m_entryCount;
-  const std::uint64_t rank =
-    (m_position + m_entryCount - shift) % m_entryCount;
+  const std::uint64_t rank = (m_position + m_entryCount - shift) % m_entryCount;
   return whole + (rank < remainder ? 1 : 0);
 }
 
@@ -85,8 +84,8 @@
   upstream.m_incarnation = said.m_incarnation;
   upstream.m_slots = std::max<std::uint32_t>(said.m_slots, 1);
   upstream.m_owned = OwnedSlots(upstream);
-  m_routable += static_cast<int>(aRoutable) -
-                static_cast<int>(upstream.m_routable);
+  m_routable +=
+    static_cast<int>(aRoutable) - static_cast<int>(upstream.m_routable);
   upstream.m_routable = aRoutable;
   m_refreshAt.reset();
 }
@@ -200,8 +199,7 @@
     const Upstream& upstream = m_upstreams[at];
     const bool open = upstream.m_inFlight < upstream.m_owned &&
                       !aAvoid.contains(upstream.m_rack);
-    if (open &&
-        (best == kNone || Cost(upstream) < Cost(m_upstreams[best]))) {
+    if (open && (best == kNone || Cost(upstream) < Cost(m_upstreams[best]))) {
       best = at;
     }
   }
@@ -236,8 +234,7 @@
   for (const std::size_t at : aFrom) {
     const Upstream& upstream = m_upstreams[at];
     const bool open = upstream.m_inFlight < LocalLimit(upstream);
-    if (open &&
-        (best == kNone || Cost(upstream) < Cost(m_upstreams[best]))) {
+    if (open && (best == kNone || Cost(upstream) < Cost(m_upstreams[best]))) {
       best = at;
     }
   }
@@ -296,10 +293,9 @@
   Upstream& upstream = m_upstreams[chosen];
   ++upstream.m_inFlight;
   ++m_inFlight;
-  return Pick{ upstream.m_id,
-               upstream.m_rack,
-               upstream.m_address,
-               upstream.m_incarnation };
+  return Pick{
+    upstream.m_id, upstream.m_rack, upstream.m_address, upstream.m_incarnation
+  };
 }
 
 void
@@ -372,8 +368,7 @@
 Router::InFlightAt(const InstanceId& aInstance) const
 {
   const auto found = m_positions.find(aInstance);
-  return found == m_positions.end() ? 0
-                                    : m_upstreams[found->second].m_inFlight;
+  return found == m_positions.end() ? 0 : m_upstreams[found->second].m_inFlight;
 }
 
 std::vector<std::pair<InstanceId, std::uint32_t>>
--- a/src/rpc/channel.cpp
+++ b/src/rpc/channel.cpp
@@ -20,15 +20,14 @@
       .then([](kj::Own<kj::NetworkAddress>&& aAddress) {
         return aAddress->connect().attach(kj::mv(aAddress));
       })
-      .then([self = kj::addRef(*this), generation](
-              kj::Own<kj::AsyncIoStream>&& aStream) mutable
+      .then([self = kj::addRef(*this),
+             generation](kj::Own<kj::AsyncIoStream>&& aStream) mutable
             -> schema::Control::Client {
         KJ_REQUIRE(self->m_generation == generation, "connection dropped");
         auto link = kj::heap<Link>();
         link->m_client = kj::heap<capnp::TwoPartyClient>(*aStream);
         link->m_stream = kj::mv(aStream);
-        auto control =
-          link->m_client->bootstrap().castAs<schema::Control>();
+        auto control = link->m_client->bootstrap().castAs<schema::Control>();
         self->m_link = kj::mv(link);
         return control;
       });
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -141,7 +141,7 @@
               Problem& aProblem)
 {
   const auto read = [&](const Json& aText, const std::string& aField) {
-    const auto address = ParseAddress(aText.get<std::string>());
+    auto address = ParseAddress(aText.get<std::string>());
     if (!address) {
       aProblem = MakeProblem(
         aFile, aField, aText.dump(), "an IP address and a port, 1 to 65535");
--- a/src/storage/log_store.cpp
+++ b/src/storage/log_store.cpp
@@ -166,8 +166,7 @@
   std::error_code ignored;
   fs::create_directories(aFolder, ignored);
   std::unique_ptr<LogStore> store(new LogStore(aFolder, std::move(aCalls)));
-  const bool ready = store->Lock(aFailure) &&
-                     store->FindGeneration(aFailure) &&
+  const bool ready = store->Lock(aFailure) && store->FindGeneration(aFailure) &&
                      store->ReadIdentity(aInstance, aOpened, aFailure) &&
                      store->ReadLog(aOpened, aFailure) &&
                      store->OpenLog(aFailure);
@@ -263,10 +262,9 @@
   m_generation = std::max<std::uint64_t>(m_generation, 1);
   aOpened.m_fresh = true;
   aOpened.m_self = { aInstance, Incarnation{ RandomIncarnation() } };
-  const nlohmann::json json{
-    { "instance", aInstance.Get() },
-    { "incarnation", aOpened.m_self.m_incarnation.Get() }
-  };
+  const nlohmann::json json{ { "instance", aInstance.Get() },
+                             { "incarnation",
+                               aOpened.m_self.m_incarnation.Get() } };
   // The empty log first: an identity on disk then always has a log beside it.
   return WriteWhole(log, "", aFailure) &&
          WriteWhole(m_folder / kIdentityFile, json.dump(), aFailure);
@@ -318,9 +316,9 @@
 {
   const fs::path file = LogFile(m_generation);
   m_log = ::open(file.c_str(), O_WRONLY | O_CLOEXEC, kFileMode);
-  const bool placed =
-    m_log >= 0 && ::ftruncate(m_log, static_cast<off_t>(m_size)) == 0 &&
-    ::lseek(m_log, static_cast<off_t>(m_size), SEEK_SET) >= 0;
+  const bool placed = m_log >= 0 &&
+                      ::ftruncate(m_log, static_cast<off_t>(m_size)) == 0 &&
+                      ::lseek(m_log, static_cast<off_t>(m_size), SEEK_SET) >= 0;
   if (!placed || m_calls.m_sync(m_log) != 0) {
     return Fail(aFailure, file);
   }
@@ -356,8 +354,8 @@
 {
   std::size_t written = 0;
   while (written < aFrame.size()) {
-    const ssize_t count = m_calls.m_write(
-      m_log, aFrame.data() + written, aFrame.size() - written);
+    const ssize_t count =
+      m_calls.m_write(m_log, aFrame.data() + written, aFrame.size() - written);
     if (count < 0 && errno == EINTR) {
       continue;
     }
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -81,8 +81,7 @@
 Metrics::Metrics() = default;
 Metrics::~Metrics() = default;
 Metrics::Metrics(Metrics&&) noexcept = default;
-Metrics&
-Metrics::operator=(Metrics&&) noexcept = default;
+Metrics& Metrics::operator=(Metrics&&) noexcept = default;
 
 void
 Metrics::Count(const std::string& aName, double aBy)
--- a/src/telemetry/trace.cpp
+++ b/src/telemetry/trace.cpp
@@ -124,17 +124,17 @@
     m_spans.clear();
     const Json resource{
       { "attributes",
-        Json::array(
-          { ToAttribute("service.name", ot::Value{ "bamboostiled" }),
-            ToAttribute("service.instance.id",
-                        ot::Value{ m_options.m_instance }) }) }
+        Json::array({ ToAttribute("service.name", ot::Value{ "bamboostiled" }),
+                      ToAttribute("service.instance.id",
+                                  ot::Value{ m_options.m_instance }) }) }
     };
     const Json scope{ { "scope", { { "name", "bamboostile" } } },
                       { "spans", std::move(spans) } };
-    const Json document{ { "resourceSpans",
-                           Json::array({ { { "resource", resource },
-                                           { "scopeSpans",
-                                             Json::array({ scope }) } } }) } };
+    const Json document{
+      { "resourceSpans",
+        Json::array({ { { "resource", resource },
+                        { "scopeSpans", Json::array({ scope }) } } }) }
+    };
     m_sink(document.dump(-1, ' ', false, Json::error_handler_t::replace));
   }
 
@@ -201,14 +201,15 @@
       return;
     }
     const TraceContext& context = m_context.Get();
-    Json span{ { "traceId", Hex(context.m_traceHigh) + Hex(context.m_traceLow) },
-               { "spanId", Hex(context.m_span) },
-               { "name", m_name },
-               { "kind", 1 },
-               { "startTimeUnixNano", UnixNanos(m_start) },
-               { "endTimeUnixNano",
-                 UnixNanos(std::chrono::system_clock::now()) },
-               { "attributes", m_attributes } };
+    Json span{
+      { "traceId", Hex(context.m_traceHigh) + Hex(context.m_traceLow) },
+      { "spanId", Hex(context.m_span) },
+      { "name", m_name },
+      { "kind", 1 },
+      { "startTimeUnixNano", UnixNanos(m_start) },
+      { "endTimeUnixNano", UnixNanos(std::chrono::system_clock::now()) },
+      { "attributes", m_attributes }
+    };
     if (m_parent != 0) {
       span["parentSpanId"] = Hex(m_parent);
     }
--- a/src/waves/planner.cpp
+++ b/src/waves/planner.cpp
@@ -19,8 +19,7 @@
 IsOutUnplanned(const State& aState, const Instance& aInstance)
 {
   const auto pool = aState.Pools().find(*aInstance.m_pool);
-  const bool draining =
-    pool != aState.Pools().end() && pool->second.m_draining;
+  const bool draining = pool != aState.Pools().end() && pool->second.m_draining;
   return aInstance.m_lost || aInstance.m_cordoned || draining ||
          aInstance.m_announced.m_state == fleet::InstanceState::kLeaving;
 }
@@ -117,8 +116,7 @@
   Budget budget;
   std::map<RackId, std::size_t> racks;
   for (const auto& [id, instance] : aState.Instances()) {
-    if (!instance.m_pool ||
-        instance.m_announced.m_service != aService) {
+    if (!instance.m_pool || instance.m_announced.m_service != aService) {
       continue;
     }
     ++budget.m_instances;
@@ -134,8 +132,8 @@
   if (service == aState.Services().end()) {
     return budget;
   }
-  budget.m_allowed = budget.m_instances *
-                     service->second.m_maxUnavailablePercent / kPercent;
+  budget.m_allowed =
+    budget.m_instances * service->second.m_maxUnavailablePercent / kPercent;
   if (service->second.m_surviveRack) {
     for (const auto& [rack, count] : racks) {
       budget.m_reserve = std::max(budget.m_reserve, count);
@@ -235,11 +233,10 @@
   for (const auto& [id, wave] : aState.Waves()) {
     for (const auto& [instanceId, step] : wave.m_instances) {
       const auto instance = aState.Instances().find(instanceId);
-      const bool waits =
-        step.m_step == WaveStep::kReleased &&
-        instance != aState.Instances().end() &&
-        instance->second.m_announced.m_incarnation ==
-          step.m_releasedIncarnation;
+      const bool waits = step.m_step == WaveStep::kReleased &&
+                         instance != aState.Instances().end() &&
+                         instance->second.m_announced.m_incarnation ==
+                           step.m_releasedIncarnation;
       if (waits && instance->second.m_wave == id) {
         released.push_back(&instance->second);
       }
--- a/src/wire/consensus_codec.cpp
+++ b/src/wire/consensus_codec.cpp
@@ -67,17 +67,17 @@
 {
   aTo.setIndex(aFrom.m_index.Get());
   aTo.setTerm(aFrom.m_term.Get());
-  std::visit(
-    Overloaded{
-      [&](const Noop&) { aTo.setNoop(); },
-      [&](const CommandBytes& aCommand) {
-        aTo.setCommand(ToData(aCommand.m_bytes));
-      },
-      [&](const Membership& aMembership) {
-        Write(aMembership, aTo.initMembership(aMembership.m_members.size()));
-      },
-    },
-    aFrom.m_payload);
+  std::visit(Overloaded{
+               [&](const Noop&) { aTo.setNoop(); },
+               [&](const CommandBytes& aCommand) {
+                 aTo.setCommand(ToData(aCommand.m_bytes));
+               },
+               [&](const Membership& aMembership) {
+                 Write(aMembership,
+                       aTo.initMembership(aMembership.m_members.size()));
+               },
+             },
+             aFrom.m_payload);
 }
 
 LogEntry
--- a/src/wire/operator_codec.cpp
+++ b/src/wire/operator_codec.cpp
@@ -33,9 +33,8 @@
   Id Read(const char* aField, capnp::Text::Reader aText)
   {
     std::string text = ToString(aText);
-    const bool sound =
-      !text.empty() && text.size() <= kMaxIdLength &&
-      std::all_of(text.begin(), text.end(), IsIdCharacter);
+    const bool sound = !text.empty() && text.size() <= kMaxIdLength &&
+                       std::all_of(text.begin(), text.end(), IsIdCharacter);
     if (!sound && m_error.m_field.empty()) {
       m_error.m_field = aField;
       m_error.m_message = std::string{ aField } + ": '" + text +
@@ -126,11 +125,10 @@
     }
     case OperatorCall::CORDON_INSTANCE: {
       const auto cordon = aFrom.getCordonInstance();
-      return fleet::CordonInstance{
-        aFields.Read<InstanceId>("cordonInstance.instance",
-                                 cordon.getInstance()),
-        cordon.getCordoned()
-      };
+      return fleet::CordonInstance{ aFields.Read<InstanceId>(
+                                      "cordonInstance.instance",
+                                      cordon.getInstance()),
+                                    cordon.getCordoned() };
     }
     case OperatorCall::REMOVE_INSTANCE:
       return fleet::RemoveInstance{ aFields.Read<InstanceId>(
@@ -146,10 +144,9 @@
     }
     case OperatorCall::SET_WAVE_STATE: {
       const auto set = aFrom.getSetWaveState();
-      return fleet::SetWaveState{
-        aFields.Read<WaveId>("setWaveState.wave", set.getWave()),
-        ReadWaveState(set.getState())
-      };
+      return fleet::SetWaveState{ aFields.Read<WaveId>("setWaveState.wave",
+                                                       set.getWave()),
+                                  ReadWaveState(set.getState()) };
     }
   }
   return fleet::RemovePool{};
--- a/tests/differential/consensus_history_test.cpp
+++ b/tests/differential/consensus_history_test.cpp
@@ -129,8 +129,8 @@
     }
     Heal(replicas);
     if (!replicas.Violation().empty()) {
-      FAIL(("seed " + std::to_string(seed) + ": " + replicas.Violation())
-             .c_str());
+      FAIL(
+        ("seed " + std::to_string(seed) + ": " + replicas.Violation()).c_str());
     }
   }
 }
--- a/tests/support/check.h
+++ b/tests/support/check.h
@@ -7,5 +7,5 @@
 #include <string>
 
 /** Compares std::strings; CppUTest's own check takes C strings. */
-#define CHECK_STRING(aExpected, aActual)                                        \
+#define CHECK_STRING(aExpected, aActual)                                       \
   STRCMP_EQUAL(std::string(aExpected).c_str(), std::string(aActual).c_str())
--- a/tests/support/replicas.cpp
+++ b/tests/support/replicas.cpp
@@ -210,11 +210,9 @@
                             event.m_life == m_nodes[aAt].m_life;
           at = same ? std::max(at, time) : at;
         }
-        m_events.emplace(at,
-                         Event{ aAt,
-                                m_nodes[aAt].m_life,
-                                std::nullopt,
-                                std::move(aPersist) });
+        m_events.emplace(
+          at,
+          Event{ aAt, m_nodes[aAt].m_life, std::nullopt, std::move(aPersist) });
       },
       [&](Send& aSend) {
         const auto to = NodeOf(aSend.m_message.m_to);
@@ -224,11 +222,9 @@
         }
         const int copies = Chance() < m_faults.m_duplicate ? 2 : 1;
         for (int i = 0; i < copies; ++i) {
-          m_events.emplace(m_now + RandomUpTo(m_faults.m_maxDelay),
-                           Event{ *to,
-                                  m_nodes[*to].m_life,
-                                  aSend.m_message,
-                                  std::nullopt });
+          m_events.emplace(
+            m_now + RandomUpTo(m_faults.m_maxDelay),
+            Event{ *to, m_nodes[*to].m_life, aSend.m_message, std::nullopt });
         }
       },
       [&](Apply& aApply) {
@@ -407,8 +403,7 @@
     return false;
   }
   Index index;
-  const auto error =
-    At(*leader).Propose(aCommand, LocalNow(*leader), index);
+  const auto error = At(*leader).Propose(aCommand, LocalNow(*leader), index);
   Drain(*leader);
   return error == consensus::Error::kNone;
 }
--- a/tests/unit/consensus/replica_test.cpp
+++ b/tests/unit/consensus/replica_test.cpp
@@ -36,13 +36,11 @@
 
 } // namespace
 
-TEST_GROUP(Replica)
-{
-  void Sound(const Replicas& aReplicas)
-  {
-    CHECK_STRING("", aReplicas.Violation());
-  }
-};
+TEST_GROUP(Replica){ void Sound(const Replicas& aReplicas){
+  CHECK_STRING("", aReplicas.Violation());
+}
+}
+;
 
 TEST(Replica, EmptyReplica_WithoutBootstrap_NeverVotesOrLeads)
 {
@@ -378,8 +376,8 @@
   replica.Tick(later);
   SyncAll(replica, later);
   const Term candidate{ 4 };
-  replica.Receive(
-    { kB, kA, Term{ 3 }, consensus::VoteReply{ true, true } }, later);
+  replica.Receive({ kB, kA, Term{ 3 }, consensus::VoteReply{ true, true } },
+                  later);
   SyncAll(replica, later);
   replica.Receive({ kB, kA, candidate, consensus::VoteReply{ false, true } },
                   later);
--- a/tools/bamboostile/operator_commands.cpp
+++ b/tools/bamboostile/operator_commands.cpp
@@ -51,8 +51,7 @@
     std::cout << json.dump() << "\n";
     return;
   }
-  std::ostream& out =
-    aReply.m_exit == ExitCode::kDone ? std::cout : std::cerr;
+  std::ostream& out = aReply.m_exit == ExitCode::kDone ? std::cout : std::cerr;
   out << aReply.m_outcome;
   if (!aObject.empty()) {
     out << " " << aObject;
@@ -84,9 +83,8 @@
   capnp::MallocMessageBuilder message;
   Call call = message.initRoot<schema::OperatorCall>();
   aFill(call);
-  const std::string operation = aCommon.m_operationId.empty()
-                                  ? RandomOperationId()
-                                  : aCommon.m_operationId;
+  const std::string operation =
+    aCommon.m_operationId.empty() ? RandomOperationId() : aCommon.m_operationId;
   call.setOperationId(operation);
   call.setOperator(aCommon.m_operator);
   Session session(aCommon.m_control, aCommon.m_patienceMs);
@@ -129,16 +127,14 @@
   Parsed parsed;
   po::options_description all;
   all.add(aOptions);
-  all.add_options()("action", po::value<std::string>())(
-    "id", po::value<std::string>());
+  all.add_options()("action",
+                    po::value<std::string>())("id", po::value<std::string>());
   po::positional_options_description positions;
   positions.add("action", 1).add("id", 1);
   try {
-    po::store(po::command_line_parser(aWords)
-                .options(all)
-                .positional(positions)
-                .run(),
-              parsed.m_values);
+    po::store(
+      po::command_line_parser(aWords).options(all).positional(positions).run(),
+      parsed.m_values);
     parsed.m_action = parsed.Text("action");
     parsed.m_id = parsed.Text("id");
   } catch (const po::error& error) {
@@ -214,9 +210,7 @@
 }
 
 std::optional<Json>
-FindInStatus(const Common& aCommon,
-             const char* aList,
-             const std::string& aId)
+FindInStatus(const Common& aCommon, const char* aList, const std::string& aId)
 {
   Reply failure;
   const auto status = FetchStatus(aCommon, failure);
@@ -273,8 +267,7 @@
     });
   }
   if (parsed.m_action == "remove") {
-    return Send(aCommon,
-                [&](Call aCall) { aCall.setRemovePool(parsed.m_id); });
+    return Send(aCommon, [&](Call aCall) { aCall.setRemovePool(parsed.m_id); });
   }
   return UnknownAction("pool", parsed);
 }
@@ -283,8 +276,7 @@
 RunService(const Common& aCommon, const Words& aWords)
 {
   po::options_description options;
-  options.add_options()("max-unavailable-percent",
-                        po::value<std::uint32_t>())(
+  options.add_options()("max-unavailable-percent", po::value<std::uint32_t>())(
     "survive-rack", po::value<bool>())("default-timeout-ms",
                                        po::value<std::uint32_t>())(
     "retry-budget-percent", po::value<std::uint32_t>())(
@@ -316,13 +308,12 @@
   // What is not named keeps its present value, not the schema's default.
   const Json now =
     FindInStatus(aCommon, "services", parsed.m_id).value_or(Json::object());
-  const auto number = [&](const char* aOption,
-                          const char* aField,
-                          std::uint32_t aDefault) {
-    return parsed.m_values.count(aOption) > 0
-             ? parsed.m_values[aOption].as<std::uint32_t>()
-             : now.value(aField, aDefault);
-  };
+  const auto number =
+    [&](const char* aOption, const char* aField, std::uint32_t aDefault) {
+      return parsed.m_values.count(aOption) > 0
+               ? parsed.m_values[aOption].as<std::uint32_t>()
+               : now.value(aField, aDefault);
+    };
   const auto flag = [&](const char* aOption, const char* aField) {
     return parsed.m_values.count(aOption) > 0
              ? parsed.m_values[aOption].as<bool>()
@@ -339,8 +330,7 @@
     put.setRetryBudgetPercent(number("retry-budget-percent",
                                      "retryBudgetPercent",
                                      put.getRetryBudgetPercent()));
-    put.setQueueLimit(
-      number("queue-limit", "queueLimit", put.getQueueLimit()));
+    put.setQueueLimit(number("queue-limit", "queueLimit", put.getQueueLimit()));
     put.setSurviveRack(flag("survive-rack", "surviveRack"));
     put.setPostIsIdempotent(flag("post-is-idempotent", "postIsIdempotent"));
   });
@@ -401,10 +391,9 @@
   options.add_options()("pool", po::value<std::string>());
   const Parsed parsed = Parse(aWords, options);
   if (parsed.m_action == "list") {
-    return List(
-      aCommon,
-      "waves",
-      { "id", "pool", "state", "reason", "instances", "revision" });
+    return List(aCommon,
+                "waves",
+                { "id", "pool", "state", "reason", "instances", "revision" });
   }
   if (parsed.m_action == "plan" && !parsed.Text("pool").empty()) {
     Session session(aCommon.m_control, aCommon.m_patienceMs);
@@ -493,12 +482,12 @@
                       "' is not FIELD=VALUE with a field of config show");
     }
     const std::string text = aWords[i].substr(equals + 1);
-    const Json value = field == "note"
-                         ? Json(text)
-                         : Json::parse(text, nullptr, false);
+    const Json value =
+      field == "note" ? Json(text) : Json::parse(text, nullptr, false);
     if (value.type() != config[field].type()) {
-      return BadInput(field + ": '" + text + "' is not like " +
-                      config[field].dump());
+      std::string problem = field;
+      problem.append(": '").append(text).append("' is not like ");
+      return BadInput(problem.append(config[field].dump()));
     }
     config[field] = value;
   }
@@ -553,9 +542,8 @@
     return ExitCode::kDone;
   }
   std::cout << "term " << status->at("term") << ", commit "
-            << status->at("commit") << ", snapshot "
-            << status->at("snapshot") << ", view "
-            << status->at("viewRevision") << ", outcomes "
+            << status->at("commit") << ", snapshot " << status->at("snapshot")
+            << ", view " << status->at("viewRevision") << ", outcomes "
             << status->at("outcomes") << "\n";
   for (const Json& one : status->at("replicas")) {
     std::cout << "replica " << one.at("id").get<std::string>() << " "
@@ -576,11 +564,10 @@
     for (const Json& instance : status->at("instances")) {
       if (instance.at("service") == one.at("id")) {
         ++all;
-        const bool out = instance.at("lost").get<bool>() ||
-                         instance.at("cordoned").get<bool>() ||
-                         instance.at("state") != "up" ||
-                         instance.at("pool").is_null() ||
-                         !instance.at("wave").is_null();
+        const bool out =
+          instance.at("lost").get<bool>() ||
+          instance.at("cordoned").get<bool>() || instance.at("state") != "up" ||
+          instance.at("pool").is_null() || !instance.at("wave").is_null();
         usable += out ? 0 : 1;
       }
     }
@@ -710,10 +697,7 @@
         DerivedOperationId(call.asReader(), call.getExpectedRevision()));
     }
     const Reply reply = session.Submit(call.asReader());
-    Print(aCommon,
-          review.m_object,
-          call.getOperationId().cStr(),
-          reply);
+    Print(aCommon, review.m_object, call.getOperationId().cStr(), reply);
     if (reply.m_exit != ExitCode::kDone) {
       return reply.m_exit;
     }
--- a/tools/bamboostile/request_command.cpp
+++ b/tools/bamboostile/request_command.cpp
@@ -96,10 +96,8 @@
                                  { "outcome", outcome.value_or("") },
                                  { "requestId", id },
                                  { "body", result.m_response.m_body } }
-                   .dump(-1,
-                         ' ',
-                         false,
-                         nlohmann::json::error_handler_t::replace)
+                   .dump(
+                     -1, ' ', false, nlohmann::json::error_handler_t::replace)
               << "\n";
   } else {
     std::cout << result.m_response.m_status << " " << outcome.value_or("-")
--- a/tools/bamboostile/review.cpp
+++ b/tools/bamboostile/review.cpp
@@ -123,10 +123,8 @@
     case OperatorCall::DRAIN_POOL: {
       const auto drain = aCall.getDrainPool();
       const std::string id = drain.getPool();
-      return Compare("pool",
-                     id,
-                     find("pools", id),
-                     { { "draining", drain.getDraining() } });
+      return Compare(
+        "pool", id, find("pools", id), { { "draining", drain.getDraining() } });
     }
     case OperatorCall::PUT_SERVICE: {
       const auto put = aCall.getPutService();
@@ -173,10 +171,8 @@
     case OperatorCall::SET_WAVE_STATE: {
       const auto set = aCall.getSetWaveState();
       const std::string id = set.getWave();
-      return Compare("wave",
-                     id,
-                     find("waves", id),
-                     { { "state", NameOf(set.getState()) } });
+      return Compare(
+        "wave", id, find("waves", id), { { "state", NameOf(set.getState()) } });
     }
   }
   return {};
--- a/tools/bamboostile/session.cpp
+++ b/tools/bamboostile/session.cpp
@@ -90,14 +90,15 @@
     while (true) {
       std::string leader;
       std::string problem;
-      const Reply reply = Try(aStep, address, leader, problem);
+      Reply reply = Try(aStep, address, leader, problem);
       if (problem.empty() && reply.m_exit != ExitCode::kUnknown) {
         return reply;
       }
       if (problem.empty()) {
         last = reply;
       } else {
-        last.m_message = address + ": " + problem;
+        last.m_message = address;
+        last.m_message.append(": ").append(problem);
       }
       if (!aFollow || MonotonicNow() >= until) {
         return last;
@@ -117,10 +118,9 @@
   {
     Reply reply;
     const auto failure = kj::runCatchingExceptions([&]() {
-      auto channel = kj::refcounted<rpc::Channel>(
-        m_io.provider->getNetwork(), aAddress);
-      auto operators =
-        channel->Get().operatorsRequest().send().getOperators();
+      auto channel =
+        kj::refcounted<rpc::Channel>(m_io.provider->getNetwork(), aAddress);
+      auto operators = channel->Get().operatorsRequest().send().getOperators();
       reply = m_io.provider->getTimer()
                 .timeoutAfter(kTryTimeout.count() * kj::MILLISECONDS,
                               aStep(kj::mv(operators), aLeader))
@@ -164,17 +164,16 @@
   std::optional<nlohmann::json> status;
   const Reply reply = m_impl->Run(
     [&](schema::Operators::Client aOperators, std::string& aLeader) {
-      return aOperators.statusRequest().send().then(
-        [&](auto aResponse) {
-          Reply read;
-          if (aResponse.hasJson()) {
-            status = nlohmann::json::parse(aResponse.getJson().cStr());
-            read.m_exit = ExitCode::kDone;
-            return read;
-          }
-          aLeader = aResponse.getReply().getLeaderAddress();
-          return ReadReply(aResponse.getReply());
-        });
+      return aOperators.statusRequest().send().then([&](auto aResponse) {
+        Reply read;
+        if (aResponse.hasJson()) {
+          status = nlohmann::json::parse(aResponse.getJson().cStr());
+          read.m_exit = ExitCode::kDone;
+          return read;
+        }
+        aLeader = aResponse.getReply().getLeaderAddress();
+        return ReadReply(aResponse.getReply());
+      });
     });
   if (!status) {
     aFailure = reply;
--- a/tools/bamboostiled/main.cpp
+++ b/tools/bamboostiled/main.cpp
@@ -191,8 +191,8 @@
     options.m_address = m_settings.m_rpc->ToText();
     options.m_snapshotEvery = m_settings.m_snapshotEvery;
     if (m_settings.m_platform) {
-      m_platform = std::make_unique<daemon::Platform>(
-        m_settings.m_platform->ToText());
+      m_platform =
+        std::make_unique<daemon::Platform>(m_settings.m_platform->ToText());
       options.m_restart = [this](const fleet::Instance& aInstance) {
         m_platform->Restart(aInstance);
       };
@@ -258,8 +258,7 @@
     options.m_self = { m_settings.m_instance, Incarnation{ RandomNumber() } };
     options.m_engine.m_routing.m_seed = RandomNumber();
     m_tracer = MakeTracer(m_settings);
-    m_frontend =
-      std::make_unique<entry::Frontend>(options, m_inbox, m_tracer);
+    m_frontend = std::make_unique<entry::Frontend>(options, m_inbox, m_tracer);
     std::string reason;
     if (!m_frontend->Start(reason)) {
       LogLine(Level::kError, "cannot listen for HTTP")
@@ -284,9 +283,8 @@
   kj::Promise<void> Signal()
   {
     auto& port = m_io->unixEventPort;
-    return port.onSignal(SIGTERM)
-      .ignoreResult()
-      .exclusiveJoin(port.onSignal(SIGINT).ignoreResult());
+    return port.onSignal(SIGTERM).ignoreResult().exclusiveJoin(
+      port.onSignal(SIGINT).ignoreResult());
   }
 
   kj::Promise<int> WaitForStop()
@@ -352,8 +350,7 @@
     return kExitBadInput;
   }
   settings::Problem problem;
-  auto loaded =
-    settings::Load(values["settings"].as<std::string>(), problem);
+  auto loaded = settings::Load(values["settings"].as<std::string>(), problem);
   if (!loaded) {
     std::cerr << "bamboostiled: " << settings::ToText(problem) << "\n";
     return kExitBadInput;
--- a/tools/bamboostiled/platform.cpp
+++ b/tools/bamboostiled/platform.cpp
@@ -29,9 +29,8 @@
   http::Call call;
   call.m_address = m_address;
   call.m_method = "POST";
-  call.m_target =
-    "/v1/restart/" + id.Get() + "?incarnation=" +
-    std::to_string(aInstance.m_announced.m_incarnation.Get());
+  call.m_target = "/v1/restart/" + id.Get() + "?incarnation=" +
+                  std::to_string(aInstance.m_announced.m_incarnation.Get());
   call.m_timeout = kTimeout;
   m_client.Start(std::move(call), [id](const http::CallResult& aResult) {
     telemetry::LogLine(telemetry::Level::kInfo, "restart asked of the platform")
