--- a/include/bamboostile/routing/router.h
+++ b/include/bamboostile/routing/router.h
@@ -106,8 +106,9 @@
     int m_errorsInRow = 0;
     int m_ejections = 0;
     TimePoint m_ejectedUntil;
-    /** Exponentially weighted share of errors, 0 to 1. */
+    /** Exponentially weighted share of errors, 0 to 1, as of m_errorAt. */
     double m_errorShare = 0;
+    TimePoint m_errorAt;
   };
 
   /** Positions in m_upstreams. */
@@ -115,14 +116,20 @@
 
   std::uint32_t OwnedSlots(const Upstream& aUpstream) const;
   std::uint32_t LocalLimit(const Upstream& aUpstream) const;
-  double Cost(const Upstream& aUpstream) const;
+  static double ErrorShare(const Upstream& aUpstream, TimePoint aNow);
+  static double Cost(const Upstream& aUpstream, TimePoint aNow);
   void Refresh(TimePoint aNow);
   std::size_t SampleRandom(const Positions& aFrom);
   std::size_t SampleOwned(const Positions& aFrom,
-                          const std::set<RackId>& aAvoid);
-  std::size_t SampleTwo(const Positions& aFrom, const std::set<RackId>& aAvoid);
-  std::size_t ScanLeast(const Positions& aFrom);
-  std::size_t ChooseIn(const Positions& aFrom, const std::set<RackId>& aAvoid);
+                          const std::set<RackId>& aAvoid,
+                          TimePoint aNow);
+  std::size_t SampleTwo(const Positions& aFrom,
+                        const std::set<RackId>& aAvoid,
+                        TimePoint aNow);
+  std::size_t ScanLeast(const Positions& aFrom, TimePoint aNow);
+  std::size_t ChooseIn(const Positions& aFrom,
+                       const std::set<RackId>& aAvoid,
+                       TimePoint aNow);
   void MaybeEject(Upstream& aUpstream, TimePoint aNow);
   std::uint64_t NextRandom();
 
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -246,8 +246,8 @@
       const auto& said = command.m_announcements.back();
       m_node.Registry().OnAlive(said.m_id, said.m_incarnation, MonotonicNow());
     }
-    return m_node.Propose(command)
-      .then([aContext](const Decided& aDecided) mutable {
+    return m_node.Propose(command).then(
+      [aContext](const Decided& aDecided) mutable {
         aContext.getResults().setOutcome(aDecided.m_effect
                                            ? schema::SyncOutcome::OK
                                            : schema::SyncOutcome::NOT_LEADER);
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -3,6 +3,7 @@
 #include "bamboostile/units/hash.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace bamboostile::routing {
 
@@ -15,6 +16,9 @@
 constexpr int kBorrowProbes = 4;
 constexpr double kErrorWeight = 8.0;
 constexpr double kErrorGain = 0.2;
+/** Below this, an old error no longer decides between equals. */
+constexpr double kErrorForgotten = 0.01;
+constexpr Duration kErrorHalfLife = Millis{ 2000 };
 constexpr int kMaxEjectionFactor = 6;
 constexpr int kMeanTimeShift = 16;
 
@@ -171,13 +175,28 @@
   m_refreshAt = next;
 }
 
+// The share fades with time too: an upstream that is avoided for its errors
+// has no chance to show that it is well again.
+double
+Router::ErrorShare(const Upstream& aUpstream, TimePoint aNow)
+{
+  const double halvings =
+    std::chrono::duration<double>(aNow - aUpstream.m_errorAt) /
+    std::chrono::duration<double>(kErrorHalfLife);
+  const double share = aUpstream.m_errorShare * std::exp2(-halvings);
+  return share < kErrorForgotten ? 0 : share;
+}
+
 // Load, raised by errors: an upstream that fails everything at once always
 // has free slots, and by load alone it would draw the most work.
 double
-Router::Cost(const Upstream& aUpstream) const
+Router::Cost(const Upstream& aUpstream, TimePoint aNow)
 {
   const double load = (aUpstream.m_inFlight + 1.0) / aUpstream.m_slots;
-  return load * (1.0 + kErrorWeight * aUpstream.m_errorShare);
+  if (aUpstream.m_errorShare == 0) {
+    return load;
+  }
+  return load * (1.0 + kErrorWeight * ErrorShare(aUpstream, aNow));
 }
 
 std::size_t
@@ -189,7 +208,9 @@
 }
 
 std::size_t
-Router::SampleOwned(const Positions& aFrom, const std::set<RackId>& aAvoid)
+Router::SampleOwned(const Positions& aFrom,
+                    const std::set<RackId>& aAvoid,
+                    TimePoint aNow)
 {
   const std::size_t start = NextRandom() % aFrom.size();
   const std::size_t probes = std::min(aFrom.size(), kOwnedProbes);
@@ -199,7 +220,8 @@
     const Upstream& upstream = m_upstreams[at];
     const bool open = upstream.m_inFlight < upstream.m_owned &&
                       !aAvoid.contains(upstream.m_rack);
-    if (open && (best == kNone || Cost(upstream) < Cost(m_upstreams[best]))) {
+    if (open && (best == kNone ||
+                 Cost(upstream, aNow) < Cost(m_upstreams[best], aNow))) {
       best = at;
     }
   }
@@ -207,7 +229,9 @@
 }
 
 std::size_t
-Router::SampleTwo(const Positions& aFrom, const std::set<RackId>& aAvoid)
+Router::SampleTwo(const Positions& aFrom,
+                  const std::set<RackId>& aAvoid,
+                  TimePoint aNow)
 {
   std::size_t best = kNone;
   int found = 0;
@@ -220,7 +244,7 @@
       continue;
     }
     ++found;
-    if (best == kNone || Cost(upstream) < Cost(m_upstreams[best])) {
+    if (best == kNone || Cost(upstream, aNow) < Cost(m_upstreams[best], aNow)) {
       best = at;
     }
   }
@@ -228,13 +252,14 @@
 }
 
 std::size_t
-Router::ScanLeast(const Positions& aFrom)
+Router::ScanLeast(const Positions& aFrom, TimePoint aNow)
 {
   std::size_t best = kNone;
   for (const std::size_t at : aFrom) {
     const Upstream& upstream = m_upstreams[at];
     const bool open = upstream.m_inFlight < LocalLimit(upstream);
-    if (open && (best == kNone || Cost(upstream) < Cost(m_upstreams[best]))) {
+    if (open && (best == kNone ||
+                 Cost(upstream, aNow) < Cost(m_upstreams[best], aNow))) {
       best = at;
     }
   }
@@ -242,7 +267,9 @@
 }
 
 std::size_t
-Router::ChooseIn(const Positions& aFrom, const std::set<RackId>& aAvoid)
+Router::ChooseIn(const Positions& aFrom,
+                 const std::set<RackId>& aAvoid,
+                 TimePoint aNow)
 {
   if (aFrom.empty()) {
     return kNone;
@@ -251,12 +278,12 @@
     case Policy::kRandom:
       return SampleRandom(aFrom);
     case Policy::kLeastOutstanding:
-      return ScanLeast(aFrom);
+      return ScanLeast(aFrom, aNow);
     case Policy::kTwoChoices:
     case Policy::kOwnedSlots:
       break;
   }
-  return SampleTwo(aFrom, aAvoid);
+  return SampleTwo(aFrom, aAvoid, aNow);
 }
 
 std::optional<Pick>
@@ -270,22 +297,22 @@
   std::size_t chosen = kNone;
   if (m_options.m_policy == Policy::kOwnedSlots) {
     if (near) {
-      chosen = SampleOwned(m_usableNear, aAvoid);
+      chosen = SampleOwned(m_usableNear, aAvoid, aNow);
     }
     if (chosen == kNone) {
-      chosen = SampleOwned(m_usable, aAvoid);
+      chosen = SampleOwned(m_usable, aAvoid, aNow);
     }
   }
   if (chosen == kNone && near) {
-    chosen = ChooseIn(m_usableNear, aAvoid);
+    chosen = ChooseIn(m_usableNear, aAvoid, aNow);
   }
   if (chosen == kNone) {
-    chosen = ChooseIn(m_usable, aAvoid);
+    chosen = ChooseIn(m_usable, aAvoid, aNow);
   }
   // Sampling can miss the last free slot, and a request may have failed in
   // every rack; a full scan settles it, only when the service is nearly full.
   if (chosen == kNone) {
-    chosen = ScanLeast(m_usable);
+    chosen = ScanLeast(m_usable, aNow);
   }
   if (chosen == kNone) {
     return std::nullopt;
@@ -317,8 +344,9 @@
     return;
   }
   const bool good = aVerdict == Verdict::kGood;
-  upstream.m_errorShare +=
-    kErrorGain * ((good ? 0.0 : 1.0) - upstream.m_errorShare);
+  const double share = ErrorShare(upstream, aNow);
+  upstream.m_errorShare = share + kErrorGain * ((good ? 0.0 : 1.0) - share);
+  upstream.m_errorAt = aNow;
   if (good) {
     upstream.m_errorsInRow = 0;
     upstream.m_ejections = 0;
--- a/tests/differential/request_truth_test.cpp
+++ b/tests/differential/request_truth_test.cpp
@@ -60,8 +60,7 @@
   std::set<RequestId> asked;
   for (const auto& said : statements) {
     const bool again = said.m_state == outcome::State::kNotRun &&
-                       !said.m_mayRepeat &&
-                       asked.insert(said.m_request).second;
+                       !said.m_mayRepeat && asked.insert(said.m_request).second;
     if (again) {
       auto& random = aEntries.Random();
       aEntries.Arrive(random() % kEntryCount, said.m_request, false, 2);
--- a/tests/support/entries.cpp
+++ b/tests/support/entries.cpp
@@ -147,9 +147,8 @@
                  Duration aDelay,
                  std::function<void()> aRun)
 {
-  m_events.emplace(
-    m_now + aDelay,
-    Event{ aEntry, m_entries[aEntry].m_life, std::move(aRun) });
+  m_events.emplace(m_now + aDelay,
+                   Event{ aEntry, m_entries[aEntry].m_life, std::move(aRun) });
 }
 
 void
@@ -456,8 +455,8 @@
     const std::string name =
       said.m_request.Get() + " attempt " + std::to_string(said.m_attempt);
     const auto runs = m_runs.find(said.m_request);
-    const bool ran = runs != m_runs.end() &&
-                     runs->second.m_byAttempt.contains(said.m_attempt);
+    const bool ran =
+      runs != m_runs.end() && runs->second.m_byAttempt.contains(said.m_attempt);
     const bool judged =
       !said.m_mayRepeat && said.m_state == outcome::State::kNotRun;
     if (judged && ran) {
--- a/tests/support/entries.h
+++ b/tests/support/entries.h
@@ -71,7 +71,10 @@
   std::uint64_t RunsOf(const RequestId& aRequest) const;
   /** Compares all statements with all runs; empty if they agree. */
   std::string Contradiction() const;
-  request::Engine& At(std::size_t aEntry) { return *m_entries[aEntry].m_engine; }
+  request::Engine& At(std::size_t aEntry)
+  {
+    return *m_entries[aEntry].m_engine;
+  }
   outcome::Ledger& Ledger() { return m_ledger; }
   TimePoint Now() const { return m_now; }
   std::mt19937_64& Random() { return m_random; }
--- /dev/null
+++ b/tests/unit/admission/queue_test.cpp
@@ -0,0 +1,91 @@
+#include "bamboostile/admission/queue.h"
+#include "bamboostile/admission/retry_budget.h"
+
+#include "check.h"
+
+using namespace bamboostile;
+using namespace bamboostile::admission;
+
+namespace {
+
+constexpr TimePoint kStart{ std::chrono::hours{ 1 } };
+
+Ticket
+At(std::uint64_t aId, int aDeadlineMs, Class aClass = Class::kNormal)
+{
+  return { aClass, kStart + Millis{ aDeadlineMs }, aId };
+}
+
+} // namespace
+
+TEST_GROUP(Queue)
+{
+  admission::Queue m_queue;
+};
+
+TEST(Queue, Mixed_Popped_UrgentFirstThenEarliestDeadline)
+{
+  m_queue.Push(At(1, 100, Class::kBatch));
+  m_queue.Push(At(2, 900));
+  m_queue.Push(At(3, 300));
+  m_queue.Push(At(4, 950, Class::kUrgent));
+  for (const std::uint64_t expected : { 4, 3, 2, 1 }) {
+    LONGS_EQUAL(expected, m_queue.Pop()->m_id);
+  }
+  CHECK_FALSE(m_queue.Pop().has_value());
+}
+
+TEST(Queue, Estimate_GrowsWithThoseAheadAndShrinksWithCapacity)
+{
+  const Service busy{ 4, 4, Millis{ 100 } };
+  const Duration empty = m_queue.EstimateWait(At(9, 900), busy);
+  for (std::uint64_t i = 1; i <= 8; ++i) {
+    m_queue.Push(At(i, 500));
+  }
+  const Duration full = m_queue.EstimateWait(At(9, 900), busy);
+  CHECK(full > empty);
+  const Service wide{ 8, 8, Millis{ 100 } };
+  CHECK(m_queue.EstimateWait(At(9, 900), wide) < full);
+  const Duration urgent =
+    m_queue.EstimateWait(At(9, 900, Class::kUrgent), busy);
+  CHECK(urgent < full);
+}
+
+TEST(Queue, FreeCapacity_NothingWaiting_EstimateIsZero)
+{
+  const Service idle{ 4, 1, Millis{ 100 } };
+  CHECK(m_queue.EstimateWait(At(1, 900), idle) == Duration::zero());
+}
+
+TEST(Queue, Late_TakenOut_OthersStay)
+{
+  m_queue.Push(At(1, 10));
+  m_queue.Push(At(2, 500));
+  m_queue.Push(At(3, 10, Class::kBatch));
+  const auto late = m_queue.TakeLate(Millis{ 20 }, kStart);
+  LONGS_EQUAL(2, late.size());
+  LONGS_EQUAL(1, m_queue.Size());
+}
+
+TEST_GROUP(RetryBudget){};
+
+// Every attempt fails. Retries must stay a small share of the first attempts,
+// or they multiply the load on what is left.
+TEST(RetryBudget, EverythingFails_RetriesStayInsideShare)
+{
+  RetryBudget budget(10);
+  int retries = 0;
+  for (int i = 0; i < 10'000; ++i) {
+    budget.OnFirstAttempt();
+    retries += budget.TakeRetry() ? 1 : 0;
+  }
+  CHECK(retries >= 1000);
+  CHECK(retries <= 1011);
+}
+
+TEST(RetryBudget, ZeroPercent_NoRetryAtAll)
+{
+  RetryBudget budget(0);
+  budget.OnFirstAttempt();
+  CHECK_FALSE(budget.TakeRetry());
+}
--- a/tests/unit/fleet/state_test.cpp
+++ b/tests/unit/fleet/state_test.cpp
@@ -168,10 +168,9 @@
   const auto created = Do(CreateWave{ WaveId{ "v" }, PoolId{ "p" } }, 0);
   Do(SetWaveState{ WaveId{ "v" }, WaveState::kRunning },
      created.m_revision.Get());
-  const AdvanceWave step{ WaveId{ "v" },
-                          InstanceId{ "w" },
-                          WaveStep::kWaiting,
-                          WaveStep::kDraining };
+  const AdvanceWave step{
+    WaveId{ "v" }, InstanceId{ "w" }, WaveStep::kWaiting, WaveStep::kDraining
+  };
   Apply(step);
   Apply(AdvanceWave{ WaveId{ "v" },
                      InstanceId{ "w" },
@@ -227,10 +226,9 @@
     const std::string id = "w" + std::to_string(random() % 5);
     const PoolId pool{ random() % 2 == 0 ? "p" : "q" };
     const auto found = m_state.Instances().find(InstanceId{ id });
-    const std::uint64_t revision =
-      found == m_state.Instances().end()
-        ? 0
-        : found->second.m_change.m_revision.Get();
+    const std::uint64_t revision = found == m_state.Instances().end()
+                                     ? 0
+                                     : found->second.m_change.m_revision.Get();
     switch (random() % 5) {
       case 0:
         Announce(Said(id.c_str(), 1 + random() % 3, random() % 10));
--- a/tests/unit/outcome/ledger_test.cpp
+++ b/tests/unit/outcome/ledger_test.cpp
@@ -95,8 +95,7 @@
 TEST(Ledger, Resolve_FromAnotherThanTheHolder_ChangesNothing)
 {
   m_ledger.Apply(Position(), BeginOf(kOne, 1, 1));
-  CHECK_FALSE(
-    m_ledger.Apply(Position(), ResolveOf(kOther, 1, State::kNotRun)));
+  CHECK_FALSE(m_ledger.Apply(Position(), ResolveOf(kOther, 1, State::kNotRun)));
   CHECK_FALSE(m_ledger.Apply(Position(), ResolveOf(kOne, 2, State::kNotRun)));
   CHECK(m_ledger.Find(RequestId{ "r" })->m_state == State::kInProgress);
 }
--- a/tests/unit/storage/log_store_test.cpp
+++ b/tests/unit/storage/log_store_test.cpp
@@ -32,12 +32,15 @@
 {
   void setup() override
   {
-    m_folder =
-      fs::temp_directory_path() / ("bamboostile-log-" + std::to_string(getpid()));
+    m_folder = fs::temp_directory_path() /
+               ("bamboostile-log-" + std::to_string(getpid()));
     fs::remove_all(m_folder);
   }
 
-  void teardown() override { fs::remove_all(m_folder); }
+  void teardown() override
+  {
+    fs::remove_all(m_folder);
+  }
 
   std::unique_ptr<LogStore> Open(FileCalls aCalls = FileCalls::Posix())
   {
@@ -56,11 +59,15 @@
     }
   }
 
-  fs::path LogFile() const { return m_folder / "log-1"; }
+  fs::path LogFile() const
+  {
+    return m_folder / "log-1";
+  }
 
   void Overwrite(std::uint64_t aOffset)
   {
-    std::fstream file(LogFile(), std::ios::in | std::ios::out | std::ios::binary);
+    std::fstream file(LogFile(),
+                      std::ios::in | std::ios::out | std::ios::binary);
     file.seekp(static_cast<std::streamoff>(aOffset));
     file.put('\x55');
   }
@@ -89,8 +96,7 @@
   {
     auto store = Open();
     consensus::Persist vote;
-    vote.m_hardState =
-      consensus::HardState{ Term{ 4 }, m_opened.m_self };
+    vote.m_hardState = consensus::HardState{ Term{ 4 }, m_opened.m_self };
     CHECK(store->Write(vote, m_failure));
   }
   Open();
