--- /dev/null
+++ b/tests/support/processes.cpp
@@ -0,0 +1,328 @@
+#include "processes.h"
+
+#include <csignal>
+#include <fstream>
+#include <future>
+#include <sstream>
+#include <thread>
+
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace bamboostile::test {
+
+namespace {
+
+namespace fs = std::filesystem;
+using Json = nlohmann::json;
+
+constexpr int kGroup = 3;
+constexpr Millis kSettle{ 15'000 };
+
+std::string
+Loopback(int aPort)
+{
+  return "127.0.0.1:" + std::to_string(aPort);
+}
+
+std::string
+ReadAll(const fs::path& aFile)
+{
+  std::ifstream in(aFile);
+  std::ostringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+} // namespace
+
+Processes::Processes(std::uint16_t aBasePort)
+  : m_base(aBasePort)
+  , m_folder(fs::temp_directory_path() /
+             ("bamboostile-" + std::to_string(aBasePort) + "-" +
+              std::to_string(getpid())))
+{
+  fs::remove_all(m_folder);
+  fs::create_directories(m_folder);
+}
+
+Processes::~Processes()
+{
+  while (!m_running.empty()) {
+    Kill(m_running.begin()->first);
+  }
+  std::error_code ignored;
+  fs::remove_all(m_folder, ignored);
+}
+
+std::string
+Processes::Rpc(int aNumber) const
+{
+  return Loopback(m_base + aNumber);
+}
+
+std::string
+Processes::EntryHttp(int aNumber) const
+{
+  return Loopback(m_base + 10 + aNumber);
+}
+
+std::string
+Processes::UpstreamHttp(int aNumber) const
+{
+  return Loopback(m_base + 30 + aNumber);
+}
+
+pid_t
+Processes::Spawn(const std::string& aName,
+                 const std::vector<std::string>& aWords)
+{
+  const fs::path log = m_folder / (aName + ".log");
+  std::vector<char*> words;
+  for (const std::string& word : aWords) {
+    words.push_back(const_cast<char*>(word.c_str()));
+  }
+  words.push_back(nullptr);
+  const pid_t child = fork();
+  if (child == 0) {
+    const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    dup2(fd, STDOUT_FILENO);
+    dup2(fd, STDERR_FILENO);
+    execv(words[0], words.data());
+    _exit(127);
+  }
+  m_running[aName] = child;
+  return child;
+}
+
+void
+Processes::StartControl(int aNumber)
+{
+  const std::string name = "c" + std::to_string(aNumber);
+  const Json settings{ { "instance", name },
+                       { "zone", "z" + std::to_string(aNumber) },
+                       { "roles", { "control" } },
+                       { "control", { Rpc(aNumber) } },
+                       { "rpc", Rpc(aNumber) },
+                       { "snapshotEvery", 200 },
+                       { "dataFolder", (m_folder / name).string() } };
+  const fs::path file = m_folder / (name + ".json");
+  std::ofstream(file) << settings.dump();
+  Spawn(name, { BAMBOOSTILE_DAEMON, "--settings", file.string() });
+}
+
+void
+Processes::StartEntry(int aNumber)
+{
+  const std::string name = "e" + std::to_string(aNumber);
+  const Json settings{ { "instance", name },
+                       { "zone", "z" + std::to_string(aNumber) },
+                       { "roles", { "entry" } },
+                       { "control", { Rpc(1), Rpc(2), Rpc(3) } },
+                       { "http", EntryHttp(aNumber) },
+                       { "limits", { { "readTimeoutMs", 1500 } } } };
+  const fs::path file = m_folder / (name + ".json");
+  std::ofstream(file) << settings.dump();
+  Spawn(name, { BAMBOOSTILE_DAEMON, "--settings", file.string() });
+}
+
+void
+Processes::StartUpstream(int aNumber,
+                         const std::string& aService,
+                         std::vector<std::string> aMore)
+{
+  const std::string number = std::to_string(aNumber);
+  m_upstreams.insert(aNumber);
+  std::vector<std::string> words{
+    BAMBOOSTILE_FAKES "/fake_upstream", "--id",   "w" + number,
+    "--service",    aService,           "--zone", "z" + number,
+    "--rack",       "r" + number,       "--port",
+    std::to_string(m_base + 30 + aNumber)
+  };
+  words.insert(words.end(), aMore.begin(), aMore.end());
+  words.push_back("--entry");
+  for (int i = 1; i <= kGroup; ++i) {
+    words.push_back(EntryHttp(i));
+  }
+  Spawn("w" + number, words);
+}
+
+void
+Processes::StartAll()
+{
+  for (int i = 1; i <= kGroup; ++i) {
+    StartControl(i);
+    StartEntry(i);
+  }
+  Until([this]() { return Cli({ "control", "init" }).m_exit == 0; }, kSettle);
+  for (int i = 2; i <= kGroup; ++i) {
+    Until([&]() { return Cli({ "control", "add", Rpc(i) }).m_exit == 0; },
+          kSettle);
+  }
+  Until(
+    [this]() {
+      const Json status = Status();
+      std::size_t voters = 0;
+      for (const Json& one : status.value("replicas", Json::array())) {
+        voters += one.at("voter").get<bool>() ? 1 : 0;
+      }
+      return voters == kGroup && status.at("entries").size() == kGroup;
+    },
+    kSettle);
+  Cli({ "service", "put", "desk", "--max-unavailable-percent", "50" });
+  Cli({ "pool", "put", "old", "--service", "desk" });
+}
+
+void
+Processes::Signal(const std::string& aName, int aSignal)
+{
+  kill(m_running.at(aName), aSignal);
+}
+
+int
+Processes::Wait(const std::string& aName)
+{
+  int status = 0;
+  waitpid(m_running.at(aName), &status, 0);
+  m_running.erase(aName);
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+void
+Processes::Kill(const std::string& aName)
+{
+  Signal(aName, SIGKILL);
+  Wait(aName);
+}
+
+Output
+Processes::Cli(std::vector<std::string> aWords)
+{
+  aWords.insert(aWords.begin(), BAMBOOSTILE_CLI);
+  aWords.push_back("--control");
+  aWords.push_back(Rpc(1) + "," + Rpc(2) + "," + Rpc(3));
+  const fs::path log = m_folder / "cli.log";
+  fs::remove(log);
+  Spawn("cli", aWords);
+  Output output;
+  output.m_exit = Wait("cli");
+  output.m_text = ReadAll(log);
+  return output;
+}
+
+Json
+Processes::Status()
+{
+  const Output output = Cli({ "status", "--json" });
+  const Json json = Json::parse(output.m_text, nullptr, false);
+  return json.is_object() ? json : Json::object();
+}
+
+std::string
+Processes::LeaderName()
+{
+  const Json status = Status();
+  for (const Json& one : status.value("replicas", Json::array())) {
+    if (one.at("leader").get<bool>()) {
+      return one.at("id");
+    }
+  }
+  return "";
+}
+
+std::vector<std::string>
+Processes::CallerWords(std::vector<std::string> aMore) const
+{
+  std::vector<std::string> words{ BAMBOOSTILE_FAKES "/fake_caller",
+                                  "--service",
+                                  "desk" };
+  words.insert(words.end(), aMore.begin(), aMore.end());
+  words.push_back("--entry");
+  for (int i = 1; i <= kGroup; ++i) {
+    words.push_back(EntryHttp(i));
+  }
+  words.push_back("--upstream");
+  for (const int number : m_upstreams) {
+    words.push_back(UpstreamHttp(number));
+  }
+  return words;
+}
+
+void
+Processes::StartCaller(const std::string& aName,
+                       std::vector<std::string> aMore)
+{
+  Spawn(aName, CallerWords(std::move(aMore)));
+}
+
+Json
+Processes::CallerResult(const std::string& aName)
+{
+  Wait(aName);
+  return Json::parse(ReadAll(m_folder / (aName + ".log")), nullptr, false);
+}
+
+Json
+Processes::Call(std::vector<std::string> aMore)
+{
+  fs::remove(m_folder / "caller.log");
+  StartCaller("caller", std::move(aMore));
+  return CallerResult("caller");
+}
+
+http::CallResult
+Processes::Http(const std::string& aAddress,
+                const std::string& aMethod,
+                const std::string& aTarget,
+                http::Headers aHeaders,
+                const std::string& aBody,
+                Millis aTimeout)
+{
+  http::Call call;
+  call.m_address = aAddress;
+  call.m_method = aMethod;
+  call.m_target = aTarget;
+  call.m_headers = std::move(aHeaders);
+  call.m_timeout = aTimeout;
+  call.m_onlyOnce = true;
+  if (!aBody.empty()) {
+    call.m_body = std::make_shared<const std::string>(aBody);
+  }
+  auto promise = std::make_shared<std::promise<http::CallResult>>();
+  m_client.Start(std::move(call), [promise](http::CallResult aResult) {
+    promise->set_value(std::move(aResult));
+  });
+  return promise->get_future().get();
+}
+
+bool
+Processes::Until(const std::function<bool()>& aDone, Millis aLimit)
+{
+  const TimePoint until = MonotonicNow() + aLimit;
+  while (MonotonicNow() < until) {
+    if (aDone()) {
+      return true;
+    }
+    std::this_thread::sleep_for(Millis{ 50 });
+  }
+  return aDone();
+}
+
+std::uint64_t
+Processes::RunsAt(int aUpstream, const std::string& aId)
+{
+  const auto result = Http(UpstreamHttp(aUpstream), "GET", "/fake/runs");
+  const Json body = Json::parse(result.m_response.m_body, nullptr, false);
+  return body.is_object() ? body.at("runs").value(aId, 0ULL) : 0;
+}
+
+std::uint64_t
+Processes::TotalAt(int aUpstream)
+{
+  const auto result = Http(UpstreamHttp(aUpstream), "GET", "/fake/runs");
+  const Json body = Json::parse(result.m_response.m_body, nullptr, false);
+  return body.is_object() ? body.value("total", 0ULL) : 0;
+}
+
+} // namespace bamboostile::test
