--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -181,7 +181,11 @@
     if (answer->m_refusal != fleet::Refusal::kNone) {
       return kj::READY_NOW;
     }
-    return m_node.WaitInForce(answer->m_revision)
+    // Entries report the view they have, which a call that is none of their
+    // business does not move.
+    const Index awaited =
+      std::min(answer->m_revision, m_node.State().ViewRevision());
+    return m_node.WaitInForce(awaited)
       .then([aContext](bool aInForce) mutable {
         aContext.getResults().getReply().setInForce(aInForce);
       });
