--- /dev/null
+++ b/tests/support/raw_server.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace bamboostile::test {
+
+/** A TCP server on a port that the system picks; each connection is handed to
+ * a function with its number, counted from 1. */
+class RawServer
+{
+public:
+  using OnConnection = std::function<void(int aSocket, int aNumber)>;
+
+  explicit RawServer(OnConnection aOnConnection);
+  ~RawServer();
+  RawServer(const RawServer&) = delete;
+  RawServer& operator=(const RawServer&) = delete;
+
+  std::string Address() const;
+  int Connections() const { return m_connections; }
+
+private:
+  OnConnection m_onConnection;
+  int m_listener = -1;
+  std::uint16_t m_port = 0;
+  std::atomic<bool> m_stop = false;
+  std::atomic<int> m_connections = 0;
+  std::vector<std::thread> m_threads;
+  std::thread m_acceptor;
+};
+
+/** Reads one request head; empty at the end of the connection. */
+std::string ReadHead(int aSocket);
+void Write(int aSocket, const std::string& aText);
+
+/** Connects, writes the text, and returns all that comes back until the peer
+ * closes or nothing comes for aQuietMs. */
+std::string Exchange(std::uint16_t aPort,
+                     const std::string& aText,
+                     int aQuietMs);
+
+} // namespace bamboostile::test
