--- a/benchmark/decisions.cpp
+++ b/benchmark/decisions.cpp
@@ -54,8 +54,7 @@
       running.push_back(pick->m_instance);
     }
     if (running.size() > 16) {
-      router.Finish(
-        running[i % 16], routing::Verdict::kGood, Millis{ 5 }, now);
+      router.Finish(running[i % 16], routing::Verdict::kGood, Millis{ 5 }, now);
       running[i % 16] = running.back();
       running.pop_back();
     }
--- a/benchmark/report.cpp
+++ b/benchmark/report.cpp
@@ -7,7 +7,7 @@
 #include <iomanip>
 #include <iostream>
 
-#include <unistd.h>
+#include <malloc.h>
 
 namespace bamboostile::benchmark {
 
@@ -56,8 +56,8 @@
     code = holds ? code : 1;
     out << separator << "    { \"ratio\": " << std::quoted(bound.m_name)
         << ", \"value\": " << bound.m_value << ", \"least\": " << bound.m_least
-        << ", \"most\": " << bound.m_most << ", \"holds\": "
-        << (holds ? "true" : "false") << " }";
+        << ", \"most\": " << bound.m_most
+        << ", \"holds\": " << (holds ? "true" : "false") << " }";
     separator = ",\n";
     std::cout << (holds ? "holds  " : "BROKEN ") << bound.m_name << ": "
               << bound.m_value << " in [" << bound.m_least << ", "
@@ -89,13 +89,11 @@
 }
 
 double
-ResidentKiB()
+AllocatedKiB()
 {
-  std::ifstream in("/proc/self/statm");
-  double pages = 0;
-  in >> pages >> pages;
   constexpr double kKiB = 1024;
-  return pages * static_cast<double>(sysconf(_SC_PAGESIZE)) / kKiB;
+  const auto info = mallinfo2();
+  return static_cast<double>(info.uordblks + info.hblkhd) / kKiB;
 }
 
 } // namespace bamboostile::benchmark
--- a/benchmark/report.h
+++ b/benchmark/report.h
@@ -46,7 +46,7 @@
 /** Seconds of processor time of this process. */
 double ProcessorSeconds();
 
-/** Resident memory in KiB. */
-double ResidentKiB();
+/** Memory in use by this process's objects, in KiB. */
+double AllocatedKiB();
 
 } // namespace bamboostile::benchmark
--- a/benchmark/slot_sharing.cpp
+++ b/benchmark/slot_sharing.cpp
@@ -217,17 +217,15 @@
       return std::nullopt;
     }
     const auto pick = m_routers[aQueue].Choose({}, m_now);
-    return pick ? std::optional{ std::stoul(
-                    pick->m_instance.Get().substr(1)) }
+    return pick ? std::optional{ std::stoul(pick->m_instance.Get().substr(1)) }
                 : std::nullopt;
   }
 
   void Begin(std::size_t aRequest, std::size_t aUpstream)
   {
     ++m_upstreams[aUpstream].m_running;
-    m_events.push({ m_now + m_requests[aRequest].m_service,
-                    aRequest,
-                    aUpstream });
+    m_events.push(
+      { m_now + m_requests[aRequest].m_service, aRequest, aUpstream });
   }
 
   void Finish(std::size_t aRequest, std::size_t aUpstream)
@@ -303,8 +301,7 @@
     for (const double load : { 0.8, 1.0, 1.5, 3.0 }) {
       std::cout << "load " << load << (skewed ? " skewed" : " even") << "\n";
       for (const Setup& setup : setups) {
-        const Result result =
-          World(setup, Load{ load, skewed, 10 }).Run();
+        const Result result = World(setup, Load{ load, skewed, 10 }).Run();
         std::printf("  %-22s goodput %.3f  on time %.3f  p50 %6.1f ms  p99 "
                     "%7.1f ms\n",
                     setup.m_name.c_str(),
@@ -327,7 +324,8 @@
                  0.9,
                  1.25);
     report.Bound("goodput of the chosen way beside random without admission "
-                 "at " + load,
+                 "at " +
+                   load,
                  report.Get("goodput of owned, borrow 50% at " + load) /
                    report.Get("goodput of random, no admission at " + load),
                  1.0,
--- a/benchmark/state.cpp
+++ b/benchmark/state.cpp
@@ -184,22 +184,20 @@
 MeasureFleet(benchmark::Report& aReport, std::size_t aInstances)
 {
   const std::string count = std::to_string(aInstances);
-  const double before = benchmark::ResidentKiB();
+  const double before = benchmark::AllocatedKiB();
   const fleet::State state = Fleet(aInstances);
-  aReport.Set("state, KiB at " + count, benchmark::ResidentKiB() - before);
+  aReport.Set("state, KiB at " + count, benchmark::AllocatedKiB() - before);
   auto start = Clock::now();
   const std::string bytes = state.Encode();
   aReport.Set("snapshot, ms at " + count, MillisSince(start));
-  aReport.Set("snapshot, bytes at " + count,
-              static_cast<double>(bytes.size()));
+  aReport.Set("snapshot, bytes at " + count, static_cast<double>(bytes.size()));
   aReport.Set(
     "full view, bytes at " + count,
     static_cast<double>(fleet::EncodeView(state.ViewSince(Index{})).size()));
   aReport.Set("view of one change, bytes at " + count,
-              static_cast<double>(
-                fleet::EncodeView(
-                  state.ViewSince(Previous(state.ViewRevision())))
-                  .size()));
+              static_cast<double>(fleet::EncodeView(state.ViewSince(Previous(
+                                                      state.ViewRevision())))
+                                    .size()));
   start = Clock::now();
   state.ViewSince(Previous(state.ViewRevision()));
   aReport.Set("view of one change, ms at " + count, MillisSince(start));
@@ -232,25 +230,24 @@
     report.Set("commits a second, batch " + std::to_string(batch),
                CommitsPerSecond(batch));
   }
-  for (const char* figure :
-       { "state, KiB at 1000",
-         "state, KiB at 3000",
-         "snapshot, ms at 1000",
-         "snapshot, ms at 3000",
-         "snapshot, bytes at 3000",
-         "full view, bytes at 3000",
-         "view of one change, bytes at 3000",
-         "view of one change, ms at 3000",
-         "look for lost, ms at 3000",
-         "wave preview, ms at 3000",
-         "restart, ms after 500",
-         "restart, ms after 5000",
-         "restart, ms after 20000",
-         "restart without snapshots, ms after 5000",
-         "restart without snapshots, ms after 20000",
-         "commits a second, batch 1",
-         "commits a second, batch 8",
-         "commits a second, batch 64" }) {
+  for (const char* figure : { "state, KiB at 1000",
+                              "state, KiB at 3000",
+                              "snapshot, ms at 1000",
+                              "snapshot, ms at 3000",
+                              "snapshot, bytes at 3000",
+                              "full view, bytes at 3000",
+                              "view of one change, bytes at 3000",
+                              "view of one change, ms at 3000",
+                              "look for lost, ms at 3000",
+                              "wave preview, ms at 3000",
+                              "restart, ms after 500",
+                              "restart, ms after 5000",
+                              "restart, ms after 20000",
+                              "restart without snapshots, ms after 5000",
+                              "restart without snapshots, ms after 20000",
+                              "commits a second, batch 1",
+                              "commits a second, batch 8",
+                              "commits a second, batch 64" }) {
     std::cout << figure << ": " << report.Get(figure) << "\n";
   }
   report.Bound("snapshot time at 10000 beside 1000 instances",
--- a/fakes/caller.cpp
+++ b/fakes/caller.cpp
@@ -131,8 +131,7 @@
       std::this_thread::sleep_for(std::chrono::milliseconds{ 100 });
     }
   }
-  const std::chrono::duration<double, std::milli> took =
-    MonotonicNow() - start;
+  const std::chrono::duration<double, std::milli> took = MonotonicNow() - start;
   const std::lock_guard lock(aTally.m_mutex);
   aTally.m_told[id] = told;
   aTally.m_wrong += foreign ? 1 : 0;
@@ -169,8 +168,8 @@
     return 0;
   }
   std::sort(aValues.begin(), aValues.end());
-  const auto at = static_cast<std::size_t>(
-    aShare * static_cast<double>(aValues.size() - 1));
+  const auto at =
+    static_cast<std::size_t>(aShare * static_cast<double>(aValues.size() - 1));
   return aValues[at];
 }
 
@@ -200,6 +199,7 @@
            { "falseNotRun", falseNotRun },
            { "p50Ms", Quantile(aTally.m_millis, 0.5) },
            { "p99Ms", Quantile(aTally.m_millis, 0.99) },
+           { "maxMs", Quantile(aTally.m_millis, 1) },
            { "perSecond", aOptions.m_count / aSeconds } };
 }
 
@@ -213,13 +213,13 @@
   known.add_options()("entry", po::value(&options.m_entries)->multitoken())(
     "upstream", po::value(&options.m_upstreams)->multitoken())(
     "service", po::value(&options.m_services)->multitoken()->required())(
-    "count", po::value(&options.m_count))(
-    "workers", po::value(&options.m_workers))(
+    "count", po::value(&options.m_count))("workers",
+                                          po::value(&options.m_workers))(
     "post-percent", po::value(&options.m_postPercent))(
-    "timeout-ms", po::value(&options.m_timeoutMs))(
-    "pause-ms", po::value(&options.m_pauseMs))(
-    "body-bytes", po::value(&options.m_bodyBytes))(
-    "tries", po::value(&options.m_tries))(
+    "timeout-ms",
+    po::value(&options.m_timeoutMs))("pause-ms", po::value(&options.m_pauseMs))(
+    "body-bytes", po::value(&options.m_bodyBytes))("tries",
+                                                   po::value(&options.m_tries))(
     "prefix", po::value(&options.m_prefix))("direct", "call upstreams");
   try {
     po::variables_map values;
--- a/fakes/platform.cpp
+++ b/fakes/platform.cpp
@@ -44,8 +44,7 @@
     http::Response response;
     const bool known =
       target.rfind(prefix, 0) == 0 &&
-      m_instances.contains(
-        target.substr(prefix.size(), query - prefix.size()));
+      m_instances.contains(target.substr(prefix.size(), query - prefix.size()));
     if (!known) {
       response.m_status = 404;
     } else if (m_done.insert(target).second) {
--- a/include/bamboostile/control/node.h
+++ b/include/bamboostile/control/node.h
@@ -2,6 +2,7 @@
 
 #include "bamboostile/consensus/replica.h"
 #include "bamboostile/control/disk_thread.h"
+#include "bamboostile/control/snapshot_thread.h"
 #include "bamboostile/fleet/state.h"
 #include "bamboostile/membership/registry.h"
 #include "bamboostile/rpc/channel.h"
@@ -95,6 +96,7 @@
   void taskFailed(kj::Exception&& aException) override;
   kj::Promise<void> TickLoop();
   kj::Promise<void> DiskLoop();
+  kj::Promise<void> SnapshotLoop();
   void Pump();
   void Run(consensus::Persist aPersist);
   void Run(const consensus::Send& aSend);
@@ -121,6 +123,11 @@
   membership::Registry m_registry;
   rpc::Mailbox<DiskReport> m_reports;
   DiskThread m_disk;
+  rpc::Mailbox<EncodedState> m_encoded;
+  SnapshotThread m_snapshots;
+  bool m_encoding = false;
+  std::size_t m_bytesSinceSnapshot = 0;
+  std::size_t m_snapshotBytes = 0;
   bool m_wasLeader = false;
   bool m_pumping = false;
   std::size_t m_proposedAlone = 0;
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -50,11 +50,13 @@
               MonotonicNow())
   , m_registry(m_options.m_membership)
   , m_disk(std::move(aStore), m_reports)
+  , m_snapshots(m_encoded)
   , m_tasks(*this)
 {
   Pump();
   m_tasks.add(TickLoop());
   m_tasks.add(DiskLoop());
+  m_tasks.add(SnapshotLoop());
 }
 
 void
@@ -100,6 +102,20 @@
   });
 }
 
+kj::Promise<void>
+Node::SnapshotLoop()
+{
+  return m_encoded.Take().then([this](std::vector<EncodedState> aDone) {
+    for (EncodedState& encoded : aDone) {
+      m_encoding = false;
+      m_snapshotBytes = encoded.m_bytes.size();
+      m_replica.Compact(encoded.m_index, std::move(encoded.m_bytes));
+    }
+    Pump();
+    return SnapshotLoop();
+  });
+}
+
 void
 Node::Pump()
 {
@@ -194,6 +210,7 @@
     decided.m_index = entry.m_index;
     if (const auto* bytes =
           std::get_if<consensus::CommandBytes>(&entry.m_payload)) {
+      m_bytesSinceSnapshot += bytes->m_bytes.size();
       if (const auto command = fleet::DecodeCommand(bytes->m_bytes)) {
         decided.m_effect = m_state.Apply(entry.m_index, *command);
       }
@@ -233,11 +250,15 @@
 void
 Node::MaybeCompact()
 {
-  const Index applied = m_state.Applied();
-  const Index snapshot = m_replica.SnapshotIndex();
-  if (applied > snapshot &&
-      applied.Get() - snapshot.Get() >= m_options.m_snapshotEvery) {
-    m_replica.Compact(applied, m_state.Encode());
+  const std::uint64_t applied = m_state.Applied().Get();
+  const std::uint64_t snapshot = m_replica.SnapshotIndex().Get();
+  const bool enough = applied >= snapshot + m_options.m_snapshotEvery;
+  // A large state is written again only after as many bytes of commands, so
+  // that snapshots never cost more than the log itself.
+  if (enough && !m_encoding && m_bytesSinceSnapshot >= m_snapshotBytes) {
+    m_encoding = true;
+    m_bytesSinceSnapshot = 0;
+    m_snapshots.Encode(m_state);
   }
 }
 
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -185,10 +185,9 @@
     // business does not move.
     const Index awaited =
       std::min(answer->m_revision, m_node.State().ViewRevision());
-    return m_node.WaitInForce(awaited)
-      .then([aContext](bool aInForce) mutable {
-        aContext.getResults().getReply().setInForce(aInForce);
-      });
+    return m_node.WaitInForce(awaited).then([aContext](bool aInForce) mutable {
+      aContext.getResults().getReply().setInForce(aInForce);
+    });
   }
 
   Node& m_node;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -218,8 +218,11 @@
     }
     // An idle connection may have died unnoticed. What was sent into it
     // would be lost or run without an answer; a new one does not have that
-    // doubt.
-    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.m_onlyOnce ? 1L : 0L);
+    // doubt. It is closed afterwards: kept, such connections pile up until
+    // they fill the connections that the other side allows.
+    const long fresh = call.m_onlyOnce ? 1 : 0;
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, fresh);
     curl_multi_add_handle(m_multi, easy);
     m_transfers.emplace(easy, std::move(aTransfer));
   }
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -400,9 +400,8 @@
   m_baseline =
     m_baseline == 0 ? mean : std::min(mean, m_baseline * kBaselineCreep);
   const double before = m_lent;
-  m_lent = mean > m_baseline * kCongested
-             ? m_lent * kLentCut
-             : std::min(1.0, m_lent + kLentGrowth);
+  m_lent = mean > m_baseline * kCongested ? m_lent * kLentCut
+                                          : std::min(1.0, m_lent + kLentGrowth);
   if (m_lent < kLentLeast) {
     m_lent = 0;
   }
--- a/tests/failure/control_test.cpp
+++ b/tests/failure/control_test.cpp
@@ -16,35 +16,36 @@
 
 } // namespace
 
-TEST_GROUP(Control)
-{
-  bool HasPool(Processes & aProcesses, const std::string& aPool)
-  {
-    for (const Json& pool : aProcesses.Status().value("pools", Json::array())) {
-      if (pool.at("id") == aPool) {
-        return true;
-      }
-    }
-    return false;
-  }
+TEST_GROUP(Control){
+  bool HasPool(Processes & aProcesses, const std::string& aPool){
+    for (const Json& pool
+         : aProcesses.Status().value("pools", Json::array())){
+      if (pool.at("id") == aPool){ return true;
+}
+}
+return false;
+}
 
-  int PutPool(Processes & aProcesses, const std::string& aPool)
-  {
-    return aProcesses.Cli({ "pool", "put", aPool, "--service", "desk" }).m_exit;
-  }
+int
+PutPool(Processes& aProcesses, const std::string& aPool)
+{
+  return aProcesses.Cli({ "pool", "put", aPool, "--service", "desk" }).m_exit;
+}
 
-  bool AllVote(Processes & aProcesses)
-  {
-    std::size_t voters = 0;
-    const Json status = aProcesses.Status();
-    const Json replicas = status.value("replicas", Json::array());
-    for (const Json& one : replicas) {
-      const bool synced = one.at("behind") == 0;
-      voters += one.at("voter").get<bool>() && synced ? 1 : 0;
-    }
-    return voters == 3 && replicas.size() == 3;
+bool
+AllVote(Processes& aProcesses)
+{
+  std::size_t voters = 0;
+  const Json status = aProcesses.Status();
+  const Json replicas = status.value("replicas", Json::array());
+  for (const Json& one : replicas) {
+    const bool synced = one.at("behind") == 0;
+    voters += one.at("voter").get<bool>() && synced ? 1 : 0;
   }
-};
+  return voters == 3 && replicas.size() == 3;
+}
+}
+;
 
 // The power fails everywhere at once, after hundreds of changes. What was
 // acknowledged is there again, and the configuration has not gone back.
@@ -97,9 +98,7 @@
   processes.Kill("c1");
   std::filesystem::remove_all(processes.Folder() / "c1");
   CHECK(processes.Until(
-    [&]() {
-      return HasPool(processes, "p1") && HasPool(processes, "p2");
-    },
+    [&]() { return HasPool(processes, "p1") && HasPool(processes, "p2"); },
     kLimit));
   LONGS_EQUAL(0, PutPool(processes, "p4"));
 }
@@ -130,8 +129,8 @@
   Processes processes(22300);
   processes.StartAll();
   const std::vector<std::string> call{
-    "pool",     "put", "p1",             "--service", "desk",
-    "--expect", "0",   "--operation-id", "op-1",      "--json"
+    "pool",           "put",  "p1",    "--service", "desk", "--expect", "0",
+    "--operation-id", "op-1", "--json"
   };
   const auto first = processes.Cli(call);
   LONGS_EQUAL(0, first.m_exit);
--- a/tests/failure/requests_test.cpp
+++ b/tests/failure/requests_test.cpp
@@ -30,19 +30,16 @@
 
 } // namespace
 
-TEST_GROUP(Requests)
-{
-  void Start(Processes & aProcesses)
-  {
-    aProcesses.StartAll();
-    for (int i = 1; i <= 3; ++i) {
-      aProcesses.StartUpstream(i, "desk");
-    }
-    CHECK(aProcesses.Until(
-      [&]() { return aProcesses.Status().at("instances").size() == 3; },
-      kLimit));
-  }
-};
+TEST_GROUP(Requests){ void Start(Processes & aProcesses){ aProcesses.StartAll();
+for (int i = 1; i <= 3; ++i) {
+  aProcesses.StartUpstream(i, "desk");
+}
+CHECK(aProcesses.Until(
+  [&]() { return aProcesses.Status().at("instances").size() == 3; },
+  kLimit));
+}
+}
+;
 
 // Control leader killed, an entry killed, a control replica frozen and woken,
 // while callers send on and ask again elsewhere. Nobody is told something
@@ -82,20 +79,20 @@
     processes.Http(processes.UpstreamHttp(i), "PUT", "/fake/mode", {}, "hang");
   }
   std::thread first([&]() {
-    processes.Http(processes.EntryHttp(1),
-                   "POST",
-                   "/desk/x",
-                   { { "Idempotency-Key", "k" },
-                     { "Bamboostile-Timeout-Ms", "2500" } },
-                   "body");
+    processes.Http(
+      processes.EntryHttp(1),
+      "POST",
+      "/desk/x",
+      { { "Idempotency-Key", "k" }, { "Bamboostile-Timeout-Ms", "2500" } },
+      "body");
   });
   std::this_thread::sleep_for(Millis{ 500 });
-  const auto second = processes.Http(processes.EntryHttp(2),
-                                     "POST",
-                                     "/desk/x",
-                                     { { "Idempotency-Key", "k" },
-                                       { "Bamboostile-Timeout-Ms", "800" } },
-                                     "body");
+  const auto second = processes.Http(
+    processes.EntryHttp(2),
+    "POST",
+    "/desk/x",
+    { { "Idempotency-Key", "k" }, { "Bamboostile-Timeout-Ms", "800" } },
+    "body");
   first.join();
   CHECK(OutcomeOf(second) == "unknown");
   std::uint64_t runs = 0;
@@ -125,12 +122,12 @@
   std::this_thread::sleep_for(Millis{ 500 });
   processes.Kill("e1");
   first.join();
-  const auto second = processes.Http(processes.EntryHttp(2),
-                                     "POST",
-                                     "/desk/x",
-                                     { { "Idempotency-Key", "k" },
-                                       { "Bamboostile-Timeout-Ms", "9000" } },
-                                     "body");
+  const auto second = processes.Http(
+    processes.EntryHttp(2),
+    "POST",
+    "/desk/x",
+    { { "Idempotency-Key", "k" }, { "Bamboostile-Timeout-Ms", "9000" } },
+    "body");
   CHECK(OutcomeOf(second) == "unknown");
   CHECK(http::FindHeader(second.m_response.m_headers, "Bamboostile-Reason") ==
         "the entry that ran another copy is gone");
@@ -215,9 +212,8 @@
   std::vector<std::optional<std::string>> told(12);
   for (std::size_t i = 0; i < told.size(); ++i) {
     callers.emplace_back([&, i]() {
-      told[i] = OutcomeOf(processes.Http(processes.EntryHttp(1),
-                                         i % 2 == 0 ? "GET" : "POST",
-                                         "/desk/x"));
+      told[i] = OutcomeOf(processes.Http(
+        processes.EntryHttp(1), i % 2 == 0 ? "GET" : "POST", "/desk/x"));
     });
   }
   std::this_thread::sleep_for(Millis{ 150 });
@@ -255,28 +251,23 @@
   Processes processes(21700);
   Start(processes);
   const std::string entry = processes.EntryHttp(1);
-  LONGS_EQUAL(413,
-              processes
-                .Http(entry,
-                      "POST",
-                      "/desk/x",
-                      {},
-                      std::string(1024UL * 1024 + 1, 'x'))
-                .m_response.m_status);
-  LONGS_EQUAL(431,
-              processes
-                .Http(entry,
-                      "GET",
-                      "/desk/x",
-                      { { "X-Long", std::string(20'000, 'y') } })
-                .m_response.m_status);
+  LONGS_EQUAL(
+    413,
+    processes
+      .Http(entry, "POST", "/desk/x", {}, std::string(1024UL * 1024 + 1, 'x'))
+      .m_response.m_status);
+  LONGS_EQUAL(
+    431,
+    processes
+      .Http(entry, "GET", "/desk/x", { { "X-Long", std::string(20'000, 'y') } })
+      .m_response.m_status);
   const auto badTimeout = processes.Http(
     entry, "GET", "/desk/x", { { "Bamboostile-Timeout-Ms", "-5" } });
   LONGS_EQUAL(400, badTimeout.m_response.m_status);
   CHECK(badTimeout.m_response.m_body.find("Bamboostile-Timeout-Ms") !=
         std::string::npos);
-  LONGS_EQUAL(
-    404, processes.Http(entry, "GET", "/nobody/x").m_response.m_status);
+  LONGS_EQUAL(404,
+              processes.Http(entry, "GET", "/nobody/x").m_response.m_status);
   const auto badJson =
     processes.Http(entry, "PUT", "/v1/upstreams/w9", {}, "{\"incarnation\":");
   LONGS_EQUAL(400, badJson.m_response.m_status);
--- a/tests/support/processes.cpp
+++ b/tests/support/processes.cpp
@@ -116,12 +116,11 @@
 Processes::StartEntry(int aNumber)
 {
   const std::string name = "e" + std::to_string(aNumber);
-  const Json settings{ { "instance", name },
-                       { "zone", "z" + std::to_string(aNumber) },
-                       { "roles", { "entry" } },
-                       { "control", { Rpc(1), Rpc(2), Rpc(3) } },
-                       { "http", EntryHttp(aNumber) },
-                       { "limits", { { "readTimeoutMs", 1500 } } } };
+  const Json settings{
+    { "instance", name },           { "zone", "z" + std::to_string(aNumber) },
+    { "roles", { "entry" } },       { "control", { Rpc(1), Rpc(2), Rpc(3) } },
+    { "http", EntryHttp(aNumber) }, { "limits", { { "readTimeoutMs", 1500 } } }
+  };
   const fs::path file = m_folder / (name + ".json");
   std::ofstream(file) << settings.dump();
   Spawn(name, { BAMBOOSTILE_DAEMON, "--settings", file.string() });
@@ -134,12 +133,17 @@
 {
   const std::string number = std::to_string(aNumber);
   m_upstreams.insert(aNumber);
-  std::vector<std::string> words{
-    BAMBOOSTILE_FAKES "/fake_upstream", "--id",   "w" + number,
-    "--service",    aService,           "--zone", "z" + number,
-    "--rack",       "r" + number,       "--port",
-    std::to_string(m_base + 30 + aNumber)
-  };
+  std::vector<std::string> words{ BAMBOOSTILE_FAKES "/fake_upstream",
+                                  "--id",
+                                  "w" + number,
+                                  "--service",
+                                  aService,
+                                  "--zone",
+                                  "z" + number,
+                                  "--rack",
+                                  "r" + number,
+                                  "--port",
+                                  std::to_string(m_base + 30 + aNumber) };
   words.insert(words.end(), aMore.begin(), aMore.end());
   words.push_back("--entry");
   for (int i = 1; i <= kGroup; ++i) {
@@ -157,8 +161,11 @@
   }
   Until([this]() { return Cli({ "control", "init" }).m_exit == 0; }, kSettle);
   for (int i = 2; i <= kGroup; ++i) {
-    Until([&]() { return Cli({ "control", "add", Rpc(i) }).m_exit == 0; },
-          kSettle);
+    Until(
+      [&]() {
+        return Cli({ "control", "add", Rpc(i) }).m_exit == 0;
+      },
+      kSettle);
   }
   Until(
     [this]() {
@@ -250,8 +257,7 @@
 }
 
 void
-Processes::StartCaller(const std::string& aName,
-                       std::vector<std::string> aMore)
+Processes::StartCaller(const std::string& aName, std::vector<std::string> aMore)
 {
   Spawn(aName, CallerWords(std::move(aMore)));
 }
--- a/tests/unit/http/client_test.cpp
+++ b/tests/unit/http/client_test.cpp
@@ -5,6 +5,8 @@
 
 #include <future>
 
+#include <unistd.h>
+
 using namespace bamboostile;
 using namespace bamboostile::http;
 using test::RawServer;
@@ -90,9 +92,8 @@
   call.m_target = "/x";
   call.m_timeout = Millis{ 1000 };
   std::promise<CallResult> promise;
-  m_client.Start(call, [&](CallResult aResult) {
-    promise.set_value(std::move(aResult));
-  });
+  m_client.Start(
+    call, [&](CallResult aResult) { promise.set_value(std::move(aResult)); });
   CHECK(promise.get_future().get().m_end == CallEnd::kNotSent);
 }
 
@@ -110,9 +111,8 @@
 TEST(HttpClient, SendForbiddenAfterConnect_IsNotSent)
 {
   std::atomic<int> heads = 0;
-  RawServer server([&](int aSocket, int) {
-    heads += ReadHead(aSocket).empty() ? 0 : 1;
-  });
+  RawServer server(
+    [&](int aSocket, int) { heads += ReadHead(aSocket).empty() ? 0 : 1; });
   const auto result = Send(server, "POST", true, []() { return false; });
   CHECK(result.m_end == CallEnd::kNotSent);
   LONGS_EQUAL(0, heads);
@@ -140,6 +140,27 @@
   LONGS_EQUAL(1, posts);
 }
 
+// Each request that must run once gets a connection of its own. Were those
+// kept, a few thousand requests would fill the peer's connections, and new
+// callers would wait until the idle ones time out (seen: 9 s).
+TEST(HttpClient, OnlyOnce_AfterAnswer_ConnectionIsClosed)
+{
+  std::atomic<int> closed = 0;
+  RawServer server([&](int aSocket, int) {
+    ReadHead(aSocket);
+    test::Write(aSocket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    char byte = 0;
+    closed += read(aSocket, &byte, 1) == 0 ? 1 : 0;
+  });
+  for (int i = 0; i < 5; ++i) {
+    CHECK(Send(server, "POST", true).m_end == CallEnd::kAnswered);
+  }
+  for (int i = 0; i < 100 && closed < 5; ++i) {
+    std::this_thread::sleep_for(Millis{ 10 });
+  }
+  LONGS_EQUAL(5, closed);
+}
+
 TEST(HttpClient, InterimAnswer_BeforeFinal_IsSkipped)
 {
   RawServer server([](int aSocket, int) {
--- a/tests/unit/http/server_test.cpp
+++ b/tests/unit/http/server_test.cpp
@@ -8,7 +8,6 @@
 using namespace bamboostile;
 using namespace bamboostile::http;
 
-
 namespace {
 
 constexpr std::uint16_t kPort = 20901;
@@ -37,7 +36,10 @@
     CHECK(m_server->Start(reason));
   }
 
-  void teardown() override { m_server.reset(); }
+  void teardown() override
+  {
+    m_server.reset();
+  }
 
   /** Whatever came before, a sound request is served. */
   void StillServes()
@@ -51,7 +53,8 @@
 TEST(HttpServer, BodyALittleTooLong_Is413)
 {
   const std::string body(150, 'x');
-  const auto answer = test::Exchange(kPort,
+  const auto answer = test::Exchange(
+    kPort,
     "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 150\r\n\r\n" + body,
     kQuietMs);
   CHECK(answer.rfind("HTTP/1.1 413", 0) == 0);
@@ -63,11 +66,11 @@
 {
   for (const char* length :
        { "99999999999999999999999", "-1", "18446744073709551615", "1, 2" }) {
-    const auto answer =
-      test::Exchange(kPort,
-               std::string{ "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " } +
-                 length + "\r\n\r\nabc",
-               kQuietMs);
+    const auto answer = test::Exchange(
+      kPort,
+      std::string{ "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " } +
+        length + "\r\n\r\nabc",
+      kQuietMs);
     CHECK(answer.rfind("HTTP/1.1 200", 0) != 0);
     StillServes();
   }
@@ -75,23 +78,23 @@
 
 TEST(HttpServer, LengthAndChunkingTogether_AreNotServed)
 {
-  const auto answer =
-    test::Exchange(kPort,
-             "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
-             "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /y HTTP/1.1\r\n"
-             "Host: h\r\n\r\n",
-             kQuietMs);
+  const auto answer = test::Exchange(
+    kPort,
+    "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /y HTTP/1.1\r\n"
+    "Host: h\r\n\r\n",
+    kQuietMs);
   CHECK(answer.rfind("HTTP/1.1 200", 0) != 0);
   StillServes();
 }
 
 TEST(HttpServer, BadChunks_CloseTheConnectionOnly)
 {
-  const auto answer =
-    test::Exchange(kPort,
-             "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
-             "zz\r\nabc\r\n",
-             kQuietMs);
+  const auto answer = test::Exchange(
+    kPort,
+    "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "zz\r\nabc\r\n",
+    kQuietMs);
   CHECK(answer.rfind("HTTP/1.1 200", 0) != 0);
   StillServes();
 }
@@ -102,10 +105,11 @@
 {
   std::string answer;
   std::thread slow([&]() {
-    answer = test::Exchange(kPort,
-                      "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n"
-                      "\r\nabc",
-                      kQuietMs * 2);
+    answer =
+      test::Exchange(kPort,
+                     "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n"
+                     "\r\nabc",
+                     kQuietMs * 2);
   });
   StillServes();
   slow.join();
@@ -114,8 +118,8 @@
 
 TEST(HttpServer, NotHttpAtAll_ClosesTheConnectionOnly)
 {
-  const auto answer =
-    test::Exchange(kPort, std::string("\x16\x03\x01\x00\xff garbage\r\n\r\n"), kQuietMs);
+  const auto answer = test::Exchange(
+    kPort, std::string("\x16\x03\x01\x00\xff garbage\r\n\r\n"), kQuietMs);
   CHECK(answer.rfind("HTTP/1.1 200", 0) != 0);
   StillServes();
 }
--- a/tests/unit/membership/registry_test.cpp
+++ b/tests/unit/membership/registry_test.cpp
@@ -17,7 +17,10 @@
 
 TEST_GROUP(Registry)
 {
-  void setup() override { m_registry.Reset(kStart); }
+  void setup() override
+  {
+    m_registry.Reset(kStart);
+  }
 
   void Sync(const outcome::EntryId& aEntry,
             std::uint64_t aRevision,
--- a/tests/unit/routing/router_test.cpp
+++ b/tests/unit/routing/router_test.cpp
@@ -24,39 +24,35 @@
 
 } // namespace
 
-TEST_GROUP(Router)
-{
-  void Fill(Router & aRouter, int aCount)
-  {
-    for (int i = 0; i < aCount; ++i) {
-      aRouter.Update(Upstream(i), true);
-    }
-  }
+TEST_GROUP(Router){ void Fill(Router & aRouter, int aCount){
+  for (int i = 0; i < aCount; ++i){ aRouter.Update(Upstream(i), true);
+}
+}
 
-  /** Sends and finishes one request after another. */
-  std::map<InstanceId, int> Send(
-    Router & aRouter, int aCount, const InstanceId& aBad, TimePoint aNow)
-  {
-    std::map<InstanceId, int> sent;
-    for (int i = 0; i < aCount; ++i) {
-      const auto pick = aRouter.Choose({}, aNow);
-      ++sent[pick->m_instance];
-      const bool bad = pick->m_instance == aBad;
-      aRouter.Finish(pick->m_instance,
-                     bad ? Verdict::kBad : Verdict::kGood,
-                     kTook,
-                     aNow);
-    }
-    return sent;
+/** Sends and finishes one request after another. */
+std::map<InstanceId, int>
+Send(Router& aRouter, int aCount, const InstanceId& aBad, TimePoint aNow)
+{
+  std::map<InstanceId, int> sent;
+  for (int i = 0; i < aCount; ++i) {
+    const auto pick = aRouter.Choose({}, aNow);
+    ++sent[pick->m_instance];
+    const bool bad = pick->m_instance == aBad;
+    aRouter.Finish(
+      pick->m_instance, bad ? Verdict::kBad : Verdict::kGood, kTook, aNow);
   }
+  return sent;
+}
 
-  void FailInRow(Router & aRouter, const InstanceId& aId)
-  {
-    for (int i = 0; i < Options{}.m_ejectAfter; ++i) {
-      aRouter.Finish(aId, Verdict::kBad, kTook, kStart);
-    }
+void
+FailInRow(Router& aRouter, const InstanceId& aId)
+{
+  for (int i = 0; i < Options{}.m_ejectAfter; ++i) {
+    aRouter.Finish(aId, Verdict::kBad, kTook, kStart);
   }
-};
+}
+}
+;
 
 // An upstream that fails at once has its slots free at once, so by load alone
 // it would draw most of the work.
--- a/tests/unit/settings/settings_test.cpp
+++ b/tests/unit/settings/settings_test.cpp
@@ -17,8 +17,7 @@
   std::string ProblemWith(const Json& aJson)
   {
     settings::Problem problem;
-    const auto settings =
-      settings::Parse(aJson.dump(), "file.json", problem);
+    const auto settings = settings::Parse(aJson.dump(), "file.json", problem);
     return settings ? "" : settings::ToText(problem);
   }
 
--- a/tests/unit/waves/planner_test.cpp
+++ b/tests/unit/waves/planner_test.cpp
@@ -72,7 +72,10 @@
     return waves::ComputeBudget(m_state, ServiceId{ "s" }).m_outByWaves;
   }
 
-  const Wave& TheWave() const { return m_state.Waves().at(WaveId{ "v" }); }
+  const Wave& TheWave() const
+  {
+    return m_state.Waves().at(WaveId{ "v" });
+  }
 
   /** The platform restarts all that were released. */
   void RestartReleased()
