End a stopped entry also when the control group is gone

Cause: an entry asked to stop waited for its goodbye to be answered, for ever if nobody was there to take it (found by stopping the quick start in the wrong order).

Change: after 2 s it ends all the same; its lease runs out by itself.

--- /dev/null
+++ b/include/bamboostile.h
@@ -0,0 +1,25 @@
+#pragma once
+
+/**
+ * @file
+ * @brief Everything a program may build on. Each folder beside this file is
+ * one library; its headers say what it is for.
+ *
+ * The decision libraries (consensus, outcome, fleet, membership, routing,
+ * admission, request, waves) take the time and an event and return typed
+ * actions; they read no clock and do no input or output.
+ */
+
+#include "bamboostile/admission/queue.h"
+#include "bamboostile/admission/retry_budget.h"
+#include "bamboostile/consensus/replica.h"
+#include "bamboostile/fleet/state.h"
+#include "bamboostile/membership/registry.h"
+#include "bamboostile/outcome/ledger.h"
+#include "bamboostile/request/engine.h"
+#include "bamboostile/routing/router.h"
+#include "bamboostile/settings/settings.h"
+#include "bamboostile/storage/log_store.h"
+#include "bamboostile/units/ids.h"
+#include "bamboostile/units/time.h"
+#include "bamboostile/waves/planner.h"
--- a/src/entry/link.cpp
+++ b/src/entry/link.cpp
@@ -17,6 +17,7 @@
 
 /** Outcomes are worth recording long after the caller has its answer. */
 constexpr Duration kResolvePatience = Millis{ 60'000 };
+constexpr Duration kGoodbyePatience = Millis{ 2000 };
 constexpr Duration kAnnouncePatience = Millis{ 3000 };
 
 kj::Duration
@@ -258,6 +259,11 @@
 Link::Run(Leave aLeave)
 {
   m_leave = std::move(aLeave);
+  // With the control group gone nobody takes the goodbye. The lease then runs
+  // out by itself, which says the same.
+  m_tasks.add(m_timer.afterDelay(ToKj(kGoodbyePatience)).then([this]() {
+    m_leave->m_done();
+  }));
 }
 
 void
--- a/tests/failure/requests_test.cpp
+++ b/tests/failure/requests_test.cpp
@@ -227,6 +227,20 @@
   LONGS_EQUAL(0, processes.Wait("e1"));
 }
 
+// The control group is gone when an entry is asked to stop. There is nobody to
+// say goodbye to; its lease runs out by itself, and it ends all the same.
+TEST(Requests, EntryStoppedByPlan_ControlGroupGone_EndsAllTheSame)
+{
+  Processes processes(21800);
+  processes.StartAll();
+  for (int i = 1; i <= 3; ++i) {
+    processes.Kill("c" + std::to_string(i));
+  }
+  processes.Signal("e1", SIGTERM);
+  CHECK(
+    processes.Until([&]() { return processes.HasEndedWell("e1"); }, kLimit));
+}
+
 // An upstream says that it leaves. After 2 s no entry sends it anything, not
 // even one that was frozen when it said so.
 TEST(Requests, UpstreamLeaving_EntryFrozenMeanwhile_GetsNoNewWork)
--- a/tests/support/processes.cpp
+++ b/tests/support/processes.cpp
@@ -196,6 +196,17 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+bool
+Processes::HasEndedWell(const std::string& aName)
+{
+  int status = 0;
+  if (waitpid(m_running.at(aName), &status, WNOHANG) <= 0) {
+    return false;
+  }
+  m_running.erase(aName);
+  return WIFEXITED(status) && WEXITSTATUS(status) == 0;
+}
+
 void
 Processes::Kill(const std::string& aName)
 {
--- a/tests/support/processes.h
+++ b/tests/support/processes.h
@@ -47,6 +47,8 @@
   void Signal(const std::string& aName, int aSignal);
   /** Waits for the end and returns the exit code, -1 for a signal. */
   int Wait(const std::string& aName);
+  /** Has the process ended by itself, with code 0? */
+  bool HasEndedWell(const std::string& aName);
   void Kill(const std::string& aName);
 
   Output Cli(std::vector<std::string> aWords);
--- a/tools/bamboostiled/main.cpp
+++ b/tools/bamboostiled/main.cpp
@@ -296,7 +296,11 @@
       }
       auto pair = kj::newPromiseAndCrossThreadFulfiller<void>();
       m_drained = kj::mv(pair.fulfiller);
-      m_frontend->Drain([this]() { m_drained->fulfill(); });
+      m_frontend->Drain([this]() {
+        if (m_drained->isWaiting()) {
+          m_drained->fulfill();
+        }
+      });
       auto finished = pair.promise.then([]() { return kExitDone; });
       auto forced = Signal().then([this]() {
         LogLine(Level::kWarning, "stopped by force")
