Halve the heartbeats, as the group at rest was over its bytes

Cause: a leader of 5 replicas with 12 entries moved 22.8 KB/s in and 22.6 out at rest, over the 17 KB/s of its bound. Slopes: 0.7 KB/s in for each entry, 3.6 for each follower.

Ruled out: the entries' syncs as the larger part.

Change: heartbeats every 200 ms (a lease of 720 ms outlives three), parked syncs for 0.5 s.

Renewals of 3,000 workers are still to be fitted in; docs/CAPACITY.md says how.

--- a/include/bamboostile/consensus/replica.h
+++ b/include/bamboostile/consensus/replica.h
@@ -10,7 +10,7 @@
 
 struct ReplicaOptions
 {
-  Duration m_heartbeat = Millis{ 100 };
+  Duration m_heartbeat = Millis{ 200 };
   /** No vote is given, and no election started, within this time of hearing
    * from a leader (or of starting up). */
   Duration m_electionMin = Millis{ 800 };
--- a/include/bamboostile/control/node.h
+++ b/include/bamboostile/control/node.h
@@ -21,7 +21,7 @@
   consensus::ReplicaOptions m_replica;
   membership::Options m_membership;
   std::uint64_t m_snapshotEvery = 2000;
-  Duration m_syncHold = Millis{ 400 };
+  Duration m_syncHold = Millis{ 500 };
   Duration m_inForcePatience = Millis{ 4000 };
   /** Asks the platform to restart a released instance; asked again while it
    * has not come back. */
