Give the retry loop, the responses and the file commands places of their own

Change: one loop that takes the call to repeat; response building and the commands for reviewed files moved out; no change of behaviour.

--- a/include/bamboostile/entry/link.h
+++ b/include/bamboostile/entry/link.h
@@ -115,11 +115,12 @@
 
   kj::Promise<void> FlushAnnouncements();
   kj::Promise<bool> TryAnnounce(std::vector<fleet::Announcement> aBatch);
-  kj::Promise<request::BeginResult> BeginUntil(outcome::Begin aBegin,
-                                               TimePoint aUntil);
-  kj::Promise<request::BeginResult> LookupUntil(RequestId aRequest,
-                                                TimePoint aUntil);
-  kj::Promise<void> ResolveUntil(outcome::Resolve aResolve, TimePoint aUntil);
+  /** Sends one call to the present replica; made anew for each try. */
+  using Try = std::function<kj::Promise<request::BeginResult>()>;
+
+  template<typename Reply>
+  request::BeginResult Judge(const Reply& aReply, const std::string& aAddress);
+  kj::Promise<request::BeginResult> AskUntil(Try aTry, TimePoint aUntil);
 
   rpc::Channel& Current();
   /** The present replica does not lead or does not answer. */
--- a/src/entry/frontend.cpp
+++ b/src/entry/frontend.cpp
@@ -5,6 +5,7 @@
 #include "bamboostile/units/visit.h"
 #include "caller_headers.h"
 #include "digest.h"
+#include "responses.h"
 
 #include <nlohmann/json.hpp>
 
@@ -16,6 +17,13 @@
 using internal::kOutcomeHeader;
 using internal::kRequestIdHeader;
 using request::AttemptEnd;
+using namespace internal::status;
+using internal::AddRetryAfter;
+using internal::FieldError;
+using internal::FromAnswer;
+using internal::JsonResponse;
+using internal::StatusOf;
+using internal::ToAnswer;
 
 constexpr Millis kTickPeriod{ 5 };
 constexpr Duration kLookupPatience = Millis{ 2000 };
@@ -24,134 +32,6 @@
 constexpr Duration kDrainGrace = Millis{ 500 };
 constexpr const char* kOutcomesPath = "/v1/outcomes/";
 constexpr const char* kUpstreamsPath = "/v1/upstreams/";
-constexpr const char* kJsonType = "application/json";
-
-constexpr std::uint32_t kOk = 200;
-constexpr std::uint32_t kAccepted = 202;
-constexpr std::uint32_t kBadRequest = 400;
-constexpr std::uint32_t kNotFound = 404;
-constexpr std::uint32_t kMethodNotAllowed = 405;
-constexpr std::uint32_t kConflict = 409;
-constexpr std::uint32_t kGone = 410;
-constexpr std::uint32_t kUnprocessable = 422;
-constexpr std::uint32_t kUnavailable = 503;
-constexpr std::uint32_t kTimeout = 504;
-
-const char*
-ReasonPhrase(std::uint32_t aStatus)
-{
-  switch (aStatus) {
-    case kOk:
-      return "OK";
-    case kAccepted:
-      return "Accepted";
-    case kBadRequest:
-      return "Bad Request";
-    case kNotFound:
-      return "Not Found";
-    case kMethodNotAllowed:
-      return "Method Not Allowed";
-    case kConflict:
-      return "Conflict";
-    case kGone:
-      return "Gone";
-    case kUnprocessable:
-      return "Unprocessable Content";
-    case kUnavailable:
-      return "Service Unavailable";
-    case kTimeout:
-      return "Gateway Timeout";
-    default:
-      return "Status";
-  }
-}
-
-http::Response
-JsonResponse(std::uint32_t aStatus, const Json& aBody)
-{
-  http::Response response;
-  response.m_status = aStatus;
-  response.m_reason = ReasonPhrase(aStatus);
-  response.m_headers.push_back({ "Content-Type", kJsonType });
-  response.m_body =
-    aBody.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
-  return response;
-}
-
-http::Response
-FieldError(const std::string& aField, const std::string& aAllowed)
-{
-  http::Response response = JsonResponse(
-    kBadRequest,
-    { { "error", "bad input" }, { "field", aField }, { "allowed", aAllowed } });
-  response.m_headers.push_back({ kOutcomeHeader, "not-run" });
-  return response;
-}
-
-/** Seconds, rounded up, as Retry-After wants them; exact milliseconds beside
- * it for callers that know us. */
-void
-AddRetryAfter(http::Response& aResponse, Duration aAfter)
-{
-  const auto millis = std::max<std::int64_t>(ToMillis(aAfter).count(), 0);
-  constexpr std::int64_t kMillisPerSecond = 1000;
-  const auto seconds = (millis + kMillisPerSecond - 1) / kMillisPerSecond;
-  aResponse.m_headers.push_back({ "Retry-After", std::to_string(seconds) });
-  aResponse.m_headers.push_back(
-    { internal::kRetryAfterMsHeader, std::to_string(millis) });
-}
-
-std::uint32_t
-StatusOf(const request::Conclude& aConclude)
-{
-  switch (aConclude.m_reason) {
-    case request::Reason::kUnknownService:
-      return kNotFound;
-    case request::Reason::kDigestMismatch:
-      return kUnprocessable;
-    case request::Reason::kAttemptNotAllowed:
-      return kConflict;
-    default:
-      return aConclude.m_state == outcome::State::kNotRun ? kUnavailable
-                                                          : kTimeout;
-  }
-}
-
-http::Response
-FromAnswer(const outcome::Answer& aAnswer)
-{
-  http::Response response;
-  response.m_status = aAnswer.m_status;
-  response.m_reason = ReasonPhrase(aAnswer.m_status);
-  for (const outcome::Header& header : aAnswer.m_headers) {
-    response.m_headers.push_back({ header.m_name, header.m_value });
-  }
-  response.m_body = aAnswer.m_body;
-  // Half an answer must not pass for the whole; the caller learns that its
-  // request was run, and that the body is gone.
-  if (aAnswer.m_bodyDropped) {
-    response =
-      JsonResponse(kGone,
-                   { { "error", "the answer was too large to be kept" },
-                     { "status", aAnswer.m_status } });
-  }
-  return response;
-}
-
-outcome::Answer
-ToAnswer(const http::Response& aResponse, std::size_t aKeptBytes)
-{
-  outcome::Answer answer;
-  answer.m_status = aResponse.m_status;
-  for (const http::Header& header : internal::WithoutOwn(aResponse.m_headers)) {
-    answer.m_headers.push_back({ header.m_name, header.m_value });
-  }
-  answer.m_bodyDropped = aResponse.m_body.size() > aKeptBytes;
-  if (!answer.m_bodyDropped) {
-    answer.m_body = aResponse.m_body;
-  }
-  return answer;
-}
 
 request::AttemptEnd
 ToEnd(http::CallEnd aEnd)
--- a/src/entry/link.cpp
+++ b/src/entry/link.cpp
@@ -349,136 +349,91 @@
 
 // ------------------------------------------------------- record of requests
 
-void
-Link::Run(Begin aBegin)
+/** Tells whichever replica answered from what to do next. */
+template<typename Reply>
+BeginResult
+Link::Judge(const Reply& aReply, const std::string& aAddress)
 {
-  const TimePoint until = MonotonicNow() + aBegin.m_patience;
-  m_tasks.add(BeginUntil(std::move(aBegin.m_begin), until)
-                .then([done = std::move(aBegin.m_done)](BeginResult aResult) {
-                  done(std::move(aResult));
-                }));
+  if (aReply.getOutcome() == schema::LedgerOutcome::NOT_LEADER) {
+    MoveOn(aAddress, ToString(aReply.getLeaderAddress()));
+  }
+  return ToResult(aReply);
 }
 
+// One try after another until there is an answer or the time is over. A try
+// that timed out may be committed all the same; every call repeated here is
+// idempotent, so asking again gets the answer of the first.
 kj::Promise<BeginResult>
-Link::BeginUntil(outcome::Begin aBegin, TimePoint aUntil)
+Link::AskUntil(Try aTry, TimePoint aUntil)
 {
   const std::string address = m_current;
-  auto call = Current().Get().beginRequest();
-  wire::Write(aBegin, call.initBegin());
-  kj::Promise<capnp::Response<schema::Control::BeginResults>> sent =
-    call.send();
   const Duration left =
     std::max<Duration>(aUntil - MonotonicNow(), Millis{ 1 });
   return m_timer
-    .timeoutAfter(ToKj(std::min(left, m_options.m_tryTimeout)), kj::mv(sent))
-    .then(
-      [this, address](auto aResponse) {
-        const auto reply = aResponse.getReply();
-        if (reply.getOutcome() == schema::LedgerOutcome::NOT_LEADER) {
-          MoveOn(address, ToString(reply.getLeaderAddress()));
-        }
-        return ToResult(reply);
-      },
-      [this, address](kj::Exception&&) {
-        MoveOn(address, "");
-        return BeginResult{};
-      })
-    .then([this, begin = std::move(aBegin), aUntil](
+    .timeoutAfter(ToKj(std::min(left, m_options.m_tryTimeout)), aTry())
+    .then([](BeginResult aResult) { return aResult; },
+          [this, address](kj::Exception&&) {
+            MoveOn(address, "");
+            return BeginResult{};
+          })
+    .then([this, again = std::move(aTry), aUntil](
             BeginResult aResult) mutable -> kj::Promise<BeginResult> {
       const bool decided = aResult.m_outcome != BeginOutcome::kUndecided;
       if (decided || MonotonicNow() + m_options.m_retryPause >= aUntil) {
         return aResult;
       }
-      // The same holder and ticket: if the first call was committed after
-      // all, this one gets its answer.
-      return Pause().then([this, begin = std::move(begin), aUntil]() mutable {
-        return BeginUntil(std::move(begin), aUntil);
+      return Pause().then([this, again = std::move(again), aUntil]() mutable {
+        return AskUntil(std::move(again), aUntil);
       });
     });
 }
 
 void
-Link::Run(Lookup aLookup)
+Link::Run(Begin aBegin)
 {
-  const TimePoint until = MonotonicNow() + aLookup.m_patience;
-  m_tasks.add(LookupUntil(std::move(aLookup.m_request), until)
-                .then([done = std::move(aLookup.m_done)](BeginResult aResult) {
+  const TimePoint until = MonotonicNow() + aBegin.m_patience;
+  Try attempt = [this, begin = std::move(aBegin.m_begin)]() {
+    auto call = Current().Get().beginRequest();
+    wire::Write(begin, call.initBegin());
+    return call.send().then([this, address = m_current](auto aResponse) {
+      return Judge(aResponse.getReply(), address);
+    });
+  };
+  m_tasks.add(AskUntil(std::move(attempt), until)
+                .then([done = std::move(aBegin.m_done)](BeginResult aResult) {
                   done(std::move(aResult));
                 }));
 }
 
-kj::Promise<BeginResult>
-Link::LookupUntil(RequestId aRequest, TimePoint aUntil)
+void
+Link::Run(Lookup aLookup)
 {
-  const std::string address = m_current;
-  auto call = Current().Get().lookupRequest();
-  call.setRequest(aRequest.Get());
-  kj::Promise<capnp::Response<schema::Control::LookupResults>> sent =
-    call.send();
-  return WithTimeout(kj::mv(sent))
-    .then(
-      [this, address](auto aResponse) {
-        const auto reply = aResponse.getReply();
-        if (reply.getOutcome() == schema::LedgerOutcome::NOT_LEADER) {
-          MoveOn(address, ToString(reply.getLeaderAddress()));
-        }
-        return ToResult(reply);
-      },
-      [this, address](kj::Exception&&) {
-        MoveOn(address, "");
-        return BeginResult{};
-      })
-    .then([this, request = std::move(aRequest), aUntil](
-            BeginResult aResult) mutable -> kj::Promise<BeginResult> {
-      const bool decided = aResult.m_outcome != BeginOutcome::kUndecided;
-      if (decided || MonotonicNow() + m_options.m_retryPause >= aUntil) {
-        return aResult;
-      }
-      return Pause().then(
-        [this, request = std::move(request), aUntil]() mutable {
-          return LookupUntil(std::move(request), aUntil);
-        });
+  const TimePoint until = MonotonicNow() + aLookup.m_patience;
+  Try attempt = [this, request = std::move(aLookup.m_request)]() {
+    auto call = Current().Get().lookupRequest();
+    call.setRequest(request.Get());
+    return call.send().then([this, address = m_current](auto aResponse) {
+      return Judge(aResponse.getReply(), address);
     });
+  };
+  m_tasks.add(AskUntil(std::move(attempt), until)
+                .then([done = std::move(aLookup.m_done)](BeginResult aResult) {
+                  done(std::move(aResult));
+                }));
 }
 
 void
 Link::Run(Resolve aResolve)
 {
-  m_tasks.add(ResolveUntil(std::move(aResolve.m_resolve),
-                           MonotonicNow() + kResolvePatience));
-}
-
-kj::Promise<void>
-Link::ResolveUntil(outcome::Resolve aResolve, TimePoint aUntil)
-{
-  const std::string address = m_current;
-  auto call = Current().Get().resolveRequest();
-  wire::Write(aResolve, call.initResolve());
-  kj::Promise<capnp::Response<schema::Control::ResolveResults>> sent =
-    call.send();
-  return WithTimeout(kj::mv(sent))
-    .then(
-      [this, address](auto aResponse) {
-        const auto reply = aResponse.getReply();
-        if (reply.getOutcome() == schema::LedgerOutcome::NOT_LEADER) {
-          MoveOn(address, ToString(reply.getLeaderAddress()));
-        }
-        return reply.getOutcome() == schema::LedgerOutcome::RECORDED;
-      },
-      [this, address](kj::Exception&&) {
-        MoveOn(address, "");
-        return false;
-      })
-    .then([this, resolve = std::move(aResolve), aUntil](
-            bool aDone) mutable -> kj::Promise<void> {
-      if (aDone || MonotonicNow() >= aUntil) {
-        return kj::READY_NOW;
-      }
-      return Pause().then(
-        [this, resolve = std::move(resolve), aUntil]() mutable {
-          return ResolveUntil(std::move(resolve), aUntil);
-        });
+  const TimePoint until = MonotonicNow() + kResolvePatience;
+  Try attempt = [this, resolve = std::move(aResolve.m_resolve)]() {
+    auto call = Current().Get().resolveRequest();
+    wire::Write(resolve, call.initResolve());
+    return call.send().then([this, address = m_current](auto aResponse) {
+      return Judge(aResponse.getReply(), address);
     });
+  };
+  m_tasks.add(AskUntil(std::move(attempt), until).ignoreResult());
 }
 
 } // namespace bamboostile::entry
--- /dev/null
+++ b/src/entry/responses.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "bamboostile/http/message.h"
+#include "bamboostile/request/types.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bamboostile::entry::internal {
+
+namespace status {
+
+constexpr std::uint32_t kOk = 200;
+constexpr std::uint32_t kAccepted = 202;
+constexpr std::uint32_t kBadRequest = 400;
+constexpr std::uint32_t kNotFound = 404;
+constexpr std::uint32_t kMethodNotAllowed = 405;
+constexpr std::uint32_t kConflict = 409;
+constexpr std::uint32_t kGone = 410;
+constexpr std::uint32_t kUnprocessable = 422;
+constexpr std::uint32_t kUnavailable = 503;
+constexpr std::uint32_t kTimeout = 504;
+
+} // namespace status
+
+http::Response JsonResponse(std::uint32_t aStatus, const nlohmann::json& aBody);
+
+/** 400 that names the field and what is allowed. */
+http::Response FieldError(const std::string& aField,
+                          const std::string& aAllowed);
+
+/** Seconds, rounded up, as Retry-After wants them; exact milliseconds beside
+ * it for callers that know us. */
+void AddRetryAfter(http::Response& aResponse, Duration aAfter);
+
+std::uint32_t StatusOf(const request::Conclude& aConclude);
+
+/** An answer on record as a response, and the other way round. */
+http::Response FromAnswer(const outcome::Answer& aAnswer);
+outcome::Answer ToAnswer(const http::Response& aResponse,
+                         std::size_t aKeptBytes);
+
+} // namespace bamboostile::entry::internal
--- a/tools/bamboostile/operator_commands.cpp
+++ b/tools/bamboostile/operator_commands.cpp
@@ -1,13 +1,11 @@
 #include "commands.h"
+#include "output.h"
 #include "review.h"
 
-#include "bamboostile/units/hash.h"
-
 #include <boost/program_options.hpp>
 #include <capnp/compat/json.h>
 
 #include <algorithm>
-#include <fstream>
 #include <iomanip>
 #include <iostream>
 #include <random>
@@ -21,14 +19,6 @@
 using Json = nlohmann::json;
 using Call = schema::OperatorCall::Builder;
 
-std::string
-HexOf(std::uint64_t aValue)
-{
-  std::ostringstream text;
-  text << std::hex << std::setw(16) << std::setfill('0') << aValue;
-  return text.str();
-}
-
 std::string
 RandomOperationId()
 {
@@ -38,43 +28,6 @@
   return "op-" + HexOf(value);
 }
 
-void
-Print(const Common& aCommon,
-      const std::string& aObject,
-      const std::string& aOperation,
-      const Reply& aReply)
-{
-  if (aCommon.m_json) {
-    Json json = ToJson(aReply);
-    json["operationId"] = aOperation;
-    json["object"] = aObject;
-    std::cout << json.dump() << "\n";
-    return;
-  }
-  std::ostream& out = aReply.m_exit == ExitCode::kDone ? std::cout : std::cerr;
-  out << aReply.m_outcome;
-  if (!aObject.empty()) {
-    out << " " << aObject;
-  }
-  if (aReply.m_revision != 0) {
-    out << " revision=" << aReply.m_revision;
-  }
-  if (aReply.m_exit == ExitCode::kDone) {
-    out << (aReply.m_inForce ? " in force everywhere" : "");
-  }
-  if (!aReply.m_message.empty()) {
-    out << ": " << aReply.m_message;
-  }
-  if (!aReply.m_winner.empty()) {
-    out << " (changed by " << aReply.m_winnerOperator << ", operation "
-        << aReply.m_winner << ")";
-  }
-  out << "\n";
-  if (aReply.m_exit == ExitCode::kUnknown) {
-    out << "send it again with: --operation-id " << aOperation << "\n";
-  }
-}
-
 /** Fills in what the operator left out, sends the call and prints the
  * answer. The revision comes from the present state unless given. */
 ExitCode
@@ -161,9 +114,8 @@
      const char* aList,
      const std::vector<std::string>& aFields)
 {
-  Session session(aCommon.m_control, aCommon.m_patienceMs);
   Reply failure;
-  const auto status = session.Status(failure);
+  const auto status = FetchStatus(aCommon, failure);
   if (!status) {
     Print(aCommon, "", "-", failure);
     return failure.m_exit;
@@ -201,14 +153,6 @@
   return ExitCode::kDone;
 }
 
-/** Opens a session of its own, of which a thread can have one at a time. */
-std::optional<Json>
-FetchStatus(const Common& aCommon, Reply& aFailure)
-{
-  Session session(aCommon.m_control, aCommon.m_patienceMs);
-  return session.Status(aFailure);
-}
-
 std::optional<Json>
 FindInStatus(const Common& aCommon, const char* aList, const std::string& aId)
 {
@@ -227,13 +171,6 @@
 
 } // namespace
 
-ExitCode
-BadInput(const std::string& aWhat)
-{
-  std::cerr << "bamboostile: " << aWhat << "\n";
-  return ExitCode::kBadInput;
-}
-
 ExitCode
 RunPool(const Common& aCommon, const Words& aWords)
 {
@@ -396,9 +333,8 @@
                 { "id", "pool", "state", "reason", "instances", "revision" });
   }
   if (parsed.m_action == "plan" && !parsed.Text("pool").empty()) {
-    Session session(aCommon.m_control, aCommon.m_patienceMs);
     Reply failure;
-    const auto status = session.Status(failure);
+    const auto status = FetchStatus(aCommon, failure);
     if (!status) {
       Print(aCommon, "", "-", failure);
       return failure.m_exit;
@@ -530,9 +466,8 @@
 ExitCode
 RunStatus(const Common& aCommon, const Words& /*aWords*/)
 {
-  Session session(aCommon.m_control, aCommon.m_patienceMs);
   Reply failure;
-  const auto status = session.Status(failure);
+  const auto status = FetchStatus(aCommon, failure);
   if (!status) {
     Print(aCommon, "", "-", failure);
     return failure.m_exit;
@@ -582,127 +517,4 @@
   return ExitCode::kDone;
 }
 
-// ------------------------------------------------------------ reviewed files
-
-namespace {
-
-/** Reads a file of calls; on failure says which call and which field. */
-bool
-ReadCalls(const std::string& aFile,
-          capnp::MallocMessageBuilder& aMessage,
-          std::string& aProblem)
-{
-  std::ifstream in(aFile);
-  if (!in) {
-    aProblem = aFile + ": cannot be read";
-    return false;
-  }
-  std::ostringstream text;
-  text << in.rdbuf();
-  capnp::JsonCodec codec;
-  codec.setRejectUnknownFields(true);
-  const auto failure = kj::runCatchingExceptions([&]() {
-    codec.decode(kj::StringPtr(text.str().c_str()),
-                 aMessage.initRoot<schema::CallList>());
-  });
-  KJ_IF_MAYBE (exception, failure) {
-    aProblem = aFile + ": " + exception->getDescription().cStr();
-    return false;
-  }
-  return true;
-}
-
-/** The same call of the same file, meant for the same state, keeps its id:
- * running the file again after a lost answer does nothing twice. */
-std::string
-DerivedOperationId(schema::OperatorCall::Reader aCall, std::uint64_t aRevision)
-{
-  const capnp::JsonCodec codec;
-  const kj::String text = codec.encode(aCall);
-  return "file-" + HexOf(StableHash{}.Add(text.cStr()).Add(aRevision).Get());
-}
-
-} // namespace
-
-ExitCode
-RunDiff(const Common& aCommon, const Words& aWords)
-{
-  capnp::MallocMessageBuilder message;
-  std::string problem;
-  if (aWords.size() != 1) {
-    return BadInput("diff: one FILE is needed");
-  }
-  if (!ReadCalls(aWords.front(), message, problem)) {
-    return BadInput(problem);
-  }
-  Session session(aCommon.m_control, aCommon.m_patienceMs);
-  Reply failure;
-  const auto status = session.Status(failure);
-  if (!status) {
-    Print(aCommon, "", "-", failure);
-    return failure.m_exit;
-  }
-  Json shown = Json::array();
-  for (auto call : message.getRoot<schema::CallList>().getCalls()) {
-    const Review review = ReviewCall(call.asReader(), *status);
-    shown.push_back({ { "object", review.m_object },
-                      { "revision", review.m_revision },
-                      { "holds", review.m_holds },
-                      { "changes", review.m_changes } });
-    if (!aCommon.m_json) {
-      std::cout << (review.m_holds ? "  = " : "  ~ ") << review.m_object
-                << "\n";
-      for (const std::string& change : review.m_changes) {
-        std::cout << "      " << change << "\n";
-      }
-    }
-  }
-  if (aCommon.m_json) {
-    std::cout << shown.dump() << "\n";
-  }
-  return ExitCode::kDone;
-}
-
-ExitCode
-RunApply(const Common& aCommon, const Words& aWords)
-{
-  capnp::MallocMessageBuilder message;
-  std::string problem;
-  if (aWords.size() != 1) {
-    return BadInput("apply: one FILE is needed");
-  }
-  if (!ReadCalls(aWords.front(), message, problem)) {
-    return BadInput(problem);
-  }
-  Session session(aCommon.m_control, aCommon.m_patienceMs);
-  for (auto call : message.getRoot<schema::CallList>().getCalls()) {
-    Reply failure;
-    const auto status = session.Status(failure);
-    if (!status) {
-      Print(aCommon, "", "-", failure);
-      return failure.m_exit;
-    }
-    const Review review = ReviewCall(call.asReader(), *status);
-    if (review.m_holds) {
-      continue;
-    }
-    if (!call.hasOperator()) {
-      call.setOperator(aCommon.m_operator);
-    }
-    if (call.getExpectedRevision() == 0) {
-      call.setExpectedRevision(review.m_revision);
-    }
-    if (!call.hasOperationId()) {
-      call.setOperationId(
-        DerivedOperationId(call.asReader(), call.getExpectedRevision()));
-    }
-    const Reply reply = session.Submit(call.asReader());
-    Print(aCommon, review.m_object, call.getOperationId().cStr(), reply);
-    if (reply.m_exit != ExitCode::kDone) {
-      return reply.m_exit;
-    }
-  }
-  return ExitCode::kDone;
-}
-
 } // namespace bamboostile::cli
