Forget services that a full view no longer names

Cause: found by reading. An entry that was away past the remembered removals gets a full view, and kept services that were removed meanwhile.

Change: a full view starts from none.

--- a/src/request/engine.cpp
+++ b/src/request/engine.cpp
@@ -152,6 +152,9 @@
     instance.m_lost = true;
     Place(instance);
   }
+  for (auto& [id, service] : m_services) {
+    service.m_removed = true;
+  }
   m_pools.clear();
   m_instances.clear();
 }
