Remove three functions that nothing calls

Found by reading the whole change: Engine::KnowsService, Router::InFlightAt, and a declaration in the test support that was never defined. No change of behaviour; unit.request, unit.routing and differential.request_truth pass.

--- a/include/bamboostile/request/engine.h
+++ b/include/bamboostile/request/engine.h
@@ -67,7 +67,6 @@
   const fleet::Config& CurrentConfig() const { return m_config; }
   bool HasLease(TimePoint aNow) const { return aNow < m_leaseUntil; }
   const fleet::Instance* Find(const InstanceId& aInstance) const;
-  bool KnowsService(const ServiceId& aService) const;
 
   /** Work under way at instances that get nothing new. */
   std::vector<std::pair<InstanceId, std::uint32_t>> Leftovers() const;
--- a/include/bamboostile/routing/router.h
+++ b/include/bamboostile/routing/router.h
@@ -84,7 +84,6 @@
   /** Attempts that could be under way together at this entry. */
   std::uint32_t Capacity(TimePoint aNow);
   std::uint32_t InFlight() const { return m_inFlight; }
-  std::uint32_t InFlightAt(const InstanceId& aInstance) const;
   bool HasUpstreams() const { return m_routable > 0; }
   Duration MeanTime() const { return m_meanTime; }
   /** Most requests take no longer. */
--- a/src/request/engine.cpp
+++ b/src/request/engine.cpp
@@ -108,13 +108,6 @@
   return found == m_services.end() ? nullptr : &found->second;
 }
 
-bool
-Engine::KnowsService(const ServiceId& aService) const
-{
-  const auto found = m_services.find(aService);
-  return found != m_services.end() && !found->second.m_removed;
-}
-
 const fleet::Instance*
 Engine::Find(const InstanceId& aInstance) const
 {
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -443,13 +443,6 @@
   return m_capacity;
 }
 
-std::uint32_t
-Router::InFlightAt(const InstanceId& aInstance) const
-{
-  const auto found = m_positions.find(aInstance);
-  return found == m_positions.end() ? 0 : m_upstreams[found->second].m_inFlight;
-}
-
 std::vector<std::pair<InstanceId, std::uint32_t>>
 Router::Leftovers() const
 {
--- a/tests/support/processes.h
+++ b/tests/support/processes.h
@@ -77,7 +77,6 @@
 
 private:
   pid_t Spawn(const std::string& aName, const std::vector<std::string>& aWords);
-  void StartCaller(const std::vector<std::string>& aWords);
   std::vector<std::string> CallerWords(std::vector<std::string> aMore) const;
 
   std::uint16_t m_base;
