--- /dev/null
+++ b/include/bamboostile/control/job_service.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include "bamboostile/control/node.h"
+#include "bamboostile/jobs/calls.h"
+#include "bamboostile/placement/planner.h"
+#include "bamboostile/placement/upkeep.h"
+
+#include <set>
+
+namespace bamboostile::control {
+
+/** What a worker hears back. */
+struct WorkerAnswer
+{
+  /** Unset: no lease is given; the reason is m_refusal. */
+  std::optional<placement::Orders> m_orders;
+  Term m_fencingToken;
+  /** Set where another replica leads. */
+  std::string m_leaderAddress;
+  std::string m_refusal;
+};
+
+enum class RoutesOutcome
+{
+  kInForce,
+  kNotLeader,
+  kUndecided,
+};
+
+enum class ReadOutcome
+{
+  kDone,
+  kNotLeader,
+  kNothing,
+};
+
+struct RoutesRead
+{
+  ReadOutcome m_outcome = ReadOutcome::kNotLeader;
+  std::string m_document;
+};
+
+enum class WaveView
+{
+  kRunning,
+  kCompleted,
+  kUnknown,
+  kNotLeader,
+};
+
+struct JobServiceOptions
+{
+  placement::LeaseOptions m_lease;
+  placement::UpkeepOptions m_upkeep;
+  /** How long callers can ask for the state of an ended job. */
+  Duration m_keepEnded = std::chrono::seconds{ 180 };
+  /** Asks the platform for an instance's upkeep; the answer may come on any
+   * thread. Unset where there is no such platform. */
+  std::function<void(const placement::UpkeepOrder&,
+                     Term,
+                     std::function<void(placement::UpkeepAnswer)>)>
+    m_orderUpkeep;
+};
+
+/**
+ * @brief Jobs at the leader: binds the decisions of placement to the log, to
+ * workers and to callers.
+ *
+ * Lives on the node's event loop. Changes of runs are proposed one batch at a
+ * time: while one is on its way to the disks, what comes in gathers for the
+ * next, so a busy leader syncs fewer and larger batches.
+ */
+class JobService final : private kj::TaskSet::ErrorHandler
+{
+public:
+  JobService(Node& aNode, kj::Timer& aTimer, JobServiceOptions aOptions);
+
+  kj::Promise<jobs::QueueReply> Call(jobs::QueueCall aCall);
+  kj::Promise<WorkerAnswer> Report(placement::WorkerReport aReport);
+  /** The worker says that it ends now. */
+  kj::Promise<WorkerAnswer> Leave(WorkerId aWorker);
+  kj::Promise<RoutesOutcome> ReplaceRoutes(fleet::RouteTable aTable);
+  RoutesRead ReadRoutes();
+  kj::Promise<RoutesOutcome> StartUpkeep(fleet::UpkeepWave aWave);
+  WaveView LookAtUpkeep(std::uint64_t aWave);
+  std::string LeaderAddress() const { return m_node.LeaderAddress(); }
+
+private:
+  struct Waiting
+  {
+    WorkerId m_worker;
+    std::uint64_t m_sequence = 0;
+    /** Its ends are committed, and a pass of placing has seen them. */
+    bool m_planned = false;
+    kj::Own<kj::PromiseFulfiller<WorkerAnswer>> m_fulfiller;
+  };
+
+  struct UpkeepResult
+  {
+    placement::UpkeepOrder m_order;
+    placement::UpkeepAnswer m_answer;
+  };
+
+  void taskFailed(kj::Exception&& aException) override;
+  kj::Promise<void> TickLoop();
+  kj::Promise<void> UpkeepLoop();
+  /** Whether this replica leads now; begins anew with each term. */
+  bool Leads();
+  WorkerAnswer NotLeading() const;
+  void Gather(std::vector<jobs::EndRun> aEnds);
+  void Kick();
+  kj::Promise<void> Cycle();
+  kj::Promise<void> Commit(std::vector<jobs::Change> aChanges);
+  void AnswerPlanned();
+  void AnswerAllAsFollower();
+  void LearnFrom(const std::vector<jobs::Change>& aChanges, TimePoint aNow);
+  void PlanUpkeep(TimePoint aNow);
+  void Advance(const fleet::AdvanceUpkeep& aAdvance);
+  kj::Promise<jobs::QueueReply> Submit(const fleet::QueueRoute& aRoute,
+                                       JobId aJob,
+                                       jobs::JobSpec aSpec);
+  kj::Promise<jobs::QueueReply> Cancel(JobId aJob);
+
+  Node& m_node;
+  kj::Timer& m_timer;
+  JobServiceOptions m_options;
+  Term m_term;
+  std::optional<placement::WorkerTable> m_workers;
+  placement::Planner m_planner;
+  std::optional<placement::UpkeepPlanner> m_upkeep;
+  std::set<WorkerId> m_cordoned;
+  std::set<std::pair<std::uint64_t, InstanceId>> m_ordersUnderWay;
+  /** Orders of which at least one sending was not clearly answered. */
+  std::set<std::pair<std::uint64_t, InstanceId>> m_unclearOrders;
+  std::map<jobs::TaskRef, TimePoint> m_startedAt;
+  std::vector<jobs::Change> m_gathered;
+  bool m_isDirty = false;
+  bool m_isCycling = false;
+  std::size_t m_advancing = 0;
+  TimePoint m_nextPass;
+  TimePoint m_nextUpkeep;
+  TimePoint m_nextForget;
+  std::vector<Waiting> m_waiting;
+  rpc::Mailbox<UpkeepResult> m_upkeepResults;
+  kj::TaskSet m_tasks;
+};
+
+/** Time of day; for due times and records only. */
+WallTime WallNow();
+
+} // namespace bamboostile::control
--- a/include/bamboostile/control/node.h
+++ b/include/bamboostile/control/node.h
@@ -26,6 +26,16 @@
   /** Asks the platform to restart a released instance; asked again while it
    * has not come back. */
   std::function<void(const fleet::Instance&)> m_restart;
+  /** RPC addresses of the replicas that form the group at its first start;
+   * a replica that no membership names asks them for admission. Empty where
+   * an operator adds members by hand. */
+  std::vector<std::string> m_seeds;
+  /** The whole system starts for the first time, on empty disks. */
+  bool m_formGroup = false;
+  /** Beyond the number of seeds, a voter that is silent for so long is taken
+   * out: its place has been filled, and it would only weigh on the quorum.
+   * Longer than a restart takes. */
+  Duration m_dropSilentAfter = Millis{ 6000 };
 };
 
 /** What became of a proposed command. */
@@ -61,6 +71,7 @@
   /** Returns once the view moved past aRevision, or after the hold time. */
   kj::Promise<void> WaitViewChange(Index aRevision);
   kj::Promise<consensus::Error> AddMember(std::string aAddress);
+  consensus::Error Admit(consensus::Member aMember);
 
   consensus::Replica& Replica() { return m_replica; }
   const fleet::State& State() const { return m_state; }
@@ -97,6 +108,11 @@
   kj::Promise<void> TickLoop();
   kj::Promise<void> DiskLoop();
   kj::Promise<void> SnapshotLoop();
+  kj::Promise<void> JoinLoop();
+  kj::Promise<void> AskAdmission(const std::string& aSeed);
+  void FormGroup();
+  void DropSilentVoter(TimePoint aNow);
+  bool IsSafelyFormed() const;
   void Pump();
   void Run(consensus::Persist aPersist);
   void Run(const consensus::Send& aSend);
@@ -140,6 +156,8 @@
   /** When which part of the log was seen; expiry of outcomes goes by it. */
   std::deque<Mark> m_marks;
   std::map<std::string, Peer> m_peers;
+  /** When each peer was last heard; of interest to a leader. */
+  std::map<consensus::ReplicaId, TimePoint> m_heardFrom;
   /** Of senders that the membership here does not name. */
   std::map<consensus::ReplicaId, std::string> m_replyTo;
   std::map<Index, Waiter> m_waiters;
@@ -148,11 +166,14 @@
   kj::TaskSet m_tasks;
 };
 
-/** The RPC face of a node. */
-schema::Control::Client MakeControlServer(Node& aNode);
+class JobService;
+
+/** The RPC face of a node; aJobs may be null. */
+schema::Control::Client MakeControlServer(Node& aNode, JobService* aJobs);
 
 /** Accepts RPC connections until the promise is dropped. */
 kj::Promise<void> Listen(Node& aNode,
+                         JobService* aJobs,
                          kj::AsyncIoProvider& aProvider,
                          const std::string& aAddress);
 
--- /dev/null
+++ b/include/bamboostile/entry/leader_client.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "bamboostile/jobs/calls.h"
+#include "bamboostile/rpc/channel.h"
+
+#include <map>
+#include <vector>
+
+namespace bamboostile::entry {
+
+struct LeaderClientOptions
+{
+  /** For one attempt at one replica. A leader answers within some 20 ms, one
+   * that is cut off never. */
+  Duration m_attempt = Millis{ 600 };
+  /** For all attempts; callers wait three seconds. */
+  Duration m_total = Millis{ 2000 };
+  /** Between two rounds over all replicas: an election takes 0.8 to 1.6 s. */
+  Duration m_pause = Millis{ 100 };
+};
+
+/**
+ * @brief Brings calls of callers to whichever replica leads.
+ *
+ * All calls may be repeated: a job's id makes a second submission the same
+ * job. Lives on one KJ event loop.
+ */
+class LeaderClient
+{
+public:
+  LeaderClient(kj::AsyncIoProvider& aProvider,
+               std::vector<std::string> aSeeds,
+               LeaderClientOptions aOptions = {});
+
+  /** kNotLeader: no replica took it, so it never runs. kUndecided: one may
+   * have. */
+  kj::Promise<jobs::QueueReply> Call(jobs::QueueCall aCall);
+  /** Replicas to ask beside those that were learned. */
+  void SetSeeds(const std::vector<std::string>& aSeeds);
+
+private:
+  struct Attempts
+  {
+    jobs::QueueCall m_call;
+    TimePoint m_until;
+    /** An attempt was not answered: it may have been taken. */
+    bool m_unclear = false;
+    std::size_t m_next = 0;
+    std::size_t m_redirects = 0;
+  };
+
+  kj::Promise<jobs::QueueReply> Try(kj::Own<Attempts> aAttempts);
+  kj::Promise<jobs::QueueReply> TryAgain(kj::Own<Attempts> aAttempts,
+                                         bool aRoundIsOver);
+  kj::Promise<jobs::QueueReply> Send(const std::string& aAddress,
+                                     const jobs::QueueCall& aCall);
+  void LearnLeader(const std::string& aAddress);
+  rpc::Channel& ChannelTo(const std::string& aAddress);
+
+  kj::AsyncIoProvider& m_provider;
+  kj::Timer& m_timer;
+  LeaderClientOptions m_options;
+  /** The one that led last comes first. */
+  std::vector<std::string> m_replicas;
+  std::map<std::string, kj::Own<rpc::Channel>> m_channels;
+};
+
+} // namespace bamboostile::entry
--- a/include/bamboostile/fleet/commands.h
+++ b/include/bamboostile/fleet/commands.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include "bamboostile/fleet/model.h"
+#include "bamboostile/fleet/routes.h"
+#include "bamboostile/fleet/upkeep.h"
+#include "bamboostile/jobs/book.h"
 #include "bamboostile/outcome/types.h"
 
 #include <variant>
@@ -124,6 +127,12 @@
   std::string m_reason;
 };
 
+/** Takes effect only where its version is higher than the one in force. */
+struct ReplaceRoutes
+{
+  RouteTable m_table;
+};
+
 using Command = std::variant<OperatorCall,
                              AnnounceInstances,
                              LoseInstances,
@@ -131,7 +140,11 @@
                              outcome::Resolve,
                              outcome::Expire,
                              AdvanceWave,
-                             CloseWave>;
+                             CloseWave,
+                             ReplaceRoutes,
+                             StartUpkeep,
+                             AdvanceUpkeep,
+                             jobs::Batch>;
 
 // ------------------------------------------------------------------ answers
 
--- a/include/bamboostile/fleet/state.h
+++ b/include/bamboostile/fleet/state.h
@@ -31,7 +31,10 @@
 };
 
 /** What applying one command brought; each command kind sets its own part. */
-using Effect = std::variant<std::monostate, CallReply, outcome::BeginReply>;
+using Effect = std::variant<std::monostate,
+                            CallReply,
+                            outcome::BeginReply,
+                            jobs::BatchReply>;
 
 /**
  * @brief The replicated state: pools, services, instances, configuration,
@@ -59,6 +62,10 @@
   const std::map<WaveId, Wave>& Waves() const { return m_waves; }
   const Config& CurrentConfig() const { return m_config; }
   const outcome::Ledger& Outcomes() const { return m_outcomes; }
+  const jobs::Book& Jobs() const { return m_jobs; }
+  const RouteTable& Routes() const { return m_routes; }
+  const RouteIndex& RouteLookup() const { return m_routeIndex; }
+  const std::map<std::uint64_t, UpkeepWave>& Upkeep() const { return m_upkeep; }
 
   /** The first answer to an operation, while it is remembered. */
   const CallReply* FindReply(const OperationId& aOperation) const;
@@ -89,6 +96,10 @@
   void Apply(Index aIndex, const LoseInstances& aLoss);
   void Apply(Index aIndex, const AdvanceWave& aAdvance);
   void Apply(Index aIndex, const CloseWave& aClose);
+  void Apply(Index aIndex, const ReplaceRoutes& aReplace);
+  void Apply(Index aIndex, const StartUpkeep& aStart);
+  void Apply(Index aIndex, const AdvanceUpkeep& aAdvance);
+  jobs::BatchReply ApplyJobs(const jobs::Batch& aBatch);
   void ReleaseFromWave(Index aIndex, const Wave& aWave);
   std::optional<PoolId> PoolFor(const Announcement& aAnnouncement) const;
   void Modified(Index aIndex) { m_viewRevision = aIndex; }
@@ -109,6 +120,11 @@
   std::unordered_map<OperationId, CallReply> m_replies;
   std::deque<OperationId> m_replyOrder;
   outcome::Ledger m_outcomes;
+  jobs::Book m_jobs;
+  RouteTable m_routes;
+  /** Derived from m_routes. */
+  RouteIndex m_routeIndex;
+  std::map<std::uint64_t, UpkeepWave> m_upkeep;
 };
 
 std::string EncodeCommand(const Command& aCommand);
--- /dev/null
+++ b/include/bamboostile/placement/planner.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "bamboostile/fleet/state.h"
+#include "bamboostile/placement/workers.h"
+
+#include <unordered_map>
+
+namespace bamboostile::placement {
+
+/** What the planner wants done now. */
+struct Plan
+{
+  std::vector<jobs::Change> m_changes;
+  /** Runs to be stopped, so that they go on elsewhere. */
+  std::vector<StopOrder> m_stops;
+};
+
+/**
+ * @brief Decides which waiting task starts on which worker.
+ *
+ * Tasks that last come first, then by priority, then what can still be in
+ * time by due time, then what is late. One task that finds no room keeps the
+ * emptiest worker free for itself, so that large tasks are not starved by
+ * small ones.
+ */
+class Planner
+{
+public:
+  Plan Next(const fleet::State& aState,
+            const WorkerTable& aWorkers,
+            const std::set<WorkerId>& aCordoned,
+            TimePoint aNow,
+            WallTime aWall);
+
+  /** A run was done after this time; estimates learn from it. */
+  void Learn(const jobs::StepSpec& aStep, Duration aTook);
+
+private:
+  struct Room
+  {
+    const Worker* m_worker = nullptr;
+    std::int64_t m_cpu = 0;
+    std::int64_t m_memory = 0;
+    std::int64_t m_accelerators = 0;
+    bool m_serves = false;
+    bool m_kept = false;
+  };
+
+  struct Candidate
+  {
+    const jobs::Job* m_job = nullptr;
+    const fleet::QueueRoute* m_route = nullptr;
+    std::uint32_t m_occurrence = 0;
+    std::uint32_t m_step = 0;
+    bool m_lasts = false;
+    bool m_late = false;
+    WallTime m_due;
+  };
+
+  using Pool = std::vector<Room>;
+  using Pools = std::unordered_map<ServiceId, Pool>;
+
+  Pools FindRoom(const fleet::State& aState,
+                 const WorkerTable& aWorkers,
+                 const std::set<WorkerId>& aCordoned,
+                 TimePoint aNow) const;
+  std::vector<Candidate> FindCandidates(const fleet::State& aState,
+                                        WallTime aWall) const;
+  void AddCandidates(const jobs::Job& aJob,
+                     const fleet::QueueRoute& aRoute,
+                     std::uint32_t aOccurrence,
+                     WallTime aBegan,
+                     WallTime aWall,
+                     std::vector<Candidate>& aTo) const;
+  void Place(const Candidate& aCandidate,
+             const jobs::Book& aBook,
+             Pool& aPool,
+             Plan& aPlan) const;
+  void PlaceGang(const Candidate& aCandidate, Pool& aPool, Plan& aPlan) const;
+  Room* Choose(const Candidate& aCandidate,
+               const jobs::StepSpec& aStep,
+               const std::unordered_map<WorkerId, std::uint32_t>& aOnWorker,
+               Pool& aPool) const;
+  void MoveLasting(const fleet::State& aState,
+                   const WorkerTable& aWorkers,
+                   const std::set<WorkerId>& aCordoned,
+                   Pools& aPools,
+                   Plan& aPlan) const;
+  Millis Estimate(const jobs::StepSpec& aStep) const;
+  Millis LongestChain(const jobs::Job& aJob,
+                      const jobs::Occurrence* aProgress) const;
+
+  struct Learned
+  {
+    double m_meanMs = 0;
+    double m_weight = 0;
+  };
+  std::unordered_map<ImageId, Learned> m_learned;
+};
+
+/** Whether taking one task of a lasting step away leaves enough of it at
+ * work. */
+bool MayTakeAway(const jobs::Job& aJob,
+                 const jobs::TaskRef& aTask,
+                 const WorkerTable& aWorkers);
+
+} // namespace bamboostile::placement
--- /dev/null
+++ b/include/bamboostile/placement/upkeep.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "bamboostile/fleet/state.h"
+#include "bamboostile/placement/workers.h"
+
+namespace bamboostile::placement {
+
+/** An instance for which the platform is to be asked. */
+struct UpkeepOrder
+{
+  std::uint64_t m_wave = 0;
+  InstanceId m_instance;
+};
+
+/** How the platform answered. */
+enum class UpkeepAnswer
+{
+  kTaken,
+  /** Not up at the moment, or leaving. */
+  kBusy,
+  /** The instance or the wave is not known, or not meant for it. */
+  kNotMeant,
+  /** A later leader has given an order. */
+  kOvertaken,
+  /** No answer, or one that tells nothing; the order may have been obeyed. */
+  kUnclear,
+};
+
+const char* Describe(UpkeepAnswer aAnswer) noexcept;
+
+struct UpkeepPlan
+{
+  /** Get no new work: their turn is near. */
+  std::set<WorkerId> m_cordoned;
+  std::vector<fleet::AdvanceUpkeep> m_advances;
+  /** To be sent, each until it is answered. */
+  std::vector<UpkeepOrder> m_orders;
+};
+
+struct UpkeepOptions
+{
+  /** A leader gives its first order only after the calls that an earlier one
+   * had under way have ended. */
+  Duration m_quietAfterElection = Millis{ 3000 };
+  /** Tasks that end by themselves are waited for this long: most take 1 to
+   * 2 s, and work thrown away is dearer than a wave that is a second late. */
+  Duration m_patience = Millis{ 4000 };
+  Duration m_retryAfter = Millis{ 1500 };
+  /** How many instances are emptied ahead of their turn, beside `cap`. */
+  std::size_t m_ahead = 1;
+};
+
+/**
+ * @brief Takes the instances of a wave through their upkeep, no more than its
+ * cap at once: emptied first, then ordered, then back.
+ */
+class UpkeepPlanner
+{
+public:
+  explicit UpkeepPlanner(UpkeepOptions aOptions = {})
+    : m_options(aOptions)
+  {
+  }
+
+  UpkeepPlan Next(const fleet::State& aState,
+                  const WorkerTable& aWorkers,
+                  TimePoint aNow);
+
+  /** The change that an answer asks for, if any. */
+  std::optional<fleet::AdvanceUpkeep> OnAnswer(const UpkeepOrder& aOrder,
+                                               UpkeepAnswer aAnswer,
+                                               TimePoint aNow);
+
+private:
+  void PlanWave(const fleet::UpkeepWave& aWave,
+                const fleet::State& aState,
+                const WorkerTable& aWorkers,
+                TimePoint aNow,
+                UpkeepPlan& aPlan);
+  bool IsReady(const InstanceId& aInstance,
+               const fleet::State& aState,
+               const WorkerTable& aWorkers,
+               TimePoint aNow) const;
+
+  UpkeepOptions m_options;
+  std::map<InstanceId, TimePoint> m_cordonedSince;
+  std::map<InstanceId, TimePoint> m_notBefore;
+};
+
+} // namespace bamboostile::placement
--- /dev/null
+++ b/include/bamboostile/placement/workers.h
@@ -0,0 +1,211 @@
+#pragma once
+
+#include "bamboostile/jobs/book.h"
+
+#include <map>
+#include <set>
+
+namespace bamboostile::placement {
+
+/** A run as its worker sees it. */
+struct RunReport
+{
+  jobs::TaskRef m_task;
+  RunNumber m_run;
+  std::string m_checkpoint;
+  std::uint32_t m_percent = 0;
+  /** Of a task with a latency target: the tail, in ms. Of any other: the CPU
+   * in use, in thousandths of a core. */
+  std::uint32_t m_load = 0;
+};
+
+/** A run that ended; repeated by the worker until its number is noted. */
+struct EndReport
+{
+  std::uint64_t m_number = 0;
+  jobs::TaskRef m_task;
+  RunNumber m_run;
+  jobs::RunEnd m_how = jobs::RunEnd::kDone;
+  std::string m_checkpoint;
+};
+
+struct WorkerReport
+{
+  WorkerId m_worker;
+  /** What it is a life of; empty where the worker does not say. */
+  InstanceId m_instance;
+  ServiceId m_service;
+  ZoneId m_zone;
+  RackId m_rack;
+  std::set<std::string> m_labels;
+  jobs::Resources m_capacity;
+  bool m_draining = false;
+  /** Least time left to a draining worker. */
+  std::optional<Millis> m_remaining;
+  /** Rises with each report of one life. */
+  std::uint64_t m_sequence = 0;
+  std::vector<RunReport> m_active;
+  std::vector<EndReport> m_ended;
+};
+
+struct StartOrder
+{
+  jobs::TaskRef m_task;
+  RunNumber m_run;
+  std::string m_payload;
+  std::string m_checkpoint;
+};
+
+struct StopOrder
+{
+  jobs::TaskRef m_task;
+  RunNumber m_run;
+};
+
+/** Lets a task use this share of what it would. */
+struct RateOrder
+{
+  jobs::TaskRef m_task;
+  RunNumber m_run;
+  std::uint32_t m_percent = 100;
+};
+
+struct Orders
+{
+  std::vector<StartOrder> m_starts;
+  std::vector<StopOrder> m_stops;
+  std::vector<RateOrder> m_rates;
+  /** Ends up to here are committed. */
+  std::uint64_t m_notedUpTo = 0;
+  Duration m_lease{};
+  Duration m_nextReport{};
+};
+
+struct LeaseOptions
+{
+  /** How long a worker goes on without an answer. Longer than it takes to
+   * elect a leader (0.8 to 1.6 s) and to answer every worker once. */
+  Duration m_lease = Millis{ 4500 };
+  /** A worker's clock may run this much slow. */
+  int m_driftPercent = 2;
+  /** Between the end of a lease and belief in it: the kill itself. */
+  Duration m_margin = Millis{ 150 };
+  /** How often an idle worker reports; a start waits half of it on average. */
+  Duration m_reportEvery = Millis{ 200 };
+  /** Reports may be late by this; a new leader draws no conclusion from what
+   * a report lacks before. */
+  Duration m_lateReports = Millis{ 3000 };
+};
+
+struct Worker
+{
+  WorkerReport m_last;
+  TimePoint m_heardAt;
+  /** By then all it runs has ended, unless a new lease is given. */
+  TimePoint m_leaseEnd;
+  /** Silent for longer than its lease. */
+  bool m_silent = false;
+  std::uint64_t m_notedUpTo = 0;
+  /** In which report's answer a start was first sent. */
+  std::map<jobs::TaskRef, std::uint64_t> m_sentIn;
+  std::set<std::pair<jobs::TaskRef, RunNumber>> m_toStop;
+  std::map<jobs::TaskRef, std::uint32_t> m_rates;
+  /** Failures since the last run that was done. */
+  std::uint32_t m_failuresInRow = 0;
+  TimePoint m_setAsideUntil;
+
+  bool IsUsable(TimePoint aNow) const
+  {
+    return !m_silent && !m_last.m_draining && aNow >= m_setAsideUntil;
+  }
+};
+
+/** What one report brought. */
+struct Heard
+{
+  /** Late, or of an earlier life: its worker gets no lease for it. */
+  bool m_ignored = false;
+  /** Capacity or ends: placing may have something to do. */
+  bool m_changed = false;
+  std::vector<jobs::EndRun> m_ends;
+};
+
+/**
+ * @brief What the leader knows of the workers: their last reports, and until
+ * when each may hold what was given to it.
+ *
+ * Not replicated: a new leader starts empty and learns from the reports; what
+ * it has not heard of it holds for running until the longest lease that an
+ * earlier leader can have given has ended.
+ */
+class WorkerTable
+{
+public:
+  WorkerTable(LeaseOptions aOptions, TimePoint aLeaderSince);
+
+  Heard OnReport(const WorkerReport& aReport,
+                 const jobs::Book& aBook,
+                 TimePoint aNow,
+                 WallTime aWall);
+
+  /** Runs that ended because their worker's lease did. */
+  std::vector<jobs::EndRun> FindLost(const jobs::Book& aBook,
+                                     TimePoint aNow,
+                                     WallTime aWall);
+
+  /** The worker is gone for certain; it is never listened to again. */
+  std::vector<jobs::EndRun> Retire(const WorkerId& aWorker,
+                                   const jobs::Book& aBook,
+                                   WallTime aWall);
+
+  /** The answer to the last report of a worker; gives a new lease. */
+  Orders Answer(const WorkerId& aWorker,
+                const jobs::Book& aBook,
+                TimePoint aNow);
+
+  void RequestStop(const jobs::TaskRef& aTask, RunNumber aRun);
+
+  const std::map<WorkerId, Worker>& Workers() const { return m_workers; }
+  const Worker* Find(const WorkerId& aWorker) const;
+  const Worker* FindByInstance(const InstanceId& aInstance) const;
+  /** The run, if its worker's last report has it. */
+  const RunReport* FindRun(const jobs::TaskRef& aTask,
+                           const jobs::Task& aState) const;
+  const LeaseOptions& Options() const { return m_options; }
+  TimePoint LeaderSince() const { return m_leaderSince; }
+
+private:
+  Duration LongestHold() const;
+  void TakeEnds(Worker& aWorker,
+                const WorkerReport& aReport,
+                const jobs::Book& aBook,
+                TimePoint aNow,
+                WallTime aWall,
+                Heard& aHeard);
+  void FindUnstarted(Worker& aWorker,
+                     const jobs::Book& aBook,
+                     TimePoint aNow,
+                     WallTime aWall,
+                     Heard& aHeard);
+  void CountOutcome(Worker& aWorker, jobs::RunEnd aEnd, TimePoint aNow);
+  std::vector<jobs::EndRun> EndAll(const WorkerId& aWorker,
+                                   const jobs::Book& aBook,
+                                   WallTime aWall);
+  void AddRates(Worker& aWorker, const jobs::Book& aBook, Orders& aOrders);
+
+  LeaseOptions m_options;
+  TimePoint m_leaderSince;
+  std::map<WorkerId, Worker> m_workers;
+  std::map<InstanceId, WorkerId> m_current;
+  std::set<WorkerId> m_retired;
+  /** Newest checkpoints that workers reported of runs under way. */
+  std::map<jobs::TaskRef, std::string> m_checkpoints;
+};
+
+/** Whether a run that a worker reports is the one the book has there. */
+bool IsExpected(const jobs::Book& aBook,
+                const WorkerId& aWorker,
+                const jobs::TaskRef& aTask,
+                RunNumber aRun);
+
+} // namespace bamboostile::placement
--- a/include/bamboostile/settings/settings.h
+++ b/include/bamboostile/settings/settings.h
@@ -39,6 +39,22 @@
   double m_samplePercent = 100;
 };
 
+/** Where a hosting platform reaches this process, and where it is reached. */
+struct Hosting
+{
+  /** Callers of queues, at an entry. */
+  std::optional<Address> m_callers;
+  std::optional<Address> m_readiness;
+  /** Workers and the operator, at a control replica. */
+  std::optional<Address> m_workers;
+  /** The platform's own calls for instances. */
+  std::optional<Address> m_instances;
+  /** RPC port of every control replica; replaces those of the seeds. */
+  std::optional<std::uint16_t> m_rpcPort;
+  /** The whole system starts for the first time, on empty disks. */
+  bool m_formGroup = false;
+};
+
 struct Settings
 {
   InstanceId m_instance;
@@ -56,6 +72,7 @@
   std::string m_logLevel = "info";
   std::optional<std::string> m_logFile;
   Trace m_trace;
+  std::optional<Hosting> m_hosting;
 };
 
 /** What is wrong with a settings file: where, what was found, what may be. */
--- a/include/bamboostile/units/time.h
+++ b/include/bamboostile/units/time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace bamboostile {
 
@@ -23,12 +24,19 @@
 using TimePoint = MonotonicClock::time_point;
 using Millis = std::chrono::milliseconds;
 
-/** Reads the machine's monotonic clock. Only adapters and programs call it. */
+/** Reads the machine's monotonic clock. Only adapters and programs call it.
+ *
+ * It counts the time in which the machine is suspended: a leader that wakes up
+ * would otherwise believe in a lease that ended while it was away, and answer
+ * beside its successor. The steady clock stands still meanwhile. */
 inline TimePoint
 MonotonicNow()
 {
-  const auto since = std::chrono::steady_clock::now().time_since_epoch();
-  return TimePoint{ std::chrono::duration_cast<Duration>(since) };
+  std::timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint{ std::chrono::duration_cast<Duration>(
+    std::chrono::seconds{ now.tv_sec } +
+    std::chrono::nanoseconds{ now.tv_nsec }) };
 }
 
 inline Millis
--- /dev/null
+++ b/schema/jobs.capnp
@@ -0,0 +1,117 @@
+@0xb1d64c0a8c5f27e3;
+# Jobs: what callers hand in, the commands of the replicated log, and the
+# snapshot of all jobs.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("bamboostile::schema");
+
+struct StepSpec {
+  count @0 :UInt32;
+  cpuMillis @1 :UInt32;
+  memoryMb @2 :UInt32;
+  accelerators @3 :UInt32;
+  estimateMs @4 :Int64;
+  dependsOn @5 :List(UInt32);
+  savesProgress @6 :Bool;
+  gang @7 :Bool;
+  sameRack @8 :Bool;
+  speculative @9 :Bool;
+  longRunning @10 :Bool;
+  fills @11 :Bool;
+  requiredLabel @12 :Text;
+  preferredRack @13 :Text;
+  maxPerWorker @14 :UInt32;
+  image @15 :Text;
+  latencyTargetMs @16 :Int64;
+  hasMissBudget @17 :Bool;
+  missBudget @18 :UInt32;
+}
+
+struct JobSpec {
+  payload @0 :Text;
+  steps @1 :List(StepSpec);
+  repeatCount @2 :UInt32;
+  startAtMs @3 :Int64;
+  intervalMs @4 :Int64;
+}
+
+struct TaskRef {
+  job @0 :Text;
+  occurrence @1 :UInt32;
+  step @2 :UInt32;
+  index @3 :UInt32;
+}
+
+struct Change {
+  # One change of the state of jobs. `atMs` is time of day, in ms since 1970.
+  union {
+    submit :group {
+      job @0 :Text;
+      queue @1 :Text;
+      spec @2 :JobSpec;
+      atMs @3 :Int64;
+    }
+    cancel :group {
+      cancelled @4 :Text;
+      cancelAtMs @5 :Int64;
+    }
+    start :group {
+      task @6 :TaskRef;
+      run @7 :UInt32;
+      worker @8 :Text;
+    }
+    end :group {
+      ended @9 :TaskRef;
+      endedRun @10 :UInt32;
+      how @11 :UInt8;
+      checkpoint @12 :Text;
+      endAtMs @13 :Int64;
+    }
+    fail :group {
+      failed @14 :Text;
+      reason @15 :Text;
+      failAtMs @16 :Int64;
+    }
+    forget :group {
+      endedBeforeMs @17 :Int64;
+    }
+  }
+}
+
+struct Batch {
+  changes @0 :List(Change);
+}
+
+struct TaskState {
+  phase @0 :UInt8;
+  lastRun @1 :UInt32;
+  failures @2 :UInt16;
+  worker @3 :Text;
+  checkpoint @4 :Text;
+}
+
+struct JobState {
+  id @0 :Text;
+  queue @1 :Text;
+  spec @2 :JobSpec;
+  state @3 :UInt8;
+  acceptedAtMs @4 :Int64;
+  endedAtMs @5 :Int64;
+  reason @6 :Text;
+  order @7 :UInt64;
+  started @8 :Bool;
+  occurrences @9 :List(Occurrence);
+
+  struct Occurrence {
+    number @0 :UInt32;
+    steps @1 :List(Step);
+  }
+  struct Step {
+    tasks @0 :List(TaskState);
+  }
+}
+
+struct Jobs {
+  jobs @0 :List(JobState);
+  nextOrder @1 :UInt64;
+}
--- /dev/null
+++ b/src/control/job_service.cpp
@@ -0,0 +1,606 @@
+#include "bamboostile/control/job_service.h"
+
+#include "bamboostile/telemetry/log.h"
+#include "bamboostile/units/visit.h"
+
+#include <algorithm>
+
+namespace bamboostile::control {
+
+namespace {
+
+using telemetry::Level;
+using telemetry::LogLine;
+
+constexpr kj::Duration kTick = 50 * kj::MILLISECONDS;
+/** Without any event, placing still looks this often: due times pass, and
+ * workers that were set aside come back. */
+constexpr Duration kPassInterval = Millis{ 250 };
+constexpr Duration kUpkeepInterval = Millis{ 100 };
+constexpr Duration kForgetInterval = std::chrono::seconds{ 5 };
+/** What a caller whose job was not taken is told to wait. */
+constexpr Millis kRetryAfter{ 1000 };
+
+jobs::QueueReply
+Plain(jobs::QueueOutcome aOutcome)
+{
+  jobs::QueueReply reply;
+  reply.m_outcome = aOutcome;
+  return reply;
+}
+
+const jobs::BatchReply*
+ReplyOf(const Decided& aDecided)
+{
+  return aDecided.m_effect ? std::get_if<jobs::BatchReply>(&*aDecided.m_effect)
+                           : nullptr;
+}
+
+} // namespace
+
+WallTime
+WallNow()
+{
+  const auto since = std::chrono::system_clock::now().time_since_epoch();
+  return WallTime{ std::chrono::duration_cast<Millis>(since).count() };
+}
+
+JobService::JobService(Node& aNode,
+                       kj::Timer& aTimer,
+                       JobServiceOptions aOptions)
+  : m_node(aNode)
+  , m_timer(aTimer)
+  , m_options(std::move(aOptions))
+  , m_tasks(*this)
+{
+  m_tasks.add(TickLoop());
+  m_tasks.add(UpkeepLoop());
+}
+
+void
+JobService::taskFailed(kj::Exception&& aException)
+{
+  LogLine(Level::kWarning, "job task failed")
+    .With("reason", std::string{ aException.getDescription().cStr() })
+    .Write();
+}
+
+// ----------------------------------------------------------------- leadership
+
+bool
+JobService::Leads()
+{
+  if (!m_node.IsServing()) {
+    return false;
+  }
+  const Term term = m_node.Replica().CurrentTerm();
+  if (!m_workers || term != m_term) {
+    AnswerAllAsFollower();
+    m_term = term;
+    m_workers.emplace(m_options.m_lease, MonotonicNow());
+    m_upkeep.emplace(m_options.m_upkeep);
+    m_cordoned.clear();
+    m_gathered.clear();
+    m_startedAt.clear();
+    m_ordersUnderWay.clear();
+    m_unclearOrders.clear();
+    m_isDirty = true;
+  }
+  return true;
+}
+
+WorkerAnswer
+JobService::NotLeading() const
+{
+  WorkerAnswer answer;
+  answer.m_leaderAddress = m_node.LeaderAddress();
+  answer.m_refusal = "this replica does not lead";
+  return answer;
+}
+
+void
+JobService::AnswerAllAsFollower()
+{
+  for (Waiting& one : std::exchange(m_waiting, {})) {
+    one.m_fulfiller->fulfill(NotLeading());
+  }
+}
+
+// ---------------------------------------------------------------------- runs
+
+kj::Promise<WorkerAnswer>
+JobService::Report(placement::WorkerReport aReport)
+{
+  if (!Leads()) {
+    return NotLeading();
+  }
+  const WorkerId worker = aReport.m_worker;
+  const std::uint64_t sequence = aReport.m_sequence;
+  const bool isNew = m_workers->Find(worker) == nullptr;
+  placement::Heard heard = m_workers->OnReport(
+    aReport, m_node.State().Jobs(), MonotonicNow(), WallNow());
+  if (heard.m_ignored) {
+    WorkerAnswer late;
+    late.m_refusal = "a late report, or one of an earlier life";
+    return late;
+  }
+  if (isNew) {
+    LogLine(Level::kInfo, "worker heard for the first time")
+      .With("worker", worker.Get())
+      .With("ofInstance", aReport.m_instance.Get())
+      .With("service", aReport.m_service.Get())
+      .With("cpuMillis", aReport.m_capacity.m_cpuMillis)
+      .With("active", aReport.m_active.size())
+      .Write();
+  }
+  m_isDirty = m_isDirty || heard.m_changed;
+  Gather(std::move(heard.m_ends));
+  auto pair = kj::newPromiseAndFulfiller<WorkerAnswer>();
+  // While a batch is under way, ends of an earlier copy of this report may be
+  // in it; an answer now would tell the worker to forget them too soon.
+  const bool nothingToDo = !m_isDirty && !m_isCycling && m_gathered.empty();
+  m_waiting.push_back(
+    { worker, sequence, nothingToDo, kj::mv(pair.fulfiller) });
+  if (nothingToDo) {
+    AnswerPlanned();
+  } else {
+    Kick();
+  }
+  return kj::mv(pair.promise);
+}
+
+kj::Promise<WorkerAnswer>
+JobService::Leave(WorkerId aWorker)
+{
+  if (!Leads()) {
+    return NotLeading();
+  }
+  LogLine(Level::kInfo, "worker left").With("worker", aWorker.Get()).Write();
+  Gather(m_workers->Retire(aWorker, m_node.State().Jobs(), WallNow()));
+  m_isDirty = true;
+  Kick();
+  WorkerAnswer answer;
+  answer.m_orders.emplace();
+  return answer;
+}
+
+void
+JobService::Gather(std::vector<jobs::EndRun> aEnds)
+{
+  for (jobs::EndRun& end : aEnds) {
+    if (end.m_how != jobs::RunEnd::kDone) {
+      LogLine(Level::kInfo, "run ended")
+        .With("job", end.m_task.m_job.Get())
+        .With("occurrence", end.m_task.m_occurrence)
+        .With("step", end.m_task.m_step)
+        .With("task", end.m_task.m_index)
+        .With("run", end.m_run.Get())
+        .With("how", jobs::Describe(end.m_how))
+        .Write();
+    }
+    m_gathered.emplace_back(std::move(end));
+  }
+}
+
+void
+JobService::Kick()
+{
+  if (m_isCycling) {
+    return;
+  }
+  m_isCycling = true;
+  m_tasks.add(Cycle());
+}
+
+// One batch at a time, and first what has ended: a plan made from a state in
+// which those ends are missing would leave their room unused, and one made
+// while starts are on their way would start the same tasks twice.
+kj::Promise<void>
+JobService::Cycle()
+{
+  if (!Leads()) {
+    AnswerAllAsFollower();
+    m_isCycling = false;
+    return kj::READY_NOW;
+  }
+  if (!m_gathered.empty()) {
+    return Commit(std::exchange(m_gathered, {})).then([this]() {
+      return Cycle();
+    });
+  }
+  for (Waiting& one : m_waiting) {
+    one.m_planned = true;
+  }
+  if (!m_isDirty) {
+    AnswerPlanned();
+    m_isCycling = false;
+    return kj::READY_NOW;
+  }
+  m_isDirty = false;
+  const TimePoint now = MonotonicNow();
+  m_nextPass = now + kPassInterval;
+  placement::Plan plan = m_planner.Next(
+    m_node.State(), *m_workers, m_cordoned, now, WallNow());
+  for (const placement::StopOrder& stop : plan.m_stops) {
+    m_workers->RequestStop(stop.m_task, stop.m_run);
+  }
+  if (plan.m_changes.empty()) {
+    AnswerPlanned();
+    m_isCycling = false;
+    return kj::READY_NOW;
+  }
+  return Commit(std::move(plan.m_changes)).then([this]() {
+    AnswerPlanned();
+    return Cycle();
+  });
+}
+
+kj::Promise<void>
+JobService::Commit(std::vector<jobs::Change> aChanges)
+{
+  jobs::Batch batch{ aChanges };
+  return m_node.Propose(batch).then(
+    [this, changes = std::move(aChanges)](const Decided& aDecided) {
+      if (ReplyOf(aDecided) == nullptr) {
+        // Whether they are committed is for the next leader to find out; the
+        // workers repeat their ends, and starts are planned anew.
+        LogLine(Level::kWarning, "a batch of runs was not decided")
+          .With("changes", changes.size())
+          .Write();
+        return;
+      }
+      LearnFrom(changes, MonotonicNow());
+      m_isDirty = true;
+    });
+}
+
+void
+JobService::LearnFrom(const std::vector<jobs::Change>& aChanges, TimePoint aNow)
+{
+  const jobs::Book& book = m_node.State().Jobs();
+  for (const jobs::Change& change : aChanges) {
+    if (const auto* start = std::get_if<jobs::StartRun>(&change)) {
+      m_startedAt[start->m_task] = aNow;
+      continue;
+    }
+    const auto* end = std::get_if<jobs::EndRun>(&change);
+    if (end == nullptr) {
+      continue;
+    }
+    const auto started = m_startedAt.find(end->m_task);
+    const jobs::Job* job = book.Find(end->m_task.m_job);
+    if (started != m_startedAt.end() && job != nullptr &&
+        end->m_how == jobs::RunEnd::kDone) {
+      m_planner.Learn(job->m_spec.m_steps[end->m_task.m_step],
+                      aNow - started->second);
+    }
+    if (started != m_startedAt.end()) {
+      m_startedAt.erase(started);
+    }
+    if (job != nullptr && job->m_state != jobs::JobState::kActive &&
+        job->m_endedAt == end->m_at) {
+      LogLine(Level::kInfo, "job ended")
+        .With("job", job->m_id.Get())
+        .With("state", jobs::Describe(job->m_state))
+        .With("reason", job->m_reason)
+        .With("afterMs", job->m_endedAt.Get() - job->m_acceptedAt.Get())
+        .Write();
+    }
+  }
+}
+
+void
+JobService::AnswerPlanned()
+{
+  const bool leads = Leads();
+  const TimePoint now = MonotonicNow();
+  std::vector<Waiting> rest;
+  for (Waiting& one : std::exchange(m_waiting, {})) {
+    if (!one.m_planned) {
+      rest.push_back(kj::mv(one));
+      continue;
+    }
+    WorkerAnswer answer = NotLeading();
+    const placement::Worker* worker =
+      leads ? m_workers->Find(one.m_worker) : nullptr;
+    if (worker != nullptr && worker->m_last.m_sequence == one.m_sequence) {
+      answer = WorkerAnswer{};
+      answer.m_orders =
+        m_workers->Answer(one.m_worker, m_node.State().Jobs(), now);
+      answer.m_fencingToken = m_term;
+    }
+    one.m_fulfiller->fulfill(kj::mv(answer));
+  }
+  for (Waiting& one : rest) {
+    m_waiting.push_back(kj::mv(one));
+  }
+}
+
+kj::Promise<void>
+JobService::TickLoop()
+{
+  const TimePoint now = MonotonicNow();
+  if (Leads()) {
+    auto lost =
+      m_workers->FindLost(m_node.State().Jobs(), now, WallNow());
+    if (!m_isCycling && !lost.empty()) {
+      LogLine(Level::kWarning, "runs lost with their workers")
+        .With("runs", lost.size())
+        .Write();
+      Gather(std::move(lost));
+      Kick();
+    }
+    if (now >= m_nextForget) {
+      m_nextForget = now + kForgetInterval;
+      const WallTime before{ WallNow().Get() -
+                             ToMillis(m_options.m_keepEnded).count() };
+      m_gathered.emplace_back(jobs::ForgetEnded{ before });
+    }
+    if (now >= m_nextUpkeep && m_advancing == 0) {
+      m_nextUpkeep = now + kUpkeepInterval;
+      PlanUpkeep(now);
+    }
+    if (now >= m_nextPass) {
+      m_isDirty = true;
+      Kick();
+    }
+  } else {
+    AnswerAllAsFollower();
+  }
+  return m_timer.afterDelay(kTick).then([this]() { return TickLoop(); });
+}
+
+// ------------------------------------------------------------------- callers
+
+kj::Promise<jobs::QueueReply>
+JobService::Call(jobs::QueueCall aCall)
+{
+  if (!Leads()) {
+    jobs::QueueReply reply = Plain(jobs::QueueOutcome::kNotLeader);
+    reply.m_leaderAddress = m_node.LeaderAddress();
+    return reply;
+  }
+  const fleet::State& state = m_node.State();
+  if (state.Routes().m_version == 0) {
+    return Plain(jobs::QueueOutcome::kNoRoutes);
+  }
+  const auto found = state.RouteLookup().Find(aCall.m_host, aCall.m_path);
+  if (!found) {
+    return Plain(jobs::QueueOutcome::kNoQueue);
+  }
+  const fleet::QueueRoute& route = state.Routes().m_routes[*found];
+  const JobId id{ aCall.m_path.substr(route.m_pathPrefix.size()) };
+  if (aCall.m_kind == jobs::CallKind::kSubmit) {
+    return Submit(route, id, std::move(aCall.m_spec));
+  }
+  if (id.Get().empty() && aCall.m_kind == jobs::CallKind::kLook) {
+    jobs::QueueReply reply = Plain(jobs::QueueOutcome::kOk);
+    reply.m_pending = state.Jobs().Pending(route.Queue());
+    return reply;
+  }
+  const jobs::Job* job = state.Jobs().Find(id);
+  if (job == nullptr || job->m_queue != route.Queue()) {
+    return Plain(jobs::QueueOutcome::kNoJob);
+  }
+  if (aCall.m_kind == jobs::CallKind::kCancel) {
+    return Cancel(id);
+  }
+  jobs::QueueReply reply = Plain(jobs::QueueOutcome::kOk);
+  reply.m_state = jobs::ViewOf(*job);
+  return reply;
+}
+
+kj::Promise<jobs::QueueReply>
+JobService::Submit(const fleet::QueueRoute& aRoute,
+                   JobId aJob,
+                   jobs::JobSpec aSpec)
+{
+  if (aJob.Get().empty() || aJob.Get().find('/') != std::string::npos) {
+    jobs::QueueReply reply = Plain(jobs::QueueOutcome::kBadJob);
+    reply.m_detail = "id: the path must be the queue's prefix and an id";
+    return reply;
+  }
+  if (m_node.State().Jobs().Find(aJob) != nullptr) {
+    return Plain(jobs::QueueOutcome::kOk);
+  }
+  jobs::Batch batch;
+  batch.m_changes.emplace_back(
+    jobs::Submit{ aJob, aRoute.Queue(), std::move(aSpec), WallNow() });
+  return m_node.Propose(batch).then(
+    [this, aJob, queue = aRoute.Queue()](const Decided& aDecided) {
+      const jobs::BatchReply* reply = ReplyOf(aDecided);
+      if (reply == nullptr) {
+        // Not proposed at all: nothing of it can ever run.
+        const bool never = aDecided.m_error == consensus::Error::kNotReady;
+        jobs::QueueReply answer = Plain(never ? jobs::QueueOutcome::kRefused
+                                              : jobs::QueueOutcome::kUndecided);
+        answer.m_retryAfter = kRetryAfter;
+        return answer;
+      }
+      LogLine(Level::kInfo, "job accepted")
+        .With("job", aJob.Get())
+        .With("queue", queue.Get())
+        .With("repeated", reply->m_outcome == jobs::CallOutcome::kRepeated)
+        .With("index", aDecided.m_index.Get())
+        .Write();
+      m_isDirty = true;
+      Kick();
+      return Plain(jobs::QueueOutcome::kOk);
+    });
+}
+
+kj::Promise<jobs::QueueReply>
+JobService::Cancel(JobId aJob)
+{
+  jobs::Batch batch;
+  batch.m_changes.emplace_back(jobs::Cancel{ aJob, WallNow() });
+  return m_node.Propose(batch).then([this, aJob](const Decided& aDecided) {
+    if (ReplyOf(aDecided) == nullptr) {
+      return Plain(jobs::QueueOutcome::kUndecided);
+    }
+    LogLine(Level::kInfo, "job cancelled")
+      .With("job", aJob.Get())
+      .With("index", aDecided.m_index.Get())
+      .Write();
+    m_isDirty = true;
+    return Plain(jobs::QueueOutcome::kOk);
+  });
+}
+
+// ------------------------------------------------------------------ operators
+
+kj::Promise<RoutesOutcome>
+JobService::ReplaceRoutes(fleet::RouteTable aTable)
+{
+  if (!Leads()) {
+    return RoutesOutcome::kNotLeader;
+  }
+  if (aTable.m_version <= m_node.State().Routes().m_version) {
+    LogLine(Level::kInfo, "routes are no newer than those in force")
+      .With("version", aTable.m_version)
+      .With("inForce", m_node.State().Routes().m_version)
+      .Write();
+    return RoutesOutcome::kInForce;
+  }
+  const std::uint64_t version = aTable.m_version;
+  return m_node.Propose(fleet::ReplaceRoutes{ std::move(aTable) })
+    .then([this, version](const Decided& aDecided) {
+      const bool decided = aDecided.m_effect.has_value();
+      LogLine(Level::kInfo, "routes replaced")
+        .With("version", version)
+        .With("decided", decided)
+        .With("inForce", m_node.State().Routes().m_version)
+        .Write();
+      m_isDirty = true;
+      return decided ? RoutesOutcome::kInForce : RoutesOutcome::kUndecided;
+    });
+}
+
+RoutesRead
+JobService::ReadRoutes()
+{
+  if (!Leads()) {
+    return {};
+  }
+  const fleet::RouteTable& routes = m_node.State().Routes();
+  if (routes.m_version == 0) {
+    return { ReadOutcome::kNothing, "" };
+  }
+  return { ReadOutcome::kDone, routes.m_document };
+}
+
+kj::Promise<RoutesOutcome>
+JobService::StartUpkeep(fleet::UpkeepWave aWave)
+{
+  if (!Leads()) {
+    return RoutesOutcome::kNotLeader;
+  }
+  aWave.m_startedAt = WallNow();
+  LogLine(Level::kInfo, "upkeep wave asked for")
+    .With("wave", aWave.m_number)
+    .With("instances", aWave.m_instances.size())
+    .With("cap", aWave.m_cap)
+    .With("withinMs", aWave.m_within.count())
+    .Write();
+  return m_node.Propose(fleet::StartUpkeep{ std::move(aWave) })
+    .then([](const Decided& aDecided) {
+      return aDecided.m_effect ? RoutesOutcome::kInForce
+                               : RoutesOutcome::kUndecided;
+    });
+}
+
+WaveView
+JobService::LookAtUpkeep(std::uint64_t aWave)
+{
+  if (!Leads()) {
+    return WaveView::kNotLeader;
+  }
+  const auto& waves = m_node.State().Upkeep();
+  const auto found = waves.find(aWave);
+  if (found == waves.end()) {
+    return WaveView::kUnknown;
+  }
+  return found->second.IsDone() ? WaveView::kCompleted : WaveView::kRunning;
+}
+
+void
+JobService::PlanUpkeep(TimePoint aNow)
+{
+  placement::UpkeepPlan plan =
+    m_upkeep->Next(m_node.State(), *m_workers, aNow);
+  if (plan.m_cordoned != m_cordoned) {
+    m_cordoned = std::move(plan.m_cordoned);
+    m_isDirty = true;
+  }
+  for (const fleet::AdvanceUpkeep& advance : plan.m_advances) {
+    Advance(advance);
+  }
+  if (!m_options.m_orderUpkeep) {
+    return;
+  }
+  for (const placement::UpkeepOrder& order : plan.m_orders) {
+    if (m_ordersUnderWay.emplace(order.m_wave, order.m_instance).second) {
+      m_options.m_orderUpkeep(
+        order, m_term, [this, order](placement::UpkeepAnswer aAnswer) {
+          m_upkeepResults.Put({ order, aAnswer });
+        });
+    }
+  }
+}
+
+void
+JobService::Advance(const fleet::AdvanceUpkeep& aAdvance)
+{
+  ++m_advancing;
+  m_tasks.add(m_node.Propose(aAdvance).then(
+    [this](const Decided&) { --m_advancing; }));
+}
+
+kj::Promise<void>
+JobService::UpkeepLoop()
+{
+  return m_upkeepResults.Take().then(
+    [this](const std::vector<UpkeepResult>& aResults) {
+      for (const UpkeepResult& result : aResults) {
+        const auto key =
+          std::make_pair(result.m_order.m_wave, result.m_order.m_instance);
+        m_ordersUnderWay.erase(key);
+        LogLine(Level::kInfo, "upkeep order answered")
+          .With("wave", result.m_order.m_wave)
+          .With("ofInstance", result.m_order.m_instance.Get())
+          .With("answer", placement::Describe(result.m_answer))
+          .Write();
+        if (!Leads()) {
+          continue;
+        }
+        placement::UpkeepAnswer answer = result.m_answer;
+        if (answer == placement::UpkeepAnswer::kUnclear) {
+          m_unclearOrders.insert(key);
+        } else if (answer == placement::UpkeepAnswer::kBusy &&
+                   m_unclearOrders.contains(key)) {
+          // Busy may mean that the earlier sending is being obeyed; the
+          // instance goes on counting as down until the answer is clear.
+          answer = placement::UpkeepAnswer::kUnclear;
+        }
+        const auto advance =
+          m_upkeep->OnAnswer(result.m_order, answer, MonotonicNow());
+        if (answer == placement::UpkeepAnswer::kTaken) {
+          const placement::Worker* worker =
+            m_workers->FindByInstance(result.m_order.m_instance);
+          if (worker != nullptr) {
+            Gather(m_workers->Retire(worker->m_last.m_worker,
+                                     m_node.State().Jobs(),
+                                     WallNow()));
+            m_isDirty = true;
+            Kick();
+          }
+        }
+        if (advance) {
+          Advance(*advance);
+        }
+      }
+      return UpkeepLoop();
+    });
+}
+
+} // namespace bamboostile::control
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -17,7 +17,11 @@
 constexpr Duration kDutyInterval = Millis{ 200 };
 /** A frozen peer would otherwise collect messages without end. */
 constexpr std::size_t kMaxOutstanding = 256;
-constexpr Duration kPeerSilence = Millis{ 2000 };
+/** Below the shortest election timeout: a connection that went silent is
+ * made anew before its peer gives the leader up. */
+constexpr Duration kPeerSilence = Millis{ 500 };
+/** Between two requests for admission. */
+constexpr Duration kJoinInterval = Millis{ 300 };
 constexpr Duration kMarkInterval = Millis{ 5000 };
 
 kj::Duration
@@ -57,6 +61,9 @@
   m_tasks.add(TickLoop());
   m_tasks.add(DiskLoop());
   m_tasks.add(SnapshotLoop());
+  if (!m_options.m_seeds.empty()) {
+    m_tasks.add(JoinLoop());
+  }
 }
 
 void
@@ -277,6 +284,7 @@
   if (leads) {
     m_registry.Reset(MonotonicNow());
     m_marks.clear();
+    m_heardFrom.clear();
   } else {
     FailWaiters();
   }
@@ -321,6 +329,7 @@
   }
   ExpireOutcomes(aNow);
   AdvanceWaves(aNow);
+  DropSilentVoter(aNow);
 }
 
 void
@@ -379,7 +388,20 @@
 bool
 Node::IsServing() const
 {
-  return m_replica.IsReady() && m_replica.HoldsLease(MonotonicNow());
+  return m_replica.IsReady() && IsSafelyFormed() &&
+         m_replica.HoldsLease(MonotonicNow());
+}
+
+// A group that has just formed consists of one voter for some milliseconds.
+// What it acknowledged then would be gone with that one disk; so it
+// acknowledges nothing before it is as large as it was meant to be. A voter
+// that is being replaced leaves one less for a moment.
+bool
+Node::IsSafelyFormed() const
+{
+  const std::size_t meant = m_options.m_seeds.size();
+  const std::size_t voters = m_replica.CurrentMembership().VoterCount();
+  return voters + 1 >= meant && (voters > 1 || meant <= 1);
 }
 
 std::string
@@ -448,11 +470,119 @@
   if (m_replica.CurrentMembership().Find(aMessage.m_from) == nullptr) {
     m_replyTo[aMessage.m_from] = std::move(aReplyTo);
   }
+  m_heardFrom[aMessage.m_from] = MonotonicNow();
   m_replica.Receive(aMessage, MonotonicNow());
   Pump();
   FollowRole();
 }
 
+// ---------------------------------------------------------- forming a group
+
+// The lowest seed starts the group and the others ask for admission, so that
+// there is one group however they start. It does so only at the first start of
+// the whole system: a replica whose disk was emptied later must not found a
+// second group beside the one that knows everything.
+void
+Node::FormGroup()
+{
+  const auto& seeds = m_options.m_seeds;
+  const bool founds =
+    m_options.m_formGroup && IsEmptyReplica() &&
+    *std::min_element(seeds.begin(), seeds.end()) == m_options.m_address;
+  if (founds) {
+    LogLine(Level::kInfo, "forming the group").With("seeds", seeds).Write();
+    Bootstrap();
+  }
+}
+
+kj::Promise<void>
+Node::JoinLoop()
+{
+  FormGroup();
+  const auto& membership = m_replica.CurrentMembership();
+  if (membership.Find(m_replica.Self()) == nullptr) {
+    for (const std::string& seed : m_options.m_seeds) {
+      if (seed != m_options.m_address) {
+        m_tasks.add(AskAdmission(seed));
+      }
+    }
+    for (const consensus::Member& member : membership.m_members) {
+      m_tasks.add(AskAdmission(member.m_address));
+    }
+  }
+  return m_timer.afterDelay(ToKj(kJoinInterval)).then([this]() {
+    return JoinLoop();
+  });
+}
+
+kj::Promise<void>
+Node::AskAdmission(const std::string& aSeed)
+{
+  auto channel = kj::refcounted<rpc::Channel>(m_provider.getNetwork(), aSeed);
+  auto request = channel->Get().joinRequest();
+  wire::Write(m_replica.Self(), request.initId());
+  request.setAddress(m_options.m_address);
+  auto asked = request.send().then(
+    [this](auto&& aReply) -> kj::Promise<void> {
+      const std::string leader = aReply.getLeaderAddress();
+      if (aReply.getOutcome() == schema::SyncOutcome::OK || leader.empty()) {
+        return kj::READY_NOW;
+      }
+      auto next = kj::refcounted<rpc::Channel>(m_provider.getNetwork(), leader);
+      auto again = next->Get().joinRequest();
+      wire::Write(m_replica.Self(), again.initId());
+      again.setAddress(m_options.m_address);
+      return again.send().ignoreResult().attach(kj::mv(next));
+    });
+  // A seed that is down or cut off is asked again with the next round.
+  return asked.attach(kj::mv(channel))
+    .exclusiveJoin(m_timer.afterDelay(ToKj(kPeerSilence)))
+    .catch_([](kj::Exception&&) {});
+}
+
+consensus::Error
+Node::Admit(consensus::Member aMember)
+{
+  const auto error = m_replica.AddMember(aMember, MonotonicNow());
+  if (error == consensus::Error::kNone) {
+    LogLine(Level::kInfo, "admitting a replica")
+      .With("replica", aMember.m_id.m_instance.Get())
+      .With("address", aMember.m_address)
+      .Write();
+  }
+  Pump();
+  return error;
+}
+
+// A machine that is gone for good stays a voter until someone takes it out.
+// It is taken out when more voters than seeds are there, so never below the
+// size that the group was formed with; if it comes back, it asks for
+// admission like any other.
+void
+Node::DropSilentVoter(TimePoint aNow)
+{
+  const consensus::Membership membership = m_replica.CurrentMembership();
+  if (m_options.m_seeds.empty() ||
+      membership.VoterCount() <= m_options.m_seeds.size()) {
+    return;
+  }
+  for (const consensus::Member& member : membership.m_members) {
+    if (!member.m_voter || member.m_id == m_replica.Self()) {
+      continue;
+    }
+    const TimePoint heard =
+      m_heardFrom.try_emplace(member.m_id, aNow).first->second;
+    if (aNow > heard + m_options.m_dropSilentAfter) {
+      LogLine(Level::kWarning, "taking out a silent voter")
+        .With("replica", member.m_id.m_instance.Get())
+        .With("silentMs", ToMillis(aNow - heard).count())
+        .Write();
+      RemoveMember(member.m_id.m_instance);
+      return;
+    }
+  }
+}
+
 bool
 Node::IsEmptyReplica() const
 {
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -1,9 +1,11 @@
+#include "bamboostile/control/job_service.h"
 #include "bamboostile/control/node.h"
 #include "bamboostile/telemetry/log.h"
 #include "bamboostile/units/visit.h"
 #include "bamboostile/wire/consensus_codec.h"
 #include "bamboostile/wire/entry_codec.h"
 #include "bamboostile/wire/operator_codec.h"
+#include "bamboostile/wire/queue_codec.h"
 
 #include "../wire/text.h"
 
@@ -196,8 +198,9 @@
 class ControlServer final : public schema::Control::Server
 {
 public:
-  explicit ControlServer(Node& aNode)
+  ControlServer(Node& aNode, JobService* aJobs)
     : m_node(aNode)
+    , m_jobs(aJobs)
   {
   }
 
@@ -313,6 +316,32 @@
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> queueCall(QueueCallContext aContext) override
+  {
+    KJ_REQUIRE(m_jobs != nullptr, "this replica serves no jobs");
+    auto call = wire::Read(aContext.getParams().getCall());
+    KJ_REQUIRE(call.has_value(), "the job's description is damaged");
+    return m_jobs->Call(std::move(*call))
+      .then([aContext](const jobs::QueueReply& aReply) mutable {
+        wire::Write(aReply, aContext.getResults().initReply());
+      });
+  }
+
+  kj::Promise<void> join(JoinContext aContext) override
+  {
+    auto results = aContext.getResults();
+    if (m_node.Replica().CurrentRole() != consensus::Role::kLeader) {
+      results.setOutcome(schema::SyncOutcome::NOT_LEADER);
+      results.setLeaderAddress(m_node.LeaderAddress());
+      return kj::READY_NOW;
+    }
+    const auto params = aContext.getParams();
+    m_node.Admit(consensus::Member{
+      wire::Read(params.getId()), ToString(params.getAddress()), false });
+    results.setOutcome(schema::SyncOutcome::OK);
+    return kj::READY_NOW;
+  }
+
   kj::Promise<void> operators(OperatorsContext aContext) override
   {
     aContext.getResults().setOperators(kj::heap<OperatorServer>(m_node));
@@ -372,6 +401,7 @@
   }
 
   Node& m_node;
+  JobService* m_jobs;
 };
 
 /** One accepted connection, with its own reader limits. */
@@ -391,33 +421,36 @@
 };
 
 kj::Promise<void>
-AcceptLoop(Node& aNode, kj::ConnectionReceiver& aReceiver)
+AcceptLoop(Node& aNode, JobService* aJobs, kj::ConnectionReceiver& aReceiver)
 {
   return aReceiver.accept().then(
-    [&aNode, &aReceiver](kj::Own<kj::AsyncIoStream>&& aStream) {
+    [&aNode, aJobs, &aReceiver](kj::Own<kj::AsyncIoStream>&& aStream) {
       auto accepted =
-        kj::heap<Accepted>(kj::mv(aStream), MakeControlServer(aNode));
+        kj::heap<Accepted>(kj::mv(aStream), MakeControlServer(aNode, aJobs));
       auto ended = accepted->m_network.onDisconnect();
       ended.attach(kj::mv(accepted)).detach([](kj::Exception&&) {});
-      return AcceptLoop(aNode, aReceiver);
+      return AcceptLoop(aNode, aJobs, aReceiver);
     });
 }
 
 } // namespace
 
 schema::Control::Client
-MakeControlServer(Node& aNode)
+MakeControlServer(Node& aNode, JobService* aJobs)
 {
-  return kj::heap<ControlServer>(aNode);
+  return kj::heap<ControlServer>(aNode, aJobs);
 }
 
 kj::Promise<void>
-Listen(Node& aNode, kj::AsyncIoProvider& aProvider, const std::string& aAddress)
+Listen(Node& aNode,
+       JobService* aJobs,
+       kj::AsyncIoProvider& aProvider,
+       const std::string& aAddress)
 {
   return aProvider.getNetwork().parseAddress(aAddress).then(
-    [&aNode](kj::Own<kj::NetworkAddress>&& aParsed) {
+    [&aNode, aJobs](kj::Own<kj::NetworkAddress>&& aParsed) {
       auto receiver = aParsed->listen();
-      auto loop = AcceptLoop(aNode, *receiver);
+      auto loop = AcceptLoop(aNode, aJobs, *receiver);
       return loop.attach(kj::mv(receiver));
     });
 }
--- a/src/fleet/codec.cpp
+++ b/src/fleet/codec.cpp
@@ -40,8 +40,66 @@
 
 } // namespace bamboostile::outcome
 
+namespace bamboostile::jobs {
+
+// Batches are most of the log, so they are packed Cap'n Proto inside: 40 to 70
+// bytes for a start or an end, a fifth of what named fields would take.
+static void
+to_json(nlohmann::json& aJson, const Batch& aBatch)
+{
+  const std::string bytes = EncodeBatch(aBatch);
+  aJson = nlohmann::json::binary({ bytes.begin(), bytes.end() });
+}
+
+static void
+from_json(const nlohmann::json& aJson, Batch& aBatch)
+{
+  const auto& bytes = aJson.get_binary();
+  auto batch = DecodeBatch({ bytes.begin(), bytes.end() });
+  if (!batch) {
+    throw nlohmann::json::other_error::create(
+      502, "a batch of changes of jobs is damaged", &aJson);
+  }
+  aBatch = std::move(*batch);
+}
+
+} // namespace bamboostile::jobs
+
 namespace bamboostile::fleet {
 
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdvicePolicy,
+                                   m_decision,
+                                   m_perWorker,
+                                   m_valid)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QueueRoute,
+                                   m_name,
+                                   m_host,
+                                   m_pathPrefix,
+                                   m_service,
+                                   m_timeout,
+                                   m_objective,
+                                   m_stretch,
+                                   m_priority,
+                                   m_maxAttempts,
+                                   m_advice)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ServicePolicy,
+                                   m_id,
+                                   m_enforcesCapacity,
+                                   m_standby)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RouteTable,
+                                   m_version,
+                                   m_routes,
+                                   m_services,
+                                   m_document)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReplaceRoutes, m_table)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(UpkeepWave,
+                                   m_number,
+                                   m_cap,
+                                   m_startedAt,
+                                   m_within,
+                                   m_instances)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StartUpkeep, m_wave)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdvanceUpkeep, m_wave, m_instance, m_to)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Change, m_revision, m_operation, m_operator)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Pool,
                                                 m_id,
@@ -174,6 +232,26 @@
 /** Reaches the private parts of State for its snapshot. */
 struct StateCodec
 {
+  static Json Binary(const std::string& aBytes)
+  {
+    return Json::binary({ aBytes.begin(), aBytes.end() });
+  }
+
+  /** Absent in snapshots of builds that had no jobs. */
+  static void ReadJobs(const Json& aJson, State& aState)
+  {
+    aJson.at("routes").get_to(aState.m_routes);
+    aState.m_routeIndex = RouteIndex(aState.m_routes);
+    aJson.at("upkeep").get_to(aState.m_upkeep);
+    const auto& bytes = aJson.at("jobs").get_binary();
+    auto book = jobs::DecodeBook({ bytes.begin(), bytes.end() });
+    if (!book) {
+      throw Json::other_error::create(
+        503, "the jobs of a snapshot are damaged", &aJson);
+    }
+    aState.m_jobs = std::move(*book);
+  }
+
   static Json Write(const State& aState)
   {
     Json replies = Json::array();
@@ -194,7 +272,10 @@
                  { "config", aState.m_config },
                  { "removals", aState.m_removals },
                  { "replies", replies },
-                 { "outcomes", outcomes } };
+                 { "outcomes", outcomes },
+                 { "routes", aState.m_routes },
+                 { "upkeep", aState.m_upkeep },
+                 { "jobs", Binary(jobs::EncodeBook(aState.m_jobs)) } };
   }
 
   static State Read(const Json& aJson)
@@ -209,6 +290,9 @@
     aJson.at("waves").get_to(state.m_waves);
     aJson.at("config").get_to(state.m_config);
     aJson.at("removals").get_to(state.m_removals);
+    if (aJson.contains("jobs")) {
+      ReadJobs(aJson, state);
+    }
     for (const Json& reply : aJson.at("replies")) {
       state.Remember(reply.at(0).get<OperationId>(),
                      reply.at(1).get<CallReply>());
--- a/src/fleet/state.cpp
+++ b/src/fleet/state.cpp
@@ -3,6 +3,7 @@
 #include "bamboostile/units/visit.h"
 
 #include <algorithm>
+#include <limits>
 #include <array>
 
 namespace bamboostile::fleet {
@@ -144,6 +145,9 @@
                         m_outcomes.Apply(aIndex, aExpire);
                         return {};
                       },
+                      [&](const jobs::Batch& aBatch) -> Effect {
+                        return ApplyJobs(aBatch);
+                      },
                       [&](const auto& aOther) -> Effect {
                         Apply(aIndex, aOther);
                         return {};
@@ -525,6 +529,46 @@
   Modified(aIndex);
 }
 
+void
+State::Apply(Index /*aIndex*/, const ReplaceRoutes& aReplace)
+{
+  if (aReplace.m_table.m_version > m_routes.m_version) {
+    m_routes = aReplace.m_table;
+    m_routeIndex = RouteIndex(m_routes);
+  }
+}
+
+void
+State::Apply(Index /*aIndex*/, const StartUpkeep& aStart)
+{
+  // The same order again, after a lost acknowledgement, changes nothing.
+  m_upkeep.try_emplace(aStart.m_wave.m_number, aStart.m_wave);
+}
+
+void
+State::Apply(Index /*aIndex*/, const AdvanceUpkeep& aAdvance)
+{
+  const auto wave = m_upkeep.find(aAdvance.m_wave);
+  if (wave == m_upkeep.end()) {
+    return;
+  }
+  const auto instance = wave->second.m_instances.find(aAdvance.m_instance);
+  if (instance != wave->second.m_instances.end()) {
+    instance->second = aAdvance.m_to;
+  }
+}
+
+jobs::BatchReply
+State::ApplyJobs(const jobs::Batch& aBatch)
+{
+  return m_jobs.Apply(aBatch, [this](const QueueId& aQueue) {
+    const auto route = m_routeIndex.Find(aQueue);
+    // The jobs of a queue that is gone run no more; nothing may fail them.
+    return route ? m_routes.m_routes[*route].m_maxAttempts
+                 : std::numeric_limits<std::uint32_t>::max();
+  });
+}
+
 void
 State::Apply(Index aIndex, const LoseInstances& aLoss)
 {
--- /dev/null
+++ b/src/jobs/book.cpp
@@ -0,0 +1,373 @@
+#include "bamboostile/jobs/book.h"
+
+#include "bamboostile/units/visit.h"
+
+#include <algorithm>
+
+namespace bamboostile::jobs {
+
+const char*
+Describe(RunEnd aEnd) noexcept
+{
+  switch (aEnd) {
+    case RunEnd::kDone:
+      return "done";
+    case RunEnd::kFailed:
+      return "failed";
+    case RunEnd::kStopped:
+      return "stopped";
+    case RunEnd::kLeaseExpired:
+      return "lease expired";
+    case RunEnd::kGangBroken:
+      return "gang broken";
+    case RunEnd::kGangIncomplete:
+      return "gang incomplete";
+    case RunEnd::kRefused:
+      return "refused by the worker";
+    case RunEnd::kWorkerLost:
+      return "worker lost";
+  }
+  return "unknown";
+}
+
+const char*
+Describe(JobState aState) noexcept
+{
+  switch (aState) {
+    case JobState::kActive:
+      return "active";
+    case JobState::kCompleted:
+      return "completed";
+    case JobState::kFailed:
+      return "failed";
+    case JobState::kCancelled:
+      return "cancelled";
+  }
+  return "unknown";
+}
+
+BatchReply
+Book::Apply(const Batch& aBatch, const AttemptLimit& aLimit)
+{
+  BatchReply reply;
+  for (const Change& change : aBatch.m_changes) {
+    const CallOutcome outcome = std::visit(
+      [&](const auto& aOne) { return On(aOne, aLimit); }, change);
+    if (reply.m_outcome == CallOutcome::kNone) {
+      reply.m_outcome = outcome;
+    }
+  }
+  return reply;
+}
+
+Job*
+Book::FindJob(const JobId& aId)
+{
+  const auto found = m_jobs.find(aId);
+  return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+const Job*
+Book::Find(const JobId& aId) const
+{
+  const auto found = m_jobs.find(aId);
+  return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+const Task*
+Book::FindTask(const TaskRef& aTask) const
+{
+  const Job* job = Find(aTask.m_job);
+  if (job == nullptr) {
+    return nullptr;
+  }
+  const auto occurrence = job->m_occurrences.find(aTask.m_occurrence);
+  if (occurrence == job->m_occurrences.end() ||
+      aTask.m_step >= occurrence->second.m_steps.size()) {
+    return nullptr;
+  }
+  const auto& tasks = occurrence->second.m_steps[aTask.m_step].m_tasks;
+  return aTask.m_index < tasks.size() ? &tasks[aTask.m_index] : nullptr;
+}
+
+std::uint64_t
+Book::Pending(const QueueId& aQueue) const
+{
+  const auto found = m_pending.find(aQueue);
+  return found == m_pending.end() ? 0 : found->second;
+}
+
+bool
+Book::IsTurn(const Occurrence& aOccurrence, const StepSpec& aStep)
+{
+  return std::all_of(
+    aStep.m_dependsOn.begin(), aStep.m_dependsOn.end(), [&](auto aEarlier) {
+      return aOccurrence.m_steps[aEarlier].IsDone();
+    });
+}
+
+Occurrence
+Book::MakeOccurrence(const JobSpec& aSpec)
+{
+  Occurrence occurrence;
+  for (const StepSpec& step : aSpec.m_steps) {
+    occurrence.m_steps.emplace_back().m_tasks.resize(step.m_count);
+  }
+  return occurrence;
+}
+
+CallOutcome
+Book::On(const Submit& aSubmit, const AttemptLimit& /*aLimit*/)
+{
+  const auto [found, isNew] = m_jobs.try_emplace(aSubmit.m_job);
+  if (!isNew) {
+    return CallOutcome::kRepeated;
+  }
+  Job& job = found->second;
+  job.m_id = aSubmit.m_job;
+  job.m_queue = aSubmit.m_queue;
+  job.m_spec = aSubmit.m_spec;
+  job.m_acceptedAt = aSubmit.m_at;
+  job.m_order = m_nextOrder++;
+  if (job.m_spec.m_repeatCount == 0) {
+    job.m_occurrences.emplace(0, MakeOccurrence(job.m_spec));
+    ++m_pending[job.m_queue];
+  }
+  m_open.emplace(job.m_order, job.m_id);
+  return CallOutcome::kAccepted;
+}
+
+CallOutcome
+Book::On(const Cancel& aCancel, const AttemptLimit& /*aLimit*/)
+{
+  Job* job = FindJob(aCancel.m_job);
+  if (job == nullptr) {
+    return CallOutcome::kUnknownJob;
+  }
+  if (job->m_state == JobState::kActive) {
+    Finish(*job, JobState::kCancelled, aCancel.m_at);
+  }
+  return CallOutcome::kCancelled;
+}
+
+CallOutcome
+Book::On(const StartRun& aStart, const AttemptLimit& /*aLimit*/)
+{
+  Job* job = FindJob(aStart.m_task.m_job);
+  if (job == nullptr || job->m_state != JobState::kActive ||
+      aStart.m_task.m_occurrence >= job->OccurrenceCount() ||
+      aStart.m_task.m_step >= job->m_spec.m_steps.size()) {
+    return CallOutcome::kNone;
+  }
+  Occurrence& occurrence =
+    job->m_occurrences
+      .try_emplace(aStart.m_task.m_occurrence, MakeOccurrence(job->m_spec))
+      .first->second;
+  StepRun& step = occurrence.m_steps[aStart.m_task.m_step];
+  if (aStart.m_task.m_index >= step.m_tasks.size()) {
+    return CallOutcome::kNone;
+  }
+  Task& task = step.m_tasks[aStart.m_task.m_index];
+  if (task.m_phase != TaskPhase::kWaiting || aStart.m_run <= task.m_lastRun) {
+    return CallOutcome::kNone;
+  }
+  task.m_phase = TaskPhase::kRunning;
+  task.m_lastRun = aStart.m_run;
+  task.m_worker = aStart.m_worker;
+  ++step.m_running;
+  ++job->m_running;
+  m_placed[aStart.m_worker].push_back(aStart.m_task);
+  if (!job->m_started) {
+    job->m_started = true;
+    if (job->m_spec.m_repeatCount == 0) {
+      --m_pending[job->m_queue];
+    }
+  }
+  return CallOutcome::kNone;
+}
+
+void
+Book::Unplace(const WorkerId& aWorker, const TaskRef& aTask)
+{
+  const auto placed = m_placed.find(aWorker);
+  if (placed == m_placed.end()) {
+    return;
+  }
+  std::erase(placed->second, aTask);
+  if (placed->second.empty()) {
+    m_placed.erase(placed);
+  }
+}
+
+void
+Book::MarkDone(Job& aJob, Occurrence& aOccurrence, StepRun& aStep, Task& aTask)
+{
+  aTask.m_phase = TaskPhase::kDone;
+  aTask.m_checkpoint.clear();
+  ++aStep.m_done;
+  if (!aStep.IsDone()) {
+    return;
+  }
+  ++aOccurrence.m_stepsDone;
+  if (aOccurrence.m_stepsDone == aOccurrence.m_steps.size()) {
+    ++aJob.m_occurrencesDone;
+  }
+}
+
+CallOutcome
+Book::On(const EndRun& aEnd, const AttemptLimit& aLimit)
+{
+  Job* job = FindJob(aEnd.m_task.m_job);
+  const Task* known = FindTask(aEnd.m_task);
+  if (job == nullptr || known == nullptr ||
+      known->m_phase != TaskPhase::kRunning || known->m_lastRun != aEnd.m_run) {
+    return CallOutcome::kNone;
+  }
+  Occurrence& occurrence = job->m_occurrences.at(aEnd.m_task.m_occurrence);
+  StepRun& step = occurrence.m_steps[aEnd.m_task.m_step];
+  const StepSpec& spec = job->m_spec.m_steps[aEnd.m_task.m_step];
+  Task& task = step.m_tasks[aEnd.m_task.m_index];
+  task.m_phase = TaskPhase::kWaiting;
+  --step.m_running;
+  --job->m_running;
+  Unplace(task.m_worker, aEnd.m_task);
+  if (!aEnd.m_checkpoint.empty()) {
+    task.m_checkpoint = aEnd.m_checkpoint;
+  }
+  if (aEnd.m_how == RunEnd::kDone && !spec.m_longRunning) {
+    MarkDone(*job, occurrence, step, task);
+    // Members of a gang are done together; the other ends may come later, or
+    // never, if a member's worker is lost in between.
+    if (spec.m_gang) {
+      for (std::uint32_t i = 0; i < step.m_tasks.size(); ++i) {
+        Task& member = step.m_tasks[i];
+        if (member.m_phase == TaskPhase::kDone) {
+          continue;
+        }
+        if (member.m_phase == TaskPhase::kRunning) {
+          TaskRef ref = aEnd.m_task;
+          ref.m_index = i;
+          Unplace(member.m_worker, ref);
+          --step.m_running;
+          --job->m_running;
+        }
+        MarkDone(*job, occurrence, step, member);
+      }
+    }
+  } else if (aEnd.m_how == RunEnd::kFailed) {
+    ++task.m_failures;
+    if (!spec.m_longRunning) {
+      FailIfSpent(*job, aEnd, step, aLimit);
+    }
+  }
+  if (job->m_state == JobState::kActive &&
+      job->m_occurrencesDone == job->OccurrenceCount()) {
+    Finish(*job, JobState::kCompleted, aEnd.m_at);
+  }
+  CloseIfIdle(*job);
+  return CallOutcome::kNone;
+}
+
+void
+Book::FailIfSpent(Job& aJob,
+                  const EndRun& aEnd,
+                  const StepRun& aStep,
+                  const AttemptLimit& aLimit)
+{
+  std::uint32_t failures = aStep.m_tasks[aEnd.m_task.m_index].m_failures;
+  if (aJob.m_spec.m_steps[aEnd.m_task.m_step].m_gang) {
+    failures = 0;
+    for (const Task& member : aStep.m_tasks) {
+      failures += member.m_failures;
+    }
+  }
+  if (aJob.m_state != JobState::kActive || failures < aLimit(aJob.m_queue)) {
+    return;
+  }
+  aJob.m_reason = "step " + std::to_string(aEnd.m_task.m_step) + " task " +
+                  std::to_string(aEnd.m_task.m_index) + " failed " +
+                  std::to_string(failures) + " times";
+  Finish(aJob, JobState::kFailed, aEnd.m_at);
+}
+
+CallOutcome
+Book::On(const FailJob& aFail, const AttemptLimit& /*aLimit*/)
+{
+  Job* job = FindJob(aFail.m_job);
+  if (job != nullptr && job->m_state == JobState::kActive) {
+    job->m_reason = aFail.m_reason;
+    Finish(*job, JobState::kFailed, aFail.m_at);
+  }
+  return CallOutcome::kNone;
+}
+
+void
+Book::Finish(Job& aJob, JobState aState, WallTime aAt)
+{
+  aJob.m_state = aState;
+  aJob.m_endedAt = aAt;
+  if (!aJob.m_started && aJob.m_spec.m_repeatCount == 0) {
+    --m_pending[aJob.m_queue];
+  }
+  CloseIfIdle(aJob);
+}
+
+void
+Book::CloseIfIdle(const Job& aJob)
+{
+  if (aJob.m_state != JobState::kActive && aJob.m_running == 0) {
+    m_open.erase(aJob.m_order);
+  }
+}
+
+CallOutcome
+Book::On(const ForgetEnded& aForget, const AttemptLimit& /*aLimit*/)
+{
+  std::erase_if(m_jobs, [&](const auto& aEntry) {
+    const Job& job = aEntry.second;
+    return job.m_state != JobState::kActive && job.m_running == 0 &&
+           job.m_endedAt < aForget.m_before;
+  });
+  return CallOutcome::kNone;
+}
+
+void
+Book::Reindex()
+{
+  m_open.clear();
+  m_placed.clear();
+  m_pending.clear();
+  for (auto& [id, job] : m_jobs) {
+    job.m_running = 0;
+    job.m_occurrencesDone = 0;
+    for (auto& [number, occurrence] : job.m_occurrences) {
+      occurrence.m_stepsDone = 0;
+      for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
+        StepRun& step = occurrence.m_steps[s];
+        for (std::uint32_t i = 0; i < step.m_tasks.size(); ++i) {
+          const Task& task = step.m_tasks[i];
+          if (task.m_phase == TaskPhase::kDone) {
+            ++step.m_done;
+          } else if (task.m_phase == TaskPhase::kRunning) {
+            ++step.m_running;
+            ++job.m_running;
+            m_placed[task.m_worker].push_back(TaskRef{ id, number, s, i });
+          }
+        }
+        occurrence.m_stepsDone += step.IsDone() ? 1 : 0;
+      }
+      if (occurrence.m_stepsDone == occurrence.m_steps.size()) {
+        ++job.m_occurrencesDone;
+      }
+    }
+    if (job.m_state == JobState::kActive || job.m_running > 0) {
+      m_open.emplace(job.m_order, id);
+    }
+    if (job.m_state == JobState::kActive && !job.m_started &&
+        job.m_spec.m_repeatCount == 0) {
+      ++m_pending[job.m_queue];
+    }
+  }
+}
+
+} // namespace bamboostile::jobs
--- /dev/null
+++ b/src/jobs/codec.cpp
@@ -0,0 +1,383 @@
+#include "bamboostile/jobs/book.h"
+
+#include "jobs.capnp.h"
+
+#include "bamboostile/units/visit.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/io.h>
+
+namespace bamboostile::jobs {
+
+namespace {
+
+/** A snapshot of all jobs may hold more than Cap'n Proto reads by default. */
+constexpr std::uint64_t kMaxWords = 512ULL * 1024 * 1024 / sizeof(capnp::word);
+
+std::string
+ToBytes(capnp::MessageBuilder& aMessage)
+{
+  kj::VectorOutputStream out;
+  capnp::writePackedMessage(out, aMessage);
+  const auto bytes = out.getArray().asChars();
+  return { bytes.begin(), bytes.size() };
+}
+
+template<typename T>
+std::string
+Text(T aReader)
+{
+  return { aReader.cStr(), aReader.size() };
+}
+
+/** Reads a packed message; nothing where the bytes are damaged. */
+template<typename Schema, typename Fn>
+auto
+ReadPacked(const std::string& aBytes, Fn aRead)
+  -> std::optional<decltype(aRead(std::declval<typename Schema::Reader>()))>
+{
+  try {
+    kj::ArrayInputStream in(kj::arrayPtr(
+      reinterpret_cast<const kj::byte*>(aBytes.data()), aBytes.size()));
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = kMaxWords;
+    capnp::PackedMessageReader reader(in, options);
+    return aRead(reader.template getRoot<Schema>());
+  } catch (const kj::Exception&) {
+    return std::nullopt;
+  }
+}
+
+void
+Write(const StepSpec& aStep, schema::StepSpec::Builder aTo)
+{
+  aTo.setCount(aStep.m_count);
+  aTo.setCpuMillis(aStep.m_needs.m_cpuMillis);
+  aTo.setMemoryMb(aStep.m_needs.m_memoryMb);
+  aTo.setAccelerators(aStep.m_needs.m_accelerators);
+  aTo.setEstimateMs(aStep.m_estimate.count());
+  auto depends =
+    aTo.initDependsOn(static_cast<unsigned>(aStep.m_dependsOn.size()));
+  for (unsigned i = 0; i < depends.size(); ++i) {
+    depends.set(i, aStep.m_dependsOn[i]);
+  }
+  aTo.setSavesProgress(aStep.m_savesProgress);
+  aTo.setGang(aStep.m_gang);
+  aTo.setSameRack(aStep.m_sameRack);
+  aTo.setSpeculative(aStep.m_speculative);
+  aTo.setLongRunning(aStep.m_longRunning);
+  aTo.setFills(aStep.m_fills);
+  aTo.setRequiredLabel(aStep.m_requiredLabel);
+  aTo.setPreferredRack(aStep.m_preferredRack.Get());
+  aTo.setMaxPerWorker(aStep.m_maxPerWorker);
+  aTo.setImage(aStep.m_image.Get());
+  aTo.setLatencyTargetMs(aStep.m_latencyTarget.count());
+  aTo.setHasMissBudget(aStep.m_missBudget.has_value());
+  aTo.setMissBudget(aStep.m_missBudget.value_or(0));
+}
+
+StepSpec
+Read(schema::StepSpec::Reader aFrom)
+{
+  StepSpec step;
+  step.m_count = aFrom.getCount();
+  step.m_needs = { aFrom.getCpuMillis(),
+                   aFrom.getMemoryMb(),
+                   aFrom.getAccelerators() };
+  step.m_estimate = Millis{ aFrom.getEstimateMs() };
+  for (const std::uint32_t earlier : aFrom.getDependsOn()) {
+    step.m_dependsOn.push_back(earlier);
+  }
+  step.m_savesProgress = aFrom.getSavesProgress();
+  step.m_gang = aFrom.getGang();
+  step.m_sameRack = aFrom.getSameRack();
+  step.m_speculative = aFrom.getSpeculative();
+  step.m_longRunning = aFrom.getLongRunning();
+  step.m_fills = aFrom.getFills();
+  step.m_requiredLabel = Text(aFrom.getRequiredLabel());
+  step.m_preferredRack = RackId{ Text(aFrom.getPreferredRack()) };
+  step.m_maxPerWorker = aFrom.getMaxPerWorker();
+  step.m_image = ImageId{ Text(aFrom.getImage()) };
+  step.m_latencyTarget = Millis{ aFrom.getLatencyTargetMs() };
+  if (aFrom.getHasMissBudget()) {
+    step.m_missBudget = aFrom.getMissBudget();
+  }
+  return step;
+}
+
+void
+Write(const JobSpec& aSpec, schema::JobSpec::Builder aTo)
+{
+  aTo.setPayload(aSpec.m_payload);
+  auto steps = aTo.initSteps(static_cast<unsigned>(aSpec.m_steps.size()));
+  for (unsigned i = 0; i < steps.size(); ++i) {
+    Write(aSpec.m_steps[i], steps[i]);
+  }
+  aTo.setRepeatCount(aSpec.m_repeatCount);
+  aTo.setStartAtMs(aSpec.m_startAt.Get());
+  aTo.setIntervalMs(aSpec.m_interval.count());
+}
+
+JobSpec
+Read(schema::JobSpec::Reader aFrom)
+{
+  JobSpec spec;
+  spec.m_payload = Text(aFrom.getPayload());
+  for (auto step : aFrom.getSteps()) {
+    spec.m_steps.push_back(Read(step));
+  }
+  spec.m_repeatCount = aFrom.getRepeatCount();
+  spec.m_startAt = WallTime{ aFrom.getStartAtMs() };
+  spec.m_interval = Millis{ aFrom.getIntervalMs() };
+  return spec;
+}
+
+void
+Write(const TaskRef& aTask, schema::TaskRef::Builder aTo)
+{
+  aTo.setJob(aTask.m_job.Get());
+  aTo.setOccurrence(aTask.m_occurrence);
+  aTo.setStep(aTask.m_step);
+  aTo.setIndex(aTask.m_index);
+}
+
+TaskRef
+Read(schema::TaskRef::Reader aFrom)
+{
+  return { JobId{ Text(aFrom.getJob()) },
+           aFrom.getOccurrence(),
+           aFrom.getStep(),
+           aFrom.getIndex() };
+}
+
+void
+Write(const Change& aChange, schema::Change::Builder aTo)
+{
+  std::visit(Overloaded{
+               [&](const Submit& aOne) {
+                 auto to = aTo.initSubmit();
+                 to.setJob(aOne.m_job.Get());
+                 to.setQueue(aOne.m_queue.Get());
+                 Write(aOne.m_spec, to.initSpec());
+                 to.setAtMs(aOne.m_at.Get());
+               },
+               [&](const Cancel& aOne) {
+                 auto to = aTo.initCancel();
+                 to.setCancelled(aOne.m_job.Get());
+                 to.setCancelAtMs(aOne.m_at.Get());
+               },
+               [&](const StartRun& aOne) {
+                 auto to = aTo.initStart();
+                 Write(aOne.m_task, to.initTask());
+                 to.setRun(aOne.m_run.Get());
+                 to.setWorker(aOne.m_worker.Get());
+               },
+               [&](const EndRun& aOne) {
+                 auto to = aTo.initEnd();
+                 Write(aOne.m_task, to.initEnded());
+                 to.setEndedRun(aOne.m_run.Get());
+                 to.setHow(static_cast<std::uint8_t>(aOne.m_how));
+                 to.setCheckpoint(aOne.m_checkpoint);
+                 to.setEndAtMs(aOne.m_at.Get());
+               },
+               [&](const FailJob& aOne) {
+                 auto to = aTo.initFail();
+                 to.setFailed(aOne.m_job.Get());
+                 to.setReason(aOne.m_reason);
+                 to.setFailAtMs(aOne.m_at.Get());
+               },
+               [&](const ForgetEnded& aOne) {
+                 aTo.initForget().setEndedBeforeMs(aOne.m_before.Get());
+               },
+             },
+             aChange);
+}
+
+Change
+Read(schema::Change::Reader aFrom)
+{
+  switch (aFrom.which()) {
+    case schema::Change::SUBMIT: {
+      const auto from = aFrom.getSubmit();
+      return Submit{ JobId{ Text(from.getJob()) },
+                     QueueId{ Text(from.getQueue()) },
+                     Read(from.getSpec()),
+                     WallTime{ from.getAtMs() } };
+    }
+    case schema::Change::CANCEL: {
+      const auto from = aFrom.getCancel();
+      return Cancel{ JobId{ Text(from.getCancelled()) },
+                     WallTime{ from.getCancelAtMs() } };
+    }
+    case schema::Change::START: {
+      const auto from = aFrom.getStart();
+      return StartRun{ Read(from.getTask()),
+                       RunNumber{ from.getRun() },
+                       WorkerId{ Text(from.getWorker()) } };
+    }
+    case schema::Change::END: {
+      const auto from = aFrom.getEnd();
+      return EndRun{ Read(from.getEnded()),
+                     RunNumber{ from.getEndedRun() },
+                     static_cast<RunEnd>(from.getHow()),
+                     Text(from.getCheckpoint()),
+                     WallTime{ from.getEndAtMs() } };
+    }
+    case schema::Change::FAIL: {
+      const auto from = aFrom.getFail();
+      return FailJob{ JobId{ Text(from.getFailed()) },
+                      Text(from.getReason()),
+                      WallTime{ from.getFailAtMs() } };
+    }
+    case schema::Change::FORGET:
+      return ForgetEnded{ WallTime{ aFrom.getForget().getEndedBeforeMs() } };
+  }
+  KJ_FAIL_REQUIRE("unknown kind of change");
+}
+
+} // namespace
+
+struct BookCodec
+{
+  static void Write(const Job& aJob, schema::JobState::Builder aTo)
+  {
+    aTo.setId(aJob.m_id.Get());
+    aTo.setQueue(aJob.m_queue.Get());
+    jobs::Write(aJob.m_spec, aTo.initSpec());
+    aTo.setState(static_cast<std::uint8_t>(aJob.m_state));
+    aTo.setAcceptedAtMs(aJob.m_acceptedAt.Get());
+    aTo.setEndedAtMs(aJob.m_endedAt.Get());
+    aTo.setReason(aJob.m_reason);
+    aTo.setOrder(aJob.m_order);
+    aTo.setStarted(aJob.m_started);
+    auto occurrences =
+      aTo.initOccurrences(static_cast<unsigned>(aJob.m_occurrences.size()));
+    unsigned at = 0;
+    for (const auto& [number, occurrence] : aJob.m_occurrences) {
+      auto to = occurrences[at++];
+      to.setNumber(number);
+      auto steps =
+        to.initSteps(static_cast<unsigned>(occurrence.m_steps.size()));
+      for (unsigned s = 0; s < steps.size(); ++s) {
+        const auto& tasks = occurrence.m_steps[s].m_tasks;
+        auto list = steps[s].initTasks(static_cast<unsigned>(tasks.size()));
+        for (unsigned i = 0; i < list.size(); ++i) {
+          list[i].setPhase(static_cast<std::uint8_t>(tasks[i].m_phase));
+          list[i].setLastRun(tasks[i].m_lastRun.Get());
+          list[i].setFailures(tasks[i].m_failures);
+          list[i].setWorker(tasks[i].m_worker.Get());
+          list[i].setCheckpoint(tasks[i].m_checkpoint);
+        }
+      }
+    }
+  }
+
+  static Job Read(schema::JobState::Reader aFrom)
+  {
+    Job job;
+    job.m_id = JobId{ Text(aFrom.getId()) };
+    job.m_queue = QueueId{ Text(aFrom.getQueue()) };
+    job.m_spec = jobs::Read(aFrom.getSpec());
+    job.m_state = static_cast<JobState>(aFrom.getState());
+    job.m_acceptedAt = WallTime{ aFrom.getAcceptedAtMs() };
+    job.m_endedAt = WallTime{ aFrom.getEndedAtMs() };
+    job.m_reason = Text(aFrom.getReason());
+    job.m_order = aFrom.getOrder();
+    job.m_started = aFrom.getStarted();
+    for (auto from : aFrom.getOccurrences()) {
+      Occurrence& occurrence = job.m_occurrences[from.getNumber()];
+      for (auto step : from.getSteps()) {
+        StepRun& run = occurrence.m_steps.emplace_back();
+        for (auto one : step.getTasks()) {
+          Task& task = run.m_tasks.emplace_back();
+          task.m_phase = static_cast<TaskPhase>(one.getPhase());
+          task.m_lastRun = RunNumber{ one.getLastRun() };
+          task.m_failures = one.getFailures();
+          task.m_worker = WorkerId{ Text(one.getWorker()) };
+          task.m_checkpoint = Text(one.getCheckpoint());
+        }
+      }
+    }
+    return job;
+  }
+
+  static std::string Write(const Book& aBook)
+  {
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<schema::Jobs>();
+    root.setNextOrder(aBook.m_nextOrder);
+    auto list = root.initJobs(static_cast<unsigned>(aBook.m_jobs.size()));
+    unsigned at = 0;
+    for (const auto& [id, job] : aBook.m_jobs) {
+      Write(job, list[at++]);
+    }
+    return ToBytes(message);
+  }
+
+  static Book Read(schema::Jobs::Reader aFrom)
+  {
+    Book book;
+    book.m_nextOrder = aFrom.getNextOrder();
+    for (auto one : aFrom.getJobs()) {
+      Job job = Read(one);
+      book.m_jobs.emplace(job.m_id, std::move(job));
+    }
+    book.Reindex();
+    return book;
+  }
+};
+
+std::string
+EncodeBatch(const Batch& aBatch)
+{
+  capnp::MallocMessageBuilder message;
+  auto changes = message.initRoot<schema::Batch>().initChanges(
+    static_cast<unsigned>(aBatch.m_changes.size()));
+  for (unsigned i = 0; i < changes.size(); ++i) {
+    Write(aBatch.m_changes[i], changes[i]);
+  }
+  return ToBytes(message);
+}
+
+std::optional<Batch>
+DecodeBatch(const std::string& aBytes)
+{
+  return ReadPacked<schema::Batch>(aBytes, [](schema::Batch::Reader aFrom) {
+    Batch batch;
+    for (auto change : aFrom.getChanges()) {
+      batch.m_changes.push_back(Read(change));
+    }
+    return batch;
+  });
+}
+
+std::string
+EncodeSpec(const JobSpec& aSpec)
+{
+  capnp::MallocMessageBuilder message;
+  Write(aSpec, message.initRoot<schema::JobSpec>());
+  return ToBytes(message);
+}
+
+std::optional<JobSpec>
+DecodeSpec(const std::string& aBytes)
+{
+  return ReadPacked<schema::JobSpec>(
+    aBytes, [](schema::JobSpec::Reader aFrom) { return Read(aFrom); });
+}
+
+std::string
+EncodeBook(const Book& aBook)
+{
+  return BookCodec::Write(aBook);
+}
+
+std::optional<Book>
+DecodeBook(const std::string& aBytes)
+{
+  return ReadPacked<schema::Jobs>(
+    aBytes, [](schema::Jobs::Reader aFrom) { return BookCodec::Read(aFrom); });
+}
+
+} // namespace bamboostile::jobs
--- /dev/null
+++ b/src/placement/planner.cpp
@@ -0,0 +1,434 @@
+#include "bamboostile/placement/planner.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace bamboostile::placement {
+
+namespace {
+
+constexpr std::uint32_t kAtWorkPercent = 100;
+/** Weight of one observed duration against what is known: follows a change
+ * within some five runs, and one outlier moves the mean by a fifth. */
+constexpr double kLearnShare = 0.2;
+/** At most this share of a pool is kept free for tasks that find no room. */
+constexpr std::size_t kKeptShare = 4;
+
+bool
+Fits(const jobs::Resources& aNeeds, bool aFills, std::int64_t aCpu,
+     std::int64_t aMemory, std::int64_t aAccelerators)
+{
+  return (aFills || aNeeds.m_cpuMillis <= aCpu) &&
+         aNeeds.m_memoryMb <= aMemory &&
+         aNeeds.m_accelerators <= aAccelerators;
+}
+
+/** Fills need no CPU of their own. */
+std::int64_t
+CountedCpu(const jobs::StepSpec& aStep)
+{
+  return aStep.m_fills ? 0 : aStep.m_needs.m_cpuMillis;
+}
+
+} // namespace
+
+bool
+MayTakeAway(const jobs::Job& aJob,
+            const jobs::TaskRef& aTask,
+            const WorkerTable& aWorkers)
+{
+  const jobs::StepSpec& spec = aJob.m_spec.m_steps[aTask.m_step];
+  if (!spec.m_missBudget) {
+    return true;
+  }
+  const auto occurrence = aJob.m_occurrences.find(aTask.m_occurrence);
+  const auto& tasks = occurrence->second.m_steps[aTask.m_step].m_tasks;
+  std::uint32_t away = 0;
+  for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+    if (i == aTask.m_index) {
+      continue;
+    }
+    jobs::TaskRef other = aTask;
+    other.m_index = i;
+    const RunReport* run = tasks[i].m_phase == jobs::TaskPhase::kRunning
+                             ? aWorkers.FindRun(other, tasks[i])
+                             : nullptr;
+    const Worker* worker = aWorkers.Find(tasks[i].m_worker);
+    const bool leaves =
+      worker != nullptr &&
+      worker->m_toStop.contains({ other, tasks[i].m_lastRun });
+    away += run == nullptr || run->m_percent < kAtWorkPercent || leaves ? 1 : 0;
+  }
+  return away < *spec.m_missBudget;
+}
+
+void
+Planner::Learn(const jobs::StepSpec& aStep, Duration aTook)
+{
+  Learned& learned = m_learned[aStep.m_image];
+  const auto tookMs = static_cast<double>(ToMillis(aTook).count());
+  learned.m_weight += 1;
+  const double share = std::max(kLearnShare, 1 / learned.m_weight);
+  learned.m_meanMs += (tookMs - learned.m_meanMs) * share;
+}
+
+Millis
+Planner::Estimate(const jobs::StepSpec& aStep) const
+{
+  const auto found = m_learned.find(aStep.m_image);
+  if (aStep.m_image.Get().empty() || found == m_learned.end()) {
+    return aStep.m_estimate;
+  }
+  return Millis{ static_cast<std::int64_t>(found->second.m_meanMs) };
+}
+
+Millis
+Planner::LongestChain(const jobs::Job& aJob,
+                      const jobs::Occurrence* aProgress) const
+{
+  std::vector<Millis> ends;
+  Millis longest{};
+  for (std::size_t s = 0; s < aJob.m_spec.m_steps.size(); ++s) {
+    const jobs::StepSpec& step = aJob.m_spec.m_steps[s];
+    Millis end{};
+    for (const std::uint32_t earlier : step.m_dependsOn) {
+      end = std::max(end, ends[earlier]);
+    }
+    if (aProgress == nullptr || !aProgress->m_steps[s].IsDone()) {
+      end += Estimate(step);
+    }
+    ends.push_back(end);
+    longest = std::max(longest, end);
+  }
+  return longest;
+}
+
+Planner::Pools
+Planner::FindRoom(const fleet::State& aState,
+                  const WorkerTable& aWorkers,
+                  const std::set<WorkerId>& aCordoned,
+                  TimePoint aNow) const
+{
+  Pools pools;
+  const jobs::Book& book = aState.Jobs();
+  for (const auto& [id, worker] : aWorkers.Workers()) {
+    if (!worker.IsUsable(aNow) || aCordoned.contains(id)) {
+      continue;
+    }
+    const jobs::Resources& all = worker.m_last.m_capacity;
+    Room room{ &worker, all.m_cpuMillis, all.m_memoryMb, all.m_accelerators };
+    const auto placed = book.Placed().find(id);
+    if (placed != book.Placed().end()) {
+      for (const jobs::TaskRef& ref : placed->second) {
+        const jobs::StepSpec& step =
+          book.Find(ref.m_job)->m_spec.m_steps[ref.m_step];
+        room.m_cpu -= CountedCpu(step);
+        room.m_memory -= step.m_needs.m_memoryMb;
+        room.m_accelerators -= step.m_needs.m_accelerators;
+        room.m_serves =
+          room.m_serves || step.m_latencyTarget > Millis::zero();
+      }
+    }
+    pools[worker.m_last.m_service].push_back(room);
+  }
+  return pools;
+}
+
+void
+Planner::AddCandidates(const jobs::Job& aJob,
+                       const fleet::QueueRoute& aRoute,
+                       std::uint32_t aOccurrence,
+                       WallTime aBegan,
+                       WallTime aWall,
+                       std::vector<Candidate>& aTo) const
+{
+  const auto found = aJob.m_occurrences.find(aOccurrence);
+  const jobs::Occurrence* progress =
+    found == aJob.m_occurrences.end() ? nullptr : &found->second;
+  const auto chain = static_cast<double>(LongestChain(aJob, nullptr).count());
+  const std::int64_t due = aBegan.Get() +
+                           static_cast<std::int64_t>(chain * aRoute.m_stretch) +
+                           aRoute.m_objective.count();
+  const bool late =
+    aWall.Get() + LongestChain(aJob, progress).count() > due;
+  for (std::uint32_t s = 0; s < aJob.m_spec.m_steps.size(); ++s) {
+    const jobs::StepSpec& step = aJob.m_spec.m_steps[s];
+    const bool isTurn = progress == nullptr
+                          ? step.m_dependsOn.empty()
+                          : progress->m_steps[s].Waiting() > 0 &&
+                              jobs::Book::IsTurn(*progress, step);
+    if (isTurn) {
+      aTo.push_back({ &aJob,
+                      &aRoute,
+                      aOccurrence,
+                      s,
+                      step.m_longRunning,
+                      late && !step.m_longRunning,
+                      WallTime{ due } });
+    }
+  }
+}
+
+std::vector<Planner::Candidate>
+Planner::FindCandidates(const fleet::State& aState, WallTime aWall) const
+{
+  std::vector<Candidate> candidates;
+  const jobs::Book& book = aState.Jobs();
+  const fleet::RouteTable& routes = aState.Routes();
+  for (const auto& [order, id] : book.Open()) {
+    const jobs::Job& job = *book.Find(id);
+    const auto route = aState.RouteLookup().Find(job.m_queue);
+    // Where only one service's advice says which workers may run a step,
+    // nothing may start without it.
+    if (job.m_state != jobs::JobState::kActive || !route ||
+        routes.m_routes[*route].m_advice) {
+      continue;
+    }
+    const fleet::QueueRoute& queue = routes.m_routes[*route];
+    if (job.m_spec.m_repeatCount == 0) {
+      AddCandidates(job, queue, 0, job.m_acceptedAt, aWall, candidates);
+      continue;
+    }
+    const std::int64_t passed = aWall.Get() - job.m_spec.m_startAt.Get();
+    const std::int64_t interval =
+      std::max<std::int64_t>(1, job.m_spec.m_interval.count());
+    for (std::uint32_t k = 0;
+         k < job.m_spec.m_repeatCount && k * interval <= passed;
+         ++k) {
+      const WallTime due{ job.m_spec.m_startAt.Get() + k * interval };
+      AddCandidates(job, queue, k, due, aWall, candidates);
+    }
+  }
+  std::sort(candidates.begin(),
+            candidates.end(),
+            [](const Candidate& aLeft, const Candidate& aRight) {
+              const auto key = [](const Candidate& aOne) {
+                return std::make_tuple(!aOne.m_lasts,
+                                       aOne.m_late,
+                                       aOne.m_route->m_priority,
+                                       aOne.m_due,
+                                       aOne.m_job->m_order,
+                                       aOne.m_occurrence,
+                                       aOne.m_step);
+              };
+              return key(aLeft) < key(aRight);
+            });
+  return candidates;
+}
+
+Planner::Room*
+Planner::Choose(
+  const Candidate& aCandidate,
+  const jobs::StepSpec& aStep,
+  const std::unordered_map<WorkerId, std::uint32_t>& aOnWorker,
+  Pool& aPool) const
+{
+  Room* best = nullptr;
+  auto bestRank = std::make_tuple(true, true, std::int64_t{});
+  for (Room& room : aPool) {
+    const WorkerReport& report = room.m_worker->m_last;
+    if (room.m_kept ||
+        !Fits(aStep.m_needs, aStep.m_fills, room.m_cpu, room.m_memory,
+              room.m_accelerators)) {
+      continue;
+    }
+    if (!aStep.m_requiredLabel.empty() &&
+        !report.m_labels.contains(aStep.m_requiredLabel)) {
+      continue;
+    }
+    if (aStep.m_maxPerWorker > 0) {
+      const auto here = aOnWorker.find(report.m_worker);
+      if (here != aOnWorker.end() && here->second >= aStep.m_maxPerWorker) {
+        continue;
+      }
+    }
+    const bool farFromData = !aStep.m_preferredRack.Get().empty() &&
+                             aStep.m_preferredRack != report.m_rack;
+    // What fills and what serves disturb each other on one worker.
+    const bool disturbs = aStep.m_fills && room.m_serves;
+    // Tasks that last are spread, so that one lost worker takes few of them;
+    // the others are packed, so that room for large ones stays in one piece.
+    const std::int64_t left = room.m_cpu - CountedCpu(aStep);
+    const auto rank = std::make_tuple(
+      farFromData, disturbs, aCandidate.m_lasts || aStep.m_fills ? -left : left);
+    if (best == nullptr || rank < bestRank) {
+      best = &room;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+void
+Planner::Place(const Candidate& aCandidate,
+               const jobs::Book& /*aBook*/,
+               Pool& aPool,
+               Plan& aPlan) const
+{
+  const jobs::StepSpec& step =
+    aCandidate.m_job->m_spec.m_steps[aCandidate.m_step];
+  if (step.m_gang) {
+    PlaceGang(aCandidate, aPool, aPlan);
+    return;
+  }
+  const auto found = aCandidate.m_job->m_occurrences.find(aCandidate.m_occurrence);
+  static const jobs::Task kUntouched;
+  std::unordered_map<WorkerId, std::uint32_t> onWorker;
+  const bool isNew = found == aCandidate.m_job->m_occurrences.end();
+  const std::vector<jobs::Task>* tasks =
+    isNew ? nullptr : &found->second.m_steps[aCandidate.m_step].m_tasks;
+  if (step.m_maxPerWorker > 0 && tasks != nullptr) {
+    for (const jobs::Task& task : *tasks) {
+      if (task.m_phase == jobs::TaskPhase::kRunning) {
+        ++onWorker[task.m_worker];
+      }
+    }
+  }
+  for (std::uint32_t i = 0; i < step.m_count; ++i) {
+    const jobs::Task& task = tasks == nullptr ? kUntouched : (*tasks)[i];
+    if (task.m_phase != jobs::TaskPhase::kWaiting) {
+      continue;
+    }
+    Room* room = Choose(aCandidate, step, onWorker, aPool);
+    if (room == nullptr) {
+      const auto kept = std::count_if(aPool.begin(), aPool.end(), [](auto& aOne) {
+        return aOne.m_kept;
+      });
+      if (!aCandidate.m_late &&
+          static_cast<std::size_t>(kept) < aPool.size() / kKeptShare) {
+        const auto emptiest = std::max_element(
+          aPool.begin(), aPool.end(), [](const Room& aLeft, const Room& aRight) {
+            return std::make_pair(!aLeft.m_kept, aLeft.m_cpu) <
+                   std::make_pair(!aRight.m_kept, aRight.m_cpu);
+          });
+        emptiest->m_kept = true;
+      }
+      return;
+    }
+    room->m_cpu -= CountedCpu(step);
+    room->m_memory -= step.m_needs.m_memoryMb;
+    room->m_accelerators -= step.m_needs.m_accelerators;
+    room->m_serves = room->m_serves || step.m_latencyTarget > Millis::zero();
+    const WorkerId& worker = room->m_worker->m_last.m_worker;
+    ++onWorker[worker];
+    aPlan.m_changes.emplace_back(jobs::StartRun{
+      { aCandidate.m_job->m_id, aCandidate.m_occurrence, aCandidate.m_step, i },
+      RunNumber{ task.m_lastRun.Get() + 1 },
+      worker });
+  }
+}
+
+// All members at once or none: a member that waits for the others holds its
+// room for nothing.
+void
+Planner::PlaceGang(const Candidate& aCandidate, Pool& aPool, Plan& aPlan) const
+{
+  const jobs::StepSpec& step =
+    aCandidate.m_job->m_spec.m_steps[aCandidate.m_step];
+  const auto found = aCandidate.m_job->m_occurrences.find(aCandidate.m_occurrence);
+  RunNumber last;
+  if (found != aCandidate.m_job->m_occurrences.end()) {
+    const jobs::StepRun& state = found->second.m_steps[aCandidate.m_step];
+    if (state.m_running > 0) {
+      return;
+    }
+    for (const jobs::Task& task : state.m_tasks) {
+      last = std::max(last, task.m_lastRun);
+    }
+  }
+  Pool trial = aPool;
+  std::unordered_map<WorkerId, std::uint32_t> onWorker;
+  std::vector<jobs::Change> starts;
+  for (std::uint32_t i = 0; i < step.m_count; ++i) {
+    Room* room = Choose(aCandidate, step, onWorker, trial);
+    if (room == nullptr) {
+      return;
+    }
+    room->m_cpu -= CountedCpu(step);
+    room->m_memory -= step.m_needs.m_memoryMb;
+    room->m_accelerators -= step.m_needs.m_accelerators;
+    const WorkerId& worker = room->m_worker->m_last.m_worker;
+    ++onWorker[worker];
+    starts.emplace_back(jobs::StartRun{
+      { aCandidate.m_job->m_id, aCandidate.m_occurrence, aCandidate.m_step, i },
+      RunNumber{ last.Get() + 1 },
+      worker });
+  }
+  aPool = std::move(trial);
+  std::move(starts.begin(), starts.end(), std::back_inserter(aPlan.m_changes));
+}
+
+// A task that lasts leaves a worker that goes away before it goes: the stop
+// is ordered only where another worker has room, so that the task is back
+// within about a second.
+void
+Planner::MoveLasting(const fleet::State& aState,
+                     const WorkerTable& aWorkers,
+                     const std::set<WorkerId>& aCordoned,
+                     Pools& aPools,
+                     Plan& aPlan) const
+{
+  const jobs::Book& book = aState.Jobs();
+  for (const auto& [worker, tasks] : book.Placed()) {
+    const Worker* known = aWorkers.Find(worker);
+    const bool leaves =
+      known != nullptr && (known->m_last.m_draining || aCordoned.contains(worker));
+    if (!leaves) {
+      continue;
+    }
+    for (const jobs::TaskRef& ref : tasks) {
+      const jobs::Job* job = book.Find(ref.m_job);
+      const jobs::StepSpec& step = job->m_spec.m_steps[ref.m_step];
+      const jobs::Task* task = book.FindTask(ref);
+      if (!step.m_longRunning || job->m_state != jobs::JobState::kActive ||
+          aWorkers.FindRun(ref, *task) == nullptr ||
+          known->m_toStop.contains({ ref, task->m_lastRun })) {
+        continue;
+      }
+      const bool mayGo =
+        known->m_last.m_draining || MayTakeAway(*job, ref, aWorkers);
+      const auto stopsOfStep = std::count_if(
+        aPlan.m_stops.begin(), aPlan.m_stops.end(), [&](const StopOrder& aStop) {
+          return aStop.m_task.m_job == ref.m_job &&
+                 aStop.m_task.m_step == ref.m_step;
+        });
+      const bool first = stopsOfStep == 0 || known->m_last.m_draining;
+      auto& pool = aPools[known->m_last.m_service];
+      const auto room = std::find_if(pool.begin(), pool.end(), [&](Room& aRoom) {
+        return Fits(step.m_needs, step.m_fills, aRoom.m_cpu, aRoom.m_memory,
+                    aRoom.m_accelerators);
+      });
+      if (mayGo && first && room != pool.end()) {
+        room->m_cpu -= CountedCpu(step);
+        room->m_memory -= step.m_needs.m_memoryMb;
+        aPlan.m_stops.push_back({ ref, task->m_lastRun });
+      }
+    }
+  }
+}
+
+Plan
+Planner::Next(const fleet::State& aState,
+              const WorkerTable& aWorkers,
+              const std::set<WorkerId>& aCordoned,
+              TimePoint aNow,
+              WallTime aWall)
+{
+  Plan plan;
+  Pools pools = FindRoom(aState, aWorkers, aCordoned, aNow);
+  const std::vector<Candidate> candidates = FindCandidates(aState, aWall);
+  const auto lasting =
+    std::find_if(candidates.begin(), candidates.end(), [](const Candidate& aOne) {
+      return !aOne.m_lasts;
+    });
+  for (auto it = candidates.begin(); it != lasting; ++it) {
+    Place(*it, aState.Jobs(), pools[it->m_route->m_service], plan);
+  }
+  MoveLasting(aState, aWorkers, aCordoned, pools, plan);
+  for (auto it = lasting; it != candidates.end(); ++it) {
+    Place(*it, aState.Jobs(), pools[it->m_route->m_service], plan);
+  }
+  return plan;
+}
+
+} // namespace bamboostile::placement
--- /dev/null
+++ b/src/placement/upkeep.cpp
@@ -0,0 +1,179 @@
+#include "bamboostile/placement/upkeep.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace bamboostile::placement {
+
+namespace {
+
+std::size_t
+LoadOf(const InstanceId& aInstance,
+       const jobs::Book& aBook,
+       const WorkerTable& aWorkers)
+{
+  const Worker* worker = aWorkers.FindByInstance(aInstance);
+  if (worker == nullptr) {
+    return 0;
+  }
+  const auto placed = aBook.Placed().find(worker->m_last.m_worker);
+  return placed == aBook.Placed().end() ? 0 : placed->second.size();
+}
+
+bool
+HoldsBudgetedTask(const WorkerId& aWorker, const jobs::Book& aBook)
+{
+  const auto placed = aBook.Placed().find(aWorker);
+  if (placed == aBook.Placed().end()) {
+    return false;
+  }
+  return std::any_of(
+    placed->second.begin(), placed->second.end(), [&](const auto& aTask) {
+      const jobs::Job* job = aBook.Find(aTask.m_job);
+      return job->m_state == jobs::JobState::kActive &&
+             job->m_spec.m_steps[aTask.m_step].m_longRunning;
+    });
+}
+
+} // namespace
+
+const char*
+Describe(UpkeepAnswer aAnswer) noexcept
+{
+  switch (aAnswer) {
+    case UpkeepAnswer::kTaken:
+      return "taken";
+    case UpkeepAnswer::kBusy:
+      return "the instance is busy";
+    case UpkeepAnswer::kNotMeant:
+      return "not meant for the instance";
+    case UpkeepAnswer::kOvertaken:
+      return "overtaken by a later leader";
+    case UpkeepAnswer::kUnclear:
+      return "no clear answer";
+  }
+  return "unknown";
+}
+
+// An order is sent when nothing is lost by it: no task that lasts is there any
+// more, and what ends by itself has ended or has had its time.
+bool
+UpkeepPlanner::IsReady(const InstanceId& aInstance,
+                       const fleet::State& aState,
+                       const WorkerTable& aWorkers,
+                       TimePoint aNow) const
+{
+  const auto since = m_cordonedSince.find(aInstance);
+  if (since == m_cordonedSince.end()) {
+    return false;
+  }
+  const Worker* worker = aWorkers.FindByInstance(aInstance);
+  const bool waitedOut = aNow >= since->second + m_options.m_patience;
+  if (worker == nullptr) {
+    return waitedOut;
+  }
+  if (HoldsBudgetedTask(worker->m_last.m_worker, aState.Jobs())) {
+    return false;
+  }
+  const bool isEmpty = LoadOf(aInstance, aState.Jobs(), aWorkers) == 0 &&
+                       worker->m_last.m_active.empty();
+  return isEmpty || waitedOut;
+}
+
+void
+UpkeepPlanner::PlanWave(const fleet::UpkeepWave& aWave,
+                        const fleet::State& aState,
+                        const WorkerTable& aWorkers,
+                        TimePoint aNow,
+                        UpkeepPlan& aPlan)
+{
+  std::size_t down = aWave.Down();
+  std::vector<InstanceId> waiting;
+  for (const auto& [instance, step] : aWave.m_instances) {
+    const Worker* worker = aWorkers.FindByInstance(instance);
+    if (step == fleet::UpkeepStep::kOrdered) {
+      aPlan.m_orders.push_back({ aWave.m_number, instance });
+      if (worker != nullptr) {
+        aPlan.m_cordoned.insert(worker->m_last.m_worker);
+      }
+    } else if (step == fleet::UpkeepStep::kDown && worker != nullptr) {
+      aPlan.m_advances.push_back(
+        { aWave.m_number, instance, fleet::UpkeepStep::kDone });
+    } else if (step == fleet::UpkeepStep::kWaiting) {
+      const auto notBefore = m_notBefore.find(instance);
+      if (notBefore == m_notBefore.end() || aNow >= notBefore->second) {
+        waiting.push_back(instance);
+      }
+    }
+  }
+  const auto rank = [&](const InstanceId& aInstance) {
+    return std::make_tuple(!m_cordonedSince.contains(aInstance),
+                           aWorkers.FindByInstance(aInstance) == nullptr,
+                           LoadOf(aInstance, aState.Jobs(), aWorkers));
+  };
+  std::sort(waiting.begin(), waiting.end(), [&](const auto& aLeft, const auto& aRight) {
+    return rank(aLeft) < rank(aRight);
+  });
+  const std::size_t room =
+    aWave.m_cap > down ? aWave.m_cap - down : std::size_t{ 0 };
+  waiting.resize(std::min(waiting.size(), room + m_options.m_ahead));
+  for (const InstanceId& instance : waiting) {
+    m_cordonedSince.try_emplace(instance, aNow);
+    if (const Worker* worker = aWorkers.FindByInstance(instance)) {
+      aPlan.m_cordoned.insert(worker->m_last.m_worker);
+    }
+    if (down < aWave.m_cap && IsReady(instance, aState, aWorkers, aNow)) {
+      ++down;
+      aPlan.m_advances.push_back(
+        { aWave.m_number, instance, fleet::UpkeepStep::kOrdered });
+    }
+  }
+}
+
+UpkeepPlan
+UpkeepPlanner::Next(const fleet::State& aState,
+                    const WorkerTable& aWorkers,
+                    TimePoint aNow)
+{
+  UpkeepPlan plan;
+  if (aNow < aWorkers.LeaderSince() + m_options.m_quietAfterElection) {
+    return plan;
+  }
+  for (const auto& [number, wave] : aState.Upkeep()) {
+    if (!wave.IsDone()) {
+      PlanWave(wave, aState, aWorkers, aNow, plan);
+    }
+  }
+  return plan;
+}
+
+std::optional<fleet::AdvanceUpkeep>
+UpkeepPlanner::OnAnswer(const UpkeepOrder& aOrder,
+                        UpkeepAnswer aAnswer,
+                        TimePoint aNow)
+{
+  switch (aAnswer) {
+    case UpkeepAnswer::kTaken:
+      m_cordonedSince.erase(aOrder.m_instance);
+      return fleet::AdvanceUpkeep{ aOrder.m_wave,
+                                   aOrder.m_instance,
+                                   fleet::UpkeepStep::kDown };
+    case UpkeepAnswer::kBusy:
+      m_cordonedSince.erase(aOrder.m_instance);
+      m_notBefore[aOrder.m_instance] = aNow + m_options.m_retryAfter;
+      return fleet::AdvanceUpkeep{ aOrder.m_wave,
+                                   aOrder.m_instance,
+                                   fleet::UpkeepStep::kWaiting };
+    case UpkeepAnswer::kNotMeant:
+      m_cordonedSince.erase(aOrder.m_instance);
+      return fleet::AdvanceUpkeep{ aOrder.m_wave,
+                                   aOrder.m_instance,
+                                   fleet::UpkeepStep::kSkipped };
+    case UpkeepAnswer::kOvertaken:
+    case UpkeepAnswer::kUnclear:
+      return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+} // namespace bamboostile::placement
--- /dev/null
+++ b/src/placement/workers.cpp
@@ -0,0 +1,391 @@
+#include "bamboostile/placement/workers.h"
+
+#include <algorithm>
+
+namespace bamboostile::placement {
+
+namespace {
+
+constexpr std::uint32_t kFullRate = 100;
+/** Share of a latency target at which what fills beside it is slowed, and
+ * below which it is let go again. Between them lies the noise of a tail that
+ * is measured over half a second. */
+constexpr std::uint32_t kSlowAtPercent = 75;
+constexpr std::uint32_t kReleaseAtPercent = 50;
+constexpr std::uint32_t kReleaseStep = 25;
+/** Failures in a row, without one run done, after which a worker is taken for
+ * faulty: with one task in 500 failing by itself, three in a row are one in
+ * 10^8. */
+constexpr std::uint32_t kFailuresToSetAside = 3;
+constexpr Duration kSetAside = Millis{ 6000 };
+
+bool
+Contains(const std::vector<RunReport>& aRuns,
+         const jobs::TaskRef& aTask,
+         RunNumber aRun)
+{
+  return std::any_of(aRuns.begin(), aRuns.end(), [&](const RunReport& aOne) {
+    return aOne.m_task == aTask && aOne.m_run == aRun;
+  });
+}
+
+bool
+Contains(const std::vector<EndReport>& aEnds,
+         const jobs::TaskRef& aTask,
+         RunNumber aRun)
+{
+  return std::any_of(aEnds.begin(), aEnds.end(), [&](const EndReport& aOne) {
+    return aOne.m_task == aTask && aOne.m_run == aRun;
+  });
+}
+
+const jobs::StepSpec&
+StepOf(const jobs::Job& aJob, const jobs::TaskRef& aTask)
+{
+  return aJob.m_spec.m_steps[aTask.m_step];
+}
+
+} // namespace
+
+bool
+IsExpected(const jobs::Book& aBook,
+           const WorkerId& aWorker,
+           const jobs::TaskRef& aTask,
+           RunNumber aRun)
+{
+  const jobs::Task* task = aBook.FindTask(aTask);
+  return task != nullptr && task->m_phase == jobs::TaskPhase::kRunning &&
+         task->m_lastRun == aRun && task->m_worker == aWorker;
+}
+
+WorkerTable::WorkerTable(LeaseOptions aOptions, TimePoint aLeaderSince)
+  : m_options(aOptions)
+  , m_leaderSince(aLeaderSince)
+{
+}
+
+Duration
+WorkerTable::LongestHold() const
+{
+  return m_options.m_lease * (100 + m_options.m_driftPercent) / 100 +
+         m_options.m_margin;
+}
+
+const Worker*
+WorkerTable::Find(const WorkerId& aWorker) const
+{
+  const auto found = m_workers.find(aWorker);
+  return found == m_workers.end() ? nullptr : &found->second;
+}
+
+const Worker*
+WorkerTable::FindByInstance(const InstanceId& aInstance) const
+{
+  const auto found = m_current.find(aInstance);
+  return found == m_current.end() ? nullptr : Find(found->second);
+}
+
+const RunReport*
+WorkerTable::FindRun(const jobs::TaskRef& aTask,
+                     const jobs::Task& aState) const
+{
+  const Worker* worker = Find(aState.m_worker);
+  if (worker == nullptr) {
+    return nullptr;
+  }
+  for (const RunReport& run : worker->m_last.m_active) {
+    if (run.m_task == aTask && run.m_run == aState.m_lastRun) {
+      return &run;
+    }
+  }
+  return nullptr;
+}
+
+Heard
+WorkerTable::OnReport(const WorkerReport& aReport,
+                      const jobs::Book& aBook,
+                      TimePoint aNow,
+                      WallTime aWall)
+{
+  Heard heard;
+  if (m_retired.contains(aReport.m_worker)) {
+    heard.m_ignored = true;
+    return heard;
+  }
+  const auto [found, isNew] = m_workers.try_emplace(aReport.m_worker);
+  Worker& worker = found->second;
+  // A report that was overtaken shows a state that is gone; its worker has
+  // dropped the connection and will not read the answer.
+  if (!isNew && aReport.m_sequence <= worker.m_last.m_sequence) {
+    heard.m_ignored = true;
+    return heard;
+  }
+  if (isNew) {
+    worker.m_leaseEnd = m_leaderSince + LongestHold();
+    heard.m_changed = true;
+  }
+  if (!aReport.m_instance.Get().empty()) {
+    WorkerId& current = m_current[aReport.m_instance];
+    if (current != aReport.m_worker) {
+      // One life of an instance at a time: the new one proves that the old
+      // one, and all it ran, has ended.
+      const WorkerId previous = current;
+      current = aReport.m_worker;
+      if (!previous.Get().empty()) {
+        heard.m_ends = Retire(previous, aBook, aWall);
+      }
+      m_current[aReport.m_instance] = aReport.m_worker;
+    }
+  }
+  heard.m_changed = heard.m_changed || worker.m_silent ||
+                    worker.m_last.m_draining != aReport.m_draining ||
+                    worker.m_last.m_capacity != aReport.m_capacity;
+  worker.m_last = aReport;
+  worker.m_heardAt = aNow;
+  worker.m_silent = false;
+  for (const RunReport& run : aReport.m_active) {
+    if (!run.m_checkpoint.empty() &&
+        IsExpected(aBook, aReport.m_worker, run.m_task, run.m_run)) {
+      m_checkpoints[run.m_task] = run.m_checkpoint;
+    }
+  }
+  TakeEnds(worker, aReport, aBook, aNow, aWall, heard);
+  FindUnstarted(worker, aBook, aNow, aWall, heard);
+  return heard;
+}
+
+void
+WorkerTable::TakeEnds(Worker& aWorker,
+                      const WorkerReport& aReport,
+                      const jobs::Book& aBook,
+                      TimePoint aNow,
+                      WallTime aWall,
+                      Heard& aHeard)
+{
+  for (const EndReport& end : aReport.m_ended) {
+    if (end.m_number <= aWorker.m_notedUpTo) {
+      continue;
+    }
+    aWorker.m_notedUpTo = end.m_number;
+    aWorker.m_toStop.erase({ end.m_task, end.m_run });
+    aWorker.m_sentIn.erase(end.m_task);
+    aWorker.m_rates.erase(end.m_task);
+    if (!IsExpected(aBook, aReport.m_worker, end.m_task, end.m_run)) {
+      continue;
+    }
+    CountOutcome(aWorker, end.m_how, aNow);
+    m_checkpoints.erase(end.m_task);
+    aHeard.m_changed = true;
+    aHeard.m_ends.push_back(
+      { end.m_task, end.m_run, end.m_how, end.m_checkpoint, aWall });
+  }
+}
+
+void
+WorkerTable::CountOutcome(Worker& aWorker, jobs::RunEnd aEnd, TimePoint aNow)
+{
+  if (aEnd == jobs::RunEnd::kDone) {
+    aWorker.m_failuresInRow = 0;
+  } else if (aEnd == jobs::RunEnd::kFailed &&
+             ++aWorker.m_failuresInRow >= kFailuresToSetAside) {
+    aWorker.m_setAsideUntil = aNow + kSetAside;
+  }
+}
+
+// A run that was sent and is neither active nor ended in a later report never
+// started: a worker drops an answer that comes late, and reports one after the
+// other. Where the run is no longer wanted there, this frees its place; the
+// others are simply sent again. Without it a task whose start was lost on a
+// draining worker would wait for that worker's end.
+void
+WorkerTable::FindUnstarted(Worker& aWorker,
+                           const jobs::Book& aBook,
+                           TimePoint aNow,
+                           WallTime aWall,
+                           Heard& aHeard)
+{
+  const WorkerReport& report = aWorker.m_last;
+  const auto placed = aBook.Placed().find(report.m_worker);
+  if (placed == aBook.Placed().end()) {
+    return;
+  }
+  for (const jobs::TaskRef& ref : placed->second) {
+    const jobs::Task* task = aBook.FindTask(ref);
+    const jobs::Job* job = aBook.Find(ref.m_job);
+    const bool wanted =
+      job->m_state == jobs::JobState::kActive && !report.m_draining;
+    if (wanted || Contains(report.m_active, ref, task->m_lastRun) ||
+        Contains(report.m_ended, ref, task->m_lastRun)) {
+      continue;
+    }
+    const auto sent = aWorker.m_sentIn.find(ref);
+    const bool settled = sent != aWorker.m_sentIn.end()
+                           ? sent->second < report.m_sequence
+                           : aNow >= m_leaderSince + m_options.m_lateReports;
+    if (settled) {
+      aWorker.m_sentIn.erase(ref);
+      aHeard.m_changed = true;
+      aHeard.m_ends.push_back(
+        { ref, task->m_lastRun, jobs::RunEnd::kStopped, "", aWall });
+    }
+  }
+}
+
+std::vector<jobs::EndRun>
+WorkerTable::EndAll(const WorkerId& aWorker,
+                    const jobs::Book& aBook,
+                    WallTime aWall)
+{
+  std::vector<jobs::EndRun> ends;
+  const auto placed = aBook.Placed().find(aWorker);
+  if (placed == aBook.Placed().end()) {
+    return ends;
+  }
+  for (const jobs::TaskRef& ref : placed->second) {
+    const auto saved = m_checkpoints.find(ref);
+    ends.push_back({ ref,
+                     aBook.FindTask(ref)->m_lastRun,
+                     jobs::RunEnd::kWorkerLost,
+                     saved == m_checkpoints.end() ? "" : saved->second,
+                     aWall });
+  }
+  return ends;
+}
+
+std::vector<jobs::EndRun>
+WorkerTable::Retire(const WorkerId& aWorker,
+                    const jobs::Book& aBook,
+                    WallTime aWall)
+{
+  m_retired.insert(aWorker);
+  m_workers.erase(aWorker);
+  std::erase_if(m_current,
+                [&](const auto& aEntry) { return aEntry.second == aWorker; });
+  return EndAll(aWorker, aBook, aWall);
+}
+
+std::vector<jobs::EndRun>
+WorkerTable::FindLost(const jobs::Book& aBook, TimePoint aNow, WallTime aWall)
+{
+  std::vector<jobs::EndRun> ends;
+  const auto add = [&](const WorkerId& aWorker) {
+    auto lost = EndAll(aWorker, aBook, aWall);
+    std::move(lost.begin(), lost.end(), std::back_inserter(ends));
+  };
+  for (auto& [id, worker] : m_workers) {
+    if (!worker.m_silent && aNow > worker.m_leaseEnd) {
+      worker.m_silent = true;
+      worker.m_sentIn.clear();
+      worker.m_toStop.clear();
+    }
+    if (worker.m_silent) {
+      add(id);
+    }
+  }
+  if (aNow <= m_leaderSince + LongestHold()) {
+    return ends;
+  }
+  for (const auto& [id, tasks] : aBook.Placed()) {
+    if (!m_workers.contains(id)) {
+      add(id);
+    }
+  }
+  return ends;
+}
+
+void
+WorkerTable::RequestStop(const jobs::TaskRef& aTask, RunNumber aRun)
+{
+  for (auto& [id, worker] : m_workers) {
+    if (Contains(worker.m_last.m_active, aTask, aRun)) {
+      worker.m_toStop.insert({ aTask, aRun });
+    }
+  }
+}
+
+Orders
+WorkerTable::Answer(const WorkerId& aWorker,
+                    const jobs::Book& aBook,
+                    TimePoint aNow)
+{
+  Orders orders;
+  Worker& worker = m_workers.at(aWorker);
+  const WorkerReport& report = worker.m_last;
+  orders.m_notedUpTo = worker.m_notedUpTo;
+  orders.m_lease = m_options.m_lease;
+  orders.m_nextReport = m_options.m_reportEvery;
+  worker.m_leaseEnd = std::max(worker.m_leaseEnd, aNow + LongestHold());
+  for (const RunReport& run : report.m_active) {
+    const jobs::Job* job = aBook.Find(run.m_task.m_job);
+    const bool wanted =
+      job != nullptr && job->m_state == jobs::JobState::kActive &&
+      IsExpected(aBook, aWorker, run.m_task, run.m_run) &&
+      !worker.m_toStop.contains({ run.m_task, run.m_run });
+    if (!wanted) {
+      orders.m_stops.push_back({ run.m_task, run.m_run });
+    }
+  }
+  const auto placed = aBook.Placed().find(aWorker);
+  if (placed != aBook.Placed().end() && !report.m_draining) {
+    for (const jobs::TaskRef& ref : placed->second) {
+      const jobs::Task* task = aBook.FindTask(ref);
+      const jobs::Job* job = aBook.Find(ref.m_job);
+      if (job->m_state != jobs::JobState::kActive ||
+          Contains(report.m_active, ref, task->m_lastRun) ||
+          Contains(report.m_ended, ref, task->m_lastRun)) {
+        continue;
+      }
+      worker.m_sentIn[ref] = report.m_sequence;
+      orders.m_starts.push_back(
+        { ref, task->m_lastRun, job->m_spec.m_payload, task->m_checkpoint });
+    }
+  }
+  AddRates(worker, aBook, orders);
+  return orders;
+}
+
+// Tasks that fill raise the tail of tasks that serve beside them. They are
+// slowed by halves while a target is near, and let go in steps: fast down,
+// slow up, so that a target is passed for less than a second.
+void
+WorkerTable::AddRates(Worker& aWorker,
+                      const jobs::Book& aBook,
+                      Orders& aOrders)
+{
+  bool isClose = false;
+  bool isCalm = true;
+  for (const RunReport& run : aWorker.m_last.m_active) {
+    const jobs::Job* job = aBook.Find(run.m_task.m_job);
+    if (job == nullptr) {
+      continue;
+    }
+    const auto target =
+      static_cast<std::uint32_t>(StepOf(*job, run.m_task).m_latencyTarget.count());
+    if (target == 0) {
+      continue;
+    }
+    isClose = isClose || run.m_load * 100 > target * kSlowAtPercent;
+    isCalm = isCalm && run.m_load * 100 < target * kReleaseAtPercent;
+  }
+  for (const RunReport& run : aWorker.m_last.m_active) {
+    const jobs::Job* job = aBook.Find(run.m_task.m_job);
+    if (job == nullptr || !StepOf(*job, run.m_task).m_fills) {
+      continue;
+    }
+    const auto known = aWorker.m_rates.find(run.m_task);
+    const std::uint32_t before =
+      known == aWorker.m_rates.end() ? kFullRate : known->second;
+    std::uint32_t rate = before;
+    if (isClose) {
+      rate = before / 2;
+    } else if (isCalm) {
+      rate = std::min(kFullRate, before + kReleaseStep);
+    }
+    if (rate != kFullRate || before != kFullRate) {
+      aWorker.m_rates[run.m_task] = rate;
+      aOrders.m_rates.push_back({ run.m_task, run.m_run, rate });
+    }
+  }
+}
+
+} // namespace bamboostile::placement
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -168,6 +168,43 @@
   return aProblem.m_field.empty();
 }
 
+bool
+ReadHosting(const Json& aJson,
+            const std::string& aFile,
+            Settings& aSettings,
+            Problem& aProblem)
+{
+  if (!aJson.contains("hosting")) {
+    return true;
+  }
+  const Json& from = aJson.at("hosting");
+  Hosting& to = aSettings.m_hosting.emplace();
+  const auto read = [&](const char* aKey, std::optional<Address>& aTo) {
+    if (!from.contains(aKey)) {
+      return;
+    }
+    aTo = ParseAddress(from.at(aKey).get<std::string>());
+    if (!aTo) {
+      aProblem = MakeProblem(aFile,
+                             std::string{ "hosting." } + aKey,
+                             from.at(aKey).dump(),
+                             "an IP address and a port, 1 to 65535");
+    }
+  };
+  read("callers", to.m_callers);
+  read("readiness", to.m_readiness);
+  read("workers", to.m_workers);
+  read("instances", to.m_instances);
+  Take(from, "formGroup", to.m_formGroup);
+  if (from.contains("rpcPort")) {
+    to.m_rpcPort = from.at("rpcPort").get<std::uint16_t>();
+    for (Address& seed : aSettings.m_controlSeeds) {
+      seed.m_port = *to.m_rpcPort;
+    }
+  }
+  return aProblem.m_field.empty();
+}
+
 bool
 CheckMeaning(const Settings& aSettings,
              const std::string& aFile,
@@ -185,7 +222,9 @@
                            "a folder on a disk, as the role control needs one");
     return false;
   }
-  if (aSettings.m_entry && !aSettings.m_http) {
+  const bool isHostedEntry =
+    aSettings.m_hosting && aSettings.m_hosting->m_callers;
+  if (aSettings.m_entry && !aSettings.m_http && !isHostedEntry) {
     aProblem = MakeProblem(
       aFile, "http", "(missing)", "an address, as the role entry needs one");
     return false;
@@ -287,7 +326,8 @@
     settings.m_control = settings.m_control || role == "control";
     settings.m_entry = settings.m_entry || role == "entry";
   }
-  if (!ReadAddresses(json, aFile, settings, aProblem)) {
+  if (!ReadAddresses(json, aFile, settings, aProblem) ||
+      !ReadHosting(json, aFile, settings, aProblem)) {
     return std::nullopt;
   }
   settings.m_dataFolder = TakeText(json, "dataFolder");
--- a/tools/bamboostiled/main.cpp
+++ b/tools/bamboostiled/main.cpp
@@ -1,5 +1,8 @@
+#include "caller_front.h"
+#include "control_front.h"
 #include "platform.h"
 
+#include "bamboostile/control/job_service.h"
 #include "bamboostile/control/node.h"
 #include "bamboostile/entry/frontend.h"
 #include "bamboostile/entry/link.h"
@@ -197,6 +200,12 @@
         m_platform->Restart(aInstance);
       };
     }
+    if (m_settings.m_hosting) {
+      options.m_formGroup = m_settings.m_hosting->m_formGroup;
+      for (const settings::Address& seed : m_settings.m_controlSeeds) {
+        options.m_seeds.push_back(seed.ToText());
+      }
+    }
     m_node = std::make_unique<control::Node>(
       std::move(options),
       std::move(opened),
@@ -210,8 +219,12 @@
           .Write();
         std::_Exit(kExitFailed);
       });
+    if (m_settings.m_hosting && !StartHostedControl()) {
+      return false;
+    }
     m_listening =
-      control::Listen(*m_node, *m_io->provider, m_settings.m_rpc->ToText())
+      control::Listen(
+        *m_node, m_jobs.get(), *m_io->provider, m_settings.m_rpc->ToText())
         .eagerlyEvaluate([](kj::Exception&& aException) {
           LogLine(Level::kError, "cannot listen for RPC")
             .With("reason", std::string{ aException.getDescription().cStr() })
@@ -232,6 +245,44 @@
     return true;
   }
 
+  bool StartHostedControl()
+  {
+    control::JobServiceOptions options;
+    if (m_settings.m_hosting->m_instances) {
+      m_instances = std::make_unique<platform::InstancesClient>(
+        *m_settings.m_hosting->m_instances, m_settings.m_instance);
+      options.m_orderUpkeep =
+        [this](const auto& aOrder, Term aToken, auto aDone) {
+          m_instances->OrderUpkeep(aOrder, aToken, std::move(aDone));
+        };
+    }
+    m_jobs = std::make_unique<control::JobService>(
+      *m_node, m_io->provider->getTimer(), std::move(options));
+    m_controlFront =
+      std::make_unique<platform::ControlFront>(m_settings, *m_jobs);
+    return ReportStart(*m_controlFront);
+  }
+
+  bool StartHostedEntry()
+  {
+    m_callerFront =
+      std::make_unique<platform::CallerFront>(m_settings, *m_io->provider);
+    return ReportStart(*m_callerFront);
+  }
+
+  template<typename Front>
+  static bool ReportStart(Front& aFront)
+  {
+    std::string reason;
+    if (aFront.Start(reason)) {
+      return true;
+    }
+    LogLine(Level::kError, "cannot listen for HTTP")
+      .With("reason", reason)
+      .Write();
+    return false;
+  }
+
   kj::Promise<void> PublishLoop()
   {
     telemetry::Metrics metrics;
@@ -253,6 +304,9 @@
 
   bool StartEntry()
   {
+    if (m_settings.m_hosting && m_settings.m_hosting->m_callers) {
+      return StartHostedEntry();
+    }
     entry::FrontendOptions options;
     options.m_settings = m_settings;
     options.m_self = { m_settings.m_instance, Incarnation{ RandomNumber() } };
@@ -291,6 +345,9 @@
   {
     return Signal().then([this]() -> kj::Promise<int> {
       LogLine(Level::kInfo, "stopping").Write();
+      if (m_callerFront) {
+        return m_callerFront->Drain().then([]() { return kExitDone; });
+      }
       if (!m_frontend) {
         return kExitDone;
       }
@@ -316,6 +373,10 @@
   kj::AsyncIoContext* m_io = nullptr;
   std::unique_ptr<daemon::Platform> m_platform;
   std::unique_ptr<control::Node> m_node;
+  std::unique_ptr<platform::InstancesClient> m_instances;
+  std::unique_ptr<control::JobService> m_jobs;
+  std::unique_ptr<platform::ControlFront> m_controlFront;
+  std::unique_ptr<platform::CallerFront> m_callerFront;
   kj::Promise<void> m_listening = nullptr;
   kj::Promise<void> m_publishing = nullptr;
   std::unique_ptr<ProbeServer> m_probes;
