--- a/include/bamboostile/fleet/upkeep.h
+++ b/include/bamboostile/fleet/upkeep.h
@@ -18,6 +18,8 @@
   kSkipped,
 };
 
+const char* Describe(UpkeepStep aStep) noexcept;
+
 /** Instances that are each due for one upkeep. */
 struct UpkeepWave
 {
--- a/include/bamboostile/placement/upkeep.h
+++ b/include/bamboostile/placement/upkeep.h
@@ -46,6 +46,8 @@
    * 2 s, and work thrown away is dearer than a wave that is a second late. */
   Duration m_patience = Millis{ 4000 };
   Duration m_retryAfter = Millis{ 1500 };
+  /** How long the platform keeps an instance down. */
+  Duration m_takes = Millis{ 2000 };
   /** How many instances are emptied ahead of their turn, beside `cap`. */
   std::size_t m_ahead = 1;
 };
@@ -81,10 +83,14 @@
                const fleet::State& aState,
                const WorkerTable& aWorkers,
                TimePoint aNow) const;
+  bool IsBack(const InstanceId& aInstance,
+              const WorkerTable& aWorkers,
+              TimePoint aNow);
 
   UpkeepOptions m_options;
   std::map<InstanceId, TimePoint> m_cordonedSince;
   std::map<InstanceId, TimePoint> m_notBefore;
+  std::map<InstanceId, TimePoint> m_downSince;
 };
 
 } // namespace bamboostile::placement
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -95,12 +95,20 @@
   /** Reports may be late by this; a new leader draws no conclusion from what
    * a report lacks before. */
   Duration m_lateReports = Millis{ 3000 };
+  /** A new life of an instance proves the end of the one before only when it
+   * has reported for so long while that one was silent: a single report may
+   * be a late one of a life that ended long ago. */
+  Duration m_confirmLife = Millis{ 1000 };
+  /** A worker that refused a start gets no other for so long: its room and
+   * what is believed of it differ, and only its next report tells. */
+  Duration m_pauseAfterRefusal = Millis{ 300 };
 };
 
 struct Worker
 {
   WorkerReport m_last;
   TimePoint m_heardAt;
+  TimePoint m_firstHeardAt;
   /** By then all it runs has ended, unless a new lease is given. */
   TimePoint m_leaseEnd;
   /** Silent for longer than its lease. */
@@ -176,6 +184,12 @@
 
 private:
   Duration LongestHold() const;
+  void FollowInstance(Worker& aWorker,
+                      const WorkerReport& aReport,
+                      const jobs::Book& aBook,
+                      TimePoint aNow,
+                      WallTime aWall,
+                      Heard& aHeard);
   void TakeEnds(Worker& aWorker,
                 const WorkerReport& aReport,
                 const jobs::Book& aBook,
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -551,6 +551,11 @@
 void
 JobService::Advance(const fleet::AdvanceUpkeep& aAdvance)
 {
+  LogLine(Level::kInfo, "upkeep advances")
+    .With("wave", aAdvance.m_wave)
+    .With("ofInstance", aAdvance.m_instance.Get())
+    .With("to", fleet::Describe(aAdvance.m_to))
+    .Write();
   ++m_advancing;
   m_tasks.add(m_node.Propose(aAdvance).then(
     [this](const Decided&) { --m_advancing; }));
--- a/src/fleet/upkeep.cpp
+++ b/src/fleet/upkeep.cpp
@@ -4,6 +4,24 @@
 
 namespace bamboostile::fleet {
 
+const char*
+Describe(UpkeepStep aStep) noexcept
+{
+  switch (aStep) {
+    case UpkeepStep::kWaiting:
+      return "waiting";
+    case UpkeepStep::kOrdered:
+      return "ordered";
+    case UpkeepStep::kDown:
+      return "down";
+    case UpkeepStep::kDone:
+      return "done";
+    case UpkeepStep::kSkipped:
+      return "skipped";
+  }
+  return "unknown";
+}
+
 std::size_t
 UpkeepWave::Down() const
 {
--- a/src/placement/upkeep.cpp
+++ b/src/placement/upkeep.cpp
@@ -80,6 +80,18 @@
   return isEmpty || waitedOut;
 }
 
+// A worker that reports shows that its instance is up. One of a pool that is
+// switched off never will; it counts as back after twice the usual time.
+bool
+UpkeepPlanner::IsBack(const InstanceId& aInstance,
+                      const WorkerTable& aWorkers,
+                      TimePoint aNow)
+{
+  const TimePoint since = m_downSince.try_emplace(aInstance, aNow).first->second;
+  return aWorkers.FindByInstance(aInstance) != nullptr ||
+         aNow >= since + 2 * m_options.m_takes;
+}
+
 void
 UpkeepPlanner::PlanWave(const fleet::UpkeepWave& aWave,
                         const fleet::State& aState,
@@ -96,7 +108,8 @@
       if (worker != nullptr) {
         aPlan.m_cordoned.insert(worker->m_last.m_worker);
       }
-    } else if (step == fleet::UpkeepStep::kDown && worker != nullptr) {
+    } else if (step == fleet::UpkeepStep::kDown &&
+               IsBack(instance, aWorkers, aNow)) {
       aPlan.m_advances.push_back(
         { aWave.m_number, instance, fleet::UpkeepStep::kDone });
     } else if (step == fleet::UpkeepStep::kWaiting) {
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -121,22 +121,14 @@
     return heard;
   }
   if (isNew) {
-    worker.m_leaseEnd = m_leaderSince + LongestHold();
+    worker.m_firstHeardAt = aNow;
     heard.m_changed = true;
   }
-  if (!aReport.m_instance.Get().empty()) {
-    WorkerId& current = m_current[aReport.m_instance];
-    if (current != aReport.m_worker) {
-      // One life of an instance at a time: the new one proves that the old
-      // one, and all it ran, has ended.
-      const WorkerId previous = current;
-      current = aReport.m_worker;
-      if (!previous.Get().empty()) {
-        heard.m_ends = Retire(previous, aBook, aWall);
-      }
-      m_current[aReport.m_instance] = aReport.m_worker;
-    }
-  }
+  // The answer that is about to go out gives a lease. Until it is out the
+  // worker counts as holding one: it would be taken for lost, and what was
+  // just placed on it placed again elsewhere.
+  worker.m_leaseEnd = std::max(worker.m_leaseEnd, aNow + LongestHold());
+  FollowInstance(worker, aReport, aBook, aNow, aWall, heard);
   heard.m_changed = heard.m_changed || worker.m_silent ||
                     worker.m_last.m_draining != aReport.m_draining ||
                     worker.m_last.m_capacity != aReport.m_capacity;
@@ -154,6 +146,39 @@
   return heard;
 }
 
+// One life of an instance at a time: a later one proves that the one before,
+// and all it ran, has ended. But a report of an early life may arrive after
+// that life has ended; taken for a new life, it would end the runs of a worker
+// that is cut off and runs on, and they would run twice.
+void
+WorkerTable::FollowInstance(Worker& aWorker,
+                            const WorkerReport& aReport,
+                            const jobs::Book& aBook,
+                            TimePoint aNow,
+                            WallTime aWall,
+                            Heard& aHeard)
+{
+  if (aReport.m_instance.Get().empty()) {
+    return;
+  }
+  const auto current =
+    m_current.try_emplace(aReport.m_instance, aReport.m_worker).first;
+  if (current->second == aReport.m_worker) {
+    return;
+  }
+  const WorkerId previous = current->second;
+  const Worker* known = Find(previous);
+  const bool isConfirmed =
+    known == nullptr || known->m_silent ||
+    (aNow >= aWorker.m_firstHeardAt + m_options.m_confirmLife &&
+     known->m_heardAt < aWorker.m_firstHeardAt);
+  if (isConfirmed) {
+    aHeard.m_ends = Retire(previous, aBook, aWall);
+    aHeard.m_changed = true;
+    m_current[aReport.m_instance] = aReport.m_worker;
+  }
+}
+
 void
 WorkerTable::TakeEnds(Worker& aWorker,
                       const WorkerReport& aReport,
@@ -189,6 +214,9 @@
   } else if (aEnd == jobs::RunEnd::kFailed &&
              ++aWorker.m_failuresInRow >= kFailuresToSetAside) {
     aWorker.m_setAsideUntil = aNow + kSetAside;
+  } else if (aEnd == jobs::RunEnd::kRefused) {
+    aWorker.m_setAsideUntil =
+      std::max(aWorker.m_setAsideUntil, aNow + m_options.m_pauseAfterRefusal);
   }
 }
 
@@ -314,7 +342,7 @@
   orders.m_notedUpTo = worker.m_notedUpTo;
   orders.m_lease = m_options.m_lease;
   orders.m_nextReport = m_options.m_reportEvery;
-  worker.m_leaseEnd = std::max(worker.m_leaseEnd, aNow + LongestHold());
+  worker.m_leaseEnd = aNow + LongestHold();
   for (const RunReport& run : report.m_active) {
     const jobs::Job* job = aBook.Find(run.m_task.m_job);
     const bool wanted =
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -196,6 +196,12 @@
   read("workers", to.m_workers);
   read("instances", to.m_instances);
   Take(from, "formGroup", to.m_formGroup);
+  if (from.contains("upkeepSeconds")) {
+    const std::chrono::duration<double> takes{
+      from.at("upkeepSeconds").get<double>()
+    };
+    to.m_upkeepTakes = std::chrono::ceil<Millis>(takes);
+  }
   if (from.contains("rpcPort")) {
     to.m_rpcPort = from.at("rpcPort").get<std::uint16_t>();
     for (Address& seed : aSettings.m_controlSeeds) {
--- a/tools/bamboostiled/main.cpp
+++ b/tools/bamboostiled/main.cpp
@@ -248,6 +248,7 @@
   bool StartHostedControl()
   {
     control::JobServiceOptions options;
+    options.m_upkeep.m_takes = m_settings.m_hosting->m_upkeepTakes;
     if (m_settings.m_hosting->m_instances) {
       m_instances = std::make_unique<platform::InstancesClient>(
         *m_settings.m_hosting->m_instances, m_settings.m_instance);
