Recheck a step's budget of absence when a stop is sent

The decision is now taken back in the answer; tasks on draining workers wait for stops under way elsewhere. SIGHUP reloads the seeds instead of ending the process.

--- a/include/bamboostile/control/node.h
+++ b/include/bamboostile/control/node.h
@@ -81,6 +81,11 @@
   consensus::Error Bootstrap();
   consensus::Error RemoveMember(const InstanceId& aInstance);
   std::string StatusJson() const;
+  /** Where this replica asks for admission, should it need to. */
+  void SetSeeds(std::vector<std::string> aSeeds)
+  {
+    m_options.m_seeds = std::move(aSeeds);
+  }
   bool IsEmptyReplica() const;
 
 private:
--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -84,6 +84,7 @@
   void MoveLasting(const fleet::State& aState,
                    const WorkerTable& aWorkers,
                    const std::set<WorkerId>& aCordoned,
+                   TimePoint aNow,
                    Pools& aPools,
                    Plan& aPlan) const;
   Millis Estimate(const jobs::StepSpec& aStep) const;
@@ -98,10 +99,4 @@
   std::unordered_map<ImageId, Learned> m_learned;
 };
 
-/** Whether taking one task of a lasting step away leaves enough of it at
- * work. */
-bool MayTakeAway(const jobs::Job& aJob,
-                 const jobs::TaskRef& aTask,
-                 const WorkerTable& aWorkers);
-
 } // namespace bamboostile::placement
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -102,6 +102,9 @@
   /** A worker that refused a start gets no other for so long: its room and
    * what is believed of it differ, and only its next report tells. */
   Duration m_pauseAfterRefusal = Millis{ 300 };
+  /** A worker that has missed some five reports may be gone, and the tasks
+   * that last on it with it. */
+  Duration m_doubtAfter = Millis{ 1000 };
 };
 
 struct Worker
@@ -171,6 +174,15 @@
                 const jobs::Book& aBook,
                 TimePoint aNow);
 
+  /** Whether taking one task of a lasting step away leaves enough of it at
+   * work. */
+  bool MayTakeAway(const jobs::Job& aJob,
+                   const jobs::TaskRef& aTask,
+                   TimePoint aNow) const;
+  /** Another task of the step is under orders to stop on a worker that does
+   * not drain. */
+  bool IsAnyStopping(const jobs::Job& aJob, const jobs::TaskRef& aTask) const;
+
   void RequestStop(const jobs::TaskRef& aTask, RunNumber aRun);
 
   const std::map<WorkerId, Worker>& Workers() const { return m_workers; }
@@ -183,6 +195,9 @@
   TimePoint LeaderSince() const { return m_leaderSince; }
 
 private:
+  bool IsAtWork(const jobs::TaskRef& aTask,
+                const jobs::Task& aState,
+                TimePoint aNow) const;
   Duration LongestHold() const;
   void FollowInstance(Worker& aWorker,
                       const WorkerReport& aReport,
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -222,6 +222,12 @@
   placement::Plan plan = m_planner.Next(
     m_node.State(), *m_workers, m_cordoned, now, WallNow());
   for (const placement::StopOrder& stop : plan.m_stops) {
+    LogLine(Level::kInfo, "moving a task that lasts")
+      .With("job", stop.m_task.m_job.Get())
+      .With("step", stop.m_task.m_step)
+      .With("task", stop.m_task.m_index)
+      .With("run", stop.m_run.Get())
+      .Write();
     m_workers->RequestStop(stop.m_task, stop.m_run);
   }
   if (plan.m_changes.empty()) {
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr std::uint32_t kAtWorkPercent = 100;
 /** Weight of one observed duration against what is known: follows a change
  * within some five runs, and one outlier moves the mean by a fifth. */
 constexpr double kLearnShare = 0.2;
@@ -32,36 +31,6 @@
 
 } // namespace
 
-bool
-MayTakeAway(const jobs::Job& aJob,
-            const jobs::TaskRef& aTask,
-            const WorkerTable& aWorkers)
-{
-  const jobs::StepSpec& spec = aJob.m_spec.m_steps[aTask.m_step];
-  if (!spec.m_missBudget) {
-    return true;
-  }
-  const auto occurrence = aJob.m_occurrences.find(aTask.m_occurrence);
-  const auto& tasks = occurrence->second.m_steps[aTask.m_step].m_tasks;
-  std::uint32_t away = 0;
-  for (std::uint32_t i = 0; i < tasks.size(); ++i) {
-    if (i == aTask.m_index) {
-      continue;
-    }
-    jobs::TaskRef other = aTask;
-    other.m_index = i;
-    const RunReport* run = tasks[i].m_phase == jobs::TaskPhase::kRunning
-                             ? aWorkers.FindRun(other, tasks[i])
-                             : nullptr;
-    const Worker* worker = aWorkers.Find(tasks[i].m_worker);
-    const bool leaves =
-      worker != nullptr &&
-      worker->m_toStop.contains({ other, tasks[i].m_lastRun });
-    away += run == nullptr || run->m_percent < kAtWorkPercent || leaves ? 1 : 0;
-  }
-  return away < *spec.m_missBudget;
-}
-
 void
 Planner::Learn(const jobs::StepSpec& aStep, Duration aTook)
 {
@@ -365,6 +334,7 @@
 Planner::MoveLasting(const fleet::State& aState,
                      const WorkerTable& aWorkers,
                      const std::set<WorkerId>& aCordoned,
+                     TimePoint aNow,
                      Pools& aPools,
                      Plan& aPlan) const
 {
@@ -385,14 +355,17 @@
           known->m_toStop.contains({ ref, task->m_lastRun })) {
         continue;
       }
+      // The worker of one that drains goes anyway; but where another task of
+      // the step is under orders to stop, both would be away at once.
       const bool mayGo =
-        known->m_last.m_draining || MayTakeAway(*job, ref, aWorkers);
-      const auto stopsOfStep = std::count_if(
+        known->m_last.m_draining
+          ? !aWorkers.IsAnyStopping(*job, ref)
+          : aWorkers.MayTakeAway(*job, ref, aNow);
+      const bool first = std::none_of(
         aPlan.m_stops.begin(), aPlan.m_stops.end(), [&](const StopOrder& aStop) {
           return aStop.m_task.m_job == ref.m_job &&
                  aStop.m_task.m_step == ref.m_step;
         });
-      const bool first = stopsOfStep == 0 || known->m_last.m_draining;
       auto& pool = aPools[known->m_last.m_service];
       const auto room = std::find_if(pool.begin(), pool.end(), [&](Room& aRoom) {
         return Fits(step.m_needs, step.m_fills, aRoom.m_cpu, aRoom.m_memory,
@@ -424,7 +397,7 @@
   for (auto it = candidates.begin(); it != lasting; ++it) {
     Place(*it, aState.Jobs(), pools[it->m_route->m_service], plan);
   }
-  MoveLasting(aState, aWorkers, aCordoned, pools, plan);
+  MoveLasting(aState, aWorkers, aCordoned, aNow, pools, plan);
   for (auto it = lasting; it != candidates.end(); ++it) {
     Place(*it, aState.Jobs(), pools[it->m_route->m_service], plan);
   }
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::uint32_t kFullRate = 100;
+constexpr std::uint32_t kAtWorkPercent = 100;
 /** Share of a latency target at which what fills beside it is slowed, and
  * below which it is let go again. Between them lies the noise of a tail that
  * is measured over half a second. */
@@ -321,6 +322,59 @@
   return ends;
 }
 
+bool
+WorkerTable::IsAtWork(const jobs::TaskRef& aTask,
+                      const jobs::Task& aState,
+                      TimePoint aNow) const
+{
+  if (aState.m_phase != jobs::TaskPhase::kRunning) {
+    return false;
+  }
+  const Worker* worker = Find(aState.m_worker);
+  const RunReport* run = FindRun(aTask, aState);
+  return run != nullptr && run->m_percent >= kAtWorkPercent &&
+         aNow < worker->m_heardAt + m_options.m_doubtAfter &&
+         !worker->m_toStop.contains({ aTask, aState.m_lastRun });
+}
+
+bool
+WorkerTable::MayTakeAway(const jobs::Job& aJob,
+                         const jobs::TaskRef& aTask,
+                         TimePoint aNow) const
+{
+  const auto& budget = aJob.m_spec.m_steps[aTask.m_step].m_missBudget;
+  if (!budget) {
+    return true;
+  }
+  const auto& occurrence = aJob.m_occurrences.at(aTask.m_occurrence);
+  const auto& tasks = occurrence.m_steps[aTask.m_step].m_tasks;
+  std::uint32_t away = 0;
+  for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+    jobs::TaskRef other = aTask;
+    other.m_index = i;
+    away += i != aTask.m_index && !IsAtWork(other, tasks[i], aNow) ? 1 : 0;
+  }
+  return away < *budget;
+}
+
+bool
+WorkerTable::IsAnyStopping(const jobs::Job& aJob,
+                           const jobs::TaskRef& aTask) const
+{
+  const auto& occurrence = aJob.m_occurrences.at(aTask.m_occurrence);
+  const auto& tasks = occurrence.m_steps[aTask.m_step].m_tasks;
+  for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+    jobs::TaskRef other = aTask;
+    other.m_index = i;
+    const Worker* worker = Find(tasks[i].m_worker);
+    if (worker != nullptr && !worker->m_last.m_draining &&
+        worker->m_toStop.contains({ other, tasks[i].m_lastRun })) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void
 WorkerTable::RequestStop(const jobs::TaskRef& aTask, RunNumber aRun)
 {
@@ -345,6 +399,14 @@
   worker.m_leaseEnd = aNow + LongestHold();
   for (const RunReport& run : report.m_active) {
     const jobs::Job* job = aBook.Find(run.m_task.m_job);
+    // Between the decision to move a task and this answer, others of its step
+    // may have been lost; the stop is then taken back.
+    if (job != nullptr && !report.m_draining &&
+        worker.m_toStop.contains({ run.m_task, run.m_run }) &&
+        IsExpected(aBook, aWorker, run.m_task, run.m_run) &&
+        !MayTakeAway(*job, run.m_task, aNow)) {
+      worker.m_toStop.erase({ run.m_task, run.m_run });
+    }
     const bool wanted =
       job != nullptr && job->m_state == jobs::JobState::kActive &&
       IsExpected(aBook, aWorker, run.m_task, run.m_run) &&
--- a/tools/bamboostiled/main.cpp
+++ b/tools/bamboostiled/main.cpp
@@ -129,8 +129,9 @@
 class Daemon
 {
 public:
-  explicit Daemon(settings::Settings aSettings)
+  Daemon(settings::Settings aSettings, std::string aFile)
     : m_settings(std::move(aSettings))
+    , m_file(std::move(aFile))
   {
   }
 
@@ -138,6 +139,7 @@
   {
     kj::UnixEventPort::captureSignal(SIGTERM);
     kj::UnixEventPort::captureSignal(SIGINT);
+    kj::UnixEventPort::captureSignal(SIGHUP);
     auto io = kj::setupAsyncIo();
     m_io = &io;
     if (m_settings.m_control && !StartControl()) {
@@ -151,6 +153,7 @@
       .With("control", m_settings.m_control)
       .With("entry", m_settings.m_entry)
       .Write();
+    auto reloading = ReloadLoop().eagerlyEvaluate(nullptr);
     const int code = WaitForStop().wait(io.waitScope);
     if (m_tracer) {
       m_tracer->Close();
@@ -335,6 +338,39 @@
     return true;
   }
 
+  /** Seeds change while a process runs; everything else holds until the next
+   * start. A file that is not sound changes nothing. */
+  void Reload()
+  {
+    settings::Problem problem;
+    const auto loaded = settings::Load(m_file, problem);
+    if (!loaded) {
+      LogLine(Level::kError, "settings not reloaded")
+        .With("reason", settings::ToText(problem))
+        .Write();
+      return;
+    }
+    std::vector<std::string> seeds;
+    for (const settings::Address& seed : loaded->m_controlSeeds) {
+      seeds.push_back(seed.ToText());
+    }
+    if (m_node && m_settings.m_hosting) {
+      m_node->SetSeeds(seeds);
+    }
+    if (m_callerFront) {
+      m_callerFront->SetSeeds(seeds);
+    }
+    LogLine(Level::kInfo, "settings reloaded").With("seeds", seeds).Write();
+  }
+
+  kj::Promise<void> ReloadLoop()
+  {
+    return m_io->unixEventPort.onSignal(SIGHUP).then([this](auto&&) {
+      Reload();
+      return ReloadLoop();
+    });
+  }
+
   kj::Promise<void> Signal()
   {
     auto& port = m_io->unixEventPort;
@@ -371,6 +407,7 @@
   }
 
   settings::Settings m_settings;
+  std::string m_file;
   kj::AsyncIoContext* m_io = nullptr;
   std::unique_ptr<daemon::Platform> m_platform;
   std::unique_ptr<control::Node> m_node;
@@ -429,5 +466,6 @@
   telemetry::InitLog(loaded->m_instance.Get(),
                      *telemetry::ParseLevel(loaded->m_logLevel),
                      loaded->m_logFile);
-  return Daemon(std::move(*loaded)).Run();
+  return Daemon(std::move(*loaded), values["settings"].as<std::string>())
+    .Run();
 }
