--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -92,8 +92,8 @@
   Duration m_margin = Millis{ 150 };
   /** How often an idle worker reports; a start waits half of it on average. */
   Duration m_reportEvery = Millis{ 200 };
-  /** Reports may be late by this; a new leader draws no conclusion from what
-   * a report lacks before. */
+  /** Reports may be late by this: what one lacks proves nothing before the
+   * start was sent, or this leader elected, so long ago. */
   Duration m_lateReports = Millis{ 3000 };
   /** A new life of an instance proves the end of the one before only when it
    * has reported for so long while that one was silent: a single report may
@@ -117,8 +117,8 @@
   /** Silent for longer than its lease. */
   bool m_silent = false;
   std::uint64_t m_notedUpTo = 0;
-  /** In which report's answer a start was first sent. */
-  std::map<jobs::TaskRef, std::uint64_t> m_sentIn;
+  /** When each start that no report has shown yet was last sent. */
+  std::map<jobs::TaskRef, TimePoint> m_sentAt;
   std::set<std::pair<jobs::TaskRef, RunNumber>> m_toStop;
   std::map<jobs::TaskRef, std::uint32_t> m_rates;
   /** Failures since the last run that was done. */
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -40,6 +40,18 @@
   });
 }
 
+/** The run is active, or has another end. */
+bool
+IsKnownOtherwise(const WorkerReport& aReport, const EndReport& aEnd)
+{
+  const auto isOther = [&](const EndReport& aOne) {
+    return aOne.m_number != aEnd.m_number && aOne.m_task == aEnd.m_task &&
+           aOne.m_run == aEnd.m_run;
+  };
+  return Contains(aReport.m_active, aEnd.m_task, aEnd.m_run) ||
+         std::any_of(aReport.m_ended.begin(), aReport.m_ended.end(), isOther);
+}
+
 const jobs::StepSpec&
 StepOf(const jobs::Job& aJob, const jobs::TaskRef& aTask)
 {
@@ -193,8 +205,15 @@
       continue;
     }
     aWorker.m_notedUpTo = end.m_number;
+    // The same start twice, after an answer that seemed lost: the worker
+    // refuses the second, and the run goes on.
+    const bool isSecondStart = end.m_how == jobs::RunEnd::kRefused &&
+                               IsKnownOtherwise(aReport, end);
+    if (isSecondStart) {
+      continue;
+    }
     aWorker.m_toStop.erase({ end.m_task, end.m_run });
-    aWorker.m_sentIn.erase(end.m_task);
+    aWorker.m_sentAt.erase(end.m_task);
     aWorker.m_rates.erase(end.m_task);
     if (!IsExpected(aBook, aReport.m_worker, end.m_task, end.m_run)) {
       continue;
@@ -221,11 +240,12 @@
   }
 }
 
-// A run that was sent and is neither active nor ended in a later report never
-// started: a worker drops an answer that comes late, and reports one after the
-// other. Where the run is no longer wanted there, this frees its place; the
+// A start that was sent and that no report shows, long after, was lost with its
+// answer. Where the run is no longer wanted there, this frees its place; the
 // others are simply sent again. Without it a task whose start was lost on a
-// draining worker would wait for that worker's end.
+// draining worker would wait for that worker's end. The next report alone says
+// nothing: one that tells of draining is sent while an answer is under way, and
+// the run that starts with that answer would run a second time elsewhere.
 void
 WorkerTable::FindUnstarted(Worker& aWorker,
                            const jobs::Book& aBook,
@@ -247,12 +267,12 @@
         Contains(report.m_ended, ref, task->m_lastRun)) {
       continue;
     }
-    const auto sent = aWorker.m_sentIn.find(ref);
-    const bool settled = sent != aWorker.m_sentIn.end()
-                           ? sent->second < report.m_sequence
-                           : aNow >= m_leaderSince + m_options.m_lateReports;
+    const auto sent = aWorker.m_sentAt.find(ref);
+    const TimePoint since =
+      sent == aWorker.m_sentAt.end() ? m_leaderSince : sent->second;
+    const bool settled = aNow >= since + m_options.m_lateReports;
     if (settled) {
-      aWorker.m_sentIn.erase(ref);
+      aWorker.m_sentAt.erase(ref);
       aHeard.m_changed = true;
       aHeard.m_ends.push_back(
         { ref, task->m_lastRun, jobs::RunEnd::kStopped, "", aWall });
@@ -304,7 +324,7 @@
   for (auto& [id, worker] : m_workers) {
     if (!worker.m_silent && aNow > worker.m_leaseEnd) {
       worker.m_silent = true;
-      worker.m_sentIn.clear();
+      worker.m_sentAt.clear();
       worker.m_toStop.clear();
     }
     if (worker.m_silent) {
@@ -425,7 +445,7 @@
           Contains(report.m_ended, ref, task->m_lastRun)) {
         continue;
       }
-      worker.m_sentIn[ref] = report.m_sequence;
+      worker.m_sentAt[ref] = aNow;
       orders.m_starts.push_back(
         { ref, task->m_lastRun, job->m_spec.m_payload, task->m_checkpoint });
     }
--- /dev/null
+++ b/tests/unit/jobs/book_test.cpp
@@ -0,0 +1,203 @@
+#include "job_fixtures.h"
+
+#include "check.h"
+
+using namespace bamboostile;
+using namespace bamboostile::jobs;
+using namespace job_fixtures;
+
+TEST_GROUP(JobBook)
+{
+  Fleet m_fleet;
+
+  const Task& TaskOf(const TaskRef& aTask)
+  {
+    return *m_fleet.Book().FindTask(aTask);
+  }
+};
+
+TEST(JobBook, SubmissionTwice_IsOneJob)
+{
+  m_fleet.Submit("a", Spec({ Step(2) }));
+  m_fleet.Start(Ref("a"), "w1");
+  m_fleet.Submit("a", Spec({ Step(2) }));
+  LONGS_EQUAL(1, m_fleet.Book().Jobs().size());
+  CHECK(TaskOf(Ref("a")).m_phase == TaskPhase::kRunning);
+}
+
+TEST(JobBook, AllTasksDone_JobIsCompleted)
+{
+  m_fleet.Submit("a", Spec({ Step(2) }));
+  m_fleet.Start(Ref("a", 0), "w1");
+  m_fleet.Start(Ref("a", 1), "w2");
+  m_fleet.End(Ref("a", 0), RunEnd::kDone);
+  CHECK(m_fleet.StateOf("a") == JobState::kActive);
+  m_fleet.End(Ref("a", 1), RunEnd::kDone);
+  CHECK(m_fleet.StateOf("a") == JobState::kCompleted);
+  CHECK(m_fleet.Book().Placed().empty());
+  CHECK(m_fleet.Book().Open().empty());
+}
+
+// A worker repeats an end until it is noted, and an end of an earlier run can
+// arrive after the task was placed again; it must not end the later run.
+TEST(JobBook, EndOfEarlierRun_ChangesNothing)
+{
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  m_fleet.Start(Ref("a"), "w1");
+  m_fleet.End(Ref("a"), RunEnd::kWorkerLost);
+  m_fleet.Start(Ref("a"), "w2", 2);
+  m_fleet.End(Ref("a"), RunEnd::kDone, 1);
+  CHECK(TaskOf(Ref("a")).m_phase == TaskPhase::kRunning);
+  CHECK(m_fleet.StateOf("a") == JobState::kActive);
+}
+
+TEST(JobBook, StartOfRunningTask_ChangesNothing)
+{
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  m_fleet.Start(Ref("a"), "w1");
+  m_fleet.Start(Ref("a"), "w2", 2);
+  CHECK_STRING("w1", TaskOf(Ref("a")).m_worker.Get());
+  LONGS_EQUAL(1, TaskOf(Ref("a")).m_lastRun.Get());
+}
+
+TEST(JobBook, AttemptsSpent_JobFailsWithReason)
+{
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  for (std::uint32_t run = 1; run <= 3; ++run) {
+    CHECK(m_fleet.StateOf("a") == JobState::kActive);
+    m_fleet.Start(Ref("a"), "w1", run);
+    m_fleet.End(Ref("a"), RunEnd::kFailed, run);
+  }
+  CHECK(m_fleet.StateOf("a") == JobState::kFailed);
+  CHECK_STRING("step 0 task 0 failed 3 times",
+               m_fleet.Book().Find(JobId{ "a" })->m_reason);
+}
+
+TEST(JobBook, LostWorkers_CostNoAttempt)
+{
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  for (std::uint32_t run = 1; run <= 5; ++run) {
+    m_fleet.Start(Ref("a"), "w1", run);
+    m_fleet.End(Ref("a"), RunEnd::kWorkerLost, run);
+  }
+  CHECK(m_fleet.StateOf("a") == JobState::kActive);
+}
+
+TEST(JobBook, LastingTaskEndsInAnyWay_WaitsForNextRun)
+{
+  StepSpec step = Step(1);
+  step.m_longRunning = true;
+  m_fleet.Submit("a", Spec({ step }));
+  std::uint32_t run = 0;
+  for (const RunEnd end : { RunEnd::kDone,
+                            RunEnd::kFailed,
+                            RunEnd::kFailed,
+                            RunEnd::kFailed,
+                            RunEnd::kFailed }) {
+    m_fleet.Start(Ref("a"), "w1", ++run);
+    m_fleet.End(Ref("a"), end, run);
+  }
+  CHECK(m_fleet.StateOf("a") == JobState::kActive);
+  CHECK(TaskOf(Ref("a")).m_phase == TaskPhase::kWaiting);
+}
+
+TEST(JobBook, CancelledJobWithRuns_StaysOpenUntilTheyEnd)
+{
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  m_fleet.Start(Ref("a"), "w1");
+  m_fleet.Apply({ Cancel{ JobId{ "a" }, WallTime{ 1 } } });
+  CHECK(m_fleet.StateOf("a") == JobState::kCancelled);
+  LONGS_EQUAL(1, m_fleet.Book().Open().size());
+  m_fleet.End(Ref("a"), RunEnd::kStopped);
+  CHECK(m_fleet.Book().Open().empty());
+  m_fleet.Start(Ref("a"), "w1", 2);
+  CHECK(TaskOf(Ref("a")).m_phase == TaskPhase::kWaiting);
+}
+
+TEST(JobBook, OneMemberOfGangDone_AllAreDone)
+{
+  StepSpec step = Step(3);
+  step.m_gang = true;
+  m_fleet.Submit("a", Spec({ step }));
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    m_fleet.Start(Ref("a", i), "w1");
+  }
+  m_fleet.End(Ref("a", 1), RunEnd::kDone);
+  CHECK(m_fleet.StateOf("a") == JobState::kCompleted);
+  CHECK(m_fleet.Book().Placed().empty());
+}
+
+TEST(JobBook, FailuresOfGangMembers_CountTogether)
+{
+  StepSpec step = Step(3);
+  step.m_gang = true;
+  m_fleet.Submit("a", Spec({ step }));
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    CHECK(m_fleet.StateOf("a") == JobState::kActive);
+    m_fleet.Start(Ref("a", i), "w1");
+    m_fleet.End(Ref("a", i), RunEnd::kFailed);
+  }
+  CHECK(m_fleet.StateOf("a") == JobState::kFailed);
+}
+
+TEST(JobBook, PendingJobs_AreThoseWithoutAStart)
+{
+  const QueueId queue{ "host/q/" };
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  m_fleet.Submit("b", Spec({ Step(1) }));
+  LONGS_EQUAL(2, m_fleet.Book().Pending(queue));
+  m_fleet.Start(Ref("a"), "w1");
+  LONGS_EQUAL(1, m_fleet.Book().Pending(queue));
+  m_fleet.Apply({ Cancel{ JobId{ "b" }, WallTime{ 1 } } });
+  LONGS_EQUAL(0, m_fleet.Book().Pending(queue));
+}
+
+TEST(JobBook, ForgetEnded_KeepsActiveAndYoungJobs)
+{
+  m_fleet.Submit("old", Spec({ Step(1) }));
+  m_fleet.Submit("active", Spec({ Step(1) }));
+  m_fleet.Apply({ Cancel{ JobId{ "old" }, WallTime{ 10 } } });
+  m_fleet.Apply({ ForgetEnded{ WallTime{ 10 } } });
+  CHECK(m_fleet.Book().Find(JobId{ "old" }) != nullptr);
+  m_fleet.Apply({ ForgetEnded{ WallTime{ 11 } } });
+  CHECK(m_fleet.Book().Find(JobId{ "old" }) == nullptr);
+  CHECK(m_fleet.Book().Find(JobId{ "active" }) != nullptr);
+}
+
+TEST(JobBook, SnapshotReadBack_GoesOnAlike)
+{
+  StepSpec second = Step(2);
+  second.m_dependsOn = { 0 };
+  second.m_image = ImageId{ "image" };
+  second.m_missBudget = 1;
+  m_fleet.Submit("a", Spec({ Step(1), second }));
+  m_fleet.Submit("b", Spec({ Step(1) }));
+  m_fleet.Start(Ref("a"), "w1");
+  m_fleet.End(Ref("a"), RunEnd::kDone);
+  m_fleet.Start(Ref("a", 1, 1), "w2");
+  auto copy = fleet::State::Decode(m_fleet.State().Encode());
+  CHECK(copy.has_value());
+  STRCMP_EQUAL("w2", copy->Jobs().Placed().begin()->first.Get().c_str());
+  CHECK(copy->Jobs().Find(JobId{ "a" })->m_spec ==
+        m_fleet.Book().Find(JobId{ "a" })->m_spec);
+  const Batch rest{ { EndRun{
+                        Ref("a", 1, 1), RunNumber{ 1 }, RunEnd::kDone, "", {} },
+                      StartRun{ Ref("a", 0, 1), RunNumber{ 1 }, WorkerId{ "w1" } },
+                      EndRun{ Ref("a", 0, 1),
+                              RunNumber{ 1 },
+                              RunEnd::kDone,
+                              "",
+                              WallTime{} } } };
+  copy->Apply(Index{ 100 }, rest);
+  CHECK(copy->Jobs().Find(JobId{ "a" })->m_state == JobState::kCompleted);
+  LONGS_EQUAL(1, copy->Jobs().Pending(QueueId{ "host/q/" }));
+}
+
+TEST(JobBook, DamagedBytes_AreNoBatch)
+{
+  const Batch batch{ { Cancel{ JobId{ "some job" }, WallTime{ 1 } } } };
+  const std::string bytes = EncodeBatch(batch);
+  CHECK(DecodeBatch(bytes).has_value());
+  CHECK(!DecodeBatch(bytes.substr(0, bytes.size() / 2)).has_value());
+  CHECK(!fleet::DecodeCommand(bytes).has_value());
+}
--- /dev/null
+++ b/tests/unit/placement/planner_test.cpp
@@ -0,0 +1,281 @@
+#include "job_fixtures.h"
+
+#include "bamboostile/placement/upkeep.h"
+
+#include "check.h"
+
+using namespace bamboostile;
+using namespace bamboostile::jobs;
+using namespace bamboostile::placement;
+using namespace job_fixtures;
+
+TEST_GROUP(PlacementPlanner)
+{
+  Fleet m_fleet;
+  placement::WorkerTable m_table{ LeaseOptions{}, At(0) };
+  Planner m_planner;
+  std::set<WorkerId> m_cordoned;
+
+  void Hear(const WorkerReport& aReport)
+  {
+    m_table.OnReport(aReport, m_fleet.Book(), At(1000), WallTime{ 1000 });
+  }
+
+  Plan Next()
+  {
+    return m_planner.Next(
+      m_fleet.State(), m_table, m_cordoned, At(1000), WallTime{ 1000 });
+  }
+
+  /** Starts as planned; returns how many. */
+  std::size_t Carry()
+  {
+    const Plan plan = Next();
+    m_fleet.Apply(plan.m_changes);
+    return plan.m_changes.size();
+  }
+
+  std::string WorkerOf(const TaskRef& aTask)
+  {
+    return m_fleet.Book().FindTask(aTask)->m_worker.Get();
+  }
+};
+
+TEST(PlacementPlanner, MoreTasksThanRoom_StartsWhatFits)
+{
+  Hear(Report("w1", 1));
+  m_fleet.Submit("a", Spec({ Step(6, 1000) }));
+  LONGS_EQUAL(4, Carry());
+  LONGS_EQUAL(0, Carry());
+}
+
+TEST(PlacementPlanner, StepThatDepends_WaitsForTheOneBefore)
+{
+  Hear(Report("w1", 1));
+  StepSpec second = Step(1);
+  second.m_dependsOn = { 0 };
+  m_fleet.Submit("a", Spec({ Step(1), second }));
+  LONGS_EQUAL(1, Carry());
+  LONGS_EQUAL(0, Carry());
+  m_fleet.End(Ref("a"), RunEnd::kDone);
+  LONGS_EQUAL(1, Carry());
+}
+
+TEST(PlacementPlanner, DrainingOrCordonedWorker_GetsNothing)
+{
+  WorkerReport draining = Report("w1", 1);
+  draining.m_draining = true;
+  Hear(draining);
+  Hear(Report("w2", 1));
+  m_cordoned.insert(WorkerId{ "w2" });
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  LONGS_EQUAL(0, Carry());
+}
+
+TEST(PlacementPlanner, LimitOnOneWorker_SpreadsTasks)
+{
+  Hear(Report("w1", 1));
+  Hear(Report("w2", 1));
+  StepSpec step = Step(3);
+  step.m_maxPerWorker = 1;
+  m_fleet.Submit("a", Spec({ step }));
+  LONGS_EQUAL(2, Carry());
+  CHECK(WorkerOf(Ref("a", 0)) != WorkerOf(Ref("a", 1)));
+}
+
+TEST(PlacementPlanner, RequiredLabel_NoOtherWorkerIsUsed)
+{
+  Hear(Report("w1", 1));
+  WorkerReport labelled = Report("w2", 1);
+  labelled.m_labels = { "big" };
+  Hear(labelled);
+  StepSpec step = Step(1);
+  step.m_requiredLabel = "big";
+  m_fleet.Submit("a", Spec({ step }));
+  LONGS_EQUAL(1, Carry());
+  CHECK_STRING("w2", WorkerOf(Ref("a")));
+}
+
+TEST(PlacementPlanner, GangThatDoesNotFit_StartsNoMember)
+{
+  Hear(Report("w1", 1));
+  StepSpec step = Step(5);
+  step.m_gang = true;
+  m_fleet.Submit("a", Spec({ step }));
+  LONGS_EQUAL(0, Carry());
+  Hear(Report("w2", 1));
+  LONGS_EQUAL(5, Carry());
+}
+
+TEST(PlacementPlanner, LastingTask_GoesBeforeOlderOnes)
+{
+  Hear(Report("w1", 1));
+  m_fleet.Submit("old", Spec({ Step(1, 4000) }));
+  StepSpec lasting = Step(1, 4000);
+  lasting.m_longRunning = true;
+  m_fleet.Submit("lasting", Spec({ lasting }));
+  Carry();
+  CHECK_STRING("w1", WorkerOf(Ref("lasting")));
+}
+
+// A large task that waits for room must get it: small ones that come later
+// would otherwise take every piece that becomes free.
+TEST(PlacementPlanner, LargeTaskWithoutRoom_KeepsOneWorkerFree)
+{
+  for (int i = 1; i <= 4; ++i) {
+    Hear(Report("w" + std::to_string(i), 1));
+    const std::string job = "running-" + std::to_string(i);
+    m_fleet.Submit(job, Spec({ Step(1, 1000) }));
+    m_fleet.Start(Ref(job), "w" + std::to_string(i));
+  }
+  m_fleet.Submit("large", Spec({ Step(1, 4000) }));
+  m_fleet.Submit("small", Spec({ Step(12, 1000) }));
+  LONGS_EQUAL(9, Carry());
+}
+
+TEST(PlacementPlanner, JobPastItsTime_GoesAfterOneThatCanBeInTime)
+{
+  Hear(Report("w1", 1));
+  m_fleet.Submit("late", Spec({ Step(1, 4000) }), -100'000);
+  m_fleet.Submit("fresh", Spec({ Step(1, 4000) }), 900);
+  Carry();
+  CHECK_STRING("w1", WorkerOf(Ref("fresh")));
+}
+
+TEST(PlacementPlanner, LastingTasksOnCordonedWorker_MoveOneAtATime)
+{
+  StepSpec step = Step(2);
+  step.m_longRunning = true;
+  step.m_missBudget = 1;
+  m_fleet.Submit("a", Spec({ step }));
+  m_fleet.Start(Ref("a", 0), "w1");
+  m_fleet.Start(Ref("a", 1), "w1");
+  WorkerReport report = Report("w1", 1);
+  report.m_active = { Active(Ref("a", 0)), Active(Ref("a", 1)) };
+  Hear(report);
+  Hear(Report("w2", 1));
+  m_cordoned.insert(WorkerId{ "w1" });
+  LONGS_EQUAL(1, Next().m_stops.size());
+}
+
+TEST(PlacementPlanner, OccurrenceNotDue_DoesNotStart)
+{
+  Hear(Report("w1", 1));
+  JobSpec spec = Spec({ Step(1) });
+  spec.m_repeatCount = 2;
+  spec.m_startAt = WallTime{ 900 };
+  spec.m_interval = Millis{ 5000 };
+  m_fleet.Submit("a", spec);
+  LONGS_EQUAL(1, Carry());
+  LONGS_EQUAL(0, Carry());
+}
+
+TEST_GROUP(UpkeepPlanner)
+{
+  Fleet m_fleet;
+  placement::WorkerTable m_table{ LeaseOptions{}, At(0) };
+  placement::UpkeepPlanner m_planner;
+
+  void Hear(const std::string& aWorker, std::uint64_t aSequence, std::int64_t aAt)
+  {
+    m_table.OnReport(
+      Report(aWorker, aSequence), m_fleet.Book(), At(aAt), WallTime{ 0 });
+  }
+
+  void StartWave(int aInstances, std::uint32_t aCap)
+  {
+    fleet::UpkeepWave wave;
+    wave.m_number = 1;
+    wave.m_cap = aCap;
+    for (int i = 0; i < aInstances; ++i) {
+      const std::string name = "w" + std::to_string(i);
+      wave.m_instances[InstanceId{ "instance-of-" + name }] =
+        fleet::UpkeepStep::kWaiting;
+      Hear(name, 1, 9000);
+    }
+    m_fleet.Do(fleet::StartUpkeep{ wave });
+  }
+
+  UpkeepPlan Next(std::int64_t aAt)
+  {
+    UpkeepPlan plan = m_planner.Next(m_fleet.State(), m_table, At(aAt));
+    for (const auto& advance : plan.m_advances) {
+      m_fleet.Do(advance);
+    }
+    return plan;
+  }
+
+  const fleet::UpkeepWave& Wave()
+  {
+    return m_fleet.State().Upkeep().at(1);
+  }
+};
+
+TEST(UpkeepPlanner, EmptyInstances_NoMoreThanCapAreDown)
+{
+  StartWave(5, 2);
+  Next(10'000);
+  Next(10'100);
+  LONGS_EQUAL(2, Wave().Down());
+  LONGS_EQUAL(2, Next(10'200).m_orders.size());
+}
+
+TEST(UpkeepPlanner, NewLeader_WaitsBeforeItsFirstOrder)
+{
+  StartWave(1, 1);
+  Next(2900);
+  LONGS_EQUAL(0, Wave().Down());
+}
+
+// An order without a clear answer may have been obeyed: the instance counts as
+// down, and the order is repeated, until the platform says which.
+TEST(UpkeepPlanner, UnclearAnswer_InstanceStaysOrdered)
+{
+  StartWave(2, 1);
+  Next(10'000);
+  const auto order = Next(10'100).m_orders.at(0);
+  CHECK(!m_planner.OnAnswer(order, UpkeepAnswer::kUnclear, At(10'200)));
+  LONGS_EQUAL(1, Wave().Down());
+  LONGS_EQUAL(1, Next(10'300).m_orders.size());
+}
+
+TEST(UpkeepPlanner, InstanceWithLastingTask_IsNotOrdered)
+{
+  StartWave(1, 1);
+  StepSpec step = Step(1);
+  step.m_longRunning = true;
+  m_fleet.Submit("a", Spec({ step }));
+  m_fleet.Start(Ref("a"), "w0");
+  Next(10'000);
+  Next(30'000);
+  LONGS_EQUAL(0, Wave().Down());
+}
+
+TEST(UpkeepPlanner, InstanceBack_WaveEnds)
+{
+  StartWave(1, 1);
+  Next(10'000);
+  const auto order = Next(10'100).m_orders.at(0);
+  m_fleet.Do(*m_planner.OnAnswer(order, UpkeepAnswer::kTaken, At(10'200)));
+  m_table.Retire(WorkerId{ "w0" }, m_fleet.Book(), WallTime{ 0 });
+  Next(10'300);
+  CHECK(!Wave().IsDone());
+  WorkerReport back = Report("w0-next", 1);
+  back.m_instance = order.m_instance;
+  m_table.OnReport(back, m_fleet.Book(), At(12'500), WallTime{ 0 });
+  Next(12'600);
+  CHECK(Wave().IsDone());
+}
+
+// Instances of a pool that is off have no worker that could report.
+TEST(UpkeepPlanner, InstanceThatNeverReports_WaveEndsAllTheSame)
+{
+  StartWave(1, 1);
+  Next(10'000);
+  const auto order = Next(10'100).m_orders.at(0);
+  m_fleet.Do(*m_planner.OnAnswer(order, UpkeepAnswer::kTaken, At(10'200)));
+  m_table.Retire(WorkerId{ "w0" }, m_fleet.Book(), WallTime{ 0 });
+  Next(10'300);
+  Next(14'400);
+  CHECK(Wave().IsDone());
+}
--- /dev/null
+++ b/tests/unit/placement/workers_test.cpp
@@ -0,0 +1,240 @@
+#include "job_fixtures.h"
+
+#include "check.h"
+
+using namespace bamboostile;
+using namespace bamboostile::jobs;
+using namespace bamboostile::placement;
+using namespace job_fixtures;
+
+namespace {
+
+/** Long after the leader was elected. */
+constexpr std::int64_t kLater = 60'000;
+constexpr WallTime::Value kWall = 1;
+
+} // namespace
+
+TEST_GROUP(WorkerTable)
+{
+  Fleet m_fleet;
+  placement::WorkerTable m_table{ LeaseOptions{}, At(0) };
+
+  Heard Hear(const WorkerReport& aReport, std::int64_t aAtMs)
+  {
+    Heard heard = m_table.OnReport(
+      aReport, m_fleet.Book(), At(aAtMs), WallTime{ kWall });
+    Take(heard.m_ends);
+    return heard;
+  }
+
+  void Take(const std::vector<EndRun>& aEnds)
+  {
+    m_fleet.Apply({ aEnds.begin(), aEnds.end() });
+  }
+
+  Orders Answer(const std::string& aWorker, std::int64_t aAtMs)
+  {
+    return m_table.Answer(WorkerId{ aWorker }, m_fleet.Book(), At(aAtMs));
+  }
+
+  std::size_t LostAt(std::int64_t aAtMs)
+  {
+    return m_table.FindLost(m_fleet.Book(), At(aAtMs), WallTime{ kWall }).size();
+  }
+
+  void SubmitLasting(std::uint32_t aCount, std::uint32_t aBudget)
+  {
+    StepSpec step = Step(aCount);
+    step.m_longRunning = true;
+    step.m_missBudget = aBudget;
+    m_fleet.Submit("a", Spec({ step }));
+  }
+};
+
+// The caller sees a job run twice. A worker reports for the first time, gets a
+// run placed, and the answer waits for the disks; a tick in between must not
+// take the worker, whose lease is not out yet, for one whose lease has ended.
+TEST(WorkerTable, TickBetweenFirstReportAndAnswer_LosesNoRun)
+{
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  Hear(Report("w1", 1), kLater);
+  m_fleet.Start(Ref("a"), "w1");
+  LONGS_EQUAL(0, LostAt(kLater + 10));
+  LONGS_EQUAL(1, Answer("w1", kLater + 20).m_starts.size());
+}
+
+TEST(WorkerTable, SilentWorker_LosesRunsOnlyAfterItsLease)
+{
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  Hear(Report("w1", 1), kLater);
+  m_fleet.Start(Ref("a"), "w1");
+  Answer("w1", kLater);
+  const LeaseOptions options;
+  const std::int64_t lease = ToMillis(options.m_lease).count();
+  // Its clock may be 2% slow.
+  LONGS_EQUAL(0, LostAt(kLater + lease * 102 / 100));
+  LONGS_EQUAL(1, LostAt(kLater + lease * 102 / 100 + 200));
+}
+
+// A new leader knows nothing of the leases that an earlier one gave.
+TEST(WorkerTable, WorkerThatNewLeaderNeverHeard_LosesRunsAfterLongestLease)
+{
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  m_fleet.Start(Ref("a"), "w1");
+  LONGS_EQUAL(0, LostAt(4500));
+  LONGS_EQUAL(1, LostAt(5000));
+}
+
+// The caller sees a job run twice. A worker that begins to drain reports at
+// once, while an answer with a start is under way to it; that report lacks the
+// run, the answer arrives, and the run starts. Nobody else may start it.
+TEST(WorkerTable, DrainingReportCrossesStart_RunIsKept)
+{
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  Hear(Report("w1", 1), kLater);
+  m_fleet.Start(Ref("a"), "w1");
+  Answer("w1", kLater + 10);
+  WorkerReport draining = Report("w1", 2);
+  draining.m_draining = true;
+  CHECK(Hear(draining, kLater + 15).m_ends.empty());
+  draining.m_sequence = 3;
+  draining.m_active.push_back(Active(Ref("a")));
+  CHECK(Hear(draining, kLater + 30).m_ends.empty());
+}
+
+TEST(WorkerTable, StartLostOnDrainingWorker_IsGivenUpInTheEnd)
+{
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  Hear(Report("w1", 1), kLater);
+  m_fleet.Start(Ref("a"), "w1");
+  Answer("w1", kLater);
+  WorkerReport draining = Report("w1", 2);
+  draining.m_draining = true;
+  CHECK(Hear(draining, kLater + 2900).m_ends.empty());
+  draining.m_sequence = 3;
+  LONGS_EQUAL(1, Hear(draining, kLater + 3100).m_ends.size());
+}
+
+TEST(WorkerTable, StartNotShown_IsSentAgainWithTheSameRun)
+{
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  Hear(Report("w1", 1), kLater);
+  m_fleet.Start(Ref("a"), "w1");
+  Answer("w1", kLater);
+  Hear(Report("w1", 2), kLater + 200);
+  const Orders again = Answer("w1", kLater + 200);
+  LONGS_EQUAL(1, again.m_starts.size());
+  LONGS_EQUAL(1, again.m_starts[0].m_run.Get());
+}
+
+// The second copy of a start is refused while the first one runs; taken for
+// the end of the run, it would have the task placed a second time.
+TEST(WorkerTable, RefusalBesideActiveRun_IsNoEnd)
+{
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  Hear(Report("w1", 1), kLater);
+  m_fleet.Start(Ref("a"), "w1");
+  WorkerReport report = Report("w1", 2);
+  report.m_active.push_back(Active(Ref("a")));
+  report.m_ended.push_back(End(1, Ref("a"), RunEnd::kRefused));
+  CHECK(Hear(report, kLater + 100).m_ends.empty());
+  LONGS_EQUAL(1, Answer("w1", kLater + 100).m_notedUpTo);
+}
+
+TEST(WorkerTable, OvertakenReport_IsIgnored)
+{
+  Hear(Report("w1", 5), kLater);
+  CHECK(Hear(Report("w1", 4), kLater + 10).m_ignored);
+}
+
+// A worker is cut off and runs on; a report of an earlier life of its instance
+// that was held up arrives. Taken for a new life, it would end the runs of the
+// one that runs.
+TEST(WorkerTable, LateReportOfEarlierLife_EndsNoRun)
+{
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  Hear(Report("w1", 1), kLater);
+  m_fleet.Start(Ref("a"), "w1");
+  Answer("w1", kLater);
+  WorkerReport late = Report("w0", 9);
+  late.m_instance = InstanceId{ "instance-of-w1" };
+  CHECK(Hear(late, kLater + 500).m_ends.empty());
+  LONGS_EQUAL(0, LostAt(kLater + 600));
+}
+
+TEST(WorkerTable, NewLifeThatGoesOnReporting_EndsRunsOfTheOneBefore)
+{
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  Hear(Report("w1", 1), kLater);
+  m_fleet.Start(Ref("a"), "w1");
+  Answer("w1", kLater);
+  WorkerReport next = Report("w2", 1);
+  next.m_instance = InstanceId{ "instance-of-w1" };
+  CHECK(Hear(next, kLater + 500).m_ends.empty());
+  next.m_sequence = 2;
+  LONGS_EQUAL(1, Hear(next, kLater + 1600).m_ends.size());
+  CHECK(Hear(Report("w1", 2), kLater + 1700).m_ignored);
+}
+
+TEST(WorkerTable, RunOfCancelledJob_IsStopped)
+{
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  m_fleet.Start(Ref("a"), "w1");
+  m_fleet.Apply({ Cancel{ JobId{ "a" }, WallTime{ 1 } } });
+  WorkerReport report = Report("w1", 1);
+  report.m_active.push_back(Active(Ref("a")));
+  Hear(report, kLater);
+  LONGS_EQUAL(1, Answer("w1", kLater).m_stops.size());
+}
+
+// The operator sees a service below its budget. A move is decided, then
+// another worker goes silent; the stop that is sent must know of it.
+TEST(WorkerTable, OtherTaskLostAfterDecision_StopIsTakenBack)
+{
+  SubmitLasting(2, 1);
+  for (int i = 0; i < 2; ++i) {
+    m_fleet.Start(Ref("a", i), "w" + std::to_string(i));
+    WorkerReport report = Report("w" + std::to_string(i), 1);
+    report.m_active.push_back(Active(Ref("a", i)));
+    Hear(report, kLater);
+  }
+  const Job& job = *m_fleet.Book().Find(JobId{ "a" });
+  CHECK(m_table.MayTakeAway(job, Ref("a", 0), At(kLater)));
+  m_table.RequestStop(Ref("a", 0), RunNumber{ 1 });
+  WorkerReport report = Report("w0", 2);
+  report.m_active.push_back(Active(Ref("a", 0)));
+  Hear(report, kLater + 1500);
+  CHECK(Answer("w0", kLater + 1500).m_stops.empty());
+}
+
+TEST(WorkerTable, TailNearItsTarget_WhatFillsBesideIsSlowed)
+{
+  StepSpec serving = Step(1);
+  serving.m_latencyTarget = Millis{ 100 };
+  StepSpec filling = Step(1);
+  filling.m_fills = true;
+  m_fleet.Submit("a", Spec({ serving, filling }));
+  m_fleet.Start(Ref("a", 0, 0), "w1");
+  m_fleet.Start(Ref("a", 0, 1), "w1");
+  WorkerReport report = Report("w1", 1);
+  report.m_active = { Active(Ref("a", 0, 0)), Active(Ref("a", 0, 1)) };
+  report.m_active[0].m_load = 90;
+  Hear(report, kLater);
+  const Orders orders = Answer("w1", kLater);
+  LONGS_EQUAL(1, orders.m_rates.size());
+  LONGS_EQUAL(50, orders.m_rates[0].m_percent);
+}
+
+TEST(WorkerTable, ThreeFailuresInARow_SetWorkerAside)
+{
+  m_fleet.Submit("a", Spec({ Step(3) }));
+  WorkerReport report = Report("w1", 1);
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    m_fleet.Start(Ref("a", i), "w1");
+    report.m_ended.push_back(End(i + 1, Ref("a", i), RunEnd::kFailed));
+  }
+  Hear(report, kLater);
+  CHECK(!m_table.Find(WorkerId{ "w1" })->IsUsable(At(kLater + 1000)));
+  CHECK(m_table.Find(WorkerId{ "w1" })->IsUsable(At(kLater + 6001)));
+}
