--- a/tests/failure/requests_test.cpp
+++ b/tests/failure/requests_test.cpp
@@ -227,6 +227,29 @@
   LONGS_EQUAL(0, processes.Wait("e1"));
 }
 
+// An operator has no patience and asks a second time while a request hangs.
+// The entry ends at once, and its log says how much it abandoned.
+TEST(Requests, EntryStoppedTwice_RequestHanging_EndsAndNamesWhatItAbandons)
+{
+  Processes processes(21900);
+  Start(processes);
+  for (int i = 1; i <= 3; ++i) {
+    processes.Http(processes.UpstreamHttp(i), "PUT", "/fake/mode", {}, "hang");
+  }
+  std::thread caller([&]() {
+    processes.Http(processes.EntryHttp(1), "POST", "/desk/x", {}, "body");
+  });
+  std::this_thread::sleep_for(Millis{ 400 });
+  processes.Signal("e1", SIGTERM);
+  std::this_thread::sleep_for(Millis{ 400 });
+  processes.Signal("e1", SIGTERM);
+  LONGS_EQUAL(1, processes.Wait("e1"));
+  caller.join();
+  std::ifstream in(processes.Folder() / "e1.log");
+  const std::string text{ std::istreambuf_iterator<char>(in), {} };
+  CHECK(text.find("\"abandonedRequests\":1") != std::string::npos);
+}
+
 // The control group is gone when an entry is asked to stop. There is nobody to
 // say goodbye to; its lease runs out by itself, and it ends all the same.
 TEST(Requests, EntryStoppedByPlan_ControlGroupGone_EndsAllTheSame)
