--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -95,7 +95,7 @@
     kj::Own<kj::PromiseFulfiller<WorkerAnswer>> m_fulfiller;
   };
 
-  struct UpkeepResult
+  struct UpkeepReply
   {
     placement::UpkeepOrder m_order;
     placement::UpkeepAnswer m_answer;
@@ -130,8 +130,6 @@
   std::optional<placement::UpkeepPlanner> m_upkeep;
   std::set<WorkerId> m_cordoned;
   std::set<std::pair<std::uint64_t, InstanceId>> m_ordersUnderWay;
-  /** Orders of which at least one sending was not clearly answered. */
-  std::set<std::pair<std::uint64_t, InstanceId>> m_unclearOrders;
   std::map<jobs::TaskRef, TimePoint> m_startedAt;
   std::vector<jobs::Change> m_gathered;
   bool m_isDirty = false;
@@ -141,7 +139,7 @@
   TimePoint m_nextUpkeep;
   TimePoint m_nextForget;
   std::vector<Waiting> m_waiting;
-  rpc::Mailbox<UpkeepResult> m_upkeepResults;
+  rpc::Mailbox<UpkeepReply> m_upkeepResults;
   kj::TaskSet m_tasks;
 };
 
--- a/include/bamboostile/placement/upkeep.h
+++ b/include/bamboostile/placement/upkeep.h
@@ -37,6 +37,14 @@
   std::vector<UpkeepOrder> m_orders;
 };
 
+/** What follows from an answer. */
+struct UpkeepResult
+{
+  std::optional<fleet::AdvanceUpkeep> m_advance;
+  /** The life that has ended with the order, where that is certain. */
+  std::optional<WorkerId> m_ended;
+};
+
 struct UpkeepOptions
 {
   /** A leader gives its first order only after the calls that an earlier one
@@ -46,6 +54,9 @@
    * 2 s, and work thrown away is dearer than a wave that is a second late. */
   Duration m_patience = Millis{ 4000 };
   Duration m_retryAfter = Millis{ 1500 };
+  /** A report so long after the order was taken comes from an instance that is
+   * up: either it was done before, or it is back. */
+  Duration m_lateReports = Millis{ 600 };
   /** How long the platform keeps an instance down. */
   Duration m_takes = Millis{ 2000 };
   /** How many instances are emptied ahead of their turn, beside `cap`. */
@@ -68,10 +79,9 @@
                   const WorkerTable& aWorkers,
                   TimePoint aNow);
 
-  /** The change that an answer asks for, if any. */
-  std::optional<fleet::AdvanceUpkeep> OnAnswer(const UpkeepOrder& aOrder,
-                                               UpkeepAnswer aAnswer,
-                                               TimePoint aNow);
+  UpkeepResult OnAnswer(const UpkeepOrder& aOrder,
+                        UpkeepAnswer aAnswer,
+                        TimePoint aNow);
 
 private:
   void PlanWave(const fleet::UpkeepWave& aWave,
@@ -91,6 +101,11 @@
   std::map<InstanceId, TimePoint> m_cordonedSince;
   std::map<InstanceId, TimePoint> m_notBefore;
   std::map<InstanceId, TimePoint> m_downSince;
+  /** The life that an order ends. Only of orders that this leader gave first
+   * and that had no unclear answer: a repeated one may be answered "already
+   * done", and the instance then runs its next life. */
+  std::map<InstanceId, WorkerId> m_aimedAt;
+  std::set<InstanceId> m_unclear;
 };
 
 } // namespace bamboostile::placement
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -83,7 +83,6 @@
     m_gathered.clear();
     m_startedAt.clear();
     m_ordersUnderWay.clear();
-    m_unclearOrders.clear();
     m_isDirty = true;
   }
   return true;
@@ -571,8 +570,8 @@
 JobService::UpkeepLoop()
 {
   return m_upkeepResults.Take().then(
-    [this](const std::vector<UpkeepResult>& aResults) {
-      for (const UpkeepResult& result : aResults) {
+    [this](const std::vector<UpkeepReply>& aResults) {
+      for (const UpkeepReply& result : aResults) {
         const auto key =
           std::make_pair(result.m_order.m_wave, result.m_order.m_instance);
         m_ordersUnderWay.erase(key);
@@ -584,30 +583,16 @@
         if (!Leads()) {
           continue;
         }
-        placement::UpkeepAnswer answer = result.m_answer;
-        if (answer == placement::UpkeepAnswer::kUnclear) {
-          m_unclearOrders.insert(key);
-        } else if (answer == placement::UpkeepAnswer::kBusy &&
-                   m_unclearOrders.contains(key)) {
-          // Busy may mean that the earlier sending is being obeyed; the
-          // instance goes on counting as down until the answer is clear.
-          answer = placement::UpkeepAnswer::kUnclear;
+        const placement::UpkeepResult next = m_upkeep->OnAnswer(
+          result.m_order, result.m_answer, MonotonicNow());
+        if (next.m_ended) {
+          Gather(m_workers->Retire(
+            *next.m_ended, m_node.State().Jobs(), WallNow()));
+          m_isDirty = true;
+          Kick();
         }
-        const auto advance =
-          m_upkeep->OnAnswer(result.m_order, answer, MonotonicNow());
-        if (answer == placement::UpkeepAnswer::kTaken) {
-          const placement::Worker* worker =
-            m_workers->FindByInstance(result.m_order.m_instance);
-          if (worker != nullptr) {
-            Gather(m_workers->Retire(worker->m_last.m_worker,
-                                     m_node.State().Jobs(),
-                                     WallNow()));
-            m_isDirty = true;
-            Kick();
-          }
-        }
-        if (advance) {
-          Advance(*advance);
+        if (next.m_advance) {
+          Advance(*next.m_advance);
         }
       }
       return UpkeepLoop();
--- a/src/placement/upkeep.cpp
+++ b/src/placement/upkeep.cpp
@@ -80,16 +80,18 @@
   return isEmpty || waitedOut;
 }
 
-// A worker that reports shows that its instance is up. One of a pool that is
-// switched off never will; it counts as back after twice the usual time.
+// A worker that still reports shows that its instance is up. One of a pool that
+// is switched off never will; it counts as back after twice the usual time.
 bool
 UpkeepPlanner::IsBack(const InstanceId& aInstance,
                       const WorkerTable& aWorkers,
                       TimePoint aNow)
 {
   const TimePoint since = m_downSince.try_emplace(aInstance, aNow).first->second;
-  return aWorkers.FindByInstance(aInstance) != nullptr ||
-         aNow >= since + 2 * m_options.m_takes;
+  const Worker* worker = aWorkers.FindByInstance(aInstance);
+  const bool reports = worker != nullptr && !worker->m_silent &&
+                       worker->m_heardAt > since + m_options.m_lateReports;
+  return reports || aNow >= since + 2 * m_options.m_takes;
 }
 
 void
@@ -137,6 +139,9 @@
     }
     if (down < aWave.m_cap && IsReady(instance, aState, aWorkers, aNow)) {
       ++down;
+      if (const Worker* worker = aWorkers.FindByInstance(instance)) {
+        m_aimedAt[instance] = worker->m_last.m_worker;
+      }
       aPlan.m_advances.push_back(
         { aWave.m_number, instance, fleet::UpkeepStep::kOrdered });
     }
@@ -160,33 +165,50 @@
   return plan;
 }
 
-std::optional<fleet::AdvanceUpkeep>
+UpkeepResult
 UpkeepPlanner::OnAnswer(const UpkeepOrder& aOrder,
                         UpkeepAnswer aAnswer,
                         TimePoint aNow)
 {
+  const InstanceId& instance = aOrder.m_instance;
+  const auto advance = [&](fleet::UpkeepStep aTo) {
+    m_cordonedSince.erase(instance);
+    return fleet::AdvanceUpkeep{ aOrder.m_wave, instance, aTo };
+  };
+  UpkeepResult result;
   switch (aAnswer) {
-    case UpkeepAnswer::kTaken:
-      m_cordonedSince.erase(aOrder.m_instance);
-      return fleet::AdvanceUpkeep{ aOrder.m_wave,
-                                   aOrder.m_instance,
-                                   fleet::UpkeepStep::kDown };
+    case UpkeepAnswer::kTaken: {
+      const auto aimed = m_aimedAt.find(instance);
+      if (aimed != m_aimedAt.end()) {
+        result.m_ended = aimed->second;
+      }
+      m_unclear.erase(instance);
+      result.m_advance = advance(fleet::UpkeepStep::kDown);
+      break;
+    }
     case UpkeepAnswer::kBusy:
-      m_cordonedSince.erase(aOrder.m_instance);
-      m_notBefore[aOrder.m_instance] = aNow + m_options.m_retryAfter;
-      return fleet::AdvanceUpkeep{ aOrder.m_wave,
-                                   aOrder.m_instance,
-                                   fleet::UpkeepStep::kWaiting };
+      // Busy may mean that an earlier sending is being obeyed; the instance
+      // goes on counting as down until the answer is clear.
+      if (m_unclear.contains(instance)) {
+        break;
+      }
+      m_notBefore[instance] = aNow + m_options.m_retryAfter;
+      result.m_advance = advance(fleet::UpkeepStep::kWaiting);
+      break;
     case UpkeepAnswer::kNotMeant:
-      m_cordonedSince.erase(aOrder.m_instance);
-      return fleet::AdvanceUpkeep{ aOrder.m_wave,
-                                   aOrder.m_instance,
-                                   fleet::UpkeepStep::kSkipped };
-    case UpkeepAnswer::kOvertaken:
+      result.m_advance = advance(fleet::UpkeepStep::kSkipped);
+      break;
     case UpkeepAnswer::kUnclear:
-      return std::nullopt;
+      m_aimedAt.erase(instance);
+      m_unclear.insert(instance);
+      break;
+    case UpkeepAnswer::kOvertaken:
+      break;
+  }
+  if (result.m_advance) {
+    m_aimedAt.erase(instance);
   }
-  return std::nullopt;
+  return result;
 }
 
 } // namespace bamboostile::placement
