--- /dev/null
+++ b/fakes/worker.cpp
@@ -0,0 +1,199 @@
+// A small worker: reports to whichever control replica leads, runs tasks by
+// waiting for their time, and counts how often each task ran at once.
+
+#include "bamboostile/http/client.h"
+
+#include <boost/program_options.hpp>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <future>
+#include <iostream>
+#include <map>
+#include <thread>
+
+namespace {
+
+namespace po = boost::program_options;
+using namespace bamboostile;
+using Json = nlohmann::json;
+
+std::atomic<bool> g_stop = false;
+
+struct Options
+{
+  std::string m_id;
+  std::string m_service;
+  std::vector<std::string> m_control;
+  unsigned m_cpuMillis = 4000;
+  unsigned m_taskMs = 50;
+};
+
+/** A run under way. */
+struct Running
+{
+  Json m_order;
+  TimePoint m_since;
+};
+
+class Worker
+{
+public:
+  explicit Worker(Options aOptions)
+    : m_options(std::move(aOptions))
+  {
+  }
+
+  void Run()
+  {
+    while (!g_stop) {
+      EndWhatIsDone();
+      const Json answer = Report();
+      if (!answer.is_null()) {
+        Obey(answer);
+      }
+      std::this_thread::sleep_for(Millis{ 20 });
+    }
+    Post("/leave", Json::object());
+  }
+
+private:
+  void EndWhatIsDone()
+  {
+    const TimePoint now = MonotonicNow();
+    if (now > m_leaseEnd) {
+      for (const auto& [key, run] : m_running) {
+        AddEnd(run.m_order, "leaseExpired");
+      }
+      m_running.clear();
+    }
+    std::erase_if(m_running, [&](const auto& aEntry) {
+      const Running& run = aEntry.second;
+      if (now < run.m_since + Millis{ m_options.m_taskMs }) {
+        return false;
+      }
+      AddEnd(run.m_order, "done");
+      return true;
+    });
+  }
+
+  void AddEnd(const Json& aOrder, const char* aHow)
+  {
+    Json end = aOrder;
+    end["number"] = ++m_lastEnd;
+    end["how"] = aHow;
+    end["checkpoint"] = "";
+    end.erase("payload");
+    m_ended.push_back(std::move(end));
+  }
+
+  Json Report()
+  {
+    Json report{ { "instance", m_options.m_id },
+                 { "service", m_options.m_service },
+                 { "cpuMillis", m_options.m_cpuMillis },
+                 { "memoryMb", 4096 },
+                 { "sequence", ++m_sequence },
+                 { "active", Json::array() },
+                 { "ended", m_ended } };
+    for (const auto& [key, run] : m_running) {
+      Json row = run.m_order;
+      row["percent"] = 100;
+      row.erase("payload");
+      report["active"].push_back(std::move(row));
+    }
+    m_sentAt = MonotonicNow();
+    return Post("/report", report);
+  }
+
+  Json Post(const std::string& aWhat, const Json& aBody)
+  {
+    http::Call call;
+    call.m_address = m_options.m_control[m_next];
+    call.m_method = "POST";
+    call.m_target = "/v1/workers/" + m_options.m_id + aWhat;
+    call.m_body = std::make_shared<const std::string>(aBody.dump());
+    call.m_timeout = std::chrono::seconds{ 1 };
+    std::promise<http::CallResult> done;
+    m_client.Start(std::move(call), [&](http::CallResult aResult) {
+      done.set_value(std::move(aResult));
+    });
+    const http::CallResult result = done.get_future().get();
+    if (result.m_end != http::CallEnd::kAnswered ||
+        result.m_response.m_status != 200) {
+      m_next = (m_next + 1) % m_options.m_control.size();
+      return nullptr;
+    }
+    return Json::parse(result.m_response.m_body, nullptr, false);
+  }
+
+  void Obey(const Json& aAnswer)
+  {
+    if (aAnswer.at("fencingToken") < m_fencingToken) {
+      return;
+    }
+    m_fencingToken = aAnswer.at("fencingToken").get<std::uint64_t>();
+    m_leaseEnd = m_sentAt + Millis{ aAnswer.at("leaseMs").get<unsigned>() };
+    const auto noted = aAnswer.at("notedUpTo").get<std::uint64_t>();
+    std::erase_if(m_ended, [&](const Json& aEnd) {
+      return aEnd.at("number").get<std::uint64_t>() <= noted;
+    });
+    for (const Json& order : aAnswer.at("stop")) {
+      const auto found = m_running.find(KeyOf(order));
+      if (found != m_running.end()) {
+        AddEnd(order, "stopped");
+        m_running.erase(found);
+      }
+    }
+    for (const Json& order : aAnswer.at("start")) {
+      if (m_running.try_emplace(KeyOf(order), Running{ order, MonotonicNow() })
+            .second) {
+        std::cout << "start " << KeyOf(order) << std::endl;
+      }
+    }
+  }
+
+  static std::string KeyOf(const Json& aOrder)
+  {
+    return aOrder.at("job").get<std::string>() + "." +
+           aOrder.at("occurrence").dump() + "." + aOrder.at("step").dump() +
+           "." + aOrder.at("index").dump();
+  }
+
+  Options m_options;
+  http::Client m_client;
+  std::size_t m_next = 0;
+  std::uint64_t m_sequence = 0;
+  std::uint64_t m_lastEnd = 0;
+  std::uint64_t m_fencingToken = 0;
+  TimePoint m_sentAt;
+  TimePoint m_leaseEnd;
+  std::map<std::string, Running> m_running;
+  std::vector<Json> m_ended;
+};
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  Options options;
+  po::options_description known("fake_worker");
+  known.add_options()("id", po::value(&options.m_id)->required())(
+    "service", po::value(&options.m_service)->required())(
+    "control", po::value(&options.m_control)->multitoken()->required())(
+    "cpu-millis", po::value(&options.m_cpuMillis))(
+    "task-ms", po::value(&options.m_taskMs));
+  try {
+    po::variables_map values;
+    po::store(po::parse_command_line(aCount, aArguments, known), values);
+    po::notify(values);
+  } catch (const po::error& error) {
+    std::cerr << "fake_worker: " << error.what() << "\n";
+    return 2;
+  }
+  std::signal(SIGTERM, [](int) { g_stop = true; });
+  std::signal(SIGPIPE, SIG_IGN);
+  Worker(std::move(options)).Run();
+  return 0;
+}
--- a/include/bamboostile/entry/frontend.h
+++ b/include/bamboostile/entry/frontend.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bamboostile/entry/link.h"
+#include "bamboostile/entry/queue_gateway.h"
 #include "bamboostile/http/client.h"
 #include "bamboostile/http/server.h"
 #include "bamboostile/request/engine.h"
@@ -32,6 +33,7 @@
 public:
   Frontend(FrontendOptions aOptions,
            rpc::Mailbox<LinkMessage>& aLink,
+           QueueGateway& aQueues,
            std::shared_ptr<opentracing::Tracer> aTracer);
   ~Frontend();
 
@@ -93,6 +95,7 @@
 
   FrontendOptions m_options;
   rpc::Mailbox<LinkMessage>& m_link;
+  QueueGateway& m_queues;
   std::shared_ptr<opentracing::Tracer> m_tracer;
   request::Engine m_engine;
   telemetry::Metrics m_metrics;
--- a/include/bamboostile/fleet/state.h
+++ b/include/bamboostile/fleet/state.h
@@ -31,10 +31,8 @@
 };
 
 /** What applying one command brought; each command kind sets its own part. */
-using Effect = std::variant<std::monostate,
-                            CallReply,
-                            outcome::BeginReply,
-                            jobs::BatchReply>;
+using Effect = std::
+  variant<std::monostate, CallReply, outcome::BeginReply, jobs::BatchReply>;
 
 /**
  * @brief The replicated state: pools, services, instances, configuration,
--- a/include/bamboostile/jobs/book.h
+++ b/include/bamboostile/jobs/book.h
@@ -142,8 +142,6 @@
 
 std::string EncodeBatch(const Batch& aBatch);
 std::optional<Batch> DecodeBatch(const std::string& aBytes);
-std::string EncodeSpec(const JobSpec& aSpec);
-std::optional<JobSpec> DecodeSpec(const std::string& aBytes);
 std::string EncodeBook(const Book& aBook);
 std::optional<Book> DecodeBook(const std::string& aBytes);
 
--- a/include/bamboostile/jobs/calls.h
+++ b/include/bamboostile/jobs/calls.h
@@ -12,6 +12,8 @@
   kCancel,
 };
 
+const char* Describe(CallKind aKind) noexcept;
+
 /** A call of a caller of a queue, as an entry took it. */
 struct QueueCall
 {
--- a/include/bamboostile/wire/queue_codec.h
+++ b/include/bamboostile/wire/queue_codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bamboostile/fleet/routes.h"
 #include "bamboostile/jobs/calls.h"
 
 #include "internal.capnp.h"
@@ -7,10 +8,12 @@
 namespace bamboostile::wire {
 
 void Write(const jobs::QueueCall& aCall, schema::QueueCall::Builder aTo);
-/** Empty where the job's description is damaged. */
-std::optional<jobs::QueueCall> Read(schema::QueueCall::Reader aFrom);
+jobs::QueueCall Read(schema::QueueCall::Reader aFrom);
 
 void Write(const jobs::QueueReply& aReply, schema::QueueReply::Builder aTo);
 jobs::QueueReply Read(schema::QueueReply::Reader aFrom);
 
+fleet::RouteTable Read(schema::QueueTable::Reader aFrom);
+void Write(const fleet::RouteTable& aTable, schema::QueueTable::Builder aTo);
+
 } // namespace bamboostile::wire
--- a/schema/internal.capnp
+++ b/schema/internal.capnp
@@ -176,55 +176,6 @@
   leaderAddress @3 :Text;
 }
 
-struct QueueCall {
-  # A call of a caller of a queue, as the entry took it.
-  kind @0 :Kind;
-  host @1 :Text;
-  path @2 :Text;
-  # Prefix of the queue and id of the job, or the prefix alone.
-  spec @3 :Data;
-  # Of `submit`: a packed JobSpec.
-
-  enum Kind {
-    submit @0;
-    look @1;
-    cancel @2;
-  }
-}
-
-enum QueueOutcome {
-  ok @0;
-  notLeader @1;
-  noRoutes @2;
-  # No table of routes is in force yet.
-  noQueue @3;
-  noJob @4;
-  refused @5;
-  # Not accepted, and never will be by this call.
-  undecided @6;
-  # Proposed, but its fate is not known; the same call again finds out.
-  badJob @7;
-}
-
-struct QueueReply {
-  outcome @0 :QueueOutcome;
-  leaderAddress @1 :Text;
-  state @2 :State;
-  pending @3 :UInt64;
-  isQueue @4 :Bool;
-  # The path named a queue: `pending` is set instead of `state`.
-  retryAfterMs @5 :UInt32;
-  detail @6 :Text;
-
-  enum State {
-    queued @0;
-    running @1;
-    completed @2;
-    failed @3;
-    cancelled @4;
-  }
-}
-
 interface Control {
   deliver @0 (message :Message, replyTo :Text);
   # replyTo is the sender's address: a new replica, or one that lags, does not
@@ -238,7 +189,7 @@
   announce @7 (announcements :List(Announcement))
       -> (outcome :SyncOutcome, leaderAddress :Text);
   # Answered once the announcements are committed.
-  queueCall @8 (call :QueueCall) -> (reply :QueueReply);
+  queueCall @8 (call :Ops.QueueCall) -> (reply :Ops.QueueReply);
   join @9 (id :ReplicaId, address :Text)
       -> (outcome :SyncOutcome, leaderAddress :Text);
   # Asks for admission to the group, as a learner at first.
--- a/schema/operators.capnp
+++ b/schema/operators.capnp
@@ -4,6 +4,7 @@
 
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("bamboostile::schema");
+using Jobs = import "jobs.capnp";
 
 enum WaveTarget {
   running @0;
@@ -111,10 +112,82 @@
   remove @2;
 }
 
+struct QueueCall {
+  # A call of a caller of a queue, as the entry took it.
+  kind @0 :Kind;
+  host @1 :Text;
+  path @2 :Text;
+  # Prefix of the queue and id of the job, or the prefix alone.
+  spec @3 :Jobs.JobSpec;
+  # Of `submit`.
+
+  enum Kind {
+    submit @0;
+    look @1;
+    cancel @2;
+  }
+}
+
+enum QueueOutcome {
+  ok @0;
+  notLeader @1;
+  noRoutes @2;
+  # No table of routes is in force yet.
+  noQueue @3;
+  noJob @4;
+  refused @5;
+  # Not accepted, and never will be by this call.
+  undecided @6;
+  # Proposed, but its fate is not known; the same call again finds out.
+  badJob @7;
+}
+
+struct QueueReply {
+  outcome @0 :QueueOutcome;
+  leaderAddress @1 :Text;
+  state @2 :State;
+  pending @3 :UInt64;
+  isQueue @4 :Bool;
+  # The path named a queue: `pending` is set instead of `state`.
+  retryAfterMs @5 :UInt32;
+  detail @6 :Text;
+
+  enum State {
+    queued @0;
+    running @1;
+    completed @2;
+    failed @3;
+    cancelled @4;
+  }
+}
+
+struct QueueRow {
+  # A queue of jobs; callers reach it at /v1/queues/{name}.
+  name @0 :Text;
+  service @1 :Text;
+  timeoutMs @2 :UInt32 = 3000;
+  objectiveMs @3 :UInt32 = 3000;
+  # A job should be completed after its longest chain of work, times
+  # `stretch`, and this.
+  stretch @4 :Float64 = 1;
+  priority @5 :UInt32;
+  # 0 comes first.
+  maxAttempts @6 :UInt32 = 3;
+}
+
+struct QueueTable {
+  # All queues at once; the highest version is in force.
+  version @0 :UInt64;
+  queues @1 :List(QueueRow);
+}
+
 interface Operators {
   submit @0 (call :OperatorCall) -> (reply :CallReply);
   status @1 () -> (json :Text, reply :CallReply);
   # The state as one JSON document; only from a leader confirmed by a quorum.
   control @2 (change :ControlChange, instance :Text, address :Text)
       -> (reply :CallReply);
+  queueCall @3 (call :QueueCall) -> (reply :QueueReply);
+  replaceQueues @4 (table :QueueTable) -> (reply :CallReply);
+  queues @5 () -> (table :QueueTable, reply :CallReply);
 }
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -218,8 +218,8 @@
   m_isDirty = false;
   const TimePoint now = MonotonicNow();
   m_nextPass = now + kPassInterval;
-  placement::Plan plan = m_planner.Next(
-    m_node.State(), *m_workers, m_cordoned, now, WallNow());
+  placement::Plan plan =
+    m_planner.Next(m_node.State(), *m_workers, m_cordoned, now, WallNow());
   for (const placement::StopOrder& stop : plan.m_stops) {
     LogLine(Level::kInfo, "moving a task that lasts")
       .With("job", stop.m_task.m_job.Get())
@@ -326,8 +326,7 @@
 {
   const TimePoint now = MonotonicNow();
   if (Leads()) {
-    auto lost =
-      m_workers->FindLost(m_node.State().Jobs(), now, WallNow());
+    auto lost = m_workers->FindLost(m_node.State().Jobs(), now, WallNow());
     if (!m_isCycling && !lost.empty()) {
       LogLine(Level::kWarning, "runs lost with their workers")
         .With("runs", lost.size())
@@ -531,8 +530,7 @@
 void
 JobService::PlanUpkeep(TimePoint aNow)
 {
-  placement::UpkeepPlan plan =
-    m_upkeep->Next(m_node.State(), *m_workers, aNow);
+  placement::UpkeepPlan plan = m_upkeep->Next(m_node.State(), *m_workers, aNow);
   if (plan.m_cordoned != m_cordoned) {
     m_cordoned = std::move(plan.m_cordoned);
     m_isDirty = true;
@@ -562,8 +560,8 @@
     .With("to", fleet::Describe(aAdvance.m_to))
     .Write();
   ++m_advancing;
-  m_tasks.add(m_node.Propose(aAdvance).then(
-    [this](const Decided&) { --m_advancing; }));
+  m_tasks.add(
+    m_node.Propose(aAdvance).then([this](const Decided&) { --m_advancing; }));
 }
 
 kj::Promise<void>
@@ -583,11 +581,11 @@
         if (!Leads()) {
           continue;
         }
-        const placement::UpkeepResult next = m_upkeep->OnAnswer(
-          result.m_order, result.m_answer, MonotonicNow());
+        const placement::UpkeepResult next =
+          m_upkeep->OnAnswer(result.m_order, result.m_answer, MonotonicNow());
         if (next.m_ended) {
-          Gather(m_workers->Retire(
-            *next.m_ended, m_node.State().Jobs(), WallNow()));
+          Gather(
+            m_workers->Retire(*next.m_ended, m_node.State().Jobs(), WallNow()));
           m_isDirty = true;
           Kick();
         }
--- /dev/null
+++ b/src/control/loop_bridge.cpp
@@ -0,0 +1,47 @@
+#include "bamboostile/control/loop_bridge.h"
+
+#include "bamboostile/telemetry/log.h"
+
+namespace bamboostile::control {
+
+using telemetry::Level;
+using telemetry::LogLine;
+
+LoopBridge::LoopBridge()
+  : m_tasks(*this)
+{
+  m_tasks.add(Loop());
+}
+
+void
+LoopBridge::taskFailed(kj::Exception&& aException)
+{
+  LogLine(Level::kWarning, "a call to control failed")
+    .With("reason", std::string{ aException.getDescription().cStr() })
+    .Write();
+}
+
+void
+LoopBridge::Answer(http::Server& aServer, ExchangePtr aExchange, Task aTask)
+{
+  m_pending.Put({ &aServer, std::move(aExchange), std::move(aTask) });
+}
+
+kj::Promise<void>
+LoopBridge::Loop()
+{
+  return m_pending.Take().then([this](std::vector<Pending> aPending) {
+    for (Pending& one : aPending) {
+      m_tasks.add(one.m_task().then(
+        [server = one.m_server,
+         exchange = one.m_exchange](http::Response&& aResponse) {
+          server->Post([exchange, response = std::move(aResponse)]() {
+            exchange->Respond(response);
+          });
+        }));
+    }
+    return Loop();
+  });
+}
+
+} // namespace bamboostile::control
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -522,18 +522,17 @@
   auto request = channel->Get().joinRequest();
   wire::Write(m_replica.Self(), request.initId());
   request.setAddress(m_options.m_address);
-  auto asked = request.send().then(
-    [this](auto&& aReply) -> kj::Promise<void> {
-      const std::string leader = aReply.getLeaderAddress();
-      if (aReply.getOutcome() == schema::SyncOutcome::OK || leader.empty()) {
-        return kj::READY_NOW;
-      }
-      auto next = kj::refcounted<rpc::Channel>(m_provider.getNetwork(), leader);
-      auto again = next->Get().joinRequest();
-      wire::Write(m_replica.Self(), again.initId());
-      again.setAddress(m_options.m_address);
-      return again.send().ignoreResult().attach(kj::mv(next));
-    });
+  auto asked = request.send().then([this](auto&& aReply) -> kj::Promise<void> {
+    const std::string leader = aReply.getLeaderAddress();
+    if (aReply.getOutcome() == schema::SyncOutcome::OK || leader.empty()) {
+      return kj::READY_NOW;
+    }
+    auto next = kj::refcounted<rpc::Channel>(m_provider.getNetwork(), leader);
+    auto again = next->Get().joinRequest();
+    wire::Write(m_replica.Self(), again.initId());
+    again.setAddress(m_options.m_address);
+    return again.send().ignoreResult().attach(kj::mv(next));
+  });
   // A seed that is down or cut off is asked again with the next round.
   return asked.attach(kj::mv(channel))
     .exclusiveJoin(m_timer.afterDelay(ToKj(kPeerSilence)))
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -58,8 +58,9 @@
 class OperatorServer final : public schema::Operators::Server
 {
 public:
-  explicit OperatorServer(Node& aNode)
+  OperatorServer(Node& aNode, JobService* aJobs)
     : m_node(aNode)
+    , m_jobs(aJobs)
   {
   }
 
@@ -134,7 +135,75 @@
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> queueCall(QueueCallContext aContext) override
+  {
+    KJ_REQUIRE(m_jobs != nullptr, "this replica serves no jobs");
+    return m_jobs->Call(wire::Read(aContext.getParams().getCall()))
+      .then([aContext](const jobs::QueueReply& aReply) mutable {
+        wire::Write(aReply, aContext.getResults().initReply());
+      });
+  }
+
+  kj::Promise<void> replaceQueues(ReplaceQueuesContext aContext) override
+  {
+    KJ_REQUIRE(m_jobs != nullptr, "this replica serves no jobs");
+    fleet::RouteTable table = wire::Read(aContext.getParams().getTable());
+    const fleet::RouteFinding finding = fleet::Check(table);
+    if (finding.m_problem != fleet::RouteProblem::kNone) {
+      auto reply = aContext.getResults().initReply();
+      reply.setOutcome(schema::CallOutcome::INVALID);
+      reply.setMessage(finding.m_name + ": " +
+                       fleet::Describe(finding.m_problem));
+      return kj::READY_NOW;
+    }
+    const std::uint64_t version = table.m_version;
+    return m_jobs->ReplaceRoutes(std::move(table))
+      .then([this, aContext, version](RoutesOutcome aOutcome) mutable {
+        auto reply = aContext.getResults().initReply();
+        ReportReplaced(aOutcome, version, reply);
+      });
+  }
+
+  kj::Promise<void> queues(QueuesContext aContext) override
+  {
+    auto results = aContext.getResults();
+    if (!m_node.IsServing()) {
+      RefuseAsFollower(results.initReply());
+      return kj::READY_NOW;
+    }
+    wire::Write(m_node.State().Routes(), results.initTable());
+    results.initReply().setOutcome(schema::CallOutcome::DONE);
+    return kj::READY_NOW;
+  }
+
 private:
+  // A table that another operator has overtaken is not in force: who sent it
+  // hears which one is.
+  void ReportReplaced(RoutesOutcome aOutcome,
+                      std::uint64_t aVersion,
+                      schema::CallReply::Builder aReply)
+  {
+    const std::uint64_t inForce = m_node.State().Routes().m_version;
+    switch (aOutcome) {
+      case RoutesOutcome::kNotLeader:
+        RefuseAsFollower(aReply);
+        return;
+      case RoutesOutcome::kUndecided:
+        aReply.setOutcome(schema::CallOutcome::UNKNOWN);
+        return;
+      case RoutesOutcome::kInForce:
+        break;
+    }
+    aReply.setRevision(inForce);
+    aReply.setInForce(inForce == aVersion);
+    aReply.setOutcome(inForce == aVersion ? schema::CallOutcome::DONE
+                                          : schema::CallOutcome::CONFLICT);
+    if (inForce != aVersion) {
+      aReply.setMessage("version " + std::to_string(inForce) +
+                        " is in force; send a higher one");
+    }
+  }
+
   void RefuseAsFollower(schema::CallReply::Builder aReply)
   {
     aReply.setOutcome(schema::CallOutcome::NOT_LEADER);
@@ -193,6 +262,7 @@
   }
 
   Node& m_node;
+  JobService* m_jobs;
 };
 
 class ControlServer final : public schema::Control::Server
@@ -319,9 +389,7 @@
   kj::Promise<void> queueCall(QueueCallContext aContext) override
   {
     KJ_REQUIRE(m_jobs != nullptr, "this replica serves no jobs");
-    auto call = wire::Read(aContext.getParams().getCall());
-    KJ_REQUIRE(call.has_value(), "the job's description is damaged");
-    return m_jobs->Call(std::move(*call))
+    return m_jobs->Call(wire::Read(aContext.getParams().getCall()))
       .then([aContext](const jobs::QueueReply& aReply) mutable {
         wire::Write(aReply, aContext.getResults().initReply());
       });
@@ -344,7 +412,8 @@
 
   kj::Promise<void> operators(OperatorsContext aContext) override
   {
-    aContext.getResults().setOperators(kj::heap<OperatorServer>(m_node));
+    aContext.getResults().setOperators(
+      kj::heap<OperatorServer>(m_node, m_jobs));
     return kj::READY_NOW;
   }
 
--- a/src/entry/frontend.cpp
+++ b/src/entry/frontend.cpp
@@ -5,6 +5,7 @@
 #include "bamboostile/units/visit.h"
 #include "caller_headers.h"
 #include "digest.h"
+#include "jobs_api.h"
 #include "responses.h"
 
 #include <nlohmann/json.hpp>
@@ -71,9 +72,11 @@
 
 Frontend::Frontend(FrontendOptions aOptions,
                    rpc::Mailbox<LinkMessage>& aLink,
+                   QueueGateway& aQueues,
                    std::shared_ptr<opentracing::Tracer> aTracer)
   : m_options(std::move(aOptions))
   , m_link(aLink)
+  , m_queues(aQueues)
   , m_tracer(std::move(aTracer))
   , m_engine(m_options.m_engine, m_options.m_self, m_options.m_settings.m_zone)
   , m_leaseUntil(std::make_shared<std::atomic<std::int64_t>>(0))
@@ -158,7 +161,7 @@
     HandleOutcome(std::move(aExchange));
   } else if (StartsWith(path, kUpstreamsPath)) {
     HandleUpstream(std::move(aExchange));
-  } else {
+  } else if (!internal::HandleJobs(m_queues, *m_server, aExchange)) {
     HandleForward(std::move(aExchange));
   }
 }
--- a/src/entry/leader_client.cpp
+++ b/src/entry/leader_client.cpp
@@ -113,19 +113,19 @@
     return TryAgain(kj::mv(aAttempts), true);
   }
   const std::string address = m_replicas[aAttempts->m_next++];
-  auto answered =
-    m_timer.timeoutAfter(ToKj(m_options.m_attempt),
-                         Send(address, aAttempts->m_call));
-  return answered.then(
-    [this, address](jobs::QueueReply&& aReply) {
-      return kj::Maybe<jobs::QueueReply>{ kj::mv(aReply) };
-    },
-    // A connection that went silent looks alive for minutes; the next call
-    // gets a new one.
-    [this, address](kj::Exception&&) -> kj::Maybe<jobs::QueueReply> {
-      ChannelTo(address).Drop();
-      return nullptr;
-    })
+  auto answered = m_timer.timeoutAfter(ToKj(m_options.m_attempt),
+                                       Send(address, aAttempts->m_call));
+  return answered
+    .then(
+      [this, address](jobs::QueueReply&& aReply) {
+        return kj::Maybe<jobs::QueueReply>{ kj::mv(aReply) };
+      },
+      // A connection that went silent looks alive for minutes; the next call
+      // gets a new one.
+      [this, address](kj::Exception&&) -> kj::Maybe<jobs::QueueReply> {
+        ChannelTo(address).Drop();
+        return nullptr;
+      })
     .then([this, address, attempts = kj::mv(aAttempts)](
             kj::Maybe<jobs::QueueReply>&& aReply) mutable
           -> kj::Promise<jobs::QueueReply> {
--- a/src/entry/responses.h
+++ b/src/entry/responses.h
@@ -17,6 +17,7 @@
 constexpr std::uint32_t kConflict = 409;
 constexpr std::uint32_t kGone = 410;
 constexpr std::uint32_t kUnprocessable = 422;
+constexpr std::uint32_t kTooManyRequests = 429;
 constexpr std::uint32_t kUnavailable = 503;
 constexpr std::uint32_t kTimeout = 504;
 
--- a/src/fleet/routes.cpp
+++ b/src/fleet/routes.cpp
@@ -90,7 +90,8 @@
 RouteIndex::Find(const QueueId& aQueue) const
 {
   const auto found = m_byPlace.find(aQueue.Get());
-  return found == m_byPlace.end() ? std::nullopt : std::optional{ found->second };
+  return found == m_byPlace.end() ? std::nullopt
+                                  : std::optional{ found->second };
 }
 
 } // namespace bamboostile::fleet
--- a/src/fleet/state.cpp
+++ b/src/fleet/state.cpp
@@ -3,8 +3,8 @@
 #include "bamboostile/units/visit.h"
 
 #include <algorithm>
-#include <limits>
 #include <array>
+#include <limits>
 
 namespace bamboostile::fleet {
 
@@ -124,36 +124,35 @@
 State::Apply(Index aIndex, const Command& aCommand)
 {
   m_applied = aIndex;
-  return std::visit(Overloaded{
-                      [&](const OperatorCall& aCall) -> Effect {
-                        return Execute(aIndex, aCall);
-                      },
-                      [&](const AnnounceInstances& aMany) -> Effect {
-                        for (const Announcement& one : aMany.m_announcements) {
-                          Apply(aIndex, one);
-                        }
-                        return {};
-                      },
-                      [&](const outcome::Begin& aBegin) -> Effect {
-                        return m_outcomes.Apply(aIndex, aBegin);
-                      },
-                      [&](const outcome::Resolve& aResolve) -> Effect {
-                        m_outcomes.Apply(aIndex, aResolve);
-                        return {};
-                      },
-                      [&](const outcome::Expire& aExpire) -> Effect {
-                        m_outcomes.Apply(aIndex, aExpire);
-                        return {};
-                      },
-                      [&](const jobs::Batch& aBatch) -> Effect {
-                        return ApplyJobs(aBatch);
-                      },
-                      [&](const auto& aOther) -> Effect {
-                        Apply(aIndex, aOther);
-                        return {};
-                      },
-                    },
-                    aCommand);
+  return std::visit(
+    Overloaded{
+      [&](const OperatorCall& aCall) -> Effect {
+        return Execute(aIndex, aCall);
+      },
+      [&](const AnnounceInstances& aMany) -> Effect {
+        for (const Announcement& one : aMany.m_announcements) {
+          Apply(aIndex, one);
+        }
+        return {};
+      },
+      [&](const outcome::Begin& aBegin) -> Effect {
+        return m_outcomes.Apply(aIndex, aBegin);
+      },
+      [&](const outcome::Resolve& aResolve) -> Effect {
+        m_outcomes.Apply(aIndex, aResolve);
+        return {};
+      },
+      [&](const outcome::Expire& aExpire) -> Effect {
+        m_outcomes.Apply(aIndex, aExpire);
+        return {};
+      },
+      [&](const jobs::Batch& aBatch) -> Effect { return ApplyJobs(aBatch); },
+      [&](const auto& aOther) -> Effect {
+        Apply(aIndex, aOther);
+        return {};
+      },
+    },
+    aCommand);
 }
 
 const CallReply*
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -51,8 +51,8 @@
 {
   BatchReply reply;
   for (const Change& change : aBatch.m_changes) {
-    const CallOutcome outcome = std::visit(
-      [&](const auto& aOne) { return On(aOne, aLimit); }, change);
+    const CallOutcome outcome =
+      std::visit([&](const auto& aOne) { return On(aOne, aLimit); }, change);
     if (reply.m_outcome == CallOutcome::kNone) {
       reply.m_outcome = outcome;
     }
--- a/src/jobs/calls.cpp
+++ b/src/jobs/calls.cpp
@@ -2,6 +2,20 @@
 
 namespace bamboostile::jobs {
 
+const char*
+Describe(CallKind aKind) noexcept
+{
+  switch (aKind) {
+    case CallKind::kSubmit:
+      return "submit";
+    case CallKind::kLook:
+      return "look";
+    case CallKind::kCancel:
+      return "cancel";
+  }
+  return "unknown";
+}
+
 const char*
 Describe(QueueOutcome aOutcome) noexcept
 {
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -1,6 +1,7 @@
 #include "bamboostile/jobs/book.h"
+#include "bamboostile/jobs/spec_codec.h"
 
-#include "jobs.capnp.h"
+#include "text.h"
 
 #include "bamboostile/units/visit.h"
 
@@ -24,13 +25,6 @@
   return { bytes.begin(), bytes.size() };
 }
 
-template<typename T>
-std::string
-Text(T aReader)
-{
-  return { aReader.cStr(), aReader.size() };
-}
-
 /** Reads a packed message; nothing where the bytes are damaged. */
 template<typename Schema, typename Fn>
 auto
@@ -49,90 +43,6 @@
   }
 }
 
-void
-Write(const StepSpec& aStep, schema::StepSpec::Builder aTo)
-{
-  aTo.setCount(aStep.m_count);
-  aTo.setCpuMillis(aStep.m_needs.m_cpuMillis);
-  aTo.setMemoryMb(aStep.m_needs.m_memoryMb);
-  aTo.setAccelerators(aStep.m_needs.m_accelerators);
-  aTo.setEstimateMs(aStep.m_estimate.count());
-  auto depends =
-    aTo.initDependsOn(static_cast<unsigned>(aStep.m_dependsOn.size()));
-  for (unsigned i = 0; i < depends.size(); ++i) {
-    depends.set(i, aStep.m_dependsOn[i]);
-  }
-  aTo.setSavesProgress(aStep.m_savesProgress);
-  aTo.setGang(aStep.m_gang);
-  aTo.setSameRack(aStep.m_sameRack);
-  aTo.setSpeculative(aStep.m_speculative);
-  aTo.setLongRunning(aStep.m_longRunning);
-  aTo.setFills(aStep.m_fills);
-  aTo.setRequiredLabel(aStep.m_requiredLabel);
-  aTo.setPreferredRack(aStep.m_preferredRack.Get());
-  aTo.setMaxPerWorker(aStep.m_maxPerWorker);
-  aTo.setImage(aStep.m_image.Get());
-  aTo.setLatencyTargetMs(aStep.m_latencyTarget.count());
-  aTo.setHasMissBudget(aStep.m_missBudget.has_value());
-  aTo.setMissBudget(aStep.m_missBudget.value_or(0));
-}
-
-StepSpec
-Read(schema::StepSpec::Reader aFrom)
-{
-  StepSpec step;
-  step.m_count = aFrom.getCount();
-  step.m_needs = { aFrom.getCpuMillis(),
-                   aFrom.getMemoryMb(),
-                   aFrom.getAccelerators() };
-  step.m_estimate = Millis{ aFrom.getEstimateMs() };
-  for (const std::uint32_t earlier : aFrom.getDependsOn()) {
-    step.m_dependsOn.push_back(earlier);
-  }
-  step.m_savesProgress = aFrom.getSavesProgress();
-  step.m_gang = aFrom.getGang();
-  step.m_sameRack = aFrom.getSameRack();
-  step.m_speculative = aFrom.getSpeculative();
-  step.m_longRunning = aFrom.getLongRunning();
-  step.m_fills = aFrom.getFills();
-  step.m_requiredLabel = Text(aFrom.getRequiredLabel());
-  step.m_preferredRack = RackId{ Text(aFrom.getPreferredRack()) };
-  step.m_maxPerWorker = aFrom.getMaxPerWorker();
-  step.m_image = ImageId{ Text(aFrom.getImage()) };
-  step.m_latencyTarget = Millis{ aFrom.getLatencyTargetMs() };
-  if (aFrom.getHasMissBudget()) {
-    step.m_missBudget = aFrom.getMissBudget();
-  }
-  return step;
-}
-
-void
-Write(const JobSpec& aSpec, schema::JobSpec::Builder aTo)
-{
-  aTo.setPayload(aSpec.m_payload);
-  auto steps = aTo.initSteps(static_cast<unsigned>(aSpec.m_steps.size()));
-  for (unsigned i = 0; i < steps.size(); ++i) {
-    Write(aSpec.m_steps[i], steps[i]);
-  }
-  aTo.setRepeatCount(aSpec.m_repeatCount);
-  aTo.setStartAtMs(aSpec.m_startAt.Get());
-  aTo.setIntervalMs(aSpec.m_interval.count());
-}
-
-JobSpec
-Read(schema::JobSpec::Reader aFrom)
-{
-  JobSpec spec;
-  spec.m_payload = Text(aFrom.getPayload());
-  for (auto step : aFrom.getSteps()) {
-    spec.m_steps.push_back(Read(step));
-  }
-  spec.m_repeatCount = aFrom.getRepeatCount();
-  spec.m_startAt = WallTime{ aFrom.getStartAtMs() };
-  spec.m_interval = Millis{ aFrom.getIntervalMs() };
-  return spec;
-}
-
 void
 Write(const TaskRef& aTask, schema::TaskRef::Builder aTo)
 {
@@ -159,7 +69,7 @@
                  auto to = aTo.initSubmit();
                  to.setJob(aOne.m_job.Get());
                  to.setQueue(aOne.m_queue.Get());
-                 Write(aOne.m_spec, to.initSpec());
+                 jobs::Write(aOne.m_spec, to.initSpec());
                  to.setAtMs(aOne.m_at.Get());
                },
                [&](const Cancel& aOne) {
@@ -202,7 +112,7 @@
       const auto from = aFrom.getSubmit();
       return Submit{ JobId{ Text(from.getJob()) },
                      QueueId{ Text(from.getQueue()) },
-                     Read(from.getSpec()),
+                     jobs::Read(from.getSpec()),
                      WallTime{ from.getAtMs() } };
     }
     case schema::Change::CANCEL: {
@@ -352,21 +262,6 @@
   });
 }
 
-std::string
-EncodeSpec(const JobSpec& aSpec)
-{
-  capnp::MallocMessageBuilder message;
-  Write(aSpec, message.initRoot<schema::JobSpec>());
-  return ToBytes(message);
-}
-
-std::optional<JobSpec>
-DecodeSpec(const std::string& aBytes)
-{
-  return ReadPacked<schema::JobSpec>(
-    aBytes, [](schema::JobSpec::Reader aFrom) { return Read(aFrom); });
-}
-
 std::string
 EncodeBook(const Book& aBook)
 {
--- /dev/null
+++ b/src/json/fields.cpp
@@ -0,0 +1,149 @@
+#include "bamboostile/json/fields.h"
+
+#include <limits>
+
+namespace bamboostile::json {
+
+std::string
+ToJson(const BadField& aBad)
+{
+  return Json{ { "field", aBad.m_field }, { "allowed", aBad.m_allowed } }.dump(
+    -1, ' ', false, Json::error_handler_t::replace);
+}
+
+void
+Reject(const std::string& aField, const std::string& aAllowed)
+{
+  throw Wrong{ { aField, aAllowed } };
+}
+
+Json
+ParseObject(const std::string& aBody)
+{
+  Json json = Json::parse(aBody, nullptr, false);
+  if (!json.is_object()) {
+    Reject("(body)", "a whole JSON object");
+  }
+  return json;
+}
+
+const Json*
+Find(const Json& aFrom, const char* aKey)
+{
+  const auto found = aFrom.find(aKey);
+  return found == aFrom.end() || found->is_null() ? nullptr : &*found;
+}
+
+const Json&
+ListAt(const Json& aFrom, const char* aKey, bool aRequired)
+{
+  static const Json kEmpty = Json::array();
+  const Json* value = Find(aFrom, aKey);
+  if (value == nullptr && !aRequired) {
+    return kEmpty;
+  }
+  if (value == nullptr || !value->is_array()) {
+    Reject(aKey, "a list");
+  }
+  return *value;
+}
+
+std::int64_t
+Whole(const Json& aValue,
+      const std::string& aField,
+      std::int64_t aMin,
+      std::int64_t aMax)
+{
+  const bool isWhole = aValue.is_number_integer();
+  const bool tooLarge =
+    aValue.is_number_unsigned() &&
+    aValue.get<std::uint64_t>() > static_cast<std::uint64_t>(aMax);
+  if (!isWhole || tooLarge || aValue.get<std::int64_t>() < aMin ||
+      aValue.get<std::int64_t>() > aMax) {
+    Reject(aField,
+           "a whole number from " + std::to_string(aMin) + " to " +
+             std::to_string(aMax));
+  }
+  return aValue.get<std::int64_t>();
+}
+
+std::uint32_t
+CountOf(const Json& aValue, const char* aField)
+{
+  return static_cast<std::uint32_t>(
+    Whole(aValue, aField, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+std::string
+TextOf(const Json& aValue, const char* aField)
+{
+  if (!aValue.is_string()) {
+    Reject(aField, "a string");
+  }
+  return aValue.get<std::string>();
+}
+
+std::int64_t
+WholeAt(const Json& aFrom, const char* aKey)
+{
+  const Json* value = Find(aFrom, aKey);
+  return value == nullptr ? 0 : Whole(*value, aKey, 0, kMaxWhole);
+}
+
+std::uint32_t
+CountAt(const Json& aFrom, const char* aKey)
+{
+  const Json* value = Find(aFrom, aKey);
+  return value == nullptr ? 0 : CountOf(*value, aKey);
+}
+
+Millis
+MillisAt(const Json& aFrom, const char* aKey)
+{
+  return Millis{ WholeAt(aFrom, aKey) };
+}
+
+double
+NumberAt(const Json& aFrom, const char* aKey, double aDefault)
+{
+  const Json* value = Find(aFrom, aKey);
+  if (value == nullptr) {
+    return aDefault;
+  }
+  if (!value->is_number()) {
+    Reject(aKey, "a number");
+  }
+  return value->get<double>();
+}
+
+bool
+FlagAt(const Json& aFrom, const char* aKey, bool aDefault)
+{
+  const Json* value = Find(aFrom, aKey);
+  if (value == nullptr) {
+    return aDefault;
+  }
+  if (!value->is_boolean()) {
+    Reject(aKey, "true or false");
+  }
+  return value->get<bool>();
+}
+
+std::string
+TextAt(const Json& aFrom, const char* aKey)
+{
+  const Json* value = Find(aFrom, aKey);
+  return value == nullptr ? std::string{} : TextOf(*value, aKey);
+}
+
+std::string
+NameAt(const Json& aFrom, const char* aKey)
+{
+  std::string name = TextAt(aFrom, aKey);
+  if (name.empty()) {
+    Reject(aKey, "a string that is not empty");
+  }
+  return name;
+}
+
+} // namespace bamboostile::json
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -14,12 +14,14 @@
 constexpr std::size_t kKeptShare = 4;
 
 bool
-Fits(const jobs::Resources& aNeeds, bool aFills, std::int64_t aCpu,
-     std::int64_t aMemory, std::int64_t aAccelerators)
+Fits(const jobs::Resources& aNeeds,
+     bool aFills,
+     std::int64_t aCpu,
+     std::int64_t aMemory,
+     std::int64_t aAccelerators)
 {
   return (aFills || aNeeds.m_cpuMillis <= aCpu) &&
-         aNeeds.m_memoryMb <= aMemory &&
-         aNeeds.m_accelerators <= aAccelerators;
+         aNeeds.m_memoryMb <= aMemory && aNeeds.m_accelerators <= aAccelerators;
 }
 
 /** Fills need no CPU of their own. */
@@ -94,8 +96,7 @@
         room.m_cpu -= CountedCpu(step);
         room.m_memory -= step.m_needs.m_memoryMb;
         room.m_accelerators -= step.m_needs.m_accelerators;
-        room.m_serves =
-          room.m_serves || step.m_latencyTarget > Millis::zero();
+        room.m_serves = room.m_serves || step.m_latencyTarget > Millis::zero();
       }
     }
     pools[worker.m_last.m_service].push_back(room);
@@ -118,8 +119,7 @@
   const std::int64_t due = aBegan.Get() +
                            static_cast<std::int64_t>(chain * aRoute.m_stretch) +
                            aRoute.m_objective.count();
-  const bool late =
-    aWall.Get() + LongestChain(aJob, progress).count() > due;
+  const bool late = aWall.Get() + LongestChain(aJob, progress).count() > due;
   for (std::uint32_t s = 0; s < aJob.m_spec.m_steps.size(); ++s) {
     const jobs::StepSpec& step = aJob.m_spec.m_steps[s];
     const bool isTurn = progress == nullptr
@@ -186,19 +186,20 @@
 }
 
 Planner::Room*
-Planner::Choose(
-  const Candidate& aCandidate,
-  const jobs::StepSpec& aStep,
-  const std::unordered_map<WorkerId, std::uint32_t>& aOnWorker,
-  Pool& aPool) const
+Planner::Choose(const Candidate& aCandidate,
+                const jobs::StepSpec& aStep,
+                const std::unordered_map<WorkerId, std::uint32_t>& aOnWorker,
+                Pool& aPool) const
 {
   Room* best = nullptr;
   auto bestRank = std::make_tuple(true, true, std::int64_t{});
   for (Room& room : aPool) {
     const WorkerReport& report = room.m_worker->m_last;
-    if (room.m_kept ||
-        !Fits(aStep.m_needs, aStep.m_fills, room.m_cpu, room.m_memory,
-              room.m_accelerators)) {
+    if (room.m_kept || !Fits(aStep.m_needs,
+                             aStep.m_fills,
+                             room.m_cpu,
+                             room.m_memory,
+                             room.m_accelerators)) {
       continue;
     }
     if (!aStep.m_requiredLabel.empty() &&
@@ -218,8 +219,10 @@
     // Tasks that last are spread, so that one lost worker takes few of them;
     // the others are packed, so that room for large ones stays in one piece.
     const std::int64_t left = room.m_cpu - CountedCpu(aStep);
-    const auto rank = std::make_tuple(
-      farFromData, disturbs, aCandidate.m_lasts || aStep.m_fills ? -left : left);
+    const auto rank =
+      std::make_tuple(farFromData,
+                      disturbs,
+                      aCandidate.m_lasts || aStep.m_fills ? -left : left);
     if (best == nullptr || rank < bestRank) {
       best = &room;
       bestRank = rank;
@@ -240,7 +243,8 @@
     PlaceGang(aCandidate, aPool, aPlan);
     return;
   }
-  const auto found = aCandidate.m_job->m_occurrences.find(aCandidate.m_occurrence);
+  const auto found =
+    aCandidate.m_job->m_occurrences.find(aCandidate.m_occurrence);
   static const jobs::Task kUntouched;
   std::unordered_map<WorkerId, std::uint32_t> onWorker;
   const bool isNew = found == aCandidate.m_job->m_occurrences.end();
@@ -260,13 +264,14 @@
     }
     Room* room = Choose(aCandidate, step, onWorker, aPool);
     if (room == nullptr) {
-      const auto kept = std::count_if(aPool.begin(), aPool.end(), [](auto& aOne) {
-        return aOne.m_kept;
-      });
+      const auto kept = std::count_if(
+        aPool.begin(), aPool.end(), [](auto& aOne) { return aOne.m_kept; });
       if (!aCandidate.m_late &&
           static_cast<std::size_t>(kept) < aPool.size() / kKeptShare) {
         const auto emptiest = std::max_element(
-          aPool.begin(), aPool.end(), [](const Room& aLeft, const Room& aRight) {
+          aPool.begin(),
+          aPool.end(),
+          [](const Room& aLeft, const Room& aRight) {
             return std::make_pair(!aLeft.m_kept, aLeft.m_cpu) <
                    std::make_pair(!aRight.m_kept, aRight.m_cpu);
           });
@@ -294,7 +299,8 @@
 {
   const jobs::StepSpec& step =
     aCandidate.m_job->m_spec.m_steps[aCandidate.m_step];
-  const auto found = aCandidate.m_job->m_occurrences.find(aCandidate.m_occurrence);
+  const auto found =
+    aCandidate.m_job->m_occurrences.find(aCandidate.m_occurrence);
   RunNumber last;
   if (found != aCandidate.m_job->m_occurrences.end()) {
     const jobs::StepRun& state = found->second.m_steps[aCandidate.m_step];
@@ -341,8 +347,8 @@
   const jobs::Book& book = aState.Jobs();
   for (const auto& [worker, tasks] : book.Placed()) {
     const Worker* known = aWorkers.Find(worker);
-    const bool leaves =
-      known != nullptr && (known->m_last.m_draining || aCordoned.contains(worker));
+    const bool leaves = known != nullptr && (known->m_last.m_draining ||
+                                             aCordoned.contains(worker));
     if (!leaves) {
       continue;
     }
@@ -357,20 +363,25 @@
       }
       // The worker of one that drains goes anyway; but where another task of
       // the step is under orders to stop, both would be away at once.
-      const bool mayGo =
-        known->m_last.m_draining
-          ? !aWorkers.IsAnyStopping(*job, ref)
-          : aWorkers.MayTakeAway(*job, ref, aNow);
-      const bool first = std::none_of(
-        aPlan.m_stops.begin(), aPlan.m_stops.end(), [&](const StopOrder& aStop) {
-          return aStop.m_task.m_job == ref.m_job &&
-                 aStop.m_task.m_step == ref.m_step;
-        });
+      const bool mayGo = known->m_last.m_draining
+                           ? !aWorkers.IsAnyStopping(*job, ref)
+                           : aWorkers.MayTakeAway(*job, ref, aNow);
+      const bool first =
+        std::none_of(aPlan.m_stops.begin(),
+                     aPlan.m_stops.end(),
+                     [&](const StopOrder& aStop) {
+                       return aStop.m_task.m_job == ref.m_job &&
+                              aStop.m_task.m_step == ref.m_step;
+                     });
       auto& pool = aPools[known->m_last.m_service];
-      const auto room = std::find_if(pool.begin(), pool.end(), [&](Room& aRoom) {
-        return Fits(step.m_needs, step.m_fills, aRoom.m_cpu, aRoom.m_memory,
-                    aRoom.m_accelerators);
-      });
+      const auto room =
+        std::find_if(pool.begin(), pool.end(), [&](Room& aRoom) {
+          return Fits(step.m_needs,
+                      step.m_fills,
+                      aRoom.m_cpu,
+                      aRoom.m_memory,
+                      aRoom.m_accelerators);
+        });
       if (mayGo && first && room != pool.end()) {
         room->m_cpu -= CountedCpu(step);
         room->m_memory -= step.m_needs.m_memoryMb;
@@ -391,9 +402,9 @@
   Pools pools = FindRoom(aState, aWorkers, aCordoned, aNow);
   const std::vector<Candidate> candidates = FindCandidates(aState, aWall);
   const auto lasting =
-    std::find_if(candidates.begin(), candidates.end(), [](const Candidate& aOne) {
-      return !aOne.m_lasts;
-    });
+    std::find_if(candidates.begin(),
+                 candidates.end(),
+                 [](const Candidate& aOne) { return !aOne.m_lasts; });
   for (auto it = candidates.begin(); it != lasting; ++it) {
     Place(*it, aState.Jobs(), pools[it->m_route->m_service], plan);
   }
--- a/src/placement/upkeep.cpp
+++ b/src/placement/upkeep.cpp
@@ -87,7 +87,8 @@
                       const WorkerTable& aWorkers,
                       TimePoint aNow)
 {
-  const TimePoint since = m_downSince.try_emplace(aInstance, aNow).first->second;
+  const TimePoint since =
+    m_downSince.try_emplace(aInstance, aNow).first->second;
   const Worker* worker = aWorkers.FindByInstance(aInstance);
   const bool reports = worker != nullptr && !worker->m_silent &&
                        worker->m_heardAt > since + m_options.m_lateReports;
@@ -126,9 +127,10 @@
                            aWorkers.FindByInstance(aInstance) == nullptr,
                            LoadOf(aInstance, aState.Jobs(), aWorkers));
   };
-  std::sort(waiting.begin(), waiting.end(), [&](const auto& aLeft, const auto& aRight) {
-    return rank(aLeft) < rank(aRight);
-  });
+  std::sort(
+    waiting.begin(), waiting.end(), [&](const auto& aLeft, const auto& aRight) {
+      return rank(aLeft) < rank(aRight);
+    });
   const std::size_t room =
     aWave.m_cap > down ? aWave.m_cap - down : std::size_t{ 0 };
   waiting.resize(std::min(waiting.size(), room + m_options.m_ahead));
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -99,8 +99,7 @@
 }
 
 const RunReport*
-WorkerTable::FindRun(const jobs::TaskRef& aTask,
-                     const jobs::Task& aState) const
+WorkerTable::FindRun(const jobs::TaskRef& aTask, const jobs::Task& aState) const
 {
   const Worker* worker = Find(aState.m_worker);
   if (worker == nullptr) {
@@ -207,8 +206,8 @@
     aWorker.m_notedUpTo = end.m_number;
     // The same start twice, after an answer that seemed lost: the worker
     // refuses the second, and the run goes on.
-    const bool isSecondStart = end.m_how == jobs::RunEnd::kRefused &&
-                               IsKnownOtherwise(aReport, end);
+    const bool isSecondStart =
+      end.m_how == jobs::RunEnd::kRefused && IsKnownOtherwise(aReport, end);
     if (isSecondStart) {
       continue;
     }
@@ -427,10 +426,10 @@
         !MayTakeAway(*job, run.m_task, aNow)) {
       worker.m_toStop.erase({ run.m_task, run.m_run });
     }
-    const bool wanted =
-      job != nullptr && job->m_state == jobs::JobState::kActive &&
-      IsExpected(aBook, aWorker, run.m_task, run.m_run) &&
-      !worker.m_toStop.contains({ run.m_task, run.m_run });
+    const bool wanted = job != nullptr &&
+                        job->m_state == jobs::JobState::kActive &&
+                        IsExpected(aBook, aWorker, run.m_task, run.m_run) &&
+                        !worker.m_toStop.contains({ run.m_task, run.m_run });
     if (!wanted) {
       orders.m_stops.push_back({ run.m_task, run.m_run });
     }
@@ -458,9 +457,7 @@
 // slowed by halves while a target is near, and let go in steps: fast down,
 // slow up, so that a target is passed for less than a second.
 void
-WorkerTable::AddRates(Worker& aWorker,
-                      const jobs::Book& aBook,
-                      Orders& aOrders)
+WorkerTable::AddRates(Worker& aWorker, const jobs::Book& aBook, Orders& aOrders)
 {
   bool isClose = false;
   bool isCalm = true;
@@ -469,8 +466,8 @@
     if (job == nullptr) {
       continue;
     }
-    const auto target =
-      static_cast<std::uint32_t>(StepOf(*job, run.m_task).m_latencyTarget.count());
+    const auto target = static_cast<std::uint32_t>(
+      StepOf(*job, run.m_task).m_latencyTarget.count());
     if (target == 0) {
       continue;
     }
--- a/src/wire/queue_codec.cpp
+++ b/src/wire/queue_codec.cpp
@@ -1,9 +1,12 @@
 #include "bamboostile/wire/queue_codec.h"
 
-#include "bamboostile/jobs/book.h"
+#include "bamboostile/jobs/spec_codec.h"
 
 #include "text.h"
 
+#include <algorithm>
+#include <set>
+
 namespace bamboostile::wire {
 
 // The enumerations of the schema and of the jobs library list the same values
@@ -16,11 +19,11 @@
   aTo.setHost(aCall.m_host);
   aTo.setPath(aCall.m_path);
   if (aCall.m_kind == jobs::CallKind::kSubmit) {
-    aTo.setSpec(ToData(jobs::EncodeSpec(aCall.m_spec)));
+    jobs::Write(aCall.m_spec, aTo.initSpec());
   }
 }
 
-std::optional<jobs::QueueCall>
+jobs::QueueCall
 Read(schema::QueueCall::Reader aFrom)
 {
   jobs::QueueCall call;
@@ -28,11 +31,7 @@
   call.m_host = ToString(aFrom.getHost());
   call.m_path = ToString(aFrom.getPath());
   if (call.m_kind == jobs::CallKind::kSubmit) {
-    auto spec = jobs::DecodeSpec(ToString(aFrom.getSpec()));
-    if (!spec) {
-      return std::nullopt;
-    }
-    call.m_spec = std::move(*spec);
+    call.m_spec = jobs::Read(aFrom.getSpec());
   }
   return call;
 }
@@ -64,4 +63,57 @@
   return reply;
 }
 
+namespace {
+
+/** Queues of the own interface have no host; their path is "/name/". */
+std::string
+PrefixOf(const std::string& aName)
+{
+  return "/" + aName + "/";
+}
+
+} // namespace
+
+fleet::RouteTable
+Read(schema::QueueTable::Reader aFrom)
+{
+  fleet::RouteTable table;
+  table.m_version = aFrom.getVersion();
+  std::set<std::string> services;
+  for (auto row : aFrom.getQueues()) {
+    fleet::QueueRoute route;
+    route.m_name = ToString(row.getName());
+    route.m_pathPrefix = PrefixOf(route.m_name);
+    route.m_service = ServiceId{ ToString(row.getService()) };
+    route.m_timeout = Millis{ row.getTimeoutMs() };
+    route.m_objective = Millis{ row.getObjectiveMs() };
+    route.m_stretch = row.getStretch();
+    route.m_priority = row.getPriority();
+    route.m_maxAttempts = std::max(1U, row.getMaxAttempts());
+    table.m_routes.push_back(route);
+    if (services.insert(route.m_service.Get()).second) {
+      table.m_services.push_back({ route.m_service, true, false });
+    }
+  }
+  return table;
+}
+
+void
+Write(const fleet::RouteTable& aTable, schema::QueueTable::Builder aTo)
+{
+  aTo.setVersion(aTable.m_version);
+  auto rows = aTo.initQueues(static_cast<unsigned>(aTable.m_routes.size()));
+  for (unsigned i = 0; i < rows.size(); ++i) {
+    const fleet::QueueRoute& route = aTable.m_routes[i];
+    rows[i].setName(route.m_name);
+    rows[i].setService(route.m_service.Get());
+    rows[i].setTimeoutMs(static_cast<std::uint32_t>(route.m_timeout.count()));
+    rows[i].setObjectiveMs(
+      static_cast<std::uint32_t>(route.m_objective.count()));
+    rows[i].setStretch(route.m_stretch);
+    rows[i].setPriority(route.m_priority);
+    rows[i].setMaxAttempts(route.m_maxAttempts);
+  }
+}
+
 } // namespace bamboostile::wire
--- a/tests/support/job_fixtures.h
+++ b/tests/support/job_fixtures.h
@@ -105,10 +105,14 @@
     Do(jobs::Batch{ std::move(aChanges) });
   }
 
-  void Submit(const std::string& aJob, jobs::JobSpec aSpec, std::int64_t aAtMs = 0)
+  void Submit(const std::string& aJob,
+              jobs::JobSpec aSpec,
+              std::int64_t aAtMs = 0)
   {
-    Apply({ jobs::Submit{
-      JobId{ aJob }, QueueId{ "host/q/" }, std::move(aSpec), WallTime{ aAtMs } } });
+    Apply({ jobs::Submit{ JobId{ aJob },
+                          QueueId{ "host/q/" },
+                          std::move(aSpec),
+                          WallTime{ aAtMs } } });
   }
 
   void Start(const jobs::TaskRef& aTask,
@@ -122,7 +126,8 @@
            jobs::RunEnd aHow,
            std::uint32_t aRun = 1)
   {
-    Apply({ jobs::EndRun{ aTask, RunNumber{ aRun }, aHow, "", WallTime{ 5 } } });
+    Apply(
+      { jobs::EndRun{ aTask, RunNumber{ aRun }, aHow, "", WallTime{ 5 } } });
   }
 
   jobs::JobState StateOf(const std::string& aJob) const
--- a/tests/unit/jobs/book_test.cpp
+++ b/tests/unit/jobs/book_test.cpp
@@ -180,14 +180,11 @@
   STRCMP_EQUAL("w2", copy->Jobs().Placed().begin()->first.Get().c_str());
   CHECK(copy->Jobs().Find(JobId{ "a" })->m_spec ==
         m_fleet.Book().Find(JobId{ "a" })->m_spec);
-  const Batch rest{ { EndRun{
-                        Ref("a", 1, 1), RunNumber{ 1 }, RunEnd::kDone, "", {} },
-                      StartRun{ Ref("a", 0, 1), RunNumber{ 1 }, WorkerId{ "w1" } },
-                      EndRun{ Ref("a", 0, 1),
-                              RunNumber{ 1 },
-                              RunEnd::kDone,
-                              "",
-                              WallTime{} } } };
+  const Batch rest{
+    { EndRun{ Ref("a", 1, 1), RunNumber{ 1 }, RunEnd::kDone, "", {} },
+      StartRun{ Ref("a", 0, 1), RunNumber{ 1 }, WorkerId{ "w1" } },
+      EndRun{ Ref("a", 0, 1), RunNumber{ 1 }, RunEnd::kDone, "", WallTime{} } }
+  };
   copy->Apply(Index{ 100 }, rest);
   CHECK(copy->Jobs().Find(JobId{ "a" })->m_state == JobState::kCompleted);
   LONGS_EQUAL(1, copy->Jobs().Pending(QueueId{ "host/q/" }));
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -176,7 +176,8 @@
   placement::WorkerTable m_table{ LeaseOptions{}, At(0) };
   placement::UpkeepPlanner m_planner;
 
-  void Hear(const std::string& aWorker, std::uint64_t aSequence, std::int64_t aAt)
+  void Hear(
+    const std::string& aWorker, std::uint64_t aSequence, std::int64_t aAt)
   {
     m_table.OnReport(
       Report(aWorker, aSequence), m_fleet.Book(), At(aAt), WallTime{ 0 });
@@ -234,7 +235,8 @@
   StartWave(2, 1);
   Next(10'000);
   const auto order = Next(10'100).m_orders.at(0);
-  CHECK(!m_planner.OnAnswer(order, UpkeepAnswer::kUnclear, At(10'200)).m_advance);
+  CHECK(
+    !m_planner.OnAnswer(order, UpkeepAnswer::kUnclear, At(10'200)).m_advance);
   LONGS_EQUAL(1, Wave().Down());
   LONGS_EQUAL(1, Next(10'300).m_orders.size());
 }
@@ -283,7 +285,8 @@
   StartWave(1, 1);
   Next(10'000);
   const auto order = Next(10'100).m_orders.at(0);
-  m_fleet.Do(*m_planner.OnAnswer(order, UpkeepAnswer::kTaken, At(10'200)).m_advance);
+  m_fleet.Do(
+    *m_planner.OnAnswer(order, UpkeepAnswer::kTaken, At(10'200)).m_advance);
   m_table.Retire(WorkerId{ "w0" }, m_fleet.Book(), WallTime{ 0 });
   Next(10'300);
   CHECK(!Wave().IsDone());
@@ -300,7 +303,8 @@
   StartWave(1, 1);
   Next(10'000);
   const auto order = Next(10'100).m_orders.at(0);
-  m_fleet.Do(*m_planner.OnAnswer(order, UpkeepAnswer::kTaken, At(10'200)).m_advance);
+  m_fleet.Do(
+    *m_planner.OnAnswer(order, UpkeepAnswer::kTaken, At(10'200)).m_advance);
   m_table.Retire(WorkerId{ "w0" }, m_fleet.Book(), WallTime{ 0 });
   Next(10'300);
   Next(14'400);
--- a/tests/unit/placement/workers_test.cpp
+++ b/tests/unit/placement/workers_test.cpp
@@ -22,8 +22,8 @@
 
   Heard Hear(const WorkerReport& aReport, std::int64_t aAtMs)
   {
-    Heard heard = m_table.OnReport(
-      aReport, m_fleet.Book(), At(aAtMs), WallTime{ kWall });
+    Heard heard =
+      m_table.OnReport(aReport, m_fleet.Book(), At(aAtMs), WallTime{ kWall });
     Take(heard.m_ends);
     return heard;
   }
@@ -40,7 +40,8 @@
 
   std::size_t LostAt(std::int64_t aAtMs)
   {
-    return m_table.FindLost(m_fleet.Book(), At(aAtMs), WallTime{ kWall }).size();
+    return m_table.FindLost(m_fleet.Book(), At(aAtMs), WallTime{ kWall })
+      .size();
   }
 
   void SubmitLasting(std::uint32_t aCount, std::uint32_t aBudget)
--- a/tools/bamboostile/commands.h
+++ b/tools/bamboostile/commands.h
@@ -27,6 +27,8 @@
 ExitCode RunWave(const Common& aCommon, const Words& aWords);
 ExitCode RunConfig(const Common& aCommon, const Words& aWords);
 ExitCode RunControl(const Common& aCommon, const Words& aWords);
+ExitCode RunJob(const Common& aCommon, const Words& aWords);
+ExitCode RunQueue(const Common& aCommon, const Words& aWords);
 ExitCode RunStatus(const Common& aCommon, const Words& aWords);
 ExitCode RunRequest(const Common& aCommon, const Words& aWords);
 ExitCode RunApply(const Common& aCommon, const Words& aWords);
--- a/tools/bamboostile/main.cpp
+++ b/tools/bamboostile/main.cpp
@@ -57,6 +57,17 @@
       { RunControl,
         "control list | init | add IP:PORT | remove INSTANCE\n  Example: "
         "bamboostile control add 10.0.0.2:7100\n" } },
+    { "queue",
+      { RunQueue,
+        "queue list | show NAME | apply FILE\n  Queues of jobs; apply puts the "
+        "JSON table of FILE in force, if its version is the\n  highest.\n  "
+        "Example: bamboostile queue apply examples/queues.json\n" } },
+    { "job",
+      { RunJob,
+        "job submit QUEUE ID --file SPEC | show QUEUE ID | cancel QUEUE ID\n  "
+        "SPEC is a JSON job, as in docs/INTERFACE.md; the same ID again is "
+        "the same job.\n  Example: bamboostile job submit letters 7f3a91c2 "
+        "--file examples/job.json\n" } },
     { "request",
       { RunRequest,
         "request METHOD TARGET --entry IP:PORT [--key ID] [--timeout-ms N] "
--- a/tools/bamboostile/session.cpp
+++ b/tools/bamboostile/session.cpp
@@ -1,5 +1,7 @@
 #include "session.h"
 
+#include "bamboostile/wire/queue_codec.h"
+
 #include "bamboostile/rpc/channel.h"
 #include "bamboostile/units/time.h"
 
@@ -181,6 +183,65 @@
   return status;
 }
 
+Reply
+Session::ReplaceQueues(schema::QueueTable::Reader aTable)
+{
+  return m_impl->Run(
+    [&](schema::Operators::Client aOperators, std::string& aLeader) {
+      auto request = aOperators.replaceQueuesRequest();
+      request.setTable(aTable);
+      return request.send().then([&aLeader](auto aResponse) {
+        aLeader = aResponse.getReply().getLeaderAddress();
+        return ReadReply(aResponse.getReply());
+      });
+    });
+}
+
+std::optional<fleet::RouteTable>
+Session::Queues(Reply& aFailure)
+{
+  std::optional<fleet::RouteTable> table;
+  aFailure = m_impl->Run(
+    [&](schema::Operators::Client aOperators, std::string& aLeader) {
+      return aOperators.queuesRequest().send().then([&](auto aResponse) {
+        aLeader = aResponse.getReply().getLeaderAddress();
+        Reply reply = ReadReply(aResponse.getReply());
+        if (reply.m_exit == ExitCode::kDone) {
+          table = wire::Read(aResponse.getTable());
+        }
+        return reply;
+      });
+    });
+  return table;
+}
+
+std::optional<jobs::QueueReply>
+Session::CallQueue(const jobs::QueueCall& aCall, Reply& aFailure)
+{
+  std::optional<jobs::QueueReply> answer;
+  aFailure = m_impl->Run(
+    [&](schema::Operators::Client aOperators, std::string& aLeader) {
+      auto request = aOperators.queueCallRequest();
+      wire::Write(aCall, request.initCall());
+      return request.send().then([&](auto aResponse) {
+        jobs::QueueReply read = wire::Read(aResponse.getReply());
+        Reply reply;
+        reply.m_message = jobs::Describe(read.m_outcome);
+        if (read.m_outcome == jobs::QueueOutcome::kNotLeader ||
+            read.m_outcome == jobs::QueueOutcome::kUndecided) {
+          aLeader = read.m_leaderAddress;
+          return reply;
+        }
+        reply.m_exit = read.m_outcome == jobs::QueueOutcome::kOk
+                         ? ExitCode::kDone
+                         : ExitCode::kRefused;
+        answer = std::move(read);
+        return reply;
+      });
+    });
+  return answer;
+}
+
 Reply
 Session::Control(schema::ControlChange aChange,
                  const std::string& aInstance,
--- a/tools/bamboostile/session.h
+++ b/tools/bamboostile/session.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "bamboostile/fleet/routes.h"
+#include "bamboostile/jobs/calls.h"
+
 #include "internal.capnp.h"
 
 #include <capnp/message.h>
@@ -51,6 +54,11 @@
 
   Reply Submit(schema::OperatorCall::Reader aCall);
   std::optional<nlohmann::json> Status(Reply& aFailure);
+  Reply ReplaceQueues(schema::QueueTable::Reader aTable);
+  std::optional<fleet::RouteTable> Queues(Reply& aFailure);
+  /** Empty where no leader answered; aFailure says why. */
+  std::optional<jobs::QueueReply> CallQueue(const jobs::QueueCall& aCall,
+                                            Reply& aFailure);
   /** Membership calls; init goes to the first address only. */
   Reply Control(schema::ControlChange aChange,
                 const std::string& aInstance,
--- a/tools/bamboostiled/main.cpp
+++ b/tools/bamboostiled/main.cpp
@@ -1,6 +1,7 @@
 #include "caller_front.h"
 #include "control_front.h"
 #include "platform.h"
+#include "probe_server.h"
 
 #include "bamboostile/control/job_service.h"
 #include "bamboostile/control/node.h"
@@ -73,57 +74,6 @@
   return nullptr;
 }
 
-/** Health and readiness of a process that takes no callers. */
-class ProbeServer
-{
-public:
-  ProbeServer(const settings::Address& aAddress, std::string& aReason)
-  {
-    http::ServerOptions options;
-    options.m_address = aAddress.m_host;
-    options.m_port = aAddress.m_port;
-    m_server = std::make_unique<http::Server>(
-      options, [this](const std::shared_ptr<http::Exchange>& aExchange) {
-        Answer(*aExchange);
-      });
-    m_started = m_server->Start(aReason);
-  }
-
-  bool IsStarted() const { return m_started; }
-
-  void Publish(bool aReady, std::string aMetrics)
-  {
-    m_server->Post([this, aReady, text = std::move(aMetrics)]() {
-      m_ready = aReady;
-      m_metrics = text;
-    });
-  }
-
-private:
-  void Answer(http::Exchange& aExchange) const
-  {
-    const std::string& target = aExchange.Incoming().m_target;
-    http::Response response;
-    response.m_headers.push_back({ "Content-Type", "text/plain" });
-    if (target == "/metrics") {
-      response.m_body = m_metrics;
-    } else if (target == "/healthz") {
-      response.m_body = "ok\n";
-    } else if (target == "/readyz") {
-      response.m_status = m_ready ? 200 : 503;
-      response.m_body = m_ready ? "ready\n" : "no leader is known\n";
-    } else {
-      response.m_status = 404;
-    }
-    aExchange.Respond(std::move(response));
-  }
-
-  bool m_ready = false;
-  std::string m_metrics;
-  bool m_started = false;
-  std::unique_ptr<http::Server> m_server;
-};
-
 /** The parts of a running process; which ones there are follows from the
  * roles. */
 class Daemon
@@ -222,7 +172,7 @@
           .Write();
         std::_Exit(kExitFailed);
       });
-    if (m_settings.m_hosting && !StartHostedControl()) {
+    if (!StartJobs()) {
       return false;
     }
     m_listening =
@@ -236,7 +186,8 @@
         });
     if (m_settings.m_http && !m_settings.m_entry) {
       std::string reason;
-      m_probes = std::make_unique<ProbeServer>(*m_settings.m_http, reason);
+      m_probes = std::make_unique<daemon::ProbeServer>(
+        *m_settings.m_http, *m_jobs, reason);
       if (!m_probes->IsStarted()) {
         LogLine(Level::kError, "cannot listen for HTTP")
           .With("reason", reason)
@@ -248,13 +199,16 @@
     return true;
   }
 
-  bool StartHostedControl()
+  bool StartJobs()
   {
     control::JobServiceOptions options;
-    options.m_upkeep.m_takes = m_settings.m_hosting->m_upkeepTakes;
-    if (m_settings.m_hosting->m_instances) {
+    const auto& hosting = m_settings.m_hosting;
+    if (hosting) {
+      options.m_upkeep.m_takes = hosting->m_upkeepTakes;
+    }
+    if (hosting && hosting->m_instances) {
       m_instances = std::make_unique<platform::InstancesClient>(
-        *m_settings.m_hosting->m_instances, m_settings.m_instance);
+        *hosting->m_instances, m_settings.m_instance);
       options.m_orderUpkeep =
         [this](const auto& aOrder, Term aToken, auto aDone) {
           m_instances->OrderUpkeep(aOrder, aToken, std::move(aDone));
@@ -262,6 +216,9 @@
     }
     m_jobs = std::make_unique<control::JobService>(
       *m_node, m_io->provider->getTimer(), std::move(options));
+    if (!hosting || !hosting->m_workers) {
+      return true;
+    }
     m_controlFront =
       std::make_unique<platform::ControlFront>(m_settings, *m_jobs);
     return ReportStart(*m_controlFront);
@@ -316,7 +273,13 @@
     options.m_self = { m_settings.m_instance, Incarnation{ RandomNumber() } };
     options.m_engine.m_routing.m_seed = RandomNumber();
     m_tracer = MakeTracer(m_settings);
-    m_frontend = std::make_unique<entry::Frontend>(options, m_inbox, m_tracer);
+    std::vector<std::string> seeds;
+    for (const settings::Address& seed : m_settings.m_controlSeeds) {
+      seeds.push_back(seed.ToText());
+    }
+    m_queues = std::make_unique<entry::QueueGateway>(*m_io->provider, seeds);
+    m_frontend =
+      std::make_unique<entry::Frontend>(options, m_inbox, *m_queues, m_tracer);
     std::string reason;
     if (!m_frontend->Start(reason)) {
       LogLine(Level::kError, "cannot listen for HTTP")
@@ -417,9 +380,10 @@
   std::unique_ptr<platform::CallerFront> m_callerFront;
   kj::Promise<void> m_listening = nullptr;
   kj::Promise<void> m_publishing = nullptr;
-  std::unique_ptr<ProbeServer> m_probes;
+  std::unique_ptr<daemon::ProbeServer> m_probes;
   std::shared_ptr<opentracing::Tracer> m_tracer;
   rpc::Mailbox<entry::LinkMessage> m_inbox;
+  std::unique_ptr<entry::QueueGateway> m_queues;
   std::unique_ptr<entry::Frontend> m_frontend;
   std::unique_ptr<entry::Link> m_link;
   kj::Own<kj::CrossThreadPromiseFulfiller<void>> m_drained;
@@ -466,6 +430,5 @@
   telemetry::InitLog(loaded->m_instance.Get(),
                      *telemetry::ParseLevel(loaded->m_logLevel),
                      loaded->m_logFile);
-  return Daemon(std::move(*loaded), values["settings"].as<std::string>())
-    .Run();
+  return Daemon(std::move(*loaded), values["settings"].as<std::string>()).Run();
 }
