Serve only once the whole group has formed; test jobs with real processes

Cause: a group of three served as soon as two were voters. Ruled out: admission itself, which works once all three vote.

--- a/fakes/worker.cpp
+++ b/fakes/worker.cpp
@@ -182,8 +182,8 @@
   known.add_options()("id", po::value(&options.m_id)->required())(
     "service", po::value(&options.m_service)->required())(
     "control", po::value(&options.m_control)->multitoken()->required())(
-    "cpu-millis", po::value(&options.m_cpuMillis))(
-    "task-ms", po::value(&options.m_taskMs));
+    "cpu-millis",
+    po::value(&options.m_cpuMillis))("task-ms", po::value(&options.m_taskMs));
   try {
     po::variables_map values;
     po::store(po::parse_command_line(aCount, aArguments, known), values);
--- a/include/bamboostile/control/node.h
+++ b/include/bamboostile/control/node.h
@@ -118,6 +118,7 @@
   void FormGroup();
   void DropSilentVoter(TimePoint aNow);
   bool IsSafelyFormed() const;
+  void NoteFormation();
   void Pump();
   void Run(consensus::Persist aPersist);
   void Run(const consensus::Send& aSend);
--- a/include/bamboostile/fleet/commands.h
+++ b/include/bamboostile/fleet/commands.h
@@ -133,6 +133,10 @@
   RouteTable m_table;
 };
 
+/** The group has been as large as it was meant to be. */
+struct MarkFormed
+{};
+
 using Command = std::variant<OperatorCall,
                              AnnounceInstances,
                              LoseInstances,
@@ -144,7 +148,8 @@
                              ReplaceRoutes,
                              StartUpkeep,
                              AdvanceUpkeep,
-                             jobs::Batch>;
+                             jobs::Batch,
+                             MarkFormed>;
 
 // ------------------------------------------------------------------ answers
 
--- a/include/bamboostile/fleet/state.h
+++ b/include/bamboostile/fleet/state.h
@@ -61,6 +61,7 @@
   const Config& CurrentConfig() const { return m_config; }
   const outcome::Ledger& Outcomes() const { return m_outcomes; }
   const jobs::Book& Jobs() const { return m_jobs; }
+  bool IsFormed() const { return m_isFormed; }
   const RouteTable& Routes() const { return m_routes; }
   const RouteIndex& RouteLookup() const { return m_routeIndex; }
   const std::map<std::uint64_t, UpkeepWave>& Upkeep() const { return m_upkeep; }
@@ -95,6 +96,7 @@
   void Apply(Index aIndex, const AdvanceWave& aAdvance);
   void Apply(Index aIndex, const CloseWave& aClose);
   void Apply(Index aIndex, const ReplaceRoutes& aReplace);
+  void Apply(Index aIndex, const MarkFormed& aMark);
   void Apply(Index aIndex, const StartUpkeep& aStart);
   void Apply(Index aIndex, const AdvanceUpkeep& aAdvance);
   jobs::BatchReply ApplyJobs(const jobs::Batch& aBatch);
@@ -118,6 +120,7 @@
   std::unordered_map<OperationId, CallReply> m_replies;
   std::deque<OperationId> m_replyOrder;
   outcome::Ledger m_outcomes;
+  bool m_isFormed = false;
   jobs::Book m_jobs;
   RouteTable m_routes;
   /** Derived from m_routes. */
--- a/src/control/loop_bridge.cpp
+++ b/src/control/loop_bridge.cpp
@@ -32,9 +32,9 @@
 {
   return m_pending.Take().then([this](std::vector<Pending> aPending) {
     for (Pending& one : aPending) {
-      m_tasks.add(one.m_task().then(
-        [server = one.m_server,
-         exchange = one.m_exchange](http::Response&& aResponse) {
+      m_tasks.add(
+        one.m_task().then([server = one.m_server, exchange = one.m_exchange](
+                            http::Response&& aResponse) {
           server->Post([exchange, response = std::move(aResponse)]() {
             exchange->Respond(response);
           });
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -86,6 +86,7 @@
   CheckInForce();
   if (now >= m_nextDuties) {
     m_nextDuties = now + kDutyInterval;
+    NoteFormation();
     if (IsServing()) {
       Lead(now);
     }
@@ -392,16 +393,29 @@
          m_replica.HoldsLease(MonotonicNow());
 }
 
-// A group that has just formed consists of one voter for some milliseconds.
-// What it acknowledged then would be gone with that one disk; so it
-// acknowledges nothing before it is as large as it was meant to be. A voter
-// that is being replaced leaves one less for a moment.
+// A group that forms consists of one voter at first, then of two. What it
+// acknowledged then would be lost with one disk, or locked up with it, as one
+// of two voters is no majority. So it acknowledges nothing before all seeds
+// have been voters together; that they have is on record, as a voter that is
+// being replaced later leaves one less for a moment.
 bool
 Node::IsSafelyFormed() const
 {
-  const std::size_t meant = m_options.m_seeds.size();
-  const std::size_t voters = m_replica.CurrentMembership().VoterCount();
-  return voters + 1 >= meant && (voters > 1 || meant <= 1);
+  return m_options.m_seeds.empty() || m_state.IsFormed();
+}
+
+void
+Node::NoteFormation()
+{
+  const auto& membership = m_replica.CurrentMembership();
+  if (m_state.IsFormed() || m_proposedAlone > 0 || !m_replica.IsReady() ||
+      membership.VoterCount() < m_options.m_seeds.size()) {
+    return;
+  }
+  LogLine(Level::kInfo, "the group is formed")
+    .With("voters", membership.VoterCount())
+    .Write();
+  ProposeAlone(fleet::MarkFormed{});
 }
 
 std::string
--- a/src/entry/jobs_api.cpp
+++ b/src/entry/jobs_api.cpp
@@ -83,8 +83,9 @@
   json::BadField bad;
   auto spec = wire::ReadJobSpec(request.m_body, bad);
   if (!spec) {
-    aExchange.Respond(JsonResponse(
-      status::kBadRequest, { { "field", bad.m_field }, { "allowed", bad.m_allowed } }));
+    aExchange.Respond(
+      JsonResponse(status::kBadRequest,
+                   { { "field", bad.m_field }, { "allowed", bad.m_allowed } }));
     return std::nullopt;
   }
   call.m_kind = jobs::CallKind::kSubmit;
@@ -107,13 +108,13 @@
     return true;
   }
   const jobs::CallKind kind = call->m_kind;
-  aGateway.Call(
-    std::move(*call),
-    [&aServer, aExchange, kind](const jobs::QueueReply& aReply) {
-      aServer.Post([aExchange, response = ToResponse(kind, aReply)]() {
-        aExchange->Respond(response);
-      });
-    });
+  aGateway.Call(std::move(*call),
+                [&aServer, aExchange, kind](const jobs::QueueReply& aReply) {
+                  aServer.Post(
+                    [aExchange, response = ToResponse(kind, aReply)]() {
+                      aExchange->Respond(response);
+                    });
+                });
   return true;
 }
 
--- a/src/fleet/codec.cpp
+++ b/src/fleet/codec.cpp
@@ -98,6 +98,17 @@
                                    m_startedAt,
                                    m_within,
                                    m_instances)
+static void
+to_json(nlohmann::json& aJson, const MarkFormed& /*aMark*/)
+{
+  aJson = nlohmann::json::object();
+}
+
+static void
+from_json(const nlohmann::json& /*aJson*/, MarkFormed& /*aMark*/)
+{
+}
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StartUpkeep, m_wave)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdvanceUpkeep, m_wave, m_instance, m_to)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Change, m_revision, m_operation, m_operator)
@@ -240,6 +251,7 @@
   /** Absent in snapshots of builds that had no jobs. */
   static void ReadJobs(const Json& aJson, State& aState)
   {
+    aState.m_isFormed = aJson.value("isFormed", false);
     aJson.at("routes").get_to(aState.m_routes);
     aState.m_routeIndex = RouteIndex(aState.m_routes);
     aJson.at("upkeep").get_to(aState.m_upkeep);
@@ -273,6 +285,7 @@
                  { "removals", aState.m_removals },
                  { "replies", replies },
                  { "outcomes", outcomes },
+                 { "isFormed", aState.m_isFormed },
                  { "routes", aState.m_routes },
                  { "upkeep", aState.m_upkeep },
                  { "jobs", Binary(jobs::EncodeBook(aState.m_jobs)) } };
--- a/src/fleet/state.cpp
+++ b/src/fleet/state.cpp
@@ -537,6 +537,12 @@
   }
 }
 
+void
+State::Apply(Index /*aIndex*/, const MarkFormed& /*aMark*/)
+{
+  m_isFormed = true;
+}
+
 void
 State::Apply(Index /*aIndex*/, const StartUpkeep& aStart)
 {
--- /dev/null
+++ b/tests/platform/decode_test.cpp
@@ -0,0 +1,125 @@
+#include "decode.h"
+
+#include "check.h"
+
+using namespace bamboostile;
+
+TEST_GROUP(PlatformDecode)
+{
+  platform::BadField m_bad;
+
+  void CheckBadJob(const char* aField, const std::string& aBody)
+  {
+    CHECK(!platform::ReadJob(aBody, m_bad));
+    CHECK_STRING(aField, m_bad.m_field);
+  }
+
+  void CheckBadRoutes(const char* aField, const std::string& aBody)
+  {
+    CHECK(!platform::ReadRoutes(aBody, m_bad));
+    CHECK_STRING(aField, m_bad.m_field);
+  }
+
+  static std::string Routes(const std::string& aRoute)
+  {
+    return R"({"version":3,"services":[{"name":"s"}],"routes":[)" + aRoute +
+           "]}";
+  }
+};
+
+TEST(PlatformDecode, WholeJob_IsRead)
+{
+  const auto spec = platform::ReadJob(
+    R"({"spec":"text","steps":[{"count":4,"cpu":500,"mem_mb":256,
+        "estimate_ms":900,"affinity":"r1-3"},{"count":20,"cpu":2000,
+        "depends_on":[0],"saves_progress":true,"miss_allowed":1}]})",
+    m_bad);
+  CHECK(spec.has_value());
+  CHECK_STRING("text", spec->m_payload);
+  LONGS_EQUAL(2, spec->m_steps.size());
+  CHECK_STRING("r1-3", spec->m_steps[0].m_preferredRack.Get());
+  CHECK(!spec->m_steps[0].m_missBudget.has_value());
+  CHECK(spec->m_steps[1].m_dependsOn == std::vector<std::uint32_t>{ 0 });
+  LONGS_EQUAL(1, *spec->m_steps[1].m_missBudget);
+}
+
+TEST(PlatformDecode, BadJobs_NameTheField)
+{
+  CheckBadJob("(body)", R"({"spec":"cut off)");
+  CheckBadJob("(body)", "[]");
+  CheckBadJob("steps", R"({"spec":"x"})");
+  CheckBadJob("steps", R"({"steps":[]})");
+  CheckBadJob("count", R"({"steps":[{"cpu":1}]})");
+  CheckBadJob("count", R"({"steps":[{"count":-1}]})");
+  CheckBadJob("cpu", R"({"steps":[{"count":1,"cpu":"many"}]})");
+  CheckBadJob("cpu", R"({"steps":[{"count":1,"cpu":1e30}]})");
+  CheckBadJob("mem_mb", R"({"steps":[{"count":1,"mem_mb":4294967296}]})");
+  CheckBadJob("depends_on", R"({"steps":[{"count":1,"depends_on":[0]}]})");
+  CheckBadJob("gang", R"({"steps":[{"count":1,"gang":1}]})");
+  CheckBadJob("spec",
+              R"({"spec":")" + std::string(4001, 'x') +
+                R"(","steps":[{"count":1}]})");
+}
+
+TEST(PlatformDecode, BadRoutes_NameTheField)
+{
+  CheckBadRoutes("(body)", R"({"version":3,"rou)");
+  CheckBadRoutes("routes", R"({"version":3,"services":[]})");
+  CheckBadRoutes("version", R"({"version":0,"services":[],"routes":[]})");
+  CheckBadRoutes("service", Routes(R"({"name":"r","host":"h","path_prefix":"/p/"})"));
+  CheckBadRoutes("r", Routes(R"({"name":"r","host":"h","path_prefix":"/p/",
+    "service":"none","timeout_ms":5})"));
+  CheckBadRoutes("r", Routes(R"({"name":"r","host":"h","path_prefix":"/p/",
+    "service":"s","timeout_ms":0})"));
+}
+
+TEST(PlatformDecode, Report_IsReadIntoOwnTypes)
+{
+  const auto report = platform::ReadReport(
+    "i-1",
+    R"({"service":"s","zone":"z","state":"draining","machine":"m-1","seq":4,
+        "free_capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},
+        "labels":["a","r1-3"],"remaining_ms":1200,
+        "active":[["5c0e.7.1.17",2,"saved",41,12.6]],
+        "finished":[[58,"5c0e.0.1.9",1,"lapsed",""]]})",
+    m_bad);
+  CHECK(report.has_value());
+  CHECK_STRING("m-1", report->m_instance.Get());
+  CHECK_STRING("r1-3", report->m_rack.Get());
+  CHECK(report->m_draining);
+  const placement::RunReport& run = report->m_active.at(0);
+  CHECK_STRING("5c0e", run.m_task.m_job.Get());
+  LONGS_EQUAL(7, run.m_task.m_occurrence);
+  LONGS_EQUAL(1, run.m_task.m_step);
+  LONGS_EQUAL(17, run.m_task.m_index);
+  LONGS_EQUAL(12, run.m_load);
+  CHECK(report->m_ended.at(0).m_how == jobs::RunEnd::kLeaseExpired);
+}
+
+TEST(PlatformDecode, BadReports_NameTheField)
+{
+  const auto rejects = [&](const char* aField, const char* aBody) {
+    CHECK(!platform::ReadReport("i-1", aBody, m_bad));
+    CHECK_STRING(aField, m_bad.m_field);
+  };
+  rejects("service", R"({"state":"ready"})");
+  rejects("state", R"({"service":"s","state":"asleep"})");
+  rejects("active", R"({"service":"s","state":"ready","active":[["x",1,"",3]]})");
+  rejects("active", R"({"service":"s","state":"ready","active":[[1]]})");
+  rejects("finished",
+          R"({"service":"s","state":"ready",
+              "finished":[[1,"a.0.0.0",1,"vanished",""]]})");
+}
+
+TEST(PlatformDecode, AnswersToUpkeep_AreToldApart)
+{
+  using placement::UpkeepAnswer;
+  CHECK(platform::ReadUpkeepAnswer(200, "{}") == UpkeepAnswer::kTaken);
+  CHECK(platform::ReadUpkeepAnswer(409, R"({"reason":"busy"})") ==
+        UpkeepAnswer::kBusy);
+  CHECK(platform::ReadUpkeepAnswer(409, R"({"reason":"fence"})") ==
+        UpkeepAnswer::kOvertaken);
+  CHECK(platform::ReadUpkeepAnswer(409, "cut off") == UpkeepAnswer::kUnclear);
+  CHECK(platform::ReadUpkeepAnswer(429, "") == UpkeepAnswer::kUnclear);
+  CHECK(platform::ReadUpkeepAnswer(503, "") == UpkeepAnswer::kUnclear);
+}
--- a/tests/support/processes.cpp
+++ b/tests/support/processes.cpp
@@ -96,17 +96,72 @@
   return child;
 }
 
+std::string
+Processes::ControlHttp(int aNumber) const
+{
+  return Loopback(m_base + 50 + aNumber);
+}
+
 void
 Processes::StartControl(int aNumber)
+{
+  StartControlWith(aNumber, Json::object());
+}
+
+void
+Processes::StartSeededControl(int aNumber, bool aFormGroup)
+{
+  StartControlWith(aNumber,
+                   { { "control", { Rpc(1), Rpc(2), Rpc(3) } },
+                     { "hosting", { { "formGroup", aFormGroup } } } });
+}
+
+void
+Processes::StartWorker(int aNumber, std::vector<std::string> aMore)
+{
+  const std::string name = "k" + std::to_string(aNumber);
+  std::vector<std::string> words{
+    BAMBOOSTILE_FAKES "/fake_worker", "--id", name, "--service", "desk"
+  };
+  words.insert(words.end(), aMore.begin(), aMore.end());
+  words.push_back("--control");
+  for (int i = 1; i <= kGroup; ++i) {
+    words.push_back(ControlHttp(i));
+  }
+  Spawn(name, words);
+}
+
+std::map<std::string, int>
+Processes::TaskStarts() const
+{
+  const std::string mark = "start ";
+  std::map<std::string, int> starts;
+  for (const auto& entry : fs::directory_iterator(m_folder)) {
+    if (entry.path().filename().string().front() != 'k') {
+      continue;
+    }
+    std::ifstream in(entry.path());
+    std::string line;
+    while (std::getline(in, line)) {
+      if (line.rfind(mark, 0) == 0) {
+        ++starts[line.substr(mark.size())];
+      }
+    }
+  }
+  return starts;
+}
+
+void
+Processes::StartControlWith(int aNumber, Json aMore)
 {
   const std::string name = "c" + std::to_string(aNumber);
-  const Json settings{ { "instance", name },
-                       { "zone", "z" + std::to_string(aNumber) },
-                       { "roles", { "control" } },
-                       { "control", { Rpc(aNumber) } },
-                       { "rpc", Rpc(aNumber) },
-                       { "snapshotEvery", 200 },
-                       { "dataFolder", (m_folder / name).string() } };
+  Json settings{
+    { "instance", name },       { "zone", "z" + std::to_string(aNumber) },
+    { "roles", { "control" } }, { "control", { Rpc(aNumber) } },
+    { "rpc", Rpc(aNumber) },    { "http", ControlHttp(aNumber) },
+    { "snapshotEvery", 200 },   { "dataFolder", (m_folder / name).string() }
+  };
+  settings.update(aMore);
   const fs::path file = m_folder / (name + ".json");
   std::ofstream(file) << settings.dump();
   Spawn(name, { BAMBOOSTILE_DAEMON, "--settings", file.string() });
--- a/tests/support/processes.h
+++ b/tests/support/processes.h
@@ -37,6 +37,12 @@
   Processes& operator=(const Processes&) = delete;
 
   void StartControl(int aNumber);
+  /** A replica that forms its group from the seeds by itself. */
+  void StartSeededControl(int aNumber, bool aFormGroup);
+  /** A fake worker; what it started is in its log. */
+  void StartWorker(int aNumber, std::vector<std::string> aMore = {});
+  /** How often the workers have started each task, by its name. */
+  std::map<std::string, int> TaskStarts() const;
   void StartEntry(int aNumber);
   void StartUpstream(int aNumber,
                      const std::string& aService,
@@ -70,6 +76,7 @@
 
   std::string Rpc(int aNumber) const;
   std::string EntryHttp(int aNumber) const;
+  std::string ControlHttp(int aNumber) const;
   std::string UpstreamHttp(int aNumber) const;
   std::filesystem::path Folder() const { return m_folder; }
   std::uint64_t RunsAt(int aUpstream, const std::string& aId);
@@ -77,6 +84,7 @@
 
 private:
   pid_t Spawn(const std::string& aName, const std::vector<std::string>& aWords);
+  void StartControlWith(int aNumber, nlohmann::json aMore);
   std::vector<std::string> CallerWords(std::vector<std::string> aMore) const;
 
   std::uint16_t m_base;
--- a/tools/bamboostile/job_commands.cpp
+++ b/tools/bamboostile/job_commands.cpp
@@ -55,17 +55,17 @@
     queues.push_back(ToJson(route));
   }
   if (aCommon.m_json) {
-    std::cout << Json{ { "version", table->m_version }, { "queues", queues } }
-                   .dump()
-              << "\n";
+    std::cout << Json{
+      { "version", table->m_version }, { "queues", queues }
+    }.dump() << "\n";
     return ExitCode::kDone;
   }
   std::cout << "version " << table->m_version << "\n";
   for (const Json& queue : queues) {
     std::cout << "queue " << queue.at("name").get<std::string>() << " service "
               << queue.at("service").get<std::string>() << " priority "
-              << queue.at("priority") << " attempts "
-              << queue.at("maxAttempts") << "\n";
+              << queue.at("priority") << " attempts " << queue.at("maxAttempts")
+              << "\n";
   }
   return ExitCode::kDone;
 }
@@ -86,7 +86,8 @@
   KJ_IF_MAYBE (exception, failure) {
     return BadInput(aFile + ": " + exception->getDescription().cStr());
   }
-  const fleet::RouteFinding finding = fleet::Check(wire::Read(table.asReader()));
+  const fleet::RouteFinding finding =
+    fleet::Check(wire::Read(table.asReader()));
   if (finding.m_problem != fleet::RouteProblem::kNone) {
     return BadInput(aFile + ": " + finding.m_name + ": " +
                     fleet::Describe(finding.m_problem));
@@ -168,8 +169,8 @@
     json::BadField bad;
     auto spec = wire::ReadJobSpec(*text, bad);
     if (!spec) {
-      return BadInput(aWords[4] + ": " + bad.m_field + ": allowed: " +
-                      bad.m_allowed);
+      return BadInput(aWords[4] + ": " + bad.m_field +
+                      ": allowed: " + bad.m_allowed);
     }
     call.m_kind = jobs::CallKind::kSubmit;
     call.m_spec = std::move(*spec);
