Move instances to the queues that need them

Cause: each queue in its turn asks for some seconds more than its pool holds, while standby and the other pools idle. Ruled out: order inside a pool (in-time first was in already).

--- /dev/null
+++ b/include/bamboostile/control/instance_service.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "bamboostile/control/node.h"
+#include "bamboostile/placement/capacity.h"
+#include "bamboostile/placement/upkeep.h"
+
+#include <functional>
+#include <set>
+
+namespace bamboostile::control {
+
+/** Calls to the platform that hosts the instances; answers may come on any
+ * thread. Unset ones are never made. */
+struct InstanceCalls
+{
+  using Answered = std::function<void(placement::InstanceAnswer)>;
+  /** Nothing where the list could not be read whole. */
+  using Listed =
+    std::function<void(std::optional<std::vector<placement::ListedInstance>>)>;
+
+  std::function<void(const placement::UpkeepOrder&, Term, Answered)> m_upkeep;
+  std::function<void(const placement::MoveOrder&, Term, Answered)> m_move;
+  std::function<void(Listed)> m_list;
+};
+
+/**
+ * @brief Upkeep and moves of instances: carries the planners' orders to the
+ * platform and the answers back.
+ *
+ * Lives on the node's event loop; made anew with each term.
+ */
+class InstanceService final : private kj::TaskSet::ErrorHandler
+{
+public:
+  using Ended = std::function<void(const WorkerId&)>;
+
+  /** aEnded hears of lives that an order has ended for certain. */
+  InstanceService(Node& aNode,
+                  const InstanceCalls& aCalls,
+                  placement::UpkeepOptions aUpkeep,
+                  Term aTerm,
+                  Ended aEnded);
+
+  void Tick(const placement::WorkerTable& aWorkers,
+            TimePoint aNow,
+            WallTime aWall);
+  /** Workers that get no new tasks. */
+  const std::set<WorkerId>& Cordoned() const { return m_cordoned; }
+
+private:
+  struct UpkeepReply
+  {
+    placement::UpkeepOrder m_order;
+    placement::InstanceAnswer m_answer;
+  };
+
+  struct MoveReply
+  {
+    placement::MoveOrder m_order;
+    placement::InstanceAnswer m_answer;
+  };
+
+  using List = std::optional<std::vector<placement::ListedInstance>>;
+
+  /** Outlives this object for answers that come after it. */
+  struct Answers
+  {
+    rpc::Mailbox<UpkeepReply> m_upkeep;
+    rpc::Mailbox<MoveReply> m_moves;
+    rpc::Mailbox<List> m_lists;
+  };
+
+  void taskFailed(kj::Exception&& aException) override;
+  kj::Promise<void> UpkeepLoop();
+  kj::Promise<void> MoveLoop();
+  kj::Promise<void> ListLoop();
+  void On(const UpkeepReply& aReply);
+  void On(const MoveReply& aReply);
+  void PlanUpkeep(const placement::WorkerTable& aWorkers, TimePoint aNow);
+  void PlanMoves(const placement::WorkerTable& aWorkers,
+                 TimePoint aNow,
+                 WallTime aWall);
+  void ReadList(TimePoint aNow);
+  void Advance(const fleet::AdvanceUpkeep& aAdvance);
+
+  Node& m_node;
+  const InstanceCalls& m_calls;
+  Term m_term;
+  Ended m_ended;
+  placement::UpkeepPlanner m_upkeep;
+  placement::CapacityPlanner m_capacity;
+  std::set<WorkerId> m_cordoned;
+  std::set<std::pair<std::uint64_t, InstanceId>> m_ordersUnderWay;
+  std::size_t m_advancing = 0;
+  TimePoint m_nextList;
+  std::shared_ptr<Answers> m_answers = std::make_shared<Answers>();
+  kj::TaskSet m_tasks;
+};
+
+} // namespace bamboostile::control
--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -1,11 +1,9 @@
 #pragma once
 
+#include "bamboostile/control/instance_service.h"
 #include "bamboostile/control/node.h"
 #include "bamboostile/jobs/calls.h"
 #include "bamboostile/placement/planner.h"
-#include "bamboostile/placement/upkeep.h"
-
-#include <set>
 
 namespace bamboostile::control {
 
@@ -54,12 +52,7 @@
   placement::UpkeepOptions m_upkeep;
   /** How long callers can ask for the state of an ended job. */
   Duration m_keepEnded = std::chrono::seconds{ 180 };
-  /** Asks the platform for an instance's upkeep; the answer may come on any
-   * thread. Unset where there is no such platform. */
-  std::function<void(const placement::UpkeepOrder&,
-                     Term,
-                     std::function<void(placement::UpkeepAnswer)>)>
-    m_orderUpkeep;
+  InstanceCalls m_calls;
 };
 
 /**
@@ -95,15 +88,8 @@
     kj::Own<kj::PromiseFulfiller<WorkerAnswer>> m_fulfiller;
   };
 
-  struct UpkeepReply
-  {
-    placement::UpkeepOrder m_order;
-    placement::UpkeepAnswer m_answer;
-  };
-
   void taskFailed(kj::Exception&& aException) override;
   kj::Promise<void> TickLoop();
-  kj::Promise<void> UpkeepLoop();
   /** Whether this replica leads now; begins anew with each term. */
   bool Leads();
   WorkerAnswer NotLeading() const;
@@ -114,8 +100,7 @@
   void AnswerPlanned();
   void AnswerAllAsFollower();
   void LearnFrom(const std::vector<jobs::Change>& aChanges, TimePoint aNow);
-  void PlanUpkeep(TimePoint aNow);
-  void Advance(const fleet::AdvanceUpkeep& aAdvance);
+  void OnLifeEnded(const WorkerId& aWorker);
   kj::Promise<jobs::QueueReply> Submit(const fleet::QueueRoute& aRoute,
                                        JobId aJob,
                                        jobs::JobSpec aSpec);
@@ -127,19 +112,15 @@
   Term m_term;
   std::optional<placement::WorkerTable> m_workers;
   placement::Planner m_planner;
-  std::optional<placement::UpkeepPlanner> m_upkeep;
-  std::set<WorkerId> m_cordoned;
-  std::set<std::pair<std::uint64_t, InstanceId>> m_ordersUnderWay;
+  std::unique_ptr<InstanceService> m_instances;
   std::map<jobs::TaskRef, TimePoint> m_startedAt;
   std::vector<jobs::Change> m_gathered;
   bool m_isDirty = false;
   bool m_isCycling = false;
-  std::size_t m_advancing = 0;
   TimePoint m_nextPass;
-  TimePoint m_nextUpkeep;
+  TimePoint m_nextInstances;
   TimePoint m_nextForget;
   std::vector<Waiting> m_waiting;
-  rpc::Mailbox<UpkeepReply> m_upkeepResults;
   kj::TaskSet m_tasks;
 };
 
--- /dev/null
+++ b/include/bamboostile/placement/capacity.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "bamboostile/fleet/state.h"
+#include "bamboostile/placement/upkeep.h"
+#include "bamboostile/placement/workers.h"
+
+namespace bamboostile::placement {
+
+/** An instance as the platform lists it. */
+struct ListedInstance
+{
+  InstanceId m_id;
+  ServiceId m_pool;
+  /** Neither moving nor down. */
+  bool m_isUp = false;
+};
+
+struct MoveOrder
+{
+  InstanceId m_instance;
+  ServiceId m_to;
+};
+
+struct CapacityPlan
+{
+  /** Get no new work: they are about to leave their pool. */
+  std::set<WorkerId> m_cordoned;
+  std::vector<MoveOrder> m_orders;
+};
+
+struct CapacityOptions
+{
+  /** What waits should be done in this time. A queue's peak lasts some 5 s and
+   * its jobs have 3.6 s of slack, of which a move takes 1.5 s. */
+  Millis m_workOffIn{ 1500 };
+  /** An instance that nothing needs goes to standby after this long idle: two
+   * moves cost as much as some 2.3 s in a pool. */
+  Duration m_idleToStandby = Millis{ 2500 };
+  /** One that another pool needs goes at once, unless it has only just become
+   * idle: between two steps of a job a worker is idle for some 0.2 s. */
+  Duration m_idleToOther = Millis{ 400 };
+  /** A moved instance that has not reported by then is not counted on. */
+  Duration m_arrivesWithin = Millis{ 5000 };
+  std::size_t m_leastPerPool = 3;
+  std::size_t m_maxUnderWay = 12;
+  Duration m_quietAfterElection = Millis{ 3000 };
+};
+
+/**
+ * @brief Moves instances to the pools whose queues need them: out of standby
+ * and from pools where they idle, and into standby when nothing needs them.
+ *
+ * An instance is moved only while it runs nothing, so no work is lost.
+ */
+class CapacityPlanner
+{
+public:
+  explicit CapacityPlanner(CapacityOptions aOptions = {})
+    : m_options(aOptions)
+  {
+  }
+
+  /** aReserved: instances that upkeep is about to take. */
+  CapacityPlan Next(const fleet::State& aState,
+                    const WorkerTable& aWorkers,
+                    const std::set<WorkerId>& aReserved,
+                    TimePoint aNow,
+                    WallTime aWall);
+
+  void OnListed(const std::vector<ListedInstance>& aInstances);
+  /** The life that has ended with the order, where that is certain. */
+  std::optional<WorkerId> OnAnswer(const MoveOrder& aOrder,
+                                   InstanceAnswer aAnswer,
+                                   TimePoint aNow);
+
+private:
+  struct Move
+  {
+    ServiceId m_to;
+    TimePoint m_since;
+    std::optional<WorkerId> m_aimedAt;
+  };
+
+  struct Pool
+  {
+    std::size_t m_have = 0;
+    std::size_t m_want = 0;
+    std::size_t m_cores = 0;
+  };
+
+  using Pools = std::map<ServiceId, Pool>;
+
+  Pools FindPools(const fleet::State& aState,
+                  const WorkerTable& aWorkers,
+                  WallTime aWall) const;
+  void AddDemand(const fleet::State& aState, WallTime aWall, Pools& aPools) const;
+  void FollowIdle(const fleet::State& aState,
+                  const WorkerTable& aWorkers,
+                  TimePoint aNow);
+  void Settle(const WorkerTable& aWorkers, TimePoint aNow);
+  std::vector<const Worker*> FindSpare(const WorkerTable& aWorkers,
+                                       const std::set<WorkerId>& aReserved,
+                                       Duration aIdleFor,
+                                       TimePoint aNow) const;
+  void Order(const InstanceId& aInstance,
+             const Worker* aWorker,
+             const ServiceId& aTo,
+             TimePoint aNow,
+             CapacityPlan& aPlan);
+
+  CapacityOptions m_options;
+  std::map<InstanceId, ServiceId> m_standby;
+  std::map<InstanceId, Move> m_moves;
+  std::map<WorkerId, TimePoint> m_idleSince;
+  std::map<InstanceId, TimePoint> m_notBefore;
+};
+
+} // namespace bamboostile::placement
--- a/include/bamboostile/placement/upkeep.h
+++ b/include/bamboostile/placement/upkeep.h
@@ -13,7 +13,7 @@
 };
 
 /** How the platform answered. */
-enum class UpkeepAnswer
+enum class InstanceAnswer
 {
   kTaken,
   /** Not up at the moment, or leaving. */
@@ -26,7 +26,7 @@
   kUnclear,
 };
 
-const char* Describe(UpkeepAnswer aAnswer) noexcept;
+const char* Describe(InstanceAnswer aAnswer) noexcept;
 
 struct UpkeepPlan
 {
@@ -80,7 +80,7 @@
                   TimePoint aNow);
 
   UpkeepResult OnAnswer(const UpkeepOrder& aOrder,
-                        UpkeepAnswer aAnswer,
+                        InstanceAnswer aAnswer,
                         TimePoint aNow);
 
 private:
--- /dev/null
+++ b/src/control/instance_service.cpp
@@ -0,0 +1,229 @@
+#include "bamboostile/control/instance_service.h"
+
+#include "bamboostile/telemetry/log.h"
+
+#include <algorithm>
+
+namespace bamboostile::control {
+
+namespace {
+
+using telemetry::Level;
+using telemetry::LogLine;
+
+/** Workers tell where they are; the list is only for those that are off. */
+constexpr Duration kListInterval = Millis{ 5000 };
+
+const ServiceId*
+StandbyPool(const fleet::RouteTable& aRoutes)
+{
+  const auto& services = aRoutes.m_services;
+  const auto found =
+    std::find_if(services.begin(), services.end(), [](const auto& aService) {
+      return aService.m_standby;
+    });
+  return found == services.end() ? nullptr : &found->m_id;
+}
+
+} // namespace
+
+InstanceService::InstanceService(Node& aNode,
+                                 const InstanceCalls& aCalls,
+                                 placement::UpkeepOptions aUpkeep,
+                                 Term aTerm,
+                                 Ended aEnded)
+  : m_node(aNode)
+  , m_calls(aCalls)
+  , m_term(aTerm)
+  , m_ended(std::move(aEnded))
+  , m_upkeep(aUpkeep)
+  , m_tasks(*this)
+{
+  m_tasks.add(UpkeepLoop());
+  m_tasks.add(MoveLoop());
+  m_tasks.add(ListLoop());
+}
+
+void
+InstanceService::taskFailed(kj::Exception&& aException)
+{
+  LogLine(Level::kWarning, "a task of the instances failed")
+    .With("reason", std::string{ aException.getDescription().cStr() })
+    .Write();
+}
+
+void
+InstanceService::Tick(const placement::WorkerTable& aWorkers,
+                      TimePoint aNow,
+                      WallTime aWall)
+{
+  m_cordoned.clear();
+  PlanUpkeep(aWorkers, aNow);
+  ReadList(aNow);
+  PlanMoves(aWorkers, aNow, aWall);
+}
+
+// -------------------------------------------------------------------- upkeep
+
+void
+InstanceService::PlanUpkeep(const placement::WorkerTable& aWorkers,
+                            TimePoint aNow)
+{
+  placement::UpkeepPlan plan = m_upkeep.Next(m_node.State(), aWorkers, aNow);
+  m_cordoned.insert(plan.m_cordoned.begin(), plan.m_cordoned.end());
+  // What has been proposed but not applied would be proposed again.
+  if (m_advancing == 0) {
+    for (const fleet::AdvanceUpkeep& advance : plan.m_advances) {
+      Advance(advance);
+    }
+  }
+  if (!m_calls.m_upkeep) {
+    return;
+  }
+  for (const placement::UpkeepOrder& order : plan.m_orders) {
+    if (m_ordersUnderWay.emplace(order.m_wave, order.m_instance).second) {
+      m_calls.m_upkeep(
+        order,
+        m_term,
+        [answers = m_answers, order](placement::InstanceAnswer aAnswer) {
+          answers->m_upkeep.Put({ order, aAnswer });
+        });
+    }
+  }
+}
+
+void
+InstanceService::Advance(const fleet::AdvanceUpkeep& aAdvance)
+{
+  LogLine(Level::kInfo, "upkeep advances")
+    .With("wave", aAdvance.m_wave)
+    .With("ofInstance", aAdvance.m_instance.Get())
+    .With("to", fleet::Describe(aAdvance.m_to))
+    .Write();
+  ++m_advancing;
+  m_tasks.add(
+    m_node.Propose(aAdvance).then([this](const Decided&) { --m_advancing; }));
+}
+
+kj::Promise<void>
+InstanceService::UpkeepLoop()
+{
+  return m_answers->m_upkeep.Take().then(
+    [this](const std::vector<UpkeepReply>& aReplies) {
+      for (const UpkeepReply& reply : aReplies) {
+        On(reply);
+      }
+      return UpkeepLoop();
+    });
+}
+
+void
+InstanceService::On(const UpkeepReply& aReply)
+{
+  m_ordersUnderWay.erase({ aReply.m_order.m_wave, aReply.m_order.m_instance });
+  LogLine(Level::kInfo, "upkeep order answered")
+    .With("wave", aReply.m_order.m_wave)
+    .With("ofInstance", aReply.m_order.m_instance.Get())
+    .With("answer", placement::Describe(aReply.m_answer))
+    .Write();
+  if (!m_node.IsServing()) {
+    return;
+  }
+  const placement::UpkeepResult next =
+    m_upkeep.OnAnswer(aReply.m_order, aReply.m_answer, MonotonicNow());
+  if (next.m_ended) {
+    m_ended(*next.m_ended);
+  }
+  if (next.m_advance) {
+    Advance(*next.m_advance);
+  }
+}
+
+// --------------------------------------------------------------------- moves
+
+void
+InstanceService::PlanMoves(const placement::WorkerTable& aWorkers,
+                           TimePoint aNow,
+                           WallTime aWall)
+{
+  if (!m_calls.m_move) {
+    return;
+  }
+  const placement::CapacityPlan plan =
+    m_capacity.Next(m_node.State(), aWorkers, m_cordoned, aNow, aWall);
+  m_cordoned.insert(plan.m_cordoned.begin(), plan.m_cordoned.end());
+  for (const placement::MoveOrder& order : plan.m_orders) {
+    LogLine(Level::kInfo, "moving an instance")
+      .With("ofInstance", order.m_instance.Get())
+      .With("to", order.m_to.Get())
+      .Write();
+    m_calls.m_move(
+      order,
+      m_term,
+      [answers = m_answers, order](placement::InstanceAnswer aAnswer) {
+        answers->m_moves.Put({ order, aAnswer });
+      });
+  }
+}
+
+kj::Promise<void>
+InstanceService::MoveLoop()
+{
+  return m_answers->m_moves.Take().then(
+    [this](const std::vector<MoveReply>& aReplies) {
+      for (const MoveReply& reply : aReplies) {
+        On(reply);
+      }
+      return MoveLoop();
+    });
+}
+
+void
+InstanceService::On(const MoveReply& aReply)
+{
+  if (aReply.m_answer != placement::InstanceAnswer::kTaken) {
+    LogLine(Level::kInfo, "move not taken")
+      .With("ofInstance", aReply.m_order.m_instance.Get())
+      .With("to", aReply.m_order.m_to.Get())
+      .With("answer", placement::Describe(aReply.m_answer))
+      .Write();
+    m_nextList = TimePoint{};
+  }
+  if (!m_node.IsServing()) {
+    return;
+  }
+  const auto ended =
+    m_capacity.OnAnswer(aReply.m_order, aReply.m_answer, MonotonicNow());
+  if (ended) {
+    m_ended(*ended);
+  }
+}
+
+void
+InstanceService::ReadList(TimePoint aNow)
+{
+  if (!m_calls.m_list || aNow < m_nextList ||
+      StandbyPool(m_node.State().Routes()) == nullptr) {
+    return;
+  }
+  m_nextList = aNow + kListInterval;
+  m_calls.m_list(
+    [answers = m_answers](List aList) { answers->m_lists.Put(aList); });
+}
+
+kj::Promise<void>
+InstanceService::ListLoop()
+{
+  return m_answers->m_lists.Take().then([this](std::vector<List> aLists) {
+    const ServiceId* standby = StandbyPool(m_node.State().Routes());
+    if (standby != nullptr && aLists.back()) {
+      std::erase_if(*aLists.back(), [&](const auto& aOne) {
+        return aOne.m_pool != *standby;
+      });
+      m_capacity.OnListed(*aLists.back());
+    }
+    return ListLoop();
+  });
+}
+
+} // namespace bamboostile::control
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -16,7 +16,7 @@
 /** Without any event, placing still looks this often: due times pass, and
  * workers that were set aside come back. */
 constexpr Duration kPassInterval = Millis{ 250 };
-constexpr Duration kUpkeepInterval = Millis{ 100 };
+constexpr Duration kInstancesInterval = Millis{ 100 };
 constexpr Duration kForgetInterval = std::chrono::seconds{ 5 };
 /** What a caller whose job was not taken is told to wait. */
 constexpr Millis kRetryAfter{ 1000 };
@@ -54,7 +54,6 @@
   , m_tasks(*this)
 {
   m_tasks.add(TickLoop());
-  m_tasks.add(UpkeepLoop());
 }
 
 void
@@ -78,11 +77,14 @@
     AnswerAllAsFollower();
     m_term = term;
     m_workers.emplace(m_options.m_lease, MonotonicNow());
-    m_upkeep.emplace(m_options.m_upkeep);
-    m_cordoned.clear();
+    m_instances = std::make_unique<InstanceService>(
+      m_node,
+      m_options.m_calls,
+      m_options.m_upkeep,
+      term,
+      [this](const WorkerId& aWorker) { OnLifeEnded(aWorker); });
     m_gathered.clear();
     m_startedAt.clear();
-    m_ordersUnderWay.clear();
     m_isDirty = true;
   }
   return true;
@@ -155,14 +157,20 @@
     return NotLeading();
   }
   LogLine(Level::kInfo, "worker left").With("worker", aWorker.Get()).Write();
-  Gather(m_workers->Retire(aWorker, m_node.State().Jobs(), WallNow()));
-  m_isDirty = true;
-  Kick();
+  OnLifeEnded(aWorker);
   WorkerAnswer answer;
   answer.m_orders.emplace();
   return answer;
 }
 
+void
+JobService::OnLifeEnded(const WorkerId& aWorker)
+{
+  Gather(m_workers->Retire(aWorker, m_node.State().Jobs(), WallNow()));
+  m_isDirty = true;
+  Kick();
+}
+
 void
 JobService::Gather(std::vector<jobs::EndRun> aEnds)
 {
@@ -188,7 +196,8 @@
     return;
   }
   m_isCycling = true;
-  m_tasks.add(Cycle());
+  // Later, as a cycle may find a new term and make anew what called this.
+  m_tasks.add(kj::evalLater([this]() { return Cycle(); }));
 }
 
 // One batch at a time, and first what has ended: a plan made from a state in
@@ -219,7 +228,7 @@
   const TimePoint now = MonotonicNow();
   m_nextPass = now + kPassInterval;
   placement::Plan plan =
-    m_planner.Next(m_node.State(), *m_workers, m_cordoned, now, WallNow());
+    m_planner.Next(m_node.State(), *m_workers, m_instances->Cordoned(), now, WallNow());
   for (const placement::StopOrder& stop : plan.m_stops) {
     LogLine(Level::kInfo, "moving a task that lasts")
       .With("job", stop.m_task.m_job.Get())
@@ -340,9 +349,11 @@
                              ToMillis(m_options.m_keepEnded).count() };
       m_gathered.emplace_back(jobs::ForgetEnded{ before });
     }
-    if (now >= m_nextUpkeep && m_advancing == 0) {
-      m_nextUpkeep = now + kUpkeepInterval;
-      PlanUpkeep(now);
+    // Only between batches: an instance on which a start is on its way is not
+    // idle, though the state does not show it yet.
+    if (now >= m_nextInstances && !m_isCycling) {
+      m_nextInstances = now + kInstancesInterval;
+      m_instances->Tick(*m_workers, now, WallNow());
     }
     if (now >= m_nextPass) {
       m_isDirty = true;
@@ -527,74 +538,4 @@
   return found->second.IsDone() ? WaveView::kCompleted : WaveView::kRunning;
 }
 
-void
-JobService::PlanUpkeep(TimePoint aNow)
-{
-  placement::UpkeepPlan plan = m_upkeep->Next(m_node.State(), *m_workers, aNow);
-  if (plan.m_cordoned != m_cordoned) {
-    m_cordoned = std::move(plan.m_cordoned);
-    m_isDirty = true;
-  }
-  for (const fleet::AdvanceUpkeep& advance : plan.m_advances) {
-    Advance(advance);
-  }
-  if (!m_options.m_orderUpkeep) {
-    return;
-  }
-  for (const placement::UpkeepOrder& order : plan.m_orders) {
-    if (m_ordersUnderWay.emplace(order.m_wave, order.m_instance).second) {
-      m_options.m_orderUpkeep(
-        order, m_term, [this, order](placement::UpkeepAnswer aAnswer) {
-          m_upkeepResults.Put({ order, aAnswer });
-        });
-    }
-  }
-}
-
-void
-JobService::Advance(const fleet::AdvanceUpkeep& aAdvance)
-{
-  LogLine(Level::kInfo, "upkeep advances")
-    .With("wave", aAdvance.m_wave)
-    .With("ofInstance", aAdvance.m_instance.Get())
-    .With("to", fleet::Describe(aAdvance.m_to))
-    .Write();
-  ++m_advancing;
-  m_tasks.add(
-    m_node.Propose(aAdvance).then([this](const Decided&) { --m_advancing; }));
-}
-
-kj::Promise<void>
-JobService::UpkeepLoop()
-{
-  return m_upkeepResults.Take().then(
-    [this](const std::vector<UpkeepReply>& aResults) {
-      for (const UpkeepReply& result : aResults) {
-        const auto key =
-          std::make_pair(result.m_order.m_wave, result.m_order.m_instance);
-        m_ordersUnderWay.erase(key);
-        LogLine(Level::kInfo, "upkeep order answered")
-          .With("wave", result.m_order.m_wave)
-          .With("ofInstance", result.m_order.m_instance.Get())
-          .With("answer", placement::Describe(result.m_answer))
-          .Write();
-        if (!Leads()) {
-          continue;
-        }
-        const placement::UpkeepResult next =
-          m_upkeep->OnAnswer(result.m_order, result.m_answer, MonotonicNow());
-        if (next.m_ended) {
-          Gather(
-            m_workers->Retire(*next.m_ended, m_node.State().Jobs(), WallNow()));
-          m_isDirty = true;
-          Kick();
-        }
-        if (next.m_advance) {
-          Advance(*next.m_advance);
-        }
-      }
-      return UpkeepLoop();
-    });
-}
-
 } // namespace bamboostile::control
--- /dev/null
+++ b/src/placement/capacity.cpp
@@ -0,0 +1,283 @@
+#include "bamboostile/placement/capacity.h"
+
+#include <algorithm>
+
+namespace bamboostile::placement {
+
+namespace {
+
+/** Work that is late already is worth about a fourteenth of work in time. */
+constexpr std::int64_t kLateShare = 14;
+constexpr Duration kRetryAfter = Millis{ 2000 };
+
+const ServiceId*
+StandbyPool(const fleet::RouteTable& aRoutes)
+{
+  for (const fleet::ServicePolicy& service : aRoutes.m_services) {
+    if (service.m_standby) {
+      return &service.m_id;
+    }
+  }
+  return nullptr;
+}
+
+/** CPU of a step's tasks that are not done, times how long they take. */
+std::int64_t
+RemainingWork(const jobs::StepSpec& aStep, const jobs::StepRun& aRun)
+{
+  const std::int64_t left =
+    static_cast<std::int64_t>(aRun.m_tasks.size()) - aRun.m_done;
+  return aStep.m_fills
+           ? 0
+           : left * aStep.m_needs.m_cpuMillis * aStep.m_estimate.count();
+}
+
+} // namespace
+
+void
+CapacityPlanner::AddDemand(const fleet::State& aState,
+                           WallTime aWall,
+                           Pools& aPools) const
+{
+  std::map<ServiceId, std::int64_t> work;
+  std::map<ServiceId, std::int64_t> lasting;
+  std::map<ServiceId, std::size_t> spread;
+  for (const auto& [order, id] : aState.Jobs().Open()) {
+    const jobs::Job& job = *aState.Jobs().Find(id);
+    const auto found = aState.RouteLookup().Find(job.m_queue);
+    if (job.m_state != jobs::JobState::kActive || !found) {
+      continue;
+    }
+    const fleet::QueueRoute& route = aState.Routes().m_routes[*found];
+    std::int64_t ofJob = 0;
+    for (const auto& [number, occurrence] : job.m_occurrences) {
+      for (std::size_t s = 0; s < occurrence.m_steps.size(); ++s) {
+        const jobs::StepSpec& step = job.m_spec.m_steps[s];
+        if (step.m_longRunning) {
+          lasting[route.m_service] += step.m_fills ? 0
+                                                   : std::int64_t{ step.m_count } *
+                                                       step.m_needs.m_cpuMillis;
+          const std::size_t least =
+            step.m_maxPerWorker == 0
+              ? 1
+              : (step.m_count + step.m_maxPerWorker - 1) / step.m_maxPerWorker;
+          spread[route.m_service] = std::max(spread[route.m_service], least);
+        } else {
+          ofJob += RemainingWork(step, occurrence.m_steps[s]);
+        }
+      }
+    }
+    const bool isLate =
+      aWall.Get() > job.m_acceptedAt.Get() + 2 * route.m_objective.count();
+    work[route.m_service] += isLate ? ofJob / kLateShare : ofJob;
+  }
+  for (auto& [service, pool] : aPools) {
+    const std::int64_t cpu =
+      work[service] / m_options.m_workOffIn.count() + lasting[service];
+    const auto cores = static_cast<std::int64_t>(std::max<std::size_t>(pool.m_cores, 1));
+    const auto byWork = static_cast<std::size_t>((cpu + cores - 1) / cores);
+    // One more than the tasks that last need, so that one of them whose worker
+    // is lost finds room at once.
+    pool.m_want =
+      std::max({ byWork, spread[service] + 1, m_options.m_leastPerPool });
+  }
+}
+
+CapacityPlanner::Pools
+CapacityPlanner::FindPools(const fleet::State& aState,
+                           const WorkerTable& aWorkers,
+                           WallTime aWall) const
+{
+  Pools pools;
+  std::size_t anyCores = 0;
+  for (const fleet::QueueRoute& route : aState.Routes().m_routes) {
+    pools[route.m_service];
+  }
+  for (const auto& [id, worker] : aWorkers.Workers()) {
+    const auto pool = pools.find(worker.m_last.m_service);
+    if (worker.m_silent || worker.m_last.m_draining) {
+      continue;
+    }
+    anyCores = std::max<std::size_t>(anyCores, worker.m_last.m_capacity.m_cpuMillis);
+    if (pool != pools.end()) {
+      ++pool->second.m_have;
+      pool->second.m_cores = worker.m_last.m_capacity.m_cpuMillis;
+    }
+  }
+  for (auto& [service, pool] : pools) {
+    pool.m_cores = pool.m_cores == 0 ? anyCores : pool.m_cores;
+  }
+  AddDemand(aState, aWall, pools);
+  for (const auto& [instance, move] : m_moves) {
+    const auto pool = pools.find(move.m_to);
+    if (pool != pools.end()) {
+      ++pool->second.m_have;
+    }
+  }
+  return pools;
+}
+
+void
+CapacityPlanner::FollowIdle(const fleet::State& aState,
+                            const WorkerTable& aWorkers,
+                            TimePoint aNow)
+{
+  std::erase_if(m_idleSince, [&](const auto& aEntry) {
+    return aWorkers.Find(aEntry.first) == nullptr ||
+           aState.Jobs().Placed().contains(aEntry.first);
+  });
+  for (const auto& [id, worker] : aWorkers.Workers()) {
+    if (!aState.Jobs().Placed().contains(id) && worker.m_last.m_active.empty()) {
+      m_idleSince.try_emplace(id, aNow);
+    }
+  }
+}
+
+// A move has arrived when the instance reports from its new pool.
+void
+CapacityPlanner::Settle(const WorkerTable& aWorkers, TimePoint aNow)
+{
+  std::erase_if(m_moves, [&](const auto& aEntry) {
+    const Worker* worker = aWorkers.FindByInstance(aEntry.first);
+    const bool arrived =
+      worker != nullptr && worker->m_last.m_service == aEntry.second.m_to;
+    return arrived || aNow > aEntry.second.m_since + m_options.m_arrivesWithin;
+  });
+}
+
+std::vector<const Worker*>
+CapacityPlanner::FindSpare(const WorkerTable& aWorkers,
+                           const std::set<WorkerId>& aReserved,
+                           Duration aIdleFor,
+                           TimePoint aNow) const
+{
+  std::vector<const Worker*> spare;
+  for (const auto& [id, since] : m_idleSince) {
+    const Worker* worker = aWorkers.Find(id);
+    const auto notBefore = m_notBefore.find(worker->m_last.m_instance);
+    const bool rests =
+      notBefore != m_notBefore.end() && aNow < notBefore->second;
+    if (aNow >= since + aIdleFor && worker->IsUsable(aNow) &&
+        !aReserved.contains(id) && !rests &&
+        !worker->m_last.m_instance.Get().empty() &&
+        !m_moves.contains(worker->m_last.m_instance)) {
+      spare.push_back(worker);
+    }
+  }
+  return spare;
+}
+
+void
+CapacityPlanner::Order(const InstanceId& aInstance,
+                       const Worker* aWorker,
+                       const ServiceId& aTo,
+                       TimePoint aNow,
+                       CapacityPlan& aPlan)
+{
+  Move& move = m_moves[aInstance];
+  move = { aTo, aNow, std::nullopt };
+  if (aWorker != nullptr) {
+    move.m_aimedAt = aWorker->m_last.m_worker;
+  }
+  aPlan.m_orders.push_back({ aInstance, aTo });
+}
+
+CapacityPlan
+CapacityPlanner::Next(const fleet::State& aState,
+                      const WorkerTable& aWorkers,
+                      const std::set<WorkerId>& aReserved,
+                      TimePoint aNow,
+                      WallTime aWall)
+{
+  CapacityPlan plan;
+  FollowIdle(aState, aWorkers, aNow);
+  Settle(aWorkers, aNow);
+  if (aNow >= aWorkers.LeaderSince() + m_options.m_quietAfterElection) {
+    Pools pools = FindPools(aState, aWorkers, aWall);
+    const auto spare =
+      FindSpare(aWorkers, aReserved, m_options.m_idleToOther, aNow);
+    std::size_t next = 0;
+    for (auto& [service, pool] : pools) {
+      while (pool.m_have < pool.m_want &&
+             m_moves.size() < m_options.m_maxUnderWay) {
+        const auto waiting = std::find_if(
+          m_standby.begin(), m_standby.end(), [&](const auto& aEntry) {
+            const auto rests = m_notBefore.find(aEntry.first);
+            return !m_moves.contains(aEntry.first) &&
+                   (rests == m_notBefore.end() || aNow >= rests->second);
+          });
+        if (waiting != m_standby.end()) {
+          Order(waiting->first, nullptr, service, aNow, plan);
+          ++pool.m_have;
+          continue;
+        }
+        while (next < spare.size() &&
+               pools[spare[next]->m_last.m_service].m_have <=
+                 pools[spare[next]->m_last.m_service].m_want) {
+          ++next;
+        }
+        if (next == spare.size()) {
+          break;
+        }
+        --pools[spare[next]->m_last.m_service].m_have;
+        Order(spare[next]->m_last.m_instance, spare[next], service, aNow, plan);
+        ++next;
+        ++pool.m_have;
+      }
+    }
+    const ServiceId* standby = StandbyPool(aState.Routes());
+    if (standby != nullptr) {
+      for (const Worker* worker :
+           FindSpare(aWorkers, aReserved, m_options.m_idleToStandby, aNow)) {
+        Pool& pool = pools[worker->m_last.m_service];
+        if (pool.m_have > pool.m_want &&
+            m_moves.size() < m_options.m_maxUnderWay) {
+          --pool.m_have;
+          Order(worker->m_last.m_instance, worker, *standby, aNow, plan);
+        }
+      }
+    }
+  }
+  for (const auto& [instance, move] : m_moves) {
+    if (const Worker* worker = aWorkers.FindByInstance(instance)) {
+      plan.m_cordoned.insert(worker->m_last.m_worker);
+    }
+  }
+  return plan;
+}
+
+void
+CapacityPlanner::OnListed(const std::vector<ListedInstance>& aInstances)
+{
+  m_standby.clear();
+  for (const ListedInstance& instance : aInstances) {
+    if (instance.m_isUp) {
+      m_standby.emplace(instance.m_id, instance.m_pool);
+    }
+  }
+}
+
+std::optional<WorkerId>
+CapacityPlanner::OnAnswer(const MoveOrder& aOrder,
+                          InstanceAnswer aAnswer,
+                          TimePoint aNow)
+{
+  const auto move = m_moves.find(aOrder.m_instance);
+  if (move == m_moves.end()) {
+    return std::nullopt;
+  }
+  if (aAnswer == InstanceAnswer::kTaken) {
+    m_standby.erase(aOrder.m_instance);
+    return move->second.m_aimedAt;
+  }
+  // Refused, or not known: the instance stays where its reports or the
+  // platform's list show it, and is left alone for a while.
+  if (aAnswer != InstanceAnswer::kUnclear) {
+    m_moves.erase(move);
+  }
+  m_standby.erase(aOrder.m_instance);
+  m_notBefore[aOrder.m_instance] = aNow + kRetryAfter;
+  return std::nullopt;
+}
+
+} // namespace bamboostile::placement
--- a/src/placement/upkeep.cpp
+++ b/src/placement/upkeep.cpp
@@ -38,18 +38,18 @@
 } // namespace
 
 const char*
-Describe(UpkeepAnswer aAnswer) noexcept
+Describe(InstanceAnswer aAnswer) noexcept
 {
   switch (aAnswer) {
-    case UpkeepAnswer::kTaken:
+    case InstanceAnswer::kTaken:
       return "taken";
-    case UpkeepAnswer::kBusy:
+    case InstanceAnswer::kBusy:
       return "the instance is busy";
-    case UpkeepAnswer::kNotMeant:
+    case InstanceAnswer::kNotMeant:
       return "not meant for the instance";
-    case UpkeepAnswer::kOvertaken:
+    case InstanceAnswer::kOvertaken:
       return "overtaken by a later leader";
-    case UpkeepAnswer::kUnclear:
+    case InstanceAnswer::kUnclear:
       return "no clear answer";
   }
   return "unknown";
@@ -169,7 +169,7 @@
 
 UpkeepResult
 UpkeepPlanner::OnAnswer(const UpkeepOrder& aOrder,
-                        UpkeepAnswer aAnswer,
+                        InstanceAnswer aAnswer,
                         TimePoint aNow)
 {
   const InstanceId& instance = aOrder.m_instance;
@@ -179,7 +179,7 @@
   };
   UpkeepResult result;
   switch (aAnswer) {
-    case UpkeepAnswer::kTaken: {
+    case InstanceAnswer::kTaken: {
       const auto aimed = m_aimedAt.find(instance);
       if (aimed != m_aimedAt.end()) {
         result.m_ended = aimed->second;
@@ -188,7 +188,7 @@
       result.m_advance = advance(fleet::UpkeepStep::kDown);
       break;
     }
-    case UpkeepAnswer::kBusy:
+    case InstanceAnswer::kBusy:
       // Busy may mean that an earlier sending is being obeyed; the instance
       // goes on counting as down until the answer is clear.
       if (m_unclear.contains(instance)) {
@@ -197,14 +197,14 @@
       m_notBefore[instance] = aNow + m_options.m_retryAfter;
       result.m_advance = advance(fleet::UpkeepStep::kWaiting);
       break;
-    case UpkeepAnswer::kNotMeant:
+    case InstanceAnswer::kNotMeant:
       result.m_advance = advance(fleet::UpkeepStep::kSkipped);
       break;
-    case UpkeepAnswer::kUnclear:
+    case InstanceAnswer::kUnclear:
       m_aimedAt.erase(instance);
       m_unclear.insert(instance);
       break;
-    case UpkeepAnswer::kOvertaken:
+    case InstanceAnswer::kOvertaken:
       break;
   }
   if (result.m_advance) {
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -113,13 +113,13 @@
 
 TEST(PlatformDecode, AnswersToUpkeep_AreToldApart)
 {
-  using placement::UpkeepAnswer;
-  CHECK(platform::ReadUpkeepAnswer(200, "{}") == UpkeepAnswer::kTaken);
-  CHECK(platform::ReadUpkeepAnswer(409, R"({"reason":"busy"})") ==
-        UpkeepAnswer::kBusy);
-  CHECK(platform::ReadUpkeepAnswer(409, R"({"reason":"fence"})") ==
-        UpkeepAnswer::kOvertaken);
-  CHECK(platform::ReadUpkeepAnswer(409, "cut off") == UpkeepAnswer::kUnclear);
-  CHECK(platform::ReadUpkeepAnswer(429, "") == UpkeepAnswer::kUnclear);
-  CHECK(platform::ReadUpkeepAnswer(503, "") == UpkeepAnswer::kUnclear);
+  using placement::InstanceAnswer;
+  CHECK(platform::ReadInstanceAnswer(200, "{}") == InstanceAnswer::kTaken);
+  CHECK(platform::ReadInstanceAnswer(409, R"({"reason":"busy"})") ==
+        InstanceAnswer::kBusy);
+  CHECK(platform::ReadInstanceAnswer(409, R"({"reason":"fence"})") ==
+        InstanceAnswer::kOvertaken);
+  CHECK(platform::ReadInstanceAnswer(409, "cut off") == InstanceAnswer::kUnclear);
+  CHECK(platform::ReadInstanceAnswer(429, "") == InstanceAnswer::kUnclear);
+  CHECK(platform::ReadInstanceAnswer(503, "") == InstanceAnswer::kUnclear);
 }
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -236,7 +236,7 @@
   Next(10'000);
   const auto order = Next(10'100).m_orders.at(0);
   CHECK(
-    !m_planner.OnAnswer(order, UpkeepAnswer::kUnclear, At(10'200)).m_advance);
+    !m_planner.OnAnswer(order, InstanceAnswer::kUnclear, At(10'200)).m_advance);
   LONGS_EQUAL(1, Wave().Down());
   LONGS_EQUAL(1, Next(10'300).m_orders.size());
 }
@@ -247,7 +247,7 @@
   Next(10'000);
   const auto order = Next(10'100).m_orders.at(0);
   const auto result =
-    m_planner.OnAnswer(order, UpkeepAnswer::kTaken, At(10'200));
+    m_planner.OnAnswer(order, InstanceAnswer::kTaken, At(10'200));
   CHECK_STRING("w0", result.m_ended->Get());
 }
 
@@ -259,11 +259,11 @@
   StartWave(1, 1);
   Next(10'000);
   const auto order = Next(10'100).m_orders.at(0);
-  m_planner.OnAnswer(order, UpkeepAnswer::kUnclear, At(10'200));
-  CHECK(!m_planner.OnAnswer(order, UpkeepAnswer::kTaken, At(12'900)).m_ended);
+  m_planner.OnAnswer(order, InstanceAnswer::kUnclear, At(10'200));
+  CHECK(!m_planner.OnAnswer(order, InstanceAnswer::kTaken, At(12'900)).m_ended);
   placement::UpkeepPlanner next;
   CHECK(next.Next(m_fleet.State(), m_table, At(13'000)).m_orders.size() == 1);
-  const auto taken = next.OnAnswer(order, UpkeepAnswer::kTaken, At(13'100));
+  const auto taken = next.OnAnswer(order, InstanceAnswer::kTaken, At(13'100));
   CHECK(!taken.m_ended);
   CHECK(taken.m_advance.has_value());
 }
@@ -286,7 +286,7 @@
   Next(10'000);
   const auto order = Next(10'100).m_orders.at(0);
   m_fleet.Do(
-    *m_planner.OnAnswer(order, UpkeepAnswer::kTaken, At(10'200)).m_advance);
+    *m_planner.OnAnswer(order, InstanceAnswer::kTaken, At(10'200)).m_advance);
   m_table.Retire(WorkerId{ "w0" }, m_fleet.Book(), WallTime{ 0 });
   Next(10'300);
   CHECK(!Wave().IsDone());
@@ -304,7 +304,7 @@
   Next(10'000);
   const auto order = Next(10'100).m_orders.at(0);
   m_fleet.Do(
-    *m_planner.OnAnswer(order, UpkeepAnswer::kTaken, At(10'200)).m_advance);
+    *m_planner.OnAnswer(order, InstanceAnswer::kTaken, At(10'200)).m_advance);
   m_table.Retire(WorkerId{ "w0" }, m_fleet.Book(), WallTime{ 0 });
   Next(10'300);
   Next(14'400);
--- a/tools/bamboostiled/main.cpp
+++ b/tools/bamboostiled/main.cpp
@@ -1,5 +1,6 @@
 #include "caller_front.h"
 #include "control_front.h"
+#include "instances_client.h"
 #include "platform.h"
 #include "probe_server.h"
 
@@ -209,10 +210,7 @@
     if (hosting && hosting->m_instances) {
       m_instances = std::make_unique<platform::InstancesClient>(
         *hosting->m_instances, m_settings.m_instance);
-      options.m_orderUpkeep =
-        [this](const auto& aOrder, Term aToken, auto aDone) {
-          m_instances->OrderUpkeep(aOrder, aToken, std::move(aDone));
-        };
+      options.m_calls = m_instances->Calls();
     }
     m_jobs = std::make_unique<control::JobService>(
       *m_node, m_io->provider->getTimer(), std::move(options));
