Let three of four replicas vote, and answer callers within their time

Ruled out: election timeouts (the new leader came 0.1 s after the cut healed), the disks. Test: four replicas split in halves, seen to fail without the limit. Calls to the leader end before the caller's deadline, and a slow answer no longer drops a connection on which others are answered. Counters of calls, runs and commits.

--- a/include/bamboostile/consensus/replica.h
+++ b/include/bamboostile/consensus/replica.h
@@ -20,6 +20,10 @@
    * percent, for clocks that run at different speeds. */
   int m_driftPercent = 10;
   std::size_t m_maxBatchBytes = 256 * 1024;
+  /** Replicas beyond these stay learners, ready to take a voter's place; 0 for
+   * no limit. An odd number: of four voters that are split in halves neither
+   * half is a majority, of three one always is. */
+  std::size_t m_maxVoters = 0;
   std::uint64_t m_seed = 1;
 };
 
--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -4,6 +4,7 @@
 #include "bamboostile/control/node.h"
 #include "bamboostile/jobs/calls.h"
 #include "bamboostile/placement/planner.h"
+#include "bamboostile/telemetry/metrics.h"
 
 namespace bamboostile::control {
 
@@ -77,6 +78,8 @@
   kj::Promise<RoutesOutcome> StartUpkeep(fleet::UpkeepWave aWave);
   WaveView LookAtUpkeep(std::uint64_t aWave);
   std::string LeaderAddress() const { return m_node.LeaderAddress(); }
+  /** Prometheus text. */
+  std::string RenderMetrics();
 
 private:
   struct Waiting
@@ -121,6 +124,7 @@
   TimePoint m_nextInstances;
   TimePoint m_nextForget;
   std::vector<Waiting> m_waiting;
+  telemetry::Metrics m_metrics;
   kj::TaskSet m_tasks;
 };
 
--- a/include/bamboostile/control/node.h
+++ b/include/bamboostile/control/node.h
@@ -32,9 +32,8 @@
   std::vector<std::string> m_seeds;
   /** The whole system starts for the first time, on empty disks. */
   bool m_formGroup = false;
-  /** Beyond the number of seeds, a voter that is silent for so long is taken
-   * out: its place has been filled, and it would only weigh on the quorum.
-   * Longer than a restart takes. */
+  /** A voter that is silent for so long gives its place to a learner. Longer
+   * than a restart takes. */
   Duration m_dropSilentAfter = Millis{ 6000 };
 };
 
--- a/include/bamboostile/entry/leader_client.h
+++ b/include/bamboostile/entry/leader_client.h
@@ -34,11 +34,19 @@
 
   /** kNotLeader: no replica took it, so it never runs. kUndecided: one may
    * have. */
-  kj::Promise<jobs::QueueReply> Call(jobs::QueueCall aCall);
+  kj::Promise<jobs::QueueReply> Call(
+    jobs::QueueCall aCall,
+    std::optional<Duration> aWithin = std::nullopt);
   /** Replicas to ask beside those that were learned. */
   void SetSeeds(const std::vector<std::string>& aSeeds);
 
 private:
+  struct Target
+  {
+    kj::Own<rpc::Channel> m_channel;
+    TimePoint m_lastAnswer;
+  };
+
   struct Attempts
   {
     jobs::QueueCall m_call;
@@ -55,14 +63,14 @@
   kj::Promise<jobs::QueueReply> Send(const std::string& aAddress,
                                      const jobs::QueueCall& aCall);
   void LearnLeader(const std::string& aAddress);
-  rpc::Channel& ChannelTo(const std::string& aAddress);
+  Target& TargetAt(const std::string& aAddress);
 
   kj::AsyncIoProvider& m_provider;
   kj::Timer& m_timer;
   LeaderClientOptions m_options;
   /** The one that led last comes first. */
   std::vector<std::string> m_replicas;
-  std::map<std::string, kj::Own<rpc::Channel>> m_channels;
+  std::map<std::string, Target> m_targets;
 };
 
 } // namespace bamboostile::entry
--- a/include/bamboostile/entry/queue_gateway.h
+++ b/include/bamboostile/entry/queue_gateway.h
@@ -17,7 +17,9 @@
   QueueGateway(kj::AsyncIoProvider& aProvider, std::vector<std::string> aSeeds);
 
   /** From any thread; aDone runs on the event loop. */
-  void Call(jobs::QueueCall aCall, Done aDone);
+  void Call(jobs::QueueCall aCall,
+            Done aDone,
+            std::optional<Duration> aWithin = std::nullopt);
   /** On the event loop. */
   LeaderClient& Leader() { return m_leader; }
 
@@ -26,6 +28,7 @@
   {
     jobs::QueueCall m_call;
     Done m_done;
+    std::optional<Duration> m_within;
   };
 
   void taskFailed(kj::Exception&& aException) override;
--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -93,7 +93,9 @@
   Pools FindPools(const fleet::State& aState,
                   const WorkerTable& aWorkers,
                   WallTime aWall) const;
-  void AddDemand(const fleet::State& aState, WallTime aWall, Pools& aPools) const;
+  void AddDemand(const fleet::State& aState,
+                 WallTime aWall,
+                 Pools& aPools) const;
   void FollowIdle(const fleet::State& aState,
                   const WorkerTable& aWorkers,
                   TimePoint aNow);
--- a/include/bamboostile/settings/settings.h
+++ b/include/bamboostile/settings/settings.h
@@ -53,6 +53,8 @@
   std::optional<std::uint16_t> m_rpcPort;
   /** The whole system starts for the first time, on empty disks. */
   bool m_formGroup = false;
+  /** Replicas that may be lost at the same time; decides how many vote. */
+  std::uint32_t m_toleratedLosses = 1;
   /** How long the platform keeps an instance down for its upkeep. */
   Millis m_upkeepTakes{ 2000 };
 };
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -734,6 +734,11 @@
              aOne.m_id != member.m_id;
     };
     const auto removed = std::erase_if(changed.m_members, isEarlierLife);
+    const bool isFull = m_options.m_maxVoters > 0 &&
+                        changed.VoterCount() >= m_options.m_maxVoters;
+    if (removed == 0 && isFull) {
+      continue;
+    }
     if (removed == 0) {
       for (Member& one : changed.m_members) {
         one.m_voter = one.m_voter || one.m_id == member.m_id;
--- a/src/control/instance_service.cpp
+++ b/src/control/instance_service.cpp
@@ -217,9 +217,8 @@
   return m_answers->m_lists.Take().then([this](std::vector<List> aLists) {
     const ServiceId* standby = StandbyPool(m_node.State().Routes());
     if (standby != nullptr && aLists.back()) {
-      std::erase_if(*aLists.back(), [&](const auto& aOne) {
-        return aOne.m_pool != *standby;
-      });
+      std::erase_if(*aLists.back(),
+                    [&](const auto& aOne) { return aOne.m_pool != *standby; });
       m_capacity.OnListed(*aLists.back());
     }
     return ListLoop();
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -171,10 +171,26 @@
   Kick();
 }
 
+std::string
+JobService::RenderMetrics()
+{
+  const jobs::Book& book = m_node.State().Jobs();
+  m_metrics.Set("leader", Leads() ? 1 : 0);
+  m_metrics.Set("term",
+                static_cast<double>(m_node.Replica().CurrentTerm().Get()));
+  m_metrics.Set("routes_version",
+                static_cast<double>(m_node.State().Routes().m_version));
+  m_metrics.Set("jobs_open", static_cast<double>(book.Open().size()));
+  m_metrics.Set("workers_with_runs", static_cast<double>(book.Placed().size()));
+  return m_metrics.Render();
+}
+
 void
 JobService::Gather(std::vector<jobs::EndRun> aEnds)
 {
   for (jobs::EndRun& end : aEnds) {
+    m_metrics.Count(std::string{ "runs_ended_total{how=\"" } +
+                    jobs::Describe(end.m_how) + "\"}");
     if (end.m_how != jobs::RunEnd::kDone) {
       LogLine(Level::kInfo, "run ended")
         .With("job", end.m_task.m_job.Get())
@@ -227,8 +243,8 @@
   m_isDirty = false;
   const TimePoint now = MonotonicNow();
   m_nextPass = now + kPassInterval;
-  placement::Plan plan =
-    m_planner.Next(m_node.State(), *m_workers, m_instances->Cordoned(), now, WallNow());
+  placement::Plan plan = m_planner.Next(
+    m_node.State(), *m_workers, m_instances->Cordoned(), now, WallNow());
   for (const placement::StopOrder& stop : plan.m_stops) {
     LogLine(Level::kInfo, "moving a task that lasts")
       .With("job", stop.m_task.m_job.Get())
@@ -253,8 +269,12 @@
 JobService::Commit(std::vector<jobs::Change> aChanges)
 {
   jobs::Batch batch{ aChanges };
+  const TimePoint proposedAt = MonotonicNow();
   return m_node.Propose(batch).then(
-    [this, changes = std::move(aChanges)](const Decided& aDecided) {
+    [this, proposedAt, changes = std::move(aChanges)](const Decided& aDecided) {
+      m_metrics.Observe(
+        "batch_commit_seconds",
+        std::chrono::duration<double>(MonotonicNow() - proposedAt).count());
       if (ReplyOf(aDecided) == nullptr) {
         // Whether they are committed is for the next leader to find out; the
         // workers repeat their ends, and starts are planned anew.
@@ -275,6 +295,7 @@
   for (const jobs::Change& change : aChanges) {
     if (const auto* start = std::get_if<jobs::StartRun>(&change)) {
       m_startedAt[start->m_task] = aNow;
+      m_metrics.Count("runs_started_total");
       continue;
     }
     const auto* end = std::get_if<jobs::EndRun>(&change);
@@ -293,11 +314,14 @@
     }
     if (job != nullptr && job->m_state != jobs::JobState::kActive &&
         job->m_endedAt == end->m_at) {
+      const std::int64_t tookMs =
+        job->m_endedAt.Get() - job->m_acceptedAt.Get();
+      m_metrics.Observe("job_seconds", static_cast<double>(tookMs) / 1000);
       LogLine(Level::kInfo, "job ended")
         .With("job", job->m_id.Get())
         .With("state", jobs::Describe(job->m_state))
         .With("reason", job->m_reason)
-        .With("afterMs", job->m_endedAt.Get() - job->m_acceptedAt.Get())
+        .With("afterMs", tookMs)
         .Write();
     }
   }
@@ -432,6 +456,7 @@
         answer.m_retryAfter = kRetryAfter;
         return answer;
       }
+      m_metrics.Count("jobs_accepted_total");
       LogLine(Level::kInfo, "job accepted")
         .With("job", aJob.Get())
         .With("queue", queue.Get())
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -567,32 +567,44 @@
   return error;
 }
 
-// A machine that is gone for good stays a voter until someone takes it out.
-// It is taken out when more voters than seeds are there, so never below the
-// size that the group was formed with; if it comes back, it asks for
-// admission like any other.
+// A voter that stays away weighs on the quorum, and with a second one away the
+// group stands still. It gives its place to a learner that holds all that is
+// committed, or simply leaves if there are more voters than seeds; so the group
+// never gets smaller than it was formed. One that comes back asks for admission
+// like any other.
 void
 Node::DropSilentVoter(TimePoint aNow)
 {
   const consensus::Membership membership = m_replica.CurrentMembership();
-  if (m_options.m_seeds.empty() ||
-      membership.VoterCount() <= m_options.m_seeds.size()) {
+  if (m_options.m_seeds.empty()) {
     return;
   }
-  for (const consensus::Member& member : membership.m_members) {
-    if (!member.m_voter || member.m_id == m_replica.Self()) {
-      continue;
-    }
+  const auto isSilent = [&](const consensus::Member& aMember) {
     const TimePoint heard =
-      m_heardFrom.try_emplace(member.m_id, aNow).first->second;
-    if (aNow > heard + m_options.m_dropSilentAfter) {
-      LogLine(Level::kWarning, "taking out a silent voter")
-        .With("replica", member.m_id.m_instance.Get())
-        .With("silentMs", ToMillis(aNow - heard).count())
-        .Write();
-      RemoveMember(member.m_id.m_instance);
-      return;
-    }
+      m_heardFrom.try_emplace(aMember.m_id, aNow).first->second;
+    return aMember.m_id != m_replica.Self() &&
+           aNow > heard + m_options.m_dropSilentAfter;
+  };
+  const auto& members = membership.m_members;
+  const bool hasSpare =
+    std::any_of(members.begin(), members.end(), [&](const auto& aMember) {
+      return !aMember.m_voter && !isSilent(aMember) &&
+             m_replica.MatchOf(aMember.m_id) >= m_replica.CommitIndex();
+    });
+  if (!hasSpare && membership.VoterCount() <= m_options.m_seeds.size()) {
+    return;
+  }
+  const auto silent =
+    std::find_if(members.begin(), members.end(), [&](const auto& aMember) {
+      return aMember.m_voter && isSilent(aMember);
+    });
+  if (silent != members.end()) {
+    LogLine(Level::kWarning, "taking out a silent voter")
+      .With("replica", silent->m_id.m_instance.Get())
+      .With("voters", membership.VoterCount())
+      .With("hasSpare", hasSpare)
+      .Write();
+    RemoveMember(silent->m_id.m_instance);
   }
 }
 
--- a/src/entry/leader_client.cpp
+++ b/src/entry/leader_client.cpp
@@ -42,14 +42,15 @@
   }
 }
 
-rpc::Channel&
-LeaderClient::ChannelTo(const std::string& aAddress)
+LeaderClient::Target&
+LeaderClient::TargetAt(const std::string& aAddress)
 {
-  auto& channel = m_channels[aAddress];
-  if (channel.get() == nullptr) {
-    channel = kj::refcounted<rpc::Channel>(m_provider.getNetwork(), aAddress);
+  Target& target = m_targets[aAddress];
+  if (target.m_channel.get() == nullptr) {
+    target.m_channel =
+      kj::refcounted<rpc::Channel>(m_provider.getNetwork(), aAddress);
   }
-  return *channel;
+  return target;
 }
 
 void
@@ -62,7 +63,7 @@
   std::erase(m_replicas, aAddress);
   m_replicas.insert(m_replicas.begin(), aAddress);
   if (m_replicas.size() > kMaxReplicas) {
-    m_channels.erase(m_replicas.back());
+    m_targets.erase(m_replicas.back());
     m_replicas.pop_back();
   }
 }
@@ -70,18 +71,20 @@
 kj::Promise<jobs::QueueReply>
 LeaderClient::Send(const std::string& aAddress, const jobs::QueueCall& aCall)
 {
-  auto request = ChannelTo(aAddress).Get().queueCallRequest();
+  auto request = TargetAt(aAddress).m_channel->Get().queueCallRequest();
   wire::Write(aCall, request.initCall());
   return request.send().then(
     [](auto&& aReply) { return wire::Read(aReply.getReply()); });
 }
 
 kj::Promise<jobs::QueueReply>
-LeaderClient::Call(jobs::QueueCall aCall)
+LeaderClient::Call(jobs::QueueCall aCall, std::optional<Duration> aWithin)
 {
   auto attempts = kj::heap<Attempts>();
   attempts->m_call = std::move(aCall);
-  attempts->m_until = MonotonicNow() + m_options.m_total;
+  attempts->m_until =
+    MonotonicNow() +
+    std::min(aWithin.value_or(m_options.m_total), m_options.m_total);
   return Try(kj::mv(attempts));
 }
 
@@ -113,17 +116,26 @@
     return TryAgain(kj::mv(aAttempts), true);
   }
   const std::string address = m_replicas[aAttempts->m_next++];
-  auto answered = m_timer.timeoutAfter(ToKj(m_options.m_attempt),
-                                       Send(address, aAttempts->m_call));
+  const TimePoint now = MonotonicNow();
+  const Duration left =
+    std::max<Duration>(aAttempts->m_until - now, Millis{ 1 });
+  auto answered =
+    m_timer.timeoutAfter(ToKj(std::min(left, m_options.m_attempt)),
+                         Send(address, aAttempts->m_call));
   return answered
     .then(
       [this, address](jobs::QueueReply&& aReply) {
+        TargetAt(address).m_lastAnswer = MonotonicNow();
         return kj::Maybe<jobs::QueueReply>{ kj::mv(aReply) };
       },
       // A connection that went silent looks alive for minutes; the next call
-      // gets a new one.
-      [this, address](kj::Exception&&) -> kj::Maybe<jobs::QueueReply> {
-        ChannelTo(address).Drop();
+      // gets a new one. One on which others were answered meanwhile is only
+      // slow, and dropping it would take their calls with it.
+      [this, address, now](kj::Exception&&) -> kj::Maybe<jobs::QueueReply> {
+        Target& target = TargetAt(address);
+        if (target.m_lastAnswer < now) {
+          target.m_channel->Drop();
+        }
         return nullptr;
       })
     .then([this, address, attempts = kj::mv(aAttempts)](
--- a/src/entry/queue_gateway.cpp
+++ b/src/entry/queue_gateway.cpp
@@ -24,9 +24,11 @@
 }
 
 void
-QueueGateway::Call(jobs::QueueCall aCall, Done aDone)
+QueueGateway::Call(jobs::QueueCall aCall,
+                   Done aDone,
+                   std::optional<Duration> aWithin)
 {
-  m_pending.Put({ std::move(aCall), std::move(aDone) });
+  m_pending.Put({ std::move(aCall), std::move(aDone), aWithin });
 }
 
 kj::Promise<void>
@@ -36,7 +38,7 @@
     for (Pending& one : aPending) {
       const jobs::CallKind kind = one.m_call.m_kind;
       const std::string path = one.m_call.m_path;
-      m_tasks.add(m_leader.Call(std::move(one.m_call))
+      m_tasks.add(m_leader.Call(std::move(one.m_call), one.m_within)
                     .then([kind, path, done = std::move(one.m_done)](
                             const jobs::QueueReply& aReply) {
                       if (aReply.m_outcome != jobs::QueueOutcome::kOk) {
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -54,9 +54,10 @@
       for (std::size_t s = 0; s < occurrence.m_steps.size(); ++s) {
         const jobs::StepSpec& step = job.m_spec.m_steps[s];
         if (step.m_longRunning) {
-          lasting[route.m_service] += step.m_fills ? 0
-                                                   : std::int64_t{ step.m_count } *
-                                                       step.m_needs.m_cpuMillis;
+          lasting[route.m_service] +=
+            step.m_fills
+              ? 0
+              : std::int64_t{ step.m_count } * step.m_needs.m_cpuMillis;
           const std::size_t least =
             step.m_maxPerWorker == 0
               ? 1
@@ -74,7 +75,8 @@
   for (auto& [service, pool] : aPools) {
     const std::int64_t cpu =
       work[service] / m_options.m_workOffIn.count() + lasting[service];
-    const auto cores = static_cast<std::int64_t>(std::max<std::size_t>(pool.m_cores, 1));
+    const auto cores =
+      static_cast<std::int64_t>(std::max<std::size_t>(pool.m_cores, 1));
     const auto byWork = static_cast<std::size_t>((cpu + cores - 1) / cores);
     // One more than the tasks that last need, so that one of them whose worker
     // is lost finds room at once.
@@ -98,7 +100,8 @@
     if (worker.m_silent || worker.m_last.m_draining) {
       continue;
     }
-    anyCores = std::max<std::size_t>(anyCores, worker.m_last.m_capacity.m_cpuMillis);
+    anyCores =
+      std::max<std::size_t>(anyCores, worker.m_last.m_capacity.m_cpuMillis);
     if (pool != pools.end()) {
       ++pool->second.m_have;
       pool->second.m_cores = worker.m_last.m_capacity.m_cpuMillis;
@@ -127,7 +130,8 @@
            aState.Jobs().Placed().contains(aEntry.first);
   });
   for (const auto& [id, worker] : aWorkers.Workers()) {
-    if (!aState.Jobs().Placed().contains(id) && worker.m_last.m_active.empty()) {
+    if (!aState.Jobs().Placed().contains(id) &&
+        worker.m_last.m_active.empty()) {
       m_idleSince.try_emplace(id, aNow);
     }
   }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -196,6 +196,7 @@
   read("workers", to.m_workers);
   read("instances", to.m_instances);
   Take(from, "formGroup", to.m_formGroup);
+  Take(from, "toleratedLosses", to.m_toleratedLosses);
   if (from.contains("upkeepSeconds")) {
     const std::chrono::duration<double> takes{
       from.at("upkeepSeconds").get<double>()
--- a/tests/unit/consensus/replica_test.cpp
+++ b/tests/unit/consensus/replica_test.cpp
@@ -141,6 +141,30 @@
   Sound(replicas);
 }
 
+// Callers get no answer for as long as the group is split in two halves: of
+// four voters neither half is a majority. With three that vote and one that
+// only follows, one half always goes on.
+TEST(Replica, FourReplicasSplitInHalves_OneHalfGoesOn)
+{
+  for (const std::size_t with : { 1, 2, 3 }) {
+    test::Faults faults;
+    faults.m_options.m_maxVoters = 3;
+    Replicas replicas(4, with, faults);
+    CHECK(replicas.Form());
+    CHECK(Write(replicas, "a"));
+    for (std::size_t from = 0; from < 4; ++from) {
+      for (std::size_t to = 0; to < 4; ++to) {
+        const bool fromHalf = from == 0 || from == with;
+        const bool toHalf = to == 0 || to == with;
+        replicas.Cut(from, to, fromHalf != toHalf);
+      }
+    }
+    replicas.Run(kLong);
+    CHECK(Write(replicas, "b"));
+    Sound(replicas);
+  }
+}
+
 // One replica was lost and repaired a moment ago; now a second one dies. What
 // was acknowledged in between must be on the repaired one.
 TEST(Replica, SecondLoss_RightBehindRepairOfFirst_LosesNothing)
