--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -70,9 +70,9 @@
   JobService(Node& aNode, kj::Timer& aTimer, JobServiceOptions aOptions);
 
   kj::Promise<jobs::QueueReply> Call(jobs::QueueCall aCall);
-  kj::Promise<WorkerAnswer> Report(placement::WorkerReport aReport);
+  kj::Promise<WorkerAnswer> Report(const placement::WorkerReport& aReport);
   /** The worker says that it ends now. */
-  kj::Promise<WorkerAnswer> Leave(WorkerId aWorker);
+  kj::Promise<WorkerAnswer> Leave(const WorkerId& aWorker);
   kj::Promise<RoutesOutcome> ReplaceRoutes(fleet::RouteTable aTable);
   RoutesRead ReadRoutes();
   kj::Promise<RoutesOutcome> StartUpkeep(fleet::UpkeepWave aWave);
@@ -105,9 +105,9 @@
   void LearnFrom(const std::vector<jobs::Change>& aChanges, TimePoint aNow);
   void OnLifeEnded(const WorkerId& aWorker);
   kj::Promise<jobs::QueueReply> Submit(const fleet::QueueRoute& aRoute,
-                                       JobId aJob,
+                                       const JobId& aJob,
                                        jobs::JobSpec aSpec);
-  kj::Promise<jobs::QueueReply> Cancel(JobId aJob);
+  kj::Promise<jobs::QueueReply> Cancel(const JobId& aJob);
 
   Node& m_node;
   kj::Timer& m_timer;
--- a/include/bamboostile/control/node.h
+++ b/include/bamboostile/control/node.h
@@ -70,7 +70,7 @@
   /** Returns once the view moved past aRevision, or after the hold time. */
   kj::Promise<void> WaitViewChange(Index aRevision);
   kj::Promise<consensus::Error> AddMember(std::string aAddress);
-  consensus::Error Admit(consensus::Member aMember);
+  consensus::Error Admit(const consensus::Member& aMember);
 
   consensus::Replica& Replica() { return m_replica; }
   const fleet::State& State() const { return m_state; }
--- a/src/control/instance_service.cpp
+++ b/src/control/instance_service.cpp
@@ -207,8 +207,9 @@
     return;
   }
   m_nextList = aNow + kListInterval;
-  m_calls.m_list(
-    [answers = m_answers](List aList) { answers->m_lists.Put(aList); });
+  m_calls.m_list([answers = m_answers](List aList) {
+    answers->m_lists.Put(std::move(aList));
+  });
 }
 
 kj::Promise<void>
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -110,7 +110,7 @@
 // ---------------------------------------------------------------------- runs
 
 kj::Promise<WorkerAnswer>
-JobService::Report(placement::WorkerReport aReport)
+JobService::Report(const placement::WorkerReport& aReport)
 {
   if (!Leads()) {
     return NotLeading();
@@ -151,7 +151,7 @@
 }
 
 kj::Promise<WorkerAnswer>
-JobService::Leave(WorkerId aWorker)
+JobService::Leave(const WorkerId& aWorker)
 {
   if (!Leads()) {
     return NotLeading();
@@ -431,7 +431,7 @@
 
 kj::Promise<jobs::QueueReply>
 JobService::Submit(const fleet::QueueRoute& aRoute,
-                   JobId aJob,
+                   const JobId& aJob,
                    jobs::JobSpec aSpec)
 {
   if (aJob.Get().empty() || aJob.Get().find('/') != std::string::npos) {
@@ -470,7 +470,7 @@
 }
 
 kj::Promise<jobs::QueueReply>
-JobService::Cancel(JobId aJob)
+JobService::Cancel(const JobId& aJob)
 {
   jobs::Batch batch;
   batch.m_changes.emplace_back(jobs::Cancel{ aJob, WallNow() });
--- a/src/control/loop_bridge.cpp
+++ b/src/control/loop_bridge.cpp
@@ -30,8 +30,8 @@
 kj::Promise<void>
 LoopBridge::Loop()
 {
-  return m_pending.Take().then([this](std::vector<Pending> aPending) {
-    for (Pending& one : aPending) {
+  return m_pending.Take().then([this](const std::vector<Pending>& aPending) {
+    for (const Pending& one : aPending) {
       m_tasks.add(
         one.m_task().then([server = one.m_server, exchange = one.m_exchange](
                             http::Response&& aResponse) {
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -554,7 +554,7 @@
 }
 
 consensus::Error
-Node::Admit(consensus::Member aMember)
+Node::Admit(const consensus::Member& aMember)
 {
   const auto error = m_replica.AddMember(aMember, MonotonicNow());
   if (error == consensus::Error::kNone) {
--- a/tests/unit/placement/capacity_test.cpp
+++ b/tests/unit/placement/capacity_test.cpp
@@ -53,7 +53,10 @@
   }
 
   /** 24 s of work on workers of 4 cores: four in 1.5 s. */
-  void SubmitPeak() { m_fleet.Submit("peak", Spec({ Step(24, 1000) })); }
+  void SubmitPeak()
+  {
+    m_fleet.Submit("peak", Spec({ Step(24, 1000) }));
+  }
 };
 
 TEST(CapacityPlanner, StandbyAndIdleInstances_StandbyComesFirst)
@@ -156,7 +159,7 @@
   // Refused: it may be ordered again later, by then with an answer.
   const CapacityPlan again = Next(13'000);
   CHECK(!again.m_orders.empty());
-  CHECK(m_planner
-          .OnAnswer(again.m_orders[0], InstanceAnswer::kTaken, At(13'100))
-          .has_value());
+  CHECK(
+    m_planner.OnAnswer(again.m_orders[0], InstanceAnswer::kTaken, At(13'100))
+      .has_value());
 }
