--- a/include/bamboostile.h
+++ b/include/bamboostile.h
@@ -5,8 +5,8 @@
  * @brief Everything a program may build on. Each folder beside this file is
  * one library; its headers say what it is for.
  *
- * The decision libraries (consensus, outcome, fleet, membership, routing,
- * admission, request, waves) take the time and an event and return typed
+ * The decision libraries (consensus, outcome, fleet, jobs, membership,
+ * placement, routing, admission, request, waves) take the time and an event and return typed
  * actions; they read no clock and do no input or output.
  */
 
@@ -14,8 +14,13 @@
 #include "bamboostile/admission/retry_budget.h"
 #include "bamboostile/consensus/replica.h"
 #include "bamboostile/fleet/state.h"
+#include "bamboostile/jobs/book.h"
 #include "bamboostile/membership/registry.h"
 #include "bamboostile/outcome/ledger.h"
+#include "bamboostile/placement/capacity.h"
+#include "bamboostile/placement/planner.h"
+#include "bamboostile/placement/upkeep.h"
+#include "bamboostile/placement/workers.h"
 #include "bamboostile/request/engine.h"
 #include "bamboostile/routing/router.h"
 #include "bamboostile/settings/settings.h"
