Stop runs that stand still; split what had grown long

A worker that holds its tasks still reports in good health, so no lease ends and the jobs wait for ever. A run without progress for 3 s, or for 3% of its estimate, is stopped and goes on elsewhere; its worker counts a failure.

--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -103,6 +103,7 @@
   void AnswerPlanned();
   void AnswerAllAsFollower();
   void LearnFrom(const std::vector<jobs::Change>& aChanges, TimePoint aNow);
+  void StopStuckRuns(TimePoint aNow);
   void OnLifeEnded(const WorkerId& aWorker);
   kj::Promise<jobs::QueueReply> Submit(const fleet::QueueRoute& aRoute,
                                        const JobId& aJob,
--- a/include/bamboostile/fleet/routes.h
+++ b/include/bamboostile/fleet/routes.h
@@ -60,6 +60,9 @@
   std::vector<ServicePolicy> m_services;
   /** As the operator sent it, for reading it back. */
   std::string m_document;
+
+  /** The pool whose instances are off; null where there is none. */
+  const ServiceId* StandbyPool() const;
 };
 
 enum class RouteProblem
--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -104,6 +104,19 @@
                                        const std::set<WorkerId>& aReserved,
                                        Duration aIdleFor,
                                        TimePoint aNow) const;
+  bool Rests(const InstanceId& aInstance, TimePoint aNow) const;
+  std::optional<InstanceId> FindStandby(TimePoint aNow) const;
+  void FillPools(const WorkerTable& aWorkers,
+                 const std::set<WorkerId>& aReserved,
+                 TimePoint aNow,
+                 Pools& aPools,
+                 CapacityPlan& aPlan);
+  void ReleaseIdle(const ServiceId& aStandby,
+                   const WorkerTable& aWorkers,
+                   const std::set<WorkerId>& aReserved,
+                   TimePoint aNow,
+                   Pools& aPools,
+                   CapacityPlan& aPlan);
   void Order(const InstanceId& aInstance,
              const Worker* aWorker,
              const ServiceId& aTo,
--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -43,7 +43,11 @@
     std::int64_t m_memory = 0;
     std::int64_t m_accelerators = 0;
     bool m_serves = false;
+    /** Free for a task that has found no room yet. */
     bool m_kept = false;
+
+    bool Fits(const jobs::StepSpec& aStep) const;
+    void Take(const jobs::StepSpec& aStep);
   };
 
   struct Candidate
@@ -72,10 +76,8 @@
                      WallTime aBegan,
                      WallTime aWall,
                      std::vector<Candidate>& aTo) const;
-  void Place(const Candidate& aCandidate,
-             const jobs::Book& aBook,
-             Pool& aPool,
-             Plan& aPlan) const;
+  void Place(const Candidate& aCandidate, Pool& aPool, Plan& aPlan) const;
+  static void KeepEmptiest(Pool& aPool);
   void PlaceGang(const Candidate& aCandidate, Pool& aPool, Plan& aPlan) const;
   Room* Choose(const Candidate& aCandidate,
                const jobs::StepSpec& aStep,
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -102,11 +102,22 @@
   /** A worker that refused a start gets no other for so long: its room and
    * what is believed of it differ, and only its next report tells. */
   Duration m_pauseAfterRefusal = Millis{ 300 };
+  /** A run of 5 minutes gets one percent further in 3 s; one that does not is
+   * taken to stand still, where its estimate is no longer than that. */
+  Duration m_stuckAfter = Millis{ 3000 };
   /** A worker that has missed some five reports may be gone, and the tasks
    * that last on it with it. */
   Duration m_doubtAfter = Millis{ 1000 };
 };
 
+/** How far a run had come when it last got any further. */
+struct Progress
+{
+  RunNumber m_run;
+  std::uint32_t m_percent = 0;
+  TimePoint m_since;
+};
+
 struct Worker
 {
   WorkerReport m_last;
@@ -121,6 +132,7 @@
   std::map<jobs::TaskRef, TimePoint> m_sentAt;
   std::set<std::pair<jobs::TaskRef, RunNumber>> m_toStop;
   std::map<jobs::TaskRef, std::uint32_t> m_rates;
+  std::map<jobs::TaskRef, Progress> m_progress;
   /** Failures since the last run that was done. */
   std::uint32_t m_failuresInRow = 0;
   TimePoint m_setAsideUntil;
@@ -164,6 +176,10 @@
                                      TimePoint aNow,
                                      WallTime aWall);
 
+  /** Runs that have got no further for long though their worker reports; the
+   * worker counts each as a failure. */
+  std::vector<StopOrder> FindStuck(const jobs::Book& aBook, TimePoint aNow);
+
   /** The worker is gone for certain; it is never listened to again. */
   std::vector<jobs::EndRun> Retire(const WorkerId& aWorker,
                                    const jobs::Book& aBook,
@@ -205,6 +221,7 @@
                       TimePoint aNow,
                       WallTime aWall,
                       Heard& aHeard);
+  void FollowProgress(Worker& aWorker, TimePoint aNow);
   void TakeEnds(Worker& aWorker,
                 const WorkerReport& aReport,
                 const jobs::Book& aBook,
--- a/src/control/instance_service.cpp
+++ b/src/control/instance_service.cpp
@@ -2,8 +2,6 @@
 
 #include "bamboostile/telemetry/log.h"
 
-#include <algorithm>
-
 namespace bamboostile::control {
 
 namespace {
@@ -14,17 +12,6 @@
 /** Workers tell where they are; the list is only for those that are off. */
 constexpr Duration kListInterval = Millis{ 5000 };
 
-const ServiceId*
-StandbyPool(const fleet::RouteTable& aRoutes)
-{
-  const auto& services = aRoutes.m_services;
-  const auto found =
-    std::find_if(services.begin(), services.end(), [](const auto& aService) {
-      return aService.m_standby;
-    });
-  return found == services.end() ? nullptr : &found->m_id;
-}
-
 } // namespace
 
 InstanceService::InstanceService(Node& aNode,
@@ -203,7 +190,7 @@
 InstanceService::ReadList(TimePoint aNow)
 {
   if (!m_calls.m_list || aNow < m_nextList ||
-      StandbyPool(m_node.State().Routes()) == nullptr) {
+      m_node.State().Routes().StandbyPool() == nullptr) {
     return;
   }
   m_nextList = aNow + kListInterval;
@@ -216,7 +203,7 @@
 InstanceService::ListLoop()
 {
   return m_answers->m_lists.Take().then([this](std::vector<List> aLists) {
-    const ServiceId* standby = StandbyPool(m_node.State().Routes());
+    const ServiceId* standby = m_node.State().Routes().StandbyPool();
     if (standby != nullptr && aLists.back()) {
       std::erase_if(*aLists.back(),
                     [&](const auto& aOne) { return aOne.m_pool != *standby; });
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -163,6 +163,20 @@
   return answer;
 }
 
+void
+JobService::StopStuckRuns(TimePoint aNow)
+{
+  for (const placement::StopOrder& stop :
+       m_workers->FindStuck(m_node.State().Jobs(), aNow)) {
+    LogLine(Level::kWarning, "stopping a run that stands still")
+      .With("job", stop.m_task.m_job.Get())
+      .With("step", stop.m_task.m_step)
+      .With("task", stop.m_task.m_index)
+      .With("run", stop.m_run.Get())
+      .Write();
+  }
+}
+
 void
 JobService::OnLifeEnded(const WorkerId& aWorker)
 {
@@ -379,6 +393,7 @@
       m_nextInstances = now + kInstancesInterval;
       m_instances->Tick(*m_workers, now, WallNow());
     }
+    StopStuckRuns(now);
     if (now >= m_nextPass) {
       m_isDirty = true;
       Kick();
--- a/src/fleet/routes.cpp
+++ b/src/fleet/routes.cpp
@@ -25,6 +25,16 @@
   return "unknown";
 }
 
+const ServiceId*
+RouteTable::StandbyPool() const
+{
+  const auto found =
+    std::find_if(m_services.begin(),
+                 m_services.end(),
+                 [](const auto& aService) { return aService.m_standby; });
+  return found == m_services.end() ? nullptr : &found->m_id;
+}
+
 RouteFinding
 Check(const RouteTable& aTable)
 {
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -10,17 +10,6 @@
 constexpr std::int64_t kLateShare = 14;
 constexpr Duration kRetryAfter = Millis{ 2000 };
 
-const ServiceId*
-StandbyPool(const fleet::RouteTable& aRoutes)
-{
-  for (const fleet::ServicePolicy& service : aRoutes.m_services) {
-    if (service.m_standby) {
-      return &service.m_id;
-    }
-  }
-  return nullptr;
-}
-
 /** CPU of a step's tasks that are not done, times how long they take. */
 std::int64_t
 RemainingWork(const jobs::StepSpec& aStep, const jobs::StepRun& aRun)
@@ -158,11 +147,8 @@
   std::vector<const Worker*> spare;
   for (const auto& [id, since] : m_idleSince) {
     const Worker* worker = aWorkers.Find(id);
-    const auto notBefore = m_notBefore.find(worker->m_last.m_instance);
-    const bool rests =
-      notBefore != m_notBefore.end() && aNow < notBefore->second;
     if (aNow >= since + aIdleFor && worker->IsUsable(aNow) &&
-        !aReserved.contains(id) && !rests &&
+        !aReserved.contains(id) && !Rests(worker->m_last.m_instance, aNow) &&
         !worker->m_last.m_instance.Get().empty() &&
         !m_moves.contains(worker->m_last.m_instance)) {
       spare.push_back(worker);
@@ -186,6 +172,76 @@
   aPlan.m_orders.push_back({ aInstance, aTo });
 }
 
+bool
+CapacityPlanner::Rests(const InstanceId& aInstance, TimePoint aNow) const
+{
+  const auto notBefore = m_notBefore.find(aInstance);
+  return notBefore != m_notBefore.end() && aNow < notBefore->second;
+}
+
+std::optional<InstanceId>
+CapacityPlanner::FindStandby(TimePoint aNow) const
+{
+  for (const auto& [instance, pool] : m_standby) {
+    if (!m_moves.contains(instance) && !Rests(instance, aNow)) {
+      return instance;
+    }
+  }
+  return std::nullopt;
+}
+
+// Instances of standby first, as no other queue can miss them.
+void
+CapacityPlanner::FillPools(const WorkerTable& aWorkers,
+                           const std::set<WorkerId>& aReserved,
+                           TimePoint aNow,
+                           Pools& aPools,
+                           CapacityPlan& aPlan)
+{
+  auto spare = FindSpare(aWorkers, aReserved, m_options.m_idleToOther, aNow);
+  const auto isSpare = [&](const Worker* aWorker) {
+    const Pool& pool = aPools[aWorker->m_last.m_service];
+    return pool.m_have > pool.m_want;
+  };
+  for (auto& [service, pool] : aPools) {
+    while (pool.m_have < pool.m_want &&
+           m_moves.size() < m_options.m_maxUnderWay) {
+      if (const auto standby = FindStandby(aNow)) {
+        Order(*standby, nullptr, service, aNow, aPlan);
+        ++pool.m_have;
+        continue;
+      }
+      const auto next = std::find_if(spare.begin(), spare.end(), isSpare);
+      if (next == spare.end()) {
+        return;
+      }
+      --aPools[(*next)->m_last.m_service].m_have;
+      ++pool.m_have;
+      Order((*next)->m_last.m_instance, *next, service, aNow, aPlan);
+      spare.erase(next);
+    }
+  }
+}
+
+void
+CapacityPlanner::ReleaseIdle(const ServiceId& aStandby,
+                             const WorkerTable& aWorkers,
+                             const std::set<WorkerId>& aReserved,
+                             TimePoint aNow,
+                             Pools& aPools,
+                             CapacityPlan& aPlan)
+{
+  const auto idle =
+    FindSpare(aWorkers, aReserved, m_options.m_idleToStandby, aNow);
+  for (const Worker* worker : idle) {
+    Pool& pool = aPools[worker->m_last.m_service];
+    if (pool.m_have > pool.m_want && m_moves.size() < m_options.m_maxUnderWay) {
+      --pool.m_have;
+      Order(worker->m_last.m_instance, worker, aStandby, aNow, aPlan);
+    }
+  }
+}
+
 CapacityPlan
 CapacityPlanner::Next(const fleet::State& aState,
                       const WorkerTable& aWorkers,
@@ -198,48 +254,9 @@
   Settle(aWorkers, aNow);
   if (aNow >= aWorkers.LeaderSince() + m_options.m_quietAfterElection) {
     Pools pools = FindPools(aState, aWorkers, aWall);
-    const auto spare =
-      FindSpare(aWorkers, aReserved, m_options.m_idleToOther, aNow);
-    std::size_t next = 0;
-    for (auto& [service, pool] : pools) {
-      while (pool.m_have < pool.m_want &&
-             m_moves.size() < m_options.m_maxUnderWay) {
-        const auto waiting = std::find_if(
-          m_standby.begin(), m_standby.end(), [&](const auto& aEntry) {
-            const auto rests = m_notBefore.find(aEntry.first);
-            return !m_moves.contains(aEntry.first) &&
-                   (rests == m_notBefore.end() || aNow >= rests->second);
-          });
-        if (waiting != m_standby.end()) {
-          Order(waiting->first, nullptr, service, aNow, plan);
-          ++pool.m_have;
-          continue;
-        }
-        while (next < spare.size() &&
-               pools[spare[next]->m_last.m_service].m_have <=
-                 pools[spare[next]->m_last.m_service].m_want) {
-          ++next;
-        }
-        if (next == spare.size()) {
-          break;
-        }
-        --pools[spare[next]->m_last.m_service].m_have;
-        Order(spare[next]->m_last.m_instance, spare[next], service, aNow, plan);
-        ++next;
-        ++pool.m_have;
-      }
-    }
-    const ServiceId* standby = StandbyPool(aState.Routes());
-    if (standby != nullptr) {
-      for (const Worker* worker :
-           FindSpare(aWorkers, aReserved, m_options.m_idleToStandby, aNow)) {
-        Pool& pool = pools[worker->m_last.m_service];
-        if (pool.m_have > pool.m_want &&
-            m_moves.size() < m_options.m_maxUnderWay) {
-          --pool.m_have;
-          Order(worker->m_last.m_instance, worker, *standby, aNow, plan);
-        }
-      }
+    FillPools(aWorkers, aReserved, aNow, pools, plan);
+    if (const ServiceId* standby = aState.Routes().StandbyPool()) {
+      ReleaseIdle(*standby, aWorkers, aReserved, aNow, pools, plan);
     }
   }
   for (const auto& [instance, move] : m_moves) {
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -13,17 +13,6 @@
 /** At most this share of a pool is kept free for tasks that find no room. */
 constexpr std::size_t kKeptShare = 4;
 
-bool
-Fits(const jobs::Resources& aNeeds,
-     bool aFills,
-     std::int64_t aCpu,
-     std::int64_t aMemory,
-     std::int64_t aAccelerators)
-{
-  return (aFills || aNeeds.m_cpuMillis <= aCpu) &&
-         aNeeds.m_memoryMb <= aMemory && aNeeds.m_accelerators <= aAccelerators;
-}
-
 /** Fills need no CPU of their own. */
 std::int64_t
 CountedCpu(const jobs::StepSpec& aStep)
@@ -33,6 +22,22 @@
 
 } // namespace
 
+bool
+Planner::Room::Fits(const jobs::StepSpec& aStep) const
+{
+  return CountedCpu(aStep) <= m_cpu && aStep.m_needs.m_memoryMb <= m_memory &&
+         aStep.m_needs.m_accelerators <= m_accelerators;
+}
+
+void
+Planner::Room::Take(const jobs::StepSpec& aStep)
+{
+  m_cpu -= CountedCpu(aStep);
+  m_memory -= aStep.m_needs.m_memoryMb;
+  m_accelerators -= aStep.m_needs.m_accelerators;
+  m_serves = m_serves || aStep.m_latencyTarget > Millis::zero();
+}
+
 void
 Planner::Learn(const jobs::StepSpec& aStep, Duration aTook)
 {
@@ -93,10 +98,7 @@
       for (const jobs::TaskRef& ref : placed->second) {
         const jobs::StepSpec& step =
           book.Find(ref.m_job)->m_spec.m_steps[ref.m_step];
-        room.m_cpu -= CountedCpu(step);
-        room.m_memory -= step.m_needs.m_memoryMb;
-        room.m_accelerators -= step.m_needs.m_accelerators;
-        room.m_serves = room.m_serves || step.m_latencyTarget > Millis::zero();
+        room.Take(step);
       }
     }
     pools[worker.m_last.m_service].push_back(room);
@@ -195,11 +197,7 @@
   auto bestRank = std::make_tuple(true, true, std::int64_t{});
   for (Room& room : aPool) {
     const WorkerReport& report = room.m_worker->m_last;
-    if (room.m_kept || !Fits(aStep.m_needs,
-                             aStep.m_fills,
-                             room.m_cpu,
-                             room.m_memory,
-                             room.m_accelerators)) {
+    if (room.m_kept || !room.Fits(aStep)) {
       continue;
     }
     if (!aStep.m_requiredLabel.empty() &&
@@ -231,11 +229,31 @@
   return best;
 }
 
+// A large task that finds no room would wait for ever while small ones take
+// each piece that becomes free; so it gets the emptiest worker to itself.
+void
+Planner::KeepEmptiest(Pool& aPool)
+{
+  const auto kept = static_cast<std::size_t>(
+    std::count_if(aPool.begin(), aPool.end(), [](const Room& aRoom) {
+      return aRoom.m_kept;
+    }));
+  if (kept >= aPool.size() / kKeptShare) {
+    return;
+  }
+  const auto rank = [](const Room& aRoom) {
+    return std::make_pair(!aRoom.m_kept, aRoom.m_cpu);
+  };
+  std::max_element(aPool.begin(),
+                   aPool.end(),
+                   [&](const Room& aLeft, const Room& aRight) {
+                     return rank(aLeft) < rank(aRight);
+                   })
+    ->m_kept = true;
+}
+
 void
-Planner::Place(const Candidate& aCandidate,
-               const jobs::Book& /*aBook*/,
-               Pool& aPool,
-               Plan& aPlan) const
+Planner::Place(const Candidate& aCandidate, Pool& aPool, Plan& aPlan) const
 {
   const jobs::StepSpec& step =
     aCandidate.m_job->m_spec.m_steps[aCandidate.m_step];
@@ -264,25 +282,12 @@
     }
     Room* room = Choose(aCandidate, step, onWorker, aPool);
     if (room == nullptr) {
-      const auto kept = std::count_if(
-        aPool.begin(), aPool.end(), [](auto& aOne) { return aOne.m_kept; });
-      if (!aCandidate.m_late &&
-          static_cast<std::size_t>(kept) < aPool.size() / kKeptShare) {
-        const auto emptiest = std::max_element(
-          aPool.begin(),
-          aPool.end(),
-          [](const Room& aLeft, const Room& aRight) {
-            return std::make_pair(!aLeft.m_kept, aLeft.m_cpu) <
-                   std::make_pair(!aRight.m_kept, aRight.m_cpu);
-          });
-        emptiest->m_kept = true;
+      if (!aCandidate.m_late) {
+        KeepEmptiest(aPool);
       }
       return;
     }
-    room->m_cpu -= CountedCpu(step);
-    room->m_memory -= step.m_needs.m_memoryMb;
-    room->m_accelerators -= step.m_needs.m_accelerators;
-    room->m_serves = room->m_serves || step.m_latencyTarget > Millis::zero();
+    room->Take(step);
     const WorkerId& worker = room->m_worker->m_last.m_worker;
     ++onWorker[worker];
     aPlan.m_changes.emplace_back(jobs::StartRun{
@@ -319,9 +324,7 @@
     if (room == nullptr) {
       return;
     }
-    room->m_cpu -= CountedCpu(step);
-    room->m_memory -= step.m_needs.m_memoryMb;
-    room->m_accelerators -= step.m_needs.m_accelerators;
+    room->Take(step);
     const WorkerId& worker = room->m_worker->m_last.m_worker;
     ++onWorker[worker];
     starts.emplace_back(jobs::StartRun{
@@ -376,15 +379,10 @@
       auto& pool = aPools[known->m_last.m_service];
       const auto room =
         std::find_if(pool.begin(), pool.end(), [&](Room& aRoom) {
-          return Fits(step.m_needs,
-                      step.m_fills,
-                      aRoom.m_cpu,
-                      aRoom.m_memory,
-                      aRoom.m_accelerators);
+          return aRoom.Fits(step);
         });
       if (mayGo && first && room != pool.end()) {
-        room->m_cpu -= CountedCpu(step);
-        room->m_memory -= step.m_needs.m_memoryMb;
+        room->Take(step);
         aPlan.m_stops.push_back({ ref, task->m_lastRun });
       }
     }
@@ -406,11 +404,11 @@
                  candidates.end(),
                  [](const Candidate& aOne) { return !aOne.m_lasts; });
   for (auto it = candidates.begin(); it != lasting; ++it) {
-    Place(*it, aState.Jobs(), pools[it->m_route->m_service], plan);
+    Place(*it, pools[it->m_route->m_service], plan);
   }
   MoveLasting(aState, aWorkers, aCordoned, aNow, pools, plan);
   for (auto it = lasting; it != candidates.end(); ++it) {
-    Place(*it, aState.Jobs(), pools[it->m_route->m_service], plan);
+    Place(*it, pools[it->m_route->m_service], plan);
   }
   return plan;
 }
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -20,23 +20,14 @@
 constexpr std::uint32_t kFailuresToSetAside = 3;
 constexpr Duration kSetAside = Millis{ 6000 };
 
+template<typename Row>
 bool
-Contains(const std::vector<RunReport>& aRuns,
+Contains(const std::vector<Row>& aRows,
          const jobs::TaskRef& aTask,
          RunNumber aRun)
 {
-  return std::any_of(aRuns.begin(), aRuns.end(), [&](const RunReport& aOne) {
-    return aOne.m_task == aTask && aOne.m_run == aRun;
-  });
-}
-
-bool
-Contains(const std::vector<EndReport>& aEnds,
-         const jobs::TaskRef& aTask,
-         RunNumber aRun)
-{
-  return std::any_of(aEnds.begin(), aEnds.end(), [&](const EndReport& aOne) {
-    return aOne.m_task == aTask && aOne.m_run == aRun;
+  return std::any_of(aRows.begin(), aRows.end(), [&](const Row& aRow) {
+    return aRow.m_task == aTask && aRow.m_run == aRun;
   });
 }
 
@@ -153,11 +144,60 @@
       m_checkpoints[run.m_task] = run.m_checkpoint;
     }
   }
+  FollowProgress(worker, aNow);
   TakeEnds(worker, aReport, aBook, aNow, aWall, heard);
   FindUnstarted(worker, aBook, aNow, aWall, heard);
   return heard;
 }
 
+void
+WorkerTable::FollowProgress(Worker& aWorker, TimePoint aNow)
+{
+  std::map<jobs::TaskRef, Progress> progress;
+  for (const RunReport& run : aWorker.m_last.m_active) {
+    const auto before = aWorker.m_progress.find(run.m_task);
+    const bool stands = before != aWorker.m_progress.end() &&
+                        before->second.m_run == run.m_run &&
+                        before->second.m_percent == run.m_percent;
+    progress[run.m_task] =
+      stands ? before->second : Progress{ run.m_run, run.m_percent, aNow };
+  }
+  aWorker.m_progress = std::move(progress);
+}
+
+// A worker may hold tasks still while it reports in good health. Their jobs
+// would wait for ever: no lease ends, and nothing fails. Tasks that last stay
+// at 100, those that fill may be slowed to nothing, and members of a gang wait
+// for each other; so none of these is judged.
+std::vector<StopOrder>
+WorkerTable::FindStuck(const jobs::Book& aBook, TimePoint aNow)
+{
+  constexpr int kPercent = 100;
+  std::vector<StopOrder> stuck;
+  for (auto& [id, worker] : m_workers) {
+    for (const auto& [task, progress] : worker.m_progress) {
+      const jobs::Job* job = aBook.Find(task.m_job);
+      if (worker.m_silent || job == nullptr ||
+          !IsExpected(aBook, id, task, progress.m_run) ||
+          worker.m_toStop.contains({ task, progress.m_run })) {
+        continue;
+      }
+      const jobs::StepSpec& step = StepOf(*job, task);
+      const Duration onePercent = step.m_estimate / kPercent;
+      const Duration patience =
+        std::max(m_options.m_stuckAfter, 3 * onePercent);
+      if (!step.m_longRunning && !step.m_fills && !step.m_gang &&
+          aNow >= progress.m_since + patience &&
+          worker.m_heardAt > progress.m_since) {
+        stuck.push_back({ task, progress.m_run });
+        worker.m_toStop.insert({ task, progress.m_run });
+        CountOutcome(worker, jobs::RunEnd::kFailed, aNow);
+      }
+    }
+  }
+  return stuck;
+}
+
 // One life of an instance at a time: a later one proves that the one before,
 // and all it ran, has ended. But a report of an early life may arrive after
 // that life has ended; taken for a new life, it would end the runs of a worker
--- a/tests/unit/placement/workers_test.cpp
+++ b/tests/unit/placement/workers_test.cpp
@@ -227,6 +227,41 @@
   LONGS_EQUAL(50, orders.m_rates[0].m_percent);
 }
 
+// The caller waits for ever: a worker reports in good health, but a task on it
+// gets no further, so neither its lease ends nor anything fails.
+TEST(WorkerTable, RunThatGetsNoFurther_IsStopped)
+{
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  m_fleet.Start(Ref("a"), "w1");
+  WorkerReport report = Report("w1", 1);
+  report.m_active.push_back(Active(Ref("a")));
+  for (int i = 0; i < 6; ++i) {
+    report.m_sequence = i + 1;
+    report.m_active[0].m_percent = 40;
+    Hear(report, kLater + 500 * i);
+    CHECK(m_table.FindStuck(m_fleet.Book(), At(kLater + 500 * i)).empty());
+  }
+  report.m_sequence = 7;
+  Hear(report, kLater + 3000);
+  LONGS_EQUAL(1, m_table.FindStuck(m_fleet.Book(), At(kLater + 3000)).size());
+  LONGS_EQUAL(0, m_table.FindStuck(m_fleet.Book(), At(kLater + 3100)).size());
+  LONGS_EQUAL(1, Answer("w1", kLater + 3100).m_stops.size());
+}
+
+TEST(WorkerTable, SlowRunThatGetsFurther_IsLeftAlone)
+{
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  m_fleet.Start(Ref("a"), "w1");
+  WorkerReport report = Report("w1", 1);
+  report.m_active.push_back(Active(Ref("a")));
+  for (int i = 0; i < 10; ++i) {
+    report.m_sequence = i + 1;
+    report.m_active[0].m_percent = i;
+    Hear(report, kLater + 2500 * i);
+    CHECK(m_table.FindStuck(m_fleet.Book(), At(kLater + 2500 * i)).empty());
+  }
+}
+
 TEST(WorkerTable, ThreeFailuresInARow_SetWorkerAside)
 {
   m_fleet.Submit("a", Spec({ Step(3) }));
