--- a/fakes/worker.cpp
+++ b/fakes/worker.cpp
@@ -134,7 +134,7 @@
     }
     m_fencingToken = aAnswer.at("fencingToken").get<std::uint64_t>();
     m_leaseEnd = m_sentAt + Millis{ aAnswer.at("leaseMs").get<unsigned>() };
-    const auto noted = aAnswer.at("notedUpTo").get<std::uint64_t>();
+    const auto noted = aAnswer.at("ackedUpTo").get<std::uint64_t>();
     std::erase_if(m_ended, [&](const Json& aEnd) {
       return aEnd.at("number").get<std::uint64_t>() <= noted;
     });
--- a/include/bamboostile/control/instance_service.h
+++ b/include/bamboostile/control/instance_service.h
@@ -2,7 +2,7 @@
 
 #include "bamboostile/control/node.h"
 #include "bamboostile/placement/capacity.h"
-#include "bamboostile/placement/upkeep.h"
+#include "bamboostile/placement/maintenance.h"
 
 #include <functional>
 #include <set>
@@ -18,14 +18,15 @@
   using Listed =
     std::function<void(std::optional<std::vector<placement::ListedInstance>>)>;
 
-  std::function<void(const placement::UpkeepOrder&, Term, Answered)> m_upkeep;
+  std::function<void(const placement::MaintenanceOrder&, Term, Answered)>
+    m_maintenance;
   std::function<void(const placement::MoveOrder&, Term, Answered)> m_move;
   std::function<void(Listed)> m_list;
 };
 
 /**
- * @brief Upkeep and moves of instances: carries the planners' orders to the
- * platform and the answers back.
+ * @brief Maintenance and moves of instances: carries the planners' orders to
+ * the platform and the answers back.
  *
  * Lives on the node's event loop; made anew with each term.
  */
@@ -37,7 +38,7 @@
   /** aEnded hears of lives that an order has ended for certain. */
   InstanceService(Node& aNode,
                   const InstanceCalls& aCalls,
-                  placement::UpkeepOptions aUpkeep,
+                  placement::MaintenanceOptions aMaintenance,
                   Term aTerm,
                   Ended aEnded);
 
@@ -48,9 +49,9 @@
   const std::set<WorkerId>& Cordoned() const { return m_cordoned; }
 
 private:
-  struct UpkeepReply
+  struct MaintenanceReply
   {
-    placement::UpkeepOrder m_order;
+    placement::MaintenanceOrder m_order;
     placement::InstanceAnswer m_answer;
   };
 
@@ -65,29 +66,29 @@
   /** Outlives this object for answers that come after it. */
   struct Answers
   {
-    rpc::Mailbox<UpkeepReply> m_upkeep;
+    rpc::Mailbox<MaintenanceReply> m_maintenance;
     rpc::Mailbox<MoveReply> m_moves;
     rpc::Mailbox<List> m_lists;
   };
 
   void taskFailed(kj::Exception&& aException) override;
-  kj::Promise<void> UpkeepLoop();
+  kj::Promise<void> MaintenanceLoop();
   kj::Promise<void> MoveLoop();
   kj::Promise<void> ListLoop();
-  void On(const UpkeepReply& aReply);
+  void On(const MaintenanceReply& aReply);
   void On(const MoveReply& aReply);
-  void PlanUpkeep(const placement::WorkerTable& aWorkers, TimePoint aNow);
+  void PlanMaintenance(const placement::WorkerTable& aWorkers, TimePoint aNow);
   void PlanMoves(const placement::WorkerTable& aWorkers,
                  TimePoint aNow,
                  WallTime aWall);
   void ReadList(TimePoint aNow);
-  void Advance(const fleet::AdvanceUpkeep& aAdvance);
+  void Advance(const fleet::AdvanceMaintenance& aAdvance);
 
   Node& m_node;
   const InstanceCalls& m_calls;
   Term m_term;
   Ended m_ended;
-  placement::UpkeepPlanner m_upkeep;
+  placement::MaintenancePlanner m_maintenance;
   placement::CapacityPlanner m_capacity;
   std::set<WorkerId> m_cordoned;
   std::set<std::pair<std::uint64_t, InstanceId>> m_ordersUnderWay;
--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -50,7 +50,7 @@
 struct JobServiceOptions
 {
   placement::LeaseOptions m_lease;
-  placement::UpkeepOptions m_upkeep;
+  placement::MaintenanceOptions m_maintenance;
   /** How long callers can ask for the state of an ended job. */
   Duration m_keepEnded = std::chrono::seconds{ 180 };
   InstanceCalls m_calls;
@@ -75,8 +75,8 @@
   kj::Promise<WorkerAnswer> Leave(const WorkerId& aWorker);
   kj::Promise<RoutesOutcome> ReplaceRoutes(fleet::RouteTable aTable);
   RoutesRead ReadRoutes();
-  kj::Promise<RoutesOutcome> StartUpkeep(fleet::UpkeepWave aWave);
-  WaveView LookAtUpkeep(std::uint64_t aWave);
+  kj::Promise<RoutesOutcome> StartMaintenance(fleet::MaintenanceWave aWave);
+  WaveView LookAtMaintenance(std::uint64_t aWave);
   std::string LeaderAddress() const { return m_node.LeaderAddress(); }
   /** Prometheus text. */
   std::string RenderMetrics();
--- a/include/bamboostile/fleet/commands.h
+++ b/include/bamboostile/fleet/commands.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "bamboostile/fleet/maintenance.h"
 #include "bamboostile/fleet/model.h"
 #include "bamboostile/fleet/routes.h"
-#include "bamboostile/fleet/upkeep.h"
 #include "bamboostile/jobs/book.h"
 #include "bamboostile/outcome/types.h"
 
@@ -146,8 +146,8 @@
                              AdvanceWave,
                              CloseWave,
                              ReplaceRoutes,
-                             StartUpkeep,
-                             AdvanceUpkeep,
+                             StartMaintenance,
+                             AdvanceMaintenance,
                              jobs::Batch,
                              MarkFormed>;
 
--- a/include/bamboostile/fleet/upkeep.h
+++ b/include/bamboostile/fleet/maintenance.h
@@ -6,7 +6,7 @@
 
 namespace bamboostile::fleet {
 
-enum class UpkeepStep
+enum class MaintenanceStep
 {
   kWaiting,
   /** The platform was or will be asked; the instance may be down. */
@@ -18,32 +18,32 @@
   kSkipped,
 };
 
-const char* Describe(UpkeepStep aStep) noexcept;
+const char* Describe(MaintenanceStep aStep) noexcept;
 
-/** Instances that are each due for one upkeep. */
-struct UpkeepWave
+/** Instances that are each due for one maintenance. */
+struct MaintenanceWave
 {
   std::uint64_t m_number = 0;
   /** Instances that may be down for this wave at once. */
   std::uint32_t m_cap = 1;
   WallTime m_startedAt;
   Millis m_within{};
-  std::map<InstanceId, UpkeepStep> m_instances;
+  std::map<InstanceId, MaintenanceStep> m_instances;
 
   std::size_t Down() const;
   bool IsDone() const;
 };
 
-struct StartUpkeep
+struct StartMaintenance
 {
-  UpkeepWave m_wave;
+  MaintenanceWave m_wave;
 };
 
-struct AdvanceUpkeep
+struct AdvanceMaintenance
 {
   std::uint64_t m_wave = 0;
   InstanceId m_instance;
-  UpkeepStep m_to = UpkeepStep::kWaiting;
+  MaintenanceStep m_to = MaintenanceStep::kWaiting;
 };
 
 } // namespace bamboostile::fleet
--- a/include/bamboostile/fleet/state.h
+++ b/include/bamboostile/fleet/state.h
@@ -64,7 +64,10 @@
   bool IsFormed() const { return m_isFormed; }
   const RouteTable& Routes() const { return m_routes; }
   const RouteIndex& RouteLookup() const { return m_routeIndex; }
-  const std::map<std::uint64_t, UpkeepWave>& Upkeep() const { return m_upkeep; }
+  const std::map<std::uint64_t, MaintenanceWave>& Maintenance() const
+  {
+    return m_maintenance;
+  }
 
   /** The first answer to an operation, while it is remembered. */
   const CallReply* FindReply(const OperationId& aOperation) const;
@@ -97,8 +100,8 @@
   void Apply(Index aIndex, const CloseWave& aClose);
   void Apply(Index aIndex, const ReplaceRoutes& aReplace);
   void Apply(Index aIndex, const MarkFormed& aMark);
-  void Apply(Index aIndex, const StartUpkeep& aStart);
-  void Apply(Index aIndex, const AdvanceUpkeep& aAdvance);
+  void Apply(Index aIndex, const StartMaintenance& aStart);
+  void Apply(Index aIndex, const AdvanceMaintenance& aAdvance);
   jobs::BatchReply ApplyJobs(const jobs::Batch& aBatch);
   void ReleaseFromWave(Index aIndex, const Wave& aWave);
   std::optional<PoolId> PoolFor(const Announcement& aAnnouncement) const;
@@ -125,7 +128,7 @@
   RouteTable m_routes;
   /** Derived from m_routes. */
   RouteIndex m_routeIndex;
-  std::map<std::uint64_t, UpkeepWave> m_upkeep;
+  std::map<std::uint64_t, MaintenanceWave> m_maintenance;
 };
 
 std::string EncodeCommand(const Command& aCommand);
--- a/include/bamboostile/jobs/model.h
+++ b/include/bamboostile/jobs/model.h
@@ -62,8 +62,8 @@
   ImageId m_image;
   /** Tail of its users' response times that must be kept; 0 for none. */
   Millis m_latencyTarget{};
-  /** Tasks of a lasting step that the system may take away at once. */
-  std::optional<std::uint32_t> m_missBudget;
+  /** Tasks of a long-running step that the system may take away at once. */
+  std::optional<std::uint32_t> m_disruptionBudget;
 
   bool operator==(const StepSpec&) const = default;
 };
--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "bamboostile/fleet/state.h"
-#include "bamboostile/placement/upkeep.h"
+#include "bamboostile/placement/maintenance.h"
 #include "bamboostile/placement/workers.h"
 
 namespace bamboostile::placement {
@@ -60,7 +60,7 @@
   {
   }
 
-  /** aReserved: instances that upkeep is about to take. */
+  /** aReserved: instances that maintenance is about to take. */
   CapacityPlan Next(const fleet::State& aState,
                     const WorkerTable& aWorkers,
                     const std::set<WorkerId>& aReserved,
--- a/include/bamboostile/placement/upkeep.h
+++ b/include/bamboostile/placement/maintenance.h
@@ -6,7 +6,7 @@
 namespace bamboostile::placement {
 
 /** An instance for which the platform is to be asked. */
-struct UpkeepOrder
+struct MaintenanceOrder
 {
   std::uint64_t m_wave = 0;
   InstanceId m_instance;
@@ -28,24 +28,24 @@
 
 const char* Describe(InstanceAnswer aAnswer) noexcept;
 
-struct UpkeepPlan
+struct MaintenancePlan
 {
   /** Get no new work: their turn is near. */
   std::set<WorkerId> m_cordoned;
-  std::vector<fleet::AdvanceUpkeep> m_advances;
+  std::vector<fleet::AdvanceMaintenance> m_advances;
   /** To be sent, each until it is answered. */
-  std::vector<UpkeepOrder> m_orders;
+  std::vector<MaintenanceOrder> m_orders;
 };
 
 /** What follows from an answer. */
-struct UpkeepResult
+struct MaintenanceResult
 {
-  std::optional<fleet::AdvanceUpkeep> m_advance;
+  std::optional<fleet::AdvanceMaintenance> m_advance;
   /** The life that has ended with the order, where that is certain. */
   std::optional<WorkerId> m_ended;
 };
 
-struct UpkeepOptions
+struct MaintenanceOptions
 {
   /** A leader gives its first order only after the calls that an earlier one
    * had under way have ended. */
@@ -64,31 +64,31 @@
 };
 
 /**
- * @brief Takes the instances of a wave through their upkeep, no more than its
- * cap at once: emptied first, then ordered, then back.
+ * @brief Takes the instances of a wave through their maintenance, no more than
+ * its cap at once: emptied first, then ordered, then back.
  */
-class UpkeepPlanner
+class MaintenancePlanner
 {
 public:
-  explicit UpkeepPlanner(UpkeepOptions aOptions = {})
+  explicit MaintenancePlanner(MaintenanceOptions aOptions = {})
     : m_options(aOptions)
   {
   }
 
-  UpkeepPlan Next(const fleet::State& aState,
-                  const WorkerTable& aWorkers,
-                  TimePoint aNow);
+  MaintenancePlan Next(const fleet::State& aState,
+                       const WorkerTable& aWorkers,
+                       TimePoint aNow);
 
-  UpkeepResult OnAnswer(const UpkeepOrder& aOrder,
-                        InstanceAnswer aAnswer,
-                        TimePoint aNow);
+  MaintenanceResult OnAnswer(const MaintenanceOrder& aOrder,
+                             InstanceAnswer aAnswer,
+                             TimePoint aNow);
 
 private:
-  void PlanWave(const fleet::UpkeepWave& aWave,
+  void PlanWave(const fleet::MaintenanceWave& aWave,
                 const fleet::State& aState,
                 const WorkerTable& aWorkers,
                 TimePoint aNow,
-                UpkeepPlan& aPlan);
+                MaintenancePlan& aPlan);
   bool IsReady(const InstanceId& aInstance,
                const fleet::State& aState,
                const WorkerTable& aWorkers,
@@ -97,7 +97,7 @@
               const WorkerTable& aWorkers,
               TimePoint aNow);
 
-  UpkeepOptions m_options;
+  MaintenanceOptions m_options;
   std::map<InstanceId, TimePoint> m_cordonedSince;
   std::map<InstanceId, TimePoint> m_notBefore;
   std::map<InstanceId, TimePoint> m_downSince;
--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -18,7 +18,7 @@
 /**
  * @brief Decides which waiting task starts on which worker.
  *
- * Tasks that last come first, then by priority, then what can still be in
+ * Long-running tasks come first, then by priority, then what can still be in
  * time by due time, then what is late. One task that finds no room keeps the
  * emptiest worker free for itself, so that large tasks are not starved by
  * small ones.
@@ -56,7 +56,7 @@
     const fleet::QueueRoute* m_route = nullptr;
     std::uint32_t m_occurrence = 0;
     std::uint32_t m_step = 0;
-    bool m_lasts = false;
+    bool m_isLongRunning = false;
     bool m_late = false;
     WallTime m_due;
   };
@@ -83,12 +83,12 @@
                const jobs::StepSpec& aStep,
                const std::unordered_map<WorkerId, std::uint32_t>& aOnWorker,
                Pool& aPool) const;
-  void MoveLasting(const fleet::State& aState,
-                   const WorkerTable& aWorkers,
-                   const std::set<WorkerId>& aCordoned,
-                   TimePoint aNow,
-                   Pools& aPools,
-                   Plan& aPlan) const;
+  void MoveLongRunning(const fleet::State& aState,
+                       const WorkerTable& aWorkers,
+                       const std::set<WorkerId>& aCordoned,
+                       TimePoint aNow,
+                       Pools& aPools,
+                       Plan& aPlan) const;
   Millis Estimate(const jobs::StepSpec& aStep) const;
   Millis LongestChain(const jobs::Job& aJob,
                       const jobs::Occurrence* aProgress) const;
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -76,7 +76,7 @@
   std::vector<StopOrder> m_stops;
   std::vector<RateOrder> m_rates;
   /** Ends up to here are committed. */
-  std::uint64_t m_notedUpTo = 0;
+  std::uint64_t m_ackedUpTo = 0;
   Duration m_lease{};
   Duration m_nextReport{};
 };
@@ -106,7 +106,7 @@
    * taken to stand still, where its estimate is no longer than that. */
   Duration m_stuckAfter = Millis{ 3000 };
   /** A worker that has missed some five reports may be gone, and the tasks
-   * that last on it with it. */
+   * with it. */
   Duration m_doubtAfter = Millis{ 1000 };
 };
 
@@ -127,7 +127,7 @@
   TimePoint m_leaseEnd;
   /** Silent for longer than its lease. */
   bool m_silent = false;
-  std::uint64_t m_notedUpTo = 0;
+  std::uint64_t m_ackedUpTo = 0;
   /** When each start that no report has shown yet was last sent. */
   std::map<jobs::TaskRef, TimePoint> m_sentAt;
   std::set<std::pair<jobs::TaskRef, RunNumber>> m_toStop;
@@ -190,11 +190,11 @@
                 const jobs::Book& aBook,
                 TimePoint aNow);
 
-  /** Whether taking one task of a lasting step away leaves enough of it at
+  /** Whether taking one task of a long-running step away leaves enough of it at
    * work. */
-  bool MayTakeAway(const jobs::Job& aJob,
-                   const jobs::TaskRef& aTask,
-                   TimePoint aNow) const;
+  bool MayDisrupt(const jobs::Job& aJob,
+                  const jobs::TaskRef& aTask,
+                  TimePoint aNow) const;
   /** Another task of the step is under orders to stop on a worker that does
    * not drain. */
   bool IsAnyStopping(const jobs::Job& aJob, const jobs::TaskRef& aTask) const;
--- a/include/bamboostile/settings/settings.h
+++ b/include/bamboostile/settings/settings.h
@@ -55,8 +55,8 @@
   bool m_formGroup = false;
   /** Replicas that may be lost at the same time; decides how many vote. */
   std::uint32_t m_toleratedLosses = 1;
-  /** How long the platform keeps an instance down for its upkeep. */
-  Millis m_upkeepTakes{ 2000 };
+  /** How long the platform keeps an instance down for its maintenance. */
+  Millis m_maintenanceTakes{ 2000 };
 };
 
 struct Settings
--- a/schema/jobs.capnp
+++ b/schema/jobs.capnp
@@ -23,8 +23,8 @@
   maxPerWorker @14 :UInt32;
   image @15 :Text;
   latencyTargetMs @16 :Int64;
-  hasMissBudget @17 :Bool;
-  missBudget @18 :UInt32;
+  hasDisruptionBudget @17 :Bool;
+  disruptionBudget @18 :UInt32;
 }
 
 struct JobSpec {
--- a/src/control/instance_service.cpp
+++ b/src/control/instance_service.cpp
@@ -16,17 +16,17 @@
 
 InstanceService::InstanceService(Node& aNode,
                                  const InstanceCalls& aCalls,
-                                 placement::UpkeepOptions aUpkeep,
+                                 placement::MaintenanceOptions aMaintenance,
                                  Term aTerm,
                                  Ended aEnded)
   : m_node(aNode)
   , m_calls(aCalls)
   , m_term(aTerm)
   , m_ended(std::move(aEnded))
-  , m_upkeep(aUpkeep)
+  , m_maintenance(aMaintenance)
   , m_tasks(*this)
 {
-  m_tasks.add(UpkeepLoop());
+  m_tasks.add(MaintenanceLoop());
   m_tasks.add(MoveLoop());
   m_tasks.add(ListLoop());
 }
@@ -45,44 +45,46 @@
                       WallTime aWall)
 {
   m_cordoned.clear();
-  PlanUpkeep(aWorkers, aNow);
+  PlanMaintenance(aWorkers, aNow);
   ReadList(aNow);
   PlanMoves(aWorkers, aNow, aWall);
 }
 
-// -------------------------------------------------------------------- upkeep
+// --------------------------------------------------------------------
+// maintenance
 
 void
-InstanceService::PlanUpkeep(const placement::WorkerTable& aWorkers,
-                            TimePoint aNow)
+InstanceService::PlanMaintenance(const placement::WorkerTable& aWorkers,
+                                 TimePoint aNow)
 {
-  placement::UpkeepPlan plan = m_upkeep.Next(m_node.State(), aWorkers, aNow);
+  placement::MaintenancePlan plan =
+    m_maintenance.Next(m_node.State(), aWorkers, aNow);
   m_cordoned.insert(plan.m_cordoned.begin(), plan.m_cordoned.end());
   // What has been proposed but not applied would be proposed again.
   if (m_advancing == 0) {
-    for (const fleet::AdvanceUpkeep& advance : plan.m_advances) {
+    for (const fleet::AdvanceMaintenance& advance : plan.m_advances) {
       Advance(advance);
     }
   }
-  if (!m_calls.m_upkeep) {
+  if (!m_calls.m_maintenance) {
     return;
   }
-  for (const placement::UpkeepOrder& order : plan.m_orders) {
+  for (const placement::MaintenanceOrder& order : plan.m_orders) {
     if (m_ordersUnderWay.emplace(order.m_wave, order.m_instance).second) {
-      m_calls.m_upkeep(
+      m_calls.m_maintenance(
         order,
         m_term,
         [answers = m_answers, order](placement::InstanceAnswer aAnswer) {
-          answers->m_upkeep.Put({ order, aAnswer });
+          answers->m_maintenance.Put({ order, aAnswer });
         });
     }
   }
 }
 
 void
-InstanceService::Advance(const fleet::AdvanceUpkeep& aAdvance)
+InstanceService::Advance(const fleet::AdvanceMaintenance& aAdvance)
 {
-  LogLine(Level::kInfo, "upkeep advances")
+  LogLine(Level::kInfo, "maintenance advances")
     .With("wave", aAdvance.m_wave)
     .With("ofInstance", aAdvance.m_instance.Get())
     .With("to", fleet::Describe(aAdvance.m_to))
@@ -93,22 +95,22 @@
 }
 
 kj::Promise<void>
-InstanceService::UpkeepLoop()
+InstanceService::MaintenanceLoop()
 {
-  return m_answers->m_upkeep.Take().then(
-    [this](const std::vector<UpkeepReply>& aReplies) {
-      for (const UpkeepReply& reply : aReplies) {
+  return m_answers->m_maintenance.Take().then(
+    [this](const std::vector<MaintenanceReply>& aReplies) {
+      for (const MaintenanceReply& reply : aReplies) {
         On(reply);
       }
-      return UpkeepLoop();
+      return MaintenanceLoop();
     });
 }
 
 void
-InstanceService::On(const UpkeepReply& aReply)
+InstanceService::On(const MaintenanceReply& aReply)
 {
   m_ordersUnderWay.erase({ aReply.m_order.m_wave, aReply.m_order.m_instance });
-  LogLine(Level::kInfo, "upkeep order answered")
+  LogLine(Level::kInfo, "maintenance order answered")
     .With("wave", aReply.m_order.m_wave)
     .With("ofInstance", aReply.m_order.m_instance.Get())
     .With("answer", placement::Describe(aReply.m_answer))
@@ -116,8 +118,8 @@
   if (!m_node.IsServing()) {
     return;
   }
-  const placement::UpkeepResult next =
-    m_upkeep.OnAnswer(aReply.m_order, aReply.m_answer, MonotonicNow());
+  const placement::MaintenanceResult next =
+    m_maintenance.OnAnswer(aReply.m_order, aReply.m_answer, MonotonicNow());
   if (next.m_ended) {
     m_ended(*next.m_ended);
   }
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -80,7 +80,7 @@
     m_instances = std::make_unique<InstanceService>(
       m_node,
       m_options.m_calls,
-      m_options.m_upkeep,
+      m_options.m_maintenance,
       term,
       [this](const WorkerId& aWorker) { OnLifeEnded(aWorker); });
     m_gathered.clear();
@@ -168,7 +168,7 @@
 {
   for (const placement::StopOrder& stop :
        m_workers->FindStuck(m_node.State().Jobs(), aNow)) {
-    LogLine(Level::kWarning, "stopping a run that stands still")
+    LogLine(Level::kWarning, "stopping a stuck run")
       .With("job", stop.m_task.m_job.Get())
       .With("step", stop.m_task.m_step)
       .With("task", stop.m_task.m_index)
@@ -260,7 +260,7 @@
   placement::Plan plan = m_planner.Next(
     m_node.State(), *m_workers, m_instances->Cordoned(), now, WallNow());
   for (const placement::StopOrder& stop : plan.m_stops) {
-    LogLine(Level::kInfo, "moving a task that lasts")
+    LogLine(Level::kInfo, "moving a long-running task")
       .With("job", stop.m_task.m_job.Get())
       .With("step", stop.m_task.m_step)
       .With("task", stop.m_task.m_index)
@@ -545,19 +545,19 @@
 }
 
 kj::Promise<RoutesOutcome>
-JobService::StartUpkeep(fleet::UpkeepWave aWave)
+JobService::StartMaintenance(fleet::MaintenanceWave aWave)
 {
   if (!Leads()) {
     return RoutesOutcome::kNotLeader;
   }
   aWave.m_startedAt = WallNow();
-  LogLine(Level::kInfo, "upkeep wave asked for")
+  LogLine(Level::kInfo, "maintenance wave asked for")
     .With("wave", aWave.m_number)
     .With("instances", aWave.m_instances.size())
     .With("cap", aWave.m_cap)
     .With("withinMs", aWave.m_within.count())
     .Write();
-  return m_node.Propose(fleet::StartUpkeep{ std::move(aWave) })
+  return m_node.Propose(fleet::StartMaintenance{ std::move(aWave) })
     .then([](const Decided& aDecided) {
       return aDecided.m_effect ? RoutesOutcome::kInForce
                                : RoutesOutcome::kUndecided;
@@ -565,12 +565,12 @@
 }
 
 WaveView
-JobService::LookAtUpkeep(std::uint64_t aWave)
+JobService::LookAtMaintenance(std::uint64_t aWave)
 {
   if (!Leads()) {
     return WaveView::kNotLeader;
   }
-  const auto& waves = m_node.State().Upkeep();
+  const auto& waves = m_node.State().Maintenance();
   const auto found = waves.find(aWave);
   if (found == waves.end()) {
     return WaveView::kUnknown;
--- a/src/fleet/codec.cpp
+++ b/src/fleet/codec.cpp
@@ -92,7 +92,7 @@
                                    m_services,
                                    m_document)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReplaceRoutes, m_table)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(UpkeepWave,
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(MaintenanceWave,
                                    m_number,
                                    m_cap,
                                    m_startedAt,
@@ -109,8 +109,8 @@
 {
 }
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StartUpkeep, m_wave)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdvanceUpkeep, m_wave, m_instance, m_to)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StartMaintenance, m_wave)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdvanceMaintenance, m_wave, m_instance, m_to)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Change, m_revision, m_operation, m_operator)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Pool,
                                                 m_id,
@@ -254,7 +254,7 @@
     aState.m_isFormed = aJson.value("isFormed", false);
     aJson.at("routes").get_to(aState.m_routes);
     aState.m_routeIndex = RouteIndex(aState.m_routes);
-    aJson.at("upkeep").get_to(aState.m_upkeep);
+    aJson.at("maintenance").get_to(aState.m_maintenance);
     const auto& bytes = aJson.at("jobs").get_binary();
     auto book = jobs::DecodeBook({ bytes.begin(), bytes.end() });
     if (!book) {
@@ -287,7 +287,7 @@
                  { "outcomes", outcomes },
                  { "isFormed", aState.m_isFormed },
                  { "routes", aState.m_routes },
-                 { "upkeep", aState.m_upkeep },
+                 { "maintenance", aState.m_maintenance },
                  { "jobs", Binary(jobs::EncodeBook(aState.m_jobs)) } };
   }
 
--- a/src/fleet/state.cpp
+++ b/src/fleet/state.cpp
@@ -544,17 +544,17 @@
 }
 
 void
-State::Apply(Index /*aIndex*/, const StartUpkeep& aStart)
+State::Apply(Index /*aIndex*/, const StartMaintenance& aStart)
 {
   // The same order again, after a lost acknowledgement, changes nothing.
-  m_upkeep.try_emplace(aStart.m_wave.m_number, aStart.m_wave);
+  m_maintenance.try_emplace(aStart.m_wave.m_number, aStart.m_wave);
 }
 
 void
-State::Apply(Index /*aIndex*/, const AdvanceUpkeep& aAdvance)
+State::Apply(Index /*aIndex*/, const AdvanceMaintenance& aAdvance)
 {
-  const auto wave = m_upkeep.find(aAdvance.m_wave);
-  if (wave == m_upkeep.end()) {
+  const auto wave = m_maintenance.find(aAdvance.m_wave);
+  if (wave == m_maintenance.end()) {
     return;
   }
   const auto instance = wave->second.m_instances.find(aAdvance.m_instance);
--- a/src/jobs/spec_codec.cpp
+++ b/src/jobs/spec_codec.cpp
@@ -30,8 +30,8 @@
   aTo.setMaxPerWorker(aStep.m_maxPerWorker);
   aTo.setImage(aStep.m_image.Get());
   aTo.setLatencyTargetMs(aStep.m_latencyTarget.count());
-  aTo.setHasMissBudget(aStep.m_missBudget.has_value());
-  aTo.setMissBudget(aStep.m_missBudget.value_or(0));
+  aTo.setHasDisruptionBudget(aStep.m_disruptionBudget.has_value());
+  aTo.setDisruptionBudget(aStep.m_disruptionBudget.value_or(0));
 }
 
 StepSpec
@@ -57,8 +57,8 @@
   step.m_maxPerWorker = aFrom.getMaxPerWorker();
   step.m_image = ImageId{ Text(aFrom.getImage()) };
   step.m_latencyTarget = Millis{ aFrom.getLatencyTargetMs() };
-  if (aFrom.getHasMissBudget()) {
-    step.m_missBudget = aFrom.getMissBudget();
+  if (aFrom.getHasDisruptionBudget()) {
+    step.m_disruptionBudget = aFrom.getDisruptionBudget();
   }
   return step;
 }
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -67,8 +67,8 @@
     const auto cores =
       static_cast<std::int64_t>(std::max<std::size_t>(pool.m_cores, 1));
     const auto byWork = static_cast<std::size_t>((cpu + cores - 1) / cores);
-    // One more than the tasks that last need, so that one of them whose worker
-    // is lost finds room at once.
+    // One more than the long-running tasks need, so that one of them whose
+    // worker is lost finds room at once.
     pool.m_want =
       std::max({ byWork, spread[service] + 1, m_options.m_leastPerPool });
   }
--- a/src/placement/upkeep.cpp
+++ b/src/placement/maintenance.cpp
@@ -1,4 +1,4 @@
-#include "bamboostile/placement/upkeep.h"
+#include "bamboostile/placement/maintenance.h"
 
 #include <algorithm>
 #include <tuple>
@@ -55,13 +55,13 @@
   return "unknown";
 }
 
-// An order is sent when nothing is lost by it: no task that lasts is there any
-// more, and what ends by itself has ended or has had its time.
+// An order is sent when nothing is lost by it: no long-running task is there
+// any more, and what ends by itself has ended or has had its time.
 bool
-UpkeepPlanner::IsReady(const InstanceId& aInstance,
-                       const fleet::State& aState,
-                       const WorkerTable& aWorkers,
-                       TimePoint aNow) const
+MaintenancePlanner::IsReady(const InstanceId& aInstance,
+                            const fleet::State& aState,
+                            const WorkerTable& aWorkers,
+                            TimePoint aNow) const
 {
   const auto since = m_cordonedSince.find(aInstance);
   if (since == m_cordonedSince.end()) {
@@ -83,9 +83,9 @@
 // A worker that still reports shows that its instance is up. One of a pool that
 // is switched off never will; it counts as back after twice the usual time.
 bool
-UpkeepPlanner::IsBack(const InstanceId& aInstance,
-                      const WorkerTable& aWorkers,
-                      TimePoint aNow)
+MaintenancePlanner::IsBack(const InstanceId& aInstance,
+                           const WorkerTable& aWorkers,
+                           TimePoint aNow)
 {
   const TimePoint since =
     m_downSince.try_emplace(aInstance, aNow).first->second;
@@ -96,26 +96,26 @@
 }
 
 void
-UpkeepPlanner::PlanWave(const fleet::UpkeepWave& aWave,
-                        const fleet::State& aState,
-                        const WorkerTable& aWorkers,
-                        TimePoint aNow,
-                        UpkeepPlan& aPlan)
+MaintenancePlanner::PlanWave(const fleet::MaintenanceWave& aWave,
+                             const fleet::State& aState,
+                             const WorkerTable& aWorkers,
+                             TimePoint aNow,
+                             MaintenancePlan& aPlan)
 {
   std::size_t down = aWave.Down();
   std::vector<InstanceId> waiting;
   for (const auto& [instance, step] : aWave.m_instances) {
     const Worker* worker = aWorkers.FindByInstance(instance);
-    if (step == fleet::UpkeepStep::kOrdered) {
+    if (step == fleet::MaintenanceStep::kOrdered) {
       aPlan.m_orders.push_back({ aWave.m_number, instance });
       if (worker != nullptr) {
         aPlan.m_cordoned.insert(worker->m_last.m_worker);
       }
-    } else if (step == fleet::UpkeepStep::kDown &&
+    } else if (step == fleet::MaintenanceStep::kDown &&
                IsBack(instance, aWorkers, aNow)) {
       aPlan.m_advances.push_back(
-        { aWave.m_number, instance, fleet::UpkeepStep::kDone });
-    } else if (step == fleet::UpkeepStep::kWaiting) {
+        { aWave.m_number, instance, fleet::MaintenanceStep::kDone });
+    } else if (step == fleet::MaintenanceStep::kWaiting) {
       const auto notBefore = m_notBefore.find(instance);
       if (notBefore == m_notBefore.end() || aNow >= notBefore->second) {
         waiting.push_back(instance);
@@ -145,21 +145,21 @@
         m_aimedAt[instance] = worker->m_last.m_worker;
       }
       aPlan.m_advances.push_back(
-        { aWave.m_number, instance, fleet::UpkeepStep::kOrdered });
+        { aWave.m_number, instance, fleet::MaintenanceStep::kOrdered });
     }
   }
 }
 
-UpkeepPlan
-UpkeepPlanner::Next(const fleet::State& aState,
-                    const WorkerTable& aWorkers,
-                    TimePoint aNow)
+MaintenancePlan
+MaintenancePlanner::Next(const fleet::State& aState,
+                         const WorkerTable& aWorkers,
+                         TimePoint aNow)
 {
-  UpkeepPlan plan;
+  MaintenancePlan plan;
   if (aNow < aWorkers.LeaderSince() + m_options.m_quietAfterElection) {
     return plan;
   }
-  for (const auto& [number, wave] : aState.Upkeep()) {
+  for (const auto& [number, wave] : aState.Maintenance()) {
     if (!wave.IsDone()) {
       PlanWave(wave, aState, aWorkers, aNow, plan);
     }
@@ -167,17 +167,17 @@
   return plan;
 }
 
-UpkeepResult
-UpkeepPlanner::OnAnswer(const UpkeepOrder& aOrder,
-                        InstanceAnswer aAnswer,
-                        TimePoint aNow)
+MaintenanceResult
+MaintenancePlanner::OnAnswer(const MaintenanceOrder& aOrder,
+                             InstanceAnswer aAnswer,
+                             TimePoint aNow)
 {
   const InstanceId& instance = aOrder.m_instance;
-  const auto advance = [&](fleet::UpkeepStep aTo) {
+  const auto advance = [&](fleet::MaintenanceStep aTo) {
     m_cordonedSince.erase(instance);
-    return fleet::AdvanceUpkeep{ aOrder.m_wave, instance, aTo };
+    return fleet::AdvanceMaintenance{ aOrder.m_wave, instance, aTo };
   };
-  UpkeepResult result;
+  MaintenanceResult result;
   switch (aAnswer) {
     case InstanceAnswer::kTaken: {
       const auto aimed = m_aimedAt.find(instance);
@@ -185,7 +185,7 @@
         result.m_ended = aimed->second;
       }
       m_unclear.erase(instance);
-      result.m_advance = advance(fleet::UpkeepStep::kDown);
+      result.m_advance = advance(fleet::MaintenanceStep::kDown);
       break;
     }
     case InstanceAnswer::kBusy:
@@ -195,10 +195,10 @@
         break;
       }
       m_notBefore[instance] = aNow + m_options.m_retryAfter;
-      result.m_advance = advance(fleet::UpkeepStep::kWaiting);
+      result.m_advance = advance(fleet::MaintenanceStep::kWaiting);
       break;
     case InstanceAnswer::kNotMeant:
-      result.m_advance = advance(fleet::UpkeepStep::kSkipped);
+      result.m_advance = advance(fleet::MaintenanceStep::kSkipped);
       break;
     case InstanceAnswer::kUnclear:
       m_aimedAt.erase(instance);
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -174,7 +174,7 @@
             candidates.end(),
             [](const Candidate& aLeft, const Candidate& aRight) {
               const auto key = [](const Candidate& aOne) {
-                return std::make_tuple(!aOne.m_lasts,
+                return std::make_tuple(!aOne.m_isLongRunning,
                                        aOne.m_late,
                                        aOne.m_route->m_priority,
                                        aOne.m_due,
@@ -212,15 +212,15 @@
     }
     const bool farFromData = !aStep.m_preferredRack.Get().empty() &&
                              aStep.m_preferredRack != report.m_rack;
-    // What fills and what serves disturb each other on one worker.
+    // Filler and serving tasks disturb each other on one worker.
     const bool disturbs = aStep.m_fills && room.m_serves;
-    // Tasks that last are spread, so that one lost worker takes few of them;
+    // Long-running tasks are spread, so that one lost worker takes few of them;
     // the others are packed, so that room for large ones stays in one piece.
     const std::int64_t left = room.m_cpu - CountedCpu(aStep);
-    const auto rank =
-      std::make_tuple(farFromData,
-                      disturbs,
-                      aCandidate.m_lasts || aStep.m_fills ? -left : left);
+    const auto rank = std::make_tuple(
+      farFromData,
+      disturbs,
+      aCandidate.m_isLongRunning || aStep.m_fills ? -left : left);
     if (best == nullptr || rank < bestRank) {
       best = &room;
       bestRank = rank;
@@ -336,16 +336,16 @@
   std::move(starts.begin(), starts.end(), std::back_inserter(aPlan.m_changes));
 }
 
-// A task that lasts leaves a worker that goes away before it goes: the stop
+// A long-running task leaves a worker that goes away before it goes: the stop
 // is ordered only where another worker has room, so that the task is back
 // within about a second.
 void
-Planner::MoveLasting(const fleet::State& aState,
-                     const WorkerTable& aWorkers,
-                     const std::set<WorkerId>& aCordoned,
-                     TimePoint aNow,
-                     Pools& aPools,
-                     Plan& aPlan) const
+Planner::MoveLongRunning(const fleet::State& aState,
+                         const WorkerTable& aWorkers,
+                         const std::set<WorkerId>& aCordoned,
+                         TimePoint aNow,
+                         Pools& aPools,
+                         Plan& aPlan) const
 {
   const jobs::Book& book = aState.Jobs();
   for (const auto& [worker, tasks] : book.Placed()) {
@@ -368,7 +368,7 @@
       // the step is under orders to stop, both would be away at once.
       const bool mayGo = known->m_last.m_draining
                            ? !aWorkers.IsAnyStopping(*job, ref)
-                           : aWorkers.MayTakeAway(*job, ref, aNow);
+                           : aWorkers.MayDisrupt(*job, ref, aNow);
       const bool first =
         std::none_of(aPlan.m_stops.begin(),
                      aPlan.m_stops.end(),
@@ -402,11 +402,11 @@
   const auto lasting =
     std::find_if(candidates.begin(),
                  candidates.end(),
-                 [](const Candidate& aOne) { return !aOne.m_lasts; });
+                 [](const Candidate& aOne) { return !aOne.m_isLongRunning; });
   for (auto it = candidates.begin(); it != lasting; ++it) {
     Place(*it, pools[it->m_route->m_service], plan);
   }
-  MoveLasting(aState, aWorkers, aCordoned, aNow, pools, plan);
+  MoveLongRunning(aState, aWorkers, aCordoned, aNow, pools, plan);
   for (auto it = lasting; it != candidates.end(); ++it) {
     Place(*it, pools[it->m_route->m_service], plan);
   }
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -8,7 +8,7 @@
 
 constexpr std::uint32_t kFullRate = 100;
 constexpr std::uint32_t kAtWorkPercent = 100;
-/** Share of a latency target at which what fills beside it is slowed, and
+/** Share of a latency target at which filler tasks beside it is slowed, and
  * below which it is let go again. Between them lies the noise of a tail that
  * is measured over half a second. */
 constexpr std::uint32_t kSlowAtPercent = 75;
@@ -166,9 +166,9 @@
 }
 
 // A worker may hold tasks still while it reports in good health. Their jobs
-// would wait for ever: no lease ends, and nothing fails. Tasks that last stay
-// at 100, those that fill may be slowed to nothing, and members of a gang wait
-// for each other; so none of these is judged.
+// would wait for ever: no lease ends, and nothing fails. Long-running tasks
+// stay at 100, those that fill may be slowed to nothing, and members of a gang
+// wait for each other; so none of these is judged.
 std::vector<StopOrder>
 WorkerTable::FindStuck(const jobs::Book& aBook, TimePoint aNow)
 {
@@ -240,10 +240,10 @@
                       Heard& aHeard)
 {
   for (const EndReport& end : aReport.m_ended) {
-    if (end.m_number <= aWorker.m_notedUpTo) {
+    if (end.m_number <= aWorker.m_ackedUpTo) {
       continue;
     }
-    aWorker.m_notedUpTo = end.m_number;
+    aWorker.m_ackedUpTo = end.m_number;
     // The same start twice, after an answer that seemed lost: the worker
     // refuses the second, and the run goes on.
     const bool isSecondStart =
@@ -397,11 +397,11 @@
 }
 
 bool
-WorkerTable::MayTakeAway(const jobs::Job& aJob,
-                         const jobs::TaskRef& aTask,
-                         TimePoint aNow) const
+WorkerTable::MayDisrupt(const jobs::Job& aJob,
+                        const jobs::TaskRef& aTask,
+                        TimePoint aNow) const
 {
-  const auto& budget = aJob.m_spec.m_steps[aTask.m_step].m_missBudget;
+  const auto& budget = aJob.m_spec.m_steps[aTask.m_step].m_disruptionBudget;
   if (!budget) {
     return true;
   }
@@ -452,7 +452,7 @@
   Orders orders;
   Worker& worker = m_workers.at(aWorker);
   const WorkerReport& report = worker.m_last;
-  orders.m_notedUpTo = worker.m_notedUpTo;
+  orders.m_ackedUpTo = worker.m_ackedUpTo;
   orders.m_lease = m_options.m_lease;
   orders.m_nextReport = m_options.m_reportEvery;
   worker.m_leaseEnd = aNow + LongestHold();
@@ -463,7 +463,7 @@
     if (job != nullptr && !report.m_draining &&
         worker.m_toStop.contains({ run.m_task, run.m_run }) &&
         IsExpected(aBook, aWorker, run.m_task, run.m_run) &&
-        !MayTakeAway(*job, run.m_task, aNow)) {
+        !MayDisrupt(*job, run.m_task, aNow)) {
       worker.m_toStop.erase({ run.m_task, run.m_run });
     }
     const bool wanted = job != nullptr &&
@@ -493,7 +493,7 @@
   return orders;
 }
 
-// Tasks that fill raise the tail of tasks that serve beside them. They are
+// Filler tasks raise the tail of tasks that serve beside them. They are
 // slowed by halves while a target is near, and let go in steps: fast down,
 // slow up, so that a target is passed for less than a second.
 void
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -197,11 +197,11 @@
   read("instances", to.m_instances);
   Take(from, "formGroup", to.m_formGroup);
   Take(from, "toleratedLosses", to.m_toleratedLosses);
-  if (from.contains("upkeepSeconds")) {
+  if (from.contains("maintenanceSeconds")) {
     const std::chrono::duration<double> takes{
-      from.at("upkeepSeconds").get<double>()
+      from.at("maintenanceSeconds").get<double>()
     };
-    to.m_upkeepTakes = std::chrono::ceil<Millis>(takes);
+    to.m_maintenanceTakes = std::chrono::ceil<Millis>(takes);
   }
   if (from.contains("rpcPort")) {
     to.m_rpcPort = from.at("rpcPort").get<std::uint16_t>();
--- a/src/wire/jobs_json.cpp
+++ b/src/wire/jobs_json.cpp
@@ -55,8 +55,8 @@
   step.m_maxPerWorker = CountAt(aFrom, "maxPerWorker");
   step.m_image = ImageId{ TextAt(aFrom, "image") };
   step.m_latencyTarget = MillisAt(aFrom, "latencyTargetMs");
-  if (Find(aFrom, "missBudget") != nullptr) {
-    step.m_missBudget = CountAt(aFrom, "missBudget");
+  if (Find(aFrom, "disruptionBudget") != nullptr) {
+    step.m_disruptionBudget = CountAt(aFrom, "disruptionBudget");
   }
   return step;
 }
@@ -182,7 +182,7 @@
 WriteOrders(const placement::Orders& aOrders, Term aFencingToken)
 {
   Json body{ { "leaseMs", ToMillis(aOrders.m_lease).count() },
-             { "notedUpTo", aOrders.m_notedUpTo },
+             { "ackedUpTo", aOrders.m_ackedUpTo },
              { "fencingToken", aFencingToken.Get() },
              { "nextReportMs", ToMillis(aOrders.m_nextReport).count() },
              { "start", Json::array() },
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -38,9 +38,9 @@
   CHECK_STRING("text", spec->m_payload);
   LONGS_EQUAL(2, spec->m_steps.size());
   CHECK_STRING("r1-3", spec->m_steps[0].m_preferredRack.Get());
-  CHECK(!spec->m_steps[0].m_missBudget.has_value());
+  CHECK(!spec->m_steps[0].m_disruptionBudget.has_value());
   CHECK(spec->m_steps[1].m_dependsOn == std::vector<std::uint32_t>{ 0 });
-  LONGS_EQUAL(1, *spec->m_steps[1].m_missBudget);
+  LONGS_EQUAL(1, *spec->m_steps[1].m_disruptionBudget);
 }
 
 TEST(PlatformDecode, BadJobs_NameTheField)
@@ -113,7 +113,7 @@
               "finished":[[1,"a.0.0.0",1,"vanished",""]]})");
 }
 
-TEST(PlatformDecode, AnswersToUpkeep_AreToldApart)
+TEST(PlatformDecode, AnswersToMaintenance_AreToldApart)
 {
   using placement::InstanceAnswer;
   CHECK(platform::ReadInstanceAnswer(200, "{}") == InstanceAnswer::kTaken);
--- a/tests/unit/jobs/book_test.cpp
+++ b/tests/unit/jobs/book_test.cpp
@@ -83,7 +83,7 @@
   CHECK(m_fleet.StateOf("a") == JobState::kActive);
 }
 
-TEST(JobBook, LastingTaskEndsInAnyWay_WaitsForNextRun)
+TEST(JobBook, LongRunningTaskEndsInAnyWay_WaitsForNextRun)
 {
   StepSpec step = Step(1);
   step.m_longRunning = true;
@@ -169,7 +169,7 @@
   StepSpec second = Step(2);
   second.m_dependsOn = { 0 };
   second.m_image = ImageId{ "image" };
-  second.m_missBudget = 1;
+  second.m_disruptionBudget = 1;
   m_fleet.Submit("a", Spec({ Step(1), second }));
   m_fleet.Submit("b", Spec({ Step(1) }));
   m_fleet.Start(Ref("a"), "w1");
--- a/tests/unit/placement/capacity_test.cpp
+++ b/tests/unit/placement/capacity_test.cpp
@@ -123,9 +123,9 @@
   CHECK_STRING("spare", plan.m_orders[0].m_to.Get());
 }
 
-// Tasks that last and must be apart need a worker each, and one more, so that
-// the task of a lost worker finds room at once.
-TEST(CapacityPlanner, LastingTasksThatStayApart_KeepTheirWorkersAndOneMore)
+// long-running tasks that must be apart need a worker each, and one more, so
+// that the task of a lost worker finds room at once.
+TEST(CapacityPlanner, LongRunningTasksThatStayApart_KeepTheirWorkersAndOneMore)
 {
   Pool("desk", 7);
   StepSpec step = Step(4, 100);
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -1,6 +1,6 @@
 #include "job_fixtures.h"
 
-#include "bamboostile/placement/upkeep.h"
+#include "bamboostile/placement/maintenance.h"
 
 #include "check.h"
 
@@ -107,7 +107,7 @@
   LONGS_EQUAL(5, Carry());
 }
 
-TEST(PlacementPlanner, LastingTask_GoesBeforeOlderOnes)
+TEST(PlacementPlanner, LongRunningTask_GoesBeforeOlderOnes)
 {
   Hear(Report("w1", 1));
   m_fleet.Submit("old", Spec({ Step(1, 4000) }));
@@ -142,11 +142,11 @@
   CHECK_STRING("w1", WorkerOf(Ref("fresh")));
 }
 
-TEST(PlacementPlanner, LastingTasksOnCordonedWorker_MoveOneAtATime)
+TEST(PlacementPlanner, LongRunningTasksOnCordonedWorker_MoveOneAtATime)
 {
   StepSpec step = Step(2);
   step.m_longRunning = true;
-  step.m_missBudget = 1;
+  step.m_disruptionBudget = 1;
   m_fleet.Submit("a", Spec({ step }));
   m_fleet.Start(Ref("a", 0), "w1");
   m_fleet.Start(Ref("a", 1), "w1");
@@ -170,11 +170,11 @@
   LONGS_EQUAL(0, Carry());
 }
 
-TEST_GROUP(UpkeepPlanner)
+TEST_GROUP(MaintenancePlanner)
 {
   Fleet m_fleet;
   placement::WorkerTable m_table{ LeaseOptions{}, At(0) };
-  placement::UpkeepPlanner m_planner;
+  placement::MaintenancePlanner m_planner;
 
   void Hear(
     const std::string& aWorker, std::uint64_t aSequence, std::int64_t aAt)
@@ -185,34 +185,34 @@
 
   void StartWave(int aInstances, std::uint32_t aCap)
   {
-    fleet::UpkeepWave wave;
+    fleet::MaintenanceWave wave;
     wave.m_number = 1;
     wave.m_cap = aCap;
     for (int i = 0; i < aInstances; ++i) {
       const std::string name = "w" + std::to_string(i);
       wave.m_instances[InstanceId{ "instance-of-" + name }] =
-        fleet::UpkeepStep::kWaiting;
+        fleet::MaintenanceStep::kWaiting;
       Hear(name, 1, 9000);
     }
-    m_fleet.Do(fleet::StartUpkeep{ wave });
+    m_fleet.Do(fleet::StartMaintenance{ wave });
   }
 
-  UpkeepPlan Next(std::int64_t aAt)
+  MaintenancePlan Next(std::int64_t aAt)
   {
-    UpkeepPlan plan = m_planner.Next(m_fleet.State(), m_table, At(aAt));
+    MaintenancePlan plan = m_planner.Next(m_fleet.State(), m_table, At(aAt));
     for (const auto& advance : plan.m_advances) {
       m_fleet.Do(advance);
     }
     return plan;
   }
 
-  const fleet::UpkeepWave& Wave()
+  const fleet::MaintenanceWave& Wave()
   {
-    return m_fleet.State().Upkeep().at(1);
+    return m_fleet.State().Maintenance().at(1);
   }
 };
 
-TEST(UpkeepPlanner, EmptyInstances_NoMoreThanCapAreDown)
+TEST(MaintenancePlanner, EmptyInstances_NoMoreThanCapAreDown)
 {
   StartWave(5, 2);
   Next(10'000);
@@ -221,7 +221,7 @@
   LONGS_EQUAL(2, Next(10'200).m_orders.size());
 }
 
-TEST(UpkeepPlanner, NewLeader_WaitsBeforeItsFirstOrder)
+TEST(MaintenancePlanner, NewLeader_WaitsBeforeItsFirstOrder)
 {
   StartWave(1, 1);
   Next(2900);
@@ -230,7 +230,7 @@
 
 // An order without a clear answer may have been obeyed: the instance counts as
 // down, and the order is repeated, until the platform says which.
-TEST(UpkeepPlanner, UnclearAnswer_InstanceStaysOrdered)
+TEST(MaintenancePlanner, UnclearAnswer_InstanceStaysOrdered)
 {
   StartWave(2, 1);
   Next(10'000);
@@ -241,7 +241,7 @@
   LONGS_EQUAL(1, Next(10'300).m_orders.size());
 }
 
-TEST(UpkeepPlanner, OrderTakenAtOnce_EndsTheLifeItWasAimedAt)
+TEST(MaintenancePlanner, OrderTakenAtOnce_EndsTheLifeItWasAimedAt)
 {
   StartWave(1, 1);
   Next(10'000);
@@ -254,21 +254,21 @@
 // The caller sees a job run twice. An order is obeyed, its answer is lost with
 // the leader, the instance comes back and gets new runs; the next leader
 // repeats the order and hears that it is taken. The new life has not ended.
-TEST(UpkeepPlanner, OrderRepeatedAndTaken_EndsNoLife)
+TEST(MaintenancePlanner, OrderRepeatedAndTaken_EndsNoLife)
 {
   StartWave(1, 1);
   Next(10'000);
   const auto order = Next(10'100).m_orders.at(0);
   m_planner.OnAnswer(order, InstanceAnswer::kUnclear, At(10'200));
   CHECK(!m_planner.OnAnswer(order, InstanceAnswer::kTaken, At(12'900)).m_ended);
-  placement::UpkeepPlanner next;
+  placement::MaintenancePlanner next;
   CHECK(next.Next(m_fleet.State(), m_table, At(13'000)).m_orders.size() == 1);
   const auto taken = next.OnAnswer(order, InstanceAnswer::kTaken, At(13'100));
   CHECK(!taken.m_ended);
   CHECK(taken.m_advance.has_value());
 }
 
-TEST(UpkeepPlanner, InstanceWithLastingTask_IsNotOrdered)
+TEST(MaintenancePlanner, InstanceWithLongRunningTask_IsNotOrdered)
 {
   StartWave(1, 1);
   StepSpec step = Step(1);
@@ -280,7 +280,7 @@
   LONGS_EQUAL(0, Wave().Down());
 }
 
-TEST(UpkeepPlanner, InstanceBack_WaveEnds)
+TEST(MaintenancePlanner, InstanceBack_WaveEnds)
 {
   StartWave(1, 1);
   Next(10'000);
@@ -298,7 +298,7 @@
 }
 
 // Instances of a pool that is off have no worker that could report.
-TEST(UpkeepPlanner, InstanceThatNeverReports_WaveEndsAllTheSame)
+TEST(MaintenancePlanner, InstanceThatNeverReports_WaveEndsAllTheSame)
 {
   StartWave(1, 1);
   Next(10'000);
--- a/tests/unit/placement/workers_test.cpp
+++ b/tests/unit/placement/workers_test.cpp
@@ -48,7 +48,7 @@
   {
     StepSpec step = Step(aCount);
     step.m_longRunning = true;
-    step.m_missBudget = aBudget;
+    step.m_disruptionBudget = aBudget;
     m_fleet.Submit("a", Spec({ step }));
   }
 };
@@ -140,7 +140,7 @@
   report.m_active.push_back(Active(Ref("a")));
   report.m_ended.push_back(End(1, Ref("a"), RunEnd::kRefused));
   CHECK(Hear(report, kLater + 100).m_ends.empty());
-  LONGS_EQUAL(1, Answer("w1", kLater + 100).m_notedUpTo);
+  LONGS_EQUAL(1, Answer("w1", kLater + 100).m_ackedUpTo);
 }
 
 TEST(WorkerTable, OvertakenReport_IsIgnored)
@@ -201,7 +201,7 @@
     Hear(report, kLater);
   }
   const Job& job = *m_fleet.Book().Find(JobId{ "a" });
-  CHECK(m_table.MayTakeAway(job, Ref("a", 0), At(kLater)));
+  CHECK(m_table.MayDisrupt(job, Ref("a", 0), At(kLater)));
   m_table.RequestStop(Ref("a", 0), RunNumber{ 1 });
   WorkerReport report = Report("w0", 2);
   report.m_active.push_back(Active(Ref("a", 0)));
--- a/tools/bamboostiled/main.cpp
+++ b/tools/bamboostiled/main.cpp
@@ -207,7 +207,7 @@
     control::JobServiceOptions options;
     const auto& hosting = m_settings.m_hosting;
     if (hosting) {
-      options.m_upkeep.m_takes = hosting->m_upkeepTakes;
+      options.m_maintenance.m_takes = hosting->m_maintenanceTakes;
     }
     if (hosting && hosting->m_instances) {
       m_instances = std::make_unique<platform::InstancesClient>(
