--- a/include/bamboostile/placement/maintenance.h
+++ b/include/bamboostile/placement/maintenance.h
@@ -89,6 +89,11 @@
                 const WorkerTable& aWorkers,
                 TimePoint aNow,
                 MaintenancePlan& aPlan);
+  void PlanOpenOrder(const MaintenanceOrder& aOrder,
+                     const fleet::State& aState,
+                     const WorkerTable& aWorkers,
+                     TimePoint aNow,
+                     MaintenancePlan& aPlan) const;
   bool IsReady(const InstanceId& aInstance,
                const fleet::State& aState,
                const WorkerTable& aWorkers,
--- a/src/placement/maintenance.cpp
+++ b/src/placement/maintenance.cpp
@@ -95,6 +95,31 @@
   return reports || aNow >= since + 2 * m_options.m_takes;
 }
 
+// An order that an earlier leader left open is repeated, but not onto what was
+// placed there since: the instance gets nothing new from the first moment on,
+// and long-running tasks leave it first. Without both, the order would take
+// several tasks of one step away at once.
+void
+MaintenancePlanner::PlanOpenOrder(const MaintenanceOrder& aOrder,
+                                  const fleet::State& aState,
+                                  const WorkerTable& aWorkers,
+                                  TimePoint aNow,
+                                  MaintenancePlan& aPlan) const
+{
+  const Worker* worker = aWorkers.FindByInstance(aOrder.m_instance);
+  if (worker != nullptr) {
+    aPlan.m_cordoned.insert(worker->m_last.m_worker);
+  }
+  const bool isQuietOver =
+    aNow >= aWorkers.LeaderSince() + m_options.m_quietAfterElection;
+  const bool isFree =
+    worker == nullptr ||
+    !HoldsBudgetedTask(worker->m_last.m_worker, aState.Jobs());
+  if (isQuietOver && isFree) {
+    aPlan.m_orders.push_back(aOrder);
+  }
+}
+
 void
 MaintenancePlanner::PlanWave(const fleet::MaintenanceWave& aWave,
                              const fleet::State& aState,
@@ -105,12 +130,9 @@
   std::size_t down = aWave.Down();
   std::vector<InstanceId> waiting;
   for (const auto& [instance, step] : aWave.m_instances) {
-    const Worker* worker = aWorkers.FindByInstance(instance);
     if (step == fleet::MaintenanceStep::kOrdered) {
-      aPlan.m_orders.push_back({ aWave.m_number, instance });
-      if (worker != nullptr) {
-        aPlan.m_cordoned.insert(worker->m_last.m_worker);
-      }
+      PlanOpenOrder(
+        { aWave.m_number, instance }, aState, aWorkers, aNow, aPlan);
     } else if (step == fleet::MaintenanceStep::kDown &&
                IsBack(instance, aWorkers, aNow)) {
       aPlan.m_advances.push_back(
@@ -122,6 +144,9 @@
       }
     }
   }
+  if (aNow < aWorkers.LeaderSince() + m_options.m_quietAfterElection) {
+    return;
+  }
   const auto rank = [&](const InstanceId& aInstance) {
     return std::make_tuple(!m_cordonedSince.contains(aInstance),
                            aWorkers.FindByInstance(aInstance) == nullptr,
@@ -156,9 +181,6 @@
                          TimePoint aNow)
 {
   MaintenancePlan plan;
-  if (aNow < aWorkers.LeaderSince() + m_options.m_quietAfterElection) {
-    return plan;
-  }
   for (const auto& [number, wave] : aState.Maintenance()) {
     if (!wave.IsDone()) {
       PlanWave(wave, aState, aWorkers, aNow, plan);
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -268,6 +268,26 @@
   CHECK(taken.m_advance.has_value());
 }
 
+// The operator sees a service below its budget. A leader committed an order and
+// was cut off; the next one must place nothing there while it may not order
+// yet, and must not order onto long-running tasks that are there all the same.
+TEST(MaintenancePlanner, OrderLeftOpen_NextLeaderKeepsTheInstanceFreeFirst)
+{
+  StartWave(1, 1);
+  m_fleet.Do(fleet::AdvanceMaintenance{
+    1, InstanceId{ "instance-of-w0" }, fleet::MaintenanceStep::kOrdered });
+  const MaintenancePlan quiet = Next(1000);
+  LONGS_EQUAL(0, quiet.m_orders.size());
+  LONGS_EQUAL(1, quiet.m_cordoned.size());
+  StepSpec step = Step(1);
+  step.m_longRunning = true;
+  m_fleet.Submit("a", Spec({ step }));
+  m_fleet.Start(Ref("a"), "w0");
+  LONGS_EQUAL(0, Next(10'000).m_orders.size());
+  m_fleet.End(Ref("a"), RunEnd::kStopped);
+  LONGS_EQUAL(1, Next(10'100).m_orders.size());
+}
+
 TEST(MaintenancePlanner, InstanceWithLongRunningTask_IsNotOrdered)
 {
   StartWave(1, 1);
