Keep the places of silent voters, and let a removed one ask again

Two voters were away for 7 s; both were taken out as the group was larger than its list of seeds, which names three of five. Then two of the three voters left lost their disks. One that had been taken out never came back: its own log still named it, so it did not ask for admission.

Ruled out: elections (a quorum of the old group had all entries on disk), the number of voters at formation (five in all plays).

Change: when a group is formed and which voter is replaced are decisions of a library now, against the number of voters that the tolerated losses ask for. A replica that knows no leader for 3 s asks for admission, member or not.

--- a/include/bamboostile.h
+++ b/include/bamboostile.h
@@ -12,6 +12,7 @@
 
 #include "bamboostile/admission/queue.h"
 #include "bamboostile/admission/retry_budget.h"
+#include "bamboostile/consensus/membership_policy.h"
 #include "bamboostile/consensus/replica.h"
 #include "bamboostile/fleet/state.h"
 #include "bamboostile/jobs/book.h"
--- a/include/bamboostile/control/node.h
+++ b/include/bamboostile/control/node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bamboostile/consensus/membership_policy.h"
 #include "bamboostile/consensus/replica.h"
 #include "bamboostile/control/disk_thread.h"
 #include "bamboostile/control/snapshot_thread.h"
@@ -32,9 +33,8 @@
   std::vector<std::string> m_seeds;
   /** The whole system starts for the first time, on empty disks. */
   bool m_formGroup = false;
-  /** A voter that is silent for so long gives its place to a learner. Longer
-   * than a restart takes. */
-  Duration m_dropSilentAfter = Millis{ 6000 };
+  /** Of a group that forms from seeds. */
+  consensus::MembershipPolicyOptions m_group;
 };
 
 /** What became of a proposed command. */
@@ -117,7 +117,8 @@
   void FormGroup();
   void DropSilentVoter(TimePoint aNow);
   bool IsSafelyFormed() const;
-  void NoteFormation();
+  void NoteFormation(TimePoint aNow);
+  bool NeedsAdmission(TimePoint aNow);
   void Pump();
   void Run(consensus::Persist aPersist);
   void Run(const consensus::Send& aSend);
@@ -161,8 +162,9 @@
   /** When which part of the log was seen; expiry of outcomes goes by it. */
   std::deque<Mark> m_marks;
   std::map<std::string, Peer> m_peers;
-  /** When each peer was last heard; of interest to a leader. */
-  std::map<consensus::ReplicaId, TimePoint> m_heardFrom;
+  consensus::MembershipPolicy m_policy;
+  /** When this replica last led or knew a leader. */
+  TimePoint m_hadLeaderAt;
   /** Of senders that the membership here does not name. */
   std::map<consensus::ReplicaId, std::string> m_replyTo;
   std::map<Index, Waiter> m_waiters;
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -22,6 +22,8 @@
 constexpr Duration kPeerSilence = Millis{ 500 };
 /** Between two requests for admission. */
 constexpr Duration kJoinInterval = Millis{ 300 };
+/** Longer than an election usually takes: 0.8 to 1.6 s. */
+constexpr Duration kLeaderless = Millis{ 3000 };
 constexpr Duration kMarkInterval = Millis{ 5000 };
 
 kj::Duration
@@ -55,6 +57,7 @@
   , m_registry(m_options.m_membership)
   , m_disk(std::move(aStore), m_reports)
   , m_snapshots(m_encoded)
+  , m_policy(m_options.m_group)
   , m_tasks(*this)
 {
   Pump();
@@ -86,7 +89,7 @@
   CheckInForce();
   if (now >= m_nextDuties) {
     m_nextDuties = now + kDutyInterval;
-    NoteFormation();
+    NoteFormation(now);
     if (IsServing()) {
       Lead(now);
     }
@@ -285,7 +288,7 @@
   if (leads) {
     m_registry.Reset(MonotonicNow());
     m_marks.clear();
-    m_heardFrom.clear();
+    m_policy.Reset();
   } else {
     FailWaiters();
   }
@@ -393,11 +396,8 @@
          m_replica.HoldsLease(MonotonicNow());
 }
 
-// A group that forms consists of one voter at first, then of two. What it
-// acknowledged then would be lost with one disk, or locked up with it, as one
-// of two voters is no majority. So it acknowledges nothing before all seeds
-// have been voters together; that they have is on record, as a voter that is
-// being replaced later leaves one less for a moment.
+// That the group was formed is on record, as a voter that is being replaced
+// later leaves one less for a moment.
 bool
 Node::IsSafelyFormed() const
 {
@@ -405,11 +405,11 @@
 }
 
 void
-Node::NoteFormation()
+Node::NoteFormation(TimePoint aNow)
 {
   const auto& membership = m_replica.CurrentMembership();
   if (m_state.IsFormed() || m_proposedAlone > 0 || !m_replica.IsReady() ||
-      membership.VoterCount() < m_options.m_seeds.size()) {
+      !m_policy.IsFormed(membership, aNow)) {
     return;
   }
   LogLine(Level::kInfo, "the group is formed")
@@ -484,7 +484,7 @@
   if (m_replica.CurrentMembership().Find(aMessage.m_from) == nullptr) {
     m_replyTo[aMessage.m_from] = std::move(aReplyTo);
   }
-  m_heardFrom[aMessage.m_from] = MonotonicNow();
+  m_policy.OnHeard(aMessage.m_from, MonotonicNow());
   m_replica.Receive(aMessage, MonotonicNow());
   Pump();
   FollowRole();
@@ -509,12 +509,26 @@
   }
 }
 
+// One that was taken out while it was away does not know: its own log still
+// names it. No leader writes to it any more, and its calls for a vote are
+// refused by all that hear the leader, so it would stay away for good.
+bool
+Node::NeedsAdmission(TimePoint aNow)
+{
+  if (m_replica.Leader()) {
+    m_hadLeaderAt = aNow;
+  }
+  const auto& membership = m_replica.CurrentMembership();
+  return membership.Find(m_replica.Self()) == nullptr ||
+         aNow > m_hadLeaderAt + kLeaderless;
+}
+
 kj::Promise<void>
 Node::JoinLoop()
 {
   FormGroup();
   const auto& membership = m_replica.CurrentMembership();
-  if (membership.Find(m_replica.Self()) == nullptr) {
+  if (NeedsAdmission(MonotonicNow())) {
     for (const std::string& seed : m_options.m_seeds) {
       if (seed != m_options.m_address) {
         m_tasks.add(AskAdmission(seed));
@@ -567,42 +581,28 @@
   return error;
 }
 
-// A voter that stays away weighs on the quorum, and with a second one away the
-// group stands still. It gives its place to a learner that holds all that is
-// committed, or simply leaves if there are more voters than seeds; so the group
-// never gets smaller than it was formed. One that comes back asks for admission
-// like any other.
+// One that comes back asks for admission like any other.
 void
 Node::DropSilentVoter(TimePoint aNow)
 {
-  const consensus::Membership membership = m_replica.CurrentMembership();
   if (m_options.m_seeds.empty()) {
     return;
   }
-  const auto isSilent = [&](const consensus::Member& aMember) {
-    const TimePoint heard =
-      m_heardFrom.try_emplace(aMember.m_id, aNow).first->second;
-    return aMember.m_id != m_replica.Self() &&
-           aNow > heard + m_options.m_dropSilentAfter;
-  };
-  const auto& members = membership.m_members;
-  const bool hasSpare =
-    std::any_of(members.begin(), members.end(), [&](const auto& aMember) {
-      return !aMember.m_voter && !isSilent(aMember) &&
-             m_replica.MatchOf(aMember.m_id) >= m_replica.CommitIndex();
-    });
-  if (!hasSpare && membership.VoterCount() <= m_options.m_seeds.size()) {
-    return;
+  const consensus::Membership membership = m_replica.CurrentMembership();
+  std::vector<consensus::ReplicaId> synced;
+  for (const consensus::Member& member : membership.m_members) {
+    if (!member.m_voter &&
+        m_replica.MatchOf(member.m_id) >= m_replica.CommitIndex()) {
+      synced.push_back(member.m_id);
+    }
   }
   const auto silent =
-    std::find_if(members.begin(), members.end(), [&](const auto& aMember) {
-      return aMember.m_voter && isSilent(aMember);
-    });
-  if (silent != members.end()) {
+    m_policy.FindReplaceable(membership, m_replica.Self(), synced, aNow);
+  if (silent) {
     LogLine(Level::kWarning, "taking out a silent voter")
       .With("replica", silent->m_id.m_instance.Get())
       .With("voters", membership.VoterCount())
-      .With("hasSpare", hasSpare)
+      .With("syncedLearners", synced.size())
       .Write();
     RemoveMember(silent->m_id.m_instance);
   }
--- a/tools/bamboostiled/main.cpp
+++ b/tools/bamboostiled/main.cpp
@@ -156,8 +156,9 @@
     }
     if (m_settings.m_hosting) {
       options.m_formGroup = m_settings.m_hosting->m_formGroup;
-      options.m_replica.m_maxVoters =
+      options.m_group.m_voters =
         2 * std::max(1U, m_settings.m_hosting->m_toleratedLosses) + 1;
+      options.m_replica.m_maxVoters = options.m_group.m_voters;
       for (const settings::Address& seed : m_settings.m_controlSeeds) {
         options.m_seeds.push_back(seed.ToText());
       }
