Keep one worker in sixteen free for large tasks, not one in four

Cause: with 58,000 core-seconds waiting, a pool of 283 workers had a third of its cores unused. Each task without room, of any size, kept the emptiest worker from all behind it, up to a quarter of the pool.

Ruled out: late answers to workers (what is placed counts as used here).

Change: only tasks that need more than a quarter of a worker keep one, and no more than one worker in sixteen is kept.

--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -82,7 +82,7 @@
                      WallTime aWall,
                      std::vector<Candidate>& aTo) const;
   void Place(const Candidate& aCandidate, Pool& aPool, Plan& aPlan) const;
-  static void KeepEmptiest(Pool& aPool);
+  static void KeepEmptiest(const jobs::StepSpec& aStep, Pool& aPool);
   void PlaceGang(const Candidate& aCandidate, Pool& aPool, Plan& aPlan) const;
   Room* Choose(const Candidate& aCandidate,
                const jobs::StepSpec& aStep,
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -7,8 +7,14 @@
 
 namespace {
 
-/** At most this share of a pool is kept free for tasks that find no room. */
-constexpr std::size_t kKeptShare = 4;
+/** One worker in so many is kept free for large tasks that find no room; none
+ * in a pool of less than four. With one in four kept, and for tasks of any
+ * size, a third of a pool's cores stood idle beside a queue of 5 s. */
+constexpr std::size_t kKeptShare = 16;
+constexpr std::size_t kLeastPoolToKeep = 4;
+/** A task is large if it needs more than one part in so many of a worker:
+ * pieces that smaller ones leave, or run in, add up to that often enough. */
+constexpr std::int64_t kLargeShare = 4;
 
 /** Fills need no CPU of their own. */
 std::int64_t
@@ -209,24 +215,28 @@
 // A large task that finds no room would wait for ever while small ones take
 // each piece that becomes free; so it gets the emptiest worker to itself.
 void
-Planner::KeepEmptiest(Pool& aPool)
+Planner::KeepEmptiest(const jobs::StepSpec& aStep, Pool& aPool)
 {
   const auto kept = static_cast<std::size_t>(
     std::count_if(aPool.begin(), aPool.end(), [](const Room& aRoom) {
       return aRoom.m_kept;
     }));
-  if (kept >= aPool.size() / kKeptShare) {
+  const std::size_t most = std::max<std::size_t>(1, aPool.size() / kKeptShare);
+  if (aPool.size() < kLeastPoolToKeep || kept >= most) {
     return;
   }
   const auto rank = [](const Room& aRoom) {
     return std::make_pair(!aRoom.m_kept, aRoom.m_cpu);
   };
-  std::max_element(aPool.begin(),
-                   aPool.end(),
-                   [&](const Room& aLeft, const Room& aRight) {
-                     return rank(aLeft) < rank(aRight);
-                   })
-    ->m_kept = true;
+  Room& emptiest = *std::max_element(
+    aPool.begin(), aPool.end(), [&](const Room& aLeft, const Room& aRight) {
+      return rank(aLeft) < rank(aRight);
+    });
+  const jobs::Resources& all = emptiest.m_worker->m_last.m_capacity;
+  const jobs::Resources& needs = aStep.m_needs;
+  emptiest.m_kept = CountedCpu(aStep) * kLargeShare > all.m_cpuMillis ||
+                    needs.m_memoryMb * kLargeShare > all.m_memoryMb ||
+                    needs.m_accelerators > 0;
 }
 
 void
@@ -260,7 +270,7 @@
     Room* room = Choose(aCandidate, step, onWorker, aPool);
     if (room == nullptr) {
       if (!aCandidate.m_late) {
-        KeepEmptiest(aPool);
+        KeepEmptiest(step, aPool);
       }
       return;
     }
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -133,6 +133,40 @@
   LONGS_EQUAL(9, Carry());
 }
 
+// Sixteen workers have a core free each. Tasks of two cores, first in order,
+// find no room; if a worker were kept for each of them, those of one core
+// behind them would wait beside cores that nobody uses.
+TEST(PlacementPlanner, TasksWithoutRoom_KeepFewWorkersFromSmallerOnes)
+{
+  for (int i = 1; i <= 16; ++i) {
+    const std::string worker = "w" + std::to_string(i);
+    Hear(Report(worker, 1));
+    m_fleet.Submit("running-" + worker, Spec({ Step(1, 3000) }));
+    m_fleet.Start(Ref("running-" + worker), worker);
+  }
+  for (int i = 0; i < 4; ++i) {
+    m_fleet.Submit("larger-" + std::to_string(i), Spec({ Step(2, 2000) }));
+  }
+  m_fleet.Submit("small", Spec({ Step(16, 1000) }));
+  LONGS_EQUAL(15, Carry());
+}
+
+// None of the tasks in the way is large, so each will soon find room.
+TEST(PlacementPlanner, SmallTaskWithoutRoom_KeepsNoWorker)
+{
+  for (int i = 1; i <= 16; ++i) {
+    WorkerReport report = Report("w" + std::to_string(i), 1);
+    report.m_capacity = { 16'000, 4000, 0 };
+    Hear(report);
+    const std::string job = "running-" + std::to_string(i);
+    m_fleet.Submit(job, Spec({ Step(1, 15'000) }));
+    m_fleet.Start(Ref(job), "w" + std::to_string(i));
+  }
+  m_fleet.Submit("medium", Spec({ Step(2, 2000) }));
+  m_fleet.Submit("small", Spec({ Step(16, 1000) }));
+  LONGS_EQUAL(16, Carry());
+}
+
 TEST(PlacementPlanner, JobPastItsTime_GoesAfterOneThatCanBeInTime)
 {
   Hear(Report("w1", 1));
