Let long-running tasks share workers; count a job as late with a margin

Cause: long-running tasks went one to a worker, so that no worker of a pool was ever idle, and only idle ones are moved.

Ruled out: order by due time (jobs that are late already go last).

Change: at most an eighth of a long-running step on one worker, but workers that run something come before empty ones. A job counts as late if 130% of its chain and 250 ms do not fit before its due time.

--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -16,6 +16,22 @@
  * pieces that smaller ones leave, or run in, add up to that often enough. */
 constexpr std::int64_t kLargeShare = 4;
 
+/** What a job that is just in time must have left: its longest task takes so
+ * much longer than the mean of its image, */
+constexpr std::int64_t kSlowerPercent = 30;
+/** and from placing a task to noting its end so long passes beside its work. */
+constexpr Millis kStepOverhead{ 250 };
+
+/** A lost worker takes at most one task in so many of a long-running step, as
+ * far as there is room elsewhere. */
+constexpr std::uint32_t kSpreadShare = 8;
+
+std::uint32_t
+SpreadLimit(const jobs::StepSpec& aStep)
+{
+  return (aStep.m_count + kSpreadShare - 1) / kSpreadShare;
+}
+
 /** Fills need no CPU of their own. */
 std::int64_t
 CountedCpu(const jobs::StepSpec& aStep)
@@ -104,7 +120,11 @@
   const std::int64_t due = aBegan.Get() +
                            static_cast<std::int64_t>(chain * aRoute.m_stretch) +
                            aRoute.m_objective.count();
-  const bool late = aWall.Get() + LongestChain(aJob, progress).count() > due;
+  const Millis left = LongestChain(aJob, progress);
+  const std::int64_t ends = aWall.Get() +
+                            left.count() * (100 + kSlowerPercent) / 100 +
+                            kStepOverhead.count();
+  const bool late = ends > due;
   for (std::uint32_t s = 0; s < aJob.m_spec.m_steps.size(); ++s) {
     const jobs::StepSpec& step = aJob.m_spec.m_steps[s];
     const bool isTurn = progress == nullptr
@@ -177,7 +197,7 @@
                 Pool& aPool) const
 {
   Room* best = nullptr;
-  auto bestRank = std::make_tuple(true, true, std::int64_t{});
+  auto bestRank = std::make_tuple(true, true, true, true, std::int64_t{});
   for (Room& room : aPool) {
     const WorkerReport& report = room.m_worker->m_last;
     if (room.m_kept || !room.Fits(aStep)) {
@@ -187,23 +207,26 @@
         !report.m_labels.contains(aStep.m_requiredLabel)) {
       continue;
     }
-    if (aStep.m_maxPerWorker > 0) {
-      const auto here = aOnWorker.find(report.m_worker);
-      if (here != aOnWorker.end() && here->second >= aStep.m_maxPerWorker) {
-        continue;
-      }
+    const auto here = aOnWorker.find(report.m_worker);
+    const std::uint32_t onWorker = here == aOnWorker.end() ? 0 : here->second;
+    if (aStep.m_maxPerWorker > 0 && onWorker >= aStep.m_maxPerWorker) {
+      continue;
     }
     const bool farFromData = !aStep.m_preferredRack.Get().empty() &&
                              aStep.m_preferredRack != report.m_rack;
     // Filler and serving tasks disturb each other on one worker.
     const bool disturbs = aStep.m_fills && room.m_serves;
-    // Long-running tasks are spread, so that one lost worker takes few of them;
-    // the others are packed, so that room for large ones stays in one piece.
+    // Long-running tasks are spread, so that one lost worker takes few of them,
+    // but over workers that run something already: one on each worker would
+    // keep the whole pool from ever being idle. The others are packed, so that
+    // room for large ones stays in one piece.
+    const bool isSpread = aCandidate.m_isLongRunning || aStep.m_fills;
+    const bool isCrowded = isSpread && onWorker >= SpreadLimit(aStep);
+    const bool isEmpty =
+      isSpread && room.m_cpu == report.m_capacity.m_cpuMillis;
     const std::int64_t left = room.m_cpu - CountedCpu(aStep);
     const auto rank = std::make_tuple(
-      farFromData,
-      disturbs,
-      aCandidate.m_isLongRunning || aStep.m_fills ? -left : left);
+      farFromData, disturbs, isCrowded, isEmpty, isSpread ? -left : left);
     if (best == nullptr || rank < bestRank) {
       best = &room;
       bestRank = rank;
@@ -255,7 +278,7 @@
   const bool isNew = found == aCandidate.m_job->m_occurrences.end();
   const std::vector<jobs::Task>* tasks =
     isNew ? nullptr : &found->second.m_steps[aCandidate.m_step].m_tasks;
-  if (step.m_maxPerWorker > 0 && tasks != nullptr) {
+  if ((step.m_maxPerWorker > 0 || step.m_longRunning) && tasks != nullptr) {
     for (const jobs::Task& task : *tasks) {
       if (task.m_phase == jobs::TaskPhase::kRunning) {
         ++onWorker[task.m_worker];
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -118,6 +118,28 @@
   CHECK_STRING("w1", WorkerOf(Ref("lasting")));
 }
 
+// Twelve workers are free. Were the sixteen tasks on all of them, none could be
+// given to another pool while the job lasts, which is for ever; on one worker,
+// its loss would take them all.
+TEST(PlacementPlanner, LongRunningTasks_ShareWorkersButNotOne)
+{
+  for (int i = 1; i <= 12; ++i) {
+    Hear(Report("w" + std::to_string(i), 1));
+  }
+  StepSpec step = Step(16, 500);
+  step.m_longRunning = true;
+  m_fleet.Submit("a", Spec({ step }));
+  m_fleet.Submit("b", Spec({ step }));
+  LONGS_EQUAL(32, Carry());
+  LONGS_EQUAL(8, m_fleet.Book().Placed().size());
+  std::map<std::pair<WorkerId, JobId>, int> together;
+  for (const auto& [worker, tasks] : m_fleet.Book().Placed()) {
+    for (const TaskRef& task : tasks) {
+      LONGS_EQUAL(1, (++together[{ worker, task.m_job }] + 1) / 2);
+    }
+  }
+}
+
 // A large task that waits for room must get it: small ones that come later
 // would otherwise take every piece that becomes free.
 TEST(PlacementPlanner, LargeTaskWithoutRoom_KeepsOneWorkerFree)
