Let idle instances go sooner

Cause: two moves cost as much as 2.3 s in a pool, and an instance waited 2.5 s before the first; what waits as long as the moves cost loses twice.

Change: to standby after 1.5 s, to a pool that is short after 0.2 s.

--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -51,10 +51,10 @@
   Millis m_workOffIn{ 1500 };
   /** An instance that nothing needs goes to standby after this long idle: two
    * moves cost as much as some 2.3 s in a pool. */
-  Duration m_idleToStandby = Millis{ 2500 };
+  Duration m_idleToStandby = Millis{ 1500 };
   /** One that another pool needs goes at once, unless it has only just become
    * idle: between two steps of a job a worker is idle for some 0.2 s. */
-  Duration m_idleToOther = Millis{ 400 };
+  Duration m_idleToOther = Millis{ 200 };
   /** A moved instance that has not reported by then is not counted on. */
   Duration m_arrivesWithin = Millis{ 5000 };
   std::size_t m_leastPerPool = 3;
