Empty busy surplus for pools that are short; order sooner after an election

Cause: (1) when one queue's peak follows another's, the instances of the first all run a few last tasks and none was idle for a second or more. (3) An instance that had gone to standby was not used again before the list was read, 5 to 10 s later. (5) Full workers reported five times a second though only an end makes room.

Ruled out: the reports' share of the leader's time alone (full workers that report twice a second changed its 0.16 of a core by less than 0.01).

Change: surplus workers without long-running tasks get no new tasks while a pool is short, and move as soon as they are empty. An instance that the new leader has seen up for 1.5 s was not ordered for 3 s. Standby is counted from the end of a move. Late work is worked off in 4 s, until its callers give up. The test of a new leader's first order is now two, stricter by instance.

--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -39,7 +39,8 @@
 struct CapacityPlan
 {
   std::vector<PoolNeed> m_needs;
-  /** Get no new work: they are about to leave their pool. */
+  /** Get no new work: they are about to leave their pool, or are to be emptied
+   * for another. */
   std::set<WorkerId> m_cordoned;
   std::vector<MoveOrder> m_orders;
 };
@@ -49,6 +50,11 @@
   /** What waits should be done in this time. A queue's peak lasts some 5 s and
    * its jobs have 3.6 s of slack, of which a move takes 1.5 s. */
   Millis m_workOffIn{ 1500 };
+  /** What is late already is worth a fourteenth, but its callers wait: up to
+   * three times its objective, some 14 s, they still take the result. Left to
+   * the shrinking rest of a pool, 4 in 100 jobs of a heavy day came after that
+   * time. */
+  Millis m_workOffLateIn{ 4000 };
   /** An instance that nothing needs goes to standby after this long idle: two
    * moves cost as much as some 2.3 s in a pool. */
   Duration m_idleToStandby = Millis{ 1500 };
@@ -61,7 +67,11 @@
   /** What the platform takes from all of us; half of it is left to
    * maintenance, which is ordered by the same calls. */
   double m_ordersPerSecond = 64;
-  Duration m_quietAfterElection = Millis{ 3000 };
+  /** Between the last order of an earlier leader for an instance and the first
+   * of this one, so that two leaders never take turns with it. */
+  Duration m_betweenLeaders = Millis{ 3000 };
+  /** How long the platform takes to move an instance. */
+  Duration m_moveTakes = Millis{ 1500 };
 };
 
 /**
@@ -86,7 +96,7 @@
                     TimePoint aNow,
                     WallTime aWall);
 
-  void OnListed(const std::vector<ListedInstance>& aInstances);
+  void OnListed(const std::vector<ListedInstance>& aInstances, TimePoint aNow);
   /** The life that has ended with the order, where that is certain. */
   std::optional<WorkerId> OnAnswer(const MoveOrder& aOrder,
                                    InstanceAnswer aAnswer,
@@ -98,6 +108,13 @@
     ServiceId m_to;
     TimePoint m_since;
     std::optional<WorkerId> m_aimedAt;
+    bool m_taken = false;
+  };
+
+  struct Emptiable
+  {
+    const Worker* m_worker = nullptr;
+    std::int64_t m_used = 0;
   };
 
   struct Pool
@@ -108,6 +125,8 @@
     std::int64_t m_work = 0;
     std::int64_t m_cpu = 0;
     std::int64_t m_used = 0;
+    /** Workers whose runs all end by themselves. */
+    std::vector<Emptiable> m_emptiable;
 
     bool IsShort() const { return m_have < m_want; }
     bool HasSpare() const { return m_have > m_want; }
@@ -127,10 +146,15 @@
   void FollowIdle(const fleet::State& aState,
                   const WorkerTable& aWorkers,
                   TimePoint aNow);
-  void Settle(const WorkerTable& aWorkers, TimePoint aNow);
+  void Settle(const WorkerTable& aWorkers,
+              const ServiceId* aStandby,
+              TimePoint aNow);
+  bool IsLeftByEarlierLeader(TimePoint aUpSince, TimePoint aNow) const;
+  /** aEmptied: may go as soon as they are idle. */
   std::vector<const Worker*> FindSpare(const WorkerTable& aWorkers,
                                        const std::set<WorkerId>& aReserved,
                                        Duration aIdleFor,
+                                       const std::set<WorkerId>& aEmptied,
                                        TimePoint aNow) const;
   bool Rests(const InstanceId& aInstance, TimePoint aNow) const;
   std::optional<InstanceId> FindStandby(TimePoint aNow) const;
@@ -139,6 +163,9 @@
                  TimePoint aNow,
                  Pools& aPools,
                  CapacityPlan& aPlan);
+  void EmptySurplus(const std::set<WorkerId>& aReserved,
+                    TimePoint aNow,
+                    Pools& aPools);
   void ReleaseIdle(const ServiceId& aStandby,
                    const WorkerTable& aWorkers,
                    const std::set<WorkerId>& aReserved,
@@ -152,10 +179,14 @@
              CapacityPlan& aPlan);
 
   CapacityOptions m_options;
-  std::map<InstanceId, ServiceId> m_standby;
+  TimePoint m_leaderSince;
+  /** Those of the standby pool, and since when this leader knows them up. */
+  std::map<InstanceId, TimePoint> m_standby;
   std::map<InstanceId, Move> m_moves;
   std::map<WorkerId, TimePoint> m_idleSince;
   std::map<InstanceId, TimePoint> m_notBefore;
+  /** Get no new work until they are idle and moved, or no longer wanted. */
+  std::set<WorkerId> m_emptying;
   /** Orders that may be given now, as the rate allows. */
   double m_mayOrder = 0;
   TimePoint m_earnedAt;
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -92,6 +92,9 @@
   Duration m_margin = Millis{ 150 };
   /** How often an idle worker reports; a start waits half of it on average. */
   Duration m_reportEvery = Millis{ 200 };
+  /** How often one without room for more reports: it gets its next start after
+   * an end, and reports that by itself within 50 ms. */
+  Duration m_reportWhenFull = Millis{ 500 };
   /** The report of a quiet worker is answered after this, or once there is an
    * order for it. A worker drops an answer that takes longer than 1 s; this
    * leaves 0.4 s for a busy leader and the way. */
@@ -247,6 +250,7 @@
   std::vector<jobs::EndRun> EndAll(const WorkerId& aWorker,
                                    const jobs::Book& aBook,
                                    WallTime aWall);
+  Duration NextReport(const Worker& aWorker, const jobs::Book& aBook) const;
   void AddRates(Worker& aWorker, const jobs::Book& aBook, Orders& aOrders);
 
   LeaseOptions m_options;
--- a/include/bamboostile/settings/settings.h
+++ b/include/bamboostile/settings/settings.h
@@ -58,6 +58,8 @@
   /** Moves and maintenance orders that the platform takes from all replicas
    * together. */
   double m_ordersPerSecond = 64;
+  /** How long the platform takes to move an instance to another pool. */
+  Millis m_moveTakes{ 1500 };
   /** How long the platform keeps an instance down for its maintenance. */
   Millis m_maintenanceTakes{ 2000 };
 };
--- a/src/control/instance_service.cpp
+++ b/src/control/instance_service.cpp
@@ -236,7 +236,7 @@
     if (standby != nullptr && aLists.back()) {
       std::erase_if(*aLists.back(),
                     [&](const auto& aOne) { return aOne.m_pool != *standby; });
-      m_capacity.OnListed(*aLists.back());
+      m_capacity.OnListed(*aLists.back(), MonotonicNow());
     }
     return ListLoop();
   });
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -1,13 +1,17 @@
 #include "bamboostile/placement/capacity.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bamboostile::placement {
 
 namespace {
 
-/** Work that is late already is worth about a fourteenth of work in time. */
-constexpr std::int64_t kLateShare = 14;
+/** Objectives since its acceptance after which a job is taken for late: with
+ * the stretch of its chain it is due after one and a half; */
+constexpr std::int64_t kLateAfterObjectives = 2;
+/** and for given up by its caller. */
+constexpr std::int64_t kGivenUpAfterObjectives = 5;
 /** Thousandths of a core times ms, in a core-second. */
 constexpr std::int64_t kMilliPerUnit = 1000 * 1000;
 constexpr std::int64_t kMilliPerCore = 1000;
@@ -27,21 +31,29 @@
                            aDurations.Estimate(aStep).count();
 }
 
-/** CPU that runs hold on a worker, in thousandths of a core. */
-std::int64_t
-UsedCpu(const jobs::Book& aBook, const WorkerId& aWorker)
+/** What runs hold of a worker. */
+struct Use
+{
+  /** In thousandths of a core. */
+  std::int64_t m_cpu = 0;
+  bool m_endsByItself = true;
+};
+
+Use
+FindUse(const jobs::Book& aBook, const WorkerId& aWorker)
 {
-  std::int64_t used = 0;
+  Use use;
   const auto placed = aBook.Placed().find(aWorker);
   if (placed == aBook.Placed().end()) {
-    return used;
+    return use;
   }
   for (const jobs::TaskRef& task : placed->second) {
     const jobs::StepSpec& step =
       aBook.Find(task.m_job)->m_spec.m_steps[task.m_step];
-    used += step.m_fills ? 0 : step.m_needs.m_cpuMillis;
+    use.m_cpu += step.m_fills ? 0 : step.m_needs.m_cpuMillis;
+    use.m_endsByItself = use.m_endsByItself && !step.m_longRunning;
   }
-  return used;
+  return use;
 }
 
 } // namespace
@@ -53,6 +65,7 @@
                            Pools& aPools) const
 {
   std::map<ServiceId, std::int64_t> work;
+  std::map<ServiceId, std::int64_t> late;
   std::map<ServiceId, std::int64_t> lasting;
   std::map<ServiceId, std::size_t> spread;
   for (const auto& [order, id] : aState.Jobs().Open()) {
@@ -81,14 +94,19 @@
         }
       }
     }
-    const bool isLate =
-      aWall.Get() > job.m_acceptedAt.Get() + 2 * route.m_objective.count();
-    work[route.m_service] += isLate ? ofJob / kLateShare : ofJob;
+    const std::int64_t age = aWall.Get() - job.m_acceptedAt.Get();
+    const std::int64_t objective = route.m_objective.count();
+    if (age <= kLateAfterObjectives * objective) {
+      work[route.m_service] += ofJob;
+    } else if (age <= kGivenUpAfterObjectives * objective) {
+      late[route.m_service] += ofJob;
+    }
   }
   for (auto& [service, pool] : aPools) {
-    pool.m_work = work[service];
-    const std::int64_t cpu =
-      work[service] / m_options.m_workOffIn.count() + lasting[service];
+    pool.m_work = work[service] + late[service];
+    const std::int64_t cpu = work[service] / m_options.m_workOffIn.count() +
+                             late[service] / m_options.m_workOffLateIn.count() +
+                             lasting[service];
     const auto cores =
       static_cast<std::int64_t>(std::max<std::size_t>(pool.m_cores, 1));
     const auto byWork = static_cast<std::size_t>((cpu + cores - 1) / cores);
@@ -121,7 +139,11 @@
       ++pool->second.m_have;
       pool->second.m_cores = worker.m_last.m_capacity.m_cpuMillis;
       pool->second.m_cpu += worker.m_last.m_capacity.m_cpuMillis;
-      pool->second.m_used += UsedCpu(aState.Jobs(), id);
+      const Use use = FindUse(aState.Jobs(), id);
+      pool->second.m_used += use.m_cpu;
+      if (use.m_endsByItself) {
+        pool->second.m_emptiable.push_back({ &worker, use.m_cpu });
+      }
     }
   }
   for (auto& [service, pool] : pools) {
@@ -154,28 +176,52 @@
   }
 }
 
-// A move has arrived when the instance reports from its new pool.
+// A move has arrived when the instance reports from its new pool. One that goes
+// to standby is off and reports nothing; it counts as there once the move has
+// taken its time, as the platform's list is read far less often than peaks
+// come.
 void
-CapacityPlanner::Settle(const WorkerTable& aWorkers, TimePoint aNow)
+CapacityPlanner::Settle(const WorkerTable& aWorkers,
+                        const ServiceId* aStandby,
+                        TimePoint aNow)
 {
   std::erase_if(m_moves, [&](const auto& aEntry) {
-    const Worker* worker = aWorkers.FindByInstance(aEntry.first);
+    const auto& [instance, move] = aEntry;
+    const bool isOff = aStandby != nullptr && move.m_to == *aStandby;
+    if (isOff && move.m_taken && aNow > move.m_since + m_options.m_moveTakes) {
+      m_standby.emplace(instance, aNow);
+      return true;
+    }
+    const Worker* worker = aWorkers.FindByInstance(instance);
     const bool arrived =
-      worker != nullptr && worker->m_last.m_service == aEntry.second.m_to;
-    return arrived || aNow > aEntry.second.m_since + m_options.m_arrivesWithin;
+      worker != nullptr && worker->m_last.m_service == move.m_to;
+    return arrived || aNow > move.m_since + m_options.m_arrivesWithin;
   });
 }
 
+// An earlier leader may have ordered the instance just before this one was
+// elected. Its order then took the instance down for as long as a move takes;
+// so one that has been up since has not been ordered for that long already.
+bool
+CapacityPlanner::IsLeftByEarlierLeader(TimePoint aUpSince, TimePoint aNow) const
+{
+  return aNow >= m_leaderSince + m_options.m_betweenLeaders ||
+         aNow >= aUpSince + m_options.m_betweenLeaders - m_options.m_moveTakes;
+}
+
 std::vector<const Worker*>
 CapacityPlanner::FindSpare(const WorkerTable& aWorkers,
                            const std::set<WorkerId>& aReserved,
                            Duration aIdleFor,
+                           const std::set<WorkerId>& aEmptied,
                            TimePoint aNow) const
 {
   std::vector<const Worker*> spare;
   for (const auto& [id, since] : m_idleSince) {
     const Worker* worker = aWorkers.Find(id);
-    if (aNow >= since + aIdleFor && worker->IsUsable(aNow) &&
+    const bool isIdle = aNow >= since + aIdleFor || aEmptied.contains(id);
+    if (isIdle && worker->IsUsable(aNow) &&
+        IsLeftByEarlierLeader(worker->m_firstHeardAt, aNow) &&
         !aReserved.contains(id) && !Rests(worker->m_last.m_instance, aNow) &&
         !worker->m_last.m_instance.Get().empty() &&
         !m_moves.contains(worker->m_last.m_instance)) {
@@ -211,8 +257,9 @@
 std::optional<InstanceId>
 CapacityPlanner::FindStandby(TimePoint aNow) const
 {
-  for (const auto& [instance, pool] : m_standby) {
-    if (!m_moves.contains(instance) && !Rests(instance, aNow)) {
+  for (const auto& [instance, upSince] : m_standby) {
+    if (!m_moves.contains(instance) && !Rests(instance, aNow) &&
+        IsLeftByEarlierLeader(upSince, aNow)) {
       return instance;
     }
   }
@@ -241,7 +288,8 @@
                            Pools& aPools,
                            CapacityPlan& aPlan)
 {
-  auto spare = FindSpare(aWorkers, aReserved, m_options.m_idleToOther, aNow);
+  auto spare =
+    FindSpare(aWorkers, aReserved, m_options.m_idleToOther, m_emptying, aNow);
   const auto isSpare = [&](const Worker* aWorker) {
     const auto pool = aPools.find(aWorker->m_last.m_service);
     return pool == aPools.end() || pool->second.HasSpare();
@@ -276,6 +324,42 @@
   }
 }
 
+// When the peak of one queue follows that of another, the instances of the
+// first all still run some last tasks, and none is idle for a second or more.
+// Those beyond what their pool needs get no new tasks then: what is left is
+// carried out on the others, and these are empty as soon as their runs end.
+void
+CapacityPlanner::EmptySurplus(const std::set<WorkerId>& aReserved,
+                              TimePoint aNow,
+                              Pools& aPools)
+{
+  m_emptying.clear();
+  std::size_t shortage = 0;
+  for (const auto& [service, pool] : aPools) {
+    shortage += pool.IsShort() ? pool.m_want - pool.m_have : 0;
+  }
+  for (auto& [service, pool] : aPools) {
+    std::erase_if(pool.m_emptiable, [&](const Emptiable& aOne) {
+      const WorkerReport& report = aOne.m_worker->m_last;
+      return aReserved.contains(report.m_worker) ||
+             m_moves.contains(report.m_instance) ||
+             !aOne.m_worker->IsUsable(aNow);
+    });
+    std::sort(pool.m_emptiable.begin(),
+              pool.m_emptiable.end(),
+              [](const Emptiable& aLeft, const Emptiable& aRight) {
+                return aLeft.m_used < aRight.m_used;
+              });
+    const std::size_t surplus = pool.HasSpare() ? pool.m_have - pool.m_want : 0;
+    const std::size_t count =
+      std::min({ surplus, shortage, pool.m_emptiable.size() });
+    for (std::size_t i = 0; i < count; ++i) {
+      m_emptying.insert(pool.m_emptiable[i].m_worker->m_last.m_worker);
+    }
+    shortage -= count;
+  }
+}
+
 void
 CapacityPlanner::ReleaseIdle(const ServiceId& aStandby,
                              const WorkerTable& aWorkers,
@@ -285,7 +369,7 @@
                              CapacityPlan& aPlan)
 {
   const auto idle =
-    FindSpare(aWorkers, aReserved, m_options.m_idleToStandby, aNow);
+    FindSpare(aWorkers, aReserved, m_options.m_idleToStandby, {}, aNow);
   for (const Worker* worker : idle) {
     Pool& pool = aPools[worker->m_last.m_service];
     if (pool.HasSpare() && m_mayOrder >= 1) {
@@ -306,37 +390,47 @@
   CapacityPlan plan;
   EarnOrders(aNow);
   FollowIdle(aState, aWorkers, aNow);
-  Settle(aWorkers, aNow);
-  if (aNow >= aWorkers.LeaderSince() + m_options.m_quietAfterElection) {
-    Pools pools = FindPools(aState, aWorkers, aDurations, aWall);
-    for (const auto& [service, pool] : pools) {
-      plan.m_needs.push_back({ service,
-                               pool.m_have,
-                               pool.m_want,
-                               pool.m_work / kMilliPerUnit,
-                               pool.m_cpu / kMilliPerCore,
-                               pool.m_used / kMilliPerCore });
-    }
+  m_leaderSince = aWorkers.LeaderSince();
+  const ServiceId* standby = aState.Routes().StandbyPool();
+  Settle(aWorkers, standby, aNow);
+  Pools pools = FindPools(aState, aWorkers, aDurations, aWall);
+  for (const auto& [service, pool] : pools) {
+    plan.m_needs.push_back({ service,
+                             pool.m_have,
+                             pool.m_want,
+                             pool.m_work / kMilliPerUnit,
+                             pool.m_cpu / kMilliPerCore,
+                             pool.m_used / kMilliPerCore });
+  }
+  const TimePoint heardAll =
+    m_leaderSince + m_options.m_betweenLeaders - m_options.m_moveTakes;
+  if (aNow >= heardAll) {
     FillPools(aWorkers, aReserved, aNow, pools, plan);
-    if (const ServiceId* standby = aState.Routes().StandbyPool()) {
-      ReleaseIdle(*standby, aWorkers, aReserved, aNow, pools, plan);
-    }
+    EmptySurplus(aReserved, aNow, pools);
+  }
+  const bool isSettled = aNow >= m_leaderSince + m_options.m_betweenLeaders;
+  if (isSettled && standby != nullptr) {
+    ReleaseIdle(*standby, aWorkers, aReserved, aNow, pools, plan);
   }
   for (const auto& [instance, move] : m_moves) {
     if (const Worker* worker = aWorkers.FindByInstance(instance)) {
       plan.m_cordoned.insert(worker->m_last.m_worker);
     }
   }
+  plan.m_cordoned.insert(m_emptying.begin(), m_emptying.end());
   return plan;
 }
 
 void
-CapacityPlanner::OnListed(const std::vector<ListedInstance>& aInstances)
+CapacityPlanner::OnListed(const std::vector<ListedInstance>& aInstances,
+                          TimePoint aNow)
 {
-  m_standby.clear();
+  const auto before = std::exchange(m_standby, {});
   for (const ListedInstance& instance : aInstances) {
     if (instance.m_isUp) {
-      m_standby.emplace(instance.m_id, instance.m_pool);
+      const auto known = before.find(instance.m_id);
+      m_standby.emplace(instance.m_id,
+                        known == before.end() ? aNow : known->second);
     }
   }
 }
@@ -352,6 +446,7 @@
   }
   if (aAnswer == InstanceAnswer::kTaken) {
     m_standby.erase(aOrder.m_instance);
+    move->second.m_taken = true;
     return move->second.m_aimedAt;
   }
   // Refused, or not known: the instance stays where its reports or the
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -8,6 +8,9 @@
 
 constexpr std::uint32_t kFullRate = 100;
 constexpr std::uint32_t kAtWorkPercent = 100;
+/** Of its CPU in use, where a worker counts as full: what is left is less than
+ * a task of the usual size needs. */
+constexpr std::int64_t kFullPercent = 85;
 /** Share of a latency target at which filler tasks beside it is slowed, and
  * below which it is let go again. Between them lies the noise of a tail that
  * is measured over half a second. */
@@ -483,6 +486,29 @@
          });
 }
 
+// Reports without ends are most of what a leader takes in a peak, and full
+// workers are most of those that send them.
+Duration
+WorkerTable::NextReport(const Worker& aWorker, const jobs::Book& aBook) const
+{
+  const WorkerId& id = aWorker.m_last.m_worker;
+  if (IsQuiet(id, aBook)) {
+    return m_options.m_reportAgain;
+  }
+  const auto placed = aBook.Placed().find(id);
+  if (placed == aBook.Placed().end() || !aWorker.m_rates.empty()) {
+    return m_options.m_reportEvery;
+  }
+  std::int64_t usedCpu = 0;
+  for (const jobs::TaskRef& ref : placed->second) {
+    const jobs::StepSpec& step = StepOf(*aBook.Find(ref.m_job), ref);
+    usedCpu += step.m_fills ? 0 : step.m_needs.m_cpuMillis;
+  }
+  const std::int64_t allCpu = aWorker.m_last.m_capacity.m_cpuMillis;
+  const bool isFull = usedCpu * 100 >= allCpu * kFullPercent;
+  return isFull ? m_options.m_reportWhenFull : m_options.m_reportEvery;
+}
+
 Orders
 WorkerTable::Answer(const WorkerId& aWorker,
                     const jobs::Book& aBook,
@@ -493,8 +519,7 @@
   const WorkerReport& report = worker.m_last;
   orders.m_ackedUpTo = worker.m_ackedUpTo;
   orders.m_lease = m_options.m_lease;
-  orders.m_nextReport =
-    IsQuiet(aWorker, aBook) ? m_options.m_reportAgain : m_options.m_reportEvery;
+  orders.m_nextReport = NextReport(worker, aBook);
   worker.m_leaseEnd = aNow + LongestHold();
   for (const RunReport& run : report.m_active) {
     const jobs::Job* job = aBook.Find(run.m_task.m_job);
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -110,6 +110,15 @@
   }
 }
 
+void
+TakeSeconds(const Json& aJson, const char* aKey, Millis& aTo)
+{
+  if (aJson.contains(aKey)) {
+    const std::chrono::duration<double> seconds{ aJson.at(aKey).get<double>() };
+    aTo = std::chrono::ceil<Millis>(seconds);
+  }
+}
+
 std::optional<std::string>
 TakeText(const Json& aJson, const char* aKey)
 {
@@ -198,12 +207,8 @@
   Take(from, "formGroup", to.m_formGroup);
   Take(from, "toleratedLosses", to.m_toleratedLosses);
   Take(from, "ordersPerSecond", to.m_ordersPerSecond);
-  if (from.contains("maintenanceSeconds")) {
-    const std::chrono::duration<double> takes{
-      from.at("maintenanceSeconds").get<double>()
-    };
-    to.m_maintenanceTakes = std::chrono::ceil<Millis>(takes);
-  }
+  TakeSeconds(from, "maintenanceSeconds", to.m_maintenanceTakes);
+  TakeSeconds(from, "moveSeconds", to.m_moveTakes);
   if (from.contains("rpcPort")) {
     to.m_rpcPort = from.at("rpcPort").get<std::uint16_t>();
     for (Address& seed : aSettings.m_controlSeeds) {
--- a/tests/unit/placement/workers_test.cpp
+++ b/tests/unit/placement/workers_test.cpp
@@ -323,3 +323,19 @@
   Hear(report, 1000);
   CHECK_FALSE(m_table.IsQuiet(WorkerId{ "w1" }, m_fleet.Book()));
 }
+
+TEST(WorkerTable, FullWorker_ReportsLessOften)
+{
+  const WorkerId worker{ "w1" };
+  m_fleet.Submit("a", Spec({ Step(4, 1000) }));
+  Hear(Report("w1", 1), 1000);
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    m_fleet.Start(Ref("a", i), "w1");
+  }
+  const Duration withRoom =
+    m_table.Answer(worker, m_fleet.Book(), At(1000)).m_nextReport;
+  m_fleet.Start(Ref("a", 3), "w1");
+  const Duration full =
+    m_table.Answer(worker, m_fleet.Book(), At(1000)).m_nextReport;
+  CHECK(full > withRoom);
+}
--- a/tools/bamboostiled/main.cpp
+++ b/tools/bamboostiled/main.cpp
@@ -209,6 +209,7 @@
     const auto& hosting = m_settings.m_hosting;
     if (hosting) {
       options.m_maintenance.m_takes = hosting->m_maintenanceTakes;
+      options.m_capacity.m_moveTakes = hosting->m_moveTakes;
       options.m_capacity.m_ordersPerSecond = hosting->m_ordersPerSecond;
     }
     if (hosting && hosting->m_instances) {
