Replace workers that maintenance is about to take; move tasks only where they may run

Their pool of 19 held tasks that must stay apart, one on each worker; those about to be maintained counted as workers of the pool, so it asked for none to take their tasks. And a long-running task was stopped if any worker had room, also where it may not run, and was away then until another came.

Change: what maintenance is about to take does not count; a move of a task asks the same question as its start. The move's conditions are a function of their own.

--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -136,6 +136,7 @@
 
   Pools FindPools(const fleet::State& aState,
                   const WorkerTable& aWorkers,
+                  const std::set<WorkerId>& aReserved,
                   const Durations& aDurations,
                   WallTime aWall) const;
   void AddDemand(const fleet::State& aState,
--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -67,6 +67,8 @@
   };
 
   using Pool = std::vector<Room>;
+  /** Running tasks of one step by worker. */
+  using OnWorkers = std::unordered_map<WorkerId, std::uint32_t>;
   using Pools = std::unordered_map<ServiceId, Pool>;
 
   Pools FindRoom(const fleet::State& aState,
@@ -84,10 +86,17 @@
   void Place(const Candidate& aCandidate, Pool& aPool, Plan& aPlan) const;
   static void KeepEmptiest(const jobs::StepSpec& aStep, Pool& aPool);
   void PlaceGang(const Candidate& aCandidate, Pool& aPool, Plan& aPlan) const;
-  Room* Choose(const Candidate& aCandidate,
-               const jobs::StepSpec& aStep,
-               const std::unordered_map<WorkerId, std::uint32_t>& aOnWorker,
+  /** Null where no worker may take a task of the step. */
+  Room* Choose(const jobs::StepSpec& aStep,
+               const OnWorkers& aOnWorker,
                Pool& aPool) const;
+  static OnWorkers CountOnWorkers(const std::vector<jobs::Task>& aTasks);
+  static bool MayLeave(const jobs::TaskRef& aTask,
+                       const fleet::State& aState,
+                       const WorkerTable& aWorkers,
+                       const Worker& aFrom,
+                       TimePoint aNow,
+                       const Plan& aPlan);
   void MoveLongRunning(const fleet::State& aState,
                        const WorkerTable& aWorkers,
                        const std::set<WorkerId>& aCordoned,
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -120,6 +120,7 @@
 CapacityPlanner::Pools
 CapacityPlanner::FindPools(const fleet::State& aState,
                            const WorkerTable& aWorkers,
+                           const std::set<WorkerId>& aReserved,
                            const Durations& aDurations,
                            WallTime aWall) const
 {
@@ -136,7 +137,9 @@
     anyCores =
       std::max<std::size_t>(anyCores, worker.m_last.m_capacity.m_cpuMillis);
     if (pool != pools.end()) {
-      ++pool->second.m_have;
+      // What maintenance is about to take serves no more: its long-running
+      // tasks need room elsewhere before it can go.
+      pool->second.m_have += aReserved.contains(id) ? 0 : 1;
       pool->second.m_cores = worker.m_last.m_capacity.m_cpuMillis;
       pool->second.m_cpu += worker.m_last.m_capacity.m_cpuMillis;
       const Use use = FindUse(aState.Jobs(), id);
@@ -393,7 +396,7 @@
   m_leaderSince = aWorkers.LeaderSince();
   const ServiceId* standby = aState.Routes().StandbyPool();
   Settle(aWorkers, standby, aNow);
-  Pools pools = FindPools(aState, aWorkers, aDurations, aWall);
+  Pools pools = FindPools(aState, aWorkers, aReserved, aDurations, aWall);
   for (const auto& [service, pool] : pools) {
     plan.m_needs.push_back({ service,
                              pool.m_have,
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -191,9 +191,8 @@
 }
 
 Planner::Room*
-Planner::Choose(const Candidate& aCandidate,
-                const jobs::StepSpec& aStep,
-                const std::unordered_map<WorkerId, std::uint32_t>& aOnWorker,
+Planner::Choose(const jobs::StepSpec& aStep,
+                const OnWorkers& aOnWorker,
                 Pool& aPool) const
 {
   Room* best = nullptr;
@@ -220,7 +219,7 @@
     // but over workers that run something already: one on each worker would
     // keep the whole pool from ever being idle. The others are packed, so that
     // room for large ones stays in one piece.
-    const bool isSpread = aCandidate.m_isLongRunning || aStep.m_fills;
+    const bool isSpread = aStep.m_longRunning || aStep.m_fills;
     const bool isCrowded = isSpread && onWorker >= SpreadLimit(aStep);
     const bool isEmpty =
       isSpread && room.m_cpu == report.m_capacity.m_cpuMillis;
@@ -274,23 +273,19 @@
   const auto found =
     aCandidate.m_job->m_occurrences.find(aCandidate.m_occurrence);
   static const jobs::Task kUntouched;
-  std::unordered_map<WorkerId, std::uint32_t> onWorker;
+  OnWorkers onWorker;
   const bool isNew = found == aCandidate.m_job->m_occurrences.end();
   const std::vector<jobs::Task>* tasks =
     isNew ? nullptr : &found->second.m_steps[aCandidate.m_step].m_tasks;
   if ((step.m_maxPerWorker > 0 || step.m_longRunning) && tasks != nullptr) {
-    for (const jobs::Task& task : *tasks) {
-      if (task.m_phase == jobs::TaskPhase::kRunning) {
-        ++onWorker[task.m_worker];
-      }
-    }
+    onWorker = CountOnWorkers(*tasks);
   }
   for (std::uint32_t i = 0; i < step.m_count; ++i) {
     const jobs::Task& task = tasks == nullptr ? kUntouched : (*tasks)[i];
     if (task.m_phase != jobs::TaskPhase::kWaiting) {
       continue;
     }
-    Room* room = Choose(aCandidate, step, onWorker, aPool);
+    Room* room = Choose(step, onWorker, aPool);
     if (room == nullptr) {
       if (!aCandidate.m_late) {
         KeepEmptiest(step, aPool);
@@ -327,10 +322,10 @@
     }
   }
   Pool trial = aPool;
-  std::unordered_map<WorkerId, std::uint32_t> onWorker;
+  OnWorkers onWorker;
   std::vector<jobs::Change> starts;
   for (std::uint32_t i = 0; i < step.m_count; ++i) {
-    Room* room = Choose(aCandidate, step, onWorker, trial);
+    Room* room = Choose(step, onWorker, trial);
     if (room == nullptr) {
       return;
     }
@@ -346,8 +341,48 @@
   std::move(starts.begin(), starts.end(), std::back_inserter(aPlan.m_changes));
 }
 
+bool
+Planner::MayLeave(const jobs::TaskRef& aTask,
+                  const fleet::State& aState,
+                  const WorkerTable& aWorkers,
+                  const Worker& aFrom,
+                  TimePoint aNow,
+                  const Plan& aPlan)
+{
+  const jobs::Job& job = *aState.Jobs().Find(aTask.m_job);
+  const jobs::Task& task = *aState.Jobs().FindTask(aTask);
+  const bool isMovable = job.m_spec.m_steps[aTask.m_step].m_longRunning &&
+                         job.m_state == jobs::JobState::kActive &&
+                         aWorkers.FindRun(aTask, task) != nullptr &&
+                         !aFrom.m_toStop.contains({ aTask, task.m_lastRun });
+  const bool isFirstOfStep = std::none_of(
+    aPlan.m_stops.begin(), aPlan.m_stops.end(), [&](const StopOrder& aStop) {
+      return aStop.m_task.m_job == aTask.m_job &&
+             aStop.m_task.m_step == aTask.m_step;
+    });
+  if (!isMovable || !isFirstOfStep) {
+    return false;
+  }
+  // The worker of one that drains goes anyway; but where another task of
+  // the step is under orders to stop, both would be away at once.
+  return aFrom.m_last.m_draining ? !aWorkers.IsAnyStopping(job, aTask)
+                                 : aWorkers.MayDisrupt(job, aTask, aNow);
+}
+
+Planner::OnWorkers
+Planner::CountOnWorkers(const std::vector<jobs::Task>& aTasks)
+{
+  OnWorkers onWorkers;
+  for (const jobs::Task& task : aTasks) {
+    if (task.m_phase == jobs::TaskPhase::kRunning) {
+      ++onWorkers[task.m_worker];
+    }
+  }
+  return onWorkers;
+}
+
 // A long-running task leaves a worker that goes away before it goes: the stop
-// is ordered only where another worker has room, so that the task is back
+// is ordered only where another worker may take it, so that the task is back
 // within about a second.
 void
 Planner::MoveLongRunning(const fleet::State& aState,
@@ -359,41 +394,25 @@
 {
   const jobs::Book& book = aState.Jobs();
   for (const auto& [worker, tasks] : book.Placed()) {
-    const Worker* known = aWorkers.Find(worker);
-    const bool leaves = known != nullptr && (known->m_last.m_draining ||
-                                             aCordoned.contains(worker));
+    const Worker* from = aWorkers.Find(worker);
+    const bool leaves = from != nullptr &&
+                        (from->m_last.m_draining || aCordoned.contains(worker));
     if (!leaves) {
       continue;
     }
     for (const jobs::TaskRef& ref : tasks) {
-      const jobs::Job* job = book.Find(ref.m_job);
-      const jobs::StepSpec& step = job->m_spec.m_steps[ref.m_step];
-      const jobs::Task* task = book.FindTask(ref);
-      if (!step.m_longRunning || job->m_state != jobs::JobState::kActive ||
-          aWorkers.FindRun(ref, *task) == nullptr ||
-          known->m_toStop.contains({ ref, task->m_lastRun })) {
+      if (!MayLeave(ref, aState, aWorkers, *from, aNow, aPlan)) {
         continue;
       }
-      // The worker of one that drains goes anyway; but where another task of
-      // the step is under orders to stop, both would be away at once.
-      const bool mayGo = known->m_last.m_draining
-                           ? !aWorkers.IsAnyStopping(*job, ref)
-                           : aWorkers.MayDisrupt(*job, ref, aNow);
-      const bool first =
-        std::none_of(aPlan.m_stops.begin(),
-                     aPlan.m_stops.end(),
-                     [&](const StopOrder& aStop) {
-                       return aStop.m_task.m_job == ref.m_job &&
-                              aStop.m_task.m_step == ref.m_step;
-                     });
-      auto& pool = aPools[known->m_last.m_service];
-      const auto room =
-        std::find_if(pool.begin(), pool.end(), [&](Room& aRoom) {
-          return aRoom.Fits(step);
-        });
-      if (mayGo && first && room != pool.end()) {
+      const jobs::Job& job = *book.Find(ref.m_job);
+      const jobs::StepSpec& step = job.m_spec.m_steps[ref.m_step];
+      const auto& tasksOfStep =
+        job.m_occurrences.at(ref.m_occurrence).m_steps[ref.m_step].m_tasks;
+      Room* room = Choose(
+        step, CountOnWorkers(tasksOfStep), aPools[from->m_last.m_service]);
+      if (room != nullptr) {
         room->Take(step);
-        aPlan.m_stops.push_back({ ref, task->m_lastRun });
+        aPlan.m_stops.push_back({ ref, book.FindTask(ref)->m_lastRun });
       }
     }
   }
--- a/tests/unit/placement/capacity_test.cpp
+++ b/tests/unit/placement/capacity_test.cpp
@@ -14,6 +14,7 @@
   Fleet m_fleet;
   placement::WorkerTable m_table{ LeaseOptions{}, At(0) };
   placement::Durations m_durations;
+  std::set<WorkerId> m_reserved;
   placement::CapacityPlanner m_planner;
 
   /** A second service, "other", and a pool "spare" that is off. */
@@ -50,8 +51,12 @@
 
   CapacityPlan Next(std::int64_t aAt)
   {
-    return m_planner.Next(
-      m_fleet.State(), m_table, {}, m_durations, At(aAt), WallTime{ 0 });
+    return m_planner.Next(m_fleet.State(),
+                          m_table,
+                          m_reserved,
+                          m_durations,
+                          At(aAt),
+                          WallTime{ 0 });
   }
 
   void ListStandby(int aCount)
@@ -341,3 +346,20 @@
   m_fleet.Submit("given-up", Spec({ Step(96, 1000) }), -30'000);
   LONGS_EQUAL(0, Next(10'000).m_orders.size());
 }
+
+// Each worker holds a task that must stay apart from the others, and two are to
+// be maintained. Their tasks wait for a worker that has none, and the wave for
+// them, unless the pool gets as many more as are about to go.
+TEST(CapacityPlanner, WorkersAboutToBeMaintained_AreReplaced)
+{
+  Pool("desk", 5);
+  Pool("other", 3);
+  ListStandby(10);
+  StepSpec step = Step(4, 100);
+  step.m_longRunning = true;
+  step.m_maxPerWorker = 1;
+  m_fleet.Submit("lasting", Spec({ step }));
+  LONGS_EQUAL(0, Next(10'000).m_orders.size());
+  m_reserved = { WorkerId{ "desk0" }, WorkerId{ "desk1" } };
+  LONGS_EQUAL(2, Next(10'100).m_orders.size());
+}
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -198,6 +198,27 @@
   CHECK_STRING("w1", WorkerOf(Ref("fresh")));
 }
 
+// The only worker with room has a task of the same step, which must stay apart.
+// Were this one stopped, it would be away until a third worker comes.
+TEST(PlacementPlanner, LongRunningTaskThatNoOtherWorkerMayTake_Stays)
+{
+  StepSpec step = Step(2, 100);
+  step.m_longRunning = true;
+  step.m_maxPerWorker = 1;
+  m_fleet.Submit("a", Spec({ step }));
+  for (std::uint32_t i = 0; i < 2; ++i) {
+    const std::string worker = "w" + std::to_string(i + 1);
+    m_fleet.Start(Ref("a", i), worker);
+    WorkerReport report = Report(worker, 1);
+    report.m_active = { Active(Ref("a", i)) };
+    Hear(report);
+  }
+  m_cordoned.insert(WorkerId{ "w1" });
+  LONGS_EQUAL(0, Next().m_stops.size());
+  Hear(Report("w3", 1));
+  LONGS_EQUAL(1, Next().m_stops.size());
+}
+
 TEST(PlacementPlanner, LongRunningTasksOnCordonedWorker_MoveOneAtATime)
 {
   StepSpec step = Step(2);
