Split the demand of jobs from the pools; one function turns seeds into texts

The gap between two leaders' orders for one instance is a setting now, as the platform states it (hosting.leaderGapMs). No change of behaviour otherwise.

--- a/include/bamboostile/settings/settings.h
+++ b/include/bamboostile/settings/settings.h
@@ -58,12 +58,19 @@
   /** Moves and maintenance orders that the platform takes from all replicas
    * together. */
   double m_ordersPerSecond = 64;
+  /** Two leaders' orders for one instance must be so far apart. */
+  Millis m_betweenLeaders{ 3000 };
   /** How long the platform takes to move an instance to another pool. */
   Millis m_moveTakes{ 1500 };
   /** How long the platform keeps an instance down for its maintenance. */
   Millis m_maintenanceTakes{ 2000 };
 };
 
+struct Settings;
+
+/** The control replicas' addresses as RPC and logs take them. */
+std::vector<std::string> SeedsOf(const Settings& aSettings);
+
 struct Settings
 {
   InstanceId m_instance;
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -56,6 +56,65 @@
   return use;
 }
 
+/** What the jobs of one service ask for. */
+struct Demand
+{
+  /** CPU times duration of what can still be in time, and of what is late. */
+  std::int64_t m_fresh = 0;
+  std::int64_t m_late = 0;
+  std::int64_t m_longRunningCpu = 0;
+  /** Workers that long-running tasks need to stay apart. */
+  std::size_t m_spread = 0;
+
+  void Add(const jobs::Job& aJob,
+           const fleet::QueueRoute& aRoute,
+           const Durations& aDurations,
+           WallTime aWall);
+
+private:
+  void AddLongRunning(const jobs::StepSpec& aStep);
+};
+
+void
+Demand::AddLongRunning(const jobs::StepSpec& aStep)
+{
+  if (!aStep.m_fills) {
+    m_longRunningCpu +=
+      std::int64_t{ aStep.m_count } * aStep.m_needs.m_cpuMillis;
+  }
+  const std::size_t least =
+    aStep.m_maxPerWorker == 0
+      ? 1
+      : (aStep.m_count + aStep.m_maxPerWorker - 1) / aStep.m_maxPerWorker;
+  m_spread = std::max(m_spread, least);
+}
+
+void
+Demand::Add(const jobs::Job& aJob,
+            const fleet::QueueRoute& aRoute,
+            const Durations& aDurations,
+            WallTime aWall)
+{
+  std::int64_t work = 0;
+  for (const auto& [number, occurrence] : aJob.m_occurrences) {
+    for (std::size_t s = 0; s < occurrence.m_steps.size(); ++s) {
+      const jobs::StepSpec& step = aJob.m_spec.m_steps[s];
+      if (step.m_longRunning) {
+        AddLongRunning(step);
+      } else {
+        work += RemainingWork(step, occurrence.m_steps[s], aDurations);
+      }
+    }
+  }
+  const std::int64_t age = aWall.Get() - aJob.m_acceptedAt.Get();
+  const std::int64_t objective = aRoute.m_objective.count();
+  if (age <= kLateAfterObjectives * objective) {
+    m_fresh += work;
+  } else if (age <= kGivenUpAfterObjectives * objective) {
+    m_late += work;
+  }
+}
+
 } // namespace
 
 void
@@ -64,56 +123,28 @@
                            WallTime aWall,
                            Pools& aPools) const
 {
-  std::map<ServiceId, std::int64_t> work;
-  std::map<ServiceId, std::int64_t> late;
-  std::map<ServiceId, std::int64_t> lasting;
-  std::map<ServiceId, std::size_t> spread;
+  std::map<ServiceId, Demand> demands;
   for (const auto& [order, id] : aState.Jobs().Open()) {
     const jobs::Job& job = *aState.Jobs().Find(id);
     const auto found = aState.RouteLookup().Find(job.m_queue);
-    if (job.m_state != jobs::JobState::kActive || !found) {
-      continue;
-    }
-    const fleet::QueueRoute& route = aState.Routes().m_routes[*found];
-    std::int64_t ofJob = 0;
-    for (const auto& [number, occurrence] : job.m_occurrences) {
-      for (std::size_t s = 0; s < occurrence.m_steps.size(); ++s) {
-        const jobs::StepSpec& step = job.m_spec.m_steps[s];
-        if (step.m_longRunning) {
-          lasting[route.m_service] +=
-            step.m_fills
-              ? 0
-              : std::int64_t{ step.m_count } * step.m_needs.m_cpuMillis;
-          const std::size_t least =
-            step.m_maxPerWorker == 0
-              ? 1
-              : (step.m_count + step.m_maxPerWorker - 1) / step.m_maxPerWorker;
-          spread[route.m_service] = std::max(spread[route.m_service], least);
-        } else {
-          ofJob += RemainingWork(step, occurrence.m_steps[s], aDurations);
-        }
-      }
-    }
-    const std::int64_t age = aWall.Get() - job.m_acceptedAt.Get();
-    const std::int64_t objective = route.m_objective.count();
-    if (age <= kLateAfterObjectives * objective) {
-      work[route.m_service] += ofJob;
-    } else if (age <= kGivenUpAfterObjectives * objective) {
-      late[route.m_service] += ofJob;
+    if (job.m_state == jobs::JobState::kActive && found) {
+      const fleet::QueueRoute& route = aState.Routes().m_routes[*found];
+      demands[route.m_service].Add(job, route, aDurations, aWall);
     }
   }
   for (auto& [service, pool] : aPools) {
-    pool.m_work = work[service] + late[service];
-    const std::int64_t cpu = work[service] / m_options.m_workOffIn.count() +
-                             late[service] / m_options.m_workOffLateIn.count() +
-                             lasting[service];
+    const Demand& demand = demands[service];
+    pool.m_work = demand.m_fresh + demand.m_late;
+    const std::int64_t cpu = demand.m_fresh / m_options.m_workOffIn.count() +
+                             demand.m_late / m_options.m_workOffLateIn.count() +
+                             demand.m_longRunningCpu;
     const auto cores =
       static_cast<std::int64_t>(std::max<std::size_t>(pool.m_cores, 1));
     const auto byWork = static_cast<std::size_t>((cpu + cores - 1) / cores);
     // One more than the long-running tasks need, so that one of them whose
     // worker is lost finds room at once.
     pool.m_want =
-      std::max({ byWork, spread[service] + 1, m_options.m_leastPerPool });
+      std::max({ byWork, demand.m_spread + 1, m_options.m_leastPerPool });
   }
 }
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -209,6 +209,8 @@
   Take(from, "ordersPerSecond", to.m_ordersPerSecond);
   TakeSeconds(from, "maintenanceSeconds", to.m_maintenanceTakes);
   TakeSeconds(from, "moveSeconds", to.m_moveTakes);
+  to.m_betweenLeaders =
+    Millis{ from.value("leaderGapMs", to.m_betweenLeaders.count()) };
   if (from.contains("rpcPort")) {
     to.m_rpcPort = from.at("rpcPort").get<std::uint16_t>();
     for (Address& seed : aSettings.m_controlSeeds) {
@@ -359,4 +361,14 @@
   return settings;
 }
 
+std::vector<std::string>
+SeedsOf(const Settings& aSettings)
+{
+  std::vector<std::string> seeds;
+  for (const Address& seed : aSettings.m_controlSeeds) {
+    seeds.push_back(seed.ToText());
+  }
+  return seeds;
+}
+
 } // namespace bamboostile::settings
--- a/tools/bamboostiled/main.cpp
+++ b/tools/bamboostiled/main.cpp
@@ -159,9 +159,7 @@
       options.m_group.m_voters =
         2 * std::max(1U, m_settings.m_hosting->m_toleratedLosses) + 1;
       options.m_replica.m_maxVoters = options.m_group.m_voters;
-      for (const settings::Address& seed : m_settings.m_controlSeeds) {
-        options.m_seeds.push_back(seed.ToText());
-      }
+      options.m_seeds = settings::SeedsOf(m_settings);
     }
     m_node = std::make_unique<control::Node>(
       std::move(options),
@@ -209,6 +207,8 @@
     const auto& hosting = m_settings.m_hosting;
     if (hosting) {
       options.m_maintenance.m_takes = hosting->m_maintenanceTakes;
+      options.m_maintenance.m_quietAfterElection = hosting->m_betweenLeaders;
+      options.m_capacity.m_betweenLeaders = hosting->m_betweenLeaders;
       options.m_capacity.m_moveTakes = hosting->m_moveTakes;
       options.m_capacity.m_ordersPerSecond = hosting->m_ordersPerSecond;
     }
@@ -276,10 +276,7 @@
     options.m_self = { m_settings.m_instance, Incarnation{ RandomNumber() } };
     options.m_engine.m_routing.m_seed = RandomNumber();
     m_tracer = MakeTracer(m_settings);
-    std::vector<std::string> seeds;
-    for (const settings::Address& seed : m_settings.m_controlSeeds) {
-      seeds.push_back(seed.ToText());
-    }
+    const std::vector<std::string> seeds = settings::SeedsOf(m_settings);
     m_queues = std::make_unique<entry::QueueGateway>(*m_io->provider, seeds);
     m_frontend =
       std::make_unique<entry::Frontend>(options, m_inbox, *m_queues, m_tracer);
@@ -294,9 +291,7 @@
     link.m_self = options.m_self;
     link.m_zone = m_settings.m_zone;
     link.m_httpAddress = m_settings.m_http->ToText();
-    for (const settings::Address& seed : m_settings.m_controlSeeds) {
-      link.m_seeds.push_back(seed.ToText());
-    }
+    link.m_seeds = seeds;
     m_link = std::make_unique<entry::Link>(
       link, *m_io->provider, m_inbox, [this](entry::LeaseGranted aLease) {
         m_frontend->OnLease(std::move(aLease));
@@ -316,10 +311,7 @@
         .Write();
       return;
     }
-    std::vector<std::string> seeds;
-    for (const settings::Address& seed : loaded->m_controlSeeds) {
-      seeds.push_back(seed.ToText());
-    }
+    const std::vector<std::string> seeds = settings::SeedsOf(*loaded);
     if (m_node && m_settings.m_hosting) {
       m_node->SetSeeds(seeds);
     }
