--- a/include/bamboostile/consensus/membership_policy.h
+++ b/include/bamboostile/consensus/membership_policy.h
@@ -10,6 +10,8 @@
 {
   /** Two for each replica whose loss must be survived, and one. */
   std::size_t m_voters = 3;
+  /** Never formed with fewer: as many as there are seeds. */
+  std::size_t m_leastVoters = 3;
   /** A voter that is silent for so long gives its place to a learner. Longer
    * than a restart takes. */
   Duration m_dropSilentAfter = Millis{ 6000 };
--- a/src/consensus/membership_policy.cpp
+++ b/src/consensus/membership_policy.cpp
@@ -17,7 +17,8 @@
     m_sizeSince = aNow;
   }
   const bool hasSettled = aNow >= m_sizeSince + m_options.m_settlesAfter &&
-                          aMembership.VoterCount() == size;
+                          aMembership.VoterCount() == size &&
+                          size >= m_options.m_leastVoters;
   return aMembership.VoterCount() >= m_options.m_voters || hasSettled;
 }
 
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -183,6 +183,10 @@
   for (auto& [service, pool] : pools) {
     pool.m_cores = pool.m_cores == 0 ? anyCores : pool.m_cores;
   }
+  // Before any worker has reported nobody knows how large one is.
+  if (anyCores == 0) {
+    return pools;
+  }
   AddDemand(aState, aDurations, aWall, pools);
   for (const auto& [instance, move] : m_moves) {
     const auto pool = pools.find(move.m_to);
--- a/tests/unit/consensus/membership_policy_test.cpp
+++ b/tests/unit/consensus/membership_policy_test.cpp
@@ -93,3 +93,13 @@
   CHECK_FALSE(m_policy.IsFormed(Group(3, 0), At(5900)));
   CHECK(m_policy.IsFormed(Group(3, 0), At(6000)));
 }
+
+// The other seeds are late or cut off. The founder alone would acknowledge what
+// is lost with its disk.
+TEST(MembershipPolicy, FounderAlone_IsNoGroupHoweverLongItWaits)
+{
+  CHECK_FALSE(m_policy.IsFormed(Group(1, 0), At(1000)));
+  CHECK_FALSE(m_policy.IsFormed(Group(1, 0), At(60'000)));
+  CHECK_FALSE(m_policy.IsFormed(Group(2, 0), At(90'000)));
+  CHECK_FALSE(m_policy.IsFormed(Group(2, 0), At(190'000)));
+}
--- a/tests/unit/placement/capacity_test.cpp
+++ b/tests/unit/placement/capacity_test.cpp
@@ -363,3 +363,12 @@
   m_reserved = { WorkerId{ "desk0" }, WorkerId{ "desk1" } };
   LONGS_EQUAL(2, Next(10'100).m_orders.size());
 }
+
+// A new leader has heard no worker yet, and so does not know how many of them a
+// backlog needs.
+TEST(CapacityPlanner, NoWorkerHeardYet_NothingIsOrdered)
+{
+  ListStandby(20);
+  SubmitPeak();
+  LONGS_EQUAL(0, Next(10'000).m_orders.size());
+}
--- a/tools/bamboostiled/main.cpp
+++ b/tools/bamboostiled/main.cpp
@@ -160,6 +160,7 @@
         2 * std::max(1U, m_settings.m_hosting->m_toleratedLosses) + 1;
       options.m_replica.m_maxVoters = options.m_group.m_voters;
       options.m_seeds = settings::SeedsOf(m_settings);
+      options.m_group.m_leastVoters = options.m_seeds.size();
     }
     m_node = std::make_unique<control::Node>(
       std::move(options),
