Never order an instance out of standby that reports from another pool

Traced by exclusion to a list of the platform that was read before an order and came after.

Change: an instance whose worker reports is never taken for one in standby.

--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -158,7 +158,8 @@
                                        const std::set<WorkerId>& aEmptied,
                                        TimePoint aNow) const;
   bool Rests(const InstanceId& aInstance, TimePoint aNow) const;
-  std::optional<InstanceId> FindStandby(TimePoint aNow) const;
+  std::optional<InstanceId> FindStandby(const WorkerTable& aWorkers,
+                                        TimePoint aNow) const;
   void FillPools(const WorkerTable& aWorkers,
                  const std::set<WorkerId>& aReserved,
                  TimePoint aNow,
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -96,9 +96,10 @@
    * an end, and reports that by itself within 50 ms. */
   Duration m_reportWhenFull = Millis{ 500 };
   /** The report of a quiet worker is answered after this, or once there is an
-   * order for it. A worker drops an answer that takes longer than 1 s; this
-   * leaves 0.4 s for a busy leader and the way. */
-  Duration m_holdQuiet = Millis{ 600 };
+   * order for it. A worker drops an answer that takes longer than 1 s, and with
+   * it its lease; this leaves 0.6 s for the way and for a leader whose batches
+   * take 0.2 s in a peak. */
+  Duration m_holdQuiet = Millis{ 400 };
   /** Until a quiet worker reports again, after its held report was answered. */
   Duration m_reportAgain = Millis{ 50 };
   /** Reports may be late by this: what one lacks proves nothing before the
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -292,11 +292,16 @@
   return notBefore != m_notBefore.end() && aNow < notBefore->second;
 }
 
+// The platform's list takes its time to read: one that left the pool meanwhile
+// is still on it. Ordered once more, while it serves another pool already, all
+// that runs on it would end at once, several tasks of one step among it. An
+// instance of the standby pool is off, so one that reports is not there.
 std::optional<InstanceId>
-CapacityPlanner::FindStandby(TimePoint aNow) const
+CapacityPlanner::FindStandby(const WorkerTable& aWorkers, TimePoint aNow) const
 {
   for (const auto& [instance, upSince] : m_standby) {
-    if (!m_moves.contains(instance) && !Rests(instance, aNow) &&
+    if (aWorkers.FindByInstance(instance) == nullptr &&
+        !m_moves.contains(instance) && !Rests(instance, aNow) &&
         IsLeftByEarlierLeader(upSince, aNow)) {
       return instance;
     }
@@ -343,7 +348,7 @@
     if (scarcest == aPools.end() || !scarcest->second.IsShort()) {
       return;
     }
-    if (const auto standby = FindStandby(aNow)) {
+    if (const auto standby = FindStandby(aWorkers, aNow)) {
       Order(*standby, nullptr, scarcest->first, aNow, aPlan);
       ++scarcest->second.m_have;
       continue;
--- a/tests/unit/placement/capacity_test.cpp
+++ b/tests/unit/placement/capacity_test.cpp
@@ -372,3 +372,17 @@
   SubmitPeak();
   LONGS_EQUAL(0, Next(10'000).m_orders.size());
 }
+
+// The platform's list was read just before an instance left standby, and came
+// just after. The instance has arrived and runs long-running tasks; a second
+// order would end them all at once, beyond what their step allows.
+TEST(CapacityPlanner, ListedOffButReporting_IsNotOrderedAgain)
+{
+  Pool("desk", 3);
+  Pool("other", 3);
+  m_planner.OnListed(
+    { { InstanceId{ "instance-of-other0" }, ServiceId{ "spare" }, true } },
+    At(9500));
+  SubmitPeak();
+  LONGS_EQUAL(0, Next(10'000).m_orders.size());
+}
