End the runs of lost workers under load too

Lost workers were looked for only when no batch was under way, and in a peak one batch follows the other; the same as was mended for moves of instances.

Ruled out: room (long-running tasks come first), the lease (4.7 s after the new leader's election).

Change: each cycle looks, at most every 50 ms, between batches as before.

--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -99,6 +99,8 @@
   WorkerAnswer NotLeading() const;
   void Gather(std::vector<jobs::EndRun> aEnds);
   void Kick();
+  /** Ends the runs of workers whose lease is over. */
+  void GatherLost(TimePoint aNow);
   /** Maintenance and moves, where their time has come. */
   void FollowInstances(TimePoint aNow);
   kj::Promise<void> Cycle();
@@ -129,6 +131,7 @@
   bool m_isCycling = false;
   TimePoint m_nextPass;
   TimePoint m_nextInstances;
+  TimePoint m_nextLost;
   TimePoint m_nextForget;
   struct Held
   {
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -17,6 +17,7 @@
  * workers that were set aside come back. */
 constexpr Duration kPassInterval = Millis{ 250 };
 constexpr Duration kInstancesInterval = Millis{ 100 };
+constexpr Duration kLostInterval = Millis{ 50 };
 constexpr Duration kForgetInterval = std::chrono::seconds{ 5 };
 /** What a caller whose job was not taken is told to wait. */
 constexpr Millis kRetryAfter{ 1000 };
@@ -245,6 +246,7 @@
     m_isCycling = false;
     return kj::READY_NOW;
   }
+  GatherLost(MonotonicNow());
   if (!m_gathered.empty()) {
     return Commit(std::exchange(m_gathered, {})).then([this]() {
       return Cycle();
@@ -284,6 +286,27 @@
   });
 }
 
+// Only between batches: while one is under way the same ends may be in it.
+// Under load one follows the other for seconds, so each cycle asks; without
+// that a long-running task of a crashed worker stood still for 10 s of a peak.
+void
+JobService::GatherLost(TimePoint aNow)
+{
+  if (aNow < m_nextLost) {
+    return;
+  }
+  m_nextLost = aNow + kLostInterval;
+  auto lost = m_workers->FindLost(m_node.State().Jobs(), aNow, WallNow());
+  if (lost.empty()) {
+    return;
+  }
+  LogLine(Level::kWarning, "runs lost with their workers")
+    .With("runs", lost.size())
+    .Write();
+  Gather(std::move(lost));
+  Kick();
+}
+
 // Only between batches: an instance on which a start is on its way is not idle,
 // though the state does not show it yet. Under load one batch follows the other
 // for seconds, so each cycle asks; without that no instance was moved for 7 s
@@ -435,13 +458,8 @@
 {
   const TimePoint now = MonotonicNow();
   if (Leads()) {
-    auto lost = m_workers->FindLost(m_node.State().Jobs(), now, WallNow());
-    if (!m_isCycling && !lost.empty()) {
-      LogLine(Level::kWarning, "runs lost with their workers")
-        .With("runs", lost.size())
-        .Write();
-      Gather(std::move(lost));
-      Kick();
+    if (!m_isCycling) {
+      GatherLost(now);
     }
     if (now >= m_nextForget) {
       m_nextForget = now + kForgetInterval;
