Say once that tasks that fill take no CPU of their own

The rule stood five times, in the planner, the capacity planner and the worker table, each written out. It is StepSpec::CountedCpu now. No change of behaviour; no test changed.

--- a/include/bamboostile/jobs/model.h
+++ b/include/bamboostile/jobs/model.h
@@ -65,6 +65,10 @@
   /** Tasks of a long-running step that the system may take away at once. */
   std::optional<std::uint32_t> m_disruptionBudget;
 
+  /** What each task takes of a worker's CPU, in thousandths of a core; tasks
+   * that fill take none of their own. */
+  std::int64_t CountedCpu() const { return m_fills ? 0 : m_needs.m_cpuMillis; }
+
   bool operator==(const StepSpec&) const = default;
 };
 
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -26,9 +26,7 @@
 {
   const std::int64_t left =
     static_cast<std::int64_t>(aRun.m_tasks.size()) - aRun.m_done;
-  return aStep.m_fills ? 0
-                       : left * aStep.m_needs.m_cpuMillis *
-                           aDurations.Estimate(aStep).count();
+  return left * aStep.CountedCpu() * aDurations.Estimate(aStep).count();
 }
 
 /** What runs hold of a worker. */
@@ -50,7 +48,7 @@
   for (const jobs::TaskRef& task : placed->second) {
     const jobs::StepSpec& step =
       aBook.Find(task.m_job)->m_spec.m_steps[task.m_step];
-    use.m_cpu += step.m_fills ? 0 : step.m_needs.m_cpuMillis;
+    use.m_cpu += step.CountedCpu();
     use.m_endsByItself = use.m_endsByItself && !step.m_longRunning;
   }
   return use;
@@ -78,10 +76,7 @@
 void
 Demand::AddLongRunning(const jobs::StepSpec& aStep)
 {
-  if (!aStep.m_fills) {
-    m_longRunningCpu +=
-      std::int64_t{ aStep.m_count } * aStep.m_needs.m_cpuMillis;
-  }
+  m_longRunningCpu += std::int64_t{ aStep.m_count } * aStep.CountedCpu();
   const std::size_t least =
     aStep.m_maxPerWorker == 0
       ? 1
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -32,26 +32,19 @@
   return (aStep.m_count + kSpreadShare - 1) / kSpreadShare;
 }
 
-/** Fills need no CPU of their own. */
-std::int64_t
-CountedCpu(const jobs::StepSpec& aStep)
-{
-  return aStep.m_fills ? 0 : aStep.m_needs.m_cpuMillis;
-}
-
 } // namespace
 
 bool
 Planner::Room::Fits(const jobs::StepSpec& aStep) const
 {
-  return CountedCpu(aStep) <= m_cpu && aStep.m_needs.m_memoryMb <= m_memory &&
+  return aStep.CountedCpu() <= m_cpu && aStep.m_needs.m_memoryMb <= m_memory &&
          aStep.m_needs.m_accelerators <= m_accelerators;
 }
 
 void
 Planner::Room::Take(const jobs::StepSpec& aStep)
 {
-  m_cpu -= CountedCpu(aStep);
+  m_cpu -= aStep.CountedCpu();
   m_memory -= aStep.m_needs.m_memoryMb;
   m_accelerators -= aStep.m_needs.m_accelerators;
   m_serves = m_serves || aStep.m_latencyTarget > Millis::zero();
@@ -223,7 +216,7 @@
     const bool isCrowded = isSpread && onWorker >= SpreadLimit(aStep);
     const bool isEmpty =
       isSpread && room.m_cpu == report.m_capacity.m_cpuMillis;
-    const std::int64_t left = room.m_cpu - CountedCpu(aStep);
+    const std::int64_t left = room.m_cpu - aStep.CountedCpu();
     const auto rank = std::make_tuple(
       farFromData, disturbs, isCrowded, isEmpty, isSpread ? -left : left);
     if (best == nullptr || rank < bestRank) {
@@ -256,7 +249,7 @@
     });
   const jobs::Resources& all = emptiest.m_worker->m_last.m_capacity;
   const jobs::Resources& needs = aStep.m_needs;
-  emptiest.m_kept = CountedCpu(aStep) * kLargeShare > all.m_cpuMillis ||
+  emptiest.m_kept = aStep.CountedCpu() * kLargeShare > all.m_cpuMillis ||
                     needs.m_memoryMb * kLargeShare > all.m_memoryMb ||
                     needs.m_accelerators > 0;
 }
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -502,7 +502,7 @@
   std::int64_t usedCpu = 0;
   for (const jobs::TaskRef& ref : placed->second) {
     const jobs::StepSpec& step = StepOf(*aBook.Find(ref.m_job), ref);
-    usedCpu += step.m_fills ? 0 : step.m_needs.m_cpuMillis;
+    usedCpu += step.CountedCpu();
   }
   const std::int64_t allCpu = aWorker.m_last.m_capacity.m_cpuMillis;
   const bool isFull = usedCpu * 100 >= allCpu * kFullPercent;
