Keep control processes up without a disk and on a full one

Ruled out: giving such instances no control role (the deploy file counts instances, not disks); ending and waiting for the platform's restart (an own end each time); stepping down on a full disk (the leader commits through the other two, so an election would only cost callers a second).

Change: without a folder the process is a relay: it answers RPC and HTTP by naming the leader, and the group forms past seeds that say that they keep no log. A write that the disk refuses is cut off and tried again every 100 ms; nothing that depends on it is said meanwhile. A folder that cannot be opened for the disk's sake is tried again every 500 ms, the process is a relay until then (one that may still found the group, so nobody forms past it). Where no majority of disks takes writes, jobs, routes and waves are refused at once.

Not done: a reserve of space for compaction; an instance whose sync fails still ends, as what its disk holds is then unknown.

--- a/include/bamboostile/consensus/membership_policy.h
+++ b/include/bamboostile/consensus/membership_policy.h
@@ -40,6 +40,12 @@
     m_heardFrom[aFrom] = aNow;
   }
 
+  /** Found out while the group forms: some seeds keep no log. */
+  void SetLeastVoters(std::size_t aVoters)
+  {
+    m_options.m_leastVoters = aVoters;
+  }
+
   bool IsFormed(const Membership& aMembership, TimePoint aNow);
 
   /** aSynced: learners that hold all that is committed. */
--- a/include/bamboostile/control/disk_thread.h
+++ b/include/bamboostile/control/disk_thread.h
@@ -11,7 +11,8 @@
 
 namespace bamboostile::control {
 
-/** All writes up to m_ticket are synced, or the disk failed for good. */
+/** All writes up to m_ticket are synced; or, with m_failure, the disk failed
+ * for good, or refuses for now and the write is tried again. */
 struct DiskReport
 {
   std::uint64_t m_ticket = 0;
@@ -23,7 +24,8 @@
  * commits but no heartbeat.
  *
  * What queues up during one sync goes out with the next: the number of syncs
- * stays the same however many commands arrive.
+ * stays the same however many commands arrive. A write that the disk refuses
+ * is tried again until it is taken; nothing behind it is written meanwhile.
  */
 class DiskThread
 {
@@ -36,6 +38,8 @@
 
 private:
   void Run();
+  bool WriteUntilTaken(const consensus::Persist& aPersist);
+  bool IsStoppedWithin(Duration aPause);
   static void Join(consensus::Persist& aInto, consensus::Persist aNext);
 
   std::unique_ptr<storage::LogStore> m_store;
--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -24,6 +24,8 @@
   kInForce,
   kNotLeader,
   kUndecided,
+  /** Not proposed: the group's disks take nothing now. */
+  kStalled,
 };
 
 enum class ReadOutcome
--- a/include/bamboostile/control/node.h
+++ b/include/bamboostile/control/node.h
@@ -65,6 +65,8 @@
 
   /** This replica may answer for the group now. */
   bool IsServing() const;
+  /** Commands wait for the group's disks, and a further one would as well. */
+  bool IsStalled() const;
   std::string LeaderAddress() const;
   kj::Promise<bool> WaitInForce(Index aRevision);
   /** Returns once the view moved past aRevision, or after the hold time. */
@@ -98,6 +100,7 @@
   struct Waiter
   {
     Term m_term;
+    TimePoint m_since;
     kj::Own<kj::PromiseFulfiller<Decided>> m_fulfiller;
   };
 
@@ -111,9 +114,12 @@
   void taskFailed(kj::Exception&& aException) override;
   kj::Promise<void> TickLoop();
   kj::Promise<void> DiskLoop();
+  void NoteDisk(const std::optional<storage::Failure>& aRefusal);
   kj::Promise<void> SnapshotLoop();
   kj::Promise<void> JoinLoop();
   kj::Promise<void> AskAdmission(const std::string& aSeed);
+  void AskSeeds();
+  std::vector<std::string> SeedsWithLog() const;
   void FormGroup();
   void DropSilentVoter(TimePoint aNow);
   bool IsSafelyFormed() const;
@@ -150,6 +156,7 @@
   bool m_encoding = false;
   std::size_t m_bytesSinceSnapshot = 0;
   std::size_t m_snapshotBytes = 0;
+  bool m_isDiskRefusing = false;
   bool m_wasLeader = false;
   bool m_pumping = false;
   std::size_t m_proposedAlone = 0;
@@ -163,6 +170,8 @@
   std::deque<Mark> m_marks;
   std::map<std::string, Peer> m_peers;
   consensus::MembershipPolicy m_policy;
+  /** Seeds that said that they keep no log. */
+  std::set<std::string> m_seedsWithoutLog;
   /** When this replica last led or knew a leader. */
   TimePoint m_hadLeaderAt;
   /** Of senders that the membership here does not name. */
@@ -179,8 +188,7 @@
 schema::Control::Client MakeControlServer(Node& aNode, JobService* aJobs);
 
 /** Accepts RPC connections until the promise is dropped. */
-kj::Promise<void> Listen(Node& aNode,
-                         JobService* aJobs,
+kj::Promise<void> Listen(schema::Control::Client aServer,
                          kj::AsyncIoProvider& aProvider,
                          const std::string& aAddress);
 
--- a/include/bamboostile/entry/leader_client.h
+++ b/include/bamboostile/entry/leader_client.h
@@ -37,6 +37,11 @@
   kj::Promise<jobs::QueueReply> Call(
     jobs::QueueCall aCall,
     std::optional<Duration> aWithin = std::nullopt);
+  /** The address that last answered as the leader, or was named as it. */
+  std::string LastLeader() const
+  {
+    return m_replicas.empty() ? std::string{} : m_replicas.front();
+  }
   /** Replicas to ask beside those that were learned. */
   void SetSeeds(const std::vector<std::string>& aSeeds);
 
--- a/include/bamboostile/storage/log_store.h
+++ b/include/bamboostile/storage/log_store.h
@@ -21,6 +21,7 @@
   kDamaged,
   kIncomplete,
   kStopped,
+  kRefused,
 };
 
 const char* Describe(Error aError) noexcept;
@@ -37,11 +38,17 @@
 /** One line that names the file and the offset. */
 std::string ToText(const Failure& aFailure);
 
+/** Whether the same write may be tried again: what the disk refused of it has
+ * been taken back. */
+bool MayPass(const Failure& aFailure) noexcept;
+
 /** The system calls that can fail under us; tests replace them. */
 struct FileCalls
 {
   std::function<ssize_t(int, const void*, std::size_t)> m_write;
   std::function<int(int)> m_sync;
+  /** Cuts a file off and goes on writing at its new end. */
+  std::function<bool(int, std::uint64_t)> m_cut;
 
   static FileCalls Posix();
 };
@@ -66,9 +73,11 @@
 /**
  * @brief The data folder of one replica: identity, votes, log and snapshot.
  *
- * Each Write() is one checksummed frame, synced before it returns. Once a
- * write or sync failed, nothing is written any more: what the kernel then
- * holds is unknown, and a second sync may report success for lost pages.
+ * Each Write() is one checksummed frame, synced before it returns. A disk that
+ * takes no bytes (full, for one) leaves the log as it was, and the same write
+ * may be tried again. Once a sync failed, nothing is written any more: what the
+ * kernel then holds is unknown, and a second sync may report success for lost
+ * pages.
  * One thread at a time may use it.
  */
 class LogStore
@@ -109,6 +118,8 @@
                   Failure& aFailure);
   bool SyncFolder(Failure& aFailure);
   bool Fail(Failure& aFailure, const std::filesystem::path& aFile);
+  bool TakeBack(Failure& aFailure);
+  bool WriteAll(int aFd, const std::string& aBytes) const;
   std::filesystem::path LogFile(std::uint64_t aGeneration) const;
 
   std::filesystem::path m_folder;
--- a/schema/internal.capnp
+++ b/schema/internal.capnp
@@ -191,6 +191,7 @@
   # Answered once the announcements are committed.
   queueCall @8 (call :Ops.QueueCall) -> (reply :Ops.QueueReply);
   join @9 (id :ReplicaId, address :Text)
-      -> (outcome :SyncOutcome, leaderAddress :Text);
+      -> (outcome :SyncOutcome, leaderAddress :Text, hasNoLog :Bool);
+  # hasNoLog: the process that was asked only names the leader and never joins.
   # Asks for admission to the group, as a learner at first.
 }
--- a/src/control/disk_thread.cpp
+++ b/src/control/disk_thread.cpp
@@ -2,6 +2,14 @@
 
 namespace bamboostile::control {
 
+namespace {
+
+/** Between two tries of a write that the disk refuses. Room comes back within
+ * seconds at best, and callers wait three seconds for a commit. */
+constexpr Duration kTryAgain = Millis{ 100 };
+
+} // namespace
+
 DiskThread::DiskThread(std::unique_ptr<storage::LogStore> aStore,
                        rpc::Mailbox<DiskReport>& aReports)
   : m_store(std::move(aStore))
@@ -64,12 +72,39 @@
         m_queue.pop_front();
       }
     }
+    if (!WriteUntilTaken(write)) {
+      return;
+    }
+  }
+}
+
+bool
+DiskThread::IsStoppedWithin(Duration aPause)
+{
+  std::unique_lock lock(m_mutex);
+  return m_wake.wait_for(lock, aPause, [this]() { return m_stop; });
+}
+
+// What depends on the write is kept back until it is reported as synced, so a
+// replica on a full disk acknowledges nothing and gives no vote, but lives on,
+// and goes on where it was when there is room again.
+bool
+DiskThread::WriteUntilTaken(const consensus::Persist& aPersist)
+{
+  bool isReported = false;
+  while (true) {
     storage::Failure failure;
-    if (!m_store->Write(write, failure)) {
+    if (m_store->Write(aPersist, failure)) {
+      m_reports.Put(DiskReport{ aPersist.m_ticket, std::nullopt });
+      return true;
+    }
+    if (!isReported || !storage::MayPass(failure)) {
       m_reports.Put(DiskReport{ 0, failure });
-      return;
     }
-    m_reports.Put(DiskReport{ write.m_ticket, std::nullopt });
+    isReported = true;
+    if (!storage::MayPass(failure) || IsStoppedWithin(kTryAgain)) {
+      return false;
+    }
   }
 }
 
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -535,6 +535,11 @@
   if (m_node.State().Jobs().Find(aJob) != nullptr) {
     return Plain(jobs::QueueOutcome::kOk);
   }
+  if (m_node.IsStalled()) {
+    jobs::QueueReply refused = Plain(jobs::QueueOutcome::kRefused);
+    refused.m_retryAfter = kRetryAfter;
+    return refused;
+  }
   jobs::Batch batch;
   batch.m_changes.emplace_back(
     jobs::Submit{ aJob, aRoute.Queue(), std::move(aSpec), WallNow() });
@@ -595,6 +600,9 @@
       .Write();
     return RoutesOutcome::kInForce;
   }
+  if (m_node.IsStalled()) {
+    return RoutesOutcome::kStalled;
+  }
   const std::uint64_t version = aTable.m_version;
   return m_node.Propose(fleet::ReplaceRoutes{ std::move(aTable) })
     .then([this, version](const Decided& aDecided) {
@@ -628,6 +636,9 @@
   if (!Leads()) {
     return RoutesOutcome::kNotLeader;
   }
+  if (m_node.IsStalled()) {
+    return RoutesOutcome::kStalled;
+  }
   aWave.m_startedAt = WallNow();
   LogLine(Level::kInfo, "maintenance wave asked for")
     .With("wave", aWave.m_number)
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -25,6 +25,9 @@
 /** Longer than an election usually takes: 0.8 to 1.6 s. */
 constexpr Duration kLeaderless = Millis{ 3000 };
 constexpr Duration kMarkInterval = Millis{ 5000 };
+/** Far above a commit on slow disks (two syncs of 120 ms, and the way), and
+ * well below the 3 s for which callers wait. */
+constexpr Duration kStalledAfter = Millis{ 800 };
 
 kj::Duration
 ToKj(Duration aDuration)
@@ -102,10 +105,14 @@
 {
   return m_reports.Take().then([this](const std::vector<DiskReport>& aReports) {
     for (const DiskReport& report : aReports) {
-      if (report.m_failure) {
+      if (report.m_failure && !storage::MayPass(*report.m_failure)) {
         m_onDiskFailure(*report.m_failure);
         return kj::Promise<void>(kj::READY_NOW);
       }
+      NoteDisk(report.m_failure);
+      if (report.m_failure) {
+        continue;
+      }
       m_replica.OnPersisted(report.m_ticket, MonotonicNow());
     }
     Pump();
@@ -113,6 +120,22 @@
   });
 }
 
+void
+Node::NoteDisk(const std::optional<storage::Failure>& aRefusal)
+{
+  if (aRefusal.has_value() == m_isDiskRefusing) {
+    return;
+  }
+  m_isDiskRefusing = aRefusal.has_value();
+  if (aRefusal) {
+    LogLine(Level::kError, "the disk refuses writes, trying again")
+      .With("reason", storage::ToText(*aRefusal))
+      .Write();
+  } else {
+    LogLine(Level::kInfo, "the disk takes writes again").Write();
+  }
+}
+
 kj::Promise<void>
 Node::SnapshotLoop()
 {
@@ -384,7 +407,8 @@
     return refused;
   }
   auto pair = kj::newPromiseAndFulfiller<Decided>();
-  m_waiters[index] = Waiter{ m_replica.CurrentTerm(), kj::mv(pair.fulfiller) };
+  m_waiters[index] =
+    Waiter{ m_replica.CurrentTerm(), MonotonicNow(), kj::mv(pair.fulfiller) };
   Pump();
   return kj::mv(pair.promise);
 }
@@ -396,6 +420,16 @@
          m_replica.HoldsLease(MonotonicNow());
 }
 
+// With all disks full the leader still hears its peers and keeps its lease, but
+// commits nothing. A caller would wait in vain, and could not be told
+// afterwards whether its job runs.
+bool
+Node::IsStalled() const
+{
+  return !m_waiters.empty() &&
+         MonotonicNow() > m_waiters.begin()->second.m_since + kStalledAfter;
+}
+
 // That the group was formed is on record, as a voter that is being replaced
 // later leaves one less for a moment.
 bool
@@ -492,16 +526,28 @@
 
 // ---------------------------------------------------------- forming a group
 
-// The lowest seed starts the group and the others ask for admission, so that
-// there is one group however they start. It does so only at the first start of
-// the whole system: a replica whose disk was emptied later must not found a
-// second group beside the one that knows everything.
+// A process without a disk may be among the seeds. Whether it is does not
+// change while it lives at its address, so what it said once holds.
+std::vector<std::string>
+Node::SeedsWithLog() const
+{
+  std::vector<std::string> seeds = m_options.m_seeds;
+  std::erase_if(seeds, [this](const std::string& aSeed) {
+    return m_seedsWithoutLog.contains(aSeed);
+  });
+  return seeds;
+}
+
+// The lowest seed that keeps a log starts the group and the others ask for
+// admission, so that there is one group however they start. It does so only at
+// the first start of the whole system: a replica whose disk was emptied later
+// must not found a second group beside the one that knows everything.
 void
 Node::FormGroup()
 {
-  const auto& seeds = m_options.m_seeds;
+  const std::vector<std::string> seeds = SeedsWithLog();
   const bool founds =
-    m_options.m_formGroup && IsEmptyReplica() &&
+    m_options.m_formGroup && IsEmptyReplica() && !seeds.empty() &&
     *std::min_element(seeds.begin(), seeds.end()) == m_options.m_address;
   if (founds) {
     LogLine(Level::kInfo, "forming the group").With("seeds", seeds).Write();
@@ -529,20 +575,30 @@
   FormGroup();
   const auto& membership = m_replica.CurrentMembership();
   if (NeedsAdmission(MonotonicNow())) {
-    for (const std::string& seed : m_options.m_seeds) {
-      if (seed != m_options.m_address) {
-        m_tasks.add(AskAdmission(seed));
-      }
-    }
+    AskSeeds();
     for (const consensus::Member& member : membership.m_members) {
       m_tasks.add(AskAdmission(member.m_address));
     }
+  } else if (!m_state.IsFormed()) {
+    // The leader waits for as many replicas as there are seeds; those without
+    // a log are found out only by asking.
+    AskSeeds();
   }
   return m_timer.afterDelay(ToKj(kJoinInterval)).then([this]() {
     return JoinLoop();
   });
 }
 
+void
+Node::AskSeeds()
+{
+  for (const std::string& seed : SeedsWithLog()) {
+    if (seed != m_options.m_address) {
+      m_tasks.add(AskAdmission(seed));
+    }
+  }
+}
+
 kj::Promise<void>
 Node::AskAdmission(const std::string& aSeed)
 {
@@ -550,17 +606,23 @@
   auto request = channel->Get().joinRequest();
   wire::Write(m_replica.Self(), request.initId());
   request.setAddress(m_options.m_address);
-  auto asked = request.send().then([this](auto&& aReply) -> kj::Promise<void> {
-    const std::string leader = aReply.getLeaderAddress();
-    if (aReply.getOutcome() == schema::SyncOutcome::OK || leader.empty()) {
-      return kj::READY_NOW;
-    }
-    auto next = kj::refcounted<rpc::Channel>(m_provider.getNetwork(), leader);
-    auto again = next->Get().joinRequest();
-    wire::Write(m_replica.Self(), again.initId());
-    again.setAddress(m_options.m_address);
-    return again.send().ignoreResult().attach(kj::mv(next));
-  });
+  auto asked =
+    request.send().then([this, aSeed](auto&& aReply) -> kj::Promise<void> {
+      if (aReply.getHasNoLog()) {
+        m_seedsWithoutLog.insert(aSeed);
+        m_policy.SetLeastVoters(SeedsWithLog().size());
+      }
+      const std::string leader = aReply.getLeaderAddress();
+      if (aReply.getOutcome() == schema::SyncOutcome::OK || leader.empty() ||
+          leader == m_options.m_address) {
+        return kj::READY_NOW;
+      }
+      auto next = kj::refcounted<rpc::Channel>(m_provider.getNetwork(), leader);
+      auto again = next->Get().joinRequest();
+      wire::Write(m_replica.Self(), again.initId());
+      again.setAddress(m_options.m_address);
+      return again.send().ignoreResult().attach(kj::mv(next));
+    });
   // A seed that is down or cut off is asked again with the next round.
   return asked.attach(kj::mv(channel))
     .exclusiveJoin(m_timer.afterDelay(ToKj(kPeerSilence)))
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -191,6 +191,10 @@
       case RoutesOutcome::kUndecided:
         aReply.setOutcome(schema::CallOutcome::UNKNOWN);
         return;
+      case RoutesOutcome::kStalled:
+        aReply.setOutcome(schema::CallOutcome::UNKNOWN);
+        aReply.setMessage("not tried: the replicas' disks take no writes");
+        return;
       case RoutesOutcome::kInForce:
         break;
     }
@@ -490,15 +494,15 @@
 };
 
 kj::Promise<void>
-AcceptLoop(Node& aNode, JobService* aJobs, kj::ConnectionReceiver& aReceiver)
+AcceptLoop(schema::Control::Client aServer, kj::ConnectionReceiver& aReceiver)
 {
   return aReceiver.accept().then(
-    [&aNode, aJobs, &aReceiver](kj::Own<kj::AsyncIoStream>&& aStream) {
-      auto accepted =
-        kj::heap<Accepted>(kj::mv(aStream), MakeControlServer(aNode, aJobs));
+    [server = kj::mv(aServer),
+     &aReceiver](kj::Own<kj::AsyncIoStream>&& aStream) mutable {
+      auto accepted = kj::heap<Accepted>(kj::mv(aStream), server);
       auto ended = accepted->m_network.onDisconnect();
       ended.attach(kj::mv(accepted)).detach([](kj::Exception&&) {});
-      return AcceptLoop(aNode, aJobs, aReceiver);
+      return AcceptLoop(kj::mv(server), aReceiver);
     });
 }
 
@@ -511,15 +515,14 @@
 }
 
 kj::Promise<void>
-Listen(Node& aNode,
-       JobService* aJobs,
+Listen(schema::Control::Client aServer,
        kj::AsyncIoProvider& aProvider,
        const std::string& aAddress)
 {
   return aProvider.getNetwork().parseAddress(aAddress).then(
-    [&aNode, aJobs](kj::Own<kj::NetworkAddress>&& aParsed) {
+    [server = kj::mv(aServer)](kj::Own<kj::NetworkAddress>&& aParsed) mutable {
       auto receiver = aParsed->listen();
-      auto loop = AcceptLoop(aNode, aJobs, *receiver);
+      auto loop = AcceptLoop(kj::mv(server), *receiver);
       return loop.attach(kj::mv(receiver));
     });
 }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -230,7 +230,8 @@
       aFile, "rpc", "(missing)", "an address, as the role control needs one");
     return false;
   }
-  if (aSettings.m_control && !aSettings.m_dataFolder) {
+  // On a hosting platform, instances without a disk serve as control too.
+  if (aSettings.m_control && !aSettings.m_dataFolder && !aSettings.m_hosting) {
     aProblem = MakeProblem(aFile,
                            "dataFolder",
                            "(missing)",
--- a/src/storage/log_store.cpp
+++ b/src/storage/log_store.cpp
@@ -101,10 +101,18 @@
       return "a part of the data folder is missing";
     case Error::kStopped:
       return "stopped after an earlier failure";
+    case Error::kRefused:
+      return "the disk takes no bytes";
   }
   return "unknown storage error";
 }
 
+bool
+MayPass(const Failure& aFailure) noexcept
+{
+  return aFailure.m_error == Error::kRefused;
+}
+
 std::string
 ToText(const Failure& aFailure)
 {
@@ -123,7 +131,12 @@
   return { [](int aFd, const void* aBytes, std::size_t aCount) {
             return ::write(aFd, aBytes, aCount);
           },
-           [](int aFd) { return ::fsync(aFd); } };
+           [](int aFd) { return ::fsync(aFd); },
+           [](int aFd, std::uint64_t aSize) {
+             const auto size = static_cast<off_t>(aSize);
+             return ::ftruncate(aFd, size) == 0 &&
+                    ::lseek(aFd, size, SEEK_SET) >= 0;
+           } };
 }
 
 LogStore::LogStore(fs::path aFolder, FileCalls aCalls)
@@ -316,9 +329,7 @@
 {
   const fs::path file = LogFile(m_generation);
   m_log = ::open(file.c_str(), O_WRONLY | O_CLOEXEC, kFileMode);
-  const bool placed = m_log >= 0 &&
-                      ::ftruncate(m_log, static_cast<off_t>(m_size)) == 0 &&
-                      ::lseek(m_log, static_cast<off_t>(m_size), SEEK_SET) >= 0;
+  const bool placed = m_log >= 0 && m_calls.m_cut(m_log, m_size);
   if (!placed || m_calls.m_sync(m_log) != 0) {
     return Fail(aFailure, file);
   }
@@ -350,20 +361,42 @@
 }
 
 bool
-LogStore::Append(const std::string& aFrame, Failure& aFailure)
+LogStore::WriteAll(int aFd, const std::string& aBytes) const
 {
   std::size_t written = 0;
-  while (written < aFrame.size()) {
+  while (written < aBytes.size()) {
     const ssize_t count =
-      m_calls.m_write(m_log, aFrame.data() + written, aFrame.size() - written);
+      m_calls.m_write(aFd, aBytes.data() + written, aBytes.size() - written);
     if (count < 0 && errno == EINTR) {
       continue;
     }
     if (count <= 0) {
-      return Fail(aFailure, LogFile(m_generation));
+      errno = count == 0 ? ENOSPC : errno;
+      return false;
     }
     written += static_cast<std::size_t>(count);
   }
+  return true;
+}
+
+// A full disk may take a part of a frame. Left in place, that part would stand
+// before the next frame, and a restart would find damage in the middle of the
+// log. Nothing of it was synced, so cutting it off restores what was there.
+bool
+LogStore::TakeBack(Failure& aFailure)
+{
+  const fs::path file = LogFile(m_generation);
+  aFailure = { Error::kRefused, file, m_size, std::strerror(errno) };
+  return m_calls.m_cut(m_log, m_size) || Fail(aFailure, file);
+}
+
+bool
+LogStore::Append(const std::string& aFrame, Failure& aFailure)
+{
+  if (!WriteAll(m_log, aFrame)) {
+    TakeBack(aFailure);
+    return false;
+  }
   if (m_calls.m_sync(m_log) != 0) {
     return Fail(aFailure, LogFile(m_generation));
   }
@@ -397,24 +430,21 @@
   const fs::path temporary = aFile.string() + kTemporary;
   const int fd = ::open(
     temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, kFileMode);
-  if (fd < 0) {
-    return Fail(aFailure, temporary);
+  // Up to the rename nothing refers to this file, and the next try writes it
+  // anew from its first byte; so a refusal here, of the sync too, may pass.
+  const bool isWritten =
+    fd >= 0 && WriteAll(fd, aBytes) && m_calls.m_sync(fd) == 0;
+  if (!isWritten) {
+    aFailure = { Error::kRefused, temporary, 0, std::strerror(errno) };
   }
-  std::size_t written = 0;
-  bool sound = true;
-  while (sound && written < aBytes.size()) {
-    const ssize_t count =
-      m_calls.m_write(fd, aBytes.data() + written, aBytes.size() - written);
-    sound = count > 0;
-    written += sound ? static_cast<std::size_t>(count) : 0;
-  }
-  sound = sound && m_calls.m_sync(fd) == 0;
-  if (!sound) {
-    Fail(aFailure, temporary);
+  if (fd >= 0) {
     ::close(fd);
+  }
+  if (!isWritten) {
+    std::error_code ignored;
+    fs::remove(temporary, ignored);
     return false;
   }
-  ::close(fd);
   if (::rename(temporary.c_str(), aFile.c_str()) != 0) {
     return Fail(aFailure, aFile);
   }
--- a/tests/failure/jobs_test.cpp
+++ b/tests/failure/jobs_test.cpp
@@ -194,6 +194,31 @@
         std::string::npos);
 }
 
+// One of three instances that serve control has no disk; it is the lowest seed.
+// The others form the group without it, and an entry that knows nobody else is
+// told by it who leads: its caller's job is accepted. Without that, the process
+// ended at each start and no group was ever formed.
+TEST(Jobs, SeedWithoutDisk_OthersFormTheGroupAndItNamesTheLeader)
+{
+  Processes processes(23600);
+  processes.StartControlWithoutDisk(1);
+  processes.StartSeededControl(2, true);
+  processes.StartSeededControl(3, true);
+  processes.StartEntryKnowing(1, { processes.Rpc(1) });
+  PutQueue(processes);
+  LONGS_EQUAL(2, processes.Status().value("replicas", Json::array()).size());
+  const auto isAccepted = [&]() {
+    return processes
+             .Http(processes.EntryHttp(1),
+                   "POST",
+                   "/v1/queues/reviews/jobs/j1",
+                   {},
+                   R"({"steps": [{"count": 1, "cpuMillis": 500}]})")
+             .m_response.m_status == 200;
+  };
+  CHECK(processes.Until(isAccepted, kLimit));
+}
+
 // What is wrong with a job or a table is named, and nothing changes.
 TEST(Jobs, BadInput_NamesTheField)
 {
--- a/tests/support/processes.cpp
+++ b/tests/support/processes.cpp
@@ -116,6 +116,15 @@
                      { "hosting", { { "formGroup", aFormGroup } } } });
 }
 
+void
+Processes::StartControlWithoutDisk(int aNumber)
+{
+  StartControlWith(aNumber,
+                   { { "control", { Rpc(1), Rpc(2), Rpc(3) } },
+                     { "hosting", { { "formGroup", true } } },
+                     { "dataFolder", nullptr } });
+}
+
 void
 Processes::StartWorker(int aNumber, std::vector<std::string> aMore)
 {
@@ -162,6 +171,9 @@
     { "snapshotEvery", 200 },   { "dataFolder", (m_folder / name).string() }
   };
   settings.update(aMore);
+  if (settings["dataFolder"].is_null()) {
+    settings.erase("dataFolder");
+  }
   const fs::path file = m_folder / (name + ".json");
   std::ofstream(file) << settings.dump();
   Spawn(name, { BAMBOOSTILE_DAEMON, "--settings", file.string() });
@@ -169,11 +181,18 @@
 
 void
 Processes::StartEntry(int aNumber)
+{
+  StartEntryKnowing(aNumber, { Rpc(1), Rpc(2), Rpc(3) });
+}
+
+void
+Processes::StartEntryKnowing(int aNumber,
+                             const std::vector<std::string>& aControl)
 {
   const std::string name = "e" + std::to_string(aNumber);
   const Json settings{
     { "instance", name },           { "zone", "z" + std::to_string(aNumber) },
-    { "roles", { "entry" } },       { "control", { Rpc(1), Rpc(2), Rpc(3) } },
+    { "roles", { "entry" } },       { "control", aControl },
     { "http", EntryHttp(aNumber) }, { "limits", { { "readTimeoutMs", 1500 } } }
   };
   const fs::path file = m_folder / (name + ".json");
--- a/tests/support/processes.h
+++ b/tests/support/processes.h
@@ -39,11 +39,14 @@
   void StartControl(int aNumber);
   /** A replica that forms its group from the seeds by itself. */
   void StartSeededControl(int aNumber, bool aFormGroup);
+  /** It is a seed too, but keeps no log and has no vote. */
+  void StartControlWithoutDisk(int aNumber);
   /** A fake worker; what it started is in its log. */
   void StartWorker(int aNumber, std::vector<std::string> aMore = {});
   /** How often the workers have started each task, by its name. */
   std::map<std::string, int> TaskStarts() const;
   void StartEntry(int aNumber);
+  void StartEntryKnowing(int aNumber, const std::vector<std::string>& aControl);
   void StartUpstream(int aNumber,
                      const std::string& aService,
                      std::vector<std::string> aMore = {});
--- a/tests/unit/settings/settings_test.cpp
+++ b/tests/unit/settings/settings_test.cpp
@@ -85,3 +85,12 @@
   m_sound["upstreams"] = Json::array();
   CHECK(ProblemWith(m_sound).find("upstreams") != std::string::npos);
 }
+
+TEST(Settings, ControlWithoutFolder_SoundOnlyOnAHostingPlatform)
+{
+  m_sound["roles"] = { "control" };
+  m_sound["rpc"] = "127.0.0.1:7101";
+  Names(m_sound, "dataFolder", "(missing)");
+  m_sound["hosting"] = Json::object();
+  CHECK_STRING("", ProblemWith(m_sound));
+}
--- a/tests/unit/storage/log_store_test.cpp
+++ b/tests/unit/storage/log_store_test.cpp
@@ -223,6 +223,68 @@
   LONGS_EQUAL(1, m_opened.m_recovered.m_entries.size());
 }
 
+// The disk fills up inside a record: a part of it is written. The process lives
+// on, tries again when there is room, and goes on. A restart later finds all
+// records whole and nothing of the part between them.
+TEST(LogStore, Write_PartlyTakenByFullDisk_IsTakenBackAndTriedAgain)
+{
+  std::size_t room = 1 << 20;
+  FileCalls calls = FileCalls::Posix();
+  calls.m_write = [&](int aFd, const void* aBytes, std::size_t aCount) {
+    if (room == 0) {
+      errno = ENOSPC;
+      return static_cast<ssize_t>(-1);
+    }
+    const ssize_t count = ::write(aFd, aBytes, std::min(room, aCount));
+    room -= static_cast<std::size_t>(count);
+    return count;
+  };
+  auto store = Open(calls);
+  CHECK(store->Write(Write({ Entry(1, "a") }), m_failure));
+  room = 5;
+  CHECK_FALSE(store->Write(Write({ Entry(2, "b") }), m_failure));
+  CHECK(MayPass(m_failure));
+  CHECK_FALSE(store->Write(Write({ Entry(2, "b") }), m_failure));
+  room = 1 << 20;
+  CHECK(store->Write(Write({ Entry(2, "b") }), m_failure));
+  CHECK(store->Write(Write({ Entry(3, "c") }), m_failure));
+  store.reset();
+  CHECK(Open() != nullptr);
+  CHECK_FALSE(m_opened.m_cut.has_value());
+  LONGS_EQUAL(3, m_opened.m_recovered.m_entries.size());
+}
+
+// A snapshot finds no room beside the log. The log stays whole and in use, and
+// the snapshot goes in later.
+TEST(LogStore, Snapshot_WithoutRoom_LeavesTheLogAndIsTakenLater)
+{
+  bool isFull = false;
+  FileCalls calls = FileCalls::Posix();
+  calls.m_write = [&](int aFd, const void* aBytes, std::size_t aCount) {
+    if (isFull) {
+      errno = ENOSPC;
+      return static_cast<ssize_t>(-1);
+    }
+    return ::write(aFd, aBytes, aCount);
+  };
+  auto store = Open(calls);
+  CHECK(store->Write(Write({ Entry(1, "a"), Entry(2, "b") }), m_failure));
+  consensus::Persist snapshot;
+  snapshot.m_snapshot = consensus::Snapshot{ Index{ 1 }, Term{ 1 }, {}, "s" };
+  snapshot.m_entries = { Entry(2, "b") };
+  isFull = true;
+  CHECK_FALSE(store->Write(snapshot, m_failure));
+  CHECK(MayPass(m_failure));
+  isFull = false;
+  CHECK(store->Write(Write({ Entry(3, "c") }), m_failure));
+  snapshot.m_entries.push_back(Entry(3, "c"));
+  CHECK(store->Write(snapshot, m_failure));
+  store.reset();
+  CHECK(Open() != nullptr);
+  CHECK_STRING("s", m_opened.m_recovered.m_snapshot->m_state);
+  LONGS_EQUAL(2, m_opened.m_recovered.m_entries.size());
+}
+
 TEST(LogStore, Folder_InUse_IsRefused)
 {
   auto store = Open();
--- a/tools/bamboostiled/main.cpp
+++ b/tools/bamboostiled/main.cpp
@@ -3,10 +3,13 @@
 #include "instances_client.h"
 #include "platform.h"
 #include "probe_server.h"
+#include "relay_front.h"
 
 #include "bamboostile/control/job_service.h"
 #include "bamboostile/control/node.h"
+#include "bamboostile/control/relay.h"
 #include "bamboostile/entry/frontend.h"
+#include "bamboostile/entry/leader_watch.h"
 #include "bamboostile/entry/link.h"
 #include "bamboostile/settings/settings.h"
 #include "bamboostile/telemetry/log.h"
@@ -33,6 +36,8 @@
 constexpr int kExitBadInput = 2;
 /** After the last answer was handed over, it still has to leave. */
 constexpr auto kFlush = std::chrono::milliseconds{ 300 };
+/** Between two tries to open a data folder whose disk refuses. */
+constexpr auto kOpenAgain = 500 * kj::MILLISECONDS;
 
 std::uint64_t
 RandomNumber()
@@ -123,15 +128,89 @@
 private:
   bool StartControl()
   {
-    storage::Opened opened;
+    if (!m_settings.m_dataFolder) {
+      return StartRelay(control::RelayKind::kWithoutDisk);
+    }
     storage::Failure failure;
-    auto store = storage::LogStore::Open(
-      *m_settings.m_dataFolder, m_settings.m_instance, opened, failure);
-    if (!store) {
+    if (auto folder = OpenFolder(failure)) {
+      return StartReplica(std::move(*folder));
+    }
+    // A disk that refuses for a while, full or failing, is tried again; a
+    // folder that cannot be trusted is for an operator to look at.
+    const bool mayPass =
+      failure.m_error == storage::Error::kIo || storage::MayPass(failure);
+    if (!mayPass || !m_settings.m_hosting ||
+        !StartRelay(control::RelayKind::kAwaitsDisk)) {
+      return false;
+    }
+    m_opening = OpenLoop().eagerlyEvaluate(nullptr);
+    return true;
+  }
+
+  /** Takes the place of a replica while there is no disk for one. */
+  bool StartRelay(control::RelayKind aKind)
+  {
+    LogLine(Level::kInfo, "naming the leader, without a log").Write();
+    m_leaderWatch = std::make_unique<entry::LeaderWatch>(
+      *m_io->provider, settings::SeedsOf(m_settings));
+    const auto leader = [this]() { return m_leaderWatch->LeaderAddress(); };
+    ListenForRpc(control::MakeRelayServer(aKind, leader));
+    if (!m_settings.m_hosting->m_workers) {
+      return true;
+    }
+    m_relayFront = std::make_unique<platform::RelayFront>(m_settings, leader);
+    return ReportStart(*m_relayFront);
+  }
+
+  kj::Promise<void> OpenLoop()
+  {
+    return m_io->provider->getTimer()
+      .afterDelay(kOpenAgain)
+      .then([this]() -> kj::Promise<void> {
+        storage::Failure failure;
+        auto folder = OpenFolder(failure);
+        if (!folder) {
+          return OpenLoop();
+        }
+        m_relayFront.reset();
+        m_listening = nullptr;
+        if (!StartReplica(std::move(*folder))) {
+          std::_Exit(kExitFailed);
+        }
+        return kj::READY_NOW;
+      });
+  }
+
+  void ListenForRpc(schema::Control::Client aServer)
+  {
+    m_listening =
+      control::Listen(
+        kj::mv(aServer), *m_io->provider, m_settings.m_rpc->ToText())
+        .eagerlyEvaluate([](kj::Exception&& aException) {
+          LogLine(Level::kError, "cannot listen for RPC")
+            .With("reason", std::string{ aException.getDescription().cStr() })
+            .Write();
+          std::_Exit(kExitFailed);
+        });
+  }
+
+  struct DataFolder
+  {
+    storage::Opened m_opened;
+    std::unique_ptr<storage::LogStore> m_store;
+  };
+
+  std::optional<DataFolder> OpenFolder(storage::Failure& aFailure) const
+  {
+    DataFolder folder;
+    storage::Opened& opened = folder.m_opened;
+    folder.m_store = storage::LogStore::Open(
+      *m_settings.m_dataFolder, m_settings.m_instance, opened, aFailure);
+    if (!folder.m_store) {
       LogLine(Level::kError, "the data folder cannot be used")
-        .With("reason", storage::ToText(failure))
+        .With("reason", storage::ToText(aFailure))
         .Write();
-      return false;
+      return std::nullopt;
     }
     if (opened.m_cut) {
       LogLine(Level::kWarning, "an incomplete last write was cut off")
@@ -144,6 +223,11 @@
       .With("incarnation", opened.m_self.m_incarnation.Get())
       .With("fresh", opened.m_fresh)
       .Write();
+    return folder;
+  }
+
+  bool StartReplica(DataFolder aFolder)
+  {
     control::NodeOptions options;
     options.m_address = m_settings.m_rpc->ToText();
     options.m_snapshotEvery = m_settings.m_snapshotEvery;
@@ -164,8 +248,8 @@
     }
     m_node = std::make_unique<control::Node>(
       std::move(options),
-      std::move(opened),
-      std::move(store),
+      std::move(aFolder.m_opened),
+      std::move(aFolder.m_store),
       *m_io->provider,
       [](const storage::Failure& aFailure) {
         // A replica that cannot keep its promises on disk must not go on
@@ -178,15 +262,7 @@
     if (!StartJobs()) {
       return false;
     }
-    m_listening =
-      control::Listen(
-        *m_node, m_jobs.get(), *m_io->provider, m_settings.m_rpc->ToText())
-        .eagerlyEvaluate([](kj::Exception&& aException) {
-          LogLine(Level::kError, "cannot listen for RPC")
-            .With("reason", std::string{ aException.getDescription().cStr() })
-            .Write();
-          std::_Exit(kExitFailed);
-        });
+    ListenForRpc(control::MakeControlServer(*m_node, m_jobs.get()));
     if (m_settings.m_http && !m_settings.m_entry) {
       std::string reason;
       m_probes = std::make_unique<daemon::ProbeServer>(
@@ -319,6 +395,9 @@
     if (m_callerFront) {
       m_callerFront->SetSeeds(seeds);
     }
+    if (m_leaderWatch) {
+      m_leaderWatch->SetSeeds(seeds);
+    }
     LogLine(Level::kInfo, "settings reloaded").With("seeds", seeds).Write();
   }
 
@@ -374,6 +453,9 @@
   std::unique_ptr<control::JobService> m_jobs;
   std::unique_ptr<platform::ControlFront> m_controlFront;
   std::unique_ptr<platform::CallerFront> m_callerFront;
+  std::unique_ptr<entry::LeaderWatch> m_leaderWatch;
+  std::unique_ptr<platform::RelayFront> m_relayFront;
+  kj::Promise<void> m_opening = nullptr;
   kj::Promise<void> m_listening = nullptr;
   kj::Promise<void> m_publishing = nullptr;
   std::unique_ptr<daemon::ProbeServer> m_probes;
