Let settings switch mechanisms of placement off

Each mechanism that placement relies on has a name in the settings (mechanismsOff), so that its worth can be measured on the real programs.

--- a/include/bamboostile/control/instance_service.h
+++ b/include/bamboostile/control/instance_service.h
@@ -92,6 +92,7 @@
   const InstanceCalls& m_calls;
   Term m_term;
   Ended m_ended;
+  bool m_moves;
   placement::MaintenancePlanner m_maintenance;
   placement::CapacityPlanner m_capacity;
   std::set<WorkerId> m_cordoned;
--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -51,6 +51,7 @@
 
 struct JobServiceOptions
 {
+  placement::Mechanisms m_mechanisms;
   placement::LeaseOptions m_lease;
   placement::MaintenanceOptions m_maintenance;
   placement::CapacityOptions m_capacity;
--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -47,6 +47,7 @@
 
 struct CapacityOptions
 {
+  Mechanisms m_mechanisms;
   /** What waits should be done in this time. A queue's peak lasts some 5 s and
    * its jobs have 3.6 s of slack, of which a move takes 1.5 s. */
   Millis m_workOffIn{ 1500 };
--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -2,6 +2,7 @@
 
 #include "bamboostile/fleet/state.h"
 #include "bamboostile/placement/durations.h"
+#include "bamboostile/placement/mechanisms.h"
 #include "bamboostile/placement/workers.h"
 
 #include <unordered_map>
@@ -27,6 +28,11 @@
 class Planner
 {
 public:
+  explicit Planner(Mechanisms aMechanisms = {})
+    : m_mechanisms(aMechanisms)
+  {
+  }
+
   Plan Next(const fleet::State& aState,
             const WorkerTable& aWorkers,
             const std::set<WorkerId>& aCordoned,
@@ -36,7 +42,9 @@
   /** A run was done after this time; estimates learn from it. */
   void Learn(const jobs::StepSpec& aStep, Duration aTook)
   {
-    m_durations.Learn(aStep, aTook);
+    if (m_mechanisms.Has(Mechanism::kLearnedDurations)) {
+      m_durations.Learn(aStep, aTook);
+    }
   }
   const Durations& EstimatedDurations() const { return m_durations; }
 
@@ -84,7 +92,7 @@
                      WallTime aWall,
                      std::vector<Candidate>& aTo) const;
   void Place(const Candidate& aCandidate, Pool& aPool, Plan& aPlan) const;
-  static void KeepEmptiest(const jobs::StepSpec& aStep, Pool& aPool);
+  void KeepEmptiest(const jobs::StepSpec& aStep, Pool& aPool) const;
   void PlaceGang(const Candidate& aCandidate, Pool& aPool, Plan& aPlan) const;
   /** Null where no worker may take a task of the step. */
   Room* Choose(const jobs::StepSpec& aStep,
@@ -106,6 +114,7 @@
   Millis LongestChain(const jobs::Job& aJob,
                       const jobs::Occurrence* aProgress) const;
 
+  Mechanisms m_mechanisms;
   placement::Durations m_durations;
 };
 
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bamboostile/jobs/book.h"
+#include "bamboostile/placement/mechanisms.h"
 
 #include <map>
 #include <set>
@@ -83,8 +84,9 @@
 
 struct LeaseOptions
 {
+  Mechanisms m_mechanisms;
   /** How long a worker goes on without an answer. Longer than it takes to
-   * elect a leader (0.8 to 1.6 s) and to answer every worker once. */
+   * elect a leader (0.5 to 1 s) and to answer every worker once. */
   Duration m_lease = Millis{ 4500 };
   /** A worker's clock may run this much slow. */
   int m_driftPercent = 2;
--- a/include/bamboostile/settings/settings.h
+++ b/include/bamboostile/settings/settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bamboostile/placement/mechanisms.h"
 #include "bamboostile/units/ids.h"
 #include "bamboostile/units/time.h"
 
@@ -84,6 +85,7 @@
   std::optional<Address> m_platform;
   std::optional<std::string> m_dataFolder;
   std::uint32_t m_snapshotEvery = 2000;
+  placement::Mechanisms m_mechanisms;
   Limits m_limits;
   std::string m_logLevel = "info";
   std::optional<std::string> m_logFile;
--- a/src/control/instance_service.cpp
+++ b/src/control/instance_service.cpp
@@ -26,6 +26,7 @@
   , m_calls(aCalls)
   , m_term(aTerm)
   , m_ended(std::move(aEnded))
+  , m_moves(aCapacity.m_mechanisms.Has(placement::Mechanism::kMoves))
   , m_maintenance(aMaintenance)
   , m_capacity(aCapacity)
   , m_tasks(*this)
@@ -141,7 +142,7 @@
                            TimePoint aNow,
                            WallTime aWall)
 {
-  if (!m_calls.m_move) {
+  if (!m_calls.m_move || !m_moves) {
     return;
   }
   const placement::CapacityPlan plan = m_capacity.Next(
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -52,6 +52,7 @@
   : m_node(aNode)
   , m_timer(aTimer)
   , m_options(std::move(aOptions))
+  , m_planner(m_options.m_mechanisms)
   , m_tasks(*this)
 {
   m_tasks.add(TickLoop());
@@ -441,6 +442,7 @@
     if (!one.m_planned) {
       rest.push_back(kj::mv(one));
     } else if (leads &&
+               m_options.m_mechanisms.Has(placement::Mechanism::kHeldReports) &&
                m_workers->IsQuiet(one.m_worker, m_node.State().Jobs())) {
       Hold(kj::mv(one), now);
     } else {
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -165,7 +165,10 @@
     if (pool != pools.end()) {
       // What maintenance is about to take serves no more: its long-running
       // tasks need room elsewhere before it can go.
-      pool->second.m_have += aReserved.contains(id) ? 0 : 1;
+      const bool isReplaced =
+        aReserved.contains(id) &&
+        m_options.m_mechanisms.Has(Mechanism::kReplacement);
+      pool->second.m_have += isReplaced ? 0 : 1;
       pool->second.m_cores = worker.m_last.m_capacity.m_cpuMillis;
       pool->second.m_cpu += worker.m_last.m_capacity.m_cpuMillis;
       const Use use = FindUse(aState.Jobs(), id);
@@ -372,6 +375,9 @@
                               Pools& aPools)
 {
   m_emptying.clear();
+  if (!m_options.m_mechanisms.Has(Mechanism::kEmptying)) {
+    return;
+  }
   std::size_t shortage = 0;
   for (const auto& [service, pool] : aPools) {
     shortage += pool.IsShort() ? pool.m_want - pool.m_have : 0;
@@ -447,7 +453,8 @@
     EmptySurplus(aReserved, aNow, pools);
   }
   const bool isSettled = aNow >= m_leaderSince + m_options.m_betweenLeaders;
-  if (isSettled && standby != nullptr) {
+  if (isSettled && standby != nullptr &&
+      m_options.m_mechanisms.Has(Mechanism::kStandby)) {
     ReleaseIdle(*standby, aWorkers, aReserved, aNow, pools, plan);
   }
   for (const auto& [instance, move] : m_moves) {
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -117,7 +117,7 @@
   const std::int64_t ends = aWall.Get() +
                             left.count() * (100 + kSlowerPercent) / 100 +
                             kStepOverhead.count();
-  const bool late = ends > due;
+  const bool late = ends > due && m_mechanisms.Has(Mechanism::kLateLast);
   for (std::uint32_t s = 0; s < aJob.m_spec.m_steps.size(); ++s) {
     const jobs::StepSpec& step = aJob.m_spec.m_steps[s];
     const bool isTurn = progress == nullptr
@@ -214,11 +214,12 @@
     // room for large ones stays in one piece.
     const bool isSpread = aStep.m_longRunning || aStep.m_fills;
     const bool isCrowded = isSpread && onWorker >= SpreadLimit(aStep);
-    const bool isEmpty =
-      isSpread && room.m_cpu == report.m_capacity.m_cpuMillis;
+    const bool isEmpty = isSpread && m_mechanisms.Has(Mechanism::kSharing) &&
+                         room.m_cpu == report.m_capacity.m_cpuMillis;
+    const bool isPacked = !isSpread && m_mechanisms.Has(Mechanism::kPacking);
     const std::int64_t left = room.m_cpu - aStep.CountedCpu();
     const auto rank = std::make_tuple(
-      farFromData, disturbs, isCrowded, isEmpty, isSpread ? -left : left);
+      farFromData, disturbs, isCrowded, isEmpty, isPacked ? left : -left);
     if (best == nullptr || rank < bestRank) {
       best = &room;
       bestRank = rank;
@@ -230,8 +231,11 @@
 // A large task that finds no room would wait for ever while small ones take
 // each piece that becomes free; so it gets the emptiest worker to itself.
 void
-Planner::KeepEmptiest(const jobs::StepSpec& aStep, Pool& aPool)
+Planner::KeepEmptiest(const jobs::StepSpec& aStep, Pool& aPool) const
 {
+  if (!m_mechanisms.Has(Mechanism::kRoomForLarge)) {
+    return;
+  }
   const auto kept = static_cast<std::size_t>(
     std::count_if(aPool.begin(), aPool.end(), [](const Room& aRoom) {
       return aRoom.m_kept;
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -198,6 +198,9 @@
 {
   constexpr int kPercent = 100;
   std::vector<StopOrder> stuck;
+  if (!m_options.m_mechanisms.Has(Mechanism::kStuckRuns)) {
+    return stuck;
+  }
   for (auto& [id, worker] : m_workers) {
     for (const auto& [task, progress] : worker.m_progress) {
       const jobs::Job* job = aBook.Find(task.m_job);
@@ -295,6 +298,7 @@
   if (aEnd == jobs::RunEnd::kDone) {
     aWorker.m_failuresInRow = 0;
   } else if (aEnd == jobs::RunEnd::kFailed &&
+             m_options.m_mechanisms.Has(Mechanism::kSettingAside) &&
              ++aWorker.m_failuresInRow >= kFailuresToSetAside) {
     aWorker.m_setAsideUntil = aNow + kSetAside;
   } else if (aEnd == jobs::RunEnd::kRefused) {
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -348,6 +348,11 @@
   }
   settings.m_dataFolder = TakeText(json, "dataFolder");
   Take(json, "snapshotEvery", settings.m_snapshotEvery);
+  for (const Json& name : json.value("mechanismsOff", Json::array())) {
+    if (const auto off = placement::MechanismOf(name.get<std::string>())) {
+      settings.m_mechanisms.SwitchOff(*off);
+    }
+  }
   settings.m_limits = ReadLimits(json.value("limits", Json::object()));
   const Json log = json.value("log", Json::object());
   Take(log, "level", settings.m_logLevel);
--- a/tests/unit/settings/settings_test.cpp
+++ b/tests/unit/settings/settings_test.cpp
@@ -94,3 +94,15 @@
   m_sound["hosting"] = Json::object();
   CHECK_STRING("", ProblemWith(m_sound));
 }
+
+TEST(Settings, MechanismOff_IsReadAndAnUnknownOneIsNamed)
+{
+  using placement::Mechanism;
+  m_sound["mechanismsOff"] = { "moves" };
+  settings::Problem problem;
+  const auto settings = settings::Parse(m_sound.dump(), "f", problem);
+  CHECK_FALSE(settings->m_mechanisms.Has(Mechanism::kMoves));
+  CHECK(settings->m_mechanisms.Has(Mechanism::kStandby));
+  m_sound["mechanismsOff"] = { "magic" };
+  Names(m_sound, "mechanismsOff.0", "\"magic\"");
+}
--- a/tools/bamboostiled/main.cpp
+++ b/tools/bamboostiled/main.cpp
@@ -281,6 +281,9 @@
   bool StartJobs()
   {
     control::JobServiceOptions options;
+    options.m_mechanisms = m_settings.m_mechanisms;
+    options.m_lease.m_mechanisms = m_settings.m_mechanisms;
+    options.m_capacity.m_mechanisms = m_settings.m_mechanisms;
     const auto& hosting = m_settings.m_hosting;
     if (hosting) {
       options.m_maintenance.m_takes = hosting->m_maintenanceTakes;
