Place tasks beside ends, not after the last of them

Cause: ends of runs were committed until none was left before a pass of placing ran. In a peak of 350 workers, with 1,000 ends a second, that gave 100 batches and 8 passes a second (trial with a log line for each): a worker waited some 100 ms for its next task of 1 s, and pools with 40,000 core-seconds queued used 65 to 72% of their cores.

Ruled out: a saturated leader (it used 0.14 of its 0.35 cores), slow commits (6 to 12 ms), fragmentation (ten tasks of 6.2 cores fill 97% of a worker).

Change: a pass runs with any batch, as long as passes take at most a quarter of the leader's time while ends come in (PlanPacer); its starts share the batch with the ends that wait. A report is answered once a pass has seen its ends.

--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -3,6 +3,7 @@
 #include "bamboostile/control/instance_service.h"
 #include "bamboostile/control/node.h"
 #include "bamboostile/jobs/calls.h"
+#include "bamboostile/placement/plan_pacer.h"
 #include "bamboostile/placement/planner.h"
 #include "bamboostile/telemetry/metrics.h"
 
@@ -90,7 +91,9 @@
   {
     WorkerId m_worker;
     std::uint64_t m_sequence = 0;
-    /** Its ends are committed, and a pass of placing has seen them. */
+    /** It has no ends that are not in the batch under way or an earlier one. */
+    bool m_taken = false;
+    /** A pass of placing has seen its ends. */
     bool m_planned = false;
     kj::Own<kj::PromiseFulfiller<WorkerAnswer>> m_fulfiller;
   };
@@ -107,6 +110,8 @@
   /** Maintenance and moves, where their time has come. */
   void FollowInstances(TimePoint aNow);
   kj::Promise<void> Cycle();
+  /** Adds the starts of a pass of placing; orders stops. */
+  void Plan(TimePoint aNow, std::vector<jobs::Change>& aChanges);
   kj::Promise<void> Commit(std::vector<jobs::Change> aChanges);
   void AnswerPlanned();
   void AnswerAllAsFollower();
@@ -127,6 +132,7 @@
   Term m_term;
   std::optional<placement::WorkerTable> m_workers;
   placement::Planner m_planner;
+  placement::PlanPacer m_pacer;
   std::unique_ptr<InstanceService> m_instances;
   std::map<jobs::TaskRef, TimePoint> m_startedAt;
   std::vector<jobs::Change> m_gathered;
--- /dev/null
+++ b/include/bamboostile/placement/plan_pacer.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "bamboostile/units/time.h"
+
+namespace bamboostile::placement {
+
+/**
+ * @brief Decides when the next pass of placing runs while ends of runs keep
+ * coming in.
+ *
+ * A pass sees what has been committed, so one right behind each batch of ends
+ * places soonest. It takes the leader's time, though: 0.3 ms at 50 workers, 6
+ * ms at 350 in a peak.
+ */
+class PlanPacer
+{
+public:
+  /** aHasMore: ends wait to be committed. */
+  bool IsDue(bool aHasMore, TimePoint aNow) const
+  {
+    return !aHasMore || aNow >= m_notBefore;
+  }
+  void OnPlanned(TimePoint aBegan, TimePoint aEnded);
+
+private:
+  TimePoint m_notBefore;
+};
+
+} // namespace bamboostile::placement
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -141,13 +141,14 @@
       .Write();
   }
   m_isDirty = m_isDirty || heard.m_changed;
+  const bool isTaken = heard.m_ends.empty();
   Gather(std::move(heard.m_ends));
   auto pair = kj::newPromiseAndFulfiller<WorkerAnswer>();
   // While a batch is under way, ends of an earlier copy of this report may be
   // in it; an answer now would tell the worker to forget them too soon.
   const bool nothingToDo = !m_isDirty && !m_isCycling && m_gathered.empty();
   m_waiting.push_back(
-    { worker, sequence, nothingToDo, kj::mv(pair.fulfiller) });
+    { worker, sequence, isTaken, nothingToDo, kj::mv(pair.fulfiller) });
   if (nothingToDo) {
     AnswerPlanned();
   } else {
@@ -236,9 +237,11 @@
   m_tasks.add(kj::evalLater([this]() { return Cycle(); }));
 }
 
-// One batch at a time, and first what has ended: a plan made from a state in
-// which those ends are missing would leave their room unused, and one made
-// while starts are on their way would start the same tasks twice.
+// One batch at a time: a plan made while starts are on their way would start
+// the same tasks twice. Ends that wait and the starts of a pass share a batch,
+// so the pass works from the ends of the batch before; a report is answered
+// once a pass has seen its ends, as its worker gets its next start with the
+// answer.
 kj::Promise<void>
 JobService::Cycle()
 {
@@ -247,26 +250,44 @@
     m_isCycling = false;
     return kj::READY_NOW;
   }
-  GatherLost(MonotonicNow());
-  if (!m_gathered.empty()) {
-    return Commit(std::exchange(m_gathered, {})).then([this]() {
-      return Cycle();
-    });
-  }
-  for (Waiting& one : m_waiting) {
-    one.m_planned = true;
-  }
   const TimePoint now = MonotonicNow();
+  GatherLost(now);
   FollowInstances(now);
-  if (!m_isDirty) {
+  std::vector<jobs::Change> changes = std::exchange(m_gathered, {});
+  if (!m_isDirty && changes.empty()) {
+    for (Waiting& one : m_waiting) {
+      one.m_planned = true;
+    }
     AnswerPlanned();
     m_isCycling = false;
     return kj::READY_NOW;
   }
+  if (m_isDirty && m_pacer.IsDue(!changes.empty(), now)) {
+    Plan(now, changes);
+  }
+  for (Waiting& one : m_waiting) {
+    one.m_taken = true;
+  }
+  if (changes.empty()) {
+    AnswerPlanned();
+    return Cycle();
+  }
+  return Commit(std::move(changes)).then([this]() {
+    AnswerPlanned();
+    return Cycle();
+  });
+}
+
+void
+JobService::Plan(TimePoint aNow, std::vector<jobs::Change>& aChanges)
+{
   m_isDirty = false;
-  m_nextPass = now + kPassInterval;
+  m_nextPass = aNow + kPassInterval;
+  for (Waiting& one : m_waiting) {
+    one.m_planned = one.m_planned || one.m_taken;
+  }
   placement::Plan plan = m_planner.Next(
-    m_node.State(), *m_workers, m_instances->Cordoned(), now, WallNow());
+    m_node.State(), *m_workers, m_instances->Cordoned(), aNow, WallNow());
   for (const placement::StopOrder& stop : plan.m_stops) {
     LogLine(Level::kInfo, "moving a long-running task")
       .With("job", stop.m_task.m_job.Get())
@@ -276,15 +297,9 @@
       .Write();
     m_workers->RequestStop(stop.m_task, stop.m_run);
   }
-  if (plan.m_changes.empty()) {
-    AnswerPlanned();
-    m_isCycling = false;
-    return kj::READY_NOW;
-  }
-  return Commit(std::move(plan.m_changes)).then([this]() {
-    AnswerPlanned();
-    return Cycle();
-  });
+  std::move(
+    plan.m_changes.begin(), plan.m_changes.end(), std::back_inserter(aChanges));
+  m_pacer.OnPlanned(aNow, MonotonicNow());
 }
 
 // Only between batches: while one is under way the same ends may be in it.
--- /dev/null
+++ b/src/placement/plan_pacer.cpp
@@ -0,0 +1,23 @@
+#include "bamboostile/placement/plan_pacer.h"
+
+namespace bamboostile::placement {
+
+namespace {
+
+/** Passes take at most one part in so many of the leader's time while ends come
+ * in; the rest is for reports and their answers. */
+constexpr int kTimeShare = 4;
+
+} // namespace
+
+// Ends used to be committed until none was left before a pass ran. In a peak of
+// 350 workers, with a thousand ends a second, there were 100 batches and 8
+// passes a second: a worker waited some 100 ms for its next task, with tasks of
+// one second, and a third of a full pool stood unused beside its queue.
+void
+PlanPacer::OnPlanned(TimePoint aBegan, TimePoint aEnded)
+{
+  m_notBefore = aEnded + (kTimeShare - 1) * (aEnded - aBegan);
+}
+
+} // namespace bamboostile::placement
