--- a/tests/unit/placement/workers_test.cpp
+++ b/tests/unit/placement/workers_test.cpp
@@ -339,3 +339,56 @@
     m_table.Answer(worker, m_fleet.Book(), At(1000)).m_nextReport;
   CHECK(full > withRoom);
 }
+
+// A caller cancels a job while a start of it is on its way. The worker obeys
+// late, after the cancel; its next report shows the run, and the answer to that
+// stops it.
+TEST(WorkerTable, RunStartedLateAfterCancel_IsStoppedWithTheNextAnswer)
+{
+  m_fleet.Submit("j", Spec({ Step(1, 1000) }));
+  Hear(Report("w1", 1), kLater);
+  m_fleet.Start(Ref("j"), "w1");
+  LONGS_EQUAL(1, Answer("w1", kLater + 10).m_starts.size());
+  m_fleet.Apply({ Cancel{ JobId{ "j" }, WallTime{ kWall } } });
+  WorkerReport late = Report("w1", 2);
+  late.m_active = { Active(Ref("j")) };
+  Hear(late, kLater + 2500);
+  const Orders orders = Answer("w1", kLater + 2510);
+  LONGS_EQUAL(0, orders.m_starts.size());
+  LONGS_EQUAL(1, orders.m_stops.size());
+}
+
+// The leader that started the task is removed for good, and the job is
+// cancelled at its successor, which never saw the start. The first report that
+// it hears shows the run; the answer stops it.
+TEST(WorkerTable, RunOfARemovedLeaderAfterCancel_IsStoppedByItsSuccessor)
+{
+  m_fleet.Submit("j", Spec({ Step(1, 1000) }));
+  m_fleet.Start(Ref("j"), "w1");
+  placement::WorkerTable successor(LeaseOptions{}, At(kLater));
+  m_fleet.Apply({ Cancel{ JobId{ "j" }, WallTime{ kWall } } });
+  WorkerReport report = Report("w1", 7);
+  report.m_active = { Active(Ref("j")) };
+  successor.OnReport(
+    report, m_fleet.Book(), At(kLater + 300), WallTime{ kWall });
+  const Orders orders =
+    successor.Answer(WorkerId{ "w1" }, m_fleet.Book(), At(kLater + 310));
+  LONGS_EQUAL(1, orders.m_stops.size());
+}
+
+// A worker with long-running tasks only has its report held. When its job is
+// cancelled it counts as quiet no more, so that the stop goes out at once and
+// not when the report would have been answered anyway.
+TEST(WorkerTable, JobOfAQuietWorkerCancelled_IsQuietNoMore)
+{
+  StepSpec lasting = Step(1, 1000);
+  lasting.m_longRunning = true;
+  m_fleet.Submit("j", Spec({ lasting }));
+  m_fleet.Start(Ref("j"), "w1");
+  WorkerReport report = Report("w1", 1);
+  report.m_active = { Active(Ref("j")) };
+  Hear(report, kLater);
+  CHECK(m_table.IsQuiet(WorkerId{ "w1" }, m_fleet.Book()));
+  m_fleet.Apply({ Cancel{ JobId{ "j" }, WallTime{ kWall } } });
+  CHECK_FALSE(m_table.IsQuiet(WorkerId{ "w1" }, m_fleet.Book()));
+}
