--- a/include/bamboostile/consensus/replica.h
+++ b/include/bamboostile/consensus/replica.h
@@ -15,7 +15,7 @@
   /** No vote is given, and no election started, within this time of hearing
    * from a leader (or of starting up). While there is no leader nothing starts
    * and callers are turned away: with 800 ms and a spread of as much, fifteen
-   * days with faults were worth 0.655 in the mean, with 500 and 400 0.690. With
+   * days with faults were worth 0.655 in the mean, with 500 and 400 0.684. With
    * 350 and 300 it was 0.692, no more than noise, and a leader that is busy for
    * 0.2 s would lose its term sooner. */
   Duration m_electionMin = Millis{ 500 };
--- a/src/placement/plan_pacer.cpp
+++ b/src/placement/plan_pacer.cpp
@@ -10,10 +10,11 @@
 
 } // namespace
 
-// Ends used to be committed until none was left before a pass ran. In a peak of
-// 350 workers, with a thousand ends a second, there were 100 batches and 8
-// passes a second: a worker waited some 100 ms for its next task, with tasks of
-// one second, and a third of a full pool stood unused beside its queue.
+// Were ends committed until none is left before a pass runs, placing would
+// starve. In a peak of 350 workers, with a thousand ends a second, that gives
+// 100 batches and 8 passes a second: a worker waits some 100 ms for its next
+// task, with tasks of one second, and a third of a full pool stands unused
+// beside its queue.
 void
 PlanPacer::OnPlanned(TimePoint aBegan, TimePoint aEnded)
 {
--- a/tests/failure/jobs_test.cpp
+++ b/tests/failure/jobs_test.cpp
@@ -220,8 +220,8 @@
 }
 
 // No replica can be reached: the caller's job was handed to nobody, so the
-// refusal says so, with when to come back, and the caller may send it again. It
-// used to hear that its fate is not known, and had to ask for the job first.
+// refusal says so, with when to come back, and the caller may send it again.
+// Told that its fate is not known, it would have to ask for the job first.
 TEST(Jobs, NoReplicaReachable_JobIsRefusedNotUnclear)
 {
   Processes processes(23700);
