Log the longest waits at the leader, by stage, and how long each order waited

Whether renewals, batches, passes or orders for instances stand still could not be told from the logs: they held decisions, no waits. Once a second the leader now logs the longest wait of each stage, and each order's answer tells when its first byte went out and when the answer counted.

--- a/include/bamboostile/control/instance_service.h
+++ b/include/bamboostile/control/instance_service.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "bamboostile/control/node.h"
+#include "bamboostile/control/pace.h"
 #include "bamboostile/placement/capacity.h"
 #include "bamboostile/placement/maintenance.h"
+#include "bamboostile/telemetry/log.h"
 
 #include <functional>
 #include <set>
@@ -13,7 +15,14 @@
  * thread. Unset ones are never made. */
 struct InstanceCalls
 {
-  using Answered = std::function<void(placement::InstanceAnswer)>;
+  struct Answer
+  {
+    placement::InstanceAnswer m_answer = placement::InstanceAnswer::kUnclear;
+    /** From the call to its first byte; unset where none went out. */
+    std::optional<Duration> m_sentAfter;
+  };
+
+  using Answered = std::function<void(const Answer&)>;
   /** Nothing where the list could not be read whole. */
   using Listed =
     std::function<void(std::optional<std::vector<placement::ListedInstance>>)>;
@@ -41,8 +50,11 @@
                   placement::MaintenanceOptions aMaintenance,
                   placement::CapacityOptions aCapacity,
                   Term aTerm,
+                  Pace& aPace,
                   Ended aEnded);
 
+  std::size_t OrdersUnderWay() const { return m_underWay; }
+
   void Tick(const placement::WorkerTable& aWorkers,
             const placement::Durations& aDurations,
             TimePoint aNow,
@@ -54,13 +66,15 @@
   struct MaintenanceReply
   {
     placement::MaintenanceOrder m_order;
-    placement::InstanceAnswer m_answer;
+    InstanceCalls::Answer m_answer;
+    TimePoint m_decidedAt;
   };
 
   struct MoveReply
   {
     placement::MoveOrder m_order;
-    placement::InstanceAnswer m_answer;
+    InstanceCalls::Answer m_answer;
+    TimePoint m_decidedAt;
   };
 
   using List = std::optional<std::vector<placement::ListedInstance>>;
@@ -79,6 +93,9 @@
   kj::Promise<void> ListLoop();
   void On(const MaintenanceReply& aReply);
   void On(const MoveReply& aReply);
+  void Note(telemetry::LogLine aLine,
+            const InstanceCalls::Answer& aAnswer,
+            TimePoint aDecidedAt);
   void PlanMaintenance(const placement::WorkerTable& aWorkers, TimePoint aNow);
   void PlanMoves(const placement::WorkerTable& aWorkers,
                  const placement::Durations& aDurations,
@@ -91,6 +108,7 @@
   Node& m_node;
   const InstanceCalls& m_calls;
   Term m_term;
+  Pace& m_pace;
   Ended m_ended;
   bool m_moves;
   placement::MaintenancePlanner m_maintenance;
@@ -98,6 +116,7 @@
   std::set<WorkerId> m_cordoned;
   std::set<std::pair<std::uint64_t, InstanceId>> m_ordersUnderWay;
   std::size_t m_advancing = 0;
+  std::size_t m_underWay = 0;
   TimePoint m_nextList;
   TimePoint m_nextNeedsLog;
   std::shared_ptr<Answers> m_answers = std::make_shared<Answers>();
--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -75,7 +75,8 @@
   JobService(Node& aNode, kj::Timer& aTimer, JobServiceOptions aOptions);
 
   kj::Promise<jobs::QueueReply> Call(jobs::QueueCall aCall);
-  kj::Promise<WorkerAnswer> Report(const placement::WorkerReport& aReport);
+  kj::Promise<WorkerAnswer> Report(const placement::WorkerReport& aReport,
+                                   TimePoint aReceivedAt);
   /** The worker says that it ends now. */
   kj::Promise<WorkerAnswer> Leave(const WorkerId& aWorker);
   kj::Promise<RoutesOutcome> ReplaceRoutes(fleet::RouteTable aTable);
@@ -83,6 +84,7 @@
   kj::Promise<RoutesOutcome> StartMaintenance(fleet::MaintenanceWave aWave);
   WaveView LookAtMaintenance(std::uint64_t aWave);
   std::string LeaderAddress() const { return m_node.LeaderAddress(); }
+  Pace& LeaderPace() { return m_pace; }
   /** Prometheus text. */
   std::string RenderMetrics();
 
@@ -91,6 +93,7 @@
   {
     WorkerId m_worker;
     std::uint64_t m_sequence = 0;
+    TimePoint m_receivedAt;
     /** It has no ends that are not in the batch under way or an earlier one. */
     bool m_taken = false;
     /** A pass of placing has seen its ends. */
@@ -138,6 +141,7 @@
   std::vector<jobs::Change> m_gathered;
   bool m_isDirty = false;
   bool m_isCycling = false;
+  TimePoint m_tickDueAt;
   TimePoint m_nextPass;
   TimePoint m_nextInstances;
   TimePoint m_nextLost;
@@ -151,6 +155,7 @@
   std::vector<Waiting> m_waiting;
   /** Reports of quiet workers, kept for when there is an order for them. */
   std::unordered_map<WorkerId, Held> m_held;
+  Pace m_pace;
   telemetry::Metrics m_metrics;
   kj::TaskSet m_tasks;
 };
--- a/include/bamboostile/control/loop_bridge.h
+++ b/include/bamboostile/control/loop_bridge.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bamboostile/control/pace.h"
 #include "bamboostile/http/server.h"
 #include "bamboostile/rpc/mailbox.h"
 
@@ -15,7 +16,8 @@
   using ExchangePtr = std::shared_ptr<http::Exchange>;
   using Task = std::function<kj::Promise<http::Response>()>;
 
-  LoopBridge();
+  /** aPace, where set, outlives this and hears how late answers go out. */
+  explicit LoopBridge(Pace* aPace = nullptr);
 
   /** From the HTTP thread of aServer, which must outlive the answer. */
   void Answer(http::Server& aServer, ExchangePtr aExchange, Task aTask);
@@ -31,6 +33,7 @@
   void taskFailed(kj::Exception&& aException) override;
   kj::Promise<void> Loop();
 
+  Pace* m_pace;
   rpc::Mailbox<Pending> m_pending;
   kj::TaskSet m_tasks;
 };
--- a/include/bamboostile/control/worker_api.h
+++ b/include/bamboostile/control/worker_api.h
@@ -16,6 +16,7 @@
 public:
   explicit WorkerApi(JobService& aJobs)
     : m_jobs(aJobs)
+    , m_bridge(&aJobs.LeaderPace())
   {
   }
 
--- a/include/bamboostile/http/client.h
+++ b/include/bamboostile/http/client.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace bamboostile::http {
 
@@ -41,6 +42,9 @@
   Response m_response;
   std::string m_detail;
   Duration m_took{};
+  /** From the start of the call to its first byte, which may wait for other
+   * calls; unset where none went out. */
+  std::optional<Duration> m_sentAfter;
 };
 
 /**
--- a/src/control/instance_service.cpp
+++ b/src/control/instance_service.cpp
@@ -21,10 +21,12 @@
                                  placement::MaintenanceOptions aMaintenance,
                                  placement::CapacityOptions aCapacity,
                                  Term aTerm,
+                                 Pace& aPace,
                                  Ended aEnded)
   : m_node(aNode)
   , m_calls(aCalls)
   , m_term(aTerm)
+  , m_pace(aPace)
   , m_ended(std::move(aEnded))
   , m_moves(aCapacity.m_mechanisms.Has(placement::Mechanism::kMoves))
   , m_maintenance(aMaintenance)
@@ -44,6 +46,25 @@
     .Write();
 }
 
+// An order that waits takes effect on what has changed since it was decided:
+// how long each waited, and where, tells a slow platform from a full leader.
+void
+InstanceService::Note(LogLine aLine,
+                      const InstanceCalls::Answer& aAnswer,
+                      TimePoint aDecidedAt)
+{
+  --m_underWay;
+  const Duration handledAfter = MonotonicNow() - aDecidedAt;
+  m_pace.Observe(Stage::kOrderAnswered, handledAfter);
+  aLine.With("answer", placement::Describe(aAnswer.m_answer))
+    .With("handledAfterMs", ToMillis(handledAfter).count());
+  if (aAnswer.m_sentAfter) {
+    m_pace.Observe(Stage::kOrderSent, *aAnswer.m_sentAfter);
+    aLine.With("sentAfterMs", ToMillis(*aAnswer.m_sentAfter).count());
+  }
+  aLine.Write();
+}
+
 void
 InstanceService::Tick(const placement::WorkerTable& aWorkers,
                       const placement::Durations& aDurations,
@@ -77,11 +98,10 @@
   }
   for (const placement::MaintenanceOrder& order : plan.m_orders) {
     if (m_ordersUnderWay.emplace(order.m_wave, order.m_instance).second) {
+      ++m_underWay;
       m_calls.m_maintenance(
-        order,
-        m_term,
-        [answers = m_answers, order](placement::InstanceAnswer aAnswer) {
-          answers->m_maintenance.Put({ order, aAnswer });
+        order, m_term, [answers = m_answers, order, aNow](const auto& aAnswer) {
+          answers->m_maintenance.Put({ order, aAnswer, aNow });
         });
     }
   }
@@ -116,16 +136,16 @@
 InstanceService::On(const MaintenanceReply& aReply)
 {
   m_ordersUnderWay.erase({ aReply.m_order.m_wave, aReply.m_order.m_instance });
-  LogLine(Level::kInfo, "maintenance order answered")
-    .With("wave", aReply.m_order.m_wave)
-    .With("ofInstance", aReply.m_order.m_instance.Get())
-    .With("answer", placement::Describe(aReply.m_answer))
-    .Write();
+  Note(LogLine(Level::kInfo, "maintenance order answered")
+         .With("wave", aReply.m_order.m_wave)
+         .With("ofInstance", aReply.m_order.m_instance.Get()),
+       aReply.m_answer,
+       aReply.m_decidedAt);
   if (!m_node.IsServing()) {
     return;
   }
-  const placement::MaintenanceResult next =
-    m_maintenance.OnAnswer(aReply.m_order, aReply.m_answer, MonotonicNow());
+  const placement::MaintenanceResult next = m_maintenance.OnAnswer(
+    aReply.m_order, aReply.m_answer.m_answer, MonotonicNow());
   if (next.m_ended) {
     m_ended(*next.m_ended);
   }
@@ -154,11 +174,10 @@
       .With("ofInstance", order.m_instance.Get())
       .With("to", order.m_to.Get())
       .Write();
+    ++m_underWay;
     m_calls.m_move(
-      order,
-      m_term,
-      [answers = m_answers, order](placement::InstanceAnswer aAnswer) {
-        answers->m_moves.Put({ order, aAnswer });
+      order, m_term, [answers = m_answers, order, aNow](const auto& aAnswer) {
+        answers->m_moves.Put({ order, aAnswer, aNow });
       });
   }
 }
@@ -198,19 +217,19 @@
 void
 InstanceService::On(const MoveReply& aReply)
 {
-  if (aReply.m_answer != placement::InstanceAnswer::kTaken) {
-    LogLine(Level::kInfo, "move not taken")
-      .With("ofInstance", aReply.m_order.m_instance.Get())
-      .With("to", aReply.m_order.m_to.Get())
-      .With("answer", placement::Describe(aReply.m_answer))
-      .Write();
+  Note(LogLine(Level::kInfo, "move answered")
+         .With("ofInstance", aReply.m_order.m_instance.Get())
+         .With("to", aReply.m_order.m_to.Get()),
+       aReply.m_answer,
+       aReply.m_decidedAt);
+  if (aReply.m_answer.m_answer != placement::InstanceAnswer::kTaken) {
     m_nextList = TimePoint{};
   }
   if (!m_node.IsServing()) {
     return;
   }
-  const auto ended =
-    m_capacity.OnAnswer(aReply.m_order, aReply.m_answer, MonotonicNow());
+  const auto ended = m_capacity.OnAnswer(
+    aReply.m_order, aReply.m_answer.m_answer, MonotonicNow());
   if (ended) {
     m_ended(*ended);
   }
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -85,6 +85,7 @@
       m_options.m_maintenance,
       m_options.m_capacity,
       term,
+      m_pace,
       [this](const WorkerId& aWorker) { OnLifeEnded(aWorker); });
     m_gathered.clear();
     m_startedAt.clear();
@@ -116,11 +117,13 @@
 // ---------------------------------------------------------------------- runs
 
 kj::Promise<WorkerAnswer>
-JobService::Report(const placement::WorkerReport& aReport)
+JobService::Report(const placement::WorkerReport& aReport,
+                   TimePoint aReceivedAt)
 {
   if (!Leads()) {
     return NotLeading();
   }
+  m_pace.Observe(Stage::kReportQueued, MonotonicNow() - aReceivedAt);
   const WorkerId worker = aReport.m_worker;
   const std::uint64_t sequence = aReport.m_sequence;
   const bool isNew = m_workers->Find(worker) == nullptr;
@@ -147,8 +150,12 @@
   // While a batch is under way, ends of an earlier copy of this report may be
   // in it; an answer now would tell the worker to forget them too soon.
   const bool nothingToDo = !m_isDirty && !m_isCycling && m_gathered.empty();
-  m_waiting.push_back(
-    { worker, sequence, isTaken, nothingToDo, kj::mv(pair.fulfiller) });
+  m_waiting.push_back({ worker,
+                        sequence,
+                        aReceivedAt,
+                        isTaken,
+                        nothingToDo,
+                        kj::mv(pair.fulfiller) });
   if (nothingToDo) {
     AnswerPlanned();
   } else {
@@ -299,7 +306,9 @@
   }
   std::move(
     plan.m_changes.begin(), plan.m_changes.end(), std::back_inserter(aChanges));
-  m_pacer.OnPlanned(aNow, MonotonicNow());
+  const TimePoint ended = MonotonicNow();
+  m_pace.Observe(Stage::kPassOfPlacing, ended - aNow);
+  m_pacer.OnPlanned(aNow, ended);
 }
 
 // Only between batches: while one is under way the same ends may be in it.
@@ -336,6 +345,7 @@
   m_nextInstances = aNow + kInstancesInterval;
   m_instances->Tick(
     *m_workers, m_planner.EstimatedDurations(), aNow, WallNow());
+  m_pace.Observe(Stage::kInstancesFollowed, MonotonicNow() - aNow);
 }
 
 kj::Promise<void>
@@ -345,9 +355,10 @@
   const TimePoint proposedAt = MonotonicNow();
   return m_node.Propose(batch).then(
     [this, proposedAt, changes = std::move(aChanges)](const Decided& aDecided) {
-      m_metrics.Observe(
-        "batch_commit_seconds",
-        std::chrono::duration<double>(MonotonicNow() - proposedAt).count());
+      const Duration took = MonotonicNow() - proposedAt;
+      m_pace.Observe(Stage::kBatchCommitted, took);
+      m_metrics.Observe("batch_commit_seconds",
+                        std::chrono::duration<double>(took).count());
       if (ReplyOf(aDecided) == nullptr) {
         // Whether they are committed is for the next leader to find out; the
         // workers repeat their ends, and starts are planned anew.
@@ -409,6 +420,7 @@
     return NotLeading();
   }
   WorkerAnswer answer;
+  m_pace.Observe(Stage::kReportAnswered, aNow - aOne.m_receivedAt);
   answer.m_orders =
     m_workers->Answer(aOne.m_worker, m_node.State().Jobs(), aNow);
   answer.m_fencingToken = m_term;
@@ -475,6 +487,8 @@
 {
   const TimePoint now = MonotonicNow();
   if (Leads()) {
+    m_pace.Observe(Stage::kTickLate, now - std::min(now, m_tickDueAt));
+    m_pace.Log(now, m_instances->OrdersUnderWay());
     if (!m_isCycling) {
       GatherLost(now);
     }
@@ -496,6 +510,7 @@
   } else {
     AnswerAllAsFollower();
   }
+  m_tickDueAt = MonotonicNow() + Millis{ kTick / kj::MILLISECONDS };
   return m_timer.afterDelay(kTick).then([this]() { return TickLoop(); });
 }
 
--- a/src/control/loop_bridge.cpp
+++ b/src/control/loop_bridge.cpp
@@ -7,8 +7,9 @@
 using telemetry::Level;
 using telemetry::LogLine;
 
-LoopBridge::LoopBridge()
-  : m_tasks(*this)
+LoopBridge::LoopBridge(Pace* aPace)
+  : m_pace(aPace)
+  , m_tasks(*this)
 {
   m_tasks.add(Loop());
 }
@@ -32,10 +33,16 @@
 {
   return m_pending.Take().then([this](const std::vector<Pending>& aPending) {
     for (const Pending& one : aPending) {
-      m_tasks.add(
-        one.m_task().then([server = one.m_server, exchange = one.m_exchange](
-                            http::Response&& aResponse) {
-          server->Post([exchange, response = std::move(aResponse)]() {
+      m_tasks.add(one.m_task().then(
+        [this, server = one.m_server, exchange = one.m_exchange](
+          http::Response&& aResponse) {
+          server->Post([pace = m_pace,
+                        exchange,
+                        response = std::move(aResponse),
+                        answeredAt = MonotonicNow()]() {
+            if (pace != nullptr) {
+              pace->Observe(Stage::kAnswerWritten, MonotonicNow() - answeredAt);
+            }
             exchange->Respond(response);
           });
         }));
--- /dev/null
+++ b/src/control/pace.cpp
@@ -0,0 +1,59 @@
+#include "bamboostile/control/pace.h"
+
+#include "bamboostile/telemetry/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bamboostile::control {
+
+namespace {
+
+/** Short beside the 4.5 s of a lease: a line shows the stage that ends one. */
+constexpr Duration kLineInterval = Millis{ 1000 };
+
+constexpr std::array<const char*, 9> kFields{
+  "reportQueuedMs", "reportAnsweredMs",  "batchCommittedMs",
+  "passMs",         "instancesFollowMs", "tickLateMs",
+  "orderSentMs",    "orderAnsweredMs",   "answerWrittenMs",
+};
+
+} // namespace
+
+void
+Pace::Observe(Stage aStage, Duration aTook)
+{
+  const std::lock_guard lock(m_mutex);
+  Seen& seen = m_seen[static_cast<std::size_t>(aStage)];
+  ++seen.m_count;
+  seen.m_longest = std::max(seen.m_longest, aTook);
+}
+
+void
+Pace::Log(TimePoint aNow, std::size_t aOrdersUnderWay)
+{
+  if (aNow < m_nextLine) {
+    return;
+  }
+  m_nextLine = aNow + kLineInterval;
+  std::array<Seen, kStages> all{};
+  {
+    const std::lock_guard lock(m_mutex);
+    all = std::exchange(m_seen, {});
+  }
+  telemetry::LogLine line(telemetry::Level::kInfo,
+                          "longest waits at the leader");
+  for (std::size_t i = 0; i < kStages; ++i) {
+    line.With(kFields[i], ToMillis(all[i].m_longest).count());
+  }
+  const auto countOf = [&](Stage aStage) {
+    return all[static_cast<std::size_t>(aStage)].m_count;
+  };
+  line.With("reports", countOf(Stage::kReportQueued))
+    .With("batches", countOf(Stage::kBatchCommitted))
+    .With("passes", countOf(Stage::kPassOfPlacing))
+    .With("ordersUnderWay", aOrdersUnderWay)
+    .Write();
+}
+
+} // namespace bamboostile::control
--- a/src/control/worker_api.cpp
+++ b/src/control/worker_api.cpp
@@ -73,10 +73,13 @@
     aExchange->Respond(JsonResponse(kBadRequest, json::ToJson(bad)));
     return true;
   }
-  m_bridge.Answer(aServer, aExchange, [this, report = std::move(*report)]() {
-    return m_jobs.Report(report).then(
-      [](const WorkerAnswer& aAnswer) { return ToResponse(aAnswer); });
-  });
+  m_bridge.Answer(
+    aServer,
+    aExchange,
+    [this, report = std::move(*report), receivedAt = MonotonicNow()]() {
+      return m_jobs.Report(report, receivedAt)
+        .then([](const WorkerAnswer& aAnswer) { return ToResponse(aAnswer); });
+    });
   return true;
 }
 
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -57,6 +57,9 @@
       !transfer.m_call.m_maySend()) {
     return CURL_PREREQFUNC_ABORT;
   }
+  if (!transfer.m_sent) {
+    transfer.m_result.m_sentAfter = MonotonicNow() - transfer.m_startedAt;
+  }
   transfer.m_sent = true;
   return CURL_PREREQFUNC_OK;
 }
