--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -53,6 +53,7 @@
   , m_timer(aTimer)
   , m_options(std::move(aOptions))
   , m_planner(m_options.m_mechanisms)
+  , m_tickDueAt(MonotonicNow())
   , m_tasks(*this)
 {
   m_tasks.add(TickLoop());
--- a/tests/unit/placement/capacity_test.cpp
+++ b/tests/unit/placement/capacity_test.cpp
@@ -398,3 +398,30 @@
   Next(10'000);
   LONGS_EQUAL(0, Next(13'000).m_orders.size());
 }
+
+// The operator sees more tasks of a step away than its budget allows. The
+// leader's calls to the platform stand still for seconds: an order leaves, and
+// is obeyed, long after it was decided. Once the move has had its time, the
+// instance counts as free again and gets long-running tasks, and then the order
+// arrives. Orders were seen to leave up to 8.8 s after their decision.
+TEST(CapacityPlanner, OrderNotAnsweredForLong_InstanceGetsNothingNew)
+{
+  Pool("desk", 3);
+  Pool("other", 5);
+  SubmitPeak();
+  Next(10'000);
+  const MoveOrder order = Next(10'500).m_orders.at(0);
+  const WorkerId* aimed = nullptr;
+  for (const auto& [id, worker] : m_table.Workers()) {
+    aimed = worker.m_last.m_instance == order.m_instance ? &id : aimed;
+  }
+  for (std::uint64_t i = 0; i < 100; ++i) {
+    const std::int64_t at = 10'600 + static_cast<std::int64_t>(i) * 100;
+    Hear(aimed->Get(), "other", at, 2 + i);
+    const CapacityPlan plan = Next(at);
+    CHECK(plan.m_cordoned.contains(*aimed));
+    for (const MoveOrder& one : plan.m_orders) {
+      CHECK(one.m_instance != order.m_instance);
+    }
+  }
+}
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -345,6 +345,28 @@
   CHECK(taken.m_advance.has_value());
 }
 
+// A task runs twice. A leader's order is being obeyed when the next leader
+// repeats it and hears that the instance is busy; taken for a refusal, that
+// lets the wave order the instance anew, by then with its next life, and
+// "taken", which may mean "done already", would end the runs of that life.
+TEST(MaintenancePlanner, OrderOfEarlierLeaderBusy_StaysOpenAndEndsNoLife)
+{
+  StartWave(1, 1);
+  const InstanceId instance{ "instance-of-w0" };
+  m_fleet.Do(
+    fleet::AdvanceMaintenance{ 1, instance, fleet::MaintenanceStep::kOrdered });
+  const auto order = Next(10'000).m_orders.at(0);
+  const auto busy =
+    m_planner.OnAnswer(order, InstanceAnswer::kBusy, At(10'100));
+  CHECK(!busy.m_advance);
+  LONGS_EQUAL(1, Wave().Down());
+  const auto again = Next(12'000).m_orders.at(0);
+  const auto taken =
+    m_planner.OnAnswer(again, InstanceAnswer::kTaken, At(12'100));
+  CHECK(!taken.m_ended);
+  CHECK(taken.m_advance.has_value());
+}
+
 // The operator sees a service below its budget. A leader committed an order and
 // was cut off; the next one must place nothing there while it may not order
 // yet, and must not order onto long-running tasks that are there all the same.
