Renew leases whatever is under way; acknowledge only what is committed

Cause: a report was answered once the batch under way was committed, as an answer told the worker to forget ends that might be in it. A disk that hangs under a batch, or a batch that takes over a second, so ends all leases of the fleet at about the same moment, 4.5 s after the last answers, while the leader keeps its own lease, which needs no disk. Long-running tasks of one step are away together.

Ruled out by the waits now logged: the event loop (172 ms), the HTTP thread (87 ms).

Change: what was taken from reports and what is committed are told apart, so an answer can go out at any moment; one that has waited 500 ms goes out with what is committed by then. A batch that the group refuses gives its ends back: they were acknowledged before, and with the table of that term still in place lost for good.

Before: no answer in 20 s of a hanging disk (unit.control DiskHangsUnderABatch). After: answered within the tick; ends stay unacknowledged until they are synced.

--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -115,8 +115,11 @@
   kj::Promise<void> Cycle();
   /** Adds the starts of a pass of placing; orders stops. */
   void Plan(TimePoint aNow, std::vector<jobs::Change>& aChanges);
-  kj::Promise<void> Commit(std::vector<jobs::Change> aChanges);
+  kj::Promise<void> Commit(std::vector<jobs::Change> aChanges,
+                           std::vector<placement::Receipt> aReceipts);
   void AnswerPlanned();
+  /** Those that cannot wait any longer for a batch. */
+  void AnswerOverdue(TimePoint aNow);
   void AnswerAllAsFollower();
   WorkerAnswer AnswerOf(const Waiting& aOne, bool aLeads, TimePoint aNow);
   void Hold(Waiting aOne, TimePoint aNow);
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -76,7 +76,7 @@
   std::vector<StartOrder> m_starts;
   std::vector<StopOrder> m_stops;
   std::vector<RateOrder> m_rates;
-  /** Ends up to here are committed. */
+  /** Ends up to here are committed; the worker forgets them. */
   std::uint64_t m_ackedUpTo = 0;
   Duration m_lease{};
   Duration m_nextReport{};
@@ -122,6 +122,13 @@
   Duration m_doubtAfter = Millis{ 1500 };
 };
 
+/** Ends of a worker that were taken from its reports, up to this number. */
+struct Receipt
+{
+  WorkerId m_worker;
+  std::uint64_t m_upTo = 0;
+};
+
 /** How far a run had come when it last got any further. */
 struct Progress
 {
@@ -139,6 +146,8 @@
   TimePoint m_leaseEnd;
   /** Silent for longer than its lease. */
   bool m_silent = false;
+  /** Ends that were taken; those up to m_ackedUpTo are committed as well. */
+  std::uint64_t m_takenUpTo = 0;
   std::uint64_t m_ackedUpTo = 0;
   /** When each start that no report has shown yet was last sent. */
   std::map<jobs::TaskRef, TimePoint> m_sentAt;
@@ -183,6 +192,13 @@
                  TimePoint aNow,
                  WallTime aWall);
 
+  /** Of the ends taken since the last call: what is to be acknowledged once
+   * they are committed. */
+  std::vector<Receipt> TakeReceipts();
+  void Acknowledge(const std::vector<Receipt>& aReceipts);
+  /** They were not committed: their workers' repetitions count again. */
+  void TakeBack(const std::vector<Receipt>& aReceipts);
+
   /** Runs that ended because their worker's lease did. */
   std::vector<jobs::EndRun> FindLost(const jobs::Book& aBook,
                                      TimePoint aNow,
@@ -223,6 +239,9 @@
   /** The run, if its worker's last report has it. */
   const RunReport* FindRun(const jobs::TaskRef& aTask,
                            const jobs::Task& aState) const;
+  /** Every worker that may still hold a lease of an earlier leader has been
+   * heard. */
+  bool KnowsAllLeases(TimePoint aNow) const;
   const LeaseOptions& Options() const { return m_options; }
   TimePoint LeaderSince() const { return m_leaderSince; }
 
@@ -261,6 +280,8 @@
   std::map<WorkerId, Worker> m_workers;
   std::map<InstanceId, WorkerId> m_current;
   std::set<WorkerId> m_retired;
+  /** Workers of whose ends some are taken and not yet on a receipt. */
+  std::set<WorkerId> m_takenFrom;
   /** Newest checkpoints that workers reported of runs under way. */
   std::map<jobs::TaskRef, std::string> m_checkpoints;
 };
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -19,6 +19,10 @@
 constexpr Duration kInstancesInterval = Millis{ 100 };
 constexpr Duration kLostInterval = Millis{ 50 };
 constexpr Duration kForgetInterval = std::chrono::seconds{ 5 };
+/** A report waits this long for what its worker is to start next. Batches take
+ * 10 to 50 ms, with a full leader up to 450 ms; after 1 s the worker drops the
+ * answer, and with it its lease. */
+constexpr Duration kAnswerWithin = Millis{ 500 };
 /** What a caller whose job was not taken is told to wait. */
 constexpr Millis kRetryAfter{ 1000 };
 
@@ -148,8 +152,7 @@
   const bool isTaken = heard.m_ends.empty();
   Gather(std::move(heard.m_ends));
   auto pair = kj::newPromiseAndFulfiller<WorkerAnswer>();
-  // While a batch is under way, ends of an earlier copy of this report may be
-  // in it; an answer now would tell the worker to forget them too soon.
+  // What a batch under way decides is worth waiting for, but not for long.
   const bool nothingToDo = !m_isDirty && !m_isCycling && m_gathered.empty();
   m_waiting.push_back({ worker,
                         sequence,
@@ -249,7 +252,9 @@
 // the same tasks twice. Ends that wait and the starts of a pass share a batch,
 // so the pass works from the ends of the batch before; a report is answered
 // once a pass has seen its ends, as its worker gets its next start with the
-// answer.
+// answer. A lease must not hang on that: a disk that hangs under a batch would
+// end the leases of all workers at about the same moment, so what has waited
+// its time is answered with what is committed by then.
 kj::Promise<void>
 JobService::Cycle()
 {
@@ -262,10 +267,12 @@
   GatherLost(now);
   FollowInstances(now);
   std::vector<jobs::Change> changes = std::exchange(m_gathered, {});
+  std::vector<placement::Receipt> receipts = m_workers->TakeReceipts();
   if (!m_isDirty && changes.empty()) {
     for (Waiting& one : m_waiting) {
       one.m_planned = true;
     }
+    m_workers->Acknowledge(receipts);
     AnswerPlanned();
     m_isCycling = false;
     return kj::READY_NOW;
@@ -277,10 +284,11 @@
     one.m_taken = true;
   }
   if (changes.empty()) {
+    m_workers->Acknowledge(receipts);
     AnswerPlanned();
     return Cycle();
   }
-  return Commit(std::move(changes)).then([this]() {
+  return Commit(std::move(changes), std::move(receipts)).then([this]() {
     AnswerPlanned();
     return Cycle();
   });
@@ -350,12 +358,18 @@
 }
 
 kj::Promise<void>
-JobService::Commit(std::vector<jobs::Change> aChanges)
+JobService::Commit(std::vector<jobs::Change> aChanges,
+                   std::vector<placement::Receipt> aReceipts)
 {
   jobs::Batch batch{ aChanges };
   const TimePoint proposedAt = MonotonicNow();
   return m_node.Propose(batch).then(
-    [this, proposedAt, changes = std::move(aChanges)](const Decided& aDecided) {
+    [this,
+     proposedAt,
+     term = m_term,
+     changes = std::move(aChanges),
+     receipts = std::move(aReceipts)](const Decided& aDecided) {
+      const bool isSameTerm = term == m_term;
       const Duration took = MonotonicNow() - proposedAt;
       m_pace.Observe(Stage::kBatchCommitted, took);
       m_metrics.Observe("batch_commit_seconds",
@@ -366,8 +380,14 @@
         LogLine(Level::kWarning, "a batch of runs was not decided")
           .With("changes", changes.size())
           .Write();
+        if (isSameTerm) {
+          m_workers->TakeBack(receipts);
+        }
         return;
       }
+      if (isSameTerm) {
+        m_workers->Acknowledge(receipts);
+      }
       LearnFrom(changes, MonotonicNow());
       m_isDirty = true;
     });
@@ -483,6 +503,20 @@
   AnswerHeld(leads, now);
 }
 
+void
+JobService::AnswerOverdue(TimePoint aNow)
+{
+  std::vector<Waiting> rest;
+  for (Waiting& one : std::exchange(m_waiting, {})) {
+    if (aNow >= one.m_receivedAt + kAnswerWithin) {
+      one.m_fulfiller->fulfill(AnswerOf(one, true, aNow));
+    } else {
+      rest.push_back(kj::mv(one));
+    }
+  }
+  m_waiting = kj::mv(rest);
+}
+
 kj::Promise<void>
 JobService::TickLoop()
 {
@@ -503,6 +537,7 @@
       FollowInstances(now);
     }
     StopStuckRuns(now);
+    AnswerOverdue(now);
     AnswerHeld(true, now);
     if (now >= m_nextPass) {
       m_isDirty = true;
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -1,6 +1,7 @@
 #include "bamboostile/placement/workers.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bamboostile::placement {
 
@@ -99,6 +100,12 @@
          m_options.m_margin;
 }
 
+bool
+WorkerTable::KnowsAllLeases(TimePoint aNow) const
+{
+  return aNow > m_leaderSince + LongestHold();
+}
+
 const Worker*
 WorkerTable::Find(const WorkerId& aWorker) const
 {
@@ -267,21 +274,32 @@
                       Heard& aHeard)
 {
   for (const EndReport& end : aReport.m_ended) {
-    if (end.m_number <= aWorker.m_ackedUpTo) {
+    if (end.m_number <= aWorker.m_takenUpTo) {
       continue;
     }
-    aWorker.m_ackedUpTo = end.m_number;
+    const bool isAllAcked = aWorker.m_takenUpTo == aWorker.m_ackedUpTo;
+    aWorker.m_takenUpTo = end.m_number;
     // The same start twice, after an answer that seemed lost: the worker
     // refuses the second, and the run goes on.
     const bool isSecondStart =
       end.m_how == jobs::RunEnd::kRefused && IsKnownOtherwise(aReport, end);
+    const bool isKept =
+      !isSecondStart &&
+      IsExpected(aBook, aReport.m_worker, end.m_task, end.m_run);
+    // What leaves nothing to commit is acknowledged at once, but for ends
+    // before it that are.
+    if (!isKept && isAllAcked) {
+      aWorker.m_ackedUpTo = end.m_number;
+    } else {
+      m_takenFrom.insert(aReport.m_worker);
+    }
     if (isSecondStart) {
       continue;
     }
     aWorker.m_toStop.erase({ end.m_task, end.m_run });
     aWorker.m_sentAt.erase(end.m_task);
     aWorker.m_rates.erase(end.m_task);
-    if (!IsExpected(aBook, aReport.m_worker, end.m_task, end.m_run)) {
+    if (!isKept) {
       continue;
     }
     CountOutcome(aWorker, end.m_how, aNow);
@@ -292,6 +310,41 @@
   }
 }
 
+std::vector<Receipt>
+WorkerTable::TakeReceipts()
+{
+  std::vector<Receipt> receipts;
+  for (const WorkerId& id : std::exchange(m_takenFrom, {})) {
+    if (const Worker* worker = Find(id)) {
+      receipts.push_back({ id, worker->m_takenUpTo });
+    }
+  }
+  return receipts;
+}
+
+void
+WorkerTable::Acknowledge(const std::vector<Receipt>& aReceipts)
+{
+  for (const Receipt& receipt : aReceipts) {
+    const auto found = m_workers.find(receipt.m_worker);
+    if (found != m_workers.end()) {
+      Worker& worker = found->second;
+      worker.m_ackedUpTo = std::max(worker.m_ackedUpTo, receipt.m_upTo);
+    }
+  }
+}
+
+void
+WorkerTable::TakeBack(const std::vector<Receipt>& aReceipts)
+{
+  for (const Receipt& receipt : aReceipts) {
+    const auto found = m_workers.find(receipt.m_worker);
+    if (found != m_workers.end()) {
+      found->second.m_takenUpTo = found->second.m_ackedUpTo;
+    }
+  }
+}
+
 void
 WorkerTable::CountOutcome(Worker& aWorker, jobs::RunEnd aEnd, TimePoint aNow)
 {
@@ -398,7 +451,7 @@
       add(id);
     }
   }
-  if (aNow <= m_leaderSince + LongestHold()) {
+  if (!KnowsAllLeases(aNow)) {
     return ends;
   }
   for (const auto& [id, tasks] : aBook.Placed()) {
--- a/tests/unit/control/job_service_test.cpp
+++ b/tests/unit/control/job_service_test.cpp
@@ -149,3 +149,26 @@
   CHECK(renewed->m_orders->m_lease > Duration{});
   CHECK(renewed->m_orders->m_stops.empty());
 }
+
+// A caller sees its job stand still for good. A worker's end is in a batch that
+// hangs; were the end acknowledged before it is on disk, the worker would
+// forget it, and with the leader nobody would know it any more.
+TEST(JobService, DiskHangsUnderABatch_ItsEndsAreNotAcknowledged)
+{
+  Submit("short", Spec({ Step(1, 4000) }));
+  const placement::StartOrder ending = TakeStart("w2");
+  m_hangs = true;
+  placement::WorkerReport ended = Report("w2", 0);
+  ended.m_ended.push_back(End(1, ending.m_task, jobs::RunEnd::kDone));
+  auto first = Send(ended);
+  Pass(100 * kj::MILLISECONDS);
+  const auto again = Await(Send(ended));
+  CHECK(again.has_value());
+  LONGS_EQUAL(0, again->m_orders->m_ackedUpTo);
+  m_hangs = false;
+  std::uint64_t acked = 0;
+  while (acked == 0) {
+    acked = Await(Send(ended))->m_orders->m_ackedUpTo;
+  }
+  LONGS_EQUAL(1, acked);
+}
--- a/tests/unit/placement/workers_test.cpp
+++ b/tests/unit/placement/workers_test.cpp
@@ -392,3 +392,27 @@
   m_fleet.Apply({ Cancel{ JobId{ "j" }, WallTime{ kWall } } });
   CHECK_FALSE(m_table.IsQuiet(WorkerId{ "w1" }, m_fleet.Book()));
 }
+
+// A caller sees its job stand still for good: an end that was acknowledged but
+// not committed is known to nobody any more. Until its batch is committed it is
+// not acknowledged, and when the batch fails, its repetition counts.
+TEST(WorkerTable, EndOfABatchThatFailed_CountsWhenRepeated)
+{
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  m_fleet.Start(Ref("a"), "w1");
+  WorkerReport report = Report("w1", 1);
+  const auto endsHeard = [&](std::uint64_t aSequence) {
+    report.m_sequence = aSequence;
+    return m_table.OnReport(report, m_fleet.Book(), At(1000), WallTime{ kWall })
+      .m_ends.size();
+  };
+  report.m_ended.push_back(End(1, Ref("a"), RunEnd::kDone));
+  LONGS_EQUAL(1, endsHeard(1));
+  const auto failed = m_table.TakeReceipts();
+  LONGS_EQUAL(0, endsHeard(2));
+  LONGS_EQUAL(0, Answer("w1", 1100).m_ackedUpTo);
+  m_table.TakeBack(failed);
+  LONGS_EQUAL(1, endsHeard(3));
+  m_table.Acknowledge(m_table.TakeReceipts());
+  LONGS_EQUAL(1, Answer("w1", 1300).m_ackedUpTo);
+}
