Bound orders for instances, give them up unsent when they have waited

With a full leader it fell behind: orders left up to 8.8 s after they were decided. An instance counts as moved after 5 s, gets tasks again, and then the order arrives and ends them; an answer to an earlier order was taken for one to a later. A wave's order that an earlier leader left open and that was answered "busy" went back to waiting, so the next "taken", which may mean "done already", ended a life that runs.

Ruled out: the platform (calls that went out were answered within 20 ms), the event loop's mailbox (reports pass it in 172 ms at most meanwhile).

Change: at most 32 moves and 32 orders of waves under way; an order that has not left after 500 ms is given up unsent, checked after connecting and before any repetition; a move is over when it is answered, and answers are matched by number; an inherited order is unclear until it is taken; a worker that this leader has not heard counts as one that may run long-running tasks until earlier leases have ended.

--- a/include/bamboostile/http/client.h
+++ b/include/bamboostile/http/client.h
@@ -22,7 +22,8 @@
   bool m_onlyOnce = false;
   std::uint64_t m_maxAnswerBytes = 64ULL * 1024 * 1024;
   /** Asked on the client's thread right before the first byte would go out,
-   * after connecting; false ends the call as not sent. */
+   * after connecting, and again before a repetition; false ends the call, as
+   * not sent where no byte was. */
   std::function<bool()> m_maySend;
 };
 
--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -20,6 +20,8 @@
 {
   InstanceId m_instance;
   ServiceId m_to;
+  /** Tells it from an earlier order for the same instance. */
+  std::uint64_t m_number = 0;
 };
 
 /** What a pool has and needs, for operators. */
@@ -71,6 +73,12 @@
   /** What the platform takes from all of us; half of it is left to
    * maintenance, which is ordered by the same calls. */
   double m_ordersPerSecond = 64;
+  /** Orders that wait for their answer, at most. The platform answers within
+   * 20 ms when it is well, so this binds only where it is slow or the leader is
+   * full, and then what waits takes effect on what has changed since. With 130
+   * and more under way, calls were seen to cost so much of a leader's time that
+   * none was answered for 7 s. */
+  std::size_t m_mostUnderWay = 32;
   /** Between the last order of an earlier leader for an instance and the first
    * of this one, so that two leaders never take turns with it. */
   Duration m_betweenLeaders = Millis{ 3000 };
@@ -112,6 +120,8 @@
     ServiceId m_to;
     TimePoint m_since;
     std::optional<WorkerId> m_aimedAt;
+    std::uint64_t m_number = 0;
+    bool m_answered = false;
     bool m_taken = false;
   };
 
@@ -148,6 +158,7 @@
                  WallTime aWall,
                  Pools& aPools) const;
   void EarnOrders(TimePoint aNow);
+  bool MayOrder() const;
   void FollowIdle(const fleet::State& aState,
                   const WorkerTable& aWorkers,
                   TimePoint aNow);
@@ -195,6 +206,8 @@
   std::set<WorkerId> m_emptying;
   /** Orders that may be given now, as the rate allows. */
   double m_mayOrder = 0;
+  std::uint64_t m_lastNumber = 0;
+  std::set<std::uint64_t> m_unanswered;
   TimePoint m_earnedAt;
 };
 
--- a/include/bamboostile/placement/maintenance.h
+++ b/include/bamboostile/placement/maintenance.h
@@ -22,6 +22,8 @@
   kNotMeant,
   /** A later leader has given an order. */
   kOvertaken,
+  /** Given up before its first byte went out; it will not be obeyed. */
+  kNotSent,
   /** No answer, or one that tells nothing; the order may have been obeyed. */
   kUnclear,
 };
@@ -93,7 +95,12 @@
                      const fleet::State& aState,
                      const WorkerTable& aWorkers,
                      TimePoint aNow,
-                     MaintenancePlan& aPlan) const;
+                     MaintenancePlan& aPlan);
+  void TakeTurn(const fleet::MaintenanceWave& aWave,
+                const InstanceId& aInstance,
+                const WorkerTable& aWorkers,
+                MaintenancePlan& aPlan);
+  bool Rests(const InstanceId& aInstance, TimePoint aNow) const;
   bool IsReady(const InstanceId& aInstance,
                const fleet::State& aState,
                const WorkerTable& aWorkers,
@@ -110,6 +117,10 @@
    * and that had no unclear answer: a repeated one may be answered "already
    * done", and the instance then runs its next life. */
   std::map<InstanceId, WorkerId> m_aimedAt;
+  /** Instances that this leader was the first to order. */
+  std::set<InstanceId> m_ownOrders;
+  /** An order may have been obeyed unheard, or an earlier leader's still may
+   * be. */
   std::set<InstanceId> m_unclear;
 };
 
--- a/src/control/instance_service.cpp
+++ b/src/control/instance_service.cpp
@@ -11,6 +11,8 @@
 
 /** Workers tell where they are; the list is only for those that are off. */
 constexpr Duration kListInterval = Millis{ 5000 };
+/** As for moves, which share the platform's rate with them. */
+constexpr std::size_t kMostOrdersUnderWay = 32;
 /** Enough to see a peak of some seconds come and go. */
 constexpr Duration kNeedsLogInterval = Millis{ 1000 };
 
@@ -97,6 +99,10 @@
     return;
   }
   for (const placement::MaintenanceOrder& order : plan.m_orders) {
+    // The rest stays planned, and is looked at anew before it is sent.
+    if (m_ordersUnderWay.size() >= kMostOrdersUnderWay) {
+      break;
+    }
     if (m_ordersUnderWay.emplace(order.m_wave, order.m_instance).second) {
       ++m_underWay;
       m_calls.m_maintenance(
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -53,8 +53,7 @@
   if (transfer.m_sent && transfer.m_call.m_onlyOnce) {
     return CURL_PREREQFUNC_ABORT;
   }
-  if (!transfer.m_sent && transfer.m_call.m_maySend &&
-      !transfer.m_call.m_maySend()) {
+  if (transfer.m_call.m_maySend && !transfer.m_call.m_maySend()) {
     return CURL_PREREQFUNC_ABORT;
   }
   if (!transfer.m_sent) {
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -224,7 +224,8 @@
 // A move has arrived when the instance reports from its new pool. One that goes
 // to standby is off and reports nothing; it counts as there once the move has
 // taken its time, as the platform's list is read far less often than peaks
-// come.
+// come. While its order is not answered nothing tells when it will be obeyed,
+// so the instance gets nothing new, however long that takes.
 void
 CapacityPlanner::Settle(const WorkerTable& aWorkers,
                         const ServiceId* aStandby,
@@ -240,7 +241,9 @@
     const Worker* worker = aWorkers.FindByInstance(instance);
     const bool arrived =
       worker != nullptr && worker->m_last.m_service == move.m_to;
-    return arrived || aNow > move.m_since + m_options.m_arrivesWithin;
+    const bool isOver =
+      move.m_answered && aNow > move.m_since + m_options.m_arrivesWithin;
+    return arrived || isOver;
   });
 }
 
@@ -284,12 +287,13 @@
                        CapacityPlan& aPlan)
 {
   Move& move = m_moves[aInstance];
-  move = { aTo, aNow, std::nullopt };
+  move = { aTo, aNow, std::nullopt, ++m_lastNumber };
   if (aWorker != nullptr) {
     move.m_aimedAt = aWorker->m_last.m_worker;
   }
   m_mayOrder -= 1;
-  aPlan.m_orders.push_back({ aInstance, aTo });
+  m_unanswered.insert(move.m_number);
+  aPlan.m_orders.push_back({ aInstance, aTo, move.m_number });
 }
 
 bool
@@ -328,6 +332,12 @@
   m_earnedAt = aNow;
 }
 
+bool
+CapacityPlanner::MayOrder() const
+{
+  return m_mayOrder >= 1 && m_unanswered.size() < m_options.m_mostUnderWay;
+}
+
 // One at a time to the pool that has the smallest share of what it needs: two
 // peaks at once then share what there is. Instances of standby go first, as no
 // other queue can miss them.
@@ -349,7 +359,7 @@
     const Pool& right = aRight.second;
     return left.m_have * right.m_want < right.m_have * left.m_want;
   };
-  while (m_mayOrder >= 1) {
+  while (MayOrder()) {
     const auto scarcest =
       std::min_element(aPools.begin(), aPools.end(), isScarcer);
     if (scarcest == aPools.end() || !scarcest->second.IsShort()) {
@@ -425,7 +435,7 @@
     FindSpare(aWorkers, aReserved, m_options.m_idleToStandby, {}, aNow);
   for (const Worker* worker : idle) {
     Pool& pool = aPools[worker->m_last.m_service];
-    if (pool.HasSpare() && m_mayOrder >= 1) {
+    if (pool.HasSpare() && MayOrder()) {
       --pool.m_have;
       Order(worker->m_last.m_instance, worker, aStandby, aNow, aPlan);
     }
@@ -494,8 +504,15 @@
                           InstanceAnswer aAnswer,
                           TimePoint aNow)
 {
+  m_unanswered.erase(aOrder.m_number);
   const auto move = m_moves.find(aOrder.m_instance);
-  if (move == m_moves.end()) {
+  // It has arrived meanwhile, and may be ordered elsewhere by now.
+  if (move == m_moves.end() || move->second.m_number != aOrder.m_number) {
+    return std::nullopt;
+  }
+  move->second.m_answered = true;
+  if (aAnswer == InstanceAnswer::kNotSent) {
+    m_moves.erase(move);
     return std::nullopt;
   }
   if (aAnswer == InstanceAnswer::kTaken) {
--- a/src/placement/maintenance.cpp
+++ b/src/placement/maintenance.cpp
@@ -49,6 +49,8 @@
       return "not meant for the instance";
     case InstanceAnswer::kOvertaken:
       return "overtaken by a later leader";
+    case InstanceAnswer::kNotSent:
+      return "given up before it was sent";
     case InstanceAnswer::kUnclear:
       return "no clear answer";
   }
@@ -70,7 +72,7 @@
   const Worker* worker = aWorkers.FindByInstance(aInstance);
   const bool waitedOut = aNow >= since->second + m_options.m_patience;
   if (worker == nullptr) {
-    return waitedOut;
+    return waitedOut && aWorkers.KnowsAllLeases(aNow);
   }
   if (HoldsBudgetedTask(worker->m_last.m_worker, aState.Jobs())) {
     return false;
@@ -98,14 +100,21 @@
 // An order that an earlier leader left open is repeated, but not onto what was
 // placed there since: the instance gets nothing new from the first moment on,
 // and long-running tasks leave it first. Without both, the order would take
-// several tasks of one step away at once.
+// several tasks of one step away at once. A worker that this leader has not
+// heard yet may run some, until the leases of earlier leaders have ended.
+//
+// "Busy" and "taken" to such an order may both be about the earlier sending, so
+// neither tells what became of this one.
 void
 MaintenancePlanner::PlanOpenOrder(const MaintenanceOrder& aOrder,
                                   const fleet::State& aState,
                                   const WorkerTable& aWorkers,
                                   TimePoint aNow,
-                                  MaintenancePlan& aPlan) const
+                                  MaintenancePlan& aPlan)
 {
+  if (!m_ownOrders.contains(aOrder.m_instance)) {
+    m_unclear.insert(aOrder.m_instance);
+  }
   const Worker* worker = aWorkers.FindByInstance(aOrder.m_instance);
   if (worker != nullptr) {
     aPlan.m_cordoned.insert(worker->m_last.m_worker);
@@ -113,9 +122,10 @@
   const bool isQuietOver =
     aNow >= aWorkers.LeaderSince() + m_options.m_quietAfterElection;
   const bool isFree =
-    worker == nullptr ||
-    !HoldsBudgetedTask(worker->m_last.m_worker, aState.Jobs());
-  if (isQuietOver && isFree) {
+    worker == nullptr
+      ? aWorkers.KnowsAllLeases(aNow)
+      : !HoldsBudgetedTask(worker->m_last.m_worker, aState.Jobs());
+  if (isQuietOver && isFree && !Rests(aOrder.m_instance, aNow)) {
     aPlan.m_orders.push_back(aOrder);
   }
 }
@@ -137,11 +147,9 @@
                IsBack(instance, aWorkers, aNow)) {
       aPlan.m_advances.push_back(
         { aWave.m_number, instance, fleet::MaintenanceStep::kDone });
-    } else if (step == fleet::MaintenanceStep::kWaiting) {
-      const auto notBefore = m_notBefore.find(instance);
-      if (notBefore == m_notBefore.end() || aNow >= notBefore->second) {
-        waiting.push_back(instance);
-      }
+    } else if (step == fleet::MaintenanceStep::kWaiting &&
+               !Rests(instance, aNow)) {
+      waiting.push_back(instance);
     }
   }
   if (aNow < aWorkers.LeaderSince() + m_options.m_quietAfterElection) {
@@ -166,15 +174,33 @@
     }
     if (down < aWave.m_cap && IsReady(instance, aState, aWorkers, aNow)) {
       ++down;
-      if (const Worker* worker = aWorkers.FindByInstance(instance)) {
-        m_aimedAt[instance] = worker->m_last.m_worker;
-      }
-      aPlan.m_advances.push_back(
-        { aWave.m_number, instance, fleet::MaintenanceStep::kOrdered });
+      TakeTurn(aWave, instance, aWorkers, aPlan);
     }
   }
 }
 
+void
+MaintenancePlanner::TakeTurn(const fleet::MaintenanceWave& aWave,
+                             const InstanceId& aInstance,
+                             const WorkerTable& aWorkers,
+                             MaintenancePlan& aPlan)
+{
+  m_ownOrders.insert(aInstance);
+  const Worker* worker = aWorkers.FindByInstance(aInstance);
+  if (worker != nullptr && !m_unclear.contains(aInstance)) {
+    m_aimedAt[aInstance] = worker->m_last.m_worker;
+  }
+  aPlan.m_advances.push_back(
+    { aWave.m_number, aInstance, fleet::MaintenanceStep::kOrdered });
+}
+
+bool
+MaintenancePlanner::Rests(const InstanceId& aInstance, TimePoint aNow) const
+{
+  const auto notBefore = m_notBefore.find(aInstance);
+  return notBefore != m_notBefore.end() && aNow < notBefore->second;
+}
+
 MaintenancePlan
 MaintenancePlanner::Next(const fleet::State& aState,
                          const WorkerTable& aWorkers,
@@ -206,17 +232,16 @@
       if (aimed != m_aimedAt.end()) {
         result.m_ended = aimed->second;
       }
-      m_unclear.erase(instance);
       result.m_advance = advance(fleet::MaintenanceStep::kDown);
       break;
     }
     case InstanceAnswer::kBusy:
       // Busy may mean that an earlier sending is being obeyed; the instance
       // goes on counting as down until the answer is clear.
+      m_notBefore[instance] = aNow + m_options.m_retryAfter;
       if (m_unclear.contains(instance)) {
         break;
       }
-      m_notBefore[instance] = aNow + m_options.m_retryAfter;
       result.m_advance = advance(fleet::MaintenanceStep::kWaiting);
       break;
     case InstanceAnswer::kNotMeant:
@@ -226,11 +251,14 @@
       m_aimedAt.erase(instance);
       m_unclear.insert(instance);
       break;
+    case InstanceAnswer::kNotSent:
     case InstanceAnswer::kOvertaken:
       break;
   }
   if (result.m_advance) {
     m_aimedAt.erase(instance);
+    m_unclear.erase(instance);
+    m_ownOrders.erase(instance);
   }
   return result;
 }
