Let a full leader shed orders for instances, then passes, never renewals

Cause: a full leader did everything as if it were not: reports waited up to 251 ms for the event loop and their answers left after 0.93 s, 70 ms before workers drop them. What could wait took the time that renewals need.

Change: by how long reports wait for the loop, a leader leaves undone first orders for instances (moves and waves), with reports half as often, then half of the time for placing, with reports a quarter as often, never seldomer than 0.7 s. Overdue answers are looked for in each cycle, not only by the timer, which may be late.

Test: unit.placement LoadShedder (4).

--- a/include/bamboostile/control/instance_service.h
+++ b/include/bamboostile/control/instance_service.h
@@ -55,8 +55,11 @@
 
   std::size_t OrdersUnderWay() const { return m_underWay; }
 
+  /** Without aMayOrder nothing new is ordered; instances under orders stay
+   * cordoned. */
   void Tick(const placement::WorkerTable& aWorkers,
             const placement::Durations& aDurations,
+            bool aMayOrder,
             TimePoint aNow,
             WallTime aWall);
   /** Workers that get no new tasks. */
@@ -96,7 +99,9 @@
   void Note(telemetry::LogLine aLine,
             const InstanceCalls::Answer& aAnswer,
             TimePoint aDecidedAt);
-  void PlanMaintenance(const placement::WorkerTable& aWorkers, TimePoint aNow);
+  void PlanMaintenance(const placement::WorkerTable& aWorkers,
+                       bool aMayOrder,
+                       TimePoint aNow);
   void PlanMoves(const placement::WorkerTable& aWorkers,
                  const placement::Durations& aDurations,
                  TimePoint aNow,
--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -112,6 +112,8 @@
   void GatherLost(TimePoint aNow);
   /** Maintenance and moves, where their time has come. */
   void FollowInstances(TimePoint aNow);
+  /** Decides what is left undone until the next look. */
+  void FollowLoad(TimePoint aNow);
   kj::Promise<void> Cycle();
   /** Adds the starts of a pass of placing; orders stops. */
   void Plan(TimePoint aNow, std::vector<jobs::Change>& aChanges);
@@ -159,6 +161,8 @@
   /** Reports of quiet workers, kept for when there is an order for them. */
   std::unordered_map<WorkerId, Held> m_held;
   Pace m_pace;
+  placement::LoadShedder m_shedder;
+  placement::Shedding m_shedding = placement::Shedding::kNothing;
   telemetry::Metrics m_metrics;
   kj::TaskSet m_tasks;
 };
--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -108,6 +108,7 @@
                     TimePoint aNow,
                     WallTime aWall);
 
+  void AllowOrders(bool aAllowed) { m_isAllowed = aAllowed; }
   void OnListed(const std::vector<ListedInstance>& aInstances, TimePoint aNow);
   /** The life that has ended with the order, where that is certain. */
   std::optional<WorkerId> OnAnswer(const MoveOrder& aOrder,
@@ -206,6 +207,7 @@
   std::set<WorkerId> m_emptying;
   /** Orders that may be given now, as the rate allows. */
   double m_mayOrder = 0;
+  bool m_isAllowed = true;
   std::uint64_t m_lastNumber = 0;
   std::set<std::uint64_t> m_unanswered;
   TimePoint m_earnedAt;
--- a/include/bamboostile/placement/plan_pacer.h
+++ b/include/bamboostile/placement/plan_pacer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "bamboostile/units/time.h"
+#include "bamboostile/placement/load_shedder.h"
 
 namespace bamboostile::placement {
 
@@ -20,7 +20,9 @@
   {
     return !aHasMore || aNow >= m_notBefore;
   }
-  void OnPlanned(TimePoint aBegan, TimePoint aEnded);
+  void OnPlanned(TimePoint aBegan,
+                 TimePoint aEnded,
+                 Shedding aShedding = Shedding::kNothing);
 
 private:
   TimePoint m_notBefore;
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -232,6 +232,8 @@
   bool IsAnyStopping(const jobs::Job& aJob, const jobs::TaskRef& aTask) const;
 
   void RequestStop(const jobs::TaskRef& aTask, RunNumber aRun);
+  /** Answers ask for reports so many times less often. */
+  void StretchReports(int aTimes) { m_reportStretch = aTimes; }
 
   const std::map<WorkerId, Worker>& Workers() const { return m_workers; }
   const Worker* Find(const WorkerId& aWorker) const;
@@ -272,10 +274,13 @@
   std::vector<jobs::EndRun> EndAll(const WorkerId& aWorker,
                                    const jobs::Book& aBook,
                                    WallTime aWall);
+  Duration UsualNextReport(const Worker& aWorker,
+                           const jobs::Book& aBook) const;
   Duration NextReport(const Worker& aWorker, const jobs::Book& aBook) const;
   void AddRates(Worker& aWorker, const jobs::Book& aBook, Orders& aOrders);
 
   LeaseOptions m_options;
+  int m_reportStretch = 1;
   TimePoint m_leaderSince;
   std::map<WorkerId, Worker> m_workers;
   std::map<InstanceId, WorkerId> m_current;
--- a/src/control/instance_service.cpp
+++ b/src/control/instance_service.cpp
@@ -70,11 +70,13 @@
 void
 InstanceService::Tick(const placement::WorkerTable& aWorkers,
                       const placement::Durations& aDurations,
+                      bool aMayOrder,
                       TimePoint aNow,
                       WallTime aWall)
 {
   m_cordoned.clear();
-  PlanMaintenance(aWorkers, aNow);
+  m_capacity.AllowOrders(aMayOrder);
+  PlanMaintenance(aWorkers, aMayOrder, aNow);
   ReadList(aNow);
   PlanMoves(aWorkers, aDurations, aNow, aWall);
 }
@@ -84,6 +86,7 @@
 
 void
 InstanceService::PlanMaintenance(const placement::WorkerTable& aWorkers,
+                                 bool aMayOrder,
                                  TimePoint aNow)
 {
   placement::MaintenancePlan plan =
@@ -100,7 +103,7 @@
   }
   for (const placement::MaintenanceOrder& order : plan.m_orders) {
     // The rest stays planned, and is looked at anew before it is sent.
-    if (m_ordersUnderWay.size() >= kMostOrdersUnderWay) {
+    if (!aMayOrder || m_ordersUnderWay.size() >= kMostOrdersUnderWay) {
       break;
     }
     if (m_ordersUnderWay.emplace(order.m_wave, order.m_instance).second) {
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -128,12 +128,14 @@
   if (!Leads()) {
     return NotLeading();
   }
-  m_pace.Observe(Stage::kReportQueued, MonotonicNow() - aReceivedAt);
+  const TimePoint now = MonotonicNow();
+  m_pace.Observe(Stage::kReportQueued, now - aReceivedAt);
+  m_shedder.OnWaited(now - aReceivedAt, now);
   const WorkerId worker = aReport.m_worker;
   const std::uint64_t sequence = aReport.m_sequence;
   const bool isNew = m_workers->Find(worker) == nullptr;
-  placement::Heard heard = m_workers->OnReport(
-    aReport, m_node.State().Jobs(), MonotonicNow(), WallNow());
+  placement::Heard heard =
+    m_workers->OnReport(aReport, m_node.State().Jobs(), now, WallNow());
   if (heard.m_ignored) {
     WorkerAnswer late;
     late.m_refusal = "a late report, or one of an earlier life";
@@ -264,6 +266,7 @@
     return kj::READY_NOW;
   }
   const TimePoint now = MonotonicNow();
+  AnswerOverdue(now);
   GatherLost(now);
   FollowInstances(now);
   std::vector<jobs::Change> changes = std::exchange(m_gathered, {});
@@ -317,7 +320,7 @@
     plan.m_changes.begin(), plan.m_changes.end(), std::back_inserter(aChanges));
   const TimePoint ended = MonotonicNow();
   m_pace.Observe(Stage::kPassOfPlacing, ended - aNow);
-  m_pacer.OnPlanned(aNow, ended);
+  m_pacer.OnPlanned(aNow, ended, m_shedding);
 }
 
 // Only between batches: while one is under way the same ends may be in it.
@@ -352,8 +355,11 @@
     return;
   }
   m_nextInstances = aNow + kInstancesInterval;
-  m_instances->Tick(
-    *m_workers, m_planner.EstimatedDurations(), aNow, WallNow());
+  m_instances->Tick(*m_workers,
+                    m_planner.EstimatedDurations(),
+                    m_shedding == placement::Shedding::kNothing,
+                    aNow,
+                    WallNow());
   m_pace.Observe(Stage::kInstancesFollowed, MonotonicNow() - aNow);
 }
 
@@ -503,6 +509,20 @@
   AnswerHeld(leads, now);
 }
 
+void
+JobService::FollowLoad(TimePoint aNow)
+{
+  const placement::Shedding level = m_shedder.Level(aNow);
+  if (level != m_shedding) {
+    LogLine(Level::kInfo, "the leader is more or less full")
+      .With("leavesUndone", placement::Describe(level))
+      .With("before", placement::Describe(m_shedding))
+      .Write();
+  }
+  m_shedding = level;
+  m_workers->StretchReports(placement::ReportStretch(level));
+}
+
 void
 JobService::AnswerOverdue(TimePoint aNow)
 {
@@ -524,6 +544,7 @@
   if (Leads()) {
     m_pace.Observe(Stage::kTickLate, now - std::min(now, m_tickDueAt));
     m_pace.Log(now, m_instances->OrdersUnderWay());
+    FollowLoad(now);
     if (!m_isCycling) {
       GatherLost(now);
     }
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -335,7 +335,8 @@
 bool
 CapacityPlanner::MayOrder() const
 {
-  return m_mayOrder >= 1 && m_unanswered.size() < m_options.m_mostUnderWay;
+  return m_isAllowed && m_mayOrder >= 1 &&
+         m_unanswered.size() < m_options.m_mostUnderWay;
 }
 
 // One at a time to the pool that has the smallest share of what it needs: two
--- a/src/placement/plan_pacer.cpp
+++ b/src/placement/plan_pacer.cpp
@@ -7,6 +7,8 @@
 /** Passes take at most one part in so many of the leader's time while ends come
  * in; the rest is for reports and their answers. */
 constexpr int kTimeShare = 4;
+/** The same of a leader that is full. */
+constexpr int kTimeShareWhenFull = 8;
 
 } // namespace
 
@@ -16,9 +18,11 @@
 // task, with tasks of one second, and a third of a full pool stands unused
 // beside its queue.
 void
-PlanPacer::OnPlanned(TimePoint aBegan, TimePoint aEnded)
+PlanPacer::OnPlanned(TimePoint aBegan, TimePoint aEnded, Shedding aShedding)
 {
-  m_notBefore = aEnded + (kTimeShare - 1) * (aEnded - aBegan);
+  const int share =
+    aShedding == Shedding::kPlacing ? kTimeShareWhenFull : kTimeShare;
+  m_notBefore = aEnded + (share - 1) * (aEnded - aBegan);
 }
 
 } // namespace bamboostile::placement
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -23,6 +23,9 @@
  * 10^8. */
 constexpr std::uint32_t kFailuresToSetAside = 3;
 constexpr Duration kSetAside = Millis{ 6000 };
+/** However full the leader is, a worker can miss two reports in a row before
+ * its tasks are in doubt, and four before its lease is over. */
+constexpr Duration kSeldomest = Millis{ 700 };
 
 template<typename Row>
 bool
@@ -546,7 +549,8 @@
 // Reports without ends are most of what a leader takes in a peak, and full
 // workers are most of those that send them.
 Duration
-WorkerTable::NextReport(const Worker& aWorker, const jobs::Book& aBook) const
+WorkerTable::UsualNextReport(const Worker& aWorker,
+                             const jobs::Book& aBook) const
 {
   const WorkerId& id = aWorker.m_last.m_worker;
   if (IsQuiet(id, aBook)) {
@@ -566,6 +570,13 @@
   return isFull ? m_options.m_reportWhenFull : m_options.m_reportEvery;
 }
 
+Duration
+WorkerTable::NextReport(const Worker& aWorker, const jobs::Book& aBook) const
+{
+  return std::min<Duration>(UsualNextReport(aWorker, aBook) * m_reportStretch,
+                            kSeldomest);
+}
+
 Orders
 WorkerTable::Answer(const WorkerId& aWorker,
                     const jobs::Book& aBook,
--- /dev/null
+++ b/tests/unit/placement/load_shedder_test.cpp
@@ -0,0 +1,57 @@
+#include "bamboostile/placement/load_shedder.h"
+
+#include "job_fixtures.h"
+
+#include "check.h"
+
+using namespace bamboostile;
+using namespace bamboostile::placement;
+using namespace job_fixtures;
+
+TEST_GROUP(LoadShedder)
+{
+  placement::LoadShedder m_shedder;
+
+  void Wait(std::int64_t aMs, std::int64_t aAt)
+  {
+    m_shedder.OnWaited(Millis{ aMs }, At(aAt));
+  }
+
+  bool Sheds(Shedding aLevel, std::int64_t aAt)
+  {
+    return m_shedder.Level(At(aAt)) == aLevel;
+  }
+};
+
+TEST(LoadShedder, ReportsThatWaitAsInAnyPeak_NothingIsLeftUndone)
+{
+  Wait(130, 1000);
+  CHECK(Sheds(Shedding::kNothing, 1000));
+}
+
+// The operator sees leases run out under a leader that is well: it is full, and
+// moves and waves take the time that renewals need. Orders go first, then
+// passes of placing, and each wait counts for long enough to matter.
+TEST(LoadShedder, ReportsThatWaitLonger_OrdersAreShedBeforePasses)
+{
+  Wait(160, 1000);
+  CHECK(Sheds(Shedding::kInstances, 1000));
+  Wait(320, 1100);
+  CHECK(Sheds(Shedding::kPlacing, 1100));
+  Wait(10, 1600);
+  CHECK(Sheds(Shedding::kPlacing, 1600));
+}
+
+TEST(LoadShedder, ReportsServedInTimeAgain_AllIsDoneAgain)
+{
+  Wait(320, 1000);
+  Wait(10, 1600);
+  Wait(10, 2200);
+  CHECK(Sheds(Shedding::kNothing, 2200));
+}
+
+TEST(LoadShedder, NoReportForLong_AllIsDoneAgain)
+{
+  Wait(320, 1000);
+  CHECK(Sheds(Shedding::kNothing, 2500));
+}
