--- a/include/bamboostile/jobs/book.h
+++ b/include/bamboostile/jobs/book.h
@@ -124,6 +124,7 @@
   Job* FindJob(const JobId& aId);
   void Unplace(const WorkerId& aWorker, const TaskRef& aTask);
   void Finish(Job& aJob, JobState aState, WallTime aAt);
+  void WaitAgain(Job& aJob);
   void CloseIfIdle(const Job& aJob);
   void MarkDone(Job& aJob, Occurrence& aOccurrence, StepRun& aStep, Task&);
   void FailIfSpent(Job& aJob,
--- a/include/bamboostile/jobs/model.h
+++ b/include/bamboostile/jobs/model.h
@@ -151,6 +151,7 @@
   std::string m_reason;
   /** Rank in order of acceptance. */
   std::uint64_t m_order = 0;
+  /** A run of it is under way, or has got somewhere. */
   bool m_started = false;
   /** Runs under way, over all occurrences. */
   std::uint32_t m_running = 0;
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -264,10 +264,36 @@
       job->m_occurrencesDone == job->OccurrenceCount()) {
     Finish(*job, JobState::kCompleted, aEnd.m_at);
   }
+  if (job->m_running == 0 && !spec.m_longRunning) {
+    WaitAgain(*job);
+  }
   CloseIfIdle(*job);
   return CallOutcome::kNone;
 }
 
+// A run that a worker never began leaves its job where it was. Counted as
+// started for good, jobs whose first workers were lost would wait unseen:
+// callers heard that none waits while 45 did, for 5 s.
+void
+Book::WaitAgain(Job& aJob)
+{
+  const auto gotSomewhere = [](const Task& aTask) {
+    return aTask.m_phase == TaskPhase::kDone || aTask.m_failures > 0 ||
+           !aTask.m_checkpoint.empty();
+  };
+  if (aJob.m_state != JobState::kActive || aJob.m_spec.m_repeatCount != 0 ||
+      !aJob.m_started) {
+    return;
+  }
+  for (const StepRun& step : aJob.m_occurrences.at(0).m_steps) {
+    if (std::any_of(step.m_tasks.begin(), step.m_tasks.end(), gotSomewhere)) {
+      return;
+    }
+  }
+  aJob.m_started = false;
+  ++m_pending[aJob.m_queue];
+}
+
 void
 Book::FailIfSpent(Job& aJob,
                   const EndRun& aEnd,
--- a/tests/unit/jobs/book_test.cpp
+++ b/tests/unit/jobs/book_test.cpp
@@ -152,6 +152,25 @@
   LONGS_EQUAL(0, m_fleet.Book().Pending(queue));
 }
 
+// Callers hear that no job waits while dozens do. Each had been placed on a
+// worker that was lost before it began, and a job that was placed once counted
+// as started for good.
+TEST(JobBook, OnlyRunNeverGotAnywhere_JobWaitsAgain)
+{
+  const QueueId queue{ "host/q/" };
+  m_fleet.Submit("a", Spec({ Step(2) }));
+  m_fleet.Start(Ref("a", 0), "w1");
+  m_fleet.Start(Ref("a", 1), "w2");
+  m_fleet.End(Ref("a", 0), RunEnd::kWorkerLost);
+  LONGS_EQUAL(0, m_fleet.Book().Pending(queue));
+  m_fleet.End(Ref("a", 1), RunEnd::kRefused);
+  LONGS_EQUAL(1, m_fleet.Book().Pending(queue));
+  m_fleet.Start(Ref("a", 0), "w3", 2);
+  LONGS_EQUAL(0, m_fleet.Book().Pending(queue));
+  m_fleet.End(Ref("a", 0), RunEnd::kDone, 2);
+  LONGS_EQUAL(0, m_fleet.Book().Pending(queue));
+}
+
 TEST(JobBook, ForgetEnded_KeepsActiveAndYoungJobs)
 {
   m_fleet.Submit("old", Spec({ Step(1) }));
