--- a/tests/unit/http/client_test.cpp
+++ b/tests/unit/http/client_test.cpp
@@ -140,6 +140,30 @@
   LONGS_EQUAL(1, posts);
 }
 
+// An order for an instance is obeyed seconds after it was decided, on what runs
+// there by then. It left in time, but its reused connection had died, and the
+// library sends it again by itself; the sender is asked before that as well.
+TEST(HttpClient, SendForbiddenBeforeRepetition_IsNotRepeated)
+{
+  std::atomic<int> posts = 0;
+  RawServer server([&](int aSocket, int) {
+    for (std::string head = ReadHead(aSocket); !head.empty();
+         head = ReadHead(aSocket)) {
+      if (head.rfind("POST", 0) == 0) {
+        ++posts;
+        return;
+      }
+      test::Write(aSocket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    }
+  });
+  CHECK(Send(server, "GET", false).m_end == CallEnd::kAnswered);
+  std::atomic<int> asked = 0;
+  const auto result =
+    Send(server, "POST", false, [&]() { return ++asked == 1; });
+  CHECK(result.m_end == CallEnd::kBroken);
+  LONGS_EQUAL(1, posts);
+}
+
 // Each request that must run once gets a connection of its own. Were those
 // kept, a few thousand requests would fill the peer's connections, and new
 // callers would wait until the idle ones time out (seen: 9 s).
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -367,6 +367,22 @@
   CHECK(taken.m_advance.has_value());
 }
 
+// The operator sees a service below its budget 3 s after a change of leader.
+// The new leader has not heard the worker of an instance with an open order;
+// what runs there holds a lease of the leader before, and is not known to be
+// gone until such leases have ended.
+TEST(MaintenancePlanner, WorkerNotHeardYet_OrderWaitsForEarlierLeases)
+{
+  fleet::MaintenanceWave wave;
+  wave.m_number = 1;
+  wave.m_cap = 1;
+  wave.m_instances[InstanceId{ "instance-of-w0" }] =
+    fleet::MaintenanceStep::kOrdered;
+  m_fleet.Do(fleet::StartMaintenance{ wave });
+  LONGS_EQUAL(0, Next(4000).m_orders.size());
+  LONGS_EQUAL(1, Next(4800).m_orders.size());
+}
+
 // The operator sees a service below its budget. A leader committed an order and
 // was cut off; the next one must place nothing there while it may not order
 // yet, and must not order onto long-running tasks that are there all the same.
