--- a/src/control/pace.cpp
+++ b/src/control/pace.cpp
@@ -12,6 +12,7 @@
 /** Short beside the 4.5 s of a lease: a line shows the stage that ends one. */
 constexpr Duration kLineInterval = Millis{ 1000 };
 
+/** In the order of the stages. */
 constexpr std::array<const char*, 9> kFields{
   "reportQueuedMs", "reportAnsweredMs",  "batchCommittedMs",
   "passMs",         "instancesFollowMs", "tickLateMs",
--- a/tests/unit/placement/plan_pacer_test.cpp
+++ b/tests/unit/placement/plan_pacer_test.cpp
@@ -60,3 +60,14 @@
   CHECK_FALSE(pacer.IsDue(true, now + Millis{ 6 }));
   CHECK(pacer.IsDue(false, now + Millis{ 6 }));
 }
+
+TEST(PlanPacer, FullLeader_PassesTakeHalfAsMuchTime)
+{
+  PlanPacer pacer;
+  const TimePoint now{ std::chrono::hours{ 1 } };
+  const TimePoint ended = now + Millis{ 10 };
+  pacer.OnPlanned(now, ended, placement::Shedding::kPlacing);
+  CHECK_FALSE(pacer.IsDue(true, ended + Millis{ 69 }));
+  CHECK(pacer.IsDue(true, ended + Millis{ 70 }));
+  CHECK(pacer.IsDue(false, ended));
+}
--- a/tests/unit/placement/workers_test.cpp
+++ b/tests/unit/placement/workers_test.cpp
@@ -416,3 +416,15 @@
   m_table.Acknowledge(m_table.TakeReceipts());
   LONGS_EQUAL(1, Answer("w1", 1300).m_ackedUpTo);
 }
+
+// The operator sees leases run out: a full leader that asks for fewer reports
+// must not ask for so few that two lost ones put a worker in doubt.
+TEST(WorkerTable, ReportsStretched_ComeSeldomerUpToABound)
+{
+  Hear(Report("w1", 1), 1000);
+  CHECK(Answer("w1", 1000).m_nextReport == Millis{ 200 });
+  m_table.StretchReports(2);
+  CHECK(Answer("w1", 1000).m_nextReport == Millis{ 400 });
+  m_table.StretchReports(4);
+  CHECK(Answer("w1", 1000).m_nextReport == Millis{ 700 });
+}
