--- a/tests/unit/control/job_service_test.cpp
+++ b/tests/unit/control/job_service_test.cpp
@@ -57,6 +57,7 @@
   void teardown() override
   {
     m_hangs = false;
+    m_first.reset();
     m_service.reset();
     m_node.reset();
     fs::remove_all(m_folder);
@@ -106,6 +107,19 @@
     }
   }
 
+  /** The disk hangs under the batch that takes the end in this report. */
+  placement::WorkerReport HangUnderAnEnd()
+  {
+    Submit("short", Spec({ Step(1, 4000) }));
+    const placement::StartOrder ending = TakeStart("w2");
+    m_hangs = true;
+    placement::WorkerReport ended = Report("w2", 0);
+    ended.m_ended.push_back(End(1, ending.m_task, jobs::RunEnd::kDone));
+    m_first.emplace(Send(ended));
+    Pass(100 * kj::MILLISECONDS);
+    return ended;
+  }
+
   static jobs::JobSpec LongRunning()
   {
     jobs::StepSpec step = Step(1, 4000);
@@ -124,6 +138,8 @@
   std::unique_ptr<Node> m_node;
   std::unique_ptr<JobService> m_service;
   std::uint64_t m_sequence = 0;
+  /** Waits for the batch under the hanging disk. */
+  std::optional<kj::Promise<WorkerAnswer>> m_first;
 };
 
 // The operator sees all long-running tasks of a step end together. The leader's
@@ -135,13 +151,7 @@
 {
   Submit("service", LongRunning());
   const placement::StartOrder lasting = TakeStart("w1");
-  Submit("short", Spec({ Step(1, 4000) }));
-  const placement::StartOrder ending = TakeStart("w2");
-  m_hangs = true;
-  placement::WorkerReport ended = Report("w2", 0);
-  ended.m_ended.push_back(End(1, ending.m_task, jobs::RunEnd::kDone));
-  auto first = Send(ended);
-  Pass(100 * kj::MILLISECONDS);
+  HangUnderAnEnd();
   placement::WorkerReport atWork = Report("w1", 0);
   atWork.m_active.push_back(Active(lasting.m_task));
   const auto renewed = Await(Send(atWork));
@@ -155,13 +165,7 @@
 // forget it, and with the leader nobody would know it any more.
 TEST(JobService, DiskHangsUnderABatch_ItsEndsAreNotAcknowledged)
 {
-  Submit("short", Spec({ Step(1, 4000) }));
-  const placement::StartOrder ending = TakeStart("w2");
-  m_hangs = true;
-  placement::WorkerReport ended = Report("w2", 0);
-  ended.m_ended.push_back(End(1, ending.m_task, jobs::RunEnd::kDone));
-  auto first = Send(ended);
-  Pass(100 * kj::MILLISECONDS);
+  const placement::WorkerReport ended = HangUnderAnEnd();
   const auto again = Await(Send(ended));
   CHECK(again.has_value());
   LONGS_EQUAL(0, again->m_orders->m_ackedUpTo);
--- a/tests/unit/http/client_test.cpp
+++ b/tests/unit/http/client_test.cpp
@@ -14,6 +14,19 @@
 
 TEST_GROUP(HttpClient)
 {
+  /** Answers what comes on the connection, but reads a POST and dies. */
+  static void DieOnPost(int aSocket, std::atomic<int>& aPosts)
+  {
+    for (std::string head = ReadHead(aSocket); !head.empty();
+         head = ReadHead(aSocket)) {
+      if (head.rfind("POST", 0) == 0) {
+        ++aPosts;
+        return;
+      }
+      test::Write(aSocket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    }
+  }
+
   CallResult Send(const RawServer& aServer,
                   const char* aMethod,
                   bool aOnlyOnce,
@@ -124,16 +137,7 @@
 TEST(HttpClient, ReusedConnectionDiesAfterRequest_OnlyOnce_IsNotSentTwice)
 {
   std::atomic<int> posts = 0;
-  RawServer server([&](int aSocket, int) {
-    for (std::string head = ReadHead(aSocket); !head.empty();
-         head = ReadHead(aSocket)) {
-      if (head.rfind("POST", 0) == 0) {
-        ++posts;
-        return;
-      }
-      test::Write(aSocket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-    }
-  });
+  RawServer server([&](int aSocket, int) { DieOnPost(aSocket, posts); });
   CHECK(Send(server, "GET", false).m_end == CallEnd::kAnswered);
   const auto result = Send(server, "POST", true);
   CHECK(result.m_end == CallEnd::kBroken);
@@ -146,16 +150,7 @@
 TEST(HttpClient, SendForbiddenBeforeRepetition_IsNotRepeated)
 {
   std::atomic<int> posts = 0;
-  RawServer server([&](int aSocket, int) {
-    for (std::string head = ReadHead(aSocket); !head.empty();
-         head = ReadHead(aSocket)) {
-      if (head.rfind("POST", 0) == 0) {
-        ++posts;
-        return;
-      }
-      test::Write(aSocket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-    }
-  });
+  RawServer server([&](int aSocket, int) { DieOnPost(aSocket, posts); });
   CHECK(Send(server, "GET", false).m_end == CallEnd::kAnswered);
   std::atomic<int> asked = 0;
   const auto result =
--- a/tests/unit/placement/workers_test.cpp
+++ b/tests/unit/placement/workers_test.cpp
@@ -421,7 +421,11 @@
 // must not ask for so few that two lost ones put a worker in doubt.
 TEST(WorkerTable, ReportsStretched_ComeSeldomerUpToABound)
 {
-  Hear(Report("w1", 1), 1000);
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  m_fleet.Start(Ref("a"), "w1");
+  WorkerReport working = Report("w1", 1);
+  working.m_active.push_back(Active(Ref("a")));
+  Hear(working, 1000);
   CHECK(Answer("w1", 1000).m_nextReport == Millis{ 200 });
   m_table.StretchReports(2);
   CHECK(Answer("w1", 1000).m_nextReport == Millis{ 400 });
