Elect at once when all voters have restarted

Cause: after a loss of power of all control processes each restarted voter waited 500 to 900 ms before it asked for a vote, for the lease of a leader that no longer exists.

Change: a voter that has neither led nor heard from a leader since it started says so in its answer to a pre-vote, and asks its own early. A candidate to which every voter has said so starts the election; such a voter gives its vote ahead of time to a candidate that it has told so in the term before, unless it has heard from a leader since. One voter that does not answer may lead, and the usual silence is waited for.

Ruled out: shorter timeouts (measured earlier: noise, and a busy leader loses its term); a majority instead of all voters (unit.consensus AllButTheLeaderRestarted_ItsLeaseIsWaitedFor fails).

Tests, each seen to fail with its part taken out: AllRestarted_OneLeadsBeforeAnyLeaseWouldEnd (60 of 60 seeds late before), AllButTheLeaderRestarted_ItsLeaseIsWaitedFor, LeaderHeardAfterSayingThereIsNone_VoteIsNotGivenEarly.

The seeded history of replicas had two faults of its own, both replaced by something as strict. Replicas that had not restarted kept other timeouts than the rest, so a leader's lease could outlast what others wait (seed 276 answered a stale read with this change; without it seeds 1003 and 3646 of 4,000 failed). And writes of a frozen replica could reach its disk out of order, which left a gap in its log. Mended, 6,000 seeds hold with the old code and with the new.

--- a/include/bamboostile/consensus/membership_policy.h
+++ b/include/bamboostile/consensus/membership_policy.h
@@ -17,7 +17,7 @@
   Duration m_dropSilentAfter = Millis{ 6000 };
   /** A group that stays smaller than m_voters for so long, with no replica
    * joining, is as large as it gets: there are no more disks. Replicas that
-   * start together join within 1 s. */
+   * start together join well before. */
   Duration m_settlesAfter = Millis{ 5000 };
 };
 
--- a/include/bamboostile/consensus/replica.h
+++ b/include/bamboostile/consensus/replica.h
@@ -13,14 +13,12 @@
   /** Three fit into m_electionMin, so that one late one ends no term. */
   Duration m_heartbeat = Millis{ 150 };
   /** No vote is given, and no election started, within this time of hearing
-   * from a leader (or of starting up). While there is no leader nothing starts
-   * and callers are turned away: with 800 ms and a spread of as much, fifteen
-   * days with faults were worth 0.655 in the mean, with 500 and 400 0.684. With
-   * 350 and 300 it was 0.692, no more than noise, and a leader that is busy for
-   * 0.2 s would lose its term sooner. */
+   * from a leader (or of starting up). Callers wait for so long at least when a
+   * leader is lost; much less, and a leader that is busy for a moment loses its
+   * term. */
   Duration m_electionMin = Millis{ 500 };
-  /** Spread of the randomised part of the election timeout. Five voters that
-   * draw from it are some 80 ms apart, many times a message's way. */
+  /** Spread of the randomised part of the election timeout. Wide beside a
+   * message's way, so that two voters seldom stand at once. */
   Duration m_electionSpread = Millis{ 400 };
   /** A leader's lease is shorter than m_electionMin by this share, in
    * percent, for clocks that run at different speeds. */
@@ -132,12 +130,21 @@
   void On(const ReplicaId& aFrom, const AppendReply& aReply, Term, TimePoint);
   void On(const ReplicaId& aFrom, const InstallSnapshot& aSn, Term, TimePoint);
 
+  void OnPreVoteAfterRestart(const ReplicaId& aFrom,
+                             const VoteRequest& aVote,
+                             Term aTerm,
+                             TimePoint aNow);
+
   void BecomeFollower(Term aTerm, TimePoint aNow);
   void StartPreVote(TimePoint aNow);
   void StartElection(TimePoint aNow);
   void BecomeLeader(TimePoint aNow);
   void RequestVotes(bool aPreVote);
   bool HasVoteQuorum() const;
+  bool KnowsNoLeader() const;
+  bool NoVoterKnowsALeader() const;
+  void LetElectionRun(TimePoint aNow);
+  Duration RandomUpTo(Duration aMost);
   void ResetElectionDeadline(TimePoint aNow);
   void FollowLeader(const ReplicaId& aLeader, TimePoint aNow);
 
@@ -186,6 +193,14 @@
   TimePoint m_leaderSince;
   Index m_termStart;
   std::set<ReplicaId> m_votes;
+  /** Since this process started, from another or by leading. */
+  bool m_hasHeardLeader = false;
+  TimePoint m_nextProbe;
+  TimePoint m_electionRunsUntil;
+  /** Voters that have said in this term that they know of no leader. */
+  std::set<ReplicaId> m_leaderless;
+  /** Candidates that this replica has told so, and in which term. */
+  std::map<ReplicaId, Term> m_toldNoLeader;
   std::map<ReplicaId, Progress> m_progress;
   std::set<ReplicaId> m_regressed;
 
--- a/include/bamboostile/consensus/types.h
+++ b/include/bamboostile/consensus/types.h
@@ -84,6 +84,8 @@
 {
   bool m_preVote = false;
   bool m_granted = false;
+  /** The sender has not heard from a leader, nor led, since it started. */
+  bool m_knowsNoLeader = false;
 };
 
 struct AppendRequest
--- a/schema/internal.capnp
+++ b/schema/internal.capnp
@@ -61,6 +61,7 @@
     voteReply :group {
       replyPreVote @6 :Bool;
       granted @7 :Bool;
+      knowsNoLeader @18 :Bool;
     }
     append :group {
       previousIndex @8 :UInt64;
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -9,6 +9,11 @@
 /** Entries sent ahead of what a peer acknowledged; past this we wait. */
 constexpr std::uint64_t kMaxEntriesInFlight = 4096;
 constexpr Duration kSnapshotRetry = Millis{ 2000 };
+/** Between two pre-votes after a restart; the second half of it is random. */
+constexpr Duration kProbeInterval = Millis{ 60 };
+/** An election among restarted replicas is let run for so long; one that two
+ * candidates have split is tried again after it, up to as long again. */
+constexpr Duration kRestartElection = Millis{ 100 };
 
 std::size_t
 SizeOf(const LogEntry& aEntry)
@@ -185,11 +190,23 @@
 void
 Replica::ResetElectionDeadline(TimePoint aNow)
 {
-  const auto spread = m_options.m_electionSpread.count();
-  const Duration random{ static_cast<Duration::rep>(
-    NextRandom() %
-    static_cast<std::uint64_t>(std::max<Duration::rep>(spread, 1))) };
-  m_electionDeadline = aNow + m_options.m_electionMin + random;
+  m_electionDeadline =
+    aNow + m_options.m_electionMin + RandomUpTo(m_options.m_electionSpread);
+}
+
+void
+Replica::LetElectionRun(TimePoint aNow)
+{
+  m_electionRunsUntil = aNow + kRestartElection;
+  m_nextProbe = m_electionRunsUntil + RandomUpTo(kRestartElection);
+}
+
+Duration
+Replica::RandomUpTo(Duration aMost)
+{
+  const auto most =
+    static_cast<std::uint64_t>(std::max<Duration::rep>(aMost.count(), 1));
+  return Duration{ static_cast<Duration::rep>(NextRandom() % most) };
 }
 
 void
@@ -211,7 +228,14 @@
     }
     return;
   }
-  if (aNow >= m_electionDeadline && CurrentMembership().IsVoter(m_self)) {
+  if (!CurrentMembership().IsVoter(m_self)) {
+    return;
+  }
+  if (aNow >= m_electionDeadline) {
+    ResetElectionDeadline(aNow);
+    StartPreVote(aNow);
+  } else if (KnowsNoLeader() && aNow >= m_nextProbe) {
+    m_nextProbe = aNow + kProbeInterval / 2 + RandomUpTo(kProbeInterval / 2);
     StartPreVote(aNow);
   }
 }
@@ -226,6 +250,7 @@
   m_role = Role::kFollower;
   m_inPreVote = false;
   m_leader.reset();
+  m_leaderless.clear();
   m_progress.clear();
   m_regressed.clear();
   ResetElectionDeadline(aNow);
@@ -241,7 +266,10 @@
   m_inPreVote = true;
   m_leader.reset();
   m_votes = { m_self };
-  ResetElectionDeadline(aNow);
+  m_leaderless.clear();
+  if (KnowsNoLeader()) {
+    m_leaderless.insert(m_self);
+  }
   if (HasVoteQuorum()) {
     StartElection(aNow);
     return;
@@ -249,6 +277,31 @@
   RequestVotes(true);
 }
 
+bool
+Replica::KnowsNoLeader() const
+{
+  return !m_hasHeardLeader;
+}
+
+// After a restart of all voters each would wait out the lease of a leader that
+// no longer exists, and callers with it. Whoever leads is a voter, so where
+// every voter says that it has neither led nor heard from a leader since it
+// started, nobody leads, and no lease is left to wait for. One that does not
+// answer may lead.
+//
+// A leader elected after such an answer is not overlooked either: who answers
+// takes the candidate's term, so that leader's term is higher, and a voter that
+// has heard from it no longer gives its vote ahead of time.
+bool
+Replica::NoVoterKnowsALeader() const
+{
+  const auto& members = CurrentMembership().m_members;
+  return std::all_of(
+    members.begin(), members.end(), [&](const Member& aMember) {
+      return !aMember.m_voter || m_leaderless.contains(aMember.m_id);
+    });
+}
+
 void
 Replica::StartElection(TimePoint aNow)
 {
@@ -259,6 +312,7 @@
   PersistHardState();
   m_votes = { m_self };
   ResetElectionDeadline(aNow);
+  LetElectionRun(aNow);
   if (HasVoteQuorum()) {
     BecomeLeader(aNow);
     return;
@@ -292,6 +346,8 @@
 {
   m_role = Role::kLeader;
   m_leader = m_self;
+  m_hasHeardLeader = true;
+  m_toldNoLeader.clear();
   m_leaderSince = aNow;
   m_progress.clear();
   m_regressed.clear();
@@ -308,6 +364,8 @@
   m_role = Role::kFollower;
   m_inPreVote = false;
   m_leader = aLeader;
+  m_hasHeardLeader = true;
+  m_toldNoLeader.clear();
   m_leaderHeardAt = aNow;
   ResetElectionDeadline(aNow);
 }
@@ -351,10 +409,18 @@
   const bool leaderAlive = m_role == Role::kLeader
                              ? HoldsLease(aNow)
                              : aNow < m_leaderHeardAt + m_options.m_electionMin;
-  if (leaderAlive || aTerm < m_hardState.m_term) {
-    if (aTerm < m_hardState.m_term) {
-      SendWhenSynced(aFrom, VoteReply{ aVote.m_preVote, false });
-    }
+  if (aTerm < m_hardState.m_term) {
+    SendWhenSynced(aFrom, VoteReply{ aVote.m_preVote, false });
+    return;
+  }
+  if (aVote.m_preVote && KnowsNoLeader()) {
+    OnPreVoteAfterRestart(aFrom, aVote, aTerm, aNow);
+    return;
+  }
+  const auto told = m_toldNoLeader.find(aFrom);
+  const bool isAwaited =
+    told != m_toldNoLeader.end() && aTerm == Term{ told->second.Get() + 1 };
+  if (leaderAlive && !isAwaited) {
     return;
   }
   if (aVote.m_preVote) {
@@ -374,10 +440,36 @@
     m_hardState.m_votedFor = aFrom;
     PersistHardState();
     ResetElectionDeadline(aNow);
+    LetElectionRun(aNow);
   }
   SendWhenSynced(aFrom, VoteReply{ false, granted });
 }
 
+void
+Replica::OnPreVoteAfterRestart(const ReplicaId& aFrom,
+                               const VoteRequest& aVote,
+                               Term aTerm,
+                               TimePoint aNow)
+{
+  // A pre-vote carries the term that the election would have.
+  const Term candidates{ aTerm.Get() - 1 };
+  if (candidates < m_hardState.m_term) {
+    SendWhenSynced(aFrom, VoteReply{ true, false });
+    return;
+  }
+  if (candidates > m_hardState.m_term) {
+    BecomeFollower(candidates, aNow);
+  }
+  // Another election, begun now, would take the votes of the one under way.
+  const bool isElecting = aNow < m_electionRunsUntil;
+  if (isElecting || !IsUpToDate(aVote.m_lastIndex, aVote.m_lastTerm)) {
+    return;
+  }
+  m_toldNoLeader[aFrom] = m_hardState.m_term;
+  const bool granted = aNow >= m_leaderHeardAt + m_options.m_electionMin;
+  SendWhenSynced(aFrom, VoteReply{ true, granted, true });
+}
+
 void
 Replica::On(const ReplicaId& aFrom,
             const VoteReply& aReply,
@@ -385,7 +477,17 @@
             TimePoint aNow)
 {
   if (m_role != Role::kCandidate || aReply.m_preVote != m_inPreVote ||
-      !aReply.m_granted || aTerm > m_hardState.m_term) {
+      aTerm > m_hardState.m_term) {
+    return;
+  }
+  if (aReply.m_knowsNoLeader && aTerm == m_hardState.m_term) {
+    m_leaderless.insert(aFrom);
+    if (NoVoterKnowsALeader()) {
+      StartElection(aNow);
+      return;
+    }
+  }
+  if (!aReply.m_granted) {
     return;
   }
   if (!aReply.m_preVote && aTerm != m_hardState.m_term) {
--- a/src/wire/consensus_codec.cpp
+++ b/src/wire/consensus_codec.cpp
@@ -146,6 +146,7 @@
   auto to = aTo.initVoteReply();
   to.setReplyPreVote(aBody.m_preVote);
   to.setGranted(aBody.m_granted);
+  to.setKnowsNoLeader(aBody.m_knowsNoLeader);
 }
 
 void
@@ -188,7 +189,9 @@
     }
     case schema::Message::VOTE_REPLY: {
       auto from = aFrom.getVoteReply();
-      return VoteReply{ from.getReplyPreVote(), from.getGranted() };
+      return VoteReply{ from.getReplyPreVote(),
+                        from.getGranted(),
+                        from.getKnowsNoLeader() };
     }
     case schema::Message::APPEND: {
       auto from = aFrom.getAppend();
--- a/tests/differential/consensus_history_test.cpp
+++ b/tests/differential/consensus_history_test.cpp
@@ -74,7 +74,7 @@
 
 /** Mends everything and checks that the group works and agrees. */
 void
-Heal(Replicas& aReplicas)
+Heal(Replicas& aReplicas, const Faults& aCalm)
 {
   for (std::size_t i = 0; i < aReplicas.Size(); ++i) {
     aReplicas.Isolate(i, false);
@@ -84,7 +84,7 @@
     }
     aReplicas.Freeze(i, false);
   }
-  aReplicas.SetFaults({});
+  aReplicas.SetFaults(aCalm);
   const std::size_t before = aReplicas.Acknowledged().size();
   const auto works = [&]() {
     aReplicas.Propose("last");
@@ -115,11 +115,15 @@
     faults.m_duplicate = 0.05;
     faults.m_maxDelay = Millis{ 5 + 20 * (seed % 4) };
     faults.m_maxSync = Millis{ 1 + 15 * (seed % 3) };
-    Replicas replicas(seed % 2 == 0 ? 3 : 5, seed, faults);
-    CHECK(replicas.Form());
+    // One set of timeouts for all: a leader's lease rests on what the voters
+    // wait.
     faults.m_options.m_heartbeat = Millis{ 15 };
     faults.m_options.m_electionMin = Millis{ 90 };
     faults.m_options.m_electionSpread = Millis{ 90 };
+    Faults calm;
+    calm.m_options = faults.m_options;
+    Replicas replicas(seed % 2 == 0 ? 3 : 5, seed, calm);
+    CHECK(replicas.Form());
     replicas.SetFaults(faults);
     const std::size_t mostDown = replicas.Size() / 2;
     for (int round = 0; round < 100; ++round) {
@@ -127,7 +131,7 @@
       Disturb(replicas, mostDown);
       replicas.Run(Millis{ 10 + replicas.Random()() % 250 });
     }
-    Heal(replicas);
+    Heal(replicas, calm);
     if (!replicas.Violation().empty()) {
       FAIL(
         ("seed " + std::to_string(seed) + ": " + replicas.Violation()).c_str());
--- a/tests/support/replicas.cpp
+++ b/tests/support/replicas.cpp
@@ -151,6 +151,13 @@
 Replicas::Step()
 {
   m_now += kStep;
+  for (Node& node : m_nodes) {
+    if (!node.m_frozen) {
+      for (Event& event : std::exchange(node.m_backlog, {})) {
+        Deliver(std::move(event));
+      }
+    }
+  }
   while (!m_events.empty() && m_events.begin()->first <= m_now) {
     Event event = std::move(m_events.begin()->second);
     m_events.erase(m_events.begin());
@@ -174,9 +181,10 @@
   if (node.m_replica == nullptr || node.m_life != aEvent.m_life) {
     return;
   }
-  // A frozen process finds everything in its buffers when it wakes.
+  // A frozen process finds everything in its buffers when it wakes, in order:
+  // a write that overtook another would leave a gap in the log on disk.
   if (node.m_frozen) {
-    m_events.emplace(m_now + kTickEvery, std::move(aEvent));
+    node.m_backlog.push_back(std::move(aEvent));
     return;
   }
   if (aEvent.m_persist) {
--- a/tests/support/replicas.h
+++ b/tests/support/replicas.h
@@ -82,26 +82,28 @@
     Incarnation m_incarnation;
   };
 
+  struct Event
+  {
+    std::size_t m_node = 0;
+    std::uint64_t m_life = 0;
+    std::optional<consensus::Message> m_message;
+    std::optional<consensus::Persist> m_persist;
+  };
+
   struct Node
   {
     std::unique_ptr<consensus::Replica> m_replica;
     Disk m_disk;
     Disk m_copy;
     bool m_frozen = false;
+    /** What came while it was frozen. */
+    std::vector<Event> m_backlog;
     /** Clocks run up to 4% apart. */
     double m_rate = 1;
     Index m_applied;
     std::uint64_t m_life = 0;
   };
 
-  struct Event
-  {
-    std::size_t m_node = 0;
-    std::uint64_t m_life = 0;
-    std::optional<consensus::Message> m_message;
-    std::optional<consensus::Persist> m_persist;
-  };
-
   void Step();
   void Deliver(Event aEvent);
   void Handle(std::size_t aAt, consensus::Action aAction);
--- a/tests/unit/consensus/replica_test.cpp
+++ b/tests/unit/consensus/replica_test.cpp
@@ -465,3 +465,119 @@
   }
   CHECK(late <= kSplitVotes);
 }
+
+// Power fails for all. Callers wait until one leads again; as every voter says
+// that it has heard from no leader since it started, none waits out a lease
+// that nobody holds. Half the usual silence allows for one split vote.
+TEST(Replica, AllRestarted_OneLeadsBeforeAnyLeaseWouldEnd)
+{
+  constexpr int kSeeds = 60;
+  const Duration promptly = consensus::ReplicaOptions{}.m_electionMin / 2;
+  int late = 0;
+  for (int seed = 1; seed <= kSeeds; ++seed) {
+    Replicas replicas(5, static_cast<std::uint64_t>(seed), {});
+    CHECK(replicas.Form());
+    CHECK(Write(replicas, "a"));
+    for (std::size_t i = 0; i < replicas.Size(); ++i) {
+      replicas.Crash(i);
+    }
+    for (std::size_t i = 0; i < replicas.Size(); ++i) {
+      replicas.Start(i);
+      replicas.Run(Millis{ 10 });
+    }
+    const auto isLed = [&]() {
+      const auto leader = replicas.Leader();
+      return leader && replicas.At(*leader).IsReady();
+    };
+    late += replicas.RunUntil(isLed, promptly) ? 0 : 1;
+    CHECK(Write(replicas, "b"));
+    CHECK(Holds(replicas, "a"));
+    Sound(replicas);
+  }
+  LONGS_EQUAL(0, late);
+}
+
+// The leader stands still while all others restart, then goes on and still
+// answers reads under its lease. It has not said that it does not lead, so the
+// others wait out that lease; were they to vote at once, callers of the old
+// leader would read what the new one has replaced.
+TEST(Replica, AllButTheLeaderRestarted_ItsLeaseIsWaitedFor)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Replicas replicas(5, seed, {});
+    CHECK(replicas.Form());
+    CHECK(Write(replicas, "a"));
+    const std::size_t old = *replicas.Leader();
+    replicas.Freeze(old, true);
+    for (std::size_t i = 0; i < replicas.Size(); ++i) {
+      if (i != old) {
+        replicas.Crash(i);
+        replicas.Start(i);
+      }
+    }
+    replicas.Run(consensus::ReplicaOptions{}.m_electionMin * 9 / 10);
+    CHECK_FALSE(replicas.Leader().has_value());
+    replicas.Freeze(old, false);
+    CHECK(Write(replicas, "b"));
+    Sound(replicas);
+  }
+}
+
+// A voter says that it knows of no leader, then hears from one, and the vote
+// request that its word has led to comes late. It is refused: the leader that
+// was elected meanwhile holds a lease.
+TEST(Replica, LeaderHeardAfterSayingThereIsNone_VoteIsNotGivenEarly)
+{
+  const consensus::ReplicaId self{ InstanceId{ "a" }, Incarnation{ 1 } };
+  const consensus::ReplicaId candidate{ InstanceId{ "b" }, Incarnation{ 1 } };
+  const consensus::ReplicaId leader{ InstanceId{ "c" }, Incarnation{ 1 } };
+  const TimePoint now{ std::chrono::hours{ 1 } };
+  consensus::RecoveredState recovered;
+  recovered.m_hardState.m_term = Term{ 3 };
+  consensus::Membership group;
+  for (const auto& id : { self, candidate, leader }) {
+    group.m_members.push_back({ id, id.m_instance.Get(), true });
+  }
+  recovered.m_entries.push_back({ Index{ 1 }, Term{ 1 }, group });
+  const auto persist = [&](consensus::Replica& aReplica) {
+    std::vector<consensus::VoteReply> replies;
+    for (auto actions = aReplica.TakeActions(); !actions.empty();
+         actions = aReplica.TakeActions()) {
+      for (const consensus::Action& action : actions) {
+        if (const auto* write = std::get_if<consensus::Persist>(&action)) {
+          aReplica.OnPersisted(write->m_ticket, now);
+        }
+        const auto* send = std::get_if<consensus::Send>(&action);
+        const auto* reply =
+          send == nullptr
+            ? nullptr
+            : std::get_if<consensus::VoteReply>(&send->m_message.m_body);
+        if (reply != nullptr) {
+          replies.push_back(*reply);
+        }
+      }
+    }
+    return replies;
+  };
+  const consensus::VoteRequest preVote{ true, Index{ 1 }, Term{ 1 } };
+  const consensus::VoteRequest vote{ false, Index{ 1 }, Term{ 1 } };
+  for (const bool hears : { false, true }) {
+    consensus::Replica replica(self, {}, recovered, now);
+    replica.Receive({ candidate, self, Term{ 4 }, preVote }, now);
+    const auto said = persist(replica);
+    LONGS_EQUAL(1, said.size());
+    CHECK(said[0].m_knowsNoLeader);
+    CHECK_FALSE(said[0].m_granted);
+    if (hears) {
+      consensus::AppendRequest heartbeat;
+      heartbeat.m_previousIndex = Index{ 1 };
+      heartbeat.m_previousTerm = Term{ 1 };
+      replica.Receive({ leader, self, Term{ 3 }, heartbeat }, now);
+      persist(replica);
+    }
+    replica.Receive({ candidate, self, Term{ 4 }, vote }, now);
+    const auto voted = persist(replica);
+    LONGS_EQUAL(hears ? 0 : 1, voted.size());
+    CHECK(hears || voted[0].m_granted);
+  }
+}
