--- a/include/bamboostile/control/snapshot_thread.h
+++ b/include/bamboostile/control/snapshot_thread.h
@@ -20,9 +20,9 @@
 /**
  * @brief Encodes copies of the state on a thread of its own.
  *
- * Encoding takes some 8 ms for 1,000 instances and grows with the recorded
- * outcomes; on the control thread it held up every commit (docs/design/
- * storage.md has the figures). Copying is several times cheaper.
+ * On the control thread it would hold up every commit, the longer the more
+ * outcomes are recorded; copying the state is several times cheaper
+ * (docs/design/storage.md).
  */
 class SnapshotThread
 {
--- a/include/bamboostile/entry/leader_client.h
+++ b/include/bamboostile/entry/leader_client.h
@@ -10,21 +10,18 @@
 
 struct LeaderClientOptions
 {
-  /** For one attempt at one replica. A leader answers within some 20 ms, one
-   * that is cut off never. */
+  /** For one attempt at one replica. Many times what a leader takes to answer;
+   * one that is cut off never does. */
   Duration m_attempt = Millis{ 600 };
-  /** For making the connection of an attempt: far above a way of 1 ms and one
-   * lost packet. */
+  /** For making the connection of an attempt: enough for one lost packet. */
   Duration m_connect = Millis{ 250 };
   /** For all attempts; callers wait three seconds. */
   Duration m_total = Millis{ 2000 };
-  /** With no answer of any replica for so long, this is no restart (0.6 s) and
-   * no election (0.5 to 1 s): calls that nobody can have taken are refused at
-   * once. Refusing all after 0.8 s instead turned away callers whom the next
-   * leader would have served: days with faults on 350 workers, three of them
-   * twice, were worth 0.495 in place of 0.555. */
+  /** With no answer of any replica for so long, this is neither a restart nor
+   * an election: calls that nobody can have taken are refused at once. Any
+   * sooner, callers whom the next leader would have served are turned away. */
   Duration m_outageAfter = Millis{ 1500 };
-  /** Between two rounds over all replicas: an election takes 0.5 to 1 s. */
+  /** Between two rounds over all replicas; short beside an election. */
   Duration m_pause = Millis{ 100 };
 };
 
--- a/include/bamboostile/fleet/routes.h
+++ b/include/bamboostile/fleet/routes.h
@@ -89,8 +89,8 @@
 /**
  * @brief Finds a route by host and longest path prefix.
  *
- * A lookup costs one hash for each distinct prefix length of the host, not
- * one comparison for each route: with 500 routes that is 3 instead of 500.
+ * A lookup costs one hash for each distinct prefix length of the host, not one
+ * comparison for each route.
  */
 class RouteIndex
 {
--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -50,22 +50,19 @@
 struct CapacityOptions
 {
   Mechanisms m_mechanisms;
-  /** What waits should be done in this time. A queue's peak lasts some 5 s and
-   * its jobs have 3.6 s of slack, of which a move takes 1.5 s. */
+  /** What waits should be done in this time: about what the slack of a job
+   * leaves after a move. */
   Millis m_workOffIn{ 1500 };
-  /** What is late already is worth a fourteenth, but its callers wait: up to
-   * three times its objective, some 14 s, they still take the result. Left to
-   * the shrinking rest of a pool, 4 in 100 jobs of a heavy day came after that
-   * time. */
+  /** What is late already matters less, but its callers still take the result
+   * for some time; left to the shrinking rest of a pool, it would come after
+   * that. */
   Millis m_workOffLateIn{ 4000 };
-  /** An instance that nothing needs goes to standby after this long idle. Two
-   * moves cost as much as some 2.3 s in a pool, and peaks of one queue are 12 s
-   * apart; most that are idle for longer than a step of a job takes are idle
-   * for those. With 1.5 s in place of 0.7 pools cost 0.160 of the worth in
-   * place of 0.156, fifteen days with faults each. */
+  /** An instance that nothing needs goes to standby after this long idle. Most
+   * that are idle for longer than a step of a job takes stay idle until the
+   * next peak, which costs more than two moves. */
   Duration m_idleToStandby = Millis{ 700 };
   /** One that another pool needs goes at once, unless it has only just become
-   * idle: between two steps of a job a worker is idle for some 0.2 s. */
+   * idle: between two steps of a job a worker is idle for a moment. */
   Duration m_idleToOther = Millis{ 200 };
   /** A moved instance that has not reported by then is not counted on. */
   Duration m_arrivesWithin = Millis{ 5000 };
--- a/include/bamboostile/placement/maintenance.h
+++ b/include/bamboostile/placement/maintenance.h
@@ -52,8 +52,8 @@
   /** A leader gives its first order only after the calls that an earlier one
    * had under way have ended. */
   Duration m_quietAfterElection = Millis{ 3000 };
-  /** Tasks that end by themselves are waited for this long: most take 1 to
-   * 2 s, and work thrown away is dearer than a wave that is a second late. */
+  /** Tasks that end by themselves are waited for this long: work thrown away is
+   * dearer than a wave that is a little late. */
   Duration m_patience = Millis{ 4000 };
   Duration m_retryAfter = Millis{ 1500 };
   /** A report so long after the order was taken comes from an instance that is
--- a/include/bamboostile/placement/plan_pacer.h
+++ b/include/bamboostile/placement/plan_pacer.h
@@ -9,8 +9,8 @@
  * coming in.
  *
  * A pass sees what has been committed, so one right behind each batch of ends
- * places soonest. It takes the leader's time, though: 0.3 ms at 50 workers, 6
- * ms at 350 in a peak.
+ * places soonest. It takes the leader's time, though, which grows faster than
+ * the number of workers.
  */
 class PlanPacer
 {
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -85,8 +85,8 @@
 struct LeaseOptions
 {
   Mechanisms m_mechanisms;
-  /** How long a worker goes on without an answer. Longer than it takes to
-   * elect a leader (0.5 to 1 s) and to answer every worker once. */
+  /** How long a worker goes on without an answer. Longer than it takes to elect
+   * a leader and to answer every worker once. */
   Duration m_lease = Millis{ 4500 };
   /** A worker's clock may run this much slow. */
   int m_driftPercent = 2;
@@ -95,12 +95,11 @@
   /** How often an idle worker reports; a start waits half of it on average. */
   Duration m_reportEvery = Millis{ 200 };
   /** How often one without room for more reports: it gets its next start after
-   * an end, and reports that by itself within 50 ms. */
+   * an end, and reports that by itself at once. */
   Duration m_reportWhenFull = Millis{ 500 };
   /** The report of a quiet worker is answered after this, or once there is an
    * order for it. A worker drops an answer that takes longer than 1 s, and with
-   * it its lease; this leaves 0.6 s for the way and for a leader whose batches
-   * take 0.2 s in a peak. */
+   * it its lease; the rest of that is for the way and for a busy leader. */
   Duration m_holdQuiet = Millis{ 400 };
   /** Until a quiet worker reports again, after its held report was answered. */
   Duration m_reportAgain = Millis{ 50 };
@@ -114,11 +113,11 @@
   /** A worker that refused a start gets no other for so long: its room and
    * what is believed of it differ, and only its next report tells. */
   Duration m_pauseAfterRefusal = Millis{ 300 };
-  /** A run of 5 minutes gets one percent further in 3 s; one that does not is
-   * taken to stand still, where its estimate is no longer than that. */
+  /** A run that gets no further for so long is taken to stand still, unless its
+   * estimate says that one percent of it takes a third of this. */
   Duration m_stuckAfter = Millis{ 3000 };
-  /** A worker that has missed two reports, each up to 0.7 s after the one
-   * before, may be gone, and the tasks with it. */
+  /** A worker that has missed two reports in a row may be gone, and the tasks
+   * with it. */
   Duration m_doubtAfter = Millis{ 1500 };
 };
 
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -19,9 +19,9 @@
 constexpr Duration kInstancesInterval = Millis{ 100 };
 constexpr Duration kLostInterval = Millis{ 50 };
 constexpr Duration kForgetInterval = std::chrono::seconds{ 5 };
-/** A report waits this long for what its worker is to start next. Batches take
- * 10 to 50 ms, with a full leader up to 450 ms; after 1 s the worker drops the
- * answer, and with it its lease. */
+/** A report waits this long for what its worker is to start next. Longer than
+ * batches take, also at a full leader; after 1 s the worker drops the answer,
+ * and with it its lease. */
 constexpr Duration kAnswerWithin = Millis{ 500 };
 /** What a caller whose job was not taken is told to wait. */
 constexpr Millis kRetryAfter{ 1000 };
@@ -325,7 +325,8 @@
 
 // Only between batches: while one is under way the same ends may be in it.
 // Under load one follows the other for seconds, so each cycle asks; without
-// that a long-running task of a crashed worker stood still for 10 s of a peak.
+// that, long-running tasks of a crashed worker would stand still until a peak
+// is over.
 void
 JobService::GatherLost(TimePoint aNow)
 {
@@ -346,8 +347,8 @@
 
 // Only between batches: an instance on which a start is on its way is not idle,
 // though the state does not show it yet. Under load one batch follows the other
-// for seconds, so each cycle asks; without that no instance was moved for 7 s
-// of a peak.
+// for seconds, so each cycle asks; without that no instance would be moved
+// before a peak is over.
 void
 JobService::FollowInstances(TimePoint aNow)
 {
@@ -455,9 +456,8 @@
 }
 
 // A start goes out with the answer to a report. Quiet workers that report often
-// take the leader's time (some 0.15 ms a report), those that report seldom get
-// their starts late; one whose report is held gets them at once, and reports
-// less than twice a second.
+// take the leader's time, those that report seldom get their starts late; one
+// whose report is held gets them at once, and reports less than twice a second.
 void
 JobService::Hold(Waiting aOne, TimePoint aNow)
 {
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -22,11 +22,10 @@
 constexpr Duration kPeerSilence = Millis{ 350 };
 /** Between two requests for admission. */
 constexpr Duration kJoinInterval = Millis{ 300 };
-/** Longer than an election usually takes: 0.5 to 1 s. */
+/** Longer than an election usually takes. */
 constexpr Duration kLeaderless = Millis{ 3000 };
 constexpr Duration kMarkInterval = Millis{ 5000 };
-/** Far above a commit on slow disks (two syncs of 120 ms, and the way), and
- * well below the 3 s for which callers wait. */
+/** Far above a commit on slow disks, and well below what callers wait. */
 constexpr Duration kStalledAfter = Millis{ 800 };
 
 kj::Duration
--- a/src/control/pace.cpp
+++ b/src/control/pace.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/** Short beside the 4.5 s of a lease: a line shows the stage that ends one. */
+/** Short beside a lease: a line shows the stage that ends one. */
 constexpr Duration kLineInterval = Millis{ 1000 };
 
 /** In the order of the stages. */
--- a/src/entry/leader_watch.cpp
+++ b/src/entry/leader_watch.cpp
@@ -9,8 +9,8 @@
 using telemetry::Level;
 using telemetry::LogLine;
 
-/** Between two questions. An election takes 0.5 to 1 s, so the new leader is
- * named soon after it has won. */
+/** Between two questions. Short beside an election, so the new leader is named
+ * soon after it has won. */
 constexpr kj::Duration kInterval = 200 * kj::MILLISECONDS;
 /** For all attempts of one question: long enough to ask each of three replicas
  * once, one of which may be silent. */
--- a/src/fleet/codec.cpp
+++ b/src/fleet/codec.cpp
@@ -42,8 +42,8 @@
 
 namespace bamboostile::jobs {
 
-// Batches are most of the log, so they are packed Cap'n Proto inside: 40 to 70
-// bytes for a start or an end, a fifth of what named fields would take.
+// Batches are most of the log, so they are packed Cap'n Proto inside: a
+// fraction of what named fields would take.
 static void
 to_json(nlohmann::json& aJson, const Batch& aBatch)
 {
--- a/src/fleet/state.cpp
+++ b/src/fleet/state.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-/** Operations whose first answer is remembered. At 1,200 changes a day this
- * is more than a week; later repeats are stopped by their old revision. */
+/** Operations whose first answer is remembered. Enough for days of changes;
+ * later repeats are stopped by their old revision. */
 constexpr std::size_t kRememberedReplies = 10'000;
 constexpr std::size_t kRememberedRemovals = 2'000;
 constexpr std::uint32_t kMaxPercent = 100;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -24,10 +24,9 @@
 constexpr std::size_t kMaxHeaderFields = 200;
 constexpr std::size_t kMaxFieldName = 1024;
 constexpr std::size_t kMaxTarget = 8192;
-/** Connections that one round of the loop accepts. In a full process a round
- * takes 30 ms; with one a round, what stands in the queue behind 64 others is
- * read after two seconds, when its sender has long connected anew, behind all
- * others again. 64 connections at once take 66 rounds with one, 4 with this. */
+/** Connections that one round of the loop accepts. With one a round, a full
+ * process reads what stands far back in the queue when its sender has long
+ * given up and connected anew, behind all others again. */
 constexpr std::size_t kAcceptsAtOnce = 64;
 constexpr std::uint16_t kPayloadTooLarge = 413;
 constexpr std::uint16_t kUriTooLong = 414;
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -273,7 +273,7 @@
 
 // A run that a worker never began leaves its job where it was. Counted as
 // started for good, jobs whose first workers were lost would wait unseen:
-// callers heard that none waits while 45 did, for 5 s.
+// callers would hear that none waits.
 void
 Book::WaitAgain(Job& aJob)
 {
--- a/src/placement/load_shedder.cpp
+++ b/src/placement/load_shedder.cpp
@@ -9,8 +9,8 @@
 /** A wait counts for one to two of these: long enough for reports that were
  * put off to stay away, short beside a peak of some seconds. */
 constexpr Duration kSpan = Millis{ 500 };
-/** With 350 workers reports wait 130 ms at most in a peak; with 875 and as much
- * more work up to 250 ms, and their answers then leave after 0.9 s. */
+/** Above what reports wait in a peak that the leader keeps up with, and well
+ * before their answers come too late for the workers. */
 constexpr Duration kFull = Millis{ 150 };
 constexpr Duration kVeryFull = Millis{ 300 };
 
--- a/src/placement/plan_pacer.cpp
+++ b/src/placement/plan_pacer.cpp
@@ -13,10 +13,8 @@
 } // namespace
 
 // Were ends committed until none is left before a pass runs, placing would
-// starve. In a peak of 350 workers, with a thousand ends a second, that gives
-// 100 batches and 8 passes a second: a worker waits some 100 ms for its next
-// task, with tasks of one second, and a third of a full pool stands unused
-// beside its queue.
+// starve. In a peak there are many batches for each pass: workers wait for
+// their next task, and part of a full pool stands unused beside its queue.
 void
 PlanPacer::OnPlanned(TimePoint aBegan, TimePoint aEnded, Shedding aShedding)
 {
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -8,8 +8,7 @@
 namespace {
 
 /** One worker in so many is kept free for large tasks that find no room; none
- * in a pool of less than four. With one in four kept, and for tasks of any
- * size, a third of a pool's cores stood idle beside a queue of 5 s. */
+ * in a pool of less than four. What is kept stands idle beside a queue. */
 constexpr std::size_t kKeptShare = 16;
 constexpr std::size_t kLeastPoolToKeep = 4;
 /** A task is large if it needs more than one part in so many of a worker:
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -19,8 +19,7 @@
 constexpr std::uint32_t kReleaseAtPercent = 50;
 constexpr std::uint32_t kReleaseStep = 25;
 /** Failures in a row, without one run done, after which a worker is taken for
- * faulty: with one task in 500 failing by itself, three in a row are one in
- * 10^8. */
+ * faulty: tasks that fail by themselves hardly ever come so close together. */
 constexpr std::uint32_t kFailuresToSetAside = 3;
 constexpr Duration kSetAside = Millis{ 6000 };
 /** However full the leader is, a worker can miss two reports in a row before
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -385,10 +385,10 @@
 }
 
 // Borrowing is good while others leave their slots idle. When all entries have
-// too much work, what each borrows only queues up at the upstreams, until
-// every answer comes too late: at 1.5 times capacity the goodput fell to 0.15
-// (benchmark/slot_sharing.cpp). Longer answers than in the best windows show
-// such queues; the right to borrow is then halved, and grows back slowly.
+// too much work, what each borrows only queues up at the upstreams, until every
+// answer comes too late (benchmark/slot_sharing.cpp). Longer answers than in
+// the best windows show such queues; the right to borrow is then halved, and
+// grows back slowly.
 void
 Router::CloseWindow()
 {
