--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -122,6 +122,8 @@
   void AnswerPlanned();
   /** Those that cannot wait any longer for a batch. */
   void AnswerOverdue(TimePoint aNow);
+  std::vector<Waiting> TakeWaiting(
+    const std::function<bool(const Waiting&)>& aIsTaken);
   void AnswerAllAsFollower();
   WorkerAnswer AnswerOf(const Waiting& aOne, bool aLeads, TimePoint aNow);
   void Hold(Waiting aOne, TimePoint aNow);
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -491,21 +491,16 @@
 {
   const bool leads = Leads();
   const TimePoint now = MonotonicNow();
-  std::vector<Waiting> rest;
-  for (Waiting& one : std::exchange(m_waiting, {})) {
-    if (!one.m_planned) {
-      rest.push_back(kj::mv(one));
-    } else if (leads &&
-               m_options.m_mechanisms.Has(placement::Mechanism::kHeldReports) &&
-               m_workers->IsQuiet(one.m_worker, m_node.State().Jobs())) {
+  const auto isPlanned = [](const Waiting& aOne) { return aOne.m_planned; };
+  for (Waiting& one : TakeWaiting(isPlanned)) {
+    if (leads &&
+        m_options.m_mechanisms.Has(placement::Mechanism::kHeldReports) &&
+        m_workers->IsQuiet(one.m_worker, m_node.State().Jobs())) {
       Hold(kj::mv(one), now);
     } else {
       one.m_fulfiller->fulfill(AnswerOf(one, leads, now));
     }
   }
-  for (Waiting& one : rest) {
-    m_waiting.push_back(kj::mv(one));
-  }
   AnswerHeld(leads, now);
 }
 
@@ -526,15 +521,25 @@
 void
 JobService::AnswerOverdue(TimePoint aNow)
 {
-  std::vector<Waiting> rest;
-  for (Waiting& one : std::exchange(m_waiting, {})) {
-    if (aNow >= one.m_receivedAt + kAnswerWithin) {
-      one.m_fulfiller->fulfill(AnswerOf(one, true, aNow));
-    } else {
-      rest.push_back(kj::mv(one));
-    }
+  const auto isOverdue = [aNow](const Waiting& aOne) {
+    return aNow >= aOne.m_receivedAt + kAnswerWithin;
+  };
+  for (Waiting& one : TakeWaiting(isOverdue)) {
+    one.m_fulfiller->fulfill(AnswerOf(one, true, aNow));
   }
-  m_waiting = kj::mv(rest);
+}
+
+std::vector<JobService::Waiting>
+JobService::TakeWaiting(const std::function<bool(const Waiting&)>& aIsTaken)
+{
+  const auto taken =
+    std::stable_partition(m_waiting.begin(),
+                          m_waiting.end(),
+                          [&](const Waiting& aOne) { return !aIsTaken(aOne); });
+  std::vector<Waiting> all(std::make_move_iterator(taken),
+                           std::make_move_iterator(m_waiting.end()));
+  m_waiting.erase(taken, m_waiting.end());
+  return all;
 }
 
 kj::Promise<void>
--- a/src/control/pace.cpp
+++ b/src/control/pace.cpp
@@ -12,12 +12,31 @@
 /** Short beside a lease: a line shows the stage that ends one. */
 constexpr Duration kLineInterval = Millis{ 1000 };
 
-/** In the order of the stages. */
-constexpr std::array<const char*, 9> kFields{
-  "reportQueuedMs", "reportAnsweredMs",  "batchCommittedMs",
-  "passMs",         "instancesFollowMs", "tickLateMs",
-  "orderSentMs",    "orderAnsweredMs",   "answerWrittenMs",
-};
+const char*
+FieldOf(Stage aStage)
+{
+  switch (aStage) {
+    case Stage::kReportQueued:
+      return "reportQueuedMs";
+    case Stage::kReportAnswered:
+      return "reportAnsweredMs";
+    case Stage::kBatchCommitted:
+      return "batchCommittedMs";
+    case Stage::kPassOfPlacing:
+      return "passMs";
+    case Stage::kInstancesFollowed:
+      return "instancesFollowMs";
+    case Stage::kTickLate:
+      return "tickLateMs";
+    case Stage::kOrderSent:
+      return "orderSentMs";
+    case Stage::kOrderAnswered:
+      return "orderAnsweredMs";
+    case Stage::kAnswerWritten:
+      return "answerWrittenMs";
+  }
+  return "otherMs";
+}
 
 } // namespace
 
@@ -45,7 +64,8 @@
   telemetry::LogLine line(telemetry::Level::kInfo,
                           "longest waits at the leader");
   for (std::size_t i = 0; i < kStages; ++i) {
-    line.With(kFields[i], ToMillis(all[i].m_longest).count());
+    line.With(FieldOf(static_cast<Stage>(i)),
+              ToMillis(all[i].m_longest).count());
   }
   const auto countOf = [&](Stage aStage) {
     return all[static_cast<std::size_t>(aStage)].m_count;
