Size a pool by what its tasks can use at once; long-running tasks stay together

A pool in its peak asked for instances for all work that its jobs have left, in 1.5 s; but steps wait for those before them. With 8,041 core-seconds left it kept 337 instances, 4,992 cores, while all that could run held 2,969. What it holds in vain is moved, paid for, and missing in the pool whose turn is next. When a peak was over, 39 and 31 instances stayed in pools that need 26 and 20: long-running tasks that were restarted in the peak had gone to the emptiest workers.

Change: the need of a pool is no more than 85% of the CPU of the steps at work, or of the step that comes next where that is wider. A long-running task prefers a worker that has one already.

Ruled out: fragments of workers (80% in use on the way up), the time until idle instances go to standby.

Tests: StepsThatWaitForEachOther, NextStepIsWider, LongRunningTaskInAPeak; each fails with its part taken out.

--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -56,6 +56,7 @@
     std::int64_t m_memory = 0;
     std::int64_t m_accelerators = 0;
     bool m_serves = false;
+    bool m_hostsLongRunning = false;
     /** Free for a task that has found no room yet. */
     bool m_kept = false;
 
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -19,17 +19,18 @@
  * that no second has more orders than the platform takes. */
 constexpr double kRateShare = 0.85;
 constexpr double kSavedSeconds = 0.15;
+/** Of the CPU of all tasks of the steps at work: they end one by one, so less
+ * than that is in use at any moment. */
+constexpr std::int64_t kInUsePercent = 85;
 constexpr Duration kRetryAfter = Millis{ 2000 };
 
-/** CPU of a step's tasks that are not done, times how long they take. */
+/** CPU of a step's tasks that are not done. */
 std::int64_t
-RemainingWork(const jobs::StepSpec& aStep,
-              const jobs::StepRun& aRun,
-              const Durations& aDurations)
+RemainingCpu(const jobs::StepSpec& aStep, const jobs::StepRun& aRun)
 {
   const std::int64_t left =
     static_cast<std::int64_t>(aRun.m_tasks.size()) - aRun.m_done;
-  return left * aStep.CountedCpu() * aDurations.Estimate(aStep).count();
+  return left * aStep.CountedCpu();
 }
 
 /** What runs hold of a worker. */
@@ -57,12 +58,33 @@
   return use;
 }
 
+/** What tasks that end by themselves ask for. */
+struct Load
+{
+  /** CPU times duration, in thousandths of a core times ms. */
+  std::int64_t m_work = 0;
+  /** CPU that can be in use at once, in thousandths of a core. */
+  std::int64_t m_atOnce = 0;
+
+  /** CPU that works it off in that time, but no more than can be in use. */
+  std::int64_t CpuToWorkOffIn(Millis aTime) const;
+};
+
+// A step waits for those before it however many instances there are: beyond
+// what can be in use at once they would stand by, moved and paid for.
+std::int64_t
+Load::CpuToWorkOffIn(Millis aTime) const
+{
+  constexpr int kPercent = 100;
+  return std::min(m_work / aTime.count(), m_atOnce * kInUsePercent / kPercent);
+}
+
 /** What the jobs of one service ask for. */
 struct Demand
 {
-  /** CPU times duration of what can still be in time, and of what is late. */
-  std::int64_t m_fresh = 0;
-  std::int64_t m_late = 0;
+  /** What can still be in time, and what is late. */
+  Load m_fresh;
+  Load m_late;
   std::int64_t m_longRunningCpu = 0;
   /** Workers that long-running tasks need to stay apart. */
   std::size_t m_spread = 0;
@@ -74,6 +96,11 @@
 
 private:
   void AddLongRunning(const jobs::StepSpec& aStep);
+  /** Adds to aLoad what ends by itself, to this what does not. */
+  void Add(const jobs::Job& aJob,
+           const jobs::Occurrence& aOccurrence,
+           const Durations& aDurations,
+           Load& aLoad);
 };
 
 void
@@ -87,29 +114,47 @@
   m_spread = std::max(m_spread, least);
 }
 
+// The next step of a job counts as if its turn had come where it is the wider
+// one: an instance that is ordered now arrives by then.
 void
 Demand::Add(const jobs::Job& aJob,
-            const fleet::QueueRoute& aRoute,
+            const jobs::Occurrence& aOccurrence,
             const Durations& aDurations,
-            WallTime aWall)
+            Load& aLoad)
 {
-  std::int64_t work = 0;
-  for (const auto& [number, occurrence] : aJob.m_occurrences) {
-    for (std::size_t s = 0; s < occurrence.m_steps.size(); ++s) {
-      const jobs::StepSpec& step = aJob.m_spec.m_steps[s];
-      if (step.m_longRunning) {
-        AddLongRunning(step);
-      } else {
-        work += RemainingWork(step, occurrence.m_steps[s], aDurations);
-      }
+  std::int64_t now = 0;
+  std::int64_t next = 0;
+  for (std::size_t s = 0; s < aOccurrence.m_steps.size(); ++s) {
+    const jobs::StepSpec& step = aJob.m_spec.m_steps[s];
+    if (step.m_longRunning) {
+      AddLongRunning(step);
+      continue;
+    }
+    const std::int64_t cpu = RemainingCpu(step, aOccurrence.m_steps[s]);
+    aLoad.m_work += cpu * aDurations.Estimate(step).count();
+    if (jobs::Book::IsTurn(aOccurrence, step)) {
+      now += cpu;
+    } else {
+      next = std::max(next, cpu);
     }
   }
+  aLoad.m_atOnce += std::max(now, next);
+}
+
+void
+Demand::Add(const jobs::Job& aJob,
+            const fleet::QueueRoute& aRoute,
+            const Durations& aDurations,
+            WallTime aWall)
+{
   const std::int64_t age = aWall.Get() - aJob.m_acceptedAt.Get();
   const std::int64_t objective = aRoute.m_objective.count();
-  if (age <= kLateAfterObjectives * objective) {
-    m_fresh += work;
-  } else if (age <= kGivenUpAfterObjectives * objective) {
-    m_late += work;
+  Load givenUp;
+  Load& load = age <= kLateAfterObjectives * objective      ? m_fresh
+               : age <= kGivenUpAfterObjectives * objective ? m_late
+                                                            : givenUp;
+  for (const auto& [number, occurrence] : aJob.m_occurrences) {
+    Add(aJob, occurrence, aDurations, load);
   }
 }
 
@@ -132,10 +177,11 @@
   }
   for (auto& [service, pool] : aPools) {
     const Demand& demand = demands[service];
-    pool.m_work = demand.m_fresh + demand.m_late;
-    const std::int64_t cpu = demand.m_fresh / m_options.m_workOffIn.count() +
-                             demand.m_late / m_options.m_workOffLateIn.count() +
-                             demand.m_longRunningCpu;
+    pool.m_work = demand.m_fresh.m_work + demand.m_late.m_work;
+    const std::int64_t cpu =
+      demand.m_fresh.CpuToWorkOffIn(m_options.m_workOffIn) +
+      demand.m_late.CpuToWorkOffIn(m_options.m_workOffLateIn) +
+      demand.m_longRunningCpu;
     const auto cores =
       static_cast<std::int64_t>(std::max<std::size_t>(pool.m_cores, 1));
     const auto byWork = static_cast<std::size_t>((cpu + cores - 1) / cores);
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -47,6 +47,7 @@
   m_memory -= aStep.m_needs.m_memoryMb;
   m_accelerators -= aStep.m_needs.m_accelerators;
   m_serves = m_serves || aStep.m_latencyTarget > Millis::zero();
+  m_hostsLongRunning = m_hostsLongRunning || aStep.m_longRunning;
 }
 
 Millis
@@ -188,7 +189,7 @@
                 Pool& aPool) const
 {
   Room* best = nullptr;
-  auto bestRank = std::make_tuple(true, true, true, true, std::int64_t{});
+  auto bestRank = std::make_tuple(true, true, true, true, true, std::int64_t{});
   for (Room& room : aPool) {
     const WorkerReport& report = room.m_worker->m_last;
     if (room.m_kept || !room.Fits(aStep)) {
@@ -208,17 +209,23 @@
     // Filler and serving tasks disturb each other on one worker.
     const bool disturbs = aStep.m_fills && room.m_serves;
     // Long-running tasks are spread, so that one lost worker takes few of them,
-    // but over workers that run something already: one on each worker would
-    // keep the whole pool from ever being idle. The others are packed, so that
-    // room for large ones stays in one piece.
+    // but over workers that have some already, or else run something: one on
+    // each worker would keep the whole pool from ever being idle. The others
+    // are packed, so that room for large ones stays in one piece.
     const bool isSpread = aStep.m_longRunning || aStep.m_fills;
     const bool isCrowded = isSpread && onWorker >= SpreadLimit(aStep);
     const bool isEmpty = isSpread && m_mechanisms.Has(Mechanism::kSharing) &&
                          room.m_cpu == report.m_capacity.m_cpuMillis;
+    const bool isNewHost = isSpread && m_mechanisms.Has(Mechanism::kSharing) &&
+                           !room.m_hostsLongRunning;
     const bool isPacked = !isSpread && m_mechanisms.Has(Mechanism::kPacking);
     const std::int64_t left = room.m_cpu - aStep.CountedCpu();
-    const auto rank = std::make_tuple(
-      farFromData, disturbs, isCrowded, isEmpty, isPacked ? left : -left);
+    const auto rank = std::make_tuple(farFromData,
+                                      disturbs,
+                                      isCrowded,
+                                      isNewHost,
+                                      isEmpty,
+                                      isPacked ? left : -left);
     if (best == nullptr || rank < bestRank) {
       best = &room;
       bestRank = rank;
--- a/tests/unit/placement/capacity_test.cpp
+++ b/tests/unit/placement/capacity_test.cpp
@@ -318,6 +318,37 @@
   LONGS_EQUAL(kMostOrdersUnderWay, orders);
 }
 
+// Jobs of four steps that wait for each other have four times the work that can
+// be done at once. Instances for all of it would stand by, moved and paid for,
+// and no caller would be served sooner.
+TEST(CapacityPlanner, StepsThatWaitForEachOther_OrderOnlyWhatCanBeUsedAtOnce)
+{
+  Pool("desk", 3);
+  Pool("other", 3);
+  ListStandby(40);
+  std::vector<StepSpec> steps(4, Step(24, 1000));
+  for (std::uint32_t s = 1; s < 4; ++s) {
+    steps[s].m_dependsOn = { s - 1 };
+  }
+  m_fleet.Submit("chain", Spec(steps));
+  // 24 cores can be in use at once: six instances of 4, of which three are
+  // there.
+  LONGS_EQUAL(3, OrderedIn(1000).size());
+}
+
+// The second step is wider than the first and comes within a move's time; its
+// tasks would find a pool that is sized for the first.
+TEST(CapacityPlanner, NextStepIsWider_InstancesAreOrderedAhead)
+{
+  Pool("desk", 3);
+  Pool("other", 3);
+  ListStandby(40);
+  StepSpec wide = Step(40, 1000);
+  wide.m_dependsOn = { 0 };
+  m_fleet.Submit("widening", Spec({ Step(1, 1000), wide }));
+  CHECK(OrderedIn(1000).size() >= 4);
+}
+
 // Two queues peak at once. Served one after the other, the callers of the
 // second would find nothing left; both get the same share of what they need.
 TEST(CapacityPlanner, TwoPeaksAtOnce_ShareWhatThereIs)
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -140,6 +140,29 @@
   }
 }
 
+// In a peak a long-running task is restarted. Ten workers are busy with tasks
+// that end by themselves, one has a long-running task already. On any other it
+// would keep one more worker in the pool when the peak is over.
+TEST(PlacementPlanner, LongRunningTaskInAPeak_JoinsAnotherOne)
+{
+  StepSpec lasting = Step(1, 500);
+  lasting.m_longRunning = true;
+  for (int i = 1; i <= 10; ++i) {
+    Hear(Report("w" + std::to_string(i), 1));
+    const std::string job = "short-" + std::to_string(i);
+    m_fleet.Submit(job, Spec({ Step(1, 1000) }));
+    m_fleet.Start(Ref(job), "w" + std::to_string(i));
+  }
+  Hear(Report("w11", 1));
+  m_fleet.Submit("lasting", Spec({ lasting }));
+  m_fleet.Start(Ref("lasting"), "w11");
+  m_fleet.Submit("filling", Spec({ Step(1, 2000) }));
+  m_fleet.Start(Ref("filling"), "w11");
+  m_fleet.Submit("restarted", Spec({ lasting }));
+  LONGS_EQUAL(1, Carry());
+  CHECK_STRING("w11", WorkerOf(Ref("restarted")));
+}
+
 // A large task that waits for room must get it: small ones that come later
 // would otherwise take every piece that becomes free.
 TEST(PlacementPlanner, LargeTaskWithoutRoom_KeepsOneWorkerFree)
