--- a/include/bamboostile/control/instance_service.h
+++ b/include/bamboostile/control/instance_service.h
@@ -24,8 +24,7 @@
 
   using Answered = std::function<void(const Answer&)>;
   /** Nothing where the list could not be read whole. */
-  using Listed =
-    std::function<void(std::optional<std::vector<placement::ListedInstance>>)>;
+  using Listed = std::function<void(std::optional<placement::InstanceList>)>;
 
   std::function<void(const placement::MaintenanceOrder&, Term, Answered)>
     m_maintenance;
@@ -83,7 +82,7 @@
     TimePoint m_decidedAt;
   };
 
-  using List = std::optional<std::vector<placement::ListedInstance>>;
+  using List = std::optional<placement::InstanceList>;
 
   /** Outlives this object for answers that come after it. */
   struct Answers
