Keep an order on record from its commit on; send none in another term

Read over once more: between the commit of a maintenance order and its sending an inherited record of the same instance could have been settled, and an order decided in one term could have left in a later one of the same leader.

--- a/src/control/instance_service.cpp
+++ b/src/control/instance_service.cpp
@@ -131,6 +131,10 @@
     .With("to", fleet::Describe(aAdvance.m_to))
     .Write();
   ++m_advancing;
+  // Applying this puts the order on record; it stays there until answered.
+  if (aAdvance.m_to == fleet::MaintenanceStep::kOrdered) {
+    m_record.OnOrdered(aAdvance.m_instance);
+  }
   m_tasks.add(m_node.Propose(aAdvance).then([this, aAdvance](const Decided&) {
     --m_advancing;
     m_ordersUnderWay.erase({ aAdvance.m_wave, aAdvance.m_instance });
@@ -231,7 +235,9 @@
                       TimePoint aDecidedAt)
 {
   const bool isLate = MonotonicNow() > aDecidedAt + kRecordWithin;
-  if (!aIsRecorded || isLate || !m_node.IsServing()) {
+  const bool leads =
+    m_node.IsServing() && m_node.Replica().CurrentTerm() == m_term;
+  if (!aIsRecorded || isLate || !leads) {
     On(MoveReply{
       aOrder, { placement::InstanceAnswer::kNotSent, {} }, aDecidedAt });
     return;
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -150,11 +150,15 @@
   const std::int64_t age = aWall.Get() - aJob.m_acceptedAt.Get();
   const std::int64_t objective = aRoute.m_objective.count();
   Load givenUp;
-  Load& load = age <= kLateAfterObjectives * objective      ? m_fresh
-               : age <= kGivenUpAfterObjectives * objective ? m_late
-                                                            : givenUp;
+  Load* load = &givenUp;
+  if (age <= kLateAfterObjectives * objective) {
+    load = &m_fresh;
+  } else if (age <= kGivenUpAfterObjectives * objective) {
+    load = &m_late;
+  }
+  // Long-running steps count however old their job is.
   for (const auto& [number, occurrence] : aJob.m_occurrences) {
-    Add(aJob, occurrence, aDurations, load);
+    Add(aJob, occurrence, aDurations, *load);
   }
 }
 
