--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -1,5 +1,7 @@
 #include "bamboostile/placement/capacity.h"
 
+#include "demand.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -7,11 +9,6 @@
 
 namespace {
 
-/** Objectives since its acceptance after which a job is taken for late: with
- * the stretch of its chain it is due after one and a half; */
-constexpr std::int64_t kLateAfterObjectives = 2;
-/** and for given up by its caller. */
-constexpr std::int64_t kGivenUpAfterObjectives = 5;
 /** Thousandths of a core times ms, in a core-second. */
 constexpr std::int64_t kMilliPerUnit = 1000 * 1000;
 constexpr std::int64_t kMilliPerCore = 1000;
@@ -19,20 +16,8 @@
  * that no second has more orders than the platform takes. */
 constexpr double kRateShare = 0.85;
 constexpr double kSavedSeconds = 0.15;
-/** Of the CPU of all tasks of the steps at work: they end one by one, so less
- * than that is in use at any moment. */
-constexpr std::int64_t kInUsePercent = 85;
 constexpr Duration kRetryAfter = Millis{ 2000 };
 
-/** CPU of a step's tasks that are not done. */
-std::int64_t
-RemainingCpu(const jobs::StepSpec& aStep, const jobs::StepRun& aRun)
-{
-  const std::int64_t left =
-    static_cast<std::int64_t>(aRun.m_tasks.size()) - aRun.m_done;
-  return left * aStep.CountedCpu();
-}
-
 /** What runs hold of a worker. */
 struct Use
 {
@@ -58,110 +43,6 @@
   return use;
 }
 
-/** What tasks that end by themselves ask for. */
-struct Load
-{
-  /** CPU times duration, in thousandths of a core times ms. */
-  std::int64_t m_work = 0;
-  /** CPU that can be in use at once, in thousandths of a core. */
-  std::int64_t m_atOnce = 0;
-
-  /** CPU that works it off in that time, but no more than can be in use. */
-  std::int64_t CpuToWorkOffIn(Millis aTime) const;
-};
-
-// A step waits for those before it however many instances there are: beyond
-// what can be in use at once they would stand by, moved and paid for.
-std::int64_t
-Load::CpuToWorkOffIn(Millis aTime) const
-{
-  constexpr int kPercent = 100;
-  return std::min(m_work / aTime.count(), m_atOnce * kInUsePercent / kPercent);
-}
-
-/** What the jobs of one service ask for. */
-struct Demand
-{
-  /** What can still be in time, and what is late. */
-  Load m_fresh;
-  Load m_late;
-  std::int64_t m_longRunningCpu = 0;
-  /** Workers that long-running tasks need to stay apart. */
-  std::size_t m_spread = 0;
-
-  void Add(const jobs::Job& aJob,
-           const fleet::QueueRoute& aRoute,
-           const Durations& aDurations,
-           WallTime aWall);
-
-private:
-  void AddLongRunning(const jobs::StepSpec& aStep);
-  /** Adds to aLoad what ends by itself, to this what does not. */
-  void Add(const jobs::Job& aJob,
-           const jobs::Occurrence& aOccurrence,
-           const Durations& aDurations,
-           Load& aLoad);
-};
-
-void
-Demand::AddLongRunning(const jobs::StepSpec& aStep)
-{
-  m_longRunningCpu += std::int64_t{ aStep.m_count } * aStep.CountedCpu();
-  const std::size_t least =
-    aStep.m_maxPerWorker == 0
-      ? 1
-      : (aStep.m_count + aStep.m_maxPerWorker - 1) / aStep.m_maxPerWorker;
-  m_spread = std::max(m_spread, least);
-}
-
-// The next step of a job counts as if its turn had come where it is the wider
-// one: an instance that is ordered now arrives by then.
-void
-Demand::Add(const jobs::Job& aJob,
-            const jobs::Occurrence& aOccurrence,
-            const Durations& aDurations,
-            Load& aLoad)
-{
-  std::int64_t now = 0;
-  std::int64_t next = 0;
-  for (std::size_t s = 0; s < aOccurrence.m_steps.size(); ++s) {
-    const jobs::StepSpec& step = aJob.m_spec.m_steps[s];
-    if (step.m_longRunning) {
-      AddLongRunning(step);
-      continue;
-    }
-    const std::int64_t cpu = RemainingCpu(step, aOccurrence.m_steps[s]);
-    aLoad.m_work += cpu * aDurations.Estimate(step).count();
-    if (jobs::Book::IsTurn(aOccurrence, step)) {
-      now += cpu;
-    } else {
-      next = std::max(next, cpu);
-    }
-  }
-  aLoad.m_atOnce += std::max(now, next);
-}
-
-void
-Demand::Add(const jobs::Job& aJob,
-            const fleet::QueueRoute& aRoute,
-            const Durations& aDurations,
-            WallTime aWall)
-{
-  const std::int64_t age = aWall.Get() - aJob.m_acceptedAt.Get();
-  const std::int64_t objective = aRoute.m_objective.count();
-  Load givenUp;
-  Load* load = &givenUp;
-  if (age <= kLateAfterObjectives * objective) {
-    load = &m_fresh;
-  } else if (age <= kGivenUpAfterObjectives * objective) {
-    load = &m_late;
-  }
-  // Long-running steps count however old their job is.
-  for (const auto& [number, occurrence] : aJob.m_occurrences) {
-    Add(aJob, occurrence, aDurations, *load);
-  }
-}
-
 } // namespace
 
 void
