Entries drop a failed connection whichever call it was that failed

Traced with each outcome of a sync logged: 127.0.0.1:21401 named the leader 21403 every 30 ms for ten seconds, and the entry never asked it. Its connection to 21403 had been refused before the restart; syncs drop such a connection, announcements and the record of requests kept it. They failed on it at once, turned the entry back to 21401, and went on in step with the syncs. An old fault: with an election that takes 0.5 s or more every address has been tried anew by a sync before there is a leader to find.

Change: one way to give up a call, which drops the connection, for all of them.

--- a/include/bamboostile/entry/link.h
+++ b/include/bamboostile/entry/link.h
@@ -125,6 +125,7 @@
   rpc::Channel& Current();
   /** The present replica does not lead or does not answer. */
   void MoveOn(const std::string& aFrom, const std::string& aHint);
+  void OnCallFailed(const std::string& aFrom);
   void LearnAddresses(schema::SyncReply::Reader aReply);
   template<typename T>
   kj::Promise<T> WithTimeout(kj::Promise<T> aPromise);
--- a/src/entry/link.cpp
+++ b/src/entry/link.cpp
@@ -125,6 +125,20 @@
   m_current = m_addresses[next % m_addresses.size()];
 }
 
+// A connection that was refused, or went silent, fails every later call as
+// well. Kept by one kind of call, it would turn away from the leader just when
+// another kind has learned its address, for as long as both go on in step. Of
+// calls that fail together the first one drops it; the next may use a new one
+// already.
+void
+Link::OnCallFailed(const std::string& aFrom)
+{
+  if (aFrom == m_current) {
+    m_channels.at(aFrom)->Drop();
+  }
+  MoveOn(aFrom, "");
+}
+
 void
 Link::LearnAddresses(schema::SyncReply::Reader aReply)
 {
@@ -212,8 +226,7 @@
         return kj::mv(pair.promise);
       },
       [this, address](kj::Exception&&) {
-        m_channels.at(address)->Drop();
-        MoveOn(address, "");
+        OnCallFailed(address);
         return Pause();
       });
 }
@@ -342,7 +355,7 @@
         return done;
       },
       [this, address](kj::Exception&&) {
-        MoveOn(address, "");
+        OnCallFailed(address);
         return false;
       });
 }
@@ -374,7 +387,7 @@
     .timeoutAfter(ToKj(std::min(left, m_options.m_tryTimeout)), kj::mv(sent))
     .then([](BeginResult aResult) { return aResult; },
           [this, address](kj::Exception&&) {
-            MoveOn(address, "");
+            OnCallFailed(address);
             return BeginResult{};
           })
     .then([this, again = std::move(aTry), aUntil](
