--- a/include/bamboostile/control/instance_service.h
+++ b/include/bamboostile/control/instance_service.h
@@ -24,7 +24,8 @@
 
   using Answered = std::function<void(const Answer&)>;
   /** Nothing where the list could not be read whole. */
-  using Listed = std::function<void(std::optional<placement::InstanceList>)>;
+  using Listed =
+    std::function<void(std::optional<std::vector<placement::ListedInstance>>)>;
 
   std::function<void(const placement::MaintenanceOrder&, Term, Answered)>
     m_maintenance;
@@ -82,7 +83,7 @@
     TimePoint m_decidedAt;
   };
 
-  using List = std::optional<placement::InstanceList>;
+  using List = std::optional<std::vector<placement::ListedInstance>>;
 
   /** Outlives this object for answers that come after it. */
   struct Answers
--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -8,6 +8,15 @@
 
 namespace bamboostile::placement {
 
+/** An instance as the platform lists it. */
+struct ListedInstance
+{
+  InstanceId m_id;
+  ServiceId m_pool;
+  /** Neither moving nor down. */
+  bool m_isUp = false;
+};
+
 struct MoveOrder
 {
   InstanceId m_instance;
--- a/include/bamboostile/placement/maintenance.h
+++ b/include/bamboostile/placement/maintenance.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "bamboostile/fleet/state.h"
-#include "bamboostile/placement/instance_list.h"
 #include "bamboostile/placement/workers.h"
 
 namespace bamboostile::placement {
@@ -67,8 +66,6 @@
   Duration m_lateReports = Millis{ 600 };
   /** How long the platform keeps an instance down. */
   Duration m_takes = Millis{ 2000 };
-  /** Between two lists that show an instance to be gone. */
-  Duration m_confirmGone = Millis{ 2000 };
   /** How many instances are emptied ahead of their turn, beside `cap`. */
   std::size_t m_ahead = 1;
 };
@@ -93,10 +90,7 @@
                              InstanceAnswer aAnswer,
                              TimePoint aNow);
 
-  void OnListed(const InstanceList& aList, TimePoint aNow);
-
 private:
-  bool IsGone(const InstanceId& aInstance, const WorkerTable& aWorkers) const;
   void PlanWave(const fleet::MaintenanceWave& aWave,
                 const fleet::State& aState,
                 const WorkerTable& aWorkers,
@@ -133,10 +127,6 @@
   /** An order may have been obeyed unheard, or an earlier leader's still may
    * be. */
   std::set<InstanceId> m_unclear;
-  /** Instances named by the last complete list, and by the one before it. */
-  std::optional<std::set<InstanceId>> m_named;
-  std::optional<std::set<InstanceId>> m_namedBefore;
-  TimePoint m_namedAt;
 };
 
 } // namespace bamboostile::placement
--- a/src/control/instance_service.cpp
+++ b/src/control/instance_service.cpp
@@ -2,8 +2,6 @@
 
 #include "bamboostile/telemetry/log.h"
 
-#include <algorithm>
-
 namespace bamboostile::control {
 
 namespace {
@@ -308,14 +306,8 @@
 void
 InstanceService::ReadList(TimePoint aNow)
 {
-  const auto& waves = m_node.State().Maintenance();
-  const bool isWaveOpen =
-    std::any_of(waves.begin(), waves.end(), [](const auto& aEntry) {
-      return !aEntry.second.IsDone();
-    });
-  const bool isWanted =
-    isWaveOpen || m_node.State().Routes().StandbyPool() != nullptr;
-  if (!m_calls.m_list || aNow < m_nextList || !isWanted) {
+  if (!m_calls.m_list || aNow < m_nextList ||
+      m_node.State().Routes().StandbyPool() == nullptr) {
     return;
   }
   m_nextList = aNow + kListInterval;
@@ -329,17 +321,10 @@
 {
   return m_answers->m_lists.Take().then([this](std::vector<List> aLists) {
     const ServiceId* standby = m_node.State().Routes().StandbyPool();
-    for (List& list : aLists) {
-      if (!list) {
-        continue;
-      }
-      m_maintenance.OnListed(*list, MonotonicNow());
-      if (standby != nullptr) {
-        std::erase_if(list->m_instances, [&](const auto& aOne) {
-          return aOne.m_pool != *standby;
-        });
-        m_capacity.OnListed(list->m_instances, MonotonicNow());
-      }
+    if (standby != nullptr && aLists.back()) {
+      std::erase_if(*aLists.back(),
+                    [&](const auto& aOne) { return aOne.m_pool != *standby; });
+      m_capacity.OnListed(*aLists.back(), MonotonicNow());
     }
     return ListLoop();
   });
--- a/src/placement/maintenance.cpp
+++ b/src/placement/maintenance.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <tuple>
-#include <utility>
 
 namespace bamboostile::placement {
 
@@ -131,34 +130,6 @@
   }
 }
 
-void
-MaintenancePlanner::OnListed(const InstanceList& aList, TimePoint aNow)
-{
-  const bool isTooSoon = m_named && aNow < m_namedAt + m_options.m_confirmGone;
-  if (!aList.m_isComplete || isTooSoon) {
-    return;
-  }
-  m_namedAt = aNow;
-  std::set<InstanceId> named;
-  for (const ListedInstance& instance : aList.m_instances) {
-    named.insert(instance.m_id);
-  }
-  m_namedBefore = std::exchange(m_named, std::move(named));
-}
-
-// An instance that is lost for good answers "busy" to every order, and its wave
-// would never end. The platform lists all that exist; a list is read page by
-// page and may miss one that changes meanwhile, so two have to agree.
-bool
-MaintenancePlanner::IsGone(const InstanceId& aInstance,
-                           const WorkerTable& aWorkers) const
-{
-  const Worker* worker = aWorkers.FindByInstance(aInstance);
-  const bool isHeard = worker != nullptr && !worker->m_silent;
-  return !isHeard && m_named && m_namedBefore &&
-         !m_named->contains(aInstance) && !m_namedBefore->contains(aInstance);
-}
-
 void
 MaintenancePlanner::PlanWave(const fleet::MaintenanceWave& aWave,
                              const fleet::State& aState,
@@ -169,12 +140,7 @@
   std::size_t down = aWave.Down();
   std::vector<InstanceId> waiting;
   for (const auto& [instance, step] : aWave.m_instances) {
-    const bool isOpen = step == fleet::MaintenanceStep::kWaiting ||
-                        step == fleet::MaintenanceStep::kOrdered;
-    if (isOpen && IsGone(instance, aWorkers)) {
-      aPlan.m_advances.push_back(
-        { aWave.m_number, instance, fleet::MaintenanceStep::kSkipped });
-    } else if (step == fleet::MaintenanceStep::kOrdered) {
+    if (step == fleet::MaintenanceStep::kOrdered) {
       PlanOpenOrder(
         { aWave.m_number, instance }, aState, aWorkers, aNow, aPlan);
     } else if (step == fleet::MaintenanceStep::kDown &&
--- a/tests/unit/control/job_service_test.cpp
+++ b/tests/unit/control/job_service_test.cpp
@@ -59,8 +59,8 @@
       m_answerMaintenance = aDone;
     };
     jobs.m_calls.m_list = [](const auto& aDone) {
-      aDone(placement::InstanceList{
-        { { InstanceId{ "off" }, ServiceId{ "spare" }, true } } });
+      aDone(std::vector<placement::ListedInstance>{
+        { InstanceId{ "off" }, ServiceId{ "spare" }, true } });
     };
     m_service = std::make_unique<JobService>(
       *m_node, m_loop->m_io.provider->getTimer(), std::move(jobs));
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -455,46 +455,6 @@
   CHECK(Wave().IsDone());
 }
 
-// The operator waits for a wave that never ends: one of its instances was lost
-// for good and answers "busy" to each order. The platform has stopped listing
-// it.
-TEST(MaintenancePlanner, InstanceGoneForGood_IsSkippedOnceTwoListsLackIt)
-{
-  StartWave(1, 1);
-  m_table.Retire(WorkerId{ "w0" }, m_fleet.Book(), WallTime{ 0 });
-  m_planner.OnListed({}, At(9000));
-  Next(10'000);
-  CHECK(!Wave().IsDone());
-  m_planner.OnListed({}, At(10'000));
-  Next(10'100);
-  CHECK(!Wave().IsDone());
-  InstanceList incomplete;
-  incomplete.m_isComplete = false;
-  m_planner.OnListed(incomplete, At(11'500));
-  Next(11'600);
-  CHECK(!Wave().IsDone());
-  m_planner.OnListed({}, At(12'000));
-  Next(12'100);
-  CHECK(Wave().IsDone());
-}
-
-// It answers "busy" for now only: the platform still lists it, or its worker
-// reports. Skipped, it would miss its maintenance in a wave that is told done.
-TEST(MaintenancePlanner, InstanceListedOrHeard_IsNotSkipped)
-{
-  StartWave(2, 1);
-  m_table.Retire(WorkerId{ "w0" }, m_fleet.Book(), WallTime{ 0 });
-  const InstanceList list{
-    { { InstanceId{ "instance-of-w0" }, ServiceId{ "desk" }, false } }
-  };
-  m_planner.OnListed(list, At(5000));
-  m_planner.OnListed(list, At(9000));
-  Next(10'000);
-  for (const auto& [instance, step] : Wave().m_instances) {
-    CHECK(step != fleet::MaintenanceStep::kSkipped);
-  }
-}
-
 // Instances of a pool that is off have no worker that could report.
 TEST(MaintenancePlanner, InstanceThatNeverReports_WaveEndsAllTheSame)
 {
