--- a/tests/unit/placement/capacity_test.cpp
+++ b/tests/unit/placement/capacity_test.cpp
@@ -88,6 +88,18 @@
     return all;
   }
 
+  /** Long-running tasks on the first four workers of "desk", one on each. */
+  void StartFourApart()
+  {
+    StepSpec step = Step(4, 100);
+    step.m_longRunning = true;
+    step.m_maxPerWorker = 1;
+    m_fleet.Submit("lasting", Spec({ step }));
+    for (std::uint32_t i = 0; i < 4; ++i) {
+      m_fleet.Start(Ref("lasting", i), "desk" + std::to_string(i));
+    }
+  }
+
   /** 24 s of work on workers of 4 cores: four in 1.5 s. */
   void SubmitPeak()
   {
@@ -167,13 +179,7 @@
 TEST(CapacityPlanner, LongRunningTasksThatStayApart_KeepTheirWorkersAndOneMore)
 {
   Pool("desk", 7);
-  StepSpec step = Step(4, 100);
-  step.m_longRunning = true;
-  step.m_maxPerWorker = 1;
-  m_fleet.Submit("lasting", Spec({ step }));
-  for (std::uint32_t i = 0; i < 4; ++i) {
-    m_fleet.Start(Ref("lasting", i), "desk" + std::to_string(i));
-  }
+  StartFourApart();
   Next(10'000);
   LONGS_EQUAL(2, Next(12'600).m_orders.size());
 }
@@ -218,13 +224,7 @@
 // others are there as well, as the state shows, and must not be replaced.
 TEST(CapacityPlanner, NewLeader_BusyWorkersNotHeardYet_AreNotReplaced)
 {
-  StepSpec step = Step(4, 100);
-  step.m_longRunning = true;
-  step.m_maxPerWorker = 1;
-  m_fleet.Submit("lasting", Spec({ step }));
-  for (std::uint32_t i = 0; i < 4; ++i) {
-    m_fleet.Start(Ref("lasting", i), "desk" + std::to_string(i));
-  }
+  StartFourApart();
   Hear("desk0", "desk", 300);
   Hear("desk4", "desk", 300);
   for (int i = 0; i < 3; ++i) {
