Say why a worker is taken for lost, and what had just started there

Of a run that ended with its worker the log said neither which worker it was nor why that was taken for lost, so a task that crashes its workers could not be told from a rack that went dark, nor from a loss noticed late.

'worker lost' now names the worker, its instance, what shows the loss (a later life, a lease that ended, runs of a worker that this leader never heard), how long it was silent, its runs, how many of these had been sent and were shown by no report, and how many other workers fell silent at about the same moment though nothing had just started there. 'run ended' names the worker.

--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "bamboostile/jobs/book.h"
+#include "bamboostile/placement/losses.h"
 #include "bamboostile/placement/mechanisms.h"
 
 #include <map>
 #include <set>
+#include <utility>
 
 namespace bamboostile::placement {
 
@@ -145,6 +147,8 @@
   TimePoint m_leaseEnd;
   /** Silent for longer than its lease. */
   bool m_silent = false;
+  /** Of a silent one: starts were on their way to it. */
+  bool m_lostWhileStarting = false;
   /** Ends that were taken; those up to m_ackedUpTo are committed as well. */
   std::uint64_t m_takenUpTo = 0;
   std::uint64_t m_ackedUpTo = 0;
@@ -203,6 +207,9 @@
                                      TimePoint aNow,
                                      WallTime aWall);
 
+  /** Workers that were lost with runs since the last call. */
+  std::vector<LostWorker> TakeLost() { return std::exchange(m_lost, {}); }
+
   /** Runs that have got no further for long though their worker reports; the
    * worker counts each as a failure. */
   std::vector<StopOrder> FindStuck(const jobs::Book& aBook, TimePoint aNow);
@@ -273,6 +280,18 @@
   std::vector<jobs::EndRun> EndAll(const WorkerId& aWorker,
                                    const jobs::Book& aBook,
                                    WallTime aWall);
+  bool HasLaterLife(const Worker& aWorker) const;
+  /** Starts that were sent and that no report has shown. */
+  std::vector<jobs::TaskRef> FindUnshown(const Worker& aWorker,
+                                         const jobs::Book& aBook) const;
+  std::size_t CountLostBeside(const Worker& aWorker,
+                              const jobs::Book& aBook,
+                              TimePoint aNow) const;
+  /** Tells how it was lost, before it is forgotten. */
+  void NoteLoss(Worker& aWorker,
+                LossCause aCause,
+                const jobs::Book& aBook,
+                TimePoint aNow);
   Duration UsualNextReport(const Worker& aWorker,
                            const jobs::Book& aBook) const;
   Duration NextReport(const Worker& aWorker, const jobs::Book& aBook) const;
@@ -286,6 +305,8 @@
   std::set<WorkerId> m_retired;
   /** Workers of whose ends some are taken and not yet on a receipt. */
   std::set<WorkerId> m_takenFrom;
+  std::vector<LostWorker> m_lost;
+  RecentLosses m_recentLosses;
   /** Newest checkpoints that workers reported of runs under way. */
   std::map<jobs::TaskRef, std::string> m_checkpoints;
 };
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -222,11 +222,24 @@
 void
 JobService::Gather(std::vector<jobs::EndRun> aEnds)
 {
+  for (const placement::LostWorker& lost : m_workers->TakeLost()) {
+    LogLine(Level::kWarning, "worker lost")
+      .With("worker", lost.m_worker.Get())
+      .With("ofInstance", lost.m_instance.Get())
+      .With("cause", placement::Describe(lost.m_cause))
+      .With("silentMs", ToMillis(lost.m_silentFor).count())
+      .With("runs", lost.m_runs)
+      .With("starting", lost.m_starting)
+      .With("lostBeside", lost.m_lostBeside)
+      .Write();
+  }
   for (jobs::EndRun& end : aEnds) {
     m_metrics.Count(std::string{ "runs_ended_total{how=\"" } +
                     jobs::Describe(end.m_how) + "\"}");
+    const jobs::Task* task = m_node.State().Jobs().FindTask(end.m_task);
     if (end.m_how != jobs::RunEnd::kDone) {
       LogLine(Level::kInfo, "run ended")
+        .With("worker", task == nullptr ? "" : task->m_worker.Get())
         .With("job", end.m_task.m_job.Get())
         .With("occurrence", end.m_task.m_occurrence)
         .With("step", end.m_task.m_step)
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -261,6 +261,14 @@
     (aNow >= aWorker.m_firstHeardAt + m_options.m_confirmLife &&
      known->m_heardAt < aWorker.m_firstHeardAt);
   if (isConfirmed) {
+    const auto lost = m_workers.find(previous);
+    if (lost != m_workers.end()) {
+      Worker& worker = lost->second;
+      if (!worker.m_silent) {
+        NoteLoss(worker, LossCause::kLaterLife, aBook, aNow);
+      }
+      m_recentLosses.Add(worker.m_heardAt, worker.m_lostWhileStarting);
+    }
     aHeard.m_ends = Retire(previous, aBook, aWall);
     aHeard.m_changed = true;
     m_current[aReport.m_instance] = aReport.m_worker;
@@ -445,6 +453,7 @@
   };
   for (auto& [id, worker] : m_workers) {
     if (!worker.m_silent && aNow > worker.m_leaseEnd) {
+      NoteLoss(worker, LossCause::kLeaseEnded, aBook, aNow);
       worker.m_silent = true;
       worker.m_sentAt.clear();
       worker.m_toStop.clear();
@@ -458,12 +467,91 @@
   }
   for (const auto& [id, tasks] : aBook.Placed()) {
     if (!m_workers.contains(id)) {
+      m_lost.push_back({ id,
+                         InstanceId{},
+                         LossCause::kNeverHeard,
+                         aNow - m_leaderSince,
+                         tasks.size() });
       add(id);
     }
   }
   return ends;
 }
 
+bool
+WorkerTable::HasLaterLife(const Worker& aWorker) const
+{
+  const InstanceId& instance = aWorker.m_last.m_instance;
+  return !instance.Get().empty() &&
+         std::any_of(
+           m_workers.begin(), m_workers.end(), [&](const auto& aEntry) {
+             const Worker& other = aEntry.second;
+             return other.m_last.m_instance == instance &&
+                    other.m_firstHeardAt > aWorker.m_heardAt;
+           });
+}
+
+std::vector<jobs::TaskRef>
+WorkerTable::FindUnshown(const Worker& aWorker, const jobs::Book& aBook) const
+{
+  std::vector<jobs::TaskRef> unshown;
+  const WorkerReport& report = aWorker.m_last;
+  const auto placed = aBook.Placed().find(report.m_worker);
+  if (placed == aBook.Placed().end()) {
+    return unshown;
+  }
+  for (const jobs::TaskRef& ref : placed->second) {
+    const RunNumber run = aBook.FindTask(ref)->m_lastRun;
+    if (aWorker.m_sentAt.contains(ref) &&
+        !Contains(report.m_active, ref, run) &&
+        !Contains(report.m_ended, ref, run)) {
+      unshown.push_back(ref);
+    }
+  }
+  return unshown;
+}
+
+std::size_t
+WorkerTable::CountLostBeside(const Worker& aWorker,
+                             const jobs::Book& aBook,
+                             TimePoint aNow) const
+{
+  std::size_t count = m_recentLosses.CountUnprovoked(aWorker.m_heardAt);
+  for (const auto& [id, other] : m_workers) {
+    const bool isSilent = aNow >= other.m_heardAt + m_options.m_doubtAfter;
+    const bool isTogether =
+      other.m_heardAt <= aWorker.m_heardAt + kLostTogether &&
+      aWorker.m_heardAt <= other.m_heardAt + kLostTogether;
+    if (&other != &aWorker && isSilent && isTogether &&
+        !other.m_lostWhileStarting && FindUnshown(other, aBook).empty()) {
+      ++count;
+    }
+  }
+  return count;
+}
+
+void
+WorkerTable::NoteLoss(Worker& aWorker,
+                      LossCause aCause,
+                      const jobs::Book& aBook,
+                      TimePoint aNow)
+{
+  const WorkerId& id = aWorker.m_last.m_worker;
+  const auto placed = aBook.Placed().find(id);
+  const auto unshown = FindUnshown(aWorker, aBook);
+  aWorker.m_lostWhileStarting = !unshown.empty();
+  if (placed == aBook.Placed().end()) {
+    return;
+  }
+  m_lost.push_back({ id,
+                     aWorker.m_last.m_instance,
+                     HasLaterLife(aWorker) ? LossCause::kLaterLife : aCause,
+                     aNow - aWorker.m_heardAt,
+                     placed->second.size(),
+                     unshown.size(),
+                     CountLostBeside(aWorker, aBook, aNow) });
+}
+
 bool
 WorkerTable::IsAtWork(const jobs::TaskRef& aTask,
                       const jobs::Task& aState,
