--- a/fakes/worker.cpp
+++ b/fakes/worker.cpp
@@ -27,6 +27,9 @@
   std::vector<std::string> m_control;
   unsigned m_cpuMillis = 4000;
   unsigned m_taskMs = 50;
+  /** Starting a task with this payload crashes the worker; empty for none. */
+  std::string m_crashPayload;
+  unsigned m_restartMs = 2000;
 };
 
 /** A run under way. */
@@ -52,6 +55,9 @@
       if (!answer.is_null()) {
         Obey(answer);
       }
+      if (m_isCrashed) {
+        Restart();
+      }
       std::this_thread::sleep_for(Millis{ 20 });
     }
     Post("/leave", Json::object());
@@ -77,6 +83,25 @@
     });
   }
 
+  /** Comes back as another life of the same instance, with nothing running. */
+  void Restart()
+  {
+    m_isCrashed = false;
+    ++m_life;
+    m_sequence = 0;
+    m_lastEnd = 0;
+    m_fencingToken = 0;
+    m_running.clear();
+    m_ended.clear();
+    std::this_thread::sleep_for(Millis{ m_options.m_restartMs });
+  }
+
+  std::string LifeId() const
+  {
+    return m_life == 0 ? m_options.m_id
+                       : m_options.m_id + "-" + std::to_string(m_life);
+  }
+
   void AddEnd(const Json& aOrder, const char* aHow)
   {
     Json end = aOrder;
@@ -111,7 +136,7 @@
     http::Call call;
     call.m_address = m_options.m_control[m_next];
     call.m_method = "POST";
-    call.m_target = "/v1/workers/" + m_options.m_id + aWhat;
+    call.m_target = "/v1/workers/" + LifeId() + aWhat;
     call.m_body = std::make_shared<const std::string>(aBody.dump());
     call.m_timeout = std::chrono::seconds{ 1 };
     std::promise<http::CallResult> done;
@@ -149,10 +174,17 @@
       if (m_running.try_emplace(KeyOf(order), Running{ order, MonotonicNow() })
             .second) {
         std::cout << "start " << KeyOf(order) << std::endl;
+        m_isCrashed = m_isCrashed || Crashes(order);
       }
     }
   }
 
+  bool Crashes(const Json& aOrder) const
+  {
+    return !m_options.m_crashPayload.empty() &&
+           aOrder.at("payload") == m_options.m_crashPayload;
+  }
+
   static std::string KeyOf(const Json& aOrder)
   {
     return aOrder.at("job").get<std::string>() + "." +
@@ -163,6 +195,8 @@
   Options m_options;
   http::Client m_client;
   std::size_t m_next = 0;
+  unsigned m_life = 0;
+  bool m_isCrashed = false;
   std::uint64_t m_sequence = 0;
   std::uint64_t m_lastEnd = 0;
   std::uint64_t m_fencingToken = 0;
@@ -183,7 +217,9 @@
     "service", po::value(&options.m_service)->required())(
     "control", po::value(&options.m_control)->multitoken()->required())(
     "cpu-millis",
-    po::value(&options.m_cpuMillis))("task-ms", po::value(&options.m_taskMs));
+    po::value(&options.m_cpuMillis))("task-ms", po::value(&options.m_taskMs))(
+    "crash-payload", po::value(&options.m_crashPayload))(
+    "restart-ms", po::value(&options.m_restartMs));
   try {
     po::variables_map values;
     po::store(po::parse_command_line(aCount, aArguments, known), values);
--- a/tests/failure/jobs_test.cpp
+++ b/tests/failure/jobs_test.cpp
@@ -14,6 +14,8 @@
 
 constexpr Millis kLimit{ 30'000 };
 constexpr int kJobs = 30;
+/** Two more after three crashes. */
+constexpr int kMostStartsOfCrashingTask = 5;
 
 } // namespace
 
@@ -138,6 +140,43 @@
   CHECK(processes.Until([&]() { return IsCompleted(processes, 0); }, kLimit));
 }
 
+// One job's task crashes each worker that starts it, and the leader is killed
+// in between. The caller is told that the job has failed and why, the workers
+// are left alone from then on, and a job that waits beside it completes.
+TEST(Jobs, TaskCrashesItsWorkers_JobIsGivenUpWithReason)
+{
+  Processes processes(23800);
+  processes.StartAll();
+  PutQueue(processes);
+  for (int i = 1; i <= 3; ++i) {
+    processes.StartWorker(i, { "--crash-payload", "bad" });
+  }
+  const auto file = processes.Folder() / "bad.json";
+  std::ofstream(file) << R"({"payload": "bad", "steps": [
+      {"count": 1, "cpuMillis": 500, "memoryMb": 10}]})";
+  const auto submitted = [&]() {
+    return processes
+             .Cli(
+               { "job", "submit", "reviews", "bad", "--file", file.string() })
+             .m_exit == 0;
+  };
+  const auto starts = [&]() { return processes.TaskStarts()["bad.0.0.0"]; };
+  CHECK(processes.Until(submitted, kLimit));
+  CHECK(processes.Until([&]() { return starts() >= 1; }, kLimit));
+  processes.Kill(processes.LeaderName());
+  Submit(processes, 0);
+  std::string shown;
+  const auto isGivenUp = [&]() {
+    shown = processes.Cli({ "job", "show", "reviews", "bad" }).m_text;
+    return shown.find("failed") != std::string::npos;
+  };
+  CHECK(processes.Until(isGivenUp, 2 * kLimit));
+  CHECK(shown.find("step 0 task 0") != std::string::npos);
+  CHECK(shown.find("crashed") != std::string::npos);
+  CHECK(starts() <= kMostStartsOfCrashingTask);
+  CHECK(processes.Until([&]() { return IsCompleted(processes, 0); }, kLimit));
+}
+
 // Nobody initialises the group: three replicas start on empty disks with the
 // same seeds and are one group of three. All are restarted, told no more that
 // it is the first start, and are the same group with the same state.
--- a/tests/support/job_fixtures.h
+++ b/tests/support/job_fixtures.h
@@ -135,6 +135,9 @@
     return m_state.Jobs().Find(JobId{ aJob })->m_state;
   }
 
+  /** Goes on from its own snapshot, as another replica would. */
+  void Restore() { m_state = *fleet::State::Decode(m_state.Encode()); }
+
   const fleet::State& State() const { return m_state; }
   const jobs::Book& Book() const { return m_state.Jobs(); }
 
--- /dev/null
+++ b/tests/support/simulated_pool.cpp
@@ -0,0 +1,351 @@
+#include "simulated_pool.h"
+
+#include <algorithm>
+
+namespace simulated_pool {
+
+namespace {
+
+constexpr Millis kStep{ 10 };
+constexpr Millis kPass{ 50 };
+constexpr Millis kReportAfterEnd{ 50 };
+constexpr Millis kRetryReport{ 200 };
+constexpr Millis kStartupOfLongRunning{ 300 };
+constexpr std::uint32_t kCrashesCounted = 3;
+constexpr std::uint32_t kDonePercent = 100;
+
+bool
+Crashes(const placement::StartOrder& aOrder)
+{
+  return aOrder.m_payload == kCrashAll ||
+         (aOrder.m_payload == kCrashFirst && aOrder.m_task.m_index == 0);
+}
+
+} // namespace
+
+SimulatedPool::SimulatedPool(PoolOptions aOptions)
+  : m_options(aOptions)
+  , m_random(aOptions.m_seed)
+{
+  m_table.emplace(placement::LeaseOptions{}, TimePoint{});
+  for (std::uint32_t i = 0; i < m_options.m_workers; ++i) {
+    SimulatedWorker& worker = m_workers.emplace_back();
+    worker.m_instance = "i" + std::to_string(i);
+    worker.m_capacity = m_options.m_capacity;
+    worker.m_nextReport = m_now + Millis{ m_random() % kRetryReport.count() };
+  }
+}
+
+void
+SimulatedPool::Submit(const std::string& aJob, jobs::JobSpec aSpec)
+{
+  m_fleet.Submit(aJob, std::move(aSpec), Wall().Get());
+}
+
+void
+SimulatedPool::Pass(Millis aTime)
+{
+  for (const Millis end = m_now + aTime; m_now < end;) {
+    m_now += kStep;
+    Step();
+  }
+}
+
+void
+SimulatedPool::Step()
+{
+  std::vector<SimulatedWorker*> reporting;
+  for (SimulatedWorker& worker : m_workers) {
+    Live(worker);
+    if (!worker.m_downUntil && m_now >= worker.m_cutUntil &&
+        m_now >= worker.m_nextReport) {
+      reporting.push_back(&worker);
+    }
+  }
+  if (m_now >= m_leaderFrom) {
+    Lead(reporting);
+    return;
+  }
+  for (SimulatedWorker* worker : reporting) {
+    worker->m_nextReport = m_now + kRetryReport;
+  }
+}
+
+void
+SimulatedPool::Live(SimulatedWorker& aWorker)
+{
+  if (aWorker.m_crashAt && m_now >= *aWorker.m_crashAt) {
+    Crash(aWorker, m_options.m_restartTakes);
+  }
+  if (aWorker.m_downUntil && m_now >= *aWorker.m_downUntil) {
+    aWorker.m_downUntil.reset();
+    aWorker.m_nextReport = m_now;
+    aWorker.m_leaseEnd = m_now;
+  }
+  if (!aWorker.m_downUntil) {
+    EndRuns(aWorker);
+  }
+}
+
+void
+SimulatedPool::Crash(SimulatedWorker& aWorker, Millis aDown)
+{
+  const std::vector<Run> lost = std::exchange(aWorker.m_runs, {});
+  ++aWorker.m_life;
+  aWorker.m_sequence = 0;
+  aWorker.m_lastEnd = 0;
+  aWorker.m_ended.clear();
+  aWorker.m_crashAt.reset();
+  aWorker.m_downUntil = m_now + aDown;
+  BreakGangs(lost);
+}
+
+void
+SimulatedPool::BreakGangs(const std::vector<Run>& aLost)
+{
+  for (const Run& lost : aLost) {
+    const jobs::TaskRef& task = lost.m_order.m_task;
+    if (!StepOf(task).m_gang) {
+      continue;
+    }
+    for (SimulatedWorker& worker : m_workers) {
+      std::erase_if(worker.m_runs, [&](const Run& aRun) {
+        const jobs::TaskRef& other = aRun.m_order.m_task;
+        const bool isMember = other.m_job == task.m_job &&
+                              other.m_occurrence == task.m_occurrence &&
+                              other.m_step == task.m_step;
+        if (isMember) {
+          AddEnd(worker, aRun, jobs::RunEnd::kGangBroken);
+        }
+        return isMember;
+      });
+    }
+  }
+}
+
+void
+SimulatedPool::EndRuns(SimulatedWorker& aWorker)
+{
+  const bool isLapsed = m_now > aWorker.m_leaseEnd;
+  std::erase_if(aWorker.m_runs, [&](const Run& aRun) {
+    const bool isDone = m_now >= aRun.m_since + aRun.m_takes;
+    if (isLapsed || isDone) {
+      AddEnd(aWorker,
+             aRun,
+             isDone ? jobs::RunEnd::kDone : jobs::RunEnd::kLeaseExpired);
+    }
+    return isLapsed || isDone;
+  });
+}
+
+void
+SimulatedPool::AddEnd(SimulatedWorker& aWorker,
+                      const Run& aRun,
+                      jobs::RunEnd aHow)
+{
+  aWorker.m_ended.push_back({ ++aWorker.m_lastEnd,
+                              aRun.m_order.m_task,
+                              aRun.m_order.m_run,
+                              aHow,
+                              "" });
+  aWorker.m_nextReport =
+    std::min(aWorker.m_nextReport, m_now + kReportAfterEnd);
+}
+
+placement::RunReport
+SimulatedPool::Show(const Run& aRun) const
+{
+  const Millis age = m_now - aRun.m_since;
+  const Millis takes = StepOf(aRun.m_order.m_task).m_longRunning
+                         ? kStartupOfLongRunning
+                         : aRun.m_takes;
+  placement::RunReport shown;
+  shown.m_task = aRun.m_order.m_task;
+  shown.m_run = aRun.m_order.m_run;
+  shown.m_percent = static_cast<std::uint32_t>(
+    std::min<std::int64_t>(kDonePercent, age * kDonePercent / takes));
+  return shown;
+}
+
+placement::WorkerReport
+SimulatedPool::ReportOf(SimulatedWorker& aWorker) const
+{
+  placement::WorkerReport report;
+  report.m_worker = WorkerId{ aWorker.Id() };
+  report.m_instance = InstanceId{ aWorker.m_instance };
+  report.m_service = ServiceId{ "desk" };
+  report.m_capacity = aWorker.m_capacity;
+  report.m_sequence = ++aWorker.m_sequence;
+  report.m_ended = aWorker.m_ended;
+  for (const Run& run : aWorker.m_runs) {
+    report.m_active.push_back(Show(run));
+  }
+  return report;
+}
+
+void
+SimulatedPool::Lead(const std::vector<SimulatedWorker*>& aReporting)
+{
+  const jobs::Book& book = m_fleet.Book();
+  std::vector<jobs::EndRun> ends;
+  const auto add = [&](const std::vector<jobs::EndRun>& aMore) {
+    ends.insert(ends.end(), aMore.begin(), aMore.end());
+  };
+  for (SimulatedWorker* worker : aReporting) {
+    add(m_table->OnReport(ReportOf(*worker), book, Time(), Wall()).m_ends);
+  }
+  add(m_table->FindLost(book, Time(), Wall()));
+  m_fleet.Apply({ ends.begin(), ends.end() });
+  m_table->Acknowledge(m_table->TakeReceipts());
+  if (!ends.empty() || m_now >= m_nextPass) {
+    m_nextPass = m_now + kPass;
+    placement::Plan plan =
+      m_planner.Next(m_fleet.State(), *m_table, {}, Time(), Wall());
+    m_fleet.Apply(std::move(plan.m_changes));
+  }
+  for (SimulatedWorker* worker : aReporting) {
+    Obey(*worker, m_table->Answer(WorkerId{ worker->Id() }, book, Time()));
+  }
+}
+
+void
+SimulatedPool::Obey(SimulatedWorker& aWorker, const placement::Orders& aOrders)
+{
+  aWorker.m_leaseEnd = m_now + ToMillis(aOrders.m_lease);
+  aWorker.m_nextReport = m_now + ToMillis(aOrders.m_nextReport);
+  std::erase_if(aWorker.m_ended, [&](const placement::EndReport& aEnd) {
+    return aEnd.m_number <= aOrders.m_ackedUpTo;
+  });
+  for (const placement::StopOrder& stop : aOrders.m_stops) {
+    std::erase_if(aWorker.m_runs, [&](const Run& aRun) {
+      const bool isMeant = aRun.m_order.m_task == stop.m_task &&
+                           aRun.m_order.m_run == stop.m_run;
+      if (isMeant) {
+        AddEnd(aWorker, aRun, jobs::RunEnd::kStopped);
+      }
+      return isMeant;
+    });
+  }
+  for (const placement::StartOrder& start : aOrders.m_starts) {
+    Start(aWorker, start);
+  }
+}
+
+void
+SimulatedPool::Start(SimulatedWorker& aWorker,
+                     const placement::StartOrder& aOrder)
+{
+  const bool isThere = std::any_of(
+    aWorker.m_runs.begin(), aWorker.m_runs.end(), [&](const Run& aRun) {
+      return aRun.m_order.m_task == aOrder.m_task;
+    });
+  if (isThere) {
+    return;
+  }
+  TaskRecord& record = m_records[aOrder.m_task];
+  ++record.m_starts;
+  if (record.m_crashes >= kCrashesCounted) {
+    ++record.m_startsAfterThreeCrashes;
+  }
+  const jobs::StepSpec& step = StepOf(aOrder.m_task);
+  const Millis takes = step.m_longRunning ? Millis::max() / 2 : step.m_estimate;
+  aWorker.m_runs.push_back({ aOrder, m_now, takes });
+  if (Crashes(aOrder)) {
+    ++record.m_crashes;
+    ++m_crashesByTasks;
+    const Millis at = m_now + m_options.m_crashAfter;
+    aWorker.m_crashAt = std::min(aWorker.m_crashAt.value_or(at), at);
+  }
+}
+
+const jobs::StepSpec&
+SimulatedPool::StepOf(const jobs::TaskRef& aTask) const
+{
+  return m_fleet.Book().Find(aTask.m_job)->m_spec.m_steps[aTask.m_step];
+}
+
+void
+SimulatedPool::CrashWorker(std::uint32_t aWorker, Millis aDown)
+{
+  Crash(m_workers[aWorker], aDown);
+}
+
+void
+SimulatedPool::CutWorker(std::uint32_t aWorker, Millis aTime)
+{
+  m_workers[aWorker].m_cutUntil = m_now + aTime;
+}
+
+void
+SimulatedPool::Resize(std::uint32_t aWorker, jobs::Resources aCapacity)
+{
+  m_workers[aWorker].m_capacity = aCapacity;
+}
+
+void
+SimulatedPool::ReplaceLeader(Millis aGap)
+{
+  m_fleet.Restore();
+  m_leaderFrom = m_now + aGap;
+  m_table.emplace(placement::LeaseOptions{}, TimePoint{ m_leaderFrom });
+  m_planner = placement::Planner{};
+}
+
+jobs::JobState
+SimulatedPool::StateOf(const std::string& aJob) const
+{
+  return m_fleet.StateOf(aJob);
+}
+
+const jobs::Job&
+SimulatedPool::JobOf(const std::string& aJob) const
+{
+  return *m_fleet.Book().Find(JobId{ aJob });
+}
+
+const TaskRecord&
+SimulatedPool::RecordOf(const jobs::TaskRef& aTask)
+{
+  return m_records[aTask];
+}
+
+std::uint32_t
+SimulatedPool::MostStartsAfterThreeCrashes() const
+{
+  std::uint32_t most = 0;
+  for (const auto& [task, record] : m_records) {
+    most = std::max(most, record.m_startsAfterThreeCrashes);
+  }
+  return most;
+}
+
+std::size_t
+SimulatedPool::CountJobs(jobs::JobState aState) const
+{
+  const auto& all = m_fleet.Book().Jobs();
+  return static_cast<std::size_t>(
+    std::count_if(all.begin(), all.end(), [&](const auto& aEntry) {
+      return aEntry.second.m_state == aState;
+    }));
+}
+
+bool
+SimulatedPool::IsWithinCapacity() const
+{
+  return std::all_of(
+    m_workers.begin(), m_workers.end(), [&](const SimulatedWorker& aWorker) {
+      std::int64_t cpu = 0;
+      for (const Run& run : aWorker.m_runs) {
+        cpu += StepOf(run.m_order.m_task).CountedCpu();
+      }
+      return cpu <= aWorker.m_capacity.m_cpuMillis;
+    });
+}
+
+std::uint32_t
+SimulatedPool::RunningOn(std::uint32_t aWorker) const
+{
+  return static_cast<std::uint32_t>(m_workers[aWorker].m_runs.size());
+}
+
+} // namespace simulated_pool
--- /dev/null
+++ b/tests/support/simulated_pool.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "job_fixtures.h"
+
+#include <random>
+
+/** One pool of workers and its leader, in virtual time. */
+namespace simulated_pool {
+
+using namespace bamboostile;
+
+/** Payloads of jobs whose first task, or each task, crashes its worker. */
+constexpr const char* kCrashFirst = "crash first";
+constexpr const char* kCrashAll = "crash all";
+
+struct PoolOptions
+{
+  std::uint32_t m_workers = 12;
+  jobs::Resources m_capacity{ 16'000, 32'000, 0 };
+  /** From a crash to the first report of the next life. */
+  Millis m_restartTakes{ 2'500 };
+  /** From the start of a task that crashes its worker to the crash. */
+  Millis m_crashAfter{ 10 };
+  unsigned m_seed = 1;
+};
+
+struct TaskRecord
+{
+  std::uint32_t m_starts = 0;
+  /** Workers that crashed because of it. */
+  std::uint32_t m_crashes = 0;
+  std::uint32_t m_startsAfterThreeCrashes = 0;
+};
+
+/**
+ * @brief Workers that report, obey, crash and come back, and a leader that
+ * places tasks on them, without threads or sockets.
+ *
+ * Each step of time takes all due reports, commits, plans and answers, as a
+ * leader does that is not full.
+ */
+class SimulatedPool
+{
+public:
+  explicit SimulatedPool(PoolOptions aOptions = {});
+
+  void Submit(const std::string& aJob, jobs::JobSpec aSpec);
+  void Pass(Millis aTime);
+  /** Silent from now on; a new life reports after aDown. */
+  void CrashWorker(std::uint32_t aWorker, Millis aDown);
+  /** Unreachable; the same life reports again after aTime. */
+  void CutWorker(std::uint32_t aWorker, Millis aTime);
+  void Resize(std::uint32_t aWorker, jobs::Resources aCapacity);
+  /** The next leader begins after aGap from the snapshot of the last one. */
+  void ReplaceLeader(Millis aGap);
+
+  jobs::JobState StateOf(const std::string& aJob) const;
+  const jobs::Job& JobOf(const std::string& aJob) const;
+  const TaskRecord& RecordOf(const jobs::TaskRef& aTask);
+  /** Over all tasks. */
+  std::uint32_t MostStartsAfterThreeCrashes() const;
+  std::uint32_t CrashesByTasks() const { return m_crashesByTasks; }
+  std::size_t CountJobs(jobs::JobState aState) const;
+  /** Whether all workers are within what they report. */
+  bool IsWithinCapacity() const;
+  std::uint32_t RunningOn(std::uint32_t aWorker) const;
+  Millis Now() const { return m_now; }
+
+private:
+  struct Run
+  {
+    placement::StartOrder m_order;
+    Millis m_since;
+    Millis m_takes;
+  };
+
+  struct SimulatedWorker
+  {
+    std::string m_instance;
+    std::uint32_t m_life = 0;
+    std::uint64_t m_sequence = 0;
+    std::uint64_t m_lastEnd = 0;
+    jobs::Resources m_capacity;
+    std::vector<Run> m_runs;
+    std::vector<placement::EndReport> m_ended;
+    Millis m_nextReport{};
+    Millis m_leaseEnd{};
+    std::optional<Millis> m_crashAt;
+    std::optional<Millis> m_downUntil;
+    Millis m_cutUntil{};
+
+    std::string Id() const
+    {
+      return m_instance + "-" + std::to_string(m_life);
+    }
+  };
+
+  void Step();
+  void Live(SimulatedWorker& aWorker);
+  void Crash(SimulatedWorker& aWorker, Millis aDown);
+  void BreakGangs(const std::vector<Run>& aLost);
+  void EndRuns(SimulatedWorker& aWorker);
+  void AddEnd(SimulatedWorker& aWorker, const Run& aRun, jobs::RunEnd aHow);
+  placement::WorkerReport ReportOf(SimulatedWorker& aWorker) const;
+  placement::RunReport Show(const Run& aRun) const;
+  void Lead(const std::vector<SimulatedWorker*>& aReporting);
+  void Obey(SimulatedWorker& aWorker, const placement::Orders& aOrders);
+  void Start(SimulatedWorker& aWorker, const placement::StartOrder& aOrder);
+  const jobs::StepSpec& StepOf(const jobs::TaskRef& aTask) const;
+  TimePoint Time() const { return TimePoint{ m_now }; }
+  WallTime Wall() const { return WallTime{ m_now.count() }; }
+
+  PoolOptions m_options;
+  std::minstd_rand m_random;
+  job_fixtures::Fleet m_fleet;
+  Millis m_now{ 10'000 };
+  std::vector<SimulatedWorker> m_workers;
+  std::optional<placement::WorkerTable> m_table;
+  placement::Planner m_planner;
+  Millis m_leaderFrom{};
+  Millis m_nextPass{};
+  std::map<jobs::TaskRef, TaskRecord> m_records;
+  std::uint32_t m_crashesByTasks = 0;
+};
+
+} // namespace simulated_pool
--- /dev/null
+++ b/tests/unit/placement/crash_loops_test.cpp
@@ -0,0 +1,140 @@
+#include "simulated_pool.h"
+
+#include "check.h"
+
+using namespace bamboostile;
+using namespace bamboostile::jobs;
+using namespace job_fixtures;
+using simulated_pool::kCrashAll;
+using simulated_pool::kCrashFirst;
+using simulated_pool::PoolOptions;
+using simulated_pool::SimulatedPool;
+
+namespace {
+
+constexpr Millis kMinute{ 60'000 };
+/** The bound of the service: a third start after three crashes breaks it. */
+constexpr std::uint32_t kMostStartsAfterThreeCrashes = 2;
+
+JobSpec
+Crashing(const char* aWhich, std::vector<StepSpec> aSteps)
+{
+  JobSpec spec = Spec(std::move(aSteps));
+  spec.m_payload = aWhich;
+  return spec;
+}
+
+StepSpec
+LongRunning(std::uint32_t aCount)
+{
+  StepSpec step = Step(aCount);
+  step.m_longRunning = true;
+  return step;
+}
+
+StepSpec
+Gang(std::uint32_t aCount)
+{
+  StepSpec step = Step(aCount, 8000);
+  step.m_gang = true;
+  return step;
+}
+
+} // namespace
+
+TEST_GROUP(CrashLoops)
+{
+  SimulatedPool m_pool;
+
+  void CheckGivenUp(const std::string& aJob)
+  {
+    CHECK_COMPARE(m_pool.MostStartsAfterThreeCrashes(),
+                  <=,
+                  kMostStartsAfterThreeCrashes);
+    STRCMP_EQUAL("failed", Describe(m_pool.StateOf(aJob)));
+  }
+};
+
+// Callers of other queues see refusals and failures while one task takes a
+// worker down every five seconds. Each crash ended its run as "worker lost",
+// which counted as nobody's fault, and the task waited again at once, without
+// a limit. The log showed it: 20 runs of one task, each lost with its worker,
+// about a lease apart, across two leaders.
+TEST(CrashLoops, TaskCrashesEveryWorker_JobIsGivenUp)
+{
+  m_pool.Submit("bad", Crashing(kCrashFirst, { Step(6) }));
+  m_pool.Pass(kMinute);
+  CheckGivenUp("bad");
+}
+
+// Guards against counts that are lost with the leader that made them.
+TEST(CrashLoops, LeaderReplacedBetweenCrashes_JobIsGivenUp)
+{
+  m_pool.Submit("bad", Crashing(kCrashFirst, { Step(1) }));
+  for (int i = 0; i < 20; ++i) {
+    m_pool.Pass(Millis{ 7'000 });
+    m_pool.ReplaceLeader(Millis{ 1'000 });
+  }
+  CheckGivenUp("bad");
+}
+
+// Guards against the same loop by way of tasks that are restarted however they
+// end.
+TEST(CrashLoops, LongRunningTaskCrashesEveryWorker_JobIsGivenUp)
+{
+  m_pool.Submit("bad", Crashing(kCrashFirst, { LongRunning(3) }));
+  m_pool.Pass(kMinute);
+  CheckGivenUp("bad");
+}
+
+// Guards against the same loop by way of a gang, which starts anew as a whole.
+TEST(CrashLoops, MemberOfGangCrashesEveryWorker_JobIsGivenUp)
+{
+  m_pool.Submit("bad", Crashing(kCrashFirst, { Gang(4) }));
+  m_pool.Submit("worse", Crashing(kCrashAll, { Gang(4) }));
+  m_pool.Pass(kMinute);
+  CheckGivenUp("bad");
+  CheckGivenUp("worse");
+}
+
+// Guards against the same loop by way of occurrences, each with tasks of its
+// own.
+TEST(CrashLoops, EachOccurrenceCrashesItsWorker_JobIsGivenUp)
+{
+  JobSpec spec = Crashing(kCrashFirst, { Step(1) });
+  spec.m_repeatCount = 10;
+  spec.m_startAt = WallTime{ m_pool.Now().count() };
+  spec.m_interval = Millis{ 4'000 };
+  m_pool.Submit("bad", spec);
+  m_pool.Pass(kMinute);
+  CheckGivenUp("bad");
+}
+
+// Guards against sound jobs that are given up for what took their workers: a
+// rack that goes dark again and again, and workers that are cut off and live.
+TEST(CrashLoops, WorkersAreLostUnderSoundJobs_NoneIsGivenUp)
+{
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    PoolOptions options;
+    options.m_seed = seed;
+    SimulatedPool pool{ options };
+    std::minstd_rand random{ seed };
+    pool.Submit("lasting", Spec({ LongRunning(5) }));
+    for (int i = 0; i < 100; ++i) {
+      pool.Submit("job" + std::to_string(i), Spec({ Step(6), Step(3, 2000) }));
+      pool.Pass(Millis{ 300 });
+      if (i % 8 == 0) {
+        const std::uint32_t first = random() % 8;
+        for (std::uint32_t w = first; w < first + 4; ++w) {
+          pool.CrashWorker(w, Millis{ 2'500 });
+        }
+      }
+      if (i % 30 == 0) {
+        pool.CutWorker(random() % options.m_workers, Millis{ 6'000 });
+      }
+    }
+    pool.Pass(kMinute);
+    LONGS_EQUAL(100, pool.CountJobs(JobState::kCompleted));
+    LONGS_EQUAL(0, pool.CountJobs(JobState::kFailed));
+  }
+}
