Check a worker's room when a start leaves, and count what is being stopped

A worker that does not guard its room was loaded beyond it. A start was checked against the room when it was planned; while its batch was on the way to the disks the worker reported less, and the start was sent with each answer all the same. A new leader sent whatever it found in the log. And a run that was given up with its worker, but goes on there until it is stopped, held no room: the planner counted only what the state has placed.

Now an answer leaves out the starts that do not fit what the worker last reported, less all it shows as active. A start left out that was never sent is ended at once and placed elsewhere; one that was sent once stays until no answer can be under way any more, as it may have been obeyed. Runs that already are there are left alone, and room that grows is used again.

A pool's size came from the room of whichever of its workers was listed last; one that had shrunk to 100 thousandths made the pool ask for more instances than there are. The mean of its workers is taken instead. No worker that is too small even when empty is kept free for a large task.

The five tests of ShrinkingRoom failed before: two starts sent where one fits, a start that stays placed, one sent again, one planned into a room that a run still holds, over six workers wanted where six do.

--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -133,6 +133,8 @@
   {
     std::size_t m_have = 0;
     std::size_t m_want = 0;
+    std::size_t m_reporting = 0;
+    /** Of one worker, in thousandths. */
     std::size_t m_cores = 0;
     std::int64_t m_work = 0;
     std::int64_t m_cpu = 0;
@@ -142,6 +144,13 @@
 
     bool IsShort() const { return m_have < m_want; }
     bool HasSpare() const { return m_have > m_want; }
+    /** Of the workers that report; one whose room has shrunk counts little. */
+    std::optional<std::size_t> MeanCores() const
+    {
+      return m_cpu == 0
+               ? std::nullopt
+               : std::optional{ static_cast<std::size_t>(m_cpu) / m_reporting };
+    }
   };
 
   using Pools = std::map<ServiceId, Pool>;
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -130,6 +130,18 @@
   std::uint64_t m_upTo = 0;
 };
 
+/** What runs hold of a worker. */
+struct RoomUse
+{
+  std::int64_t m_cpuMillis = 0;
+  std::int64_t m_memoryMb = 0;
+  std::int64_t m_accelerators = 0;
+
+  void Add(const jobs::StepSpec& aStep);
+  bool Leaves(const jobs::Resources& aCapacity,
+              const jobs::StepSpec& aStep) const;
+};
+
 /** How far a run had come when it last got any further. */
 struct Progress
 {
@@ -149,6 +161,10 @@
   bool m_silent = false;
   /** Of a silent one: starts were on their way to it. */
   bool m_lostWhileStarting = false;
+  /** What its last report shows as active; of that, what the state does not
+   * have there. */
+  RoomUse m_activeUse;
+  RoomUse m_strayUse;
   /** Ends that were taken; those up to m_ackedUpTo are committed as well. */
   std::uint64_t m_takenUpTo = 0;
   std::uint64_t m_ackedUpTo = 0;
@@ -281,6 +297,10 @@
                                    const jobs::Book& aBook,
                                    WallTime aWall);
   bool HasLaterLife(const Worker& aWorker) const;
+  void CountActive(Worker& aWorker, const jobs::Book& aBook) const;
+  /** Starts that no longer fit what the worker last reported. */
+  std::vector<jobs::TaskRef> FindRoomless(const Worker& aWorker,
+                                          const jobs::Book& aBook) const;
   /** Starts that were sent and that no report has shown. */
   std::vector<jobs::TaskRef> FindUnshown(const Worker& aWorker,
                                          const jobs::Book& aBook) const;
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -104,7 +104,7 @@
         aReserved.contains(id) &&
         m_options.m_mechanisms.Has(Mechanism::kReplacement);
       pool->second.m_have += isReplaced ? 0 : 1;
-      pool->second.m_cores = worker.m_last.m_capacity.m_cpuMillis;
+      ++pool->second.m_reporting;
       pool->second.m_cpu += worker.m_last.m_capacity.m_cpuMillis;
       const Use use = FindUse(aState.Jobs(), id);
       pool->second.m_used += use.m_cpu;
@@ -114,7 +114,7 @@
     }
   }
   for (auto& [service, pool] : pools) {
-    pool.m_cores = pool.m_cores == 0 ? anyCores : pool.m_cores;
+    pool.m_cores = pool.MeanCores().value_or(anyCores);
   }
   // Before any worker has reported nobody knows how large one is.
   if (anyCores == 0) {
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -84,7 +84,11 @@
       continue;
     }
     const jobs::Resources& all = worker.m_last.m_capacity;
-    Room room{ &worker, all.m_cpuMillis, all.m_memoryMb, all.m_accelerators };
+    const RoomUse& stray = worker.m_strayUse;
+    Room room{ &worker,
+               all.m_cpuMillis - stray.m_cpuMillis,
+               all.m_memoryMb - stray.m_memoryMb,
+               all.m_accelerators - stray.m_accelerators };
     const auto placed = book.Placed().find(id);
     if (placed != book.Placed().end()) {
       for (const jobs::TaskRef& ref : placed->second) {
@@ -259,6 +263,10 @@
     });
   const jobs::Resources& all = emptiest.m_worker->m_last.m_capacity;
   const jobs::Resources& needs = aStep.m_needs;
+  // One whose room has shrunk may be too small even when it is empty.
+  if (!RoomUse{}.Leaves(all, aStep)) {
+    return;
+  }
   emptiest.m_kept = aStep.CountedCpu() * kLargeShare > all.m_cpuMillis ||
                     needs.m_memoryMb * kLargeShare > all.m_memoryMb ||
                     needs.m_accelerators > 0;
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -89,6 +89,24 @@
 
 } // namespace
 
+void
+RoomUse::Add(const jobs::StepSpec& aStep)
+{
+  m_cpuMillis += aStep.CountedCpu();
+  m_memoryMb += aStep.m_needs.m_memoryMb;
+  m_accelerators += aStep.m_needs.m_accelerators;
+}
+
+bool
+RoomUse::Leaves(const jobs::Resources& aCapacity,
+                const jobs::StepSpec& aStep) const
+{
+  return m_cpuMillis + aStep.CountedCpu() <= aCapacity.m_cpuMillis &&
+         m_memoryMb + aStep.m_needs.m_memoryMb <= aCapacity.m_memoryMb &&
+         m_accelerators + aStep.m_needs.m_accelerators <=
+           aCapacity.m_accelerators;
+}
+
 WorkerTable::WorkerTable(LeaseOptions aOptions, TimePoint aLeaderSince)
   : m_options(aOptions)
   , m_leaderSince(aLeaderSince)
@@ -177,6 +195,7 @@
       m_checkpoints[run.m_task] = run.m_checkpoint;
     }
   }
+  CountActive(worker, aBook);
   FollowProgress(worker, aNow);
   TakeEnds(worker, aReport, aBook, aNow, aWall, heard);
   FindUnstarted(worker, aBook, aNow, aWall, heard);
@@ -370,6 +389,55 @@
   }
 }
 
+// A run that is being stopped holds its room until it ends, also one that the
+// state has placed elsewhere by now.
+void
+WorkerTable::CountActive(Worker& aWorker, const jobs::Book& aBook) const
+{
+  const WorkerReport& report = aWorker.m_last;
+  aWorker.m_activeUse = {};
+  aWorker.m_strayUse = {};
+  for (const RunReport& run : report.m_active) {
+    const jobs::Job* job = aBook.Find(run.m_task.m_job);
+    if (job == nullptr || run.m_task.m_step >= job->m_spec.m_steps.size()) {
+      continue;
+    }
+    const jobs::StepSpec& step = StepOf(*job, run.m_task);
+    aWorker.m_activeUse.Add(step);
+    if (!IsExpected(aBook, report.m_worker, run.m_task, run.m_run)) {
+      aWorker.m_strayUse.Add(step);
+    }
+  }
+}
+
+// A worker may report less room after a start was decided; one that does not
+// guard its room would take the start all the same.
+std::vector<jobs::TaskRef>
+WorkerTable::FindRoomless(const Worker& aWorker, const jobs::Book& aBook) const
+{
+  std::vector<jobs::TaskRef> roomless;
+  const WorkerReport& report = aWorker.m_last;
+  const auto placed = aBook.Placed().find(report.m_worker);
+  if (placed == aBook.Placed().end()) {
+    return roomless;
+  }
+  RoomUse use = aWorker.m_activeUse;
+  for (const jobs::TaskRef& ref : placed->second) {
+    const RunNumber run = aBook.FindTask(ref)->m_lastRun;
+    if (Contains(report.m_active, ref, run) ||
+        Contains(report.m_ended, ref, run)) {
+      continue;
+    }
+    const jobs::StepSpec& step = StepOf(*aBook.Find(ref.m_job), ref);
+    if (use.Leaves(report.m_capacity, step)) {
+      use.Add(step);
+    } else {
+      roomless.push_back(ref);
+    }
+  }
+  return roomless;
+}
+
 // A start that was sent and that no report shows, long after, was lost with its
 // answer. Where the run is no longer wanted there, this frees its place; the
 // others are simply sent again. Without it a task whose start was lost on a
@@ -388,11 +456,13 @@
   if (placed == aBook.Placed().end()) {
     return;
   }
+  const auto roomless = FindRoomless(aWorker, aBook);
   for (const jobs::TaskRef& ref : placed->second) {
     const jobs::Task* task = aBook.FindTask(ref);
     const jobs::Job* job = aBook.Find(ref.m_job);
     const bool wanted =
-      job->m_state == jobs::JobState::kActive && !report.m_draining;
+      job->m_state == jobs::JobState::kActive && !report.m_draining &&
+      std::find(roomless.begin(), roomless.end(), ref) == roomless.end();
     if (wanted || Contains(report.m_active, ref, task->m_lastRun) ||
         Contains(report.m_ended, ref, task->m_lastRun)) {
       continue;
@@ -696,10 +766,12 @@
   }
   const auto placed = aBook.Placed().find(aWorker);
   if (placed != aBook.Placed().end() && !report.m_draining) {
+    const auto roomless = FindRoomless(worker, aBook);
     for (const jobs::TaskRef& ref : placed->second) {
       const jobs::Task* task = aBook.FindTask(ref);
       const jobs::Job* job = aBook.Find(ref.m_job);
       if (job->m_state != jobs::JobState::kActive ||
+          std::find(roomless.begin(), roomless.end(), ref) != roomless.end() ||
           Contains(report.m_active, ref, task->m_lastRun) ||
           Contains(report.m_ended, ref, task->m_lastRun)) {
         continue;
--- a/tests/support/simulated_pool.cpp
+++ b/tests/support/simulated_pool.cpp
@@ -143,11 +143,8 @@
                       const Run& aRun,
                       jobs::RunEnd aHow)
 {
-  aWorker.m_ended.push_back({ ++aWorker.m_lastEnd,
-                              aRun.m_order.m_task,
-                              aRun.m_order.m_run,
-                              aHow,
-                              "" });
+  aWorker.m_ended.push_back(
+    { ++aWorker.m_lastEnd, aRun.m_order.m_task, aRun.m_order.m_run, aHow, "" });
   aWorker.m_nextReport =
     std::min(aWorker.m_nextReport, m_now + kReportAfterEnd);
 }
@@ -218,8 +215,8 @@
   });
   for (const placement::StopOrder& stop : aOrders.m_stops) {
     std::erase_if(aWorker.m_runs, [&](const Run& aRun) {
-      const bool isMeant = aRun.m_order.m_task == stop.m_task &&
-                           aRun.m_order.m_run == stop.m_run;
+      const bool isMeant =
+        aRun.m_order.m_task == stop.m_task && aRun.m_order.m_run == stop.m_run;
       if (isMeant) {
         AddEnd(aWorker, aRun, jobs::RunEnd::kStopped);
       }
--- a/tests/support/simulated_pool.h
+++ b/tests/support/simulated_pool.h
@@ -89,10 +89,7 @@
     std::optional<Millis> m_downUntil;
     Millis m_cutUntil{};
 
-    std::string Id() const
-    {
-      return m_instance + "-" + std::to_string(m_life);
-    }
+    std::string Id() const { return m_instance + "-" + std::to_string(m_life); }
   };
 
   void Step();
--- a/tests/unit/placement/crash_loops_test.cpp
+++ b/tests/unit/placement/crash_loops_test.cpp
@@ -48,9 +48,8 @@
 
   void CheckGivenUp(const std::string& aJob)
   {
-    CHECK_COMPARE(m_pool.MostStartsAfterThreeCrashes(),
-                  <=,
-                  kMostStartsAfterThreeCrashes);
+    CHECK_COMPARE(
+      m_pool.MostStartsAfterThreeCrashes(), <=, kMostStartsAfterThreeCrashes);
     STRCMP_EQUAL("failed", Describe(m_pool.StateOf(aJob)));
   }
 };
--- a/tests/unit/placement/shrinking_room_test.cpp
+++ b/tests/unit/placement/shrinking_room_test.cpp
@@ -98,8 +98,7 @@
   m_fleet.Start(Ref("a", 0), "w1");
   m_fleet.Start(Ref("a", 1), "w1");
   Answer(kLater);
-  const auto running =
-    std::vector{ Active(Ref("a", 0)), Active(Ref("a", 1)) };
+  const auto running = std::vector{ Active(Ref("a", 0)), Active(Ref("a", 1)) };
   CHECK(Hear(Shrunk(2, 1000, running), kLater + 200).m_ends.empty());
   CHECK(Answer(kLater + 200).m_stops.empty());
 }
