--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -129,6 +129,7 @@
   void Hold(Waiting aOne, TimePoint aNow);
   void AnswerHeld(bool aLeads, TimePoint aNow);
   void LearnFrom(const std::vector<jobs::Change>& aChanges, TimePoint aNow);
+  void NoteIfCrashLoop(const jobs::Job& aJob, const jobs::EndRun& aEnd);
   void StopStuckRuns(TimePoint aNow);
   void OnLifeEnded(const WorkerId& aWorker);
   kj::Promise<jobs::QueueReply> Submit(const fleet::QueueRoute& aRoute,
@@ -153,6 +154,7 @@
   TimePoint m_nextInstances;
   TimePoint m_nextLost;
   TimePoint m_nextForget;
+  TimePoint m_nextSettle;
   struct Held
   {
     Waiting m_report;
--- a/include/bamboostile/jobs/book.h
+++ b/include/bamboostile/jobs/book.h
@@ -3,6 +3,7 @@
 #include "bamboostile/jobs/model.h"
 
 #include <functional>
+#include <set>
 #include <unordered_map>
 #include <unordered_set>
 #include <variant>
@@ -37,6 +38,16 @@
   RunEnd m_how = RunEnd::kDone;
   std::string m_checkpoint;
   WallTime m_at;
+  /** Of a run that ended with its worker. */
+  CrashEvidence m_evidence = CrashEvidence::kNone;
+  InstanceId m_lostInstance{};
+};
+
+/** A long-running task has been at work for long. */
+struct SettleRun
+{
+  TaskRef m_task;
+  RunNumber m_run;
 };
 
 /** Ends a job that cannot be completed. */
@@ -53,8 +64,8 @@
   WallTime m_before;
 };
 
-using Change =
-  std::variant<Submit, Cancel, StartRun, EndRun, FailJob, ForgetEnded>;
+using Change = std::
+  variant<Submit, Cancel, StartRun, EndRun, FailJob, ForgetEnded, SettleRun>;
 
 /** One entry of the log; a sync of the disk carries all of it. */
 struct Batch
@@ -104,6 +115,11 @@
     return m_placed;
   }
   const Task* FindTask(const TaskRef& aTask) const;
+  /** Of a task that exists; of a gang, those of all its members. */
+  std::vector<WorkerLoss> LossesOf(const TaskRef& aTask) const;
+  bool AreOneGang(const TaskRef& aLeft, const TaskRef& aRight) const;
+  /** Tasks of active jobs under which workers were lost. */
+  const std::set<TaskRef>& LostWithWorkers() const { return m_lost; }
   /** Accepted jobs without a due time of which no task has started. */
   std::uint64_t Pending(const QueueId& aQueue) const;
 
@@ -120,8 +136,10 @@
   CallOutcome On(const EndRun& aEnd, const AttemptLimit& aLimit);
   CallOutcome On(const FailJob& aFail, const AttemptLimit&);
   CallOutcome On(const ForgetEnded& aForget, const AttemptLimit&);
+  CallOutcome On(const SettleRun& aSettle, const AttemptLimit&);
 
   Job* FindJob(const JobId& aId);
+  Task* FindTaskToChange(const TaskRef& aTask);
   void Unplace(const WorkerId& aWorker, const TaskRef& aTask);
   void Finish(Job& aJob, JobState aState, WallTime aAt);
   void WaitAgain(Job& aJob);
@@ -131,6 +149,7 @@
                    const EndRun& aEnd,
                    const StepRun& aStep,
                    const AttemptLimit& aLimit);
+  void AddLoss(Job& aJob, const EndRun& aEnd, StepRun& aStep);
   /** Derived from m_jobs; made anew after a snapshot was read. */
   void Reindex();
 
@@ -139,6 +158,7 @@
   std::map<std::uint64_t, JobId> m_open;
   std::unordered_map<WorkerId, std::vector<TaskRef>> m_placed;
   std::unordered_map<QueueId, std::uint64_t> m_pending;
+  std::set<TaskRef> m_lost;
 };
 
 std::string EncodeBatch(const Batch& aBatch);
--- a/include/bamboostile/jobs/model.h
+++ b/include/bamboostile/jobs/model.h
@@ -102,6 +102,30 @@
   kDone,
 };
 
+/** What the loss of a worker says about a task that it ran. Values are kept in
+ * logs. */
+enum class CrashEvidence : std::uint8_t
+{
+  kNone = 0,
+  /** The task was at work there, perhaps beside the one that is to blame. */
+  kRunning = 1,
+  /** It had just been started there. */
+  kStarting = 2,
+  /** It was a suspect, and nothing else explains the loss. */
+  kAlone = 3,
+};
+
+/** A worker that was lost with a task on it, for no reason known. */
+struct WorkerLoss
+{
+  WorkerId m_worker;
+  /** Empty where the worker was never heard. */
+  InstanceId m_instance;
+  RunNumber m_run;
+  CrashEvidence m_evidence = CrashEvidence::kNone;
+  WallTime m_at;
+};
+
 struct Task
 {
   TaskPhase m_phase = TaskPhase::kWaiting;
@@ -110,6 +134,10 @@
   /** Where the last run is or was. */
   WorkerId m_worker;
   std::string m_checkpoint;
+  std::vector<WorkerLoss> m_losses;
+  /** Long-running: the run has been at work for so long that the loss of its
+   * worker says nothing about it. */
+  bool m_settled = false;
 };
 
 struct StepRun
@@ -185,5 +213,6 @@
 
 const char* Describe(RunEnd aEnd) noexcept;
 const char* Describe(JobState aState) noexcept;
+const char* Describe(CrashEvidence aEvidence) noexcept;
 
 } // namespace bamboostile::jobs
--- a/include/bamboostile/placement/losses.h
+++ b/include/bamboostile/placement/losses.h
@@ -31,8 +31,8 @@
   std::size_t m_runs = 0;
   /** Of the runs: sent to the worker, and shown by no report. */
   std::size_t m_starting = 0;
-  /** Other workers that fell silent at about the same moment, though nothing
-   * had just started there. */
+  /** Other workers that fell silent at about the same moment, with no suspect
+   * on trial there. */
   std::size_t m_lostBeside = 0;
 };
 
@@ -43,24 +43,17 @@
 /**
  * @brief When workers that are forgotten by now fell silent.
  *
- * Losses at the same moment on workers where nothing had just started have a
- * cause of their own: a rack, a zone, a link.
+ * Losses at the same moment may have one cause: a rack, a zone, a link.
  */
 class RecentLosses
 {
 public:
-  void Add(TimePoint aHeardAt, bool aWhileStarting);
-  /** Those within kLostTogether of a moment where nothing had just started. */
-  std::size_t CountUnprovoked(TimePoint aAround) const;
+  void Add(TimePoint aHeardAt);
+  /** Those within kLostTogether of a moment. */
+  std::size_t CountAround(TimePoint aMoment) const;
 
 private:
-  struct Loss
-  {
-    TimePoint m_heardAt;
-    bool m_whileStarting = false;
-  };
-
-  std::vector<Loss> m_losses;
+  std::vector<TimePoint> m_heardAt;
 };
 
 } // namespace bamboostile::placement
--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -23,7 +23,8 @@
  * Long-running tasks come first, then by priority, then what can still be in
  * time by due time, then what is late. One task that finds no room keeps the
  * emptiest worker free for itself, so that large tasks are not starved by
- * small ones.
+ * small ones. Tasks that may crash their workers come last, each tried on a
+ * worker to which nothing else is started, on a share of the pool at a time.
  */
 class Planner
 {
@@ -57,11 +58,18 @@
     std::int64_t m_accelerators = 0;
     bool m_serves = false;
     bool m_hostsLongRunning = false;
+    bool m_hostsGang = false;
+    std::uint32_t m_runs = 0;
+    /** Starts that no report has shown yet. */
+    std::uint32_t m_unshown = 0;
+    /** Whose task is on trial here. */
+    const jobs::Job* m_trialOf = nullptr;
     /** Free for a task that has found no room yet. */
     bool m_kept = false;
 
     bool Fits(const jobs::StepSpec& aStep) const;
     void Take(const jobs::StepSpec& aStep);
+    bool IsOpenToTrialOf(const jobs::Job& aJob) const;
   };
 
   struct Candidate
@@ -94,7 +102,30 @@
                      std::vector<Candidate>& aTo) const;
   void Place(const Candidate& aCandidate, Pool& aPool, Plan& aPlan) const;
   void KeepEmptiest(const jobs::StepSpec& aStep, Pool& aPool) const;
-  void PlaceGang(const Candidate& aCandidate, Pool& aPool, Plan& aPlan) const;
+  /** aWaited: set for a gang on trial, since its delay was over. */
+  void PlaceGang(const Candidate& aCandidate,
+                 std::optional<Millis> aWaited,
+                 Pool& aPool,
+                 Plan& aPlan) const;
+  /** Starts a suspect of the step whose delay is over, on trial. */
+  void PlaceTrial(const Candidate& aCandidate,
+                  bool aIsCalm,
+                  WallTime aWall,
+                  Pool& aPool,
+                  Plan& aPlan) const;
+  void FindTrials(const Worker& aWorker,
+                  const std::vector<jobs::TaskRef>& aPlaced,
+                  const jobs::Book& aBook,
+                  Room& aRoom) const;
+  /** Null where no worker may take it; aWaited: since its delay was over. */
+  Room* ChooseForTrial(const jobs::Job& aJob,
+                       const jobs::StepSpec& aStep,
+                       const OnWorkers& aOnWorker,
+                       Millis aWaited,
+                       Pool& aPool) const;
+  static bool MayRun(const jobs::StepSpec& aStep,
+                     const OnWorkers& aOnWorker,
+                     const Room& aRoom);
   /** Null where no worker may take a task of the step. */
   Room* Choose(const jobs::StepSpec& aStep,
                const OnWorkers& aOnWorker,
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -118,6 +118,12 @@
   /** A run that gets no further for so long is taken to stand still, unless its
    * estimate says that one percent of it takes a third of this. */
   Duration m_stuckAfter = Millis{ 3000 };
+  /** After a loss that no trial explains, others of the same cause follow
+   * within this, if any do. */
+  Duration m_calmAfter = Millis{ 3000 };
+  /** A long-running task that has been at work for so long did not crash its
+   * worker by starting. */
+  Duration m_settledAfter = Millis{ 3000 };
   /** A worker that has missed two reports in a row may be gone, and the tasks
    * with it. */
   Duration m_doubtAfter = Millis{ 1500 };
@@ -159,8 +165,10 @@
   TimePoint m_leaseEnd;
   /** Silent for longer than its lease. */
   bool m_silent = false;
-  /** Of a silent one: starts were on their way to it. */
-  bool m_lostWhileStarting = false;
+  /** Of a lost one: a suspect was on trial there. */
+  bool m_lostInTrial = false;
+  /** Of a lost one: what its loss says about its tasks. */
+  std::map<jobs::TaskRef, jobs::CrashEvidence> m_evidence;
   /** What its last report shows as active; of that, what the state does not
    * have there. */
   RoomUse m_activeUse;
@@ -223,9 +231,22 @@
                                      TimePoint aNow,
                                      WallTime aWall);
 
+  /** No worker is in doubt, or was lost lately, but by a task on trial. */
+  bool IsCalm(const jobs::Book& aBook, TimePoint aNow) const;
   /** Workers that were lost with runs since the last call. */
   std::vector<LostWorker> TakeLost() { return std::exchange(m_lost, {}); }
 
+  /** Runs of long-running tasks that have been at work for so long that what
+   * ends their worker is not their start. */
+  std::vector<jobs::SettleRun> FindSettled(const jobs::Book& aBook,
+                                           TimePoint aNow) const;
+
+  /** Workers that are to leave; their loss says nothing about their tasks. */
+  void SetCordoned(std::set<WorkerId> aWorkers)
+  {
+    m_cordoned = std::move(aWorkers);
+  }
+
   /** Runs that have got no further for long though their worker reports; the
    * worker counts each as a failure. */
   std::vector<StopOrder> FindStuck(const jobs::Book& aBook, TimePoint aNow);
@@ -270,6 +291,15 @@
   TimePoint LeaderSince() const { return m_leaderSince; }
 
 private:
+  /** What is known of a loss when its tasks are judged. */
+  struct LossScene
+  {
+    LostWorker m_lost;
+    std::vector<jobs::TaskRef> m_unshown;
+    /** A suspect was on trial there. */
+    bool m_hasTrial = false;
+  };
+
   bool IsAtWork(const jobs::TaskRef& aTask,
                 const jobs::Task& aState,
                 TimePoint aNow) const;
@@ -301,6 +331,14 @@
   /** Starts that no longer fit what the worker last reported. */
   std::vector<jobs::TaskRef> FindRoomless(const Worker& aWorker,
                                           const jobs::Book& aBook) const;
+  bool HasTrial(const Worker& aWorker, const jobs::Book& aBook) const;
+  jobs::CrashEvidence JudgeTask(const jobs::TaskRef& aTask,
+                                const Worker& aWorker,
+                                const LossScene& aScene,
+                                const jobs::Book& aBook) const;
+  jobs::CrashEvidence EvidenceOf(const jobs::TaskRef& aTask,
+                                 const WorkerId& aWorker,
+                                 const jobs::Book& aBook) const;
   /** Starts that were sent and that no report has shown. */
   std::vector<jobs::TaskRef> FindUnshown(const Worker& aWorker,
                                          const jobs::Book& aBook) const;
@@ -323,9 +361,11 @@
   std::map<WorkerId, Worker> m_workers;
   std::map<InstanceId, WorkerId> m_current;
   std::set<WorkerId> m_retired;
+  std::set<WorkerId> m_cordoned;
   /** Workers of whose ends some are taken and not yet on a receipt. */
   std::set<WorkerId> m_takenFrom;
   std::vector<LostWorker> m_lost;
+  TimePoint m_lastLossAt;
   RecentLosses m_recentLosses;
   /** Newest checkpoints that workers reported of runs under way. */
   std::map<jobs::TaskRef, std::string> m_checkpoints;
--- a/schema/jobs.capnp
+++ b/schema/jobs.capnp
@@ -66,6 +66,10 @@
       how @11 :UInt8;
       checkpoint @12 :Text;
       endAtMs @13 :Int64;
+      # Of a run that ended with its worker; 0 where nothing speaks against the
+      # task.
+      evidence @18 :UInt8;
+      lostInstance @19 :Text;
     }
     fail :group {
       failed @14 :Text;
@@ -75,6 +79,10 @@
     forget :group {
       endedBeforeMs @17 :Int64;
     }
+    settle :group {
+      settled @20 :TaskRef;
+      settledRun @21 :UInt32;
+    }
   }
 }
 
@@ -88,6 +96,16 @@
   failures @2 :UInt16;
   worker @3 :Text;
   checkpoint @4 :Text;
+  losses @5 :List(WorkerLoss);
+  settled @6 :Bool;
+}
+
+struct WorkerLoss {
+  worker @0 :Text;
+  instance @1 :Text;
+  run @2 :UInt32;
+  evidence @3 :UInt8;
+  atMs @4 :Int64;
 }
 
 struct JobState {
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -19,6 +19,7 @@
 constexpr Duration kInstancesInterval = Millis{ 100 };
 constexpr Duration kLostInterval = Millis{ 50 };
 constexpr Duration kForgetInterval = std::chrono::seconds{ 5 };
+constexpr Duration kSettleInterval = std::chrono::seconds{ 1 };
 /** A report waits this long for what its worker is to start next. Longer than
  * batches take, also at a full leader; after 1 s the worker drops the answer,
  * and with it its lease. */
@@ -215,6 +216,8 @@
   m_metrics.Set("routes_version",
                 static_cast<double>(m_node.State().Routes().m_version));
   m_metrics.Set("jobs_open", static_cast<double>(book.Open().size()));
+  m_metrics.Set("tasks_lost_with_workers",
+                static_cast<double>(book.LostWithWorkers().size()));
   m_metrics.Set("workers_with_runs", static_cast<double>(book.Placed().size()));
   return m_metrics.Render();
 }
@@ -223,6 +226,8 @@
 JobService::Gather(std::vector<jobs::EndRun> aEnds)
 {
   for (const placement::LostWorker& lost : m_workers->TakeLost()) {
+    m_metrics.Count(std::string{ "workers_lost_total{cause=\"" } +
+                    placement::Describe(lost.m_cause) + "\"}");
     LogLine(Level::kWarning, "worker lost")
       .With("worker", lost.m_worker.Get())
       .With("ofInstance", lost.m_instance.Get())
@@ -246,6 +251,7 @@
         .With("task", end.m_task.m_index)
         .With("run", end.m_run.Get())
         .With("how", jobs::Describe(end.m_how))
+        .With("evidence", jobs::Describe(end.m_evidence))
         .Write();
     }
     m_gathered.emplace_back(std::move(end));
@@ -374,6 +380,7 @@
                     m_shedding == placement::Shedding::kNothing,
                     aNow,
                     WallNow());
+  m_workers->SetCordoned(m_instances->Cordoned());
   m_pace.Observe(Stage::kInstancesFollowed, MonotonicNow() - aNow);
 }
 
@@ -444,14 +451,34 @@
       m_metrics.Observe("job_seconds", static_cast<double>(tookMs) / 1000);
       LogLine(Level::kInfo, "job ended")
         .With("job", job->m_id.Get())
+        .With("queue", job->m_queue.Get())
         .With("state", jobs::Describe(job->m_state))
         .With("reason", job->m_reason)
         .With("afterMs", tookMs)
         .Write();
+      NoteIfCrashLoop(*job, *end);
     }
   }
 }
 
+// Single jobs of a queue that crash workers are given up one by one; that the
+// queue keeps sending them is for an operator to see.
+void
+JobService::NoteIfCrashLoop(const jobs::Job& aJob, const jobs::EndRun& aEnd)
+{
+  if (aEnd.m_how != jobs::RunEnd::kWorkerLost ||
+      aJob.m_state != jobs::JobState::kFailed) {
+    return;
+  }
+  m_metrics.Count("jobs_crashing_workers_total{queue=\"" + aJob.m_queue.Get() +
+                  "\"}");
+  LogLine(Level::kWarning, "a job crashes its workers")
+    .With("queue", aJob.m_queue.Get())
+    .With("job", aJob.m_id.Get())
+    .With("reason", aJob.m_reason)
+    .Write();
+}
+
 WorkerAnswer
 JobService::AnswerOf(const Waiting& aOne, bool aLeads, TimePoint aNow)
 {
@@ -572,6 +599,11 @@
                              ToMillis(m_options.m_keepEnded).count() };
       m_gathered.emplace_back(jobs::ForgetEnded{ before });
     }
+    if (now >= m_nextSettle) {
+      m_nextSettle = now + kSettleInterval;
+      const auto settled = m_workers->FindSettled(m_node.State().Jobs(), now);
+      m_gathered.insert(m_gathered.end(), settled.begin(), settled.end());
+    }
     if (!m_isCycling) {
       FollowInstances(now);
     }
@@ -626,6 +658,7 @@
   }
   jobs::QueueReply reply = Plain(jobs::QueueOutcome::kOk);
   reply.m_state = jobs::ViewOf(*job);
+  reply.m_detail = job->m_reason;
   return reply;
 }
 
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -1,8 +1,10 @@
 #include "bamboostile/jobs/book.h"
 
+#include "bamboostile/jobs/crash_loop.h"
 #include "bamboostile/units/visit.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bamboostile::jobs {
 
@@ -74,6 +76,12 @@
   return found == m_jobs.end() ? nullptr : &found->second;
 }
 
+Task*
+Book::FindTaskToChange(const TaskRef& aTask)
+{
+  return const_cast<Task*>(std::as_const(*this).FindTask(aTask));
+}
+
 const Task*
 Book::FindTask(const TaskRef& aTask) const
 {
@@ -90,6 +98,28 @@
   return aTask.m_index < tasks.size() ? &tasks[aTask.m_index] : nullptr;
 }
 
+std::vector<WorkerLoss>
+Book::LossesOf(const TaskRef& aTask) const
+{
+  if (m_lost.empty()) {
+    return {};
+  }
+  const Job& job = *Find(aTask.m_job);
+  return jobs::LossesOf(
+    job.m_spec.m_steps[aTask.m_step],
+    job.m_occurrences.at(aTask.m_occurrence).m_steps[aTask.m_step],
+    aTask.m_index);
+}
+
+bool
+Book::AreOneGang(const TaskRef& aLeft, const TaskRef& aRight) const
+{
+  return aLeft.m_job == aRight.m_job &&
+         aLeft.m_occurrence == aRight.m_occurrence &&
+         aLeft.m_step == aRight.m_step &&
+         Find(aLeft.m_job)->m_spec.m_steps[aLeft.m_step].m_gang;
+}
+
 std::uint64_t
 Book::Pending(const QueueId& aQueue) const
 {
@@ -174,6 +204,7 @@
   task.m_phase = TaskPhase::kRunning;
   task.m_lastRun = aStart.m_run;
   task.m_worker = aStart.m_worker;
+  task.m_settled = false;
   ++step.m_running;
   ++job->m_running;
   m_placed[aStart.m_worker].push_back(aStart.m_task);
@@ -204,6 +235,7 @@
 {
   aTask.m_phase = TaskPhase::kDone;
   aTask.m_checkpoint.clear();
+  aTask.m_losses.clear();
   ++aStep.m_done;
   if (!aStep.IsDone()) {
     return;
@@ -259,6 +291,9 @@
     if (!spec.m_longRunning) {
       FailIfSpent(*job, aEnd, step, aLimit);
     }
+  } else if (aEnd.m_how == RunEnd::kWorkerLost &&
+             aEnd.m_evidence != CrashEvidence::kNone) {
+    AddLoss(*job, aEnd, step);
   }
   if (job->m_state == JobState::kActive &&
       job->m_occurrencesDone == job->OccurrenceCount()) {
@@ -316,6 +351,44 @@
   Finish(aJob, JobState::kFailed, aEnd.m_at);
 }
 
+// Whoever lost the worker has weighed what else explains the loss; what follows
+// from it is decided here, so that it survives its leader.
+void
+Book::AddLoss(Job& aJob, const EndRun& aEnd, StepRun& aStep)
+{
+  if (aJob.m_state != JobState::kActive) {
+    return;
+  }
+  Task& task = aStep.m_tasks[aEnd.m_task.m_index];
+  task.m_losses.push_back({ task.m_worker,
+                            aEnd.m_lostInstance,
+                            aEnd.m_run,
+                            aEnd.m_evidence,
+                            aEnd.m_at });
+  m_lost.insert(aEnd.m_task);
+  const auto losses = jobs::LossesOf(
+    aJob.m_spec.m_steps[aEnd.m_task.m_step], aStep, aEnd.m_task.m_index);
+  if (IsProven(losses)) {
+    aJob.m_reason = "step " + std::to_string(aEnd.m_task.m_step) + " task " +
+                    std::to_string(aEnd.m_task.m_index) + " " +
+                    DescribeLosses(losses);
+    Finish(aJob, JobState::kFailed, aEnd.m_at);
+  }
+}
+
+CallOutcome
+Book::On(const SettleRun& aSettle, const AttemptLimit& /*aLimit*/)
+{
+  Task* task = FindTaskToChange(aSettle.m_task);
+  if (task != nullptr && task->m_phase == TaskPhase::kRunning &&
+      task->m_lastRun == aSettle.m_run) {
+    task->m_settled = true;
+    task->m_losses.clear();
+    m_lost.erase(aSettle.m_task);
+  }
+  return CallOutcome::kNone;
+}
+
 CallOutcome
 Book::On(const FailJob& aFail, const AttemptLimit& /*aLimit*/)
 {
@@ -332,6 +405,11 @@
 {
   aJob.m_state = aState;
   aJob.m_endedAt = aAt;
+  const auto first = m_lost.lower_bound(TaskRef{ aJob.m_id });
+  const auto last = std::find_if(first, m_lost.end(), [&](const auto& aTask) {
+    return aTask.m_job != aJob.m_id;
+  });
+  m_lost.erase(first, last);
   if (!aJob.m_started && aJob.m_spec.m_repeatCount == 0) {
     --m_pending[aJob.m_queue];
   }
@@ -363,6 +441,7 @@
   m_open.clear();
   m_placed.clear();
   m_pending.clear();
+  m_lost.clear();
   for (auto& [id, job] : m_jobs) {
     job.m_running = 0;
     job.m_occurrencesDone = 0;
@@ -372,6 +451,9 @@
         StepRun& step = occurrence.m_steps[s];
         for (std::uint32_t i = 0; i < step.m_tasks.size(); ++i) {
           const Task& task = step.m_tasks[i];
+          if (!task.m_losses.empty() && job.m_state == JobState::kActive) {
+            m_lost.insert(TaskRef{ id, number, s, i });
+          }
           if (task.m_phase == TaskPhase::kDone) {
             ++step.m_done;
           } else if (task.m_phase == TaskPhase::kRunning) {
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -90,6 +90,8 @@
                  to.setHow(static_cast<std::uint8_t>(aOne.m_how));
                  to.setCheckpoint(aOne.m_checkpoint);
                  to.setEndAtMs(aOne.m_at.Get());
+                 to.setEvidence(static_cast<std::uint8_t>(aOne.m_evidence));
+                 to.setLostInstance(aOne.m_lostInstance.Get());
                },
                [&](const FailJob& aOne) {
                  auto to = aTo.initFail();
@@ -100,6 +102,11 @@
                [&](const ForgetEnded& aOne) {
                  aTo.initForget().setEndedBeforeMs(aOne.m_before.Get());
                },
+               [&](const SettleRun& aOne) {
+                 auto to = aTo.initSettle();
+                 Write(aOne.m_task, to.initSettled());
+                 to.setSettledRun(aOne.m_run.Get());
+               },
              },
              aChange);
 }
@@ -132,7 +139,9 @@
                      RunNumber{ from.getEndedRun() },
                      static_cast<RunEnd>(from.getHow()),
                      Text(from.getCheckpoint()),
-                     WallTime{ from.getEndAtMs() } };
+                     WallTime{ from.getEndAtMs() },
+                     static_cast<CrashEvidence>(from.getEvidence()),
+                     InstanceId{ Text(from.getLostInstance()) } };
     }
     case schema::Change::FAIL: {
       const auto from = aFrom.getFail();
@@ -142,12 +151,53 @@
     }
     case schema::Change::FORGET:
       return ForgetEnded{ WallTime{ aFrom.getForget().getEndedBeforeMs() } };
+    case schema::Change::SETTLE: {
+      const auto from = aFrom.getSettle();
+      return SettleRun{ Read(from.getSettled()),
+                        RunNumber{ from.getSettledRun() } };
+    }
   }
   KJ_FAIL_REQUIRE("unknown kind of change");
 }
 
 } // namespace
 
+namespace {
+
+// Hardly any task has losses, and a list that is not made takes no bytes.
+void
+WriteLosses(const std::vector<WorkerLoss>& aLosses,
+            schema::TaskState::Builder aTo)
+{
+  if (aLosses.empty()) {
+    return;
+  }
+  auto list = aTo.initLosses(static_cast<unsigned>(aLosses.size()));
+  for (unsigned i = 0; i < list.size(); ++i) {
+    list[i].setWorker(aLosses[i].m_worker.Get());
+    list[i].setInstance(aLosses[i].m_instance.Get());
+    list[i].setRun(aLosses[i].m_run.Get());
+    list[i].setEvidence(static_cast<std::uint8_t>(aLosses[i].m_evidence));
+    list[i].setAtMs(aLosses[i].m_at.Get());
+  }
+}
+
+std::vector<WorkerLoss>
+ReadLosses(schema::TaskState::Reader aFrom)
+{
+  std::vector<WorkerLoss> losses;
+  for (auto one : aFrom.getLosses()) {
+    losses.push_back({ WorkerId{ Text(one.getWorker()) },
+                       InstanceId{ Text(one.getInstance()) },
+                       RunNumber{ one.getRun() },
+                       static_cast<CrashEvidence>(one.getEvidence()),
+                       WallTime{ one.getAtMs() } });
+  }
+  return losses;
+}
+
+} // namespace
+
 struct BookCodec
 {
   static void Write(const Job& aJob, schema::JobState::Builder aTo)
@@ -178,6 +228,8 @@
           list[i].setFailures(tasks[i].m_failures);
           list[i].setWorker(tasks[i].m_worker.Get());
           list[i].setCheckpoint(tasks[i].m_checkpoint);
+          list[i].setSettled(tasks[i].m_settled);
+          WriteLosses(tasks[i].m_losses, list[i]);
         }
       }
     }
@@ -206,6 +258,8 @@
           task.m_failures = one.getFailures();
           task.m_worker = WorkerId{ Text(one.getWorker()) };
           task.m_checkpoint = Text(one.getCheckpoint());
+          task.m_settled = one.getSettled();
+          task.m_losses = ReadLosses(one);
         }
       }
     }
--- /dev/null
+++ b/src/jobs/crash_loop.cpp
@@ -0,0 +1,147 @@
+#include "bamboostile/jobs/crash_loop.h"
+
+#include "bamboostile/units/hash.h"
+
+#include <algorithm>
+
+namespace bamboostile::jobs {
+
+namespace {
+
+/** One loss during a run is everyday bad luck: a worker crashes under all that
+ * it runs. */
+constexpr std::size_t kRunningLossesOfSuspect = 2;
+/** One worker that crashes by itself during a trial must not prove a sound
+ * task guilty. */
+constexpr std::size_t kProofs = 2;
+/** From so many losses on, a trial must give certain evidence. */
+constexpr std::size_t kLossesUntilCalm = 3;
+/** With so many losses, of which some are in doubt, one proof is enough, */
+constexpr std::size_t kMostLosses = 5;
+/** or that all were at the start: the last ones came although nothing else was
+ * being lost when it started. */
+constexpr std::size_t kMostLossesAtStart = 5;
+constexpr std::size_t kMostDoublings = 3;
+constexpr Millis kFirstDelay{ 250 };
+
+std::size_t
+Count(const std::vector<WorkerLoss>& aLosses, CrashEvidence aEvidence)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aLosses.begin(), aLosses.end(), [&](const WorkerLoss& aOne) {
+      return aOne.m_evidence == aEvidence;
+    }));
+}
+
+std::size_t
+CountAtStart(const std::vector<WorkerLoss>& aLosses)
+{
+  return Count(aLosses, CrashEvidence::kStarting) +
+         Count(aLosses, CrashEvidence::kAlone);
+}
+
+} // namespace
+
+const char*
+Describe(CrashEvidence aEvidence) noexcept
+{
+  switch (aEvidence) {
+    case CrashEvidence::kNone:
+      return "none";
+    case CrashEvidence::kRunning:
+      return "was running";
+    case CrashEvidence::kStarting:
+      return "had just started";
+    case CrashEvidence::kAlone:
+      return "had just started, alone";
+  }
+  return "unknown";
+}
+
+// A gang starts as a whole, so the workers that one start of it takes are one
+// loss; counted singly, its first start might give it up.
+std::vector<WorkerLoss>
+LossesOf(const StepSpec& aSpec, const StepRun& aStep, std::uint32_t aIndex)
+{
+  if (!aSpec.m_gang) {
+    return aStep.m_tasks[aIndex].m_losses;
+  }
+  std::vector<WorkerLoss> losses;
+  for (const Task& member : aStep.m_tasks) {
+    for (const WorkerLoss& loss : member.m_losses) {
+      const auto same =
+        std::find_if(losses.begin(), losses.end(), [&](const WorkerLoss& aOne) {
+          return aOne.m_run == loss.m_run;
+        });
+      if (same == losses.end()) {
+        losses.push_back(loss);
+      } else if (loss.m_evidence > same->m_evidence) {
+        *same = loss;
+      }
+    }
+  }
+  return losses;
+}
+
+bool
+IsSuspect(const std::vector<WorkerLoss>& aLosses)
+{
+  return CountAtStart(aLosses) > 0 ||
+         Count(aLosses, CrashEvidence::kRunning) >= kRunningLossesOfSuspect;
+}
+
+bool
+IsTriedThroughout(const std::vector<WorkerLoss>& aLosses)
+{
+  return IsSuspect(aLosses) && Count(aLosses, CrashEvidence::kStarting) == 0;
+}
+
+bool
+NeedsCalm(const std::vector<WorkerLoss>& aLosses)
+{
+  return aLosses.size() >= kLossesUntilCalm;
+}
+
+bool
+IsProven(const std::vector<WorkerLoss>& aLosses)
+{
+  const std::size_t proofs = Count(aLosses, CrashEvidence::kAlone);
+  return proofs >= kProofs || (proofs > 0 && aLosses.size() >= kMostLosses) ||
+         CountAtStart(aLosses) >= kMostLossesAtStart;
+}
+
+// Jitter keeps the tasks that one crash made suspects from coming back at the
+// same moment.
+Duration
+RetryDelay(const TaskRef& aTask, const std::vector<WorkerLoss>& aLosses)
+{
+  if (aLosses.empty()) {
+    return Duration::zero();
+  }
+  const std::size_t doublings = std::min(aLosses.size() - 1, kMostDoublings);
+  const Millis longest = kFirstDelay * (1 << doublings);
+  const std::uint64_t seed = StableHash{}
+                               .Add(aTask.m_job.Get())
+                               .Add(std::uint64_t{ aTask.m_occurrence })
+                               .Add(std::uint64_t{ aTask.m_step })
+                               .Add(std::uint64_t{ aTask.m_index })
+                               .Add(std::uint64_t{ aLosses.size() })
+                               .Get();
+  const auto half = static_cast<std::uint64_t>(longest.count() / 2);
+  return longest / 2 + Millis{ static_cast<std::int64_t>(seed % half) };
+}
+
+std::string
+DescribeLosses(const std::vector<WorkerLoss>& aLosses)
+{
+  std::string text = "crashed " + std::to_string(aLosses.size()) + " workers: ";
+  const char* separator = "";
+  for (const WorkerLoss& loss : aLosses) {
+    text += separator + loss.m_worker.Get() + " (run " +
+            std::to_string(loss.m_run.Get()) + ")";
+    separator = ", ";
+  }
+  return text;
+}
+
+} // namespace bamboostile::jobs
--- a/src/placement/losses.cpp
+++ b/src/placement/losses.cpp
@@ -26,22 +26,19 @@
 }
 
 void
-RecentLosses::Add(TimePoint aHeardAt, bool aWhileStarting)
+RecentLosses::Add(TimePoint aHeardAt)
 {
-  std::erase_if(m_losses, [&](const Loss& aOne) {
-    return aOne.m_heardAt + kKeepLosses < aHeardAt;
-  });
-  m_losses.push_back({ aHeardAt, aWhileStarting });
+  std::erase_if(m_heardAt,
+                [&](TimePoint aOne) { return aOne + kKeepLosses < aHeardAt; });
+  m_heardAt.push_back(aHeardAt);
 }
 
 std::size_t
-RecentLosses::CountUnprovoked(TimePoint aAround) const
+RecentLosses::CountAround(TimePoint aMoment) const
 {
   return static_cast<std::size_t>(
-    std::count_if(m_losses.begin(), m_losses.end(), [&](const Loss& aOne) {
-      return !aOne.m_whileStarting &&
-             aOne.m_heardAt <= aAround + kLostTogether &&
-             aAround <= aOne.m_heardAt + kLostTogether;
+    std::count_if(m_heardAt.begin(), m_heardAt.end(), [&](TimePoint aOne) {
+      return aOne <= aMoment + kLostTogether && aMoment <= aOne + kLostTogether;
     }));
 }
 
--- /dev/null
+++ b/src/placement/run_lookup.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "bamboostile/placement/workers.h"
+
+#include <algorithm>
+
+namespace bamboostile::placement {
+
+/** Of a long-running task; others are done at this. */
+constexpr std::uint32_t kAtWorkPercent = 100;
+
+/** Whether the run is among rows of a report. */
+template<typename Row>
+bool
+Contains(const std::vector<Row>& aRows,
+         const jobs::TaskRef& aTask,
+         RunNumber aRun)
+{
+  return std::any_of(aRows.begin(), aRows.end(), [&](const Row& aRow) {
+    return aRow.m_task == aTask && aRow.m_run == aRun;
+  });
+}
+
+inline const jobs::StepSpec&
+StepOf(const jobs::Job& aJob, const jobs::TaskRef& aTask)
+{
+  return aJob.m_spec.m_steps[aTask.m_step];
+}
+
+} // namespace bamboostile::placement
--- /dev/null
+++ b/src/placement/worker_losses.cpp
@@ -0,0 +1,277 @@
+#include "run_lookup.h"
+
+#include "bamboostile/jobs/crash_loop.h"
+
+namespace bamboostile::placement {
+
+std::vector<jobs::TaskRef>
+WorkerTable::FindUnshown(const Worker& aWorker, const jobs::Book& aBook) const
+{
+  std::vector<jobs::TaskRef> unshown;
+  const WorkerReport& report = aWorker.m_last;
+  const auto placed = aBook.Placed().find(report.m_worker);
+  if (placed == aBook.Placed().end()) {
+    return unshown;
+  }
+  for (const jobs::TaskRef& ref : placed->second) {
+    const RunNumber run = aBook.FindTask(ref)->m_lastRun;
+    if (aWorker.m_sentAt.contains(ref) &&
+        !Contains(report.m_active, ref, run) &&
+        !Contains(report.m_ended, ref, run)) {
+      unshown.push_back(ref);
+    }
+  }
+  return unshown;
+}
+
+bool
+WorkerTable::HasLaterLife(const Worker& aWorker) const
+{
+  const InstanceId& instance = aWorker.m_last.m_instance;
+  return !instance.Get().empty() &&
+         std::any_of(
+           m_workers.begin(), m_workers.end(), [&](const auto& aEntry) {
+             const Worker& other = aEntry.second;
+             return other.m_last.m_instance == instance &&
+                    other.m_firstHeardAt > aWorker.m_heardAt;
+           });
+}
+
+std::size_t
+WorkerTable::CountLostBeside(const Worker& aWorker,
+                             const jobs::Book& aBook,
+                             TimePoint aNow) const
+{
+  std::size_t count = m_recentLosses.CountAround(aWorker.m_heardAt);
+  for (const auto& [id, other] : m_workers) {
+    const bool isSilent = aNow >= other.m_heardAt + m_options.m_doubtAfter;
+    const bool isTogether =
+      other.m_heardAt <= aWorker.m_heardAt + kLostTogether &&
+      aWorker.m_heardAt <= other.m_heardAt + kLostTogether;
+    if (&other != &aWorker && isSilent && isTogether && !other.m_lostInTrial &&
+        !HasTrial(other, aBook)) {
+      ++count;
+    }
+  }
+  return count;
+}
+
+bool
+WorkerTable::IsCalm(const jobs::Book& aBook, TimePoint aNow) const
+{
+  const TimePoint since = std::max(m_lastLossAt, m_leaderSince);
+  const auto isInDoubt = [&](const auto& aEntry) {
+    const Worker& worker = aEntry.second;
+    return !worker.m_silent &&
+           aNow >= worker.m_heardAt + m_options.m_doubtAfter &&
+           !HasTrial(worker, aBook);
+  };
+  return aNow >= since + m_options.m_calmAfter &&
+         std::none_of(m_workers.begin(), m_workers.end(), isInDoubt);
+}
+
+bool
+WorkerTable::HasTrial(const Worker& aWorker, const jobs::Book& aBook) const
+{
+  const auto placed = aBook.Placed().find(aWorker.m_last.m_worker);
+  if (placed == aBook.Placed().end() || aBook.LostWithWorkers().empty()) {
+    return false;
+  }
+  const auto unshown = FindUnshown(aWorker, aBook);
+  const auto isTried = [&](const jobs::TaskRef& aTask) {
+    const auto losses = aBook.LossesOf(aTask);
+    const bool isUnshown =
+      std::find(unshown.begin(), unshown.end(), aTask) != unshown.end();
+    return isUnshown ? jobs::IsSuspect(losses)
+                     : jobs::IsTriedThroughout(losses);
+  };
+  return std::any_of(placed->second.begin(), placed->second.end(), isTried);
+}
+
+// Whatever had just been started there is the first suspect; what was at work
+// is one only where no trial explains the loss. Only a crash in a trial, with
+// no other start and no other loss beside it, counts as proof: a lapsed lease
+// may be that of a worker which lives behind a cut link.
+jobs::CrashEvidence
+WorkerTable::JudgeTask(const jobs::TaskRef& aTask,
+                       const Worker& aWorker,
+                       const LossScene& aScene,
+                       const jobs::Book& aBook) const
+{
+  using jobs::CrashEvidence;
+  const jobs::Task& task = *aBook.FindTask(aTask);
+  const auto losses = aBook.LossesOf(aTask);
+  const bool isCrash = aScene.m_lost.m_cause == LossCause::kLaterLife;
+  const bool isShared = aScene.m_lost.m_lostBeside > 0;
+  const auto& unshown = aScene.m_unshown;
+  if (task.m_settled) {
+    return CrashEvidence::kNone;
+  }
+  if (std::find(unshown.begin(), unshown.end(), aTask) != unshown.end()) {
+    const bool isAlone =
+      std::all_of(unshown.begin(), unshown.end(), [&](const auto& aOther) {
+        return aOther == aTask || aBook.AreOneGang(aOther, aTask);
+      });
+    return jobs::IsSuspect(losses) && isCrash && isAlone && !isShared
+             ? CrashEvidence::kAlone
+             : CrashEvidence::kStarting;
+  }
+  if (isShared || !Contains(aWorker.m_last.m_active, aTask, task.m_lastRun)) {
+    return CrashEvidence::kNone;
+  }
+  if (jobs::IsTriedThroughout(losses) && isCrash && unshown.empty()) {
+    return CrashEvidence::kAlone;
+  }
+  return aScene.m_hasTrial ? CrashEvidence::kNone : CrashEvidence::kRunning;
+}
+
+void
+WorkerTable::NoteLoss(Worker& aWorker,
+                      LossCause aCause,
+                      const jobs::Book& aBook,
+                      TimePoint aNow)
+{
+  const WorkerId& id = aWorker.m_last.m_worker;
+  const auto placed = aBook.Placed().find(id);
+  const auto unshown = FindUnshown(aWorker, aBook);
+  aWorker.m_lostInTrial = HasTrial(aWorker, aBook);
+  if (!aWorker.m_lostInTrial) {
+    m_lastLossAt = aNow;
+  }
+  if (placed == aBook.Placed().end()) {
+    return;
+  }
+  const LostWorker lost{ id,
+                         aWorker.m_last.m_instance,
+                         HasLaterLife(aWorker) ? LossCause::kLaterLife : aCause,
+                         aNow - aWorker.m_heardAt,
+                         placed->second.size(),
+                         unshown.size(),
+                         CountLostBeside(aWorker, aBook, aNow) };
+  m_lost.push_back(lost);
+  if (aWorker.m_last.m_draining || m_cordoned.contains(id)) {
+    return;
+  }
+  const LossScene scene{ lost, unshown, aWorker.m_lostInTrial };
+  for (const jobs::TaskRef& ref : placed->second) {
+    const auto evidence = JudgeTask(ref, aWorker, scene, aBook);
+    if (evidence != jobs::CrashEvidence::kNone) {
+      aWorker.m_evidence[ref] = evidence;
+    }
+  }
+}
+
+std::vector<jobs::SettleRun>
+WorkerTable::FindSettled(const jobs::Book& aBook, TimePoint aNow) const
+{
+  std::vector<jobs::SettleRun> settled;
+  for (const auto& [id, worker] : m_workers) {
+    for (const auto& [ref, progress] : worker.m_progress) {
+      const bool isAtWork =
+        progress.m_percent >= kAtWorkPercent &&
+        worker.m_heardAt >= progress.m_since + m_options.m_settledAfter &&
+        aNow < worker.m_heardAt + m_options.m_doubtAfter;
+      if (isAtWork && IsExpected(aBook, id, ref, progress.m_run) &&
+          StepOf(*aBook.Find(ref.m_job), ref).m_longRunning &&
+          !aBook.FindTask(ref)->m_settled) {
+        settled.push_back({ ref, progress.m_run });
+      }
+    }
+  }
+  return settled;
+}
+
+// What an earlier leader sent, and when, is not known. A suspect may have been
+// on trial there; of any other task one such loss says little.
+jobs::CrashEvidence
+WorkerTable::EvidenceOf(const jobs::TaskRef& aTask,
+                        const WorkerId& aWorker,
+                        const jobs::Book& aBook) const
+{
+  if (const Worker* worker = Find(aWorker)) {
+    const auto found = worker->m_evidence.find(aTask);
+    return found == worker->m_evidence.end() ? jobs::CrashEvidence::kNone
+                                             : found->second;
+  }
+  const jobs::Task& task = *aBook.FindTask(aTask);
+  if (task.m_settled || m_retired.contains(aWorker)) {
+    return jobs::CrashEvidence::kNone;
+  }
+  return jobs::IsSuspect(task.m_losses) ? jobs::CrashEvidence::kStarting
+                                        : jobs::CrashEvidence::kRunning;
+}
+
+std::vector<jobs::EndRun>
+WorkerTable::EndAll(const WorkerId& aWorker,
+                    const jobs::Book& aBook,
+                    WallTime aWall)
+{
+  std::vector<jobs::EndRun> ends;
+  const Worker* worker = Find(aWorker);
+  const auto placed = aBook.Placed().find(aWorker);
+  if (placed == aBook.Placed().end()) {
+    return ends;
+  }
+  for (const jobs::TaskRef& ref : placed->second) {
+    const auto saved = m_checkpoints.find(ref);
+    ends.push_back(
+      { ref,
+        aBook.FindTask(ref)->m_lastRun,
+        jobs::RunEnd::kWorkerLost,
+        saved == m_checkpoints.end() ? "" : saved->second,
+        aWall,
+        EvidenceOf(ref, aWorker, aBook),
+        worker == nullptr ? InstanceId{} : worker->m_last.m_instance });
+  }
+  return ends;
+}
+
+std::vector<jobs::EndRun>
+WorkerTable::Retire(const WorkerId& aWorker,
+                    const jobs::Book& aBook,
+                    WallTime aWall)
+{
+  m_retired.insert(aWorker);
+  auto ends = EndAll(aWorker, aBook, aWall);
+  m_workers.erase(aWorker);
+  std::erase_if(m_current,
+                [&](const auto& aEntry) { return aEntry.second == aWorker; });
+  return ends;
+}
+
+std::vector<jobs::EndRun>
+WorkerTable::FindLost(const jobs::Book& aBook, TimePoint aNow, WallTime aWall)
+{
+  std::vector<jobs::EndRun> ends;
+  const auto add = [&](const WorkerId& aWorker) {
+    auto lost = EndAll(aWorker, aBook, aWall);
+    std::move(lost.begin(), lost.end(), std::back_inserter(ends));
+  };
+  for (auto& [id, worker] : m_workers) {
+    if (!worker.m_silent && aNow > worker.m_leaseEnd) {
+      NoteLoss(worker, LossCause::kLeaseEnded, aBook, aNow);
+      worker.m_silent = true;
+      worker.m_sentAt.clear();
+      worker.m_toStop.clear();
+    }
+    if (worker.m_silent) {
+      add(id);
+    }
+  }
+  if (!KnowsAllLeases(aNow)) {
+    return ends;
+  }
+  for (const auto& [id, tasks] : aBook.Placed()) {
+    if (!m_workers.contains(id)) {
+      m_lost.push_back({ id,
+                         InstanceId{},
+                         LossCause::kNeverHeard,
+                         aNow - m_leaderSince,
+                         tasks.size() });
+      add(id);
+    }
+  }
+  return ends;
+}
+
+} // namespace bamboostile::placement
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -1,5 +1,7 @@
 #include "bamboostile/placement/workers.h"
 
+#include "run_lookup.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -8,7 +10,6 @@
 namespace {
 
 constexpr std::uint32_t kFullRate = 100;
-constexpr std::uint32_t kAtWorkPercent = 100;
 /** Of its CPU in use, where a worker counts as full: what is left is less than
  * a task of the usual size needs. */
 constexpr std::int64_t kFullPercent = 85;
@@ -26,17 +27,6 @@
  * its tasks are in doubt, and four before its lease is over. */
 constexpr Duration kSeldomest = Millis{ 700 };
 
-template<typename Row>
-bool
-Contains(const std::vector<Row>& aRows,
-         const jobs::TaskRef& aTask,
-         RunNumber aRun)
-{
-  return std::any_of(aRows.begin(), aRows.end(), [&](const Row& aRow) {
-    return aRow.m_task == aTask && aRow.m_run == aRun;
-  });
-}
-
 /** The run is active, or has another end. */
 bool
 IsKnownOtherwise(const WorkerReport& aReport, const EndReport& aEnd)
@@ -49,12 +39,6 @@
          std::any_of(aReport.m_ended.begin(), aReport.m_ended.end(), isOther);
 }
 
-const jobs::StepSpec&
-StepOf(const jobs::Job& aJob, const jobs::TaskRef& aTask)
-{
-  return aJob.m_spec.m_steps[aTask.m_step];
-}
-
 } // namespace
 
 bool
@@ -189,6 +173,8 @@
   worker.m_last = aReport;
   worker.m_heardAt = aNow;
   worker.m_silent = false;
+  worker.m_lostInTrial = false;
+  worker.m_evidence.clear();
   for (const RunReport& run : aReport.m_active) {
     if (!run.m_checkpoint.empty() &&
         IsExpected(aBook, aReport.m_worker, run.m_task, run.m_run)) {
@@ -286,7 +272,9 @@
       if (!worker.m_silent) {
         NoteLoss(worker, LossCause::kLaterLife, aBook, aNow);
       }
-      m_recentLosses.Add(worker.m_heardAt, worker.m_lostWhileStarting);
+      if (!worker.m_lostInTrial) {
+        m_recentLosses.Add(worker.m_heardAt);
+      }
     }
     aHeard.m_ends = Retire(previous, aBook, aWall);
     aHeard.m_changed = true;
@@ -439,7 +427,8 @@
 }
 
 // A start that was sent and that no report shows, long after, was lost with its
-// answer. Where the run is no longer wanted there, this frees its place; the
+// answer. Where the run is not wanted there, or has no room, this frees its
+// place; the
 // others are simply sent again. Without it a task whose start was lost on a
 // draining worker would wait for that worker's end. The next report alone says
 // nothing: one that tells of draining is sent while an answer is under way, and
@@ -480,148 +469,6 @@
   }
 }
 
-std::vector<jobs::EndRun>
-WorkerTable::EndAll(const WorkerId& aWorker,
-                    const jobs::Book& aBook,
-                    WallTime aWall)
-{
-  std::vector<jobs::EndRun> ends;
-  const auto placed = aBook.Placed().find(aWorker);
-  if (placed == aBook.Placed().end()) {
-    return ends;
-  }
-  for (const jobs::TaskRef& ref : placed->second) {
-    const auto saved = m_checkpoints.find(ref);
-    ends.push_back({ ref,
-                     aBook.FindTask(ref)->m_lastRun,
-                     jobs::RunEnd::kWorkerLost,
-                     saved == m_checkpoints.end() ? "" : saved->second,
-                     aWall });
-  }
-  return ends;
-}
-
-std::vector<jobs::EndRun>
-WorkerTable::Retire(const WorkerId& aWorker,
-                    const jobs::Book& aBook,
-                    WallTime aWall)
-{
-  m_retired.insert(aWorker);
-  m_workers.erase(aWorker);
-  std::erase_if(m_current,
-                [&](const auto& aEntry) { return aEntry.second == aWorker; });
-  return EndAll(aWorker, aBook, aWall);
-}
-
-std::vector<jobs::EndRun>
-WorkerTable::FindLost(const jobs::Book& aBook, TimePoint aNow, WallTime aWall)
-{
-  std::vector<jobs::EndRun> ends;
-  const auto add = [&](const WorkerId& aWorker) {
-    auto lost = EndAll(aWorker, aBook, aWall);
-    std::move(lost.begin(), lost.end(), std::back_inserter(ends));
-  };
-  for (auto& [id, worker] : m_workers) {
-    if (!worker.m_silent && aNow > worker.m_leaseEnd) {
-      NoteLoss(worker, LossCause::kLeaseEnded, aBook, aNow);
-      worker.m_silent = true;
-      worker.m_sentAt.clear();
-      worker.m_toStop.clear();
-    }
-    if (worker.m_silent) {
-      add(id);
-    }
-  }
-  if (!KnowsAllLeases(aNow)) {
-    return ends;
-  }
-  for (const auto& [id, tasks] : aBook.Placed()) {
-    if (!m_workers.contains(id)) {
-      m_lost.push_back({ id,
-                         InstanceId{},
-                         LossCause::kNeverHeard,
-                         aNow - m_leaderSince,
-                         tasks.size() });
-      add(id);
-    }
-  }
-  return ends;
-}
-
-bool
-WorkerTable::HasLaterLife(const Worker& aWorker) const
-{
-  const InstanceId& instance = aWorker.m_last.m_instance;
-  return !instance.Get().empty() &&
-         std::any_of(
-           m_workers.begin(), m_workers.end(), [&](const auto& aEntry) {
-             const Worker& other = aEntry.second;
-             return other.m_last.m_instance == instance &&
-                    other.m_firstHeardAt > aWorker.m_heardAt;
-           });
-}
-
-std::vector<jobs::TaskRef>
-WorkerTable::FindUnshown(const Worker& aWorker, const jobs::Book& aBook) const
-{
-  std::vector<jobs::TaskRef> unshown;
-  const WorkerReport& report = aWorker.m_last;
-  const auto placed = aBook.Placed().find(report.m_worker);
-  if (placed == aBook.Placed().end()) {
-    return unshown;
-  }
-  for (const jobs::TaskRef& ref : placed->second) {
-    const RunNumber run = aBook.FindTask(ref)->m_lastRun;
-    if (aWorker.m_sentAt.contains(ref) &&
-        !Contains(report.m_active, ref, run) &&
-        !Contains(report.m_ended, ref, run)) {
-      unshown.push_back(ref);
-    }
-  }
-  return unshown;
-}
-
-std::size_t
-WorkerTable::CountLostBeside(const Worker& aWorker,
-                             const jobs::Book& aBook,
-                             TimePoint aNow) const
-{
-  std::size_t count = m_recentLosses.CountUnprovoked(aWorker.m_heardAt);
-  for (const auto& [id, other] : m_workers) {
-    const bool isSilent = aNow >= other.m_heardAt + m_options.m_doubtAfter;
-    const bool isTogether =
-      other.m_heardAt <= aWorker.m_heardAt + kLostTogether &&
-      aWorker.m_heardAt <= other.m_heardAt + kLostTogether;
-    if (&other != &aWorker && isSilent && isTogether &&
-        !other.m_lostWhileStarting && FindUnshown(other, aBook).empty()) {
-      ++count;
-    }
-  }
-  return count;
-}
-
-void
-WorkerTable::NoteLoss(Worker& aWorker,
-                      LossCause aCause,
-                      const jobs::Book& aBook,
-                      TimePoint aNow)
-{
-  const WorkerId& id = aWorker.m_last.m_worker;
-  const auto placed = aBook.Placed().find(id);
-  const auto unshown = FindUnshown(aWorker, aBook);
-  aWorker.m_lostWhileStarting = !unshown.empty();
-  if (placed == aBook.Placed().end()) {
-    return;
-  }
-  m_lost.push_back({ id,
-                     aWorker.m_last.m_instance,
-                     HasLaterLife(aWorker) ? LossCause::kLaterLife : aCause,
-                     aNow - aWorker.m_heardAt,
-                     placed->second.size(),
-                     unshown.size(),
-                     CountLostBeside(aWorker, aBook, aNow) });
-}
-
 bool
 WorkerTable::IsAtWork(const jobs::TaskRef& aTask,
                       const jobs::Task& aState,
--- a/tests/support/simulated_pool.cpp
+++ b/tests/support/simulated_pool.cpp
@@ -10,10 +10,19 @@
 constexpr Millis kPass{ 50 };
 constexpr Millis kReportAfterEnd{ 50 };
 constexpr Millis kRetryReport{ 200 };
+constexpr Millis kGangTimeout{ 3'000 };
 constexpr Millis kStartupOfLongRunning{ 300 };
 constexpr std::uint32_t kCrashesCounted = 3;
 constexpr std::uint32_t kDonePercent = 100;
 
+bool
+AreOfOneStep(const jobs::TaskRef& aLeft, const jobs::TaskRef& aRight)
+{
+  return aLeft.m_job == aRight.m_job &&
+         aLeft.m_occurrence == aRight.m_occurrence &&
+         aLeft.m_step == aRight.m_step;
+}
+
 bool
 Crashes(const placement::StartOrder& aOrder)
 {
@@ -55,6 +64,11 @@
 SimulatedPool::Step()
 {
   std::vector<SimulatedWorker*> reporting;
+  for (SimulatedWorker& worker : m_workers) {
+    for (Run& run : worker.m_runs) {
+      run.m_wasTogether = IsTogether(run);
+    }
+  }
   for (SimulatedWorker& worker : m_workers) {
     Live(worker);
     if (!worker.m_downUntil && m_now >= worker.m_cutUntil &&
@@ -110,10 +124,8 @@
     }
     for (SimulatedWorker& worker : m_workers) {
       std::erase_if(worker.m_runs, [&](const Run& aRun) {
-        const jobs::TaskRef& other = aRun.m_order.m_task;
-        const bool isMember = other.m_job == task.m_job &&
-                              other.m_occurrence == task.m_occurrence &&
-                              other.m_step == task.m_step;
+        const bool isMember =
+          AreOfOneStep(aRun.m_order.m_task, lost.m_order.m_task);
         if (isMember) {
           AddEnd(worker, aRun, jobs::RunEnd::kGangBroken);
         }
@@ -128,16 +140,40 @@
 {
   const bool isLapsed = m_now > aWorker.m_leaseEnd;
   std::erase_if(aWorker.m_runs, [&](const Run& aRun) {
-    const bool isDone = m_now >= aRun.m_since + aRun.m_takes;
-    if (isLapsed || isDone) {
+    const Millis age = m_now - aRun.m_since;
+    const bool isTogether = IsTogether(aRun);
+    const bool isAlone = !isTogether && age >= kGangTimeout;
+    const bool isDone = isTogether && age >= aRun.m_takes;
+    if (isDone) {
+      AddEnd(aWorker, aRun, jobs::RunEnd::kDone);
+    } else if (isLapsed || isAlone) {
       AddEnd(aWorker,
              aRun,
-             isDone ? jobs::RunEnd::kDone : jobs::RunEnd::kLeaseExpired);
+             isAlone ? jobs::RunEnd::kGangIncomplete
+                     : jobs::RunEnd::kLeaseExpired);
     }
-    return isLapsed || isDone;
+    return isLapsed || isAlone || isDone;
   });
 }
 
+bool
+SimulatedPool::IsTogether(const Run& aRun) const
+{
+  const jobs::StepSpec& step = StepOf(aRun.m_order.m_task);
+  if (!step.m_gang) {
+    return true;
+  }
+  std::uint32_t present = 0;
+  for (const SimulatedWorker& worker : m_workers) {
+    present += static_cast<std::uint32_t>(std::count_if(
+      worker.m_runs.begin(), worker.m_runs.end(), [&](const Run& aOther) {
+        return aOther.m_order.m_run == aRun.m_order.m_run &&
+               AreOfOneStep(aOther.m_order.m_task, aRun.m_order.m_task);
+      }));
+  }
+  return present == step.m_count || aRun.m_wasTogether;
+}
+
 void
 SimulatedPool::AddEnd(SimulatedWorker& aWorker,
                       const Run& aRun,
@@ -192,7 +228,10 @@
     add(m_table->OnReport(ReportOf(*worker), book, Time(), Wall()).m_ends);
   }
   add(m_table->FindLost(book, Time(), Wall()));
-  m_fleet.Apply({ ends.begin(), ends.end() });
+  std::vector<jobs::Change> changes{ ends.begin(), ends.end() };
+  const auto settled = m_table->FindSettled(book, Time());
+  changes.insert(changes.end(), settled.begin(), settled.end());
+  m_fleet.Apply(std::move(changes));
   m_table->Acknowledge(m_table->TakeReceipts());
   if (!ends.empty() || m_now >= m_nextPass) {
     m_nextPass = m_now + kPass;
@@ -246,7 +285,7 @@
   }
   const jobs::StepSpec& step = StepOf(aOrder.m_task);
   const Millis takes = step.m_longRunning ? Millis::max() / 2 : step.m_estimate;
-  aWorker.m_runs.push_back({ aOrder, m_now, takes });
+  aWorker.m_runs.push_back({ aOrder, m_now, takes, !step.m_gang });
   if (Crashes(aOrder)) {
     ++record.m_crashes;
     ++m_crashesByTasks;
--- a/tests/support/simulated_pool.h
+++ b/tests/support/simulated_pool.h
@@ -72,6 +72,8 @@
     placement::StartOrder m_order;
     Millis m_since;
     Millis m_takes;
+    /** Of a gang: all of its members have been present. */
+    bool m_wasTogether = false;
   };
 
   struct SimulatedWorker
@@ -96,6 +98,7 @@
   void Live(SimulatedWorker& aWorker);
   void Crash(SimulatedWorker& aWorker, Millis aDown);
   void BreakGangs(const std::vector<Run>& aLost);
+  bool IsTogether(const Run& aRun) const;
   void EndRuns(SimulatedWorker& aWorker);
   void AddEnd(SimulatedWorker& aWorker, const Run& aRun, jobs::RunEnd aHow);
   placement::WorkerReport ReportOf(SimulatedWorker& aWorker) const;
--- a/tests/unit/placement/crash_loops_test.cpp
+++ b/tests/unit/placement/crash_loops_test.cpp
@@ -46,6 +46,19 @@
 {
   SimulatedPool m_pool;
 
+  /** Sound jobs for half a minute, with a crashing one among each aOf. */
+  static void SubmitMixed(SimulatedPool & aPool, int aOf)
+  {
+    for (int i = 0; i < 200; ++i) {
+      aPool.Submit("job" + std::to_string(i), Spec({ Step(6) }));
+      if (aOf > 0 && i % aOf == 0) {
+        aPool.Submit("bad" + std::to_string(i),
+                     Crashing(kCrashFirst, { Step(6) }));
+      }
+      aPool.Pass(Millis{ 150 });
+    }
+  }
+
   void CheckGivenUp(const std::string& aJob)
   {
     CHECK_COMPARE(
@@ -133,7 +146,74 @@
       }
     }
     pool.Pass(kMinute);
-    LONGS_EQUAL(100, pool.CountJobs(JobState::kCompleted));
     LONGS_EQUAL(0, pool.CountJobs(JobState::kFailed));
+    LONGS_EQUAL(100, pool.CountJobs(JobState::kCompleted));
+  }
+}
+
+// Guards against a bound that only holds where each crash can be told from
+// other losses: racks, cuts and changes of the leader come in between.
+TEST(CrashLoops, CrashesAmongOtherLosses_BoundHoldsAndSoundJobsComplete)
+{
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    PoolOptions options;
+    options.m_seed = seed;
+    SimulatedPool pool{ options };
+    std::minstd_rand random{ seed };
+    for (int i = 0; i < 60; ++i) {
+      pool.Submit("job" + std::to_string(i), Spec({ Step(6), Step(3, 2000) }));
+      if (i % 6 == 0) {
+        pool.Submit("bad" + std::to_string(i),
+                    Crashing(kCrashFirst, { Step(4) }));
+      }
+      pool.Pass(Millis{ 600 });
+      if (random() % 8 == 0) {
+        const std::uint32_t first = random() % 8;
+        for (std::uint32_t w = first; w < first + 4; ++w) {
+          pool.CrashWorker(w, Millis{ 2'500 });
+        }
+      }
+      if (random() % 10 == 0) {
+        pool.CutWorker(random() % options.m_workers, Millis{ 6'000 });
+      }
+      if (random() % 15 == 0) {
+        pool.ReplaceLeader(Millis{ 500 + random() % 1500 });
+      }
+    }
+    pool.Pass(kMinute);
+    CHECK_COMPARE(
+      pool.MostStartsAfterThreeCrashes(), <=, kMostStartsAfterThreeCrashes);
+    LONGS_EQUAL(10, pool.CountJobs(JobState::kFailed));
+    LONGS_EQUAL(60, pool.CountJobs(JobState::kCompleted));
   }
 }
+
+// Guards against one kind of job that takes a pool from all the others: beside
+// one crashing job among twenty, sound ones are served nearly as without them.
+TEST(CrashLoops, ShareOfJobsCrashesWorkers_SoundJobsKeepTheirLevel)
+{
+  constexpr std::size_t kLeastPercent = 90;
+  SimulatedPool clean;
+  SubmitMixed(clean, 0);
+  SubmitMixed(m_pool, 20);
+  const std::size_t alone = clean.CountJobs(JobState::kCompleted);
+  const std::size_t beside = m_pool.CountJobs(JobState::kCompleted);
+  CHECK_COMPARE(beside * 100, >=, alone * kLeastPercent);
+  m_pool.Pass(kMinute);
+  LONGS_EQUAL(200, m_pool.CountJobs(JobState::kCompleted));
+  LONGS_EQUAL(10, m_pool.CountJobs(JobState::kFailed));
+  CHECK_COMPARE(m_pool.CrashesByTasks(), <=, 10 * 4);
+}
+
+// Guards against tasks that are shown at work before they crash their worker.
+TEST(CrashLoops, TaskCrashesItsWorkerLater_JobIsGivenUp)
+{
+  PoolOptions options;
+  options.m_crashAfter = Millis{ 700 };
+  SimulatedPool pool{ options };
+  pool.Submit("bad", Crashing(kCrashFirst, { Step(6) }));
+  pool.Pass(kMinute);
+  CHECK_COMPARE(
+    pool.MostStartsAfterThreeCrashes(), <=, kMostStartsAfterThreeCrashes);
+  STRCMP_EQUAL("failed", Describe(pool.StateOf("bad")));
+}
--- a/tools/bamboostile/job_commands.cpp
+++ b/tools/bamboostile/job_commands.cpp
@@ -115,12 +115,15 @@
     json["pending"] = *answer->m_pending;
   } else if (aCall.m_kind == jobs::CallKind::kLook) {
     json["state"] = wire::NameOf(answer->m_state);
+    if (!answer->m_detail.empty()) {
+      json["reason"] = answer->m_detail;
+    }
   }
   if (aCommon.m_json) {
     std::cout << json.dump() << "\n";
   } else {
     std::cout << aWhat;
-    for (const char* key : { "state", "pending" }) {
+    for (const char* key : { "state", "reason", "pending" }) {
       if (json.contains(key)) {
         std::cout << " " << key << "=" << json.at(key);
       }
