--- a/include/bamboostile/jobs/book.h
+++ b/include/bamboostile/jobs/book.h
@@ -120,6 +120,7 @@
   bool AreOneGang(const TaskRef& aLeft, const TaskRef& aRight) const;
   /** Tasks of active jobs under which workers were lost. */
   const std::set<TaskRef>& LostWithWorkers() const { return m_lost; }
+  bool HasLosses(const JobId& aJob) const;
   /** Accepted jobs without a due time of which no task has started. */
   std::uint64_t Pending(const QueueId& aQueue) const;
 
--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -123,9 +123,20 @@
                        const OnWorkers& aOnWorker,
                        Millis aWaited,
                        Pool& aPool) const;
-  static bool MayRun(const jobs::StepSpec& aStep,
-                     const OnWorkers& aOnWorker,
-                     const Room& aRoom);
+  /** Workers of the pool on which a suspect is on trial. */
+  static std::size_t CountTrials(const Pool& aPool);
+  static bool MayTry(const jobs::Job& aJob, const Pool& aPool);
+  /** Since the delay of the next trial was over; unset before. */
+  static std::optional<Millis> WaitedForTrial(
+    const jobs::TaskRef& aTask,
+    const std::vector<jobs::WorkerLoss>& aLosses,
+    WallTime aWall);
+  static std::uint32_t CountOn(const WorkerId& aWorker,
+                               const OnWorkers& aOnWorkers);
+  /** aOnWorker: tasks of the step that run there. */
+  static bool IsAllowed(const jobs::StepSpec& aStep,
+                        std::uint32_t aOnWorker,
+                        const Room& aRoom);
   /** Null where no worker may take a task of the step. */
   Room* Choose(const jobs::StepSpec& aStep,
                const OnWorkers& aOnWorker,
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -111,6 +111,13 @@
     aTask.m_index);
 }
 
+bool
+Book::HasLosses(const JobId& aJob) const
+{
+  const auto first = m_lost.lower_bound(TaskRef{ aJob });
+  return first != m_lost.end() && first->m_job == aJob;
+}
+
 bool
 Book::AreOneGang(const TaskRef& aLeft, const TaskRef& aRight) const
 {
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -90,8 +90,10 @@
                  to.setHow(static_cast<std::uint8_t>(aOne.m_how));
                  to.setCheckpoint(aOne.m_checkpoint);
                  to.setEndAtMs(aOne.m_at.Get());
-                 to.setEvidence(static_cast<std::uint8_t>(aOne.m_evidence));
-                 to.setLostInstance(aOne.m_lostInstance.Get());
+                 if (aOne.m_evidence != CrashEvidence::kNone) {
+                   to.setEvidence(static_cast<std::uint8_t>(aOne.m_evidence));
+                   to.setLostInstance(aOne.m_lostInstance.Get());
+                 }
                },
                [&](const FailJob& aOne) {
                  auto to = aTo.initFail();
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -27,21 +27,6 @@
  * far as there is room elsewhere. */
 constexpr std::uint32_t kSpreadShare = 8;
 
-/** Of a pool's workers, one in so many at most may be lost to trials at a time:
- * the others go on with sound work. */
-constexpr std::size_t kTrialShare = 4;
-/** After that a trial also takes a worker with long-running tasks or a gang;
- * pools that have no other worker would never try. */
-constexpr Millis kTrialPatience{ 1000 };
-
-bool
-HasLosses(const jobs::Book& aBook, const jobs::Job& aJob)
-{
-  const auto first =
-    aBook.LostWithWorkers().lower_bound(jobs::TaskRef{ aJob.m_id });
-  return first != aBook.LostWithWorkers().end() && first->m_job == aJob.m_id;
-}
-
 std::uint32_t
 SpreadLimit(const jobs::StepSpec& aStep)
 {
@@ -69,12 +54,6 @@
   ++m_runs;
 }
 
-bool
-Planner::Room::IsOpenToTrialOf(const jobs::Job& aJob) const
-{
-  return m_trialOf == nullptr ? m_unshown == 0 : m_trialOf == &aJob;
-}
-
 Millis
 Planner::LongestChain(const jobs::Job& aJob,
                       const jobs::Occurrence* aProgress) const
@@ -130,29 +109,6 @@
   return pools;
 }
 
-void
-Planner::FindTrials(const Worker& aWorker,
-                    const std::vector<jobs::TaskRef>& aPlaced,
-                    const jobs::Book& aBook,
-                    Room& aRoom) const
-{
-  for (const jobs::TaskRef& ref : aPlaced) {
-    const jobs::Task& task = *aBook.FindTask(ref);
-    const auto losses = aBook.LossesOf(ref);
-    const auto& active = aWorker.m_last.m_active;
-    const bool isShown =
-      std::any_of(active.begin(), active.end(), [&](const RunReport& aRun) {
-        return aRun.m_task == ref && aRun.m_run == task.m_lastRun;
-      });
-    aRoom.m_unshown += isShown ? 0 : 1;
-    const bool isOnTrial =
-      isShown ? jobs::IsTriedThroughout(losses) : jobs::IsSuspect(losses);
-    if (isOnTrial) {
-      aRoom.m_trialOf = aBook.Find(ref.m_job);
-    }
-  }
-}
-
 void
 Planner::AddCandidates(const jobs::Job& aJob,
                        const fleet::QueueRoute& aRoute,
@@ -238,19 +194,22 @@
   return candidates;
 }
 
+std::uint32_t
+Planner::CountOn(const WorkerId& aWorker, const OnWorkers& aOnWorkers)
+{
+  const auto here = aOnWorkers.find(aWorker);
+  return here == aOnWorkers.end() ? 0 : here->second;
+}
+
 bool
-Planner::MayRun(const jobs::StepSpec& aStep,
-                const OnWorkers& aOnWorker,
-                const Room& aRoom)
+Planner::IsAllowed(const jobs::StepSpec& aStep,
+                   std::uint32_t aOnWorker,
+                   const Room& aRoom)
 {
-  const WorkerReport& report = aRoom.m_worker->m_last;
-  const bool isLabelled = aStep.m_requiredLabel.empty() ||
-                          report.m_labels.contains(aStep.m_requiredLabel);
-  const auto here = aOnWorker.find(report.m_worker);
-  const bool isBelowLimit = aStep.m_maxPerWorker == 0 ||
-                            here == aOnWorker.end() ||
-                            here->second < aStep.m_maxPerWorker;
-  return aRoom.Fits(aStep) && isLabelled && isBelowLimit;
+  const auto& labels = aRoom.m_worker->m_last.m_labels;
+  return (aStep.m_requiredLabel.empty() ||
+          labels.contains(aStep.m_requiredLabel)) &&
+         (aStep.m_maxPerWorker == 0 || aOnWorker < aStep.m_maxPerWorker);
 }
 
 Planner::Room*
@@ -262,12 +221,13 @@
   auto bestRank = std::make_tuple(true, true, true, true, true, std::int64_t{});
   for (Room& room : aPool) {
     const WorkerReport& report = room.m_worker->m_last;
-    if (room.m_kept || room.m_trialOf != nullptr ||
-        !MayRun(aStep, aOnWorker, room)) {
+    if (room.m_kept || room.m_trialOf != nullptr || !room.Fits(aStep)) {
+      continue;
+    }
+    const std::uint32_t onWorker = CountOn(report.m_worker, aOnWorker);
+    if (!IsAllowed(aStep, onWorker, room)) {
       continue;
     }
-    const auto here = aOnWorker.find(report.m_worker);
-    const std::uint32_t onWorker = here == aOnWorker.end() ? 0 : here->second;
     const bool farFromData = !aStep.m_preferredRack.Get().empty() &&
                              aStep.m_preferredRack != report.m_rack;
     // Filler and serving tasks disturb each other on one worker.
@@ -298,92 +258,6 @@
   return best;
 }
 
-// A trial that ends its worker should take little with it, and prove something:
-// nothing else is started there until a report shows the run.
-Planner::Room*
-Planner::ChooseForTrial(const jobs::Job& aJob,
-                        const jobs::StepSpec& aStep,
-                        const OnWorkers& aOnWorker,
-                        Millis aWaited,
-                        Pool& aPool) const
-{
-  const bool takesAny = aStep.m_longRunning || aWaited >= kTrialPatience;
-  const auto rank = [](const Room& aRoom) {
-    return std::make_tuple(aRoom.m_hostsLongRunning || aRoom.m_hostsGang,
-                           aRoom.m_runs);
-  };
-  Room* best = nullptr;
-  for (Room& room : aPool) {
-    const bool isSpared = room.m_trialOf == nullptr &&
-                          (room.m_hostsLongRunning || room.m_hostsGang);
-    if (!room.IsOpenToTrialOf(aJob) || !MayRun(aStep, aOnWorker, room) ||
-        (isSpared && !takesAny)) {
-      continue;
-    }
-    if (best == nullptr || rank(room) < rank(*best)) {
-      best = &room;
-    }
-  }
-  return best;
-}
-
-void
-Planner::PlaceTrial(const Candidate& aCandidate,
-                    bool aIsCalm,
-                    WallTime aWall,
-                    Pool& aPool,
-                    Plan& aPlan) const
-{
-  const jobs::Job& job = *aCandidate.m_job;
-  const jobs::StepSpec& step = job.m_spec.m_steps[aCandidate.m_step];
-  const auto found = job.m_occurrences.find(aCandidate.m_occurrence);
-  const auto trials = static_cast<std::size_t>(
-    std::count_if(aPool.begin(), aPool.end(), [](const Room& aRoom) {
-      return aRoom.m_trialOf != nullptr;
-    }));
-  const bool isOnTrial =
-    std::any_of(aPool.begin(), aPool.end(), [&](const Room& aRoom) {
-      return aRoom.m_trialOf == &job;
-    });
-  const std::size_t most = std::max<std::size_t>(1, aPool.size() / kTrialShare);
-  if (found == job.m_occurrences.end() || isOnTrial || trials >= most) {
-    return;
-  }
-  const jobs::StepRun& run = found->second.m_steps[aCandidate.m_step];
-  for (std::uint32_t i = 0; i < step.m_count; ++i) {
-    const auto losses = jobs::LossesOf(step, run, i);
-    if (run.m_tasks[i].m_phase != jobs::TaskPhase::kWaiting ||
-        !jobs::IsSuspect(losses) || (jobs::NeedsCalm(losses) && !aIsCalm)) {
-      continue;
-    }
-    const jobs::TaskRef ref{
-      job.m_id, aCandidate.m_occurrence, aCandidate.m_step, i
-    };
-    // A time of day that jumps must not hold a task back.
-    const Millis since{ aWall.Get() - losses.back().m_at.Get() };
-    const Millis delay = ToMillis(jobs::RetryDelay(ref, losses));
-    if (since >= Millis::zero() && since < delay) {
-      continue;
-    }
-    const Millis waited = since < Millis::zero() ? since : since - delay;
-    if (step.m_gang) {
-      PlaceGang(aCandidate, waited, aPool, aPlan);
-      return;
-    }
-    Room* room =
-      ChooseForTrial(job, step, CountOnWorkers(run.m_tasks), waited, aPool);
-    if (room != nullptr) {
-      room->Take(step);
-      room->m_trialOf = &job;
-      aPlan.m_changes.emplace_back(
-        jobs::StartRun{ ref,
-                        RunNumber{ run.m_tasks[i].m_lastRun.Get() + 1 },
-                        room->m_worker->m_last.m_worker });
-    }
-    return;
-  }
-}
-
 // A large task that finds no room would wait for ever while small ones take
 // each piece that becomes free; so it gets the emptiest worker to itself.
 void
@@ -607,7 +481,7 @@
       Place(*it, pools[it->m_route->m_service], plan);
     }
     for (auto it = aFrom; it != aTo; ++it) {
-      if (HasLosses(aState.Jobs(), *it->m_job)) {
+      if (aState.Jobs().HasLosses(it->m_job->m_id)) {
         PlaceTrial(*it, isCalm, aWall, pools[it->m_route->m_service], plan);
       }
     }
--- /dev/null
+++ b/src/placement/trials.cpp
@@ -0,0 +1,158 @@
+#include "bamboostile/jobs/crash_loop.h"
+#include "bamboostile/placement/planner.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace bamboostile::placement {
+
+namespace {
+
+/** Of a pool's workers, one in so many at most may be lost to trials at a time:
+ * the others go on with sound work. */
+constexpr std::size_t kTrialShare = 4;
+/** After that a trial also takes a worker with long-running tasks or a gang;
+ * pools that have no other worker would never try. */
+constexpr Millis kTrialPatience{ 1000 };
+
+} // namespace
+
+bool
+Planner::Room::IsOpenToTrialOf(const jobs::Job& aJob) const
+{
+  return m_trialOf == nullptr ? m_unshown == 0 : m_trialOf == &aJob;
+}
+
+void
+Planner::FindTrials(const Worker& aWorker,
+                    const std::vector<jobs::TaskRef>& aPlaced,
+                    const jobs::Book& aBook,
+                    Room& aRoom) const
+{
+  for (const jobs::TaskRef& ref : aPlaced) {
+    const jobs::Task& task = *aBook.FindTask(ref);
+    const auto losses = aBook.LossesOf(ref);
+    const auto& active = aWorker.m_last.m_active;
+    const bool isShown =
+      std::any_of(active.begin(), active.end(), [&](const RunReport& aRun) {
+        return aRun.m_task == ref && aRun.m_run == task.m_lastRun;
+      });
+    aRoom.m_unshown += isShown ? 0 : 1;
+    const bool isOnTrial =
+      isShown ? jobs::IsTriedThroughout(losses) : jobs::IsSuspect(losses);
+    if (isOnTrial) {
+      aRoom.m_trialOf = aBook.Find(ref.m_job);
+    }
+  }
+}
+
+// A trial that ends its worker should take little with it, and prove something:
+// nothing else is started there until a report shows the run.
+Planner::Room*
+Planner::ChooseForTrial(const jobs::Job& aJob,
+                        const jobs::StepSpec& aStep,
+                        const OnWorkers& aOnWorker,
+                        Millis aWaited,
+                        Pool& aPool) const
+{
+  const bool takesAny = aStep.m_longRunning || aWaited >= kTrialPatience;
+  const auto rank = [](const Room& aRoom) {
+    return std::make_tuple(aRoom.m_hostsLongRunning || aRoom.m_hostsGang,
+                           aRoom.m_runs);
+  };
+  Room* best = nullptr;
+  for (Room& room : aPool) {
+    const bool isSpared = room.m_trialOf == nullptr &&
+                          (room.m_hostsLongRunning || room.m_hostsGang);
+    const WorkerId& worker = room.m_worker->m_last.m_worker;
+    if (!room.IsOpenToTrialOf(aJob) || (isSpared && !takesAny) ||
+        !room.Fits(aStep) ||
+        !IsAllowed(aStep, CountOn(worker, aOnWorker), room)) {
+      continue;
+    }
+    if (best == nullptr || rank(room) < rank(*best)) {
+      best = &room;
+    }
+  }
+  return best;
+}
+
+std::size_t
+Planner::CountTrials(const Pool& aPool)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aPool.begin(), aPool.end(), [](const Room& aRoom) {
+      return aRoom.m_trialOf != nullptr;
+    }));
+}
+
+bool
+Planner::MayTry(const jobs::Job& aJob, const Pool& aPool)
+{
+  const std::size_t most = std::max<std::size_t>(1, aPool.size() / kTrialShare);
+  return CountTrials(aPool) < most &&
+         std::none_of(aPool.begin(), aPool.end(), [&](const Room& aRoom) {
+           return aRoom.m_trialOf == &aJob;
+         });
+}
+
+// A time of day that jumps back must not hold a task for long.
+std::optional<Millis>
+Planner::WaitedForTrial(const jobs::TaskRef& aTask,
+                        const std::vector<jobs::WorkerLoss>& aLosses,
+                        WallTime aWall)
+{
+  const Millis since{ aWall.Get() - aLosses.back().m_at.Get() };
+  const Millis delay = ToMillis(jobs::RetryDelay(aTask, aLosses));
+  if (since < Millis::zero()) {
+    return Millis::zero();
+  }
+  return since < delay ? std::nullopt : std::optional{ since - delay };
+}
+
+void
+Planner::PlaceTrial(const Candidate& aCandidate,
+                    bool aIsCalm,
+                    WallTime aWall,
+                    Pool& aPool,
+                    Plan& aPlan) const
+{
+  const jobs::Job& job = *aCandidate.m_job;
+  const jobs::StepSpec& step = job.m_spec.m_steps[aCandidate.m_step];
+  const auto found = job.m_occurrences.find(aCandidate.m_occurrence);
+  if (found == job.m_occurrences.end() || !MayTry(job, aPool)) {
+    return;
+  }
+  const jobs::StepRun& run = found->second.m_steps[aCandidate.m_step];
+  for (std::uint32_t i = 0; i < step.m_count; ++i) {
+    const jobs::TaskRef ref{
+      job.m_id, aCandidate.m_occurrence, aCandidate.m_step, i
+    };
+    const auto losses = jobs::LossesOf(step, run, i);
+    if (run.m_tasks[i].m_phase != jobs::TaskPhase::kWaiting ||
+        !jobs::IsSuspect(losses) || (jobs::NeedsCalm(losses) && !aIsCalm)) {
+      continue;
+    }
+    const auto waited = WaitedForTrial(ref, losses, aWall);
+    if (!waited) {
+      continue;
+    }
+    if (step.m_gang) {
+      PlaceGang(aCandidate, waited, aPool, aPlan);
+      return;
+    }
+    Room* room =
+      ChooseForTrial(job, step, CountOnWorkers(run.m_tasks), *waited, aPool);
+    if (room != nullptr) {
+      room->Take(step);
+      room->m_trialOf = &job;
+      aPlan.m_changes.emplace_back(
+        jobs::StartRun{ ref,
+                        RunNumber{ run.m_tasks[i].m_lastRun.Get() + 1 },
+                        room->m_worker->m_last.m_worker });
+    }
+    return;
+  }
+}
+
+} // namespace bamboostile::placement
--- a/tests/unit/jobs/crash_loop_test.cpp
+++ b/tests/unit/jobs/crash_loop_test.cpp
@@ -88,8 +88,8 @@
 {
   using enum CrashEvidence;
   CHECK(!IsProven(Losses({ kStarting, kStarting, kStarting, kStarting })));
-  CHECK(
-    IsProven(Losses({ kStarting, kStarting, kStarting, kStarting, kStarting })));
+  CHECK(IsProven(
+    Losses({ kStarting, kStarting, kStarting, kStarting, kStarting })));
   CHECK(!IsProven(Losses({ kRunning, kStarting, kStarting, kAlone })));
   CHECK(IsProven(Losses({ kRunning, kRunning, kStarting, kStarting, kAlone })));
 }
@@ -155,8 +155,8 @@
 
   const EndRun end{ Ref("a"), RunNumber{ 3 }, RunEnd::kWorkerLost,
                     "",       WallTime{ 3 },  CrashEvidence::kAlone };
-  const auto batch =
-    DecodeBatch(EncodeBatch({ { end, SettleRun{ Ref("a"), RunNumber{ 4 } } } }));
+  const auto batch = DecodeBatch(
+    EncodeBatch({ { end, SettleRun{ Ref("a"), RunNumber{ 4 } } } }));
   CHECK(std::get<EndRun>(batch->m_changes[0]).m_evidence ==
         CrashEvidence::kAlone);
   LONGS_EQUAL(4, std::get<SettleRun>(batch->m_changes[1]).m_run.Get());
