Give no order for an instance of which two lives may be running

A worker had crashed and come back; until its next life is confirmed, a second later, the one before was held for the instance's worker. It was idle, so the instance was moved, and with it went what had just been started on the next life.

An instance of which two lives may be running gets no order until that is settled, its lives get nothing new while a wave is about to take it, an earlier life gets no tasks, and an order that was taken ends all lives that were heard before the platform can have brought the instance back.

--- a/include/bamboostile/control/instance_service.h
+++ b/include/bamboostile/control/instance_service.h
@@ -42,7 +42,7 @@
 class InstanceService final : private kj::TaskSet::ErrorHandler
 {
 public:
-  using Ended = std::function<void(const WorkerId&)>;
+  using Ended = std::function<void(const WorkerId&, TimePoint aOrderedAt)>;
 
   /** aEnded hears of lives that an order has ended for certain. */
   InstanceService(Node& aNode,
--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -132,6 +132,7 @@
   void NoteIfCrashLoop(const jobs::Job& aJob, const jobs::EndRun& aEnd);
   void StopStuckRuns(TimePoint aNow);
   void OnLifeEnded(const WorkerId& aWorker);
+  void OnOrderTaken(const WorkerId& aWorker, TimePoint aOrderedAt);
   kj::Promise<jobs::QueueReply> Submit(const fleet::QueueRoute& aRoute,
                                        const JobId& aJob,
                                        jobs::JobSpec aSpec);
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -251,6 +251,14 @@
    * worker counts each as a failure. */
   std::vector<StopOrder> FindStuck(const jobs::Book& aBook, TimePoint aNow);
 
+  /** An order that ends an instance's life was taken: the worker that it was
+   * aimed at is gone, and so are other lives of the instance that were heard
+   * first before aHeardBefore. */
+  std::vector<jobs::EndRun> RetireInstance(const WorkerId& aWorker,
+                                           TimePoint aHeardBefore,
+                                           const jobs::Book& aBook,
+                                           WallTime aWall);
+
   /** The worker is gone for certain; it is never listened to again. */
   std::vector<jobs::EndRun> Retire(const WorkerId& aWorker,
                                    const jobs::Book& aBook,
@@ -281,6 +289,13 @@
   const std::map<WorkerId, Worker>& Workers() const { return m_workers; }
   const Worker* Find(const WorkerId& aWorker) const;
   const Worker* FindByInstance(const InstanceId& aInstance) const;
+  /** Lives of the instance that are not known to have ended. */
+  const std::vector<WorkerId>& LivesOf(const InstanceId& aInstance) const;
+  /** Two lives of the instance may be running: which one an order would end is
+   * not known. */
+  bool IsContested(const InstanceId& aInstance) const;
+  /** A life of its instance was first heard after it fell silent. */
+  bool HasLaterLife(const Worker& aWorker) const;
   /** The run, if its worker's last report has it. */
   const RunReport* FindRun(const jobs::TaskRef& aTask,
                            const jobs::Task& aState) const;
@@ -326,7 +341,6 @@
   std::vector<jobs::EndRun> EndAll(const WorkerId& aWorker,
                                    const jobs::Book& aBook,
                                    WallTime aWall);
-  bool HasLaterLife(const Worker& aWorker) const;
   void CountActive(Worker& aWorker, const jobs::Book& aBook) const;
   /** Starts that no longer fit what the worker last reported. */
   std::vector<jobs::TaskRef> FindRoomless(const Worker& aWorker,
@@ -360,6 +374,7 @@
   TimePoint m_leaderSince;
   std::map<WorkerId, Worker> m_workers;
   std::map<InstanceId, WorkerId> m_current;
+  std::map<InstanceId, std::vector<WorkerId>> m_lives;
   std::set<WorkerId> m_retired;
   std::set<WorkerId> m_cordoned;
   /** Workers of whose ends some are taken and not yet on a receipt. */
--- a/src/control/instance_service.cpp
+++ b/src/control/instance_service.cpp
@@ -168,7 +168,7 @@
   const placement::MaintenanceResult next = m_maintenance.OnAnswer(
     aReply.m_order, aReply.m_answer.m_answer, MonotonicNow());
   if (next.m_ended) {
-    m_ended(*next.m_ended);
+    m_ended(*next.m_ended, aReply.m_decidedAt);
   }
   // Until what the answer changes is committed, the plan would repeat the
   // order.
@@ -299,7 +299,7 @@
   const auto ended = m_capacity.OnAnswer(
     aReply.m_order, aReply.m_answer.m_answer, MonotonicNow());
   if (ended) {
-    m_ended(*ended);
+    m_ended(*ended, aReply.m_decidedAt);
   }
 }
 
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -24,6 +24,9 @@
  * batches take, also at a full leader; after 1 s the worker drops the answer,
  * and with it its lease. */
 constexpr Duration kAnswerWithin = Millis{ 500 };
+/** The platform keeps an instance down for longer than this: what is heard of
+ * it earlier after an order is a life that the order ended. */
+constexpr Duration kSoonestNextLife = Millis{ 1000 };
 /** What a caller whose job was not taken is told to wait. */
 constexpr Millis kRetryAfter{ 1000 };
 
@@ -92,7 +95,9 @@
       m_options.m_capacity,
       term,
       m_pace,
-      [this](const WorkerId& aWorker) { OnLifeEnded(aWorker); });
+      [this](const WorkerId& aWorker, TimePoint aOrderedAt) {
+        OnOrderTaken(aWorker, aOrderedAt);
+      });
     m_gathered.clear();
     m_startedAt.clear();
     m_isDirty = true;
@@ -206,6 +211,15 @@
   Kick();
 }
 
+void
+JobService::OnOrderTaken(const WorkerId& aWorker, TimePoint aOrderedAt)
+{
+  Gather(m_workers->RetireInstance(
+    aWorker, aOrderedAt + kSoonestNextLife, m_node.State().Jobs(), WallNow()));
+  m_isDirty = true;
+  Kick();
+}
+
 std::string
 JobService::RenderMetrics()
 {
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -234,6 +234,7 @@
     const Worker* worker = aWorkers.Find(id);
     const bool isIdle = aNow >= since + aIdleFor || aEmptied.contains(id);
     if (isIdle && worker->IsUsable(aNow) &&
+        !aWorkers.IsContested(worker->m_last.m_instance) &&
         IsFreeToOrder(
           worker->m_last.m_instance, aRecord, worker->m_firstHeardAt, aNow) &&
         !aReserved.contains(id) && !Rests(worker->m_last.m_instance, aNow) &&
--- a/src/placement/maintenance.cpp
+++ b/src/placement/maintenance.cpp
@@ -66,7 +66,7 @@
                             TimePoint aNow) const
 {
   const auto since = m_cordonedSince.find(aInstance);
-  if (since == m_cordonedSince.end()) {
+  if (since == m_cordonedSince.end() || aWorkers.IsContested(aInstance)) {
     return false;
   }
   const Worker* worker = aWorkers.FindByInstance(aInstance);
@@ -116,16 +116,16 @@
     m_unclear.insert(aOrder.m_instance);
   }
   const Worker* worker = aWorkers.FindByInstance(aOrder.m_instance);
-  if (worker != nullptr) {
-    aPlan.m_cordoned.insert(worker->m_last.m_worker);
-  }
+  const auto& lives = aWorkers.LivesOf(aOrder.m_instance);
+  aPlan.m_cordoned.insert(lives.begin(), lives.end());
   const bool isQuietOver =
     aNow >= aWorkers.LeaderSince() + m_options.m_quietAfterElection;
   const bool isFree =
     worker == nullptr
       ? aWorkers.KnowsAllLeases(aNow)
       : !HoldsBudgetedTask(worker->m_last.m_worker, aState.Jobs());
-  if (isQuietOver && isFree && !Rests(aOrder.m_instance, aNow)) {
+  if (isQuietOver && isFree && !aWorkers.IsContested(aOrder.m_instance) &&
+      !Rests(aOrder.m_instance, aNow)) {
     aPlan.m_orders.push_back(aOrder);
   }
 }
@@ -169,9 +169,8 @@
   waiting.resize(std::min(waiting.size(), room + m_options.m_ahead));
   for (const InstanceId& instance : waiting) {
     m_cordonedSince.try_emplace(instance, aNow);
-    if (const Worker* worker = aWorkers.FindByInstance(instance)) {
-      aPlan.m_cordoned.insert(worker->m_last.m_worker);
-    }
+    const auto& lives = aWorkers.LivesOf(instance);
+    aPlan.m_cordoned.insert(lives.begin(), lives.end());
     if (down < aWave.m_cap && IsReady(instance, aState, aWorkers, aNow)) {
       ++down;
       TakeTurn(aWave, instance, aWorkers, aPlan);
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -84,7 +84,8 @@
   Pools pools;
   const jobs::Book& book = aState.Jobs();
   for (const auto& [id, worker] : aWorkers.Workers()) {
-    if (!worker.IsUsable(aNow) || aCordoned.contains(id)) {
+    if (!worker.IsUsable(aNow) || aCordoned.contains(id) ||
+        aWorkers.HasLaterLife(worker)) {
       continue;
     }
     const jobs::Resources& all = worker.m_last.m_capacity;
--- a/src/placement/worker_losses.cpp
+++ b/src/placement/worker_losses.cpp
@@ -24,17 +24,30 @@
   return unshown;
 }
 
+const std::vector<WorkerId>&
+WorkerTable::LivesOf(const InstanceId& aInstance) const
+{
+  static const std::vector<WorkerId> kNone;
+  const auto found = m_lives.find(aInstance);
+  return found == m_lives.end() ? kNone : found->second;
+}
+
+bool
+WorkerTable::IsContested(const InstanceId& aInstance) const
+{
+  const auto& lives = LivesOf(aInstance);
+  return std::count_if(lives.begin(), lives.end(), [&](const WorkerId& aLife) {
+           return !Find(aLife)->m_silent;
+         }) > 1;
+}
+
 bool
 WorkerTable::HasLaterLife(const Worker& aWorker) const
 {
-  const InstanceId& instance = aWorker.m_last.m_instance;
-  return !instance.Get().empty() &&
-         std::any_of(
-           m_workers.begin(), m_workers.end(), [&](const auto& aEntry) {
-             const Worker& other = aEntry.second;
-             return other.m_last.m_instance == instance &&
-                    other.m_firstHeardAt > aWorker.m_heardAt;
-           });
+  const auto& lives = LivesOf(aWorker.m_last.m_instance);
+  return std::any_of(lives.begin(), lives.end(), [&](const WorkerId& aLife) {
+    return Find(aLife)->m_firstHeardAt > aWorker.m_heardAt;
+  });
 }
 
 std::size_t
@@ -234,11 +247,42 @@
   m_retired.insert(aWorker);
   auto ends = EndAll(aWorker, aBook, aWall);
   m_workers.erase(aWorker);
+  // A damaged report may have named another instance since.
+  for (auto& [instance, lives] : m_lives) {
+    std::erase(lives, aWorker);
+  }
+  std::erase_if(m_lives,
+                [](const auto& aEntry) { return aEntry.second.empty(); });
   std::erase_if(m_current,
                 [&](const auto& aEntry) { return aEntry.second == aWorker; });
   return ends;
 }
 
+// The life that an order was aimed at may have ended before, unnoticed, and the
+// next one have been heard while the order was under way. That one has ended
+// too, and nothing it got will ever run.
+std::vector<jobs::EndRun>
+WorkerTable::RetireInstance(const WorkerId& aWorker,
+                            TimePoint aHeardBefore,
+                            const jobs::Book& aBook,
+                            WallTime aWall)
+{
+  std::vector<WorkerId> ended;
+  if (const Worker* worker = Find(aWorker)) {
+    for (const WorkerId& life : LivesOf(worker->m_last.m_instance)) {
+      if (life != aWorker && Find(life)->m_firstHeardAt < aHeardBefore) {
+        ended.push_back(life);
+      }
+    }
+  }
+  auto ends = Retire(aWorker, aBook, aWall);
+  for (const WorkerId& life : ended) {
+    const auto more = Retire(life, aBook, aWall);
+    ends.insert(ends.end(), more.begin(), more.end());
+  }
+  return ends;
+}
+
 std::vector<jobs::EndRun>
 WorkerTable::FindLost(const jobs::Book& aBook, TimePoint aNow, WallTime aWall)
 {
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -160,6 +160,9 @@
   }
   if (isNew) {
     worker.m_firstHeardAt = aNow;
+    if (!aReport.m_instance.Get().empty()) {
+      m_lives[aReport.m_instance].push_back(aReport.m_worker);
+    }
     heard.m_changed = true;
   }
   // The answer that is about to go out gives a lease. Until it is out the
