--- a/include/bamboostile/jobs/crash_loop.h
+++ b/include/bamboostile/jobs/crash_loop.h
@@ -29,6 +29,10 @@
 /** The next trial waits until no other worker is being lost. */
 bool NeedsCalm(const std::vector<WorkerLoss>& aLosses);
 
+/** Whether a worker of the instance is among those lost. */
+bool WasLostOn(const std::vector<WorkerLoss>& aLosses,
+               const InstanceId& aInstance);
+
 /** The task must not start again. */
 bool IsProven(const std::vector<WorkerLoss>& aLosses);
 
--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -120,6 +120,7 @@
   /** Null where no worker may take it; aWaited: since its delay was over. */
   Room* ChooseForTrial(const jobs::Job& aJob,
                        const jobs::StepSpec& aStep,
+                       const std::vector<jobs::WorkerLoss>& aLosses,
                        const OnWorkers& aOnWorker,
                        Millis aWaited,
                        Pool& aPool) const;
--- a/src/jobs/crash_loop.cpp
+++ b/src/jobs/crash_loop.cpp
@@ -102,6 +102,15 @@
   return aLosses.size() >= kLossesUntilCalm;
 }
 
+bool
+WasLostOn(const std::vector<WorkerLoss>& aLosses, const InstanceId& aInstance)
+{
+  return std::any_of(
+    aLosses.begin(), aLosses.end(), [&](const WorkerLoss& aOne) {
+      return aOne.m_instance == aInstance;
+    });
+}
+
 bool
 IsProven(const std::vector<WorkerLoss>& aLosses)
 {
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -349,10 +349,11 @@
   const auto found =
     aCandidate.m_job->m_occurrences.find(aCandidate.m_occurrence);
   RunNumber last;
+  std::vector<jobs::WorkerLoss> losses;
   if (found != aCandidate.m_job->m_occurrences.end()) {
     const jobs::StepRun& state = found->second.m_steps[aCandidate.m_step];
-    const bool isSuspect = jobs::IsSuspect(jobs::LossesOf(step, state, 0));
-    if (state.m_running > 0 || isSuspect != aWaited.has_value()) {
+    losses = jobs::LossesOf(step, state, 0);
+    if (state.m_running > 0 || jobs::IsSuspect(losses) != aWaited.has_value()) {
       return;
     }
     for (const jobs::Task& task : state.m_tasks) {
@@ -364,9 +365,9 @@
   std::vector<jobs::Change> starts;
   for (std::uint32_t i = 0; i < step.m_count; ++i) {
     Room* room =
-      aWaited
-        ? ChooseForTrial(*aCandidate.m_job, step, onWorker, *aWaited, trial)
-        : Choose(step, onWorker, trial);
+      aWaited ? ChooseForTrial(
+                  *aCandidate.m_job, step, losses, onWorker, *aWaited, trial)
+              : Choose(step, onWorker, trial);
     if (room == nullptr) {
       return;
     }
--- a/src/placement/trials.cpp
+++ b/src/placement/trials.cpp
@@ -47,10 +47,13 @@
 }
 
 // A trial that ends its worker should take little with it, and prove something:
-// nothing else is started there until a report shows the run.
+// nothing else is started there until a report shows the run. An instance that
+// crashes under whatever it starts is always the emptiest, so a trial goes
+// where the task has not been lost yet, as long as the pool has such instances.
 Planner::Room*
 Planner::ChooseForTrial(const jobs::Job& aJob,
                         const jobs::StepSpec& aStep,
+                        const std::vector<jobs::WorkerLoss>& aLosses,
                         const OnWorkers& aOnWorker,
                         Millis aWaited,
                         Pool& aPool) const
@@ -60,13 +63,17 @@
     return std::make_tuple(aRoom.m_hostsLongRunning || aRoom.m_hostsGang,
                            aRoom.m_runs);
   };
+  const auto isKnown = [&](const Room& aRoom) {
+    return jobs::WasLostOn(aLosses, aRoom.m_worker->m_last.m_instance);
+  };
+  const bool areAllKnown = std::all_of(aPool.begin(), aPool.end(), isKnown);
   Room* best = nullptr;
   for (Room& room : aPool) {
     const bool isSpared = room.m_trialOf == nullptr &&
                           (room.m_hostsLongRunning || room.m_hostsGang);
     const WorkerId& worker = room.m_worker->m_last.m_worker;
     if (!room.IsOpenToTrialOf(aJob) || (isSpared && !takesAny) ||
-        !room.Fits(aStep) ||
+        (isKnown(room) && !areAllKnown) || !room.Fits(aStep) ||
         !IsAllowed(aStep, CountOn(worker, aOnWorker), room)) {
       continue;
     }
@@ -141,8 +148,8 @@
       PlaceGang(aCandidate, waited, aPool, aPlan);
       return;
     }
-    Room* room =
-      ChooseForTrial(job, step, CountOnWorkers(run.m_tasks), *waited, aPool);
+    Room* room = ChooseForTrial(
+      job, step, losses, CountOnWorkers(run.m_tasks), *waited, aPool);
     if (room != nullptr) {
       room->Take(step);
       room->m_trialOf = &job;
--- a/src/placement/worker_losses.cpp
+++ b/src/placement/worker_losses.cpp
@@ -104,7 +104,8 @@
 // Whatever had just been started there is the first suspect; what was at work
 // is one only where no trial explains the loss. Only a crash in a trial, with
 // no other start and no other loss beside it, counts as proof: a lapsed lease
-// may be that of a worker which lives behind a cut link.
+// may be that of a worker which lives behind a cut link, and an instance that
+// the task was lost on before may be the one to blame.
 jobs::CrashEvidence
 WorkerTable::JudgeTask(const jobs::TaskRef& aTask,
                        const Worker& aWorker,
@@ -114,7 +115,9 @@
   using jobs::CrashEvidence;
   const jobs::Task& task = *aBook.FindTask(aTask);
   const auto losses = aBook.LossesOf(aTask);
-  const bool isCrash = aScene.m_lost.m_cause == LossCause::kLaterLife;
+  const bool isProofOfCrash =
+    aScene.m_lost.m_cause == LossCause::kLaterLife &&
+    !jobs::WasLostOn(losses, aWorker.m_last.m_instance);
   const bool isShared = aScene.m_lost.m_lostBeside > 0;
   const auto& unshown = aScene.m_unshown;
   if (task.m_settled) {
@@ -125,14 +128,14 @@
       std::all_of(unshown.begin(), unshown.end(), [&](const auto& aOther) {
         return aOther == aTask || aBook.AreOneGang(aOther, aTask);
       });
-    return jobs::IsSuspect(losses) && isCrash && isAlone && !isShared
+    return jobs::IsSuspect(losses) && isProofOfCrash && isAlone && !isShared
              ? CrashEvidence::kAlone
              : CrashEvidence::kStarting;
   }
   if (isShared || !Contains(aWorker.m_last.m_active, aTask, task.m_lastRun)) {
     return CrashEvidence::kNone;
   }
-  if (jobs::IsTriedThroughout(losses) && isCrash && unshown.empty()) {
+  if (jobs::IsTriedThroughout(losses) && isProofOfCrash && unshown.empty()) {
     return CrashEvidence::kAlone;
   }
   return aScene.m_hasTrial ? CrashEvidence::kNone : CrashEvidence::kRunning;
--- a/tests/support/simulated_pool.cpp
+++ b/tests/support/simulated_pool.cpp
@@ -267,6 +267,13 @@
   }
 }
 
+bool
+SimulatedPool::IsFaulty(const SimulatedWorker& aWorker) const
+{
+  return m_options.m_faultyWorker &&
+         &aWorker == &m_workers[*m_options.m_faultyWorker];
+}
+
 void
 SimulatedPool::Start(SimulatedWorker& aWorker,
                      const placement::StartOrder& aOrder)
@@ -289,6 +296,8 @@
   if (Crashes(aOrder)) {
     ++record.m_crashes;
     ++m_crashesByTasks;
+  }
+  if (Crashes(aOrder) || IsFaulty(aWorker)) {
     const Millis at = m_now + m_options.m_crashAfter;
     aWorker.m_crashAt = std::min(aWorker.m_crashAt.value_or(at), at);
   }
--- a/tests/support/simulated_pool.h
+++ b/tests/support/simulated_pool.h
@@ -21,6 +21,8 @@
   Millis m_restartTakes{ 2'500 };
   /** From the start of a task that crashes its worker to the crash. */
   Millis m_crashAfter{ 10 };
+  /** Crashes under whatever it starts. */
+  std::optional<std::uint32_t> m_faultyWorker;
   unsigned m_seed = 1;
 };
 
@@ -105,6 +107,7 @@
   placement::RunReport Show(const Run& aRun) const;
   void Lead(const std::vector<SimulatedWorker*>& aReporting);
   void Obey(SimulatedWorker& aWorker, const placement::Orders& aOrders);
+  bool IsFaulty(const SimulatedWorker& aWorker) const;
   void Start(SimulatedWorker& aWorker, const placement::StartOrder& aOrder);
   const jobs::StepSpec& StepOf(const jobs::TaskRef& aTask) const;
   TimePoint Time() const { return TimePoint{ m_now }; }
--- a/tests/unit/jobs/crash_loop_test.cpp
+++ b/tests/unit/jobs/crash_loop_test.cpp
@@ -104,6 +104,8 @@
   CHECK(IsTriedThroughout(Losses({ kRunning, kRunning })));
   CHECK(!NeedsCalm(Losses({ kStarting, kStarting })));
   CHECK(NeedsCalm(Losses({ kStarting, kStarting, kStarting })));
+  CHECK(WasLostOn(Losses({ kStarting }), InstanceId{ "i" }));
+  CHECK(!WasLostOn(Losses({ kStarting }), InstanceId{ "j" }));
 }
 
 // Guards against a long-running task that is given up in the course of time,
--- a/tests/unit/placement/crash_loops_test.cpp
+++ b/tests/unit/placement/crash_loops_test.cpp
@@ -151,6 +151,25 @@
   }
 }
 
+// Guards against sound jobs that are given up for a worker that crashes under
+// whatever it starts: it is back every few seconds, and always the emptiest.
+TEST(CrashLoops, WorkerCrashesUnderAnything_NoJobIsGivenUp)
+{
+  for (unsigned seed = 1; seed <= 10; ++seed) {
+    PoolOptions options;
+    options.m_seed = seed;
+    options.m_faultyWorker = seed;
+    SimulatedPool pool{ options };
+    for (int i = 0; i < 100; ++i) {
+      pool.Submit("job" + std::to_string(i), Spec({ Step(14) }));
+      pool.Pass(Millis{ 100 });
+    }
+    pool.Pass(kMinute);
+    LONGS_EQUAL(0, pool.CountJobs(JobState::kFailed));
+    LONGS_EQUAL(100, pool.CountJobs(JobState::kCompleted));
+  }
+}
+
 // Guards against a bound that only holds where each crash can be told from
 // other losses: racks, cuts and changes of the leader come in between.
 TEST(CrashLoops, CrashesAmongOtherLosses_BoundHoldsAndSoundJobsComplete)
--- a/tests/unit/placement/two_lives_test.cpp
+++ b/tests/unit/placement/two_lives_test.cpp
@@ -105,8 +105,8 @@
 {
   Planner planner;
   m_fleet.Submit("a", Spec({ Step(8) }));
-  const auto plan = planner.Next(
-    m_fleet.State(), m_table, {}, At(kLater + 600), WallTime{ 0 });
+  const auto plan =
+    planner.Next(m_fleet.State(), m_table, {}, At(kLater + 600), WallTime{ 0 });
   LONGS_EQUAL(4, plan.m_changes.size());
   for (const Change& change : plan.m_changes) {
     CHECK_STRING("next", std::get<StartRun>(change).m_worker.Get());
@@ -119,10 +119,8 @@
 TEST(TwoLives, OrderIsTaken_EndsAllLivesHeardBefore)
 {
   StartLongRunningOn("next");
-  const auto ends = m_table.RetireInstance(WorkerId{ "before" },
-                                           At(kLater + 900),
-                                           m_fleet.Book(),
-                                           WallTime{ 0 });
+  const auto ends = m_table.RetireInstance(
+    WorkerId{ "before" }, At(kLater + 900), m_fleet.Book(), WallTime{ 0 });
   LONGS_EQUAL(1, ends.size());
   CHECK(m_table.Workers().empty());
 }
@@ -130,10 +128,8 @@
 // Guards against the end of a life that began after the order was obeyed.
 TEST(TwoLives, OrderIsTaken_LaterLifeGoesOn)
 {
-  const auto ends = m_table.RetireInstance(WorkerId{ "before" },
-                                           At(kLater + 400),
-                                           m_fleet.Book(),
-                                           WallTime{ 0 });
+  const auto ends = m_table.RetireInstance(
+    WorkerId{ "before" }, At(kLater + 400), m_fleet.Book(), WallTime{ 0 });
   CHECK(ends.empty());
   CHECK(m_table.Find(WorkerId{ "next" }) != nullptr);
 }
