--- a/include/bamboostile/jobs/book.h
+++ b/include/bamboostile/jobs/book.h
@@ -121,6 +121,8 @@
   /** Tasks of active jobs under which workers were lost. */
   const std::set<TaskRef>& LostWithWorkers() const { return m_lost; }
   bool HasLosses(const JobId& aJob) const;
+  /** Some task's next run, or the one under way, is a trial. */
+  bool HasSuspects() const;
   /** Accepted jobs without a due time of which no task has started. */
   std::uint64_t Pending(const QueueId& aQueue) const;
 
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -118,6 +118,14 @@
   return first != m_lost.end() && first->m_job == aJob;
 }
 
+bool
+Book::HasSuspects() const
+{
+  return std::any_of(m_lost.begin(), m_lost.end(), [&](const TaskRef& aTask) {
+    return IsSuspect(LossesOf(aTask));
+  });
+}
+
 bool
 Book::AreOneGang(const TaskRef& aLeft, const TaskRef& aRight) const
 {
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -83,6 +83,7 @@
 {
   Pools pools;
   const jobs::Book& book = aState.Jobs();
+  const bool hasSuspects = book.HasSuspects();
   for (const auto& [id, worker] : aWorkers.Workers()) {
     if (!worker.IsUsable(aNow) || aCordoned.contains(id) ||
         aWorkers.HasLaterLife(worker)) {
@@ -101,7 +102,7 @@
           book.Find(ref.m_job)->m_spec.m_steps[ref.m_step];
         room.Take(step);
       }
-      if (!book.LostWithWorkers().empty()) {
+      if (hasSuspects) {
         FindTrials(worker, placed->second, book, room);
       }
     }
