A suspect whose only worker it was lost on is tried there again

A task that only one worker of its pool may run (its label, its size, the limit of its step on one worker) waited for ever for another instance, as a trial went nowhere it had been lost. It goes there again where no other worker may ever run it, or where none had room for 5 s.

--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -124,6 +124,10 @@
                        const OnWorkers& aOnWorker,
                        Millis aWaited,
                        Pool& aPool) const;
+  /** Whether the worker may run the step once it has room. */
+  static bool MayEverRun(const jobs::StepSpec& aStep,
+                         const OnWorkers& aOnWorker,
+                         const Room& aRoom);
   /** Workers of the pool on which a suspect is on trial. */
   static std::size_t CountTrials(const Pool& aPool);
   static bool MayTry(const jobs::Job& aJob, const Pool& aPool);
--- a/src/jobs/crash_loop.cpp
+++ b/src/jobs/crash_loop.cpp
@@ -8,18 +8,16 @@
 
 namespace {
 
-/** One loss during a run is everyday bad luck: a worker crashes under all that
- * it runs. */
+/** A worker takes all that it runs with it, so one such loss says nothing. */
 constexpr std::size_t kRunningLossesOfSuspect = 2;
-/** One worker that crashes by itself during a trial must not prove a sound
- * task guilty. */
+/** A worker may also crash by itself in a trial of a sound task. */
 constexpr std::size_t kProofs = 2;
-/** From so many losses on, a trial must give certain evidence. */
+/** From so many losses on, a trial waits until its evidence can be certain. */
 constexpr std::size_t kLossesUntilCalm = 3;
-/** With so many losses, of which some are in doubt, one proof is enough, */
-constexpr std::size_t kMostLosses = 5;
-/** or that all were at the start: the last ones came although nothing else was
- * being lost when it started. */
+/** With so many losses of any kind, one proof is enough. */
+constexpr std::size_t kLossesBesideOneProof = 5;
+/** So many losses at the start need no proof: the last ones came although no
+ * other worker was being lost when the trial began. */
 constexpr std::size_t kMostLossesAtStart = 5;
 constexpr std::size_t kMostDoublings = 3;
 constexpr Millis kFirstDelay{ 250 };
@@ -115,7 +113,8 @@
 IsProven(const std::vector<WorkerLoss>& aLosses)
 {
   const std::size_t proofs = Count(aLosses, CrashEvidence::kAlone);
-  return proofs >= kProofs || (proofs > 0 && aLosses.size() >= kMostLosses) ||
+  return proofs >= kProofs ||
+         (proofs > 0 && aLosses.size() >= kLossesBesideOneProof) ||
          CountAtStart(aLosses) >= kMostLossesAtStart;
 }
 
--- a/src/placement/trials.cpp
+++ b/src/placement/trials.cpp
@@ -14,6 +14,9 @@
 /** After that a trial also takes a worker with long-running tasks or a gang;
  * pools that have no other worker would never try. */
 constexpr Millis kTrialPatience{ 1000 };
+/** After that a trial also goes where the task was lost before: all others may
+ * be taken for good. */
+constexpr Millis kElsewherePatience{ 5000 };
 
 } // namespace
 
@@ -49,7 +52,8 @@
 // A trial that ends its worker should take little with it, and prove something:
 // nothing else is started there until a report shows the run. An instance that
 // crashes under whatever it starts is always the emptiest, so a trial goes
-// where the task has not been lost yet, as long as the pool has such instances.
+// where the task has not been lost yet, as long as the pool has such instances
+// that may run it.
 Planner::Room*
 Planner::ChooseForTrial(const jobs::Job& aJob,
                         const jobs::StepSpec& aStep,
@@ -58,23 +62,28 @@
                         Millis aWaited,
                         Pool& aPool) const
 {
-  const bool takesAny = aStep.m_longRunning || aWaited >= kTrialPatience;
-  const auto rank = [](const Room& aRoom) {
-    return std::make_tuple(aRoom.m_hostsLongRunning || aRoom.m_hostsGang,
-                           aRoom.m_runs);
-  };
   const auto isKnown = [&](const Room& aRoom) {
     return jobs::WasLostOn(aLosses, aRoom.m_worker->m_last.m_instance);
   };
-  const bool areAllKnown = std::all_of(aPool.begin(), aPool.end(), isKnown);
+  const auto isFragile = [](const Room& aRoom) {
+    return aRoom.m_hostsLongRunning || aRoom.m_hostsGang;
+  };
+  const auto rank = [&](const Room& aRoom) {
+    return std::make_tuple(isKnown(aRoom), isFragile(aRoom), aRoom.m_runs);
+  };
+  const bool takesFragile = aStep.m_longRunning || aWaited >= kTrialPatience;
+  const bool takesKnown =
+    aWaited >= (aStep.m_longRunning ? kTrialPatience : kElsewherePatience) ||
+    std::none_of(aPool.begin(), aPool.end(), [&](const Room& aRoom) {
+      return !isKnown(aRoom) && MayEverRun(aStep, aOnWorker, aRoom);
+    });
   Room* best = nullptr;
   for (Room& room : aPool) {
-    const bool isSpared = room.m_trialOf == nullptr &&
-                          (room.m_hostsLongRunning || room.m_hostsGang);
-    const WorkerId& worker = room.m_worker->m_last.m_worker;
-    if (!room.IsOpenToTrialOf(aJob) || (isSpared && !takesAny) ||
-        (isKnown(room) && !areAllKnown) || !room.Fits(aStep) ||
-        !IsAllowed(aStep, CountOn(worker, aOnWorker), room)) {
+    const bool isSpared =
+      room.m_trialOf == nullptr &&
+      ((isFragile(room) && !takesFragile) || (isKnown(room) && !takesKnown));
+    if (isSpared || !room.IsOpenToTrialOf(aJob) || !room.Fits(aStep) ||
+        !MayEverRun(aStep, aOnWorker, room)) {
       continue;
     }
     if (best == nullptr || rank(room) < rank(*best)) {
@@ -84,6 +93,16 @@
   return best;
 }
 
+bool
+Planner::MayEverRun(const jobs::StepSpec& aStep,
+                    const OnWorkers& aOnWorker,
+                    const Room& aRoom)
+{
+  const WorkerReport& report = aRoom.m_worker->m_last;
+  return IsAllowed(aStep, CountOn(report.m_worker, aOnWorker), aRoom) &&
+         RoomUse{}.Leaves(report.m_capacity, aStep);
+}
+
 std::size_t
 Planner::CountTrials(const Pool& aPool)
 {
--- a/tests/unit/placement/crash_loops_test.cpp
+++ b/tests/unit/placement/crash_loops_test.cpp
@@ -59,6 +59,15 @@
     }
   }
 
+  /** Four workers that share a rack. */
+  static void LoseRack(SimulatedPool & aPool, std::minstd_rand & aRandom)
+  {
+    const std::uint32_t first = aRandom() % 8;
+    for (std::uint32_t w = first; w < first + 4; ++w) {
+      aPool.CrashWorker(w, Millis{ 2'500 });
+    }
+  }
+
   void CheckGivenUp(const std::string& aJob)
   {
     CHECK_COMPARE(
@@ -136,10 +145,7 @@
       pool.Submit("job" + std::to_string(i), Spec({ Step(6), Step(3, 2000) }));
       pool.Pass(Millis{ 300 });
       if (i % 8 == 0) {
-        const std::uint32_t first = random() % 8;
-        for (std::uint32_t w = first; w < first + 4; ++w) {
-          pool.CrashWorker(w, Millis{ 2'500 });
-        }
+        LoseRack(pool, random);
       }
       if (i % 30 == 0) {
         pool.CutWorker(random() % options.m_workers, Millis{ 6'000 });
@@ -170,6 +176,22 @@
   }
 }
 
+// Guards against a task that waits for ever for another instance, where only
+// one may run it.
+TEST(CrashLoops, OnlyOneWorkerIsLargeEnough_TaskIsTriedThereAgain)
+{
+  for (std::uint32_t w = 1; w < PoolOptions{}.m_workers; ++w) {
+    m_pool.Resize(w, { 8'000, 32'000, 0 });
+  }
+  m_pool.Submit("large", Spec({ Step(1, 16'000) }));
+  while (m_pool.RunningOn(0) == 0) {
+    m_pool.Pass(Millis{ 10 });
+  }
+  m_pool.CrashWorker(0, Millis{ 2'500 });
+  m_pool.Pass(Millis{ 12'000 });
+  STRCMP_EQUAL("completed", Describe(m_pool.StateOf("large")));
+}
+
 // Guards against a bound that only holds where each crash can be told from
 // other losses: racks, cuts and changes of the leader come in between.
 TEST(CrashLoops, CrashesAmongOtherLosses_BoundHoldsAndSoundJobsComplete)
@@ -187,10 +209,7 @@
       }
       pool.Pass(Millis{ 600 });
       if (random() % 8 == 0) {
-        const std::uint32_t first = random() % 8;
-        for (std::uint32_t w = first; w < first + 4; ++w) {
-          pool.CrashWorker(w, Millis{ 2'500 });
-        }
+        LoseRack(pool, random);
       }
       if (random() % 10 == 0) {
         pool.CutWorker(random() % options.m_workers, Millis{ 6'000 });
