One way to find a worker's starts under way; no look at them in each report

Four loops went through what the state has on a worker and left out what its report shows: to send starts, to end those without room, to judge a loss, and to find trials. FindPending is the one now; trials use Contains, and what is known of a loss is passed on without a copy of what the worker says itself.

Since a start's room is checked when it leaves, each report compared all runs of its worker with all it shows, though hardly any has a start under way; a count of the runs shown, which is made anyway, tells.

--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -173,6 +173,9 @@
    * have there. */
   RoomUse m_activeUse;
   RoomUse m_strayUse;
+  /** Of the runs that the state has there, those that its last report shows,
+   * active or ended. */
+  std::size_t m_shownRuns = 0;
   /** Ends that were taken; those up to m_ackedUpTo are committed as well. */
   std::uint64_t m_takenUpTo = 0;
   std::uint64_t m_ackedUpTo = 0;
@@ -306,13 +309,14 @@
   TimePoint LeaderSince() const { return m_leaderSince; }
 
 private:
-  /** What is known of a loss when its tasks are judged. */
-  struct LossScene
+  /** A run that the state has on a worker, and its report does not show. */
+  struct PendingStart
   {
-    LostWorker m_lost;
-    std::vector<jobs::TaskRef> m_unshown;
-    /** A suspect was on trial there. */
-    bool m_hasTrial = false;
+    jobs::TaskRef m_task;
+    RunNumber m_run;
+    const jobs::Job* m_job = nullptr;
+    /** Into what the worker last reported, beside those before it. */
+    bool m_fits = false;
   };
 
   bool IsAtWork(const jobs::TaskRef& aTask,
@@ -342,13 +346,13 @@
                                    const jobs::Book& aBook,
                                    WallTime aWall);
   void CountActive(Worker& aWorker, const jobs::Book& aBook) const;
-  /** Starts that no longer fit what the worker last reported. */
-  std::vector<jobs::TaskRef> FindRoomless(const Worker& aWorker,
-                                          const jobs::Book& aBook) const;
+  std::vector<PendingStart> FindPending(const Worker& aWorker,
+                                        const jobs::Book& aBook) const;
   bool HasTrial(const Worker& aWorker, const jobs::Book& aBook) const;
   jobs::CrashEvidence JudgeTask(const jobs::TaskRef& aTask,
                                 const Worker& aWorker,
-                                const LossScene& aScene,
+                                const LostWorker& aLost,
+                                const std::vector<jobs::TaskRef>& aUnshown,
                                 const jobs::Book& aBook) const;
   jobs::CrashEvidence EvidenceOf(const jobs::TaskRef& aTask,
                                  const WorkerId& aWorker,
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -162,10 +162,6 @@
   KJ_FAIL_REQUIRE("unknown kind of change");
 }
 
-} // namespace
-
-namespace {
-
 // Hardly any task has losses, and a list that is not made takes no bytes.
 void
 WriteLosses(const std::vector<WorkerLoss>& aLosses,
--- a/src/placement/trials.cpp
+++ b/src/placement/trials.cpp
@@ -1,3 +1,5 @@
+#include "run_lookup.h"
+
 #include "bamboostile/jobs/crash_loop.h"
 #include "bamboostile/placement/planner.h"
 
@@ -35,11 +37,7 @@
   for (const jobs::TaskRef& ref : aPlaced) {
     const jobs::Task& task = *aBook.FindTask(ref);
     const auto losses = aBook.LossesOf(ref);
-    const auto& active = aWorker.m_last.m_active;
-    const bool isShown =
-      std::any_of(active.begin(), active.end(), [&](const RunReport& aRun) {
-        return aRun.m_task == ref && aRun.m_run == task.m_lastRun;
-      });
+    const bool isShown = Contains(aWorker.m_last.m_active, ref, task.m_lastRun);
     aRoom.m_unshown += isShown ? 0 : 1;
     const bool isOnTrial =
       isShown ? jobs::IsTriedThroughout(losses) : jobs::IsSuspect(losses);
--- a/src/placement/worker_losses.cpp
+++ b/src/placement/worker_losses.cpp
@@ -8,17 +8,9 @@
 WorkerTable::FindUnshown(const Worker& aWorker, const jobs::Book& aBook) const
 {
   std::vector<jobs::TaskRef> unshown;
-  const WorkerReport& report = aWorker.m_last;
-  const auto placed = aBook.Placed().find(report.m_worker);
-  if (placed == aBook.Placed().end()) {
-    return unshown;
-  }
-  for (const jobs::TaskRef& ref : placed->second) {
-    const RunNumber run = aBook.FindTask(ref)->m_lastRun;
-    if (aWorker.m_sentAt.contains(ref) &&
-        !Contains(report.m_active, ref, run) &&
-        !Contains(report.m_ended, ref, run)) {
-      unshown.push_back(ref);
+  for (const PendingStart& start : FindPending(aWorker, aBook)) {
+    if (aWorker.m_sentAt.contains(start.m_task)) {
+      unshown.push_back(start.m_task);
     }
   }
   return unshown;
@@ -109,23 +101,23 @@
 jobs::CrashEvidence
 WorkerTable::JudgeTask(const jobs::TaskRef& aTask,
                        const Worker& aWorker,
-                       const LossScene& aScene,
+                       const LostWorker& aLost,
+                       const std::vector<jobs::TaskRef>& aUnshown,
                        const jobs::Book& aBook) const
 {
   using jobs::CrashEvidence;
   const jobs::Task& task = *aBook.FindTask(aTask);
   const auto losses = aBook.LossesOf(aTask);
   const bool isProofOfCrash =
-    aScene.m_lost.m_cause == LossCause::kLaterLife &&
+    aLost.m_cause == LossCause::kLaterLife &&
     !jobs::WasLostOn(losses, aWorker.m_last.m_instance);
-  const bool isShared = aScene.m_lost.m_lostBeside > 0;
-  const auto& unshown = aScene.m_unshown;
+  const bool isShared = aLost.m_lostBeside > 0;
   if (task.m_settled) {
     return CrashEvidence::kNone;
   }
-  if (std::find(unshown.begin(), unshown.end(), aTask) != unshown.end()) {
+  if (std::find(aUnshown.begin(), aUnshown.end(), aTask) != aUnshown.end()) {
     const bool isAlone =
-      std::all_of(unshown.begin(), unshown.end(), [&](const auto& aOther) {
+      std::all_of(aUnshown.begin(), aUnshown.end(), [&](const auto& aOther) {
         return aOther == aTask || aBook.AreOneGang(aOther, aTask);
       });
     return jobs::IsSuspect(losses) && isProofOfCrash && isAlone && !isShared
@@ -135,10 +127,10 @@
   if (isShared || !Contains(aWorker.m_last.m_active, aTask, task.m_lastRun)) {
     return CrashEvidence::kNone;
   }
-  if (jobs::IsTriedThroughout(losses) && isProofOfCrash && unshown.empty()) {
+  if (jobs::IsTriedThroughout(losses) && isProofOfCrash && aUnshown.empty()) {
     return CrashEvidence::kAlone;
   }
-  return aScene.m_hasTrial ? CrashEvidence::kNone : CrashEvidence::kRunning;
+  return aWorker.m_lostInTrial ? CrashEvidence::kNone : CrashEvidence::kRunning;
 }
 
 void
@@ -168,9 +160,8 @@
   if (aWorker.m_last.m_draining || m_cordoned.contains(id)) {
     return;
   }
-  const LossScene scene{ lost, unshown, aWorker.m_lostInTrial };
   for (const jobs::TaskRef& ref : placed->second) {
-    const auto evidence = JudgeTask(ref, aWorker, scene, aBook);
+    const auto evidence = JudgeTask(ref, aWorker, lost, unshown, aBook);
     if (evidence != jobs::CrashEvidence::kNone) {
       aWorker.m_evidence[ref] = evidence;
     }
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -388,6 +388,16 @@
   const WorkerReport& report = aWorker.m_last;
   aWorker.m_activeUse = {};
   aWorker.m_strayUse = {};
+  const auto isExpected = [&](const auto& aRun) {
+    return IsExpected(aBook, report.m_worker, aRun.m_task, aRun.m_run);
+  };
+  const auto isEnded = [&](const EndReport& aEnd) {
+    return isExpected(aEnd) &&
+           !Contains(report.m_active, aEnd.m_task, aEnd.m_run);
+  };
+  aWorker.m_shownRuns = static_cast<std::size_t>(
+    std::count_if(report.m_active.begin(), report.m_active.end(), isExpected) +
+    std::count_if(report.m_ended.begin(), report.m_ended.end(), isEnded));
   for (const RunReport& run : report.m_active) {
     const jobs::Job* job = aBook.Find(run.m_task.m_job);
     if (job == nullptr || run.m_task.m_step >= job->m_spec.m_steps.size()) {
@@ -395,7 +405,7 @@
     }
     const jobs::StepSpec& step = StepOf(*job, run.m_task);
     aWorker.m_activeUse.Add(step);
-    if (!IsExpected(aBook, report.m_worker, run.m_task, run.m_run)) {
+    if (!isExpected(run)) {
       aWorker.m_strayUse.Add(step);
     }
   }
@@ -403,14 +413,14 @@
 
 // A worker may report less room after a start was decided; one that does not
 // guard its room would take the start all the same.
-std::vector<jobs::TaskRef>
-WorkerTable::FindRoomless(const Worker& aWorker, const jobs::Book& aBook) const
+std::vector<WorkerTable::PendingStart>
+WorkerTable::FindPending(const Worker& aWorker, const jobs::Book& aBook) const
 {
-  std::vector<jobs::TaskRef> roomless;
+  std::vector<PendingStart> pending;
   const WorkerReport& report = aWorker.m_last;
   const auto placed = aBook.Placed().find(report.m_worker);
   if (placed == aBook.Placed().end()) {
-    return roomless;
+    return pending;
   }
   RoomUse use = aWorker.m_activeUse;
   for (const jobs::TaskRef& ref : placed->second) {
@@ -419,14 +429,15 @@
         Contains(report.m_ended, ref, run)) {
       continue;
     }
-    const jobs::StepSpec& step = StepOf(*aBook.Find(ref.m_job), ref);
-    if (use.Leaves(report.m_capacity, step)) {
+    const jobs::Job* job = aBook.Find(ref.m_job);
+    const jobs::StepSpec& step = StepOf(*job, ref);
+    const bool fits = use.Leaves(report.m_capacity, step);
+    if (fits) {
       use.Add(step);
-    } else {
-      roomless.push_back(ref);
     }
+    pending.push_back({ ref, run, job, fits });
   }
-  return roomless;
+  return pending;
 }
 
 // A start that was sent and that no report shows, long after, was lost with its
@@ -443,20 +454,16 @@
                            WallTime aWall,
                            Heard& aHeard)
 {
-  const WorkerReport& report = aWorker.m_last;
-  const auto placed = aBook.Placed().find(report.m_worker);
-  if (placed == aBook.Placed().end()) {
+  const auto placed = aBook.Placed().find(aWorker.m_last.m_worker);
+  if (placed == aBook.Placed().end() ||
+      placed->second.size() == aWorker.m_shownRuns) {
     return;
   }
-  const auto roomless = FindRoomless(aWorker, aBook);
-  for (const jobs::TaskRef& ref : placed->second) {
-    const jobs::Task* task = aBook.FindTask(ref);
-    const jobs::Job* job = aBook.Find(ref.m_job);
-    const bool wanted =
-      job->m_state == jobs::JobState::kActive && !report.m_draining &&
-      std::find(roomless.begin(), roomless.end(), ref) == roomless.end();
-    if (wanted || Contains(report.m_active, ref, task->m_lastRun) ||
-        Contains(report.m_ended, ref, task->m_lastRun)) {
+  for (const PendingStart& start : FindPending(aWorker, aBook)) {
+    const jobs::TaskRef& ref = start.m_task;
+    const bool wanted = start.m_job->m_state == jobs::JobState::kActive &&
+                        !aWorker.m_last.m_draining && start.m_fits;
+    if (wanted) {
       continue;
     }
     const auto sent = aWorker.m_sentAt.find(ref);
@@ -467,7 +474,7 @@
       aWorker.m_sentAt.erase(ref);
       aHeard.m_changed = true;
       aHeard.m_ends.push_back(
-        { ref, task->m_lastRun, jobs::RunEnd::kStopped, "", aWall });
+        { ref, start.m_run, jobs::RunEnd::kStopped, "", aWall });
     }
   }
 }
@@ -614,21 +621,16 @@
       orders.m_stops.push_back({ run.m_task, run.m_run });
     }
   }
-  const auto placed = aBook.Placed().find(aWorker);
-  if (placed != aBook.Placed().end() && !report.m_draining) {
-    const auto roomless = FindRoomless(worker, aBook);
-    for (const jobs::TaskRef& ref : placed->second) {
-      const jobs::Task* task = aBook.FindTask(ref);
-      const jobs::Job* job = aBook.Find(ref.m_job);
-      if (job->m_state != jobs::JobState::kActive ||
-          std::find(roomless.begin(), roomless.end(), ref) != roomless.end() ||
-          Contains(report.m_active, ref, task->m_lastRun) ||
-          Contains(report.m_ended, ref, task->m_lastRun)) {
+  if (!report.m_draining) {
+    for (const PendingStart& start : FindPending(worker, aBook)) {
+      if (start.m_job->m_state != jobs::JobState::kActive || !start.m_fits) {
         continue;
       }
-      worker.m_sentAt[ref] = aNow;
-      orders.m_starts.push_back(
-        { ref, task->m_lastRun, job->m_spec.m_payload, task->m_checkpoint });
+      worker.m_sentAt[start.m_task] = aNow;
+      orders.m_starts.push_back({ start.m_task,
+                                  start.m_run,
+                                  start.m_job->m_spec.m_payload,
+                                  aBook.FindTask(start.m_task)->m_checkpoint });
     }
   }
   AddRates(worker, aBook, orders);
