Show reports that are ignored, restarts under one id, and ends skipped

Callers saw tasks run twice after workers had started again under their ids. The log could not tell an end that was skipped from one that was never sent, nor a report that was ignored from a silent worker.

The adapter reads when a worker says that it started; a value that is no whole number, negative or too large is refused by its field's name. Nothing is decided by it yet. New: log lines "report ignored", "worker has started again under its id", "ends skipped", and the counters behind them.

--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -5,6 +5,7 @@
 #include "bamboostile/jobs/calls.h"
 #include "bamboostile/placement/plan_pacer.h"
 #include "bamboostile/placement/planner.h"
+#include "bamboostile/telemetry/log_limit.h"
 #include "bamboostile/telemetry/metrics.h"
 
 namespace bamboostile::control {
@@ -106,6 +107,11 @@
   /** Whether this replica leads now; begins anew with each term. */
   bool Leads();
   WorkerAnswer NotLeading() const;
+  void NoteIgnored(const placement::WorkerReport& aReport,
+                   placement::Ignored aReason,
+                   TimePoint aNow);
+  void NoteSkippedEnds(const placement::WorkerReport& aReport,
+                       std::size_t aCount);
   void Gather(std::vector<jobs::EndRun> aEnds);
   void Kick();
   /** Ends the runs of workers whose lease is over. */
@@ -168,6 +174,8 @@
   Pace m_pace;
   placement::LoadShedder m_shedder;
   placement::Shedding m_shedding = placement::Shedding::kNothing;
+  /** Late reports are usual where links are cut. */
+  telemetry::LogLimit m_ignoredLog{ Millis{ 200 } };
   telemetry::Metrics m_metrics;
   kj::TaskSet m_tasks;
 };
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -35,6 +35,8 @@
 struct WorkerReport
 {
   WorkerId m_worker;
+  /** By its own clock; 0 where it does not say. */
+  WallTime m_startedAt;
   /** What it is a life of; empty where the worker does not say. */
   InstanceId m_instance;
   ServiceId m_service;
@@ -194,11 +196,25 @@
   }
 };
 
+/** Why a report changes nothing, and its worker gets no lease for it. */
+enum class Ignored
+{
+  /** Its sequence is not above that of the last one. */
+  kOvertaken,
+  /** Its worker has ended. */
+  kEnded,
+};
+
+const char* Describe(Ignored aReason) noexcept;
+
 /** What one report brought. */
 struct Heard
 {
-  /** Late, or of an earlier life: its worker gets no lease for it. */
-  bool m_ignored = false;
+  std::optional<Ignored> m_ignored;
+  /** The worker says that it started at another time than before. */
+  bool m_hasRestarted = false;
+  /** Ends below those acknowledged, of runs that the state still has there. */
+  std::size_t m_skippedEnds = 0;
   /** Capacity or ends: placing may have something to do. */
   bool m_changed = false;
   std::vector<jobs::EndRun> m_ends;
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -142,14 +142,27 @@
   const bool isNew = m_workers->Find(worker) == nullptr;
   placement::Heard heard =
     m_workers->OnReport(aReport, m_node.State().Jobs(), now, WallNow());
+  if (heard.m_hasRestarted) {
+    LogLine(Level::kInfo, "worker has started again under its id")
+      .With("worker", worker.Get())
+      .With("startedAtMs", aReport.m_startedAt.Get())
+      .With("sequence", sequence)
+      .With("ignored", heard.m_ignored.has_value())
+      .Write();
+  }
+  if (heard.m_skippedEnds > 0) {
+    NoteSkippedEnds(aReport, heard.m_skippedEnds);
+  }
   if (heard.m_ignored) {
+    NoteIgnored(aReport, *heard.m_ignored, now);
     WorkerAnswer late;
-    late.m_refusal = "a late report, or one of an earlier life";
+    late.m_refusal = placement::Describe(*heard.m_ignored);
     return late;
   }
   if (isNew) {
     LogLine(Level::kInfo, "worker heard for the first time")
       .With("worker", worker.Get())
+      .With("startedAtMs", aReport.m_startedAt.Get())
       .With("ofInstance", aReport.m_instance.Get())
       .With("service", aReport.m_service.Get())
       .With("cpuMillis", aReport.m_capacity.m_cpuMillis)
@@ -176,6 +189,39 @@
   return kj::mv(pair.promise);
 }
 
+void
+JobService::NoteIgnored(const placement::WorkerReport& aReport,
+                        placement::Ignored aReason,
+                        TimePoint aNow)
+{
+  const std::string reason = placement::Describe(aReason);
+  m_metrics.Count("reports_ignored_total{reason=\"" + reason + "\"}");
+  if (const auto leftOut = m_ignoredLog.Admit(aNow)) {
+    LogLine(Level::kInfo, "report ignored")
+      .With("worker", aReport.m_worker.Get())
+      .With("startedAtMs", aReport.m_startedAt.Get())
+      .With("sequence", aReport.m_sequence)
+      .With("reason", reason)
+      .With("unloggedBefore", *leftOut)
+      .Write();
+  }
+}
+
+// The worker forgets what is acknowledged; a run whose end was not believed
+// would stay placed there for ever.
+void
+JobService::NoteSkippedEnds(const placement::WorkerReport& aReport,
+                            std::size_t aCount)
+{
+  m_metrics.Count("ends_skipped_total");
+  LogLine(Level::kWarning, "ends skipped, acknowledged before they came")
+    .With("worker", aReport.m_worker.Get())
+    .With("startedAtMs", aReport.m_startedAt.Get())
+    .With("sequence", aReport.m_sequence)
+    .With("ends", aCount)
+    .Write();
+}
+
 kj::Promise<WorkerAnswer>
 JobService::Leave(const WorkerId& aWorker)
 {
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -91,6 +91,18 @@
            aCapacity.m_accelerators;
 }
 
+const char*
+Describe(Ignored aReason) noexcept
+{
+  switch (aReason) {
+    case Ignored::kOvertaken:
+      return "overtaken by a later report";
+    case Ignored::kEnded:
+      return "its worker has ended";
+  }
+  return "unknown";
+}
+
 WorkerTable::WorkerTable(LeaseOptions aOptions, TimePoint aLeaderSince)
   : m_options(aOptions)
   , m_leaderSince(aLeaderSince)
@@ -147,15 +159,17 @@
 {
   Heard heard;
   if (m_retired.contains(aReport.m_worker)) {
-    heard.m_ignored = true;
+    heard.m_ignored = Ignored::kEnded;
     return heard;
   }
   const auto [found, isNew] = m_workers.try_emplace(aReport.m_worker);
   Worker& worker = found->second;
   // A report that was overtaken shows a state that is gone; its worker has
   // dropped the connection and will not read the answer.
+  heard.m_hasRestarted =
+    !isNew && aReport.m_startedAt != worker.m_last.m_startedAt;
   if (!isNew && aReport.m_sequence <= worker.m_last.m_sequence) {
-    heard.m_ignored = true;
+    heard.m_ignored = Ignored::kOvertaken;
     return heard;
   }
   if (isNew) {
@@ -295,6 +309,10 @@
 {
   for (const EndReport& end : aReport.m_ended) {
     if (end.m_number <= aWorker.m_takenUpTo) {
+      const bool isMissed =
+        end.m_number <= aWorker.m_ackedUpTo &&
+        IsExpected(aBook, aReport.m_worker, end.m_task, end.m_run);
+      aHeard.m_skippedEnds += isMissed ? 1 : 0;
       continue;
     }
     const bool isAllAcked = aWorker.m_takenUpTo == aWorker.m_ackedUpTo;
--- a/src/wire/jobs_json.cpp
+++ b/src/wire/jobs_json.cpp
@@ -146,6 +146,7 @@
     const Json body = ParseObject(aBody);
     placement::WorkerReport report;
     report.m_worker = WorkerId{ aWorker };
+    report.m_startedAt = WallTime{ WholeAt(body, "startedAtMs") };
     report.m_instance = InstanceId{ NameAt(body, "instance") };
     report.m_service = ServiceId{ NameAt(body, "service") };
     report.m_zone = ZoneId{ TextAt(body, "zone") };
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -80,7 +80,7 @@
     "i-1",
     R"({"service":"s","zone":"z","state":"draining","machine":"m-1","seq":4,
         "free_capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},
-        "labels":["a","r1-3"],"remaining_ms":1200,
+        "labels":["a","r1-3"],"remaining_ms":1200,"born":1791418000123,
         "active":[["5c0e.7.1.17",2,"saved",41,12.6]],
         "finished":[[58,"5c0e.0.1.9",1,"lapsed",""]]})",
     m_bad);
@@ -88,6 +88,7 @@
   CHECK_STRING("m-1", report->m_instance.Get());
   CHECK_STRING("r1-3", report->m_rack.Get());
   CHECK(report->m_draining);
+  LONGS_EQUAL(1791418000123, report->m_startedAt.Get());
   const placement::RunReport& run = report->m_active.at(0);
   CHECK_STRING("5c0e", run.m_task.m_job.Get());
   LONGS_EQUAL(7, run.m_task.m_occurrence);
@@ -108,6 +109,13 @@
   rejects("active",
           R"({"service":"s","state":"ready","active":[["x",1,"",3]]})");
   rejects("active", R"({"service":"s","state":"ready","active":[[1]]})");
+  for (const char* born :
+       { "1.5", "-1", "\"1\"", "1e30", "4503599627370497" }) {
+    rejects(
+      "born",
+      (R"({"service":"s","state":"ready","born":)" + std::string(born) + "}")
+        .c_str());
+  }
   rejects("finished",
           R"({"service":"s","state":"ready",
               "finished":[[1,"a.0.0.0",1,"vanished",""]]})");
--- a/tests/unit/placement/workers_test.cpp
+++ b/tests/unit/placement/workers_test.cpp
@@ -146,7 +146,7 @@
 TEST(WorkerTable, OvertakenReport_IsIgnored)
 {
   Hear(Report("w1", 5), kLater);
-  CHECK(Hear(Report("w1", 4), kLater + 10).m_ignored);
+  CHECK(Hear(Report("w1", 4), kLater + 10).m_ignored.has_value());
 }
 
 // A worker is cut off and runs on; a report of an earlier life of its instance
@@ -175,7 +175,7 @@
   CHECK(Hear(next, kLater + 500).m_ends.empty());
   next.m_sequence = 2;
   LONGS_EQUAL(1, Hear(next, kLater + 1600).m_ends.size());
-  CHECK(Hear(Report("w1", 2), kLater + 1700).m_ignored);
+  CHECK(Hear(Report("w1", 2), kLater + 1700).m_ignored.has_value());
 }
 
 TEST(WorkerTable, RunOfCancelledJob_IsStopped)
