--- a/fakes/worker.cpp
+++ b/fakes/worker.cpp
@@ -1,5 +1,6 @@
 // A small worker: reports to whichever control replica leads, runs tasks by
-// waiting for their time, and counts how often each task ran at once.
+// waiting for their time, and prints each start and each end as done that was
+// noted. SIGUSR1 crashes it; it starts again, under its id.
 
 #include "bamboostile/http/client.h"
 
@@ -19,6 +20,7 @@
 using Json = nlohmann::json;
 
 std::atomic<bool> g_stop = false;
+std::atomic<bool> g_crash = false;
 
 struct Options
 {
@@ -30,6 +32,8 @@
   /** Starting a task with this payload crashes the worker; empty for none. */
   std::string m_crashPayload;
   unsigned m_restartMs = 2000;
+  /** Another id for each life, and no word of when it started. */
+  bool m_hasNewIds = false;
 };
 
 /** A run under way. */
@@ -49,7 +53,11 @@
 
   void Run()
   {
+    Start();
     while (!g_stop) {
+      if (g_crash.exchange(false)) {
+        m_isCrashed = true;
+      }
       EndWhatIsDone();
       const Json answer = Report();
       if (!answer.is_null()) {
@@ -60,10 +68,22 @@
       }
       std::this_thread::sleep_for(Millis{ 20 });
     }
-    Post("/leave", Json::object());
+    Post("/leave", Identity());
   }
 
 private:
+  void Start()
+  {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    m_startedAtMs = std::chrono::duration_cast<Millis>(now).count();
+  }
+
+  Json Identity() const
+  {
+    return m_options.m_hasNewIds ? Json::object()
+                                 : Json{ { "startedAtMs", m_startedAtMs } };
+  }
+
   void EndWhatIsDone()
   {
     const TimePoint now = MonotonicNow();
@@ -94,12 +114,14 @@
     m_running.clear();
     m_ended.clear();
     std::this_thread::sleep_for(Millis{ m_options.m_restartMs });
+    Start();
   }
 
-  std::string LifeId() const
+  std::string Id() const
   {
-    return m_life == 0 ? m_options.m_id
-                       : m_options.m_id + "-" + std::to_string(m_life);
+    return m_life == 0 || !m_options.m_hasNewIds
+             ? m_options.m_id
+             : m_options.m_id + "-" + std::to_string(m_life);
   }
 
   void AddEnd(const Json& aOrder, const char* aHow)
@@ -114,13 +136,14 @@
 
   Json Report()
   {
-    Json report{ { "instance", m_options.m_id },
-                 { "service", m_options.m_service },
-                 { "cpuMillis", m_options.m_cpuMillis },
-                 { "memoryMb", 4096 },
-                 { "sequence", ++m_sequence },
-                 { "active", Json::array() },
-                 { "ended", m_ended } };
+    Json report = Identity();
+    report.update({ { "instance", m_options.m_id },
+                    { "service", m_options.m_service },
+                    { "cpuMillis", m_options.m_cpuMillis },
+                    { "memoryMb", 4096 },
+                    { "sequence", ++m_sequence },
+                    { "active", Json::array() },
+                    { "ended", m_ended } });
     for (const auto& [key, run] : m_running) {
       Json row = run.m_order;
       row["percent"] = 100;
@@ -136,7 +159,7 @@
     http::Call call;
     call.m_address = m_options.m_control[m_next];
     call.m_method = "POST";
-    call.m_target = "/v1/workers/" + LifeId() + aWhat;
+    call.m_target = "/v1/workers/" + Id() + aWhat;
     call.m_body = std::make_shared<const std::string>(aBody.dump());
     call.m_timeout = std::chrono::seconds{ 1 };
     std::promise<http::CallResult> done;
@@ -161,7 +184,11 @@
     m_leaseEnd = m_sentAt + Millis{ aAnswer.at("leaseMs").get<unsigned>() };
     const auto noted = aAnswer.at("ackedUpTo").get<std::uint64_t>();
     std::erase_if(m_ended, [&](const Json& aEnd) {
-      return aEnd.at("number").get<std::uint64_t>() <= noted;
+      const bool isNoted = aEnd.at("number").get<std::uint64_t>() <= noted;
+      if (isNoted && aEnd.at("how") == "done") {
+        std::cout << "noted " << KeyOf(aEnd) << std::endl;
+      }
+      return isNoted;
     });
     for (const Json& order : aAnswer.at("stop")) {
       const auto found = m_running.find(KeyOf(order));
@@ -196,6 +223,7 @@
   http::Client m_client;
   std::size_t m_next = 0;
   unsigned m_life = 0;
+  std::int64_t m_startedAtMs = 0;
   bool m_isCrashed = false;
   std::uint64_t m_sequence = 0;
   std::uint64_t m_lastEnd = 0;
@@ -219,7 +247,8 @@
     "cpu-millis",
     po::value(&options.m_cpuMillis))("task-ms", po::value(&options.m_taskMs))(
     "crash-payload", po::value(&options.m_crashPayload))(
-    "restart-ms", po::value(&options.m_restartMs));
+    "restart-ms", po::value(&options.m_restartMs))(
+    "new-ids", po::bool_switch(&options.m_hasNewIds));
   try {
     po::variables_map values;
     po::store(po::parse_command_line(aCount, aArguments, known), values);
@@ -229,6 +258,8 @@
     return 2;
   }
   std::signal(SIGTERM, [](int) { g_stop = true; });
+  // Crashes, and starts again.
+  std::signal(SIGUSR1, [](int) { g_crash = true; });
   std::signal(SIGPIPE, SIG_IGN);
   Worker(std::move(options)).Run();
   return 0;
--- a/tests/failure/jobs_test.cpp
+++ b/tests/failure/jobs_test.cpp
@@ -140,6 +140,27 @@
   CHECK(processes.Until([&]() { return IsCompleted(processes, 0); }, kLimit));
 }
 
+// Guards against ends that are acknowledged and not believed, and against a
+// worker that gets no work any more, where it starts again under its id.
+TEST(Jobs, WorkerStartsAgainUnderItsId_AllCompleteAndNothingDoneRunsAgain)
+{
+  Processes processes(23900);
+  processes.StartAll();
+  PutQueue(processes);
+  processes.StartWorker(1, { "--restart-ms", "100" });
+  for (int i = 0; i < kJobs; ++i) {
+    if (i % 5 == 4) {
+      processes.Signal("k1", SIGUSR1);
+    }
+    if (i == kJobs / 2) {
+      processes.Kill(processes.LeaderName());
+    }
+    Submit(processes, i);
+  }
+  CheckAllCompleted(processes);
+  LONGS_EQUAL(0, processes.StartsAfterNoted(1));
+}
+
 // One job's task crashes each worker that starts it, and the leader is killed
 // in between. The caller is told that the job has failed and why, the workers
 // are left alone from then on, and a job that waits beside it completes.
--- a/tests/support/processes.cpp
+++ b/tests/support/processes.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <fstream>
 #include <future>
+#include <set>
 #include <sstream>
 #include <thread>
 
@@ -160,6 +161,25 @@
   return starts;
 }
 
+int
+Processes::StartsAfterNoted(int aWorker) const
+{
+  std::ifstream in(m_folder / ("k" + std::to_string(aWorker) + ".log"));
+  std::set<std::string> noted;
+  int count = 0;
+  for (std::string line; std::getline(in, line);) {
+    std::istringstream words(line);
+    std::string what;
+    std::string task;
+    words >> what >> task;
+    count += what == "start" && noted.contains(task) ? 1 : 0;
+    if (what == "noted") {
+      noted.insert(task);
+    }
+  }
+  return count;
+}
+
 void
 Processes::StartControlWith(int aNumber, Json aMore)
 {
--- a/tests/support/processes.h
+++ b/tests/support/processes.h
@@ -43,6 +43,8 @@
   void StartControlWithoutDisk(int aNumber);
   /** A fake worker; what it started is in its log. */
   void StartWorker(int aNumber, std::vector<std::string> aMore = {});
+  /** Starts of tasks whose end as done that worker had been told is noted. */
+  int StartsAfterNoted(int aWorker) const;
   /** How often the workers have started each task, by its name. */
   std::map<std::string, int> TaskStarts() const;
   void StartEntry(int aNumber);
--- a/tests/support/simulated_pool.cpp
+++ b/tests/support/simulated_pool.cpp
@@ -200,11 +200,19 @@
   return shown;
 }
 
+std::string
+SimulatedPool::IdOf(const SimulatedWorker& aWorker) const
+{
+  return m_options.m_keepsIds
+           ? aWorker.m_instance
+           : aWorker.m_instance + "-" + std::to_string(aWorker.m_life);
+}
+
 placement::WorkerReport
 SimulatedPool::ReportOf(SimulatedWorker& aWorker) const
 {
   placement::WorkerReport report;
-  report.m_worker = WorkerId{ aWorker.Id() };
+  report.m_worker = WorkerId{ IdOf(aWorker) };
   report.m_instance = InstanceId{ aWorker.m_instance };
   report.m_service = ServiceId{ "desk" };
   report.m_capacity = aWorker.m_capacity;
@@ -224,8 +232,19 @@
   const auto add = [&](const std::vector<jobs::EndRun>& aMore) {
     ends.insert(ends.end(), aMore.begin(), aMore.end());
   };
+  for (const placement::WorkerReport& late : TakeLate()) {
+    add(m_table->OnReport(late, book, Time(), Wall()).m_ends);
+  }
+  std::vector<SimulatedWorker*> answered;
   for (SimulatedWorker* worker : aReporting) {
-    add(m_table->OnReport(ReportOf(*worker), book, Time(), Wall()).m_ends);
+    worker->m_latest = ReportOf(*worker);
+    worker->m_nextReport = m_now + kRetryReport;
+    const auto heard =
+      m_table->OnReport(worker->m_latest, book, Time(), Wall());
+    add(heard.m_ends);
+    if (!heard.m_ignored) {
+      answered.push_back(worker);
+    }
   }
   add(m_table->FindLost(book, Time(), Wall()));
   std::vector<jobs::Change> changes{ ends.begin(), ends.end() };
@@ -239,18 +258,47 @@
       m_planner.Next(m_fleet.State(), *m_table, {}, Time(), Wall());
     m_fleet.Apply(std::move(plan.m_changes));
   }
-  for (SimulatedWorker* worker : aReporting) {
-    Obey(*worker, m_table->Answer(WorkerId{ worker->Id() }, book, Time()));
+  for (SimulatedWorker* worker : answered) {
+    Obey(*worker, m_table->Answer(worker->m_latest.m_worker, book, Time()));
   }
 }
 
+std::vector<placement::WorkerReport>
+SimulatedPool::TakeLate()
+{
+  std::vector<placement::WorkerReport> due;
+  std::erase_if(m_late, [&](LateReport& aOne) {
+    const bool isDue = m_now >= aOne.m_at;
+    if (isDue) {
+      due.push_back(std::move(aOne.m_report));
+    }
+    return isDue;
+  });
+  return due;
+}
+
+bool
+SimulatedPool::IsRunning(const jobs::TaskRef& aTask) const
+{
+  return std::any_of(m_workers.begin(), m_workers.end(), [&](const auto& aOne) {
+    return std::any_of(
+      aOne.m_runs.begin(), aOne.m_runs.end(), [&](const Run& aRun) {
+        return aRun.m_order.m_task == aTask;
+      });
+  });
+}
+
 void
 SimulatedPool::Obey(SimulatedWorker& aWorker, const placement::Orders& aOrders)
 {
   aWorker.m_leaseEnd = m_now + ToMillis(aOrders.m_lease);
   aWorker.m_nextReport = m_now + ToMillis(aOrders.m_nextReport);
   std::erase_if(aWorker.m_ended, [&](const placement::EndReport& aEnd) {
-    return aEnd.m_number <= aOrders.m_ackedUpTo;
+    const bool isAcked = aEnd.m_number <= aOrders.m_ackedUpTo;
+    if (isAcked && aEnd.m_how == jobs::RunEnd::kDone) {
+      m_records[aEnd.m_task].m_isDoneAcked = true;
+    }
+    return isAcked;
   });
   for (const placement::StopOrder& stop : aOrders.m_stops) {
     std::erase_if(aWorker.m_runs, [&](const Run& aRun) {
@@ -287,6 +335,8 @@
   }
   TaskRecord& record = m_records[aOrder.m_task];
   ++record.m_starts;
+  record.m_overlaps += IsRunning(aOrder.m_task) ? 1 : 0;
+  record.m_startsAfterDone += record.m_isDoneAcked ? 1 : 0;
   if (record.m_crashes >= kCrashesCounted) {
     ++record.m_startsAfterThreeCrashes;
   }
@@ -327,6 +377,12 @@
   m_workers[aWorker].m_capacity = aCapacity;
 }
 
+void
+SimulatedPool::DelayReport(std::uint32_t aWorker, Millis aDelay)
+{
+  m_late.push_back({ m_now + aDelay, m_workers[aWorker].m_latest });
+}
+
 void
 SimulatedPool::ReplaceLeader(Millis aGap)
 {
@@ -364,6 +420,16 @@
   return most;
 }
 
+std::uint32_t
+SimulatedPool::CountTwice() const
+{
+  std::uint32_t count = 0;
+  for (const auto& [task, record] : m_records) {
+    count += record.m_overlaps + record.m_startsAfterDone;
+  }
+  return count;
+}
+
 std::size_t
 SimulatedPool::CountJobs(jobs::JobState aState) const
 {
--- a/tests/support/simulated_pool.h
+++ b/tests/support/simulated_pool.h
@@ -23,6 +23,8 @@
   Millis m_crashAfter{ 10 };
   /** Crashes under whatever it starts. */
   std::optional<std::uint32_t> m_faultyWorker;
+  /** A crashed worker is back under the id that it had. */
+  bool m_keepsIds = false;
   unsigned m_seed = 1;
 };
 
@@ -32,6 +34,11 @@
   /** Workers that crashed because of it. */
   std::uint32_t m_crashes = 0;
   std::uint32_t m_startsAfterThreeCrashes = 0;
+  /** Starts while another run of it was under way, no gang. */
+  std::uint32_t m_overlaps = 0;
+  /** A worker was told that its end as done is on record. */
+  bool m_isDoneAcked = false;
+  std::uint32_t m_startsAfterDone = 0;
 };
 
 /**
@@ -53,6 +60,9 @@
   /** Unreachable; the same life reports again after aTime. */
   void CutWorker(std::uint32_t aWorker, Millis aTime);
   void Resize(std::uint32_t aWorker, jobs::Resources aCapacity);
+  /** A copy of its latest report arrives after aDelay; nobody reads the answer.
+   */
+  void DelayReport(std::uint32_t aWorker, Millis aDelay);
   /** The next leader begins after aGap from the snapshot of the last one. */
   void ReplaceLeader(Millis aGap);
 
@@ -61,6 +71,8 @@
   const TaskRecord& RecordOf(const jobs::TaskRef& aTask);
   /** Over all tasks. */
   std::uint32_t MostStartsAfterThreeCrashes() const;
+  /** Runs beside another run, or after an acknowledged end as done. */
+  std::uint32_t CountTwice() const;
   std::uint32_t CrashesByTasks() const { return m_crashesByTasks; }
   std::size_t CountJobs(jobs::JobState aState) const;
   /** Whether all workers are within what they report. */
@@ -92,12 +104,18 @@
     std::optional<Millis> m_crashAt;
     std::optional<Millis> m_downUntil;
     Millis m_cutUntil{};
+    placement::WorkerReport m_latest;
+  };
 
-    std::string Id() const { return m_instance + "-" + std::to_string(m_life); }
+  struct LateReport
+  {
+    Millis m_at;
+    placement::WorkerReport m_report;
   };
 
   void Step();
   void Live(SimulatedWorker& aWorker);
+  std::string IdOf(const SimulatedWorker& aWorker) const;
   void Crash(SimulatedWorker& aWorker, Millis aDown);
   void BreakGangs(const std::vector<Run>& aLost);
   bool IsTogether(const Run& aRun) const;
@@ -106,6 +124,8 @@
   placement::WorkerReport ReportOf(SimulatedWorker& aWorker) const;
   placement::RunReport Show(const Run& aRun) const;
   void Lead(const std::vector<SimulatedWorker*>& aReporting);
+  std::vector<placement::WorkerReport> TakeLate();
+  bool IsRunning(const jobs::TaskRef& aTask) const;
   void Obey(SimulatedWorker& aWorker, const placement::Orders& aOrders);
   bool IsFaulty(const SimulatedWorker& aWorker) const;
   void Start(SimulatedWorker& aWorker, const placement::StartOrder& aOrder);
@@ -118,6 +138,7 @@
   job_fixtures::Fleet m_fleet;
   Millis m_now{ 10'000 };
   std::vector<SimulatedWorker> m_workers;
+  std::vector<LateReport> m_late;
   std::optional<placement::WorkerTable> m_table;
   placement::Planner m_planner;
   Millis m_leaderFrom{};
--- a/tests/unit/placement/crash_loops_test.cpp
+++ b/tests/unit/placement/crash_loops_test.cpp
@@ -255,3 +255,107 @@
     pool.MostStartsAfterThreeCrashes(), <=, kMostStartsAfterThreeCrashes);
   STRCMP_EQUAL("failed", Describe(pool.StateOf("bad")));
 }
+
+/** Workers that crash are back under the ids that they had. */
+TEST_GROUP(CrashLoopsWithKeptIds){
+  static PoolOptions KeptIds(unsigned aSeed = 1){ PoolOptions options;
+options.m_seed = aSeed;
+options.m_keepsIds = true;
+return options;
+}
+
+static void
+CheckGivenUp(SimulatedPool& aPool)
+{
+  CHECK_COMPARE(
+    aPool.MostStartsAfterThreeCrashes(), <=, kMostStartsAfterThreeCrashes);
+  STRCMP_EQUAL("failed", Describe(aPool.StateOf("bad")));
+}
+}
+;
+
+// Guards against a crash loop without an end where a crash shows by no new id.
+TEST(CrashLoopsWithKeptIds, TaskCrashesEveryWorker_JobIsGivenUp)
+{
+  for (const std::int64_t restart : { 200, 500, 2'500, 6'000 }) {
+    PoolOptions options = KeptIds();
+    options.m_restartTakes = Millis{ restart };
+    SimulatedPool pool{ options };
+    pool.Submit("bad", Crashing(kCrashFirst, { Step(6) }));
+    pool.Pass(kMinute);
+    CheckGivenUp(pool);
+  }
+}
+
+TEST(CrashLoopsWithKeptIds, LongRunningTaskOrGang_JobIsGivenUp)
+{
+  for (const StepSpec& step : { LongRunning(3), Gang(4) }) {
+    SimulatedPool pool{ KeptIds() };
+    pool.Submit("bad", Crashing(kCrashFirst, { step }));
+    pool.Pass(kMinute);
+    CheckGivenUp(pool);
+  }
+}
+
+// Guards against evidence that is lost with the leader that saw the crash.
+TEST(CrashLoopsWithKeptIds, LeaderReplacedBetweenCrashes_JobIsGivenUp)
+{
+  SimulatedPool pool{ KeptIds() };
+  pool.Submit("bad", Crashing(kCrashFirst, { Step(1) }));
+  for (int i = 0; i < 20; ++i) {
+    pool.Pass(Millis{ 7'000 });
+    pool.ReplaceLeader(Millis{ 1'000 });
+  }
+  CheckGivenUp(pool);
+}
+
+// Guards against sound jobs that are given up for a worker that crashes under
+// whatever it starts, and is back under its id.
+TEST(CrashLoopsWithKeptIds, WorkerCrashesUnderAnything_NoJobIsGivenUp)
+{
+  for (unsigned seed = 1; seed <= 10; ++seed) {
+    PoolOptions options = KeptIds(seed);
+    options.m_faultyWorker = seed;
+    SimulatedPool pool{ options };
+    for (int i = 0; i < 100; ++i) {
+      pool.Submit("job" + std::to_string(i), Spec({ Step(14) }));
+      pool.Pass(Millis{ 100 });
+    }
+    pool.Pass(kMinute);
+    LONGS_EQUAL(0, pool.CountJobs(JobState::kFailed));
+    LONGS_EQUAL(100, pool.CountJobs(JobState::kCompleted));
+  }
+}
+
+// Guards against runs that go to two lives, ends that are not believed, and
+// workers that get no work any more, at any moment of a restart: crashes within
+// and after a lease, cuts, late reports of earlier lives, changes of the
+// leader.
+TEST(CrashLoopsWithKeptIds, RestartsAtAnyMoment_NothingRunsTwiceAndAllComplete)
+{
+  for (unsigned seed = 1; seed <= 40; ++seed) {
+    SimulatedPool pool{ KeptIds(seed) };
+    std::minstd_rand random{ seed };
+    const auto any = [&]() { return random() % PoolOptions{}.m_workers; };
+    for (int i = 0; i < 80; ++i) {
+      pool.Submit("job" + std::to_string(i), Spec({ Step(4), Step(3, 2000) }));
+      pool.Pass(Millis{ 200 + random() % 300 });
+      const std::uint32_t worker = any();
+      if (random() % 2 == 0) {
+        pool.DelayReport(worker, Millis{ random() % 3'000 });
+      }
+      if (random() % 2 == 0) {
+        pool.CrashWorker(worker, Millis{ 50 + random() % 5'500 });
+      }
+      if (random() % 10 == 0) {
+        pool.CutWorker(any(), Millis{ random() % 7'000 });
+      }
+      if (random() % 20 == 0) {
+        pool.ReplaceLeader(Millis{ 500 + random() % 1'500 });
+      }
+    }
+    pool.Pass(kMinute);
+    LONGS_EQUAL(0, pool.CountTwice());
+    LONGS_EQUAL(80, pool.CountJobs(JobState::kCompleted));
+  }
+}
