--- a/benchmark/jobs.cpp
+++ b/benchmark/jobs.cpp
@@ -126,7 +126,7 @@
   void Hear(std::size_t aWorker, std::uint64_t aSequence)
   {
     placement::WorkerReport report;
-    report.m_worker = WorkerId{ WorkerName(aWorker) };
+    report.m_worker = { WorkerId{ WorkerName(aWorker) } };
     report.m_instance = InstanceId{ "m-" + std::to_string(aWorker) };
     report.m_service = ServiceId{ "s" };
     report.m_capacity = { 1000 * kTasksOfWorker, 32'000, 0 };
--- a/include/bamboostile/control/instance_service.h
+++ b/include/bamboostile/control/instance_service.h
@@ -42,7 +42,7 @@
 class InstanceService final : private kj::TaskSet::ErrorHandler
 {
 public:
-  using Ended = std::function<void(const WorkerId&, TimePoint aOrderedAt)>;
+  using Ended = std::function<void(const WorkerLife&, TimePoint aOrderedAt)>;
 
   /** aEnded hears of lives that an order has ended for certain. */
   InstanceService(Node& aNode,
@@ -66,7 +66,7 @@
             TimePoint aNow,
             WallTime aWall);
   /** Workers that get no new tasks. */
-  const std::set<WorkerId>& Cordoned() const { return m_cordoned; }
+  const std::set<WorkerLife>& Cordoned() const { return m_cordoned; }
 
 private:
   struct MaintenanceReply
@@ -126,7 +126,7 @@
   placement::MaintenancePlanner m_maintenance;
   placement::CapacityPlanner m_capacity;
   placement::OrderRecord m_record;
-  std::set<WorkerId> m_cordoned;
+  std::set<WorkerLife> m_cordoned;
   std::set<std::pair<std::uint64_t, InstanceId>> m_ordersUnderWay;
   std::size_t m_advancing = 0;
   /** Moves whose answer has not been handled. */
--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -78,8 +78,8 @@
   kj::Promise<jobs::QueueReply> Call(jobs::QueueCall aCall);
   kj::Promise<WorkerAnswer> Report(const placement::WorkerReport& aReport,
                                    TimePoint aReceivedAt);
-  /** The worker says that it ends now. */
-  kj::Promise<WorkerAnswer> Leave(const WorkerId& aWorker);
+  /** The worker says that it ends now; of the life, where it says which. */
+  kj::Promise<WorkerAnswer> Leave(const WorkerLife& aWorker);
   kj::Promise<RoutesOutcome> ReplaceRoutes(fleet::RouteTable aTable);
   RoutesRead ReadRoutes();
   kj::Promise<RoutesOutcome> StartMaintenance(fleet::MaintenanceWave aWave);
@@ -92,7 +92,7 @@
 private:
   struct Waiting
   {
-    WorkerId m_worker;
+    WorkerLife m_worker;
     std::uint64_t m_sequence = 0;
     TimePoint m_receivedAt;
     /** It has no ends that are not in the batch under way or an earlier one. */
@@ -107,6 +107,8 @@
   /** Whether this replica leads now; begins anew with each term. */
   bool Leads();
   WorkerAnswer NotLeading() const;
+  void NoteRestart(const placement::WorkerReport& aReport,
+                   const placement::Heard& aHeard);
   void NoteIgnored(const placement::WorkerReport& aReport,
                    placement::Ignored aReason,
                    TimePoint aNow);
@@ -137,8 +139,8 @@
   void LearnFrom(const std::vector<jobs::Change>& aChanges, TimePoint aNow);
   void NoteIfCrashLoop(const jobs::Job& aJob, const jobs::EndRun& aEnd);
   void StopStuckRuns(TimePoint aNow);
-  void OnLifeEnded(const WorkerId& aWorker);
-  void OnOrderTaken(const WorkerId& aWorker, TimePoint aOrderedAt);
+  void OnLifeEnded(const WorkerLife& aWorker);
+  void OnOrderTaken(const WorkerLife& aWorker, TimePoint aOrderedAt);
   kj::Promise<jobs::QueueReply> Submit(const fleet::QueueRoute& aRoute,
                                        const JobId& aJob,
                                        jobs::JobSpec aSpec);
@@ -170,7 +172,7 @@
 
   std::vector<Waiting> m_waiting;
   /** Reports of quiet workers, kept for when there is an order for them. */
-  std::unordered_map<WorkerId, Held> m_held;
+  std::unordered_map<WorkerLife, Held> m_held;
   Pace m_pace;
   placement::LoadShedder m_shedder;
   placement::Shedding m_shedding = placement::Shedding::kNothing;
--- a/include/bamboostile/jobs/book.h
+++ b/include/bamboostile/jobs/book.h
@@ -28,7 +28,7 @@
 {
   TaskRef m_task;
   RunNumber m_run;
-  WorkerId m_worker;
+  WorkerLife m_worker;
 };
 
 struct EndRun
@@ -50,6 +50,15 @@
   RunNumber m_run;
 };
 
+/** Names the life that a run is in. Only of a run on record under a worker's id
+ * alone, as earlier versions kept it. */
+struct AdoptRun
+{
+  TaskRef m_task;
+  RunNumber m_run;
+  WorkerLife m_worker;
+};
+
 /** Ends a job that cannot be completed. */
 struct FailJob
 {
@@ -64,8 +73,14 @@
   WallTime m_before;
 };
 
-using Change = std::
-  variant<Submit, Cancel, StartRun, EndRun, FailJob, ForgetEnded, SettleRun>;
+using Change = std::variant<Submit,
+                            Cancel,
+                            StartRun,
+                            EndRun,
+                            FailJob,
+                            ForgetEnded,
+                            SettleRun,
+                            AdoptRun>;
 
 /** One entry of the log; a sync of the disk carries all of it. */
 struct Batch
@@ -110,7 +125,7 @@
   const std::map<std::uint64_t, JobId>& Open() const { return m_open; }
   const std::unordered_map<JobId, Job>& Jobs() const { return m_jobs; }
   /** Tasks that run, or may run, on a worker. */
-  const std::unordered_map<WorkerId, std::vector<TaskRef>>& Placed() const
+  const std::unordered_map<WorkerLife, std::vector<TaskRef>>& Placed() const
   {
     return m_placed;
   }
@@ -140,10 +155,11 @@
   CallOutcome On(const FailJob& aFail, const AttemptLimit&);
   CallOutcome On(const ForgetEnded& aForget, const AttemptLimit&);
   CallOutcome On(const SettleRun& aSettle, const AttemptLimit&);
+  CallOutcome On(const AdoptRun& aAdopt, const AttemptLimit&);
 
   Job* FindJob(const JobId& aId);
   Task* FindTaskToChange(const TaskRef& aTask);
-  void Unplace(const WorkerId& aWorker, const TaskRef& aTask);
+  void Unplace(const WorkerLife& aWorker, const TaskRef& aTask);
   void Finish(Job& aJob, JobState aState, WallTime aAt);
   void WaitAgain(Job& aJob);
   void CloseIfIdle(const Job& aJob);
@@ -159,7 +175,7 @@
   std::unordered_map<JobId, Job> m_jobs;
   std::uint64_t m_nextOrder = 1;
   std::map<std::uint64_t, JobId> m_open;
-  std::unordered_map<WorkerId, std::vector<TaskRef>> m_placed;
+  std::unordered_map<WorkerLife, std::vector<TaskRef>> m_placed;
   std::unordered_map<QueueId, std::uint64_t> m_pending;
   std::set<TaskRef> m_lost;
 };
--- a/include/bamboostile/jobs/model.h
+++ b/include/bamboostile/jobs/model.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bamboostile/jobs/worker_life.h"
 #include "bamboostile/units/ids.h"
 #include "bamboostile/units/time.h"
 
@@ -13,14 +14,9 @@
 
 using JobId = Strong<struct JobIdTag, std::string>;
 using QueueId = Strong<struct QueueIdTag, std::string>;
-/** One life of a worker process; a restarted worker gets a new one. */
-using WorkerId = Strong<struct WorkerIdTag, std::string>;
 using ImageId = Strong<struct ImageIdTag, std::string>;
 /** Numbers the starts of one task from 1. */
 using RunNumber = Strong<struct RunNumberTag, std::uint32_t>;
-/** Time of day, in ms since 1970. It may jump: only for due times, records
- * and what must survive a restart, never for leases. */
-using WallTime = Strong<struct WallTimeTag, std::int64_t>;
 
 } // namespace bamboostile
 
@@ -118,7 +114,7 @@
 /** A worker that was lost with a task on it, for no reason known. */
 struct WorkerLoss
 {
-  WorkerId m_worker;
+  WorkerLife m_worker;
   /** Empty where the worker was never heard. */
   InstanceId m_instance;
   RunNumber m_run;
@@ -132,7 +128,7 @@
   RunNumber m_lastRun;
   std::uint16_t m_failures = 0;
   /** Where the last run is or was. */
-  WorkerId m_worker;
+  WorkerLife m_worker;
   std::string m_checkpoint;
   std::vector<WorkerLoss> m_losses;
   /** Long-running: the run has been at work for so long that the loss of its
--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -44,7 +44,7 @@
   std::vector<PoolNeed> m_needs;
   /** Get no new work: they are about to leave their pool, or are to be emptied
    * for another. */
-  std::set<WorkerId> m_cordoned;
+  std::set<WorkerLife> m_cordoned;
   std::vector<MoveOrder> m_orders;
 };
 
@@ -97,7 +97,7 @@
   /** aReserved: instances that maintenance is about to take. */
   CapacityPlan Next(const fleet::State& aState,
                     const WorkerTable& aWorkers,
-                    const std::set<WorkerId>& aReserved,
+                    const std::set<WorkerLife>& aReserved,
                     const Durations& aDurations,
                     const OrderRecord& aRecord,
                     TimePoint aNow,
@@ -108,16 +108,16 @@
   void OnOtherOrders(std::size_t aCount);
   void OnListed(const std::vector<ListedInstance>& aInstances, TimePoint aNow);
   /** The life that has ended with the order, where that is certain. */
-  std::optional<WorkerId> OnAnswer(const MoveOrder& aOrder,
-                                   InstanceAnswer aAnswer,
-                                   TimePoint aNow);
+  std::optional<WorkerLife> OnAnswer(const MoveOrder& aOrder,
+                                     InstanceAnswer aAnswer,
+                                     TimePoint aNow);
 
 private:
   struct Move
   {
     ServiceId m_to;
     TimePoint m_since;
-    std::optional<WorkerId> m_aimedAt;
+    std::optional<WorkerLife> m_aimedAt;
     std::uint64_t m_number = 0;
     bool m_answered = false;
     bool m_taken = false;
@@ -157,7 +157,7 @@
 
   Pools FindPools(const fleet::State& aState,
                   const WorkerTable& aWorkers,
-                  const std::set<WorkerId>& aReserved,
+                  const std::set<WorkerLife>& aReserved,
                   const Durations& aDurations,
                   TimePoint aNow,
                   WallTime aWall) const;
@@ -183,27 +183,27 @@
                      TimePoint aNow) const;
   /** aEmptied: may go as soon as they are idle. */
   std::vector<const Worker*> FindSpare(const WorkerTable& aWorkers,
-                                       const std::set<WorkerId>& aReserved,
+                                       const std::set<WorkerLife>& aReserved,
                                        const OrderRecord& aRecord,
                                        Duration aIdleFor,
-                                       const std::set<WorkerId>& aEmptied,
+                                       const std::set<WorkerLife>& aEmptied,
                                        TimePoint aNow) const;
   bool Rests(const InstanceId& aInstance, TimePoint aNow) const;
   std::optional<InstanceId> FindStandby(const WorkerTable& aWorkers,
                                         const OrderRecord& aRecord,
                                         TimePoint aNow) const;
   void FillPools(const WorkerTable& aWorkers,
-                 const std::set<WorkerId>& aReserved,
+                 const std::set<WorkerLife>& aReserved,
                  const OrderRecord& aRecord,
                  TimePoint aNow,
                  Pools& aPools,
                  CapacityPlan& aPlan);
-  void EmptySurplus(const std::set<WorkerId>& aReserved,
+  void EmptySurplus(const std::set<WorkerLife>& aReserved,
                     TimePoint aNow,
                     Pools& aPools);
   void ReleaseIdle(const ServiceId& aStandby,
                    const WorkerTable& aWorkers,
-                   const std::set<WorkerId>& aReserved,
+                   const std::set<WorkerLife>& aReserved,
                    const OrderRecord& aRecord,
                    TimePoint aNow,
                    Pools& aPools,
@@ -219,10 +219,10 @@
   /** Those of the standby pool, and since when this leader knows them up. */
   std::map<InstanceId, TimePoint> m_standby;
   std::map<InstanceId, Move> m_moves;
-  std::map<WorkerId, TimePoint> m_idleSince;
+  std::map<WorkerLife, TimePoint> m_idleSince;
   std::map<InstanceId, TimePoint> m_notBefore;
   /** Get no new work until they are idle and moved, or no longer wanted. */
-  std::set<WorkerId> m_emptying;
+  std::set<WorkerLife> m_emptying;
   /** Orders that may be given now, as the rate allows. */
   double m_mayOrder = 0;
   bool m_isAllowed = true;
--- a/include/bamboostile/placement/losses.h
+++ b/include/bamboostile/placement/losses.h
@@ -22,7 +22,7 @@
 /** A worker that was lost with runs on it, for no reason the leader knows. */
 struct LostWorker
 {
-  WorkerId m_worker;
+  WorkerLife m_worker;
   /** Empty where the worker was never heard. */
   InstanceId m_instance;
   LossCause m_cause = LossCause::kLeaseEnded;
--- a/include/bamboostile/placement/maintenance.h
+++ b/include/bamboostile/placement/maintenance.h
@@ -38,7 +38,7 @@
 struct MaintenancePlan
 {
   /** Get no new work: their turn is near. */
-  std::set<WorkerId> m_cordoned;
+  std::set<WorkerLife> m_cordoned;
   std::vector<fleet::AdvanceMaintenance> m_advances;
   /** To be sent, each until it is answered. */
   std::vector<MaintenanceOrder> m_orders;
@@ -49,7 +49,7 @@
 {
   std::optional<fleet::AdvanceMaintenance> m_advance;
   /** The life that has ended with the order, where that is certain. */
-  std::optional<WorkerId> m_ended;
+  std::optional<WorkerLife> m_ended;
 };
 
 struct MaintenanceOptions
@@ -121,7 +121,7 @@
   /** The life that an order ends. Only of orders that this leader gave first
    * and that had no unclear answer: a repeated one may be answered "already
    * done", and the instance then runs its next life. */
-  std::map<InstanceId, WorkerId> m_aimedAt;
+  std::map<InstanceId, WorkerLife> m_aimedAt;
   /** Instances that this leader was the first to order. */
   std::set<InstanceId> m_ownOrders;
   /** An order may have been obeyed unheard, or an earlier leader's still may
--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -36,7 +36,7 @@
 
   Plan Next(const fleet::State& aState,
             const WorkerTable& aWorkers,
-            const std::set<WorkerId>& aCordoned,
+            const std::set<WorkerLife>& aCordoned,
             TimePoint aNow,
             WallTime aWall);
 
@@ -85,12 +85,12 @@
 
   using Pool = std::vector<Room>;
   /** Running tasks of one step by worker. */
-  using OnWorkers = std::unordered_map<WorkerId, std::uint32_t>;
+  using OnWorkers = std::unordered_map<WorkerLife, std::uint32_t>;
   using Pools = std::unordered_map<ServiceId, Pool>;
 
   Pools FindRoom(const fleet::State& aState,
                  const WorkerTable& aWorkers,
-                 const std::set<WorkerId>& aCordoned,
+                 const std::set<WorkerLife>& aCordoned,
                  TimePoint aNow) const;
   std::vector<Candidate> FindCandidates(const fleet::State& aState,
                                         WallTime aWall) const;
@@ -136,7 +136,7 @@
     const jobs::TaskRef& aTask,
     const std::vector<jobs::WorkerLoss>& aLosses,
     WallTime aWall);
-  static std::uint32_t CountOn(const WorkerId& aWorker,
+  static std::uint32_t CountOn(const WorkerLife& aWorker,
                                const OnWorkers& aOnWorkers);
   /** aOnWorker: tasks of the step that run there. */
   static bool IsAllowed(const jobs::StepSpec& aStep,
@@ -155,7 +155,7 @@
                        const Plan& aPlan);
   void MoveLongRunning(const fleet::State& aState,
                        const WorkerTable& aWorkers,
-                       const std::set<WorkerId>& aCordoned,
+                       const std::set<WorkerLife>& aCordoned,
                        TimePoint aNow,
                        Pools& aPools,
                        Plan& aPlan) const;
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <utility>
+#include <variant>
 
 namespace bamboostile::placement {
 
@@ -34,9 +35,7 @@
 
 struct WorkerReport
 {
-  WorkerId m_worker;
-  /** By its own clock; 0 where it does not say. */
-  WallTime m_startedAt;
+  WorkerLife m_worker;
   /** What it is a life of; empty where the worker does not say. */
   InstanceId m_instance;
   ServiceId m_service;
@@ -134,7 +133,7 @@
 /** Ends of a worker that were taken from its reports, up to this number. */
 struct Receipt
 {
-  WorkerId m_worker;
+  WorkerLife m_worker;
   std::uint64_t m_upTo = 0;
 };
 
@@ -150,6 +149,14 @@
               const jobs::StepSpec& aStep) const;
 };
 
+/** How an instance has done of late; its next life is no better. */
+struct Fitness
+{
+  /** Failures since the last run that was done. */
+  std::uint32_t m_failuresInRow = 0;
+  TimePoint m_setAsideUntil;
+};
+
 /** How far a run had come when it last got any further. */
 struct Progress
 {
@@ -158,6 +165,8 @@
   TimePoint m_since;
 };
 
+/** What belongs to one life of a worker, and ends with it; but for m_fitness,
+ * which the next life of the instance inherits. */
 struct Worker
 {
   WorkerReport m_last;
@@ -186,13 +195,11 @@
   std::set<std::pair<jobs::TaskRef, RunNumber>> m_toStop;
   std::map<jobs::TaskRef, std::uint32_t> m_rates;
   std::map<jobs::TaskRef, Progress> m_progress;
-  /** Failures since the last run that was done. */
-  std::uint32_t m_failuresInRow = 0;
-  TimePoint m_setAsideUntil;
+  Fitness m_fitness;
 
   bool IsUsable(TimePoint aNow) const
   {
-    return !m_silent && !m_last.m_draining && aNow >= m_setAsideUntil;
+    return !m_silent && !m_last.m_draining && aNow >= m_fitness.m_setAsideUntil;
   }
 };
 
@@ -203,6 +210,8 @@
   kOvertaken,
   /** Its worker has ended. */
   kEnded,
+  /** It may be a late one of a life that ended before the current one began. */
+  kUnproven,
 };
 
 const char* Describe(Ignored aReason) noexcept;
@@ -211,15 +220,21 @@
 struct Heard
 {
   std::optional<Ignored> m_ignored;
-  /** The worker says that it started at another time than before. */
-  bool m_hasRestarted = false;
+  /** The life that has ended, as this one follows it. */
+  std::optional<WorkerLife> m_superseded;
   /** Ends below those acknowledged, of runs that the state still has there. */
   std::size_t m_skippedEnds = 0;
   /** Capacity or ends: placing may have something to do. */
   bool m_changed = false;
   std::vector<jobs::EndRun> m_ends;
+  /** Runs that it shows and that are on record under its id alone. */
+  std::vector<jobs::AdoptRun> m_adopted;
 };
 
+/** What runs one life of a worker at a time: its instance or, where it names
+ * none, its id. */
+using Host = std::variant<InstanceId, WorkerId>;
+
 /**
  * @brief What the leader knows of the workers: their last reports, and until
  * when each may hold what was given to it.
@@ -261,7 +276,7 @@
                                            TimePoint aNow) const;
 
   /** Workers that are to leave; their loss says nothing about their tasks. */
-  void SetCordoned(std::set<WorkerId> aWorkers)
+  void SetCordoned(std::set<WorkerLife> aWorkers)
   {
     m_cordoned = std::move(aWorkers);
   }
@@ -273,24 +288,27 @@
   /** An order that ends an instance's life was taken: the worker that it was
    * aimed at is gone, and so are other lives of the instance that were heard
    * first before aHeardBefore. */
-  std::vector<jobs::EndRun> RetireInstance(const WorkerId& aWorker,
+  std::vector<jobs::EndRun> RetireInstance(const WorkerLife& aWorker,
                                            TimePoint aHeardBefore,
                                            const jobs::Book& aBook,
                                            WallTime aWall);
 
   /** The worker is gone for certain; it is never listened to again. */
-  std::vector<jobs::EndRun> Retire(const WorkerId& aWorker,
+  std::vector<jobs::EndRun> Retire(const WorkerLife& aWorker,
                                    const jobs::Book& aBook,
                                    WallTime aWall);
 
+  /** To a worker that has to prove first that it is the current life: it is to
+   * report again, and gets neither a lease nor work. */
+  Orders AnswerUnproven() const;
   /** The answer to the last report of a worker; gives a new lease. */
-  Orders Answer(const WorkerId& aWorker,
+  Orders Answer(const WorkerLife& aWorker,
                 const jobs::Book& aBook,
                 TimePoint aNow);
 
   /** The worker runs nothing but long-running tasks, and nothing is on its way
    * to it or from it: its report need not be answered at once. */
-  bool IsQuiet(const WorkerId& aWorker, const jobs::Book& aBook) const;
+  bool IsQuiet(const WorkerLife& aWorker, const jobs::Book& aBook) const;
 
   /** Whether taking one task of a long-running step away leaves enough of it at
    * work. */
@@ -305,11 +323,13 @@
   /** Answers ask for reports so many times less often. */
   void StretchReports(int aTimes) { m_reportStretch = aTimes; }
 
-  const std::map<WorkerId, Worker>& Workers() const { return m_workers; }
-  const Worker* Find(const WorkerId& aWorker) const;
+  const std::map<WorkerLife, Worker>& Workers() const { return m_workers; }
+  const Worker* Find(const WorkerLife& aWorker) const;
+  /** The life that goes by an id, where no other one has been heard of. */
+  std::optional<WorkerLife> FindOnlyLife(const WorkerId& aWorker) const;
   const Worker* FindByInstance(const InstanceId& aInstance) const;
   /** Lives of the instance that are not known to have ended. */
-  const std::vector<WorkerId>& LivesOf(const InstanceId& aInstance) const;
+  const std::vector<WorkerLife>& LivesOf(const InstanceId& aInstance) const;
   /** Two lives of the instance may be running: which one an order would end is
    * not known. */
   bool IsContested(const InstanceId& aInstance) const;
@@ -335,10 +355,57 @@
     bool m_fits = false;
   };
 
+  /** The life that has a host for itself, as far as is known. */
+  struct Occupant
+  {
+    WorkerLife m_life;
+    /** How long lives of the host have been followed. */
+    TimePoint m_knownSince;
+  };
+
+  /** Another life that reports from an occupied host. */
+  struct Contender
+  {
+    TimePoint m_since;
+    TimePoint m_heardAt;
+    std::uint64_t m_sequence = 0;
+  };
+
+  /** What became of a report that may be of another life than the occupant. */
+  struct Admission
+  {
+    std::optional<Ignored> m_ignored;
+    /** Of the life that it supersedes. */
+    Fitness m_fitness;
+  };
+
   bool IsAtWork(const jobs::TaskRef& aTask,
                 const jobs::Task& aState,
                 TimePoint aNow) const;
   Duration LongestHold() const;
+  Admission Admit(const WorkerReport& aReport,
+                  const jobs::Book& aBook,
+                  TimePoint aNow,
+                  WallTime aWall,
+                  Heard& aHeard);
+  Occupant& FindOccupant(const WorkerReport& aReport,
+                         const jobs::Book& aBook,
+                         TimePoint aNow);
+  bool IsSuccessor(const WorkerReport& aReport,
+                   const Occupant& aOccupant,
+                   TimePoint aNow);
+  Fitness Supersede(const WorkerLife& aPrevious,
+                    const WorkerReport& aReport,
+                    const jobs::Book& aBook,
+                    TimePoint aNow,
+                    WallTime aWall,
+                    Heard& aHeard);
+  void ForgetContenders(TimePoint aNow);
+  void Forget(const WorkerLife& aWorker);
+  bool IsGone(const WorkerLife& aWorker) const
+  {
+    return m_retired.contains(aWorker) || m_superseded.contains(aWorker);
+  }
   void FollowInstance(Worker& aWorker,
                       const WorkerReport& aReport,
                       const jobs::Book& aBook,
@@ -358,7 +425,8 @@
                      WallTime aWall,
                      Heard& aHeard);
   void CountOutcome(Worker& aWorker, jobs::RunEnd aEnd, TimePoint aNow);
-  std::vector<jobs::EndRun> EndAll(const WorkerId& aWorker,
+  std::vector<jobs::EndRun> EndAll(const WorkerLife& aWorker,
+                                   const InstanceId& aInstance,
                                    const jobs::Book& aBook,
                                    WallTime aWall);
   void CountActive(Worker& aWorker, const jobs::Book& aBook) const;
@@ -371,7 +439,7 @@
                                 const std::vector<jobs::TaskRef>& aUnshown,
                                 const jobs::Book& aBook) const;
   jobs::CrashEvidence EvidenceOf(const jobs::TaskRef& aTask,
-                                 const WorkerId& aWorker,
+                                 const WorkerLife& aWorker,
                                  const jobs::Book& aBook) const;
   /** Starts that were sent and that no report has shown. */
   std::vector<jobs::TaskRef> FindUnshown(const Worker& aWorker,
@@ -392,13 +460,19 @@
   LeaseOptions m_options;
   int m_reportStretch = 1;
   TimePoint m_leaderSince;
-  std::map<WorkerId, Worker> m_workers;
-  std::map<InstanceId, WorkerId> m_current;
-  std::map<InstanceId, std::vector<WorkerId>> m_lives;
-  std::set<WorkerId> m_retired;
-  std::set<WorkerId> m_cordoned;
+  std::map<WorkerLife, Worker> m_workers;
+  std::map<Host, Occupant> m_occupants;
+  std::map<Host, std::map<WorkerLife, Contender>> m_contenders;
+  /** Lives that have runs on record, until their ids are heard. */
+  std::optional<std::map<WorkerId, WorkerLife>> m_inherited;
+  std::map<InstanceId, std::vector<WorkerLife>> m_lives;
+  /** Gone for certain. */
+  std::set<WorkerLife> m_retired;
+  /** Followed by another life, as far as reports can prove it. */
+  std::set<WorkerLife> m_superseded;
+  std::set<WorkerLife> m_cordoned;
   /** Workers of whose ends some are taken and not yet on a receipt. */
-  std::set<WorkerId> m_takenFrom;
+  std::set<WorkerLife> m_takenFrom;
   std::vector<LostWorker> m_lost;
   TimePoint m_lastLossAt;
   RecentLosses m_recentLosses;
@@ -406,9 +480,16 @@
   std::map<jobs::TaskRef, std::string> m_checkpoints;
 };
 
-/** Whether a run that a worker reports is the one the book has there. */
+/** The book has the run on this life of a worker. */
+bool IsPlaced(const jobs::Book& aBook,
+              const WorkerLife& aWorker,
+              const jobs::TaskRef& aTask,
+              RunNumber aRun);
+
+/** Whether a run that a worker reports is the one the book has there. Where the
+ * book names no life, the one that shows the run is believed. */
 bool IsExpected(const jobs::Book& aBook,
-                const WorkerId& aWorker,
+                const WorkerLife& aWorker,
                 const jobs::TaskRef& aTask,
                 RunNumber aRun);
 
--- a/include/bamboostile/wire/jobs_json.h
+++ b/include/bamboostile/wire/jobs_json.h
@@ -9,6 +9,10 @@
 /** The JSON of jobs and of workers' reports, as docs/INTERFACE.md has it. */
 std::optional<jobs::JobSpec> ReadJobSpec(const std::string& aBody,
                                          json::BadField& aBad);
+/** The life that says it ends now. */
+std::optional<WorkerLife> ReadWorkerLeave(const std::string& aWorker,
+                                          const std::string& aBody,
+                                          json::BadField& aBad);
 std::optional<placement::WorkerReport> ReadWorkerReport(
   const std::string& aWorker,
   const std::string& aBody,
--- a/schema/jobs.capnp
+++ b/schema/jobs.capnp
@@ -59,6 +59,8 @@
       task @6 :TaskRef;
       run @7 :UInt32;
       worker @8 :Text;
+      # 0 in logs of earlier versions, which name no life.
+      workerStartedAtMs @22 :Int64;
     }
     end :group {
       ended @9 :TaskRef;
@@ -83,6 +85,12 @@
       settled @20 :TaskRef;
       settledRun @21 :UInt32;
     }
+    adopt :group {
+      adopted @23 :TaskRef;
+      adoptedRun @24 :UInt32;
+      adopter @25 :Text;
+      adopterStartedAtMs @26 :Int64;
+    }
   }
 }
 
@@ -98,6 +106,7 @@
   checkpoint @4 :Text;
   losses @5 :List(WorkerLoss);
   settled @6 :Bool;
+  workerStartedAtMs @7 :Int64;
 }
 
 struct WorkerLoss {
@@ -106,6 +115,7 @@
   run @2 :UInt32;
   evidence @3 :UInt8;
   atMs @4 :Int64;
+  workerStartedAtMs @5 :Int64;
 }
 
 struct JobState {
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -38,6 +38,15 @@
   return reply;
 }
 
+LogLine
+LineOf(Level aLevel, const char* aEvent, const WorkerLife& aWorker)
+{
+  LogLine line(aLevel, aEvent);
+  line.With("worker", aWorker.m_id.Get())
+    .With("startedAtMs", aWorker.m_startedAt.Get());
+  return line;
+}
+
 const jobs::BatchReply*
 ReplyOf(const Decided& aDecided)
 {
@@ -95,7 +104,7 @@
       m_options.m_capacity,
       term,
       m_pace,
-      [this](const WorkerId& aWorker, TimePoint aOrderedAt) {
+      [this](const WorkerLife& aWorker, TimePoint aOrderedAt) {
         OnOrderTaken(aWorker, aOrderedAt);
       });
     m_gathered.clear();
@@ -137,18 +146,13 @@
   const TimePoint now = MonotonicNow();
   m_pace.Observe(Stage::kReportQueued, now - aReceivedAt);
   m_shedder.OnWaited(now - aReceivedAt, now);
-  const WorkerId worker = aReport.m_worker;
+  const WorkerLife worker = aReport.m_worker;
   const std::uint64_t sequence = aReport.m_sequence;
   const bool isNew = m_workers->Find(worker) == nullptr;
   placement::Heard heard =
     m_workers->OnReport(aReport, m_node.State().Jobs(), now, WallNow());
-  if (heard.m_hasRestarted) {
-    LogLine(Level::kInfo, "worker has started again under its id")
-      .With("worker", worker.Get())
-      .With("startedAtMs", aReport.m_startedAt.Get())
-      .With("sequence", sequence)
-      .With("ignored", heard.m_ignored.has_value())
-      .Write();
+  if (heard.m_superseded) {
+    NoteRestart(aReport, heard);
   }
   if (heard.m_skippedEnds > 0) {
     NoteSkippedEnds(aReport, heard.m_skippedEnds);
@@ -157,12 +161,14 @@
     NoteIgnored(aReport, *heard.m_ignored, now);
     WorkerAnswer late;
     late.m_refusal = placement::Describe(*heard.m_ignored);
+    if (heard.m_ignored == placement::Ignored::kUnproven) {
+      late.m_orders = m_workers->AnswerUnproven();
+      late.m_fencingToken = m_term;
+    }
     return late;
   }
   if (isNew) {
-    LogLine(Level::kInfo, "worker heard for the first time")
-      .With("worker", worker.Get())
-      .With("startedAtMs", aReport.m_startedAt.Get())
+    LineOf(Level::kInfo, "worker heard for the first time", worker)
       .With("ofInstance", aReport.m_instance.Get())
       .With("service", aReport.m_service.Get())
       .With("cpuMillis", aReport.m_capacity.m_cpuMillis)
@@ -172,6 +178,8 @@
   m_isDirty = m_isDirty || heard.m_changed;
   const bool isTaken = heard.m_ends.empty();
   Gather(std::move(heard.m_ends));
+  m_gathered.insert(
+    m_gathered.end(), heard.m_adopted.begin(), heard.m_adopted.end());
   auto pair = kj::newPromiseAndFulfiller<WorkerAnswer>();
   // What a batch under way decides is worth waiting for, but not for long.
   const bool nothingToDo = !m_isDirty && !m_isCycling && m_gathered.empty();
@@ -197,9 +205,7 @@
   const std::string reason = placement::Describe(aReason);
   m_metrics.Count("reports_ignored_total{reason=\"" + reason + "\"}");
   if (const auto leftOut = m_ignoredLog.Admit(aNow)) {
-    LogLine(Level::kInfo, "report ignored")
-      .With("worker", aReport.m_worker.Get())
-      .With("startedAtMs", aReport.m_startedAt.Get())
+    LineOf(Level::kInfo, "report ignored", aReport.m_worker)
       .With("sequence", aReport.m_sequence)
       .With("reason", reason)
       .With("unloggedBefore", *leftOut)
@@ -207,6 +213,20 @@
   }
 }
 
+void
+JobService::NoteRestart(const placement::WorkerReport& aReport,
+                        const placement::Heard& aHeard)
+{
+  m_metrics.Count("worker_restarts_total");
+  LineOf(Level::kInfo, "worker has started again", aReport.m_worker)
+    .With("ofInstance", aReport.m_instance.Get())
+    .With("sequence", aReport.m_sequence)
+    .With("previous", aHeard.m_superseded->m_id.Get())
+    .With("previousStartedAtMs", aHeard.m_superseded->m_startedAt.Get())
+    .With("runsEnded", aHeard.m_ends.size())
+    .Write();
+}
+
 // The worker forgets what is acknowledged; a run whose end was not believed
 // would stay placed there for ever.
 void
@@ -214,22 +234,28 @@
                             std::size_t aCount)
 {
   m_metrics.Count("ends_skipped_total");
-  LogLine(Level::kWarning, "ends skipped, acknowledged before they came")
-    .With("worker", aReport.m_worker.Get())
-    .With("startedAtMs", aReport.m_startedAt.Get())
+  LineOf(Level::kWarning,
+         "ends skipped, acknowledged before they came",
+         aReport.m_worker)
     .With("sequence", aReport.m_sequence)
     .With("ends", aCount)
     .Write();
 }
 
 kj::Promise<WorkerAnswer>
-JobService::Leave(const WorkerId& aWorker)
+JobService::Leave(const WorkerLife& aWorker)
 {
   if (!Leads()) {
     return NotLeading();
   }
-  LogLine(Level::kInfo, "worker left").With("worker", aWorker.Get()).Write();
-  OnLifeEnded(aWorker);
+  // One that does not say which life it is of ends none where there are
+  // several.
+  const WorkerLife life =
+    aWorker.SaysStart()
+      ? aWorker
+      : m_workers->FindOnlyLife(aWorker.m_id).value_or(aWorker);
+  LineOf(Level::kInfo, "worker left", life).Write();
+  OnLifeEnded(life);
   WorkerAnswer answer;
   answer.m_orders.emplace();
   return answer;
@@ -250,7 +276,7 @@
 }
 
 void
-JobService::OnLifeEnded(const WorkerId& aWorker)
+JobService::OnLifeEnded(const WorkerLife& aWorker)
 {
   Gather(m_workers->Retire(aWorker, m_node.State().Jobs(), WallNow()));
   m_isDirty = true;
@@ -258,7 +284,7 @@
 }
 
 void
-JobService::OnOrderTaken(const WorkerId& aWorker, TimePoint aOrderedAt)
+JobService::OnOrderTaken(const WorkerLife& aWorker, TimePoint aOrderedAt)
 {
   Gather(m_workers->RetireInstance(
     aWorker, aOrderedAt + kSoonestNextLife, m_node.State().Jobs(), WallNow()));
@@ -288,8 +314,7 @@
   for (const placement::LostWorker& lost : m_workers->TakeLost()) {
     m_metrics.Count(std::string{ "workers_lost_total{cause=\"" } +
                     placement::Describe(lost.m_cause) + "\"}");
-    LogLine(Level::kWarning, "worker lost")
-      .With("worker", lost.m_worker.Get())
+    LineOf(Level::kWarning, "worker lost", lost.m_worker)
       .With("ofInstance", lost.m_instance.Get())
       .With("cause", placement::Describe(lost.m_cause))
       .With("silentMs", ToMillis(lost.m_silentFor).count())
@@ -303,8 +328,9 @@
                     jobs::Describe(end.m_how) + "\"}");
     const jobs::Task* task = m_node.State().Jobs().FindTask(end.m_task);
     if (end.m_how != jobs::RunEnd::kDone) {
-      LogLine(Level::kInfo, "run ended")
-        .With("worker", task == nullptr ? "" : task->m_worker.Get())
+      LineOf(Level::kInfo,
+             "run ended",
+             task == nullptr ? WorkerLife{} : task->m_worker)
         .With("job", end.m_task.m_job.Get())
         .With("occurrence", end.m_task.m_occurrence)
         .With("step", end.m_task.m_step)
@@ -542,12 +568,15 @@
 WorkerAnswer
 JobService::AnswerOf(const Waiting& aOne, bool aLeads, TimePoint aNow)
 {
-  const placement::Worker* worker =
-    aLeads ? m_workers->Find(aOne.m_worker) : nullptr;
-  if (worker == nullptr || worker->m_last.m_sequence != aOne.m_sequence) {
+  if (!aLeads) {
     return NotLeading();
   }
   WorkerAnswer answer;
+  const placement::Worker* worker = m_workers->Find(aOne.m_worker);
+  if (worker == nullptr || worker->m_last.m_sequence != aOne.m_sequence) {
+    answer.m_refusal = "overtaken by a later report, or the worker has ended";
+    return answer;
+  }
   m_pace.Observe(Stage::kReportAnswered, aNow - aOne.m_receivedAt);
   answer.m_orders =
     m_workers->Answer(aOne.m_worker, m_node.State().Jobs(), aNow);
@@ -561,7 +590,7 @@
 void
 JobService::Hold(Waiting aOne, TimePoint aNow)
 {
-  const WorkerId worker = aOne.m_worker;
+  const WorkerLife worker = aOne.m_worker;
   Held& held = m_held[worker];
   if (held.m_report.m_fulfiller.get() != nullptr) {
     held.m_report.m_fulfiller->fulfill(NotLeading());
--- a/src/control/worker_api.cpp
+++ b/src/control/worker_api.cpp
@@ -60,14 +60,19 @@
   if (request.m_method != "POST" || (reporting.empty() && leaving.empty())) {
     return false;
   }
+  json::BadField bad;
   if (!leaving.empty()) {
-    m_bridge.Answer(aServer, aExchange, [this, leaving]() {
-      return m_jobs.Leave(WorkerId{ leaving })
-        .then([](const WorkerAnswer& aAnswer) { return ToResponse(aAnswer); });
+    const auto life = wire::ReadWorkerLeave(leaving, request.m_body, bad);
+    if (!life) {
+      aExchange->Respond(JsonResponse(kBadRequest, json::ToJson(bad)));
+      return true;
+    }
+    m_bridge.Answer(aServer, aExchange, [this, life = *life]() {
+      return m_jobs.Leave(life).then(
+        [](const WorkerAnswer& aAnswer) { return ToResponse(aAnswer); });
     });
     return true;
   }
-  json::BadField bad;
   auto report = wire::ReadWorkerReport(reporting, request.m_body, bad);
   if (!report) {
     aExchange->Respond(JsonResponse(kBadRequest, json::ToJson(bad)));
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -233,7 +233,7 @@
 }
 
 void
-Book::Unplace(const WorkerId& aWorker, const TaskRef& aTask)
+Book::Unplace(const WorkerLife& aWorker, const TaskRef& aTask)
 {
   const auto placed = m_placed.find(aWorker);
   if (placed == m_placed.end()) {
@@ -404,6 +404,20 @@
   return CallOutcome::kNone;
 }
 
+CallOutcome
+Book::On(const AdoptRun& aAdopt, const AttemptLimit& /*aLimit*/)
+{
+  Task* task = FindTaskToChange(aAdopt.m_task);
+  if (task != nullptr && task->m_phase == TaskPhase::kRunning &&
+      task->m_lastRun == aAdopt.m_run && !task->m_worker.SaysStart() &&
+      task->m_worker.m_id == aAdopt.m_worker.m_id) {
+    Unplace(task->m_worker, aAdopt.m_task);
+    task->m_worker = aAdopt.m_worker;
+    m_placed[task->m_worker].push_back(aAdopt.m_task);
+  }
+  return CallOutcome::kNone;
+}
+
 CallOutcome
 Book::On(const FailJob& aFail, const AttemptLimit& /*aLimit*/)
 {
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -61,6 +61,12 @@
            aFrom.getIndex() };
 }
 
+WorkerLife
+ReadLife(capnp::Text::Reader aId, std::int64_t aStartedAtMs)
+{
+  return { WorkerId{ Text(aId) }, WallTime{ aStartedAtMs } };
+}
+
 void
 Write(const Change& aChange, schema::Change::Builder aTo)
 {
@@ -81,7 +87,8 @@
                  auto to = aTo.initStart();
                  Write(aOne.m_task, to.initTask());
                  to.setRun(aOne.m_run.Get());
-                 to.setWorker(aOne.m_worker.Get());
+                 to.setWorker(aOne.m_worker.m_id.Get());
+                 to.setWorkerStartedAtMs(aOne.m_worker.m_startedAt.Get());
                },
                [&](const EndRun& aOne) {
                  auto to = aTo.initEnd();
@@ -109,6 +116,13 @@
                  Write(aOne.m_task, to.initSettled());
                  to.setSettledRun(aOne.m_run.Get());
                },
+               [&](const AdoptRun& aOne) {
+                 auto to = aTo.initAdopt();
+                 Write(aOne.m_task, to.initAdopted());
+                 to.setAdoptedRun(aOne.m_run.Get());
+                 to.setAdopter(aOne.m_worker.m_id.Get());
+                 to.setAdopterStartedAtMs(aOne.m_worker.m_startedAt.Get());
+               },
              },
              aChange);
 }
@@ -133,7 +147,8 @@
       const auto from = aFrom.getStart();
       return StartRun{ Read(from.getTask()),
                        RunNumber{ from.getRun() },
-                       WorkerId{ Text(from.getWorker()) } };
+                       ReadLife(from.getWorker(),
+                                from.getWorkerStartedAtMs()) };
     }
     case schema::Change::END: {
       const auto from = aFrom.getEnd();
@@ -158,6 +173,13 @@
       return SettleRun{ Read(from.getSettled()),
                         RunNumber{ from.getSettledRun() } };
     }
+    case schema::Change::ADOPT: {
+      const auto from = aFrom.getAdopt();
+      return AdoptRun{ Read(from.getAdopted()),
+                       RunNumber{ from.getAdoptedRun() },
+                       ReadLife(from.getAdopter(),
+                                from.getAdopterStartedAtMs()) };
+    }
   }
   KJ_FAIL_REQUIRE("unknown kind of change");
 }
@@ -172,7 +194,8 @@
   }
   auto list = aTo.initLosses(static_cast<unsigned>(aLosses.size()));
   for (unsigned i = 0; i < list.size(); ++i) {
-    list[i].setWorker(aLosses[i].m_worker.Get());
+    list[i].setWorker(aLosses[i].m_worker.m_id.Get());
+    list[i].setWorkerStartedAtMs(aLosses[i].m_worker.m_startedAt.Get());
     list[i].setInstance(aLosses[i].m_instance.Get());
     list[i].setRun(aLosses[i].m_run.Get());
     list[i].setEvidence(static_cast<std::uint8_t>(aLosses[i].m_evidence));
@@ -185,7 +208,7 @@
 {
   std::vector<WorkerLoss> losses;
   for (auto one : aFrom.getLosses()) {
-    losses.push_back({ WorkerId{ Text(one.getWorker()) },
+    losses.push_back({ ReadLife(one.getWorker(), one.getWorkerStartedAtMs()),
                        InstanceId{ Text(one.getInstance()) },
                        RunNumber{ one.getRun() },
                        static_cast<CrashEvidence>(one.getEvidence()),
@@ -224,7 +247,8 @@
           list[i].setPhase(static_cast<std::uint8_t>(tasks[i].m_phase));
           list[i].setLastRun(tasks[i].m_lastRun.Get());
           list[i].setFailures(tasks[i].m_failures);
-          list[i].setWorker(tasks[i].m_worker.Get());
+          list[i].setWorker(tasks[i].m_worker.m_id.Get());
+          list[i].setWorkerStartedAtMs(tasks[i].m_worker.m_startedAt.Get());
           list[i].setCheckpoint(tasks[i].m_checkpoint);
           list[i].setSettled(tasks[i].m_settled);
           WriteLosses(tasks[i].m_losses, list[i]);
@@ -254,7 +278,7 @@
           task.m_phase = static_cast<TaskPhase>(one.getPhase());
           task.m_lastRun = RunNumber{ one.getLastRun() };
           task.m_failures = one.getFailures();
-          task.m_worker = WorkerId{ Text(one.getWorker()) };
+          task.m_worker = ReadLife(one.getWorker(), one.getWorkerStartedAtMs());
           task.m_checkpoint = Text(one.getCheckpoint());
           task.m_settled = one.getSettled();
           task.m_losses = ReadLosses(one);
--- a/src/jobs/crash_loop.cpp
+++ b/src/jobs/crash_loop.cpp
@@ -145,7 +145,7 @@
   std::string text = "crashed " + std::to_string(aLosses.size()) + " workers: ";
   const char* separator = "";
   for (const WorkerLoss& loss : aLosses) {
-    text += separator + loss.m_worker.Get() + " (run " +
+    text += separator + loss.m_worker.m_id.Get() + " (run " +
             std::to_string(loss.m_run.Get()) + ")";
     separator = ", ";
   }
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -27,7 +27,7 @@
 };
 
 Use
-FindUse(const jobs::Book& aBook, const WorkerId& aWorker)
+FindUse(const jobs::Book& aBook, const WorkerLife& aWorker)
 {
   Use use;
   const auto placed = aBook.Placed().find(aWorker);
@@ -80,7 +80,7 @@
 CapacityPlanner::Pools
 CapacityPlanner::FindPools(const fleet::State& aState,
                            const WorkerTable& aWorkers,
-                           const std::set<WorkerId>& aReserved,
+                           const std::set<WorkerLife>& aReserved,
                            const Durations& aDurations,
                            TimePoint aNow,
                            WallTime aWall) const
@@ -223,10 +223,10 @@
 
 std::vector<const Worker*>
 CapacityPlanner::FindSpare(const WorkerTable& aWorkers,
-                           const std::set<WorkerId>& aReserved,
+                           const std::set<WorkerLife>& aReserved,
                            const OrderRecord& aRecord,
                            Duration aIdleFor,
-                           const std::set<WorkerId>& aEmptied,
+                           const std::set<WorkerLife>& aEmptied,
                            TimePoint aNow) const
 {
   std::vector<const Worker*> spare;
@@ -319,7 +319,7 @@
 // other queue can miss them.
 void
 CapacityPlanner::FillPools(const WorkerTable& aWorkers,
-                           const std::set<WorkerId>& aReserved,
+                           const std::set<WorkerLife>& aReserved,
                            const OrderRecord& aRecord,
                            TimePoint aNow,
                            Pools& aPools,
@@ -366,7 +366,7 @@
 // Those beyond what their pool needs get no new tasks then: what is left is
 // carried out on the others, and these are empty as soon as their runs end.
 void
-CapacityPlanner::EmptySurplus(const std::set<WorkerId>& aReserved,
+CapacityPlanner::EmptySurplus(const std::set<WorkerLife>& aReserved,
                               TimePoint aNow,
                               Pools& aPools)
 {
@@ -403,7 +403,7 @@
 void
 CapacityPlanner::ReleaseIdle(const ServiceId& aStandby,
                              const WorkerTable& aWorkers,
-                             const std::set<WorkerId>& aReserved,
+                             const std::set<WorkerLife>& aReserved,
                              const OrderRecord& aRecord,
                              TimePoint aNow,
                              Pools& aPools,
@@ -423,7 +423,7 @@
 CapacityPlan
 CapacityPlanner::Next(const fleet::State& aState,
                       const WorkerTable& aWorkers,
-                      const std::set<WorkerId>& aReserved,
+                      const std::set<WorkerLife>& aReserved,
                       const Durations& aDurations,
                       const OrderRecord& aRecord,
                       TimePoint aNow,
@@ -476,7 +476,7 @@
   }
 }
 
-std::optional<WorkerId>
+std::optional<WorkerLife>
 CapacityPlanner::OnAnswer(const MoveOrder& aOrder,
                           InstanceAnswer aAnswer,
                           TimePoint aNow)
--- a/src/placement/maintenance.cpp
+++ b/src/placement/maintenance.cpp
@@ -21,7 +21,7 @@
 }
 
 bool
-HoldsBudgetedTask(const WorkerId& aWorker, const jobs::Book& aBook)
+HoldsBudgetedTask(const WorkerLife& aWorker, const jobs::Book& aBook)
 {
   const auto placed = aBook.Placed().find(aWorker);
   if (placed == aBook.Placed().end()) {
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -78,7 +78,7 @@
 Planner::Pools
 Planner::FindRoom(const fleet::State& aState,
                   const WorkerTable& aWorkers,
-                  const std::set<WorkerId>& aCordoned,
+                  const std::set<WorkerLife>& aCordoned,
                   TimePoint aNow) const
 {
   Pools pools;
@@ -197,7 +197,7 @@
 }
 
 std::uint32_t
-Planner::CountOn(const WorkerId& aWorker, const OnWorkers& aOnWorkers)
+Planner::CountOn(const WorkerLife& aWorker, const OnWorkers& aOnWorkers)
 {
   const auto here = aOnWorkers.find(aWorker);
   return here == aOnWorkers.end() ? 0 : here->second;
@@ -328,7 +328,7 @@
     }
     room->Take(step);
     ++room->m_unshown;
-    const WorkerId& worker = room->m_worker->m_last.m_worker;
+    const WorkerLife& worker = room->m_worker->m_last.m_worker;
     ++onWorker[worker];
     aPlan.m_changes.emplace_back(jobs::StartRun{
       { aCandidate.m_job->m_id, aCandidate.m_occurrence, aCandidate.m_step, i },
@@ -375,7 +375,7 @@
     room->Take(step);
     ++room->m_unshown;
     room->m_trialOf = aWaited ? aCandidate.m_job : nullptr;
-    const WorkerId& worker = room->m_worker->m_last.m_worker;
+    const WorkerLife& worker = room->m_worker->m_last.m_worker;
     ++onWorker[worker];
     starts.emplace_back(jobs::StartRun{
       { aCandidate.m_job->m_id, aCandidate.m_occurrence, aCandidate.m_step, i },
@@ -432,7 +432,7 @@
 void
 Planner::MoveLongRunning(const fleet::State& aState,
                          const WorkerTable& aWorkers,
-                         const std::set<WorkerId>& aCordoned,
+                         const std::set<WorkerLife>& aCordoned,
                          TimePoint aNow,
                          Pools& aPools,
                          Plan& aPlan) const
@@ -466,7 +466,7 @@
 Plan
 Planner::Next(const fleet::State& aState,
               const WorkerTable& aWorkers,
-              const std::set<WorkerId>& aCordoned,
+              const std::set<WorkerLife>& aCordoned,
               TimePoint aNow,
               WallTime aWall)
 {
--- a/src/placement/worker_losses.cpp
+++ b/src/placement/worker_losses.cpp
@@ -16,32 +16,6 @@
   return unshown;
 }
 
-const std::vector<WorkerId>&
-WorkerTable::LivesOf(const InstanceId& aInstance) const
-{
-  static const std::vector<WorkerId> kNone;
-  const auto found = m_lives.find(aInstance);
-  return found == m_lives.end() ? kNone : found->second;
-}
-
-bool
-WorkerTable::IsContested(const InstanceId& aInstance) const
-{
-  const auto& lives = LivesOf(aInstance);
-  return std::count_if(lives.begin(), lives.end(), [&](const WorkerId& aLife) {
-           return !Find(aLife)->m_silent;
-         }) > 1;
-}
-
-bool
-WorkerTable::HasLaterLife(const Worker& aWorker) const
-{
-  const auto& lives = LivesOf(aWorker.m_last.m_instance);
-  return std::any_of(lives.begin(), lives.end(), [&](const WorkerId& aLife) {
-    return Find(aLife)->m_firstHeardAt > aWorker.m_heardAt;
-  });
-}
-
 std::size_t
 WorkerTable::CountLostBeside(const Worker& aWorker,
                              const jobs::Book& aBook,
@@ -139,7 +113,7 @@
                       const jobs::Book& aBook,
                       TimePoint aNow)
 {
-  const WorkerId& id = aWorker.m_last.m_worker;
+  const WorkerLife& id = aWorker.m_last.m_worker;
   const auto placed = aBook.Placed().find(id);
   const auto unshown = FindUnshown(aWorker, aBook);
   aWorker.m_lostInTrial = HasTrial(aWorker, aBook);
@@ -192,7 +166,7 @@
 // on trial there; of any other task one such loss says little.
 jobs::CrashEvidence
 WorkerTable::EvidenceOf(const jobs::TaskRef& aTask,
-                        const WorkerId& aWorker,
+                        const WorkerLife& aWorker,
                         const jobs::Book& aBook) const
 {
   if (const Worker* worker = Find(aWorker)) {
@@ -201,7 +175,7 @@
                                              : found->second;
   }
   const jobs::Task& task = *aBook.FindTask(aTask);
-  if (task.m_settled || m_retired.contains(aWorker)) {
+  if (task.m_settled || IsGone(aWorker)) {
     return jobs::CrashEvidence::kNone;
   }
   return jobs::IsSuspect(task.m_losses) ? jobs::CrashEvidence::kStarting
@@ -209,70 +183,25 @@
 }
 
 std::vector<jobs::EndRun>
-WorkerTable::EndAll(const WorkerId& aWorker,
+WorkerTable::EndAll(const WorkerLife& aWorker,
+                    const InstanceId& aInstance,
                     const jobs::Book& aBook,
                     WallTime aWall)
 {
   std::vector<jobs::EndRun> ends;
-  const Worker* worker = Find(aWorker);
   const auto placed = aBook.Placed().find(aWorker);
   if (placed == aBook.Placed().end()) {
     return ends;
   }
   for (const jobs::TaskRef& ref : placed->second) {
     const auto saved = m_checkpoints.find(ref);
-    ends.push_back(
-      { ref,
-        aBook.FindTask(ref)->m_lastRun,
-        jobs::RunEnd::kWorkerLost,
-        saved == m_checkpoints.end() ? "" : saved->second,
-        aWall,
-        EvidenceOf(ref, aWorker, aBook),
-        worker == nullptr ? InstanceId{} : worker->m_last.m_instance });
-  }
-  return ends;
-}
-
-std::vector<jobs::EndRun>
-WorkerTable::Retire(const WorkerId& aWorker,
-                    const jobs::Book& aBook,
-                    WallTime aWall)
-{
-  m_retired.insert(aWorker);
-  auto ends = EndAll(aWorker, aBook, aWall);
-  m_workers.erase(aWorker);
-  // A damaged report may have named another instance since.
-  for (auto& [instance, lives] : m_lives) {
-    std::erase(lives, aWorker);
-  }
-  std::erase_if(m_lives,
-                [](const auto& aEntry) { return aEntry.second.empty(); });
-  std::erase_if(m_current,
-                [&](const auto& aEntry) { return aEntry.second == aWorker; });
-  return ends;
-}
-
-// The life that an order was aimed at may have ended before, unnoticed, and the
-// next one have been heard while the order was under way. That one has ended
-// too, and nothing it got will ever run.
-std::vector<jobs::EndRun>
-WorkerTable::RetireInstance(const WorkerId& aWorker,
-                            TimePoint aHeardBefore,
-                            const jobs::Book& aBook,
-                            WallTime aWall)
-{
-  std::vector<WorkerId> ended;
-  if (const Worker* worker = Find(aWorker)) {
-    for (const WorkerId& life : LivesOf(worker->m_last.m_instance)) {
-      if (life != aWorker && Find(life)->m_firstHeardAt < aHeardBefore) {
-        ended.push_back(life);
-      }
-    }
-  }
-  auto ends = Retire(aWorker, aBook, aWall);
-  for (const WorkerId& life : ended) {
-    const auto more = Retire(life, aBook, aWall);
-    ends.insert(ends.end(), more.begin(), more.end());
+    ends.push_back({ ref,
+                     aBook.FindTask(ref)->m_lastRun,
+                     jobs::RunEnd::kWorkerLost,
+                     saved == m_checkpoints.end() ? "" : saved->second,
+                     aWall,
+                     EvidenceOf(ref, aWorker, aBook),
+                     aInstance });
   }
   return ends;
 }
@@ -281,8 +210,8 @@
 WorkerTable::FindLost(const jobs::Book& aBook, TimePoint aNow, WallTime aWall)
 {
   std::vector<jobs::EndRun> ends;
-  const auto add = [&](const WorkerId& aWorker) {
-    auto lost = EndAll(aWorker, aBook, aWall);
+  const auto add = [&](const WorkerLife& aWorker, const InstanceId& aInstance) {
+    auto lost = EndAll(aWorker, aInstance, aBook, aWall);
     std::move(lost.begin(), lost.end(), std::back_inserter(ends));
   };
   for (auto& [id, worker] : m_workers) {
@@ -293,20 +222,25 @@
       worker.m_toStop.clear();
     }
     if (worker.m_silent) {
-      add(id);
+      add(id, worker.m_last.m_instance);
     }
   }
-  if (!KnowsAllLeases(aNow)) {
-    return ends;
-  }
+  ForgetContenders(aNow);
+  const bool knowsAllLeases = KnowsAllLeases(aNow);
   for (const auto& [id, tasks] : aBook.Placed()) {
-    if (!m_workers.contains(id)) {
+    if (m_workers.contains(id)) {
+      continue;
+    }
+    // Placed while the proof of the life's end was on its way: never sent.
+    if (IsGone(id)) {
+      add(id, InstanceId{});
+    } else if (knowsAllLeases) {
       m_lost.push_back({ id,
                          InstanceId{},
                          LossCause::kNeverHeard,
                          aNow - m_leaderSince,
                          tasks.size() });
-      add(id);
+      add(id, InstanceId{});
     }
   }
   return ends;
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -42,23 +42,33 @@
 } // namespace
 
 bool
-IsExpected(const jobs::Book& aBook,
-           const WorkerId& aWorker,
-           const jobs::TaskRef& aTask,
-           RunNumber aRun)
+IsPlaced(const jobs::Book& aBook,
+         const WorkerLife& aWorker,
+         const jobs::TaskRef& aTask,
+         RunNumber aRun)
 {
   const jobs::Task* task = aBook.FindTask(aTask);
   return task != nullptr && task->m_phase == jobs::TaskPhase::kRunning &&
          task->m_lastRun == aRun && task->m_worker == aWorker;
 }
 
+bool
+IsExpected(const jobs::Book& aBook,
+           const WorkerLife& aWorker,
+           const jobs::TaskRef& aTask,
+           RunNumber aRun)
+{
+  return IsPlaced(aBook, aWorker, aTask, aRun) ||
+         IsPlaced(aBook, WorkerLife{ aWorker.m_id }, aTask, aRun);
+}
+
 namespace {
 
 /** A long-running task that is at work as it should be. Those that fill are
  * paced by reports, and those that warm up are waited for. */
 bool
 IsAtRest(const jobs::Book& aBook,
-         const WorkerId& aWorker,
+         const WorkerLife& aWorker,
          const RunReport& aRun)
 {
   const jobs::Job* job = aBook.Find(aRun.m_task.m_job);
@@ -99,6 +109,8 @@
       return "overtaken by a later report";
     case Ignored::kEnded:
       return "its worker has ended";
+    case Ignored::kUnproven:
+      return "it may be of an earlier life";
   }
   return "unknown";
 }
@@ -123,7 +135,7 @@
 }
 
 const Worker*
-WorkerTable::Find(const WorkerId& aWorker) const
+WorkerTable::Find(const WorkerLife& aWorker) const
 {
   const auto found = m_workers.find(aWorker);
   return found == m_workers.end() ? nullptr : &found->second;
@@ -132,8 +144,8 @@
 const Worker*
 WorkerTable::FindByInstance(const InstanceId& aInstance) const
 {
-  const auto found = m_current.find(aInstance);
-  return found == m_current.end() ? nullptr : Find(found->second);
+  const auto found = m_occupants.find(aInstance);
+  return found == m_occupants.end() ? nullptr : Find(found->second.m_life);
 }
 
 const RunReport*
@@ -162,18 +174,23 @@
     heard.m_ignored = Ignored::kEnded;
     return heard;
   }
-  const auto [found, isNew] = m_workers.try_emplace(aReport.m_worker);
-  Worker& worker = found->second;
   // A report that was overtaken shows a state that is gone; its worker has
   // dropped the connection and will not read the answer.
-  heard.m_hasRestarted =
-    !isNew && aReport.m_startedAt != worker.m_last.m_startedAt;
-  if (!isNew && aReport.m_sequence <= worker.m_last.m_sequence) {
+  const Worker* known = Find(aReport.m_worker);
+  if (known != nullptr && aReport.m_sequence <= known->m_last.m_sequence) {
     heard.m_ignored = Ignored::kOvertaken;
     return heard;
   }
+  const Admission admission = Admit(aReport, aBook, aNow, aWall, heard);
+  if (admission.m_ignored) {
+    heard.m_ignored = admission.m_ignored;
+    return heard;
+  }
+  const auto [found, isNew] = m_workers.try_emplace(aReport.m_worker);
+  Worker& worker = found->second;
   if (isNew) {
     worker.m_firstHeardAt = aNow;
+    worker.m_fitness = admission.m_fitness;
     if (!aReport.m_instance.Get().empty()) {
       m_lives[aReport.m_instance].push_back(aReport.m_worker);
     }
@@ -193,10 +210,15 @@
   worker.m_lostInTrial = false;
   worker.m_evidence.clear();
   for (const RunReport& run : aReport.m_active) {
-    if (!run.m_checkpoint.empty() &&
-        IsExpected(aBook, aReport.m_worker, run.m_task, run.m_run)) {
+    if (!IsExpected(aBook, aReport.m_worker, run.m_task, run.m_run)) {
+      continue;
+    }
+    if (!run.m_checkpoint.empty()) {
       m_checkpoints[run.m_task] = run.m_checkpoint;
     }
+    if (!IsPlaced(aBook, aReport.m_worker, run.m_task, run.m_run)) {
+      heard.m_adopted.push_back({ run.m_task, run.m_run, aReport.m_worker });
+    }
   }
   CountActive(worker, aBook);
   FollowProgress(worker, aNow);
@@ -268,34 +290,26 @@
                             WallTime aWall,
                             Heard& aHeard)
 {
-  if (aReport.m_instance.Get().empty()) {
+  if (aReport.m_instance.Get().empty() || aReport.m_worker.SaysStart()) {
     return;
   }
-  const auto current =
-    m_current.try_emplace(aReport.m_instance, aReport.m_worker).first;
-  if (current->second == aReport.m_worker) {
+  const Occupant& occupant =
+    m_occupants
+      .try_emplace(aReport.m_instance, Occupant{ aReport.m_worker, aNow })
+      .first->second;
+  if (occupant.m_life == aReport.m_worker) {
     return;
   }
-  const WorkerId previous = current->second;
+  const WorkerLife previous = occupant.m_life;
   const Worker* known = Find(previous);
   const bool isConfirmed =
     known == nullptr || known->m_silent ||
     (aNow >= aWorker.m_firstHeardAt + m_options.m_confirmLife &&
      known->m_heardAt < aWorker.m_firstHeardAt);
   if (isConfirmed) {
-    const auto lost = m_workers.find(previous);
-    if (lost != m_workers.end()) {
-      Worker& worker = lost->second;
-      if (!worker.m_silent) {
-        NoteLoss(worker, LossCause::kLaterLife, aBook, aNow);
-      }
-      if (!worker.m_lostInTrial) {
-        m_recentLosses.Add(worker.m_heardAt);
-      }
-    }
-    aHeard.m_ends = Retire(previous, aBook, aWall);
-    aHeard.m_changed = true;
-    m_current[aReport.m_instance] = aReport.m_worker;
+    aWorker.m_fitness =
+      Supersede(previous, aReport, aBook, aNow, aWall, aHeard);
+    m_occupants[aReport.m_instance] = { aReport.m_worker, aNow };
   }
 }
 
@@ -352,7 +366,7 @@
 WorkerTable::TakeReceipts()
 {
   std::vector<Receipt> receipts;
-  for (const WorkerId& id : std::exchange(m_takenFrom, {})) {
+  for (const WorkerLife& id : std::exchange(m_takenFrom, {})) {
     if (const Worker* worker = Find(id)) {
       receipts.push_back({ id, worker->m_takenUpTo });
     }
@@ -387,14 +401,14 @@
 WorkerTable::CountOutcome(Worker& aWorker, jobs::RunEnd aEnd, TimePoint aNow)
 {
   if (aEnd == jobs::RunEnd::kDone) {
-    aWorker.m_failuresInRow = 0;
+    aWorker.m_fitness.m_failuresInRow = 0;
   } else if (aEnd == jobs::RunEnd::kFailed &&
              m_options.m_mechanisms.Has(Mechanism::kSettingAside) &&
-             ++aWorker.m_failuresInRow >= kFailuresToSetAside) {
-    aWorker.m_setAsideUntil = aNow + kSetAside;
+             ++aWorker.m_fitness.m_failuresInRow >= kFailuresToSetAside) {
+    aWorker.m_fitness.m_setAsideUntil = aNow + kSetAside;
   } else if (aEnd == jobs::RunEnd::kRefused) {
-    aWorker.m_setAsideUntil =
-      std::max(aWorker.m_setAsideUntil, aNow + m_options.m_pauseAfterRefusal);
+    aWorker.m_fitness.m_setAsideUntil = std::max(
+      aWorker.m_fitness.m_setAsideUntil, aNow + m_options.m_pauseAfterRefusal);
   }
 }
 
@@ -407,7 +421,7 @@
   aWorker.m_activeUse = {};
   aWorker.m_strayUse = {};
   const auto isExpected = [&](const auto& aRun) {
-    return IsExpected(aBook, report.m_worker, aRun.m_task, aRun.m_run);
+    return IsPlaced(aBook, report.m_worker, aRun.m_task, aRun.m_run);
   };
   const auto isEnded = [&](const EndReport& aEnd) {
     return isExpected(aEnd) &&
@@ -561,7 +575,7 @@
 }
 
 bool
-WorkerTable::IsQuiet(const WorkerId& aWorker, const jobs::Book& aBook) const
+WorkerTable::IsQuiet(const WorkerLife& aWorker, const jobs::Book& aBook) const
 {
   const Worker* worker = Find(aWorker);
   if (worker == nullptr || worker->m_last.m_draining ||
@@ -584,7 +598,7 @@
 WorkerTable::UsualNextReport(const Worker& aWorker,
                              const jobs::Book& aBook) const
 {
-  const WorkerId& id = aWorker.m_last.m_worker;
+  const WorkerLife& id = aWorker.m_last.m_worker;
   if (IsQuiet(id, aBook)) {
     return m_options.m_reportAgain;
   }
@@ -610,7 +624,15 @@
 }
 
 Orders
-WorkerTable::Answer(const WorkerId& aWorker,
+WorkerTable::AnswerUnproven() const
+{
+  Orders orders;
+  orders.m_nextReport = m_options.m_reportEvery;
+  return orders;
+}
+
+Orders
+WorkerTable::Answer(const WorkerLife& aWorker,
                     const jobs::Book& aBook,
                     TimePoint aNow)
 {
--- a/src/wire/jobs_json.cpp
+++ b/src/wire/jobs_json.cpp
@@ -83,6 +83,12 @@
            { "run", aRun.Get() } };
 }
 
+WorkerLife
+ReadLife(const std::string& aWorker, const Json& aFrom)
+{
+  return { WorkerId{ aWorker }, WallTime{ WholeAt(aFrom, "startedAtMs") } };
+}
+
 jobs::RunEnd
 ReadEnd(const std::string& aHow)
 {
@@ -137,6 +143,17 @@
   });
 }
 
+std::optional<WorkerLife>
+ReadWorkerLeave(const std::string& aWorker,
+                const std::string& aBody,
+                BadField& aBad)
+{
+  return Guarded(aBad, [&]() {
+    const Json body = aBody.empty() ? Json::object() : ParseObject(aBody);
+    return ReadLife(aWorker, body);
+  });
+}
+
 std::optional<placement::WorkerReport>
 ReadWorkerReport(const std::string& aWorker,
                  const std::string& aBody,
@@ -145,8 +162,7 @@
   return Guarded(aBad, [&]() {
     const Json body = ParseObject(aBody);
     placement::WorkerReport report;
-    report.m_worker = WorkerId{ aWorker };
-    report.m_startedAt = WallTime{ WholeAt(body, "startedAtMs") };
+    report.m_worker = ReadLife(aWorker, body);
     report.m_instance = InstanceId{ NameAt(body, "instance") };
     report.m_service = ServiceId{ NameAt(body, "service") };
     report.m_zone = ZoneId{ TextAt(body, "zone") };
--- a/tests/failure/jobs_test.cpp
+++ b/tests/failure/jobs_test.cpp
@@ -79,6 +79,41 @@
     LONGS_EQUAL_TEXT(1, count, task.c_str());
   }
 }
+
+static void
+CheckCrashingJobIsGivenUp(Processes& aProcesses,
+                          const std::vector<std::string>& aOptions)
+{
+  aProcesses.StartAll();
+  PutQueue(aProcesses);
+  for (int i = 1; i <= 3; ++i) {
+    aProcesses.StartWorker(i, aOptions);
+  }
+  const auto file = aProcesses.Folder() / "bad.json";
+  std::ofstream(file) << R"({"payload": "bad", "steps": [
+      {"count": 1, "cpuMillis": 500, "memoryMb": 10}]})";
+  const auto submitted = [&]() {
+    return aProcesses
+             .Cli(
+               { "job", "submit", "reviews", "bad", "--file", file.string() })
+             .m_exit == 0;
+  };
+  const auto starts = [&]() { return aProcesses.TaskStarts()["bad.0.0.0"]; };
+  CHECK(aProcesses.Until(submitted, kLimit));
+  CHECK(aProcesses.Until([&]() { return starts() >= 1; }, kLimit));
+  aProcesses.Kill(aProcesses.LeaderName());
+  Submit(aProcesses, 0);
+  std::string shown;
+  const auto isGivenUp = [&]() {
+    shown = aProcesses.Cli({ "job", "show", "reviews", "bad" }).m_text;
+    return shown.find("failed") != std::string::npos;
+  };
+  CHECK(aProcesses.Until(isGivenUp, 2 * kLimit));
+  CHECK(shown.find("step 0 task 0") != std::string::npos);
+  CHECK(shown.find("crashed") != std::string::npos);
+  CHECK(starts() <= kMostStartsOfCrashingTask);
+  CHECK(aProcesses.Until([&]() { return IsCompleted(aProcesses, 0); }, kLimit));
+}
 }
 ;
 
@@ -167,35 +202,14 @@
 TEST(Jobs, TaskCrashesItsWorkers_JobIsGivenUpWithReason)
 {
   Processes processes(23800);
-  processes.StartAll();
-  PutQueue(processes);
-  for (int i = 1; i <= 3; ++i) {
-    processes.StartWorker(i, { "--crash-payload", "bad" });
-  }
-  const auto file = processes.Folder() / "bad.json";
-  std::ofstream(file) << R"({"payload": "bad", "steps": [
-      {"count": 1, "cpuMillis": 500, "memoryMb": 10}]})";
-  const auto submitted = [&]() {
-    return processes
-             .Cli(
-               { "job", "submit", "reviews", "bad", "--file", file.string() })
-             .m_exit == 0;
-  };
-  const auto starts = [&]() { return processes.TaskStarts()["bad.0.0.0"]; };
-  CHECK(processes.Until(submitted, kLimit));
-  CHECK(processes.Until([&]() { return starts() >= 1; }, kLimit));
-  processes.Kill(processes.LeaderName());
-  Submit(processes, 0);
-  std::string shown;
-  const auto isGivenUp = [&]() {
-    shown = processes.Cli({ "job", "show", "reviews", "bad" }).m_text;
-    return shown.find("failed") != std::string::npos;
-  };
-  CHECK(processes.Until(isGivenUp, 2 * kLimit));
-  CHECK(shown.find("step 0 task 0") != std::string::npos);
-  CHECK(shown.find("crashed") != std::string::npos);
-  CHECK(starts() <= kMostStartsOfCrashingTask);
-  CHECK(processes.Until([&]() { return IsCompleted(processes, 0); }, kLimit));
+  CheckCrashingJobIsGivenUp(processes,
+                            { "--crash-payload", "bad", "--new-ids" });
+}
+
+TEST(Jobs, TaskCrashesWorkersThatKeepTheirIds_JobIsGivenUpWithReason)
+{
+  Processes processes(24000);
+  CheckCrashingJobIsGivenUp(processes, { "--crash-payload", "bad" });
 }
 
 // Nobody initialises the group: three replicas start on empty disks with the
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -88,7 +88,7 @@
   CHECK_STRING("m-1", report->m_instance.Get());
   CHECK_STRING("r1-3", report->m_rack.Get());
   CHECK(report->m_draining);
-  LONGS_EQUAL(1791418000123, report->m_startedAt.Get());
+  LONGS_EQUAL(1791418000123, report->m_worker.m_startedAt.Get());
   const placement::RunReport& run = report->m_active.at(0);
   CHECK_STRING("5c0e", run.m_task.m_job.Get());
   LONGS_EQUAL(7, run.m_task.m_occurrence);
@@ -121,6 +121,15 @@
               "finished":[[1,"a.0.0.0",1,"vanished",""]]})");
 }
 
+TEST(PlatformDecode, Leave_NamesTheLifeOrTheField)
+{
+  const auto life = platform::ReadLeave("i-1", R"({"born":5000000000})", m_bad);
+  CHECK(life == (WorkerLife{ WorkerId{ "i-1" }, WallTime{ 5'000'000'000 } }));
+  CHECK(!platform::ReadLeave("i-1", "", m_bad)->SaysStart());
+  CHECK(!platform::ReadLeave("i-1", R"({"born":"x"})", m_bad));
+  CHECK_STRING("born", m_bad.m_field);
+}
+
 TEST(PlatformDecode, AnswersToMaintenance_AreToldApart)
 {
   using placement::InstanceAnswer;
--- a/tests/platform/restart_test.cpp
+++ b/tests/platform/restart_test.cpp
@@ -24,10 +24,10 @@
 
 /** One life of a worker whose id outlives it: what it says, and what it was
  * told to run. */
-class Life
+class Process
 {
 public:
-  explicit Life(std::uint64_t aBorn)
+  explicit Process(std::uint64_t aBorn)
     : m_born(aBorn)
   {
   }
@@ -105,8 +105,8 @@
   Fleet m_fleet;
   std::optional<placement::WorkerTable> m_table;
   placement::Planner m_planner;
-  Life m_first{ kBorn };
-  Life m_next{ kBornLater };
+  Process m_first{ kBorn };
+  Process m_next{ kBornLater };
 
   void setup() override
   {
@@ -135,7 +135,7 @@
     return m_table->Answer(report->m_worker, m_fleet.Book(), At(aAtMs));
   }
 
-  void Exchange(Life & aLife, std::int64_t aAtMs)
+  void Exchange(Process & aLife, std::int64_t aAtMs)
   {
     const auto orders = Hear(aLife.Report(), aAtMs);
     if (orders) {
@@ -144,7 +144,7 @@
   }
 
   /** One exchange each 50 ms. */
-  void ExchangeUntil(Life & aLife, std::int64_t aFromMs, std::int64_t aToMs)
+  void ExchangeUntil(Process & aLife, std::int64_t aFromMs, std::int64_t aToMs)
   {
     for (std::int64_t at = aFromMs; at <= aToMs; at += 50) {
       Exchange(aLife, at);
@@ -191,7 +191,7 @@
     Exchange(m_first, at);
     m_first.EndAll();
   }
-  Life next{ kBornLater };
+  Process next{ kBornLater };
   m_fleet.Submit("b", Spec({ Step(1) }));
   const std::int64_t restart = kLater + 20'000;
   ExchangeUntil(next, restart, restart + 2'000);
@@ -261,7 +261,7 @@
 // them.
 TEST(WorkerRestart, TimeOfDaySetBackBetweenLives_NextLifeGetsWorkLateOneNothing)
 {
-  Life next{ kBorn - 3'600'000 };
+  Process next{ kBorn - 3'600'000 };
   m_fleet.Submit("a", Spec({ Step(1) }));
   ExchangeUntil(m_first, kLater, kLater + 4'000);
   const std::string late = m_first.Report();
@@ -289,7 +289,7 @@
 TEST(WorkerRestart, NewLeaderHearsLateReportFirst_RunsOfNextLifeGoOn)
 {
   m_fleet.Submit("a", Spec({ Step(1) }));
-  Life busy{ kBorn };
+  Process busy{ kBorn };
   ExchangeUntil(busy, kLater, kLater + 4'000);
   const std::string late = busy.Report();
   ExchangeUntil(m_next, kLater + 4'300, kLater + 6'000);
@@ -332,9 +332,9 @@
 TEST(WorkerRestart, ManyRestartsInARow_EachLifeGetsTheNextRun)
 {
   m_fleet.Submit("a", Spec({ Step(1) }));
-  std::list<Life> lives;
+  std::list<Process> lives;
   for (std::uint64_t i = 0; i < 6; ++i) {
-    Life& life = lives.emplace_back(kBorn + 1'500 * i);
+    Process& life = lives.emplace_back(kBorn + 1'500 * i);
     const auto from = kLater + static_cast<std::int64_t>(1'500 * i);
     ExchangeUntil(life, from, from + 1'300);
     LONGS_EQUAL(1, life.Starts().size());
@@ -344,3 +344,111 @@
   Exchange(lives.back(), kLater + 9'000);
   CheckCompleted("a");
 }
+
+// Guards against a leave that arrives late, and ends the life that came after.
+TEST(WorkerRestart, LateLeaveOfEarlierLife_EndsNothing)
+{
+  ExchangeUntil(m_first, kLater, kLater + 4'000);
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  ExchangeUntil(m_next, kLater + 4'300, kLater + 4'500);
+  platform::BadField bad;
+  const auto left = platform::ReadLeave("w", R"({"born":1790000000000})", bad);
+  CHECK(m_table->Retire(*left, m_fleet.Book(), WallTime{ 0 }).empty());
+  ExchangeUntil(m_next, kLater + 4'550, kLater + 5'000);
+  LONGS_EQUAL(1, m_next.Starts().size());
+  LONGS_EQUAL(1, m_next.Running());
+}
+
+// Guards against a leave that does not say of which life it is, where there
+// have been several.
+TEST(WorkerRestart, LeaveWithoutStart_MeansTheOnlyLifeOrNone)
+{
+  const WorkerId id{ "w" };
+  CHECK(!m_table->FindOnlyLife(id).has_value());
+  ExchangeUntil(m_first, kLater, kLater + 4'000);
+  LONGS_EQUAL(kBorn, m_table->FindOnlyLife(id)->m_startedAt.Get());
+  ExchangeUntil(m_next, kLater + 4'300, kLater + 4'500);
+  CHECK(!m_table->FindOnlyLife(id).has_value());
+}
+
+// Guards against the end of all runs when logs of earlier versions, which name
+// no life, are read: the life that shows a run is believed.
+TEST(WorkerRestart, RunOnRecordUnderIdAlone_IsAdoptedByLifeThatShowsIt)
+{
+  m_fleet.Submit("a", Spec({ Step(2) }));
+  Exchange(m_first, kLater);
+  m_fleet.End(Ref("a"), RunEnd::kStopped);
+  m_fleet.End(Ref("a", 1), RunEnd::kStopped);
+  m_fleet.Start(Ref("a"), "w", 2);
+  m_fleet.Start(Ref("a", 1), "w", 2);
+  ReplaceLeader(kLater + 100);
+  platform::BadField bad;
+  auto report = platform::ReadReport("w", m_first.Report(), bad);
+  report->m_active = { Active(Ref("a"), 2) };
+  const auto heard =
+    m_table->OnReport(*report, m_fleet.Book(), At(kLater + 200), WallTime{ 0 });
+  LONGS_EQUAL(1, heard.m_adopted.size());
+  CHECK(heard.m_ends.empty());
+  m_fleet.Apply({ heard.m_adopted.begin(), heard.m_adopted.end() });
+  const placement::Orders orders =
+    m_table->Answer(report->m_worker, m_fleet.Book(), At(kLater + 200));
+  CHECK(orders.m_starts.empty());
+  CHECK(orders.m_stops.empty());
+  m_fleet.Restore();
+  CHECK(m_fleet.Book().FindTask(Ref("a"))->m_worker == report->m_worker);
+  const auto lost =
+    m_table->FindLost(m_fleet.Book(), At(kLater + 6'000), WallTime{ 0 });
+  CHECK(std::any_of(lost.begin(), lost.end(), [](const EndRun& aEnd) {
+    return aEnd.m_task == Ref("a", 1);
+  }));
+}
+
+// Guards against a report that does not say when its worker started, of an id
+// whose lives do: it may be of any of them.
+TEST(WorkerRestart, ReportWithoutStartOfIdThatSaysIt_GetsNothing)
+{
+  ExchangeUntil(m_first, kLater, kLater + 100);
+  Json body = Json::parse(m_first.Report());
+  body.erase("born");
+  CHECK(!Hear(body.dump(), kLater + 150).has_value());
+}
+
+// Guards against a worker that is shut out for good because late reports of an
+// earlier life came while it was cut off.
+TEST(WorkerRestart, SupersededLifeGoesOnReporting_GetsWorkAgain)
+{
+  Process cutOff{ kBornLater };
+  Process late{ kBorn };
+  Exchange(cutOff, kLater);
+  ExchangeUntil(late, kLater + 100, kLater + 1'300);
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  m_table->FindLost(m_fleet.Book(), At(kLater + 7'000), WallTime{ 0 });
+  ExchangeUntil(cutOff, kLater + 7'000, kLater + 8'300);
+  LONGS_EQUAL(1, cutOff.Running());
+}
+
+// Guards against a lease in the answer to a life that has not proved itself.
+TEST(WorkerRestart, UnprovenLife_IsToldToReportAgainWithoutLease)
+{
+  Exchange(m_first, kLater);
+  CHECK(!Hear(m_next.Report(), kLater + 100).has_value());
+  const Json answer = Json::parse(
+    platform::WriteOrders(m_table->AnswerUnproven(), Term{ 1 }, ""));
+  CHECK(!answer.contains("hold_ms"));
+  CHECK(!answer.contains("start"));
+  CHECK(answer.at("idle_beat_ms") > 0);
+}
+
+// Guards against a faulty instance that gets new work at once because it has
+// crashed.
+TEST(WorkerRestart, EarlierLifeWasSetAside_NextLifeIsToo)
+{
+  m_fleet.Submit("a", Spec({ Step(4) }));
+  ExchangeUntil(m_first, kLater, kLater + 4'000);
+  for (int i = 0; i < 3; ++i) {
+    m_first.End("a.0.0." + std::to_string(i), "failed");
+  }
+  Exchange(m_first, kLater + 4'050);
+  ExchangeUntil(m_next, kLater + 4'300, kLater + 4'500);
+  LONGS_EQUAL(0, m_next.Starts().size());
+}
--- a/tests/support/job_fixtures.h
+++ b/tests/support/job_fixtures.h
@@ -36,6 +36,13 @@
   return spec;
 }
 
+/** A life that does not say when it started, unless it is told. */
+inline WorkerLife
+Life(const std::string& aWorker, std::int64_t aStartedAt = 0)
+{
+  return { WorkerId{ aWorker }, WallTime{ aStartedAt } };
+}
+
 inline jobs::TaskRef
 Ref(const std::string& aJob, std::uint32_t aIndex = 0, std::uint32_t aStep = 0)
 {
@@ -46,7 +53,7 @@
 Report(const std::string& aWorker, std::uint64_t aSequence)
 {
   placement::WorkerReport report;
-  report.m_worker = WorkerId{ aWorker };
+  report.m_worker = Life(aWorker);
   report.m_instance = InstanceId{ "instance-of-" + aWorker };
   report.m_service = ServiceId{ "desk" };
   report.m_capacity = { 4000, 4000, 0 };
@@ -119,7 +126,7 @@
              const std::string& aWorker,
              std::uint32_t aRun = 1)
   {
-    Apply({ jobs::StartRun{ aTask, RunNumber{ aRun }, WorkerId{ aWorker } } });
+    Apply({ jobs::StartRun{ aTask, RunNumber{ aRun }, Life(aWorker) } });
   }
 
   void End(const jobs::TaskRef& aTask,
--- a/tests/support/simulated_pool.cpp
+++ b/tests/support/simulated_pool.cpp
@@ -12,6 +12,7 @@
 constexpr Millis kRetryReport{ 200 };
 constexpr Millis kGangTimeout{ 3'000 };
 constexpr Millis kStartupOfLongRunning{ 300 };
+constexpr std::int64_t kTimeOfDay = 1'790'000'000'000;
 constexpr std::uint32_t kCrashesCounted = 3;
 constexpr std::uint32_t kDonePercent = 100;
 
@@ -41,6 +42,7 @@
     SimulatedWorker& worker = m_workers.emplace_back();
     worker.m_instance = "i" + std::to_string(i);
     worker.m_capacity = m_options.m_capacity;
+    worker.m_startedAt = kTimeOfDay;
     worker.m_nextReport = m_now + Millis{ m_random() % kRetryReport.count() };
   }
 }
@@ -111,6 +113,7 @@
   aWorker.m_ended.clear();
   aWorker.m_crashAt.reset();
   aWorker.m_downUntil = m_now + aDown;
+  aWorker.m_startedAt = NextStart(*aWorker.m_downUntil);
   BreakGangs(lost);
 }
 
@@ -200,19 +203,28 @@
   return shown;
 }
 
-std::string
-SimulatedPool::IdOf(const SimulatedWorker& aWorker) const
+WorkerLife
+SimulatedPool::LifeOf(const SimulatedWorker& aWorker) const
 {
   return m_options.m_keepsIds
-           ? aWorker.m_instance
-           : aWorker.m_instance + "-" + std::to_string(aWorker.m_life);
+           ? job_fixtures::Life(aWorker.m_instance, aWorker.m_startedAt)
+           : job_fixtures::Life(aWorker.m_instance + "-" +
+                                std::to_string(aWorker.m_life));
+}
+
+/** By a time of day that is set back now and then. */
+std::int64_t
+SimulatedPool::NextStart(Millis aAt)
+{
+  const bool isSetBack = m_options.m_keepsIds && m_random() % 8 == 0;
+  return kTimeOfDay + aAt.count() - (isSetBack ? 3'600'000 : 0);
 }
 
 placement::WorkerReport
 SimulatedPool::ReportOf(SimulatedWorker& aWorker) const
 {
   placement::WorkerReport report;
-  report.m_worker = WorkerId{ IdOf(aWorker) };
+  report.m_worker = LifeOf(aWorker);
   report.m_instance = InstanceId{ aWorker.m_instance };
   report.m_service = ServiceId{ "desk" };
   report.m_capacity = aWorker.m_capacity;
--- a/tests/support/simulated_pool.h
+++ b/tests/support/simulated_pool.h
@@ -94,6 +94,7 @@
   {
     std::string m_instance;
     std::uint32_t m_life = 0;
+    std::int64_t m_startedAt = 0;
     std::uint64_t m_sequence = 0;
     std::uint64_t m_lastEnd = 0;
     jobs::Resources m_capacity;
@@ -115,7 +116,8 @@
 
   void Step();
   void Live(SimulatedWorker& aWorker);
-  std::string IdOf(const SimulatedWorker& aWorker) const;
+  WorkerLife LifeOf(const SimulatedWorker& aWorker) const;
+  std::int64_t NextStart(Millis aAt);
   void Crash(SimulatedWorker& aWorker, Millis aDown);
   void BreakGangs(const std::vector<Run>& aLost);
   bool IsTogether(const Run& aRun) const;
--- a/tests/unit/control/job_service_test.cpp
+++ b/tests/unit/control/job_service_test.cpp
@@ -104,6 +104,7 @@
   kj::Promise<WorkerAnswer> Send(placement::WorkerReport aReport)
   {
     aReport.m_sequence = ++m_sequence;
+    aReport.m_worker.m_startedAt = m_startedAt;
     return m_service->Report(aReport, MonotonicNow());
   }
 
@@ -160,6 +161,8 @@
   std::unique_ptr<Node> m_node;
   std::unique_ptr<JobService> m_service;
   std::uint64_t m_sequence = 0;
+  /** Of all workers. */
+  WallTime m_startedAt;
   std::vector<InstanceId> m_moved;
   int m_maintenanceOrders = 0;
   control::InstanceCalls::Answered m_answerMaintenance;
@@ -242,3 +245,38 @@
   Pass(500 * kj::MILLISECONDS);
   LONGS_EQUAL(1, m_maintenanceOrders);
 }
+
+// Guards against an end of the earlier life that is under way to the disks when
+// the next one reports: taken for lost with its worker, its task would run
+// again.
+TEST(JobService, WorkerRestartsWhileItsEndIsCommitted_TaskDoesNotRunAgain)
+{
+  m_startedAt = WallTime{ 1'790'000'000'000 };
+  HangUnderAnEnd();
+  m_startedAt = WallTime{ 1'790'000'001'000 };
+  Await(Send(Report("w2", 0)));
+  m_hangs = false;
+  for (int i = 0; i < 30; ++i) {
+    const auto answer = Await(Send(Report("w2", 0)));
+    CHECK(answer && answer->m_orders && answer->m_orders->m_starts.empty());
+    Pass(50 * kj::MILLISECONDS);
+  }
+  const auto& job = *m_node->State().Jobs().Find(JobId{ "short" });
+  STRCMP_EQUAL("completed", jobs::Describe(job.m_state));
+}
+
+// Guards against a leave of an earlier life that ends the next one.
+TEST(JobService, LateLeaveOfEarlierLife_NextLifeGoesOn)
+{
+  const WorkerLife earlier = Life("w1", 1'790'000'000'000);
+  Submit("service", LongRunning());
+  m_startedAt = WallTime{ 1'790'000'001'000 };
+  const placement::StartOrder lasting = TakeStart("w1");
+  m_service->Leave(earlier).wait(m_loop->m_io.waitScope);
+  placement::WorkerReport atWork = Report("w1", 0);
+  atWork.m_active.push_back(Active(lasting.m_task));
+  const auto renewed = Await(Send(atWork));
+  CHECK(renewed.has_value());
+  CHECK(renewed->m_orders->m_lease > Duration{});
+  CHECK(renewed->m_orders->m_stops.empty());
+}
--- a/tests/unit/jobs/book_test.cpp
+++ b/tests/unit/jobs/book_test.cpp
@@ -56,7 +56,7 @@
   m_fleet.Submit("a", Spec({ Step(1) }));
   m_fleet.Start(Ref("a"), "w1");
   m_fleet.Start(Ref("a"), "w2", 2);
-  CHECK_STRING("w1", TaskOf(Ref("a")).m_worker.Get());
+  CHECK_STRING("w1", TaskOf(Ref("a")).m_worker.m_id.Get());
   LONGS_EQUAL(1, TaskOf(Ref("a")).m_lastRun.Get());
 }
 
@@ -196,12 +196,12 @@
   m_fleet.Start(Ref("a", 1, 1), "w2");
   auto copy = fleet::State::Decode(m_fleet.State().Encode());
   CHECK(copy.has_value());
-  STRCMP_EQUAL("w2", copy->Jobs().Placed().begin()->first.Get().c_str());
+  STRCMP_EQUAL("w2", copy->Jobs().Placed().begin()->first.m_id.Get().c_str());
   CHECK(copy->Jobs().Find(JobId{ "a" })->m_spec ==
         m_fleet.Book().Find(JobId{ "a" })->m_spec);
   const Batch rest{
     { EndRun{ Ref("a", 1, 1), RunNumber{ 1 }, RunEnd::kDone, "", {} },
-      StartRun{ Ref("a", 0, 1), RunNumber{ 1 }, WorkerId{ "w1" } },
+      StartRun{ Ref("a", 0, 1), RunNumber{ 1 }, Life("w1") },
       EndRun{ Ref("a", 0, 1), RunNumber{ 1 }, RunEnd::kDone, "", WallTime{} } }
   };
   copy->Apply(Index{ 100 }, rest);
--- a/tests/unit/jobs/crash_loop_test.cpp
+++ b/tests/unit/jobs/crash_loop_test.cpp
@@ -34,7 +34,7 @@
     std::vector<WorkerLoss> losses;
     for (const CrashEvidence evidence : aEvidence) {
       const auto run = static_cast<std::uint32_t>(losses.size() + 1);
-      losses.push_back({ WorkerId{ "w" + std::to_string(run) },
+      losses.push_back({ Life("w" + std::to_string(run)),
                          InstanceId{ "i" },
                          RunNumber{ run },
                          evidence,
@@ -151,7 +151,7 @@
   const auto& losses = m_fleet.Book().FindTask(Ref("a"))->m_losses;
   LONGS_EQUAL(2, losses.size());
   CHECK_STRING("i", losses[1].m_instance.Get());
-  CHECK_STRING("w2", losses[1].m_worker.Get());
+  CHECK_STRING("w2", losses[1].m_worker.m_id.Get());
   CHECK(losses[1].m_evidence == CrashEvidence::kAlone);
   LONGS_EQUAL(1, m_fleet.Book().LostWithWorkers().size());
 
--- a/tests/unit/placement/capacity_test.cpp
+++ b/tests/unit/placement/capacity_test.cpp
@@ -14,7 +14,7 @@
   Fleet m_fleet;
   placement::WorkerTable m_table{ LeaseOptions{}, At(0) };
   placement::Durations m_durations;
-  std::set<WorkerId> m_reserved;
+  std::set<WorkerLife> m_reserved;
   placement::CapacityPlanner m_planner;
   placement::OrderRecord m_record{ Millis{ 3000 } };
 
@@ -244,7 +244,7 @@
   const CapacityPlan plan = Next(11'600);
   LONGS_EQUAL(1, plan.m_orders.size());
   m_planner.OnAnswer(plan.m_orders[0], InstanceAnswer::kTaken, At(11'650));
-  m_table.Retire(WorkerId{ "other0" }, m_fleet.Book(), WallTime{ 0 });
+  m_table.Retire(Life("other0"), m_fleet.Book(), WallTime{ 0 });
   SubmitPeak();
   LONGS_EQUAL(0, Next(12'000).m_orders.size());
   const CapacityPlan back = Next(13'200);
@@ -404,9 +404,9 @@
   const CapacityPlan plan = Next(10'100);
   LONGS_EQUAL(0, plan.m_orders.size());
   LONGS_EQUAL(1, plan.m_cordoned.size());
-  const WorkerId emptied = *plan.m_cordoned.begin();
+  const WorkerLife emptied = *plan.m_cordoned.begin();
   for (std::uint32_t i = 0; i < 8; ++i) {
-    if (emptied.Get() == "other" + std::to_string(i)) {
+    if (emptied.m_id.Get() == "other" + std::to_string(i)) {
       m_fleet.End(Ref("last tasks", i), RunEnd::kDone);
     }
   }
@@ -470,7 +470,7 @@
   step.m_maxPerWorker = 1;
   m_fleet.Submit("lasting", Spec({ step }));
   LONGS_EQUAL(0, Next(10'000).m_orders.size());
-  m_reserved = { WorkerId{ "desk0" }, WorkerId{ "desk1" } };
+  m_reserved = { Life("desk0"), Life("desk1") };
   LONGS_EQUAL(2, Next(10'100).m_orders.size());
 }
 
@@ -521,13 +521,13 @@
   SubmitPeak();
   Next(10'000);
   const MoveOrder order = Next(10'500).m_orders.at(0);
-  const WorkerId* aimed = nullptr;
+  const WorkerLife* aimed = nullptr;
   for (const auto& [id, worker] : m_table.Workers()) {
     aimed = worker.m_last.m_instance == order.m_instance ? &id : aimed;
   }
   for (std::uint64_t i = 0; i < 100; ++i) {
     const std::int64_t at = 10'600 + static_cast<std::int64_t>(i) * 100;
-    Hear(aimed->Get(), "other", at, 2 + i);
+    Hear(aimed->m_id.Get(), "other", at, 2 + i);
     const CapacityPlan plan = Next(at);
     CHECK(plan.m_cordoned.contains(*aimed));
     for (const MoveOrder& one : plan.m_orders) {
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -14,7 +14,7 @@
   Fleet m_fleet;
   placement::WorkerTable m_table{ LeaseOptions{}, At(0) };
   Planner m_planner;
-  std::set<WorkerId> m_cordoned;
+  std::set<WorkerLife> m_cordoned;
 
   void Hear(const WorkerReport& aReport)
   {
@@ -37,7 +37,7 @@
 
   std::string WorkerOf(const TaskRef& aTask)
   {
-    return m_fleet.Book().FindTask(aTask)->m_worker.Get();
+    return m_fleet.Book().FindTask(aTask)->m_worker.m_id.Get();
   }
 };
 
@@ -67,7 +67,7 @@
   draining.m_draining = true;
   Hear(draining);
   Hear(Report("w2", 1));
-  m_cordoned.insert(WorkerId{ "w2" });
+  m_cordoned.insert(Life("w2"));
   m_fleet.Submit("a", Spec({ Step(1) }));
   LONGS_EQUAL(0, Carry());
 }
@@ -132,7 +132,7 @@
   m_fleet.Submit("b", Spec({ step }));
   LONGS_EQUAL(32, Carry());
   LONGS_EQUAL(8, m_fleet.Book().Placed().size());
-  std::map<std::pair<WorkerId, JobId>, int> together;
+  std::map<std::pair<WorkerLife, JobId>, int> together;
   for (const auto& [worker, tasks] : m_fleet.Book().Placed()) {
     for (const TaskRef& task : tasks) {
       LONGS_EQUAL(1, (++together[{ worker, task.m_job }] + 1) / 2);
@@ -236,7 +236,7 @@
     report.m_active = { Active(Ref("a", i)) };
     Hear(report);
   }
-  m_cordoned.insert(WorkerId{ "w1" });
+  m_cordoned.insert(Life("w1"));
   LONGS_EQUAL(0, Next().m_stops.size());
   Hear(Report("w3", 1));
   LONGS_EQUAL(1, Next().m_stops.size());
@@ -254,7 +254,7 @@
   report.m_active = { Active(Ref("a", 0)), Active(Ref("a", 1)) };
   Hear(report);
   Hear(Report("w2", 1));
-  m_cordoned.insert(WorkerId{ "w1" });
+  m_cordoned.insert(Life("w1"));
   LONGS_EQUAL(1, Next().m_stops.size());
 }
 
@@ -348,7 +348,7 @@
   const auto order = Next(10'100).m_orders.at(0);
   const auto result =
     m_planner.OnAnswer(order, InstanceAnswer::kTaken, At(10'200));
-  CHECK_STRING("w0", result.m_ended->Get());
+  CHECK_STRING("w0", result.m_ended->m_id.Get());
 }
 
 // The caller sees a job run twice. An order is obeyed, its answer is lost with
@@ -445,7 +445,7 @@
   const auto order = Next(10'100).m_orders.at(0);
   m_fleet.Do(
     *m_planner.OnAnswer(order, InstanceAnswer::kTaken, At(10'200)).m_advance);
-  m_table.Retire(WorkerId{ "w0" }, m_fleet.Book(), WallTime{ 0 });
+  m_table.Retire(Life("w0"), m_fleet.Book(), WallTime{ 0 });
   Next(10'300);
   CHECK(!Wave().IsDone());
   WorkerReport back = Report("w0-next", 1);
@@ -463,7 +463,7 @@
   const auto order = Next(10'100).m_orders.at(0);
   m_fleet.Do(
     *m_planner.OnAnswer(order, InstanceAnswer::kTaken, At(10'200)).m_advance);
-  m_table.Retire(WorkerId{ "w0" }, m_fleet.Book(), WallTime{ 0 });
+  m_table.Retire(Life("w0"), m_fleet.Book(), WallTime{ 0 });
   Next(10'300);
   Next(14'400);
   CHECK(Wave().IsDone());
--- a/tests/unit/placement/shrinking_room_test.cpp
+++ b/tests/unit/placement/shrinking_room_test.cpp
@@ -34,7 +34,7 @@
 
   Orders Answer(std::int64_t aAtMs)
   {
-    return m_table.Answer(WorkerId{ "w1" }, m_fleet.Book(), At(aAtMs));
+    return m_table.Answer(Life("w1"), m_fleet.Book(), At(aAtMs));
   }
 
   std::size_t CountPlanned(std::int64_t aAtMs)
--- a/tests/unit/placement/two_lives_test.cpp
+++ b/tests/unit/placement/two_lives_test.cpp
@@ -109,7 +109,7 @@
     planner.Next(m_fleet.State(), m_table, {}, At(kLater + 600), WallTime{ 0 });
   LONGS_EQUAL(4, plan.m_changes.size());
   for (const Change& change : plan.m_changes) {
-    CHECK_STRING("next", std::get<StartRun>(change).m_worker.Get());
+    CHECK_STRING("next", std::get<StartRun>(change).m_worker.m_id.Get());
   }
 }
 
@@ -120,7 +120,7 @@
 {
   StartLongRunningOn("next");
   const auto ends = m_table.RetireInstance(
-    WorkerId{ "before" }, At(kLater + 900), m_fleet.Book(), WallTime{ 0 });
+    Life("before"), At(kLater + 900), m_fleet.Book(), WallTime{ 0 });
   LONGS_EQUAL(1, ends.size());
   CHECK(m_table.Workers().empty());
 }
@@ -129,7 +129,7 @@
 TEST(TwoLives, OrderIsTaken_LaterLifeGoesOn)
 {
   const auto ends = m_table.RetireInstance(
-    WorkerId{ "before" }, At(kLater + 400), m_fleet.Book(), WallTime{ 0 });
+    Life("before"), At(kLater + 400), m_fleet.Book(), WallTime{ 0 });
   CHECK(ends.empty());
-  CHECK(m_table.Find(WorkerId{ "next" }) != nullptr);
+  CHECK(m_table.Find(Life("next")) != nullptr);
 }
--- a/tests/unit/placement/workers_test.cpp
+++ b/tests/unit/placement/workers_test.cpp
@@ -35,7 +35,7 @@
 
   Orders Answer(const std::string& aWorker, std::int64_t aAtMs)
   {
-    return m_table.Answer(WorkerId{ aWorker }, m_fleet.Book(), At(aAtMs));
+    return m_table.Answer(Life(aWorker), m_fleet.Book(), At(aAtMs));
   }
 
   std::size_t LostAt(std::int64_t aAtMs)
@@ -271,15 +271,15 @@
     report.m_ended.push_back(End(i + 1, Ref("a", i), RunEnd::kFailed));
   }
   Hear(report, kLater);
-  CHECK(!m_table.Find(WorkerId{ "w1" })->IsUsable(At(kLater + 1000)));
-  CHECK(m_table.Find(WorkerId{ "w1" })->IsUsable(At(kLater + 6001)));
+  CHECK(!m_table.Find(Life("w1"))->IsUsable(At(kLater + 1000)));
+  CHECK(m_table.Find(Life("w1"))->IsUsable(At(kLater + 6001)));
 }
 
 // The reports of quiet workers are answered late, so that they come seldom. One
 // that has something to tell or to be told must not wait with them.
 TEST(WorkerTable, QuietWorker_IsOneThatWaitsForNothing)
 {
-  const WorkerId worker{ "w1" };
+  const WorkerLife worker = Life("w1");
   StepSpec lasting = Step(1, 100);
   lasting.m_longRunning = true;
   m_fleet.Submit("lasting", Spec({ lasting }));
@@ -321,12 +321,12 @@
   WorkerReport report = Report("w1", 1);
   report.m_draining = true;
   Hear(report, 1000);
-  CHECK_FALSE(m_table.IsQuiet(WorkerId{ "w1" }, m_fleet.Book()));
+  CHECK_FALSE(m_table.IsQuiet(Life("w1"), m_fleet.Book()));
 }
 
 TEST(WorkerTable, FullWorker_ReportsLessOften)
 {
-  const WorkerId worker{ "w1" };
+  const WorkerLife worker = Life("w1");
   m_fleet.Submit("a", Spec({ Step(4, 1000) }));
   Hear(Report("w1", 1), 1000);
   for (std::uint32_t i = 0; i < 3; ++i) {
@@ -372,7 +372,7 @@
   successor.OnReport(
     report, m_fleet.Book(), At(kLater + 300), WallTime{ kWall });
   const Orders orders =
-    successor.Answer(WorkerId{ "w1" }, m_fleet.Book(), At(kLater + 310));
+    successor.Answer(Life("w1"), m_fleet.Book(), At(kLater + 310));
   LONGS_EQUAL(1, orders.m_stops.size());
 }
 
@@ -388,9 +388,9 @@
   WorkerReport report = Report("w1", 1);
   report.m_active = { Active(Ref("j")) };
   Hear(report, kLater);
-  CHECK(m_table.IsQuiet(WorkerId{ "w1" }, m_fleet.Book()));
+  CHECK(m_table.IsQuiet(Life("w1"), m_fleet.Book()));
   m_fleet.Apply({ Cancel{ JobId{ "j" }, WallTime{ kWall } } });
-  CHECK_FALSE(m_table.IsQuiet(WorkerId{ "w1" }, m_fleet.Book()));
+  CHECK_FALSE(m_table.IsQuiet(Life("w1"), m_fleet.Book()));
 }
 
 // A caller sees its job stand still for good: an end that was acknowledged but
