Count an end as done that is heard after its run was given up

Callers saw a task done twice after its end had been acknowledged. A worker is cut off until its lease is over; the run is given up, the task waits for a trial, or is placed on a worker that is lost in turn. The first worker is back with the end as done: it no longer fitted the state, was acknowledged all the same, and the task was started once more.

Such an end is committed as a late one, and the task is done, whether or not it has been placed again; a run that has replaced it is stopped. The log entry says that it is late, so that entries of earlier versions mean what they meant. Ruled out: that the end belonged to another life; the life is the same there.

--- a/include/bamboostile/jobs/book.h
+++ b/include/bamboostile/jobs/book.h
@@ -41,6 +41,8 @@
   /** Of a run that ended with its worker. */
   CrashEvidence m_evidence = CrashEvidence::kNone;
   InstanceId m_lostInstance{};
+  /** Done, as was heard after the run had been given up. */
+  bool m_isLate = false;
 };
 
 /** A long-running task has been at work for long. */
@@ -132,6 +134,9 @@
   const Task* FindTask(const TaskRef& aTask) const;
   /** Of a task that exists; of a gang, those of all its members. */
   std::vector<WorkerLoss> LossesOf(const TaskRef& aTask) const;
+  /** The run was given up, and its task is not done yet: if the run was done,
+   * so is the task, whether or not it has been started again. */
+  bool CountsLate(const TaskRef& aTask, RunNumber aRun) const;
   bool AreOneGang(const TaskRef& aLeft, const TaskRef& aRight) const;
   /** Tasks of active jobs under which workers were lost. */
   const std::set<TaskRef>& LostWithWorkers() const { return m_lost; }
@@ -161,6 +166,7 @@
   Task* FindTaskToChange(const TaskRef& aTask);
   void Unplace(const WorkerLife& aWorker, const TaskRef& aTask);
   void Finish(Job& aJob, JobState aState, WallTime aAt);
+  void MarkStarted(Job& aJob);
   void WaitAgain(Job& aJob);
   void CloseIfIdle(const Job& aJob);
   void MarkDone(Job& aJob, Occurrence& aOccurrence, StepRun& aStep, Task&);
--- a/include/bamboostile/jobs/worker_life.h
+++ b/include/bamboostile/jobs/worker_life.h
@@ -40,11 +40,7 @@
 {
   std::size_t operator()(const bamboostile::WorkerLife& aLife) const
   {
-    const auto startedAt =
-      static_cast<std::uint64_t>(aLife.m_startedAt.Get());
-    return bamboostile::StableHash{}
-      .Add(aLife.m_id.Get())
-      .Add(startedAt)
-      .Get();
+    const auto startedAt = static_cast<std::uint64_t>(aLife.m_startedAt.Get());
+    return bamboostile::StableHash{}.Add(aLife.m_id.Get()).Add(startedAt).Get();
   }
 };
--- a/schema/jobs.capnp
+++ b/schema/jobs.capnp
@@ -72,6 +72,7 @@
       # task.
       evidence @18 :UInt8;
       lostInstance @19 :Text;
+      late @27 :Bool;
     }
     fail :group {
       failed @14 :Text;
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -327,7 +327,7 @@
     m_metrics.Count(std::string{ "runs_ended_total{how=\"" } +
                     jobs::Describe(end.m_how) + "\"}");
     const jobs::Task* task = m_node.State().Jobs().FindTask(end.m_task);
-    if (end.m_how != jobs::RunEnd::kDone) {
+    if (end.m_how != jobs::RunEnd::kDone || end.m_isLate) {
       LineOf(Level::kInfo,
              "run ended",
              task == nullptr ? WorkerLife{} : task->m_worker)
@@ -337,6 +337,7 @@
         .With("task", end.m_task.m_index)
         .With("run", end.m_run.Get())
         .With("how", jobs::Describe(end.m_how))
+        .With("late", end.m_isLate)
         .With("evidence", jobs::Describe(end.m_evidence))
         .Write();
     }
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -126,6 +126,21 @@
   });
 }
 
+bool
+Book::CountsLate(const TaskRef& aTask, RunNumber aRun) const
+{
+  const Task* task = FindTask(aTask);
+  if (task == nullptr || task->m_phase == TaskPhase::kDone) {
+    return false;
+  }
+  const Job& job = *Find(aTask.m_job);
+  const bool isGivenUp =
+    aRun < task->m_lastRun ||
+    (aRun == task->m_lastRun && task->m_phase == TaskPhase::kWaiting);
+  return isGivenUp && job.m_state == JobState::kActive &&
+         !job.m_spec.m_steps[aTask.m_step].m_longRunning;
+}
+
 bool
 Book::AreOneGang(const TaskRef& aLeft, const TaskRef& aRight) const
 {
@@ -223,15 +238,22 @@
   ++step.m_running;
   ++job->m_running;
   m_placed[aStart.m_worker].push_back(aStart.m_task);
-  if (!job->m_started) {
-    job->m_started = true;
-    if (job->m_spec.m_repeatCount == 0) {
-      --m_pending[job->m_queue];
-    }
-  }
+  MarkStarted(*job);
   return CallOutcome::kNone;
 }
 
+void
+Book::MarkStarted(Job& aJob)
+{
+  if (aJob.m_started) {
+    return;
+  }
+  aJob.m_started = true;
+  if (aJob.m_spec.m_repeatCount == 0) {
+    --m_pending[aJob.m_queue];
+  }
+}
+
 void
 Book::Unplace(const WorkerLife& aWorker, const TaskRef& aTask)
 {
@@ -266,18 +288,26 @@
 {
   Job* job = FindJob(aEnd.m_task.m_job);
   const Task* known = FindTask(aEnd.m_task);
-  if (job == nullptr || known == nullptr ||
-      known->m_phase != TaskPhase::kRunning || known->m_lastRun != aEnd.m_run) {
+  if (job == nullptr || known == nullptr) {
+    return CallOutcome::kNone;
+  }
+  const bool isLate = aEnd.m_isLate && CountsLate(aEnd.m_task, aEnd.m_run);
+  const bool isRunning = known->m_phase == TaskPhase::kRunning;
+  if (!isLate && (!isRunning || known->m_lastRun != aEnd.m_run)) {
     return CallOutcome::kNone;
   }
   Occurrence& occurrence = job->m_occurrences.at(aEnd.m_task.m_occurrence);
   StepRun& step = occurrence.m_steps[aEnd.m_task.m_step];
   const StepSpec& spec = job->m_spec.m_steps[aEnd.m_task.m_step];
   Task& task = step.m_tasks[aEnd.m_task.m_index];
-  task.m_phase = TaskPhase::kWaiting;
-  --step.m_running;
-  --job->m_running;
-  Unplace(task.m_worker, aEnd.m_task);
+  if (isRunning) {
+    task.m_phase = TaskPhase::kWaiting;
+    --step.m_running;
+    --job->m_running;
+    Unplace(task.m_worker, aEnd.m_task);
+  } else {
+    MarkStarted(*job);
+  }
   if (!aEnd.m_checkpoint.empty()) {
     task.m_checkpoint = aEnd.m_checkpoint;
   }
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -97,6 +97,7 @@
                  to.setHow(static_cast<std::uint8_t>(aOne.m_how));
                  to.setCheckpoint(aOne.m_checkpoint);
                  to.setEndAtMs(aOne.m_at.Get());
+                 to.setLate(aOne.m_isLate);
                  if (aOne.m_evidence != CrashEvidence::kNone) {
                    to.setEvidence(static_cast<std::uint8_t>(aOne.m_evidence));
                    to.setLostInstance(aOne.m_lostInstance.Get());
@@ -158,7 +159,8 @@
                      Text(from.getCheckpoint()),
                      WallTime{ from.getEndAtMs() },
                      static_cast<CrashEvidence>(from.getEvidence()),
-                     InstanceId{ Text(from.getLostInstance()) } };
+                     InstanceId{ Text(from.getLostInstance()) },
+                     from.getLate() };
     }
     case schema::Change::FAIL: {
       const auto from = aFrom.getFail();
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -39,6 +39,15 @@
          std::any_of(aReport.m_ended.begin(), aReport.m_ended.end(), isOther);
 }
 
+// The worker was cut off until its lease was over, or had its start taken back.
+// An end that is acknowledged has to count: its task would be done once more.
+bool
+IsDoneLate(const jobs::Book& aBook, const EndReport& aEnd)
+{
+  return aEnd.m_how == jobs::RunEnd::kDone &&
+         aBook.CountsLate(aEnd.m_task, aEnd.m_run);
+}
+
 } // namespace
 
 bool
@@ -335,9 +344,10 @@
     // refuses the second, and the run goes on.
     const bool isSecondStart =
       end.m_how == jobs::RunEnd::kRefused && IsKnownOtherwise(aReport, end);
+    const bool isLate = IsDoneLate(aBook, end);
     const bool isKept =
-      !isSecondStart &&
-      IsExpected(aBook, aReport.m_worker, end.m_task, end.m_run);
+      isLate || (!isSecondStart &&
+                 IsExpected(aBook, aReport.m_worker, end.m_task, end.m_run));
     // What leaves nothing to commit is acknowledged at once, but for ends
     // before it that are.
     if (!isKept && isAllAcked) {
@@ -359,6 +369,7 @@
     aHeard.m_changed = true;
     aHeard.m_ends.push_back(
       { end.m_task, end.m_run, end.m_how, end.m_checkpoint, aWall });
+    aHeard.m_ends.back().m_isLate = isLate;
   }
 }
 
--- a/tests/unit/jobs/book_test.cpp
+++ b/tests/unit/jobs/book_test.cpp
@@ -209,6 +209,14 @@
   LONGS_EQUAL(1, copy->Jobs().Pending(QueueId{ "host/q/" }));
 }
 
+TEST(JobBook, LateEnd_IsKeptInTheLog)
+{
+  EndRun end{ Ref("a"), RunNumber{ 1 }, RunEnd::kDone, "", WallTime{ 1 } };
+  end.m_isLate = true;
+  const auto read = DecodeBatch(EncodeBatch({ { end } }));
+  CHECK(std::get<EndRun>(read->m_changes.at(0)).m_isLate);
+}
+
 TEST(JobBook, DamagedBytes_AreNoBatch)
 {
   const Batch batch{ { Cancel{ JobId{ "some job" }, WallTime{ 1 } } } };
--- a/tests/unit/placement/workers_test.cpp
+++ b/tests/unit/placement/workers_test.cpp
@@ -178,6 +178,59 @@
   CHECK(Hear(Report("w1", 2), kLater + 1700).m_ignored.has_value());
 }
 
+// Guards against a task that is done twice: its worker was cut off for a lease,
+// and is back with the end before the task has been started again.
+TEST(WorkerTable, DoneIsHeardAfterRunWasGivenUp_TaskIsDone)
+{
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  Hear(Report("w1", 1), kLater);
+  m_fleet.Start(Ref("a"), "w1");
+  Answer("w1", kLater);
+  Take(m_table.FindLost(m_fleet.Book(), At(kLater + 5'000), WallTime{ kWall }));
+  LONGS_EQUAL(1, m_fleet.Book().Pending(QueueId{ "host/q/" }));
+  WorkerReport back = Report("w1", 2);
+  back.m_ended.push_back(End(1, Ref("a"), RunEnd::kDone));
+  Hear(back, kLater + 5'100);
+  STRCMP_EQUAL("completed", Describe(m_fleet.StateOf("a")));
+  LONGS_EQUAL(0, m_fleet.Book().Pending(QueueId{ "host/q/" }));
+}
+
+// Guards against the same where the task has been placed again by then: that
+// run may be lost, and be followed by another.
+TEST(WorkerTable, DoneIsHeardAfterTaskWasPlacedAgain_TaskIsDoneAndRunStopped)
+{
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  Hear(Report("w1", 1), kLater);
+  m_fleet.Start(Ref("a"), "w1");
+  Answer("w1", kLater);
+  Take(m_table.FindLost(m_fleet.Book(), At(kLater + 5'000), WallTime{ kWall }));
+  m_fleet.Start(Ref("a"), "w2", 2);
+  WorkerReport back = Report("w1", 2);
+  back.m_ended.push_back(End(1, Ref("a"), RunEnd::kDone));
+  Hear(back, kLater + 5'100);
+  STRCMP_EQUAL("completed", Describe(m_fleet.StateOf("a")));
+  CHECK(m_fleet.Book().Placed().empty());
+  WorkerReport other = Report("w2", 1);
+  other.m_active.push_back(Active(Ref("a"), 2));
+  Hear(other, kLater + 5'200);
+  LONGS_EQUAL(1, Answer("w2", kLater + 5'200).m_stops.size());
+}
+
+// Guards against an end as done of a long-running task, which is never done.
+TEST(WorkerTable, LongRunningTaskIsDoneLate_ChangesNothing)
+{
+  SubmitLasting(1, 1);
+  Hear(Report("w1", 1), kLater);
+  m_fleet.Start(Ref("a"), "w1");
+  Answer("w1", kLater);
+  Take(m_table.FindLost(m_fleet.Book(), At(kLater + 5'000), WallTime{ kWall }));
+  m_fleet.Start(Ref("a"), "w2", 2);
+  WorkerReport back = Report("w1", 2);
+  back.m_ended.push_back(End(1, Ref("a"), RunEnd::kDone));
+  CHECK(Hear(back, kLater + 5'100).m_ends.empty());
+  LONGS_EQUAL(1, m_fleet.Book().Placed().size());
+}
+
 TEST(WorkerTable, RunOfCancelledJob_IsStopped)
 {
   m_fleet.Submit("a", Spec({ Step(1) }));
