A crash that shows before its neighbours' would is no proof against a task

A restart under the same id shows within some hundred ms. Where a rack goes and is back as soon, the first worker that is noticed seemed to be lost alone, as the others did not look silent yet: a sound job on trial there was given up after two such crashes.

--- a/src/placement/worker_losses.cpp
+++ b/src/placement/worker_losses.cpp
@@ -71,7 +71,8 @@
 // is one only where no trial explains the loss. Only a crash in a trial, with
 // no other start and no other loss beside it, counts as proof: a lapsed lease
 // may be that of a worker which lives behind a cut link, and an instance that
-// the task was lost on before may be the one to blame.
+// the task was lost on before may be the one to blame. A worker that is back
+// sooner than others would look silent may have gone together with them.
 jobs::CrashEvidence
 WorkerTable::JudgeTask(const jobs::TaskRef& aTask,
                        const Worker& aWorker,
@@ -84,6 +85,7 @@
   const auto losses = aBook.LossesOf(aTask);
   const bool isProofOfCrash =
     aLost.m_cause == LossCause::kLaterLife &&
+    aLost.m_silentFor >= m_options.m_doubtAfter &&
     !jobs::WasLostOn(losses, aWorker.m_last.m_instance);
   const bool isShared = aLost.m_lostBeside > 0;
   if (task.m_settled) {
--- a/tests/unit/placement/crash_loops_test.cpp
+++ b/tests/unit/placement/crash_loops_test.cpp
@@ -359,3 +359,27 @@
     LONGS_EQUAL(80, pool.CountJobs(JobState::kCompleted));
   }
 }
+
+// Guards against sound jobs that are given up where a rack is back within a
+// second: the workers that went with it do not look silent yet.
+TEST(CrashLoopsWithKeptIds, RackIsBackWithinASecond_NoJobIsGivenUp)
+{
+  for (unsigned seed = 41; seed <= 60; ++seed) {
+    SimulatedPool pool{ KeptIds(seed) };
+    std::minstd_rand random{ seed };
+    for (int i = 0; i < 100; ++i) {
+      pool.Submit("job" + std::to_string(i), Spec({ Step(6), Step(3, 2000) }));
+      pool.Pass(Millis{ 300 });
+      if (i % 4 == 0) {
+        const std::uint32_t first = random() % 8;
+        for (std::uint32_t w = first; w < first + 4; ++w) {
+          pool.CrashWorker(w, Millis{ 100 + random() % 400 });
+        }
+      }
+    }
+    pool.Pass(kMinute);
+    LONGS_EQUAL(0, pool.CountJobs(JobState::kFailed));
+    LONGS_EQUAL(100, pool.CountJobs(JobState::kCompleted));
+    LONGS_EQUAL(0, pool.CountTwice());
+  }
+}
