A second wave waits for its instances to come back

Operators were told that a wave was done while its instances were down, and more instances than its cap went down at once, where an instance had been through an earlier wave under the same leader: when it went down was kept by its name, from the first wave on, so it counted as back after twice the usual time since then.

The moment is forgotten when the platform takes the next order. The test fails without: the second wave is done 200 ms after its order. Ruled out for the other entries kept by instance in the planners: they are erased with the step or bound a pause of at most two seconds.

--- a/src/placement/maintenance.cpp
+++ b/src/placement/maintenance.cpp
@@ -231,6 +231,8 @@
       if (aimed != m_aimedAt.end()) {
         result.m_ended = aimed->second;
       }
+      // Of an earlier wave.
+      m_downSince.erase(instance);
       result.m_advance = advance(fleet::MaintenanceStep::kDown);
       break;
     }
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -455,6 +455,34 @@
   CHECK(Wave().IsDone());
 }
 
+// Guards against a wave that is told done while its instance is down, as the
+// instance was back from an earlier wave.
+TEST(MaintenancePlanner, InstanceOfSecondWaveIsDown_WaveIsNotDone)
+{
+  StartWave(1, 1);
+  Next(10'000);
+  const auto order = Next(10'100).m_orders.at(0);
+  m_fleet.Do(
+    *m_planner.OnAnswer(order, InstanceAnswer::kTaken, At(10'200)).m_advance);
+  Next(10'300);
+  Hear("w0", 2, 12'500);
+  Next(12'600);
+  CHECK(Wave().IsDone());
+  fleet::MaintenanceWave second;
+  second.m_number = 2;
+  second.m_instances[order.m_instance] = fleet::MaintenanceStep::kWaiting;
+  m_fleet.Do(fleet::StartMaintenance{ second });
+  Next(20'000);
+  const auto again = Next(20'100).m_orders.at(0);
+  m_fleet.Do(
+    *m_planner.OnAnswer(again, InstanceAnswer::kTaken, At(20'200)).m_advance);
+  m_table.Retire(Life("w0"), m_fleet.Book(), WallTime{ 0 });
+  Next(20'300);
+  CHECK(!m_fleet.State().Maintenance().at(2).IsDone());
+  Next(24'400);
+  CHECK(m_fleet.State().Maintenance().at(2).IsDone());
+}
+
 // Instances of a pool that is off have no worker that could report.
 TEST(MaintenancePlanner, InstanceThatNeverReports_WaveEndsAllTheSame)
 {
