--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -394,7 +394,7 @@
   bool IsSuccessor(const WorkerReport& aReport,
                    const Occupant& aOccupant,
                    TimePoint aNow);
-  Fitness Supersede(const WorkerLife& aPrevious,
+  Fitness Supersede(WorkerLife aPrevious,
                     const WorkerReport& aReport,
                     const jobs::Book& aBook,
                     TimePoint aNow,
--- a/src/placement/worker_lives.cpp
+++ b/src/placement/worker_lives.cpp
@@ -169,16 +169,15 @@
 }
 
 Fitness
-WorkerTable::Supersede(const WorkerLife& aPrevious,
+WorkerTable::Supersede(WorkerLife aPrevious,
                        const WorkerReport& aReport,
                        const jobs::Book& aBook,
                        TimePoint aNow,
                        WallTime aWall,
                        Heard& aHeard)
 {
-  const WorkerLife previous = aPrevious;
   Fitness fitness;
-  const auto lost = m_workers.find(previous);
+  const auto lost = m_workers.find(aPrevious);
   if (lost != m_workers.end()) {
     Worker& worker = lost->second;
     if (!worker.m_silent) {
@@ -188,19 +187,19 @@
       m_recentLosses.Add(worker.m_heardAt);
     }
     fitness = worker.m_fitness;
-  } else if (const auto placed = aBook.Placed().find(previous);
+  } else if (const auto placed = aBook.Placed().find(aPrevious);
              placed != aBook.Placed().end()) {
-    m_lost.push_back({ previous,
+    m_lost.push_back({ aPrevious,
                        aReport.m_instance,
                        LossCause::kLaterLife,
                        aNow - m_leaderSince,
                        placed->second.size() });
   }
-  aHeard.m_ends = EndAll(previous, aReport.m_instance, aBook, aWall);
+  aHeard.m_ends = EndAll(aPrevious, aReport.m_instance, aBook, aWall);
   aHeard.m_changed = true;
-  aHeard.m_superseded = previous;
-  Forget(previous);
-  (previous.SaysStart() ? m_superseded : m_retired).insert(previous);
+  Forget(aPrevious);
+  (aPrevious.SaysStart() ? m_superseded : m_retired).insert(aPrevious);
+  aHeard.m_superseded = std::move(aPrevious);
   return fitness;
 }
 
