Bound what is remembered of ended lives; restarts under every kind of step

A leader kept each life that had left, been moved or superseded for its whole term: instances that are moved and restarted for months fill its memory.

--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bamboostile/jobs/book.h"
+#include "bamboostile/placement/ended_lives.h"
 #include "bamboostile/placement/losses.h"
 #include "bamboostile/placement/mechanisms.h"
 
@@ -404,7 +405,7 @@
   void Forget(const WorkerLife& aWorker);
   bool IsGone(const WorkerLife& aWorker) const
   {
-    return m_retired.contains(aWorker) || m_superseded.contains(aWorker);
+    return m_retired.Contains(aWorker) || m_superseded.Contains(aWorker);
   }
   void FollowInstance(Worker& aWorker,
                       const WorkerReport& aReport,
@@ -467,9 +468,9 @@
   std::optional<std::map<WorkerId, WorkerLife>> m_inherited;
   std::map<InstanceId, std::vector<WorkerLife>> m_lives;
   /** Gone for certain. */
-  std::set<WorkerLife> m_retired;
+  EndedLives m_retired;
   /** Followed by another life, as far as reports can prove it. */
-  std::set<WorkerLife> m_superseded;
+  EndedLives m_superseded;
   std::set<WorkerLife> m_cordoned;
   /** Workers of whose ends some are taken and not yet on a receipt. */
   std::set<WorkerLife> m_takenFrom;
--- a/src/placement/worker_lives.cpp
+++ b/src/placement/worker_lives.cpp
@@ -71,8 +71,8 @@
     return aLife;
   };
   add(m_workers, ofEntry);
-  add(m_retired, ofLife);
-  add(m_superseded, ofLife);
+  add(m_retired.All(), ofLife);
+  add(m_superseded.All(), ofLife);
   return count == 1 ? only : std::nullopt;
 }
 
@@ -106,7 +106,7 @@
     const TimePoint knownSince = occupant.m_knownSince;
     admission.m_fitness =
       Supersede(occupant.m_life, aReport, aBook, aNow, aWall, aHeard);
-    m_superseded.erase(life);
+    m_superseded.Remove(life);
     m_occupants[HostOf(aReport)] = { life, knownSince };
   }
   m_contenders.erase(HostOf(aReport));
@@ -159,7 +159,7 @@
   contender.m_sequence = aReport.m_sequence;
   const bool hasGoneOn = aNow >= contender.m_since + m_options.m_confirmLife;
   const Worker* worker = Find(aOccupant.m_life);
-  if (m_superseded.contains(life)) {
+  if (m_superseded.Contains(life)) {
     return hasGoneOn && (worker == nullptr || worker->m_silent);
   }
   const bool isFollowed =
@@ -198,7 +198,7 @@
   aHeard.m_ends = EndAll(aPrevious, aReport.m_instance, aBook, aWall);
   aHeard.m_changed = true;
   Forget(aPrevious);
-  (aPrevious.SaysStart() ? m_superseded : m_retired).insert(aPrevious);
+  (aPrevious.SaysStart() ? m_superseded : m_retired).Add(aPrevious);
   aHeard.m_superseded = std::move(aPrevious);
   return fitness;
 }
@@ -235,7 +235,7 @@
                     const jobs::Book& aBook,
                     WallTime aWall)
 {
-  m_retired.insert(aWorker);
+  m_retired.Add(aWorker);
   const Worker* worker = Find(aWorker);
   const InstanceId instance =
     worker == nullptr ? InstanceId{} : worker->m_last.m_instance;
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -145,7 +145,7 @@
                       WallTime aWall)
 {
   Heard heard;
-  if (m_retired.contains(aReport.m_worker)) {
+  if (m_retired.Contains(aReport.m_worker)) {
     heard.m_ignored = Ignored::kEnded;
     return heard;
   }
--- a/tests/unit/placement/crash_loops_test.cpp
+++ b/tests/unit/placement/crash_loops_test.cpp
@@ -383,3 +383,34 @@
     LONGS_EQUAL(0, pool.CountTwice());
   }
 }
+
+// Guards against the same for gangs, occurrences and long-running tasks.
+TEST(CrashLoopsWithKeptIds, RestartsUnderEveryKindOfStep_NothingRunsTwice)
+{
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    SimulatedPool pool{ KeptIds(seed) };
+    std::minstd_rand random{ seed };
+    JobSpec repeated = Spec({ Step(2) });
+    repeated.m_repeatCount = 10;
+    repeated.m_startAt = WallTime{ pool.Now().count() };
+    repeated.m_interval = Millis{ 1'500 };
+    pool.Submit("lasting", Spec({ LongRunning(5) }));
+    pool.Submit("repeated", repeated);
+    for (int i = 0; i < 40; ++i) {
+      pool.Submit("gang" + std::to_string(i), Spec({ Gang(2) }));
+      pool.Pass(Millis{ 300 + random() % 600 });
+      const std::uint32_t worker = random() % PoolOptions{}.m_workers;
+      pool.DelayReport(worker, Millis{ random() % 3'000 });
+      if (random() % 3 == 0) {
+        pool.CrashWorker(worker, Millis{ 50 + random() % 5'500 });
+      }
+      if (random() % 15 == 0) {
+        pool.ReplaceLeader(Millis{ 500 + random() % 1'500 });
+      }
+    }
+    pool.Pass(kMinute);
+    LONGS_EQUAL(0, pool.CountTwice());
+    LONGS_EQUAL(41, pool.CountJobs(JobState::kCompleted));
+    STRCMP_EQUAL("active", Describe(pool.StateOf("lasting")));
+  }
+}
