--- a/include/bamboostile/jobs/book.h
+++ b/include/bamboostile/jobs/book.h
@@ -169,7 +169,9 @@
   void MarkStarted(Job& aJob);
   void WaitAgain(Job& aJob);
   void CloseIfIdle(const Job& aJob);
-  void MarkDone(Job& aJob, Occurrence& aOccurrence, StepRun& aStep, Task&);
+  /** Waits again, if it runs. */
+  void StopRunning(Job& aJob, const TaskRef& aTask);
+  void MarkDone(Job& aJob, const TaskRef& aTask);
   void FailIfSpent(Job& aJob,
                    const EndRun& aEnd,
                    const StepRun& aStep,
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -8,6 +8,18 @@
 
 namespace bamboostile::jobs {
 
+namespace {
+
+/** As the reason why a job failed has it. */
+std::string
+NameOf(const TaskRef& aTask)
+{
+  return "step " + std::to_string(aTask.m_step) + " task " +
+         std::to_string(aTask.m_index);
+}
+
+} // namespace
+
 const char*
 Describe(RunEnd aEnd) noexcept
 {
@@ -268,17 +280,40 @@
 }
 
 void
-Book::MarkDone(Job& aJob, Occurrence& aOccurrence, StepRun& aStep, Task& aTask)
+Book::StopRunning(Job& aJob, const TaskRef& aTask)
+{
+  StepRun& step =
+    aJob.m_occurrences.at(aTask.m_occurrence).m_steps[aTask.m_step];
+  Task& task = step.m_tasks[aTask.m_index];
+  if (task.m_phase != TaskPhase::kRunning) {
+    return;
+  }
+  task.m_phase = TaskPhase::kWaiting;
+  --step.m_running;
+  --aJob.m_running;
+  Unplace(task.m_worker, aTask);
+}
+
+void
+Book::MarkDone(Job& aJob, const TaskRef& aTask)
 {
-  aTask.m_phase = TaskPhase::kDone;
-  aTask.m_checkpoint.clear();
-  aTask.m_losses.clear();
-  ++aStep.m_done;
-  if (!aStep.IsDone()) {
+  Occurrence& occurrence = aJob.m_occurrences.at(aTask.m_occurrence);
+  StepRun& step = occurrence.m_steps[aTask.m_step];
+  Task& task = step.m_tasks[aTask.m_index];
+  if (task.m_phase == TaskPhase::kDone) {
+    return;
+  }
+  StopRunning(aJob, aTask);
+  task.m_phase = TaskPhase::kDone;
+  task.m_checkpoint.clear();
+  task.m_losses.clear();
+  m_lost.erase(aTask);
+  ++step.m_done;
+  if (!step.IsDone()) {
     return;
   }
-  ++aOccurrence.m_stepsDone;
-  if (aOccurrence.m_stepsDone == aOccurrence.m_steps.size()) {
+  ++occurrence.m_stepsDone;
+  if (occurrence.m_stepsDone == occurrence.m_steps.size()) {
     ++aJob.m_occurrencesDone;
   }
 }
@@ -296,40 +331,25 @@
   if (!isLate && (!isRunning || known->m_lastRun != aEnd.m_run)) {
     return CallOutcome::kNone;
   }
-  Occurrence& occurrence = job->m_occurrences.at(aEnd.m_task.m_occurrence);
-  StepRun& step = occurrence.m_steps[aEnd.m_task.m_step];
+  StepRun& step =
+    job->m_occurrences.at(aEnd.m_task.m_occurrence).m_steps[aEnd.m_task.m_step];
   const StepSpec& spec = job->m_spec.m_steps[aEnd.m_task.m_step];
   Task& task = step.m_tasks[aEnd.m_task.m_index];
-  if (isRunning) {
-    task.m_phase = TaskPhase::kWaiting;
-    --step.m_running;
-    --job->m_running;
-    Unplace(task.m_worker, aEnd.m_task);
-  } else {
+  StopRunning(*job, aEnd.m_task);
+  if (!isRunning) {
     MarkStarted(*job);
   }
   if (!aEnd.m_checkpoint.empty()) {
     task.m_checkpoint = aEnd.m_checkpoint;
   }
   if (aEnd.m_how == RunEnd::kDone && !spec.m_longRunning) {
-    MarkDone(*job, occurrence, step, task);
+    MarkDone(*job, aEnd.m_task);
     // Members of a gang are done together; the other ends may come later, or
     // never, if a member's worker is lost in between.
-    if (spec.m_gang) {
-      for (std::uint32_t i = 0; i < step.m_tasks.size(); ++i) {
-        Task& member = step.m_tasks[i];
-        if (member.m_phase == TaskPhase::kDone) {
-          continue;
-        }
-        if (member.m_phase == TaskPhase::kRunning) {
-          TaskRef ref = aEnd.m_task;
-          ref.m_index = i;
-          Unplace(member.m_worker, ref);
-          --step.m_running;
-          --job->m_running;
-        }
-        MarkDone(*job, occurrence, step, member);
-      }
+    for (std::uint32_t i = 0; spec.m_gang && i < step.m_tasks.size(); ++i) {
+      TaskRef member = aEnd.m_task;
+      member.m_index = i;
+      MarkDone(*job, member);
     }
   } else if (aEnd.m_how == RunEnd::kFailed) {
     ++task.m_failures;
@@ -390,9 +410,8 @@
   if (aJob.m_state != JobState::kActive || failures < aLimit(aJob.m_queue)) {
     return;
   }
-  aJob.m_reason = "step " + std::to_string(aEnd.m_task.m_step) + " task " +
-                  std::to_string(aEnd.m_task.m_index) + " failed " +
-                  std::to_string(failures) + " times";
+  aJob.m_reason =
+    NameOf(aEnd.m_task) + " failed " + std::to_string(failures) + " times";
   Finish(aJob, JobState::kFailed, aEnd.m_at);
 }
 
@@ -414,9 +433,7 @@
   const auto losses = jobs::LossesOf(
     aJob.m_spec.m_steps[aEnd.m_task.m_step], aStep, aEnd.m_task.m_index);
   if (IsProven(losses)) {
-    aJob.m_reason = "step " + std::to_string(aEnd.m_task.m_step) + " task " +
-                    std::to_string(aEnd.m_task.m_index) + " " +
-                    DescribeLosses(losses);
+    aJob.m_reason = NameOf(aEnd.m_task) + " " + DescribeLosses(losses);
     Finish(aJob, JobState::kFailed, aEnd.m_at);
   }
 }
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -451,11 +451,11 @@
 
 // A start that was sent and that no report shows, long after, was lost with its
 // answer. Where the run is not wanted there, or has no room, this frees its
-// place; the
-// others are simply sent again. Without it a task whose start was lost on a
-// draining worker would wait for that worker's end. The next report alone says
-// nothing: one that tells of draining is sent while an answer is under way, and
-// the run that starts with that answer would run a second time elsewhere.
+// place; the others are simply sent again. Without it a task whose start was
+// lost on a draining worker would wait for that worker's end. The next report
+// alone says nothing: one that tells of draining is sent while an answer is
+// under way, and the run that starts with that answer would run a second time
+// elsewhere.
 void
 WorkerTable::FindUnstarted(Worker& aWorker,
                            const jobs::Book& aBook,
--- a/tests/unit/jobs/crash_loop_test.cpp
+++ b/tests/unit/jobs/crash_loop_test.cpp
@@ -141,6 +141,17 @@
   }
 }
 
+// Guards against a task that is done and counts as a suspect until its job
+// ends.
+TEST(CrashLoop, SuspectIsDone_NoLongerUnderSuspicion)
+{
+  m_fleet.Submit("a", Spec({ Step(2) }));
+  Lose(Ref("a"), CrashEvidence::kStarting);
+  m_fleet.Start(Ref("a"), "w2", 2);
+  m_fleet.End(Ref("a"), RunEnd::kDone, 2);
+  CHECK(m_fleet.Book().LostWithWorkers().empty());
+}
+
 // Guards against counts that are lost with a snapshot or a disk.
 TEST(CrashLoop, SnapshotAndLogReadBack_KeepTheEvidence)
 {
