Try suspects together that no loss has singled out

Each crash makes suspects of the tasks that were running there for the second time. Trials came one after the other, on one worker of a small pool, each for a whole run: suspects waited for minutes beside idle workers, old jobs last.

Ruled out: room, calm, the delay before a trial, a worker with runs that no report shows.

Suspects whose two or three losses say only that they were running may be on trial beside each other, on workers to which nothing else is started; a crash there proves nothing and counts as one more. With four losses a task is tried by itself, and the next crash is its proof, so the bound of crashes holds. Trials of the two kinds are bounded by themselves.

--- a/include/bamboostile/jobs/crash_loop.h
+++ b/include/bamboostile/jobs/crash_loop.h
@@ -23,6 +23,10 @@
 /** The next run is a trial. */
 bool IsSuspect(const std::vector<WorkerLoss>& aLosses);
 
+/** No loss has singled the task out yet: it may be on trial beside others of
+ * which the same is true. */
+bool MayBeTriedTogether(const std::vector<WorkerLoss>& aLosses);
+
 /** The trial lasts for the whole run, not only until the run is reported. */
 bool IsTriedThroughout(const std::vector<WorkerLoss>& aLosses);
 
--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -64,12 +64,15 @@
     std::uint32_t m_unshown = 0;
     /** Whose task is on trial here. */
     const jobs::Job* m_trialOf = nullptr;
+    /** All on trial here may be tried together. */
+    bool m_isJoint = false;
     /** Free for a task that has found no room yet. */
     bool m_kept = false;
 
     bool Fits(const jobs::StepSpec& aStep) const;
     void Take(const jobs::StepSpec& aStep);
-    bool IsOpenToTrialOf(const jobs::Job& aJob) const;
+    bool IsOpenToTrialOf(const jobs::Job& aJob, bool aIsJoint) const;
+    void AddTrialOf(const jobs::Job& aJob, bool aIsJoint);
   };
 
   struct Candidate
@@ -107,7 +110,8 @@
                  std::optional<Millis> aWaited,
                  Pool& aPool,
                  Plan& aPlan) const;
-  /** Starts a suspect of the step whose delay is over, on trial. */
+  /** Starts a suspect of the step whose delay is over, on trial; those that
+   * may be tried together, all at once. */
   void PlaceTrial(const Candidate& aCandidate,
                   bool aIsCalm,
                   WallTime aWall,
@@ -123,14 +127,16 @@
                        const std::vector<jobs::WorkerLoss>& aLosses,
                        const OnWorkers& aOnWorker,
                        Millis aWaited,
+                       bool aIsJoint,
                        Pool& aPool) const;
   /** Whether the worker may run the step once it has room. */
   static bool MayEverRun(const jobs::StepSpec& aStep,
                          const OnWorkers& aOnWorker,
                          const Room& aRoom);
-  /** Workers of the pool on which a suspect is on trial. */
-  static std::size_t CountTrials(const Pool& aPool);
-  static bool MayTry(const jobs::Job& aJob, const Pool& aPool);
+  /** Workers of the pool on which suspects are on trial, together or not. */
+  static std::size_t CountTrials(const Pool& aPool, bool aIsJoint);
+  static std::size_t MostTrials(const Pool& aPool);
+  static bool MayTry(const jobs::Job& aJob, bool aIsJoint, const Pool& aPool);
   /** Since the delay of the next trial was over; unset before. */
   static std::optional<Millis> WaitedForTrial(
     const jobs::TaskRef& aTask,
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -433,6 +433,10 @@
   void CountActive(Worker& aWorker, const jobs::Book& aBook) const;
   std::vector<PendingStart> FindPending(const Worker& aWorker,
                                         const jobs::Book& aBook) const;
+  /** aUnshown: of the same worker. */
+  static bool IsOnTrial(const jobs::TaskRef& aTask,
+                        const std::vector<jobs::TaskRef>& aUnshown,
+                        const jobs::Book& aBook);
   bool HasTrial(const Worker& aWorker, const jobs::Book& aBook) const;
   jobs::CrashEvidence JudgeTask(const jobs::TaskRef& aTask,
                                 const Worker& aWorker,
--- a/src/jobs/crash_loop.cpp
+++ b/src/jobs/crash_loop.cpp
@@ -10,6 +10,8 @@
 
 /** A worker takes all that it runs with it, so one such loss says nothing. */
 constexpr std::size_t kRunningLossesOfSuspect = 2;
+/** So many suspects may still be tried beside each other. */
+constexpr std::size_t kMostLossesTogether = 3;
 /** A worker may also crash by itself in a trial of a sound task. */
 constexpr std::size_t kProofs = 2;
 /** From so many losses on, a trial waits until its evidence can be certain. */
@@ -88,6 +90,16 @@
          Count(aLosses, CrashEvidence::kRunning) >= kRunningLossesOfSuspect;
 }
 
+// Every crash makes suspects of all that ran there for the second time. One
+// after the other they would wait for minutes beside idle workers. With four
+// losses the next one, in a trial by itself, is the proof.
+bool
+MayBeTriedTogether(const std::vector<WorkerLoss>& aLosses)
+{
+  return IsSuspect(aLosses) && aLosses.size() <= kMostLossesTogether &&
+         Count(aLosses, CrashEvidence::kRunning) == aLosses.size();
+}
+
 bool
 IsTriedThroughout(const std::vector<WorkerLoss>& aLosses)
 {
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -366,15 +366,18 @@
   std::vector<jobs::Change> starts;
   for (std::uint32_t i = 0; i < step.m_count; ++i) {
     Room* room =
-      aWaited ? ChooseForTrial(
-                  *aCandidate.m_job, step, losses, onWorker, *aWaited, trial)
-              : Choose(step, onWorker, trial);
+      aWaited
+        ? ChooseForTrial(
+            *aCandidate.m_job, step, losses, onWorker, *aWaited, false, trial)
+        : Choose(step, onWorker, trial);
     if (room == nullptr) {
       return;
     }
     room->Take(step);
     ++room->m_unshown;
-    room->m_trialOf = aWaited ? aCandidate.m_job : nullptr;
+    if (aWaited) {
+      room->AddTrialOf(*aCandidate.m_job, false);
+    }
     const WorkerLife& worker = room->m_worker->m_last.m_worker;
     ++onWorker[worker];
     starts.emplace_back(jobs::StartRun{
--- a/src/placement/trials.cpp
+++ b/src/placement/trials.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-/** Of a pool's workers, one in so many at most may be lost to trials at a time:
- * the others go on with sound work. */
+/** Of a pool's workers, one in so many at most may be lost to trials of a kind
+ * at a time: the others go on with sound work. */
 constexpr std::size_t kTrialShare = 4;
 /** After that a trial also takes a worker with long-running tasks or a gang;
  * pools that have no other worker would never try. */
@@ -23,9 +23,19 @@
 } // namespace
 
 bool
-Planner::Room::IsOpenToTrialOf(const jobs::Job& aJob) const
+Planner::Room::IsOpenToTrialOf(const jobs::Job& aJob, bool aIsJoint) const
 {
-  return m_trialOf == nullptr ? m_unshown == 0 : m_trialOf == &aJob;
+  if (m_trialOf == nullptr) {
+    return m_unshown == 0;
+  }
+  return aIsJoint ? m_isJoint : !m_isJoint && m_trialOf == &aJob;
+}
+
+void
+Planner::Room::AddTrialOf(const jobs::Job& aJob, bool aIsJoint)
+{
+  m_isJoint = aIsJoint && (m_trialOf == nullptr || m_isJoint);
+  m_trialOf = &aJob;
 }
 
 void
@@ -42,7 +52,10 @@
     const bool isOnTrial =
       isShown ? jobs::IsTriedThroughout(losses) : jobs::IsSuspect(losses);
     if (isOnTrial) {
-      aRoom.m_trialOf = aBook.Find(ref.m_job);
+      const jobs::Job& job = *aBook.Find(ref.m_job);
+      const bool isJoint =
+        jobs::MayBeTriedTogether(losses) && !StepOf(job, ref).m_gang;
+      aRoom.AddTrialOf(job, isJoint);
     }
   }
 }
@@ -58,6 +71,7 @@
                         const std::vector<jobs::WorkerLoss>& aLosses,
                         const OnWorkers& aOnWorker,
                         Millis aWaited,
+                        bool aIsJoint,
                         Pool& aPool) const
 {
   const auto isKnown = [&](const Room& aRoom) {
@@ -67,7 +81,8 @@
     return aRoom.m_hostsLongRunning || aRoom.m_hostsGang;
   };
   const auto rank = [&](const Room& aRoom) {
-    return std::make_tuple(isKnown(aRoom), isFragile(aRoom), aRoom.m_runs);
+    return std::make_tuple(
+      !aRoom.m_isJoint, isKnown(aRoom), isFragile(aRoom), aRoom.m_runs);
   };
   const bool takesFragile = aStep.m_longRunning || aWaited >= kTrialPatience;
   const bool takesKnown =
@@ -75,13 +90,15 @@
     std::none_of(aPool.begin(), aPool.end(), [&](const Room& aRoom) {
       return !isKnown(aRoom) && MayEverRun(aStep, aOnWorker, aRoom);
     });
+  const bool mayOpen =
+    !aIsJoint || CountTrials(aPool, true) < MostTrials(aPool);
   Room* best = nullptr;
   for (Room& room : aPool) {
-    const bool isSpared =
-      room.m_trialOf == nullptr &&
-      ((isFragile(room) && !takesFragile) || (isKnown(room) && !takesKnown));
-    if (isSpared || !room.IsOpenToTrialOf(aJob) || !room.Fits(aStep) ||
-        !MayEverRun(aStep, aOnWorker, room)) {
+    const bool isSpared = room.m_trialOf == nullptr &&
+                          (!mayOpen || (isFragile(room) && !takesFragile) ||
+                           (isKnown(room) && !takesKnown));
+    if (isSpared || !room.IsOpenToTrialOf(aJob, aIsJoint) ||
+        !room.Fits(aStep) || !MayEverRun(aStep, aOnWorker, room)) {
       continue;
     }
     if (best == nullptr || rank(room) < rank(*best)) {
@@ -102,21 +119,29 @@
 }
 
 std::size_t
-Planner::CountTrials(const Pool& aPool)
+Planner::CountTrials(const Pool& aPool, bool aIsJoint)
 {
   return static_cast<std::size_t>(
-    std::count_if(aPool.begin(), aPool.end(), [](const Room& aRoom) {
-      return aRoom.m_trialOf != nullptr;
+    std::count_if(aPool.begin(), aPool.end(), [&](const Room& aRoom) {
+      return aRoom.m_trialOf != nullptr && aRoom.m_isJoint == aIsJoint;
     }));
 }
 
+std::size_t
+Planner::MostTrials(const Pool& aPool)
+{
+  return std::max<std::size_t>(1, aPool.size() / kTrialShare);
+}
+
 bool
-Planner::MayTry(const jobs::Job& aJob, const Pool& aPool)
+Planner::MayTry(const jobs::Job& aJob, bool aIsJoint, const Pool& aPool)
 {
-  const std::size_t most = std::max<std::size_t>(1, aPool.size() / kTrialShare);
-  return CountTrials(aPool) < most &&
+  if (aIsJoint) {
+    return true;
+  }
+  return CountTrials(aPool, false) < MostTrials(aPool) &&
          std::none_of(aPool.begin(), aPool.end(), [&](const Room& aRoom) {
-           return aRoom.m_trialOf == &aJob;
+           return aRoom.m_trialOf == &aJob && !aRoom.m_isJoint;
          });
 }
 
@@ -144,10 +169,11 @@
   const jobs::Job& job = *aCandidate.m_job;
   const jobs::StepSpec& step = job.m_spec.m_steps[aCandidate.m_step];
   const auto found = job.m_occurrences.find(aCandidate.m_occurrence);
-  if (found == job.m_occurrences.end() || !MayTry(job, aPool)) {
+  if (found == job.m_occurrences.end()) {
     return;
   }
   const jobs::StepRun& run = found->second.m_steps[aCandidate.m_step];
+  OnWorkers onWorker = CountOnWorkers(run.m_tasks);
   for (std::uint32_t i = 0; i < step.m_count; ++i) {
     const jobs::TaskRef ref{
       job.m_id, aCandidate.m_occurrence, aCandidate.m_step, i
@@ -158,24 +184,28 @@
       continue;
     }
     const auto waited = WaitedForTrial(ref, losses, aWall);
-    if (!waited) {
+    const bool isJoint = jobs::MayBeTriedTogether(losses) && !step.m_gang;
+    if (!waited || !MayTry(job, isJoint, aPool)) {
       continue;
     }
     if (step.m_gang) {
       PlaceGang(aCandidate, waited, aPool, aPlan);
       return;
     }
-    Room* room = ChooseForTrial(
-      job, step, losses, CountOnWorkers(run.m_tasks), *waited, aPool);
-    if (room != nullptr) {
-      room->Take(step);
-      room->m_trialOf = &job;
-      aPlan.m_changes.emplace_back(
-        jobs::StartRun{ ref,
-                        RunNumber{ run.m_tasks[i].m_lastRun.Get() + 1 },
-                        room->m_worker->m_last.m_worker });
+    Room* room =
+      ChooseForTrial(job, step, losses, onWorker, *waited, isJoint, aPool);
+    if (room == nullptr) {
+      return;
+    }
+    const WorkerLife& worker = room->m_worker->m_last.m_worker;
+    room->Take(step);
+    room->AddTrialOf(job, isJoint);
+    ++onWorker[worker];
+    aPlan.m_changes.emplace_back(jobs::StartRun{
+      ref, RunNumber{ run.m_tasks[i].m_lastRun.Get() + 1 }, worker });
+    if (!isJoint) {
+      return;
     }
-    return;
   }
 }
 
--- a/src/placement/worker_losses.cpp
+++ b/src/placement/worker_losses.cpp
@@ -49,6 +49,17 @@
          std::none_of(m_workers.begin(), m_workers.end(), isInDoubt);
 }
 
+bool
+WorkerTable::IsOnTrial(const jobs::TaskRef& aTask,
+                       const std::vector<jobs::TaskRef>& aUnshown,
+                       const jobs::Book& aBook)
+{
+  const auto losses = aBook.LossesOf(aTask);
+  const bool isUnshown =
+    std::find(aUnshown.begin(), aUnshown.end(), aTask) != aUnshown.end();
+  return isUnshown ? jobs::IsSuspect(losses) : jobs::IsTriedThroughout(losses);
+}
+
 bool
 WorkerTable::HasTrial(const Worker& aWorker, const jobs::Book& aBook) const
 {
@@ -57,14 +68,10 @@
     return false;
   }
   const auto unshown = FindUnshown(aWorker, aBook);
-  const auto isTried = [&](const jobs::TaskRef& aTask) {
-    const auto losses = aBook.LossesOf(aTask);
-    const bool isUnshown =
-      std::find(unshown.begin(), unshown.end(), aTask) != unshown.end();
-    return isUnshown ? jobs::IsSuspect(losses)
-                     : jobs::IsTriedThroughout(losses);
-  };
-  return std::any_of(placed->second.begin(), placed->second.end(), isTried);
+  return std::any_of(
+    placed->second.begin(), placed->second.end(), [&](const auto& aTask) {
+      return IsOnTrial(aTask, unshown, aBook);
+    });
 }
 
 // Whatever had just been started there is the first suspect; what was at work
@@ -88,6 +95,12 @@
     aLost.m_silentFor >= m_options.m_doubtAfter &&
     !jobs::WasLostOn(losses, aWorker.m_last.m_instance);
   const bool isShared = aLost.m_lostBeside > 0;
+  const auto& placed = aBook.Placed().at(aWorker.m_last.m_worker);
+  const bool hasTrialBeside =
+    std::any_of(placed.begin(), placed.end(), [&](const auto& aOther) {
+      return aOther != aTask && !aBook.AreOneGang(aOther, aTask) &&
+             IsOnTrial(aOther, aUnshown, aBook);
+    });
   if (task.m_settled) {
     return CrashEvidence::kNone;
   }
@@ -96,16 +109,21 @@
       std::all_of(aUnshown.begin(), aUnshown.end(), [&](const auto& aOther) {
         return aOther == aTask || aBook.AreOneGang(aOther, aTask);
       });
-    return jobs::IsSuspect(losses) && isProofOfCrash && isAlone && !isShared
+    return jobs::IsSuspect(losses) && isProofOfCrash && isAlone && !isShared &&
+               !hasTrialBeside
              ? CrashEvidence::kAlone
              : CrashEvidence::kStarting;
   }
   if (isShared || !Contains(aWorker.m_last.m_active, aTask, task.m_lastRun)) {
     return CrashEvidence::kNone;
   }
-  if (jobs::IsTriedThroughout(losses) && isProofOfCrash && aUnshown.empty()) {
+  const bool isTried = jobs::IsTriedThroughout(losses);
+  if (isTried && isProofOfCrash && aUnshown.empty() && !hasTrialBeside) {
     return CrashEvidence::kAlone;
   }
+  if (isTried && hasTrialBeside) {
+    return CrashEvidence::kRunning;
+  }
   return aWorker.m_lostInTrial ? CrashEvidence::kNone : CrashEvidence::kRunning;
 }
 
--- a/tests/unit/placement/crash_loops_test.cpp
+++ b/tests/unit/placement/crash_loops_test.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr Millis kMinute{ 60'000 };
+/** What could run must have started again by then, once all is quiet. */
+constexpr Millis kRunsWithin{ 14'000 };
 /** The bound of the service: a third start after three crashes breaks it. */
 constexpr std::uint32_t kMostStartsAfterThreeCrashes = 2;
 
@@ -59,6 +61,33 @@
     }
   }
 
+  static PoolOptions SmallPool(unsigned aSeed)
+  {
+    PoolOptions options;
+    options.m_workers = 4;
+    options.m_seed = aSeed;
+    return options;
+  }
+
+  /** Half a minute of jobs that take four seconds; a worker crashes as often.
+   */
+  static void SubmitLongerBesideCrashes(SimulatedPool & aPool, bool aHasBad)
+  {
+    StepSpec step = Step(10, 500);
+    step.m_estimate = Millis{ 4'000 };
+    for (std::uint32_t i = 0; i < 70; ++i) {
+      aPool.Submit("job" + std::to_string(i), Spec({ step }));
+      if (aHasBad && i % 30 == 2) {
+        aPool.Submit("bad" + std::to_string(i),
+                     Crashing(kCrashFirst, { step }));
+      }
+      aPool.Pass(Millis{ 400 });
+      if (i % 10 == 5) {
+        aPool.CrashWorker(i / 10 % 4, Millis{ 3'000 });
+      }
+    }
+  }
+
   /** Four workers that share a rack. */
   static void LoseRack(SimulatedPool & aPool, std::minstd_rand & aRandom)
   {
@@ -414,3 +443,16 @@
     STRCMP_EQUAL("active", Describe(pool.StateOf("lasting")));
   }
 }
+
+// Guards against tasks that wait for a trial while most of their pool is idle:
+// workers crashed beside them, one at a time, and trials come one after
+// another.
+TEST(CrashLoops, ManyTasksWereBesideCrashes_AllRunOnceWorkersStayUp)
+{
+  for (unsigned seed = 1; seed <= 10; ++seed) {
+    SimulatedPool pool{ SmallPool(seed) };
+    SubmitLongerBesideCrashes(pool, false);
+    pool.Pass(kRunsWithin);
+    LONGS_EQUAL(70, pool.CountJobs(JobState::kCompleted));
+  }
+}
