--- a/tests/unit/placement/crash_loops_test.cpp
+++ b/tests/unit/placement/crash_loops_test.cpp
@@ -456,3 +456,20 @@
     LONGS_EQUAL(70, pool.CountJobs(JobState::kCompleted));
   }
 }
+
+// Guards against a bound that is lost where suspects are tried together: among
+// them are some that crash their workers late.
+TEST(CrashLoops, LateCrashesAmongManySuspects_BoundHolds)
+{
+  for (unsigned seed = 1; seed <= 10; ++seed) {
+    PoolOptions options = SmallPool(seed);
+    options.m_crashAfter = Millis{ 700 };
+    SimulatedPool pool{ options };
+    SubmitLongerBesideCrashes(pool, true);
+    pool.Pass(2 * kMinute);
+    CHECK_COMPARE(
+      pool.MostStartsAfterThreeCrashes(), <=, kMostStartsAfterThreeCrashes);
+    LONGS_EQUAL(3, pool.CountJobs(JobState::kFailed));
+    LONGS_EQUAL(70, pool.CountJobs(JobState::kCompleted));
+  }
+}
