--- a/tests/unit/placement/crash_loops_test.cpp
+++ b/tests/unit/placement/crash_loops_test.cpp
@@ -42,6 +42,19 @@
   return step;
 }
 
+void
+CheckSoundJobsComplete(const PoolOptions& aOptions)
+{
+  SimulatedPool pool{ aOptions };
+  for (int i = 0; i < 100; ++i) {
+    pool.Submit("job" + std::to_string(i), Spec({ Step(14) }));
+    pool.Pass(Millis{ 100 });
+  }
+  pool.Pass(kMinute);
+  LONGS_EQUAL(0, pool.CountJobs(JobState::kFailed));
+  LONGS_EQUAL(100, pool.CountJobs(JobState::kCompleted));
+}
+
 } // namespace
 
 TEST_GROUP(CrashLoops)
@@ -194,14 +207,7 @@
     PoolOptions options;
     options.m_seed = seed;
     options.m_faultyWorker = seed;
-    SimulatedPool pool{ options };
-    for (int i = 0; i < 100; ++i) {
-      pool.Submit("job" + std::to_string(i), Spec({ Step(14) }));
-      pool.Pass(Millis{ 100 });
-    }
-    pool.Pass(kMinute);
-    LONGS_EQUAL(0, pool.CountJobs(JobState::kFailed));
-    LONGS_EQUAL(100, pool.CountJobs(JobState::kCompleted));
+    CheckSoundJobsComplete(options);
   }
 }
 
@@ -345,14 +351,7 @@
   for (unsigned seed = 1; seed <= 10; ++seed) {
     PoolOptions options = KeptIds(seed);
     options.m_faultyWorker = seed;
-    SimulatedPool pool{ options };
-    for (int i = 0; i < 100; ++i) {
-      pool.Submit("job" + std::to_string(i), Spec({ Step(14) }));
-      pool.Pass(Millis{ 100 });
-    }
-    pool.Pass(kMinute);
-    LONGS_EQUAL(0, pool.CountJobs(JobState::kFailed));
-    LONGS_EQUAL(100, pool.CountJobs(JobState::kCompleted));
+    CheckSoundJobsComplete(options);
   }
 }
 
