--- a/fakes/platform.cpp
+++ b/fakes/platform.cpp
@@ -1,15 +1,23 @@
-// A small platform: on POST /v1/restart/{instance}?incarnation=N it restarts
-// the fake upstream of that name, once for each incarnation.
+// A small platform that hosts instances. Their fake upstreams or workers are
+// restarted through POST /fake/restart:
+//   POST /v1/restart/{instance}?incarnation=N   once for each incarnation
+//   POST /bamboostile/machine-upkeep, /bamboostile/machine-move
+//   GET /bamboostile/machines
+// Each order that arrives and each instance that goes down is printed. Orders
+// can fail in a given way, as those of a platform behind a network do.
+
+#include "raw_server.h"
 
 #include "bamboostile/http/client.h"
-#include "bamboostile/http/server.h"
 
 #include <boost/program_options.hpp>
+#include <nlohmann/json.hpp>
 
 #include <atomic>
 #include <csignal>
 #include <iostream>
 #include <map>
+#include <mutex>
 #include <set>
 #include <thread>
 
@@ -17,52 +25,347 @@
 
 namespace po = boost::program_options;
 using namespace bamboostile;
+using Json = nlohmann::json;
 
 std::atomic<bool> g_stop = false;
 
-class Platform
+constexpr int kIdleMs = 60'000;
+constexpr Millis kAnswerLate{ 2000 };
+constexpr Millis kObeyLate{ 1700 };
+
+/** One whole line; connections are served by threads of their own. */
+void
+Print(const std::string& aLine)
+{
+  std::cout << aLine + "\n" << std::flush;
+}
+
+/** What goes wrong with an order. */
+enum class Failure
+{
+  kNone,
+  /** Obeyed; the connection, open since an earlier request, is closed. */
+  kKeptClosed,
+  kClosed,
+  kClosedBefore,
+  kUnavailable,
+  kUnavailableBefore,
+  kAnsweredLate,
+  /** No answer; obeyed long after the caller has given up. */
+  kObeyedLate,
+};
+
+const std::map<std::string, Failure> kFailures{
+  { "none", Failure::kNone },
+  { "kept-closed", Failure::kKeptClosed },
+  { "closed", Failure::kClosed },
+  { "closed-before", Failure::kClosedBefore },
+  { "unavailable", Failure::kUnavailable },
+  { "unavailable-before", Failure::kUnavailableBefore },
+  { "answered-late", Failure::kAnsweredLate },
+  { "obeyed-late", Failure::kObeyedLate },
+};
+
+struct Options
+{
+  std::uint16_t m_port = 0;
+  std::map<std::string, std::string> m_addresses;
+  unsigned m_downMs = 2000;
+  Failure m_failure = Failure::kNone;
+  /** One order in so many fails. */
+  unsigned m_failsEvery = 1;
+};
+
+struct Reply
+{
+  int m_status = 200;
+  std::string m_body;
+};
+
+struct HostedInstance
+{
+  std::string m_address;
+  std::string m_pool = "desk";
+  std::string m_state = "up";
+  TimePoint m_downUntil;
+  std::uint64_t m_highestToken = 0;
+  std::set<std::uint64_t> m_maintainedFor;
+};
+
+/** The instances, and what orders do to them; any thread may call. */
+class Hosting
 {
 public:
-  Platform(std::uint16_t aPort, std::map<std::string, std::string> aInstances)
-    : m_instances(std::move(aInstances))
+  explicit Hosting(Options aOptions)
+    : m_options(std::move(aOptions))
+  {
+    for (const auto& [name, address] : m_options.m_addresses) {
+      m_instances[name].m_address = address;
+    }
+  }
+
+  Reply Maintain(const Json& aBody, std::uint64_t aToken)
+  {
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_instances.find(aBody.at("machine"));
+    if (found == m_instances.end()) {
+      return { 400, "" };
+    }
+    HostedInstance& instance = found->second;
+    const auto wave = aBody.at("wave").get<std::uint64_t>();
+    const bool isDone = instance.m_maintainedFor.contains(wave);
+    if (const auto refusal = Refuse(instance, aToken)) {
+      return *refusal;
+    }
+    if (isDone) {
+      return {};
+    }
+    instance.m_maintainedFor.insert(wave);
+    TakeDown(found->first, instance, "upkeep");
+    Print("down " + found->first + " wave " + std::to_string(wave) + " of " +
+          std::to_string(CountDown()));
+    return {};
+  }
+
+  Reply Move(const Json& aBody, std::uint64_t aToken)
+  {
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_instances.find(aBody.at("machine"));
+    if (found == m_instances.end()) {
+      return { 400, "" };
+    }
+    HostedInstance& instance = found->second;
+    const auto pool = aBody.at("pool").get<std::string>();
+    if (const auto refusal = Refuse(instance, aToken)) {
+      return *refusal;
+    }
+    if (instance.m_pool != pool) {
+      instance.m_pool = pool;
+      TakeDown(found->first, instance, "moving");
+    }
+    return {};
+  }
+
+  Reply List()
   {
-    http::ServerOptions options;
-    options.m_address = "127.0.0.1";
-    options.m_port = aPort;
-    m_server = std::make_unique<http::Server>(
-      options, [this](const auto& aExchange) { Handle(*aExchange); });
+    const std::lock_guard lock(m_mutex);
+    Json rows = Json::array();
+    for (const auto& [name, instance] : m_instances) {
+      rows.push_back({ { "machine", name },
+                       { "pool", instance.m_pool },
+                       { "state", StateOf(instance) } });
+    }
+    return { 200, Json{ { "machines", rows }, { "next_token", "" } }.dump() };
   }
 
-  bool Start(std::string& aReason) { return m_server->Start(aReason); }
+  Reply Restart(const std::string& aName, const std::string& aTarget)
+  {
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_instances.find(aName);
+    if (found == m_instances.end()) {
+      return { 404, "" };
+    }
+    if (m_restarts.insert(aTarget).second) {
+      SendRestart(found->second, "");
+    }
+    return {};
+  }
 
 private:
-  void Handle(http::Exchange& aExchange)
-  {
-    const std::string prefix = "/v1/restart/";
-    const std::string& target = aExchange.Incoming().m_target;
-    const std::size_t query = target.find('?');
-    http::Response response;
-    const bool known =
-      target.rfind(prefix, 0) == 0 &&
-      m_instances.contains(target.substr(prefix.size(), query - prefix.size()));
-    if (!known) {
-      response.m_status = 404;
-    } else if (m_done.insert(target).second) {
-      http::Call call;
-      call.m_address =
-        m_instances.at(target.substr(prefix.size(), query - prefix.size()));
-      call.m_method = "POST";
-      call.m_target = "/fake/restart";
-      call.m_timeout = Millis{ 2000 };
-      m_client.Start(std::move(call), [](const http::CallResult&) {});
-    }
-    aExchange.Respond(std::move(response));
-  }
-
-  std::map<std::string, std::string> m_instances;
-  std::set<std::string> m_done;
+  static std::string StateOf(const HostedInstance& aInstance)
+  {
+    return MonotonicNow() < aInstance.m_downUntil ? aInstance.m_state : "up";
+  }
+
+  static std::optional<Reply> Refuse(HostedInstance& aInstance,
+                                     std::uint64_t aToken)
+  {
+    if (aToken < aInstance.m_highestToken) {
+      return Reply{ 409, R"({"reason":"fence"})" };
+    }
+    aInstance.m_highestToken = aToken;
+    if (StateOf(aInstance) != "up") {
+      return Reply{ 409, R"({"reason":"busy"})" };
+    }
+    return std::nullopt;
+  }
+
+  int CountDown() const
+  {
+    int down = 0;
+    for (const auto& [name, instance] : m_instances) {
+      down += StateOf(instance) == "upkeep" ? 1 : 0;
+    }
+    return down;
+  }
+
+  void TakeDown(const std::string& aName,
+                HostedInstance& aInstance,
+                const char* aState)
+  {
+    aInstance.m_state = aState;
+    aInstance.m_downUntil = MonotonicNow() + Millis{ m_options.m_downMs };
+    SendRestart(aInstance,
+                "?downMs=" + std::to_string(m_options.m_downMs) +
+                  "&service=" + aInstance.m_pool);
+    Print(std::string{ aState } + " " + aName);
+  }
+
+  void SendRestart(const HostedInstance& aInstance, const std::string& aQuery)
+  {
+    http::Call call;
+    call.m_address = aInstance.m_address;
+    call.m_method = "POST";
+    call.m_target = "/fake/restart" + aQuery;
+    call.m_timeout = Millis{ 2000 };
+    m_client.Start(std::move(call), [](const http::CallResult&) {});
+  }
+
+  Options m_options;
+  std::mutex m_mutex;
+  std::map<std::string, HostedInstance> m_instances;
+  std::set<std::string> m_restarts;
   http::Client m_client;
-  std::unique_ptr<http::Server> m_server;
+};
+
+/** Reads requests from connections, and lets orders fail as told. */
+class Frontend
+{
+public:
+  explicit Frontend(const Options& aOptions)
+    : m_options(aOptions)
+    , m_hosting(aOptions)
+    , m_server([this](int aSocket, int) { Serve(aSocket); }, aOptions.m_port)
+  {
+  }
+
+private:
+  struct Request
+  {
+    std::string m_target;
+    std::uint64_t m_token = 0;
+    std::string m_body;
+  };
+
+  static std::string HeaderOf(const std::string& aHead,
+                              const std::string& aName)
+  {
+    const std::size_t at = aHead.find("\r\n" + aName + ": ");
+    if (at == std::string::npos) {
+      return {};
+    }
+    const std::size_t from = at + aName.size() + 4;
+    return aHead.substr(from, aHead.find("\r\n", from) - from);
+  }
+
+  static std::optional<Request> Read(int aSocket)
+  {
+    const std::string head = test::ReadHead(aSocket, kIdleMs);
+    if (head.empty()) {
+      return std::nullopt;
+    }
+    Request request;
+    const std::size_t from = head.find(' ') + 1;
+    request.m_target = head.substr(from, head.find(' ', from) - from);
+    const std::string token = HeaderOf(head, "Fencing-Token");
+    request.m_token = token.empty() ? 0 : std::stoull(token);
+    const std::string length = HeaderOf(head, "Content-Length");
+    request.m_body =
+      test::ReadBody(aSocket, length.empty() ? 0 : std::stoul(length));
+    return request;
+  }
+
+  static void Answer(int aSocket, const Reply& aReply)
+  {
+    test::Write(
+      aSocket,
+      "HTTP/1.1 " + std::to_string(aReply.m_status) +
+        " answered\r\nContent-Length: " + std::to_string(aReply.m_body.size()) +
+        "\r\n\r\n" + aReply.m_body);
+  }
+
+  void Serve(int aSocket)
+  {
+    bool isKept = false;
+    while (auto request = Read(aSocket)) {
+      const bool isOrder =
+        request->m_target.rfind("/bamboostile/machine-", 0) == 0;
+      if (!isOrder) {
+        Answer(aSocket, Handle(*request));
+      } else if (!Order(aSocket, *request, isKept)) {
+        return;
+      }
+      isKept = true;
+    }
+  }
+
+  /** Whether the connection stays open. */
+  bool Order(int aSocket, const Request& aRequest, bool aIsKept)
+  {
+    Print("order " + aRequest.m_target + " " + aRequest.m_body);
+    const bool fails = ++m_orders % m_options.m_failsEvery == 0;
+    switch (fails ? m_options.m_failure : Failure::kNone) {
+      case Failure::kNone:
+        break;
+      case Failure::kKeptClosed:
+        if (aIsKept) {
+          Handle(aRequest);
+          return false;
+        }
+        break;
+      case Failure::kClosed:
+        Handle(aRequest);
+        return false;
+      case Failure::kClosedBefore:
+        return false;
+      case Failure::kUnavailable:
+        Handle(aRequest);
+        Answer(aSocket, { 503, "" });
+        return true;
+      case Failure::kUnavailableBefore:
+        Answer(aSocket, { 503, "" });
+        return true;
+      case Failure::kAnsweredLate: {
+        const Reply reply = Handle(aRequest);
+        std::this_thread::sleep_for(kAnswerLate);
+        Answer(aSocket, reply);
+        return true;
+      }
+      case Failure::kObeyedLate:
+        std::this_thread::sleep_for(kObeyLate);
+        Handle(aRequest);
+        return false;
+    }
+    Answer(aSocket, Handle(aRequest));
+    return true;
+  }
+
+  Reply Handle(const Request& aRequest)
+  {
+    const std::string restart = "/v1/restart/";
+    const std::string& target = aRequest.m_target;
+    if (target.rfind(restart, 0) == 0) {
+      const std::size_t end = target.find('?');
+      return m_hosting.Restart(
+        target.substr(restart.size(), end - restart.size()), target);
+    }
+    if (target.rfind("/bamboostile/machines", 0) == 0) {
+      return m_hosting.List();
+    }
+    const Json body = Json::parse(aRequest.m_body, nullptr, false);
+    if (target == "/bamboostile/machine-upkeep") {
+      return m_hosting.Maintain(body, aRequest.m_token);
+    }
+    if (target == "/bamboostile/machine-move") {
+      return m_hosting.Move(body, aRequest.m_token);
+    }
+    return { 404, "" };
+  }
+
+  Options m_options;
+  Hosting m_hosting;
+  std::atomic<unsigned> m_orders = 0;
+  test::RawServer m_server;
 };
 
 } // namespace
@@ -70,36 +373,35 @@
 int
 main(int aCount, char** aArguments)
 {
-  std::uint16_t port = 0;
+  Options options;
   std::vector<std::string> instances;
+  std::string failure = "none";
   po::options_description known("fake_platform");
-  known.add_options()("port", po::value(&port)->required())(
+  known.add_options()("port", po::value(&options.m_port)->required())(
     "instance",
     po::value(&instances)->multitoken()->required(),
-    "NAME=IP:PORT");
+    "NAME=IP:PORT")("down-ms", po::value(&options.m_downMs))(
+    "fails", po::value(&failure))("fails-every",
+                                  po::value(&options.m_failsEvery));
   try {
     po::variables_map values;
     po::store(po::parse_command_line(aCount, aArguments, known), values);
     po::notify(values);
-  } catch (const po::error& error) {
-    std::cerr << error.what() << "\n";
+    options.m_failure = kFailures.at(failure);
+  } catch (const std::exception& error) {
+    std::cerr << "fake_platform: " << error.what() << "\n";
     return 2;
   }
-  std::map<std::string, std::string> addresses;
   for (const std::string& one : instances) {
     const std::size_t equals = one.find('=');
-    addresses[one.substr(0, equals)] = one.substr(equals + 1);
+    options.m_addresses[one.substr(0, equals)] = one.substr(equals + 1);
   }
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGTERM, [](int) { g_stop = true; });
-  Platform platform(port, addresses);
-  std::string reason;
-  if (!platform.Start(reason)) {
-    std::cerr << reason << "\n";
-    return 1;
-  }
+  const Frontend frontend(options);
   while (!g_stop) {
     std::this_thread::sleep_for(std::chrono::milliseconds{ 20 });
   }
-  return 0;
+  // Idle connections would hold the end up.
+  std::_Exit(0);
 }
--- a/fakes/worker.cpp
+++ b/fakes/worker.cpp
@@ -1,8 +1,10 @@
 // A small worker: reports to whichever control replica leads, runs tasks by
 // waiting for their time, and prints each start and each end as done that was
-// noted. SIGUSR1 crashes it; it starts again, under its id.
+// noted. SIGUSR1 crashes it; it starts again, under its id. So does POST
+// /fake/restart?downMs=N&service=NAME, as the platform does with an instance.
 
 #include "bamboostile/http/client.h"
+#include "bamboostile/http/server.h"
 
 #include <boost/program_options.hpp>
 #include <nlohmann/json.hpp>
@@ -11,6 +13,7 @@
 #include <future>
 #include <iostream>
 #include <map>
+#include <mutex>
 #include <thread>
 
 namespace {
@@ -34,8 +37,28 @@
   unsigned m_restartMs = 2000;
   /** Another id for each life, and no word of when it started. */
   bool m_hasNewIds = false;
+  /** For restarts by the platform; 0 for none. */
+  std::uint16_t m_port = 0;
 };
 
+/** A restart that the platform asks for. */
+struct Restart
+{
+  Millis m_down{};
+  std::string m_service;
+};
+
+std::string
+QueryValue(const std::string& aTarget, const std::string& aName)
+{
+  const std::size_t at = aTarget.find(aName + "=");
+  if (at == std::string::npos) {
+    return {};
+  }
+  const std::size_t from = at + aName.size() + 1;
+  return aTarget.substr(from, aTarget.find('&', from) - from);
+}
+
 /** A run under way. */
 struct Running
 {
@@ -51,6 +74,20 @@
   {
   }
 
+  bool Listen()
+  {
+    if (m_options.m_port == 0) {
+      return true;
+    }
+    http::ServerOptions options;
+    options.m_address = "127.0.0.1";
+    options.m_port = m_options.m_port;
+    m_server = std::make_unique<http::Server>(
+      options, [this](const auto& aExchange) { OnRestart(*aExchange); });
+    std::string reason;
+    return m_server->Start(reason);
+  }
+
   void Run()
   {
     Start();
@@ -63,8 +100,11 @@
       if (!answer.is_null()) {
         Obey(answer);
       }
-      if (m_isCrashed) {
-        Restart();
+      if (const auto restart = TakeRestart()) {
+        m_options.m_service = restart->m_service;
+        GoDown(restart->m_down);
+      } else if (m_isCrashed) {
+        GoDown(Millis{ m_options.m_restartMs });
       }
       std::this_thread::sleep_for(Millis{ 20 });
     }
@@ -103,8 +143,25 @@
     });
   }
 
+  void OnRestart(http::Exchange& aExchange)
+  {
+    const std::string& target = aExchange.Incoming().m_target;
+    {
+      const std::lock_guard lock(m_mutex);
+      m_restart = Restart{ Millis{ std::stol(QueryValue(target, "downMs")) },
+                           QueryValue(target, "service") };
+    }
+    aExchange.Respond(http::Response{});
+  }
+
+  std::optional<Restart> TakeRestart()
+  {
+    const std::lock_guard lock(m_mutex);
+    return std::exchange(m_restart, std::nullopt);
+  }
+
   /** Comes back as another life of the same instance, with nothing running. */
-  void Restart()
+  void GoDown(Millis aTime)
   {
     m_isCrashed = false;
     ++m_life;
@@ -113,7 +170,7 @@
     m_fencingToken = 0;
     m_running.clear();
     m_ended.clear();
-    std::this_thread::sleep_for(Millis{ m_options.m_restartMs });
+    std::this_thread::sleep_for(aTime);
     Start();
   }
 
@@ -221,6 +278,9 @@
 
   Options m_options;
   http::Client m_client;
+  std::unique_ptr<http::Server> m_server;
+  std::mutex m_mutex;
+  std::optional<Restart> m_restart;
   std::size_t m_next = 0;
   unsigned m_life = 0;
   std::int64_t m_startedAtMs = 0;
@@ -248,7 +308,8 @@
     po::value(&options.m_cpuMillis))("task-ms", po::value(&options.m_taskMs))(
     "crash-payload", po::value(&options.m_crashPayload))(
     "restart-ms", po::value(&options.m_restartMs))(
-    "new-ids", po::bool_switch(&options.m_hasNewIds));
+    "new-ids",
+    po::bool_switch(&options.m_hasNewIds))("port", po::value(&options.m_port));
   try {
     po::variables_map values;
     po::store(po::parse_command_line(aCount, aArguments, known), values);
@@ -261,6 +322,11 @@
   // Crashes, and starts again.
   std::signal(SIGUSR1, [](int) { g_crash = true; });
   std::signal(SIGPIPE, SIG_IGN);
-  Worker(std::move(options)).Run();
+  Worker worker(std::move(options));
+  if (!worker.Listen()) {
+    std::cerr << "fake_worker: cannot listen\n";
+    return 1;
+  }
+  worker.Run();
   return 0;
 }
--- a/tests/support/processes.cpp
+++ b/tests/support/processes.cpp
@@ -1,6 +1,7 @@
 #include "processes.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <future>
 #include <set>
@@ -27,6 +28,14 @@
   return "127.0.0.1:" + std::to_string(aPort);
 }
 
+/** Another build's daemon may be tested against the same fakes. */
+std::string
+DaemonPath()
+{
+  const char* other = std::getenv("BAMBOOSTILE_DAEMON");
+  return other == nullptr ? BAMBOOSTILE_DAEMON : other;
+}
+
 std::string
 ReadAll(const fs::path& aFile)
 {
@@ -53,8 +62,10 @@
   while (!m_running.empty()) {
     Kill(m_running.begin()->first);
   }
-  std::error_code ignored;
-  fs::remove_all(m_folder, ignored);
+  if (std::getenv("BAMBOOSTILE_KEEP_LOGS") == nullptr) {
+    std::error_code ignored;
+    fs::remove_all(m_folder, ignored);
+  }
 }
 
 std::string
@@ -75,6 +86,18 @@
   return Loopback(m_base + 30 + aNumber);
 }
 
+std::string
+Processes::PlatformHttp() const
+{
+  return Loopback(m_base + 60);
+}
+
+std::string
+Processes::ControlFrontHttp() const
+{
+  return Loopback(m_base + 61);
+}
+
 pid_t
 Processes::Spawn(const std::string& aName,
                  const std::vector<std::string>& aWords)
@@ -126,6 +149,51 @@
                      { "dataFolder", nullptr } });
 }
 
+void
+Processes::StartHostedControl()
+{
+  StartControlWith(1,
+                   { { "control", { Rpc(1) } },
+                     { "hosting",
+                       { { "formGroup", true },
+                         { "workers", ControlFrontHttp() },
+                         { "instances", PlatformHttp() },
+                         { "maintenanceSeconds", 2 } } } });
+}
+
+void
+Processes::StartPlatform(int aWorkers, std::vector<std::string> aMore)
+{
+  std::vector<std::string> words{ BAMBOOSTILE_FAKES "/fake_platform",
+                                  "--port",
+                                  std::to_string(m_base + 60) };
+  words.insert(words.end(), aMore.begin(), aMore.end());
+  words.push_back("--instance");
+  for (int i = 1; i <= aWorkers; ++i) {
+    words.push_back("k" + std::to_string(i) + "=" + Loopback(m_base + 70 + i));
+  }
+  Spawn("platform", words);
+}
+
+void
+Processes::StartHostedWorker(int aNumber)
+{
+  StartWorker(aNumber, { "--port", std::to_string(m_base + 70 + aNumber) });
+}
+
+std::vector<std::string>
+Processes::PlatformLines(const std::string& aWord) const
+{
+  std::vector<std::string> lines;
+  std::ifstream in(m_folder / "platform.log");
+  for (std::string line; std::getline(in, line);) {
+    if (line.rfind(aWord + " ", 0) == 0) {
+      lines.push_back(line);
+    }
+  }
+  return lines;
+}
+
 void
 Processes::StartWorker(int aNumber, std::vector<std::string> aMore)
 {
@@ -196,7 +264,7 @@
   }
   const fs::path file = m_folder / (name + ".json");
   std::ofstream(file) << settings.dump();
-  Spawn(name, { BAMBOOSTILE_DAEMON, "--settings", file.string() });
+  Spawn(name, { DaemonPath(), "--settings", file.string() });
 }
 
 void
@@ -217,7 +285,7 @@
   };
   const fs::path file = m_folder / (name + ".json");
   std::ofstream(file) << settings.dump();
-  Spawn(name, { BAMBOOSTILE_DAEMON, "--settings", file.string() });
+  Spawn(name, { DaemonPath(), "--settings", file.string() });
 }
 
 void
--- a/tests/support/processes.h
+++ b/tests/support/processes.h
@@ -41,6 +41,16 @@
   void StartSeededControl(int aNumber, bool aFormGroup);
   /** It is a seed too, but keeps no log and has no vote. */
   void StartControlWithoutDisk(int aNumber);
+  /** A group of its own whose instances the fake platform hosts. */
+  void StartHostedControl();
+  /** Hosts workers 1 to aWorkers, which it restarts as orders say. */
+  void StartPlatform(int aWorkers, std::vector<std::string> aMore = {});
+  /** A fake worker that the fake platform can restart. */
+  void StartHostedWorker(int aNumber);
+  /** Of what the fake platform printed: lines that begin with aWord. */
+  std::vector<std::string> PlatformLines(const std::string& aWord) const;
+  /** Where the platform's operators call the control group. */
+  std::string ControlFrontHttp() const;
   /** A fake worker; what it started is in its log. */
   void StartWorker(int aNumber, std::vector<std::string> aMore = {});
   /** Starts of tasks whose end as done that worker had been told is noted. */
@@ -83,6 +93,7 @@
   std::string EntryHttp(int aNumber) const;
   std::string ControlHttp(int aNumber) const;
   std::string UpstreamHttp(int aNumber) const;
+  std::string PlatformHttp() const;
   std::filesystem::path Folder() const { return m_folder; }
   std::uint64_t RunsAt(int aUpstream, const std::string& aId);
   std::uint64_t TotalAt(int aUpstream);
--- a/tests/support/raw_server.cpp
+++ b/tests/support/raw_server.cpp
@@ -30,11 +30,13 @@
 
 } // namespace
 
-RawServer::RawServer(OnConnection aOnConnection)
+RawServer::RawServer(OnConnection aOnConnection, std::uint16_t aPort)
   : m_onConnection(std::move(aOnConnection))
   , m_listener(socket(AF_INET, SOCK_STREAM, 0))
 {
-  sockaddr_in address = Loopback(0);
+  const int reuse = 1;
+  setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+  sockaddr_in address = Loopback(aPort);
   bind(m_listener, reinterpret_cast<sockaddr*>(&address), sizeof(address));
   listen(m_listener, 16);
   socklen_t length = sizeof(address);
@@ -72,13 +74,12 @@
 }
 
 std::string
-ReadHead(int aSocket)
+ReadHead(int aSocket, int aPatienceMs)
 {
   std::string head;
   char byte = 0;
-  constexpr int kPatienceMs = 3000;
   while (!head.ends_with("\r\n\r\n")) {
-    if (!IsReadable(aSocket, kPatienceMs) || read(aSocket, &byte, 1) <= 0) {
+    if (!IsReadable(aSocket, aPatienceMs) || read(aSocket, &byte, 1) <= 0) {
       return "";
     }
     head += byte;
@@ -86,6 +87,22 @@
   return head;
 }
 
+std::string
+ReadBody(int aSocket, std::size_t aBytes)
+{
+  std::string body(aBytes, '\0');
+  std::size_t have = 0;
+  while (have < aBytes) {
+    const ssize_t count = read(aSocket, body.data() + have, aBytes - have);
+    if (count <= 0) {
+      break;
+    }
+    have += static_cast<std::size_t>(count);
+  }
+  body.resize(have);
+  return body;
+}
+
 void
 Write(int aSocket, const std::string& aText)
 {
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <thread>
@@ -8,14 +9,15 @@
 
 namespace bamboostile::test {
 
-/** A TCP server on a port that the system picks; each connection is handed to
- * a function with its number, counted from 1. */
+/** A TCP server; each connection is handed to a function with its number,
+ * counted from 1. */
 class RawServer
 {
 public:
   using OnConnection = std::function<void(int aSocket, int aNumber)>;
 
-  explicit RawServer(OnConnection aOnConnection);
+  /** Port 0: one that the system picks. */
+  explicit RawServer(OnConnection aOnConnection, std::uint16_t aPort = 0);
   ~RawServer();
   RawServer(const RawServer&) = delete;
   RawServer& operator=(const RawServer&) = delete;
@@ -33,8 +35,11 @@
   std::thread m_acceptor;
 };
 
-/** Reads one request head; empty at the end of the connection. */
-std::string ReadHead(int aSocket);
+/** Reads one request head; empty at the end of the connection, or where
+ * nothing comes for aPatienceMs. */
+std::string ReadHead(int aSocket, int aPatienceMs = 3000);
+/** Shorter where the connection ends before. */
+std::string ReadBody(int aSocket, std::size_t aBytes);
 void Write(int aSocket, const std::string& aText);
 
 /** Connects and writes the text; the socket, to be closed by the caller;
