Log why a step of maintenance changes

`maintenance advances` names its cause: a report since, twice the usual time passed, the order taken, the only order refused, not meant. Without it a log does not tell an instance that is back from one that has been waited for, nor a refusal from an order whose repetition was refused.

--- a/include/bamboostile/control/instance_service.h
+++ b/include/bamboostile/control/instance_service.h
@@ -111,7 +111,7 @@
                  WallTime aWall);
   void LogNeeds(const std::vector<placement::PoolNeed>& aNeeds, TimePoint aNow);
   void ReadList(TimePoint aNow);
-  void Advance(const fleet::AdvanceMaintenance& aAdvance);
+  void Advance(const placement::MaintenanceAdvance& aAdvance);
   void Record(std::vector<placement::MoveOrder> aOrders, TimePoint aDecidedAt);
   void Send(const placement::MoveOrder& aOrder,
             bool aIsRecorded,
--- a/include/bamboostile/placement/maintenance.h
+++ b/include/bamboostile/placement/maintenance.h
@@ -30,6 +30,28 @@
 
 const char* Describe(InstanceAnswer aAnswer) noexcept;
 
+/** Why the step of an instance changes. */
+enum class AdvanceCause
+{
+  kTurn,
+  kTaken,
+  /** Busy, to the only order that can have reached the platform. */
+  kRefused,
+  kNotMeant,
+  /** It has reported since it went down. */
+  kReported,
+  /** Twice the usual time has passed. */
+  kWaitedOut,
+};
+
+const char* Describe(AdvanceCause aCause) noexcept;
+
+struct MaintenanceAdvance
+{
+  fleet::AdvanceMaintenance m_change;
+  AdvanceCause m_cause = AdvanceCause::kTurn;
+};
+
 /** Moves, and as many orders of maintenance, that wait for their answer. Each
  * costs the leader time, and what waits takes effect on what has changed since;
  * where the platform is well this never binds. */
@@ -39,7 +61,7 @@
 {
   /** Get no new work: their turn is near. */
   std::set<WorkerLife> m_cordoned;
-  std::vector<fleet::AdvanceMaintenance> m_advances;
+  std::vector<MaintenanceAdvance> m_advances;
   /** To be sent, each until it is answered. */
   std::vector<MaintenanceOrder> m_orders;
 };
@@ -47,7 +69,7 @@
 /** What follows from an answer. */
 struct MaintenanceResult
 {
-  std::optional<fleet::AdvanceMaintenance> m_advance;
+  std::optional<MaintenanceAdvance> m_advance;
   /** The life that has ended with the order, where that is certain. */
   std::optional<WorkerLife> m_ended;
 };
@@ -110,9 +132,10 @@
                const fleet::State& aState,
                const WorkerTable& aWorkers,
                TimePoint aNow) const;
-  bool IsBack(const InstanceId& aInstance,
-              const WorkerTable& aWorkers,
-              TimePoint aNow);
+  /** Nothing where it may still be down. */
+  std::optional<AdvanceCause> IsBack(const InstanceId& aInstance,
+                                     const WorkerTable& aWorkers,
+                                     TimePoint aNow);
 
   MaintenanceOptions m_options;
   std::map<InstanceId, TimePoint> m_cordonedSince;
--- a/src/control/instance_service.cpp
+++ b/src/control/instance_service.cpp
@@ -96,7 +96,7 @@
   m_cordoned.insert(plan.m_cordoned.begin(), plan.m_cordoned.end());
   // What has been proposed but not applied would be proposed again.
   if (m_advancing == 0) {
-    for (const fleet::AdvanceMaintenance& advance : plan.m_advances) {
+    for (const placement::MaintenanceAdvance& advance : plan.m_advances) {
       Advance(advance);
     }
   }
@@ -121,21 +121,23 @@
 }
 
 void
-InstanceService::Advance(const fleet::AdvanceMaintenance& aAdvance)
+InstanceService::Advance(const placement::MaintenanceAdvance& aAdvance)
 {
+  const fleet::AdvanceMaintenance& change = aAdvance.m_change;
   LogLine(Level::kInfo, "maintenance advances")
-    .With("wave", aAdvance.m_wave)
-    .With("ofInstance", aAdvance.m_instance.Get())
-    .With("to", fleet::Describe(aAdvance.m_to))
+    .With("wave", change.m_wave)
+    .With("ofInstance", change.m_instance.Get())
+    .With("to", fleet::Describe(change.m_to))
+    .With("because", placement::Describe(aAdvance.m_cause))
     .Write();
   ++m_advancing;
   // Applying this puts the order on record; it stays there until answered.
-  if (aAdvance.m_to == fleet::MaintenanceStep::kOrdered) {
-    m_record.OnOrdered(aAdvance.m_instance);
+  if (change.m_to == fleet::MaintenanceStep::kOrdered) {
+    m_record.OnOrdered(change.m_instance);
   }
-  m_tasks.add(m_node.Propose(aAdvance).then([this, aAdvance](const Decided&) {
+  m_tasks.add(m_node.Propose(change).then([this, change](const Decided&) {
     --m_advancing;
-    m_ordersUnderWay.erase({ aAdvance.m_wave, aAdvance.m_instance });
+    m_ordersUnderWay.erase({ change.m_wave, change.m_instance });
   }));
 }
 
--- a/src/placement/maintenance.cpp
+++ b/src/placement/maintenance.cpp
@@ -57,6 +57,26 @@
   return "unknown";
 }
 
+const char*
+Describe(AdvanceCause aCause) noexcept
+{
+  switch (aCause) {
+    case AdvanceCause::kTurn:
+      return "its turn has come";
+    case AdvanceCause::kTaken:
+      return "the order was taken";
+    case AdvanceCause::kRefused:
+      return "the only order was refused";
+    case AdvanceCause::kNotMeant:
+      return "the platform does not know it, or not for this wave";
+    case AdvanceCause::kReported:
+      return "it has reported since it went down";
+    case AdvanceCause::kWaitedOut:
+      return "twice the usual time has passed";
+  }
+  return "unknown";
+}
+
 // An order is sent when nothing is lost by it: no long-running task is there
 // any more, and what ends by itself has ended or has had its time.
 bool
@@ -84,7 +104,7 @@
 
 // A worker that still reports shows that its instance is up. One of a pool that
 // is switched off never will; it counts as back after twice the usual time.
-bool
+std::optional<AdvanceCause>
 MaintenancePlanner::IsBack(const InstanceId& aInstance,
                            const WorkerTable& aWorkers,
                            TimePoint aNow)
@@ -94,7 +114,12 @@
   const Worker* worker = aWorkers.FindByInstance(aInstance);
   const bool reports = worker != nullptr && !worker->m_silent &&
                        worker->m_heardAt > since + m_options.m_lateReports;
-  return reports || aNow >= since + 2 * m_options.m_takes;
+  if (reports) {
+    return AdvanceCause::kReported;
+  }
+  return aNow >= since + 2 * m_options.m_takes
+           ? std::optional{ AdvanceCause::kWaitedOut }
+           : std::nullopt;
 }
 
 // An order that an earlier leader left open is repeated, but not onto what was
@@ -143,10 +168,12 @@
     if (step == fleet::MaintenanceStep::kOrdered) {
       PlanOpenOrder(
         { aWave.m_number, instance }, aState, aWorkers, aNow, aPlan);
-    } else if (step == fleet::MaintenanceStep::kDown &&
-               IsBack(instance, aWorkers, aNow)) {
-      aPlan.m_advances.push_back(
-        { aWave.m_number, instance, fleet::MaintenanceStep::kDone });
+    } else if (step == fleet::MaintenanceStep::kDown) {
+      if (const auto cause = IsBack(instance, aWorkers, aNow)) {
+        aPlan.m_advances.push_back(
+          { { aWave.m_number, instance, fleet::MaintenanceStep::kDone },
+            *cause });
+      }
     } else if (step == fleet::MaintenanceStep::kWaiting &&
                !Rests(instance, aNow)) {
       waiting.push_back(instance);
@@ -190,7 +217,8 @@
     m_aimedAt[aInstance] = worker->m_last.m_worker;
   }
   aPlan.m_advances.push_back(
-    { aWave.m_number, aInstance, fleet::MaintenanceStep::kOrdered });
+    { { aWave.m_number, aInstance, fleet::MaintenanceStep::kOrdered },
+      AdvanceCause::kTurn });
 }
 
 bool
@@ -220,9 +248,9 @@
                              TimePoint aNow)
 {
   const InstanceId& instance = aOrder.m_instance;
-  const auto advance = [&](fleet::MaintenanceStep aTo) {
+  const auto advance = [&](fleet::MaintenanceStep aTo, AdvanceCause aCause) {
     m_cordonedSince.erase(instance);
-    return fleet::AdvanceMaintenance{ aOrder.m_wave, instance, aTo };
+    return MaintenanceAdvance{ { aOrder.m_wave, instance, aTo }, aCause };
   };
   MaintenanceResult result;
   switch (aAnswer) {
@@ -233,7 +261,8 @@
       }
       // Of an earlier wave.
       m_downSince.erase(instance);
-      result.m_advance = advance(fleet::MaintenanceStep::kDown);
+      result.m_advance =
+        advance(fleet::MaintenanceStep::kDown, AdvanceCause::kTaken);
       break;
     }
     case InstanceAnswer::kBusy:
@@ -243,10 +272,12 @@
       if (m_unclear.contains(instance)) {
         break;
       }
-      result.m_advance = advance(fleet::MaintenanceStep::kWaiting);
+      result.m_advance =
+        advance(fleet::MaintenanceStep::kWaiting, AdvanceCause::kRefused);
       break;
     case InstanceAnswer::kNotMeant:
-      result.m_advance = advance(fleet::MaintenanceStep::kSkipped);
+      result.m_advance =
+        advance(fleet::MaintenanceStep::kSkipped, AdvanceCause::kNotMeant);
       break;
     case InstanceAnswer::kUnclear:
       m_aimedAt.erase(instance);
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -301,7 +301,7 @@
   {
     MaintenancePlan plan = m_planner.Next(m_fleet.State(), m_table, At(aAt));
     for (const auto& advance : plan.m_advances) {
-      m_fleet.Do(advance);
+      m_fleet.Do(advance.m_change);
     }
     return plan;
   }
@@ -443,8 +443,8 @@
   StartWave(1, 1);
   Next(10'000);
   const auto order = Next(10'100).m_orders.at(0);
-  m_fleet.Do(
-    *m_planner.OnAnswer(order, InstanceAnswer::kTaken, At(10'200)).m_advance);
+  m_fleet.Do(m_planner.OnAnswer(order, InstanceAnswer::kTaken, At(10'200))
+               .m_advance->m_change);
   m_table.Retire(Life("w0"), m_fleet.Book(), WallTime{ 0 });
   Next(10'300);
   CHECK(!Wave().IsDone());
@@ -462,8 +462,8 @@
   StartWave(1, 1);
   Next(10'000);
   const auto order = Next(10'100).m_orders.at(0);
-  m_fleet.Do(
-    *m_planner.OnAnswer(order, InstanceAnswer::kTaken, At(10'200)).m_advance);
+  m_fleet.Do(m_planner.OnAnswer(order, InstanceAnswer::kTaken, At(10'200))
+               .m_advance->m_change);
   Next(10'300);
   Hear("w0", 2, 12'500);
   Next(12'600);
@@ -474,8 +474,8 @@
   m_fleet.Do(fleet::StartMaintenance{ second });
   Next(20'000);
   const auto again = Next(20'100).m_orders.at(0);
-  m_fleet.Do(
-    *m_planner.OnAnswer(again, InstanceAnswer::kTaken, At(20'200)).m_advance);
+  m_fleet.Do(m_planner.OnAnswer(again, InstanceAnswer::kTaken, At(20'200))
+               .m_advance->m_change);
   m_table.Retire(Life("w0"), m_fleet.Book(), WallTime{ 0 });
   Next(20'300);
   CHECK(!m_fleet.State().Maintenance().at(2).IsDone());
@@ -489,8 +489,8 @@
   StartWave(1, 1);
   Next(10'000);
   const auto order = Next(10'100).m_orders.at(0);
-  m_fleet.Do(
-    *m_planner.OnAnswer(order, InstanceAnswer::kTaken, At(10'200)).m_advance);
+  m_fleet.Do(m_planner.OnAnswer(order, InstanceAnswer::kTaken, At(10'200))
+               .m_advance->m_change);
   m_table.Retire(Life("w0"), m_fleet.Book(), WallTime{ 0 });
   Next(10'300);
   Next(14'400);
