Send orders for instances once, and let repetition be asked for

Callers of the platform saw more instances down than a wave's cap allows. On a kept connection that dies before the first byte of an answer the HTTP library sends the request once more by itself; the platform had obeyed the first sending and answered "busy" to the second, 3 ms after the order, which was taken for a refusal of the only one. The instance counted as up, and the next two were ordered beside it.

Orders now get a connection of their own and no repetition; what is not answered is unclear. Ruled out: answers that are late or lost, each of which came out as unclear before as well (InstancesClient, 4 tests; the first failed with 2 orders for 1).

--- a/include/bamboostile/http/client.h
+++ b/include/bamboostile/http/client.h
@@ -18,8 +18,9 @@
   Headers m_headers;
   std::shared_ptr<const std::string> m_body;
   Duration m_timeout{};
-  /** A second run would do harm: a new connection, and no repetition. */
-  bool m_onlyOnce = false;
+  /** A second run would do harm: a new connection, and no repetition. Unset
+   * only where the receiver takes a request for the same one again. */
+  bool m_onlyOnce = true;
   std::uint64_t m_maxAnswerBytes = 64ULL * 1024 * 1024;
   /** Asked on the client's thread right before the first byte would go out,
    * after connecting, and again before a repetition; false ends the call, as
--- /dev/null
+++ b/tests/platform/instances_client_test.cpp
@@ -0,0 +1,103 @@
+#include "instances_client.h"
+#include "raw_server.h"
+
+#include "check.h"
+
+#include <future>
+
+using namespace bamboostile;
+using placement::InstanceAnswer;
+using test::RawServer;
+using test::ReadHead;
+
+/** A platform that answers the list and lets each order fail in one way. */
+TEST_GROUP(InstancesClient)
+{
+  /** Returns whether the connection stays open. */
+  using OnOrder = std::function<bool(int aSocket)>;
+
+  /** The list is read first, so that its connection is kept open. */
+  InstanceAnswer Order(const OnOrder& aOnOrder, bool aIsMove)
+  {
+    RawServer server([&](int aSocket, int) {
+      for (std::string head = ReadHead(aSocket); !head.empty();
+           head = ReadHead(aSocket)) {
+        if (head.rfind("GET", 0) == 0) {
+          Answer(aSocket, 200, R"({"machines":[],"next_token":""})");
+          continue;
+        }
+        ++m_orders;
+        if (!aOnOrder(aSocket)) {
+          return;
+        }
+      }
+    });
+    platform::InstancesClient client(
+      *settings::ParseAddress(server.Address()), InstanceId{ "c1" });
+    const control::InstanceCalls calls = client.Calls();
+    std::promise<void> listed;
+    calls.m_list([&](const auto&) { listed.set_value(); });
+    listed.get_future().wait();
+    std::promise<InstanceAnswer> answered;
+    const auto done = [&](const control::InstanceCalls::Answer& aAnswer) {
+      answered.set_value(aAnswer.m_answer);
+    };
+    const InstanceId instance{ "i1" };
+    if (aIsMove) {
+      calls.m_move({ instance, ServiceId{ "desk" }, 1 }, Term{ 1 }, done);
+    } else {
+      calls.m_maintenance({ 1, instance }, Term{ 1 }, done);
+    }
+    return answered.get_future().get();
+  }
+
+  static void Answer(int aSocket, int aStatus, const std::string& aBody)
+  {
+    test::Write(aSocket,
+                "HTTP/1.1 " + std::to_string(aStatus) +
+                  " x\r\nContent-Length: " + std::to_string(aBody.size()) +
+                  "\r\n\r\n" + aBody);
+  }
+
+  /** Of an order that was obeyed, and of which this is all that is heard. */
+  void CheckUnclear(const OnOrder& aOnOrder)
+  {
+    for (const bool isMove : { false, true }) {
+      m_orders = 0;
+      CHECK(Order(aOnOrder, isMove) == InstanceAnswer::kUnclear);
+      LONGS_EQUAL(1, m_orders);
+    }
+  }
+
+  std::atomic<int> m_orders = 0;
+};
+
+// Guards against a second sending by the HTTP library, whose answer, busy,
+// would pass for a refusal of the only one.
+TEST(InstancesClient, KeptConnectionDiesAfterOrder_IsUnclearAndSentOnce)
+{
+  CheckUnclear([](int) { return false; });
+}
+
+TEST(InstancesClient, AnswerCutShort_IsUnclearAndSentOnce)
+{
+  CheckUnclear([](int aSocket) {
+    test::Write(aSocket, "HTTP/1.1 409 x\r\nContent-Length: 17\r\n\r\n{\"re");
+    return false;
+  });
+}
+
+TEST(InstancesClient, NoAnswerInTime_IsUnclearAndSentOnce)
+{
+  CheckUnclear([](int) { return true; });
+}
+
+TEST(InstancesClient, ErrorsThatMayFollowObeying_AreUnclearAndSentOnce)
+{
+  for (const int status : { 408, 429, 500, 502, 503, 504 }) {
+    CheckUnclear([&](int aSocket) {
+      Answer(aSocket, status, "");
+      return true;
+    });
+  }
+}
--- a/tools/bamboostiled/main.cpp
+++ b/tools/bamboostiled/main.cpp
@@ -74,6 +74,7 @@
         call.m_headers = { { "Content-Type", "application/json" } };
         call.m_body = std::make_shared<const std::string>(std::move(aDocument));
         call.m_timeout = std::chrono::seconds{ 5 };
+        call.m_onlyOnce = false;
         client->Start(std::move(call), [](const http::CallResult&) {});
       });
   }
--- a/tools/bamboostiled/platform.cpp
+++ b/tools/bamboostiled/platform.cpp
@@ -32,6 +32,8 @@
   call.m_target = "/v1/restart/" + id.Get() + "?incarnation=" +
                   std::to_string(aInstance.m_announced.m_incarnation.Get());
   call.m_timeout = kTimeout;
+  // The incarnation tells a repetition from a second restart.
+  call.m_onlyOnce = false;
   m_client.Start(std::move(call), [id](const http::CallResult& aResult) {
     telemetry::LogLine(telemetry::Level::kInfo, "restart asked of the platform")
       .With("target", id.Get())
