An instance is back when the platform or a later report shows it

Operators saw more instances down than a wave's cap allows, where the platform keeps one down for longer than usual: twice the usual time after an order it counted as back, reported or not. A report 600 ms after the order counted as well, whichever life had sent it, though reports are held to be up to 3 s late; and waves with instances in common each counted only their own. Six maps by instance outlived the steps they were about, which had broken a second wave before.

What is remembered of an instance in a wave is one value now, a variant that ends with its step. An order counts until its outcome is known: "busy" tells it only to the one sending that can have reached the platform. An instance is back when the platform's list, asked for after it went down, has it up, or when it reports later than any report from before can be. The list is read within 0.5 s once a report, or the usual time, makes it likely. An instance that is down for one wave counts in each that has it.

--- a/include/bamboostile/control/instance_service.h
+++ b/include/bamboostile/control/instance_service.h
@@ -83,7 +83,12 @@
     TimePoint m_decidedAt;
   };
 
-  using List = std::optional<std::vector<placement::ListedInstance>>;
+  struct List
+  {
+    TimePoint m_askedAt;
+    /** Nothing where it could not be read whole. */
+    std::optional<std::vector<placement::ListedInstance>> m_instances;
+  };
 
   /** Outlives this object for answers that come after it. */
   struct Answers
@@ -102,15 +107,18 @@
   void Note(telemetry::LogLine aLine,
             const InstanceCalls::Answer& aAnswer,
             TimePoint aDecidedAt);
-  void PlanMaintenance(const placement::WorkerTable& aWorkers,
-                       bool aMayOrder,
-                       TimePoint aNow);
+  placement::MaintenancePlan PlanMaintenance(
+    const placement::WorkerTable& aWorkers,
+    bool aMayOrder,
+    TimePoint aNow);
   void PlanMoves(const placement::WorkerTable& aWorkers,
                  const placement::Durations& aDurations,
                  TimePoint aNow,
                  WallTime aWall);
   void LogNeeds(const std::vector<placement::PoolNeed>& aNeeds, TimePoint aNow);
-  void ReadList(TimePoint aNow);
+  /** aUsesList: besides moves out of standby, aWantsList: soon. */
+  void ReadList(bool aUsesList, bool aWantsList, TimePoint aNow);
+  void On(List aList);
   void Advance(const placement::MaintenanceAdvance& aAdvance);
   void Record(std::vector<placement::MoveOrder> aOrders, TimePoint aDecidedAt);
   void Send(const placement::MoveOrder& aOrder,
@@ -132,6 +140,8 @@
   /** Moves whose answer has not been handled. */
   std::size_t m_movesUnderWay = 0;
   TimePoint m_nextList;
+  TimePoint m_listedAt;
+  bool m_isListing = false;
   TimePoint m_nextNeedsLog;
   std::shared_ptr<Answers> m_answers = std::make_shared<Answers>();
   kj::TaskSet m_tasks;
--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -8,15 +8,6 @@
 
 namespace bamboostile::placement {
 
-/** An instance as the platform lists it. */
-struct ListedInstance
-{
-  InstanceId m_id;
-  ServiceId m_pool;
-  /** Neither moving nor down. */
-  bool m_isUp = false;
-};
-
 struct MoveOrder
 {
   InstanceId m_instance;
@@ -106,7 +97,10 @@
   void AllowOrders(bool aAllowed) { m_isAllowed = aAllowed; }
   /** Orders of maintenance, which go first, count against the same rate. */
   void OnOtherOrders(std::size_t aCount);
-  void OnListed(const std::vector<ListedInstance>& aInstances, TimePoint aNow);
+  /** aStandby: the pool whose instances are off. */
+  void OnListed(const std::vector<ListedInstance>& aInstances,
+                const ServiceId& aStandby,
+                TimePoint aNow);
   /** The life that has ended with the order, where that is certain. */
   std::optional<WorkerLife> OnAnswer(const MoveOrder& aOrder,
                                      InstanceAnswer aAnswer,
--- /dev/null
+++ b/include/bamboostile/placement/listed_instance.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "bamboostile/units/ids.h"
+#include "bamboostile/units/time.h"
+
+#include <vector>
+
+namespace bamboostile::placement {
+
+enum class InstanceState
+{
+  kUp,
+  kMoving,
+  kMaintenance,
+  /** Crashed or off. */
+  kDown,
+  /** Listed with a state that is not known here. */
+  kUnknown,
+};
+
+/** An instance as the platform lists it. */
+struct ListedInstance
+{
+  InstanceId m_id;
+  ServiceId m_pool;
+  InstanceState m_state = InstanceState::kUnknown;
+};
+
+/** The platform's list, each entry as it was after the list was asked for. */
+struct InstanceList
+{
+  TimePoint m_askedAt;
+  std::vector<ListedInstance> m_instances;
+};
+
+} // namespace bamboostile::placement
--- a/include/bamboostile/placement/maintenance.h
+++ b/include/bamboostile/placement/maintenance.h
@@ -1,8 +1,12 @@
 #pragma once
 
 #include "bamboostile/fleet/state.h"
+#include "bamboostile/placement/listed_instance.h"
+#include "bamboostile/placement/wave_caps.h"
 #include "bamboostile/placement/workers.h"
 
+#include <variant>
+
 namespace bamboostile::placement {
 
 /** An instance for which the platform is to be asked. */
@@ -10,6 +14,8 @@
 {
   std::uint64_t m_wave = 0;
   InstanceId m_instance;
+
+  auto operator<=>(const MaintenanceOrder&) const = default;
 };
 
 /** How the platform answered. */
@@ -38,10 +44,12 @@
   /** Busy, to the only order that can have reached the platform. */
   kRefused,
   kNotMeant,
-  /** It has reported since it went down. */
+  /** The platform lists it in another state; no order is on its way. */
+  kListedElsewhere,
+  /** It has sent a report since it went down. */
   kReported,
-  /** Twice the usual time has passed. */
-  kWaitedOut,
+  /** The platform lists it as up since it went down. */
+  kListedUp,
 };
 
 const char* Describe(AdvanceCause aCause) noexcept;
@@ -64,6 +72,10 @@
   std::vector<MaintenanceAdvance> m_advances;
   /** To be sent, each until it is answered. */
   std::vector<MaintenanceOrder> m_orders;
+  /** A wave is not done: the platform's list may tell what became of orders. */
+  bool m_isOpen = false;
+  /** An instance is likely back, and the list would prove it. */
+  bool m_wantsList = false;
 };
 
 /** What follows from an answer. */
@@ -77,17 +89,17 @@
 struct MaintenanceOptions
 {
   /** A leader gives its first order only after the calls that an earlier one
-   * had under way have ended. */
+   * had under way have ended; no order is obeyed so long after it was sent. */
   Duration m_quietAfterElection = Millis{ 3000 };
   /** Tasks that end by themselves are waited for this long: work thrown away is
    * dearer than a wave that is a little late. */
   Duration m_patience = Millis{ 4000 };
   Duration m_retryAfter = Millis{ 1500 };
-  /** A report so long after the order was taken comes from an instance that is
-   * up: either it was done before, or it is back. */
-  Duration m_lateReports = Millis{ 600 };
-  /** How long the platform keeps an instance down. */
+  /** How long the platform usually keeps an instance down. */
   Duration m_takes = Millis{ 2000 };
+  /** The list is asked for an instance that may be back until so long after it
+   * went down; later it is looked at only as often as for anything else. */
+  Duration m_listFor = Millis{ 8000 };
   /** How many instances are emptied ahead of their turn, beside `cap`. */
   std::size_t m_ahead = 1;
 };
@@ -95,6 +107,9 @@
 /**
  * @brief Takes the instances of a wave through their maintenance, no more than
  * its cap at once: emptied first, then ordered, then back.
+ *
+ * An order that may have been obeyed counts until the platform or a later
+ * report shows otherwise; time alone shows nothing.
  */
 class MaintenancePlanner
 {
@@ -112,44 +127,86 @@
                              InstanceAnswer aAnswer,
                              TimePoint aNow);
 
+  void OnListed(const InstanceList& aList);
+
 private:
+  /** Waits for its turn. */
+  struct Waiting
+  {
+    std::optional<TimePoint> m_cordonedSince;
+    TimePoint m_notBefore;
+    /** The life that an order would end, once its turn has come. */
+    std::optional<WorkerLife> m_aimedAt;
+    bool m_hasTurn = false;
+  };
+
+  /** The platform was or will be asked. */
+  struct Ordered
+  {
+    /** A sending other than the one under way may have reached the platform,
+     * and answers may be about that one. */
+    bool m_isRepeated = false;
+    /** The life that the order ends; unset where that is not certain. */
+    std::optional<WorkerLife> m_aimedAt;
+    TimePoint m_notBefore;
+    /** No sending whose outcome is unclear is younger. */
+    TimePoint m_unclearAt;
+    /** Listed in a state that no sending so far can have brought about. */
+    bool m_isElsewhere = false;
+  };
+
+  /** The platform has taken the order. */
+  struct Down
+  {
+    /** It had gone down by then. */
+    TimePoint m_since;
+    bool m_isListedUp = false;
+  };
+
+  /** What is remembered of an instance in a wave. It ends with the step: what
+   * outlives that would count in the next one. */
+  using Step = std::variant<Waiting, Ordered, Down>;
+
+  static Step FollowStep(const Step& aBefore,
+                         fleet::MaintenanceStep aNext,
+                         TimePoint aNow);
+  void FollowSteps(const fleet::State& aState, TimePoint aNow);
   void PlanWave(const fleet::MaintenanceWave& aWave,
                 const fleet::State& aState,
                 const WorkerTable& aWorkers,
                 TimePoint aNow,
+                WaveCaps& aCaps,
                 MaintenancePlan& aPlan);
-  void PlanOpenOrder(const MaintenanceOrder& aOrder,
-                     const fleet::State& aState,
-                     const WorkerTable& aWorkers,
-                     TimePoint aNow,
-                     MaintenancePlan& aPlan);
-  void TakeTurn(const fleet::MaintenanceWave& aWave,
-                const InstanceId& aInstance,
+  void PlanOrdered(const MaintenanceOrder& aOrder,
+                   const Ordered& aStep,
+                   const fleet::State& aState,
+                   const WorkerTable& aWorkers,
+                   TimePoint aNow,
+                   MaintenancePlan& aPlan);
+  void PlanDown(const MaintenanceOrder& aOrder,
+                const Down& aStep,
                 const WorkerTable& aWorkers,
+                TimePoint aNow,
                 MaintenancePlan& aPlan);
-  bool Rests(const InstanceId& aInstance, TimePoint aNow) const;
+  void PlanTurns(const fleet::MaintenanceWave& aWave,
+                 const fleet::State& aState,
+                 const WorkerTable& aWorkers,
+                 TimePoint aNow,
+                 WaveCaps& aCaps,
+                 MaintenancePlan& aPlan);
   bool IsReady(const InstanceId& aInstance,
+               const Waiting& aStep,
                const fleet::State& aState,
                const WorkerTable& aWorkers,
                TimePoint aNow) const;
-  /** Nothing where it may still be down. */
-  std::optional<AdvanceCause> IsBack(const InstanceId& aInstance,
-                                     const WorkerTable& aWorkers,
-                                     TimePoint aNow);
+  MaintenanceResult OnAnswer(const MaintenanceOrder& aOrder,
+                             Ordered& aStep,
+                             InstanceAnswer aAnswer,
+                             TimePoint aNow) const;
+  std::optional<AdvanceCause> OnBusy(Ordered& aStep, TimePoint aNow) const;
 
   MaintenanceOptions m_options;
-  std::map<InstanceId, TimePoint> m_cordonedSince;
-  std::map<InstanceId, TimePoint> m_notBefore;
-  std::map<InstanceId, TimePoint> m_downSince;
-  /** The life that an order ends. Only of orders that this leader gave first
-   * and that had no unclear answer: a repeated one may be answered "already
-   * done", and the instance then runs its next life. */
-  std::map<InstanceId, WorkerLife> m_aimedAt;
-  /** Instances that this leader was the first to order. */
-  std::set<InstanceId> m_ownOrders;
-  /** An order may have been obeyed unheard, or an earlier leader's still may
-   * be. */
-  std::set<InstanceId> m_unclear;
+  std::map<MaintenanceOrder, Step> m_steps;
 };
 
 } // namespace bamboostile::placement
--- a/src/control/instance_service.cpp
+++ b/src/control/instance_service.cpp
@@ -9,8 +9,10 @@
 using telemetry::Level;
 using telemetry::LogLine;
 
-/** Workers tell where they are; the list is only for those that are off. */
+/** Workers tell where they are; the list is for those that are off, */
 constexpr Duration kListInterval = Millis{ 5000 };
+/** And for what a wave waits for. */
+constexpr Duration kListSoon = Millis{ 500 };
 /** An order that could not be put on record by then is dropped: it was right
  * when it was decided, and the next look decides anew. */
 constexpr Duration kRecordWithin = Millis{ 250 };
@@ -78,15 +80,15 @@
 {
   m_cordoned.clear();
   m_capacity.AllowOrders(aMayOrder);
-  PlanMaintenance(aWorkers, aMayOrder, aNow);
-  ReadList(aNow);
+  const auto maintenance = PlanMaintenance(aWorkers, aMayOrder, aNow);
+  ReadList(maintenance.m_isOpen, maintenance.m_wantsList, aNow);
   PlanMoves(aWorkers, aDurations, aNow, aWall);
 }
 
 // --------------------------------------------------------------------
 // maintenance
 
-void
+placement::MaintenancePlan
 InstanceService::PlanMaintenance(const placement::WorkerTable& aWorkers,
                                  bool aMayOrder,
                                  TimePoint aNow)
@@ -101,7 +103,7 @@
     }
   }
   if (!m_calls.m_maintenance) {
-    return;
+    return plan;
   }
   for (const placement::MaintenanceOrder& order : plan.m_orders) {
     // The rest stays planned, and is looked at anew before it is sent.
@@ -118,6 +120,7 @@
         });
     }
   }
+  return plan;
 }
 
 void
@@ -306,15 +309,21 @@
 }
 
 void
-InstanceService::ReadList(TimePoint aNow)
+InstanceService::ReadList(bool aUsesList, bool aWantsList, TimePoint aNow)
 {
-  if (!m_calls.m_list || aNow < m_nextList ||
-      m_node.State().Routes().StandbyPool() == nullptr) {
+  if (aWantsList) {
+    m_nextList = std::min<TimePoint>(m_nextList, m_listedAt + kListSoon);
+  }
+  const bool isUsed =
+    aUsesList || m_node.State().Routes().StandbyPool() != nullptr;
+  if (!m_calls.m_list || m_isListing || aNow < m_nextList || !isUsed) {
     return;
   }
+  m_isListing = true;
+  m_listedAt = aNow;
   m_nextList = aNow + kListInterval;
-  m_calls.m_list([answers = m_answers](List aList) {
-    answers->m_lists.Put(std::move(aList));
+  m_calls.m_list([answers = m_answers, aNow](auto aInstances) {
+    answers->m_lists.Put({ aNow, std::move(aInstances) });
   });
 }
 
@@ -322,14 +331,23 @@
 InstanceService::ListLoop()
 {
   return m_answers->m_lists.Take().then([this](std::vector<List> aLists) {
-    const ServiceId* standby = m_node.State().Routes().StandbyPool();
-    if (standby != nullptr && aLists.back()) {
-      std::erase_if(*aLists.back(),
-                    [&](const auto& aOne) { return aOne.m_pool != *standby; });
-      m_capacity.OnListed(*aLists.back(), MonotonicNow());
-    }
+    On(std::move(aLists.back()));
     return ListLoop();
   });
 }
 
+void
+InstanceService::On(List aList)
+{
+  m_isListing = false;
+  if (!aList.m_instances) {
+    return;
+  }
+  const ServiceId* standby = m_node.State().Routes().StandbyPool();
+  if (standby != nullptr) {
+    m_capacity.OnListed(*aList.m_instances, *standby, MonotonicNow());
+  }
+  m_maintenance.OnListed({ aList.m_askedAt, std::move(*aList.m_instances) });
+}
+
 } // namespace bamboostile::control
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -464,11 +464,12 @@
 
 void
 CapacityPlanner::OnListed(const std::vector<ListedInstance>& aInstances,
+                          const ServiceId& aStandby,
                           TimePoint aNow)
 {
   const auto before = std::exchange(m_standby, {});
   for (const ListedInstance& instance : aInstances) {
-    if (instance.m_isUp) {
+    if (instance.m_pool == aStandby && instance.m_state == InstanceState::kUp) {
       const auto known = before.find(instance.m_id);
       m_standby.emplace(instance.m_id,
                         known == before.end() ? aNow : known->second);
--- a/src/placement/maintenance.cpp
+++ b/src/placement/maintenance.cpp
@@ -1,5 +1,7 @@
 #include "bamboostile/placement/maintenance.h"
 
+#include "bamboostile/units/visit.h"
+
 #include <algorithm>
 #include <tuple>
 
@@ -69,10 +71,12 @@
       return "the only order was refused";
     case AdvanceCause::kNotMeant:
       return "the platform does not know it, or not for this wave";
+    case AdvanceCause::kListedElsewhere:
+      return "listed in another state, with no order on its way";
     case AdvanceCause::kReported:
       return "it has reported since it went down";
-    case AdvanceCause::kWaitedOut:
-      return "twice the usual time has passed";
+    case AdvanceCause::kListedUp:
+      return "listed as up since it went down";
   }
   return "unknown";
 }
@@ -81,16 +85,16 @@
 // any more, and what ends by itself has ended or has had its time.
 bool
 MaintenancePlanner::IsReady(const InstanceId& aInstance,
+                            const Waiting& aStep,
                             const fleet::State& aState,
                             const WorkerTable& aWorkers,
                             TimePoint aNow) const
 {
-  const auto since = m_cordonedSince.find(aInstance);
-  if (since == m_cordonedSince.end() || aWorkers.IsContested(aInstance)) {
+  if (!aStep.m_cordonedSince || aWorkers.IsContested(aInstance)) {
     return false;
   }
   const Worker* worker = aWorkers.FindByInstance(aInstance);
-  const bool waitedOut = aNow >= since->second + m_options.m_patience;
+  const bool waitedOut = aNow >= *aStep.m_cordonedSince + m_options.m_patience;
   if (worker == nullptr) {
     return waitedOut && aWorkers.KnowsAllLeases(aNow);
   }
@@ -102,24 +106,43 @@
   return isEmpty || waitedOut;
 }
 
-// A worker that still reports shows that its instance is up. One of a pool that
-// is switched off never will; it counts as back after twice the usual time.
-std::optional<AdvanceCause>
-MaintenancePlanner::IsBack(const InstanceId& aInstance,
-                           const WorkerTable& aWorkers,
-                           TimePoint aNow)
+MaintenancePlanner::Step
+MaintenancePlanner::FollowStep(const Step& aBefore,
+                               fleet::MaintenanceStep aNext,
+                               TimePoint aNow)
 {
-  const TimePoint since =
-    m_downSince.try_emplace(aInstance, aNow).first->second;
-  const Worker* worker = aWorkers.FindByInstance(aInstance);
-  const bool reports = worker != nullptr && !worker->m_silent &&
-                       worker->m_heardAt > since + m_options.m_lateReports;
-  if (reports) {
-    return AdvanceCause::kReported;
+  const auto* waiting = std::get_if<Waiting>(&aBefore);
+  const auto* ordered = std::get_if<Ordered>(&aBefore);
+  if (aNext == fleet::MaintenanceStep::kDown) {
+    return std::holds_alternative<Down>(aBefore) ? aBefore : Down{ aNow };
+  }
+  if (aNext == fleet::MaintenanceStep::kWaiting) {
+    Waiting next;
+    next.m_notBefore = ordered == nullptr ? TimePoint{} : ordered->m_notBefore;
+    return waiting == nullptr ? next : *waiting;
+  }
+  Ordered next;
+  const bool isOwn = waiting != nullptr && waiting->m_hasTurn;
+  next.m_isRepeated = !isOwn;
+  next.m_aimedAt = isOwn ? waiting->m_aimedAt : std::nullopt;
+  next.m_unclearAt = aNow;
+  return ordered == nullptr ? next : *ordered;
+}
+
+void
+MaintenancePlanner::FollowSteps(const fleet::State& aState, TimePoint aNow)
+{
+  auto before = std::exchange(m_steps, {});
+  for (const auto& [number, wave] : aState.Maintenance()) {
+    for (const auto& [instance, step] : wave.m_instances) {
+      const MaintenanceOrder key{ number, instance };
+      const bool isOver = step == fleet::MaintenanceStep::kDone ||
+                          step == fleet::MaintenanceStep::kSkipped;
+      if (!isOver) {
+        m_steps.emplace(key, FollowStep(before[key], step, aNow));
+      }
+    }
   }
-  return aNow >= since + 2 * m_options.m_takes
-           ? std::optional{ AdvanceCause::kWaitedOut }
-           : std::nullopt;
 }
 
 // An order that an earlier leader left open is repeated, but not onto what was
@@ -127,19 +150,14 @@
 // and long-running tasks leave it first. Without both, the order would take
 // several tasks of one step away at once. A worker that this leader has not
 // heard yet may run some, until the leases of earlier leaders have ended.
-//
-// "Busy" and "taken" to such an order may both be about the earlier sending, so
-// neither tells what became of this one.
 void
-MaintenancePlanner::PlanOpenOrder(const MaintenanceOrder& aOrder,
-                                  const fleet::State& aState,
-                                  const WorkerTable& aWorkers,
-                                  TimePoint aNow,
-                                  MaintenancePlan& aPlan)
+MaintenancePlanner::PlanOrdered(const MaintenanceOrder& aOrder,
+                                const Ordered& aStep,
+                                const fleet::State& aState,
+                                const WorkerTable& aWorkers,
+                                TimePoint aNow,
+                                MaintenancePlan& aPlan)
 {
-  if (!m_ownOrders.contains(aOrder.m_instance)) {
-    m_unclear.insert(aOrder.m_instance);
-  }
   const Worker* worker = aWorkers.FindByInstance(aOrder.m_instance);
   const auto& lives = aWorkers.LivesOf(aOrder.m_instance);
   aPlan.m_cordoned.insert(lives.begin(), lives.end());
@@ -150,40 +168,60 @@
       ? aWorkers.KnowsAllLeases(aNow)
       : !HoldsBudgetedTask(worker->m_last.m_worker, aState.Jobs());
   if (isQuietOver && isFree && !aWorkers.IsContested(aOrder.m_instance) &&
-      !Rests(aOrder.m_instance, aNow)) {
+      aNow >= aStep.m_notBefore) {
     aPlan.m_orders.push_back(aOrder);
   }
 }
 
+// A report that was sent before the instance went down may come this late. An
+// earlier one is worth a look at the platform's list, which alone tells of
+// instances that are off.
 void
-MaintenancePlanner::PlanWave(const fleet::MaintenanceWave& aWave,
-                             const fleet::State& aState,
+MaintenancePlanner::PlanDown(const MaintenanceOrder& aOrder,
+                             const Down& aStep,
                              const WorkerTable& aWorkers,
                              TimePoint aNow,
                              MaintenancePlan& aPlan)
 {
-  std::size_t down = aWave.Down();
+  const Worker* worker = aWorkers.FindByInstance(aOrder.m_instance);
+  const bool isHeard =
+    worker != nullptr && !worker->m_silent && worker->m_heardAt > aStep.m_since;
+  const bool isProof =
+    isHeard &&
+    worker->m_heardAt > aStep.m_since + aWorkers.Options().m_lateReports;
+  if (isProof || aStep.m_isListedUp) {
+    aPlan.m_advances.push_back(
+      { { aOrder.m_wave, aOrder.m_instance, fleet::MaintenanceStep::kDone },
+        aStep.m_isListedUp ? AdvanceCause::kListedUp
+                           : AdvanceCause::kReported });
+    return;
+  }
+  const bool isExpected = isHeard || aNow >= aStep.m_since + m_options.m_takes;
+  aPlan.m_wantsList =
+    aPlan.m_wantsList ||
+    (isExpected && aNow < aStep.m_since + m_options.m_listFor);
+}
+
+void
+MaintenancePlanner::PlanTurns(const fleet::MaintenanceWave& aWave,
+                              const fleet::State& aState,
+                              const WorkerTable& aWorkers,
+                              TimePoint aNow,
+                              WaveCaps& aCaps,
+                              MaintenancePlan& aPlan)
+{
+  const auto stepOf = [&](const InstanceId& aInstance) -> Waiting& {
+    return std::get<Waiting>(m_steps.at({ aWave.m_number, aInstance }));
+  };
   std::vector<InstanceId> waiting;
   for (const auto& [instance, step] : aWave.m_instances) {
-    if (step == fleet::MaintenanceStep::kOrdered) {
-      PlanOpenOrder(
-        { aWave.m_number, instance }, aState, aWorkers, aNow, aPlan);
-    } else if (step == fleet::MaintenanceStep::kDown) {
-      if (const auto cause = IsBack(instance, aWorkers, aNow)) {
-        aPlan.m_advances.push_back(
-          { { aWave.m_number, instance, fleet::MaintenanceStep::kDone },
-            *cause });
-      }
-    } else if (step == fleet::MaintenanceStep::kWaiting &&
-               !Rests(instance, aNow)) {
+    if (step == fleet::MaintenanceStep::kWaiting && !aCaps.IsDown(instance) &&
+        aNow >= stepOf(instance).m_notBefore) {
       waiting.push_back(instance);
     }
   }
-  if (aNow < aWorkers.LeaderSince() + m_options.m_quietAfterElection) {
-    return;
-  }
   const auto rank = [&](const InstanceId& aInstance) {
-    return std::make_tuple(!m_cordonedSince.contains(aInstance),
+    return std::make_tuple(!stepOf(aInstance).m_cordonedSince.has_value(),
                            aWorkers.FindByInstance(aInstance) == nullptr,
                            LoadOf(aInstance, aState.Jobs(), aWorkers));
   };
@@ -191,41 +229,57 @@
     waiting.begin(), waiting.end(), [&](const auto& aLeft, const auto& aRight) {
       return rank(aLeft) < rank(aRight);
     });
-  const std::size_t room =
-    aWave.m_cap > down ? aWave.m_cap - down : std::size_t{ 0 };
-  waiting.resize(std::min(waiting.size(), room + m_options.m_ahead));
+  waiting.resize(
+    std::min(waiting.size(), aCaps.RoomIn(aWave) + m_options.m_ahead));
   for (const InstanceId& instance : waiting) {
-    m_cordonedSince.try_emplace(instance, aNow);
+    Waiting& step = stepOf(instance);
+    step.m_cordonedSince = step.m_cordonedSince.value_or(aNow);
     const auto& lives = aWorkers.LivesOf(instance);
     aPlan.m_cordoned.insert(lives.begin(), lives.end());
-    if (down < aWave.m_cap && IsReady(instance, aState, aWorkers, aNow)) {
-      ++down;
-      TakeTurn(aWave, instance, aWorkers, aPlan);
+    if (!aCaps.MayGoDown(instance) ||
+        !IsReady(instance, step, aState, aWorkers, aNow)) {
+      continue;
     }
+    aCaps.OnDown(instance);
+    const Worker* worker = aWorkers.FindByInstance(instance);
+    step.m_hasTurn = true;
+    step.m_aimedAt = worker == nullptr
+                       ? std::nullopt
+                       : std::optional{ worker->m_last.m_worker };
+    aPlan.m_advances.push_back(
+      { { aWave.m_number, instance, fleet::MaintenanceStep::kOrdered },
+        AdvanceCause::kTurn });
   }
 }
 
 void
-MaintenancePlanner::TakeTurn(const fleet::MaintenanceWave& aWave,
-                             const InstanceId& aInstance,
+MaintenancePlanner::PlanWave(const fleet::MaintenanceWave& aWave,
+                             const fleet::State& aState,
                              const WorkerTable& aWorkers,
+                             TimePoint aNow,
+                             WaveCaps& aCaps,
                              MaintenancePlan& aPlan)
 {
-  m_ownOrders.insert(aInstance);
-  const Worker* worker = aWorkers.FindByInstance(aInstance);
-  if (worker != nullptr && !m_unclear.contains(aInstance)) {
-    m_aimedAt[aInstance] = worker->m_last.m_worker;
+  aPlan.m_isOpen = true;
+  for (const auto& [instance, state] : aWave.m_instances) {
+    const MaintenanceOrder order{ aWave.m_number, instance };
+    const auto step = m_steps.find(order);
+    if (step == m_steps.end()) {
+      continue;
+    }
+    std::visit(Overloaded{ [](const Waiting&) {},
+                           [&](const Ordered& aStep) {
+                             PlanOrdered(
+                               order, aStep, aState, aWorkers, aNow, aPlan);
+                           },
+                           [&](const Down& aStep) {
+                             PlanDown(order, aStep, aWorkers, aNow, aPlan);
+                           } },
+               step->second);
+  }
+  if (aNow >= aWorkers.LeaderSince() + m_options.m_quietAfterElection) {
+    PlanTurns(aWave, aState, aWorkers, aNow, aCaps, aPlan);
   }
-  aPlan.m_advances.push_back(
-    { { aWave.m_number, aInstance, fleet::MaintenanceStep::kOrdered },
-      AdvanceCause::kTurn });
-}
-
-bool
-MaintenancePlanner::Rests(const InstanceId& aInstance, TimePoint aNow) const
-{
-  const auto notBefore = m_notBefore.find(aInstance);
-  return notBefore != m_notBefore.end() && aNow < notBefore->second;
 }
 
 MaintenancePlan
@@ -234,9 +288,11 @@
                          TimePoint aNow)
 {
   MaintenancePlan plan;
+  FollowSteps(aState, aNow);
+  WaveCaps caps(aState.Maintenance());
   for (const auto& [number, wave] : aState.Maintenance()) {
     if (!wave.IsDone()) {
-      PlanWave(wave, aState, aWorkers, aNow, plan);
+      PlanWave(wave, aState, aWorkers, aNow, caps, plan);
     }
   }
   return plan;
@@ -247,52 +303,88 @@
                              InstanceAnswer aAnswer,
                              TimePoint aNow)
 {
-  const InstanceId& instance = aOrder.m_instance;
+  const auto found = m_steps.find(aOrder);
+  auto* step =
+    found == m_steps.end() ? nullptr : std::get_if<Ordered>(&found->second);
+  return step == nullptr ? MaintenanceResult{}
+                         : OnAnswer(aOrder, *step, aAnswer, aNow);
+}
+
+// "Busy" and "taken" to a repeated order may both be about the earlier sending,
+// so neither tells what became of this one.
+MaintenanceResult
+MaintenancePlanner::OnAnswer(const MaintenanceOrder& aOrder,
+                             Ordered& aStep,
+                             InstanceAnswer aAnswer,
+                             TimePoint aNow) const
+{
+  MaintenanceResult result;
   const auto advance = [&](fleet::MaintenanceStep aTo, AdvanceCause aCause) {
-    m_cordonedSince.erase(instance);
-    return MaintenanceAdvance{ { aOrder.m_wave, instance, aTo }, aCause };
+    result.m_advance =
+      MaintenanceAdvance{ { aOrder.m_wave, aOrder.m_instance, aTo }, aCause };
   };
-  MaintenanceResult result;
   switch (aAnswer) {
-    case InstanceAnswer::kTaken: {
-      const auto aimed = m_aimedAt.find(instance);
-      if (aimed != m_aimedAt.end()) {
-        result.m_ended = aimed->second;
-      }
-      // Of an earlier wave.
-      m_downSince.erase(instance);
-      result.m_advance =
-        advance(fleet::MaintenanceStep::kDown, AdvanceCause::kTaken);
+    case InstanceAnswer::kTaken:
+      result.m_ended = aStep.m_isRepeated ? std::nullopt : aStep.m_aimedAt;
+      advance(fleet::MaintenanceStep::kDown, AdvanceCause::kTaken);
+      aStep.m_isRepeated = true;
       break;
-    }
     case InstanceAnswer::kBusy:
-      // Busy may mean that an earlier sending is being obeyed; the instance
-      // goes on counting as down until the answer is clear.
-      m_notBefore[instance] = aNow + m_options.m_retryAfter;
-      if (m_unclear.contains(instance)) {
-        break;
+      if (const auto cause = OnBusy(aStep, aNow)) {
+        advance(fleet::MaintenanceStep::kWaiting, *cause);
       }
-      result.m_advance =
-        advance(fleet::MaintenanceStep::kWaiting, AdvanceCause::kRefused);
       break;
     case InstanceAnswer::kNotMeant:
-      result.m_advance =
-        advance(fleet::MaintenanceStep::kSkipped, AdvanceCause::kNotMeant);
+      advance(fleet::MaintenanceStep::kSkipped, AdvanceCause::kNotMeant);
       break;
     case InstanceAnswer::kUnclear:
-      m_aimedAt.erase(instance);
-      m_unclear.insert(instance);
+      aStep.m_isRepeated = true;
+      aStep.m_unclearAt = aNow;
+      aStep.m_isElsewhere = false;
       break;
     case InstanceAnswer::kNotSent:
     case InstanceAnswer::kOvertaken:
       break;
   }
-  if (result.m_advance) {
-    m_aimedAt.erase(instance);
-    m_unclear.erase(instance);
-    m_ownOrders.erase(instance);
-  }
   return result;
 }
 
+std::optional<AdvanceCause>
+MaintenancePlanner::OnBusy(Ordered& aStep, TimePoint aNow) const
+{
+  aStep.m_notBefore = aNow + m_options.m_retryAfter;
+  if (!aStep.m_isRepeated) {
+    return AdvanceCause::kRefused;
+  }
+  return aStep.m_isElsewhere ? std::optional{ AdvanceCause::kListedElsewhere }
+                             : std::nullopt;
+}
+
+void
+MaintenancePlanner::OnListed(const InstanceList& aList)
+{
+  std::map<InstanceId, InstanceState> states;
+  for (const ListedInstance& one : aList.m_instances) {
+    states.emplace(one.m_id, one.m_state);
+  }
+  for (auto& [order, step] : m_steps) {
+    const auto found = states.find(order.m_instance);
+    if (found == states.end()) {
+      continue;
+    }
+    const InstanceState state = found->second;
+    if (auto* down = std::get_if<Down>(&step)) {
+      down->m_isListedUp =
+        down->m_isListedUp ||
+        (state == InstanceState::kUp && aList.m_askedAt >= down->m_since);
+    } else if (auto* ordered = std::get_if<Ordered>(&step)) {
+      const bool isElsewhere =
+        state == InstanceState::kMoving || state == InstanceState::kDown;
+      ordered->m_isElsewhere =
+        isElsewhere && aList.m_askedAt >=
+                         ordered->m_unclearAt + m_options.m_quietAfterElection;
+    }
+  }
+}
+
 } // namespace bamboostile::placement
--- a/tests/platform/instances_client_test.cpp
+++ b/tests/platform/instances_client_test.cpp
@@ -32,8 +32,8 @@
         }
       }
     });
-    platform::InstancesClient client(
-      *settings::ParseAddress(server.Address()), InstanceId{ "c1" });
+    platform::InstancesClient client(*settings::ParseAddress(server.Address()),
+                                     InstanceId{ "c1" });
     const control::InstanceCalls calls = client.Calls();
     std::promise<void> listed;
     calls.m_list([&](const auto&) { listed.set_value(); });
--- a/tests/platform/mutated_test.cpp
+++ b/tests/platform/mutated_test.cpp
@@ -150,8 +150,8 @@
     bad);
   CHECK(page.has_value());
   LONGS_EQUAL(2, page->m_instances.size());
-  CHECK_FALSE(page->m_instances[0].m_isUp);
+  CHECK(page->m_instances[0].m_state != placement::InstanceState::kUp);
   CHECK_STRING("b", page->m_instances[1].m_id.Get());
-  CHECK(page->m_instances[1].m_isUp);
+  CHECK(page->m_instances[1].m_state == placement::InstanceState::kUp);
   LONGS_EQUAL(4, page->m_unreadable);
 }
--- /dev/null
+++ b/tests/support/simulated_hosting.cpp
@@ -0,0 +1,306 @@
+#include "simulated_hosting.h"
+
+#include <algorithm>
+
+namespace simulated_hosting {
+
+namespace {
+
+using placement::InstanceAnswer;
+using placement::InstanceState;
+
+constexpr Millis kStep{ 50 };
+constexpr Millis kReportEvery{ 200 };
+/** What the leader assumes at most of reports and of calls on their way. */
+constexpr std::uint32_t kLatestReportMs = 2900;
+constexpr std::uint32_t kLatestObeyMs = 2900;
+constexpr std::uint32_t kShortestDownMs = 2000;
+constexpr std::uint32_t kLongerDownMs = 6000;
+constexpr Millis kCallTimeout{ 1500 };
+constexpr unsigned kPercent = 100;
+/** Out of a hundred reports, so many are late. */
+constexpr unsigned kLatePercent = 15;
+
+} // namespace
+
+SimulatedHosting::SimulatedHosting(HostingOptions aOptions)
+  : m_options(aOptions)
+  , m_random(aOptions.m_seed)
+{
+  for (std::uint32_t i = 0; i < m_options.m_instances; ++i) {
+    m_instances.emplace_back().m_id = InstanceId{ "i" + std::to_string(i) };
+  }
+  m_table.emplace(placement::LeaseOptions{}, TimePoint{});
+}
+
+std::uint32_t
+SimulatedHosting::Random(std::uint32_t aBelow)
+{
+  return static_cast<std::uint32_t>(m_random()) % aBelow;
+}
+
+SimulatedHosting::Instance&
+SimulatedHosting::InstanceOf(const InstanceId& aId)
+{
+  return *std::find_if(
+    m_instances.begin(), m_instances.end(), [&](const Instance& aOne) {
+      return aOne.m_id == aId;
+    });
+}
+
+void
+SimulatedHosting::StartWave(std::uint64_t aNumber,
+                            std::set<std::uint32_t> aInstances)
+{
+  fleet::MaintenanceWave wave;
+  wave.m_number = aNumber;
+  wave.m_cap = m_options.m_cap;
+  for (const std::uint32_t number : aInstances) {
+    wave.m_instances[m_instances[number].m_id] =
+      fleet::MaintenanceStep::kWaiting;
+  }
+  m_fleet.Do(fleet::StartMaintenance{ wave });
+}
+
+bool
+SimulatedHosting::IsDone(std::uint64_t aWave) const
+{
+  return m_fleet.State().Maintenance().at(aWave).IsDone();
+}
+
+std::uint32_t
+SimulatedHosting::CountSpared(std::uint64_t aWave) const
+{
+  const auto& wave = m_fleet.State().Maintenance().at(aWave);
+  return static_cast<std::uint32_t>(std::count_if(
+    m_instances.begin(), m_instances.end(), [&](const Instance& aOne) {
+      return wave.m_instances.contains(aOne.m_id) &&
+             !aOne.m_maintainedFor.contains(aWave);
+    }));
+}
+
+void
+SimulatedHosting::Crash(std::uint32_t aInstance, Millis aDown)
+{
+  Instance& instance = m_instances[aInstance];
+  if (instance.m_condition == Condition::kUp) {
+    instance.m_condition = Condition::kCrashed;
+    instance.m_until = m_now + aDown;
+  }
+}
+
+void
+SimulatedHosting::ReplaceLeader()
+{
+  ++m_term;
+  for (OrderUnderWay& order : m_orders) {
+    order.m_answerAt.reset();
+  }
+  m_list.reset();
+  m_fleet.Restore();
+  m_table.emplace(placement::LeaseOptions{}, Time());
+  m_planner = placement::MaintenancePlanner{};
+}
+
+void
+SimulatedHosting::Pass(Millis aTime)
+{
+  const Millis until = m_now + aTime;
+  while (m_now < until) {
+    Step();
+  }
+}
+
+void
+SimulatedHosting::Step()
+{
+  m_now += kStep;
+  for (Instance& instance : m_instances) {
+    LiveOn(instance);
+  }
+  for (OrderUnderWay& order : m_orders) {
+    if (order.m_obeyAt && m_now >= *order.m_obeyAt) {
+      Obey(order);
+    }
+  }
+  Lead();
+  std::erase_if(m_orders, [](const OrderUnderWay& aOrder) {
+    return !aOrder.m_obeyAt && !aOrder.m_answerAt;
+  });
+}
+
+void
+SimulatedHosting::LiveOn(Instance& aInstance)
+{
+  if (aInstance.m_condition != Condition::kUp) {
+    if (m_now < aInstance.m_until) {
+      return;
+    }
+    aInstance.m_condition = Condition::kUp;
+    ++aInstance.m_life;
+    aInstance.m_sequence = 0;
+    aInstance.m_nextReport = m_now;
+  }
+  if (m_now >= aInstance.m_nextReport) {
+    aInstance.m_nextReport = m_now + kReportEvery;
+    const bool isLate = Random(kPercent) < kLatePercent;
+    const Millis delay{ isLate ? Random(kLatestReportMs) : 0 };
+    m_reports.push_back({ m_now + delay, ReportOf(aInstance) });
+  }
+}
+
+placement::WorkerReport
+SimulatedHosting::ReportOf(Instance& aInstance) const
+{
+  auto report =
+    job_fixtures::Report(aInstance.m_id.Get(), ++aInstance.m_sequence);
+  report.m_instance = aInstance.m_id;
+  report.m_worker.m_startedAt = WallTime{ 1 + aInstance.m_life };
+  return report;
+}
+
+bool
+SimulatedHosting::IsUnderWay(const placement::MaintenanceOrder& aOrder) const
+{
+  return std::any_of(
+    m_orders.begin(), m_orders.end(), [&](const OrderUnderWay& aOne) {
+      return aOne.m_order == aOrder && aOne.m_answerAt.has_value();
+    });
+}
+
+void
+SimulatedHosting::Send(const placement::MaintenanceOrder& aOrder)
+{
+  OrderUnderWay order{ aOrder, m_term, m_now, m_now + kStep };
+  if (Random(kPercent) < m_options.m_failPercent) {
+    // Unheard; and by the time the caller gives up, obeyed or not yet.
+    order.m_answerAt = m_now + Millis{ Random(2) * kCallTimeout.count() };
+    const bool isObeyed = Random(3) > 0;
+    order.m_obeyAt = isObeyed
+                       ? std::optional{ m_now + Millis{ Random(kLatestObeyMs) } }
+                       : std::nullopt;
+    m_orders.push_back(order);
+    return;
+  }
+  order.m_answer = Handle(order);
+  order.m_obeyAt.reset();
+  m_orders.push_back(order);
+}
+
+void
+SimulatedHosting::Obey(OrderUnderWay& aOrder)
+{
+  Handle(aOrder);
+  aOrder.m_obeyAt.reset();
+}
+
+InstanceAnswer
+SimulatedHosting::Handle(const OrderUnderWay& aOrder)
+{
+  Instance& instance = InstanceOf(aOrder.m_order.m_instance);
+  if (aOrder.m_term < instance.m_highestTerm) {
+    return InstanceAnswer::kOvertaken;
+  }
+  instance.m_highestTerm = aOrder.m_term;
+  if (instance.m_condition != Condition::kUp) {
+    return InstanceAnswer::kBusy;
+  }
+  if (instance.m_maintainedFor.insert(aOrder.m_order.m_wave).second) {
+    instance.m_condition = Condition::kMaintained;
+    const std::uint32_t longer = Random(3) == 0 ? Random(kLongerDownMs) : 0;
+    instance.m_until = m_now + Millis{ kShortestDownMs + longer };
+    CheckCaps();
+  }
+  return InstanceAnswer::kTaken;
+}
+
+void
+SimulatedHosting::CheckCaps()
+{
+  for (const auto& [number, wave] : m_fleet.State().Maintenance()) {
+    if (wave.IsDone()) {
+      continue;
+    }
+    std::uint32_t down = 0;
+    for (const Instance& one : m_instances) {
+      down += one.m_condition == Condition::kMaintained &&
+                  wave.m_instances.contains(one.m_id)
+                ? 1
+                : 0;
+    }
+    m_mostOverCap =
+      std::max(m_mostOverCap, down - std::min(down, wave.m_cap));
+  }
+}
+
+void
+SimulatedHosting::ReadList()
+{
+  const Millis at = m_now + Millis{ Random(400) };
+  if (Random(kPercent) < m_options.m_listFailPercent) {
+    m_list = ListUnderWay{ at, std::nullopt };
+    return;
+  }
+  placement::InstanceList list{ Time(), {} };
+  for (const Instance& one : m_instances) {
+    // One that has crashed is missing.
+    if (one.m_condition != Condition::kCrashed) {
+      list.m_instances.push_back({ one.m_id,
+                                   ServiceId{ "desk" },
+                                   one.m_condition == Condition::kUp
+                                     ? InstanceState::kUp
+                                     : InstanceState::kMaintenance });
+    }
+  }
+  m_list = ListUnderWay{ at, std::move(list) };
+}
+
+void
+SimulatedHosting::Lead()
+{
+  std::erase_if(m_reports, [&](const ReportUnderWay& aOne) {
+    if (m_now < aOne.m_at) {
+      return false;
+    }
+    m_table->OnReport(
+      aOne.m_report, m_fleet.Book(), Time(), WallTime{ m_now.count() });
+    return true;
+  });
+  m_table->FindLost(m_fleet.Book(), Time(), WallTime{ m_now.count() });
+  if (m_list && m_now >= m_list->m_at) {
+    if (m_list->m_list) {
+      m_planner.OnListed(*m_list->m_list);
+    }
+    m_list.reset();
+  }
+  for (OrderUnderWay& order : m_orders) {
+    if (!order.m_answerAt || m_now < *order.m_answerAt) {
+      continue;
+    }
+    order.m_answerAt.reset();
+    const auto result =
+      m_planner.OnAnswer(order.m_order, order.m_answer, Time());
+    if (result.m_ended) {
+      m_table->Retire(
+        *result.m_ended, m_fleet.Book(), WallTime{ m_now.count() });
+    }
+    // Not every decision is committed before a leader is replaced.
+    if (result.m_advance && Random(20) > 0) {
+      m_fleet.Do(result.m_advance->m_change);
+    }
+  }
+  const auto plan = m_planner.Next(m_fleet.State(), *m_table, Time());
+  for (const auto& advance : plan.m_advances) {
+    m_fleet.Do(advance.m_change);
+  }
+  for (const placement::MaintenanceOrder& order : plan.m_orders) {
+    if (!IsUnderWay(order)) {
+      Send(order);
+    }
+  }
+  if (plan.m_wantsList && !m_list) {
+    ReadList();
+  }
+}
+
+} // namespace simulated_hosting
--- a/tests/unit/control/job_service_test.cpp
+++ b/tests/unit/control/job_service_test.cpp
@@ -60,7 +60,9 @@
     };
     jobs.m_calls.m_list = [](const auto& aDone) {
       aDone(std::vector<placement::ListedInstance>{
-        { InstanceId{ "off" }, ServiceId{ "spare" }, true } });
+        { InstanceId{ "off" },
+          ServiceId{ "spare" },
+          placement::InstanceState::kUp } });
     };
     m_service = std::make_unique<JobService>(
       *m_node, m_loop->m_io.provider->getTimer(), std::move(jobs));
--- a/tests/unit/placement/capacity_test.cpp
+++ b/tests/unit/placement/capacity_test.cpp
@@ -67,9 +67,19 @@
     for (int i = 0; i < aCount; ++i) {
       off.push_back({ InstanceId{ "off" + std::to_string(i) },
                       ServiceId{ "spare" },
-                      true });
+                      placement::InstanceState::kUp });
     }
-    m_planner.OnListed(off, At(0));
+    m_planner.OnListed(off, ServiceId{ "spare" }, At(0));
+  }
+
+  /** One instance, in standby as far as the platform's list tells. */
+  void ListAsStandby(const std::string& aInstance, std::int64_t aAt)
+  {
+    m_planner.OnListed({ { InstanceId{ aInstance },
+                           ServiceId{ "spare" },
+                           placement::InstanceState::kUp } },
+                       ServiceId{ "spare" },
+                       At(aAt));
   }
 
   /** What is ordered in that time, each answered at once; maintenance gives
@@ -111,8 +121,7 @@
 {
   Pool("desk", 3);
   Pool("other", 5);
-  m_planner.OnListed({ { InstanceId{ "off" }, ServiceId{ "spare" }, true } },
-                     At(0));
+  ListAsStandby("off", 0);
   Next(10'000);
   SubmitPeak();
   const CapacityPlan plan = Next(10'500);
@@ -124,8 +133,7 @@
 {
   Pool("desk", 3);
   Pool("other", 3);
-  m_planner.OnListed({ { InstanceId{ "off" }, ServiceId{ "spare" }, true } },
-                     At(0));
+  ListAsStandby("off", 0);
   SubmitPeak();
   const CapacityPlan plan = Next(10'000);
   LONGS_EQUAL(1, plan.m_orders.size());
@@ -192,8 +200,7 @@
 {
   Pool("desk", 1);
   m_record.Inherit({ InstanceId{ "off" } }, At(0));
-  m_planner.OnListed({ { InstanceId{ "off" }, ServiceId{ "spare" }, true } },
-                     At(1000));
+  ListAsStandby("off", 1000);
   LONGS_EQUAL(0, Next(2400).m_orders.size());
   CHECK(!Next(2500).m_orders.empty());
 }
@@ -202,8 +209,7 @@
 {
   Pool("desk", 1);
   m_record.Inherit({ InstanceId{ "off" } }, At(0));
-  m_planner.OnListed({ { InstanceId{ "off" }, ServiceId{ "spare" }, true } },
-                     At(2000));
+  ListAsStandby("off", 2000);
   LONGS_EQUAL(0, Next(2900).m_orders.size());
   CHECK(!Next(3000).m_orders.empty());
 }
@@ -214,8 +220,7 @@
 TEST(CapacityPlanner, NewLeader_InstanceNotOnRecord_IsOrderedAtOnce)
 {
   Pool("desk", 1);
-  m_planner.OnListed({ { InstanceId{ "off" }, ServiceId{ "spare" }, true } },
-                     At(10));
+  ListAsStandby("off", 10);
   LONGS_EQUAL(0, Next(200).m_orders.size());
   LONGS_EQUAL(1, Next(300).m_orders.size());
 }
@@ -490,9 +495,7 @@
 {
   Pool("desk", 3);
   Pool("other", 3);
-  m_planner.OnListed(
-    { { InstanceId{ "instance-of-other0" }, ServiceId{ "spare" }, true } },
-    At(9500));
+  ListAsStandby("instance-of-other0", 9500);
   SubmitPeak();
   LONGS_EQUAL(0, Next(10'000).m_orders.size());
 }
