A run of which nothing is known holds all of its worker's room

A worker that does not guard its room could be loaded beyond it: a run that it reports and whose job or step the state does not know counted nothing, so a start was sent beside it. Such a run is being stopped, and what is being stopped holds room; how much is not known, so nothing is started there until it has ended.

--- a/include/bamboostile/placement/wave_caps.h
+++ b/include/bamboostile/placement/wave_caps.h
@@ -16,7 +16,8 @@
 class WaveCaps
 {
 public:
-  explicit WaveCaps(const std::map<std::uint64_t, fleet::MaintenanceWave>& aWaves);
+  explicit WaveCaps(
+    const std::map<std::uint64_t, fleet::MaintenanceWave>& aWaves);
 
   bool IsDown(const InstanceId& aInstance) const
   {
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -144,6 +144,8 @@
   std::int64_t m_cpuMillis = 0;
   std::int64_t m_memoryMb = 0;
   std::int64_t m_accelerators = 0;
+  /** There is a run whose needs are not known; it may hold all of it. */
+  bool m_isUnknown = false;
 
   void Add(const jobs::StepSpec& aStep);
   bool Leaves(const jobs::Resources& aCapacity,
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -86,7 +86,7 @@
   const bool hasSuspects = book.HasSuspects();
   for (const auto& [id, worker] : aWorkers.Workers()) {
     if (!worker.IsUsable(aNow) || aCordoned.contains(id) ||
-        aWorkers.HasLaterLife(worker)) {
+        worker.m_strayUse.m_isUnknown || aWorkers.HasLaterLife(worker)) {
       continue;
     }
     const jobs::Resources& all = worker.m_last.m_capacity;
--- a/src/placement/wave_caps.cpp
+++ b/src/placement/wave_caps.cpp
@@ -36,8 +36,7 @@
 {
   return !IsDown(aInstance) &&
          std::all_of(m_open.begin(), m_open.end(), [&](const auto* aWave) {
-           return !aWave->m_instances.contains(aInstance) ||
-                  RoomIn(*aWave) > 0;
+           return !aWave->m_instances.contains(aInstance) || RoomIn(*aWave) > 0;
          });
 }
 
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -70,7 +70,8 @@
 RoomUse::Leaves(const jobs::Resources& aCapacity,
                 const jobs::StepSpec& aStep) const
 {
-  return m_cpuMillis + aStep.CountedCpu() <= aCapacity.m_cpuMillis &&
+  return !m_isUnknown &&
+         m_cpuMillis + aStep.CountedCpu() <= aCapacity.m_cpuMillis &&
          m_memoryMb + aStep.m_needs.m_memoryMb <= aCapacity.m_memoryMb &&
          m_accelerators + aStep.m_needs.m_accelerators <=
            aCapacity.m_accelerators;
@@ -410,6 +411,8 @@
   for (const RunReport& run : report.m_active) {
     const jobs::Job* job = aBook.Find(run.m_task.m_job);
     if (job == nullptr || run.m_task.m_step >= job->m_spec.m_steps.size()) {
+      aWorker.m_activeUse.m_isUnknown = true;
+      aWorker.m_strayUse.m_isUnknown = true;
       continue;
     }
     const jobs::StepSpec& step = StepOf(*job, run.m_task);
--- a/tests/support/simulated_hosting.cpp
+++ b/tests/support/simulated_hosting.cpp
@@ -42,10 +42,9 @@
 SimulatedHosting::Instance&
 SimulatedHosting::InstanceOf(const InstanceId& aId)
 {
-  return *std::find_if(
-    m_instances.begin(), m_instances.end(), [&](const Instance& aOne) {
-      return aOne.m_id == aId;
-    });
+  return *std::find_if(m_instances.begin(),
+                       m_instances.end(),
+                       [&](const Instance& aOne) { return aOne.m_id == aId; });
 }
 
 void
@@ -176,9 +175,9 @@
     // Unheard; and by the time the caller gives up, obeyed or not yet.
     order.m_answerAt = m_now + Millis{ Random(2) * kCallTimeout.count() };
     const bool isObeyed = Random(3) > 0;
-    order.m_obeyAt = isObeyed
-                       ? std::optional{ m_now + Millis{ Random(kLatestObeyMs) } }
-                       : std::nullopt;
+    order.m_obeyAt =
+      isObeyed ? std::optional{ m_now + Millis{ Random(kLatestObeyMs) } }
+               : std::nullopt;
     m_orders.push_back(order);
     return;
   }
@@ -228,8 +227,7 @@
                 ? 1
                 : 0;
     }
-    m_mostOverCap =
-      std::max(m_mostOverCap, down - std::min(down, wave.m_cap));
+    m_mostOverCap = std::max(m_mostOverCap, down - std::min(down, wave.m_cap));
   }
 }
 
--- a/tests/support/simulated_pool.cpp
+++ b/tests/support/simulated_pool.cpp
@@ -53,6 +53,12 @@
   m_fleet.Submit(aJob, std::move(aSpec), Wall().Get());
 }
 
+void
+SimulatedPool::Cancel(const std::string& aJob)
+{
+  m_fleet.Apply({ jobs::Cancel{ JobId{ aJob }, Wall() } });
+}
+
 void
 SimulatedPool::Pass(Millis aTime)
 {
@@ -121,8 +127,7 @@
 SimulatedPool::BreakGangs(const std::vector<Run>& aLost)
 {
   for (const Run& lost : aLost) {
-    const jobs::TaskRef& task = lost.m_order.m_task;
-    if (!StepOf(task).m_gang) {
+    if (!lost.m_step.m_gang) {
       continue;
     }
     for (SimulatedWorker& worker : m_workers) {
@@ -147,7 +152,10 @@
     const bool isTogether = IsTogether(aRun);
     const bool isAlone = !isTogether && age >= kGangTimeout;
     const bool isDone = isTogether && age >= aRun.m_takes;
-    if (isDone) {
+    const bool isStopped = aRun.m_stopAt && m_now >= *aRun.m_stopAt;
+    if (isStopped && !isDone) {
+      AddEnd(aWorker, aRun, jobs::RunEnd::kStopped);
+    } else if (isDone) {
       AddEnd(aWorker, aRun, jobs::RunEnd::kDone);
     } else if (isLapsed || isAlone) {
       AddEnd(aWorker,
@@ -155,15 +163,14 @@
              isAlone ? jobs::RunEnd::kGangIncomplete
                      : jobs::RunEnd::kLeaseExpired);
     }
-    return isLapsed || isAlone || isDone;
+    return isLapsed || isAlone || isDone || isStopped;
   });
 }
 
 bool
 SimulatedPool::IsTogether(const Run& aRun) const
 {
-  const jobs::StepSpec& step = StepOf(aRun.m_order.m_task);
-  if (!step.m_gang) {
+  if (!aRun.m_step.m_gang) {
     return true;
   }
   std::uint32_t present = 0;
@@ -174,7 +181,7 @@
                AreOfOneStep(aOther.m_order.m_task, aRun.m_order.m_task);
       }));
   }
-  return present == step.m_count || aRun.m_wasTogether;
+  return present == aRun.m_step.m_count || aRun.m_wasTogether;
 }
 
 void
@@ -192,9 +199,8 @@
 SimulatedPool::Show(const Run& aRun) const
 {
   const Millis age = m_now - aRun.m_since;
-  const Millis takes = StepOf(aRun.m_order.m_task).m_longRunning
-                         ? kStartupOfLongRunning
-                         : aRun.m_takes;
+  const Millis takes =
+    aRun.m_step.m_longRunning ? kStartupOfLongRunning : aRun.m_takes;
   placement::RunReport shown;
   shown.m_task = aRun.m_order.m_task;
   shown.m_run = aRun.m_order.m_run;
@@ -262,6 +268,10 @@
   std::vector<jobs::Change> changes{ ends.begin(), ends.end() };
   const auto settled = m_table->FindSettled(book, Time());
   changes.insert(changes.end(), settled.begin(), settled.end());
+  if (m_options.m_keepEnded) {
+    const Millis before = m_now - *m_options.m_keepEnded;
+    changes.emplace_back(jobs::ForgetEnded{ WallTime{ before.count() } });
+  }
   m_fleet.Apply(std::move(changes));
   m_table->Acknowledge(m_table->TakeReceipts());
   if (!ends.empty() || m_now >= m_nextPass) {
@@ -313,20 +323,27 @@
     return isAcked;
   });
   for (const placement::StopOrder& stop : aOrders.m_stops) {
-    std::erase_if(aWorker.m_runs, [&](const Run& aRun) {
+    for (Run& run : aWorker.m_runs) {
       const bool isMeant =
-        aRun.m_order.m_task == stop.m_task && aRun.m_order.m_run == stop.m_run;
-      if (isMeant) {
-        AddEnd(aWorker, aRun, jobs::RunEnd::kStopped);
+        run.m_order.m_task == stop.m_task && run.m_order.m_run == stop.m_run;
+      if (isMeant && !run.m_stopAt) {
+        run.m_stopAt = m_now + StopTime();
       }
-      return isMeant;
-    });
+    }
   }
+  EndRuns(aWorker);
   for (const placement::StartOrder& start : aOrders.m_starts) {
     Start(aWorker, start);
   }
 }
 
+Millis
+SimulatedPool::StopTime()
+{
+  const auto most = m_options.m_stopTakes.count();
+  return most == 0 ? Millis{} : Millis{ m_random() % most };
+}
+
 bool
 SimulatedPool::IsFaulty(const SimulatedWorker& aWorker) const
 {
@@ -352,9 +369,13 @@
   if (record.m_crashes >= kCrashesCounted) {
     ++record.m_startsAfterThreeCrashes;
   }
-  const jobs::StepSpec& step = StepOf(aOrder.m_task);
+  const jobs::StepSpec& step = m_fleet.Book()
+                                 .Find(aOrder.m_task.m_job)
+                                 ->m_spec.m_steps[aOrder.m_task.m_step];
   const Millis takes = step.m_longRunning ? Millis::max() / 2 : step.m_estimate;
-  aWorker.m_runs.push_back({ aOrder, m_now, takes, !step.m_gang });
+  m_startsOverRoom += UseOf(aWorker).Leaves(aWorker.m_capacity, step) ? 0 : 1;
+  aWorker.m_runs.push_back(
+    { aOrder, m_now, takes, !step.m_gang, step, std::nullopt });
   if (Crashes(aOrder)) {
     ++record.m_crashes;
     ++m_crashesByTasks;
@@ -365,10 +386,14 @@
   }
 }
 
-const jobs::StepSpec&
-SimulatedPool::StepOf(const jobs::TaskRef& aTask) const
+placement::RoomUse
+SimulatedPool::UseOf(const SimulatedWorker& aWorker)
 {
-  return m_fleet.Book().Find(aTask.m_job)->m_spec.m_steps[aTask.m_step];
+  placement::RoomUse use;
+  for (const Run& run : aWorker.m_runs) {
+    use.Add(run.m_step);
+  }
+  return use;
 }
 
 void
@@ -457,11 +482,7 @@
 {
   return std::all_of(
     m_workers.begin(), m_workers.end(), [&](const SimulatedWorker& aWorker) {
-      std::int64_t cpu = 0;
-      for (const Run& run : aWorker.m_runs) {
-        cpu += StepOf(run.m_order.m_task).CountedCpu();
-      }
-      return cpu <= aWorker.m_capacity.m_cpuMillis;
+      return UseOf(aWorker).m_cpuMillis <= aWorker.m_capacity.m_cpuMillis;
     });
 }
 
--- a/tests/support/simulated_pool.h
+++ b/tests/support/simulated_pool.h
@@ -25,6 +25,10 @@
   std::optional<std::uint32_t> m_faultyWorker;
   /** A crashed worker is back under the id that it had. */
   bool m_keepsIds = false;
+  /** Longest time from a stop to the end of the run. */
+  Millis m_stopTakes{};
+  /** Jobs that have ended are forgotten after that. */
+  std::optional<Millis> m_keepEnded;
   unsigned m_seed = 1;
 };
 
@@ -54,6 +58,7 @@
   explicit SimulatedPool(PoolOptions aOptions = {});
 
   void Submit(const std::string& aJob, jobs::JobSpec aSpec);
+  void Cancel(const std::string& aJob);
   void Pass(Millis aTime);
   /** Silent from now on; a new life reports after aDown. */
   void CrashWorker(std::uint32_t aWorker, Millis aDown);
@@ -77,6 +82,8 @@
   std::size_t CountJobs(jobs::JobState aState) const;
   /** Whether all workers are within what they report. */
   bool IsWithinCapacity() const;
+  /** Starts that brought their worker over what it reports. */
+  std::uint32_t CountStartsOverRoom() const { return m_startsOverRoom; }
   std::uint32_t RunningOn(std::uint32_t aWorker) const;
   Millis Now() const { return m_now; }
 
@@ -88,6 +95,9 @@
     Millis m_takes;
     /** Of a gang: all of its members have been present. */
     bool m_wasTogether = false;
+    /** Its job may be forgotten before it ends. */
+    jobs::StepSpec m_step;
+    std::optional<Millis> m_stopAt;
   };
 
   struct SimulatedWorker
@@ -128,10 +138,11 @@
   void Lead(const std::vector<SimulatedWorker*>& aReporting);
   std::vector<placement::WorkerReport> TakeLate();
   bool IsRunning(const jobs::TaskRef& aTask) const;
+  static placement::RoomUse UseOf(const SimulatedWorker& aWorker);
   void Obey(SimulatedWorker& aWorker, const placement::Orders& aOrders);
+  Millis StopTime();
   bool IsFaulty(const SimulatedWorker& aWorker) const;
   void Start(SimulatedWorker& aWorker, const placement::StartOrder& aOrder);
-  const jobs::StepSpec& StepOf(const jobs::TaskRef& aTask) const;
   TimePoint Time() const { return TimePoint{ m_now }; }
   WallTime Wall() const { return WallTime{ m_now.count() }; }
 
@@ -147,6 +158,7 @@
   Millis m_nextPass{};
   std::map<jobs::TaskRef, TaskRecord> m_records;
   std::uint32_t m_crashesByTasks = 0;
+  std::uint32_t m_startsOverRoom = 0;
 };
 
 } // namespace simulated_pool
--- a/tests/unit/placement/maintenance_test.cpp
+++ b/tests/unit/placement/maintenance_test.cpp
@@ -55,8 +55,7 @@
   }
 
   /** The platform's list as it was, asked for and read at that time. */
-  void List(
-    const InstanceId& aInstance, InstanceState aState, std::int64_t aAt)
+  void List(const InstanceId& aInstance, InstanceState aState, std::int64_t aAt)
   {
     m_planner.OnListed(
       { At(aAt), { { aInstance, ServiceId{ "desk" }, aState } } });
@@ -67,9 +66,8 @@
   {
     Next(10'000);
     const auto order = Next(10'100).m_orders.at(0);
-    m_fleet.Do(
-      m_planner.OnAnswer(order, InstanceAnswer::kTaken, At(10'200))
-        .m_advance->m_change);
+    m_fleet.Do(m_planner.OnAnswer(order, InstanceAnswer::kTaken, At(10'200))
+                 .m_advance->m_change);
     Next(10'300);
     return order;
   }
@@ -317,7 +315,8 @@
   const auto order = Next(10'100).m_orders.at(0);
   m_planner.OnAnswer(order, InstanceAnswer::kUnclear, At(10'200));
   List(order.m_instance, InstanceState::kDown, 12'000);
-  CHECK(!m_planner.OnAnswer(order, InstanceAnswer::kBusy, At(12'100)).m_advance);
+  CHECK(
+    !m_planner.OnAnswer(order, InstanceAnswer::kBusy, At(12'100)).m_advance);
   List(order.m_instance, InstanceState::kDown, 13'300);
   const auto busy =
     m_planner.OnAnswer(order, InstanceAnswer::kBusy, At(13'700)).m_advance;
--- /dev/null
+++ b/tests/unit/placement/rooms_test.cpp
@@ -0,0 +1,120 @@
+#include "simulated_pool.h"
+
+#include "check.h"
+
+#include <cstdlib>
+
+using namespace bamboostile;
+using namespace bamboostile::jobs;
+using namespace job_fixtures;
+using simulated_pool::PoolOptions;
+using simulated_pool::SimulatedPool;
+
+namespace {
+
+std::uint32_t
+Below(std::minstd_rand& aRandom, std::uint32_t aLimit)
+{
+  return static_cast<std::uint32_t>(aRandom()) % aLimit;
+}
+
+} // namespace
+
+TEST_GROUP(Rooms)
+{
+  static StepSpec Of(std::uint32_t aCount, Resources aNeeds)
+  {
+    StepSpec step = Step(aCount);
+    step.m_needs = aNeeds;
+    return step;
+  }
+
+  /** A job of any kind, with needs of any shape. */
+  static JobSpec AnyJob(std::minstd_rand & aRandom)
+  {
+    const std::uint32_t cpu = 500 + Below(aRandom, 6000);
+    const std::uint32_t memory = 100 + Below(aRandom, 12'000);
+    StepSpec step = Of(1 + Below(aRandom, 6), { cpu, memory, Below(aRandom, 3) });
+    switch (Below(aRandom, 6)) {
+      case 0:
+        step.m_longRunning = true;
+        break;
+      case 1:
+        step.m_gang = true;
+        break;
+      case 2:
+        step.m_fills = true;
+        break;
+      default:
+        break;
+    }
+    step.m_estimate = Millis{ 300 + Below(aRandom, 3000) };
+    return Spec({ step, Step(2, 2000) });
+  }
+
+  static Resources AnyRoom(std::minstd_rand & aRandom)
+  {
+    return { 4000 + Below(aRandom, 12'000),
+             8000 + Below(aRandom, 24'000),
+             Below(aRandom, 5) };
+  }
+
+  static void Disturb(SimulatedPool & aPool,
+                      const PoolOptions& aOptions,
+                      std::minstd_rand& aRandom)
+  {
+    const std::uint32_t worker = Below(aRandom, aOptions.m_workers);
+    switch (Below(aRandom, 8)) {
+      case 0:
+      case 1:
+        aPool.Resize(worker, AnyRoom(aRandom));
+        break;
+      case 2:
+        aPool.CrashWorker(worker, Millis{ 300 + Below(aRandom, 3000) });
+        break;
+      case 3:
+        aPool.CutWorker(worker, Millis{ 500 + Below(aRandom, 6000) });
+        break;
+      case 4:
+        aPool.DelayReport(worker, Millis{ Below(aRandom, 2900) });
+        break;
+      case 5:
+        if (Below(aRandom, 4) == 0) {
+          aPool.ReplaceLeader(Millis{ 300 + Below(aRandom, 1500) });
+        }
+        break;
+      default:
+        break;
+    }
+  }
+};
+
+// Guards against any series of starts, cancels, gangs, rooms that shrink,
+// lives, cuts and leaders that loads a worker beyond what it reports, also
+// with jobs that are forgotten before their runs end.
+TEST(Rooms, StartsUnderAnyTrouble_NoneBringsAWorkerOverItsRoom)
+{
+  const char* more = std::getenv("BAMBOOSTILE_SEEDS");
+  const unsigned seeds = more == nullptr ? 10 : std::stoul(more);
+  for (unsigned seed = 1; seed <= seeds; ++seed) {
+    std::minstd_rand random{ seed };
+    PoolOptions options;
+    options.m_seed = seed;
+    options.m_workers = 6;
+    options.m_capacity = { 16'000, 32'000, 4 };
+    options.m_keepsIds = seed % 2 == 0;
+    options.m_stopTakes = Millis{ 900 };
+    options.m_keepEnded = Millis{ seed % 3 == 0 ? 200 : 60'000 };
+    SimulatedPool pool{ options };
+    for (int i = 0; i < 200; ++i) {
+      pool.Submit("job" + std::to_string(i), AnyJob(random));
+      pool.Pass(Millis{ 200 });
+      if (random() % 2 == 0) {
+        pool.Cancel("job" + std::to_string(random() % (i + 1)));
+      }
+      Disturb(pool, options, random);
+    }
+    const std::string name = "seed " + std::to_string(seed);
+    LONGS_EQUAL_TEXT(0, pool.CountStartsOverRoom(), name.c_str());
+  }
+}
--- a/tests/unit/placement/shrinking_room_test.cpp
+++ b/tests/unit/placement/shrinking_room_test.cpp
@@ -151,3 +151,25 @@
   CHECK(plan.m_needs[0].m_want >= 4);
   CHECK(plan.m_needs[0].m_want <= 6);
 }
+
+// Guards against a run that holds room on the worker and none in the account:
+// its job is forgotten, or its step is none of the job's.
+TEST(ShrinkingRoom, RunOfUnknownJobOrStep_NothingIsStartedBesideIt)
+{
+  for (const auto& unknown : { Ref("forgotten"), Ref("a", 0, 7) }) {
+    m_table = placement::WorkerTable{ LeaseOptions{}, At(0) };
+    m_fleet = Fleet{};
+    m_fleet.Submit("a", Spec({ Step(1) }));
+    Hear(Report("w1", 1), kLater);
+    m_fleet.Start(Ref("a"), "w1");
+    Hear(Shrunk(2, 4000, { Active(unknown) }), kLater + 200);
+    const Orders orders = Answer(kLater + 200);
+    LONGS_EQUAL(0, orders.m_starts.size());
+    LONGS_EQUAL(1, orders.m_stops.size());
+    m_fleet.Submit("b", Spec({ Step(1) }));
+    LONGS_EQUAL(0, CountPlanned(kLater + 300));
+    Hear(Shrunk(3, 4000), kLater + 400);
+    // The first start was taken back; both find room again.
+    LONGS_EQUAL(2, CountPlanned(kLater + 400));
+  }
+}
