Sound tasks no longer wait behind trials of those that crash their workers

Each trial of a task that does crash takes 4.7 s, and such tasks, earlier in the order of jobs, took every turn.

Those with the fewest losses are tried first: what was only beside a crash passes its trial with the next report. That report is asked for at once, and placing looks again when it has come. Half of a pool's workers may be on trial. Suspects count as need of a worker each, up to half of the pool or four, however old their jobs are: before, they were no work in the eyes of the capacity planner, and nothing was moved in beside dozens of instances in standby. A trial waits longer for a worker without long-running tasks, until one can have been moved in.

The simulated pool moves instances in and out of standby, holds the reports of quiet workers, and places when a report changes something, as a leader does.

--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -68,6 +68,8 @@
     bool m_isJoint = false;
     /** Free for a task that has found no room yet. */
     bool m_kept = false;
+    /** Its worker may be gone: it counts, but gets nothing new. */
+    bool m_isInDoubt = false;
 
     bool Fits(const jobs::StepSpec& aStep) const;
     void Take(const jobs::StepSpec& aStep);
@@ -86,6 +88,13 @@
     WallTime m_due;
   };
 
+  /** A task whose next run is a trial. */
+  struct Suspect
+  {
+    std::uint32_t m_index = 0;
+    std::vector<jobs::WorkerLoss> m_losses;
+  };
+
   using Pool = std::vector<Room>;
   /** Running tasks of one step by worker. */
   using OnWorkers = std::unordered_map<WorkerLife, std::uint32_t>;
@@ -110,6 +119,12 @@
                  std::optional<Millis> aWaited,
                  Pool& aPool,
                  Plan& aPlan) const;
+  /** Those of the step that wait, the fewest losses first. */
+  static std::vector<Suspect> FindSuspects(const Candidate& aCandidate);
+  static std::vector<Candidate> OrderForTrials(
+    std::vector<Candidate>::const_iterator aFrom,
+    std::vector<Candidate>::const_iterator aTo,
+    const jobs::Book& aBook);
   /** Starts a suspect of the step whose delay is over, on trial; those that
    * may be tried together, all at once. */
   void PlaceTrial(const Candidate& aCandidate,
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -336,6 +336,11 @@
   /** Two lives of the instance may be running: which one an order would end is
    * not known. */
   bool IsContested(const InstanceId& aInstance) const;
+  /** Not heard for so long that it may be gone. */
+  bool IsInDoubt(const Worker& aWorker, TimePoint aNow) const
+  {
+    return aNow >= aWorker.m_heardAt + m_options.m_doubtAfter;
+  }
   /** A life of its instance was first heard after it fell silent. */
   bool HasLaterLife(const Worker& aWorker) const;
   /** The run, if its worker's last report has it. */
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -17,6 +17,10 @@
 constexpr double kRateShare = 0.85;
 constexpr double kSavedSeconds = 0.15;
 constexpr Duration kRetryAfter = Millis{ 2000 };
+/** For trials a pool gets so many workers more, or one for each so many that it
+ * has. */
+constexpr std::size_t kLeastForTrials = 4;
+constexpr std::size_t kTrialShare = 2;
 
 /** What runs hold of a worker. */
 struct Use
@@ -57,7 +61,11 @@
     const auto found = aState.RouteLookup().Find(job.m_queue);
     if (job.m_state == jobs::JobState::kActive && found) {
       const fleet::QueueRoute& route = aState.Routes().m_routes[*found];
-      demands[route.m_service].Add(job, route, aDurations, aWall);
+      Demand& demand = demands[route.m_service];
+      demand.Add(job, route, aDurations, aWall);
+      if (aState.Jobs().HasLosses(id)) {
+        demand.AddTrials(job);
+      }
     }
   }
   for (auto& [service, pool] : aPools) {
@@ -74,6 +82,8 @@
     // worker is lost finds room at once.
     pool.m_want =
       std::max({ byWork, demand.m_spread + 1, m_options.m_leastPerPool });
+    pool.m_want += std::min(
+      demand.m_trials, std::max(kLeastForTrials, pool.m_want / kTrialShare));
   }
 }
 
--- a/src/placement/demand.cpp
+++ b/src/placement/demand.cpp
@@ -1,5 +1,7 @@
 #include "demand.h"
 
+#include "bamboostile/jobs/crash_loop.h"
+
 #include <algorithm>
 
 namespace bamboostile::placement {
@@ -46,6 +48,25 @@
   m_spread = std::max(m_spread, least);
 }
 
+// However old their job is: until a trial tells which of them crashes its
+// workers, they hold up the pool's sound work.
+void
+Demand::AddTrials(const jobs::Job& aJob)
+{
+  for (const auto& [number, occurrence] : aJob.m_occurrences) {
+    for (std::size_t s = 0; s < occurrence.m_steps.size(); ++s) {
+      const jobs::StepRun& run = occurrence.m_steps[s];
+      for (std::uint32_t i = 0; i < run.m_tasks.size(); ++i) {
+        const auto losses = jobs::LossesOf(aJob.m_spec.m_steps[s], run, i);
+        const bool isAlone =
+          jobs::IsSuspect(losses) && !jobs::MayBeTriedTogether(losses);
+        const bool isOver = run.m_tasks[i].m_phase == jobs::TaskPhase::kDone;
+        m_trials += isAlone && !isOver ? 1 : 0;
+      }
+    }
+  }
+}
+
 // The next step of a job counts as if its turn had come where it is the wider
 // one: an instance that is ordered now arrives by then.
 void
--- a/src/placement/demand.h
+++ b/src/placement/demand.h
@@ -26,12 +26,16 @@
   std::int64_t m_longRunningCpu = 0;
   /** Workers that long-running tasks need to stay apart. */
   std::size_t m_spread = 0;
+  /** Tasks that each need a worker to themselves to be tried on. */
+  std::size_t m_trials = 0;
 
   void Add(const jobs::Job& aJob,
            const fleet::QueueRoute& aRoute,
            const Durations& aDurations,
            WallTime aWall);
 
+  void AddTrials(const jobs::Job& aJob);
+
 private:
   void AddLongRunning(const jobs::StepSpec& aStep);
   /** Adds to aLoad what ends by itself, to this what does not. */
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -38,7 +38,8 @@
 bool
 Planner::Room::Fits(const jobs::StepSpec& aStep) const
 {
-  return aStep.CountedCpu() <= m_cpu && aStep.m_needs.m_memoryMb <= m_memory &&
+  return !m_isInDoubt && aStep.CountedCpu() <= m_cpu &&
+         aStep.m_needs.m_memoryMb <= m_memory &&
          aStep.m_needs.m_accelerators <= m_accelerators;
 }
 
@@ -95,6 +96,7 @@
                all.m_cpuMillis - stray.m_cpuMillis,
                all.m_memoryMb - stray.m_memoryMb,
                all.m_accelerators - stray.m_accelerators };
+    room.m_isInDoubt = aWorkers.IsInDoubt(worker, aNow);
     const auto placed = book.Placed().find(id);
     if (placed != book.Placed().end()) {
       for (const jobs::TaskRef& ref : placed->second) {
@@ -477,8 +479,8 @@
   Pools pools = FindRoom(aState, aWorkers, aCordoned, aNow);
   const std::vector<Candidate> candidates = FindCandidates(aState, aWall);
   const auto lasting =
-    std::find_if(candidates.begin(),
-                 candidates.end(),
+    std::find_if(candidates.cbegin(),
+                 candidates.cend(),
                  [](const Candidate& aOne) { return !aOne.m_isLongRunning; });
   const bool isCalm = !aState.Jobs().LostWithWorkers().empty() &&
                       aWorkers.IsCalm(aState.Jobs(), aNow);
@@ -486,15 +488,13 @@
     for (auto it = aFrom; it != aTo; ++it) {
       Place(*it, pools[it->m_route->m_service], plan);
     }
-    for (auto it = aFrom; it != aTo; ++it) {
-      if (aState.Jobs().HasLosses(it->m_job->m_id)) {
-        PlaceTrial(*it, isCalm, aWall, pools[it->m_route->m_service], plan);
-      }
+    for (const Candidate& one : OrderForTrials(aFrom, aTo, aState.Jobs())) {
+      PlaceTrial(one, isCalm, aWall, pools[one.m_route->m_service], plan);
     }
   };
-  placeAll(candidates.begin(), lasting);
+  placeAll(candidates.cbegin(), lasting);
   MoveLongRunning(aState, aWorkers, aCordoned, aNow, pools, plan);
-  placeAll(lasting, candidates.end());
+  placeAll(lasting, candidates.cend());
   return plan;
 }
 
--- a/src/placement/trials.cpp
+++ b/src/placement/trials.cpp
@@ -12,12 +12,15 @@
 
 /** Of a pool's workers, one in so many at most may be lost to trials of a kind
  * at a time: the others go on with sound work. */
-constexpr std::size_t kTrialShare = 4;
-/** After that a trial also takes a worker with long-running tasks or a gang;
- * pools that have no other worker would never try. */
+constexpr std::size_t kTrialShare = 2;
+/** After that, longer than an instance takes to be moved in, a trial also takes
+ * a worker with long-running tasks or a gang; pools that have no other worker
+ * would never try. */
+constexpr Millis kFragilePatience{ 3000 };
+/** After that a trial of a long-running task also goes where the task was lost
+ * before; */
 constexpr Millis kTrialPatience{ 1000 };
-/** After that a trial also goes where the task was lost before: all others may
- * be taken for good. */
+/** and of any other: all other workers may be taken for good. */
 constexpr Millis kElsewherePatience{ 5000 };
 
 } // namespace
@@ -84,7 +87,7 @@
     return std::make_tuple(
       !aRoom.m_isJoint, isKnown(aRoom), isFragile(aRoom), aRoom.m_runs);
   };
-  const bool takesFragile = aStep.m_longRunning || aWaited >= kTrialPatience;
+  const bool takesFragile = aStep.m_longRunning || aWaited >= kFragilePatience;
   const bool takesKnown =
     aWaited >= (aStep.m_longRunning ? kTrialPatience : kElsewherePatience) ||
     std::none_of(aPool.begin(), aPool.end(), [&](const Room& aRoom) {
@@ -159,6 +162,57 @@
   return since < delay ? std::nullopt : std::optional{ since - delay };
 }
 
+std::vector<Planner::Suspect>
+Planner::FindSuspects(const Candidate& aCandidate)
+{
+  std::vector<Suspect> suspects;
+  const jobs::Job& job = *aCandidate.m_job;
+  const auto found = job.m_occurrences.find(aCandidate.m_occurrence);
+  if (found == job.m_occurrences.end()) {
+    return suspects;
+  }
+  const jobs::StepSpec& step = job.m_spec.m_steps[aCandidate.m_step];
+  const jobs::StepRun& run = found->second.m_steps[aCandidate.m_step];
+  for (std::uint32_t i = 0; i < run.m_tasks.size(); ++i) {
+    auto losses = jobs::LossesOf(step, run, i);
+    if (run.m_tasks[i].m_phase == jobs::TaskPhase::kWaiting &&
+        jobs::IsSuspect(losses)) {
+      suspects.push_back({ i, std::move(losses) });
+    }
+  }
+  std::stable_sort(suspects.begin(),
+                   suspects.end(),
+                   [](const Suspect& aLeft, const Suspect& aRight) {
+                     return aLeft.m_losses.size() < aRight.m_losses.size();
+                   });
+  return suspects;
+}
+
+// A task that was only beside a crash passes its trial at once; one that
+// crashes its workers takes each for seconds. Those with the fewest losses go
+// first, or the others would be tried again and again before them.
+std::vector<Planner::Candidate>
+Planner::OrderForTrials(std::vector<Candidate>::const_iterator aFrom,
+                        std::vector<Candidate>::const_iterator aTo,
+                        const jobs::Book& aBook)
+{
+  std::multimap<std::size_t, Candidate> ordered;
+  for (auto it = aFrom; it != aTo; ++it) {
+    if (!aBook.HasLosses(it->m_job->m_id)) {
+      continue;
+    }
+    const auto suspects = FindSuspects(*it);
+    if (!suspects.empty()) {
+      ordered.emplace(suspects.front().m_losses.size(), *it);
+    }
+  }
+  std::vector<Candidate> candidates;
+  for (const auto& [losses, candidate] : ordered) {
+    candidates.push_back(candidate);
+  }
+  return candidates;
+}
+
 void
 Planner::PlaceTrial(const Candidate& aCandidate,
                     bool aIsCalm,
@@ -174,13 +228,11 @@
   }
   const jobs::StepRun& run = found->second.m_steps[aCandidate.m_step];
   OnWorkers onWorker = CountOnWorkers(run.m_tasks);
-  for (std::uint32_t i = 0; i < step.m_count; ++i) {
+  for (const auto& [index, losses] : FindSuspects(aCandidate)) {
     const jobs::TaskRef ref{
-      job.m_id, aCandidate.m_occurrence, aCandidate.m_step, i
+      job.m_id, aCandidate.m_occurrence, aCandidate.m_step, index
     };
-    const auto losses = jobs::LossesOf(step, run, i);
-    if (run.m_tasks[i].m_phase != jobs::TaskPhase::kWaiting ||
-        !jobs::IsSuspect(losses) || (jobs::NeedsCalm(losses) && !aIsCalm)) {
+    if (jobs::NeedsCalm(losses) && !aIsCalm) {
       continue;
     }
     const auto waited = WaitedForTrial(ref, losses, aWall);
@@ -202,7 +254,7 @@
     room->AddTrialOf(job, isJoint);
     ++onWorker[worker];
     aPlan.m_changes.emplace_back(jobs::StartRun{
-      ref, RunNumber{ run.m_tasks[i].m_lastRun.Get() + 1 }, worker });
+      ref, RunNumber{ run.m_tasks[index].m_lastRun.Get() + 1 }, worker });
     if (!isJoint) {
       return;
     }
--- a/src/placement/worker_orders.cpp
+++ b/src/placement/worker_orders.cpp
@@ -66,7 +66,8 @@
                              const jobs::Book& aBook) const
 {
   const WorkerLife& id = aWorker.m_last.m_worker;
-  if (IsQuiet(id, aBook)) {
+  // A trial takes the worker from all others until a report shows its outcome.
+  if (IsQuiet(id, aBook) || HasTrial(aWorker, aBook)) {
     return m_options.m_reportAgain;
   }
   const auto placed = aBook.Placed().find(id);
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -180,6 +180,7 @@
   heard.m_changed = heard.m_changed || worker.m_silent ||
                     worker.m_last.m_draining != aReport.m_draining ||
                     worker.m_last.m_capacity != aReport.m_capacity;
+  const bool hadTrial = HasTrial(worker, aBook);
   worker.m_last = aReport;
   worker.m_heardAt = aNow;
   worker.m_silent = false;
@@ -197,6 +198,7 @@
     }
   }
   CountActive(worker, aBook);
+  heard.m_changed = heard.m_changed || (hadTrial && !HasTrial(worker, aBook));
   FollowProgress(worker, aNow);
   TakeEnds(worker, aReport, aBook, aNow, aWall, heard);
   FindUnstarted(worker, aBook, aNow, aWall, heard);
--- a/tests/support/simulated_pool.cpp
+++ b/tests/support/simulated_pool.cpp
@@ -10,6 +10,8 @@
 constexpr Millis kPass{ 50 };
 constexpr Millis kReportAfterEnd{ 50 };
 constexpr Millis kRetryReport{ 200 };
+constexpr Millis kLookAtMoves{ 100 };
+constexpr Millis kMoveTakes{ 1'500 };
 constexpr Millis kGangTimeout{ 3'000 };
 constexpr Millis kStartupOfLongRunning{ 300 };
 constexpr std::int64_t kTimeOfDay = 1'790'000'000'000;
@@ -24,6 +26,8 @@
          aLeft.m_step == aRight.m_step;
 }
 
+constexpr const char* kStandby = "spare";
+
 bool
 Crashes(const placement::StartOrder& aOrder)
 {
@@ -38,12 +42,21 @@
   , m_random(aOptions.m_seed)
 {
   m_table.emplace(placement::LeaseOptions{}, TimePoint{});
-  for (std::uint32_t i = 0; i < m_options.m_workers; ++i) {
+  for (std::uint32_t i = 0; i < m_options.m_workers + m_options.m_spares; ++i) {
     SimulatedWorker& worker = m_workers.emplace_back();
     worker.m_instance = "i" + std::to_string(i);
     worker.m_capacity = m_options.m_capacity;
     worker.m_startedAt = kTimeOfDay;
     worker.m_nextReport = m_now + Millis{ m_random() % kRetryReport.count() };
+    if (i >= m_options.m_workers) {
+      worker.m_downUntil = Millis::max();
+    }
+  }
+  if (m_options.m_spares > 0) {
+    fleet::RouteTable table = m_fleet.State().Routes();
+    table.m_version = 2;
+    table.m_services.push_back({ ServiceId{ kStandby }, true, true });
+    m_fleet.Do(fleet::ReplaceRoutes{ table });
   }
 }
 
@@ -253,6 +266,7 @@
   for (const placement::WorkerReport& late : TakeLate()) {
     add(m_table->OnReport(late, book, Time(), Wall()).m_ends);
   }
+  bool hasChanged = false;
   std::vector<SimulatedWorker*> answered;
   for (SimulatedWorker* worker : aReporting) {
     worker->m_latest = ReportOf(*worker);
@@ -260,11 +274,13 @@
     const auto heard =
       m_table->OnReport(worker->m_latest, book, Time(), Wall());
     add(heard.m_ends);
+    hasChanged = hasChanged || heard.m_changed;
     if (!heard.m_ignored) {
       answered.push_back(worker);
     }
   }
   add(m_table->FindLost(book, Time(), Wall()));
+  MoveInstances(ends);
   std::vector<jobs::Change> changes{ ends.begin(), ends.end() };
   const auto settled = m_table->FindSettled(book, Time());
   changes.insert(changes.end(), settled.begin(), settled.end());
@@ -274,17 +290,68 @@
   }
   m_fleet.Apply(std::move(changes));
   m_table->Acknowledge(m_table->TakeReceipts());
-  if (!ends.empty() || m_now >= m_nextPass) {
+  if (!ends.empty() || hasChanged || m_now >= m_nextPass) {
     m_nextPass = m_now + kPass;
     placement::Plan plan =
-      m_planner.Next(m_fleet.State(), *m_table, {}, Time(), Wall());
+      m_planner.Next(m_fleet.State(), *m_table, m_cordoned, Time(), Wall());
     m_fleet.Apply(std::move(plan.m_changes));
   }
   for (SimulatedWorker* worker : answered) {
+    if (m_table->Find(worker->m_latest.m_worker) == nullptr) {
+      continue;
+    }
     Obey(*worker, m_table->Answer(worker->m_latest.m_worker, book, Time()));
   }
 }
 
+void
+SimulatedPool::ListStandby()
+{
+  std::vector<placement::ListedInstance> off;
+  for (const SimulatedWorker& worker : m_workers) {
+    if (worker.m_downUntil == Millis::max()) {
+      off.push_back({ InstanceId{ worker.m_instance },
+                      ServiceId{ kStandby },
+                      placement::InstanceState::kUp });
+    }
+  }
+  m_capacity.OnListed(off, ServiceId{ kStandby }, Time());
+}
+
+void
+SimulatedPool::MoveInstances(std::vector<jobs::EndRun>& aEnds)
+{
+  if (m_options.m_spares == 0 || m_now < m_nextMoves) {
+    return;
+  }
+  m_nextMoves = m_now + kLookAtMoves;
+  ListStandby();
+  const auto plan = m_capacity.Next(m_fleet.State(),
+                                    *m_table,
+                                    {},
+                                    m_planner.EstimatedDurations(),
+                                    m_moveRecord,
+                                    Time(),
+                                    Wall());
+  m_cordoned = plan.m_cordoned;
+  for (const placement::MoveOrder& order : plan.m_orders) {
+    SimulatedWorker& worker = *std::find_if(
+      m_workers.begin(), m_workers.end(), [&](const SimulatedWorker& aOne) {
+        return aOne.m_instance == order.m_instance.Get();
+      });
+    const bool isOut = order.m_to.Get() == kStandby;
+    Crash(worker, kMoveTakes);
+    worker.m_downUntil = isOut ? Millis::max() : worker.m_downUntil;
+    const auto ended =
+      m_capacity.OnAnswer(order, placement::InstanceAnswer::kTaken, Time());
+    if (ended) {
+      const auto more =
+        m_table->RetireInstance(*ended, Time(), m_fleet.Book(), Wall());
+      aEnds.insert(aEnds.end(), more.begin(), more.end());
+    }
+  }
+}
+
 std::vector<placement::WorkerReport>
 SimulatedPool::TakeLate()
 {
@@ -314,7 +381,11 @@
 SimulatedPool::Obey(SimulatedWorker& aWorker, const placement::Orders& aOrders)
 {
   aWorker.m_leaseEnd = m_now + ToMillis(aOrders.m_lease);
-  aWorker.m_nextReport = m_now + ToMillis(aOrders.m_nextReport);
+  // The report of a quiet worker is held until there is an order for it.
+  const bool isHeld =
+    m_table->IsQuiet(aWorker.m_latest.m_worker, m_fleet.Book());
+  aWorker.m_nextReport =
+    m_now + (isHeld ? kStep : ToMillis(aOrders.m_nextReport));
   std::erase_if(aWorker.m_ended, [&](const placement::EndReport& aEnd) {
     const bool isAcked = aEnd.m_number <= aOrders.m_ackedUpTo;
     if (isAcked && aEnd.m_how == jobs::RunEnd::kDone) {
@@ -427,6 +498,8 @@
   m_leaderFrom = m_now + aGap;
   m_table.emplace(placement::LeaseOptions{}, TimePoint{ m_leaderFrom });
   m_planner = placement::Planner{};
+  m_capacity = placement::CapacityPlanner{};
+  m_cordoned.clear();
 }
 
 jobs::JobState
--- a/tests/support/simulated_pool.h
+++ b/tests/support/simulated_pool.h
@@ -2,6 +2,8 @@
 
 #include "job_fixtures.h"
 
+#include "bamboostile/placement/capacity.h"
+
 #include <random>
 
 /** One pool of workers and its leader, in virtual time. */
@@ -16,6 +18,9 @@
 struct PoolOptions
 {
   std::uint32_t m_workers = 12;
+  /** Instances in standby, which the leader moves in and out; with any, the
+   * others can be moved out as well. */
+  std::uint32_t m_spares = 0;
   jobs::Resources m_capacity{ 16'000, 32'000, 0 };
   /** From a crash to the first report of the next life. */
   Millis m_restartTakes{ 2'500 };
@@ -136,6 +141,8 @@
   placement::WorkerReport ReportOf(SimulatedWorker& aWorker) const;
   placement::RunReport Show(const Run& aRun) const;
   void Lead(const std::vector<SimulatedWorker*>& aReporting);
+  void MoveInstances(std::vector<jobs::EndRun>& aEnds);
+  void ListStandby();
   std::vector<placement::WorkerReport> TakeLate();
   bool IsRunning(const jobs::TaskRef& aTask) const;
   static placement::RoomUse UseOf(const SimulatedWorker& aWorker);
@@ -154,6 +161,10 @@
   std::vector<LateReport> m_late;
   std::optional<placement::WorkerTable> m_table;
   placement::Planner m_planner;
+  placement::CapacityPlanner m_capacity;
+  placement::OrderRecord m_moveRecord{ Millis{ 3000 } };
+  std::set<WorkerLife> m_cordoned;
+  Millis m_nextMoves{};
   Millis m_leaderFrom{};
   Millis m_nextPass{};
   std::map<jobs::TaskRef, TaskRecord> m_records;
--- a/tests/unit/placement/crash_loops_test.cpp
+++ b/tests/unit/placement/crash_loops_test.cpp
@@ -15,6 +15,8 @@
 constexpr Millis kMinute{ 60'000 };
 /** What could run must have started again by then, once all is quiet. */
 constexpr Millis kRunsWithin{ 14'000 };
+/** The silence of two lost workers, and some seconds for the work itself. */
+constexpr Millis kSoundWithin{ 15'000 };
 /** The bound of the service: a third start after three crashes breaks it. */
 constexpr std::uint32_t kMostStartsAfterThreeCrashes = 2;
 
@@ -456,6 +458,35 @@
   }
 }
 
+// Guards against sound tasks that wait behind the trials of those that crash
+// their workers: in a small pool there was always another one to try first.
+TEST(CrashLoops, SeveralCrashingTasksInASmallPool_SoundJobsWaitForSeconds)
+{
+  for (unsigned seed = 1; seed <= 10; ++seed) {
+    PoolOptions options;
+    options.m_workers = seed % 2 == 0 ? 4 : 8;
+    options.m_spares = 24;
+    options.m_restartTakes = Millis{ 4'500 };
+    options.m_seed = seed;
+    SimulatedPool pool{ options };
+    for (int i = 0; i < 40; ++i) {
+      const std::string number = std::to_string(i);
+      pool.Submit("job" + number, Spec({ Step(6), Step(3) }));
+      if (i % 8 == 0) {
+        pool.Submit("bad" + number, Crashing(kCrashFirst, { Step(2) }));
+      }
+      pool.Pass(Millis{ 250 });
+    }
+    const std::string name = "seed " + std::to_string(seed);
+    pool.Pass(kSoundWithin);
+    LONGS_EQUAL_TEXT(40, pool.CountJobs(JobState::kCompleted), name.c_str());
+    pool.Pass(kMinute);
+    LONGS_EQUAL_TEXT(5, pool.CountJobs(JobState::kFailed), name.c_str());
+    CHECK_COMPARE(
+      pool.MostStartsAfterThreeCrashes(), <=, kMostStartsAfterThreeCrashes);
+  }
+}
+
 // Guards against a bound that is lost where suspects are tried together: among
 // them are some that crash their workers late.
 TEST(CrashLoops, LateCrashesAmongManySuspects_BoundHolds)
--- a/tests/unit/placement/rooms_test.cpp
+++ b/tests/unit/placement/rooms_test.cpp
@@ -20,74 +20,75 @@
 
 } // namespace
 
-TEST_GROUP(Rooms)
-{
-  static StepSpec Of(std::uint32_t aCount, Resources aNeeds)
-  {
-    StepSpec step = Step(aCount);
-    step.m_needs = aNeeds;
-    return step;
-  }
+TEST_GROUP(Rooms){ static StepSpec Of(std::uint32_t aCount, Resources aNeeds){
+  StepSpec step = Step(aCount);
+step.m_needs = aNeeds;
+return step;
+}
 
-  /** A job of any kind, with needs of any shape. */
-  static JobSpec AnyJob(std::minstd_rand & aRandom)
-  {
-    const std::uint32_t cpu = 500 + Below(aRandom, 6000);
-    const std::uint32_t memory = 100 + Below(aRandom, 12'000);
-    StepSpec step = Of(1 + Below(aRandom, 6), { cpu, memory, Below(aRandom, 3) });
-    switch (Below(aRandom, 6)) {
-      case 0:
-        step.m_longRunning = true;
-        break;
-      case 1:
-        step.m_gang = true;
-        break;
-      case 2:
-        step.m_fills = true;
-        break;
-      default:
-        break;
-    }
-    step.m_estimate = Millis{ 300 + Below(aRandom, 3000) };
-    return Spec({ step, Step(2, 2000) });
+/** A job of any kind, with needs of any shape. */
+static JobSpec
+AnyJob(std::minstd_rand& aRandom)
+{
+  const std::uint32_t cpu = 500 + Below(aRandom, 6000);
+  const std::uint32_t memory = 100 + Below(aRandom, 12'000);
+  StepSpec step = Of(1 + Below(aRandom, 6), { cpu, memory, Below(aRandom, 3) });
+  switch (Below(aRandom, 6)) {
+    case 0:
+      step.m_longRunning = true;
+      break;
+    case 1:
+      step.m_gang = true;
+      break;
+    case 2:
+      step.m_fills = true;
+      break;
+    default:
+      break;
   }
+  step.m_estimate = Millis{ 300 + Below(aRandom, 3000) };
+  return Spec({ step, Step(2, 2000) });
+}
 
-  static Resources AnyRoom(std::minstd_rand & aRandom)
-  {
-    return { 4000 + Below(aRandom, 12'000),
-             8000 + Below(aRandom, 24'000),
-             Below(aRandom, 5) };
-  }
+static Resources
+AnyRoom(std::minstd_rand& aRandom)
+{
+  return { 4000 + Below(aRandom, 12'000),
+           8000 + Below(aRandom, 24'000),
+           Below(aRandom, 5) };
+}
 
-  static void Disturb(SimulatedPool & aPool,
-                      const PoolOptions& aOptions,
-                      std::minstd_rand& aRandom)
-  {
-    const std::uint32_t worker = Below(aRandom, aOptions.m_workers);
-    switch (Below(aRandom, 8)) {
-      case 0:
-      case 1:
-        aPool.Resize(worker, AnyRoom(aRandom));
-        break;
-      case 2:
-        aPool.CrashWorker(worker, Millis{ 300 + Below(aRandom, 3000) });
-        break;
-      case 3:
-        aPool.CutWorker(worker, Millis{ 500 + Below(aRandom, 6000) });
-        break;
-      case 4:
-        aPool.DelayReport(worker, Millis{ Below(aRandom, 2900) });
-        break;
-      case 5:
-        if (Below(aRandom, 4) == 0) {
-          aPool.ReplaceLeader(Millis{ 300 + Below(aRandom, 1500) });
-        }
-        break;
-      default:
-        break;
-    }
+static void
+Disturb(SimulatedPool& aPool,
+        const PoolOptions& aOptions,
+        std::minstd_rand& aRandom)
+{
+  const std::uint32_t worker = Below(aRandom, aOptions.m_workers);
+  switch (Below(aRandom, 8)) {
+    case 0:
+    case 1:
+      aPool.Resize(worker, AnyRoom(aRandom));
+      break;
+    case 2:
+      aPool.CrashWorker(worker, Millis{ 300 + Below(aRandom, 3000) });
+      break;
+    case 3:
+      aPool.CutWorker(worker, Millis{ 500 + Below(aRandom, 6000) });
+      break;
+    case 4:
+      aPool.DelayReport(worker, Millis{ Below(aRandom, 2900) });
+      break;
+    case 5:
+      if (Below(aRandom, 4) == 0) {
+        aPool.ReplaceLeader(Millis{ 300 + Below(aRandom, 1500) });
+      }
+      break;
+    default:
+      break;
   }
-};
+}
+}
+;
 
 // Guards against any series of starts, cancels, gangs, rooms that shrink,
 // lives, cuts and leaders that loads a worker beyond what it reports, also
