A loss that others share is on record, and small pools can prove a crash

A task that crashed its worker 0.7 s after its start went on to do so, in a pool of four up to 24 times: workers fell in groups, and a loss beside others left no trace, so its task started again at once and took the next worker in another such group; once it was a suspect, each of its trials was on an instance where it had been lost before, as there was no other, and such a crash proved nothing.

A loss shared with other workers, or beside a trial, is evidence of its own, kShared. It proves nothing; three losses of any kind make a suspect, which is tried throughout its run while no other worker is being lost. A crash on an instance where the task was lost before counts as proof once it has been lost on three: one faulty instance does not explain that. Three losses at the start and one proof are enough.

--- a/include/bamboostile/jobs/crash_loop.h
+++ b/include/bamboostile/jobs/crash_loop.h
@@ -37,6 +37,9 @@
 bool WasLostOn(const std::vector<WorkerLoss>& aLosses,
                const InstanceId& aInstance);
 
+/** On how many instances workers were lost. */
+std::size_t CountInstances(const std::vector<WorkerLoss>& aLosses);
+
 /** The task must not start again. */
 bool IsProven(const std::vector<WorkerLoss>& aLosses);
 
--- a/include/bamboostile/jobs/model.h
+++ b/include/bamboostile/jobs/model.h
@@ -109,6 +109,8 @@
   kStarting = 2,
   /** It was a suspect, and nothing else explains the loss. */
   kAlone = 3,
+  /** It was at work there, and other workers were lost at about that time. */
+  kShared = 4,
 };
 
 /** A worker that was lost with a task on it, for no reason known. */
--- a/src/jobs/crash_loop.cpp
+++ b/src/jobs/crash_loop.cpp
@@ -3,13 +3,17 @@
 #include "bamboostile/units/hash.h"
 
 #include <algorithm>
+#include <set>
 
 namespace bamboostile::jobs {
 
 namespace {
 
-/** A worker takes all that it runs with it, so one such loss says nothing. */
+/** A worker takes all that it runs with it, so one such loss says nothing, */
 constexpr std::size_t kRunningLossesOfSuspect = 2;
+/** and one that others share says even less; but tasks that crash their workers
+ * at the same time hide behind each other. */
+constexpr std::size_t kLossesOfSuspect = 3;
 /** So many suspects may still be tried beside each other. */
 constexpr std::size_t kMostLossesTogether = 3;
 /** A worker may also crash by itself in a trial of a sound task. */
@@ -18,6 +22,8 @@
 constexpr std::size_t kLossesUntilCalm = 3;
 /** With so many losses of any kind, one proof is enough. */
 constexpr std::size_t kLossesBesideOneProof = 5;
+/** And with so many at the start, the proof among them. */
+constexpr std::size_t kLossesAtStartBesideOneProof = 4;
 /** So many losses at the start need no proof: the last ones came although no
  * other worker was being lost when the trial began. */
 constexpr std::size_t kMostLossesAtStart = 5;
@@ -33,6 +39,20 @@
     }));
 }
 
+/** Of losses that single no task out. */
+std::size_t
+CountAtWork(const std::vector<WorkerLoss>& aLosses)
+{
+  return Count(aLosses, CrashEvidence::kRunning) +
+         Count(aLosses, CrashEvidence::kShared);
+}
+
+int
+WeightOf(CrashEvidence aEvidence)
+{
+  return aEvidence == CrashEvidence::kShared ? 0 : static_cast<int>(aEvidence);
+}
+
 std::size_t
 CountAtStart(const std::vector<WorkerLoss>& aLosses)
 {
@@ -54,6 +74,8 @@
       return "had just started";
     case CrashEvidence::kAlone:
       return "had just started, alone";
+    case CrashEvidence::kShared:
+      return "was running, other workers were lost as well";
   }
   return "unknown";
 }
@@ -75,7 +97,7 @@
         });
       if (same == losses.end()) {
         losses.push_back(loss);
-      } else if (loss.m_evidence > same->m_evidence) {
+      } else if (WeightOf(loss.m_evidence) > WeightOf(same->m_evidence)) {
         *same = loss;
       }
     }
@@ -83,11 +105,22 @@
   return losses;
 }
 
+std::size_t
+CountInstances(const std::vector<WorkerLoss>& aLosses)
+{
+  std::set<InstanceId> instances;
+  for (const WorkerLoss& loss : aLosses) {
+    instances.insert(loss.m_instance);
+  }
+  return instances.size();
+}
+
 bool
 IsSuspect(const std::vector<WorkerLoss>& aLosses)
 {
   return CountAtStart(aLosses) > 0 ||
-         Count(aLosses, CrashEvidence::kRunning) >= kRunningLossesOfSuspect;
+         Count(aLosses, CrashEvidence::kRunning) >= kRunningLossesOfSuspect ||
+         aLosses.size() >= kLossesOfSuspect;
 }
 
 // Every crash makes suspects of all that ran there for the second time. One
@@ -97,13 +130,16 @@
 MayBeTriedTogether(const std::vector<WorkerLoss>& aLosses)
 {
   return IsSuspect(aLosses) && aLosses.size() <= kMostLossesTogether &&
-         Count(aLosses, CrashEvidence::kRunning) == aLosses.size();
+         CountAtWork(aLosses) == aLosses.size();
 }
 
+// One that had just been started when a worker was lost may also have been
+// beside a task that crashes its workers later, or be such a task itself.
 bool
 IsTriedThroughout(const std::vector<WorkerLoss>& aLosses)
 {
-  return IsSuspect(aLosses) && Count(aLosses, CrashEvidence::kStarting) == 0;
+  return IsSuspect(aLosses) && (Count(aLosses, CrashEvidence::kStarting) == 0 ||
+                                aLosses.size() >= kLossesOfSuspect);
 }
 
 bool
@@ -126,7 +162,9 @@
 {
   const std::size_t proofs = Count(aLosses, CrashEvidence::kAlone);
   return proofs >= kProofs ||
-         (proofs > 0 && aLosses.size() >= kLossesBesideOneProof) ||
+         (proofs > 0 &&
+          (aLosses.size() >= kLossesBesideOneProof ||
+           CountAtStart(aLosses) >= kLossesAtStartBesideOneProof)) ||
          CountAtStart(aLosses) >= kMostLossesAtStart;
 }
 
--- a/src/placement/worker_losses.cpp
+++ b/src/placement/worker_losses.cpp
@@ -4,6 +4,14 @@
 
 namespace bamboostile::placement {
 
+namespace {
+
+/** Lost on so many, a task is to blame and not one of its instances: a small
+ * pool has no other. */
+constexpr std::size_t kInstancesOfProof = 3;
+
+} // namespace
+
 std::vector<jobs::TaskRef>
 WorkerTable::FindUnshown(const Worker& aWorker, const jobs::Book& aBook) const
 {
@@ -93,7 +101,8 @@
   const bool isProofOfCrash =
     aLost.m_cause == LossCause::kLaterLife &&
     aLost.m_silentFor >= m_options.m_doubtAfter &&
-    !jobs::WasLostOn(losses, aWorker.m_last.m_instance);
+    (!jobs::WasLostOn(losses, aWorker.m_last.m_instance) ||
+     jobs::CountInstances(losses) >= kInstancesOfProof);
   const bool isShared = aLost.m_lostBeside > 0;
   const auto& placed = aBook.Placed().at(aWorker.m_last.m_worker);
   const bool hasTrialBeside =
@@ -114,17 +123,21 @@
              ? CrashEvidence::kAlone
              : CrashEvidence::kStarting;
   }
-  if (isShared || !Contains(aWorker.m_last.m_active, aTask, task.m_lastRun)) {
+  if (!Contains(aWorker.m_last.m_active, aTask, task.m_lastRun)) {
     return CrashEvidence::kNone;
   }
+  if (isShared) {
+    return CrashEvidence::kShared;
+  }
   const bool isTried = jobs::IsTriedThroughout(losses);
   if (isTried && isProofOfCrash && aUnshown.empty() && !hasTrialBeside) {
     return CrashEvidence::kAlone;
   }
-  if (isTried && hasTrialBeside) {
-    return CrashEvidence::kRunning;
+  if (isTried) {
+    return hasTrialBeside ? CrashEvidence::kRunning : CrashEvidence::kNone;
   }
-  return aWorker.m_lostInTrial ? CrashEvidence::kNone : CrashEvidence::kRunning;
+  return aWorker.m_lostInTrial ? CrashEvidence::kShared
+                               : CrashEvidence::kRunning;
 }
 
 void
--- a/tests/unit/jobs/crash_loop_test.cpp
+++ b/tests/unit/jobs/crash_loop_test.cpp
@@ -94,6 +94,26 @@
   CHECK(IsProven(Losses({ kRunning, kRunning, kStarting, kStarting, kAlone })));
 }
 
+// Guards against tasks that crash their workers at the same time, each of which
+// hides behind the others' crashes.
+TEST(CrashLoop, LossesThatOthersShare_MakeASuspectButProveNothing)
+{
+  using enum CrashEvidence;
+  CHECK(!IsSuspect(Losses({ kShared, kShared })));
+  CHECK(IsSuspect(Losses({ kShared, kShared, kShared })));
+  CHECK(IsSuspect(Losses({ kShared, kRunning, kShared })));
+  CHECK(MayBeTriedTogether(Losses({ kShared, kRunning, kShared })));
+  CHECK(NeedsCalm(Losses({ kShared, kShared, kShared })));
+  CHECK(!IsProven(Losses(std::vector(20, kShared))));
+}
+
+TEST(CrashLoop, StartsAndOneProof_JobIsGivenUpAtTheFourth)
+{
+  using enum CrashEvidence;
+  CHECK(!IsProven(Losses({ kStarting, kStarting, kAlone })));
+  CHECK(IsProven(Losses({ kStarting, kStarting, kStarting, kAlone })));
+}
+
 TEST(CrashLoop, SuspectsAreTriedApart_OthersAreNot)
 {
   using enum CrashEvidence;
