Take no step of a report that its job does not have

A report that names a known job and a step beyond its steps made the leader read past them when it set the rates of filler tasks: at best nothing, at worst a leader that ends, for one damaged report. The other places that look up steps of reported runs ask first whether the run is on record. One lookup, FindStep, now answers for both kinds of unknown.

--- a/src/placement/run_lookup.h
+++ b/src/placement/run_lookup.h
@@ -27,4 +27,15 @@
   return aJob.m_spec.m_steps[aTask.m_step];
 }
 
+/** Null where the book has no such job or step: reports may come from other
+ * writers. */
+inline const jobs::StepSpec*
+FindStep(const jobs::Book& aBook, const jobs::TaskRef& aTask)
+{
+  const jobs::Job* job = aBook.Find(aTask.m_job);
+  const bool isKnown =
+    job != nullptr && aTask.m_step < job->m_spec.m_steps.size();
+  return isKnown ? &job->m_spec.m_steps[aTask.m_step] : nullptr;
+}
+
 } // namespace bamboostile::placement
--- a/src/placement/worker_orders.cpp
+++ b/src/placement/worker_orders.cpp
@@ -154,12 +154,12 @@
   bool isClose = false;
   bool isCalm = true;
   for (const RunReport& run : aWorker.m_last.m_active) {
-    const jobs::Job* job = aBook.Find(run.m_task.m_job);
-    if (job == nullptr) {
+    const jobs::StepSpec* step = FindStep(aBook, run.m_task);
+    if (step == nullptr) {
       continue;
     }
-    const auto target = static_cast<std::uint32_t>(
-      StepOf(*job, run.m_task).m_latencyTarget.count());
+    const auto target =
+      static_cast<std::uint32_t>(step->m_latencyTarget.count());
     if (target == 0) {
       continue;
     }
@@ -167,8 +167,8 @@
     isCalm = isCalm && run.m_load * 100 < target * kReleaseAtPercent;
   }
   for (const RunReport& run : aWorker.m_last.m_active) {
-    const jobs::Job* job = aBook.Find(run.m_task.m_job);
-    if (job == nullptr || !StepOf(*job, run.m_task).m_fills) {
+    const jobs::StepSpec* step = FindStep(aBook, run.m_task);
+    if (step == nullptr || !step->m_fills) {
       continue;
     }
     const auto known = aWorker.m_rates.find(run.m_task);
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -411,16 +411,15 @@
     std::count_if(report.m_active.begin(), report.m_active.end(), isExpected) +
     std::count_if(report.m_ended.begin(), report.m_ended.end(), isEnded));
   for (const RunReport& run : report.m_active) {
-    const jobs::Job* job = aBook.Find(run.m_task.m_job);
-    if (job == nullptr || run.m_task.m_step >= job->m_spec.m_steps.size()) {
+    const jobs::StepSpec* step = FindStep(aBook, run.m_task);
+    if (step == nullptr) {
       aWorker.m_activeUse.m_isUnknown = true;
       aWorker.m_strayUse.m_isUnknown = true;
       continue;
     }
-    const jobs::StepSpec& step = StepOf(*job, run.m_task);
-    aWorker.m_activeUse.Add(step);
+    aWorker.m_activeUse.Add(*step);
     if (!isExpected(run)) {
-      aWorker.m_strayUse.Add(step);
+      aWorker.m_strayUse.Add(*step);
     }
   }
 }
