One question for a worker in doubt

IsInDoubt came with the rule that nothing is placed on such a worker; four places asked the same in their own words. Behaviour is meant unchanged: unit.placement, maintenance, platform and crash_loops pass.

--- a/src/placement/worker_losses.cpp
+++ b/src/placement/worker_losses.cpp
@@ -31,7 +31,7 @@
 {
   std::size_t count = m_recentLosses.CountAround(aWorker.m_heardAt);
   for (const auto& [id, other] : m_workers) {
-    const bool isSilent = aNow >= other.m_heardAt + m_options.m_doubtAfter;
+    const bool isSilent = IsInDoubt(other, aNow);
     const bool isTogether =
       other.m_heardAt <= aWorker.m_heardAt + kLostTogether &&
       aWorker.m_heardAt <= other.m_heardAt + kLostTogether;
@@ -49,8 +49,7 @@
   const TimePoint since = std::max(m_lastLossAt, m_leaderSince);
   const auto isInDoubt = [&](const auto& aEntry) {
     const Worker& worker = aEntry.second;
-    return !worker.m_silent &&
-           aNow >= worker.m_heardAt + m_options.m_doubtAfter &&
+    return !worker.m_silent && IsInDoubt(worker, aNow) &&
            !HasTrial(worker, aBook);
   };
   return aNow >= since + m_options.m_calmAfter &&
@@ -184,7 +183,7 @@
       const bool isAtWork =
         progress.m_percent >= kAtWorkPercent &&
         worker.m_heardAt >= progress.m_since + m_options.m_settledAfter &&
-        aNow < worker.m_heardAt + m_options.m_doubtAfter;
+        !IsInDoubt(worker, aNow);
       if (isAtWork && IsExpected(aBook, id, ref, progress.m_run) &&
           StepOf(*aBook.Find(ref.m_job), ref).m_longRunning &&
           !aBook.FindTask(ref)->m_settled) {
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -503,7 +503,7 @@
   const Worker* worker = Find(aState.m_worker);
   const RunReport* run = FindRun(aTask, aState);
   return run != nullptr && run->m_percent >= kAtWorkPercent &&
-         aNow < worker->m_heardAt + m_options.m_doubtAfter &&
+         !IsInDoubt(*worker, aNow) &&
          !worker->m_toStop.contains({ aTask, aState.m_lastRun });
 }
 
