--- a/include/bamboostile/consensus/replica.h
+++ b/include/bamboostile/consensus/replica.h
@@ -99,6 +99,8 @@
   const Membership& CurrentMembership() const;
   /** Leader only: the last index that aId is known to hold. */
   Index MatchIndexOf(const ReplicaId& aId) const;
+  /** Leader only: the other members and how far they are. */
+  std::vector<FollowerStatus> Followers() const;
   /** Peers that hold less than they had acknowledged, because their folder was
    * replaced by an old copy. They are no longer counted. */
   const std::set<ReplicaId>& RegressedPeers() const { return m_regressed; }
@@ -155,6 +157,7 @@
   void StartElection(TimePoint aNow);
   void BecomeLeader(TimePoint aNow);
   void RequestVotes(bool aPreVote);
+  void NoteElectionLost();
   bool HasVoteQuorum() const;
   bool KnowsNoLeader() const;
   bool AllVotersKnowNoLeader() const;
--- a/include/bamboostile/consensus/types.h
+++ b/include/bamboostile/consensus/types.h
@@ -154,7 +154,67 @@
   Snapshot m_snapshot;
 };
 
-using Action = std::variant<Persist, Send, Apply, Restore>;
+/** Leader: a snapshot was handed to the network. */
+struct SnapshotSent
+{
+  ReplicaId m_to;
+  Index m_index;
+  std::size_t m_bytes = 0;
+};
+
+/** Follower: a snapshot arrived. It is ignored if this replica has already
+ * committed as much. */
+struct SnapshotReceived
+{
+  ReplicaId m_from;
+  Index m_index;
+  std::size_t m_bytes = 0;
+  bool m_installed = false;
+};
+
+/** Leader: a membership change was appended to the log. */
+struct MembershipProposed
+{
+  Index m_index;
+  Membership m_membership;
+};
+
+/** This replica asks for votes. */
+struct ElectionStarted
+{
+  Term m_term;
+  Index m_lastIndex;
+  bool m_preVote = false;
+};
+
+/** An election ended without a leader: its time ran out, or the process learned
+ * of a leader or of a higher term. */
+struct ElectionLost
+{
+  Term m_term;
+  std::size_t m_votes = 0;
+  std::size_t m_voters = 0;
+  bool m_preVote = false;
+};
+
+/** Events for logs and metrics; they ask for nothing. */
+using Notice = std::variant<SnapshotSent,
+                            SnapshotReceived,
+                            MembershipProposed,
+                            ElectionStarted,
+                            ElectionLost>;
+
+using Action = std::variant<Persist, Send, Apply, Restore, Notice>;
+
+/** Leader: how far another member is. */
+struct FollowerStatus
+{
+  Member m_member;
+  Index m_match;
+  /** The log no longer holds the entries that this member needs next. */
+  bool m_needsSnapshot = false;
+  bool m_regressed = false;
+};
 
 enum class Role
 {
--- a/include/bamboostile/control/node.h
+++ b/include/bamboostile/control/node.h
@@ -3,6 +3,7 @@
 #include "bamboostile/consensus/membership_policy.h"
 #include "bamboostile/consensus/replica.h"
 #include "bamboostile/control/disk_thread.h"
+#include "bamboostile/control/replica_monitor.h"
 #include "bamboostile/control/snapshot_thread.h"
 #include "bamboostile/fleet/state.h"
 #include "bamboostile/membership/registry.h"
@@ -83,6 +84,8 @@
   consensus::Error Bootstrap();
   consensus::Error RemoveMember(const InstanceId& aInstance);
   std::string StatusJson() const;
+  /** Adds the metrics of this replica and, on the leader, of the others. */
+  void ExportMetrics(telemetry::Metrics& aMetrics) const;
   /** Sets the addresses at which this replica asks for admission if it needs
    * to. */
   void SetSeeds(std::vector<std::string> aSeeds)
@@ -132,6 +135,7 @@
   void Run(const consensus::Send& aSend);
   void Run(const consensus::Apply& aApply);
   void Run(const consensus::Restore& aRestore);
+  void Run(const consensus::Notice& aNotice);
   void UpdateRole();
   void FailWaiters();
   void WakeViewWaiters();
@@ -172,6 +176,7 @@
   std::deque<IndexTime> m_indexTimes;
   std::map<std::string, Peer> m_peers;
   consensus::MembershipPolicy m_policy;
+  ReplicaMonitor m_monitor;
   /** Seeds that have answered that they keep no log. */
   std::set<std::string> m_seedsWithoutLog;
   /** When this replica last led or knew a leader. */
--- /dev/null
+++ b/include/bamboostile/control/replica_monitor.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "bamboostile/consensus/replica.h"
+#include "bamboostile/telemetry/metrics.h"
+
+namespace bamboostile::control {
+
+/**
+ * @brief Logs and counts elections, membership changes, snapshots between
+ * replicas, and replicas that are behind.
+ *
+ * The number of lines per second is bounded.
+ */
+class ReplicaMonitor
+{
+public:
+  void OnNotice(const consensus::Notice& aNotice, TimePoint aNow);
+  /** The connection to a peer is made anew because it answers nothing. */
+  void OnPeerTimeout(const std::string& aAddress,
+                     std::size_t aUnanswered,
+                     Duration aSilence);
+  /** A message was dropped because too many wait for the peer's answer. */
+  void OnMessageDropped(const std::string& aAddress, TimePoint aNow);
+  /** Leader only: logs replicas that cannot take part in a quorum yet. */
+  void LogFollowersBehind(const consensus::Replica& aReplica, TimePoint aNow);
+  void Export(const consensus::Replica& aReplica,
+              telemetry::Metrics& aMetrics) const;
+
+private:
+  void Handle(const consensus::SnapshotSent& aSent, TimePoint aNow);
+  void Handle(const consensus::SnapshotReceived& aReceived, TimePoint aNow);
+  void Handle(const consensus::MembershipProposed& aProposed, TimePoint aNow);
+  void Handle(const consensus::ElectionStarted& aStarted, TimePoint aNow);
+  void Handle(const consensus::ElectionLost& aLost, TimePoint aNow);
+
+  double m_snapshotsSent = 0;
+  double m_snapshotsInstalled = 0;
+  double m_snapshotsIgnored = 0;
+  double m_elections = 0;
+  double m_electionsLost = 0;
+  double m_peerTimeouts = 0;
+  double m_messagesDropped = 0;
+  TimePoint m_nextPreVoteLine;
+  TimePoint m_nextPreVoteLostLine;
+  TimePoint m_nextDroppedLine;
+  TimePoint m_nextBehindLine;
+};
+
+} // namespace bamboostile::control
--- a/include/bamboostile/telemetry/metrics.h
+++ b/include/bamboostile/telemetry/metrics.h
@@ -21,6 +21,8 @@
   Metrics& operator=(Metrics&&) noexcept;
 
   void Count(const std::string& aName, double aBy = 1);
+  /** Sets a counter that is kept elsewhere. */
+  void SetTotal(const std::string& aName, double aTotal);
   void Set(const std::string& aName, double aValue);
   void Observe(const std::string& aName, double aSeconds);
   /** Removes the gauges whose names begin with aPrefix: what they describe may
--- a/src/consensus/elections.cpp
+++ b/src/consensus/elections.cpp
@@ -90,6 +90,7 @@
     m_hardState = HardState{ aTerm, std::nullopt };
     PersistHardState();
   }
+  NoteElectionLost();
   m_role = Role::kFollower;
   m_inPreVote = false;
   m_leader.reset();
@@ -105,6 +106,7 @@
 void
 Replica::StartPreVote(TimePoint aNow)
 {
+  NoteElectionLost();
   m_role = Role::kCandidate;
   m_inPreVote = true;
   m_leader.reset();
@@ -120,6 +122,17 @@
   RequestVotes(true);
 }
 
+void
+Replica::NoteElectionLost()
+{
+  if (m_role == Role::kCandidate) {
+    m_actions.push_back(ElectionLost{ m_hardState.m_term,
+                                      m_votes.size(),
+                                      CurrentMembership().VoterCount(),
+                                      m_inPreVote });
+  }
+}
+
 bool
 Replica::KnowsNoLeader() const
 {
@@ -166,6 +179,8 @@
 void
 Replica::RequestVotes(bool aPreVote)
 {
+  m_actions.push_back(
+    ElectionStarted{ m_hardState.m_term, LastIndex(), aPreVote });
   for (const Member& member : CurrentMembership().m_members) {
     if (member.m_voter && member.m_id != m_self) {
       SendWhenSynced(member.m_id,
@@ -204,6 +219,7 @@
 void
 Replica::FollowLeader(const ReplicaId& aLeader, TimePoint aNow)
 {
+  NoteElectionLost();
   m_role = Role::kFollower;
   m_inPreVote = false;
   m_leader = aLeader;
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -126,6 +126,24 @@
   return found == m_progress.end() ? Index{} : found->second.m_match;
 }
 
+std::vector<FollowerStatus>
+Replica::Followers() const
+{
+  std::vector<FollowerStatus> followers;
+  for (const Member& member : CurrentMembership().m_members) {
+    const auto found = m_progress.find(member.m_id);
+    if (found == m_progress.end()) {
+      continue;
+    }
+    const bool needsSnapshot = !TermAt(Previous(found->second.m_next));
+    followers.push_back({ member,
+                          found->second.m_match,
+                          needsSnapshot,
+                          m_regressed.contains(member.m_id) });
+  }
+  return followers;
+}
+
 std::vector<Action>
 Replica::TakeActions()
 {
@@ -228,6 +246,8 @@
     if (aNow >= progress.m_lastSnapshotAt + kSnapshotRetry) {
       progress.m_lastSnapshotAt = aNow;
       SendNow(aPeer, InstallSnapshot{ m_snapshot, aNow });
+      m_actions.push_back(
+        SnapshotSent{ aPeer, m_snapshot.m_index, m_snapshot.m_state.size() });
     }
     return;
   }
@@ -362,7 +382,10 @@
   }
   FollowLeader(aFrom, aNow);
   const Snapshot& snapshot = aInstall.m_snapshot;
-  if (snapshot.m_index <= m_commit) {
+  const bool isNewer = snapshot.m_index > m_commit;
+  m_actions.push_back(SnapshotReceived{
+    aFrom, snapshot.m_index, snapshot.m_state.size(), isNewer });
+  if (!isNewer) {
     SendWhenSynced(aFrom, AppendReply{ true, m_commit, aInstall.m_sentAt });
     return;
   }
@@ -454,6 +477,7 @@
   if (IsMembershipChangePending()) {
     return Error::kChangePending;
   }
+  m_actions.push_back(MembershipProposed{ Next(LastIndex()), aMembership });
   AppendToLog(std::move(aMembership), aNow);
   SendAppends(aNow, true);
   return Error::kNone;
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -146,6 +146,7 @@
                 static_cast<double>(jobTable.TasksWithLosses().size()));
   m_metrics.Set("workers_with_runs",
                 static_cast<double>(jobTable.TasksByWorker().size()));
+  m_node.ExportMetrics(m_metrics);
   if (m_workers) {
     m_workspaces.Export(m_node.State(), *m_workers, MonotonicNow(), m_metrics);
   }
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -92,6 +92,7 @@
   if (now >= m_nextDuties) {
     m_nextDuties = now + kDutyInterval;
     RecordFormation(now);
+    m_monitor.LogFollowersBehind(m_replica, now);
     if (IsServing()) {
       RunLeaderDuties(now);
     }
@@ -213,10 +214,14 @@
   // minutes before it retries. A new connection works as soon as the partition
   // ends.
   if (peer->m_outstanding > 0 && now > peer->m_lastAnswer + kPeerTimeout) {
+    m_monitor.OnPeerTimeout(peer->m_channel->Address(),
+                            peer->m_outstanding,
+                            now - peer->m_lastAnswer);
     peer->m_channel->Disconnect();
     peer->m_lastAnswer = now;
   }
   if (peer->m_outstanding >= kMaxOutstanding) {
+    m_monitor.OnMessageDropped(peer->m_channel->Address(), now);
     return;
   }
   if (peer->m_outstanding == 0) {
@@ -284,6 +289,18 @@
   WakeViewWaiters();
 }
 
+void
+Node::Run(const consensus::Notice& aNotice)
+{
+  m_monitor.OnNotice(aNotice, MonotonicNow());
+}
+
+void
+Node::ExportMetrics(telemetry::Metrics& aMetrics) const
+{
+  m_monitor.Export(m_replica, aMetrics);
+}
+
 void
 Node::MaybeCompact()
 {
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -89,6 +89,12 @@
   m_counters[aName] += aBy;
 }
 
+void
+Metrics::SetTotal(const std::string& aName, double aTotal)
+{
+  m_counters[aName] = aTotal;
+}
+
 void
 Metrics::Set(const std::string& aName, double aValue)
 {
--- a/tests/support/replicas.cpp
+++ b/tests/support/replicas.cpp
@@ -260,6 +260,7 @@
           ReportViolation("a snapshot differs from the history");
         }
       },
+      [](consensus::Notice&) {},
     },
     aAction);
 }
--- a/tools/bamboostiled/main.cpp
+++ b/tools/bamboostiled/main.cpp
@@ -341,6 +341,7 @@
     metrics.Set("leader", isLeader ? 1 : 0);
     metrics.Set("outcomes",
                 static_cast<double>(m_node->State().Outcomes().Size()));
+    m_node->ExportMetrics(metrics);
     m_probes->Publish(replica.Leader().has_value(), metrics.Render());
     return m_io->provider->getTimer()
       .afterDelay(1 * kj::SECONDS)
