--- a/include/bamboostile/consensus/replica.h
+++ b/include/bamboostile/consensus/replica.h
@@ -30,6 +30,9 @@
   /** Small enough that a slow link transfers a chunk before the peer counts as
    * silent. */
   std::size_t m_snapshotChunkBytes = 64 * 1024;
+  /** Maximum size of the entries that a leader keeps, beyond its snapshot, for
+   * members that are behind. */
+  std::size_t m_maxRetainedBytes = 32 * 1024 * 1024;
   /** Maximum number of voters; further replicas stay learners, ready to replace
    * a voter. 0 means no limit. Should be odd: if four voters are split into
    * halves, neither half is a majority; of three voters, one side always is. */
@@ -80,8 +83,9 @@
   Error AddMember(Member aMember, TimePoint aNow);
   Error RemoveMember(const InstanceId& aInstance, TimePoint aNow);
 
-  /** Replaces the log up to aApplied by a snapshot of the state there. */
-  void Compact(Index aApplied, std::string aState);
+  /** Replaces the log up to aApplied by a snapshot of the state there. A leader
+   * keeps the entries that members which are catching up still need. */
+  void Compact(Index aApplied, std::string aState, TimePoint aNow);
 
   std::vector<Action> TakeActions();
 
@@ -230,6 +234,10 @@
   bool IsUpToDate(Index aLastIndex, Term aLastTerm) const;
   Term LastTerm() const;
 
+  void DropLogUpTo(Index aIndex);
+  Index LastIndexNotNeeded(Index aApplied, TimePoint aNow) const;
+  Index LimitRetained(Index aFrom, Index aApplied) const;
+  void PersistSnapshot();
   void PersistHardState();
   void PersistEntries(std::vector<LogEntry> aEntries);
   std::uint64_t NewTicket() { return ++m_lastTicket; }
@@ -245,6 +253,10 @@
   /** Never null. */
   std::shared_ptr<const Snapshot> m_snapshot;
   std::optional<Arrival> m_arrival;
+  /** Position and term of the entry before the first one in m_log; at or before
+   * the snapshot. */
+  Index m_baseIndex;
+  Term m_baseTerm;
   std::deque<LogEntry> m_log;
   std::vector<MembershipEntry> m_memberships;
   Index m_commit;
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -14,6 +14,9 @@
 /** Time without progress after which a transfer stops until the peer answers a
  * heartbeat. */
 constexpr Duration kChunkRetry = Millis{ 500 };
+/** No entries are retained for a member that has not answered for this long: it
+ * may be gone for good. */
+constexpr Duration kRetainForSilent = Millis{ 3000 };
 
 std::size_t
 SizeOf(const LogEntry& aEntry)
@@ -40,6 +43,8 @@
   }
   m_snapshot = std::make_shared<const Snapshot>(
     std::move(aRecovered.m_snapshot).value_or(Snapshot{}));
+  m_baseIndex = m_snapshot->m_index;
+  m_baseTerm = m_snapshot->m_term;
   m_memberships.push_back({ m_snapshot->m_index, m_snapshot->m_membership });
   for (const LogEntry& entry : m_log) {
     if (const auto* change = std::get_if<Membership>(&entry.m_payload)) {
@@ -84,29 +89,29 @@
 Index
 Replica::LastIndex() const
 {
-  return m_log.empty() ? m_snapshot->m_index : m_log.back().m_index;
+  return m_log.empty() ? m_baseIndex : m_log.back().m_index;
 }
 
 Term
 Replica::LastTerm() const
 {
-  return m_log.empty() ? m_snapshot->m_term : m_log.back().m_term;
+  return m_log.empty() ? m_baseTerm : m_log.back().m_term;
 }
 
 const LogEntry*
 Replica::EntryAt(Index aIndex) const
 {
-  if (aIndex <= m_snapshot->m_index || aIndex > LastIndex()) {
+  if (aIndex <= m_baseIndex || aIndex > LastIndex()) {
     return nullptr;
   }
-  return &m_log[aIndex.Get() - m_snapshot->m_index.Get() - 1];
+  return &m_log[aIndex.Get() - m_baseIndex.Get() - 1];
 }
 
 std::optional<Term>
 Replica::TermAt(Index aIndex) const
 {
-  if (aIndex == m_snapshot->m_index) {
-    return m_snapshot->m_term;
+  if (aIndex == m_baseIndex) {
+    return m_baseTerm;
   }
   const LogEntry* entry = EntryAt(aIndex);
   return entry != nullptr ? std::optional{ entry->m_term } : std::nullopt;
@@ -541,9 +546,12 @@
 void
 Replica::Install(const ReplicaId& aFrom, Snapshot aSnapshot)
 {
-  const bool keepsLaterEntries = TermAt(aSnapshot.m_index) == aSnapshot.m_term;
-  while (!m_log.empty() &&
-         (!keepsLaterEntries || m_log.front().m_index <= aSnapshot.m_index)) {
+  if (TermAt(aSnapshot.m_index) != aSnapshot.m_term) {
+    m_log.clear();
+  }
+  m_baseIndex = aSnapshot.m_index;
+  m_baseTerm = aSnapshot.m_term;
+  while (!m_log.empty() && m_log.front().m_index <= m_baseIndex) {
     m_log.pop_front();
   }
   m_snapshot = std::make_shared<const Snapshot>(std::move(aSnapshot));
@@ -560,10 +568,7 @@
   m_actions.push_back(Restore{ *m_snapshot });
   m_actions.push_back(SnapshotInstalled{
     aFrom, m_snapshot->m_index, m_snapshot->m_state.size() });
-  const std::uint64_t ticket = NewTicket();
-  m_ticketIndex[ticket] = LastIndex();
-  m_actions.push_back(Persist{
-    ticket, std::nullopt, *m_snapshot, { m_log.begin(), m_log.end() } });
+  PersistSnapshot();
 }
 
 void
@@ -709,7 +714,7 @@
 // Persistence: snapshots, log writes, and messages that wait for a sync.
 
 void
-Replica::Compact(Index aApplied, std::string aState)
+Replica::Compact(Index aApplied, std::string aState, TimePoint aNow)
 {
   const std::optional<Term> term = TermAt(aApplied);
   if (!term || aApplied <= m_snapshot->m_index || aApplied > m_applied) {
@@ -723,13 +728,77 @@
   m_memberships.erase(m_memberships.begin(), m_memberships.begin() + effective);
   m_snapshot = std::make_shared<const Snapshot>(Snapshot{
     aApplied, *term, m_memberships.front().m_membership, std::move(aState) });
-  while (!m_log.empty() && m_log.front().m_index <= aApplied) {
+  DropLogUpTo(LimitRetained(LastIndexNotNeeded(aApplied, aNow), aApplied));
+  PersistSnapshot();
+}
+
+// Without the entries that follow what a member holds, that member needs a
+// further snapshot. If the log is cut faster than snapshots arrive, it never
+// catches up.
+Index
+Replica::LastIndexNotNeeded(Index aApplied, TimePoint aNow) const
+{
+  Index notNeeded = aApplied;
+  for (const Member& member : CurrentMembership().m_members) {
+    const auto found = m_progress.find(member.m_id);
+    if (m_role != Role::kLeader || found == m_progress.end()) {
+      continue;
+    }
+    const Progress& progress = found->second;
+    const TimePoint lastSign =
+      progress.m_transfer
+        ? std::max(progress.m_lastAckedSentAt, progress.m_transfer->m_startedAt)
+        : progress.m_lastAckedSentAt;
+    const bool isSilent = aNow > lastSign + kRetainForSilent;
+    if (isSilent || m_regressed.contains(member.m_id)) {
+      continue;
+    }
+    const Index held = progress.m_transfer
+                         ? progress.m_transfer->m_snapshot->m_index
+                         : progress.m_match;
+    notNeeded = std::min(notNeeded, held);
+  }
+  return notNeeded;
+}
+
+Index
+Replica::LimitRetained(Index aFrom, Index aApplied) const
+{
+  std::size_t bytes = 0;
+  Index from = aApplied;
+  while (from > std::max(aFrom, m_baseIndex)) {
+    bytes += SizeOf(*EntryAt(from));
+    if (bytes > m_options.m_maxRetainedBytes) {
+      break;
+    }
+    from = Previous(from);
+  }
+  return from;
+}
+
+void
+Replica::DropLogUpTo(Index aIndex)
+{
+  while (!m_log.empty() && m_log.front().m_index <= aIndex) {
+    m_baseIndex = m_log.front().m_index;
+    m_baseTerm = m_log.front().m_term;
     m_log.pop_front();
   }
+}
+
+void
+Replica::PersistSnapshot()
+{
+  std::vector<LogEntry> later;
+  for (const LogEntry& entry : m_log) {
+    if (entry.m_index > m_snapshot->m_index) {
+      later.push_back(entry);
+    }
+  }
   const std::uint64_t ticket = NewTicket();
   m_ticketIndex[ticket] = LastIndex();
-  m_actions.push_back(Persist{
-    ticket, std::nullopt, *m_snapshot, { m_log.begin(), m_log.end() } });
+  m_actions.push_back(
+    Persist{ ticket, std::nullopt, *m_snapshot, std::move(later) });
 }
 
 void
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -145,7 +145,8 @@
     for (EncodedState& encoded : aEncoded) {
       m_isEncoding = false;
       m_snapshotBytes = encoded.m_bytes.size();
-      m_replica.Compact(encoded.m_index, std::move(encoded.m_bytes));
+      m_replica.Compact(
+        encoded.m_index, std::move(encoded.m_bytes), MonotonicNow());
     }
     Pump();
     return SnapshotLoop();
--- a/tests/differential/consensus_history_test.cpp
+++ b/tests/differential/consensus_history_test.cpp
@@ -44,7 +44,8 @@
     case 6:
       if (aReplicas.IsUp(node)) {
         aReplicas.At(node).Compact(aReplicas.AppliedBy(node),
-                                   aReplicas.StateOf(node));
+                                   aReplicas.StateOf(node),
+                                   aReplicas.LocalNow(node));
         aReplicas.Drain(node);
       }
       break;
--- a/tests/unit/consensus/replica_test.cpp
+++ b/tests/unit/consensus/replica_test.cpp
@@ -334,7 +334,8 @@
     CHECK(ProposeAndWait(replicas, "x" + std::to_string(i)));
   }
   replicas.At(leader).Compact(replicas.AppliedBy(leader),
-                              replicas.StateOf(leader));
+                              replicas.StateOf(leader),
+                              replicas.LocalNow(leader));
   replicas.Drain(leader);
   replicas.Start(behind);
   const auto caughtUp = [&]() {
@@ -381,11 +382,17 @@
     return isCommitted;
   }
 
-  void Run(Duration aTime)
+  void Run(Duration aTime, std::uint64_t aCommandsBetweenSnapshots = 0)
   {
+    std::uint64_t commands = 0;
     for (Duration passed{}; passed < aTime; passed += kPause) {
       m_replicas.Propose(std::string(kCommandBytes, 'y'));
       m_replicas.Run(kPause);
+      ++commands;
+      if (aCommandsBetweenSnapshots > 0 &&
+          commands % aCommandsBetweenSnapshots == 0) {
+        Compact();
+      }
     }
   }
 
@@ -417,7 +424,8 @@
   {
     const std::size_t leader = *m_replicas.Leader();
     m_replicas.At(leader).Compact(m_replicas.AppliedBy(leader),
-                                  m_replicas.StateOf(leader));
+                                  m_replicas.StateOf(leader),
+                                  m_replicas.LocalNow(leader));
     m_replicas.Drain(leader);
   }
 
@@ -443,6 +451,23 @@
   }
 }
 
+// Guards against a log that is cut while a snapshot is on its way: the replica
+// would need a newer snapshot each time one has arrived.
+TEST(Replica, EmptiedReplica_LogCompactedDuringTransfer_VotesWithinCatchUpTime)
+{
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    BusyGroup group(seed);
+    CHECK(group.Form(1000 * 1000));
+    const std::size_t emptied = (*group.All().Leader() + 1) % 5;
+    group.All().LoseDisk(emptied);
+    group.All().Start(emptied);
+    group.Admit(emptied);
+    group.Run(kCatchUp, 50);
+    CHECK(group.IsVoter(emptied));
+    CheckNoViolation(group.All());
+  }
+}
+
 namespace {
 
 const consensus::ReplicaId kA{ InstanceId{ "a" }, Incarnation{ 1 } };
