Control: a learner that keeps up becomes a voter while commits go on

Cause: a learner was promoted only at a tick at which it held all committed entries. It acknowledges an entry one round trip after the leader appends it, so that instant may never come. The spare that replaces a silent voter waited for the same instant.

Change: a learner has caught up if it held the log of the start of a round within an election timeout, and did so less than an election timeout ago, or if it holds all committed entries. As a voter it delays commits by no more than an election does. Voters are changed one at a time as before.

--- a/include/bamboostile/consensus/replica.h
+++ b/include/bamboostile/consensus/replica.h
@@ -77,9 +77,8 @@
    * the term that CurrentTerm() returned at this call. */
   Error Propose(std::string aCommand, TimePoint aNow, Index& aIndex);
 
-  /** Adds a replica as a learner. It becomes a voter automatically once it
-   * holds all committed entries; an older incarnation of the same instance is
-   * removed first. */
+  /** Adds a replica as a learner. It becomes a voter automatically once it has
+   * caught up; an older incarnation of the same instance is removed first. */
   Error AddMember(Member aMember, TimePoint aNow);
   Error RemoveMember(const InstanceId& aInstance, TimePoint aNow);
 
@@ -107,6 +106,8 @@
   const Membership& CurrentMembership() const;
   /** Leader only: the last index that aId is known to hold. */
   Index MatchIndexOf(const ReplicaId& aId) const;
+  /** Leader only: the learners that keep up with the log. */
+  std::vector<ReplicaId> LearnersCaughtUp(TimePoint aNow) const;
   /** Leader only: the other members and how far they are. */
   std::vector<FollowerStatus> Followers() const;
   /** Peers that hold less than they had acknowledged, because their folder was
@@ -147,6 +148,10 @@
     TimePoint m_lastAckedSentAt;
     std::optional<Transfer> m_transfer;
     bool m_probing = true;
+    /** A round ends when the peer holds the log as it was at its start. */
+    Index m_roundTarget;
+    TimePoint m_roundStartedAt;
+    bool m_wasLastRoundShort = false;
   };
 
   struct DeferredMessage
@@ -205,7 +210,9 @@
   void AppendToLog(Payload aPayload, TimePoint aNow);
   Error ProposeMembership(Membership aMembership, TimePoint aNow);
   bool IsMembershipChangePending() const;
-  void PromoteSyncedLearner(TimePoint aNow);
+  void PromoteCaughtUpLearner(TimePoint aNow);
+  void UpdateRound(Progress& aProgress, TimePoint aNow);
+  bool IsCaughtUp(const ReplicaId& aId, TimePoint aNow) const;
   void StepDownIfRemoved(TimePoint aNow);
   void SendAppends(TimePoint aNow, bool aHeartbeat);
   void SendAppendTo(const ReplicaId& aPeer, TimePoint aNow, bool aHeartbeat);
--- a/src/consensus/elections.cpp
+++ b/src/consensus/elections.cpp
@@ -64,7 +64,7 @@
       BecomeFollower(m_hardState.m_term, aNow);
       return;
     }
-    PromoteSyncedLearner(aNow);
+    PromoteCaughtUpLearner(aNow);
     if (aNow >= m_nextHeartbeat) {
       SendAppends(aNow, true);
     }
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -246,6 +246,8 @@
   Progress& progress = found->second;
   if (isNew) {
     progress.m_next = Next(LastIndex());
+    progress.m_roundTarget = LastIndex();
+    progress.m_roundStartedAt = aNow;
   }
   if (m_regressed.contains(aPeer)) {
     return;
@@ -377,6 +379,7 @@
     progress.m_matchAdvancedAt = aNow;
   }
   EndTransferIfHeld(aFrom, progress, aNow);
+  UpdateRound(progress, aNow);
   progress.m_next = std::max(progress.m_next, Next(progress.m_match));
   progress.m_probing = false;
   AdvanceCommit(aNow);
@@ -671,14 +674,56 @@
   return ProposeMembership(std::move(changed), aNow);
 }
 
+// A learner acknowledges each entry one round trip after the leader appends it.
+// While entries arrive without a pause it never holds all of them, so it counts
+// as caught up once a round takes less than an election timeout: as a voter it
+// would not delay commits for longer than an election does.
 void
-Replica::PromoteSyncedLearner(TimePoint aNow)
+Replica::UpdateRound(Progress& aProgress, TimePoint aNow)
+{
+  if (aProgress.m_match < aProgress.m_roundTarget) {
+    return;
+  }
+  aProgress.m_wasLastRoundShort =
+    aNow <= aProgress.m_roundStartedAt + m_options.m_minElectionTimeout;
+  aProgress.m_roundTarget = LastIndex();
+  aProgress.m_roundStartedAt = aNow;
+}
+
+bool
+Replica::IsCaughtUp(const ReplicaId& aId, TimePoint aNow) const
+{
+  const auto found = m_progress.find(aId);
+  if (found == m_progress.end()) {
+    return false;
+  }
+  const Progress& progress = found->second;
+  const bool isRoundRecent =
+    aNow <= progress.m_roundStartedAt + m_options.m_minElectionTimeout;
+  return progress.m_match >= m_commit ||
+         (progress.m_wasLastRoundShort && isRoundRecent);
+}
+
+std::vector<ReplicaId>
+Replica::LearnersCaughtUp(TimePoint aNow) const
+{
+  std::vector<ReplicaId> learners;
+  for (const Member& member : CurrentMembership().m_members) {
+    if (!member.m_voter && IsCaughtUp(member.m_id, aNow)) {
+      learners.push_back(member.m_id);
+    }
+  }
+  return learners;
+}
+
+void
+Replica::PromoteCaughtUpLearner(TimePoint aNow)
 {
   if (!IsReady() || IsMembershipChangePending()) {
     return;
   }
   for (const Member& member : CurrentMembership().m_members) {
-    if (member.m_voter || MatchIndexOf(member.m_id) < m_commit) {
+    if (member.m_voter || !IsCaughtUp(member.m_id, aNow)) {
       continue;
     }
     Membership changed = CurrentMembership();
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -672,20 +672,14 @@
     return;
   }
   const consensus::Membership membership = m_replica.CurrentMembership();
-  std::vector<consensus::ReplicaId> synced;
-  for (const consensus::Member& member : membership.m_members) {
-    if (!member.m_voter &&
-        m_replica.MatchIndexOf(member.m_id) >= m_replica.CommitIndex()) {
-      synced.push_back(member.m_id);
-    }
-  }
+  const auto caughtUp = m_replica.LearnersCaughtUp(aNow);
   const auto unresponsive =
-    m_policy.FindReplaceable(membership, m_replica.Self(), synced, aNow);
+    m_policy.FindReplaceable(membership, m_replica.Self(), caughtUp, aNow);
   if (unresponsive) {
     LogLine(Level::kWarning, "removing unresponsive voter")
       .With("replica", unresponsive->m_id.m_instance.Get())
       .With("voters", membership.VoterCount())
-      .With("syncedLearners", synced.size())
+      .With("syncedLearners", caughtUp.size())
       .Write();
     RemoveMember(unresponsive->m_id.m_instance);
   }
--- a/tests/support/replicas.cpp
+++ b/tests/support/replicas.cpp
@@ -296,8 +296,11 @@
                     std::size_t aFrom,
                     std::size_t aTo)
 {
+  const auto delay = m_delayTo.find(aTo);
+  const TimePoint earliest =
+    m_now + (delay == m_delayTo.end() ? Duration{} : delay->second);
   if (m_faults.m_linkRate == 0) {
-    return m_now;
+    return earliest;
   }
   const Duration transit{ static_cast<Duration::rep>(
     SizeOf(aMessage) * std::micro::den / m_faults.m_linkRate) };
@@ -305,7 +308,7 @@
     return std::nullopt;
   }
   TimePoint& freeAt = m_linkFreeAt[{ aFrom, aTo }];
-  freeAt = std::max(freeAt, m_now) + transit;
+  freeAt = std::max(freeAt, earliest) + transit;
   return freeAt;
 }
 
--- a/tests/support/replicas.h
+++ b/tests/support/replicas.h
@@ -57,6 +57,12 @@
   void Cut(std::size_t aFrom, std::size_t aTo, bool aCut);
   void Isolate(std::size_t aNode, bool aIsolated);
 
+  /** Delays all messages to this replica, in addition to other delays. */
+  void SetDelayTo(std::size_t aNode, Duration aDelay)
+  {
+    m_delayTo[aNode] = aDelay;
+  }
+
   /** Proposes a command to the leader; returns false if there is none or it
    * refuses. */
   bool Propose(const std::string& aCommand);
@@ -138,6 +144,7 @@
   std::multimap<TimePoint, Event> m_events;
   std::set<std::pair<std::size_t, std::size_t>> m_cuts;
   std::map<std::pair<std::size_t, std::size_t>, TimePoint> m_linkFreeAt;
+  std::map<std::size_t, Duration> m_delayTo;
   std::map<Index, std::string> m_history;
   std::map<Index, std::string> m_acknowledged;
   std::map<Term, consensus::ReplicaId> m_leaders;
--- a/tests/unit/consensus/replica_test.cpp
+++ b/tests/unit/consensus/replica_test.cpp
@@ -396,15 +396,19 @@
     }
   }
 
-  /** Asks for admission as a replica without a leader does. */
-  void Admit(std::size_t aNode)
+  /** Asks for admission until the leader agrees, as a replica without a leader
+   * does. */
+  bool Admit(std::size_t aNode)
   {
-    if (const auto leader = m_replicas.Leader()) {
-      m_replicas.At(*leader).AddMember(
+    const auto isAdmitted = [&]() {
+      const std::size_t leader = *m_replicas.Leader();
+      const auto error = m_replicas.At(leader).AddMember(
         { m_replicas.At(aNode).Self(), "r" + std::to_string(aNode), false },
-        m_replicas.LocalNow(*leader));
-      m_replicas.Drain(*leader);
-    }
+        m_replicas.LocalNow(leader));
+      m_replicas.Drain(leader);
+      return error == consensus::Error::kNone;
+    };
+    return m_replicas.RunUntil(isAdmitted, kMaxWait);
   }
 
   bool IsVoter(std::size_t aNode)
@@ -444,7 +448,7 @@
     const std::size_t emptied = (*group.All().Leader() + 1) % 5;
     group.All().LoseDisk(emptied);
     group.All().Start(emptied);
-    group.Admit(emptied);
+    CHECK(group.Admit(emptied));
     group.Run(kCatchUp);
     CHECK(group.IsVoter(emptied));
     CheckNoViolation(group.All());
@@ -461,13 +465,31 @@
     const std::size_t emptied = (*group.All().Leader() + 1) % 5;
     group.All().LoseDisk(emptied);
     group.All().Start(emptied);
-    group.Admit(emptied);
+    CHECK(group.Admit(emptied));
     group.Run(kCatchUp, 50);
     CHECK(group.IsVoter(emptied));
     CheckNoViolation(group.All());
   }
 }
 
+// Guards against a promotion that waits for an instant without entries on their
+// way, which never comes while commits go on over a link with a long delay.
+TEST(Replica, Learner_RoundTripBehindSteadyCommits_BecomesVoter)
+{
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    BusyGroup group(seed);
+    CHECK(group.Form(0));
+    const std::size_t emptied = (*group.All().Leader() + 1) % 5;
+    group.All().LoseDisk(emptied);
+    group.All().Start(emptied);
+    group.All().SetDelayTo(emptied, Millis{ 80 });
+    CHECK(group.Admit(emptied));
+    group.Run(kCatchUp);
+    CHECK(group.IsVoter(emptied));
+    CheckNoViolation(group.All());
+  }
+}
+
 namespace {
 
 const consensus::ReplicaId kA{ InstanceId{ "a" }, Incarnation{ 1 } };
