--- a/include/bamboostile/consensus/replica.h
+++ b/include/bamboostile/consensus/replica.h
@@ -125,6 +125,7 @@
     TimePoint m_activeAt;
     std::uint64_t m_received = 0;
     std::uint64_t m_sent = 0;
+    TimePoint m_lastChunkAt{};
     /** Only heartbeats are sent until the peer answers one. */
     bool m_probing = true;
   };
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -10,10 +10,10 @@
  * limit sending pauses. */
 constexpr std::uint64_t kMaxEntriesInFlight = 4096;
 /** Maximum number of chunks sent beyond what a peer has acknowledged. */
-constexpr std::size_t kMaxChunksInFlight = 16;
+constexpr std::size_t kMaxChunksInFlight = 32;
 /** Time without progress after which a transfer stops until the peer answers a
  * heartbeat. */
-constexpr Duration kChunkRetry = Millis{ 500 };
+constexpr Duration kTransferTimeout = Millis{ 2000 };
 /** No entries are retained for a member that has not answered for this long: it
  * may be gone for good. */
 constexpr Duration kRetainForSilent = Millis{ 3000 };
@@ -400,7 +400,7 @@
 {
   Transfer& transfer = *aProgress.m_transfer;
   const std::uint64_t size = transfer.m_snapshot->m_state.size();
-  if (aNow >= transfer.m_activeAt + kChunkRetry) {
+  if (aNow >= transfer.m_activeAt + kTransferTimeout) {
     transfer.m_sent = transfer.m_received;
     transfer.m_activeAt = aNow;
     transfer.m_probing = true;
@@ -419,6 +419,7 @@
       size - transfer.m_sent, m_options.m_snapshotChunkBytes);
     SendChunk(aPeer, transfer, bytes, aNow);
     transfer.m_sent += bytes;
+    transfer.m_lastChunkAt = aNow;
     isSent = true;
   }
   if (aHeartbeat && !isSent) {
@@ -462,14 +463,16 @@
     return;
   }
   Transfer& transfer = *progress.m_transfer;
-  // A peer that restarted begins anew. Only the reply to a chunk sent after the
-  // last progress proves it, as messages can be reordered.
-  const bool beginsAnew = aReply.m_received < transfer.m_received &&
-                          aReply.m_sentAt > transfer.m_activeAt;
-  if (beginsAnew) {
+  // Messages on a connection arrive in order, so the answer to a heartbeat sent
+  // after all chunks shows which of them were lost with an earlier connection
+  // or with the peer's process. A time limit alone would send chunks twice to a
+  // peer whose answers this leader is too busy to read.
+  const bool areChunksLost = aReply.m_sentAt > transfer.m_lastChunkAt &&
+                             aReply.m_received < transfer.m_sent;
+  if (areChunksLost) {
     transfer.m_sent = aReply.m_received;
   }
-  if (beginsAnew || aReply.m_received > transfer.m_received) {
+  if (areChunksLost || aReply.m_received > transfer.m_received) {
     transfer.m_received = aReply.m_received;
     transfer.m_sent = std::max(transfer.m_sent, transfer.m_received);
     transfer.m_activeAt = aNow;
--- a/tests/support/replicas.cpp
+++ b/tests/support/replicas.cpp
@@ -258,6 +258,10 @@
                                 std::move(aPersist) });
       },
       [&](Send& aSend) {
+        if (const auto* chunk =
+              std::get_if<consensus::SnapshotChunk>(&aSend.m_message.m_body)) {
+          m_snapshotBytesSent += chunk->m_bytes.size();
+        }
         const auto to = NodeOf(aSend.m_message.m_to);
         if (!to || m_cuts.contains({ aNode, *to }) ||
             RandomFraction() < m_faults.m_loss) {
--- a/tests/support/replicas.h
+++ b/tests/support/replicas.h
@@ -88,6 +88,7 @@
   /** The first violation of an invariant; empty if there was none. */
   const std::string& Violation() const { return m_violation; }
   std::size_t ElectionCount() const { return m_leaders.size(); }
+  std::size_t SnapshotBytesSent() const { return m_snapshotBytesSent; }
   void SetFaults(Faults aFaults) { m_faults = aFaults; }
   std::mt19937_64& Random() { return m_random; }
   std::string StateOf(std::size_t aNode) const;
@@ -149,6 +150,7 @@
   std::map<Index, std::string> m_acknowledged;
   std::map<Term, consensus::ReplicaId> m_leaders;
   std::string m_violation;
+  std::size_t m_snapshotBytesSent = 0;
   std::uint64_t m_lastIncarnation = 0;
 };
 
--- a/tests/unit/consensus/replica_test.cpp
+++ b/tests/unit/consensus/replica_test.cpp
@@ -378,6 +378,7 @@
     Compact();
     Faults slow;
     slow.m_linkRate = 1000 * 1000;
+    slow.m_maxDelay = Duration::zero();
     m_replicas.SetFaults(slow);
     return isCommitted;
   }
@@ -419,6 +420,7 @@
   }
 
   Replicas& All() { return m_replicas; }
+  std::size_t SnapshotBytes() const { return m_snapshotBytes; }
 
 private:
   static constexpr std::size_t kCommandBytes = 1000;
@@ -427,6 +429,7 @@
   void Compact()
   {
     const std::size_t leader = *m_replicas.Leader();
+    m_snapshotBytes = m_replicas.StateOf(leader).size();
     m_replicas.At(leader).Compact(m_replicas.AppliedBy(leader),
                                   m_replicas.StateOf(leader),
                                   m_replicas.LocalNow(leader));
@@ -434,6 +437,7 @@
   }
 
   Replicas m_replicas;
+  std::size_t m_snapshotBytes = 0;
 };
 
 } // namespace
@@ -472,6 +476,26 @@
   }
 }
 
+// Guards against chunks that are sent again because answers are late, which
+// keeps a busy leader busy.
+TEST(Replica, EmptiedReplica_AnswersAreLate_EachChunkIsSentOnce)
+{
+  constexpr std::size_t kStateBytes = 1000 * 1000;
+  BusyGroup group(1);
+  CHECK(group.Form(kStateBytes));
+  const std::size_t emptied = (*group.All().Leader() + 1) % 5;
+  group.All().LoseDisk(emptied);
+  group.All().Start(emptied);
+  group.All().SetDelayTo(emptied, Millis{ 800 });
+  CHECK(group.Admit(emptied));
+  const auto isInstalled = [&]() {
+    return group.All().AppliedBy(emptied) > Index{};
+  };
+  CHECK(group.All().RunUntil(isInstalled, kMaxWait));
+  LONGS_EQUAL(group.SnapshotBytes(), group.All().SnapshotBytesSent());
+  CheckNoViolation(group.All());
+}
+
 // Guards against a promotion that waits for an instant without entries on their
 // way, which never comes while commits go on over a link with a long delay.
 TEST(Replica, Learner_RoundTripBehindSteadyCommits_BecomesVoter)
