Control: bound what is under way to a replica that is behind

Cause: up to 4,096 entries were sent beyond what a peer had acknowledged, a message each. A peer that is behind gets more messages than its connection accepts (256 unanswered). The rest is dropped, the peer rejects what follows the gap, and the connection is replaced with all that was on it.

Change: at most 64 messages and 512 KiB of entries are unacknowledged; what waits goes out together with the next answer.

--- a/include/bamboostile/consensus/replica.h
+++ b/include/bamboostile/consensus/replica.h
@@ -140,10 +140,19 @@
     std::string m_bytes;
   };
 
+  struct SentAppend
+  {
+    Index m_last;
+    std::size_t m_bytes = 0;
+  };
+
   struct Progress
   {
     Index m_next;
     Index m_match;
+    /** Entries sent and not acknowledged, oldest first. */
+    std::deque<SentAppend> m_inFlight;
+    std::size_t m_bytesInFlight = 0;
     /** When m_match last advanced. */
     TimePoint m_matchAdvancedAt;
     TimePoint m_lastAckedSentAt;
@@ -232,6 +241,8 @@
                             const SnapshotChunk& aChunk,
                             Term aTerm);
   void Install(const ReplicaId& aFrom, Snapshot aSnapshot);
+  static bool MayAppend(const Progress& aProgress);
+  static void ForgetInFlight(Progress& aProgress, Index aUpTo);
   void AdvanceCommit(TimePoint aNow);
   void CommitTo(Index aIndex);
   TimePoint LastQuorumContact(TimePoint aNow) const;
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -6,9 +6,12 @@
 
 namespace {
 
-/** Maximum number of entries sent beyond what a peer has acknowledged; at this
- * limit sending pauses. */
-constexpr std::uint64_t kMaxEntriesInFlight = 4096;
+/** Limits of what is sent beyond what a peer has acknowledged. At a limit,
+ * sending pauses, and later entries are sent together. A peer that is behind
+ * would otherwise get more than it can process before its connection is
+ * considered silent. */
+constexpr std::size_t kMaxAppendsInFlight = 64;
+constexpr std::size_t kMaxBytesInFlight = 512 * 1024;
 /** Maximum number of chunks sent beyond what a peer has acknowledged. */
 constexpr std::size_t kMaxChunksInFlight = 32;
 /** Time without progress after which a transfer stops until the peer answers a
@@ -266,11 +269,8 @@
     return;
   }
   AppendRequest append{ previous, *previousTerm, {}, m_commit, aNow };
-  const bool blocked =
-    progress.m_probing ||
-    previous.Get() - progress.m_match.Get() > kMaxEntriesInFlight;
   std::size_t bytes = 0;
-  if (!blocked) {
+  if (MayAppend(progress)) {
     while (progress.m_next <= LastIndex() &&
            bytes < m_options.m_maxBatchBytes) {
       const LogEntry& entry = *EntryAt(progress.m_next);
@@ -279,11 +279,33 @@
       progress.m_next = Next(progress.m_next);
     }
   }
+  if (!append.m_entries.empty()) {
+    progress.m_inFlight.push_back({ append.m_entries.back().m_index, bytes });
+    progress.m_bytesInFlight += bytes;
+  }
   if (aHeartbeat || !append.m_entries.empty()) {
     SendNow(aPeer, std::move(append));
   }
 }
 
+bool
+Replica::MayAppend(const Progress& aProgress)
+{
+  return !aProgress.m_probing &&
+         aProgress.m_inFlight.size() < kMaxAppendsInFlight &&
+         aProgress.m_bytesInFlight < kMaxBytesInFlight;
+}
+
+void
+Replica::ForgetInFlight(Progress& aProgress, Index aUpTo)
+{
+  auto& inFlight = aProgress.m_inFlight;
+  while (!inFlight.empty() && inFlight.front().m_last <= aUpTo) {
+    aProgress.m_bytesInFlight -= inFlight.front().m_bytes;
+    inFlight.pop_front();
+  }
+}
+
 void
 Replica::Handle(const ReplicaId& aFrom,
                 const AppendRequest& aAppend,
@@ -368,6 +390,7 @@
         std::max(Next(progress.m_match),
                  std::min(progress.m_next, Next(aReply.m_match)));
       progress.m_probing = true;
+      ForgetInFlight(progress, LastIndex());
       SendAppendTo(aFrom, aNow, true);
     }
     return;
@@ -378,6 +401,7 @@
     progress.m_match = aReply.m_match;
     progress.m_matchAdvancedAt = aNow;
   }
+  ForgetInFlight(progress, progress.m_match);
   EndTransferIfHeld(aFrom, progress, aNow);
   UpdateRound(progress, aNow);
   progress.m_next = std::max(progress.m_next, Next(progress.m_match));
--- a/tests/support/replicas.h
+++ b/tests/support/replicas.h
@@ -53,6 +53,11 @@
   void CopyDisk(std::size_t aNode);
   void RestoreDisk(std::size_t aNode);
   void Freeze(std::size_t aNode, bool aFrozen);
+  /** Number of events that wait for a frozen replica. */
+  std::size_t BacklogOf(std::size_t aNode) const
+  {
+    return m_nodes[aNode].m_backlog.size();
+  }
   /** Cuts messages from one replica to another, in that direction only. */
   void Cut(std::size_t aFrom, std::size_t aTo, bool aCut);
   void Isolate(std::size_t aNode, bool aIsolated);
--- a/tests/unit/consensus/replica_test.cpp
+++ b/tests/unit/consensus/replica_test.cpp
@@ -496,6 +496,29 @@
   CheckNoViolation(group.All());
 }
 
+// Guards against more messages under way to a slow replica than its connection
+// accepts: it would lose some, reject all later ones, and stay behind.
+TEST(Replica, Follower_DoesNotAnswer_FewMessagesAreUnderWayToIt)
+{
+  constexpr std::size_t kMaxUnanswered = 256;
+  Replicas replicas(3, 15, {});
+  CHECK(replicas.Form());
+  const std::size_t leader = *replicas.Leader();
+  const std::size_t slow = (leader + 1) % 3;
+  replicas.Freeze(slow, true);
+  for (int i = 0; i < 1000; ++i) {
+    replicas.Propose("x" + std::to_string(i));
+    replicas.Run(Millis{ 2 });
+  }
+  CHECK(replicas.BacklogOf(slow) < kMaxUnanswered);
+  replicas.Freeze(slow, false);
+  const auto caughtUp = [&]() {
+    return replicas.AppliedBy(slow) == replicas.AppliedBy(leader);
+  };
+  CHECK(replicas.RunUntil(caughtUp, kMaxWait));
+  CheckNoViolation(replicas);
+}
+
 // Guards against a promotion that waits for an instant without entries on their
 // way, which never comes while commits go on over a link with a long delay.
 TEST(Replica, Learner_RoundTripBehindSteadyCommits_BecomesVoter)
