Control: two replicas that lost their disks are replaced one after the other

Cause: the earlier incarnation of a replica is taken out before the later one votes. With two learners, the second removal could come before the first promotion.

Change: a replica that has been taken out is promoted before another one is taken out, unless it has not answered for 3 s.

--- a/include/bamboostile/consensus/replica.h
+++ b/include/bamboostile/consensus/replica.h
@@ -223,6 +223,7 @@
   void PromoteCaughtUpLearner(TimePoint aNow);
   void UpdateRound(Progress& aProgress, TimePoint aNow);
   bool IsCaughtUp(const ReplicaId& aId, TimePoint aNow) const;
+  bool IsAnswering(const ReplicaId& aId, TimePoint aNow) const;
   void StepDownIfRemoved(TimePoint aNow);
   void SendAppends(TimePoint aNow, bool aHeartbeat);
   void SendAppendTo(const ReplicaId& aPeer, TimePoint aNow, bool aHeartbeat);
--- a/include/bamboostile/consensus/types.h
+++ b/include/bamboostile/consensus/types.h
@@ -35,6 +35,10 @@
   std::vector<Member> m_members;
 
   const Member* Find(const ReplicaId& aId) const;
+  /** Returns a member that is another incarnation of the same replica. */
+  const Member* FindOtherIncarnation(const ReplicaId& aId) const;
+  Membership WithVoter(const ReplicaId& aId) const;
+  Membership Without(const ReplicaId& aId) const;
   bool IsVoter(const ReplicaId& aId) const;
   std::size_t VoterCount() const;
   bool operator==(const Membership&) const = default;
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -17,9 +17,9 @@
 /** Time without progress after which a transfer stops until the peer answers a
  * heartbeat. */
 constexpr Duration kTransferTimeout = Millis{ 2000 };
-/** No entries are retained for a member that has not answered for this long: it
- * may be gone for good. */
-constexpr Duration kRetainForSilent = Millis{ 3000 };
+/** A member that has not answered for this long may be gone for good: nothing
+ * is retained for it, and nothing waits for it. */
+constexpr Duration kMaxSilence = Millis{ 3000 };
 
 std::size_t
 SizeOf(const LogEntry& aEntry)
@@ -731,6 +731,21 @@
          (progress.m_wasLastRoundShort && isRoundRecent);
 }
 
+bool
+Replica::IsAnswering(const ReplicaId& aId, TimePoint aNow) const
+{
+  const auto found = m_progress.find(aId);
+  if (found == m_progress.end()) {
+    return false;
+  }
+  const Progress& progress = found->second;
+  const TimePoint lastSign =
+    progress.m_transfer
+      ? std::max(progress.m_lastAckedSentAt, progress.m_transfer->m_startedAt)
+      : progress.m_lastAckedSentAt;
+  return aNow <= lastSign + kMaxSilence;
+}
+
 std::vector<ReplicaId>
 Replica::LearnersCaughtUp(TimePoint aNow) const
 {
@@ -743,34 +758,37 @@
   return learners;
 }
 
+// The earlier incarnation of a replica leaves the group just before the later
+// one becomes a voter. If two did so at once, the group would be two voters
+// short for a moment, and a fault then could cost it its quorum.
 void
 Replica::PromoteCaughtUpLearner(TimePoint aNow)
 {
   if (!IsReady() || IsMembershipChangePending()) {
     return;
   }
-  for (const Member& member : CurrentMembership().m_members) {
-    if (member.m_voter || !IsCaughtUp(member.m_id, aNow)) {
-      continue;
-    }
-    Membership changed = CurrentMembership();
-    const auto isEarlierIncarnation = [&](const Member& aMember) {
-      return aMember.m_id.m_instance == member.m_id.m_instance &&
-             aMember.m_id != member.m_id;
-    };
-    const auto removed = std::erase_if(changed.m_members, isEarlierIncarnation);
-    const bool isFull = m_options.m_maxVoters > 0 &&
-                        changed.VoterCount() >= m_options.m_maxVoters;
-    if (removed == 0 && isFull) {
+  const Membership current = CurrentMembership();
+  const bool isFull =
+    m_options.m_maxVoters > 0 && current.VoterCount() >= m_options.m_maxVoters;
+  bool isReplacing = false;
+  std::optional<Membership> removal;
+  for (const Member& member : current.m_members) {
+    if (member.m_voter) {
       continue;
     }
-    if (removed == 0) {
-      for (Member& candidate : changed.m_members) {
-        candidate.m_voter = candidate.m_voter || candidate.m_id == member.m_id;
+    const Member* earlier = current.FindOtherIncarnation(member.m_id);
+    if (earlier == nullptr && !isFull) {
+      if (IsCaughtUp(member.m_id, aNow)) {
+        ProposeMembership(current.WithVoter(member.m_id), aNow);
+        return;
       }
+      isReplacing = isReplacing || IsAnswering(member.m_id, aNow);
+    } else if (earlier != nullptr && IsCaughtUp(member.m_id, aNow)) {
+      removal = current.Without(earlier->m_id);
     }
-    ProposeMembership(std::move(changed), aNow);
-    return;
+  }
+  if (removal && !isReplacing) {
+    ProposeMembership(std::move(*removal), aNow);
   }
 }
 
@@ -817,12 +835,7 @@
       continue;
     }
     const Progress& progress = found->second;
-    const TimePoint lastSign =
-      progress.m_transfer
-        ? std::max(progress.m_lastAckedSentAt, progress.m_transfer->m_startedAt)
-        : progress.m_lastAckedSentAt;
-    const bool isSilent = aNow > lastSign + kRetainForSilent;
-    if (isSilent || m_regressed.contains(member.m_id)) {
+    if (!IsAnswering(member.m_id, aNow) || m_regressed.contains(member.m_id)) {
       continue;
     }
     const Index held = progress.m_transfer
--- a/src/consensus/types.cpp
+++ b/src/consensus/types.cpp
@@ -14,6 +14,35 @@
   return found == m_members.end() ? nullptr : &*found;
 }
 
+const Member*
+Membership::FindOtherIncarnation(const ReplicaId& aId) const
+{
+  const auto found = std::find_if(
+    m_members.begin(), m_members.end(), [&](const Member& aMember) {
+      return aMember.m_id.m_instance == aId.m_instance && aMember.m_id != aId;
+    });
+  return found == m_members.end() ? nullptr : &*found;
+}
+
+Membership
+Membership::WithVoter(const ReplicaId& aId) const
+{
+  Membership changed = *this;
+  for (Member& member : changed.m_members) {
+    member.m_voter = member.m_voter || member.m_id == aId;
+  }
+  return changed;
+}
+
+Membership
+Membership::Without(const ReplicaId& aId) const
+{
+  Membership changed = *this;
+  std::erase_if(changed.m_members,
+                [&](const Member& aMember) { return aMember.m_id == aId; });
+  return changed;
+}
+
 bool
 Membership::IsVoter(const ReplicaId& aId) const
 {
--- a/tests/unit/consensus/replica_test.cpp
+++ b/tests/unit/consensus/replica_test.cpp
@@ -1,5 +1,8 @@
 #include "replicas.h"
 
+#include <algorithm>
+#include <array>
+
 #include "check.h"
 
 using namespace bamboostile;
@@ -350,6 +353,22 @@
 /** Time within which a replica that lost its disk must be a voter again. */
 constexpr Duration kCatchUp = std::chrono::seconds{ 4 };
 
+/** Asks for admission until the leader agrees, as a replica without a leader
+ * does. */
+bool
+Admit(Replicas& aReplicas, std::size_t aNode)
+{
+  const auto isAdmitted = [&]() {
+    const std::size_t leader = *aReplicas.Leader();
+    const auto error = aReplicas.At(leader).AddMember(
+      { aReplicas.At(aNode).Self(), "r" + std::to_string(aNode), false },
+      aReplicas.LocalNow(leader));
+    aReplicas.Drain(leader);
+    return error == consensus::Error::kNone;
+  };
+  return aReplicas.RunUntil(isAdmitted, kMaxWait);
+}
+
 /** Commits without a pause, on links that need longer for a snapshot than a
  * connection may be silent. */
 class BusyGroup
@@ -397,20 +416,7 @@
     }
   }
 
-  /** Asks for admission until the leader agrees, as a replica without a leader
-   * does. */
-  bool Admit(std::size_t aNode)
-  {
-    const auto isAdmitted = [&]() {
-      const std::size_t leader = *m_replicas.Leader();
-      const auto error = m_replicas.At(leader).AddMember(
-        { m_replicas.At(aNode).Self(), "r" + std::to_string(aNode), false },
-        m_replicas.LocalNow(leader));
-      m_replicas.Drain(leader);
-      return error == consensus::Error::kNone;
-    };
-    return m_replicas.RunUntil(isAdmitted, kMaxWait);
-  }
+  bool Admit(std::size_t aNode) { return ::Admit(m_replicas, aNode); }
 
   bool IsVoter(std::size_t aNode)
   {
@@ -519,6 +525,39 @@
   CheckNoViolation(replicas);
 }
 
+// Guards against a group that is two voters short while two replicas with empty
+// disks are replaced by their later incarnations: a fault then could cost it
+// its quorum.
+TEST(Replica, TwoEmptiedReplicas_CatchUpTogether_GroupIsNeverTwoVotersShort)
+{
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    Faults faults;
+    faults.m_maxDelay = Millis{ 40 };
+    faults.m_options.m_maxVoters = 5;
+    Replicas replicas(5, seed, faults);
+    CHECK(replicas.Form());
+    const std::size_t leader = *replicas.Leader();
+    const std::array<std::size_t, 2> emptied{ (leader + 1) % 5,
+                                              (leader + 2) % 5 };
+    for (const std::size_t node : emptied) {
+      replicas.LoseDisk(node);
+      replicas.Start(node);
+      CHECK(Admit(replicas, node));
+    }
+    const auto areVoters = [&]() {
+      const auto& membership = replicas.At(leader).CurrentMembership();
+      CHECK(membership.VoterCount() >= 4);
+      replicas.Propose("x");
+      return std::all_of(
+        emptied.begin(), emptied.end(), [&](std::size_t aNode) {
+          return membership.IsVoter(replicas.At(aNode).Self());
+        });
+    };
+    CHECK(replicas.RunUntil(areVoters, kMaxWait));
+    CheckNoViolation(replicas);
+  }
+}
+
 // Guards against a promotion that waits for an instant without entries on their
 // way, which never comes while commits go on over a link with a long delay.
 TEST(Replica, Learner_RoundTripBehindSteadyCommits_BecomesVoter)
