--- a/tests/support/replicas.cpp
+++ b/tests/support/replicas.cpp
@@ -482,4 +482,26 @@
   return error == consensus::Error::kNone;
 }
 
+bool
+ProposeAndWait(Replicas& aReplicas, const std::string& aCommand)
+{
+  const std::size_t before = aReplicas.Acknowledged().size();
+  return aReplicas.RunUntil([&]() { return aReplicas.Propose(aCommand); },
+                            kMaxWait) &&
+         aReplicas.RunUntil(
+           [&]() { return aReplicas.Acknowledged().size() > before; },
+           kMaxWait);
+}
+
+bool
+IsAcknowledged(const Replicas& aReplicas, const std::string& aCommand)
+{
+  for (const auto& [index, text] : aReplicas.Acknowledged()) {
+    if (text.ends_with(":" + aCommand)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 } // namespace bamboostile::test
--- a/tests/support/replicas.h
+++ b/tests/support/replicas.h
@@ -159,4 +159,13 @@
   std::uint64_t m_lastIncarnation = 0;
 };
 
+/** Maximum time that tests wait for what must happen. */
+constexpr Duration kMaxWait = std::chrono::seconds{ 30 };
+
+/** Longer than every timeout of a replica. */
+constexpr Duration kPastTimeouts = std::chrono::seconds{ 4 };
+
+bool ProposeAndWait(Replicas& aReplicas, const std::string& aCommand);
+bool IsAcknowledged(const Replicas& aReplicas, const std::string& aCommand);
+
 } // namespace bamboostile::test
--- /dev/null
+++ b/tests/unit/consensus/catch_up_test.cpp
@@ -0,0 +1,243 @@
+#include "replicas.h"
+
+#include "check.h"
+
+#include <algorithm>
+#include <array>
+
+using namespace bamboostile;
+using namespace bamboostile::test;
+
+namespace {
+
+/** Time within which a replica that lost its disk must be a voter again. */
+constexpr Duration kCatchUp = std::chrono::seconds{ 4 };
+
+/** Asks for admission until the leader agrees, as a replica without a leader
+ * does. */
+bool
+Admit(Replicas& aReplicas, std::size_t aNode)
+{
+  const auto isAdmitted = [&]() {
+    const std::size_t leader = *aReplicas.Leader();
+    const auto error = aReplicas.At(leader).AddMember(
+      { aReplicas.At(aNode).Self(), "r" + std::to_string(aNode), false },
+      aReplicas.LocalNow(leader));
+    aReplicas.Drain(leader);
+    return error == consensus::Error::kNone;
+  };
+  return aReplicas.RunUntil(isAdmitted, kMaxWait);
+}
+
+/** Commits without a pause, on links that need longer for a snapshot than a
+ * connection may be silent. */
+class BusyGroup
+{
+public:
+  explicit BusyGroup(std::uint64_t aSeed, Faults aFaults = {})
+    : m_replicas(5, aSeed, aFaults)
+  {
+  }
+
+  bool Form(std::size_t aStateBytes)
+  {
+    if (!m_replicas.Form()) {
+      return false;
+    }
+    const std::size_t before = m_replicas.Acknowledged().size();
+    for (std::size_t bytes = 0; bytes < aStateBytes; bytes += kCommandBytes) {
+      m_replicas.Propose(std::string(kCommandBytes, 'x'));
+    }
+    const bool isCommitted = m_replicas.RunUntil(
+      [&]() {
+        return m_replicas.Acknowledged().size() >=
+               before + aStateBytes / kCommandBytes;
+      },
+      kMaxWait);
+    Compact();
+    Faults slow;
+    slow.m_linkRate = 1000 * 1000;
+    slow.m_maxDelay = Duration::zero();
+    m_replicas.SetFaults(slow);
+    return isCommitted;
+  }
+
+  void Run(Duration aTime, std::uint64_t aCommandsBetweenSnapshots = 0)
+  {
+    std::uint64_t commands = 0;
+    for (Duration passed{}; passed < aTime; passed += kPause) {
+      m_replicas.Propose(std::string(kCommandBytes, 'y'));
+      m_replicas.Run(kPause);
+      ++commands;
+      if (aCommandsBetweenSnapshots > 0 &&
+          commands % aCommandsBetweenSnapshots == 0) {
+        Compact();
+      }
+    }
+  }
+
+  bool Admit(std::size_t aNode) { return ::Admit(m_replicas, aNode); }
+
+  bool IsVoter(std::size_t aNode)
+  {
+    const auto leader = m_replicas.Leader();
+    return leader && m_replicas.At(*leader).CurrentMembership().IsVoter(
+                       m_replicas.At(aNode).Self());
+  }
+
+  Replicas& All() { return m_replicas; }
+  std::size_t SnapshotBytes() const { return m_snapshotBytes; }
+
+private:
+  static constexpr std::size_t kCommandBytes = 1000;
+  static constexpr Duration kPause = Millis{ 10 };
+
+  void Compact()
+  {
+    const std::size_t leader = *m_replicas.Leader();
+    m_snapshotBytes = m_replicas.StateOf(leader).size();
+    m_replicas.At(leader).Compact(m_replicas.AppliedBy(leader),
+                                  m_replicas.StateOf(leader),
+                                  m_replicas.LocalNow(leader));
+    m_replicas.Drain(leader);
+  }
+
+  Replicas m_replicas;
+  std::size_t m_snapshotBytes = 0;
+};
+
+} // namespace
+
+TEST_GROUP(CatchUp){ void CheckNoViolation(const Replicas& aReplicas){
+  CHECK_STRING("", aReplicas.Violation());
+}
+}
+;
+
+// Guards against a snapshot that never arrives whole: the replica would stay
+// without a vote, and the next two lost disks would lose the group.
+TEST(CatchUp, EmptiedReplica_SlowLinkAndSteadyCommits_VotesWithinCatchUpTime)
+{
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    BusyGroup group(seed);
+    CHECK(group.Form(1000 * 1000));
+    const std::size_t emptied = (*group.All().Leader() + 1) % 5;
+    group.All().LoseDisk(emptied);
+    group.All().Start(emptied);
+    CHECK(group.Admit(emptied));
+    group.Run(kCatchUp);
+    CHECK(group.IsVoter(emptied));
+    CheckNoViolation(group.All());
+  }
+}
+
+// Guards against a log that is cut while a snapshot is on its way: the replica
+// would need a newer snapshot each time one has arrived.
+TEST(CatchUp, EmptiedReplica_LogCompactedDuringTransfer_VotesWithinCatchUpTime)
+{
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    BusyGroup group(seed);
+    CHECK(group.Form(1000 * 1000));
+    const std::size_t emptied = (*group.All().Leader() + 1) % 5;
+    group.All().LoseDisk(emptied);
+    group.All().Start(emptied);
+    CHECK(group.Admit(emptied));
+    group.Run(kCatchUp, 50);
+    CHECK(group.IsVoter(emptied));
+    CheckNoViolation(group.All());
+  }
+}
+
+// Guards against chunks that are sent again because answers are late, which
+// keeps a busy leader busy.
+TEST(CatchUp, EmptiedReplica_AnswersAreLate_EachChunkIsSentOnce)
+{
+  constexpr std::size_t kStateBytes = 1000 * 1000;
+  BusyGroup group(1);
+  CHECK(group.Form(kStateBytes));
+  const std::size_t emptied = (*group.All().Leader() + 1) % 5;
+  group.All().LoseDisk(emptied);
+  group.All().Start(emptied);
+  group.All().SetDelayTo(emptied, Millis{ 800 });
+  CHECK(group.Admit(emptied));
+  const auto isInstalled = [&]() {
+    return group.All().AppliedBy(emptied) > Index{};
+  };
+  CHECK(group.All().RunUntil(isInstalled, kMaxWait));
+  LONGS_EQUAL(group.SnapshotBytes(), group.All().SnapshotBytesSent());
+  CheckNoViolation(group.All());
+}
+
+// Guards against more messages under way to a slow replica than its connection
+// accepts: it would lose some, reject all later ones, and stay behind.
+TEST(CatchUp, Follower_DoesNotAnswer_FewMessagesAreUnderWayToIt)
+{
+  constexpr std::size_t kMaxUnanswered = 256;
+  Replicas replicas(3, 15, {});
+  CHECK(replicas.Form());
+  const std::size_t leader = *replicas.Leader();
+  const std::size_t slow = (leader + 1) % 3;
+  replicas.Freeze(slow, true);
+  for (int i = 0; i < 1000; ++i) {
+    replicas.Propose("x" + std::to_string(i));
+    replicas.Run(Millis{ 2 });
+  }
+  CHECK(replicas.BacklogOf(slow) < kMaxUnanswered);
+  replicas.Freeze(slow, false);
+  const auto caughtUp = [&]() {
+    return replicas.AppliedBy(slow) == replicas.AppliedBy(leader);
+  };
+  CHECK(replicas.RunUntil(caughtUp, kMaxWait));
+  CheckNoViolation(replicas);
+}
+
+// Guards against a group that is two voters short while two replicas with empty
+// disks are replaced by their later incarnations: a fault then could cost it
+// its quorum.
+TEST(CatchUp, TwoEmptiedReplicas_CatchUpTogether_GroupIsNeverTwoVotersShort)
+{
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    Faults faults;
+    faults.m_maxDelay = Millis{ 40 };
+    faults.m_options.m_maxVoters = 5;
+    Replicas replicas(5, seed, faults);
+    CHECK(replicas.Form());
+    const std::size_t leader = *replicas.Leader();
+    const std::array<std::size_t, 2> emptied{ (leader + 1) % 5,
+                                              (leader + 2) % 5 };
+    for (const std::size_t node : emptied) {
+      replicas.LoseDisk(node);
+      replicas.Start(node);
+      CHECK(Admit(replicas, node));
+    }
+    const auto areVoters = [&]() {
+      const auto& membership = replicas.At(leader).CurrentMembership();
+      CHECK(membership.VoterCount() >= 4);
+      replicas.Propose("x");
+      return std::all_of(
+        emptied.begin(), emptied.end(), [&](std::size_t aNode) {
+          return membership.IsVoter(replicas.At(aNode).Self());
+        });
+    };
+    CHECK(replicas.RunUntil(areVoters, kMaxWait));
+    CheckNoViolation(replicas);
+  }
+}
+
+// Guards against a promotion that waits for an instant without entries on their
+// way, which never comes while commits go on over a link with a long delay.
+TEST(CatchUp, Learner_RoundTripBehindSteadyCommits_BecomesVoter)
+{
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    BusyGroup group(seed);
+    CHECK(group.Form(0));
+    const std::size_t emptied = (*group.All().Leader() + 1) % 5;
+    group.All().LoseDisk(emptied);
+    group.All().Start(emptied);
+    group.All().SetDelayTo(emptied, Millis{ 80 });
+    CHECK(group.Admit(emptied));
+    group.Run(kCatchUp);
+    CHECK(group.IsVoter(emptied));
+    CheckNoViolation(group.All());
+  }
+}
