--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -532,6 +532,7 @@
                 TimePoint aNow)
 {
   if (aTerm < m_hardState.m_term) {
+    SendWhenSynced(aFrom, AppendReply{ false, LastIndex(), aChunk.m_sentAt });
     return;
   }
   FollowLeader(aFrom, aNow);
--- a/tests/unit/consensus/catch_up_test.cpp
+++ b/tests/unit/consensus/catch_up_test.cpp
@@ -241,3 +241,62 @@
     CheckNoViolation(group.All());
   }
 }
+
+// Guards against a voter of a later term that is only sent snapshots: neither
+// it nor the leader would learn of the other's term.
+TEST(CatchUp, Voter_OfLaterTermThanLeaderNeedsSnapshot_CatchesUp)
+{
+  int played = 0;
+  for (std::uint64_t seed = 1; seed <= 40 && played < 3; ++seed) {
+    Faults faults;
+    faults.m_maxSync = Millis{ 20 };
+    Replicas replicas(5, seed, faults);
+    CHECK(replicas.Form());
+    CHECK(ProposeAndWait(replicas, "a"));
+    const std::size_t leader = *replicas.Leader();
+    const Term term = replicas.At(leader).CurrentTerm();
+    replicas.Isolate(leader, true);
+    std::optional<std::size_t> candidate;
+    for (int i = 0; i < 850 && !candidate; ++i) {
+      replicas.Run(Millis{ 1 });
+      for (std::size_t node = 0; node < replicas.Size(); ++node) {
+        if (replicas.At(node).CurrentTerm() > term) {
+          candidate = node;
+        }
+      }
+    }
+    if (!candidate) {
+      continue;
+    }
+    replicas.Isolate(leader, false);
+    replicas.Isolate(*candidate, true);
+    replicas.Run(Millis{ 100 });
+    replicas.Crash(*candidate);
+    replicas.Isolate(*candidate, false);
+    replicas.Run(kPastTimeouts);
+    if (replicas.Leader() != leader ||
+        replicas.At(leader).CurrentTerm() != term) {
+      continue;
+    }
+    // More than is under way to a replica that does not answer, so that the
+    // leader begins with the snapshot.
+    for (int i = 0; i < 100; ++i) {
+      CHECK(ProposeAndWait(replicas, "b"));
+    }
+    replicas.At(leader).Compact(replicas.AppliedBy(leader),
+                                replicas.StateOf(leader),
+                                replicas.LocalNow(leader));
+    replicas.Drain(leader);
+    replicas.Start(*candidate);
+    if (replicas.At(*candidate).CurrentTerm() == term) {
+      continue;
+    }
+    ++played;
+    const auto caughtUp = [&]() {
+      return replicas.AppliedBy(*candidate) >= replicas.AppliedBy(leader);
+    };
+    CHECK(replicas.RunUntil(caughtUp, kMaxWait));
+    CheckNoViolation(replicas);
+  }
+  CHECK(played > 0);
+}
--- a/tests/unit/consensus/replica_test.cpp
+++ b/tests/unit/consensus/replica_test.cpp
@@ -553,3 +553,26 @@
     CHECK(receives || voteReplies[0].m_granted);
   }
 }
+
+// Guards against a leader that never learns of a later term.
+TEST(Replica, Follower_ChunkOfEarlierTerm_TellsItsTerm)
+{
+  const TimePoint now{ std::chrono::hours{ 1 } };
+  auto state = ThreeVoters();
+  state.m_hardState.m_term = Term{ 5 };
+  consensus::Replica replica(kA, {}, state, now);
+  consensus::SnapshotChunk chunk;
+  chunk.m_index = Index{ 9 };
+  chunk.m_term = Term{ 4 };
+  chunk.m_size = 10;
+  chunk.m_sentAt = now;
+  replica.Receive({ kB, kA, Term{ 4 }, chunk }, now);
+  std::size_t answers = 0;
+  for (const auto& action : SyncAll(replica, now)) {
+    const auto* send = std::get_if<consensus::Send>(&action);
+    if (send != nullptr && send->m_message.m_term == Term{ 5 }) {
+      ++answers;
+    }
+  }
+  LONGS_EQUAL(1, answers);
+}
