Control: few chunks are under way to a voter

Cause: heartbeats wait behind the chunks on the same connection. With 2 MiB of them the acknowledged heartbeats are older than the time after which a leader steps down, and the transfer begins anew in the next term.

Change: 4 chunks to a voter, 32 to a learner, on whose answers no lease depends.

Evidence: TwoDown_VoterOfTheQuorumNeedsSnapshot_CommitsWithinCatchUpTime (4 MB, 2 MB/s) fails on: no commit in 60 s, 21 to 22 elections.

--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -12,8 +12,11 @@
  * considered silent. */
 constexpr std::size_t kMaxAppendsInFlight = 64;
 constexpr std::size_t kMaxBytesInFlight = 512 * 1024;
-/** Maximum number of chunks sent beyond what a peer has acknowledged. */
-constexpr std::size_t kMaxChunksInFlight = 32;
+/** Maximum number of chunks sent beyond what a peer has acknowledged.
+ * Heartbeats wait behind them, and the leader's lease depends on a voter's
+ * answers. */
+constexpr std::size_t kMaxChunksToVoter = 4;
+constexpr std::size_t kMaxChunksToLearner = 32;
 /** Time without progress after which a transfer stops until the peer answers a
  * heartbeat. */
 constexpr Duration kTransferTimeout = Millis{ 2000 };
@@ -435,8 +438,11 @@
     }
     return;
   }
+  const std::size_t maxChunks = CurrentMembership().IsVoter(aPeer)
+                                  ? kMaxChunksToVoter
+                                  : kMaxChunksToLearner;
   const std::uint64_t limit =
-    transfer.m_received + kMaxChunksInFlight * m_options.m_snapshotChunkBytes;
+    transfer.m_received + maxChunks * m_options.m_snapshotChunkBytes;
   bool isSent = false;
   while (transfer.m_sent < std::min(size, limit)) {
     const std::size_t bytes = std::min<std::uint64_t>(
--- a/tests/unit/consensus/catch_up_test.cpp
+++ b/tests/unit/consensus/catch_up_test.cpp
@@ -300,3 +300,50 @@
   }
   CHECK(played > 0);
 }
+
+// Guards against a leader that loses contact with its quorum because heartbeats
+// wait behind the snapshot for one of its voters, and begins anew in each term.
+TEST(CatchUp, TwoDown_VoterOfTheQuorumNeedsSnapshot_CommitsWithinCatchUpTime)
+{
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    Replicas replicas(5, seed, {});
+    CHECK(replicas.Form());
+    const std::size_t leader = *replicas.Leader();
+    const auto other = [&](std::size_t aBy) { return (leader + aBy) % 5; };
+    replicas.Crash(other(1));
+    for (int i = 0; i < 4000; ++i) {
+      replicas.Propose(std::string(1000, 'x'));
+    }
+    const std::size_t written = 4000;
+    CHECK(replicas.RunUntil(
+      [&]() { return replicas.Acknowledged().size() >= written; }, kMaxWait));
+    replicas.Run(kPastTimeouts);
+    for (const std::size_t node : { leader, other(2) }) {
+      replicas.At(node).Compact(replicas.AppliedBy(node),
+                                replicas.StateOf(node),
+                                replicas.LocalNow(node));
+      replicas.Drain(node);
+    }
+    replicas.Run(kPastTimeouts);
+    Faults slow;
+    slow.m_linkRate = 2 * 1000 * 1000;
+    slow.m_maxDelay = Duration::zero();
+    replicas.SetFaults(slow);
+    replicas.Crash(other(3));
+    replicas.Crash(other(4));
+    replicas.Start(other(1));
+    const std::size_t before = replicas.Acknowledged().size();
+    const auto commits = [&]() {
+      replicas.Propose("after");
+      replicas.Run(Millis{ 50 });
+      return replicas.Acknowledged().size() > before;
+    };
+    const std::size_t elections = replicas.ElectionCount();
+    // A transfer takes 2 s. It arrives if half as much is under way at once.
+    const bool isCommitting =
+      replicas.RunUntil(commits, std::chrono::seconds{ 60 });
+    CHECK(isCommitting);
+    UNSIGNED_LONGS_EQUAL(elections, replicas.ElectionCount());
+    CheckNoViolation(replicas);
+  }
+}
