--- a/include/bamboostile/consensus/replica.h
+++ b/include/bamboostile/consensus/replica.h
@@ -26,9 +26,9 @@
   /** Percentage by which a leader's lease is shorter than m_minElectionTimeout,
    * to allow for clocks that run at different rates. */
   int m_driftPercent = 10;
-  std::size_t m_maxBatchBytes = 256 * 1024;
-  /** Small enough that a slow link transfers a chunk before the peer counts as
-   * silent. */
+  /** Both small enough that a slow link transfers a message before the peer
+   * counts as silent. */
+  std::size_t m_maxBatchBytes = 64 * 1024;
   std::size_t m_snapshotChunkBytes = 64 * 1024;
   /** Maximum size of the entries that a leader keeps, beyond its snapshot, for
    * members that are behind. */
--- a/tests/unit/consensus/catch_up_test.cpp
+++ b/tests/unit/consensus/catch_up_test.cpp
@@ -347,3 +347,29 @@
     CheckNoViolation(replicas);
   }
 }
+
+// Guards against batches of entries that a link cannot transfer before their
+// connection counts as silent, while it can transfer the snapshot.
+TEST(CatchUp, EmptiedReplica_BatchesOnSlowLink_Votes)
+{
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    BusyGroup group(seed);
+    CHECK(group.Form(1000 * 1000));
+    Faults slow;
+    slow.m_linkRate = 600 * 1000;
+    slow.m_maxDelay = Duration::zero();
+    group.All().SetFaults(slow);
+    const std::size_t emptied = (*group.All().Leader() + 1) % 5;
+    group.All().LoseDisk(emptied);
+    group.All().Start(emptied);
+    CHECK(group.Admit(emptied));
+    // A chunk takes 109 ms, the snapshot 1.7 s. At 100 KB/s of commands the
+    // batches reach their limit if the replica is behind by more than 2.6 s.
+    group.All().Freeze(emptied, true);
+    group.Run(std::chrono::seconds{ 4 });
+    group.All().Freeze(emptied, false);
+    group.Run(std::chrono::seconds{ 20 });
+    CHECK(group.IsVoter(emptied));
+    CheckNoViolation(group.All());
+  }
+}
