Control: silence is the time since the last answer arrived

Cause: a member counted as silent by the age of the message that it answered. Behind 2 MiB of chunks on a slow link that age exceeds 3 s while answers come in steadily, and the log that the member needs was cut.

Change: the arrival of the answer counts. Leases still count from the sending.

Evidence: EmptiedReplica_ChunksQueueOnSlowLink_LogIsKeptAndItVotes fails on (no voter after 40 s).

--- a/include/bamboostile/consensus/replica.h
+++ b/include/bamboostile/consensus/replica.h
@@ -156,6 +156,7 @@
     /** When m_match last advanced. */
     TimePoint m_matchAdvancedAt;
     TimePoint m_lastAckedSentAt;
+    TimePoint m_lastAnswerAt;
     std::optional<Transfer> m_transfer;
     bool m_probing = true;
     /** A round ends when the peer holds the log as it was at its start. */
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -400,6 +400,7 @@
   }
   progress.m_lastAckedSentAt =
     std::max(progress.m_lastAckedSentAt, aReply.m_sentAt);
+  progress.m_lastAnswerAt = aNow;
   if (aReply.m_match > progress.m_match) {
     progress.m_match = aReply.m_match;
     progress.m_matchAdvancedAt = aNow;
@@ -488,6 +489,7 @@
   Progress& progress = found->second;
   progress.m_lastAckedSentAt =
     std::max(progress.m_lastAckedSentAt, aReply.m_sentAt);
+  progress.m_lastAnswerAt = aNow;
   if (!progress.m_transfer ||
       progress.m_transfer->m_snapshot->m_index != aReply.m_index) {
     return;
@@ -748,8 +750,8 @@
   const Progress& progress = found->second;
   const TimePoint lastSign =
     progress.m_transfer
-      ? std::max(progress.m_lastAckedSentAt, progress.m_transfer->m_startedAt)
-      : progress.m_lastAckedSentAt;
+      ? std::max(progress.m_lastAnswerAt, progress.m_transfer->m_startedAt)
+      : progress.m_lastAnswerAt;
   return aNow <= lastSign + kMaxSilence;
 }
 
--- a/tests/unit/consensus/catch_up_test.cpp
+++ b/tests/unit/consensus/catch_up_test.cpp
@@ -131,6 +131,32 @@
   }
 }
 
+// Guards against a member that counts as silent because its answers are to
+// messages that waited on a slow link: its log would be cut.
+TEST(CatchUp, EmptiedReplica_ChunksQueueOnSlowLink_LogIsKeptAndItVotes)
+{
+  Faults faults;
+  faults.m_options.m_maxBatchBytes = 64 * 1024;
+  for (const std::uint64_t commandsBetweenSnapshots : { 0, 50 }) {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      BusyGroup group(seed, faults);
+      CHECK(group.Form(4 * 1000 * 1000));
+      Faults slow;
+      slow.m_linkRate = 400 * 1000;
+      slow.m_maxDelay = Duration::zero();
+      group.All().SetFaults(slow);
+      const std::size_t emptied = (*group.All().Leader() + 1) % 5;
+      group.All().LoseDisk(emptied);
+      group.All().Start(emptied);
+      CHECK(group.Admit(emptied));
+      // The snapshot takes 10 s, what is written meanwhile 4 s.
+      group.Run(std::chrono::seconds{ 40 }, commandsBetweenSnapshots);
+      CHECK(group.IsVoter(emptied));
+      CheckNoViolation(group.All());
+    }
+  }
+}
+
 // Guards against a log that is cut while a snapshot is on its way: the replica
 // would need a newer snapshot each time one has arrived.
 TEST(CatchUp, EmptiedReplica_LogCompactedDuringTransfer_VotesWithinCatchUpTime)
