--- a/include/bamboostile/consensus/replica.h
+++ b/include/bamboostile/consensus/replica.h
@@ -31,7 +31,7 @@
   std::size_t m_maxBatchBytes = 64 * 1024;
   std::size_t m_snapshotChunkBytes = 64 * 1024;
   /** Maximum size of the entries that a leader keeps, beyond its snapshot, for
-   * members that are behind. */
+   * members that are behind; or twice the snapshot, if that is more. */
   std::size_t m_maxRetainedBytes = 32 * 1024 * 1024;
   /** Maximum number of voters; further replicas stay learners, ready to replace
    * a voter. 0 means no limit. Should be odd: if four voters are split into
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -858,11 +858,13 @@
 Index
 Replica::LimitRetained(Index aFrom, Index aApplied) const
 {
+  const std::size_t limit =
+    std::max(m_options.m_maxRetainedBytes, 2 * m_snapshot->m_state.size());
   std::size_t bytes = 0;
   Index from = aApplied;
   while (from > std::max(aFrom, m_baseIndex)) {
     bytes += SizeOf(*EntryAt(from));
-    if (bytes > m_options.m_maxRetainedBytes) {
+    if (bytes > limit) {
       break;
     }
     from = Previous(from);
--- a/tests/unit/consensus/catch_up_test.cpp
+++ b/tests/unit/consensus/catch_up_test.cpp
@@ -399,3 +399,22 @@
     CheckNoViolation(group.All());
   }
 }
+
+// Guards against a limit of the retained log that does not grow with the time
+// that a snapshot takes: the replica would need another one each time.
+TEST(CatchUp, EmptiedReplica_TransferOutlastsRetainedLog_Votes)
+{
+  Faults faults;
+  faults.m_options.m_maxRetainedBytes = 64 * 1024;
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    BusyGroup group(seed, faults);
+    CHECK(group.Form(1000 * 1000));
+    const std::size_t emptied = (*group.All().Leader() + 1) % 5;
+    group.All().LoseDisk(emptied);
+    group.All().Start(emptied);
+    CHECK(group.Admit(emptied));
+    group.Run(std::chrono::seconds{ 30 }, 50);
+    CHECK(group.IsVoter(emptied));
+    CheckNoViolation(group.All());
+  }
+}
