--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -434,6 +434,9 @@
     transfer.m_probing = true;
   }
   if (transfer.m_probing) {
+    if (transfer.m_received == 0) {
+      transfer.m_snapshot = m_snapshot;
+    }
     if (aHeartbeat) {
       SendChunk(aPeer, transfer, 0, aNow);
     }
--- a/tests/unit/consensus/catch_up_test.cpp
+++ b/tests/unit/consensus/catch_up_test.cpp
@@ -174,6 +174,26 @@
   }
 }
 
+// Guards against a replica that was down for long and is sent an old snapshot,
+// then the newest.
+TEST(CatchUp, Voter_DownDuringSeveralSnapshots_GetsOneSnapshot)
+{
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    BusyGroup group(seed);
+    CHECK(group.Form(100 * 1000));
+    const std::size_t down = (*group.All().Leader() + 1) % 5;
+    group.All().Crash(down);
+    group.Run(std::chrono::seconds{ 20 }, 200);
+    const std::size_t before = group.All().SnapshotBytesSent();
+    group.All().Start(down);
+    group.Run(std::chrono::seconds{ 15 });
+    CHECK(group.All().AppliedBy(down) > Index{ 2000 });
+    UNSIGNED_LONGS_EQUAL(group.SnapshotBytes(),
+                         group.All().SnapshotBytesSent() - before);
+    CheckNoViolation(group.All());
+  }
+}
+
 // Guards against chunks that are sent again because answers are late, which
 // keeps a busy leader busy.
 TEST(CatchUp, EmptiedReplica_AnswersAreLate_EachChunkIsSentOnce)
