--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -589,6 +589,7 @@
 Replica::Install(const ReplicaId& aFrom, Snapshot aSnapshot)
 {
   if (TermAt(aSnapshot.m_index) != aSnapshot.m_term) {
+    TruncateFrom(Next(aSnapshot.m_index));
     m_log.clear();
   }
   m_baseIndex = aSnapshot.m_index;
--- a/tests/unit/consensus/replica_test.cpp
+++ b/tests/unit/consensus/replica_test.cpp
@@ -576,3 +576,38 @@
   }
   LONGS_EQUAL(1, answers);
 }
+
+// Guards against a heartbeat that claims entries which are not on disk because
+// others at the same positions were.
+TEST(Replica, Follower_SnapshotReplacesConflictingLog_HeartbeatClaimsOnlySynced)
+{
+  const TimePoint now{ std::chrono::hours{ 1 } };
+  auto state = ThreeVoters();
+  state.m_hardState.m_term = Term{ 3 };
+  for (std::uint64_t index = 2; index <= 20; ++index) {
+    state.m_entries.push_back(Command(index, 2));
+  }
+  consensus::Replica replica(kA, {}, state, now);
+  LONGS_EQUAL(20, replica.MatchIndexOf(kA).Get());
+  const consensus::Membership group = replica.CurrentMembership();
+  const consensus::SnapshotChunk chunk{ Index{ 10 }, Term{ 3 }, group, 1,
+                                        0,           "s",       now };
+  replica.Receive({ kB, kA, Term{ 3 }, chunk }, now);
+  consensus::AppendRequest append{
+    Index{ 10 }, Term{ 3 }, { Command(11, 3), Command(12, 3) }, Index{ 10 }, now
+  };
+  replica.Receive({ kB, kA, Term{ 3 }, append }, now);
+  consensus::AppendRequest heartbeat{
+    Index{ 12 }, Term{ 3 }, {}, Index{ 10 }, now
+  };
+  replica.Receive({ kB, kA, Term{ 3 }, heartbeat }, now);
+  // Nothing is synced, so nothing after the start of this process is claimed.
+  for (const auto& action : replica.TakeActions()) {
+    const auto* send = std::get_if<consensus::Send>(&action);
+    const auto* reply =
+      send == nullptr
+        ? nullptr
+        : std::get_if<consensus::AppendReply>(&send->m_message.m_body);
+    CHECK(reply == nullptr || reply->m_match <= Index{ 10 });
+  }
+}
