--- a/tests/unit/consensus/catch_up_test.cpp
+++ b/tests/unit/consensus/catch_up_test.cpp
@@ -438,3 +438,109 @@
     CheckNoViolation(group.All());
   }
 }
+
+// Guards against a replica that stays without a vote, or differs, after
+// messages were lost, duplicated and reordered, replicas crashed, and snapshots
+// were taken during transfers.
+TEST(CatchUp, EmptiedReplica_AnyFaultDuringTransfer_VotesAndAgreesInTheEnd)
+{
+  constexpr std::uint64_t kSeeds = 60;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Faults calm;
+    calm.m_options.m_snapshotChunkBytes = 64;
+    calm.m_options.m_maxRetainedBytes = seed % 2 == 0 ? 2000 : 32 * 1024 * 1024;
+    calm.m_options.m_maxVoters = 5;
+    Faults faults = calm;
+    faults.m_loss = 0.03 * static_cast<double>(seed % 4);
+    faults.m_duplicate = 0.1;
+    faults.m_maxDelay = Millis{ 2 + 40 * (seed % 3) };
+    faults.m_maxSync = Millis{ 3 + 60 * (seed % 3) };
+    Replicas replicas(5, seed, calm);
+    CHECK(replicas.Form());
+    for (int i = 0; i < 150; ++i) {
+      replicas.Propose("a" + std::to_string(i) + std::string(20, 'x'));
+      replicas.Run(Millis{ 2 });
+    }
+    replicas.SetFaults(faults);
+    const std::size_t emptied = (*replicas.Leader() + 1) % 5;
+    replicas.LoseDisk(emptied);
+    replicas.Start(emptied);
+    const auto admit = [&]() {
+      const auto leader = replicas.Leader();
+      if (leader && replicas.IsUp(emptied)) {
+        replicas.At(*leader).AddMember(
+          { replicas.At(emptied).Self(), "r" + std::to_string(emptied), false },
+          replicas.LocalNow(*leader));
+        replicas.Drain(*leader);
+      }
+    };
+    auto& random = replicas.Random();
+    for (int round = 0; round < 60; ++round) {
+      admit();
+      for (int i = 0; i < 5; ++i) {
+        replicas.Propose("b" + std::to_string(round));
+        replicas.Run(Millis{ 5 + random() % 30 });
+      }
+      std::size_t down = 0;
+      for (std::size_t node = 0; node < 5; ++node) {
+        down += replicas.IsUp(node) ? 0 : 1;
+      }
+      const std::size_t node = random() % 5;
+      switch (random() % 8) {
+        case 0:
+          if (const auto leader = replicas.Leader(); leader && down < 1) {
+            replicas.Crash(*leader);
+          }
+          break;
+        case 1:
+          if (replicas.IsUp(emptied)) {
+            replicas.Crash(emptied);
+          }
+          replicas.Start(emptied);
+          break;
+        case 2:
+        case 3:
+        case 4:
+          if (replicas.IsUp(node)) {
+            replicas.At(node).Compact(replicas.AppliedBy(node),
+                                      replicas.StateOf(node),
+                                      replicas.LocalNow(node));
+            replicas.Drain(node);
+          }
+          break;
+        default:
+          for (std::size_t i = 0; i < 5; ++i) {
+            if (!replicas.IsUp(i)) {
+              replicas.Start(i);
+            }
+          }
+          break;
+      }
+    }
+    for (std::size_t i = 0; i < 5; ++i) {
+      if (!replicas.IsUp(i)) {
+        replicas.Start(i);
+      }
+    }
+    replicas.SetFaults(calm);
+    const auto isWhole = [&]() {
+      admit();
+      replicas.Propose("last");
+      const auto leader = replicas.Leader();
+      if (!leader) {
+        return false;
+      }
+      const auto& membership = replicas.At(*leader).CurrentMembership();
+      for (std::size_t i = 0; i < 5; ++i) {
+        if (!membership.IsVoter(replicas.At(i).Self()) ||
+            replicas.AppliedBy(i).Get() + 20 <
+              replicas.AppliedBy(*leader).Get()) {
+          return false;
+        }
+      }
+      return membership.VoterCount() == 5;
+    };
+    CHECK(replicas.RunUntil(isWhole, kMaxWait));
+    CheckNoViolation(replicas);
+  }
+}
