--- a/include/bamboostile/control/node.h
+++ b/include/bamboostile/control/node.h
@@ -5,6 +5,7 @@
 #include "bamboostile/control/disk_thread.h"
 #include "bamboostile/control/replica_monitor.h"
 #include "bamboostile/control/snapshot_thread.h"
+#include "bamboostile/control/transfer_thread.h"
 #include "bamboostile/fleet/state.h"
 #include "bamboostile/membership/registry.h"
 #include "bamboostile/rpc/channel.h"
@@ -95,13 +96,6 @@
   bool IsEmptyReplica() const;
 
 private:
-  struct Peer
-  {
-    kj::Own<rpc::Channel> m_channel;
-    std::size_t m_outstanding = 0;
-    TimePoint m_lastAnswer;
-  };
-
   struct Waiter
   {
     Term m_term;
@@ -132,7 +126,7 @@
   bool NeedsAdmission(TimePoint aNow);
   void Pump();
   void Run(consensus::Persist aPersist);
-  void Run(const consensus::Send& aSend);
+  void Run(consensus::Send aSend);
   void Run(const consensus::Apply& aApply);
   void Run(const consensus::Restore& aRestore);
   void Run(const consensus::Notice& aNotice);
@@ -146,7 +140,6 @@
   void ProposeDuty(const fleet::Command& aCommand);
   void MaybeCompact();
   std::optional<std::string> AddressOf(const consensus::ReplicaId& aId) const;
-  Peer* FindPeer(const consensus::ReplicaId& aId);
 
   NodeOptions m_options;
   kj::AsyncIoProvider& m_provider;
@@ -174,9 +167,11 @@
   };
   /** Times at which log positions were applied; used to expire outcomes. */
   std::deque<IndexTime> m_indexTimes;
-  std::map<std::string, Peer> m_peers;
   consensus::MembershipPolicy m_policy;
   ReplicaMonitor m_monitor;
+  PeerStatistics m_peerStatistics;
+  PeerLinks m_links;
+  TransferThread m_transfers;
   /** Seeds that have answered that they keep no log. */
   std::set<std::string> m_seedsWithoutLog;
   /** When this replica last led or knew a leader. */
--- a/include/bamboostile/control/replica_monitor.h
+++ b/include/bamboostile/control/replica_monitor.h
@@ -15,12 +15,6 @@
 {
 public:
   void OnNotice(const consensus::Notice& aNotice, TimePoint aNow);
-  /** The connection to a peer is made anew because it answers nothing. */
-  void OnPeerTimeout(const std::string& aAddress,
-                     std::size_t aUnanswered,
-                     Duration aSilence);
-  /** A message was dropped because too many wait for the peer's answer. */
-  void OnMessageDropped(const std::string& aAddress, TimePoint aNow);
   /** Leader only: logs replicas that cannot take part in a quorum yet. */
   void LogFollowersBehind(const consensus::Replica& aReplica, TimePoint aNow);
   void Export(const consensus::Replica& aReplica,
@@ -40,11 +34,8 @@
   double m_snapshotsInstalled = 0;
   double m_elections = 0;
   double m_electionsLost = 0;
-  double m_peerTimeouts = 0;
-  double m_messagesDropped = 0;
   TimePoint m_nextPreVoteLine;
   TimePoint m_nextPreVoteLostLine;
-  TimePoint m_nextDroppedLine;
   TimePoint m_nextBehindLine;
 };
 
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -15,12 +15,7 @@
 
 constexpr Duration kTickInterval = Millis{ 20 };
 constexpr Duration kDutyInterval = Millis{ 200 };
-/** Maximum number of unanswered messages per peer; without it, messages to a
- * frozen peer would accumulate without limit. */
-constexpr std::size_t kMaxOutstanding = 256;
-/** Shorter than the shortest election timeout, so that an unresponsive
- * connection is replaced before the peer starts an election. */
-constexpr Duration kPeerTimeout = Millis{ 350 };
+constexpr Duration kAdmissionTimeout = Millis{ 350 };
 /** Interval between two requests for admission. */
 constexpr Duration kJoinInterval = Millis{ 300 };
 /** Longer than an election usually takes. */
@@ -62,6 +57,8 @@
   , m_disk(std::move(aStore), m_reports)
   , m_snapshots(m_encoded)
   , m_policy(m_options.m_membershipPolicy)
+  , m_links(aProvider, m_options.m_address, m_peerStatistics)
+  , m_transfers(m_options.m_address, m_peerStatistics)
   , m_tasks(*this)
 {
   Pump();
@@ -187,60 +184,22 @@
                                   : std::optional{ found->second };
 }
 
-Node::Peer*
-Node::FindPeer(const consensus::ReplicaId& aId)
-{
-  const std::optional<std::string> address = AddressOf(aId);
-  if (!address) {
-    return nullptr;
-  }
-  Peer& peer = m_peers[*address];
-  if (peer.m_channel.get() == nullptr) {
-    peer.m_channel =
-      kj::refcounted<rpc::Channel>(m_provider.getNetwork(), *address);
-    peer.m_lastAnswer = MonotonicNow();
-  }
-  return &peer;
-}
-
 void
-Node::Run(const consensus::Send& aSend)
+Node::Run(consensus::Send aSend)
 {
-  Peer* peer = FindPeer(aSend.m_message.m_to);
-  if (peer == nullptr) {
-    return;
-  }
-  const TimePoint now = MonotonicNow();
-  // A network partition leaves the connection open, and TCP would wait for
-  // minutes before it retries. A new connection works as soon as the partition
-  // ends.
-  if (peer->m_outstanding > 0 && now > peer->m_lastAnswer + kPeerTimeout) {
-    m_monitor.OnPeerTimeout(peer->m_channel->Address(),
-                            peer->m_outstanding,
-                            now - peer->m_lastAnswer);
-    peer->m_channel->Disconnect();
-    peer->m_lastAnswer = now;
-  }
-  if (peer->m_outstanding >= kMaxOutstanding) {
-    m_monitor.OnMessageDropped(peer->m_channel->Address(), now);
+  const std::optional<std::string> address = AddressOf(aSend.m_message.m_to);
+  if (!address) {
     return;
   }
-  if (peer->m_outstanding == 0) {
-    peer->m_lastAnswer = now;
+  // A learner gets much data, and no commit waits for it.
+  const bool isTransfer =
+    std::holds_alternative<consensus::SnapshotChunk>(aSend.m_message.m_body) ||
+    !m_replica.CurrentMembership().IsVoter(aSend.m_message.m_to);
+  if (isTransfer) {
+    m_transfers.Send(*address, std::move(aSend.m_message));
+  } else {
+    m_links.Send(*address, aSend.m_message);
   }
-  ++peer->m_outstanding;
-  auto request = peer->m_channel->Get().deliverRequest();
-  wire::Write(aSend.m_message, request.initMessage());
-  request.setReplyTo(m_options.m_address);
-  m_tasks.add(request.send().ignoreResult().then(
-    [peer]() {
-      --peer->m_outstanding;
-      peer->m_lastAnswer = MonotonicNow();
-    },
-    [peer](kj::Exception&&) {
-      --peer->m_outstanding;
-      peer->m_channel->Disconnect();
-    }));
 }
 
 void
@@ -300,6 +259,10 @@
 Node::ExportMetrics(telemetry::Metrics& aMetrics) const
 {
   m_monitor.Export(m_replica, aMetrics);
+  aMetrics.SetTotal("control_peer_timeouts_total",
+                    static_cast<double>(m_peerStatistics.m_timeouts));
+  aMetrics.SetTotal("control_messages_dropped_total",
+                    static_cast<double>(m_peerStatistics.m_dropped));
 }
 
 void
@@ -646,7 +609,7 @@
     });
   // A seed that is down or unreachable is asked again in the next round.
   return admission.attach(kj::mv(channel))
-    .exclusiveJoin(m_timer.afterDelay(ToKj(kPeerTimeout)))
+    .exclusiveJoin(m_timer.afterDelay(ToKj(kAdmissionTimeout)))
     .catch_([](kj::Exception&&) {});
 }
 
--- a/src/control/replica_monitor.cpp
+++ b/src/control/replica_monitor.cpp
@@ -121,31 +121,6 @@
     .Write();
 }
 
-void
-ReplicaMonitor::OnPeerTimeout(const std::string& aAddress,
-                              std::size_t aUnanswered,
-                              Duration aSilence)
-{
-  ++m_peerTimeouts;
-  LogLine(Level::kInfo, "reconnecting to a silent replica")
-    .With("address", aAddress)
-    .With("unanswered", aUnanswered)
-    .With("silentMs", std::chrono::duration_cast<Millis>(aSilence).count())
-    .Write();
-}
-
-void
-ReplicaMonitor::OnMessageDropped(const std::string& aAddress, TimePoint aNow)
-{
-  ++m_messagesDropped;
-  if (IsDue(m_nextDroppedLine, aNow)) {
-    LogLine(Level::kWarning, "dropping messages to a replica")
-      .With("address", aAddress)
-      .With("dropped", m_messagesDropped)
-      .Write();
-  }
-}
-
 void
 ReplicaMonitor::LogFollowersBehind(const consensus::Replica& aReplica,
                                    TimePoint aNow)
@@ -179,8 +154,6 @@
   aMetrics.SetTotal("control_snapshots_installed_total", m_snapshotsInstalled);
   aMetrics.SetTotal("control_elections_total", m_elections);
   aMetrics.SetTotal("control_elections_lost_total", m_electionsLost);
-  aMetrics.SetTotal("control_peer_timeouts_total", m_peerTimeouts);
-  aMetrics.SetTotal("control_messages_dropped_total", m_messagesDropped);
   aMetrics.Set("control_voters",
                static_cast<double>(aReplica.CurrentMembership().VoterCount()));
   aMetrics.RemoveGauges("control_replica_behind_entries");
