Control: calls of a replaced connection do not close the new one

After each connection replaced for silence, what was sent at once on the new one was lost, and the replica fell further behind.

Cause: closing a connection lets all its unanswered calls fail, and each of them closed the connection of that moment, which was the new one.

Change: a call closes only the connection that it was made on.

Evidence: SilentPeer_AnswersAgain_AllSentAfterReconnectArrives: 0 of 30 messages arrive without the change.

--- a/include/bamboostile/control/peer_links.h
+++ b/include/bamboostile/control/peer_links.h
@@ -35,12 +35,15 @@
   struct Peer
   {
     kj::Own<rpc::Channel> m_channel;
+    /** Number of connections before the current one. */
+    std::uint64_t m_generation = 0;
     std::size_t m_outstanding = 0;
     TimePoint m_lastAnswer;
   };
 
   void taskFailed(kj::Exception&& aException) override;
   Peer& FindPeer(const std::string& aAddress);
+  static void Disconnect(Peer& aPeer);
   void ReconnectIfSilent(Peer& aPeer, TimePoint aNow);
   void CountDropped(const Peer& aPeer, TimePoint aNow);
 
--- a/src/control/peer_links.cpp
+++ b/src/control/peer_links.cpp
@@ -50,6 +50,13 @@
   return peer;
 }
 
+void
+PeerLinks::Disconnect(Peer& aPeer)
+{
+  aPeer.m_channel->Disconnect();
+  ++aPeer.m_generation;
+}
+
 // A network partition leaves the connection open, and TCP would wait for
 // minutes before it retries. A new connection works as soon as the partition
 // ends.
@@ -67,7 +74,7 @@
     .With("unanswered", aPeer.m_outstanding)
     .With("silentMs", silence.count())
     .Write();
-  aPeer.m_channel->Disconnect();
+  Disconnect(aPeer);
   aPeer.m_lastAnswer = aNow;
 }
 
@@ -107,9 +114,12 @@
       --peer.m_outstanding;
       peer.m_lastAnswer = MonotonicNow();
     },
-    [&peer](kj::Exception&&) {
+    [&peer, generation = peer.m_generation](kj::Exception&&) {
       --peer.m_outstanding;
-      peer.m_channel->Disconnect();
+      // Calls of a connection that was replaced fail after the new one is made.
+      if (generation == peer.m_generation) {
+        Disconnect(peer);
+      }
     }));
 }
 
