Placement: a task lost with three workers returns while others are lost

Callers saw a sound long-running task stay away for as long as any worker of the fleet went on being lost: 60 s of 60 with one other worker lost each 2 to 2.5 s.

Cause: from three losses on, the next run waits for a quiet period, without a limit, and one silent worker or one loss within 3 s anywhere ends it. A large fleet always has one.

Change: what has to be certain is that a loss of the run's own worker can be told apart. It can if the others lost at that time, together with it, are at most one in eight workers of its service: they would seldom strike the one worker. The quiet period and the evidence from three losses on use this measure; before, and where no worker was lost beside, nothing changes.

LateCrashesWhileOtherWorkersAreLost guards the tasks that now get runs. The bounds of unit.crash_loops are as they were.

--- a/include/bamboostile/jobs/crash_loop.h
+++ b/include/bamboostile/jobs/crash_loop.h
@@ -33,7 +33,8 @@
  * confirms the run. */
 bool IsIsolatedForWholeRun(const std::vector<WorkerLoss>& aLosses);
 
-/** Whether the next isolated run waits until no other worker is being lost. */
+/** Whether the next isolated run waits, for a limited time, until hardly any
+ * other worker is being lost. */
 bool NeedsQuietPeriod(const std::vector<WorkerLoss>& aLosses);
 
 /** Whether one of the lost workers ran on the instance. */
--- a/include/bamboostile/placement/losses.h
+++ b/include/bamboostile/placement/losses.h
@@ -36,27 +36,56 @@
   /** Number of other workers whose last report was at about the same time,
    * without an isolated run on them. */
   std::size_t m_concurrentLosses = 0;
+  /** The loss is distinct from those of other workers. */
+  bool m_isDistinct = false;
 };
 
 /** Workers whose last reports are at most this far apart may have been lost
  * for the same cause. Even an idle worker reports more often than this. */
 constexpr Duration kConcurrentLossWindow = Millis{ 1000 };
 
+/** Numbers of workers that were lost, or may be. */
+struct LossCount
+{
+  std::size_t m_inFleet = 0;
+  std::size_t m_inService = 0;
+};
+
 /**
- * @brief Last report times of lost workers that were already removed from the
- * worker table.
+ * @brief Whether other losses are too few to explain the loss of one more
+ * worker of a service: there are none, or all of them together are a small part
+ * of the service's workers.
+ *
+ * A cause that strikes a small part of the workers seldom strikes the one on
+ * which a certain task runs. In a large fleet some worker is always being lost.
+ */
+bool IsLossDistinct(const LossCount& aOthers, std::size_t aWorkersOfService);
+
+/**
+ * @brief Moments of recent losses, such as when the lost workers last reported.
  *
  * Concurrent losses may have one cause: a rack, a zone or a link.
  */
 class RecentLosses
 {
 public:
-  void Add(TimePoint aLastReportAt);
-  /** Number of losses within kConcurrentLossWindow of a moment. */
-  std::size_t CountAround(TimePoint aMoment) const;
+  void Add(TimePoint aMoment, const ServiceId& aService);
+  /** Counts the losses within kConcurrentLossWindow of a moment. */
+  LossCount CountAround(TimePoint aMoment, const ServiceId& aService) const;
+  LossCount CountAfter(TimePoint aMoment, const ServiceId& aService) const;
 
 private:
-  std::vector<TimePoint> m_lastReportsAt;
+  struct Loss
+  {
+    TimePoint m_at;
+    ServiceId m_service;
+  };
+
+  LossCount CountBetween(TimePoint aFrom,
+                         TimePoint aTo,
+                         const ServiceId& aService) const;
+
+  std::vector<Loss> m_losses;
 };
 
 } // namespace bamboostile::placement
--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -152,6 +152,9 @@
                      WallTime aWall,
                      Pool& aPool,
                      Plan& aPlan) const;
+  static bool MustAwaitQuietPeriod(const jobs::StepSpec& aStep,
+                                   const std::vector<jobs::WorkerLoss>& aLosses,
+                                   WallTime aWall);
   void FindIsolatedRuns(const Worker& aWorker,
                         const std::vector<jobs::TaskRef>& aPlaced,
                         const jobs::JobTable& aBook,
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -290,9 +290,12 @@
                                             TimePoint aNow,
                                             WallTime aWall);
 
-  /** No worker is unresponsive or was lost recently, except for those with an
+  /** The loss of a worker of the service would be distinct: hardly any other
+   * worker is unresponsive or was lost recently, except for those with an
    * isolated run. */
-  bool IsQuietPeriod(const jobs::JobTable& aBook, TimePoint aNow) const;
+  bool IsQuietPeriod(const ServiceId& aService,
+                     const jobs::JobTable& aBook,
+                     TimePoint aNow) const;
   /** Returns the workers that were lost with runs since the last call. */
   std::vector<LostWorker> TakeLostWorkers()
   {
@@ -515,9 +518,11 @@
   /** Returns starts that were sent and that no report has shown. */
   std::vector<jobs::TaskRef> FindUnconfirmed(const Worker& aWorker,
                                              const jobs::JobTable& aBook) const;
-  std::size_t CountConcurrentLosses(const Worker& aWorker,
-                                    const jobs::JobTable& aBook,
-                                    TimePoint aNow) const;
+  LossCount CountConcurrentLosses(const Worker& aWorker,
+                                  const jobs::JobTable& aBook,
+                                  TimePoint aNow) const;
+  /** Workers of the service that are not lost. */
+  std::size_t CountWorkers(const ServiceId& aService) const;
   /** Records how the worker was lost, before it is removed from the table. */
   void RecordLoss(Worker& aWorker,
                   LossCause aCause,
@@ -547,7 +552,9 @@
   /** Workers with accepted ends that are not on a receipt yet. */
   std::set<WorkerIncarnation> m_withoutReceipt;
   std::vector<LostWorker> m_lost;
-  TimePoint m_lastLossAt;
+  /** When losses without an isolated run were noticed. */
+  RecentLosses m_noticedLosses;
+  /** Last report times of lost workers that are no longer in m_workers. */
   RecentLosses m_recentLosses;
   workspaces::Accounts m_accounts;
   /** Latest checkpoints that workers reported for active runs. */
--- a/src/jobs/crash_loop.cpp
+++ b/src/jobs/crash_loop.cpp
@@ -21,16 +21,16 @@
 /** Number of isolated losses that prove a crasher. One is not enough: a worker
  * may crash by itself in an isolated run of a healthy task. */
 constexpr std::size_t kProofs = 2;
-/** Number of losses from which an isolated run waits for a quiet period, so
- * that its evidence can be certain. */
+/** Number of losses from which an isolated run waits, for a limited time, for a
+ * quiet period, so that its evidence can be certain. */
 constexpr std::size_t kMinLossesForQuietPeriod = 3;
 /** Number of losses of any kind with which one proof is enough. */
 constexpr std::size_t kMinLossesWithOneProof = 5;
 /** Number of losses at the start, including the proof, with which one proof is
  * enough. */
 constexpr std::size_t kMinLossesAtStartWithOneProof = 4;
-/** Number of losses at the start that need no proof: the last ones occurred
- * although no other worker was being lost when the isolated run began. */
+/** Number of losses at the start that need no proof: before the last ones the
+ * isolated run has waited for a quiet period. */
 constexpr std::size_t kMinLossesAtStartWithoutProof = 5;
 constexpr std::size_t kMaxDoublings = 3;
 constexpr Millis kFirstDelay{ 250 };
--- a/src/placement/losses.cpp
+++ b/src/placement/losses.cpp
@@ -9,6 +9,10 @@
 /** How long a loss is kept. Noticing any loss takes less time. */
 constexpr Duration kLossRetention = std::chrono::seconds{ 15 };
 
+/** A loss is distinct from others if, together with them, it takes at most one
+ * worker per this many of its service. */
+constexpr std::size_t kWorkersPerDistinctLoss = 8;
+
 } // namespace
 
 const char*
@@ -25,23 +29,48 @@
   return "unknown";
 }
 
+bool
+IsLossDistinct(const LossCount& aOthers, std::size_t aWorkersOfService)
+{
+  return aOthers.m_inFleet == 0 ||
+         (aOthers.m_inService + 1) * kWorkersPerDistinctLoss <=
+           aWorkersOfService;
+}
+
 void
-RecentLosses::Add(TimePoint aLastReportAt)
+RecentLosses::Add(TimePoint aMoment, const ServiceId& aService)
 {
-  std::erase_if(m_lastReportsAt, [&](TimePoint aLoss) {
-    return aLoss + kLossRetention < aLastReportAt;
+  std::erase_if(m_losses, [&](const Loss& aLoss) {
+    return aLoss.m_at + kLossRetention < aMoment;
   });
-  m_lastReportsAt.push_back(aLastReportAt);
+  m_losses.push_back({ aMoment, aService });
+}
+
+LossCount
+RecentLosses::CountBetween(TimePoint aFrom,
+                           TimePoint aTo,
+                           const ServiceId& aService) const
+{
+  LossCount count;
+  for (const Loss& loss : m_losses) {
+    const bool isBetween = aFrom <= loss.m_at && loss.m_at <= aTo;
+    count.m_inFleet += isBetween ? 1 : 0;
+    count.m_inService += isBetween && loss.m_service == aService ? 1 : 0;
+  }
+  return count;
+}
+
+LossCount
+RecentLosses::CountAround(TimePoint aMoment, const ServiceId& aService) const
+{
+  return CountBetween(
+    aMoment - kConcurrentLossWindow, aMoment + kConcurrentLossWindow, aService);
 }
 
-std::size_t
-RecentLosses::CountAround(TimePoint aMoment) const
+LossCount
+RecentLosses::CountAfter(TimePoint aMoment, const ServiceId& aService) const
 {
-  return static_cast<std::size_t>(std::count_if(
-    m_lastReportsAt.begin(), m_lastReportsAt.end(), [&](TimePoint aLoss) {
-      return aLoss <= aMoment + kConcurrentLossWindow &&
-             aMoment <= aLoss + kConcurrentLossWindow;
-    }));
+  return CountBetween(aMoment + Duration{ 1 }, TimePoint::max(), aService);
 }
 
 } // namespace bamboostile::placement
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -553,8 +553,14 @@
     candidates.cbegin(), candidates.cend(), [](const Candidate& aCandidate) {
       return !aCandidate.m_isLongRunning;
     });
-  const bool isQuietPeriod = !aState.Jobs().TasksWithLosses().empty() &&
-                             aWorkers.IsQuietPeriod(aState.Jobs(), aNow);
+  std::map<ServiceId, bool> quietPeriods;
+  const auto isQuietPeriod = [&](const ServiceId& aService) {
+    const auto [found, isNew] = quietPeriods.try_emplace(aService);
+    if (isNew) {
+      found->second = aWorkers.IsQuietPeriod(aService, aState.Jobs(), aNow);
+    }
+    return found->second;
+  };
   const auto placeAll = [&](auto aFrom, auto aTo) {
     for (auto it = aFrom; it != aTo; ++it) {
       Place(*it, pools[it->m_route->m_service], plan);
@@ -562,7 +568,7 @@
     for (const Candidate& candidate :
          OrderSuspects(aFrom, aTo, aState.Jobs())) {
       PlaceSuspects(candidate,
-                    isQuietPeriod,
+                    isQuietPeriod(candidate.m_route->m_service),
                     aWall,
                     pools[candidate.m_route->m_service],
                     plan);
--- a/src/placement/worker_lives.cpp
+++ b/src/placement/worker_lives.cpp
@@ -192,7 +192,7 @@
       RecordLoss(worker, LossCause::kLaterIncarnation, aBook, aNow);
     }
     if (!worker.m_lostInIsolatedRun) {
-      m_recentLosses.Add(worker.m_lastReportAt);
+      m_recentLosses.Add(worker.m_lastReportAt, worker.m_lastReport.m_service);
     }
     health = worker.m_health;
   } else if (const auto placed = aBook.TasksByWorker().find(aPrevious);
--- a/src/placement/worker_losses.cpp
+++ b/src/placement/worker_losses.cpp
@@ -26,12 +26,13 @@
   return unconfirmed;
 }
 
-std::size_t
+LossCount
 WorkerTable::CountConcurrentLosses(const Worker& aWorker,
                                    const jobs::JobTable& aBook,
                                    TimePoint aNow) const
 {
-  std::size_t count = m_recentLosses.CountAround(aWorker.m_lastReportAt);
+  const ServiceId& service = aWorker.m_lastReport.m_service;
+  LossCount count = m_recentLosses.CountAround(aWorker.m_lastReportAt, service);
   for (const auto& [id, other] : m_workers) {
     const bool isUnresponsive = IsUnresponsive(other, aNow);
     const bool isConcurrent =
@@ -39,23 +40,41 @@
       aWorker.m_lastReportAt <= other.m_lastReportAt + kConcurrentLossWindow;
     if (&other != &aWorker && isUnresponsive && isConcurrent &&
         !other.m_lostInIsolatedRun && !HasIsolatedRun(other, aBook)) {
-      ++count;
+      ++count.m_inFleet;
+      count.m_inService += other.m_lastReport.m_service == service ? 1 : 0;
     }
   }
   return count;
 }
 
+std::size_t
+WorkerTable::CountWorkers(const ServiceId& aService) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(m_workers.begin(), m_workers.end(), [&](const auto& aEntry) {
+      return !aEntry.second.m_isLost &&
+             aEntry.second.m_lastReport.m_service == aService;
+    }));
+}
+
 bool
-WorkerTable::IsQuietPeriod(const jobs::JobTable& aBook, TimePoint aNow) const
+WorkerTable::IsQuietPeriod(const ServiceId& aService,
+                           const jobs::JobTable& aBook,
+                           TimePoint aNow) const
 {
-  const TimePoint since = std::max(m_lastLossAt, m_leaderSince);
-  const auto isUnresponsive = [&](const auto& aEntry) {
-    const Worker& worker = aEntry.second;
-    return !worker.m_isLost && IsUnresponsive(worker, aNow) &&
-           !HasIsolatedRun(worker, aBook);
-  };
-  return aNow >= since + m_options.m_quietPeriod &&
-         std::none_of(m_workers.begin(), m_workers.end(), isUnresponsive);
+  if (aNow < m_leaderSince + m_options.m_quietPeriod) {
+    return false;
+  }
+  LossCount count =
+    m_noticedLosses.CountAfter(aNow - m_options.m_quietPeriod, aService);
+  for (const auto& [id, worker] : m_workers) {
+    if (!worker.m_isLost && IsUnresponsive(worker, aNow) &&
+        !HasIsolatedRun(worker, aBook)) {
+      ++count.m_inFleet;
+      count.m_inService += worker.m_lastReport.m_service == aService ? 1 : 0;
+    }
+  }
+  return IsLossDistinct(count, CountWorkers(aService));
 }
 
 bool
@@ -90,10 +109,12 @@
 // Tasks that had just been started on the worker are the first suspects. Tasks
 // that were already running become suspects only if no isolated run explains
 // the loss. Only a crash during an isolated run, without any other start or
-// concurrent loss, counts as proof: a worker whose lease has ended may still
-// run behind a broken link, and an instance on which the task was lost before
-// may itself be faulty. A worker that returns before others would count as
-// unresponsive may have been lost together with them.
+// concurrent loss, counts as proof. A task with many losses cannot wait for a
+// moment at which no worker of a large fleet is being lost, so for it the loss
+// only has to be distinct. A worker whose lease has ended may still run behind
+// a broken link, and an instance on which the task was lost before may itself
+// be faulty. A worker that returns before others would count as unresponsive
+// may have been lost together with them.
 jobs::CrashEvidence
 WorkerTable::AssessEvidence(const jobs::TaskRef& aTask,
                             const Worker& aWorker,
@@ -104,12 +125,14 @@
   using jobs::CrashEvidence;
   const jobs::Task& task = *aBook.FindTask(aTask);
   const auto losses = aBook.LossesOf(aTask);
+  const bool isShared = aLost.m_concurrentLosses > 0;
+  const bool isDistinct =
+    jobs::NeedsQuietPeriod(losses) ? aLost.m_isDistinct : !isShared;
   const bool isProofOfCrash =
-    aLost.m_cause == LossCause::kLaterIncarnation &&
+    aLost.m_cause == LossCause::kLaterIncarnation && isDistinct &&
     aLost.m_unresponsiveFor >= m_options.m_unresponsiveAfter &&
     (!jobs::HasLossOn(losses, aWorker.m_lastReport.m_instance) ||
      jobs::CountInstances(losses) >= kMinInstancesForProof);
-  const bool isShared = aLost.m_concurrentLosses > 0;
   const auto& placed = aBook.TasksByWorker().at(aWorker.m_lastReport.m_worker);
   const bool hasOtherIsolatedRun =
     std::any_of(placed.begin(), placed.end(), [&](const auto& aOther) {
@@ -125,7 +148,7 @@
       aUnconfirmed.begin(), aUnconfirmed.end(), [&](const auto& aOther) {
         return aOther == aTask || aBook.AreInSameGang(aOther, aTask);
       });
-    return jobs::IsSuspect(losses) && isProofOfCrash && isAlone && !isShared &&
+    return jobs::IsSuspect(losses) && isProofOfCrash && isAlone &&
                !hasOtherIsolatedRun
              ? CrashEvidence::kIsolated
              : CrashEvidence::kStarting;
@@ -133,14 +156,14 @@
   if (!Contains(aWorker.m_lastReport.m_active, aTask, task.m_lastRun)) {
     return CrashEvidence::kNone;
   }
-  if (isShared) {
-    return CrashEvidence::kConcurrent;
-  }
   const bool isIsolated = jobs::IsIsolatedForWholeRun(losses);
   if (isIsolated && isProofOfCrash && aUnconfirmed.empty() &&
       !hasOtherIsolatedRun) {
     return CrashEvidence::kIsolated;
   }
+  if (isShared) {
+    return CrashEvidence::kConcurrent;
+  }
   if (isIsolated) {
     return hasOtherIsolatedRun ? CrashEvidence::kRunning : CrashEvidence::kNone;
   }
@@ -159,11 +182,13 @@
   const auto unconfirmed = FindUnconfirmed(aWorker, aBook);
   aWorker.m_lostInIsolatedRun = HasIsolatedRun(aWorker, aBook);
   if (!aWorker.m_lostInIsolatedRun) {
-    m_lastLossAt = aNow;
+    m_noticedLosses.Add(aNow, aWorker.m_lastReport.m_service);
   }
   if (placed == aBook.TasksByWorker().end()) {
     return;
   }
+  const std::size_t workers = CountWorkers(aWorker.m_lastReport.m_service);
+  const LossCount others = CountConcurrentLosses(aWorker, aBook, aNow);
   const LostWorker lost{ id,
                          aWorker.m_lastReport.m_instance,
                          HasLaterIncarnation(aWorker)
@@ -172,7 +197,8 @@
                          aNow - aWorker.m_lastReportAt,
                          placed->second.size(),
                          unconfirmed.size(),
-                         CountConcurrentLosses(aWorker, aBook, aNow) };
+                         others.m_inFleet,
+                         IsLossDistinct(others, workers) };
   m_lost.push_back(lost);
   if (aWorker.m_lastReport.m_draining || m_cordoned.contains(id)) {
     return;
--- a/tests/unit/placement/crash_loops_test.cpp
+++ b/tests/unit/placement/crash_loops_test.cpp
@@ -300,6 +300,31 @@
   STRCMP_EQUAL("failed", Describe(pool.StateOf("bad")));
 }
 
+// Guards against a task that crashes its workers late and is never found out,
+// or takes more of them, where other workers are lost all the time.
+TEST(CrashLoops, LateCrashesWhileOtherWorkersAreLost_JobFails)
+{
+  PoolOptions options;
+  options.m_workers = 24;
+  options.m_crashAfter = Millis{ 700 };
+  StepSpec batch = Step(1, 500);
+  batch.m_estimate = Millis{ 4'000 };
+  for (unsigned seed = 1; seed <= 10; ++seed) {
+    options.m_seed = seed;
+    SimulatedPool pool{ options };
+    std::minstd_rand random{ seed };
+    pool.Submit("bad", Crashing(kCrashFirst, { LongRunning(1) }));
+    pool.Submit("worse", Crashing(kCrashFirst, { batch }));
+    for (int i = 0; i < 60; ++i) {
+      pool.Pass(Millis{ 2'000 });
+      pool.CrashWorker(random() % options.m_workers, Millis{ 2'500 });
+    }
+    CHECK_COMPARE(
+      pool.MostStartsAfterThreeCrashes(), <=, kMaxStartsAfterThreeCrashes);
+    LONGS_EQUAL(2, pool.CountJobs(JobState::kFailed));
+  }
+}
+
 /** Workers that crash return with the ids that they had. */
 TEST_GROUP(CrashLoopsWithKeptIds){
   static PoolOptions KeptIds(unsigned aSeed = 1){ PoolOptions options;
