Control: log and export why long-running tasks wait

Operators saw a long-running task that wasn't placed and no line or metric that says why.

The planner returns the reason with the plan (no room, workspace at its cap, delay after a loss, other workers being lost, other isolated runs, no worker for an isolated run). The leader writes "long-running task waits" when a task has waited for a second and whenever its reason changes, at most one line a second and task and eight a pass, and exports long_running_tasks_waiting and long_running_tasks_longest_wait_ms, both as this leader has seen it.

Not covered: queues without a route or with an advice policy, tasks that are placed and never start, and `bamboostile jobs`.

Evidence: unit.placement LongRunningTaskThatDoesNotFit, unit.control LongRunningTaskWaitsForTwoReasons. No line of a running daemon was looked at.

--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -2,6 +2,7 @@
 
 #include "bamboostile/control/instance_service.h"
 #include "bamboostile/control/node.h"
+#include "bamboostile/control/waiting_monitor.h"
 #include "bamboostile/control/workspace_monitor.h"
 #include "bamboostile/jobs/calls.h"
 #include "bamboostile/placement/plan_pacer.h"
@@ -201,6 +202,7 @@
   /** Limited, as a workspace may send many jobs beyond its share. */
   telemetry::LogRateLimiter m_beyondShareLog{ Millis{ 200 } };
   WorkspaceMonitor m_workspaces;
+  WaitingMonitor m_waiting;
   workspaces::ShareLimiter m_shares;
   /** Services with tasks that had no room in the last placement pass. */
   std::set<ServiceId> m_fullServices;
--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -10,6 +10,25 @@
 
 namespace bamboostile::placement {
 
+/** Why a long-running task that waits was not started. */
+enum class WaitReason
+{
+  /** No worker that may run it has enough free capacity. */
+  kNoCapacity,
+  /** Its workspace uses its cap. */
+  kWorkspaceCap,
+  /** The delay after the loss of its last worker lasts. */
+  kRetryDelay,
+  /** Its isolated run waits until hardly any other worker is being lost. */
+  kQuietPeriod,
+  /** Another isolated run of its job, or too many of its pool, go on. */
+  kOtherIsolatedRuns,
+  /** No worker is fit for an isolated run. */
+  kNoWorkerForIsolatedRun,
+};
+
+const char* Describe(WaitReason aReason) noexcept;
+
 /** The decisions of one placement pass. */
 struct Plan
 {
@@ -22,6 +41,9 @@
   std::map<WorkspaceId, workspaces::Account> m_atCap;
   /** Services with tasks that wait because no worker has room for them. */
   std::set<ServiceId> m_fullServices;
+  /** Long-running tasks that were looked at and not started; of each step that
+   * found no capacity, only the first. */
+  std::map<jobs::TaskRef, WaitReason> m_waiting;
 };
 
 /**
@@ -100,6 +122,9 @@
     /** Null if the job belongs to no workspace. */
     workspaces::Account* m_account = nullptr;
 
+    void AddWaiting(std::uint32_t aIndex,
+                    WaitReason aReason,
+                    Plan& aPlan) const;
     const jobs::StepSpec& Step() const { return m_job->m_spec.m_steps[m_step]; }
     /** Returns whether a task of the step may start; if not, adds the
      * workspace to those at their cap. */
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -82,6 +82,7 @@
     m_queuedChanges.clear();
     m_startedAt.clear();
     m_workspaces = WorkspaceMonitor{};
+    m_waiting = WaitingMonitor{};
     m_shares = workspaces::ShareLimiter{};
     m_fullServices.clear();
     m_needsPlan = true;
@@ -149,6 +150,7 @@
   m_node.ExportMetrics(m_metrics);
   if (m_workers) {
     m_workspaces.Export(m_node.State(), *m_workers, MonotonicNow(), m_metrics);
+    m_waiting.Export(MonotonicNow(), m_metrics);
   }
   return m_metrics.Render();
 }
@@ -271,6 +273,7 @@
     m_node.State(), *m_workers, m_instances->Cordoned(), aNow, WallNow());
   m_workers->SetAccounts(std::move(plan.m_accounts));
   m_fullServices = std::move(plan.m_fullServices);
+  m_waiting.OnPlanned(plan.m_waiting, aNow);
   m_workspaces.OnPlanned(plan.m_atCap, m_node.State().Routes().m_version, aNow);
   for (const placement::StopOrder& stop : plan.m_stops) {
     LogLine(Level::kInfo, "moving a long-running task")
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -38,6 +38,26 @@
 
 } // namespace
 
+const char*
+Describe(WaitReason aReason) noexcept
+{
+  switch (aReason) {
+    case WaitReason::kNoCapacity:
+      return "no worker has room";
+    case WaitReason::kWorkspaceCap:
+      return "its workspace is at its cap";
+    case WaitReason::kRetryDelay:
+      return "delay after a lost worker";
+    case WaitReason::kQuietPeriod:
+      return "other workers are being lost";
+    case WaitReason::kOtherIsolatedRuns:
+      return "other isolated runs go on";
+    case WaitReason::kNoWorkerForIsolatedRun:
+      return "no worker for an isolated run";
+  }
+  return "unknown";
+}
+
 bool
 Planner::Target::Fits(const jobs::StepSpec& aStep) const
 {
@@ -70,6 +90,17 @@
   return false;
 }
 
+void
+Planner::Candidate::AddWaiting(std::uint32_t aIndex,
+                               WaitReason aReason,
+                               Plan& aPlan) const
+{
+  if (m_isLongRunning) {
+    aPlan.m_waiting.insert_or_assign(
+      jobs::TaskRef{ m_job->m_id, m_occurrence, m_step, aIndex }, aReason);
+  }
+}
+
 void
 Planner::Candidate::ChargeStart() const
 {
@@ -362,10 +393,12 @@
       continue;
     }
     if (!aCandidate.CheckCap(aPlan)) {
+      aCandidate.AddWaiting(i, WaitReason::kWorkspaceCap, aPlan);
       return;
     }
     Target* target = Choose(step, tasksPerWorker, aPool);
     if (target == nullptr) {
+      aCandidate.AddWaiting(i, WaitReason::kNoCapacity, aPlan);
       aPlan.m_fullServices.insert(aCandidate.m_route->m_service);
       if (!aCandidate.m_isLate) {
         ReserveEmptiest(step, aPool);
--- a/src/placement/trials.cpp
+++ b/src/placement/trials.cpp
@@ -284,14 +284,20 @@
       job.m_id, aCandidate.m_occurrence, aCandidate.m_step, index
     };
     if (!aIsQuietPeriod && MustAwaitQuietPeriod(step, losses, aWall)) {
+      aCandidate.AddWaiting(index, WaitReason::kQuietPeriod, aPlan);
       continue;
     }
     const auto timeSinceDelay = TimeSinceRetryDelay(ref, losses, aWall);
     const bool isShared = jobs::CanBeIsolatedTogether(losses) && !step.m_gang;
     if (!timeSinceDelay || !MayIsolate(job, isShared, aPool)) {
+      aCandidate.AddWaiting(index,
+                            timeSinceDelay ? WaitReason::kOtherIsolatedRuns
+                                           : WaitReason::kRetryDelay,
+                            aPlan);
       continue;
     }
     if (!aCandidate.CheckCap(aPlan)) {
+      aCandidate.AddWaiting(index, WaitReason::kWorkspaceCap, aPlan);
       return;
     }
     if (step.m_gang) {
@@ -301,6 +307,7 @@
     Target* target = ChooseForIsolatedRun(
       job, step, losses, tasksPerWorker, *timeSinceDelay, isShared, aPool);
     if (target == nullptr) {
+      aCandidate.AddWaiting(index, WaitReason::kNoWorkerForIsolatedRun, aPlan);
       return;
     }
     const WorkerIncarnation& worker = target->m_worker->m_lastReport.m_worker;
--- a/tests/unit/control/job_service_test.cpp
+++ b/tests/unit/control/job_service_test.cpp
@@ -413,6 +413,24 @@
   CHECK(submit(0).m_outcome == jobs::QueueOutcome::kOk);
 }
 
+// Guards against a wait that starts anew whenever its reason changes.
+TEST(JobService, LongRunningTaskWaitsForTwoReasons_GaugeHasItsWholeWait)
+{
+  using placement::WaitReason;
+  const jobs::TaskRef task{ JobId{ "a" }, 0, 0, 0 };
+  const TimePoint start{ Millis{ 1'000 } };
+  control::WaitingMonitor monitor;
+  telemetry::Metrics metrics;
+  monitor.OnPlanned({ { task, WaitReason::kRetryDelay } }, start);
+  monitor.OnPlanned({ { task, WaitReason::kNoCapacity } },
+                    start + Millis{ 2'000 });
+  monitor.Export(start + Millis{ 5'000 }, metrics);
+  CHECK(metrics.Render().find("long_running_tasks_waiting 1") !=
+        std::string::npos);
+  CHECK(metrics.Render().find("long_running_tasks_longest_wait_ms 5000") !=
+        std::string::npos);
+}
+
 // Guards against metrics that grow with every workspace there ever was.
 TEST(JobService, RemovedWorkspace_HasNoMetricsAnyMore)
 {
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -47,6 +47,19 @@
   LONGS_EQUAL(0, StartPlanned());
 }
 
+// Guards against long-running tasks that wait and nothing says why.
+TEST(PlacementPlanner, LongRunningTaskThatDoesNotFit_PlanSaysWhy)
+{
+  Receive(Report("w1", 1));
+  StepSpec step = Step(6, 1000);
+  step.m_longRunning = true;
+  m_fleet.Submit("a", Spec({ step }));
+  const Plan plan = MakePlan();
+  LONGS_EQUAL(4, plan.m_changes.size());
+  LONGS_EQUAL(1, plan.m_waiting.size());
+  STRCMP_EQUAL("no worker has room", Describe(plan.m_waiting.begin()->second));
+}
+
 TEST(PlacementPlanner, DependentStep_WaitsForItsDependency)
 {
   Receive(Report("w1", 1));
