Control: log what was known when a long-running task is stopped

No log line told which decision ended a long-running task: a move within its step's budget, or the stop of a run that the leader had given up and that went on. Each stop that leaves with an answer now names the run, the last run on record, whether the state has it on this worker, how many others of the step were not known to be ready, the budget, and the age of the oldest report that was relied on.

MayDisrupt() decides as before, from the same numbers.

--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -135,6 +135,9 @@
   void Plan(TimePoint aNow, std::vector<jobs::Change>& aChanges);
   kj::Promise<void> Commit(std::vector<jobs::Change> aChanges,
                            std::vector<placement::Receipt> aReceipts);
+  void LogStops(const WorkerIncarnation& aWorker,
+                const std::vector<placement::StopOrder>& aStops,
+                TimePoint aNow) const;
   void AnswerPlanned();
   /** Answers reports that cannot wait any longer for a batch. */
   void AnswerOverdue(TimePoint aNow);
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -222,6 +222,22 @@
   }
 };
 
+/** What is known about the other tasks of a task's step. */
+struct StepAvailability
+{
+  std::uint32_t m_others = 0;
+  std::uint32_t m_unavailable = 0;
+  /** How many may be unavailable at a time; none means any number. */
+  std::optional<std::uint32_t> m_budget;
+  /** Age of the oldest report that shows one of the others as ready. */
+  Duration m_oldestReport{};
+
+  bool AllowsDisruption() const
+  {
+    return !m_budget || m_unavailable < *m_budget;
+  }
+};
+
 /** Why a report is ignored and its worker gets no lease for it. */
 enum class IgnoreReason
 {
@@ -360,6 +376,9 @@
   bool MayDisrupt(const jobs::Job& aJob,
                   const jobs::TaskRef& aTask,
                   TimePoint aNow) const;
+  StepAvailability AvailabilityOfOthers(const jobs::Job& aJob,
+                                        const jobs::TaskRef& aTask,
+                                        TimePoint aNow) const;
   /** Another task of the step has been ordered to stop on a worker that is not
    * draining. */
   bool IsAnyStopping(const jobs::Job& aJob, const jobs::TaskRef& aTask) const;
--- a/src/control/worker_reports.cpp
+++ b/src/control/worker_reports.cpp
@@ -122,9 +122,45 @@
   answer.m_orders =
     m_workers->Answer(aReport.m_worker, m_node.State().Jobs(), aNow);
   answer.m_fencingToken = m_term;
+  LogStops(aReport.m_worker, answer.m_orders->m_stops, aNow);
   return answer;
 }
 
+// The end of a long-running task is seen by its users. What the leader knew of
+// the rest of the step tells a decision on outdated reports from a run that the
+// leader had given up and that went on.
+void
+JobService::LogStops(const WorkerIncarnation& aWorker,
+                     const std::vector<placement::StopOrder>& aStops,
+                     TimePoint aNow) const
+{
+  const jobs::JobTable& book = m_node.State().Jobs();
+  for (const placement::StopOrder& stop : aStops) {
+    const jobs::Job* job = book.Find(stop.m_task.m_job);
+    const jobs::Task* task = book.FindTask(stop.m_task);
+    if (job == nullptr || task == nullptr ||
+        job->m_state != jobs::JobState::kActive ||
+        !job->m_spec.m_steps[stop.m_task.m_step].m_longRunning) {
+      continue;
+    }
+    const auto others =
+      m_workers->AvailabilityOfOthers(*job, stop.m_task, aNow);
+    WorkerLogLine(Level::kInfo, "stopping a long-running task", aWorker)
+      .With("job", stop.m_task.m_job.Get())
+      .With("step", stop.m_task.m_step)
+      .With("task", stop.m_task.m_index)
+      .With("run", stop.m_run.Get())
+      .With("placedHere",
+            placement::IsExpected(book, aWorker, stop.m_task, stop.m_run))
+      .With("lastRun", task->m_lastRun.Get())
+      .With("others", others.m_others)
+      .With("unavailable", others.m_unavailable)
+      .With("budget", others.m_budget.value_or(others.m_others))
+      .With("oldestReportMs", ToMillis(others.m_oldestReport).count())
+      .Write();
+  }
+}
+
 void
 JobService::AnswerPlanned()
 {
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -578,25 +578,39 @@
          !worker->m_toStop.contains({ aTask, aState.m_lastRun });
 }
 
-bool
-WorkerTable::MayDisrupt(const jobs::Job& aJob,
-                        const jobs::TaskRef& aTask,
-                        TimePoint aNow) const
+StepAvailability
+WorkerTable::AvailabilityOfOthers(const jobs::Job& aJob,
+                                  const jobs::TaskRef& aTask,
+                                  TimePoint aNow) const
 {
-  const auto& budget = aJob.m_spec.m_steps[aTask.m_step].m_disruptionBudget;
-  if (!budget) {
-    return true;
-  }
+  StepAvailability found;
+  found.m_budget = aJob.m_spec.m_steps[aTask.m_step].m_disruptionBudget;
   const auto& occurrence = aJob.m_occurrences.at(aTask.m_occurrence);
   const auto& tasks = occurrence.m_steps[aTask.m_step].m_tasks;
-  std::uint32_t unavailable = 0;
   for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+    if (i == aTask.m_index) {
+      continue;
+    }
     jobs::TaskRef other = aTask;
     other.m_index = i;
-    unavailable +=
-      i != aTask.m_index && !IsReady(other, tasks[i], aNow) ? 1 : 0;
+    ++found.m_others;
+    if (IsReady(other, tasks[i], aNow)) {
+      const Duration age = aNow - Find(tasks[i].m_worker)->m_lastReportAt;
+      found.m_oldestReport = std::max(found.m_oldestReport, age);
+    } else {
+      ++found.m_unavailable;
+    }
   }
-  return unavailable < *budget;
+  return found;
+}
+
+bool
+WorkerTable::MayDisrupt(const jobs::Job& aJob,
+                        const jobs::TaskRef& aTask,
+                        TimePoint aNow) const
+{
+  return !aJob.m_spec.m_steps[aTask.m_step].m_disruptionBudget ||
+         AvailabilityOfOthers(aJob, aTask, aNow).AllowsDisruption();
 }
 
 bool
