Placement: a stop that was sent counts until its outcome is known

Callers could see a step below its disruption budget: one task was moved, another seemed lost for a moment, and a third was moved while the first was still away.

Cause: the leader withdraws a planned stop when the budget is used up meanwhile. It also did so when the stop had left already. The worker obeyed it, while the leader counted the run as ready from its last report and gave its place in the budget away.

A stop that was sent now counts until the run's end is reported.

The simulated pool now carries out moves, and delays and loses answers; it counts ends of long-running tasks while their budget is used up.

Ruled out: reports up to 1.5 s old as proof of readiness.

--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -211,6 +211,8 @@
   /** When each unconfirmed start was last sent. */
   std::map<jobs::TaskRef, TimePoint> m_sentAt;
   std::set<std::pair<jobs::TaskRef, RunNumber>> m_toStop;
+  /** When the stop of a run in m_toStop was last sent. */
+  std::map<std::pair<jobs::TaskRef, RunNumber>, TimePoint> m_stopSentAt;
   std::map<jobs::TaskRef, std::uint32_t> m_rates;
   std::map<jobs::TaskRef, RunProgress> m_progress;
   HealthRecord m_health;
@@ -547,6 +549,16 @@
                   LossCause aCause,
                   const jobs::JobTable& aBook,
                   TimePoint aNow);
+  /** Returns whether the run's stop is to be sent; withdraws a stop that the
+   * disruption budget does not allow any more. */
+  bool ConfirmStop(Worker& aWorker,
+                   const jobs::Job& aJob,
+                   const jobs::TaskRef& aTask,
+                   RunNumber aRun,
+                   TimePoint aNow);
+  static void ForgetStop(Worker& aWorker,
+                         const jobs::TaskRef& aTask,
+                         RunNumber aRun);
   Duration BaseReportInterval(const Worker& aWorker,
                               const jobs::JobTable& aBook) const;
   Duration ReportInterval(const Worker& aWorker,
--- a/src/placement/worker_losses.cpp
+++ b/src/placement/worker_losses.cpp
@@ -293,6 +293,7 @@
       worker.m_isLost = true;
       worker.m_sentAt.clear();
       worker.m_toStop.clear();
+      worker.m_stopSentAt.clear();
     }
     if (worker.m_isLost) {
       add(id, worker.m_lastReport.m_instance);
--- a/src/placement/worker_orders.cpp
+++ b/src/placement/worker_orders.cpp
@@ -105,6 +105,46 @@
   return orders;
 }
 
+void
+WorkerTable::ForgetStop(Worker& aWorker,
+                        const jobs::TaskRef& aTask,
+                        RunNumber aRun)
+{
+  aWorker.m_toStop.erase({ aTask, aRun });
+  aWorker.m_stopSentAt.erase({ aTask, aRun });
+}
+
+// Other tasks of the step may have been lost since the decision to move this
+// one. A stop that was never sent is then withdrawn. One that was sent may be
+// under way or obeyed already, while reports still show the run: if the run
+// counted as ready again, its place in the budget would be given to another
+// task, and both would be away. So it is not repeated, and the run does not
+// count as ready until its end is reported, or until it is still active at a
+// time when the stop would have taken effect.
+bool
+WorkerTable::ConfirmStop(Worker& aWorker,
+                         const jobs::Job& aJob,
+                         const jobs::TaskRef& aTask,
+                         RunNumber aRun,
+                         TimePoint aNow)
+{
+  const std::pair run{ aTask, aRun };
+  if (!aWorker.m_toStop.contains(run)) {
+    return false;
+  }
+  if (aWorker.m_lastReport.m_draining || MayDisrupt(aJob, aTask, aNow)) {
+    aWorker.m_stopSentAt[run] = aNow;
+    return true;
+  }
+  const auto sent = aWorker.m_stopSentAt.find(run);
+  const bool mayBeUnderWay = sent != aWorker.m_stopSentAt.end() &&
+                             aNow < sent->second + m_options.m_maxReportDelay;
+  if (!mayBeUnderWay) {
+    ForgetStop(aWorker, aTask, aRun);
+  }
+  return false;
+}
+
 Orders
 WorkerTable::Answer(const WorkerIncarnation& aWorker,
                     const jobs::JobTable& aBook,
@@ -119,18 +159,10 @@
   worker.m_leaseEnd = aNow + MaxLeaseDuration();
   for (const RunReport& run : report.m_active) {
     const jobs::Job* job = aBook.Find(run.m_task.m_job);
-    // Other tasks of the step may have been lost since the decision to move
-    // this one; the stop is then withdrawn.
-    if (job != nullptr && !report.m_draining &&
-        worker.m_toStop.contains({ run.m_task, run.m_run }) &&
-        IsExpected(aBook, aWorker, run.m_task, run.m_run) &&
-        !MayDisrupt(*job, run.m_task, aNow)) {
-      worker.m_toStop.erase({ run.m_task, run.m_run });
-    }
-    const bool isWanted = job != nullptr &&
-                          job->m_state == jobs::JobState::kActive &&
-                          IsExpected(aBook, aWorker, run.m_task, run.m_run) &&
-                          !worker.m_toStop.contains({ run.m_task, run.m_run });
+    const bool isWanted =
+      job != nullptr && job->m_state == jobs::JobState::kActive &&
+      IsExpected(aBook, aWorker, run.m_task, run.m_run) &&
+      !ConfirmStop(worker, *job, run.m_task, run.m_run, aNow);
     if (!isWanted) {
       orders.m_stops.push_back({ run.m_task, run.m_run });
     }
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -340,7 +340,7 @@
     if (isSecondStart) {
       continue;
     }
-    aWorker.m_toStop.erase({ end.m_task, end.m_run });
+    ForgetStop(aWorker, end.m_task, end.m_run);
     aWorker.m_superseded.erase({ end.m_task, end.m_run });
     aWorker.m_sentAt.erase(end.m_task);
     aWorker.m_rates.erase(end.m_task);
--- a/tests/support/simulated_pool.cpp
+++ b/tests/support/simulated_pool.cpp
@@ -19,6 +19,11 @@
 /** Maximum time from an answer to the start that it orders. */
 constexpr Millis kOrderDelivery{ 500 };
 constexpr std::uint32_t kDonePercent = 100;
+/** Time after which a worker drops an answer and reports again. */
+constexpr Millis kAnswerTimeout{ 1'000 };
+/** A task that is away for longer counts against its step's budget, whatever
+ * ended it. */
+constexpr Millis kLongAbsence{ 4'500 };
 
 bool
 AreOfSameStep(const jobs::TaskRef& aLeft, const jobs::TaskRef& aRight)
@@ -146,6 +151,7 @@
 void
 SimulatedPool::Step()
 {
+  DeliverAnswers();
   std::vector<SimulatedWorker*> reporting;
   for (SimulatedWorker& worker : m_workers) {
     for (Run& run : worker.m_runs) {
@@ -159,6 +165,7 @@
       reporting.push_back(&worker);
     }
   }
+  TrackAbsences();
   if (m_now >= m_leaderStartsAt) {
     StepLeader(reporting);
     return;
@@ -193,6 +200,7 @@
   aWorker.m_lastEnd = 0;
   aWorker.m_ended.clear();
   aWorker.m_crashAt.reset();
+  aWorker.m_isDraining = false;
   aWorker.m_downUntil = m_now + aDown;
   aWorker.m_startedAt = NextStart(*aWorker.m_downUntil);
   BreakGangs(lost);
@@ -330,6 +338,7 @@
   report.m_instance = InstanceId{ aWorker.m_instance };
   report.m_service = ServiceId{ "desk" };
   report.m_capacity = aWorker.m_capacity;
+  report.m_draining = aWorker.m_isDraining;
   report.m_sequence = ++aWorker.m_sequence;
   report.m_ended = aWorker.m_ended;
   for (const Run& run : aWorker.m_runs) {
@@ -376,7 +385,10 @@
   if (!ends.empty() || hasChanged || m_now >= m_nextPass) {
     m_nextPass = m_now + kPlanInterval;
     placement::Plan plan = m_planner.ComputePlan(
-      m_fleet.State(), *m_table, m_cordoned, Time(), Wall());
+      m_fleet.State(), *m_table, CordonedWorkers(), Time(), Wall());
+    for (const placement::StopOrder& stop : plan.m_stops) {
+      m_table->RequestStop(stop.m_task, stop.m_run);
+    }
     m_fleet.Apply(std::move(plan.m_changes));
     m_table->SetAccounts(std::move(plan.m_accounts));
   }
@@ -384,9 +396,104 @@
     if (m_table->Find(worker->m_latest.m_worker) == nullptr) {
       continue;
     }
-    FollowOrders(*worker,
-                 m_table->Answer(worker->m_latest.m_worker, book, Time()));
+    SendAnswer(*worker,
+               m_table->Answer(worker->m_latest.m_worker, book, Time()));
+  }
+}
+
+void
+SimulatedPool::SendAnswer(SimulatedWorker& aWorker, placement::Orders aOrders)
+{
+  const auto max = m_options.m_answerTakes.count();
+  if (max == 0) {
+    FollowOrders(aWorker, aOrders);
+    return;
+  }
+  aWorker.m_nextReport = m_now + kAnswerTimeout;
+  if (m_random() % 100 < m_options.m_answersLost) {
+    return;
+  }
+  m_delayedAnswers.push_back({ m_now + Millis{ m_random() % max },
+                               &aWorker,
+                               aWorker.m_incarnation,
+                               std::move(aOrders) });
+}
+
+void
+SimulatedPool::DeliverAnswers()
+{
+  std::erase_if(m_delayedAnswers, [&](const DelayedAnswer& aAnswer) {
+    const bool isDue = m_now >= aAnswer.m_at;
+    if (isDue && aAnswer.m_worker->m_incarnation == aAnswer.m_incarnation) {
+      FollowOrders(*aAnswer.m_worker, aAnswer.m_orders);
+    }
+    return isDue;
+  });
+}
+
+std::set<WorkerIncarnation>
+SimulatedPool::CordonedWorkers() const
+{
+  std::set<WorkerIncarnation> cordoned = m_cordoned;
+  for (const SimulatedWorker& worker : m_workers) {
+    if (worker.m_isCordoned) {
+      cordoned.insert(IncarnationOf(worker));
+    }
+  }
+  return cordoned;
+}
+
+bool
+SimulatedPool::IsAtWork(const Run& aRun) const
+{
+  return aRun.m_step.m_longRunning && !aRun.m_stopAt &&
+         m_now >= aRun.m_startedAt + kStartupOfLongRunning;
+}
+
+void
+SimulatedPool::TrackAbsences()
+{
+  std::set<jobs::TaskRef> atWork;
+  for (const SimulatedWorker& worker : m_workers) {
+    for (const Run& run : worker.m_runs) {
+      if (IsAtWork(run)) {
+        atWork.insert(run.m_order.m_task);
+        m_absences.erase(run.m_order.m_task);
+      }
+    }
+  }
+  for (const auto& [worker, tasks] : m_fleet.Book().TasksByWorker()) {
+    for (const jobs::TaskRef& task : tasks) {
+      if (!atWork.contains(task)) {
+        m_absences.try_emplace(task, Absence{ m_now });
+      }
+    }
+  }
+}
+
+void
+SimulatedPool::CountOrderedEnd(const SimulatedWorker& aWorker, const Run& aRun)
+{
+  const jobs::TaskRef& task = aRun.m_order.m_task;
+  const jobs::Job* job = m_fleet.Book().Find(task.m_job);
+  if (!IsAtWork(aRun) || job == nullptr ||
+      job->m_state != jobs::JobState::kActive) {
+    return;
   }
+  ++m_orderedEnds;
+  std::uint32_t away = 0;
+  for (const auto& [other, absence] : m_absences) {
+    const bool isLong = m_now >= absence.m_since + kLongAbsence;
+    away += AreOfSameStep(other, task) && other != task &&
+                (absence.m_isOrdered || isLong)
+              ? 1
+              : 0;
+  }
+  const auto& budget = aRun.m_step.m_disruptionBudget;
+  if (budget && away >= *budget && !aWorker.m_isDraining) {
+    ++m_endsOverBudget;
+  }
+  m_absences[task] = { m_now, true };
 }
 
 void
@@ -425,6 +532,9 @@
         return aWorker.m_instance == order.m_instance.Get();
       });
     const bool isOut = order.m_to.Get() == kStandby;
+    for (const Run& run : worker.m_runs) {
+      CountOrderedEnd(worker, run);
+    }
     Crash(worker, kMoveDuration);
     worker.m_downUntil = isOut ? Millis::max() : worker.m_downUntil;
     const auto ended =
@@ -487,6 +597,7 @@
       const bool isMatch =
         run.m_order.m_task == stop.m_task && run.m_order.m_run == stop.m_run;
       if (isMatch && !run.m_stopAt) {
+        CountOrderedEnd(aWorker, run);
         run.m_stopAt = m_now + StopDuration();
       }
     }
@@ -575,6 +686,32 @@
   m_workers[aWorker].m_cutUntil = m_now + aTime;
 }
 
+void
+SimulatedPool::Cordon(std::uint32_t aWorker)
+{
+  m_workers[aWorker].m_isCordoned = true;
+}
+
+void
+SimulatedPool::Uncordon(std::uint32_t aWorker)
+{
+  m_workers[aWorker].m_isCordoned = false;
+}
+
+void
+SimulatedPool::DrainWorker(std::uint32_t aWorker, Millis aTime)
+{
+  m_workers[aWorker].m_isDraining = true;
+  m_workers[aWorker].m_crashAt = m_now + aTime;
+}
+
+void
+SimulatedPool::HoldBackReport(std::uint32_t aWorker, Millis aDelay)
+{
+  SimulatedWorker& worker = m_workers[aWorker];
+  m_delayedReports.push_back({ m_now + aDelay, ReportOf(worker) });
+}
+
 void
 SimulatedPool::Resize(std::uint32_t aWorker, jobs::Resources aCapacity)
 {
--- a/tests/support/simulated_pool.h
+++ b/tests/support/simulated_pool.h
@@ -32,6 +32,10 @@
   bool m_keepsIds = false;
   /** Maximum time from a stop order to the end of the run. */
   Millis m_stopTakes{};
+  /** Maximum time from an answer of the leader to its arrival. */
+  Millis m_answerTakes{};
+  /** Percentage of answers that are lost. */
+  std::uint32_t m_answersLost = 0;
   /** Time after which ended jobs are forgotten. */
   std::optional<Millis> m_keepEnded;
   unsigned m_seed = 1;
@@ -75,10 +79,20 @@
   /** Makes the worker unreachable; the same incarnation reports again after
    * aTime. */
   void CutWorker(std::uint32_t aWorker, Millis aTime);
+  /** The worker is about to leave: nothing is placed on it, and its
+   * long-running tasks are moved away, until Uncordon(). */
+  void Cordon(std::uint32_t aWorker);
+  void Uncordon(std::uint32_t aWorker);
+  /** The worker announces that it drains; after aTime a new incarnation
+   * follows. */
+  void DrainWorker(std::uint32_t aWorker, Millis aTime);
   void Resize(std::uint32_t aWorker, jobs::Resources aCapacity);
   /** Delivers a copy of the worker's latest report after aDelay; the answer is
    * dropped. */
   void DelayReport(std::uint32_t aWorker, Millis aDelay);
+  /** Like DelayReport(), for a report that the leader did not get at its time.
+   */
+  void HoldBackReport(std::uint32_t aWorker, Millis aDelay);
   /** Starts a new leader after aGap from the snapshot of the previous one. */
   void ReplaceLeader(Millis aGap);
 
@@ -99,6 +113,12 @@
   /** Counts starts that brought a workspace above its cap, and above each cap
    * that was in force shortly before. */
   std::uint32_t CountStartsOverCap() const { return m_startsOverCap; }
+  /** Counts ends of long-running tasks at work, by an order to a worker that is
+   * not draining, while the disruption budget of their step was used up: by
+   * tasks that an order had ended, or that had been away for long. */
+  std::uint32_t CountEndsOverBudget() const { return m_endsOverBudget; }
+  /** Counts ends of long-running tasks at work by an order. */
+  std::uint32_t CountOrderedEnds() const { return m_orderedEnds; }
   workspaces::Resources UseOf(const std::string& aWorkspace) const;
   std::uint32_t RunningOn(std::uint32_t aWorker) const;
   /** Returns the worker that runs the task, if there is one. */
@@ -142,9 +162,27 @@
     std::optional<Millis> m_crashAt;
     std::optional<Millis> m_downUntil;
     Millis m_cutUntil{};
+    bool m_isCordoned = false;
+    bool m_isDraining = false;
     placement::WorkerReport m_latest;
   };
 
+  /** An answer on its way to an incarnation of a worker. */
+  struct DelayedAnswer
+  {
+    Millis m_at;
+    SimulatedWorker* m_worker = nullptr;
+    std::uint32_t m_incarnation = 0;
+    placement::Orders m_orders;
+  };
+
+  /** Since when a long-running task is away, and whether an order ended it. */
+  struct Absence
+  {
+    Millis m_since{};
+    bool m_isOrdered = false;
+  };
+
   struct DelayedReport
   {
     Millis m_at;
@@ -172,6 +210,12 @@
     return WorkerOf(aTask).has_value();
   }
   static placement::ReservedCapacity UseOf(const SimulatedWorker& aWorker);
+  void SendAnswer(SimulatedWorker& aWorker, placement::Orders aOrders);
+  void DeliverAnswers();
+  std::set<WorkerIncarnation> CordonedWorkers() const;
+  bool IsAtWork(const Run& aRun) const;
+  void TrackAbsences();
+  void CountOrderedEnd(const SimulatedWorker& aWorker, const Run& aRun);
   void FollowOrders(SimulatedWorker& aWorker, const placement::Orders& aOrders);
   bool IsOverCap(const WorkspaceId& aWorkspace,
                  const jobs::StepSpec& aStep) const;
@@ -187,6 +231,10 @@
   Millis m_now{ 10'000 };
   std::vector<SimulatedWorker> m_workers;
   std::vector<DelayedReport> m_delayedReports;
+  std::vector<DelayedAnswer> m_delayedAnswers;
+  std::map<jobs::TaskRef, Absence> m_absences;
+  std::uint32_t m_endsOverBudget = 0;
+  std::uint32_t m_orderedEnds = 0;
   std::optional<placement::WorkerTable> m_table;
   placement::Planner m_planner;
   placement::CapacityPlanner m_capacity;
