Placement: a new leader waits for earlier stops before it ends more tasks

Callers could see a step below its disruption budget just after a change of leader. Stops are the leader's memory: a new leader takes a run that its predecessor has told to stop for ready, until a report shows otherwise, and spends the step's budget a second time.

NewLeader_EarlierStopsMayBeUnderWay fails without the change.

The fixture of the planner's tests decided 1 s after its leader began; LongRunningTasksOnCordonedWorker expects a move there. It now decides 60 s after, with the same expectations.

Putting stops on record instead would cost a commit for each move, and would not tell whether the worker obeyed.

--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -604,12 +604,18 @@
   return found;
 }
 
+// A new leader does not know which stops an earlier one has sent. It takes the
+// runs that they end for ready until reports show otherwise, and would spend
+// their place in the budget a second time.
 bool
 WorkerTable::MayDisrupt(const jobs::Job& aJob,
                         const jobs::TaskRef& aTask,
                         TimePoint aNow) const
 {
-  return !aJob.m_spec.m_steps[aTask.m_step].m_disruptionBudget ||
+  if (!aJob.m_spec.m_steps[aTask.m_step].m_disruptionBudget) {
+    return true;
+  }
+  return aNow >= m_leaderSince + m_options.m_maxReportDelay &&
          AvailabilityOfOthers(aJob, aTask, aNow).AllowsDisruption();
 }
 
--- a/tests/unit/placement/disruption_budgets_test.cpp
+++ b/tests/unit/placement/disruption_budgets_test.cpp
@@ -146,6 +146,18 @@
   CHECK(MayDisrupt(1, later));
 }
 
+// Guards against a step below its budget: a new leader spends the budget that
+// its predecessor has spent with stops that are still under way.
+TEST(DisruptionBudgets, NewLeader_EarlierStopsMayBeUnderWay_MayNotDisrupt)
+{
+  Place(2, 1);
+  const std::int64_t bound = ToMillis(LeaseOptions{}.m_maxReportDelay).count();
+  ReportReady(0, bound - 1);
+  ReportReady(1, bound - 1);
+  CHECK_FALSE(MayDisrupt(0, bound - 1));
+  CHECK(MayDisrupt(0, bound));
+}
+
 // Guards against a step below its disruption budget: moves are ordered while
 // workers are cut off or crash, reports and answers are late or lost, and
 // leaders change.
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -7,6 +7,13 @@
 using namespace bamboostile::placement;
 using namespace job_fixtures;
 
+namespace {
+
+/** A time long after the leader was elected, in milliseconds. */
+constexpr std::int64_t kSteadyMs = 60'000;
+
+} // namespace
+
 TEST_GROUP(PlacementPlanner)
 {
   Fleet m_fleet;
@@ -16,13 +23,13 @@
 
   void Receive(const WorkerReport& aReport)
   {
-    m_table.OnReport(aReport, m_fleet.Book(), At(1000), WallTime{ 1000 });
+    m_table.OnReport(aReport, m_fleet.Book(), At(kSteadyMs), WallTime{ 1000 });
   }
 
   Plan MakePlan()
   {
     return m_planner.ComputePlan(
-      m_fleet.State(), m_table, m_cordoned, At(1000), WallTime{ 1000 });
+      m_fleet.State(), m_table, m_cordoned, At(kSteadyMs), WallTime{ 1000 });
   }
 
   /** Applies a plan; returns the number of its changes. */
