Control: the time for which a report is held begins with its arrival

Callers saw long-running tasks of one step end together at a leader with 3,000 workers, with nothing broken: the workers' leases ran out. A worker drops an answer that takes over a second, and its lease ends after 4.5 s without one.

Cause: waits that each had a bound, but not their sum. A report waited to be handled (up to 400 ms at a full leader) and for its batch (up to 500), and was then held for another 400 ms and for a late tick. The leader answered after up to 1,088 ms, and a fuller leader held no less.

A report is now held until 400 ms after its arrival. An overloaded leader holds none: it answers at once and asks steady workers for the next report after as long as they would have been held, so it gets no more reports than before.

ReportHasWaitedAsLongAsItMayBeHeld and OverloadedLeader_HoldsNoReports fail without the change. SteadyWorkerWaitsAsIfHeld, the third new test, was not run on the code before.

--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -147,7 +147,7 @@
   WorkerAnswer AnswerOf(const PendingReport& aReport,
                         bool aIsLeader,
                         TimePoint aNow);
-  void HoldReport(PendingReport aReport, TimePoint aNow);
+  void HoldReport(PendingReport aReport, TimePoint aDeadline);
   void AnswerHeld(bool aIsLeader, TimePoint aNow);
   void RecordCommitted(const std::vector<jobs::Change>& aChanges,
                        TimePoint aNow);
--- a/src/control/worker_reports.cpp
+++ b/src/control/worker_reports.cpp
@@ -169,11 +169,15 @@
   const auto isPlanned = [](const PendingReport& aReport) {
     return aReport.m_isPlanned;
   };
+  const bool mayHold =
+    isLeader && m_sheddingLevel == placement::SheddingLevel::kNone &&
+    m_options.m_mechanisms.Has(placement::Mechanism::kHeldReports);
   for (PendingReport& report : TakePending(isPlanned)) {
-    if (isLeader &&
-        m_options.m_mechanisms.Has(placement::Mechanism::kHeldReports) &&
+    const TimePoint deadline =
+      report.m_receivedAt + m_options.m_lease.m_steadyAnswerDelay;
+    if (mayHold && now < deadline &&
         m_workers->IsSteady(report.m_worker, m_node.State().Jobs())) {
-      HoldReport(kj::mv(report), now);
+      HoldReport(kj::mv(report), deadline);
     } else {
       report.m_fulfiller->fulfill(AnswerOf(report, isLeader, now));
     }
@@ -221,9 +225,12 @@
 // A start is sent with the answer to a report. If steady workers report often,
 // they use up the leader's time; if they report seldom, they get their starts
 // late. A worker whose report is held gets a start at once, and reports less
-// than twice per second.
+// than twice per second. The time for which a report may be held includes the
+// time that it has waited already: the worker drops a late answer, and with it
+// its lease. An overloaded leader adds to every wait and holds no reports; it
+// asks for the next one later instead.
 void
-JobService::HoldReport(PendingReport aReport, TimePoint aNow)
+JobService::HoldReport(PendingReport aReport, TimePoint aDeadline)
 {
   const WorkerIncarnation worker = aReport.m_worker;
   HeldReport& held = m_heldReports[worker];
@@ -231,7 +238,7 @@
     held.m_report.m_fulfiller->fulfill(NotLeaderAnswer());
   }
   held.m_report = kj::mv(aReport);
-  held.m_deadline = aNow + m_options.m_lease.m_steadyAnswerDelay;
+  held.m_deadline = aDeadline;
 }
 
 void
--- a/src/placement/worker_orders.cpp
+++ b/src/placement/worker_orders.cpp
@@ -69,6 +69,11 @@
                                 const jobs::JobTable& aBook) const
 {
   const WorkerIncarnation& id = aWorker.m_lastReport.m_worker;
+  // An overloaded leader answers steady workers at once, without holding their
+  // reports.
+  if (IsSteady(id, aBook) && m_reportIntervalFactor > 1) {
+    return m_options.m_steadyAnswerDelay + m_options.m_steadyReportDelay;
+  }
   // An isolated run blocks the worker for all other tasks until a report shows
   // its outcome.
   if (IsSteady(id, aBook) || HasIsolatedRun(aWorker, aBook)) {
--- a/tests/unit/control/job_service_test.cpp
+++ b/tests/unit/control/job_service_test.cpp
@@ -233,6 +233,34 @@
   CHECK(renewed->m_orders->m_stops.empty());
 }
 
+// Guards against long-running tasks that end though nothing has failed: at a
+// busy leader a steady worker's report waits to be read and is then held as
+// well, so that the worker drops the answer, and with it its lease.
+TEST(JobService, ReportHasWaitedAsLongAsItMayBeHeld_IsAnsweredAtOnce)
+{
+  Await(Send(Report("w1", 0)));
+  RunEventLoopFor(100 * kj::MILLISECONDS);
+  placement::WorkerReport report = Report("w1", ++m_sequence);
+  report.m_worker.m_startedAt = m_startedAt;
+  const TimePoint receivedAt =
+    MonotonicNow() - placement::LeaseOptions{}.m_steadyAnswerDelay;
+  auto answer = m_service->Report(report, receivedAt);
+  CHECK(answer.poll(m_loop->m_io.waitScope));
+}
+
+// Guards against the same: an overloaded leader adds its own delays to the time
+// for which it holds a report.
+TEST(JobService, OverloadedLeader_HoldsNoReports)
+{
+  Await(Send(Report("w1", 0)));
+  placement::WorkerReport late = Report("w2", ++m_sequence);
+  late.m_worker.m_startedAt = m_startedAt;
+  Await(m_service->Report(late, MonotonicNow() - Millis{ 200 }));
+  RunEventLoopFor(100 * kj::MILLISECONDS);
+  auto answer = Send(Report("w1", 0));
+  CHECK(answer.poll(m_loop->m_io.waitScope));
+}
+
 // Guards against a job that never ends. If an end in a hanging batch were
 // acknowledged before it is on disk, the worker would forget it; if the leader
 // then failed, the end would be lost.
--- a/tests/unit/placement/workers_test.cpp
+++ b/tests/unit/placement/workers_test.cpp
@@ -496,3 +496,13 @@
   m_table.SetReportIntervalFactor(4);
   CHECK(Answer("w1", 1000).m_nextReport == Millis{ 700 });
 }
+
+// Guards against an overloaded leader that asks steady workers to report more
+// often than before: their reports are not held any more.
+TEST(WorkerTable, IntervalFactorRaised_SteadyWorkerWaitsAsIfHeld)
+{
+  Receive(Report("w1", 1), 1000);
+  CHECK(Answer("w1", 1000).m_nextReport == Millis{ 50 });
+  m_table.SetReportIntervalFactor(2);
+  CHECK(Answer("w1", 1000).m_nextReport == Millis{ 700 });
+}
