--- a/tests/unit/placement/disruption_budgets_test.cpp
+++ b/tests/unit/placement/disruption_budgets_test.cpp
@@ -37,14 +37,14 @@
   return Spec({ step });
 }
 
-/** Causes one random event: workers leave, crash, are cut off or answer late,
- * or the leader changes. */
+/** Causes one random event: workers leave, drain, crash, are cut off or answer
+ * late, or the leader changes. */
 void
 CauseEvent(SimulatedPool& aPool, std::minstd_rand& aRandom)
 {
   const std::uint32_t worker = aRandom() % kWorkers;
   const Millis time{ aRandom() % 3'000 };
-  switch (aRandom() % 8) {
+  switch (aRandom() % 9) {
     case 0:
     case 1:
     case 2:
@@ -64,6 +64,9 @@
         aPool.CrashWorker(worker, time);
       }
       break;
+    case 7:
+      aPool.DrainWorker(worker, Millis{ 500 } + time);
+      break;
     default:
       if (aRandom() % 3 == 0) {
         aPool.ReplaceLeader(Millis{ aRandom() % 1'500 });
