Control: answers to orders count also while the leader holds no lease

Cause: an answer that came while the leader held no lease was dropped. It often regains the lease in the same term. Its order then counted as unanswered for the rest of the term: the instance stayed cordoned, and at 32 of them nothing is ordered any more. Orders that are abandoned since the lease is lost took the same way. A dropped answer to a maintenance order was forgotten, too, and the order sent again as if for the first time.

Class: what a leader has to hear is dropped because of what it may not do at that moment.

Change: answers are always taken in. What follows from them is proposed, and refused there if another leader has been elected; a new term has new tables.

Evidence: unit.control MoveAnsweredWhileLeaseIsLost_InstanceIsOrderedAgain (1 order instead of 2) and OrderAcceptedWhileLeaseIsLost_OrderIsNotRepeated (2 instead of 1) fail on the previous commit.

--- a/src/control/instance_service.cpp
+++ b/src/control/instance_service.cpp
@@ -157,6 +157,8 @@
     });
 }
 
+// An answer counts also while this leader does not hold its lease: it may hold
+// it again in the same term, and then has to know which orders are over.
 void
 InstanceService::HandleReply(const MaintenanceReply& aReply)
 {
@@ -167,10 +169,6 @@
             aReply.m_answer,
             aReply.m_decidedAt);
   const std::pair order{ aReply.m_order.m_wave, aReply.m_order.m_instance };
-  if (!m_node.IsServing()) {
-    m_pendingMaintenance.erase(order);
-    return;
-  }
   const placement::MaintenanceResult next = m_maintenance.OnAnswer(
     aReply.m_order, aReply.m_answer.m_answer, MonotonicNow());
   if (next.m_endedIncarnation) {
@@ -304,9 +302,6 @@
   if (aReply.m_answer.m_answer != placement::InstanceAnswer::kAccepted) {
     m_nextList = TimePoint{};
   }
-  if (!m_node.IsServing()) {
-    return;
-  }
   const auto ended = m_capacity.OnAnswer(
     aReply.m_order, aReply.m_answer.m_answer, MonotonicNow());
   if (ended) {
--- a/tests/unit/control/job_service_test.cpp
+++ b/tests/unit/control/job_service_test.cpp
@@ -6,6 +6,7 @@
 #include "job_fixtures.h"
 
 #include <atomic>
+#include <functional>
 #include <thread>
 
 #include <unistd.h>
@@ -53,7 +54,10 @@
     control::JobServiceOptions jobs;
     jobs.m_calls.m_move = [this](const auto& aOrder, Term, auto aDone) {
       m_movedInstances.push_back(aOrder.m_instance);
-      aDone({ placement::InstanceAnswer::kAccepted, Duration{} });
+      m_answerMove = aDone;
+      if (m_areMovesAnswered) {
+        aDone({ placement::InstanceAnswer::kAccepted, Duration{} });
+      }
     };
     jobs.m_maintenance.m_maxOrderDelay = Duration{};
     jobs.m_calls.m_maintenance = [this](const auto&, Term, auto aDone) {
@@ -80,6 +84,51 @@
     m_service->ReplaceRoutes(table).wait(m_loop->m_io.waitScope);
   }
 
+  /** Answers the leader as the second voter, which this test plays. */
+  void AnswerAsPeer()
+  {
+    const consensus::Replica& leader = m_node->Replica();
+    m_node->Deliver(
+      { m_peer,
+        leader.Self(),
+        leader.CurrentTerm(),
+        consensus::AppendReply{ true, leader.LastIndex(), MonotonicNow() } },
+      "127.0.0.1:1");
+  }
+
+  /** Adds a second voter. The leader holds its lease only while that voter
+   * answers. */
+  void AddPeer()
+  {
+    m_node->Admit({ m_peer, "127.0.0.1:1", false });
+    while (m_node->Replica().CurrentMembership().VoterCount() < 2 ||
+           !m_node->IsServing()) {
+      RunWithPeer();
+    }
+  }
+
+  void RunWithPeer()
+  {
+    AnswerAsPeer();
+    RunEventLoopFor(20 * kj::MILLISECONDS);
+  }
+
+  /** Lets the leader lose its lease and regain it in the same term, while
+   * aMeanwhile happens. */
+  void LoseLeaseWhile(const std::function<void()>& aMeanwhile)
+  {
+    const Term term = m_node->Replica().CurrentTerm();
+    while (m_node->IsServing()) {
+      RunEventLoopFor(20 * kj::MILLISECONDS);
+    }
+    aMeanwhile();
+    RunEventLoopFor(100 * kj::MILLISECONDS);
+    while (!m_node->IsServing()) {
+      RunWithPeer();
+    }
+    LONGS_EQUAL(term.Get(), m_node->Replica().CurrentTerm().Get());
+  }
+
   void teardown() override
   {
     m_isSyncHanging = false;
@@ -210,6 +259,9 @@
   /** Start time of all workers. */
   WallTime m_startedAt;
   std::vector<InstanceId> m_movedInstances;
+  bool m_areMovesAnswered = true;
+  control::InstanceCalls::AnswerHandler m_answerMove;
+  consensus::ReplicaId m_peer{ InstanceId{ "c2" }, Incarnation{ 1 } };
   int m_maintenanceOrders = 0;
   control::InstanceCalls::AnswerHandler m_answerMaintenance;
   /** Waits for the batch while the disk hangs. */
@@ -298,6 +350,31 @@
   CHECK(m_node->State().RecentOrders().contains(m_movedInstances.front()));
 }
 
+// Guards against a leader that never moves an instance again. It regains its
+// lease in the same term; if it dropped the answers that arrived in between,
+// these orders would count as unanswered until another leader is elected.
+TEST(JobService, MoveAnsweredWhileLeaseIsLost_InstanceIsOrderedAgain)
+{
+  AddPeer();
+  m_areMovesAnswered = false;
+  fleet::RouteTable table = Fleet{}.State().Routes();
+  table.m_version = 2;
+  table.m_services.push_back({ ServiceId{ "spare" }, true, true });
+  auto replaced = m_service->ReplaceRoutes(table);
+  auto reported = Send(Report("w1", 0));
+  while (m_movedInstances.empty()) {
+    RunWithPeer();
+  }
+  LoseLeaseWhile([this]() {
+    m_answerMove({ placement::InstanceAnswer::kNotSent, std::nullopt });
+  });
+  const auto limit = MonotonicNow() + Millis{ 4000 };
+  while (m_movedInstances.size() < 2 && MonotonicNow() < limit) {
+    RunWithPeer();
+  }
+  LONGS_EQUAL(2, m_movedInstances.size());
+}
+
 // Guards against maintaining an instance twice. The platform has accepted the
 // order, but until that is committed the wave still shows it as open, and open
 // orders are repeated.
@@ -320,6 +397,33 @@
   LONGS_EQUAL(1, m_maintenanceOrders);
 }
 
+// Guards against maintaining an instance twice, or ending the runs of its next
+// incarnation. If the leader dropped the answer because it held no lease at
+// that moment, it would send the order again as if it were the first one.
+TEST(JobService, OrderAcceptedWhileLeaseIsLost_OrderIsNotRepeated)
+{
+  // No order is repeated until the leases of earlier leaders are over.
+  RunEventLoopFor(5 * kj::SECONDS);
+  AddPeer();
+  fleet::MaintenanceWave wave;
+  wave.m_number = 1;
+  wave.m_instances[InstanceId{ "instance-of-w1" }] =
+    fleet::MaintenanceStep::kWaiting;
+  auto started = m_service->StartMaintenance(wave);
+  std::vector<kj::Promise<WorkerAnswer>> reports;
+  while (m_maintenanceOrders == 0) {
+    reports.push_back(Send(Report("w1", 0)));
+    RunWithPeer();
+  }
+  LoseLeaseWhile([this]() {
+    m_answerMaintenance({ placement::InstanceAnswer::kAccepted, Duration{} });
+  });
+  for (int i = 0; i < 25; ++i) {
+    RunWithPeer();
+  }
+  LONGS_EQUAL(1, m_maintenanceOrders);
+}
+
 // Guards against running a task again. The end of its run is being committed
 // when the worker's next incarnation reports; the end must not be treated as
 // lost with the worker.
