Tests: reports of idle workers are awaited together

JobsFarBeyondTheShare_AreRefusedOnlyWhileTheServiceIsFull failed once beside other load: the eighth of 13 jobs that fit was refused. The three reports are held for 400 ms each, one after the other, and the jobs take 260 ms more; a worker counts as unresponsive 1.5 s after its report, and its room with it. That is the suspected cause; the log of the failed run is gone.

The reports are now sent together, and each answer is checked, too. What is asked of the service is the same.

--- a/tests/unit/control/job_service_test.cpp
+++ b/tests/unit/control/job_service_test.cpp
@@ -529,8 +529,14 @@
   const auto submit = [&](int aNumber) {
     return Call(jobs::CallKind::kSubmit, "j" + std::to_string(aNumber), "key");
   };
+  // The reports are held. One after the other would take so long that the first
+  // worker might count as unresponsive before the last job is submitted.
+  std::vector<kj::Promise<WorkerAnswer>> reports;
   for (const char* worker : { "w1", "w2", "w3" }) {
-    Await(Send(Report(worker, 0)));
+    reports.push_back(Send(Report(worker, 0)));
+  }
+  for (auto& report : reports) {
+    CHECK(Await(kj::mv(report)).has_value());
   }
   constexpr int kFitting = 12;
   for (int i = 0; i <= kFitting; ++i) {
