--- a/tests/unit/consensus/catch_up_test.cpp
+++ b/tests/unit/consensus/catch_up_test.cpp
@@ -544,3 +544,49 @@
     CheckNoViolation(replicas);
   }
 }
+
+// Guards against an entry that a slow link cannot transfer before its
+// connection counts as silent: everything after it would wait.
+TEST(CatchUp, Entry_TooLargeForSlowLink_Commits)
+{
+  for (const std::size_t size : { 300 * 1000, 400 * 1000 }) {
+    BusyGroup group(1);
+    CHECK(group.Form(0));
+    const std::string large(size, 'z');
+    group.All().Propose(large);
+    const auto isCommitted = [&]() {
+      return IsAcknowledged(group.All(), large);
+    };
+    CHECK(group.All().RunUntil(isCommitted, kMaxWait));
+    CheckNoViolation(group.All());
+  }
+}
+
+// Guards against a replica that finds the log cut each time it has written a
+// snapshot, because that takes longer than the leader retains entries for it.
+TEST(CatchUp, EmptiedReplica_HangsAfterEachSnapshot_VotesInTheEnd)
+{
+  for (const Duration hang : { Millis{ 2000 }, Millis{ 3500 } }) {
+    BusyGroup group(1);
+    CHECK(group.Form(1000 * 1000));
+    const std::size_t emptied = (*group.All().Leader() + 1) % 5;
+    group.All().LoseDisk(emptied);
+    group.All().Start(emptied);
+    CHECK(group.Admit(emptied));
+    Index snapshot;
+    int installed = 0;
+    for (int i = 0; i < 200 && installed < 8 && !group.IsVoter(emptied); ++i) {
+      group.Run(Millis{ 100 }, 5);
+      const Index now = group.All().At(emptied).SnapshotIndex();
+      if (now != snapshot) {
+        snapshot = now;
+        ++installed;
+        group.All().Freeze(emptied, true);
+        group.Run(hang, 50);
+        group.All().Freeze(emptied, false);
+      }
+    }
+    CHECK(group.IsVoter(emptied));
+    CheckNoViolation(group.All());
+  }
+}
