--- a/include/bamboostile/consensus/replica.h
+++ b/include/bamboostile/consensus/replica.h
@@ -115,8 +115,8 @@
   const std::set<ReplicaId>& RegressedPeers() const { return m_regressed; }
 
 private:
-  /** A snapshot on its way to a peer. It stays the same until it has arrived,
-   * even if a newer one is taken meanwhile. */
+  /** A snapshot on its way to a peer. Once its first bytes have arrived it
+   * stays the same, even if a newer one is taken. */
   struct Transfer
   {
     std::shared_ptr<const Snapshot> m_snapshot;
