Control: log why the loss of a worker is no evidence

Tasks that crash their workers were started more often than is allowed, and some of their losses counted for nothing. The log did not say why: the worker could have been draining, cordoned, or unknown to its leader.

'worker lost' now names the exemption, and what the worker was cordoned for and since when. No decision changes.

--- a/include/bamboostile/control/instance_service.h
+++ b/include/bamboostile/control/instance_service.h
@@ -11,6 +11,23 @@
 
 namespace bamboostile::control {
 
+/** Why a worker gets no new tasks. */
+enum class CordonCause
+{
+  kMaintenance,
+  kMove,
+  /** Its pool has a surplus. No order has been decided. */
+  kSurplus,
+};
+
+const char* Describe(CordonCause aCause) noexcept;
+
+struct Cordon
+{
+  CordonCause m_cause = CordonCause::kMaintenance;
+  TimePoint m_since;
+};
+
 /** Calls to the platform that hosts the instances. Answers may arrive on any
  * thread; functions that are not set are never called. */
 struct InstanceCalls
@@ -69,6 +86,8 @@
             WallTime aWall);
   /** Workers that get no new tasks. */
   const std::set<WorkerIncarnation>& Cordoned() const { return m_cordoned; }
+  /** Returns null if the worker is not cordoned. */
+  const Cordon* FindCordon(const WorkerIncarnation& aWorker) const;
 
 private:
   struct MaintenanceReply
@@ -123,6 +142,9 @@
   void RequestList(const placement::MaintenancePlan& aMaintenance,
                    TimePoint aNow);
   void HandleList(List aList);
+  void CordonWorkers(const std::set<WorkerIncarnation>& aWorkers,
+                     CordonCause aCause,
+                     TimePoint aNow);
   void ProposeAdvance(const placement::MaintenanceAdvance& aAdvance);
   void RecordAndSend(std::vector<placement::MoveOrder> aOrders,
                      TimePoint aDecidedAt);
@@ -140,6 +162,9 @@
   placement::CapacityPlanner m_capacity;
   placement::OrderRecord m_orderRecord;
   std::set<WorkerIncarnation> m_cordoned;
+  std::map<WorkerIncarnation, Cordon> m_cordons;
+  /** m_cordons before the current tick. */
+  std::map<WorkerIncarnation, Cordon> m_previousCordons;
   std::set<std::pair<std::uint64_t, InstanceId>> m_pendingMaintenance;
   std::size_t m_pendingAdvances = 0;
   /** Number of moves whose answer has not been handled. */
--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -37,6 +37,8 @@
   /** Workers that get no new work: they are about to leave their pool, or are
    * being drained for another one. */
   std::set<WorkerIncarnation> m_cordoned;
+  /** Those of them that are being drained; no order has been decided. */
+  std::set<WorkerIncarnation> m_drained;
   std::vector<MoveOrder> m_orders;
 };
 
--- a/include/bamboostile/placement/losses.h
+++ b/include/bamboostile/placement/losses.h
@@ -20,6 +20,19 @@
 
 const char* Describe(LossCause aCause) noexcept;
 
+/** Why a loss is no evidence against any task of its worker. */
+enum class LossExemption
+{
+  /** It is not exempt. */
+  kNone,
+  /** The worker had announced that it drains. */
+  kDraining,
+  /** A planner had cordoned the worker. */
+  kCordoned,
+};
+
+const char* Describe(LossExemption aExemption) noexcept;
+
 /** A worker that was lost with runs on it, for a reason that the leader does
  * not know. */
 struct LostWorker
@@ -38,6 +51,7 @@
   std::size_t m_concurrentLosses = 0;
   /** The loss is distinct from those of other workers. */
   bool m_isDistinct = false;
+  LossExemption m_exemption = LossExemption::kNone;
 };
 
 /** Workers whose last reports are at most this far apart may have been lost
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -544,6 +544,7 @@
                                   TimePoint aNow) const;
   /** Workers of the service that are not lost. */
   std::size_t CountWorkers(const ServiceId& aService) const;
+  LossExemption ExemptionOf(const Worker& aWorker) const;
   /** Records how the worker was lost, before it is removed from the table. */
   void RecordLoss(Worker& aWorker,
                   LossCause aCause,
--- a/src/control/instance_service.cpp
+++ b/src/control/instance_service.cpp
@@ -22,6 +22,20 @@
 
 } // namespace
 
+const char*
+Describe(CordonCause aCause) noexcept
+{
+  switch (aCause) {
+    case CordonCause::kMaintenance:
+      return "maintenance";
+    case CordonCause::kMove:
+      return "move";
+    case CordonCause::kSurplus:
+      return "surplus";
+  }
+  return "unknown";
+}
+
 InstanceService::InstanceService(Node& aNode,
                                  const InstanceCalls& aCalls,
                                  placement::MaintenanceOptions aMaintenance,
@@ -81,11 +95,34 @@
                       WallTime aWall)
 {
   m_cordoned.clear();
+  m_previousCordons = std::exchange(m_cordons, {});
   m_capacity.AllowOrders(aOrdersAllowed);
   RequestList(PlanMaintenance(aWorkers, aOrdersAllowed, aNow), aNow);
   PlanMoves(aWorkers, aDurations, aNow, aWall);
 }
 
+void
+InstanceService::CordonWorkers(const std::set<WorkerIncarnation>& aWorkers,
+                               CordonCause aCause,
+                               TimePoint aNow)
+{
+  for (const WorkerIncarnation& worker : aWorkers) {
+    const auto previous = m_previousCordons.find(worker);
+    const bool isOld =
+      previous != m_previousCordons.end() && previous->second.m_cause == aCause;
+    m_cordons.try_emplace(
+      worker, Cordon{ aCause, isOld ? previous->second.m_since : aNow });
+    m_cordoned.insert(worker);
+  }
+}
+
+const Cordon*
+InstanceService::FindCordon(const WorkerIncarnation& aWorker) const
+{
+  const auto found = m_cordons.find(aWorker);
+  return found == m_cordons.end() ? nullptr : &found->second;
+}
+
 placement::MaintenancePlan
 InstanceService::PlanMaintenance(const placement::WorkerTable& aWorkers,
                                  bool aOrdersAllowed,
@@ -93,7 +130,7 @@
 {
   placement::MaintenancePlan plan =
     m_maintenance.Next(m_node.State(), aWorkers, aNow);
-  m_cordoned.insert(plan.m_cordoned.begin(), plan.m_cordoned.end());
+  CordonWorkers(plan.m_cordoned, CordonCause::kMaintenance, aNow);
   // A step that is proposed but not yet applied would be proposed again.
   if (m_pendingAdvances == 0) {
     for (const placement::MaintenanceAdvance& advance : plan.m_advances) {
@@ -199,7 +236,8 @@
                                                        m_orderRecord,
                                                        aNow,
                                                        aWall);
-  m_cordoned.insert(plan.m_cordoned.begin(), plan.m_cordoned.end());
+  CordonWorkers(plan.m_drained, CordonCause::kSurplus, aNow);
+  CordonWorkers(plan.m_cordoned, CordonCause::kMove, aNow);
   LogCapacity(plan.m_pools, aNow);
   for (const placement::MoveOrder& order : plan.m_orders) {
     LogLine(Level::kInfo, "moving an instance")
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -170,14 +170,19 @@
   for (const placement::LostWorker& lost : m_workers->TakeLostWorkers()) {
     m_metrics.Count(std::string{ "workers_lost_total{cause=\"" } +
                     placement::Describe(lost.m_cause) + "\"}");
-    WorkerLogLine(Level::kWarning, "worker lost", lost.m_worker)
-      .With("ofInstance", lost.m_instance.Get())
+    LogLine line = WorkerLogLine(Level::kWarning, "worker lost", lost.m_worker);
+    line.With("ofInstance", lost.m_instance.Get())
       .With("cause", placement::Describe(lost.m_cause))
       .With("silentMs", ToMillis(lost.m_unresponsiveFor).count())
       .With("runs", lost.m_runs)
       .With("starting", lost.m_unconfirmedStarts)
       .With("lostBeside", lost.m_concurrentLosses)
-      .Write();
+      .With("exempt", placement::Describe(lost.m_exemption));
+    if (const Cordon* cordon = m_instances->FindCordon(lost.m_worker)) {
+      line.With("cordonedFor", Describe(cordon->m_cause))
+        .With("cordonedMs", ToMillis(MonotonicNow() - cordon->m_since).count());
+    }
+    line.Write();
   }
   for (jobs::EndRun& end : aEnds) {
     m_metrics.Count(std::string{ "runs_ended_total{how=\"" } +
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -487,7 +487,8 @@
       plan.m_cordoned.insert(worker->m_lastReport.m_worker);
     }
   }
-  plan.m_cordoned.insert(m_drainingWorkers.begin(), m_drainingWorkers.end());
+  plan.m_drained = m_drainingWorkers;
+  plan.m_cordoned.insert(plan.m_drained.begin(), plan.m_drained.end());
   return plan;
 }
 
--- a/src/placement/losses.cpp
+++ b/src/placement/losses.cpp
@@ -29,6 +29,20 @@
   return "unknown";
 }
 
+const char*
+Describe(LossExemption aExemption) noexcept
+{
+  switch (aExemption) {
+    case LossExemption::kNone:
+      return "none";
+    case LossExemption::kDraining:
+      return "the worker was draining";
+    case LossExemption::kCordoned:
+      return "the worker was cordoned";
+  }
+  return "unknown";
+}
+
 bool
 IsLossDistinct(const LossCount& aOthers, std::size_t aWorkersOfService)
 {
--- a/src/placement/worker_losses.cpp
+++ b/src/placement/worker_losses.cpp
@@ -171,6 +171,17 @@
                                      : CrashEvidence::kRunning;
 }
 
+LossExemption
+WorkerTable::ExemptionOf(const Worker& aWorker) const
+{
+  if (aWorker.m_lastReport.m_draining) {
+    return LossExemption::kDraining;
+  }
+  return m_cordoned.contains(aWorker.m_lastReport.m_worker)
+           ? LossExemption::kCordoned
+           : LossExemption::kNone;
+}
+
 void
 WorkerTable::RecordLoss(Worker& aWorker,
                         LossCause aCause,
@@ -198,9 +209,10 @@
                          placed->second.size(),
                          unconfirmed.size(),
                          others.m_inFleet,
-                         IsLossDistinct(others, workers) };
+                         IsLossDistinct(others, workers),
+                         ExemptionOf(aWorker) };
   m_lost.push_back(lost);
-  if (aWorker.m_lastReport.m_draining || m_cordoned.contains(id)) {
+  if (lost.m_exemption != LossExemption::kNone) {
     return;
   }
   for (const jobs::TaskRef& ref : placed->second) {
