tests: a deadly task beside a pool that drains its emptiest worker

The leader keeps the emptiest worker with runs cordoned and orders nothing, and no loss of that worker is evidence.

--- a/tests/support/simulated_pool.cpp
+++ b/tests/support/simulated_pool.cpp
@@ -373,6 +373,7 @@
   }
   add(m_table->CollectLostRuns(book, Time(), Wall()));
   MoveInstances(ends);
+  m_table->SetCordoned(CordonedWorkers());
   std::vector<jobs::Change> changes{ ends.begin(), ends.end() };
   const auto settled = m_table->FindStableRuns(book, Time());
   changes.insert(changes.end(), settled.begin(), settled.end());
@@ -440,9 +441,29 @@
       cordoned.insert(IncarnationOf(worker));
     }
   }
+  if (const auto emptiest = FindEmptiest();
+      emptiest && m_options.m_drainsEmptiest) {
+    cordoned.insert(*emptiest);
+  }
   return cordoned;
 }
 
+std::optional<WorkerIncarnation>
+SimulatedPool::FindEmptiest() const
+{
+  std::optional<WorkerIncarnation> emptiest;
+  std::size_t fewest = 0;
+  for (const auto& [incarnation, tasks] : m_fleet.Book().TasksByWorker()) {
+    const placement::Worker* worker = m_table->Find(incarnation);
+    const bool isCandidate = worker != nullptr && !worker->m_isLost;
+    if (isCandidate && (!emptiest || tasks.size() < fewest)) {
+      emptiest = incarnation;
+      fewest = tasks.size();
+    }
+  }
+  return emptiest;
+}
+
 bool
 SimulatedPool::IsAtWork(const Run& aRun) const
 {
--- a/tests/support/simulated_pool.h
+++ b/tests/support/simulated_pool.h
@@ -21,6 +21,9 @@
   /** Number of standby instances, which the leader moves in and out. If there
    * are any, the others can be moved out as well. */
   std::uint32_t m_spares = 0;
+  /** Whether the leader keeps the emptiest of the workers with runs cordoned,
+   * as for a pool with a surplus. Nothing is ordered. */
+  bool m_drainsEmptiest = false;
   jobs::Resources m_capacity{ 16'000, 32'000, 0 };
   /** Time from a crash to the first report of the next incarnation. */
   Millis m_restartTakes{ 2'500 };
@@ -213,6 +216,7 @@
   void SendAnswer(SimulatedWorker& aWorker, placement::Orders aOrders);
   void DeliverAnswers();
   std::set<WorkerIncarnation> CordonedWorkers() const;
+  std::optional<WorkerIncarnation> FindEmptiest() const;
   bool IsAtWork(const Run& aRun) const;
   void TrackAbsences();
   void CountOrderedEnd(const SimulatedWorker& aWorker, const Run& aRun);
