Placement: only an order that was sent exempts the loss of a worker

What callers saw: tasks that crash every worker that starts them were started up to four times after three crashes, two allowed.

Cause: the loss of a cordoned worker was no evidence. The planner cordons the emptiest workers of a pool with a surplus and decides anew in each cycle, without an order; a worker that an isolated run has crashed is the emptiest until its loss is noticed. A wish counted as done.

Change: the service records when an order leaves and how it was answered (OrderEffects). A loss is exempt if an order may have taken effect since the worker's last report: one without an answer, one accepted since, one with a lost answer for as long as it may be executed, or an upkeep that an earlier leader left open. Cordons count for placing only.

WorkersAreOrderedAway_NoJobFails fails without the exemption.

--- a/include/bamboostile/control/instance_service.h
+++ b/include/bamboostile/control/instance_service.h
@@ -86,6 +86,10 @@
             WallTime aWall);
   /** Workers that get no new tasks. */
   const std::set<WorkerIncarnation>& Cordoned() const { return m_cordoned; }
+  std::shared_ptr<const placement::OrderEffects> Effects() const
+  {
+    return m_effects;
+  }
   /** Returns null if the worker is not cordoned. */
   const Cordon* FindCordon(const WorkerIncarnation& aWorker) const;
 
@@ -142,6 +146,7 @@
   void RequestList(const placement::MaintenancePlan& aMaintenance,
                    TimePoint aNow);
   void HandleList(List aList);
+  void InheritEffects();
   void CordonWorkers(const std::set<WorkerIncarnation>& aWorkers,
                      CordonCause aCause,
                      TimePoint aNow);
@@ -161,6 +166,7 @@
   placement::MaintenancePlanner m_maintenance;
   placement::CapacityPlanner m_capacity;
   placement::OrderRecord m_orderRecord;
+  std::shared_ptr<placement::OrderEffects> m_effects;
   std::set<WorkerIncarnation> m_cordoned;
   std::map<WorkerIncarnation, Cordon> m_cordons;
   /** m_cordons before the current tick. */
--- a/include/bamboostile/placement/losses.h
+++ b/include/bamboostile/placement/losses.h
@@ -27,8 +27,8 @@
   kNone,
   /** The worker had announced that it drains. */
   kDraining,
-  /** A planner had cordoned the worker. */
-  kCordoned,
+  /** An order may have ended the worker. */
+  kOrdered,
 };
 
 const char* Describe(LossExemption aExemption) noexcept;
--- a/include/bamboostile/placement/maintenance.h
+++ b/include/bamboostile/placement/maintenance.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bamboostile/fleet/state.h"
+#include "bamboostile/placement/instance_answer.h"
 #include "bamboostile/placement/listed_instance.h"
 #include "bamboostile/placement/wave_caps.h"
 #include "bamboostile/placement/workers.h"
@@ -18,25 +19,6 @@
   auto operator<=>(const MaintenanceOrder&) const = default;
 };
 
-/** The platform's answer to an order. */
-enum class InstanceAnswer
-{
-  kAccepted,
-  /** The instance is not up at the moment, or is leaving. */
-  kBusy,
-  /** The platform does not know the instance or the wave, or the wave does not
-   * include the instance. */
-  kNotApplicable,
-  /** A later leader has sent an order. */
-  kSuperseded,
-  /** Abandoned before its first byte was sent; it will not be executed. */
-  kNotSent,
-  /** No answer, or an inconclusive one; the order may have been executed. */
-  kUnclear,
-};
-
-const char* Describe(InstanceAnswer aAnswer) noexcept;
-
 /** Why the step of an instance changes. */
 enum class AdvanceCause
 {
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -4,9 +4,11 @@
 #include "bamboostile/placement/ended_lives.h"
 #include "bamboostile/placement/losses.h"
 #include "bamboostile/placement/mechanisms.h"
+#include "bamboostile/placement/order_effects.h"
 #include "bamboostile/workspaces/accounts.h"
 
 #include <map>
+#include <memory>
 #include <set>
 #include <utility>
 #include <variant>
@@ -325,11 +327,10 @@
   std::vector<jobs::MarkRunStable> FindStableRuns(const jobs::JobTable& aBook,
                                                   TimePoint aNow) const;
 
-  /** Sets the workers that are about to leave; their loss implies nothing
-   * about their tasks. */
-  void SetCordoned(std::set<WorkerIncarnation> aWorkers)
+  /** Sets the orders whose effects are no evidence against any task. */
+  void SetOrderEffects(std::shared_ptr<const OrderEffects> aEffects)
   {
-    m_cordoned = std::move(aWorkers);
+    m_orderEffects = std::move(aEffects);
   }
 
   /** Sets what the workspaces use. A start that was placed before a cap was
@@ -544,6 +545,8 @@
                                   TimePoint aNow) const;
   /** Workers of the service that are not lost. */
   std::size_t CountWorkers(const ServiceId& aService) const;
+  /** An order may take effect on the worker after aTime. */
+  bool MayBeOrderedAfter(const Worker& aWorker, TimePoint aTime) const;
   LossExemption ExemptionOf(const Worker& aWorker) const;
   /** Records how the worker was lost, before it is removed from the table. */
   void RecordLoss(Worker& aWorker,
@@ -580,7 +583,7 @@
   EndedIncarnations m_retired;
   /** Incarnations followed by another one, as far as reports can prove it. */
   EndedIncarnations m_superseded;
-  std::set<WorkerIncarnation> m_cordoned;
+  std::shared_ptr<const OrderEffects> m_orderEffects;
   /** Workers with accepted ends that are not on a receipt yet. */
   std::set<WorkerIncarnation> m_withoutReceipt;
   std::vector<LostWorker> m_lost;
--- a/src/control/instance_service.cpp
+++ b/src/control/instance_service.cpp
@@ -52,14 +52,30 @@
   , m_maintenance(aMaintenance)
   , m_capacity(aCapacity)
   , m_orderRecord(aCapacity.m_handoverDelay)
+  , m_effects(
+      std::make_shared<placement::OrderEffects>(aMaintenance.m_maxOrderDelay))
   , m_tasks(*this)
 {
   m_orderRecord.Inherit(m_node.State().RecentOrders(), MonotonicNow());
+  InheritEffects();
   m_tasks.add(MaintenanceLoop());
   m_tasks.add(MoveLoop());
   m_tasks.add(ListLoop());
 }
 
+// Moves of an earlier leader are left out: they meet only workers without runs.
+void
+InstanceService::InheritEffects()
+{
+  for (const auto& [number, wave] : m_node.State().Maintenance()) {
+    for (const auto& [instance, step] : wave.m_instances) {
+      if (step == fleet::MaintenanceStep::kOrdered) {
+        m_effects->Inherit(instance, MonotonicNow());
+      }
+    }
+  }
+}
+
 void
 InstanceService::taskFailed(kj::Exception&& aException)
 {
@@ -150,6 +166,7 @@
     if (m_pendingMaintenance.emplace(order.m_wave, order.m_instance).second) {
       m_capacity.OnMaintenanceOrders(1);
       m_orderRecord.OnOrdered(order.m_instance);
+      m_effects->OnSent(order.m_instance, aNow);
       m_calls.m_maintenance(
         order, m_term, [answers = m_answers, order, aNow](const auto& aAnswer) {
           answers->m_maintenance.Put({ order, aAnswer, aNow });
@@ -200,6 +217,8 @@
 InstanceService::HandleReply(const MaintenanceReply& aReply)
 {
   m_orderRecord.OnAnswered(aReply.m_order.m_instance, MonotonicNow());
+  m_effects->OnAnswered(
+    aReply.m_order.m_instance, aReply.m_answer.m_answer, MonotonicNow());
   LogAnswer(LogLine(Level::kInfo, "maintenance order answered")
               .With("wave", aReply.m_order.m_wave)
               .With("ofInstance", aReply.m_order.m_instance.Get()),
@@ -287,6 +306,7 @@
       aOrder, { placement::InstanceAnswer::kNotSent, {} }, aDecidedAt });
     return;
   }
+  m_effects->OnSent(aOrder.m_instance, MonotonicNow());
   m_calls.m_move(
     aOrder,
     m_term,
@@ -332,6 +352,8 @@
 {
   --m_pendingMoves;
   m_orderRecord.OnAnswered(aReply.m_order.m_instance, MonotonicNow());
+  m_effects->OnAnswered(
+    aReply.m_order.m_instance, aReply.m_answer.m_answer, MonotonicNow());
   LogAnswer(LogLine(Level::kInfo, "move answered")
               .With("ofInstance", aReply.m_order.m_instance.Get())
               .With("to", aReply.m_order.m_to.Get()),
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -79,6 +79,7 @@
       [this](const WorkerIncarnation& aWorker, TimePoint aOrderedAt) {
         OnOrderAccepted(aWorker, aOrderedAt);
       });
+    m_workers->SetOrderEffects(m_instances->Effects());
     m_queuedChanges.clear();
     m_startedAt.clear();
     m_workspaces = WorkspaceMonitor{};
@@ -335,7 +336,6 @@
                     m_sheddingLevel == placement::SheddingLevel::kNone,
                     aNow,
                     WallNow());
-  m_workers->SetCordoned(m_instances->Cordoned());
   m_latencies.Observe(Stage::kInstanceTick, MonotonicNow() - aNow);
 }
 
--- a/src/placement/losses.cpp
+++ b/src/placement/losses.cpp
@@ -37,8 +37,8 @@
       return "none";
     case LossExemption::kDraining:
       return "the worker was draining";
-    case LossExemption::kCordoned:
-      return "the worker was cordoned";
+    case LossExemption::kOrdered:
+      return "an order may have ended the worker";
   }
   return "unknown";
 }
--- a/src/placement/maintenance.cpp
+++ b/src/placement/maintenance.cpp
@@ -40,26 +40,6 @@
 
 } // namespace
 
-const char*
-Describe(InstanceAnswer aAnswer) noexcept
-{
-  switch (aAnswer) {
-    case InstanceAnswer::kAccepted:
-      return "taken";
-    case InstanceAnswer::kBusy:
-      return "the instance is busy";
-    case InstanceAnswer::kNotApplicable:
-      return "not applicable to the instance";
-    case InstanceAnswer::kSuperseded:
-      return "superseded by a later leader";
-    case InstanceAnswer::kNotSent:
-      return "abandoned before it was sent";
-    case InstanceAnswer::kUnclear:
-      return "no clear answer";
-  }
-  return "unknown";
-}
-
 const char*
 Describe(AdvanceCause aCause) noexcept
 {
--- a/src/placement/worker_losses.cpp
+++ b/src/placement/worker_losses.cpp
@@ -171,14 +171,23 @@
                                      : CrashEvidence::kRunning;
 }
 
+bool
+WorkerTable::MayBeOrderedAfter(const Worker& aWorker, TimePoint aTime) const
+{
+  return m_orderEffects != nullptr &&
+         m_orderEffects->MayOccurAfter(aWorker.m_lastReport.m_instance, aTime);
+}
+
+// The intention to order a worker away later explains nothing. A worker that a
+// task has just crashed is often chosen for it, as it runs hardly anything.
 LossExemption
 WorkerTable::ExemptionOf(const Worker& aWorker) const
 {
   if (aWorker.m_lastReport.m_draining) {
     return LossExemption::kDraining;
   }
-  return m_cordoned.contains(aWorker.m_lastReport.m_worker)
-           ? LossExemption::kCordoned
+  return MayBeOrderedAfter(aWorker, aWorker.m_lastReportAt)
+           ? LossExemption::kOrdered
            : LossExemption::kNone;
 }
 
--- a/tests/support/simulated_pool.cpp
+++ b/tests/support/simulated_pool.cpp
@@ -12,6 +12,7 @@
 constexpr Millis kReportInterval{ 200 };
 constexpr Millis kMovePollInterval{ 100 };
 constexpr Millis kMoveDuration{ 1'500 };
+constexpr Millis kMaxOrderDelay{ 3'000 };
 constexpr Millis kGangTimeout{ 3'000 };
 constexpr Millis kStartupOfLongRunning{ 300 };
 constexpr std::int64_t kInitialWallTimeMs = 1'790'000'000'000;
@@ -48,7 +49,7 @@
   : m_options(aOptions)
   , m_random(aOptions.m_seed)
 {
-  m_table.emplace(placement::LeaseOptions{}, TimePoint{});
+  BeginLeading();
   for (std::uint32_t i = 0; i < m_options.m_workers + m_options.m_spares; ++i) {
     SimulatedWorker& worker = m_workers.emplace_back();
     worker.m_instance = "i" + std::to_string(i);
@@ -68,6 +69,14 @@
   }
 }
 
+void
+SimulatedPool::BeginLeading()
+{
+  m_table.emplace(placement::LeaseOptions{}, TimePoint{ m_leaderStartsAt });
+  m_effects = std::make_shared<placement::OrderEffects>(kMaxOrderDelay);
+  m_table->SetOrderEffects(m_effects);
+}
+
 void
 SimulatedPool::Submit(const std::string& aJob,
                       jobs::JobSpec aSpec,
@@ -373,7 +382,6 @@
   }
   add(m_table->CollectLostRuns(book, Time(), Wall()));
   MoveInstances(ends);
-  m_table->SetCordoned(CordonedWorkers());
   std::vector<jobs::Change> changes{ ends.begin(), ends.end() };
   const auto settled = m_table->FindStableRuns(book, Time());
   changes.insert(changes.end(), settled.begin(), settled.end());
@@ -556,10 +564,13 @@
     for (const Run& run : worker.m_runs) {
       CountOrderedEnd(worker, run);
     }
+    m_effects->OnSent(order.m_instance, Time());
     Crash(worker, kMoveDuration);
     worker.m_downUntil = isOut ? Millis::max() : worker.m_downUntil;
     const auto ended =
       m_capacity.OnAnswer(order, placement::InstanceAnswer::kAccepted, Time());
+    m_effects->OnAnswered(
+      order.m_instance, placement::InstanceAnswer::kAccepted, Time());
     if (ended) {
       const auto more =
         m_table->RetireInstance(*ended, Time(), m_fleet.Book(), Wall());
@@ -701,6 +712,24 @@
   Crash(m_workers[aWorker], aDown);
 }
 
+void
+SimulatedPool::TakeDown(std::uint32_t aWorker,
+                        placement::InstanceAnswer aAnswer,
+                        Millis aDown)
+{
+  SimulatedWorker& worker = m_workers[aWorker];
+  const InstanceId instance{ worker.m_instance };
+  const WorkerIncarnation target = IncarnationOf(worker);
+  m_effects->OnSent(instance, Time());
+  Crash(worker, aDown);
+  m_effects->OnAnswered(instance, aAnswer, Time());
+  if (aAnswer == placement::InstanceAnswer::kAccepted) {
+    const auto ends =
+      m_table->RetireInstance(target, Time(), m_fleet.Book(), Wall());
+    m_fleet.Apply({ ends.begin(), ends.end() });
+  }
+}
+
 void
 SimulatedPool::CutWorker(std::uint32_t aWorker, Millis aTime)
 {
@@ -750,7 +779,7 @@
 {
   m_fleet.Restore();
   m_leaderStartsAt = m_now + aGap;
-  m_table.emplace(placement::LeaseOptions{}, TimePoint{ m_leaderStartsAt });
+  BeginLeading();
   m_planner = placement::Planner{};
   m_capacity = placement::CapacityPlanner{};
   m_cordoned.clear();
--- a/tests/support/simulated_pool.h
+++ b/tests/support/simulated_pool.h
@@ -89,6 +89,11 @@
   /** The worker announces that it drains; after aTime a new incarnation
    * follows. */
   void DrainWorker(std::uint32_t aWorker, Millis aTime);
+  /** Takes the worker down by an order; a new incarnation reports after aDown.
+   */
+  void TakeDown(std::uint32_t aWorker,
+                placement::InstanceAnswer aAnswer,
+                Millis aDown);
   void Resize(std::uint32_t aWorker, jobs::Resources aCapacity);
   /** Delivers a copy of the worker's latest report after aDelay; the answer is
    * dropped. */
@@ -109,6 +114,11 @@
   std::uint32_t CountTwice() const;
   std::uint32_t CrashesByTasks() const { return m_crashesByTasks; }
   std::size_t CountJobs(jobs::JobState aState) const;
+  /** Counts tasks that are suspected of a lost worker. */
+  std::size_t CountTasksWithLosses() const
+  {
+    return m_fleet.Book().TasksWithLosses().size();
+  }
   /** Returns whether the runs of all workers fit their reported capacity. */
   bool IsWithinCapacity() const;
   /** Counts starts that exceeded the worker's reported capacity. */
@@ -192,6 +202,7 @@
     placement::WorkerReport m_report;
   };
 
+  void BeginLeading();
   void Step();
   void Advance(SimulatedWorker& aWorker);
   WorkerIncarnation IncarnationOf(const SimulatedWorker& aWorker) const;
@@ -240,6 +251,7 @@
   std::uint32_t m_endsOverBudget = 0;
   std::uint32_t m_orderedEnds = 0;
   std::optional<placement::WorkerTable> m_table;
+  std::shared_ptr<placement::OrderEffects> m_effects;
   placement::Planner m_planner;
   placement::CapacityPlanner m_capacity;
   placement::OrderRecord m_moveRecord{ Millis{ 3000 } };
--- a/tests/unit/placement/crash_loop_bound_test.cpp
+++ b/tests/unit/placement/crash_loop_bound_test.cpp
@@ -7,6 +7,7 @@
 using namespace bamboostile;
 using namespace bamboostile::jobs;
 using namespace job_fixtures;
+using placement::InstanceAnswer;
 using simulated_pool::kCrashFirst;
 using simulated_pool::PoolOptions;
 using simulated_pool::SimulatedPool;
@@ -87,3 +88,27 @@
     CheckBound(pool, seed);
   }
 }
+
+// Guards against healthy jobs that fail because their workers were ordered
+// away, also where the answers to the orders are lost.
+TEST(CrashLoopBound, WorkersAreOrderedAway_NoJobFails)
+{
+  for (unsigned seed = 1; seed <= SeedCount(10); ++seed) {
+    SimulatedPool pool{ Options(seed) };
+    std::minstd_rand random{ seed };
+    const std::string name = "seed " + std::to_string(seed);
+    for (int i = 0; i < kTicks; ++i) {
+      pool.Submit("job" + std::to_string(i), Spec({ Step(6), Step(3, 2000) }));
+      pool.Pass(kTick);
+      pool.TakeDown(random() % kWorkers,
+                    random() % 2 == 0 ? InstanceAnswer::kUnclear
+                                      : InstanceAnswer::kAccepted,
+                    Millis{ 2'000 });
+      LONGS_EQUAL_TEXT(0, pool.CountTasksWithLosses(), name.c_str());
+    }
+    pool.Pass(kMinute);
+    LONGS_EQUAL_TEXT(0, pool.CountTasksWithLosses(), name.c_str());
+    LONGS_EQUAL_TEXT(
+      kTicks, pool.CountJobs(JobState::kCompleted), name.c_str());
+  }
+}
