Placement: the evidence of a superseded worker is kept until its ends commit

What callers may see: a task that crashes its workers is started again for each loss whose evidence is forgotten.

Cause: the evidence was kept with the incarnation and forgotten when a later one superseded it. While the end of its runs was not committed it was proposed again, as for a run that was never sent: without evidence. The second proposal follows in the same batch and has no effect there; if the first batch is undecided and the leader stays, it is the one that counts.

Change: what was proposed is kept until no run of the incarnation is left in the state. Runs that were never sent still give no evidence.

Test: WorkerTable.EndOfSupersededWorkerIsProposedAgain_EvidenceIsTheSame, failed before: 'none' instead of 'had just started'.

--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -583,6 +583,10 @@
   EndedIncarnations m_retired;
   /** Incarnations followed by another one, as far as reports can prove it. */
   EndedIncarnations m_superseded;
+  /** What the losses of superseded incarnations imply, until the ends of their
+   * runs are committed. */
+  std::map<std::pair<WorkerIncarnation, jobs::TaskRef>, jobs::CrashEvidence>
+    m_evidenceOfEnded;
   std::shared_ptr<const OrderEffects> m_orderEffects;
   /** Workers with accepted ends that are not on a receipt yet. */
   std::set<WorkerIncarnation> m_withoutReceipt;
--- a/src/placement/worker_lives.cpp
+++ b/src/placement/worker_lives.cpp
@@ -204,6 +204,9 @@
                        placed->second.size() });
   }
   aResult.m_ends = EndAllRuns(aPrevious, aReport.m_instance, aBook, aWall);
+  for (const jobs::EndRun& end : aResult.m_ends) {
+    m_evidenceOfEnded[{ aPrevious, end.m_task }] = end.m_evidence;
+  }
   aResult.m_changed = true;
   Forget(aPrevious);
   (aPrevious.HasStartTime() ? m_superseded : m_retired).Add(aPrevious);
--- a/src/placement/worker_losses.cpp
+++ b/src/placement/worker_losses.cpp
@@ -265,8 +265,13 @@
     return found == worker->m_evidence.end() ? jobs::CrashEvidence::kNone
                                              : found->second;
   }
+  if (HasEnded(aWorker)) {
+    const auto ended = m_evidenceOfEnded.find({ aWorker, aTask });
+    return ended == m_evidenceOfEnded.end() ? jobs::CrashEvidence::kNone
+                                            : ended->second;
+  }
   const jobs::Task& task = *aBook.FindTask(aTask);
-  if (task.m_isStable || HasEnded(aWorker)) {
+  if (task.m_isStable) {
     return jobs::CrashEvidence::kNone;
   }
   return jobs::IsSuspect(task.m_losses) ? jobs::CrashEvidence::kStarting
@@ -321,13 +326,16 @@
     }
   }
   ForgetCandidates(aNow);
+  std::erase_if(m_evidenceOfEnded, [&](const auto& aEntry) {
+    return !aBook.TasksByWorker().contains(aEntry.first.first);
+  });
   const bool knowsAllLeases = KnowsAllLeases(aNow);
   for (const auto& [id, tasks] : aBook.TasksByWorker()) {
     if (m_workers.contains(id)) {
       continue;
     }
-    // The run was placed before the proof of the incarnation's end arrived,
-    // and it was never sent.
+    // The run was placed before the proof of the incarnation's end arrived, and
+    // it was never sent; or its end was proposed and is not committed yet.
     if (HasEnded(id)) {
       add(id, InstanceId{});
     } else if (knowsAllLeases) {
--- a/tests/unit/placement/workers_test.cpp
+++ b/tests/unit/placement/workers_test.cpp
@@ -506,3 +506,25 @@
   m_table.SetReportIntervalFactor(2);
   CHECK(Answer("w1", 1000).m_nextReport == Millis{ 700 });
 }
+
+// Guards against evidence that is forgotten with an incarnation while the end
+// of its runs is not committed yet.
+TEST(WorkerTable, EndOfSupersededWorkerIsProposedAgain_EvidenceIsTheSame)
+{
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  Receive(Report("w1", 1), kLater);
+  m_fleet.Start(Ref("a"), "w1");
+  Answer("w1", kLater);
+  WorkerReport next = Report("w2", 1);
+  next.m_instance = InstanceId{ "instance-of-w1" };
+  Receive(next, kLater + 2'000);
+  next.m_sequence = 2;
+  const auto proposed = m_table.OnReport(
+    next, m_fleet.Book(), At(kLater + 3'100), WallTime{ kWall });
+  LONGS_EQUAL(1, proposed.m_ends.size());
+  const auto again = m_table.CollectLostRuns(
+    m_fleet.Book(), At(kLater + 3'200), WallTime{ kWall });
+  LONGS_EQUAL(1, again.size());
+  STRCMP_EQUAL("had just started", Describe(proposed.m_ends[0].m_evidence));
+  STRCMP_EQUAL("had just started", Describe(again[0].m_evidence));
+}
