Placement: no isolated run where an order may still take effect

The loss of such a run would be exempt and the task started once more. Planners cordon a worker before they order its instance, so the case needs an order whose answer was lost.

Test: PlacementPlanner.OrderMayStillTakeEffect_NoIsolatedRunThere failed before.

--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -101,6 +101,8 @@
     bool m_isShared = false;
     /** Reserved for a large task that does not fit anywhere yet. */
     bool m_isReserved = false;
+    /** An order may still end the worker, and the loss would prove nothing. */
+    bool m_mayBeOrdered = false;
     /** The worker may be lost: it counts in the pool but gets no new tasks. */
     bool m_isUnresponsive = false;
 
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -415,6 +415,10 @@
   {
     return aNow >= aWorker.m_lastReportAt + m_options.m_unresponsiveAfter;
   }
+  /** A suspect has an isolated run on the worker. */
+  bool HasIsolatedRun(const Worker& aWorker, const jobs::JobTable& aBook) const;
+  /** An order may take effect on the worker after aTime. */
+  bool MayBeOrderedAfter(const Worker& aWorker, TimePoint aTime) const;
   /** Another incarnation on its instance first reported after the worker's
    * last report. */
   bool HasLaterIncarnation(const Worker& aWorker) const;
@@ -527,7 +531,6 @@
   static bool IsIsolatedRun(const jobs::TaskRef& aTask,
                             const std::vector<jobs::TaskRef>& aUnconfirmed,
                             const jobs::JobTable& aBook);
-  bool HasIsolatedRun(const Worker& aWorker, const jobs::JobTable& aBook) const;
   jobs::CrashEvidence AssessEvidence(
     const jobs::TaskRef& aTask,
     const Worker& aWorker,
@@ -545,8 +548,6 @@
                                   TimePoint aNow) const;
   /** Workers of the service that are not lost. */
   std::size_t CountWorkers(const ServiceId& aService) const;
-  /** An order may take effect on the worker after aTime. */
-  bool MayBeOrderedAfter(const Worker& aWorker, TimePoint aTime) const;
   LossExemption ExemptionOf(const Worker& aWorker) const;
   /** Records how the worker was lost, before it is removed from the table. */
   void RecordLoss(Worker& aWorker,
--- a/src/placement/trials.cpp
+++ b/src/placement/trials.cpp
@@ -134,8 +134,9 @@
       target.m_isolatedJob == nullptr &&
       (!mayIsolateAnother || (isFragile(target) && !allowsFragile) ||
        (wasLostOnInstance(target) && !allowsSameInstance));
-    if (isExcluded || !target.AcceptsIsolatedRunOf(aJob, aIsShared) ||
-        !target.Fits(aStep) || !IsEligible(aStep, aTasksPerWorker, target)) {
+    if (isExcluded || target.m_mayBeOrdered ||
+        !target.AcceptsIsolatedRunOf(aJob, aIsShared) || !target.Fits(aStep) ||
+        !IsEligible(aStep, aTasksPerWorker, target)) {
       continue;
     }
     if (best == nullptr || rank(target) < rank(*best)) {
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -328,3 +328,22 @@
   CHECK(plan.m_fullServices.empty());
   CHECK(plan.m_atCap.contains(WorkspaceId{ "a" }));
 }
+
+// Guards against isolated runs whose loss proves nothing, as an order that was
+// sent before may have ended the worker.
+TEST(PlacementPlanner, OrderMayStillTakeEffect_NoIsolatedRunThere)
+{
+  const auto effects = std::make_shared<OrderEffects>(Millis{ 3000 });
+  m_table.SetOrderEffects(effects);
+  Receive(Report("w1", 1));
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  m_fleet.Start(Ref("a"), "w0");
+  EndRun lost{ Ref("a"), RunNumber{ 1 }, RunEnd::kWorkerLost, "", {} };
+  lost.m_evidence = CrashEvidence::kStarting;
+  m_fleet.Apply({ lost });
+  effects->OnSent(InstanceId{ "instance-of-w1" }, At(kSteadyMs - 100));
+  LONGS_EQUAL(0, StartPlanned());
+  effects->OnAnswered(
+    InstanceId{ "instance-of-w1" }, InstanceAnswer::kBusy, At(kSteadyMs - 50));
+  LONGS_EQUAL(1, StartPlanned());
+}
