--- a/tests/support/simulated_pool.cpp
+++ b/tests/support/simulated_pool.cpp
@@ -788,8 +788,10 @@
 void
 SimulatedPool::DrainWorker(std::uint32_t aWorker, Millis aTime)
 {
-  m_workers[aWorker].m_isDraining = true;
-  m_workers[aWorker].m_crashAt = m_now + aTime;
+  SimulatedWorker& worker = m_workers[aWorker];
+  const Millis at = m_now + aTime;
+  worker.m_isDraining = true;
+  worker.m_crashAt = std::min(worker.m_crashAt.value_or(at), at);
 }
 
 void
--- a/tests/unit/placement/crash_loop_bound_test.cpp
+++ b/tests/unit/placement/crash_loop_bound_test.cpp
@@ -239,3 +239,18 @@
   }
   CHECK_STRING("", violations);
 }
+
+// Guards against a task that is never given up: it crashes its workers after a
+// report has shown it, and they come back only after their leases have ended.
+TEST(CrashLoopBound, LateCrashesAndLateRestarts_JobFails)
+{
+  PoolOptions options;
+  options.m_crashAfter = Millis{ 300 };
+  options.m_restartTakes = Millis{ 6'000 };
+  SimulatedPool pool{ options };
+  pool.Submit("bad", Crashing(1));
+  pool.Pass(3 * kMinute);
+  CHECK_COMPARE(
+    pool.MostStartsAfterThreeCrashes(), <=, kMaxStartsAfterThreeCrashes);
+  STRCMP_EQUAL("failed", Describe(pool.StateOf("bad")));
+}
