Jobs: a worker lost in an isolated run is evidence also without a proof

What callers saw: found on the way, by a test only. A task that crashes its workers after a report has shown it, on workers that come back after their leases have ended, was started without a limit.

Cause: where a run is isolated as a whole, a loss that is no proof of a crash was no evidence at all; the worker may be cut off and still running. So the one loss that nothing else explains counted less than one in a crowd.

Change: a loss of its own kind, 'was running, alone'. It never proves a crasher, but counts among five losses like one at the start. Losses beside others, and again on an instance that lost the task before, count as before.

--- a/include/bamboostile/jobs/model.h
+++ b/include/bamboostile/jobs/model.h
@@ -117,6 +117,10 @@
   /** The task was running there, and other workers were lost at about the same
    * time. */
   kConcurrent = 4,
+  /** The task was running there in an isolated run, and no other worker was
+   * lost at about the same time. The worker may be cut off and still running.
+   */
+  kRunningIsolated = 5,
 };
 
 /** The loss, for an unknown reason, of a worker that was running a task. */
--- a/src/jobs/crash_loop.cpp
+++ b/src/jobs/crash_loop.cpp
@@ -26,15 +26,15 @@
 constexpr std::size_t kMinLossesForQuietPeriod = 3;
 /** Number of losses of any kind with which one proof is enough. */
 constexpr std::size_t kMinLossesWithOneProof = 5;
-/** Number of losses at the start, including the proof, with which one proof is
- * enough. */
-constexpr std::size_t kMinLossesAtStartWithOneProof = 4;
+/** Number of losses that point to the task, including the proof, with which one
+ * proof is enough. */
+constexpr std::size_t kMinDistinctLossesWithOneProof = 4;
 /** Number of losses of any kind with which no proof is needed, and how many of
- * them must be at the start: at the end the isolated runs have waited for a
+ * them must point to the task: at the end the isolated runs have waited for a
  * quiet period. The others may have been noticed by a leader that does not know
  * when the run was started. */
 constexpr std::size_t kMinLossesWithoutProof = 5;
-constexpr std::size_t kMinLossesAtStartWithoutProof = 3;
+constexpr std::size_t kMinDistinctLossesWithoutProof = 3;
 constexpr std::size_t kMaxDoublings = 3;
 constexpr Millis kFirstDelay{ 250 };
 
@@ -58,14 +58,27 @@
 int
 WeightOf(CrashEvidence aEvidence)
 {
-  return aEvidence == CrashEvidence::kConcurrent ? 0
-                                                 : static_cast<int>(aEvidence);
+  switch (aEvidence) {
+    case CrashEvidence::kNone:
+    case CrashEvidence::kConcurrent:
+      return 0;
+    case CrashEvidence::kRunning:
+      return 1;
+    case CrashEvidence::kStarting:
+    case CrashEvidence::kRunningIsolated:
+      return 2;
+    case CrashEvidence::kIsolated:
+      return 3;
+  }
+  return 0;
 }
 
+/** Counts the losses that point to the task more than to others. */
 std::size_t
-CountAtStart(const std::vector<WorkerLoss>& aLosses)
+CountDistinct(const std::vector<WorkerLoss>& aLosses)
 {
   return Count(aLosses, CrashEvidence::kStarting) +
+         Count(aLosses, CrashEvidence::kRunningIsolated) +
          Count(aLosses, CrashEvidence::kIsolated);
 }
 
@@ -85,6 +98,8 @@
       return "had just started, alone";
     case CrashEvidence::kConcurrent:
       return "was running, other workers were lost as well";
+    case CrashEvidence::kRunningIsolated:
+      return "was running, alone";
   }
   return "unknown";
 }
@@ -127,7 +142,7 @@
 bool
 IsSuspect(const std::vector<WorkerLoss>& aLosses)
 {
-  return CountAtStart(aLosses) > 0 ||
+  return CountDistinct(aLosses) > 0 ||
          Count(aLosses, CrashEvidence::kRunning) >=
            kMinRunningLossesOfSuspect ||
          aLosses.size() >= kMinLossesOfSuspect;
@@ -176,9 +191,9 @@
   return proofs >= kProofs ||
          (proofs > 0 &&
           (aLosses.size() >= kMinLossesWithOneProof ||
-           CountAtStart(aLosses) >= kMinLossesAtStartWithOneProof)) ||
+           CountDistinct(aLosses) >= kMinDistinctLossesWithOneProof)) ||
          (aLosses.size() >= kMinLossesWithoutProof &&
-          CountAtStart(aLosses) >= kMinLossesAtStartWithoutProof);
+          CountDistinct(aLosses) >= kMinDistinctLossesWithoutProof);
 }
 
 // Jitter prevents the tasks that became suspects in one crash from restarting
--- a/src/placement/worker_losses.cpp
+++ b/src/placement/worker_losses.cpp
@@ -128,11 +128,12 @@
   const bool isShared = aLost.m_concurrentLosses > 0;
   const bool isDistinct =
     jobs::NeedsQuietPeriod(losses) ? aLost.m_isDistinct : !isShared;
+  const bool isOtherInstance =
+    !jobs::HasLossOn(losses, aWorker.m_lastReport.m_instance) ||
+    jobs::CountInstances(losses) >= kMinInstancesForProof;
   const bool isProofOfCrash =
     aLost.m_cause == LossCause::kLaterIncarnation && isDistinct &&
-    aLost.m_unresponsiveFor >= m_options.m_unresponsiveAfter &&
-    (!jobs::HasLossOn(losses, aWorker.m_lastReport.m_instance) ||
-     jobs::CountInstances(losses) >= kMinInstancesForProof);
+    aLost.m_unresponsiveFor >= m_options.m_unresponsiveAfter && isOtherInstance;
   const auto& placed = aBook.TasksByWorker().at(aWorker.m_lastReport.m_worker);
   const bool hasOtherIsolatedRun =
     std::any_of(placed.begin(), placed.end(), [&](const auto& aOther) {
@@ -164,8 +165,13 @@
   if (isShared) {
     return CrashEvidence::kConcurrent;
   }
+  if (isIsolated && hasOtherIsolatedRun) {
+    return CrashEvidence::kRunning;
+  }
   if (isIsolated) {
-    return hasOtherIsolatedRun ? CrashEvidence::kRunning : CrashEvidence::kNone;
+    return isOtherInstance && aUnconfirmed.empty()
+             ? CrashEvidence::kRunningIsolated
+             : CrashEvidence::kNone;
   }
   return aWorker.m_lostInIsolatedRun ? CrashEvidence::kConcurrent
                                      : CrashEvidence::kRunning;
