Placement: the evidence of a worker that is ordered away is kept as well

What callers may see: a task that crashes its workers is started again for a loss whose evidence is forgotten.

Cause: the same as for superseded workers. A worker that was lost, and whose instance an order has ended before the ends of its runs were committed, was forgotten with what its loss implied.

Test: WorkerTable.EndOfWorkerThatIsOrderedAwayLaterIsProposedAgain_SameEvidence failed before.

--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -491,6 +491,8 @@
                          TimePoint aNow,
                          WallTime aWall,
                          ReportResult& aResult);
+  void KeepEvidence(const WorkerIncarnation& aWorker,
+                    const std::vector<jobs::EndRun>& aEnds);
   void ForgetCandidates(TimePoint aNow);
   void Forget(const WorkerIncarnation& aWorker);
   bool HasEnded(const WorkerIncarnation& aWorker) const
@@ -584,8 +586,8 @@
   EndedIncarnations m_retired;
   /** Incarnations followed by another one, as far as reports can prove it. */
   EndedIncarnations m_superseded;
-  /** What the losses of superseded incarnations imply, until the ends of their
-   * runs are committed. */
+  /** What the losses of ended incarnations imply, until the ends of their runs
+   * are committed. */
   std::map<std::pair<WorkerIncarnation, jobs::TaskRef>, jobs::CrashEvidence>
     m_evidenceOfEnded;
   std::shared_ptr<const OrderEffects> m_orderEffects;
--- a/src/placement/worker_lives.cpp
+++ b/src/placement/worker_lives.cpp
@@ -204,9 +204,7 @@
                        placed->second.size() });
   }
   aResult.m_ends = EndAllRuns(aPrevious, aReport.m_instance, aBook, aWall);
-  for (const jobs::EndRun& end : aResult.m_ends) {
-    m_evidenceOfEnded[{ aPrevious, end.m_task }] = end.m_evidence;
-  }
+  KeepEvidence(aPrevious, aResult.m_ends);
   aResult.m_changed = true;
   Forget(aPrevious);
   (aPrevious.HasStartTime() ? m_superseded : m_retired).Add(aPrevious);
@@ -242,6 +240,15 @@
   });
 }
 
+void
+WorkerTable::KeepEvidence(const WorkerIncarnation& aWorker,
+                          const std::vector<jobs::EndRun>& aEnds)
+{
+  for (const jobs::EndRun& end : aEnds) {
+    m_evidenceOfEnded[{ aWorker, end.m_task }] = end.m_evidence;
+  }
+}
+
 std::vector<jobs::EndRun>
 WorkerTable::Retire(const WorkerIncarnation& aWorker,
                     const jobs::JobTable& aBook,
@@ -252,6 +259,7 @@
   const InstanceId instance =
     worker == nullptr ? InstanceId{} : worker->m_lastReport.m_instance;
   auto ends = EndAllRuns(aWorker, instance, aBook, aWall);
+  KeepEvidence(aWorker, ends);
   Forget(aWorker);
   return ends;
 }
--- a/tests/unit/placement/workers_test.cpp
+++ b/tests/unit/placement/workers_test.cpp
@@ -528,3 +528,20 @@
   STRCMP_EQUAL("had just started", Describe(proposed.m_ends[0].m_evidence));
   STRCMP_EQUAL("had just started", Describe(again[0].m_evidence));
 }
+
+TEST(WorkerTable, EndOfWorkerThatIsOrderedAwayLaterIsProposedAgain_SameEvidence)
+{
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  Receive(Report("w1", 1), kLater);
+  m_fleet.Start(Ref("a"), "w1");
+  Answer("w1", kLater);
+  const auto lost = [&](std::int64_t aAtMs) {
+    return m_table.CollectLostRuns(
+      m_fleet.Book(), At(aAtMs), WallTime{ kWall });
+  };
+  STRCMP_EQUAL("had just started",
+               Describe(lost(kLater + 5'000)[0].m_evidence));
+  m_table.Retire(Life("w1"), m_fleet.Book(), WallTime{ kWall });
+  STRCMP_EQUAL("had just started",
+               Describe(lost(kLater + 5'100)[0].m_evidence));
+}
