Placement: look up orders only where suspects wait

The flag is read for isolated runs only; without suspects a pass looked up each worker for nothing. No decision changes.

--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -153,7 +153,8 @@
                    capacity.m_memoryMb - untrackedUse.m_memoryMb,
                    capacity.m_accelerators - untrackedUse.m_accelerators };
     target.m_isUnresponsive = aWorkers.IsUnresponsive(worker, aNow);
-    target.m_mayBeOrdered = aWorkers.MayBeOrderedAfter(worker, aNow);
+    target.m_mayBeOrdered =
+      hasSuspects && aWorkers.MayBeOrderedAfter(worker, aNow);
     const auto placed = book.TasksByWorker().find(id);
     if (placed != book.TasksByWorker().end()) {
       for (const jobs::TaskRef& ref : placed->second) {
