--- a/tests/unit/control/job_service_test.cpp
+++ b/tests/unit/control/job_service_test.cpp
@@ -424,6 +424,28 @@
   LONGS_EQUAL(1, m_maintenanceOrders);
 }
 
+// Guards against tasks that are suspected because an order whose answer is
+// lost has ended their worker.
+TEST(JobService, WorkerIsLostAfterOrderWithoutAnswer_NoTaskIsSuspected)
+{
+  Submit("short", Spec({ Step(1, 4000) }));
+  placement::WorkerReport report = Report("w1", 0);
+  report.m_active.push_back(Active(AwaitStart("w1").m_task));
+  fleet::MaintenanceWave wave;
+  wave.m_number = 1;
+  wave.m_instances[report.m_instance] = fleet::MaintenanceStep::kWaiting;
+  m_service->StartMaintenance(wave).wait(m_loop->m_io.waitScope);
+  while (m_maintenanceOrders == 0) {
+    Await(Send(report));
+    RunEventLoopFor(20 * kj::MILLISECONDS);
+  }
+  const jobs::JobTable& table = m_node->State().Jobs();
+  while (!table.TasksByWorker().empty()) {
+    RunEventLoopFor(50 * kj::MILLISECONDS);
+  }
+  LONGS_EQUAL(0, table.TasksWithLosses().size());
+}
+
 // Guards against running a task again. The end of its run is being committed
 // when the worker's next incarnation reports; the end must not be treated as
 // lost with the worker.
