Control: log how long a suspect waits in all, and for which isolated run

On-call saw one line on a task that waits, a second after it began, and then nothing while the reason stayed: a wait of 25 s looked like one of 1.1 s, and the isolated run that it was for was not named. Suspects that are not long-running had no line at all.

A line now follows whenever the wait has doubled, and one when it ends. The wait counts from the task's last loss, so a new leader does not begin it anew. The reason tells another isolated run of the job, with its task, from the limit of the pool. No decision changes.

--- a/include/bamboostile/control/waiting_monitor.h
+++ b/include/bamboostile/control/waiting_monitor.h
@@ -5,24 +5,36 @@
 
 namespace bamboostile::control {
 
-/** Logs why long-running tasks wait, and exports how many do, and how long. */
+/** Logs why suspects and long-running tasks wait, and for how long, and exports
+ * how many do. */
 class WaitingMonitor
 {
 public:
-  void OnPlanned(const std::map<jobs::TaskRef, placement::WaitReason>& aWaiting,
-                 TimePoint aNow);
+  void OnPlanned(
+    const std::map<jobs::TaskRef, placement::WaitingTask>& aWaiting,
+    TimePoint aNow);
   void Export(TimePoint aNow, telemetry::Metrics& aMetrics) const;
 
 private:
   struct Waiting
   {
     TimePoint m_since;
+    placement::WaitingTask m_last;
     /** No line on the task is written before. */
     TimePoint m_quietUntil;
+    /** A line is due from then on, also if the reason is the same. */
+    TimePoint m_repeatAt;
     /** The reason last logged. */
     std::optional<placement::WaitReason> m_logged;
+
+    Duration WaitedAt(TimePoint aNow) const;
   };
 
+  static void Log(const char* aMessage,
+                  const jobs::TaskRef& aTask,
+                  const Waiting& aWaiting,
+                  TimePoint aNow);
+
   std::map<jobs::TaskRef, Waiting> m_waiting;
 };
 
--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -10,7 +10,7 @@
 
 namespace bamboostile::placement {
 
-/** Why a long-running task that waits was not started. */
+/** Why a task that waits was not started. */
 enum class WaitReason
 {
   /** No worker that may run it has enough free capacity. */
@@ -21,14 +21,28 @@
   kRetryDelay,
   /** Its isolated run waits until hardly any other worker is being lost. */
   kQuietPeriod,
-  /** Another isolated run of its job, or too many of its pool, go on. */
-  kOtherIsolatedRuns,
+  /** Another isolated run of its job goes on. */
+  kOtherRunOfJob,
+  /** As many workers of its pool as allowed have isolated runs. */
+  kIsolationLimit,
   /** No worker is fit for an isolated run. */
   kNoWorkerForIsolatedRun,
 };
 
 const char* Describe(WaitReason aReason) noexcept;
 
+/** A task that was looked at in a placement pass and not started. */
+struct WaitingTask
+{
+  WaitReason m_reason = WaitReason::kNoCapacity;
+  bool m_isLongRunning = false;
+  /** Time since its last loss was noticed, also by an earlier leader; unset
+   * if it is no suspect. */
+  std::optional<Millis> m_sinceLoss{};
+  /** The isolated run that it waits for, with kOtherRunOfJob. */
+  std::optional<jobs::TaskRef> m_blockedBy{};
+};
+
 /** The decisions of one placement pass. */
 struct Plan
 {
@@ -41,9 +55,9 @@
   std::map<WorkspaceId, workspaces::Account> m_atCap;
   /** Services with tasks that wait because no worker has room for them. */
   std::set<ServiceId> m_fullServices;
-  /** Long-running tasks that were looked at and not started; of each step that
+  /** Suspects and long-running tasks that were not started; of each step that
    * found no capacity, only the first. */
-  std::map<jobs::TaskRef, WaitReason> m_waiting;
+  std::map<jobs::TaskRef, WaitingTask> m_waiting;
 };
 
 /**
@@ -97,6 +111,8 @@
     std::uint32_t m_unconfirmed = 0;
     /** The job whose task has an isolated run here; null if none has. */
     const jobs::Job* m_isolatedJob = nullptr;
+    /** That task, or one of them. */
+    jobs::TaskRef m_isolatedTask{};
     /** Isolated runs of several tasks may share this worker. */
     bool m_isShared = false;
     /** Reserved for a large task that does not fit anywhere yet. */
@@ -109,7 +125,9 @@
     bool Fits(const jobs::StepSpec& aStep) const;
     void Allocate(const jobs::StepSpec& aStep);
     bool AcceptsIsolatedRunOf(const jobs::Job& aJob, bool aIsShared) const;
-    void AddIsolatedRunOf(const jobs::Job& aJob, bool aIsShared);
+    void AddIsolatedRunOf(const jobs::Job& aJob,
+                          const jobs::TaskRef& aTask,
+                          bool aIsShared);
   };
 
   struct Candidate
@@ -124,6 +142,10 @@
     /** Null if the job belongs to no workspace. */
     workspaces::Account* m_account = nullptr;
 
+    jobs::TaskRef TaskAt(std::uint32_t aIndex) const
+    {
+      return { m_job->m_id, m_occurrence, m_step, aIndex };
+    }
     void AddWaiting(std::uint32_t aIndex,
                     WaitReason aReason,
                     Plan& aPlan) const;
@@ -202,9 +224,10 @@
   /** Workers of the pool with isolated runs, shared or not. */
   static std::size_t CountIsolatedWorkers(const Pool& aPool, bool aIsShared);
   static std::size_t MaxIsolatedWorkers(const Pool& aPool);
-  static bool MayIsolate(const jobs::Job& aJob,
-                         bool aIsShared,
-                         const Pool& aPool);
+  /** Returns why no isolated run of the job may start now; unset if one may. */
+  static std::optional<WaitingTask> FindIsolationLimit(const jobs::Job& aJob,
+                                                       bool aIsShared,
+                                                       const Pool& aPool);
   /** Time since the retry delay before the next isolated run ended; unset
    * while it lasts. */
   static std::optional<Millis> TimeSinceRetryDelay(
--- a/src/control/waiting_monitor.cpp
+++ b/src/control/waiting_monitor.cpp
@@ -18,29 +18,52 @@
  * later passes. */
 constexpr std::size_t kMaxLines = 8;
 
+} // namespace
+
+// A leader that was elected meanwhile has not seen the wait from its beginning.
+Duration
+WaitingMonitor::Waiting::WaitedAt(TimePoint aNow) const
+{
+  const Duration seen = aNow - m_since;
+  return std::max(seen, Duration{ m_last.m_sinceLoss.value_or(Millis{}) });
+}
+
 void
-Log(const jobs::TaskRef& aTask, placement::WaitReason aReason, Duration aFor)
+WaitingMonitor::Log(const char* aMessage,
+                    const jobs::TaskRef& aTask,
+                    const Waiting& aWaiting,
+                    TimePoint aNow)
 {
-  LogLine(Level::kInfo, "long-running task waits")
-    .With("job", aTask.m_job.Get())
+  LogLine line{ Level::kInfo, aMessage };
+  line.With("job", aTask.m_job.Get())
     .With("step", aTask.m_step)
     .With("task", aTask.m_index)
-    .With("reason", placement::Describe(aReason))
-    .With("waitedMs", ToMillis(aFor).count())
-    .Write();
+    .With("reason", placement::Describe(aWaiting.m_last.m_reason))
+    .With("waitedMs", ToMillis(aWaiting.WaitedAt(aNow)).count());
+  if (aWaiting.m_last.m_blockedBy) {
+    line.With("behindTask", aWaiting.m_last.m_blockedBy->m_index)
+      .With("behindStep", aWaiting.m_last.m_blockedBy->m_step);
+  }
+  line.Write();
 }
 
-} // namespace
-
 void
 WaitingMonitor::OnPlanned(
-  const std::map<jobs::TaskRef, placement::WaitReason>& aWaiting,
+  const std::map<jobs::TaskRef, placement::WaitingTask>& aWaiting,
   TimePoint aNow)
 {
+  std::size_t lines = 0;
   std::erase_if(m_waiting, [&](const auto& aEntry) {
-    return !aWaiting.contains(aEntry.first);
+    const auto& [task, waiting] = aEntry;
+    if (aWaiting.contains(task)) {
+      return false;
+    }
+    if (waiting.m_logged && lines < kMaxLines) {
+      Log("task waits no longer", task, waiting, aNow);
+      ++lines;
+    }
+    return true;
   });
-  std::size_t lines = 0;
   for (const auto& [task, reason] : aWaiting) {
     const auto [found, isNew] = m_waiting.try_emplace(task);
     Waiting& waiting = found->second;
@@ -48,12 +71,18 @@
       waiting.m_since = aNow;
       waiting.m_quietUntil = aNow + kLogInterval;
     }
-    const bool isChanged = waiting.m_logged != reason;
+    waiting.m_last = reason;
+    const bool isChanged = waiting.m_logged != reason.m_reason;
     const bool isDue = aNow >= waiting.m_quietUntil;
-    if (isChanged && isDue && lines < kMaxLines) {
-      Log(task, reason, aNow - waiting.m_since);
+    const bool isRepeated = isChanged || aNow >= waiting.m_repeatAt;
+    if (isDue && isRepeated && lines < kMaxLines) {
+      Log(reason.m_isLongRunning ? "long-running task waits" : "suspect waits",
+          task,
+          waiting,
+          aNow);
       waiting.m_quietUntil = aNow + kLogInterval;
-      waiting.m_logged = reason;
+      waiting.m_repeatAt = aNow + (aNow - waiting.m_since);
+      waiting.m_logged = reason.m_reason;
       ++lines;
     }
   }
@@ -62,14 +91,28 @@
 void
 WaitingMonitor::Export(TimePoint aNow, telemetry::Metrics& aMetrics) const
 {
+  std::size_t longRunning = 0;
+  std::size_t suspects = 0;
   Duration longest{};
+  Duration longestOfSuspects{};
   for (const auto& [task, waiting] : m_waiting) {
-    longest = std::max(longest, Duration{ aNow - waiting.m_since });
+    const Duration waited = waiting.WaitedAt(aNow);
+    if (waiting.m_last.m_isLongRunning) {
+      ++longRunning;
+      longest = std::max(longest, waited);
+    }
+    if (waiting.m_last.m_sinceLoss) {
+      ++suspects;
+      longestOfSuspects = std::max(longestOfSuspects, waited);
+    }
   }
-  aMetrics.Set("long_running_tasks_waiting",
-               static_cast<double>(m_waiting.size()));
-  aMetrics.Set("long_running_tasks_longest_wait_ms",
-               static_cast<double>(ToMillis(longest).count()));
+  const auto set = [&](const char* aName, auto aValue) {
+    aMetrics.Set(aName, static_cast<double>(aValue));
+  };
+  set("long_running_tasks_waiting", longRunning);
+  set("long_running_tasks_longest_wait_ms", ToMillis(longest).count());
+  set("suspects_waiting", suspects);
+  set("suspects_longest_wait_ms", ToMillis(longestOfSuspects).count());
 }
 
 } // namespace bamboostile::control
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -50,8 +50,10 @@
       return "delay after a lost worker";
     case WaitReason::kQuietPeriod:
       return "other workers are being lost";
-    case WaitReason::kOtherIsolatedRuns:
-      return "other isolated runs go on";
+    case WaitReason::kOtherRunOfJob:
+      return "another isolated run of its job goes on";
+    case WaitReason::kIsolationLimit:
+      return "too many workers have isolated runs";
     case WaitReason::kNoWorkerForIsolatedRun:
       return "no worker for an isolated run";
   }
@@ -96,8 +98,8 @@
                                Plan& aPlan) const
 {
   if (m_isLongRunning) {
-    aPlan.m_waiting.insert_or_assign(
-      jobs::TaskRef{ m_job->m_id, m_occurrence, m_step, aIndex }, aReason);
+    aPlan.m_waiting.insert_or_assign(TaskAt(aIndex),
+                                     WaitingTask{ aReason, true });
   }
 }
 
@@ -413,9 +415,7 @@
     const WorkerIncarnation& worker = target->m_worker->m_lastReport.m_worker;
     ++tasksPerWorker[worker];
     aPlan.m_changes.emplace_back(jobs::StartRun{
-      { aCandidate.m_job->m_id, aCandidate.m_occurrence, aCandidate.m_step, i },
-      RunNumber{ task.m_lastRun.Get() + 1 },
-      worker });
+      aCandidate.TaskAt(i), RunNumber{ task.m_lastRun.Get() + 1 }, worker });
   }
 }
 
@@ -473,14 +473,12 @@
     tentative.ChargeStart();
     ++target->m_unconfirmed;
     if (aTimeSinceDelay) {
-      target->AddIsolatedRunOf(*aCandidate.m_job, false);
+      target->AddIsolatedRunOf(*aCandidate.m_job, aCandidate.TaskAt(i), false);
     }
     const WorkerIncarnation& worker = target->m_worker->m_lastReport.m_worker;
     ++tasksPerWorker[worker];
     starts.emplace_back(jobs::StartRun{
-      { aCandidate.m_job->m_id, aCandidate.m_occurrence, aCandidate.m_step, i },
-      RunNumber{ lastRun.Get() + 1 },
-      worker });
+      aCandidate.TaskAt(i), RunNumber{ lastRun.Get() + 1 }, worker });
   }
   aPool = std::move(tentativePool);
   if (aCandidate.m_account != nullptr) {
--- a/src/placement/trials.cpp
+++ b/src/placement/trials.cpp
@@ -62,10 +62,13 @@
 }
 
 void
-Planner::Target::AddIsolatedRunOf(const jobs::Job& aJob, bool aIsShared)
+Planner::Target::AddIsolatedRunOf(const jobs::Job& aJob,
+                                  const jobs::TaskRef& aTask,
+                                  bool aIsShared)
 {
   m_isShared = aIsShared && (m_isolatedJob == nullptr || m_isShared);
   m_isolatedJob = &aJob;
+  m_isolatedTask = aTask;
 }
 
 void
@@ -86,7 +89,7 @@
       const jobs::Job& job = *aBook.Find(ref.m_job);
       const bool isShared =
         jobs::CanBeIsolatedTogether(losses) && !StepOf(job, ref).m_gang;
-      aTarget.AddIsolatedRunOf(job, isShared);
+      aTarget.AddIsolatedRunOf(job, ref, isShared);
     }
   }
 }
@@ -173,16 +176,29 @@
   return std::max<std::size_t>(1, aPool.size() / kIsolationDivisor);
 }
 
-bool
-Planner::MayIsolate(const jobs::Job& aJob, bool aIsShared, const Pool& aPool)
+std::optional<WaitingTask>
+Planner::FindIsolationLimit(const jobs::Job& aJob,
+                            bool aIsShared,
+                            const Pool& aPool)
 {
   if (aIsShared) {
-    return true;
+    return std::nullopt;
+  }
+  WaitingTask waiting;
+  const auto other =
+    std::find_if(aPool.begin(), aPool.end(), [&](const Target& aTarget) {
+      return aTarget.m_isolatedJob == &aJob && !aTarget.m_isShared;
+    });
+  if (other != aPool.end()) {
+    waiting.m_reason = WaitReason::kOtherRunOfJob;
+    waiting.m_blockedBy = other->m_isolatedTask;
+    return waiting;
+  }
+  if (CountIsolatedWorkers(aPool, false) >= MaxIsolatedWorkers(aPool)) {
+    waiting.m_reason = WaitReason::kIsolationLimit;
+    return waiting;
   }
-  return CountIsolatedWorkers(aPool, false) < MaxIsolatedWorkers(aPool) &&
-         std::none_of(aPool.begin(), aPool.end(), [&](const Target& aTarget) {
-           return aTarget.m_isolatedJob == &aJob && !aTarget.m_isShared;
-         });
+  return std::nullopt;
 }
 
 // If the wall clock was set back, the delay counts as ended, so that the task
@@ -280,25 +296,33 @@
   }
   const jobs::StepRun& run = found->second.m_steps[aCandidate.m_step];
   TasksPerWorker tasksPerWorker = CountTasksPerWorker(run.m_tasks);
-  for (const auto& [index, losses] : FindSuspects(aCandidate)) {
-    const jobs::TaskRef ref{
-      job.m_id, aCandidate.m_occurrence, aCandidate.m_step, index
-    };
+  const auto addWaiting = [&](const SuspectTask& aSuspect,
+                              WaitingTask aWaiting) {
+    aWaiting.m_isLongRunning = step.m_longRunning;
+    aWaiting.m_sinceLoss =
+      Millis{ aWall.Get() - aSuspect.m_losses.back().m_at.Get() };
+    aPlan.m_waiting.insert_or_assign(aCandidate.TaskAt(aSuspect.m_index),
+                                     std::move(aWaiting));
+  };
+  for (const SuspectTask& suspect : FindSuspects(aCandidate)) {
+    const auto& [index, losses] = suspect;
+    const jobs::TaskRef ref = aCandidate.TaskAt(index);
     if (!aIsQuietPeriod && MustAwaitQuietPeriod(step, losses, aWall)) {
-      aCandidate.AddWaiting(index, WaitReason::kQuietPeriod, aPlan);
+      addWaiting(suspect, { WaitReason::kQuietPeriod });
       continue;
     }
     const auto timeSinceDelay = TimeSinceRetryDelay(ref, losses, aWall);
+    if (!timeSinceDelay) {
+      addWaiting(suspect, { WaitReason::kRetryDelay });
+      continue;
+    }
     const bool isShared = jobs::CanBeIsolatedTogether(losses) && !step.m_gang;
-    if (!timeSinceDelay || !MayIsolate(job, isShared, aPool)) {
-      aCandidate.AddWaiting(index,
-                            timeSinceDelay ? WaitReason::kOtherIsolatedRuns
-                                           : WaitReason::kRetryDelay,
-                            aPlan);
+    if (const auto limit = FindIsolationLimit(job, isShared, aPool)) {
+      addWaiting(suspect, *limit);
       continue;
     }
     if (!aCandidate.CheckCap(aPlan)) {
-      aCandidate.AddWaiting(index, WaitReason::kWorkspaceCap, aPlan);
+      addWaiting(suspect, { WaitReason::kWorkspaceCap });
       return;
     }
     if (step.m_gang) {
@@ -308,13 +332,13 @@
     Target* target = ChooseForIsolatedRun(
       job, step, losses, tasksPerWorker, *timeSinceDelay, isShared, aPool);
     if (target == nullptr) {
-      aCandidate.AddWaiting(index, WaitReason::kNoWorkerForIsolatedRun, aPlan);
+      addWaiting(suspect, { WaitReason::kNoWorkerForIsolatedRun });
       return;
     }
     const WorkerIncarnation& worker = target->m_worker->m_lastReport.m_worker;
     target->Allocate(step);
     aCandidate.ChargeStart();
-    target->AddIsolatedRunOf(job, isShared);
+    target->AddIsolatedRunOf(job, ref, isShared);
     ++tasksPerWorker[worker];
     aPlan.m_changes.emplace_back(jobs::StartRun{
       ref, RunNumber{ run.m_tasks[index].m_lastRun.Get() + 1 }, worker });
--- a/tests/unit/control/job_service_test.cpp
+++ b/tests/unit/control/job_service_test.cpp
@@ -581,8 +581,8 @@
   const TimePoint start{ Millis{ 1'000 } };
   control::WaitingMonitor monitor;
   telemetry::Metrics metrics;
-  monitor.OnPlanned({ { task, WaitReason::kRetryDelay } }, start);
-  monitor.OnPlanned({ { task, WaitReason::kNoCapacity } },
+  monitor.OnPlanned({ { task, { WaitReason::kRetryDelay, true } } }, start);
+  monitor.OnPlanned({ { task, { WaitReason::kNoCapacity, true } } },
                     start + Millis{ 2'000 });
   monitor.Export(start + Millis{ 5'000 }, metrics);
   CHECK(metrics.Render().find("long_running_tasks_waiting 1") !=
@@ -591,6 +591,22 @@
         std::string::npos);
 }
 
+// Guards against a wait that a change of the leader cuts in two.
+TEST(JobService, SuspectWaitsUnderANewLeader_GaugeCountsFromItsLoss)
+{
+  placement::WaitingTask waiting{ placement::WaitReason::kIsolationLimit };
+  waiting.m_sinceLoss = Millis{ 7'000 };
+  control::WaitingMonitor monitor;
+  telemetry::Metrics metrics;
+  const TimePoint now{ Millis{ 1'000 } };
+  monitor.OnPlanned({ { { JobId{ "a" }, 0, 0, 0 }, waiting } }, now);
+  monitor.Export(now, metrics);
+  const std::string text = metrics.Render();
+  CHECK(text.find("suspects_waiting 1") != std::string::npos);
+  CHECK(text.find("suspects_longest_wait_ms 7000") != std::string::npos);
+  CHECK(text.find("long_running_tasks_waiting 0") != std::string::npos);
+}
+
 // Guards against metrics that grow with every workspace there ever was.
 TEST(JobService, RemovedWorkspace_HasNoMetricsAnyMore)
 {
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -64,7 +64,8 @@
   const Plan plan = MakePlan();
   LONGS_EQUAL(4, plan.m_changes.size());
   LONGS_EQUAL(1, plan.m_waiting.size());
-  STRCMP_EQUAL("no worker has room", Describe(plan.m_waiting.begin()->second));
+  STRCMP_EQUAL("no worker has room",
+               Describe(plan.m_waiting.begin()->second.m_reason));
 }
 
 TEST(PlacementPlanner, DependentStep_WaitsForItsDependency)
