Placement: isolated runs of a job go on at the same time

Callers saw a long-running task without a run for 11 to 23 s after the last crash, with most of the pool idle (LOST), and jobs whose waiting tasks were not started for 40 s.

Cause: a job had one isolated run at a time. One crash makes suspects of all tasks of a step that had just been started there, so the wait of the last one grew with the damage: a report for each task before it, or 3.3 s after three losses.

Suspects of a job now run isolated at the same time, one a worker, as far as half of the pool goes. What the old limit was for is kept otherwise (IsolationQuota): each other job with suspects has a worker reserved, some are left to jobs that come later, and tasks with a proof still run one at a time, as the next proof gives the job up. Suspects of a step that found no worker no longer hold up the others behind them.

Ruled out (a trial): three quarters of those workers for one job, without a reservation for others.

--- a/include/bamboostile/jobs/crash_loop.h
+++ b/include/bamboostile/jobs/crash_loop.h
@@ -44,6 +44,11 @@
 /** Returns the number of distinct instances on which workers were lost. */
 std::size_t CountInstances(const std::vector<WorkerLoss>& aLosses);
 
+/** Whether a worker has crashed in one of the task's isolated runs with no
+ * other explanation, so that one more such loss may make it a proven crasher.
+ */
+bool HasProof(const std::vector<WorkerLoss>& aLosses);
+
 /** Whether the task must not be started again. */
 bool IsProvenCrasher(const std::vector<WorkerLoss>& aLosses);
 
--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -6,6 +6,7 @@
 #include "bamboostile/placement/workers.h"
 #include "bamboostile/placement/workspace_accounts.h"
 
+#include <functional>
 #include <unordered_map>
 
 namespace bamboostile::placement {
@@ -21,7 +22,8 @@
   kRetryDelay,
   /** Its isolated run waits until hardly any other worker is being lost. */
   kQuietPeriod,
-  /** Another isolated run of its job goes on. */
+  /** Another isolated run of its job goes on, and one more loss may give the
+   * job up. */
   kOtherRunOfJob,
   /** As many workers of its pool as allowed have isolated runs. */
   kIsolationLimit,
@@ -31,6 +33,8 @@
 
 const char* Describe(WaitReason aReason) noexcept;
 
+class IsolationQuota;
+
 /** A task that was looked at in a placement pass and not started. */
 struct WaitingTask
 {
@@ -96,6 +100,17 @@
   const DurationEstimator& EstimatedDurations() const { return m_durations; }
 
 private:
+  /** A run to be isolated, or one that is. */
+  struct IsolatedRun
+  {
+    jobs::TaskRef m_task;
+    std::vector<jobs::WorkerLoss> m_losses;
+    bool m_isGang = false;
+
+    /** Whether it may share its worker with other isolated runs. */
+    bool MayShare() const;
+  };
+
   /** The free capacity of a worker and what the worker hosts. */
   struct Target
   {
@@ -109,12 +124,13 @@
     std::uint32_t m_runs = 0;
     /** Starts sent but not yet confirmed by a report. */
     std::uint32_t m_unconfirmed = 0;
-    /** The job whose task has an isolated run here; null if none has. */
-    const jobs::Job* m_isolatedJob = nullptr;
-    /** That task, or one of them. */
-    jobs::TaskRef m_isolatedTask{};
+    /** The task that has an isolated run here, or one of them; unset if none
+     * has. */
+    std::optional<jobs::TaskRef> m_isolatedTask{};
     /** Isolated runs of several tasks may share this worker. */
     bool m_isShared = false;
+    /** The isolated run is of a task with a proof. */
+    bool m_hasProof = false;
     /** Reserved for a large task that does not fit anywhere yet. */
     bool m_isReserved = false;
     /** An order may still end the worker, and the loss would prove nothing. */
@@ -124,10 +140,8 @@
 
     bool Fits(const jobs::StepSpec& aStep) const;
     void Allocate(const jobs::StepSpec& aStep);
-    bool AcceptsIsolatedRunOf(const jobs::Job& aJob, bool aIsShared) const;
-    void AddIsolatedRunOf(const jobs::Job& aJob,
-                          const jobs::TaskRef& aTask,
-                          bool aIsShared);
+    bool AcceptsIsolatedRunOf(const IsolatedRun& aRun) const;
+    void AddIsolatedRun(const IsolatedRun& aRun);
   };
 
   struct Candidate
@@ -156,18 +170,24 @@
     void ChargeStart() const;
   };
 
-  /** A task whose next run is isolated. */
-  struct SuspectTask
-  {
-    std::uint32_t m_index = 0;
-    std::vector<jobs::WorkerLoss> m_losses;
-  };
-
   using Pool = std::vector<Target>;
   /** Number of running tasks of one step on each worker. */
   using TasksPerWorker = std::unordered_map<WorkerIncarnation, std::uint32_t>;
   using Pools = std::unordered_map<ServiceId, Pool>;
 
+  /** The waiting suspects of a step, and how far a pass has come with them. */
+  struct SuspectStep
+  {
+    Candidate m_candidate;
+    /** Those with the fewest losses first. */
+    std::vector<IsolatedRun> m_suspects;
+    std::size_t m_next = 0;
+    TasksPerWorker m_tasksPerWorker;
+    /** No worker may take another suspect that shares its worker, or one that
+     * does not. */
+    std::set<bool> m_noWorkerIfShared;
+  };
+
   Pools FindTargets(const fleet::State& aState,
                     const WorkerTable& aWorkers,
                     const std::set<WorkerIncarnation>& aCordoned,
@@ -183,24 +203,41 @@
   void Place(const Candidate& aCandidate, Pool& aPool, Plan& aPlan) const;
   void ReserveEmptiest(const jobs::StepSpec& aStep, Pool& aPool) const;
   /** aTimeSinceDelay: for a gang of suspects, the time since its retry delay
-   * ended; otherwise unset. */
-  void PlaceGang(const Candidate& aCandidate,
+   * ended; otherwise unset. Returns false if no member was started. */
+  bool PlaceGang(const Candidate& aCandidate,
                  std::optional<Millis> aTimeSinceDelay,
                  Pool& aPool,
                  Plan& aPlan) const;
   /** Waiting suspects of the step, those with the fewest losses first. */
-  static std::vector<SuspectTask> FindSuspects(const Candidate& aCandidate);
-  static std::vector<Candidate> OrderSuspects(
+  static std::vector<IsolatedRun> FindSuspects(const Candidate& aCandidate);
+  static std::vector<SuspectStep> OrderSuspects(
     std::vector<Candidate>::const_iterator aFrom,
     std::vector<Candidate>::const_iterator aTo,
     const jobs::JobTable& aBook);
-  /** Starts an isolated run of one suspect of the step whose retry delay has
-   * ended, or of all such suspects that may share a worker. */
-  void PlaceSuspects(const Candidate& aCandidate,
-                     bool aIsQuietPeriod,
-                     WallTime aWall,
-                     Pool& aPool,
-                     Plan& aPlan) const;
+  /** Starts isolated runs of the suspects whose retry delay has ended: in turn,
+   * one of each step, until no further one may start. */
+  void PlaceSuspects(
+    std::vector<SuspectStep> aSteps,
+    const std::function<bool(const ServiceId&)>& aIsQuietPeriod,
+    WallTime aWall,
+    Pools& aPools,
+    Plan& aPlan) const;
+  /** Starts the step's next isolated run, and those that share a worker up to
+   * it. Returns false if there is none. */
+  bool PlaceNextSuspect(SuspectStep& aStep,
+                        bool aIsQuietPeriod,
+                        WallTime aWall,
+                        IsolationQuota& aQuota,
+                        Pool& aPool,
+                        Plan& aPlan) const;
+  /** Returns why the suspect was not started; unset if it was. */
+  std::optional<WaitingTask> PlaceSuspect(SuspectStep& aStep,
+                                          const IsolatedRun& aRun,
+                                          bool aIsQuietPeriod,
+                                          WallTime aWall,
+                                          IsolationQuota& aQuota,
+                                          Pool& aPool,
+                                          Plan& aPlan) const;
   static bool MustAwaitQuietPeriod(const jobs::StepSpec& aStep,
                                    const std::vector<jobs::WorkerLoss>& aLosses,
                                    WallTime aWall);
@@ -210,12 +247,10 @@
                         Target& aTarget) const;
   /** Null if no worker may take the task. aTimeSinceDelay: time since its retry
    * delay ended. */
-  Target* ChooseForIsolatedRun(const jobs::Job& aJob,
+  Target* ChooseForIsolatedRun(const IsolatedRun& aRun,
                                const jobs::StepSpec& aStep,
-                               const std::vector<jobs::WorkerLoss>& aLosses,
                                const TasksPerWorker& aTasksPerWorker,
                                Millis aTimeSinceDelay,
-                               bool aIsShared,
                                Pool& aPool) const;
   /** Whether the worker could run a task of the step if it were empty. */
   static bool IsEligible(const jobs::StepSpec& aStep,
@@ -224,10 +259,13 @@
   /** Workers of the pool with isolated runs, shared or not. */
   static std::size_t CountIsolatedWorkers(const Pool& aPool, bool aIsShared);
   static std::size_t MaxIsolatedWorkers(const Pool& aPool);
-  /** Returns why no isolated run of the job may start now; unset if one may. */
-  static std::optional<WaitingTask> FindIsolationLimit(const jobs::Job& aJob,
-                                                       bool aIsShared,
-                                                       const Pool& aPool);
+  /** The quota of a pool with the isolated runs that go on. */
+  static IsolationQuota MakeQuota(const Pool& aPool);
+  /** Returns why the run may not be isolated now; unset if it may. */
+  static std::optional<WaitingTask> FindIsolationLimit(
+    const IsolatedRun& aRun,
+    bool aIsLongRunning,
+    const IsolationQuota& aQuota);
   /** Time since the retry delay before the next isolated run ended; unset
    * while it lasts. */
   static std::optional<Millis> TimeSinceRetryDelay(
--- a/src/jobs/crash_loop.cpp
+++ b/src/jobs/crash_loop.cpp
@@ -184,6 +184,12 @@
     });
 }
 
+bool
+HasProof(const std::vector<WorkerLoss>& aLosses)
+{
+  return Count(aLosses, CrashEvidence::kIsolated) > 0;
+}
+
 bool
 IsProvenCrasher(const std::vector<WorkerLoss>& aLosses)
 {
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -293,8 +293,7 @@
   auto bestRank = std::make_tuple(true, true, true, true, true, std::int64_t{});
   for (Target& target : aPool) {
     const WorkerReport& report = target.m_worker->m_lastReport;
-    if (target.m_isReserved || target.m_isolatedJob != nullptr ||
-        !target.Fits(aStep)) {
+    if (target.m_isReserved || target.m_isolatedTask || !target.Fits(aStep)) {
       continue;
     }
     const std::uint32_t tasksOnWorker =
@@ -421,7 +420,7 @@
 
 // Starts all members of the gang or none: a member that waits for the others
 // would hold its capacity without using it.
-void
+bool
 Planner::PlaceGang(const Candidate& aCandidate,
                    std::optional<Millis> aTimeSinceDelay,
                    Pool& aPool,
@@ -438,7 +437,7 @@
     losses = jobs::LossesOf(step, state, 0);
     if (state.m_running > 0 ||
         jobs::IsSuspect(losses) != aTimeSinceDelay.has_value()) {
-      return;
+      return false;
     }
     for (const jobs::Task& task : state.m_tasks) {
       lastRun = std::max(lastRun, task.m_lastRun);
@@ -455,25 +454,22 @@
   }
   for (std::uint32_t i = 0; i < step.m_count; ++i) {
     if (!tentative.CheckCap(aPlan)) {
-      return;
+      return false;
     }
-    Target* target = aTimeSinceDelay
-                       ? ChooseForIsolatedRun(*aCandidate.m_job,
-                                              step,
-                                              losses,
-                                              tasksPerWorker,
-                                              *aTimeSinceDelay,
-                                              false,
-                                              tentativePool)
-                       : Choose(step, tasksPerWorker, tentativePool);
+    const IsolatedRun run{ aCandidate.TaskAt(i), losses, true };
+    Target* target =
+      aTimeSinceDelay
+        ? ChooseForIsolatedRun(
+            run, step, tasksPerWorker, *aTimeSinceDelay, tentativePool)
+        : Choose(step, tasksPerWorker, tentativePool);
     if (target == nullptr) {
-      return;
+      return false;
     }
     target->Allocate(step);
     tentative.ChargeStart();
     ++target->m_unconfirmed;
     if (aTimeSinceDelay) {
-      target->AddIsolatedRunOf(*aCandidate.m_job, aCandidate.TaskAt(i), false);
+      target->AddIsolatedRun(run);
     }
     const WorkerIncarnation& worker = target->m_worker->m_lastReport.m_worker;
     ++tasksPerWorker[worker];
@@ -485,6 +481,7 @@
     *aCandidate.m_account = account;
   }
   std::move(starts.begin(), starts.end(), std::back_inserter(aPlan.m_changes));
+  return true;
 }
 
 bool
@@ -598,14 +595,11 @@
     for (auto it = aFrom; it != aTo; ++it) {
       Place(*it, pools[it->m_route->m_service], plan);
     }
-    for (const Candidate& candidate :
-         OrderSuspects(aFrom, aTo, aState.Jobs())) {
-      PlaceSuspects(candidate,
-                    isQuietPeriod(candidate.m_route->m_service),
-                    aWall,
-                    pools[candidate.m_route->m_service],
-                    plan);
-    }
+    PlaceSuspects(OrderSuspects(aFrom, aTo, aState.Jobs()),
+                  isQuietPeriod,
+                  aWall,
+                  pools,
+                  plan);
   };
   placeAll(candidates.cbegin(), firstNotLongRunning);
   MoveLongRunningTasks(aState, aWorkers, aCordoned, aNow, pools, plan);
--- a/src/placement/trials.cpp
+++ b/src/placement/trials.cpp
@@ -1,3 +1,4 @@
+#include "isolation_quota.h"
 #include "run_lookup.h"
 
 #include "bamboostile/jobs/crash_loop.h"
@@ -52,23 +53,32 @@
 } // namespace
 
 bool
-Planner::Target::AcceptsIsolatedRunOf(const jobs::Job& aJob,
-                                      bool aIsShared) const
+Planner::IsolatedRun::MayShare() const
 {
-  if (m_isolatedJob == nullptr) {
+  return jobs::CanBeIsolatedTogether(m_losses) && !m_isGang;
+}
+
+// Members of a gang crash their workers together, so they may share one.
+bool
+Planner::Target::AcceptsIsolatedRunOf(const IsolatedRun& aRun) const
+{
+  if (!m_isolatedTask) {
     return m_unconfirmed == 0;
   }
-  return aIsShared ? m_isShared : !m_isShared && m_isolatedJob == &aJob;
+  const bool isSameStep =
+    m_isolatedTask->m_job == aRun.m_task.m_job &&
+    m_isolatedTask->m_occurrence == aRun.m_task.m_occurrence &&
+    m_isolatedTask->m_step == aRun.m_task.m_step;
+  return aRun.MayShare() ? m_isShared
+                         : !m_isShared && aRun.m_isGang && isSameStep;
 }
 
 void
-Planner::Target::AddIsolatedRunOf(const jobs::Job& aJob,
-                                  const jobs::TaskRef& aTask,
-                                  bool aIsShared)
+Planner::Target::AddIsolatedRun(const IsolatedRun& aRun)
 {
-  m_isShared = aIsShared && (m_isolatedJob == nullptr || m_isShared);
-  m_isolatedJob = &aJob;
-  m_isolatedTask = aTask;
+  m_isShared = aRun.MayShare() && (!m_isolatedTask || m_isShared);
+  m_isolatedTask = aRun.m_task;
+  m_hasProof = m_hasProof || jobs::HasProof(aRun.m_losses);
 }
 
 void
@@ -79,17 +89,15 @@
 {
   for (const jobs::TaskRef& ref : aPlaced) {
     const jobs::Task& task = *aBook.FindTask(ref);
-    const auto losses = aBook.LossesOf(ref);
+    auto losses = aBook.LossesOf(ref);
     const bool isConfirmed =
       Contains(aWorker.m_lastReport.m_active, ref, task.m_lastRun);
     aTarget.m_unconfirmed += isConfirmed ? 0 : 1;
     const bool isOnTrial = isConfirmed ? jobs::IsIsolatedForWholeRun(losses)
                                        : jobs::IsSuspect(losses);
     if (isOnTrial) {
-      const jobs::Job& job = *aBook.Find(ref.m_job);
-      const bool isShared =
-        jobs::CanBeIsolatedTogether(losses) && !StepOf(job, ref).m_gang;
-      aTarget.AddIsolatedRunOf(job, ref, isShared);
+      const bool isGang = StepOf(*aBook.Find(ref.m_job), ref).m_gang;
+      aTarget.AddIsolatedRun({ ref, std::move(losses), isGang });
     }
   }
 }
@@ -100,16 +108,15 @@
 // an isolated run prefers instances on which the task has not been lost yet, as
 // long as the pool has such instances that may run it.
 Planner::Target*
-Planner::ChooseForIsolatedRun(const jobs::Job& aJob,
+Planner::ChooseForIsolatedRun(const IsolatedRun& aRun,
                               const jobs::StepSpec& aStep,
-                              const std::vector<jobs::WorkerLoss>& aLosses,
                               const TasksPerWorker& aTasksPerWorker,
                               Millis aTimeSinceDelay,
-                              bool aIsShared,
                               Pool& aPool) const
 {
   const auto wasLostOnInstance = [&](const Target& aTarget) {
-    return jobs::HasLossOn(aLosses, aTarget.m_worker->m_lastReport.m_instance);
+    return jobs::HasLossOn(aRun.m_losses,
+                           aTarget.m_worker->m_lastReport.m_instance);
   };
   const auto isFragile = [](const Target& aTarget) {
     return aTarget.m_hostsLongRunning || aTarget.m_hostsGang;
@@ -130,15 +137,16 @@
              IsEligible(aStep, aTasksPerWorker, aTarget);
     });
   const bool mayIsolateAnother =
-    !aIsShared || CountIsolatedWorkers(aPool, true) < MaxIsolatedWorkers(aPool);
+    !aRun.MayShare() ||
+    CountIsolatedWorkers(aPool, true) < MaxIsolatedWorkers(aPool);
   Target* best = nullptr;
   for (Target& target : aPool) {
     const bool isExcluded =
-      target.m_isolatedJob == nullptr &&
+      !target.m_isolatedTask &&
       (!mayIsolateAnother || (isFragile(target) && !allowsFragile) ||
        (wasLostOnInstance(target) && !allowsSameInstance));
     if (isExcluded || target.m_mayBeOrdered ||
-        !target.AcceptsIsolatedRunOf(aJob, aIsShared) || !target.Fits(aStep) ||
+        !target.AcceptsIsolatedRunOf(aRun) || !target.Fits(aStep) ||
         !IsEligible(aStep, aTasksPerWorker, target)) {
       continue;
     }
@@ -165,8 +173,7 @@
 {
   return static_cast<std::size_t>(
     std::count_if(aPool.begin(), aPool.end(), [&](const Target& aTarget) {
-      return aTarget.m_isolatedJob != nullptr &&
-             aTarget.m_isShared == aIsShared;
+      return aTarget.m_isolatedTask && aTarget.m_isShared == aIsShared;
     }));
 }
 
@@ -176,27 +183,26 @@
   return std::max<std::size_t>(1, aPool.size() / kIsolationDivisor);
 }
 
+// Tasks with a proof run one at a time, as the next proof gives the job up: a
+// job whose every task crashes its worker takes one more worker then, not one
+// for each task.
 std::optional<WaitingTask>
-Planner::FindIsolationLimit(const jobs::Job& aJob,
-                            bool aIsShared,
-                            const Pool& aPool)
+Planner::FindIsolationLimit(const IsolatedRun& aRun,
+                            bool aIsLongRunning,
+                            const IsolationQuota& aQuota)
 {
-  if (aIsShared) {
+  if (aRun.MayShare()) {
     return std::nullopt;
   }
-  WaitingTask waiting;
-  const auto other =
-    std::find_if(aPool.begin(), aPool.end(), [&](const Target& aTarget) {
-      return aTarget.m_isolatedJob == &aJob && !aTarget.m_isShared;
-    });
-  if (other != aPool.end()) {
-    waiting.m_reason = WaitReason::kOtherRunOfJob;
-    waiting.m_blockedBy = other->m_isolatedTask;
+  const JobId& job = aRun.m_task.m_job;
+  const jobs::TaskRef* other = aQuota.FindRunWithProof(job);
+  if (other != nullptr && jobs::HasProof(aRun.m_losses)) {
+    WaitingTask waiting{ WaitReason::kOtherRunOfJob };
+    waiting.m_blockedBy = *other;
     return waiting;
   }
-  if (CountIsolatedWorkers(aPool, false) >= MaxIsolatedWorkers(aPool)) {
-    waiting.m_reason = WaitReason::kIsolationLimit;
-    return waiting;
+  if (!aQuota.MayStart(job, aIsLongRunning)) {
+    return WaitingTask{ WaitReason::kIsolationLimit };
   }
   return std::nullopt;
 }
@@ -229,10 +235,10 @@
          sinceLoss < QuietPeriodTimeout(aStep, aLosses.size());
 }
 
-std::vector<Planner::SuspectTask>
+std::vector<Planner::IsolatedRun>
 Planner::FindSuspects(const Candidate& aCandidate)
 {
-  std::vector<SuspectTask> suspects;
+  std::vector<IsolatedRun> suspects;
   const jobs::Job& job = *aCandidate.m_job;
   const auto found = job.m_occurrences.find(aCandidate.m_occurrence);
   if (found == job.m_occurrences.end()) {
@@ -244,12 +250,13 @@
     auto losses = jobs::LossesOf(step, run, i);
     if (run.m_tasks[i].m_phase == jobs::TaskPhase::kWaiting &&
         jobs::IsSuspect(losses)) {
-      suspects.push_back({ i, std::move(losses) });
+      suspects.push_back(
+        { aCandidate.TaskAt(i), std::move(losses), step.m_gang });
     }
   }
   std::stable_sort(suspects.begin(),
                    suspects.end(),
-                   [](const SuspectTask& aLeft, const SuspectTask& aRight) {
+                   [](const IsolatedRun& aLeft, const IsolatedRun& aRight) {
                      return aLeft.m_losses.size() < aRight.m_losses.size();
                    });
   return suspects;
@@ -259,93 +266,164 @@
 // run at once, whereas a task that crashes its workers occupies each for
 // seconds. Tasks with the fewest losses go first; otherwise crashing tasks
 // would be retried before them again and again.
-std::vector<Planner::Candidate>
+std::vector<Planner::SuspectStep>
 Planner::OrderSuspects(std::vector<Candidate>::const_iterator aFrom,
                        std::vector<Candidate>::const_iterator aTo,
                        const jobs::JobTable& aBook)
 {
-  std::multimap<std::size_t, Candidate> ordered;
+  std::vector<SuspectStep> steps;
   for (auto it = aFrom; it != aTo; ++it) {
     if (!aBook.HasLosses(it->m_job->m_id)) {
       continue;
     }
-    const auto suspects = FindSuspects(*it);
-    if (!suspects.empty()) {
-      ordered.emplace(suspects.front().m_losses.size(), *it);
+    auto suspects = FindSuspects(*it);
+    if (suspects.empty()) {
+      continue;
     }
+    const auto& tasks =
+      it->m_job->m_occurrences.at(it->m_occurrence).m_steps[it->m_step].m_tasks;
+    steps.push_back(
+      { *it, std::move(suspects), 0, CountTasksPerWorker(tasks), {} });
   }
-  std::vector<Candidate> candidates;
-  for (const auto& [losses, candidate] : ordered) {
-    candidates.push_back(candidate);
-  }
-  return candidates;
+  std::stable_sort(steps.begin(),
+                   steps.end(),
+                   [](const SuspectStep& aLeft, const SuspectStep& aRight) {
+                     return aLeft.m_suspects.front().m_losses.size() <
+                            aRight.m_suspects.front().m_losses.size();
+                   });
+  return steps;
 }
 
 void
-Planner::PlaceSuspects(const Candidate& aCandidate,
-                       bool aIsQuietPeriod,
-                       WallTime aWall,
-                       Pool& aPool,
-                       Plan& aPlan) const
+Planner::PlaceSuspects(
+  std::vector<SuspectStep> aSteps,
+  const std::function<bool(const ServiceId&)>& aIsQuietPeriod,
+  WallTime aWall,
+  Pools& aPools,
+  Plan& aPlan) const
 {
-  const jobs::Job& job = *aCandidate.m_job;
-  const jobs::StepSpec& step = job.m_spec.m_steps[aCandidate.m_step];
-  const auto found = job.m_occurrences.find(aCandidate.m_occurrence);
-  if (found == job.m_occurrences.end()) {
-    return;
+  std::map<ServiceId, IsolationQuota> quotas;
+  for (SuspectStep& step : aSteps) {
+    const ServiceId& service = step.m_candidate.m_route->m_service;
+    const auto found =
+      quotas.try_emplace(service, MakeQuota(aPools[service])).first;
+    found->second.AddWaiting(step.m_candidate.m_job->m_id);
   }
-  const jobs::StepRun& run = found->second.m_steps[aCandidate.m_step];
-  TasksPerWorker tasksPerWorker = CountTasksPerWorker(run.m_tasks);
-  const auto addWaiting = [&](const SuspectTask& aSuspect,
-                              WaitingTask aWaiting) {
-    aWaiting.m_isLongRunning = step.m_longRunning;
-    aWaiting.m_sinceLoss =
-      Millis{ aWall.Get() - aSuspect.m_losses.back().m_at.Get() };
-    aPlan.m_waiting.insert_or_assign(aCandidate.TaskAt(aSuspect.m_index),
-                                     std::move(aWaiting));
-  };
-  for (const SuspectTask& suspect : FindSuspects(aCandidate)) {
-    const auto& [index, losses] = suspect;
-    const jobs::TaskRef ref = aCandidate.TaskAt(index);
-    if (!aIsQuietPeriod && MustAwaitQuietPeriod(step, losses, aWall)) {
-      addWaiting(suspect, { WaitReason::kQuietPeriod });
-      continue;
+  for (bool hasPlaced = true; hasPlaced;) {
+    hasPlaced = false;
+    for (SuspectStep& step : aSteps) {
+      const ServiceId& service = step.m_candidate.m_route->m_service;
+      hasPlaced = PlaceNextSuspect(step,
+                                   aIsQuietPeriod(service),
+                                   aWall,
+                                   quotas.at(service),
+                                   aPools[service],
+                                   aPlan) ||
+                  hasPlaced;
     }
-    const auto timeSinceDelay = TimeSinceRetryDelay(ref, losses, aWall);
-    if (!timeSinceDelay) {
-      addWaiting(suspect, { WaitReason::kRetryDelay });
-      continue;
-    }
-    const bool isShared = jobs::CanBeIsolatedTogether(losses) && !step.m_gang;
-    if (const auto limit = FindIsolationLimit(job, isShared, aPool)) {
-      addWaiting(suspect, *limit);
-      continue;
-    }
-    if (!aCandidate.CheckCap(aPlan)) {
-      addWaiting(suspect, { WaitReason::kWorkspaceCap });
-      return;
+  }
+}
+
+IsolationQuota
+Planner::MakeQuota(const Pool& aPool)
+{
+  IsolationQuota quota{ MaxIsolatedWorkers(aPool) };
+  for (const Target& target : aPool) {
+    if (target.m_isolatedTask && !target.m_isShared) {
+      quota.AddRun(*target.m_isolatedTask, target.m_hasProof);
     }
-    if (step.m_gang) {
-      PlaceGang(aCandidate, timeSinceDelay, aPool, aPlan);
-      return;
+  }
+  return quota;
+}
+
+bool
+Planner::PlaceNextSuspect(SuspectStep& aStep,
+                          bool aIsQuietPeriod,
+                          WallTime aWall,
+                          IsolationQuota& aQuota,
+                          Pool& aPool,
+                          Plan& aPlan) const
+{
+  while (aStep.m_next < aStep.m_suspects.size()) {
+    const IsolatedRun& run = aStep.m_suspects[aStep.m_next++];
+    auto waiting =
+      PlaceSuspect(aStep, run, aIsQuietPeriod, aWall, aQuota, aPool, aPlan);
+    if (waiting) {
+      waiting->m_isLongRunning = aStep.m_candidate.m_isLongRunning;
+      waiting->m_sinceLoss =
+        Millis{ aWall.Get() - run.m_losses.back().m_at.Get() };
+      aPlan.m_waiting.insert_or_assign(run.m_task, std::move(*waiting));
+    } else if (!run.MayShare()) {
+      return true;
     }
-    Target* target = ChooseForIsolatedRun(
-      job, step, losses, tasksPerWorker, *timeSinceDelay, isShared, aPool);
-    if (target == nullptr) {
-      addWaiting(suspect, { WaitReason::kNoWorkerForIsolatedRun });
-      return;
+  }
+  return false;
+}
+
+std::optional<WaitingTask>
+Planner::PlaceSuspect(SuspectStep& aStep,
+                      const IsolatedRun& aRun,
+                      bool aIsQuietPeriod,
+                      WallTime aWall,
+                      IsolationQuota& aQuota,
+                      Pool& aPool,
+                      Plan& aPlan) const
+{
+  const Candidate& candidate = aStep.m_candidate;
+  const jobs::StepSpec& step = candidate.Step();
+  if (!aIsQuietPeriod && MustAwaitQuietPeriod(step, aRun.m_losses, aWall)) {
+    return WaitingTask{ WaitReason::kQuietPeriod };
+  }
+  const auto timeSinceDelay =
+    TimeSinceRetryDelay(aRun.m_task, aRun.m_losses, aWall);
+  if (!timeSinceDelay) {
+    return WaitingTask{ WaitReason::kRetryDelay };
+  }
+  if (auto limit = FindIsolationLimit(aRun, step.m_longRunning, aQuota)) {
+    return limit;
+  }
+  if (!candidate.CheckCap(aPlan)) {
+    aStep.m_next = aStep.m_suspects.size();
+    return WaitingTask{ WaitReason::kWorkspaceCap };
+  }
+  if (step.m_gang) {
+    aStep.m_next = aStep.m_suspects.size();
+    const std::size_t before = CountIsolatedWorkers(aPool, false);
+    if (!PlaceGang(candidate, timeSinceDelay, aPool, aPlan)) {
+      return WaitingTask{ WaitReason::kNoWorkerForIsolatedRun };
     }
-    const WorkerIncarnation& worker = target->m_worker->m_lastReport.m_worker;
-    target->Allocate(step);
-    aCandidate.ChargeStart();
-    target->AddIsolatedRunOf(job, ref, isShared);
-    ++tasksPerWorker[worker];
-    aPlan.m_changes.emplace_back(jobs::StartRun{
-      ref, RunNumber{ run.m_tasks[index].m_lastRun.Get() + 1 }, worker });
-    if (!isShared) {
-      return;
+    aQuota.AddRun(aRun.m_task,
+                  jobs::HasProof(aRun.m_losses),
+                  CountIsolatedWorkers(aPool, false) - before);
+    return std::nullopt;
+  }
+  Target* target =
+    aStep.m_noWorkerIfShared.contains(aRun.MayShare())
+      ? nullptr
+      : ChooseForIsolatedRun(
+          aRun, step, aStep.m_tasksPerWorker, *timeSinceDelay, aPool);
+  if (target == nullptr) {
+    // Whoever has waited longer may run on any worker that others may.
+    if (*timeSinceDelay >= kSameInstanceTimeout) {
+      aStep.m_noWorkerIfShared.insert(aRun.MayShare());
     }
+    return WaitingTask{ WaitReason::kNoWorkerForIsolatedRun };
   }
+  const WorkerIncarnation& worker = target->m_worker->m_lastReport.m_worker;
+  target->Allocate(step);
+  candidate.ChargeStart();
+  target->AddIsolatedRun(aRun);
+  if (!aRun.MayShare()) {
+    aQuota.AddRun(aRun.m_task, jobs::HasProof(aRun.m_losses));
+  }
+  ++aStep.m_tasksPerWorker[worker];
+  const jobs::Task& task =
+    candidate.m_job->m_occurrences.at(candidate.m_occurrence)
+      .m_steps[candidate.m_step]
+      .m_tasks[aRun.m_task.m_index];
+  aPlan.m_changes.emplace_back(jobs::StartRun{
+    aRun.m_task, RunNumber{ task.m_lastRun.Get() + 1 }, worker });
+  return std::nullopt;
 }
 
 } // namespace bamboostile::placement
--- /dev/null
+++ b/tests/unit/placement/isolated_runs_test.cpp
@@ -0,0 +1,279 @@
+#include "simulated_pool.h"
+
+#include "check.h"
+
+#include <algorithm>
+#include <cstdlib>
+
+using namespace bamboostile;
+using namespace bamboostile::jobs;
+using namespace job_fixtures;
+using simulated_pool::PoolOptions;
+using simulated_pool::SimulatedPool;
+
+namespace {
+
+constexpr Millis kTick{ 10 };
+constexpr Millis kRestart{ 2'500 };
+constexpr Millis kStartup{ 2'500 };
+/** Time that is observed after the crashes; a task that is overdue is so by
+ * then. */
+constexpr Millis kObserved{ 15'000 };
+constexpr Millis kBusyPeriod{ 200 };
+/** A long-running task that can run must not be without a run for longer, once
+ * no worker has been lost for kCalm. */
+constexpr Millis kMaxAbsence{ 9'000 };
+constexpr Millis kCalm{ 7'000 };
+constexpr const char* kJob = "lasting";
+
+/** Long-running steps, one a job, and the crashes that their pool goes
+ * through. */
+struct Scenario
+{
+  const char* m_name = "";
+  std::uint32_t m_workers = 24;
+  std::uint32_t m_tasks = 12;
+  std::uint32_t m_jobs = 1;
+  std::uint32_t m_crashes = 1;
+  /** Share of the workers that crash each time. */
+  std::uint32_t m_percent = 50;
+  /** Time from the submission to the first crash. */
+  Millis m_firstCrash{ 1'000 };
+  Millis m_period{ 3'000 };
+  bool m_replacesLeader = false;
+  bool m_isBusy = false;
+};
+
+class PoolWithLongRunningSteps
+{
+public:
+  PoolWithLongRunningSteps(const Scenario& aScenario, unsigned aSeed)
+    : m_scenario(aScenario)
+    , m_pool(OptionsOf(aScenario, aSeed))
+    , m_random(aSeed)
+  {
+    m_pool.Pass(kStartup);
+    for (std::uint32_t job = 0; job < m_scenario.m_jobs; ++job) {
+      StepSpec step = Step(m_scenario.m_tasks);
+      step.m_longRunning = true;
+      m_pool.Submit(NameOf(job), Spec({ step }));
+    }
+    m_absences.resize(std::size_t{ m_scenario.m_jobs } * m_scenario.m_tasks);
+  }
+
+  void PlayCrashes()
+  {
+    Pass(m_scenario.m_firstCrash);
+    for (std::uint32_t i = 0; i < m_scenario.m_crashes; ++i) {
+      CrashShare();
+      if (m_scenario.m_replacesLeader) {
+        m_pool.ReplaceLeader(Millis{ 500 });
+      }
+      const auto period =
+        static_cast<std::uint32_t>(m_scenario.m_period.count());
+      Pass(Millis{ period * 4 / 5 + m_random() % (period * 2 / 5) });
+    }
+  }
+
+  void Pass(Millis aTime)
+  {
+    for (Millis passed{}; passed < aTime; passed += kTick) {
+      SubmitOtherWork();
+      m_pool.Pass(kTick);
+      m_sinceCrash += kTick;
+      Observe();
+    }
+  }
+
+  Millis Longest() const { return m_longest; }
+  std::size_t CountOverdue() const { return m_overdue.size(); }
+  std::size_t CountFailed() const
+  {
+    return m_pool.CountJobs(JobState::kFailed);
+  }
+
+private:
+  static std::string NameOf(std::uint32_t aJob)
+  {
+    return kJob + std::to_string(aJob);
+  }
+
+  void CrashShare()
+  {
+    std::vector<std::uint32_t> workers(m_scenario.m_workers);
+    std::iota(workers.begin(), workers.end(), 0);
+    std::shuffle(workers.begin(), workers.end(), m_random);
+    workers.resize(workers.size() * m_scenario.m_percent / 100);
+    for (const std::uint32_t worker : workers) {
+      m_pool.CrashWorker(worker, kRestart);
+    }
+    m_sinceCrash = {};
+  }
+
+  void SubmitOtherWork()
+  {
+    if (m_scenario.m_isBusy &&
+        m_pool.Now().count() % kBusyPeriod.count() == 0) {
+      m_pool.Submit("short" + std::to_string(++m_shortJobs),
+                    Spec({ Step(8, 2'000) }));
+    }
+  }
+
+  void Observe()
+  {
+    for (std::size_t i = 0; i < m_absences.size(); ++i) {
+      const TaskRef task{ JobId{ NameOf(i / m_scenario.m_tasks) },
+                          0,
+                          0,
+                          static_cast<std::uint32_t>(i % m_scenario.m_tasks) };
+      Millis& absence = m_absences[i];
+      absence = m_pool.WorkerOf(task) ? Millis{} : absence + kTick;
+      m_longest = std::max(m_longest, absence);
+      if (absence > kMaxAbsence && m_sinceCrash > kCalm) {
+        m_overdue.insert(task);
+      }
+    }
+  }
+
+  static PoolOptions OptionsOf(const Scenario& aScenario, unsigned aSeed)
+  {
+    PoolOptions options;
+    options.m_workers = aScenario.m_workers;
+    options.m_seed = aSeed;
+    return options;
+  }
+
+  const Scenario m_scenario;
+  SimulatedPool m_pool;
+  std::minstd_rand m_random;
+  std::uint32_t m_shortJobs = 0;
+  Millis m_sinceCrash{};
+  std::vector<Millis> m_absences;
+  Millis m_longest{};
+  std::set<TaskRef> m_overdue;
+};
+
+unsigned
+SeedCount(unsigned aDefault)
+{
+  const char* seeds = std::getenv("BAMBOOSTILE_SEEDS");
+  return seeds == nullptr
+           ? aDefault
+           : static_cast<unsigned>(std::strtoul(seeds, nullptr, 10));
+}
+
+/** Plays the crashes and what follows, and describes what stayed away; empty if
+ * nothing. */
+std::string
+FindOverdue(const Scenario& aScenario, unsigned aSeeds)
+{
+  std::string found;
+  for (unsigned seed = 1; seed <= SeedCount(aSeeds); ++seed) {
+    PoolWithLongRunningSteps pool{ aScenario, seed };
+    pool.PlayCrashes();
+    pool.Pass(kObserved);
+    if (pool.CountOverdue() + pool.CountFailed() > 0) {
+      found += "seed " + std::to_string(seed) + ": " +
+               std::to_string(pool.CountOverdue()) + " tasks away, up to " +
+               std::to_string(pool.Longest().count()) + " ms, " +
+               std::to_string(pool.CountFailed()) + " jobs failed; ";
+    }
+  }
+  return found;
+}
+
+void
+CheckNoneOverdue(const Scenario& aScenario, unsigned aSeeds)
+{
+  STRCMP_EQUAL_TEXT(
+    "", FindOverdue(aScenario, aSeeds).c_str(), aScenario.m_name);
+}
+
+Scenario
+LostAtStart(const char* aName, std::uint32_t aPercent)
+{
+  Scenario scenario{ aName, 48, 38 };
+  scenario.m_percent = aPercent;
+  scenario.m_firstCrash = Millis{ 100 };
+  return scenario;
+}
+
+Scenario
+Series(const char* aName,
+       std::uint32_t aWorkers,
+       std::uint32_t aTasks,
+       std::uint32_t aCrashes)
+{
+  Scenario scenario{ aName, aWorkers, aTasks };
+  scenario.m_crashes = aCrashes;
+  return scenario;
+}
+
+} // namespace
+
+TEST_GROUP(IsolatedRuns){};
+
+// Guards against tasks of a wide step that return one by one after a crash.
+TEST(IsolatedRuns, WideStepIsLostAtItsStart_TasksReturnInTime)
+{
+  CheckNoneOverdue(LostAtStart("all workers", 100), 3);
+  CheckNoneOverdue(LostAtStart("three quarters", 75), 3);
+}
+
+// The same where each task is isolated for its whole run.
+TEST(IsolatedRuns, SeriesOfCrashes_TasksReturnInTime)
+{
+  Scenario busy = Series("busy pool", 48, 24, 6);
+  busy.m_percent = 40;
+  busy.m_period = Millis{ 5'000 };
+  busy.m_isBusy = true;
+  CheckNoneOverdue(busy, 2);
+  CheckNoneOverdue(Series("one job", 48, 24, 5), 10);
+  CheckNoneOverdue(Series("small pool", 8, 8, 5), 10);
+}
+
+TEST(IsolatedRuns, NewLeaderAfterEachCrash_TasksReturnInTime)
+{
+  Scenario scenario = Series("new leaders", 24, 12, 4);
+  scenario.m_period = Millis{ 5'000 };
+  scenario.m_replacesLeader = true;
+  CheckNoneOverdue(scenario, 5);
+}
+
+// Guards against jobs that wait for each other's isolated runs.
+TEST(IsolatedRuns, SeveralJobsAreLostTogether_TasksReturnInTime)
+{
+  Scenario scenario = Series("eight jobs", 60, 38, 3);
+  scenario.m_jobs = 8;
+  CheckNoneOverdue(scenario, 1);
+}
+
+// Guards against a job whose every task crashes its worker, and which takes
+// the pool from others when its tasks are isolated at the same time.
+TEST(IsolatedRuns, EachTaskOfWideStepCrashesItsWorker_OthersGoOn)
+{
+  constexpr std::uint32_t kWorkers = 48;
+  constexpr std::uint32_t kTasks = 24;
+  constexpr int kHealthyJobs = 40;
+  // The first crash, and two in isolated runs, which prove it.
+  constexpr std::uint32_t kMaxCrashes = 3;
+  for (const bool isLongRunning : { false, true }) {
+    PoolOptions options;
+    options.m_workers = kWorkers;
+    SimulatedPool pool{ options };
+    pool.Pass(kStartup);
+    StepSpec step = Step(kTasks);
+    step.m_longRunning = isLongRunning;
+    JobSpec crashing = Spec({ step });
+    crashing.m_payload = simulated_pool::kCrashAll;
+    pool.Submit("crashing", crashing);
+    for (int i = 0; i < kHealthyJobs; ++i) {
+      pool.Submit("job" + std::to_string(i), Spec({ Step(8, 2'000) }));
+      pool.Pass(Millis{ 500 });
+    }
+    pool.Pass(kObserved);
+    STRCMP_EQUAL("failed", Describe(pool.StateOf("crashing")));
+    LONGS_EQUAL(kHealthyJobs, pool.CountJobs(JobState::kCompleted));
+    CHECK_COMPARE(pool.CrashesByTasks(), <=, kMaxCrashes * kTasks);
+  }
+}
