Placement: a long-running suspect joins isolated runs of others after a second

Callers saw long-running tasks without a run for 13 s and more after the last crash where more tasks had become suspects than half of the pool has workers.

Half of the pool may have isolated runs; each occupies its worker until a report, or for 3.3 s. The rest waits for whole rounds.

A long-running suspect that the limit has kept waiting for a second may now join an isolated run of another one, at most two unconfirmed on a worker. The loss of such a worker proves nothing, so tasks with a proof, or with more than three losses, neither join nor are joined.

--- a/include/bamboostile/jobs/crash_loop.h
+++ b/include/bamboostile/jobs/crash_loop.h
@@ -25,6 +25,10 @@
 /** Whether the task's next run must be an isolated run. */
 bool IsSuspect(const std::vector<WorkerLoss>& aLosses);
 
+/** Whether the task has so few losses that it cannot be given up for the next
+ * one, unless that is a proof. */
+bool HasFewLosses(const std::vector<WorkerLoss>& aLosses);
+
 /** Whether no loss points to this task in particular yet. Such a suspect may
  * share its isolated run's worker with other suspects of this kind. */
 bool CanBeIsolatedTogether(const std::vector<WorkerLoss>& aLosses);
--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -106,9 +106,13 @@
     jobs::TaskRef m_task;
     std::vector<jobs::WorkerLoss> m_losses;
     bool m_isGang = false;
+    bool m_isLongRunning = false;
 
     /** Whether it may share its worker with other isolated runs. */
     bool MayShare() const;
+    /** Whether it may join others on their worker where it has waited for
+     * long, and be joined. */
+    bool MayJoin() const;
   };
 
   /** The free capacity of a worker and what the worker hosts. */
@@ -131,6 +135,8 @@
     bool m_isShared = false;
     /** The isolated run is of a task with a proof. */
     bool m_hasProof = false;
+    /** All isolated runs here may be joined by others. */
+    bool m_isJoinable = true;
     /** Reserved for a large task that does not fit anywhere yet. */
     bool m_isReserved = false;
     /** An order may still end the worker, and the loss would prove nothing. */
@@ -141,6 +147,7 @@
     bool Fits(const jobs::StepSpec& aStep) const;
     void Allocate(const jobs::StepSpec& aStep);
     bool AcceptsIsolatedRunOf(const IsolatedRun& aRun) const;
+    bool MayBeJoinedBy(const IsolatedRun& aRun) const;
     void AddIsolatedRun(const IsolatedRun& aRun);
   };
 
@@ -245,6 +252,12 @@
                         const std::vector<jobs::TaskRef>& aPlaced,
                         const jobs::JobTable& aBook,
                         Target& aTarget) const;
+  /** The worker with the fewest runs that the run may join; null if there is
+   * none. */
+  Target* ChooseToJoin(const IsolatedRun& aRun,
+                       const jobs::StepSpec& aStep,
+                       const TasksPerWorker& aTasksPerWorker,
+                       Pool& aPool) const;
   /** Null if no worker may take the task. aTimeSinceDelay: time since its retry
    * delay ended. */
   Target* ChooseForIsolatedRun(const IsolatedRun& aRun,
@@ -264,7 +277,6 @@
   /** Returns why the run may not be isolated now; unset if it may. */
   static std::optional<WaitingTask> FindIsolationLimit(
     const IsolatedRun& aRun,
-    bool aIsLongRunning,
     const IsolationQuota& aQuota);
   /** Time since the retry delay before the next isolated run ended; unset
    * while it lasts. */
--- a/src/jobs/crash_loop.cpp
+++ b/src/jobs/crash_loop.cpp
@@ -148,6 +148,12 @@
          aLosses.size() >= kMinLossesOfSuspect;
 }
 
+bool
+HasFewLosses(const std::vector<WorkerLoss>& aLosses)
+{
+  return aLosses.size() <= kMaxLossesIsolatedTogether;
+}
+
 // Every crash makes a suspect of each task that loses a worker for the second
 // time. Isolated one after the other, the suspects would wait for minutes while
 // workers are idle. With four losses a task runs by itself, and the next loss
@@ -155,7 +161,7 @@
 bool
 CanBeIsolatedTogether(const std::vector<WorkerLoss>& aLosses)
 {
-  return IsSuspect(aLosses) && aLosses.size() <= kMaxLossesIsolatedTogether &&
+  return IsSuspect(aLosses) && HasFewLosses(aLosses) &&
          CountRunningOrConcurrent(aLosses) == aLosses.size();
 }
 
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -456,7 +456,9 @@
     if (!tentative.CheckCap(aPlan)) {
       return false;
     }
-    const IsolatedRun run{ aCandidate.TaskAt(i), losses, true };
+    const IsolatedRun run{
+      aCandidate.TaskAt(i), losses, true, step.m_longRunning
+    };
     Target* target =
       aTimeSinceDelay
         ? ChooseForIsolatedRun(
--- a/src/placement/trials.cpp
+++ b/src/placement/trials.cpp
@@ -25,6 +25,13 @@
 /** The same time for all other tasks. The other instances may be occupied
  * indefinitely. */
 constexpr Millis kSameInstanceTimeout{ 5000 };
+/** Time after the retry delay from which a long-running task may join isolated
+ * runs of others. They occupy their workers for up to some seconds, and tasks
+ * that have to wait for a second round of them return too late. */
+constexpr Millis kJoinTimeout{ 1000 };
+/** Maximum number of unconfirmed isolated runs on a worker. The loss of the
+ * worker makes their tasks suspect to the same degree. */
+constexpr std::uint32_t kMaxUnconfirmedTogether = 2;
 /** Maximum time from the end of a long-running task's last run to the moment
  * from which its next one no longer waits for a quiet period. A loss is noticed
  * within 5 s, and a start takes half a second, so that the task is without a
@@ -58,6 +65,22 @@
   return jobs::CanBeIsolatedTogether(m_losses) && !m_isGang;
 }
 
+// The loss of a shared worker proves nothing, so a task that one or two losses
+// more may give up has its isolated run for itself.
+bool
+Planner::IsolatedRun::MayJoin() const
+{
+  return m_isLongRunning && !m_isGang && !jobs::HasProof(m_losses) &&
+         jobs::HasFewLosses(m_losses);
+}
+
+bool
+Planner::Target::MayBeJoinedBy(const IsolatedRun& aRun) const
+{
+  return m_isolatedTask && m_isJoinable && aRun.MayJoin() &&
+         m_unconfirmed < kMaxUnconfirmedTogether;
+}
+
 // Members of a gang crash their workers together, so they may share one.
 bool
 Planner::Target::AcceptsIsolatedRunOf(const IsolatedRun& aRun) const
@@ -78,6 +101,7 @@
 {
   m_isShared = aRun.MayShare() && (!m_isolatedTask || m_isShared);
   m_isolatedTask = aRun.m_task;
+  m_isJoinable = m_isJoinable && aRun.MayJoin();
   m_hasProof = m_hasProof || jobs::HasProof(aRun.m_losses);
 }
 
@@ -96,8 +120,9 @@
     const bool isOnTrial = isConfirmed ? jobs::IsIsolatedForWholeRun(losses)
                                        : jobs::IsSuspect(losses);
     if (isOnTrial) {
-      const bool isGang = StepOf(*aBook.Find(ref.m_job), ref).m_gang;
-      aTarget.AddIsolatedRun({ ref, std::move(losses), isGang });
+      const jobs::StepSpec& step = StepOf(*aBook.Find(ref.m_job), ref);
+      aTarget.AddIsolatedRun(
+        { ref, std::move(losses), step.m_gang, step.m_longRunning });
     }
   }
 }
@@ -157,6 +182,27 @@
   return best;
 }
 
+Planner::Target*
+Planner::ChooseToJoin(const IsolatedRun& aRun,
+                      const jobs::StepSpec& aStep,
+                      const TasksPerWorker& aTasksPerWorker,
+                      Pool& aPool) const
+{
+  const auto rank = [](const Target& aTarget) {
+    return std::make_pair(aTarget.m_unconfirmed, aTarget.m_runs);
+  };
+  Target* best = nullptr;
+  for (Target& target : aPool) {
+    const bool isFit = target.MayBeJoinedBy(aRun) && !target.m_mayBeOrdered &&
+                       target.Fits(aStep) &&
+                       IsEligible(aStep, aTasksPerWorker, target);
+    if (isFit && (best == nullptr || rank(target) < rank(*best))) {
+      best = &target;
+    }
+  }
+  return best;
+}
+
 bool
 Planner::IsEligible(const jobs::StepSpec& aStep,
                     const TasksPerWorker& aTasksPerWorker,
@@ -188,7 +234,6 @@
 // for each task.
 std::optional<WaitingTask>
 Planner::FindIsolationLimit(const IsolatedRun& aRun,
-                            bool aIsLongRunning,
                             const IsolationQuota& aQuota)
 {
   if (aRun.MayShare()) {
@@ -201,7 +246,7 @@
     waiting.m_blockedBy = *other;
     return waiting;
   }
-  if (!aQuota.MayStart(job, aIsLongRunning)) {
+  if (!aQuota.MayStart(job, aRun.m_isLongRunning)) {
     return WaitingTask{ WaitReason::kIsolationLimit };
   }
   return std::nullopt;
@@ -250,8 +295,10 @@
     auto losses = jobs::LossesOf(step, run, i);
     if (run.m_tasks[i].m_phase == jobs::TaskPhase::kWaiting &&
         jobs::IsSuspect(losses)) {
-      suspects.push_back(
-        { aCandidate.TaskAt(i), std::move(losses), step.m_gang });
+      suspects.push_back({ aCandidate.TaskAt(i),
+                           std::move(losses),
+                           step.m_gang,
+                           step.m_longRunning });
     }
   }
   std::stable_sort(suspects.begin(),
@@ -379,13 +426,17 @@
   if (!timeSinceDelay) {
     return WaitingTask{ WaitReason::kRetryDelay };
   }
-  if (auto limit = FindIsolationLimit(aRun, step.m_longRunning, aQuota)) {
+  const auto limit = FindIsolationLimit(aRun, aQuota);
+  if (limit && *timeSinceDelay < kJoinTimeout) {
     return limit;
   }
   if (!candidate.CheckCap(aPlan)) {
     aStep.m_next = aStep.m_suspects.size();
     return WaitingTask{ WaitReason::kWorkspaceCap };
   }
+  if (step.m_gang && limit) {
+    return limit;
+  }
   if (step.m_gang) {
     aStep.m_next = aStep.m_suspects.size();
     const std::size_t before = CountIsolatedWorkers(aPool, false);
@@ -398,10 +449,14 @@
     return std::nullopt;
   }
   Target* target =
-    aStep.m_noWorkerIfShared.contains(aRun.MayShare())
+    limit ? ChooseToJoin(aRun, step, aStep.m_tasksPerWorker, aPool)
+    : aStep.m_noWorkerIfShared.contains(aRun.MayShare())
       ? nullptr
       : ChooseForIsolatedRun(
           aRun, step, aStep.m_tasksPerWorker, *timeSinceDelay, aPool);
+  if (target == nullptr && limit) {
+    return limit;
+  }
   if (target == nullptr) {
     // Whoever has waited longer may run on any worker that others may.
     if (*timeSinceDelay >= kSameInstanceTimeout) {
@@ -412,8 +467,9 @@
   const WorkerIncarnation& worker = target->m_worker->m_lastReport.m_worker;
   target->Allocate(step);
   candidate.ChargeStart();
+  ++target->m_unconfirmed;
   target->AddIsolatedRun(aRun);
-  if (!aRun.MayShare()) {
+  if (!aRun.MayShare() && !limit) {
     aQuota.AddRun(aRun.m_task, jobs::HasProof(aRun.m_losses));
   }
   ++aStep.m_tasksPerWorker[worker];
--- a/tests/unit/placement/isolated_runs_test.cpp
+++ b/tests/unit/placement/isolated_runs_test.cpp
@@ -248,6 +248,18 @@
   CheckNoneOverdue(scenario, 1);
 }
 
+// Guards against suspects that wait for those before them, where there are more
+// of them than workers that may have isolated runs.
+TEST(IsolatedRuns, MoreSuspectsThanWorkers_TasksReturnInTime)
+{
+  CheckNoneOverdue(Series("three a worker", 12, 36, 5), 15);
+  Scenario twice = LostAtStart("eight a worker", 100);
+  twice.m_workers = 12;
+  twice.m_tasks = 96;
+  twice.m_crashes = 2;
+  CheckNoneOverdue(twice, 3);
+}
+
 // Guards against a job whose every task crashes its worker, and which takes
 // the pool from others when its tasks are isolated at the same time.
 TEST(IsolatedRuns, EachTaskOfWideStepCrashesItsWorker_OthersGoOn)
@@ -277,3 +289,43 @@
     CHECK_COMPARE(pool.CrashesByTasks(), <=, kMaxCrashes * kTasks);
   }
 }
+
+// Guards against healthy tasks that are given up, or crashing ones that are
+// not, because their isolated runs were on the same worker.
+TEST(IsolatedRuns, CrashingTasksAmongManySuspects_OnlyTheyAreGivenUp)
+{
+  constexpr std::uint32_t kMaxStartsAfterThreeCrashes = 2;
+  for (unsigned seed = 1; seed <= SeedCount(3); ++seed) {
+    PoolOptions options;
+    options.m_workers = 24;
+    options.m_seed = seed;
+    options.m_crashAfter = Millis{ seed % 2 == 0 ? 10 : 700 };
+    SimulatedPool pool{ options };
+    std::minstd_rand random{ seed };
+    pool.Pass(kStartup);
+    StepSpec step = Step(72);
+    step.m_longRunning = true;
+    pool.Submit("healthy", Spec({ step }));
+    step.m_count = 2;
+    for (const char* name : { "bad", "worse", "worst" }) {
+      JobSpec crashing = Spec({ step });
+      crashing.m_payload = simulated_pool::kCrashFirst;
+      pool.Submit(name, crashing);
+      pool.Pass(Millis{ 300 });
+    }
+    for (int crash = 0; crash < 2; ++crash) {
+      for (std::uint32_t i = 0; i < options.m_workers / 2; ++i) {
+        pool.CrashWorker(random() % options.m_workers, kRestart);
+      }
+      pool.Pass(Millis{ 3'000 });
+    }
+    pool.Pass(Millis{ 60'000 });
+    const std::string name = "seed " + std::to_string(seed);
+    STRCMP_EQUAL_TEXT(
+      "active", Describe(pool.StateOf("healthy")), name.c_str());
+    LONGS_EQUAL_TEXT(3, pool.CountJobs(JobState::kFailed), name.c_str());
+    CHECK_COMPARE_TEXT(pool.MostStartsAfterThreeCrashes(),
+                       <=
+                       , kMaxStartsAfterThreeCrashes, name.c_str());
+  }
+}
