Control: a job counts as pending until a report shows one of its runs

Cause: a job left the count when its start was placed. The order may never arrive: its worker has crashed, which is noticed seconds later when the lease ends.

A job that is started in the state now still counts until a report shows a run of it, or it has got anywhere.

--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -160,6 +160,8 @@
                                        const WorkspaceId& aWorkspace,
                                        jobs::JobSpec aSpec);
   kj::Promise<jobs::QueueReply> Cancel(const JobId& aJob);
+  /** Counts the accepted jobs without a due time of which no run has begun. */
+  std::uint64_t CountPendingJobs(const QueueId& aQueue);
   jobs::QueueReply RefuseUnauthorized(const jobs::QueueCall& aCall,
                                       const fleet::QueueRoute& aRoute);
   jobs::QueueReply RefuseBeyondShare(const WorkspaceId& aWorkspace,
@@ -206,6 +208,9 @@
   telemetry::LogRateLimiter m_beyondShareLog{ Millis{ 200 } };
   WorkspaceMonitor m_workspaces;
   WaitingMonitor m_waiting;
+  /** By queue, as of the last count. */
+  std::map<QueueId, std::uint64_t> m_unbegunJobs;
+  TimePoint m_nextUnbegunCount;
   workspaces::ShareLimiter m_shares;
   /** Services with tasks that had no room in the last placement pass. */
   std::set<ServiceId> m_fullServices;
--- a/include/bamboostile/jobs/book.h
+++ b/include/bamboostile/jobs/book.h
@@ -152,7 +152,8 @@
   bool HasLosses(const JobId& aJob) const;
   /** Whether any task's next or current run is an isolated run. */
   bool HasSuspects() const;
-  /** Number of accepted jobs without a due time that have no started task. */
+  /** Number of accepted jobs without a due time of which no task has been
+   * placed. */
   std::uint64_t PendingJobs(const QueueId& aQueue) const;
 
   /** Whether all steps that this step depends on are done. */
--- a/include/bamboostile/jobs/model.h
+++ b/include/bamboostile/jobs/model.h
@@ -148,6 +148,10 @@
   bool m_isStable = false;
 };
 
+/** Whether a run of the task has got anywhere: it is done, has failed by itself
+ * or has left a checkpoint. */
+bool HasProgress(const Task& aTask);
+
 struct StepRun
 {
   std::vector<Task> m_tasks;
--- a/src/control/job_calls.cpp
+++ b/src/control/job_calls.cpp
@@ -4,9 +4,12 @@
 
 #include "batch_reply.h"
 
+#include "bamboostile/placement/unbegun_jobs.h"
 #include "bamboostile/telemetry/log.h"
 #include "bamboostile/workspaces/directory.h"
 
+#include <algorithm>
+
 namespace bamboostile::control {
 
 namespace {
@@ -16,6 +19,10 @@
 
 /** Retry delay sent to a caller whose job was not accepted. */
 constexpr Millis kRetryAfter{ 1000 };
+/** Callers of all queues poll, and a count visits each run: minimum time from
+ * one to the next, absolute and as a multiple of the time that it takes. */
+constexpr Duration kUnbegunCountInterval = Millis{ 500 };
+constexpr int kUnbegunCountShare = 100;
 
 jobs::QueueReply
 ReplyWith(jobs::QueueOutcome aOutcome)
@@ -54,7 +61,7 @@
   }
   if (id.Get().empty() && aCall.m_kind == jobs::CallKind::kQuery) {
     jobs::QueueReply reply = ReplyWith(jobs::QueueOutcome::kOk);
-    reply.m_pending = state.Jobs().PendingJobs(route.Queue());
+    reply.m_pending = CountPendingJobs(route.Queue());
     return reply;
   }
   const jobs::Job* job = state.Jobs().Find(id);
@@ -73,6 +80,22 @@
   return reply;
 }
 
+std::uint64_t
+JobService::CountPendingJobs(const QueueId& aQueue)
+{
+  const jobs::JobTable& book = m_node.State().Jobs();
+  const TimePoint now = MonotonicNow();
+  if (now >= m_nextUnbegunCount) {
+    m_unbegunJobs = placement::CountUnbegunJobs(book, *m_workers);
+    const TimePoint end = MonotonicNow();
+    m_nextUnbegunCount =
+      end + std::max(kUnbegunCountInterval, kUnbegunCountShare * (end - now));
+  }
+  const auto unbegun = m_unbegunJobs.find(aQueue);
+  return book.PendingJobs(aQueue) +
+         (unbegun == m_unbegunJobs.end() ? 0 : unbegun->second);
+}
+
 jobs::QueueReply
 JobService::RefuseUnauthorized(const jobs::QueueCall& aCall,
                                const fleet::QueueRoute& aRoute)
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -377,22 +377,25 @@
   return CallOutcome::kNone;
 }
 
+bool
+HasProgress(const Task& aTask)
+{
+  return aTask.m_phase == TaskPhase::kDone || aTask.m_failures > 0 ||
+         !aTask.m_checkpoint.empty();
+}
+
 // A job whose runs made no progress counts as pending again. If it stayed
 // started, jobs whose first workers were lost would not be counted as pending,
 // and callers would be told that no job waits.
 void
 JobTable::MarkPendingIfNoProgress(Job& aJob)
 {
-  const auto hasProgress = [](const Task& aTask) {
-    return aTask.m_phase == TaskPhase::kDone || aTask.m_failures > 0 ||
-           !aTask.m_checkpoint.empty();
-  };
   if (aJob.m_state != JobState::kActive || aJob.m_spec.m_repeatCount != 0 ||
       !aJob.m_started) {
     return;
   }
   for (const StepRun& step : aJob.m_occurrences.at(0).m_steps) {
-    if (std::any_of(step.m_tasks.begin(), step.m_tasks.end(), hasProgress)) {
+    if (std::any_of(step.m_tasks.begin(), step.m_tasks.end(), HasProgress)) {
       return;
     }
   }
--- a/tests/unit/control/job_service_test.cpp
+++ b/tests/unit/control/job_service_test.cpp
@@ -573,6 +573,29 @@
   CHECK(submit(0).m_outcome == jobs::QueueOutcome::kOk);
 }
 
+// Guards against callers being told that no job is pending while dozens wait on
+// workers that crashed before the start reached them.
+TEST(JobService, StartIsNotShownByAReport_JobIsStillPending)
+{
+  const auto countPending = [&]() {
+    RunEventLoopFor(600 * kj::MILLISECONDS);
+    jobs::QueueCall call;
+    call.m_kind = jobs::CallKind::kQuery;
+    call.m_host = "host";
+    call.m_path = "/q/";
+    return *m_service->Call(std::move(call))
+              .wait(m_loop->m_io.waitScope)
+              .m_pending;
+  };
+  Submit("a", Spec({ Step(1) }));
+  const placement::StartOrder start = AwaitStart("w1");
+  LONGS_EQUAL(1, countPending());
+  placement::WorkerReport report = Report("w1", 0);
+  report.m_active.push_back(Active(start.m_task));
+  Await(Send(report));
+  LONGS_EQUAL(0, countPending());
+}
+
 // Guards against a wait that starts anew whenever its reason changes.
 TEST(JobService, LongRunningTaskWaitsForTwoReasons_GaugeHasItsWholeWait)
 {
