--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -245,6 +245,20 @@
                                           IsolationQuota& aQuota,
                                           Pool& aPool,
                                           Plan& aPlan) const;
+  std::optional<WaitingTask> PlaceSuspectGang(const Candidate& aCandidate,
+                                              const IsolatedRun& aRun,
+                                              Millis aTimeSinceDelay,
+                                              IsolationQuota& aQuota,
+                                              Pool& aPool,
+                                              Plan& aPlan) const;
+  Target* ChooseForSuspect(SuspectStep& aStep,
+                           const IsolatedRun& aRun,
+                           Millis aTimeSinceDelay,
+                           Pool& aPool) const;
+  static void StartIsolatedRun(SuspectStep& aStep,
+                               const IsolatedRun& aRun,
+                               Target& aTarget,
+                               Plan& aPlan);
   static bool MustAwaitQuietPeriod(const jobs::StepSpec& aStep,
                                    const std::vector<jobs::WorkerLoss>& aLosses,
                                    WallTime aWall);
--- a/src/placement/trials.cpp
+++ b/src/placement/trials.cpp
@@ -426,60 +426,92 @@
   if (!timeSinceDelay) {
     return WaitingTask{ WaitReason::kRetryDelay };
   }
-  const auto limit = FindIsolationLimit(aRun, aQuota);
-  if (limit && *timeSinceDelay < kJoinTimeout) {
+  auto limit = FindIsolationLimit(aRun, aQuota);
+  if (limit && (step.m_gang || *timeSinceDelay < kJoinTimeout)) {
     return limit;
   }
   if (!candidate.CheckCap(aPlan)) {
     aStep.m_next = aStep.m_suspects.size();
     return WaitingTask{ WaitReason::kWorkspaceCap };
   }
-  if (step.m_gang && limit) {
-    return limit;
-  }
   if (step.m_gang) {
     aStep.m_next = aStep.m_suspects.size();
-    const std::size_t before = CountIsolatedWorkers(aPool, false);
-    if (!PlaceGang(candidate, timeSinceDelay, aPool, aPlan)) {
-      return WaitingTask{ WaitReason::kNoWorkerForIsolatedRun };
-    }
-    aQuota.AddRun(aRun.m_task,
-                  jobs::HasProof(aRun.m_losses),
-                  CountIsolatedWorkers(aPool, false) - before);
-    return std::nullopt;
-  }
-  Target* target =
-    limit ? ChooseToJoin(aRun, step, aStep.m_tasksPerWorker, aPool)
-    : aStep.m_noWorkerIfShared.contains(aRun.MayShare())
-      ? nullptr
-      : ChooseForIsolatedRun(
-          aRun, step, aStep.m_tasksPerWorker, *timeSinceDelay, aPool);
-  if (target == nullptr && limit) {
-    return limit;
+    return PlaceSuspectGang(
+      candidate, aRun, *timeSinceDelay, aQuota, aPool, aPlan);
   }
+  Target* target = limit
+                     ? ChooseToJoin(aRun, step, aStep.m_tasksPerWorker, aPool)
+                     : ChooseForSuspect(aStep, aRun, *timeSinceDelay, aPool);
   if (target == nullptr) {
-    // Whoever has waited longer may run on any worker that others may.
-    if (*timeSinceDelay >= kSameInstanceTimeout) {
-      aStep.m_noWorkerIfShared.insert(aRun.MayShare());
-    }
-    return WaitingTask{ WaitReason::kNoWorkerForIsolatedRun };
+    return limit ? std::move(limit)
+                 : WaitingTask{ WaitReason::kNoWorkerForIsolatedRun };
   }
-  const WorkerIncarnation& worker = target->m_worker->m_lastReport.m_worker;
-  target->Allocate(step);
-  candidate.ChargeStart();
-  ++target->m_unconfirmed;
-  target->AddIsolatedRun(aRun);
-  if (!aRun.MayShare() && !limit) {
+  if (!limit && !aRun.MayShare()) {
     aQuota.AddRun(aRun.m_task, jobs::HasProof(aRun.m_losses));
   }
-  ++aStep.m_tasksPerWorker[worker];
+  StartIsolatedRun(aStep, aRun, *target, aPlan);
+  return std::nullopt;
+}
+
+std::optional<WaitingTask>
+Planner::PlaceSuspectGang(const Candidate& aCandidate,
+                          const IsolatedRun& aRun,
+                          Millis aTimeSinceDelay,
+                          IsolationQuota& aQuota,
+                          Pool& aPool,
+                          Plan& aPlan) const
+{
+  const std::size_t before = CountIsolatedWorkers(aPool, false);
+  if (!PlaceGang(aCandidate, aTimeSinceDelay, aPool, aPlan)) {
+    return WaitingTask{ WaitReason::kNoWorkerForIsolatedRun };
+  }
+  aQuota.AddRun(aRun.m_task,
+                jobs::HasProof(aRun.m_losses),
+                CountIsolatedWorkers(aPool, false) - before);
+  return std::nullopt;
+}
+
+// If a suspect that may run on any instance finds no worker, the others of its
+// step need not search the pool.
+Planner::Target*
+Planner::ChooseForSuspect(SuspectStep& aStep,
+                          const IsolatedRun& aRun,
+                          Millis aTimeSinceDelay,
+                          Pool& aPool) const
+{
+  if (aStep.m_noWorkerIfShared.contains(aRun.MayShare())) {
+    return nullptr;
+  }
+  Target* target = ChooseForIsolatedRun(aRun,
+                                        aStep.m_candidate.Step(),
+                                        aStep.m_tasksPerWorker,
+                                        aTimeSinceDelay,
+                                        aPool);
+  if (target == nullptr && aTimeSinceDelay >= kSameInstanceTimeout) {
+    aStep.m_noWorkerIfShared.insert(aRun.MayShare());
+  }
+  return target;
+}
+
+void
+Planner::StartIsolatedRun(SuspectStep& aStep,
+                          const IsolatedRun& aRun,
+                          Target& aTarget,
+                          Plan& aPlan)
+{
+  const Candidate& candidate = aStep.m_candidate;
+  const WorkerIncarnation& worker = aTarget.m_worker->m_lastReport.m_worker;
   const jobs::Task& task =
     candidate.m_job->m_occurrences.at(candidate.m_occurrence)
       .m_steps[candidate.m_step]
       .m_tasks[aRun.m_task.m_index];
+  aTarget.Allocate(candidate.Step());
+  candidate.ChargeStart();
+  ++aTarget.m_unconfirmed;
+  aTarget.AddIsolatedRun(aRun);
+  ++aStep.m_tasksPerWorker[worker];
   aPlan.m_changes.emplace_back(jobs::StartRun{
     aRun.m_task, RunNumber{ task.m_lastRun.Get() + 1 }, worker });
-  return std::nullopt;
 }
 
 } // namespace bamboostile::placement
