Placement: workers lost with others of the same job's isolated runs prove nothing

What callers would have seen: a healthy job given up after one more shared crash.

Cause: the losses of workers with isolated runs do not count as concurrent, so that crashing tasks cannot hide each other. With many, one event that takes the workers of a job's isolated runs and no others, such as a rack, counted as a proof against each of its tasks.

--- a/include/bamboostile/placement/losses.h
+++ b/include/bamboostile/placement/losses.h
@@ -51,6 +51,9 @@
   std::size_t m_concurrentLosses = 0;
   /** The loss is distinct from those of other workers. */
   bool m_isDistinct = false;
+  /** Whether another worker with an isolated run of the same job stopped
+   * reporting at about the same time. */
+  bool m_isLostWithSameJob = false;
   LossExemption m_exemption = LossExemption::kNone;
 };
 
@@ -84,8 +87,16 @@
 {
 public:
   void Add(TimePoint aMoment, const ServiceId& aService);
+  /** Adds the loss of a worker with an isolated run; the other counts leave it
+   * out. */
+  void AddIsolated(TimePoint aMoment, const jobs::TaskRef& aTask);
   /** Counts the losses within kConcurrentLossWindow of a moment. */
   LossCount CountAround(TimePoint aMoment, const ServiceId& aService) const;
+  /** Moments of the losses with an isolated run, and its task. */
+  const std::vector<std::pair<TimePoint, jobs::TaskRef>>& Isolated() const
+  {
+    return m_isolated;
+  }
   LossCount CountAfter(TimePoint aMoment, const ServiceId& aService) const;
 
 private:
@@ -100,6 +111,7 @@
                          const ServiceId& aService) const;
 
   std::vector<Loss> m_losses;
+  std::vector<std::pair<TimePoint, jobs::TaskRef>> m_isolated;
 };
 
 } // namespace bamboostile::placement
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -193,8 +193,8 @@
   TimePoint m_leaseEnd;
   /** The worker's lease has ended without a report. */
   bool m_isLost = false;
-  /** For a lost worker: whether an isolated run of a suspect was on it. */
-  bool m_lostInIsolatedRun = false;
+  /** For a lost worker: the suspects that had isolated runs on it. */
+  std::vector<jobs::TaskRef> m_lostIsolatedRuns;
   /** For a lost worker: what its loss implies about each of its tasks. */
   std::map<jobs::TaskRef, jobs::CrashEvidence> m_evidence;
   /** Resources of all runs that the last report shows as active, and of those
@@ -530,6 +530,12 @@
   std::vector<PendingStart> FindPending(const Worker& aWorker,
                                         const jobs::JobTable& aBook) const;
   /** aUnconfirmed: the unconfirmed starts of the same worker. */
+  std::vector<jobs::TaskRef> FindIsolatedRuns(
+    const Worker& aWorker,
+    const jobs::JobTable& aBook) const;
+  bool IsLostWithSameJob(const Worker& aWorker,
+                         const jobs::JobTable& aBook,
+                         TimePoint aNow) const;
   static bool IsIsolatedRun(const jobs::TaskRef& aTask,
                             const std::vector<jobs::TaskRef>& aUnconfirmed,
                             const jobs::JobTable& aBook);
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -179,6 +179,7 @@
       .With("runs", lost.m_runs)
       .With("starting", lost.m_unconfirmedStarts)
       .With("lostBeside", lost.m_concurrentLosses)
+      .With("withSameJob", lost.m_isLostWithSameJob)
       .With("exempt", placement::Describe(lost.m_exemption));
     if (const Cordon* cordon = m_instances->FindCordon(lost.m_worker)) {
       line.With("cordonedFor", Describe(cordon->m_cause))
--- a/src/placement/losses.cpp
+++ b/src/placement/losses.cpp
@@ -60,6 +60,15 @@
   m_losses.push_back({ aMoment, aService });
 }
 
+void
+RecentLosses::AddIsolated(TimePoint aMoment, const jobs::TaskRef& aTask)
+{
+  std::erase_if(m_isolated, [&](const auto& aLoss) {
+    return aLoss.first + kLossRetention < aMoment;
+  });
+  m_isolated.emplace_back(aMoment, aTask);
+}
+
 LossCount
 RecentLosses::CountBetween(TimePoint aFrom,
                            TimePoint aTo,
--- a/src/placement/worker_lives.cpp
+++ b/src/placement/worker_lives.cpp
@@ -191,7 +191,10 @@
     if (!worker.m_isLost) {
       RecordLoss(worker, LossCause::kLaterIncarnation, aBook, aNow);
     }
-    if (!worker.m_lostInIsolatedRun) {
+    for (const jobs::TaskRef& task : worker.m_lostIsolatedRuns) {
+      m_recentLosses.AddIsolated(worker.m_lastReportAt, task);
+    }
+    if (worker.m_lostIsolatedRuns.empty()) {
       m_recentLosses.Add(worker.m_lastReportAt, worker.m_lastReport.m_service);
     }
     health = worker.m_health;
--- a/src/placement/worker_losses.cpp
+++ b/src/placement/worker_losses.cpp
@@ -39,7 +39,7 @@
       other.m_lastReportAt <= aWorker.m_lastReportAt + kConcurrentLossWindow &&
       aWorker.m_lastReportAt <= other.m_lastReportAt + kConcurrentLossWindow;
     if (&other != &aWorker && isUnresponsive && isConcurrent &&
-        !other.m_lostInIsolatedRun && !HasIsolatedRun(other, aBook)) {
+        other.m_lostIsolatedRuns.empty() && !HasIsolatedRun(other, aBook)) {
       ++count.m_inFleet;
       count.m_inService += other.m_lastReport.m_service == service ? 1 : 0;
     }
@@ -90,19 +90,69 @@
                        : jobs::IsIsolatedForWholeRun(losses);
 }
 
-bool
-WorkerTable::HasIsolatedRun(const Worker& aWorker,
-                            const jobs::JobTable& aBook) const
+std::vector<jobs::TaskRef>
+WorkerTable::FindIsolatedRuns(const Worker& aWorker,
+                              const jobs::JobTable& aBook) const
 {
+  std::vector<jobs::TaskRef> isolated;
   const auto placed = aBook.TasksByWorker().find(aWorker.m_lastReport.m_worker);
   if (placed == aBook.TasksByWorker().end() ||
       aBook.TasksWithLosses().empty()) {
-    return false;
+    return isolated;
   }
   const auto unconfirmed = FindUnconfirmed(aWorker, aBook);
+  std::copy_if(placed->second.begin(),
+               placed->second.end(),
+               std::back_inserter(isolated),
+               [&](const auto& aTask) {
+                 return IsIsolatedRun(aTask, unconfirmed, aBook);
+               });
+  return isolated;
+}
+
+bool
+WorkerTable::HasIsolatedRun(const Worker& aWorker,
+                            const jobs::JobTable& aBook) const
+{
+  return !FindIsolatedRuns(aWorker, aBook).empty();
+}
+
+// The tasks of one job are isolated at the same time, so what strikes several
+// of their workers at once, such as the loss of a rack, may strike no other.
+// Members of a gang run and crash together.
+bool
+WorkerTable::IsLostWithSameJob(const Worker& aWorker,
+                               const jobs::JobTable& aBook,
+                               TimePoint aNow) const
+{
+  const auto isOfSameJob = [&](const jobs::TaskRef& aOther) {
+    return std::any_of(aWorker.m_lostIsolatedRuns.begin(),
+                       aWorker.m_lostIsolatedRuns.end(),
+                       [&](const jobs::TaskRef& aTask) {
+                         return aTask.m_job == aOther.m_job &&
+                                !aBook.AreInSameGang(aTask, aOther);
+                       });
+  };
+  const auto isConcurrent = [&](TimePoint aLastReportAt) {
+    return aLastReportAt <= aWorker.m_lastReportAt + kConcurrentLossWindow &&
+           aWorker.m_lastReportAt <= aLastReportAt + kConcurrentLossWindow;
+  };
+  for (const auto& [at, task] : m_recentLosses.Isolated()) {
+    if (isConcurrent(at) && isOfSameJob(task)) {
+      return true;
+    }
+  }
   return std::any_of(
-    placed->second.begin(), placed->second.end(), [&](const auto& aTask) {
-      return IsIsolatedRun(aTask, unconfirmed, aBook);
+    m_workers.begin(), m_workers.end(), [&](const auto& aEntry) {
+      const Worker& other = aEntry.second;
+      if (&other == &aWorker || !isConcurrent(other.m_lastReportAt) ||
+          !IsUnresponsive(other, aNow)) {
+        return false;
+      }
+      const auto isolated = other.m_lostIsolatedRuns.empty()
+                              ? FindIsolatedRuns(other, aBook)
+                              : other.m_lostIsolatedRuns;
+      return std::any_of(isolated.begin(), isolated.end(), isOfSameJob);
     });
 }
 
@@ -133,6 +183,7 @@
     jobs::CountInstances(losses) >= kMinInstancesForProof;
   const bool isProofOfCrash =
     aLost.m_cause == LossCause::kLaterIncarnation && isDistinct &&
+    !aLost.m_isLostWithSameJob &&
     aLost.m_unresponsiveFor >= m_options.m_unresponsiveAfter && isOtherInstance;
   const auto& placed = aBook.TasksByWorker().at(aWorker.m_lastReport.m_worker);
   const bool hasOtherIsolatedRun =
@@ -173,8 +224,8 @@
              ? CrashEvidence::kRunningIsolated
              : CrashEvidence::kNone;
   }
-  return aWorker.m_lostInIsolatedRun ? CrashEvidence::kConcurrent
-                                     : CrashEvidence::kRunning;
+  return aWorker.m_lostIsolatedRuns.empty() ? CrashEvidence::kRunning
+                                            : CrashEvidence::kConcurrent;
 }
 
 bool
@@ -206,8 +257,8 @@
   const WorkerIncarnation& id = aWorker.m_lastReport.m_worker;
   const auto placed = aBook.TasksByWorker().find(id);
   const auto unconfirmed = FindUnconfirmed(aWorker, aBook);
-  aWorker.m_lostInIsolatedRun = HasIsolatedRun(aWorker, aBook);
-  if (!aWorker.m_lostInIsolatedRun) {
+  aWorker.m_lostIsolatedRuns = FindIsolatedRuns(aWorker, aBook);
+  if (aWorker.m_lostIsolatedRuns.empty()) {
     m_noticedLosses.Add(aNow, aWorker.m_lastReport.m_service);
   }
   if (placed == aBook.TasksByWorker().end()) {
@@ -225,6 +276,7 @@
                          unconfirmed.size(),
                          others.m_inFleet,
                          IsLossDistinct(others, workers),
+                         IsLostWithSameJob(aWorker, aBook, aNow),
                          ExemptionOf(aWorker) };
   m_lost.push_back(lost);
   if (lost.m_exemption != LossExemption::kNone) {
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -192,7 +192,7 @@
   worker.m_lastReport = aReport;
   worker.m_lastReportAt = aNow;
   worker.m_isLost = false;
-  worker.m_lostInIsolatedRun = false;
+  worker.m_lostIsolatedRuns.clear();
   worker.m_evidence.clear();
   for (const RunReport& run : aReport.m_active) {
     if (!IsExpected(aBook, aReport.m_worker, run.m_task, run.m_run)) {
