Control: a job placed between two counts is pending

A caller that asked just before and just after a start was told 1 and 0 jobs, though no report had shown the run: the count of unbegun jobs was older than that of jobs without a placed task, and the job was in neither. Both are now counted at the same moment. Found by review.

Evidence: build/tests/unit_control -n StartIsNotShownByAReport, which now asks again at once, fails before (0 for 1).

--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -209,8 +209,8 @@
   WorkspaceMonitor m_workspaces;
   WaitingMonitor m_waiting;
   /** By queue, as of the last count. */
-  std::map<QueueId, std::uint64_t> m_unbegunJobs;
-  TimePoint m_nextUnbegunCount;
+  std::map<QueueId, std::uint64_t> m_pendingJobs;
+  TimePoint m_nextPendingCount;
   workspaces::ShareLimiter m_shares;
   /** Services with tasks that had no room in the last placement pass. */
   std::set<ServiceId> m_fullServices;
--- a/src/control/job_calls.cpp
+++ b/src/control/job_calls.cpp
@@ -21,8 +21,8 @@
 constexpr Millis kRetryAfter{ 1000 };
 /** Callers of all queues poll, and a count visits each run: minimum time from
  * one to the next, absolute and as a multiple of the time that it takes. */
-constexpr Duration kUnbegunCountInterval = Millis{ 500 };
-constexpr int kUnbegunCountShare = 100;
+constexpr Duration kPendingCountInterval = Millis{ 500 };
+constexpr int kPendingCountShare = 100;
 
 jobs::QueueReply
 ReplyWith(jobs::QueueOutcome aOutcome)
@@ -80,20 +80,25 @@
   return reply;
 }
 
+// Both parts of the sum are of the same moment: between two counts a job that
+// is placed would be in neither.
 std::uint64_t
 JobService::CountPendingJobs(const QueueId& aQueue)
 {
   const jobs::JobTable& book = m_node.State().Jobs();
   const TimePoint now = MonotonicNow();
-  if (now >= m_nextUnbegunCount) {
-    m_unbegunJobs = placement::CountUnbegunJobs(book, *m_workers);
+  if (now >= m_nextPendingCount) {
+    m_pendingJobs = placement::CountUnbegunJobs(book, *m_workers);
+    for (const fleet::QueueRoute& route : m_node.State().Routes().m_routes) {
+      m_pendingJobs[route.Queue()] += book.PendingJobs(route.Queue());
+    }
     const TimePoint end = MonotonicNow();
-    m_nextUnbegunCount =
-      end + std::max(kUnbegunCountInterval, kUnbegunCountShare * (end - now));
+    m_nextPendingCount =
+      end + std::max(kPendingCountInterval, kPendingCountShare * (end - now));
   }
-  const auto unbegun = m_unbegunJobs.find(aQueue);
-  return book.PendingJobs(aQueue) +
-         (unbegun == m_unbegunJobs.end() ? 0 : unbegun->second);
+  const auto counted = m_pendingJobs.find(aQueue);
+  return std::max(book.PendingJobs(aQueue),
+                  counted == m_pendingJobs.end() ? 0 : counted->second);
 }
 
 jobs::QueueReply
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -84,7 +84,8 @@
     m_startedAt.clear();
     m_workspaces = WorkspaceMonitor{};
     m_waiting = WaitingMonitor{};
-    m_nextUnbegunCount = TimePoint{};
+    m_pendingJobs.clear();
+    m_nextPendingCount = TimePoint{};
     m_shares = workspaces::ShareLimiter{};
     m_fullServices.clear();
     m_needsPlan = true;
--- a/tests/unit/control/job_service_test.cpp
+++ b/tests/unit/control/job_service_test.cpp
@@ -578,7 +578,6 @@
 TEST(JobService, StartIsNotShownByAReport_JobIsStillPending)
 {
   const auto countPending = [&]() {
-    RunEventLoopFor(600 * kj::MILLISECONDS);
     jobs::QueueCall call;
     call.m_kind = jobs::CallKind::kQuery;
     call.m_host = "host";
@@ -588,11 +587,15 @@
               .m_pending;
   };
   Submit("a", Spec({ Step(1) }));
+  LONGS_EQUAL(1, countPending());
   const placement::StartOrder start = AwaitStart("w1");
   LONGS_EQUAL(1, countPending());
+  RunEventLoopFor(600 * kj::MILLISECONDS);
+  LONGS_EQUAL(1, countPending());
   placement::WorkerReport report = Report("w1", 0);
   report.m_active.push_back(Active(start.m_task));
   Await(Send(report));
+  RunEventLoopFor(600 * kj::MILLISECONDS);
   LONGS_EQUAL(0, countPending());
 }
 
