Placement: no worker is reserved for suspects that cannot use it

With one isolated run at a time back for a job whose 16 suspects waited beside 12 jobs at their workspace's cap: each of those reserved a worker that it could not use. Found by review. Suspects at their cap, or that share a worker, reserve none any more.

--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -286,6 +286,8 @@
   /** Workers of the pool with isolated runs, shared or not. */
   static std::size_t CountIsolatedWorkers(const Pool& aPool, bool aIsShared);
   static std::size_t MaxIsolatedWorkers(const Pool& aPool);
+  /** Whether the step has suspects that may start and do not share a worker. */
+  static bool NeedsWorkerOfItsOwn(const SuspectStep& aStep);
   /** The quota of a pool with the isolated runs that go on. */
   static IsolationQuota MakeQuota(const Pool& aPool);
   /** Returns why the run may not be isolated now; unset if it may. */
--- a/src/placement/trials.cpp
+++ b/src/placement/trials.cpp
@@ -352,9 +352,11 @@
   std::map<ServiceId, IsolationQuota> quotas;
   for (SuspectStep& step : aSteps) {
     const ServiceId& service = step.m_candidate.m_route->m_service;
-    const auto found =
-      quotas.try_emplace(service, MakeQuota(aPools[service])).first;
-    found->second.AddWaiting(step.m_candidate.m_job->m_id);
+    IsolationQuota& quota =
+      quotas.try_emplace(service, MakeQuota(aPools[service])).first->second;
+    if (NeedsWorkerOfItsOwn(step)) {
+      quota.AddWaiting(step.m_candidate.m_job->m_id);
+    }
   }
   for (bool hasPlaced = true; hasPlaced;) {
     hasPlaced = false;
@@ -371,6 +373,19 @@
   }
 }
 
+bool
+Planner::NeedsWorkerOfItsOwn(const SuspectStep& aStep)
+{
+  const Candidate& candidate = aStep.m_candidate;
+  const bool isAtCap =
+    candidate.m_account != nullptr &&
+    !candidate.m_account->MayStart(ChargeOf(candidate.Step()));
+  return !isAtCap &&
+         std::any_of(aStep.m_suspects.begin(),
+                     aStep.m_suspects.end(),
+                     [](const IsolatedRun& aRun) { return !aRun.MayShare(); });
+}
+
 IsolationQuota
 Planner::MakeQuota(const Pool& aPool)
 {
--- a/tests/unit/placement/isolated_runs_test.cpp
+++ b/tests/unit/placement/isolated_runs_test.cpp
@@ -337,6 +337,35 @@
   }
 }
 
+// Guards against suspects of jobs at their workspace's cap, which cannot start,
+// and for which others wait.
+TEST(IsolatedRuns, OtherJobsAreAtTheirCap_TasksReturnTogether)
+{
+  constexpr std::uint32_t kWorkers = 24;
+  constexpr std::uint32_t kTasks = 16;
+  PoolOptions options;
+  options.m_workers = kWorkers;
+  SimulatedPool pool{ options };
+  pool.Pass(kStartup);
+  StepSpec step = Step(kTasks);
+  step.m_estimate = Millis{ 60'000 };
+  pool.Submit("wide", Spec({ step }));
+  step.m_count = 1;
+  for (int i = 0; i < 12; ++i) {
+    pool.Submit("capped" + std::to_string(i), Spec({ step }), "small");
+  }
+  pool.Pass(Millis{ 100 });
+  for (std::uint32_t worker = 0; worker < kWorkers; ++worker) {
+    pool.CrashWorker(worker, kRestart);
+  }
+  pool.SetCap("small", { 1, 1, 0 });
+  while (WorkersOf(pool, "wide", kTasks).empty()) {
+    pool.Pass(kTick);
+  }
+  pool.Pass(Millis{ 1'000 });
+  LONGS_EQUAL(kTasks, WorkersOf(pool, "wide", kTasks).size());
+}
+
 // Guards against healthy tasks that are given up, or crashing ones that are
 // not, because their isolated runs were on the same worker.
 TEST(IsolatedRuns, CrashingTasksAmongManySuspects_OnlyTheyAreGivenUp)
