Settings, operators: opt-in mechanisms, and reports on pools and admission

New decisions take effect only where a deployment asks for them, so the settings name opt-in mechanisms (mechanismsOn) and the slowdown of tasks away from their data's rack.

--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -95,6 +95,11 @@
   /** Returns the workspaces as a JSON document; nothing unless this replica
    * leads. */
   std::optional<std::string> WorkspacesJson();
+  /** Returns the pools as a JSON document; nothing unless this replica leads. */
+  std::optional<std::string> PoolsJson();
+  /** Returns the admission of jobs as a JSON document; nothing unless this
+   * replica leads. */
+  std::optional<std::string> AdmissionJson();
 
 private:
   struct PendingReport
--- a/include/bamboostile/placement/mechanisms.h
+++ b/include/bamboostile/placement/mechanisms.h
@@ -7,8 +7,7 @@
 
 namespace bamboostile::placement {
 
-/** A mechanism of placement. The settings can disable each of them, so that its
- * effect can be measured. */
+/** A mechanism of placement. The settings can switch each of them on or off. */
 enum class Mechanism : std::uint8_t
 {
   /** Moves instances between pools as demand changes. */
@@ -35,16 +34,24 @@
   kStuckRuns,
   /** Delays the answer to a steady worker's report until there is an order. */
   kHeldReports,
+  /** Refuses jobs that are expected to end too late for their callers. Off
+   * unless switched on, like those below. */
+  kAdmission,
+  /** Sizes pools for the work that is expected to arrive. */
+  kInflowForecast,
+  /** Lets a task wait for a worker in the rack of its data. */
+  kDataLocality,
 };
 
 /** The name in the settings. */
 const char* NameOf(Mechanism aMechanism) noexcept;
 std::optional<Mechanism> MechanismOf(const std::string& aName);
 
-/** The enabled mechanisms; initially all. */
+/** The enabled mechanisms; initially all but the opt-in ones. */
 class Mechanisms
 {
 public:
+  void SwitchOn(Mechanism aMechanism) { m_disabled &= ~Bit(aMechanism); }
   void SwitchOff(Mechanism aMechanism) { m_disabled |= Bit(aMechanism); }
   bool Has(Mechanism aMechanism) const
   {
@@ -57,7 +64,9 @@
     return 1U << static_cast<std::uint32_t>(aMechanism);
   }
 
-  std::uint32_t m_disabled = 0;
+  std::uint32_t m_disabled = Bit(Mechanism::kAdmission) |
+                             Bit(Mechanism::kInflowForecast) |
+                             Bit(Mechanism::kDataLocality);
 };
 
 } // namespace bamboostile::placement
--- a/schema/operators.capnp
+++ b/schema/operators.capnp
@@ -226,4 +226,8 @@
   queues @5 () -> (table :QueueTable, reply :CallReply);
   workspaces @6 () -> (json :Text, reply :CallReply);
   # Share, cap and use of each workspace, as the leader knows them.
+  pools @7 () -> (json :Text, reply :CallReply);
+  # Size, load and plan of each pool of instances.
+  admission @8 () -> (json :Text, reply :CallReply);
+  # Jobs accepted and refused by queue, and the last estimates.
 }
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -177,19 +177,38 @@
 
   kj::Promise<void> workspaces(WorkspacesContext aContext) override
   {
-    auto results = aContext.getResults();
-    const auto json =
-      m_jobs != nullptr ? m_jobs->WorkspacesJson() : std::nullopt;
-    if (!json) {
-      RefuseAsFollower(results.initReply());
-      return kj::READY_NOW;
-    }
-    results.setJson(*json);
-    results.initReply().setOutcome(schema::CallOutcome::DONE);
+    SendReport(m_jobs != nullptr ? m_jobs->WorkspacesJson() : std::nullopt,
+               aContext.getResults());
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> pools(PoolsContext aContext) override
+  {
+    SendReport(m_jobs != nullptr ? m_jobs->PoolsJson() : std::nullopt,
+               aContext.getResults());
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> admission(AdmissionContext aContext) override
+  {
+    SendReport(m_jobs != nullptr ? m_jobs->AdmissionJson() : std::nullopt,
+               aContext.getResults());
     return kj::READY_NOW;
   }
 
 private:
+  /** aJson: unset on a replica that does not lead. */
+  template<typename Results>
+  void SendReport(const std::optional<std::string>& aJson, Results aResults)
+  {
+    if (!aJson) {
+      RefuseAsFollower(aResults.initReply());
+      return;
+    }
+    aResults.setJson(*aJson);
+    aResults.initReply().setOutcome(schema::CallOutcome::DONE);
+  }
+
   // A table that another operator has superseded is not in force; the sender is
   // told which version is.
   void ReportReplaced(ChangeOutcome aOutcome,
--- a/src/placement/mechanisms.cpp
+++ b/src/placement/mechanisms.cpp
@@ -27,6 +27,9 @@
   NamedMechanism{ Mechanism::kSettingAside, "settingAside" },
   NamedMechanism{ Mechanism::kStuckRuns, "stuckRuns" },
   NamedMechanism{ Mechanism::kHeldReports, "heldReports" },
+  NamedMechanism{ Mechanism::kAdmission, "admission" },
+  NamedMechanism{ Mechanism::kInflowForecast, "inflowForecast" },
+  NamedMechanism{ Mechanism::kDataLocality, "dataLocality" },
 };
 
 } // namespace
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -211,6 +211,7 @@
   ReadIfPresent(from, "ordersPerSecond", to.m_ordersPerSecond);
   ReadSeconds(from, "maintenanceSeconds", to.m_expectedDowntime);
   ReadSeconds(from, "moveSeconds", to.m_moveDuration);
+  ReadIfPresent(from, "remoteSlowdown", to.m_remoteSlowdown);
   to.m_handoverDelay =
     Millis{ from.value("leaderGapMs", to.m_handoverDelay.count()) };
   if (from.contains("rpcPort")) {
@@ -222,6 +223,18 @@
   return aError.m_field.empty();
 }
 
+/** The schema admits only known names. */
+void
+ReadMechanisms(const Json& aJson, placement::Mechanisms& aMechanisms)
+{
+  for (const Json& name : aJson.value("mechanismsOn", Json::array())) {
+    aMechanisms.SwitchOn(*placement::MechanismOf(name.get<std::string>()));
+  }
+  for (const Json& name : aJson.value("mechanismsOff", Json::array())) {
+    aMechanisms.SwitchOff(*placement::MechanismOf(name.get<std::string>()));
+  }
+}
+
 bool
 CheckConsistency(const Settings& aSettings,
                  const std::string& aFile,
@@ -354,12 +367,7 @@
   }
   settings.m_dataFolder = ReadText(json, "dataFolder");
   ReadIfPresent(json, "snapshotEvery", settings.m_snapshotEvery);
-  for (const Json& name : json.value("mechanismsOff", Json::array())) {
-    if (const auto mechanism =
-          placement::MechanismOf(name.get<std::string>())) {
-      settings.m_mechanisms.SwitchOff(*mechanism);
-    }
-  }
+  ReadMechanisms(json, settings.m_mechanisms);
   settings.m_limits = ReadLimits(json.value("limits", Json::object()));
   const Json log = json.value("log", Json::object());
   ReadIfPresent(log, "level", settings.m_logLevel);
--- a/tools/bamboostile/commands.h
+++ b/tools/bamboostile/commands.h
@@ -32,6 +32,9 @@
 ExitCode RunQueue(const GlobalOptions& aOptions, const Arguments& aArguments);
 ExitCode RunWorkspaces(const GlobalOptions& aOptions,
                        const Arguments& aArguments);
+ExitCode RunPools(const GlobalOptions& aOptions, const Arguments& aArguments);
+ExitCode RunAdmission(const GlobalOptions& aOptions,
+                      const Arguments& aArguments);
 ExitCode RunStatus(const GlobalOptions& aOptions, const Arguments& aArguments);
 ExitCode RunRequest(const GlobalOptions& aOptions, const Arguments& aArguments);
 ExitCode RunApply(const GlobalOptions& aOptions, const Arguments& aArguments);
--- a/tools/bamboostile/main.cpp
+++ b/tools/bamboostile/main.cpp
@@ -77,6 +77,14 @@
         "workspaces\n  Share, cap, use and calls of each workspace, as the "
         "leader knows them now.\n  Example: bamboostile workspaces "
         "--json\n" } },
+    { "pools",
+      { RunPools,
+        "pools\n  Size, load and plan of each pool of instances, as the leader "
+        "knows them now.\n  Example: bamboostile pools --json\n" } },
+    { "admission",
+      { RunAdmission,
+        "admission\n  Jobs accepted and refused by queue, and the last "
+        "estimates.\n  Example: bamboostile admission --json\n" } },
     { "request",
       { RunRequest,
         "request METHOD TARGET --entry IP:PORT [--key ID] [--timeout-ms N] "
--- a/tools/bamboostile/session.cpp
+++ b/tools/bamboostile/session.cpp
@@ -49,6 +49,23 @@
   return reply;
 }
 
+/** The response to a call for a report, and the leader that it names. */
+struct ReportResponse
+{
+  std::string m_leader;
+  Reply m_reply;
+  std::string m_json;
+};
+
+template<typename Response>
+ReportResponse
+ReadReport(const Response& aResponse)
+{
+  return { aResponse.getReply().getLeaderAddress(),
+           ReadReply(aResponse.getReply()),
+           aResponse.getJson() };
+}
+
 } // namespace
 
 nlohmann::json
@@ -113,6 +130,27 @@
     }
   }
 
+  using ReportRequest =
+    std::function<kj::Promise<ReportResponse>(schema::Operators::Client)>;
+
+  /** Returns the JSON document of the leader's report. */
+  std::optional<std::string> Report(const ReportRequest& aRequest,
+                                    Reply& aFailure)
+  {
+    std::optional<std::string> json;
+    aFailure = CallLeader(
+      [&](schema::Operators::Client aOperators, std::string& aLeader) {
+        return aRequest(aOperators).then([&](ReportResponse aResponse) {
+          aLeader = std::move(aResponse.m_leader);
+          if (aResponse.m_reply.m_exit == ExitCode::kDone) {
+            json = std::move(aResponse.m_json);
+          }
+          return aResponse.m_reply;
+        });
+      });
+    return json;
+  }
+
   Reply CallReplica(const Operation& aOperation,
                     const std::string& aAddress,
                     std::string& aLeader,
@@ -218,19 +256,34 @@
 std::optional<std::string>
 Session::Workspaces(Reply& aFailure)
 {
-  std::optional<std::string> json;
-  aFailure = m_impl->CallLeader(
-    [&](schema::Operators::Client aOperators, std::string& aLeader) {
-      return aOperators.workspacesRequest().send().then([&](auto aResponse) {
-        aLeader = aResponse.getReply().getLeaderAddress();
-        Reply reply = ReadReply(aResponse.getReply());
-        if (reply.m_exit == ExitCode::kDone) {
-          json = std::string{ aResponse.getJson().cStr() };
-        }
-        return reply;
-      });
-    });
-  return json;
+  return m_impl->Report(
+    [](schema::Operators::Client aOperators) {
+      return aOperators.workspacesRequest().send().then(
+        [](const auto& aResponse) { return ReadReport(aResponse); });
+    },
+    aFailure);
+}
+
+std::optional<std::string>
+Session::Pools(Reply& aFailure)
+{
+  return m_impl->Report(
+    [](schema::Operators::Client aOperators) {
+      return aOperators.poolsRequest().send().then(
+        [](const auto& aResponse) { return ReadReport(aResponse); });
+    },
+    aFailure);
+}
+
+std::optional<std::string>
+Session::Admission(Reply& aFailure)
+{
+  return m_impl->Report(
+    [](schema::Operators::Client aOperators) {
+      return aOperators.admissionRequest().send().then(
+        [](const auto& aResponse) { return ReadReport(aResponse); });
+    },
+    aFailure);
 }
 
 std::optional<jobs::QueueReply>
--- a/tools/bamboostile/session.h
+++ b/tools/bamboostile/session.h
@@ -58,6 +58,10 @@
   std::optional<fleet::RouteTable> Queues(Reply& aFailure);
   /** Returns share, cap and use of the workspaces as a JSON document. */
   std::optional<std::string> Workspaces(Reply& aFailure);
+  /** Returns the pools of instances as a JSON document. */
+  std::optional<std::string> Pools(Reply& aFailure);
+  /** Returns the admission of jobs as a JSON document. */
+  std::optional<std::string> Admission(Reply& aFailure);
   /** Empty if no leader answered; aFailure then holds the reason. */
   std::optional<jobs::QueueReply> CallQueue(const jobs::QueueCall& aCall,
                                             Reply& aFailure);
