--- a/tests/unit/settings/settings_test.cpp
+++ b/tests/unit/settings/settings_test.cpp
@@ -106,3 +106,20 @@
   m_valid["mechanismsOff"] = { "magic" };
   ExpectError(m_valid, "mechanismsOff.0", "\"magic\"");
 }
+
+// Guards against a mechanism that is both switched on and off: off wins.
+TEST(Settings, OptInMechanism_SwitchedOn_IsUsedUnlessSwitchedOff)
+{
+  settings::ValidationError error;
+  const auto hasAdmission = [&]() {
+    return settings::Parse(m_valid.dump(), "f", error)
+      ->m_mechanisms.Has(placement::Mechanism::kAdmission);
+  };
+  CHECK_FALSE(hasAdmission());
+  m_valid["mechanismsOn"] = { "admission" };
+  CHECK(hasAdmission());
+  m_valid["mechanismsOff"] = { "admission" };
+  CHECK_FALSE(hasAdmission());
+  m_valid["mechanismsOn"] = { "moves" };
+  ExpectError(m_valid, "mechanismsOn.0", "\"moves\"");
+}
--- a/tools/bamboostile/session.cpp
+++ b/tools/bamboostile/session.cpp
@@ -259,7 +259,7 @@
   return m_impl->Report(
     [](schema::Operators::Client aOperators) {
       return aOperators.workspacesRequest().send().then(
-        [](const auto& aResponse) { return ReadReport(aResponse); });
+        [](auto aResponse) { return ReadReport(aResponse); });
     },
     aFailure);
 }
@@ -270,7 +270,7 @@
   return m_impl->Report(
     [](schema::Operators::Client aOperators) {
       return aOperators.poolsRequest().send().then(
-        [](const auto& aResponse) { return ReadReport(aResponse); });
+        [](auto aResponse) { return ReadReport(aResponse); });
     },
     aFailure);
 }
@@ -281,7 +281,7 @@
   return m_impl->Report(
     [](schema::Operators::Client aOperators) {
       return aOperators.admissionRequest().send().then(
-        [](const auto& aResponse) { return ReadReport(aResponse); });
+        [](auto aResponse) { return ReadReport(aResponse); });
     },
     aFailure);
 }
