Workspaces: a new leader rebuilds the shares from its jobs

The share limiter started empty with each leader, so a workspace far beyond its share was served as if it were within it after each election. A new leader now charges each workspace for the jobs in its replicated state, in order of acceptance and by the weights in force; nothing is added to the log. Only steps between consecutive jobs are taken from the wall clock, so a clock that jumped gives at most a full bucket, and takes at most the time of one step.

--- a/benchmark/workspaces.cpp
+++ b/benchmark/workspaces.cpp
@@ -1,8 +1,9 @@
 // Measures what workspaces add: to a call at an entry and at the leader with
-// 10,000 keys, and to a placement pass of a large fleet.
+// 10,000 keys, to a placement pass of a large fleet, and to an election.
 
 #include "bamboostile/http/authorization.h"
 #include "bamboostile/placement/planner.h"
+#include "bamboostile/placement/workspace_accounts.h"
 #include "bamboostile/workspaces/directory.h"
 
 #include "report.h"
@@ -26,6 +27,10 @@
 constexpr TimePoint kNow{ Millis{ 1'000'000 } };
 constexpr double kMaxPassRatio = 1.2;
 constexpr double kMaxLookupRatio = 4;
+constexpr std::size_t kAcceptedJobs = 10'000;
+/** Sorting accounts for a factor of 1.3, and caches hold a table of 1,000 jobs.
+ */
+constexpr double kMaxRebuildRatio = 4;
 
 using Clock = std::chrono::steady_clock;
 
@@ -230,6 +235,50 @@
                    kMaxLookupRatio);
 }
 
+/** Time per job in which a new leader rebuilds the shares of all workspaces. */
+double
+TimeRebuild(std::size_t aJobs)
+{
+  constexpr std::int64_t kSpacingMs = 18;
+  fleet::State state;
+  fleet::RouteTable table;
+  table.m_version = 1;
+  table.m_workspaces = MakeWorkspaces();
+  state.Apply(Index{ 1 }, fleet::Command{ fleet::ReplaceRoutes{ table } });
+  jobs::Batch submissions;
+  for (std::size_t i = 0; i < aJobs; ++i) {
+    const WallTime at{ static_cast<std::int64_t>(i) * kSpacingMs };
+    submissions.m_changes.emplace_back(
+      jobs::Submit{ JobId{ Name("5c0e7a21d94b", i) },
+                    QueueId{ "/q/" },
+                    {},
+                    at,
+                    WorkspaceId{ Name("team-", i % kWorkspaces) } });
+  }
+  state.Apply(Index{ 2 }, fleet::Command{ submissions });
+  const WallTime wall{ static_cast<std::int64_t>(aJobs) * kSpacingMs };
+  std::vector<double> micros;
+  for (int i = 0; i < kSamples; ++i) {
+    const auto start = Clock::now();
+    placement::RebuildShares(state, wall, kNow);
+    micros.push_back(MicrosSince(start));
+  }
+  return Median(micros) / static_cast<double>(aJobs);
+}
+
+void
+MeasureElection(benchmark::Report& aReport)
+{
+  constexpr std::size_t kFewJobs = 1000;
+  const double perJob = TimeRebuild(kAcceptedJobs);
+  aReport.Set("shares of 10,000 jobs rebuilt, us",
+              perJob * static_cast<double>(kAcceptedJobs));
+  aReport.AddBound("shares per job with 10,000 jobs beside 1,000",
+                   perJob / TimeRebuild(kFewJobs),
+                   0,
+                   kMaxRebuildRatio);
+}
+
 } // namespace
 
 int
@@ -237,11 +286,13 @@
 {
   benchmark::Report report("workspaces");
   MeasurePasses(report);
+  MeasureElection(report);
   MeasureCalls(report);
   for (const char* figure : { "pass without workspaces, us",
                               "pass with workspaces, us",
                               "key at the entry, us",
-                              "key at the leader, us" }) {
+                              "key at the leader, us",
+                              "shares of 10,000 jobs rebuilt, us" }) {
     std::cout << figure << ": " << report.Get(figure) << "\n";
   }
   return report.Finish();
--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -119,6 +119,8 @@
   /** Returns whether this replica leads; resets the state of the leader in each
    * new term. */
   bool EnsureLeading();
+  /** Counts the jobs of each workspace in the replicated state. */
+  void RebuildShares();
   WorkerAnswer NotLeaderAnswer() const;
   void RecordRestart(const placement::WorkerReport& aReport,
                      const placement::ReportResult& aResult);
--- a/include/bamboostile/placement/workspace_accounts.h
+++ b/include/bamboostile/placement/workspace_accounts.h
@@ -3,6 +3,7 @@
 #include "bamboostile/fleet/state.h"
 #include "bamboostile/placement/workers.h"
 #include "bamboostile/workspaces/accounts.h"
+#include "bamboostile/workspaces/share_limiter.h"
 
 namespace bamboostile::placement {
 
@@ -19,4 +20,10 @@
                                      const WorkerTable& aWorkers,
                                      TimePoint aNow);
 
+/** Returns the share limiter of a new leader, which counts the jobs of each
+ * workspace in the state. */
+workspaces::ShareLimiter RebuildShares(const fleet::State& aState,
+                                       WallTime aWall,
+                                       TimePoint aNow);
+
 } // namespace bamboostile::placement
--- a/include/bamboostile/workspaces/share_limiter.h
+++ b/include/bamboostile/workspaces/share_limiter.h
@@ -1,10 +1,13 @@
 #pragma once
 
 #include "bamboostile/units/time.h"
+#include "bamboostile/workspaces/directory.h"
 #include "bamboostile/workspaces/model.h"
 
+#include <cstdint>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace bamboostile::workspaces {
 
@@ -18,6 +21,16 @@
   std::optional<Millis> m_retryAfter;
 };
 
+/** A job of a workspace, as the replicated state has it. */
+struct AcceptedJob
+{
+  WorkspaceId m_workspace;
+  /** Rank in order of acceptance. */
+  std::uint64_t m_order = 0;
+  /** Wall-clock time since 1970, by the clock of the leader of that time. */
+  Millis m_acceptedAt{};
+};
+
 /**
  * @brief Measures the jobs of each workspace against its weight, in jobs per
  * second: a token bucket that holds a second's jobs and may be overdrawn.
@@ -31,6 +44,13 @@
   /** Counts a job that was accepted. */
   void Charge(const WorkspaceId& aWorkspace, double aWeight, TimePoint aNow);
 
+  /** Returns the limiter of a new leader: charges the given jobs by the weights
+   * in force. aWall: the wall-clock time at aNow. */
+  static ShareLimiter Rebuild(std::vector<AcceptedJob> aJobs,
+                              const Directory& aDirectory,
+                              Millis aWall,
+                              TimePoint aNow);
+
 private:
   struct Bucket
   {
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -3,6 +3,7 @@
 #include "batch_reply.h"
 #include "worker_log.h"
 
+#include "bamboostile/placement/workspace_accounts.h"
 #include "bamboostile/telemetry/log.h"
 #include "bamboostile/units/visit.h"
 
@@ -86,13 +87,25 @@
     m_waiting = WaitingMonitor{};
     m_pendingJobs.clear();
     m_nextPendingCount = TimePoint{};
-    m_shares = workspaces::ShareLimiter{};
+    RebuildShares();
     m_fullServices.clear();
     m_needsPlan = true;
   }
   return true;
 }
 
+void
+JobService::RebuildShares()
+{
+  const TimePoint now = MonotonicNow();
+  m_shares = placement::RebuildShares(m_node.State(), WallNow(), now);
+  LogLine(Level::kInfo, "shares of workspaces rebuilt")
+    .With("jobs", m_node.State().Jobs().Jobs().size())
+    .With("version", m_node.State().Routes().m_version)
+    .With("tookUs", (MonotonicNow() - now).count())
+    .Write();
+}
+
 WorkerAnswer
 JobService::NotLeaderAnswer() const
 {
--- a/src/placement/workspace_accounts.cpp
+++ b/src/placement/workspace_accounts.cpp
@@ -60,4 +60,21 @@
   return accounts;
 }
 
+// The state has every job accepted within the retention of ended jobs, so a
+// workspace whose bucket was full at some moment of that time is judged as by
+// the previous leader.
+workspaces::ShareLimiter
+RebuildShares(const fleet::State& aState, WallTime aWall, TimePoint aNow)
+{
+  std::vector<workspaces::AcceptedJob> accepted;
+  for (const auto& [id, job] : aState.Jobs().Jobs()) {
+    if (!job.m_workspace.Get().empty()) {
+      accepted.push_back(
+        { job.m_workspace, job.m_order, Millis{ job.m_acceptedAt.Get() } });
+    }
+  }
+  return workspaces::ShareLimiter::Rebuild(
+    std::move(accepted), aState.Workspaces(), Millis{ aWall.Get() }, aNow);
+}
+
 } // namespace bamboostile::placement
--- a/src/workspaces/share_limiter.cpp
+++ b/src/workspaces/share_limiter.cpp
@@ -24,6 +24,25 @@
            : kMaxRetryAfter;
 }
 
+// Only the steps between consecutive jobs are taken from the wall clock: a
+// clock that was set back, or that is behind the one of the previous leader,
+// yields a step of 0 in one place and leaves the other steps as they are.
+std::vector<TimePoint>
+MapToMonotonic(const std::vector<AcceptedJob>& aJobs,
+               Millis aWall,
+               TimePoint aNow)
+{
+  std::vector<TimePoint> times(aJobs.size());
+  Millis nextWall = aWall;
+  TimePoint nextTime = aNow;
+  for (std::size_t i = aJobs.size(); i-- > 0;) {
+    nextTime -= std::max(Millis{}, nextWall - aJobs[i].m_acceptedAt);
+    nextWall = aJobs[i].m_acceptedAt;
+    times[i] = nextTime;
+  }
+  return times;
+}
+
 } // namespace
 
 ShareLimiter::Bucket&
@@ -64,4 +83,26 @@
   Refill(aWorkspace, aWeight, aNow).m_tokens -= 1;
 }
 
+ShareLimiter
+ShareLimiter::Rebuild(std::vector<AcceptedJob> aJobs,
+                      const Directory& aDirectory,
+                      Millis aWall,
+                      TimePoint aNow)
+{
+  std::sort(aJobs.begin(),
+            aJobs.end(),
+            [](const AcceptedJob& aLeft, const AcceptedJob& aRight) {
+              return aLeft.m_order < aRight.m_order;
+            });
+  const std::vector<TimePoint> times = MapToMonotonic(aJobs, aWall, aNow);
+  ShareLimiter limiter;
+  for (std::size_t i = 0; i < aJobs.size(); ++i) {
+    const auto weight = aDirectory.WeightOf(aJobs[i].m_workspace);
+    if (weight) {
+      limiter.Charge(aJobs[i].m_workspace, *weight, times[i]);
+    }
+  }
+  return limiter;
+}
+
 } // namespace bamboostile::workspaces
--- a/tests/unit/control/job_service_test.cpp
+++ b/tests/unit/control/job_service_test.cpp
@@ -180,7 +180,8 @@
   /** Puts a table in force in which each workspace has one key. */
   void SetWorkspaces(
     const std::vector<std::pair<const char*, const char*>>& aKeys,
-    bool aIsPublic = false)
+    bool aIsPublic = false,
+    double aWeight = 1)
   {
     fleet::RouteTable table = Fleet{}.State().Routes();
     table.m_version = m_node->State().Routes().m_version + 1;
@@ -188,7 +189,7 @@
     table.m_workspaces.emplace();
     for (const auto& [name, key] : aKeys) {
       table.m_workspaces->push_back(
-        { WorkspaceId{ name }, { workspaces::DigestKey(key) }, 1, {} });
+        { WorkspaceId{ name }, { workspaces::DigestKey(key) }, aWeight, {} });
     }
     m_service->ReplaceRoutes(table).wait(m_loop->m_io.waitScope);
   }
@@ -573,6 +574,24 @@
   CHECK(submit(0).m_outcome == jobs::QueueOutcome::kOk);
 }
 
+// Guards against a workspace beyond its share that each new leader serves as if
+// it were within it.
+TEST(JobService, NewLeader_CountsTheJobsOfTheOldOne)
+{
+  constexpr double kOneJobPerHour = 1.0 / 3600;
+  SetWorkspaces({ { "a", "key" } }, false, kOneJobPerHour);
+  CheckOutcome(
+    jobs::QueueOutcome::kOk, jobs::CallKind::kSubmit, "first", "key");
+  m_service.reset();
+  m_service = std::make_unique<JobService>(
+    *m_node, m_loop->m_io.provider->getTimer(), control::JobServiceOptions{});
+  CheckOutcome(
+    jobs::QueueOutcome::kOk, jobs::CallKind::kSubmit, "second", "key");
+  const jobs::JobTable& jobs = m_node->State().Jobs();
+  CHECK_FALSE(jobs.Find(JobId{ "first" })->m_isBeyondShare);
+  CHECK(jobs.Find(JobId{ "second" })->m_isBeyondShare);
+}
+
 // Guards against callers being told that no job is pending while dozens wait on
 // workers that crashed before the start reached them.
 TEST(JobService, StartIsNotShownByAReport_JobIsStillPending)
