Placement: the limit on unanswered moves follows the answer time

Cause: at most 32 moves could await their answer. With a saturated leader an answer takes a second, so 32 moves per second were ordered where the platform accepts more.

--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -4,6 +4,7 @@
 #include "bamboostile/placement/durations.h"
 #include "bamboostile/placement/maintenance.h"
 #include "bamboostile/placement/order_record.h"
+#include "bamboostile/placement/order_window.h"
 #include "bamboostile/placement/workers.h"
 
 namespace bamboostile::placement {
@@ -83,10 +84,7 @@
 class CapacityPlanner
 {
 public:
-  explicit CapacityPlanner(CapacityOptions aOptions = {})
-    : m_options(aOptions)
-  {
-  }
+  explicit CapacityPlanner(CapacityOptions aOptions = {});
 
   /** aReserved: workers whose instances maintenance is about to take down. */
   CapacityPlan Next(const fleet::State& aState,
@@ -227,7 +225,7 @@
   double m_orderTokens = 0;
   bool m_isAllowed = true;
   std::uint64_t m_lastNumber = 0;
-  std::set<std::uint64_t> m_unanswered;
+  OrderWindow m_unanswered;
   TimePoint m_refilledAt;
 };
 
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -51,6 +51,12 @@
 
 } // namespace
 
+CapacityPlanner::CapacityPlanner(CapacityOptions aOptions)
+  : m_options(aOptions)
+  , m_unanswered(aOptions.m_ordersPerSecond * kRateShare)
+{
+}
+
 void
 CapacityPlanner::AddDemand(const fleet::State& aState,
                            const DurationEstimator& aDurations,
@@ -279,7 +285,7 @@
     move.m_targetIncarnation = aWorker->m_lastReport.m_worker;
   }
   m_orderTokens -= 1;
-  m_unanswered.insert(move.m_number);
+  m_unanswered.OnOrdered(move.m_number, aNow);
   aPlan.m_orders.push_back({ aInstance, aTo, move.m_number });
 }
 
@@ -330,8 +336,7 @@
 bool
 CapacityPlanner::HasOrderBudget() const
 {
-  return m_isAllowed && m_orderTokens >= 1 &&
-         m_unanswered.size() < kMaxUnansweredOrders;
+  return m_isAllowed && m_orderTokens >= 1 && !m_unanswered.IsFull();
 }
 
 // Gives one instance at a time to the pool with the smallest ratio of actual to
@@ -512,7 +517,7 @@
                           InstanceAnswer aAnswer,
                           TimePoint aNow)
 {
-  m_unanswered.erase(aOrder.m_number);
+  m_unanswered.OnAnswered(aOrder.m_number, aAnswer, aNow);
   const auto move = m_moves.find(aOrder.m_instance);
   // The instance has arrived already, and may have a newer order.
   if (move == m_moves.end() || move->second.m_number != aOrder.m_number) {
