Consensus: send large entries in fragments that resume

Cause: a log entry was sent in one message. One that a link takes over 350 ms to transfer ended with its connection, which counts as silent by then, each time it was sent again, and everything after it waited.

Change: a command larger than a batch (64 KiB) is sent in fragments of that size. A fragment is part of an append without entries, so it is also a heartbeat, and a follower of an earlier version reads nothing else. The follower answers how much of the entry it holds; the leader continues there after a loss. Replies say whether their sender joins fragments; without that field the entry is sent whole, as before.

The simulated link counts the bytes of fragments. New: 400 seeds of the history test with every command in fragments of one byte, links that are cut during a transfer, a replica of an earlier version in each position, and the fields on the wire.

--- a/include/bamboostile/consensus/replica.h
+++ b/include/bamboostile/consensus/replica.h
@@ -27,7 +27,8 @@
    * to allow for clocks that run at different rates. */
   int m_driftPercent = 10;
   /** Both small enough that a slow link transfers a message before the peer
-   * counts as silent. */
+   * counts as silent. A command larger than a batch is sent in fragments of
+   * this size. */
   std::size_t m_maxBatchBytes = 64 * 1024;
   std::size_t m_snapshotChunkBytes = 64 * 1024;
   /** Maximum size of the entries that a leader keeps, beyond its snapshot, for
@@ -130,8 +131,9 @@
     bool m_probing = true;
   };
 
-  /** A snapshot that is arriving. Another leader, or the same one in a later
-   * term, may encode the same state differently, so its chunks do not mix. */
+  /** A snapshot or an entry that is arriving in parts. Another leader, or the
+   * same one in a later term, may have other bytes for the same index, so their
+   * parts do not mix. */
   struct Arrival
   {
     ReplicaId m_from;
@@ -140,6 +142,15 @@
     std::string m_bytes;
   };
 
+  /** An entry on its way to a peer in fragments. */
+  struct FragmentedEntry
+  {
+    Index m_index;
+    std::uint64_t m_received = 0;
+    std::uint64_t m_sent = 0;
+    TimePoint m_lastFragmentAt{};
+  };
+
   struct SentAppend
   {
     Index m_last;
@@ -158,6 +169,10 @@
     TimePoint m_lastAckedSentAt;
     TimePoint m_lastAnswerAt;
     std::optional<Transfer> m_transfer;
+    /** The entry at m_next, while it is sent in fragments. */
+    std::optional<FragmentedEntry> m_fragmented;
+    /** As of the peer's last answer; false for replicas of earlier versions. */
+    bool m_acceptsFragments = false;
     bool m_probing = true;
     /** A round ends when the peer holds the log as it was at its start. */
     Index m_roundTarget;
@@ -239,9 +254,22 @@
   void EndTransferIfHeld(const ReplicaId& aPeer,
                          Progress& aProgress,
                          TimePoint aNow);
-  std::uint64_t AppendChunk(const ReplicaId& aFrom,
-                            const SnapshotChunk& aChunk,
-                            Term aTerm);
+  bool IsSentInFragments(const Progress& aProgress,
+                         const LogEntry& aEntry) const;
+  void ContinueFragments(const ReplicaId& aPeer,
+                         Progress& aProgress,
+                         const AppendRequest& aHeartbeat,
+                         bool aIsHeartbeatDue);
+  static void UpdateFragments(Progress& aProgress, const AppendReply& aReply);
+  std::size_t MaxChunksTo(const ReplicaId& aPeer) const;
+  void AppendIfMissing(const LogEntry& aEntry, std::vector<LogEntry>& aAdded);
+  std::uint64_t AppendFragment(const ReplicaId& aFrom,
+                               const AppendRequest& aAppend,
+                               Term aTerm,
+                               std::vector<LogEntry>& aAdded);
+  static std::uint64_t AppendPart(std::optional<Arrival>& aArrival,
+                                  Arrival aPart,
+                                  std::uint64_t aOffset);
   void Install(const ReplicaId& aFrom, Snapshot aSnapshot);
   static bool MayAppend(const Progress& aProgress);
   static void ForgetInFlight(Progress& aProgress, Index aUpTo);
@@ -274,6 +302,7 @@
   /** Never null. */
   std::shared_ptr<const Snapshot> m_snapshot;
   std::optional<Arrival> m_arrival;
+  std::optional<Arrival> m_entryArrival;
   /** Position and term of the entry before the first one in m_log; at or before
    * the snapshot. */
   Index m_baseIndex;
--- a/include/bamboostile/consensus/types.h
+++ b/include/bamboostile/consensus/types.h
@@ -94,6 +94,18 @@
   bool m_knowsNoLeader = false;
 };
 
+/** Part of the command of a log entry that is too large for one message. A
+ * fragment without bytes only asks how much has arrived. */
+struct EntryFragment
+{
+  /** Term of the entry. */
+  Term m_term;
+  /** Size of the whole command. */
+  std::uint64_t m_size = 0;
+  std::uint64_t m_offset = 0;
+  std::string m_bytes;
+};
+
 struct AppendRequest
 {
   Index m_previousIndex;
@@ -103,6 +115,16 @@
   /** The leader's clock at sending, echoed by the follower. The leader's lease
    * starts at this time, so network delay can only shorten it. */
   TimePoint m_sentAt;
+  /** Part of the entry after the previous one; m_entries is then empty. */
+  std::optional<EntryFragment> m_fragment{};
+};
+
+/** How much of a fragmented entry a follower holds. */
+struct FragmentProgress
+{
+  Index m_index;
+  /** Number of bytes received without a gap. */
+  std::uint64_t m_received = 0;
 };
 
 struct AppendReply
@@ -112,6 +134,11 @@
    * that the follower holds. */
   Index m_match;
   TimePoint m_sentAt;
+  /** Set if the request had a fragment. */
+  std::optional<FragmentProgress> m_fragment{};
+  /** Whether the sender assembles fragments; replicas of earlier versions do
+   * not. */
+  bool m_acceptsFragments = true;
 };
 
 /** Part of a snapshot's state. A chunk without bytes is a heartbeat. */
--- a/schema/internal.capnp
+++ b/schema/internal.capnp
@@ -34,6 +34,15 @@
   state @3 :Data;
 }
 
+struct EntryFragment {
+  # Part of a log entry whose command is too large for one message.
+  term @0 :UInt64;
+  size @1 :UInt64;
+  # Size of the whole command.
+  offset @2 :UInt64;
+  bytes @3 :Data;
+}
+
 struct HardState {
   term @0 :UInt64;
   hasVote @1 :Bool;
@@ -70,11 +79,19 @@
       entries @10 :List(LogEntry);
       commit @11 :UInt64;
       sentAt @12 :Int64;
+      fragment @26 :EntryFragment;
+      # Part of the entry after the previous one; entries is then empty. A
+      # replica of an earlier version reads a heartbeat.
     }
     appendReply :group {
       accepted @13 :Bool;
       match @14 :UInt64;
       replySentAt @15 :Int64;
+      acceptsFragments @27 :Bool;
+      # Not set by replicas of earlier versions, which are sent entries whole.
+      fragmentIndex @28 :UInt64;
+      # Position of the entry of which a fragment was sent; 0 if none was.
+      fragmentReceived @29 :UInt64;
     }
     installSnapshot :group {
       # No longer sent; replicas of earlier versions send a snapshot as a whole.
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -12,9 +12,9 @@
  * considered silent. */
 constexpr std::size_t kMaxAppendsInFlight = 64;
 constexpr std::size_t kMaxBytesInFlight = 512 * 1024;
-/** Maximum number of chunks sent beyond what a peer has acknowledged.
- * Heartbeats wait behind them, and the leader's lease depends on a voter's
- * answers. */
+/** Maximum number of chunks of a snapshot, or fragments of an entry, sent
+ * beyond what a peer has acknowledged. Heartbeats wait behind them, and the
+ * leader's lease depends on a voter's answers. */
 constexpr std::size_t kMaxChunksToVoter = 4;
 constexpr std::size_t kMaxChunksToLearner = 32;
 /** Time without progress after which a transfer stops until the peer answers a
@@ -272,11 +272,28 @@
     return;
   }
   AppendRequest append{ previous, *previousTerm, {}, m_commit, aNow };
+  const LogEntry* next = EntryAt(progress.m_next);
+  if (progress.m_fragmented &&
+      (progress.m_fragmented->m_index != progress.m_next ||
+       !progress.m_acceptsFragments)) {
+    progress.m_fragmented.reset();
+  }
+  if (!progress.m_fragmented && next != nullptr && MayAppend(progress) &&
+      IsSentInFragments(progress, *next)) {
+    progress.m_fragmented = FragmentedEntry{ next->m_index };
+  }
+  if (progress.m_fragmented) {
+    ContinueFragments(aPeer, progress, append, aHeartbeat);
+    return;
+  }
   std::size_t bytes = 0;
   if (MayAppend(progress)) {
     while (progress.m_next <= LastIndex() &&
            bytes < m_options.m_maxBatchBytes) {
       const LogEntry& entry = *EntryAt(progress.m_next);
+      if (IsSentInFragments(progress, entry)) {
+        break;
+      }
       bytes += SizeOf(entry);
       append.m_entries.push_back(entry);
       progress.m_next = Next(progress.m_next);
@@ -291,6 +308,85 @@
   }
 }
 
+// A large entry in a single message would occupy the connection until the peer
+// counts as silent, be lost with that connection, and never arrive.
+
+bool
+Replica::IsSentInFragments(const Progress& aProgress,
+                           const LogEntry& aEntry) const
+{
+  const auto* command = std::get_if<CommandBytes>(&aEntry.m_payload);
+  return aProgress.m_acceptsFragments && command != nullptr &&
+         command->m_bytes.size() > m_options.m_maxBatchBytes;
+}
+
+std::size_t
+Replica::MaxChunksTo(const ReplicaId& aPeer) const
+{
+  return CurrentMembership().IsVoter(aPeer) ? kMaxChunksToVoter
+                                            : kMaxChunksToLearner;
+}
+
+// Later entries wait until the peer holds the whole entry: then m_next is the
+// position at which fragments resume, whatever was lost.
+void
+Replica::ContinueFragments(const ReplicaId& aPeer,
+                           Progress& aProgress,
+                           const AppendRequest& aHeartbeat,
+                           bool aIsHeartbeatDue)
+{
+  FragmentedEntry& fragmented = *aProgress.m_fragmented;
+  const LogEntry& entry = *EntryAt(fragmented.m_index);
+  const std::string& command = std::get<CommandBytes>(entry.m_payload).m_bytes;
+  const auto send = [&](std::size_t aBytes) {
+    AppendRequest append = aHeartbeat;
+    append.m_fragment =
+      EntryFragment{ entry.m_term,
+                     command.size(),
+                     fragmented.m_sent,
+                     command.substr(fragmented.m_sent, aBytes) };
+    SendNow(aPeer, std::move(append));
+  };
+  const std::size_t fragmentBytes = m_options.m_maxBatchBytes;
+  const std::size_t window = MaxChunksTo(aPeer) * fragmentBytes;
+  const std::uint64_t limit = fragmented.m_received + window -
+                              std::min(window, aProgress.m_bytesInFlight);
+  bool isSent = false;
+  while (!aProgress.m_probing &&
+         fragmented.m_sent < std::min<std::uint64_t>(command.size(), limit)) {
+    const std::size_t bytes = std::min<std::uint64_t>(
+      command.size() - fragmented.m_sent, fragmentBytes);
+    send(bytes);
+    fragmented.m_sent += bytes;
+    fragmented.m_lastFragmentAt = aHeartbeat.m_sentAt;
+    isSent = true;
+  }
+  if (aIsHeartbeatDue && !isSent) {
+    send(0);
+  }
+}
+
+void
+Replica::UpdateFragments(Progress& aProgress, const AppendReply& aReply)
+{
+  auto& fragmented = aProgress.m_fragmented;
+  if (!fragmented || !aReply.m_fragment ||
+      fragmented->m_index != aReply.m_fragment->m_index) {
+    return;
+  }
+  // As with the chunks of a snapshot, the answer to a heartbeat sent after all
+  // fragments shows which of them were lost.
+  const std::uint64_t received = aReply.m_fragment->m_received;
+  if (aReply.m_sentAt > fragmented->m_lastFragmentAt &&
+      received < fragmented->m_sent) {
+    fragmented->m_received = received;
+    fragmented->m_sent = received;
+    return;
+  }
+  fragmented->m_received = std::max(fragmented->m_received, received);
+  fragmented->m_sent = std::max(fragmented->m_sent, received);
+}
+
 bool
 Replica::MayAppend(const Progress& aProgress)
 {
@@ -333,35 +429,83 @@
   Index match = aAppend.m_previousIndex;
   for (const LogEntry& entry : aAppend.m_entries) {
     match = entry.m_index;
-    if (entry.m_index <= m_snapshot->m_index) {
-      continue;
-    }
-    const std::optional<Term> existingTerm = TermAt(entry.m_index);
-    if (existingTerm == entry.m_term) {
-      continue;
-    }
-    if (existingTerm) {
-      TruncateFrom(entry.m_index);
-    }
-    if (const auto* change = std::get_if<Membership>(&entry.m_payload)) {
-      m_memberships.push_back({ entry.m_index, *change });
-    }
-    m_log.push_back(entry);
-    added.push_back(entry);
-  }
+    AppendIfMissing(entry, added);
+  }
+  std::optional<FragmentProgress> fragment;
+  if (aAppend.m_fragment) {
+    const Index index = Next(aAppend.m_previousIndex);
+    const std::uint64_t received = AppendFragment(aFrom, aAppend, aTerm, added);
+    fragment = FragmentProgress{ index, received };
+    match = received == aAppend.m_fragment->m_size ? index : match;
+  } else {
+    m_entryArrival.reset();
+  }
+  const bool isHeartbeat = aAppend.m_entries.empty() && added.empty();
   if (!added.empty()) {
     PersistEntries(std::move(added));
   }
   CommitTo(std::min(aAppend.m_commit, match));
-  if (aAppend.m_entries.empty() && m_syncedTicket >= m_hardStateTicket) {
+  if (isHeartbeat && m_syncedTicket >= m_hardStateTicket) {
     // A heartbeat without entries acknowledges only what is already on disk, so
     // that a slow disk does not make a healthy follower look unresponsive.
     SendNow(
       aFrom,
-      AppendReply{ true, std::min(match, m_persistedIndex), aAppend.m_sentAt });
+      AppendReply{
+        true, std::min(match, m_persistedIndex), aAppend.m_sentAt, fragment });
+    return;
+  }
+  SendWhenSynced(aFrom, AppendReply{ true, match, aAppend.m_sentAt, fragment });
+}
+
+/** Adds the entry to the log and to aAdded, unless the log holds it. */
+void
+Replica::AppendIfMissing(const LogEntry& aEntry, std::vector<LogEntry>& aAdded)
+{
+  if (aEntry.m_index <= m_snapshot->m_index) {
+    return;
+  }
+  const std::optional<Term> existingTerm = TermAt(aEntry.m_index);
+  if (existingTerm == aEntry.m_term) {
     return;
   }
-  SendWhenSynced(aFrom, AppendReply{ true, match, aAppend.m_sentAt });
+  if (existingTerm) {
+    TruncateFrom(aEntry.m_index);
+  }
+  if (const auto* change = std::get_if<Membership>(&aEntry.m_payload)) {
+    m_memberships.push_back({ aEntry.m_index, *change });
+  }
+  m_log.push_back(aEntry);
+  aAdded.push_back(aEntry);
+}
+
+/** Returns the number of bytes of the entry's command received without a gap.
+ * Once that is all of them, the log holds the entry. */
+std::uint64_t
+Replica::AppendFragment(const ReplicaId& aFrom,
+                        const AppendRequest& aAppend,
+                        Term aTerm,
+                        std::vector<LogEntry>& aAdded)
+{
+  const EntryFragment& fragment = *aAppend.m_fragment;
+  const Index index = Next(aAppend.m_previousIndex);
+  const bool isHeld =
+    index <= m_snapshot->m_index || TermAt(index) == fragment.m_term;
+  if (!isHeld) {
+    const std::uint64_t received =
+      AppendPart(m_entryArrival,
+                 Arrival{ aFrom, aTerm, index, fragment.m_bytes },
+                 fragment.m_offset);
+    if (received < fragment.m_size) {
+      return received;
+    }
+    AppendIfMissing(
+      LogEntry{ index,
+                fragment.m_term,
+                CommandBytes{ std::move(m_entryArrival->m_bytes) } },
+      aAdded);
+  }
+  m_entryArrival.reset();
+  return fragment.m_size;
 }
 
 void
@@ -408,6 +552,8 @@
   ForgetInFlight(progress, progress.m_match);
   EndTransferIfHeld(aFrom, progress, aNow);
   UpdateRound(progress, aNow);
+  progress.m_acceptsFragments = aReply.m_acceptsFragments;
+  UpdateFragments(progress, aReply);
   progress.m_next = std::max(progress.m_next, Next(progress.m_match));
   progress.m_probing = false;
   AdvanceCommit(aNow);
@@ -442,11 +588,8 @@
     }
     return;
   }
-  const std::size_t maxChunks = CurrentMembership().IsVoter(aPeer)
-                                  ? kMaxChunksToVoter
-                                  : kMaxChunksToLearner;
   const std::uint64_t limit =
-    transfer.m_received + maxChunks * m_options.m_snapshotChunkBytes;
+    transfer.m_received + MaxChunksTo(aPeer) * m_options.m_snapshotChunkBytes;
   bool isSent = false;
   while (transfer.m_sent < std::min(size, limit)) {
     const std::size_t bytes = std::min<std::uint64_t>(
@@ -552,7 +695,10 @@
     SendWhenSynced(aFrom, AppendReply{ true, m_commit, aChunk.m_sentAt });
     return;
   }
-  const std::uint64_t received = AppendChunk(aFrom, aChunk, aTerm);
+  const std::uint64_t received =
+    AppendPart(m_arrival,
+               Arrival{ aFrom, aTerm, aChunk.m_index, aChunk.m_bytes },
+               aChunk.m_offset);
   if (received < aChunk.m_size) {
     SendWhenSynced(
       aFrom, SnapshotProgress{ aChunk.m_index, received, aChunk.m_sentAt });
@@ -569,20 +715,21 @@
 
 /** Returns the number of bytes received without a gap. */
 std::uint64_t
-Replica::AppendChunk(const ReplicaId& aFrom,
-                     const SnapshotChunk& aChunk,
-                     Term aTerm)
+Replica::AppendPart(std::optional<Arrival>& aArrival,
+                    Arrival aPart,
+                    std::uint64_t aOffset)
 {
-  const bool continues = m_arrival && m_arrival->m_from == aFrom &&
-                         m_arrival->m_leaderTerm == aTerm &&
-                         m_arrival->m_index == aChunk.m_index;
+  const bool continues = aArrival && aArrival->m_from == aPart.m_from &&
+                         aArrival->m_leaderTerm == aPart.m_leaderTerm &&
+                         aArrival->m_index == aPart.m_index;
+  const std::string bytes = std::exchange(aPart.m_bytes, {});
   if (!continues) {
-    m_arrival = Arrival{ aFrom, aTerm, aChunk.m_index, {} };
+    aArrival = std::move(aPart);
   }
-  if (aChunk.m_offset == m_arrival->m_bytes.size()) {
-    m_arrival->m_bytes += aChunk.m_bytes;
+  if (aOffset == aArrival->m_bytes.size()) {
+    aArrival->m_bytes += bytes;
   }
-  return m_arrival->m_bytes.size();
+  return aArrival->m_bytes.size();
 }
 
 void
--- a/src/wire/consensus_codec.cpp
+++ b/src/wire/consensus_codec.cpp
@@ -15,6 +15,8 @@
 using consensus::AppendReply;
 using consensus::AppendRequest;
 using consensus::CommandBytes;
+using consensus::EntryFragment;
+using consensus::FragmentProgress;
 using consensus::LogEntry;
 using consensus::Member;
 using consensus::Membership;
@@ -159,6 +161,13 @@
   WriteEntries(aBody.m_entries, to.initEntries(aBody.m_entries.size()));
   to.setCommit(aBody.m_commit.Get());
   to.setSentAt(FromTime(aBody.m_sentAt));
+  if (aBody.m_fragment) {
+    auto fragment = to.initFragment();
+    fragment.setTerm(aBody.m_fragment->m_term.Get());
+    fragment.setSize(aBody.m_fragment->m_size);
+    fragment.setOffset(aBody.m_fragment->m_offset);
+    fragment.setBytes(ToData(aBody.m_fragment->m_bytes));
+  }
 }
 
 void
@@ -168,6 +177,11 @@
   to.setAccepted(aBody.m_accepted);
   to.setMatch(aBody.m_match.Get());
   to.setReplySentAt(FromTime(aBody.m_sentAt));
+  to.setAcceptsFragments(aBody.m_acceptsFragments);
+  if (aBody.m_fragment) {
+    to.setFragmentIndex(aBody.m_fragment->m_index.Get());
+    to.setFragmentReceived(aBody.m_fragment->m_received);
+  }
 }
 
 void
@@ -203,6 +217,37 @@
            aSentAt };
 }
 
+AppendRequest
+ReadAppend(schema::Message::Append::Reader aFrom)
+{
+  AppendRequest append{ Index{ aFrom.getPreviousIndex() },
+                        Term{ aFrom.getPreviousTerm() },
+                        ReadEntries(aFrom.getEntries()),
+                        Index{ aFrom.getCommit() },
+                        ToTime(aFrom.getSentAt()) };
+  if (aFrom.hasFragment()) {
+    auto fragment = aFrom.getFragment();
+    append.m_fragment = EntryFragment{ Term{ fragment.getTerm() },
+                                       fragment.getSize(),
+                                       fragment.getOffset(),
+                                       ToString(fragment.getBytes()) };
+  }
+  return append;
+}
+
+AppendReply
+ReadAppendReply(schema::Message::AppendReply::Reader aFrom)
+{
+  AppendReply reply{ aFrom.getAccepted(),
+                     Index{ aFrom.getMatch() },
+                     ToTime(aFrom.getReplySentAt()) };
+  reply.m_acceptsFragments = aFrom.getAcceptsFragments();
+  if (const Index index{ aFrom.getFragmentIndex() }; index != Index{}) {
+    reply.m_fragment = FragmentProgress{ index, aFrom.getFragmentReceived() };
+  }
+  return reply;
+}
+
 consensus::MessageBody
 ReadBody(schema::Message::Reader aFrom)
 {
@@ -219,20 +264,10 @@
                         from.getGranted(),
                         from.getKnowsNoLeader() };
     }
-    case schema::Message::APPEND: {
-      auto from = aFrom.getAppend();
-      return AppendRequest{ Index{ from.getPreviousIndex() },
-                            Term{ from.getPreviousTerm() },
-                            ReadEntries(from.getEntries()),
-                            Index{ from.getCommit() },
-                            ToTime(from.getSentAt()) };
-    }
-    case schema::Message::APPEND_REPLY: {
-      auto from = aFrom.getAppendReply();
-      return AppendReply{ from.getAccepted(),
-                          Index{ from.getMatch() },
-                          ToTime(from.getReplySentAt()) };
-    }
+    case schema::Message::APPEND:
+      return ReadAppend(aFrom.getAppend());
+    case schema::Message::APPEND_REPLY:
+      return ReadAppendReply(aFrom.getAppendReply());
     case schema::Message::INSTALL_SNAPSHOT: {
       auto from = aFrom.getInstallSnapshot();
       Snapshot whole = ReadSnapshot(from.getSnapshot());
--- a/tests/differential/consensus_history_test.cpp
+++ b/tests/differential/consensus_history_test.cpp
@@ -100,16 +100,11 @@
   }
 }
 
-} // namespace
-
-TEST_GROUP(ConsensusHistory){};
-
-// Guards against replicas whose entries differ from the one sequence of the
-// naive one-copy machine, and against a replica that holds its lease but lags
-// behind an acknowledged command. Messages are lost, duplicated and reordered;
-// replicas crash between write and sync, freeze, and are cut off in one
-// direction or both; snapshots are taken at any point.
-TEST(ConsensusHistory, RandomFaults_AnySeed_EqualsOneCopyMachine)
+/** Plays seeds with messages that are lost, duplicated and reordered, replicas
+ * that crash between write and sync, freeze, and are cut off in one direction
+ * or both, and snapshots at any point. */
+void
+PlaySeeds(std::size_t aMaxBatchBytes)
 {
   for (std::uint64_t seed = 1; seed <= 400; ++seed) {
     Faults faults;
@@ -123,6 +118,7 @@
     faults.m_options.m_minElectionTimeout = Millis{ 90 };
     faults.m_options.m_electionJitter = Millis{ 90 };
     faults.m_options.m_snapshotChunkBytes = 64;
+    faults.m_options.m_maxBatchBytes = aMaxBatchBytes;
     Faults noFaults;
     noFaults.m_options = faults.m_options;
     Replicas replicas(seed % 2 == 0 ? 3 : 5, seed, noFaults);
@@ -141,3 +137,22 @@
     }
   }
 }
+
+} // namespace
+
+TEST_GROUP(ConsensusHistory){};
+
+// Guards against replicas whose entries differ from the one sequence of the
+// naive one-copy machine, and against a replica that holds its lease but lags
+// behind an acknowledged command.
+TEST(ConsensusHistory, RandomFaults_AnySeed_EqualsOneCopyMachine)
+{
+  PlaySeeds(consensus::ReplicaOptions{}.m_maxBatchBytes);
+}
+
+// Guards against fragments of different entries, leaders or terms that are
+// joined to one entry. Each command is sent in fragments of one byte.
+TEST(ConsensusHistory, RandomFaults_EntriesInFragments_EqualsOneCopyMachine)
+{
+  PlaySeeds(1);
+}
--- a/tests/support/replicas.cpp
+++ b/tests/support/replicas.cpp
@@ -40,21 +40,22 @@
 SizeOf(const consensus::Message& aMessage)
 {
   constexpr std::size_t kOverhead = 100;
-  const std::size_t bytes =
-    std::visit(Overloaded{
-                 [](const consensus::SnapshotChunk& aChunk) {
-                   return aChunk.m_bytes.size();
-                 },
-                 [](const consensus::AppendRequest& aAppend) {
-                   std::size_t sum = 0;
-                   for (const consensus::LogEntry& entry : aAppend.m_entries) {
-                     sum += TextOf(entry).size();
-                   }
-                   return sum;
-                 },
-                 [](const auto&) { return std::size_t{ 0 }; },
-               },
-               aMessage.m_body);
+  const std::size_t bytes = std::visit(
+    Overloaded{
+      [](const consensus::SnapshotChunk& aChunk) {
+        return aChunk.m_bytes.size();
+      },
+      [](const consensus::AppendRequest& aAppend) {
+        std::size_t sum = 0;
+        for (const consensus::LogEntry& entry : aAppend.m_entries) {
+          sum += TextOf(entry).size();
+        }
+        return sum +
+               (aAppend.m_fragment ? aAppend.m_fragment->m_bytes.size() : 0);
+      },
+      [](const auto&) { return std::size_t{ 0 }; },
+    },
+    aMessage.m_body);
   return kOverhead + bytes;
 }
 
@@ -262,11 +263,17 @@
               std::get_if<consensus::SnapshotChunk>(&aSend.m_message.m_body)) {
           m_snapshotBytesSent += chunk->m_bytes.size();
         }
+        if (const auto* append =
+              std::get_if<consensus::AppendRequest>(&aSend.m_message.m_body);
+            append != nullptr && append->m_fragment) {
+          m_fragmentBytesSent += append->m_fragment->m_bytes.size();
+        }
         const auto to = NodeOf(aSend.m_message.m_to);
         if (!to || m_cuts.contains({ aNode, *to }) ||
             RandomFraction() < m_faults.m_loss) {
           return;
         }
+        ReduceToCommonVersion(aSend.m_message, aNode, *to);
         const auto sentAt = ArrivalOf(aSend.m_message, aNode, *to);
         if (!sentAt) {
           return;
@@ -295,6 +302,23 @@
     aAction);
 }
 
+void
+Replicas::ReduceToCommonVersion(consensus::Message& aMessage,
+                                std::size_t aFrom,
+                                std::size_t aTo) const
+{
+  if (!m_earlierVersions.contains(aFrom) && !m_earlierVersions.contains(aTo)) {
+    return;
+  }
+  if (auto* append = std::get_if<consensus::AppendRequest>(&aMessage.m_body)) {
+    append->m_fragment.reset();
+  }
+  if (auto* reply = std::get_if<consensus::AppendReply>(&aMessage.m_body)) {
+    reply->m_fragment.reset();
+    reply->m_acceptsFragments = false;
+  }
+}
+
 std::optional<TimePoint>
 Replicas::ArrivalOf(const consensus::Message& aMessage,
                     std::size_t aFrom,
--- a/tests/support/replicas.h
+++ b/tests/support/replicas.h
@@ -62,6 +62,10 @@
   void Cut(std::size_t aFrom, std::size_t aTo, bool aCut);
   void Isolate(std::size_t aNode, bool aIsolated);
 
+  /** Makes this replica one of a version without fragments of entries: it
+   * neither reads nor writes the fields for them. */
+  void SetEarlierVersion(std::size_t aNode) { m_earlierVersions.insert(aNode); }
+
   /** Delays all messages to this replica, in addition to other delays. */
   void SetDelayTo(std::size_t aNode, Duration aDelay)
   {
@@ -94,6 +98,8 @@
   const std::string& Violation() const { return m_violation; }
   std::size_t ElectionCount() const { return m_leaders.size(); }
   std::size_t SnapshotBytesSent() const { return m_snapshotBytesSent; }
+  /** Bytes of entries sent in fragments, to all replicas. */
+  std::size_t FragmentBytesSent() const { return m_fragmentBytesSent; }
   void SetFaults(Faults aFaults) { m_faults = aFaults; }
   std::mt19937_64& Random() { return m_random; }
   std::string StateOf(std::size_t aNode) const;
@@ -136,6 +142,10 @@
   std::optional<TimePoint> ArrivalOf(const consensus::Message& aMessage,
                                      std::size_t aFrom,
                                      std::size_t aTo);
+  /** Removes what one of the two replicas does not know. */
+  void ReduceToCommonVersion(consensus::Message& aMessage,
+                             std::size_t aFrom,
+                             std::size_t aTo) const;
   void RecordApplied(std::size_t aNode, const consensus::LogEntry& aEntry);
   void CheckLeases();
   void ReportViolation(const std::string& aViolation);
@@ -156,6 +166,8 @@
   std::map<Term, consensus::ReplicaId> m_leaders;
   std::string m_violation;
   std::size_t m_snapshotBytesSent = 0;
+  std::size_t m_fragmentBytesSent = 0;
+  std::set<std::size_t> m_earlierVersions;
   std::uint64_t m_lastIncarnation = 0;
 };
 
--- a/tests/unit/consensus/catch_up_test.cpp
+++ b/tests/unit/consensus/catch_up_test.cpp
@@ -562,6 +562,72 @@
   }
 }
 
+// Guards against an entry that begins anew with each lost connection: a link on
+// which connections often end would never transfer it.
+TEST(CatchUp, Entry_LinkIsCutDuringTransfer_ContinuesWhereItStopped)
+{
+  constexpr std::size_t kBytes = 2 * 1000 * 1000;
+  // What is under way to a voter when the link is cut.
+  constexpr std::size_t kMaxLostPerCut = 256 * 1024;
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    Faults slow;
+    slow.m_linkRate = 1000 * 1000;
+    slow.m_maxDelay = Duration::zero();
+    Replicas replicas(2, seed, slow);
+    CHECK(replicas.Form());
+    const std::size_t leader = *replicas.Leader();
+    const std::size_t other = 1 - leader;
+    const std::string large(kBytes, 'z');
+    replicas.Propose(large);
+    constexpr int kCuts = 3;
+    for (int i = 0; i < kCuts; ++i) {
+      replicas.Run(Millis{ 400 });
+      replicas.Cut(leader, other, true);
+      replicas.Run(Millis{ 300 });
+      replicas.Cut(leader, other, false);
+    }
+    const auto isCommitted = [&]() { return IsAcknowledged(replicas, large); };
+    CHECK(replicas.RunUntil(isCommitted, kMaxWait));
+    CHECK(replicas.FragmentBytesSent() >= kBytes);
+    CHECK(replicas.FragmentBytesSent() <= kBytes + kCuts * kMaxLostPerCut);
+    CheckNoViolation(replicas);
+  }
+}
+
+// Guards against a group of two versions that does not commit: a replica of an
+// earlier version takes a fragment for a heartbeat and never holds the entry.
+TEST(CatchUp,
+     Entry_Large_OneReplicaOfEarlierVersion_CommitsAndAppliesEverywhere)
+{
+  for (std::size_t earlier = 0; earlier < 3; ++earlier) {
+    Replicas replicas(3, 1, {});
+    replicas.SetEarlierVersion(earlier);
+    CHECK(replicas.Form());
+    // Without a third replica, the entry needs the one of the earlier version.
+    const std::size_t leader = *replicas.Leader();
+    for (std::size_t node = 0; node < 3; ++node) {
+      if (node != leader && node != earlier) {
+        replicas.Crash(node);
+        break;
+      }
+    }
+    const std::string large(400 * 1000, 'z');
+    replicas.Propose(large);
+    const auto isCommitted = [&]() { return IsAcknowledged(replicas, large); };
+    CHECK(replicas.RunUntil(isCommitted, kMaxWait));
+    for (std::size_t node = 0; node < 3; ++node) {
+      if (!replicas.IsUp(node)) {
+        replicas.Start(node);
+      }
+    }
+    replicas.Run(kPastTimeouts);
+    for (std::size_t node = 0; node < 3; ++node) {
+      CHECK(replicas.AppliedBy(node) == replicas.AppliedBy(leader));
+    }
+    CheckNoViolation(replicas);
+  }
+}
+
 // Guards against a replica that finds the log cut each time it has written a
 // snapshot, because that takes longer than the leader retains entries for it.
 TEST(CatchUp, EmptiedReplica_HangsAfterEachSnapshot_VotesInTheEnd)
--- a/tests/unit/control/peer_links_test.cpp
+++ b/tests/unit/control/peer_links_test.cpp
@@ -1,5 +1,8 @@
 #include "bamboostile/control/peer_links.h"
 
+#include "bamboostile/wire/consensus_codec.h"
+
+#include <capnp/message.h>
 #include <capnp/rpc-twoparty.h>
 
 #include "check.h"
@@ -25,6 +28,17 @@
   std::size_t m_received = 0;
 };
 
+/** Returns the message as the receiver reads it. */
+template<typename Body>
+Body
+Transmit(Body aBody)
+{
+  capnp::MallocMessageBuilder builder;
+  auto to = builder.initRoot<schema::Message>();
+  wire::Write(consensus::Message{ {}, {}, Term{ 1 }, std::move(aBody) }, to);
+  return std::get<Body>(wire::Read(to.asReader()).m_body);
+}
+
 constexpr kj::Duration kPastPeerTimeout = 500 * kj::MILLISECONDS;
 
 } // namespace
@@ -67,3 +81,38 @@
   UNSIGNED_LONGS_EQUAL(kSentAtOnce, replica.m_received);
   UNSIGNED_LONGS_EQUAL(1, statistics.m_timeouts.load());
 }
+
+TEST_GROUP(ConsensusCodec){};
+
+TEST(ConsensusCodec, Fragment_WrittenAndRead_IsEqual)
+{
+  consensus::AppendRequest append{ Index{ 4 }, Term{ 2 }, {}, Index{ 3 }, {} };
+  append.m_fragment = consensus::EntryFragment{ Term{ 2 }, 100, 60, "bytes" };
+  const auto request = Transmit(append);
+  CHECK(request.m_fragment.has_value());
+  LONGS_EQUAL(2, request.m_fragment->m_term.Get());
+  UNSIGNED_LONGS_EQUAL(100, request.m_fragment->m_size);
+  UNSIGNED_LONGS_EQUAL(60, request.m_fragment->m_offset);
+  CHECK_STRING("bytes", request.m_fragment->m_bytes);
+  const auto reply = Transmit(consensus::AppendReply{
+    true, Index{ 4 }, {}, consensus::FragmentProgress{ Index{ 5 }, 65 } });
+  CHECK(reply.m_acceptsFragments);
+  CHECK(reply.m_fragment.has_value());
+  LONGS_EQUAL(5, reply.m_fragment->m_index.Get());
+  UNSIGNED_LONGS_EQUAL(65, reply.m_fragment->m_received);
+}
+
+// Guards against fragments for a replica of an earlier version, whose replies
+// have no fields for them.
+TEST(ConsensusCodec, AppendReply_OfEarlierVersion_AcceptsNoFragments)
+{
+  capnp::MallocMessageBuilder builder;
+  auto message = builder.initRoot<schema::Message>();
+  auto from = message.initAppendReply();
+  from.setAccepted(true);
+  from.setMatch(4);
+  const auto reply =
+    std::get<consensus::AppendReply>(wire::Read(message.asReader()).m_body);
+  CHECK_FALSE(reply.m_acceptsFragments);
+  CHECK_FALSE(reply.m_fragment.has_value());
+}
