--- a/include/bamboostile/consensus/replica.h
+++ b/include/bamboostile/consensus/replica.h
@@ -169,6 +169,9 @@
     TimePoint m_lastAckedSentAt;
     TimePoint m_lastAnswerAt;
     std::optional<Transfer> m_transfer;
+    /** The peer has received at least part of a snapshot and has not caught up
+     * with the log since. */
+    bool m_isCatchingUp = false;
     /** The entry at m_next, while it is sent in fragments. */
     std::optional<FragmentedEntry> m_fragmented;
     /** As of the peer's last answer; false for replicas of earlier versions. */
@@ -240,6 +243,7 @@
   void UpdateRound(Progress& aProgress, TimePoint aNow);
   bool IsCaughtUp(const ReplicaId& aId, TimePoint aNow) const;
   bool IsAnswering(const ReplicaId& aId, TimePoint aNow) const;
+  static TimePoint LastSignOf(const Progress& aProgress);
   void StepDownIfRemoved(TimePoint aNow);
   void SendAppends(TimePoint aNow, bool aHeartbeat);
   void SendAppendTo(const ReplicaId& aPeer, TimePoint aNow, bool aHeartbeat);
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -23,6 +23,10 @@
 /** A member that has not answered for this long may be gone for good: nothing
  * is retained for it, and nothing waits for it. */
 constexpr Duration kMaxSilence = Millis{ 3000 };
+/** A member that has received a snapshot, or part of one, and has not caught up
+ * since is silent while it writes or reads it. A slow disk (1 MB/s) needs this
+ * long for 60 MB. The size of what is retained is limited as well. */
+constexpr Duration kMaxSilenceAfterSnapshot = Millis{ 60000 };
 
 std::size_t
 SizeOf(const LogEntry& aEntry)
@@ -554,6 +558,9 @@
   UpdateRound(progress, aNow);
   progress.m_acceptsFragments = aReply.m_acceptsFragments;
   UpdateFragments(progress, aReply);
+  if (!progress.m_transfer && IsCaughtUp(aFrom, aNow)) {
+    progress.m_isCatchingUp = false;
+  }
   progress.m_next = std::max(progress.m_next, Next(progress.m_match));
   progress.m_probing = false;
   AdvanceCommit(aNow);
@@ -652,6 +659,8 @@
   }
   if (areChunksLost || aReply.m_received > transfer.m_received) {
     transfer.m_received = aReply.m_received;
+    progress.m_isCatchingUp =
+      progress.m_isCatchingUp || transfer.m_received > 0;
     transfer.m_sent = std::max(transfer.m_sent, transfer.m_received);
     transfer.m_activeAt = aNow;
   }
@@ -676,6 +685,7 @@
                           transfer->m_snapshot->m_index,
                           transfer->m_snapshot->m_state.size(),
                           aNow - transfer->m_startedAt });
+  aProgress.m_isCatchingUp = true;
   aProgress.m_transfer.reset();
 }
 
@@ -898,12 +908,15 @@
   if (found == m_progress.end()) {
     return false;
   }
-  const Progress& progress = found->second;
-  const TimePoint lastSign =
-    progress.m_transfer
-      ? std::max(progress.m_lastAnswerAt, progress.m_transfer->m_startedAt)
-      : progress.m_lastAnswerAt;
-  return aNow <= lastSign + kMaxSilence;
+  return aNow <= LastSignOf(found->second) + kMaxSilence;
+}
+
+TimePoint
+Replica::LastSignOf(const Progress& aProgress)
+{
+  return aProgress.m_transfer ? std::max(aProgress.m_lastAnswerAt,
+                                         aProgress.m_transfer->m_startedAt)
+                              : aProgress.m_lastAnswerAt;
 }
 
 std::vector<ReplicaId>
@@ -995,7 +1008,10 @@
       continue;
     }
     const Progress& progress = found->second;
-    if (!IsAnswering(member.m_id, aNow) || m_regressed.contains(member.m_id)) {
+    const Duration maxSilence =
+      progress.m_isCatchingUp ? kMaxSilenceAfterSnapshot : kMaxSilence;
+    if (aNow > LastSignOf(progress) + maxSilence ||
+        m_regressed.contains(member.m_id)) {
       continue;
     }
     const Index held = progress.m_transfer
--- a/tests/unit/consensus/catch_up_test.cpp
+++ b/tests/unit/consensus/catch_up_test.cpp
@@ -656,3 +656,29 @@
     CheckNoViolation(group.All());
   }
 }
+
+// Guards against a log that is retained for ever for a replica that received a
+// snapshot and is gone for good.
+TEST(CatchUp, EmptiedReplica_SilentAfterSnapshot_LogIsRetainedForAMinute)
+{
+  for (const int silence : { 50, 70 }) {
+    BusyGroup group(1);
+    CHECK(group.Form(100 * 1000));
+    const std::size_t emptied = (*group.All().Leader() + 1) % 5;
+    group.All().LoseDisk(emptied);
+    group.All().Start(emptied);
+    CHECK(group.Admit(emptied));
+    const auto isInstalled = [&]() {
+      return group.All().At(emptied).SnapshotIndex() > Index{};
+    };
+    CHECK(group.All().RunUntil(isInstalled, kMaxWait));
+    const std::size_t before = group.All().SnapshotBytesSent();
+    group.All().Freeze(emptied, true);
+    group.Run(std::chrono::seconds{ silence }, 200);
+    group.All().Freeze(emptied, false);
+    group.Run(std::chrono::seconds{ 20 }, 200);
+    CHECK(group.IsVoter(emptied));
+    CHECK_EQUAL(silence > 60, group.All().SnapshotBytesSent() > before);
+    CheckNoViolation(group.All());
+  }
+}
