placement: sum what a pass leaves waiting in each pool

The admission of jobs needs the work ahead of a new job. A pass has collected the jobs that wait already, so it sums their work by service, priority and class, and the CPU of each pool, where `admission` is on. Nothing is summed otherwise.

--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -3,6 +3,7 @@
 #include "bamboostile/fleet/state.h"
 #include "bamboostile/placement/durations.h"
 #include "bamboostile/placement/mechanisms.h"
+#include "bamboostile/placement/pool_load.h"
 #include "bamboostile/placement/workers.h"
 #include "bamboostile/placement/workspace_accounts.h"
 
@@ -62,6 +63,9 @@
   /** Suspects and long-running tasks that were not started; of each step that
    * found no capacity, only the first. */
   std::map<jobs::TaskRef, WaitingTask> m_waiting;
+  /** Of each pool with workers or waiting jobs; empty unless jobs are refused
+   * by their expected end. */
+  PoolLoads m_loads;
 };
 
 /**
@@ -122,6 +126,8 @@
     std::int64_t m_freeCpuMillis = 0;
     std::int64_t m_freeMemoryMb = 0;
     std::int64_t m_freeAccelerators = 0;
+    /** Reserved by long-running tasks. */
+    std::int64_t m_longRunningCpuMillis = 0;
     bool m_hostsLatencySensitive = false;
     bool m_hostsLongRunning = false;
     bool m_hostsGang = false;
@@ -149,6 +155,7 @@
     bool AcceptsIsolatedRunOf(const IsolatedRun& aRun) const;
     bool MayBeJoinedBy(const IsolatedRun& aRun) const;
     void AddIsolatedRun(const IsolatedRun& aRun);
+    void AddTo(PoolLoad& aLoad) const;
   };
 
   struct Candidate
@@ -175,6 +182,8 @@
      * workspace to those at their cap. */
     bool CheckCap(Plan& aPlan) const;
     void ChargeStart() const;
+    /** Waiting tasks of the step, before the pass. */
+    std::uint32_t CountWaiting() const;
   };
 
   using Pool = std::vector<Target>;
@@ -326,6 +335,11 @@
                             Plan& aPlan) const;
   Millis CriticalPath(const jobs::Job& aJob,
                       const jobs::Occurrence* aProgress) const;
+  /** Sums what the pass leaves waiting, and the capacity of each pool. */
+  void SumLoads(const std::vector<Candidate>& aCandidates,
+                const Pools& aPools,
+                const jobs::JobTable& aBook,
+                Plan& aPlan) const;
 
   Mechanisms m_mechanisms;
   placement::DurationEstimator m_durations;
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -77,6 +77,7 @@
   m_hostsLatencySensitive =
     m_hostsLatencySensitive || aStep.m_latencyTarget > Millis::zero();
   m_hostsLongRunning = m_hostsLongRunning || aStep.m_longRunning;
+  m_longRunningCpuMillis += aStep.m_longRunning ? aStep.ReservedCpu() : 0;
   m_hostsGang = m_hostsGang || aStep.m_gang;
   ++m_runs;
 }
@@ -606,6 +607,9 @@
   placeAll(candidates.cbegin(), firstNotLongRunning);
   MoveLongRunningTasks(aState, aWorkers, aCordoned, aNow, pools, plan);
   placeAll(firstNotLongRunning, candidates.cend());
+  if (m_mechanisms.Has(Mechanism::kAdmission)) {
+    SumLoads(candidates, pools, aState.Jobs(), plan);
+  }
   return plan;
 }
 
