capacity: CPU of the instances on their way to each pool

A job that waits for instances that have been ordered ends earlier than the present cores would let it. The plan of a tick now says how much CPU arrives in a pool and when, and the service of instances keeps the pools of the last tick.

--- a/include/bamboostile/control/instance_service.h
+++ b/include/bamboostile/control/instance_service.h
@@ -84,6 +84,8 @@
             bool aOrdersAllowed,
             TimePoint aNow,
             WallTime aWall);
+  /** The pools as of the last tick; empty if instances are not moved. */
+  const std::vector<placement::PoolCapacity>& Pools() const { return m_pools; }
   /** Workers that get no new tasks. */
   const std::set<WorkerIncarnation>& Cordoned() const { return m_cordoned; }
   std::shared_ptr<const placement::OrderEffects> Effects() const
@@ -167,6 +169,7 @@
   placement::CapacityPlanner m_capacity;
   placement::OrderRecord m_orderRecord;
   std::shared_ptr<placement::OrderEffects> m_effects;
+  std::vector<placement::PoolCapacity> m_pools;
   std::set<WorkerIncarnation> m_cordoned;
   std::map<WorkerIncarnation, Cordon> m_cordons;
   /** m_cordons before the current tick. */
--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -6,6 +6,8 @@
 #include "bamboostile/placement/order_record.h"
 #include "bamboostile/placement/workers.h"
 
+#include <algorithm>
+
 namespace bamboostile::placement {
 
 struct MoveOrder
@@ -29,6 +31,10 @@
   /** Cores of the workers that report, and those that runs occupy. */
   std::int64_t m_cores = 0;
   std::int64_t m_usedCores = 0;
+  /** CPU of the instances being moved into the pool, in thousandths of a core,
+   * and the mean time until they report. */
+  std::int64_t m_arrivingCpu = 0;
+  Duration m_arrivesAfter{};
 };
 
 struct CapacityPlan
@@ -136,11 +142,22 @@
     std::int64_t m_work = 0;
     std::int64_t m_cpu = 0;
     std::int64_t m_usedCpu = 0;
+    std::size_t m_arriving = 0;
+    /** Sum of the times until they report. */
+    Duration m_arrivalTimes{};
     /** Workers whose runs all end by themselves. */
     std::vector<Drainable> m_drainable;
 
     bool IsShort() const { return m_actual < m_desired; }
     bool HasSurplus() const { return m_actual > m_desired; }
+    std::int64_t ArrivingCpu() const
+    {
+      return static_cast<std::int64_t>(m_arriving * m_cores);
+    }
+    Duration MeanArrival() const
+    {
+      return m_arrivalTimes / std::max<std::int64_t>(1, m_arriving);
+    }
     /** Mean cores of the workers that report, in thousandths; one whose
      * reported capacity has shrunk counts little. */
     std::optional<std::size_t> MeanCores() const
--- a/src/control/instance_service.cpp
+++ b/src/control/instance_service.cpp
@@ -248,13 +248,13 @@
   if (!m_calls.m_move || !m_movesEnabled) {
     return;
   }
-  const placement::CapacityPlan plan = m_capacity.Next(m_node.State(),
-                                                       aWorkers,
-                                                       m_cordoned,
-                                                       aDurations,
-                                                       m_orderRecord,
-                                                       aNow,
-                                                       aWall);
+  placement::CapacityPlan plan = m_capacity.Next(m_node.State(),
+                                                 aWorkers,
+                                                 m_cordoned,
+                                                 aDurations,
+                                                 m_orderRecord,
+                                                 aNow,
+                                                 aWall);
   CordonWorkers(plan.m_drained, CordonCause::kSurplus, aNow);
   CordonWorkers(plan.m_cordoned, CordonCause::kMove, aNow);
   LogCapacity(plan.m_pools, aNow);
@@ -265,6 +265,7 @@
       .Write();
   }
   RecordAndSend(plan.m_orders, aNow);
+  m_pools = std::move(plan.m_pools);
 }
 
 // Orders are committed before they are sent, since a later leader reads from
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -140,6 +140,9 @@
     const auto pool = pools.find(move.m_to);
     if (pool != pools.end()) {
       ++pool->second.m_actual;
+      ++pool->second.m_arriving;
+      pool->second.m_arrivalTimes +=
+        std::max(Duration{}, move.m_since + m_options.m_moveDuration - aNow);
     }
   }
   return pools;
@@ -470,7 +473,9 @@
                              pool.m_desired,
                              pool.m_work / kMilliPerCoreSecond,
                              pool.m_cpu / kMilliPerCore,
-                             pool.m_usedCpu / kMilliPerCore });
+                             pool.m_usedCpu / kMilliPerCore,
+                             pool.ArrivingCpu(),
+                             pool.MeanArrival() });
   }
   if (aNow >= m_leaderSince + m_options.m_reportWait) {
     FillPools(aWorkers, aReserved, aRecord, aNow, pools, plan);
