--- a/include/bamboostile.h
+++ b/include/bamboostile.h
@@ -16,6 +16,7 @@
 #include "bamboostile/consensus/membership_policy.h"
 #include "bamboostile/consensus/replica.h"
 #include "bamboostile/fleet/state.h"
+#include "bamboostile/intake/intake.h"
 #include "bamboostile/jobs/book.h"
 #include "bamboostile/jobs/crash_loop.h"
 #include "bamboostile/membership/registry.h"
