control: refuse at submission what cannot end in time

With `admission` on, the leader decides on each new job before it proposes anything, so a refused job never runs. Placement passes and the ends of jobs feed the decision; a new leader starts afresh.

--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -4,6 +4,7 @@
 #include "bamboostile/control/node.h"
 #include "bamboostile/control/waiting_monitor.h"
 #include "bamboostile/control/workspace_monitor.h"
+#include "bamboostile/intake/intake.h"
 #include "bamboostile/jobs/calls.h"
 #include "bamboostile/placement/plan_pacer.h"
 #include "bamboostile/placement/planner.h"
@@ -95,7 +96,8 @@
   /** Returns the workspaces as a JSON document; nothing unless this replica
    * leads. */
   std::optional<std::string> WorkspacesJson();
-  /** Returns the pools as a JSON document; nothing unless this replica leads. */
+  /** Returns the pools as a JSON document; nothing unless this replica leads.
+   */
   std::optional<std::string> PoolsJson();
   /** Returns the admission of jobs as a JSON document; nothing unless this
    * replica leads. */
@@ -171,6 +173,27 @@
                                       const fleet::QueueRoute& aRoute);
   jobs::QueueReply RefuseBeyondShare(const WorkspaceId& aWorkspace,
                                      Millis aRetryAfter);
+  /** Returns the refusal of a job that cannot end in time; otherwise records
+   * that it is about to be proposed. */
+  std::optional<jobs::QueueReply> RefuseIfLate(const fleet::QueueRoute& aRoute,
+                                               const JobId& aJob,
+                                               const WorkspaceId& aWorkspace,
+                                               const jobs::JobSpec& aSpec,
+                                               bool aIsBeyondShare);
+  void RecordProposal(const JobId& aJob,
+                      Term aTerm,
+                      const ProposalResult& aResult);
+  jobs::QueueReply RefuseLate(const intake::Submission& aSubmission,
+                              const intake::Refused& aRefused,
+                              const WorkspaceId& aWorkspace);
+  /** Passes the figures of a placement pass to the admission of jobs. */
+  void UpdateIntake(placement::PoolLoads aLoads, TimePoint aNow);
+  /** Corrects the estimates by how long the job took. */
+  void RecordInIntake(const jobs::Job& aJob, TimePoint aNow);
+  bool RefusesLate() const
+  {
+    return m_options.m_mechanisms.Has(placement::Mechanism::kAdmission);
+  }
   /** Returns the reply to the submission of a job that exists already. */
   jobs::QueueReply ReplyToRepeatedSubmit(const JobId& aJob,
                                          const WorkspaceId& aWorkspace) const;
@@ -211,12 +234,15 @@
   telemetry::LogRateLimiter m_unauthorizedLog{ Millis{ 200 } };
   /** Limited, as a workspace may send many jobs beyond its share. */
   telemetry::LogRateLimiter m_beyondShareLog{ Millis{ 200 } };
+  /** Limited, as each job is refused while a pool is overloaded. */
+  telemetry::LogRateLimiter m_lateLog{ Millis{ 200 } };
   WorkspaceMonitor m_workspaces;
   WaitingMonitor m_waiting;
   /** By queue, as of the last count. */
   std::map<QueueId, std::uint64_t> m_pendingJobs;
   TimePoint m_nextPendingCount;
   workspaces::ShareLimiter m_shares;
+  intake::Intake m_intake;
   /** Services with tasks that had no room in the last placement pass. */
   std::set<ServiceId> m_fullServices;
   telemetry::Metrics m_metrics;
--- a/src/control/job_calls.cpp
+++ b/src/control/job_calls.cpp
@@ -4,6 +4,7 @@
 
 #include "batch_reply.h"
 
+#include "bamboostile/intake/job_demand.h"
 #include "bamboostile/placement/unbegun_jobs.h"
 #include "bamboostile/telemetry/log.h"
 #include "bamboostile/workspaces/directory.h"
@@ -23,6 +24,9 @@
  * one to the next, absolute and as a multiple of the time that it takes. */
 constexpr Duration kPendingCountInterval = Millis{ 500 };
 constexpr int kPendingCountShare = 100;
+/** Thousandths of a core times ms, in a core-second. */
+constexpr std::int64_t kMilliPerCoreSecond = 1000 * 1000;
+constexpr std::int64_t kMilliPerCore = 1000;
 
 jobs::QueueReply
 ReplyWith(jobs::QueueOutcome aOutcome)
@@ -136,6 +140,40 @@
   return reply;
 }
 
+jobs::QueueReply
+JobService::RefuseLate(const intake::Submission& aSubmission,
+                       const intake::Refused& aRefused,
+                       const WorkspaceId& aWorkspace)
+{
+  m_metrics.Count("jobs_refused_late_total");
+  m_workspaces.OnRefused(aWorkspace);
+  if (const auto suppressed = m_lateLog.Admit(MonotonicNow())) {
+    const intake::Estimate& estimate = aRefused.m_estimate;
+    LogLine(Level::kInfo, "job refused: cannot end in time")
+      .With("job", aSubmission.m_job.Get())
+      .With("queue", aSubmission.m_queue.Get())
+      .With("service", aSubmission.m_service.Get())
+      .With("workspace", aWorkspace.Get())
+      .With("startsAfterMs", estimate.m_start.count())
+      .With("endsAfterMs", estimate.m_end.count())
+      .With("limitMs", estimate.m_limit.count())
+      .With("criticalPathMs", estimate.m_criticalPath.count())
+      .With("aheadCoreSeconds",
+            estimate.m_workAheadWithLate / kMilliPerCoreSecond)
+      .With("cores", estimate.m_cpu / kMilliPerCore)
+      .With("arrivingCores", estimate.m_arrivingCpu / kMilliPerCore)
+      .With("rate", estimate.m_rate)
+      .With("correction", estimate.m_correction)
+      .With("estimateAgeMs", ToMillis(estimate.m_age).count())
+      .With("retryAfterMs", aRefused.m_retryAfter.count())
+      .With("unloggedBefore", *suppressed)
+      .Write();
+  }
+  jobs::QueueReply reply = ReplyWith(jobs::QueueOutcome::kRefused);
+  reply.m_retryAfter = aRefused.m_retryAfter;
+  return reply;
+}
+
 // The id of a job of another workspace cannot be used. The reply is the same as
 // for any other unusable id, and shows nothing of that job.
 jobs::QueueReply
@@ -151,6 +189,53 @@
   return reply;
 }
 
+// Decided by the leader before anything is proposed, so that a refused job
+// never runs.
+std::optional<jobs::QueueReply>
+JobService::RefuseIfLate(const fleet::QueueRoute& aRoute,
+                         const JobId& aJob,
+                         const WorkspaceId& aWorkspace,
+                         const jobs::JobSpec& aSpec,
+                         bool aIsBeyondShare)
+{
+  if (!RefusesLate()) {
+    return std::nullopt;
+  }
+  const intake::Submission submission{
+    aJob,
+    aRoute.Queue(),
+    aRoute.m_service,
+    aRoute.m_priority,
+    aRoute.m_objective,
+    aRoute.m_stretch,
+    aIsBeyondShare,
+    intake::DemandOf(aSpec, m_planner.EstimatedDurations())
+  };
+  const TimePoint now = MonotonicNow();
+  const intake::Decision decision = m_intake.Decide(submission, now);
+  if (const auto* refused = std::get_if<intake::Refused>(&decision)) {
+    return RefuseLate(submission, *refused, aWorkspace);
+  }
+  m_intake.OnProposed(submission, std::get<intake::Admitted>(decision), now);
+  return std::nullopt;
+}
+
+void
+JobService::RecordProposal(const JobId& aJob,
+                           Term aTerm,
+                           const ProposalResult& aResult)
+{
+  if (aTerm != m_term) {
+    return;
+  }
+  using intake::ProposalOutcome;
+  const bool isNotProposed = aResult.m_error == consensus::Error::kNotReady;
+  m_intake.OnDecided(aJob,
+                     ReplyOf(aResult) != nullptr ? ProposalOutcome::kAccepted
+                     : isNotProposed             ? ProposalOutcome::kNotProposed
+                                                 : ProposalOutcome::kUndecided);
+}
+
 kj::Promise<jobs::QueueReply>
 JobService::Submit(const fleet::QueueRoute& aRoute,
                    const JobId& aJob,
@@ -178,6 +263,12 @@
     if (share.m_retryAfter && m_fullServices.contains(aRoute.m_service)) {
       return RefuseBeyondShare(aWorkspace, *share.m_retryAfter);
     }
+  }
+  if (auto refused =
+        RefuseIfLate(aRoute, aJob, aWorkspace, aSpec, share.m_isBeyond)) {
+    return std::move(*refused);
+  }
+  if (weight) {
     m_shares.Charge(aWorkspace, *weight, MonotonicNow());
   }
   jobs::Batch batch;
@@ -188,8 +279,9 @@
                                              aWorkspace,
                                              share.m_isBeyond });
   return m_node.Propose(batch).then(
-    [this, aJob, aWorkspace, queue = aRoute.Queue()](
+    [this, aJob, aWorkspace, queue = aRoute.Queue(), term = m_term](
       const ProposalResult& aResult) {
+      RecordProposal(aJob, term, aResult);
       const jobs::BatchReply* reply = ReplyOf(aResult);
       if (reply == nullptr) {
         // The job was never proposed, so no part of it can ever run.
@@ -226,6 +318,7 @@
       if (ReplyOf(aResult) == nullptr) {
         return ReplyWith(jobs::QueueOutcome::kUndecided);
       }
+      m_intake.OnAbandoned(aJob);
       LogLine(Level::kInfo, "job cancelled")
         .With("job", aJob.Get())
         .With("index", aResult.m_index.Get())
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -7,6 +7,7 @@
 #include "bamboostile/units/visit.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace bamboostile::control {
 
@@ -87,6 +88,7 @@
     m_pendingJobs.clear();
     m_nextPendingCount = TimePoint{};
     m_shares = workspaces::ShareLimiter{};
+    m_intake = intake::Intake{};
     m_fullServices.clear();
     m_needsPlan = true;
   }
@@ -282,6 +284,7 @@
     m_node.State(), *m_workers, m_instances->Cordoned(), aNow, WallNow());
   m_workers->SetAccounts(std::move(plan.m_accounts));
   m_fullServices = std::move(plan.m_fullServices);
+  UpdateIntake(std::move(plan.m_loads), aNow);
   m_waiting.OnPlanned(plan.m_waiting, aNow);
   m_workspaces.OnPlanned(plan.m_atCap, m_node.State().Routes().m_version, aNow);
   for (const placement::StopOrder& stop : plan.m_stops) {
@@ -300,6 +303,35 @@
   m_pacer.OnPassEnded(aNow, ended, m_sheddingLevel);
 }
 
+void
+JobService::UpdateIntake(placement::PoolLoads aLoads, TimePoint aNow)
+{
+  if (!RefusesLate()) {
+    return;
+  }
+  intake::PassResult pass{ std::move(aLoads), m_fullServices, {} };
+  for (const placement::PoolCapacity& pool : m_instances->Pools()) {
+    if (pool.m_arrivingCpu > 0) {
+      pass.m_arriving[pool.m_service] = { pool.m_arrivingCpu,
+                                          aNow + pool.m_arrivesAfter };
+    }
+  }
+  m_intake.OnPlanned(std::move(pass), aNow);
+}
+
+void
+JobService::RecordInIntake(const jobs::Job& aJob, TimePoint aNow)
+{
+  if (aJob.m_state != jobs::JobState::kCompleted) {
+    m_intake.OnAbandoned(aJob.m_id);
+    return;
+  }
+  if (const auto error = m_intake.OnCompleted(aJob.m_id, aNow)) {
+    m_metrics.Observe("admission_estimate_error_seconds",
+                      std::abs(std::chrono::duration<double>(*error).count()));
+  }
+}
+
 // Called only between batches, as a batch in progress may contain the same
 // ends. Under load, batches follow each other for seconds, so every cycle calls
 // this; otherwise the long-running tasks of a crashed worker would stay down
@@ -415,6 +447,7 @@
         .With("reason", job->m_reason)
         .With("afterMs", tookMs)
         .Write();
+      RecordInIntake(*job, aNow);
       RecordIfCrashLoop(*job, *end);
     }
   }
--- a/tests/unit/control/job_service_test.cpp
+++ b/tests/unit/control/job_service_test.cpp
@@ -51,7 +51,14 @@
     while (!m_node->IsServing()) {
       RunEventLoopFor(5 * kj::MILLISECONDS);
     }
+    Serve({});
+  }
+
+  /** Starts the service, in place of one that runs already. */
+  void Serve(placement::Mechanisms aMechanisms)
+  {
     control::JobServiceOptions jobs;
+    jobs.m_mechanisms = aMechanisms;
     jobs.m_calls.m_move = [this](const auto& aOrder, Term, auto aDone) {
       m_movedInstances.push_back(aOrder.m_instance);
       m_answerMove = aDone;
@@ -70,6 +77,7 @@
           ServiceId{ "spare" },
           placement::InstanceState::kUp } });
     };
+    m_service.reset();
     m_service = std::make_unique<JobService>(
       *m_node, m_loop->m_io.provider->getTimer(), std::move(jobs));
     m_service->ReplaceRoutes(Fleet{}.State().Routes())
@@ -573,6 +581,46 @@
   CHECK(submit(0).m_outcome == jobs::QueueOutcome::kOk);
 }
 
+// Guards against a refused job of which parts run, and against refusing it
+// again once there is room.
+TEST(JobService, JobThatCannotEndInTime_IsRefusedUntilThePoolHasCapacity)
+{
+  placement::Mechanisms mechanisms;
+  mechanisms.SwitchOn(placement::Mechanism::kAdmission);
+  Serve(mechanisms);
+  const auto submit = [&](const char* aJob) {
+    return Call(jobs::CallKind::kSubmit, aJob, "");
+  };
+  std::vector<kj::Promise<WorkerAnswer>> reports;
+  for (const char* worker : { "w1", "w2", "w3" }) {
+    reports.push_back(Send(Report(worker, 0)));
+  }
+  for (auto& report : reports) {
+    CHECK(Await(kj::mv(report)).has_value());
+  }
+  CHECK(submit("fits").m_outcome == jobs::QueueOutcome::kOk);
+  // 12 cores, and a limit of 13.8 s for a job of one second.
+  Submit("large", Spec({ Step(200) }));
+  RunEventLoopFor(300 * kj::MILLISECONDS);
+  const auto refused = submit("late");
+  CHECK(refused.m_outcome == jobs::QueueOutcome::kRefused);
+  CHECK(refused.m_retryAfter >= Millis{ 200 });
+  POINTERS_EQUAL(nullptr, m_node->State().Jobs().Find(JobId{ "late" }));
+  CHECK(submit("large").m_outcome == jobs::QueueOutcome::kOk);
+  CHECK(m_service->RenderMetrics().find("jobs_refused_late_total 1") !=
+        std::string::npos);
+  const std::string report = *m_service->AdmissionJson();
+  CHECK(report.find("\"estimatesAvailable\":true") != std::string::npos);
+  CHECK(report.find("\"accepted\":2") != std::string::npos);
+  CHECK(report.find("\"refused\":1") != std::string::npos);
+  CHECK(report.find("\"cores\":12") != std::string::npos);
+
+  Call(jobs::CallKind::kCancel, "large", "");
+  RunEventLoopFor(400 * kj::MILLISECONDS);
+  CHECK(submit("late").m_outcome == jobs::QueueOutcome::kOk);
+  CHECK(m_node->State().Jobs().Find(JobId{ "late" }) != nullptr);
+}
+
 // Guards against callers being told that no job is pending while dozens wait on
 // workers that crashed before the start reached them.
 TEST(JobService, StartIsNotShownByAReport_JobIsStillPending)
