--- a/tests/unit/intake/load_test.cpp
+++ b/tests/unit/intake/load_test.cpp
@@ -123,7 +123,7 @@
 class Day
 {
 public:
-  Day(double aLoad, std::uint64_t aSeed, Way& aWay)
+  Day(double aLoad, bool aHasValleys, std::uint64_t aSeed, Way& aWay)
     : m_way(aWay)
     , m_random(aSeed)
   {
@@ -132,6 +132,9 @@
                              static_cast<double>(kTask.count());
     std::exponential_distribution<double> gap(jobsPerMs);
     for (double at = gap(m_random); at < kDemandMs; at += gap(m_random)) {
+      if (aHasValleys && IsLeftOutOfValley(at)) {
+        continue;
+      }
       m_jobs.push_back({ static_cast<std::int64_t>(at) });
       m_submissions.emplace(m_jobs.back().m_firstAt, m_jobs.size() - 1);
     }
@@ -169,6 +172,15 @@
   using Event = std::pair<std::int64_t, std::size_t>;
   using Events = std::priority_queue<Event, std::vector<Event>, std::greater<>>;
 
+  /** Demand lasts for 5 s of every 20 s; a twentieth of it remains between. */
+  bool IsLeftOutOfValley(double aAtMs)
+  {
+    constexpr double kPeriodMs = 20'000;
+    constexpr double kPeakMs = 5000;
+    std::bernoulli_distribution remains(0.05);
+    return std::fmod(aAtMs, kPeriodMs) >= kPeakMs && !remains(m_random);
+  }
+
   TimePoint Now() const { return TimePoint{ Millis{ 1 + m_now } }; }
   static JobId IdOf(std::size_t aJob)
   {
@@ -306,22 +318,23 @@
 /** Plays three seeds and prints the means. */
 template<typename T>
 Outcome
-PlayAll(const char* aName, double aLoad)
+PlayAll(const char* aName, double aLoad, bool aHasValleys = false)
 {
   constexpr int kSeeds = 3;
   Outcome sum;
   for (int seed = 1; seed <= kSeeds; ++seed) {
     T way;
-    const Outcome outcome = Day(aLoad, seed, way).Play();
+    const Outcome outcome = Day(aLoad, aHasValleys, seed, way).Play();
     sum.m_onTime += outcome.m_onTime / kSeeds;
     sum.m_byLimit += outcome.m_byLimit / kSeeds;
     sum.m_refused += outcome.m_refused / kSeeds;
     sum.m_refusedWhileFree += outcome.m_refusedWhileFree;
     sum.m_acceptedNotDone += outcome.m_acceptedNotDone;
   }
-  UT_PRINT(StringFromFormat("load %.1f, %s: on time %.3f, by the limit %.3f, "
+  UT_PRINT(StringFromFormat("load %.1f%s, %s: on time %.3f, by the limit %.3f, "
                             "refused %.3f",
                             aLoad,
+                            aHasValleys ? " in peaks" : "",
                             aName,
                             sum.m_onTime,
                             sum.m_byLimit,
@@ -358,3 +371,19 @@
     }
   }
 }
+
+// Guards against refusing what a pool completes in time once a peak is over.
+TEST(IntakeUnderLoad, ShortPeaks_WorkThatEndsInTheValleyIsAccepted)
+{
+  constexpr double kTolerance = 0.02;
+  for (const double load : { 1.5, 2.0, 3.0, 5.0 }) {
+    const Outcome all = PlayAll<RefuseNothing>("refuse nothing", load, true);
+    PlayAll<ControlledDelay>("controlled delay", load, true);
+    const Outcome end = PlayAll<PredictedEnd>("predicted end", load, true);
+    CHECK(end.m_onTime >= all.m_onTime - kTolerance);
+    CHECK(end.m_byLimit >= all.m_byLimit);
+    if (load <= 2) {
+      DOUBLES_EQUAL(0, end.m_refused, 0);
+    }
+  }
+}
