benchmark: passes of a pool without free capacity

The benchmark placed equal tasks on a pool with room for all of them, which is not where the leader spends its time under overload. It now also measures passes with 4,000 waiting tasks of several sizes at 350, 875 and 3,000 full workers, and after a fiftieth of the running tasks has ended.

--- a/benchmark/jobs.cpp
+++ b/benchmark/jobs.cpp
@@ -1,10 +1,14 @@
 // Measures the leader's time and log bytes for one job, start, end and report,
 // and how the time of a placement pass grows with the number of workers.
+// `bench_jobs passes WORKERS COUNT` only runs passes of a full fleet, for a
+// profiler.
 
 #include "bamboostile/placement/planner.h"
 
 #include "report.h"
 
+#include <algorithm>
+#include <array>
 #include <chrono>
 #include <iostream>
 
@@ -152,12 +156,181 @@
   placement::Planner m_planner;
 };
 
+constexpr std::size_t kQueues = 1;
+constexpr std::size_t kWaitingTasks = 4000;
+constexpr std::uint32_t kFleetWorkerCpuMillis = 32'000;
+constexpr std::uint32_t kFleetWorkerMemoryMb = 64'000;
+/** One running task in this many ends before a pass with free capacity. */
+constexpr std::size_t kEndedTasksDivisor = 50;
+
+/** A pool without free capacity, and tasks of several sizes that
+ * wait for it. */
+class FullFleet
+{
+public:
+  explicit FullFleet(std::size_t aWorkers)
+  {
+    fleet::RouteTable table;
+    table.m_version = 1;
+    for (std::size_t i = 0; i < kQueues; ++i) {
+      const ServiceId service{ "service-" + std::to_string(i) };
+      table.m_services.push_back({ service, true, false });
+      fleet::QueueRoute& route = table.m_routes.emplace_back();
+      route.m_name = "queue-" + std::to_string(i);
+      route.m_host = "host";
+      route.m_pathPrefix = "/" + route.m_name + "/";
+      route.m_service = service;
+      route.m_timeout = Millis{ 3000 };
+      route.m_objective = Millis{ 3000 };
+    }
+    Apply(fleet::ReplaceRoutes{ table });
+    for (std::size_t i = 0; i < aWorkers; ++i) {
+      ReportWorker(i);
+    }
+    while (StartPlanned()) {
+      SubmitTasks(kWaitingTasks / 4);
+    }
+    // What is waiting now is topped up to the number under measurement.
+    SubmitTasks(kWaitingTasks - std::min(kWaitingTasks, CountWaiting()));
+  }
+
+  placement::Plan ComputePlan()
+  {
+    return m_planner.ComputePlan(m_state, m_table, {}, kNow, WallTime{ 2000 });
+  }
+
+  /** Ends some of the running tasks, spread over the fleet. */
+  void EndSome()
+  {
+    jobs::Batch ends;
+    std::size_t number = 0;
+    for (std::size_t i = 0; i < m_started.size(); i += kEndedTasksDivisor) {
+      const jobs::StartRun& start = m_started[i];
+      ends.m_changes.emplace_back(jobs::EndRun{
+        start.m_task, start.m_run, jobs::RunEnd::kDone, "", WallTime{ 2000 } });
+      ++number;
+    }
+    Apply(ends);
+  }
+
+  std::size_t CountWaiting() const { return m_submitted - m_started.size(); }
+  std::size_t CountRunning() const { return m_started.size(); }
+
+private:
+  void Apply(const fleet::Command& aCommand)
+  {
+    m_index = Next(m_index);
+    m_state.Apply(m_index, aCommand);
+  }
+
+  bool StartPlanned()
+  {
+    const placement::Plan plan = ComputePlan();
+    for (const jobs::Change& change : plan.m_changes) {
+      m_started.push_back(std::get<jobs::StartRun>(change));
+    }
+    Apply(jobs::Batch{ plan.m_changes });
+    return m_submitted == 0 || !plan.m_changes.empty();
+  }
+
+  void SubmitTasks(std::size_t aCount)
+  {
+    constexpr std::array<std::uint32_t, 6> kCpuMillis{ 500,  1000, 1500,
+                                                       2000, 4000, 10'000 };
+    constexpr std::array<std::uint32_t, 4> kTasks{ 1, 2, 5, 8 };
+    jobs::Batch submissions;
+    for (std::size_t tasks = 0; tasks < aCount; ++m_jobs) {
+      jobs::StepSpec step;
+      step.m_count = kTasks[m_jobs / kQueues % kTasks.size()];
+      step.m_resources.m_cpuMillis =
+        kCpuMillis[m_jobs / kQueues % kCpuMillis.size()];
+      step.m_resources.m_memoryMb = step.m_resources.m_cpuMillis;
+      step.m_estimate = Millis{ 1000 };
+      step.m_image = ImageId{ "image-" + std::to_string(m_jobs % 20) };
+      jobs::StepSpec next = step;
+      next.m_count = 1;
+      next.m_dependsOn = { 0 };
+      jobs::JobSpec spec;
+      spec.m_steps = { step, next };
+      submissions.m_changes.emplace_back(jobs::Submit{
+        JobId{ JobName(m_jobs) },
+        QueueId{ "host/queue-" + std::to_string(m_jobs % kQueues) + "/" },
+        spec,
+        WallTime{ static_cast<std::int64_t>(m_jobs % 1000) } });
+      tasks += step.m_count;
+      m_submitted += step.m_count;
+    }
+    Apply(submissions);
+  }
+
+  void ReportWorker(std::size_t aWorker)
+  {
+    placement::WorkerReport report;
+    report.m_worker = { WorkerId{ WorkerName(aWorker) }, WallTime{ 1 } };
+    report.m_instance = InstanceId{ "m-" + std::to_string(aWorker) };
+    report.m_service =
+      ServiceId{ "service-" + std::to_string(aWorker % kQueues) };
+    report.m_capacity = { kFleetWorkerCpuMillis, kFleetWorkerMemoryMb, 0 };
+    report.m_sequence = 1;
+    m_table.OnReport(report, m_state.Jobs(), kNow, WallTime{ 1 });
+  }
+
+  Index m_index;
+  fleet::State m_state;
+  placement::WorkerTable m_table{ placement::LeaseOptions{}, TimePoint{} };
+  placement::Planner m_planner;
+  std::size_t m_jobs = 0;
+  std::size_t m_submitted = 0;
+  std::vector<jobs::StartRun> m_started;
+};
+
+double
+TimePass(FullFleet& aFleet)
+{
+  std::vector<double> micros;
+  for (int i = 0; i < kPlanningPasses; ++i) {
+    const auto start = std::chrono::steady_clock::now();
+    aFleet.ComputePlan();
+    micros.push_back(MicrosSince(start, 1));
+  }
+  return benchmark::Quantile(micros, 0.5);
+}
+
+/** Passes of fleets of three sizes with the same number of waiting tasks. */
+void
+MeasureFullFleets(benchmark::Report& aReport)
+{
+  for (const std::size_t workers : { 350UL, 875UL, 3000UL }) {
+    FullFleet fleet(workers);
+    const std::string count = std::to_string(workers);
+    const auto waiting = static_cast<double>(fleet.CountWaiting());
+    const auto running = static_cast<double>(fleet.CountRunning());
+    const double full = TimePass(fleet);
+    fleet.EndSome();
+    const double freed = TimePass(fleet);
+    aReport.Set("pass of a full fleet, us at " + count, full);
+    aReport.Set("pass with some capacity free, us at " + count, freed);
+    std::cout << "fleet of " << count << ", " << running << " running, "
+              << waiting << " waiting: pass when full " << full
+              << " us, with some capacity free " << freed << " us for "
+              << fleet.ComputePlan().m_changes.size() << " starts\n";
+  }
+}
+
 } // namespace
 
 int
-main()
+main(int argc, char** argv)
 {
+  if (argc == 4 && std::string(argv[1]) == "passes") {
+    FullFleet fleet(std::stoul(argv[2]));
+    for (std::size_t i = 0; i < std::stoul(argv[3]); ++i) {
+      fleet.ComputePlan();
+    }
+    return 0;
+  }
   benchmark::Report report("jobs");
+  MeasureFullFleets(report);
   for (const std::size_t workers : { 50UL, 350UL }) {
     Bench(workers).Report(std::to_string(workers), report);
   }
