placement: find workers of packed tasks by free CPU

Each waiting task was compared with each worker of its pool, and each gang copied all targets of its pool. Targets are now kept in order of free CPU and position, in all and by rack, so that a packed task takes the first that it fits, with the same ties as the scan; a gang that does not fit undoes its changes. The scan remains for tasks that are spread, and as the reference.

--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -35,6 +35,16 @@
 
 class IsolationQuota;
 
+/** How a pass finds the worker of a task. The decisions are the same. */
+enum class Search : std::uint8_t
+{
+  /** With indexes of the workers. */
+  kIndexed,
+  /** Compares all workers for each task: the reference in tests and
+   * benchmarks. */
+  kScan,
+};
+
 /** A task that was looked at in a placement pass and not started. */
 struct WaitingTask
 {
@@ -79,8 +89,10 @@
 class Planner
 {
 public:
-  explicit Planner(Mechanisms aMechanisms = {})
+  explicit Planner(Mechanisms aMechanisms = {},
+                   Search aSearch = Search::kIndexed)
     : m_mechanisms(aMechanisms)
+    , m_search(aSearch)
   {
   }
 
@@ -115,41 +127,8 @@
     bool MayJoin() const;
   };
 
-  /** The free capacity of a worker and what the worker hosts. */
-  struct Target
-  {
-    const Worker* m_worker = nullptr;
-    std::int64_t m_freeCpuMillis = 0;
-    std::int64_t m_freeMemoryMb = 0;
-    std::int64_t m_freeAccelerators = 0;
-    bool m_hostsLatencySensitive = false;
-    bool m_hostsLongRunning = false;
-    bool m_hostsGang = false;
-    std::uint32_t m_runs = 0;
-    /** Starts sent but not yet confirmed by a report. */
-    std::uint32_t m_unconfirmed = 0;
-    /** The task that has an isolated run here, or one of them; unset if none
-     * has. */
-    std::optional<jobs::TaskRef> m_isolatedTask{};
-    /** Isolated runs of several tasks may share this worker. */
-    bool m_isShared = false;
-    /** The isolated run is of a task with a proof. */
-    bool m_hasProof = false;
-    /** All isolated runs here may be joined by others. */
-    bool m_isJoinable = true;
-    /** Reserved for a large task that does not fit anywhere yet. */
-    bool m_isReserved = false;
-    /** An order may still end the worker, and the loss would prove nothing. */
-    bool m_mayBeOrdered = false;
-    /** The worker may be lost: it counts in the pool but gets no new tasks. */
-    bool m_isUnresponsive = false;
-
-    bool Fits(const jobs::StepSpec& aStep) const;
-    void Allocate(const jobs::StepSpec& aStep);
-    bool AcceptsIsolatedRunOf(const IsolatedRun& aRun) const;
-    bool MayBeJoinedBy(const IsolatedRun& aRun) const;
-    void AddIsolatedRun(const IsolatedRun& aRun);
-  };
+  struct Target;
+  class Pool;
 
   struct Candidate
   {
@@ -177,7 +156,6 @@
     void ChargeStart() const;
   };
 
-  using Pool = std::vector<Target>;
   /** Number of running tasks of one step on each worker. */
   using TasksPerWorker = std::unordered_map<WorkerIncarnation, std::uint32_t>;
   using Pools = std::unordered_map<ServiceId, Pool>;
@@ -215,6 +193,14 @@
                  std::optional<Millis> aTimeSinceDelay,
                  Pool& aPool,
                  Plan& aPlan) const;
+  /** Starts the members one by one; returns false if one does not fit. */
+  bool PlaceMembers(const Candidate& aCandidate,
+                    const std::vector<jobs::WorkerLoss>& aLosses,
+                    std::optional<Millis> aTimeSinceDelay,
+                    RunNumber aRun,
+                    Pool& aPool,
+                    Plan& aPlan,
+                    std::vector<jobs::Change>& aStarts) const;
   /** Waiting suspects of the step, those with the fewest losses first. */
   static std::vector<IsolatedRun> FindSuspects(const Candidate& aCandidate);
   static std::vector<SuspectStep> OrderSuspects(
@@ -258,6 +244,7 @@
   static void StartIsolatedRun(SuspectStep& aStep,
                                const IsolatedRun& aRun,
                                Target& aTarget,
+                               Pool& aPool,
                                Plan& aPlan);
   static bool MustAwaitQuietPeriod(const jobs::StepSpec& aStep,
                                    const std::vector<jobs::WorkerLoss>& aLosses,
@@ -310,6 +297,9 @@
   Target* Choose(const jobs::StepSpec& aStep,
                  const TasksPerWorker& aTasksPerWorker,
                  Pool& aPool) const;
+  Target* ChooseByScan(const jobs::StepSpec& aStep,
+                       const TasksPerWorker& aTasksPerWorker,
+                       Pool& aPool) const;
   static TasksPerWorker CountTasksPerWorker(
     const std::vector<jobs::Task>& aTasks);
   static bool MayMoveAway(const jobs::TaskRef& aTask,
@@ -328,6 +318,7 @@
                       const jobs::Occurrence* aProgress) const;
 
   Mechanisms m_mechanisms;
+  Search m_search = Search::kIndexed;
   placement::DurationEstimator m_durations;
 };
 
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -1,5 +1,7 @@
 #include "bamboostile/placement/planner.h"
 
+#include "target_pool.h"
+
 #include "bamboostile/jobs/crash_loop.h"
 
 #include <algorithm>
@@ -36,6 +38,13 @@
   return (aStep.m_count + kSpreadDivisor - 1) / kSpreadDivisor;
 }
 
+/** Tasks of other steps are packed. */
+bool
+IsSpread(const jobs::StepSpec& aStep)
+{
+  return aStep.m_longRunning || aStep.m_bestEffort;
+}
+
 } // namespace
 
 const char*
@@ -60,27 +69,6 @@
   return "unknown";
 }
 
-bool
-Planner::Target::Fits(const jobs::StepSpec& aStep) const
-{
-  return !m_isUnresponsive && aStep.ReservedCpu() <= m_freeCpuMillis &&
-         aStep.m_resources.m_memoryMb <= m_freeMemoryMb &&
-         aStep.m_resources.m_accelerators <= m_freeAccelerators;
-}
-
-void
-Planner::Target::Allocate(const jobs::StepSpec& aStep)
-{
-  m_freeCpuMillis -= aStep.ReservedCpu();
-  m_freeMemoryMb -= aStep.m_resources.m_memoryMb;
-  m_freeAccelerators -= aStep.m_resources.m_accelerators;
-  m_hostsLatencySensitive =
-    m_hostsLatencySensitive || aStep.m_latencyTarget > Millis::zero();
-  m_hostsLongRunning = m_hostsLongRunning || aStep.m_longRunning;
-  m_hostsGang = m_hostsGang || aStep.m_gang;
-  ++m_runs;
-}
-
 bool
 Planner::Candidate::CheckCap(Plan& aPlan) const
 {
@@ -168,7 +156,7 @@
         FindIsolatedRuns(worker, placed->second, book, target);
       }
     }
-    pools[worker.m_lastReport.m_service].push_back(target);
+    pools[worker.m_lastReport.m_service].Add(std::move(target));
   }
   return pools;
 }
@@ -269,6 +257,9 @@
 Planner::TasksOnWorker(const WorkerIncarnation& aWorker,
                        const TasksPerWorker& aTasksPerWorker)
 {
+  if (aTasksPerWorker.empty()) {
+    return 0;
+  }
   const auto found = aTasksPerWorker.find(aWorker);
   return found == aTasksPerWorker.end() ? 0 : found->second;
 }
@@ -288,10 +279,22 @@
 Planner::Choose(const jobs::StepSpec& aStep,
                 const TasksPerWorker& aTasksPerWorker,
                 Pool& aPool) const
+{
+  const bool isPacked =
+    !IsSpread(aStep) && m_mechanisms.Has(Mechanism::kPacking);
+  return m_search == Search::kIndexed && isPacked
+           ? aPool.FindTightest(aStep, aTasksPerWorker)
+           : ChooseByScan(aStep, aTasksPerWorker, aPool);
+}
+
+Planner::Target*
+Planner::ChooseByScan(const jobs::StepSpec& aStep,
+                      const TasksPerWorker& aTasksPerWorker,
+                      Pool& aPool) const
 {
   Target* best = nullptr;
   auto bestRank = std::make_tuple(true, true, true, true, true, std::int64_t{});
-  for (Target& target : aPool) {
+  for (Target& target : aPool.Targets()) {
     const WorkerReport& report = target.m_worker->m_lastReport;
     if (target.m_isReserved || target.m_isolatedTask || !target.Fits(aStep)) {
       continue;
@@ -311,7 +314,7 @@
     // something: one on each worker would keep the whole pool from ever being
     // idle. Other tasks are packed, so that free capacity for large tasks is
     // not fragmented.
-    const bool isSpread = aStep.m_longRunning || aStep.m_bestEffort;
+    const bool isSpread = IsSpread(aStep);
     const bool isCrowded = isSpread && tasksOnWorker >= SpreadLimit(aStep);
     const bool isEmpty =
       isSpread && m_mechanisms.Has(Mechanism::kSharing) &&
@@ -342,32 +345,38 @@
   if (!m_mechanisms.Has(Mechanism::kRoomForLarge)) {
     return;
   }
-  const auto reserved = static_cast<std::size_t>(
-    std::count_if(aPool.begin(), aPool.end(), [](const Target& aTarget) {
+  const auto reserved = static_cast<std::size_t>(std::count_if(
+    aPool.Targets().begin(), aPool.Targets().end(), [](const Target& aTarget) {
       return aTarget.m_isReserved;
     }));
   const std::size_t maxReserved =
-    std::max<std::size_t>(1, aPool.size() / kWorkersPerReservation);
-  if (aPool.size() < kMinPoolSizeForReservation || reserved >= maxReserved) {
+    std::max<std::size_t>(1, aPool.Targets().size() / kWorkersPerReservation);
+  if (aPool.Targets().size() < kMinPoolSizeForReservation ||
+      reserved >= maxReserved) {
     return;
   }
   const auto rank = [](const Target& aTarget) {
     return std::make_pair(!aTarget.m_isReserved, aTarget.m_freeCpuMillis);
   };
-  Target& emptiest = *std::max_element(
-    aPool.begin(), aPool.end(), [&](const Target& aLeft, const Target& aRight) {
-      return rank(aLeft) < rank(aRight);
-    });
+  Target& emptiest =
+    *std::max_element(aPool.Targets().begin(),
+                      aPool.Targets().end(),
+                      [&](const Target& aLeft, const Target& aRight) {
+                        return rank(aLeft) < rank(aRight);
+                      });
   const jobs::Resources& capacity = emptiest.m_worker->m_lastReport.m_capacity;
   const jobs::Resources& needs = aStep.m_resources;
   // A worker whose capacity has shrunk may be too small even when empty.
   if (!ReservedCapacity{}.LeavesCapacityFor(capacity, aStep)) {
     return;
   }
-  emptiest.m_isReserved =
+  const bool isLarge =
     aStep.ReservedCpu() * kLargeTaskDivisor > capacity.m_cpuMillis ||
     needs.m_memoryMb * kLargeTaskDivisor > capacity.m_memoryMb ||
     needs.m_accelerators > 0;
+  if (isLarge) {
+    aPool.Reserve(emptiest);
+  }
 }
 
 void
@@ -408,11 +417,12 @@
       }
       return;
     }
-    target->Allocate(step);
+    aPool.Start(*target, step);
     aCandidate.ChargeStart();
-    ++target->m_unconfirmed;
     const WorkerIncarnation& worker = target->m_worker->m_lastReport.m_worker;
-    ++tasksPerWorker[worker];
+    if (step.m_maxPerWorker > 0 || IsSpread(step)) {
+      ++tasksPerWorker[worker];
+    }
     aPlan.m_changes.emplace_back(jobs::StartRun{
       aCandidate.TaskAt(i), RunNumber{ task.m_lastRun.Get() + 1 }, worker });
   }
@@ -443,8 +453,6 @@
       lastRun = std::max(lastRun, task.m_lastRun);
     }
   }
-  Pool tentativePool = aPool;
-  TasksPerWorker tasksPerWorker;
   std::vector<jobs::Change> starts;
   Candidate tentative = aCandidate;
   workspaces::Account account;
@@ -452,37 +460,59 @@
     account = *aCandidate.m_account;
     tentative.m_account = &account;
   }
+  aPool.BeginTrial();
+  if (!PlaceMembers(tentative,
+                    losses,
+                    aTimeSinceDelay,
+                    RunNumber{ lastRun.Get() + 1 },
+                    aPool,
+                    aPlan,
+                    starts)) {
+    aPool.Rollback();
+    return false;
+  }
+  aPool.Commit();
+  if (aCandidate.m_account != nullptr) {
+    *aCandidate.m_account = account;
+  }
+  std::move(starts.begin(), starts.end(), std::back_inserter(aPlan.m_changes));
+  return true;
+}
+
+bool
+Planner::PlaceMembers(const Candidate& aCandidate,
+                      const std::vector<jobs::WorkerLoss>& aLosses,
+                      std::optional<Millis> aTimeSinceDelay,
+                      RunNumber aRun,
+                      Pool& aPool,
+                      Plan& aPlan,
+                      std::vector<jobs::Change>& aStarts) const
+{
+  const jobs::StepSpec& step = aCandidate.Step();
+  TasksPerWorker tasksPerWorker;
   for (std::uint32_t i = 0; i < step.m_count; ++i) {
-    if (!tentative.CheckCap(aPlan)) {
+    if (!aCandidate.CheckCap(aPlan)) {
       return false;
     }
     const IsolatedRun run{
-      aCandidate.TaskAt(i), losses, true, step.m_longRunning
+      aCandidate.TaskAt(i), aLosses, true, step.m_longRunning
     };
-    Target* target =
-      aTimeSinceDelay
-        ? ChooseForIsolatedRun(
-            run, step, tasksPerWorker, *aTimeSinceDelay, tentativePool)
-        : Choose(step, tasksPerWorker, tentativePool);
+    Target* target = aTimeSinceDelay
+                       ? ChooseForIsolatedRun(
+                           run, step, tasksPerWorker, *aTimeSinceDelay, aPool)
+                       : Choose(step, tasksPerWorker, aPool);
     if (target == nullptr) {
       return false;
     }
-    target->Allocate(step);
-    tentative.ChargeStart();
-    ++target->m_unconfirmed;
+    aPool.Start(*target, step);
+    aCandidate.ChargeStart();
     if (aTimeSinceDelay) {
-      target->AddIsolatedRun(run);
+      aPool.AddIsolatedRun(*target, run);
     }
     const WorkerIncarnation& worker = target->m_worker->m_lastReport.m_worker;
     ++tasksPerWorker[worker];
-    starts.emplace_back(jobs::StartRun{
-      aCandidate.TaskAt(i), RunNumber{ lastRun.Get() + 1 }, worker });
+    aStarts.emplace_back(jobs::StartRun{ run.m_task, aRun, worker });
   }
-  aPool = std::move(tentativePool);
-  if (aCandidate.m_account != nullptr) {
-    *aCandidate.m_account = account;
-  }
-  std::move(starts.begin(), starts.end(), std::back_inserter(aPlan.m_changes));
   return true;
 }
 
@@ -554,11 +584,10 @@
       const jobs::StepSpec& step = job.m_spec.m_steps[ref.m_step];
       const auto& tasksOfStep =
         job.m_occurrences.at(ref.m_occurrence).m_steps[ref.m_step].m_tasks;
-      Target* target = Choose(step,
-                              CountTasksPerWorker(tasksOfStep),
-                              aPools[from->m_lastReport.m_service]);
+      Pool& pool = aPools[from->m_lastReport.m_service];
+      Target* target = Choose(step, CountTasksPerWorker(tasksOfStep), pool);
       if (target != nullptr) {
-        target->Allocate(step);
+        pool.Allocate(*target, step);
         aPlan.m_stops.push_back({ ref, book.FindTask(ref)->m_lastRun });
       }
     }
--- /dev/null
+++ b/src/placement/target_pool.cpp
@@ -0,0 +1,178 @@
+#include "target_pool.h"
+
+namespace bamboostile::placement {
+
+bool
+Planner::Target::Fits(const jobs::StepSpec& aStep) const
+{
+  return !m_isUnresponsive && aStep.ReservedCpu() <= m_freeCpuMillis &&
+         aStep.m_resources.m_memoryMb <= m_freeMemoryMb &&
+         aStep.m_resources.m_accelerators <= m_freeAccelerators;
+}
+
+void
+Planner::Target::Allocate(const jobs::StepSpec& aStep)
+{
+  m_freeCpuMillis -= aStep.ReservedCpu();
+  m_freeMemoryMb -= aStep.m_resources.m_memoryMb;
+  m_freeAccelerators -= aStep.m_resources.m_accelerators;
+  m_hostsLatencySensitive =
+    m_hostsLatencySensitive || aStep.m_latencyTarget > Millis::zero();
+  m_hostsLongRunning = m_hostsLongRunning || aStep.m_longRunning;
+  m_hostsGang = m_hostsGang || aStep.m_gang;
+  ++m_runs;
+}
+
+void
+Planner::Pool::Allocate(Target& aTarget, const jobs::StepSpec& aStep)
+{
+  BeforeChange(aTarget);
+  aTarget.Allocate(aStep);
+  AfterChange(PositionOf(aTarget));
+}
+
+void
+Planner::Pool::Start(Target& aTarget, const jobs::StepSpec& aStep)
+{
+  Allocate(aTarget, aStep);
+  ++aTarget.m_unconfirmed;
+}
+
+void
+Planner::Pool::AddIsolatedRun(Target& aTarget, const IsolatedRun& aRun)
+{
+  BeforeChange(aTarget);
+  aTarget.AddIsolatedRun(aRun);
+  AfterChange(PositionOf(aTarget));
+}
+
+void
+Planner::Pool::Reserve(Target& aTarget)
+{
+  BeforeChange(aTarget);
+  aTarget.m_isReserved = true;
+  AfterChange(PositionOf(aTarget));
+}
+
+void
+Planner::Pool::Commit()
+{
+  m_isTrial = false;
+  m_saved.clear();
+}
+
+void
+Planner::Pool::Rollback()
+{
+  m_isTrial = false;
+  for (; !m_saved.empty(); m_saved.pop_back()) {
+    SavedTarget& saved = m_saved.back();
+    m_targets[saved.m_position] = std::move(saved.m_target);
+    AfterChange(saved.m_position);
+  }
+}
+
+void
+Planner::Pool::BeforeChange(const Target& aTarget)
+{
+  if (m_isTrial) {
+    m_saved.push_back({ PositionOf(aTarget), aTarget });
+  }
+}
+
+void
+Planner::Pool::AfterChange(std::size_t aPosition)
+{
+  if (!m_isIndexed) {
+    return;
+  }
+  const Target& target = m_targets[aPosition];
+  const auto before = m_indexedCpu[aPosition];
+  const auto after =
+    target.IsOpen() ? std::optional{ target.m_freeCpuMillis } : std::nullopt;
+  if (before == after) {
+    return;
+  }
+  m_indexedCpu[aPosition] = after;
+  for (FreeCpuIndex* index : { &m_all, &m_racks[m_rackOf[aPosition]] }) {
+    if (before && after) {
+      index->Replace(EntryOf(aPosition, *before), EntryOf(aPosition, *after));
+    } else if (before) {
+      index->Erase(EntryOf(aPosition, *before));
+    } else {
+      index->Insert(EntryOf(aPosition, *after));
+    }
+  }
+}
+
+void
+Planner::Pool::BuildIndex()
+{
+  m_isIndexed = true;
+  m_rackOf.resize(m_targets.size());
+  m_indexedCpu.resize(m_targets.size());
+  for (std::size_t i = 0; i < m_targets.size(); ++i) {
+    const Target& target = m_targets[i];
+    const auto [rack, isNew] = m_rackNumbers.try_emplace(
+      target.m_worker->m_lastReport.m_rack, m_racks.size());
+    if (isNew) {
+      m_racks.emplace_back();
+    }
+    m_rackOf[i] = rack->second;
+    if (target.IsOpen()) {
+      m_indexedCpu[i] = target.m_freeCpuMillis;
+      m_all.Append(EntryOf(i, target.m_freeCpuMillis));
+      m_racks[rack->second].Append(EntryOf(i, target.m_freeCpuMillis));
+    }
+  }
+  m_all.Sort();
+  for (FreeCpuIndex& rack : m_racks) {
+    rack.Sort();
+  }
+}
+
+FreeCpuIndex*
+Planner::Pool::FindRack(const RackId& aRack)
+{
+  const auto found = m_rackNumbers.find(aRack);
+  return found == m_rackNumbers.end() ? nullptr : &m_racks[found->second];
+}
+
+Planner::Target*
+Planner::Pool::FindTightest(const jobs::StepSpec& aStep,
+                            const TasksPerWorker& aTasksPerWorker)
+{
+  if (!m_isIndexed) {
+    BuildIndex();
+  }
+  if (!aStep.m_preferredRack.Get().empty()) {
+    const FreeCpuIndex* rack = FindRack(aStep.m_preferredRack);
+    Target* target =
+      rack == nullptr ? nullptr : FindTightest(*rack, aStep, aTasksPerWorker);
+    if (target != nullptr) {
+      return target;
+    }
+  }
+  return FindTightest(m_all, aStep, aTasksPerWorker);
+}
+
+Planner::Target*
+Planner::Pool::FindTightest(const FreeCpuIndex& aIndex,
+                            const jobs::StepSpec& aStep,
+                            const TasksPerWorker& aTasksPerWorker)
+{
+  for (auto it = aIndex.FindFirst(aStep.ReservedCpu()); it != aIndex.End();
+       ++it) {
+    Target& target = m_targets[it->m_position];
+    if (target.Fits(aStep) &&
+        IsAllowed(aStep,
+                  TasksOnWorker(target.m_worker->m_lastReport.m_worker,
+                                aTasksPerWorker),
+                  target)) {
+      return &target;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace bamboostile::placement
--- /dev/null
+++ b/src/placement/target_pool.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "free_cpu_index.h"
+
+#include "bamboostile/placement/planner.h"
+
+namespace bamboostile::placement {
+
+/** The free capacity of a worker and what the worker hosts. */
+struct Planner::Target
+{
+  const Worker* m_worker = nullptr;
+  std::int64_t m_freeCpuMillis = 0;
+  std::int64_t m_freeMemoryMb = 0;
+  std::int64_t m_freeAccelerators = 0;
+  bool m_hostsLatencySensitive = false;
+  bool m_hostsLongRunning = false;
+  bool m_hostsGang = false;
+  std::uint32_t m_runs = 0;
+  /** Starts sent but not yet confirmed by a report. */
+  std::uint32_t m_unconfirmed = 0;
+  /** The task that has an isolated run here, or one of them; unset if none
+   * has. */
+  std::optional<jobs::TaskRef> m_isolatedTask{};
+  /** Isolated runs of several tasks may share this worker. */
+  bool m_isShared = false;
+  /** The isolated run is of a task with a proof. */
+  bool m_hasProof = false;
+  /** All isolated runs here may be joined by others. */
+  bool m_isJoinable = true;
+  /** Reserved for a large task that does not fit anywhere yet. */
+  bool m_isReserved = false;
+  /** An order may still end the worker, and the loss would prove nothing. */
+  bool m_mayBeOrdered = false;
+  /** The worker may be lost: it counts in the pool but gets no new tasks. */
+  bool m_isUnresponsive = false;
+
+  bool Fits(const jobs::StepSpec& aStep) const;
+  /** Whether tasks that are not isolated may be started here at all. */
+  bool IsOpen() const
+  {
+    return !m_isReserved && !m_isolatedTask && !m_isUnresponsive;
+  }
+  void Allocate(const jobs::StepSpec& aStep);
+  bool AcceptsIsolatedRunOf(const IsolatedRun& aRun) const;
+  bool MayBeJoinedBy(const IsolatedRun& aRun) const;
+  void AddIsolatedRun(const IsolatedRun& aRun);
+};
+
+/**
+ * @brief The targets of one service, in the order of their workers' ids.
+ *
+ * Lives for one pass. Changes of a target go through the pool, which keeps its
+ * index up to date.
+ */
+class Planner::Pool
+{
+public:
+  void Add(Target aTarget) { m_targets.push_back(std::move(aTarget)); }
+  std::vector<Target>& Targets() { return m_targets; }
+  const std::vector<Target>& Targets() const { return m_targets; }
+
+  /** Takes capacity for a task that is to be started there later. */
+  void Allocate(Target& aTarget, const jobs::StepSpec& aStep);
+  /** Takes capacity for a task whose start is in the plan. */
+  void Start(Target& aTarget, const jobs::StepSpec& aStep);
+  void AddIsolatedRun(Target& aTarget, const IsolatedRun& aRun);
+  void Reserve(Target& aTarget);
+
+  /** The target with the least free CPU that may take a task of the step, if
+   * possible in the rack of its data; null if there is none. */
+  Target* FindTightest(const jobs::StepSpec& aStep,
+                       const TasksPerWorker& aTasksPerWorker);
+
+  /** From here, changes are kept until Commit() or undone by Rollback(). */
+  void BeginTrial() { m_isTrial = true; }
+  void Commit();
+  void Rollback();
+
+private:
+  struct SavedTarget
+  {
+    std::size_t m_position = 0;
+    Target m_target;
+  };
+
+  /** Called before each change of a target. */
+  void BeforeChange(const Target& aTarget);
+  /** Called after each change of a target. */
+  void AfterChange(std::size_t aPosition);
+  std::size_t PositionOf(const Target& aTarget) const
+  {
+    return static_cast<std::size_t>(&aTarget - m_targets.data());
+  }
+  void BuildIndex();
+  FreeCpuIndex* FindRack(const RackId& aRack);
+  Target* FindTightest(const FreeCpuIndex& aIndex,
+                       const jobs::StepSpec& aStep,
+                       const TasksPerWorker& aTasksPerWorker);
+  FreeCpuIndex::Entry EntryOf(std::size_t aPosition, std::int64_t aCpu) const
+  {
+    return { aCpu, static_cast<std::uint32_t>(aPosition) };
+  }
+
+  std::vector<Target> m_targets;
+  bool m_isTrial = false;
+  /** The changed targets of a trial as they were, the latest last. */
+  std::vector<SavedTarget> m_saved;
+
+  /** The indexes contain the open targets. They are built at their first use,
+   * as many passes look for nothing in some pools. */
+  bool m_isIndexed = false;
+  FreeCpuIndex m_all;
+  std::vector<FreeCpuIndex> m_racks;
+  std::unordered_map<RackId, std::size_t> m_rackNumbers;
+  /** By position: the number of the rack, and the free CPU in the indexes,
+   * unset if the target is in none. */
+  std::vector<std::size_t> m_rackOf;
+  std::vector<std::optional<std::int64_t>> m_indexedCpu;
+};
+
+} // namespace bamboostile::placement
--- a/src/placement/trials.cpp
+++ b/src/placement/trials.cpp
@@ -1,5 +1,6 @@
 #include "isolation_quota.h"
 #include "run_lookup.h"
+#include "target_pool.h"
 
 #include "bamboostile/jobs/crash_loop.h"
 #include "bamboostile/placement/planner.h"
@@ -157,15 +158,17 @@
   const bool allowsSameInstance =
     aTimeSinceDelay >= (aStep.m_longRunning ? kLongRunningSameInstanceTimeout
                                             : kSameInstanceTimeout) ||
-    std::none_of(aPool.begin(), aPool.end(), [&](const Target& aTarget) {
-      return !wasLostOnInstance(aTarget) &&
-             IsEligible(aStep, aTasksPerWorker, aTarget);
-    });
+    std::none_of(aPool.Targets().begin(),
+                 aPool.Targets().end(),
+                 [&](const Target& aTarget) {
+                   return !wasLostOnInstance(aTarget) &&
+                          IsEligible(aStep, aTasksPerWorker, aTarget);
+                 });
   const bool mayIsolateAnother =
     !aRun.MayShare() ||
     CountIsolatedWorkers(aPool, true) < MaxIsolatedWorkers(aPool);
   Target* best = nullptr;
-  for (Target& target : aPool) {
+  for (Target& target : aPool.Targets()) {
     const bool isExcluded =
       !target.m_isolatedTask &&
       (!mayIsolateAnother || (isFragile(target) && !allowsFragile) ||
@@ -192,7 +195,7 @@
     return std::make_pair(aTarget.m_unconfirmed, aTarget.m_runs);
   };
   Target* best = nullptr;
-  for (Target& target : aPool) {
+  for (Target& target : aPool.Targets()) {
     const bool isFit = target.MayBeJoinedBy(aRun) && !target.m_mayBeOrdered &&
                        target.Fits(aStep) &&
                        IsEligible(aStep, aTasksPerWorker, target);
@@ -217,8 +220,8 @@
 std::size_t
 Planner::CountIsolatedWorkers(const Pool& aPool, bool aIsShared)
 {
-  return static_cast<std::size_t>(
-    std::count_if(aPool.begin(), aPool.end(), [&](const Target& aTarget) {
+  return static_cast<std::size_t>(std::count_if(
+    aPool.Targets().begin(), aPool.Targets().end(), [&](const Target& aTarget) {
       return aTarget.m_isolatedTask && aTarget.m_isShared == aIsShared;
     }));
 }
@@ -226,7 +229,7 @@
 std::size_t
 Planner::MaxIsolatedWorkers(const Pool& aPool)
 {
-  return std::max<std::size_t>(1, aPool.size() / kIsolationDivisor);
+  return std::max<std::size_t>(1, aPool.Targets().size() / kIsolationDivisor);
 }
 
 // Tasks with a proof run one at a time, as the next proof gives the job up: a
@@ -390,7 +393,7 @@
 Planner::MakeQuota(const Pool& aPool)
 {
   IsolationQuota quota{ MaxIsolatedWorkers(aPool) };
-  for (const Target& target : aPool) {
+  for (const Target& target : aPool.Targets()) {
     if (target.m_isolatedTask && !target.m_isShared) {
       quota.AddRun(*target.m_isolatedTask, target.m_hasProof);
     }
@@ -464,7 +467,7 @@
   if (!limit && !aRun.MayShare()) {
     aQuota.AddRun(aRun.m_task, jobs::HasProof(aRun.m_losses));
   }
-  StartIsolatedRun(aStep, aRun, *target, aPlan);
+  StartIsolatedRun(aStep, aRun, *target, aPool, aPlan);
   return std::nullopt;
 }
 
@@ -512,6 +515,7 @@
 Planner::StartIsolatedRun(SuspectStep& aStep,
                           const IsolatedRun& aRun,
                           Target& aTarget,
+                          Pool& aPool,
                           Plan& aPlan)
 {
   const Candidate& candidate = aStep.m_candidate;
@@ -520,10 +524,9 @@
     candidate.m_job->m_occurrences.at(candidate.m_occurrence)
       .m_steps[candidate.m_step]
       .m_tasks[aRun.m_task.m_index];
-  aTarget.Allocate(candidate.Step());
+  aPool.Start(aTarget, candidate.Step());
   candidate.ChargeStart();
-  ++aTarget.m_unconfirmed;
-  aTarget.AddIsolatedRun(aRun);
+  aPool.AddIsolatedRun(aTarget, aRun);
   ++aStep.m_tasksPerWorker[worker];
   aPlan.m_changes.emplace_back(jobs::StartRun{
     aRun.m_task, RunNumber{ task.m_lastRun.Get() + 1 }, worker });
