--- a/src/placement/pool_load.cpp
+++ b/src/placement/pool_load.cpp
@@ -1,4 +1,4 @@
-#include "bamboostile/placement/planner.h"
+#include "target_pool.h"
 
 #include <algorithm>
 
@@ -73,7 +73,7 @@
 {
   for (const auto& [service, pool] : aPools) {
     PoolLoad& load = aPlan.m_loads[service];
-    for (const Target& target : pool) {
+    for (const Target& target : pool.Targets()) {
       target.AddTo(load);
     }
   }
