placement: skip tasks that need no less than one that found no worker

In a full pool, each waiting step searched for a worker although a step that needs no more had just found none, and each then counted the reservations and looked for the emptiest worker of its pool. A pool now keeps the least requests that found no worker in this pass, its reservations, and its emptiest worker until that one changes.

--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -280,11 +280,21 @@
                 const TasksPerWorker& aTasksPerWorker,
                 Pool& aPool) const
 {
+  if (m_search == Search::kScan) {
+    return ChooseByScan(aStep, aTasksPerWorker, aPool);
+  }
+  if (aPool.IsKnownToFail(aStep)) {
+    return nullptr;
+  }
   const bool isPacked =
     !IsSpread(aStep) && m_mechanisms.Has(Mechanism::kPacking);
-  return m_search == Search::kIndexed && isPacked
-           ? aPool.FindTightest(aStep, aTasksPerWorker)
-           : ChooseByScan(aStep, aTasksPerWorker, aPool);
+  Target* target = isPacked ? aPool.FindTightest(aStep, aTasksPerWorker)
+                            : ChooseByScan(aStep, aTasksPerWorker, aPool);
+  const bool isLimited = aStep.m_maxPerWorker > 0 && !aTasksPerWorker.empty();
+  if (target == nullptr && !isLimited) {
+    aPool.RecordFailure(aStep);
+  }
+  return target;
 }
 
 Planner::Target*
@@ -345,25 +355,14 @@
   if (!m_mechanisms.Has(Mechanism::kRoomForLarge)) {
     return;
   }
-  const auto reserved = static_cast<std::size_t>(std::count_if(
-    aPool.Targets().begin(), aPool.Targets().end(), [](const Target& aTarget) {
-      return aTarget.m_isReserved;
-    }));
+  const std::vector<Target>& targets = aPool.Targets();
   const std::size_t maxReserved =
-    std::max<std::size_t>(1, aPool.Targets().size() / kWorkersPerReservation);
-  if (aPool.Targets().size() < kMinPoolSizeForReservation ||
-      reserved >= maxReserved) {
+    std::max<std::size_t>(1, targets.size() / kWorkersPerReservation);
+  if (targets.size() < kMinPoolSizeForReservation ||
+      aPool.CountReserved() >= maxReserved) {
     return;
   }
-  const auto rank = [](const Target& aTarget) {
-    return std::make_pair(!aTarget.m_isReserved, aTarget.m_freeCpuMillis);
-  };
-  Target& emptiest =
-    *std::max_element(aPool.Targets().begin(),
-                      aPool.Targets().end(),
-                      [&](const Target& aLeft, const Target& aRight) {
-                        return rank(aLeft) < rank(aRight);
-                      });
+  Target& emptiest = aPool.FindEmptiest();
   const jobs::Resources& capacity = emptiest.m_worker->m_lastReport.m_capacity;
   const jobs::Resources& needs = aStep.m_resources;
   // A worker whose capacity has shrunk may be too small even when empty.
--- a/src/placement/target_pool.cpp
+++ b/src/placement/target_pool.cpp
@@ -1,5 +1,7 @@
 #include "target_pool.h"
 
+#include <algorithm>
+
 namespace bamboostile::placement {
 
 bool
@@ -51,9 +53,38 @@
 {
   BeforeChange(aTarget);
   aTarget.m_isReserved = true;
+  ++m_reserved;
   AfterChange(PositionOf(aTarget));
 }
 
+// The failure of a gang's later member may be due to the earlier ones, whose
+// starts may be undone.
+void
+Planner::Pool::RecordFailure(const jobs::StepSpec& aStep)
+{
+  if (m_saved.empty()) {
+    m_failed.Add(aStep);
+  }
+}
+
+Planner::Target&
+Planner::Pool::FindEmptiest()
+{
+  if (!m_emptiest) {
+    const auto rank = [](const Target& aTarget) {
+      return std::make_pair(!aTarget.m_isReserved, aTarget.m_freeCpuMillis);
+    };
+    const auto emptiest =
+      std::max_element(m_targets.begin(),
+                       m_targets.end(),
+                       [&](const Target& aLeft, const Target& aRight) {
+                         return rank(aLeft) < rank(aRight);
+                       });
+    m_emptiest = PositionOf(*emptiest);
+  }
+  return m_targets[*m_emptiest];
+}
+
 void
 Planner::Pool::Commit()
 {
@@ -75,6 +106,9 @@
 void
 Planner::Pool::BeforeChange(const Target& aTarget)
 {
+  if (m_emptiest == PositionOf(aTarget)) {
+    m_emptiest.reset();
+  }
   if (m_isTrial) {
     m_saved.push_back({ PositionOf(aTarget), aTarget });
   }
--- a/src/placement/target_pool.h
+++ b/src/placement/target_pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "failed_requests.h"
 #include "free_cpu_index.h"
 
 #include "bamboostile/placement/planner.h"
@@ -72,6 +73,20 @@
   Target* FindTightest(const jobs::StepSpec& aStep,
                        const TasksPerWorker& aTasksPerWorker);
 
+  /** Whether the pass has shown that no target may take a task of the step. */
+  bool IsKnownToFail(const jobs::StepSpec& aStep) const
+  {
+    return m_failed.Covers(aStep);
+  }
+  /** Called when no target could take a task of the step, for other reasons
+   * than its limit of tasks on one worker. */
+  void RecordFailure(const jobs::StepSpec& aStep);
+
+  std::size_t CountReserved() const { return m_reserved; }
+  /** The target with the most free CPU that is not reserved, or if there is
+   * none, that is; the first among equals. The pool must not be empty. */
+  Target& FindEmptiest();
+
   /** From here, changes are kept until Commit() or undone by Rollback(). */
   void BeginTrial() { m_isTrial = true; }
   void Commit();
@@ -103,6 +118,11 @@
   }
 
   std::vector<Target> m_targets;
+  FailedRequests m_failed;
+  std::size_t m_reserved = 0;
+  /** Position of the emptiest target, unset once that target has changed. The
+   * others only lose free capacity. */
+  std::optional<std::size_t> m_emptiest;
   bool m_isTrial = false;
   /** The changed targets of a trial as they were, the latest last. */
   std::vector<SavedTarget> m_saved;
