--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -88,12 +88,8 @@
     m_waiting = WaitingMonitor{};
     m_pendingJobs.clear();
     m_nextPendingCount = TimePoint{};
-<<<<<<< HEAD
     RebuildShares();
-=======
-    m_shares = workspaces::ShareLimiter{};
     m_intake = intake::Intake{};
->>>>>>> intake
     m_fullServices.clear();
     m_needsPlan = true;
   }
