placement: look up only runs without progress when searching stuck ones

The search for stuck runs looked up the job and the placement of each run, twenty times a second: 4% of a saturated leader's time. A run that made progress within the least timeout is skipped first; the runs that are found are the same.

--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -246,6 +246,10 @@
   }
   for (auto& [id, worker] : m_workers) {
     for (const auto& [task, progress] : worker.m_progress) {
+      // Spares the lookups below for all runs that made progress lately.
+      if (aNow < progress.m_since + m_options.m_stuckAfter) {
+        continue;
+      }
       const jobs::Job* job = aBook.Find(task.m_job);
       if (worker.m_isLost || job == nullptr ||
           !IsExpected(aBook, id, task, progress.m_run) ||
