Placement: a tick of the capacity planner without repeated lookups

Cause: a tick looked up the job of each running task and of each open job by name, searched the losses for each job, and rebuilt sorted maps of workers. Change: the job table keeps what the tasks of each worker reserve, and the open jobs in order by address; it can therefore not be copied. The planner visits jobs with losses once, walks workers and idle times in step, and looks for instances to move only when a pool is short. The decisions are the same; the unit tests of placement, jobs, fleet, rooms, maintenance and disruption budgets pass unchanged.

--- a/benchmark/capacity.cpp
+++ b/benchmark/capacity.cpp
@@ -73,6 +73,9 @@
   {
     AddRoutes();
     AddJobs();
+    for (std::size_t i = 0; i < kImages; ++i) {
+      m_durations.Record(MakeSpec(i).m_steps[0], Millis{ 900 });
+    }
     for (std::size_t i = 0; i < m_size.m_workers; ++i) {
       ReportWorker(i);
     }
--- a/include/bamboostile/jobs/book.h
+++ b/include/bamboostile/jobs/book.h
@@ -115,6 +115,15 @@
  * applied. */
 using AttemptLimit = std::function<std::uint32_t(const QueueId&)>;
 
+/** What the tasks of a worker reserve of it. */
+struct WorkerUse
+{
+  /** CPU in thousandths of a core. */
+  std::int64_t m_cpu = 0;
+  /** Number of tasks that run until their job is cancelled. */
+  std::uint32_t m_longRunning = 0;
+};
+
 /**
  * @brief The replicated state of jobs, tasks and runs.
  *
@@ -125,12 +134,23 @@
 class JobTable
 {
 public:
+  JobTable() = default;
+  /** Not copied: the order of open jobs points into the table. */
+  JobTable(const JobTable&) = delete;
+  JobTable& operator=(const JobTable&) = delete;
+  JobTable(JobTable&&) = default;
+  JobTable& operator=(JobTable&&) = default;
+  ~JobTable() = default;
+
   BatchReply Apply(const Batch& aBatch, const AttemptLimit& aLimit);
 
   const Job* Find(const JobId& aId) const;
   /** Jobs that are active or still have running tasks, in order of
    * acceptance. */
   const std::map<std::uint64_t, JobId>& OpenJobs() const { return m_open; }
+  /** The same jobs in the same order, without a lookup for each. The pointers
+   * are valid until the table changes. */
+  const std::vector<const Job*>& OpenJobsInOrder() const { return m_openJobs; }
   const std::unordered_map<JobId, Job>& Jobs() const { return m_jobs; }
   /** Tasks that are running, or may be running, by worker incarnation. */
   const std::unordered_map<WorkerIncarnation, std::vector<TaskRef>>&
@@ -138,6 +158,9 @@
   {
     return m_tasksByWorker;
   }
+  /** What the tasks in TasksByWorker() reserve; null for a worker without
+   * tasks. */
+  const WorkerUse* FindUse(const WorkerIncarnation& aWorker) const;
   const Task* FindTask(const TaskRef& aTask) const;
   /** The worker losses of an existing task; for a gang, those of all its
    * members. */
@@ -176,7 +199,12 @@
 
   Job* FindJob(const JobId& aId);
   Task* FindMutableTask(const TaskRef& aTask);
-  void RemoveFromWorker(const WorkerIncarnation& aWorker, const TaskRef& aTask);
+  void AddToWorker(const WorkerIncarnation& aWorker,
+                   const TaskRef& aTask,
+                   const StepSpec& aStep);
+  void RemoveFromWorker(const WorkerIncarnation& aWorker,
+                        const TaskRef& aTask,
+                        const StepSpec& aStep);
   void Finish(Job& aJob, JobState aState, WallTime aAt);
   void MarkStarted(Job& aJob);
   void MarkPendingIfNoProgress(Job& aJob);
@@ -195,7 +223,10 @@
   std::unordered_map<JobId, Job> m_jobs;
   std::uint64_t m_nextOrder = 1;
   std::map<std::uint64_t, JobId> m_open;
+  /** The jobs of m_open. Each stays at its address while it is in m_jobs. */
+  std::vector<const Job*> m_openJobs;
   std::unordered_map<WorkerIncarnation, std::vector<TaskRef>> m_tasksByWorker;
+  std::unordered_map<WorkerIncarnation, WorkerUse> m_useByWorker;
   std::unordered_map<QueueId, std::uint64_t> m_pending;
   std::set<TaskRef> m_tasksWithLosses;
 };
--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -9,6 +9,8 @@
 
 namespace bamboostile::placement {
 
+struct Demand;
+
 struct MoveOrder
 {
   InstanceId m_instance;
@@ -150,6 +152,7 @@
   };
 
   using Pools = std::map<ServiceId, Pool>;
+  using Demands = std::map<ServiceId, Demand>;
 
   Pools ComputePools(const fleet::State& aState,
                      const WorkerTable& aWorkers,
@@ -157,6 +160,9 @@
                      const DurationEstimator& aDurations,
                      TimePoint aNow,
                      WallTime aWall) const;
+  Demands ComputeDemands(const fleet::State& aState,
+                         const DurationEstimator& aDurations,
+                         WallTime aWall) const;
   void AddDemand(const fleet::State& aState,
                  const DurationEstimator& aDurations,
                  WallTime aWall,
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -211,6 +211,7 @@
     ++m_pending[job.m_queue];
   }
   m_open.emplace(job.m_order, job.m_id);
+  m_openJobs.push_back(&job);
   return CallOutcome::kAccepted;
 }
 
@@ -254,7 +255,8 @@
   task.m_isStable = false;
   ++step.m_running;
   ++job->m_running;
-  m_tasksByWorker[aStart.m_worker].push_back(aStart.m_task);
+  AddToWorker(
+    aStart.m_worker, aStart.m_task, job->m_spec.m_steps[aStart.m_task.m_step]);
   MarkStarted(*job);
   return CallOutcome::kNone;
 }
@@ -271,18 +273,42 @@
   }
 }
 
+void
+JobTable::AddToWorker(const WorkerIncarnation& aWorker,
+                      const TaskRef& aTask,
+                      const StepSpec& aStep)
+{
+  m_tasksByWorker[aWorker].push_back(aTask);
+  WorkerUse& use = m_useByWorker[aWorker];
+  use.m_cpu += aStep.ReservedCpu();
+  use.m_longRunning += aStep.m_longRunning ? 1 : 0;
+}
+
 void
 JobTable::RemoveFromWorker(const WorkerIncarnation& aWorker,
-                           const TaskRef& aTask)
+                           const TaskRef& aTask,
+                           const StepSpec& aStep)
 {
   const auto placed = m_tasksByWorker.find(aWorker);
-  if (placed == m_tasksByWorker.end()) {
+  if (placed == m_tasksByWorker.end() ||
+      std::erase(placed->second, aTask) == 0) {
     return;
   }
-  std::erase(placed->second, aTask);
   if (placed->second.empty()) {
     m_tasksByWorker.erase(placed);
+    m_useByWorker.erase(aWorker);
+    return;
   }
+  WorkerUse& use = m_useByWorker[aWorker];
+  use.m_cpu -= aStep.ReservedCpu();
+  use.m_longRunning -= aStep.m_longRunning ? 1 : 0;
+}
+
+const WorkerUse*
+JobTable::FindUse(const WorkerIncarnation& aWorker) const
+{
+  const auto use = m_useByWorker.find(aWorker);
+  return use == m_useByWorker.end() ? nullptr : &use->second;
 }
 
 void
@@ -297,7 +323,7 @@
   task.m_phase = TaskPhase::kWaiting;
   --step.m_running;
   --aJob.m_running;
-  RemoveFromWorker(task.m_worker, aTask);
+  RemoveFromWorker(task.m_worker, aTask, aJob.m_spec.m_steps[aTask.m_step]);
 }
 
 void
@@ -470,9 +496,11 @@
   if (task != nullptr && task->m_phase == TaskPhase::kRunning &&
       task->m_lastRun == aChange.m_run && !task->m_worker.HasStartTime() &&
       task->m_worker.m_id == aChange.m_worker.m_id) {
-    RemoveFromWorker(task->m_worker, aChange.m_task);
+    const StepSpec& step =
+      Find(aChange.m_task.m_job)->m_spec.m_steps[aChange.m_task.m_step];
+    RemoveFromWorker(task->m_worker, aChange.m_task, step);
     task->m_worker = aChange.m_worker;
-    m_tasksByWorker[task->m_worker].push_back(aChange.m_task);
+    AddToWorker(task->m_worker, aChange.m_task, step);
   }
   return CallOutcome::kNone;
 }
@@ -510,6 +538,16 @@
 {
   if (aJob.m_state != JobState::kActive && aJob.m_running == 0) {
     m_open.erase(aJob.m_order);
+    const auto found =
+      std::lower_bound(m_openJobs.begin(),
+                       m_openJobs.end(),
+                       aJob.m_order,
+                       [](const Job* aLeft, std::uint64_t aOrder) {
+                         return aLeft->m_order < aOrder;
+                       });
+    if (found != m_openJobs.end() && *found == &aJob) {
+      m_openJobs.erase(found);
+    }
   }
 }
 
@@ -529,7 +567,9 @@
 JobTable::RebuildIndexes()
 {
   m_open.clear();
+  m_openJobs.clear();
   m_tasksByWorker.clear();
+  m_useByWorker.clear();
   m_pending.clear();
   m_tasksWithLosses.clear();
   for (auto& [id, job] : m_jobs) {
@@ -549,8 +589,9 @@
           } else if (task.m_phase == TaskPhase::kRunning) {
             ++step.m_running;
             ++job.m_running;
-            m_tasksByWorker[task.m_worker].push_back(
-              TaskRef{ id, number, s, i });
+            AddToWorker(task.m_worker,
+                        TaskRef{ id, number, s, i },
+                        job.m_spec.m_steps[s]);
           }
         }
         occurrence.m_stepsDone += step.IsDone() ? 1 : 0;
@@ -567,6 +608,9 @@
       ++m_pending[job.m_queue];
     }
   }
+  for (const auto& [order, id] : m_open) {
+    m_openJobs.push_back(Find(id));
+  }
 }
 
 } // namespace bamboostile::jobs
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -24,31 +24,6 @@
 constexpr std::size_t kMinIsolatedRunWorkers = 4;
 constexpr std::size_t kWorkersPerIsolatedRun = 2;
 
-/** Resources of a worker that its runs occupy. */
-struct RunUsage
-{
-  /** CPU in thousandths of a core. */
-  std::int64_t m_cpu = 0;
-  bool m_isDrainable = true;
-};
-
-RunUsage
-ComputeRunUsage(const jobs::JobTable& aBook, const WorkerIncarnation& aWorker)
-{
-  RunUsage usage;
-  const auto placed = aBook.TasksByWorker().find(aWorker);
-  if (placed == aBook.TasksByWorker().end()) {
-    return usage;
-  }
-  for (const jobs::TaskRef& task : placed->second) {
-    const jobs::StepSpec& step =
-      aBook.Find(task.m_job)->m_spec.m_steps[task.m_step];
-    usage.m_cpu += step.ReservedCpu();
-    usage.m_isDrainable = usage.m_isDrainable && !step.m_longRunning;
-  }
-  return usage;
-}
-
 } // namespace
 
 CapacityPlanner::CapacityPlanner(CapacityOptions aOptions)
@@ -57,27 +32,53 @@
 {
 }
 
+// The demands of the queues' services, by service. A route's position leads to
+// its service's demand without a comparison of strings.
+CapacityPlanner::Demands
+CapacityPlanner::ComputeDemands(const fleet::State& aState,
+                                const DurationEstimator& aDurations,
+                                WallTime aWall) const
+{
+  const std::vector<fleet::QueueRoute>& routes = aState.Routes().m_routes;
+  Demands demands;
+  std::vector<Demand*> byRoute;
+  byRoute.reserve(routes.size());
+  for (const fleet::QueueRoute& route : routes) {
+    byRoute.push_back(&demands[route.m_service]);
+  }
+  const jobs::JobTable& book = aState.Jobs();
+  for (const jobs::Job* job : book.OpenJobsInOrder()) {
+    if (job->m_state != jobs::JobState::kActive) {
+      continue;
+    }
+    if (const auto found = aState.RouteLookup().Find(job->m_queue)) {
+      byRoute[*found]->Add(*job, routes[*found], aDurations, aWall);
+    }
+  }
+  const JobId* previous = nullptr;
+  for (const jobs::TaskRef& task : book.TasksWithLosses()) {
+    if (previous != nullptr && task.m_job == *previous) {
+      continue;
+    }
+    previous = &task.m_job;
+    const jobs::Job& job = *book.Find(task.m_job);
+    const auto found = aState.RouteLookup().Find(job.m_queue);
+    if (job.m_state == jobs::JobState::kActive && found) {
+      byRoute[*found]->AddIsolatedRuns(job);
+    }
+  }
+  return demands;
+}
+
 void
 CapacityPlanner::AddDemand(const fleet::State& aState,
                            const DurationEstimator& aDurations,
                            WallTime aWall,
                            Pools& aPools) const
 {
-  std::map<ServiceId, Demand> demands;
-  for (const auto& [order, id] : aState.Jobs().OpenJobs()) {
-    const jobs::Job& job = *aState.Jobs().Find(id);
-    const auto found = aState.RouteLookup().Find(job.m_queue);
-    if (job.m_state == jobs::JobState::kActive && found) {
-      const fleet::QueueRoute& route = aState.Routes().m_routes[*found];
-      Demand& demand = demands[route.m_service];
-      demand.Add(job, route, aDurations, aWall);
-      if (aState.Jobs().HasLosses(id)) {
-        demand.AddIsolatedRuns(job);
-      }
-    }
-  }
+  const Demands demands = ComputeDemands(aState, aDurations, aWall);
   for (auto& [service, pool] : aPools) {
-    const Demand& demand = demands[service];
+    const Demand& demand = demands.at(service);
     pool.m_work = demand.m_onTime.m_work + demand.m_late.m_work;
     const std::int64_t cpu =
       demand.m_onTime.CpuToFinishIn(m_options.m_backlogTarget) +
@@ -126,10 +127,11 @@
       pool->second.m_actual += isReplaced ? 0 : 1;
       ++pool->second.m_reporting;
       pool->second.m_cpu += worker.m_lastReport.m_capacity.m_cpuMillis;
-      const RunUsage usage = ComputeRunUsage(aState.Jobs(), id);
-      pool->second.m_usedCpu += usage.m_cpu;
-      if (usage.m_isDrainable) {
-        pool->second.m_drainable.push_back({ &worker, usage.m_cpu });
+      const jobs::WorkerUse* found = aState.Jobs().FindUse(id);
+      const jobs::WorkerUse use = found == nullptr ? jobs::WorkerUse{} : *found;
+      pool->second.m_usedCpu += use.m_cpu;
+      if (use.m_longRunning == 0) {
+        pool->second.m_drainable.push_back({ &worker, use.m_cpu });
       }
     }
   }
@@ -156,10 +158,6 @@
                                   const WorkerTable& aWorkers,
                                   TimePoint aNow)
 {
-  std::erase_if(m_idleSince, [&](const auto& aEntry) {
-    return aWorkers.Find(aEntry.first) == nullptr ||
-           aState.Jobs().TasksByWorker().contains(aEntry.first);
-  });
   // A report may come from a foreign writer. An instance whose service is not
   // configured does not belong to this fleet and is never moved.
   const auto& services = aState.Routes().m_services;
@@ -169,13 +167,23 @@
         return aConfigured.m_id == aService;
       });
   };
+  // Both maps are in the order of their keys: one pass over both needs no
+  // lookups.
+  auto idle = m_idleSince.begin();
   for (const auto& [id, worker] : aWorkers.Workers()) {
-    if (isConfigured(worker.m_lastReport.m_service) &&
-        !aState.Jobs().TasksByWorker().contains(id) &&
-        worker.m_lastReport.m_active.empty()) {
-      m_idleSince.try_emplace(id, aNow);
+    while (idle != m_idleSince.end() && idle->first < id) {
+      idle = m_idleSince.erase(idle);
+    }
+    const bool isKnown = idle != m_idleSince.end() && idle->first == id;
+    const bool hasTasks = aState.Jobs().FindUse(id) != nullptr;
+    if (isKnown) {
+      idle = hasTasks ? m_idleSince.erase(idle) : std::next(idle);
+    } else if (!hasTasks && worker.m_lastReport.m_active.empty() &&
+               isConfigured(worker.m_lastReport.m_service)) {
+      m_idleSince.emplace_hint(idle, id, aNow);
     }
   }
+  m_idleSince.erase(idle, m_idleSince.end());
 }
 
 // A move is complete when the instance reports from its new pool. An instance
@@ -350,6 +358,13 @@
                            Pools& aPools,
                            CapacityPlan& aPlan)
 {
+  const bool isAnyShort =
+    std::any_of(aPools.begin(), aPools.end(), [](const auto& aPool) {
+      return aPool.second.IsShort();
+    });
+  if (!isAnyShort || !HasOrderBudget()) {
+    return;
+  }
   auto movable = FindMovable(aWorkers,
                              aReserved,
                              aRecord,
@@ -409,6 +424,9 @@
     shortage += pool.IsShort() ? pool.m_desired - pool.m_actual : 0;
   }
   for (auto& [service, pool] : aPools) {
+    if (shortage == 0 || !pool.HasSurplus()) {
+      continue;
+    }
     std::erase_if(pool.m_drainable, [&](const Drainable& aCandidate) {
       const WorkerReport& report = aCandidate.m_worker->m_lastReport;
       return aReserved.contains(report.m_worker) ||
@@ -420,8 +438,7 @@
               [](const Drainable& aLeft, const Drainable& aRight) {
                 return aLeft.m_usedCpu < aRight.m_usedCpu;
               });
-    const std::size_t surplus =
-      pool.HasSurplus() ? pool.m_actual - pool.m_desired : 0;
+    const std::size_t surplus = pool.m_actual - pool.m_desired;
     const std::size_t count =
       std::min({ surplus, shortage, pool.m_drainable.size() });
     for (std::size_t i = 0; i < count; ++i) {
@@ -441,6 +458,9 @@
                                    Pools& aPools,
                                    CapacityPlan& aPlan)
 {
+  if (!HasOrderBudget()) {
+    return;
+  }
   const auto idle = FindMovable(
     aWorkers, aReserved, aRecord, m_options.m_idleBeforeStandby, {}, aNow);
   for (const Worker* worker : idle) {
--- a/src/placement/demand.cpp
+++ b/src/placement/demand.cpp
@@ -87,6 +87,9 @@
       continue;
     }
     const std::int64_t cpu = RemainingCpu(step, aOccurrence.m_steps[s]);
+    if (cpu == 0) {
+      continue;
+    }
     aLoad.m_work += cpu * aDurations.Estimate(step).count();
     if (jobs::JobTable::AreDependenciesDone(aOccurrence, step)) {
       activeCpu += cpu;
