--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -11,6 +11,8 @@
 
 namespace bamboostile::placement {
 
+struct Demand;
+
 struct MoveOrder
 {
   InstanceId m_instance;
@@ -167,6 +169,7 @@
   };
 
   using Pools = std::map<ServiceId, Pool>;
+  using Demands = std::map<ServiceId, Demand>;
 
   Pools ComputePools(const fleet::State& aState,
                      const WorkerTable& aWorkers,
@@ -174,6 +177,9 @@
                      const DurationEstimator& aDurations,
                      TimePoint aNow,
                      WallTime aWall) const;
+  Demands ComputeDemands(const fleet::State& aState,
+                         const DurationEstimator& aDurations,
+                         WallTime aWall) const;
   void AddDemand(const fleet::State& aState,
                  const DurationEstimator& aDurations,
                  WallTime aWall,
