Placement: names in open jobs are looked up once per job

Cause: each tick of the capacity planner hashed the queue and all images of each open job. Change: an index gives each queue and image a number when the planner first sees the job; a tick looks up each distinct name once.

--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -3,6 +3,7 @@
 #include "bamboostile/fleet/state.h"
 #include "bamboostile/placement/durations.h"
 #include "bamboostile/placement/maintenance.h"
+#include "bamboostile/placement/open_job_index.h"
 #include "bamboostile/placement/order_record.h"
 #include "bamboostile/placement/order_window.h"
 #include "bamboostile/placement/workers.h"
@@ -159,14 +160,14 @@
                      const std::set<WorkerIncarnation>& aReserved,
                      const DurationEstimator& aDurations,
                      TimePoint aNow,
-                     WallTime aWall) const;
+                     WallTime aWall);
   Demands ComputeDemands(const fleet::State& aState,
                          const DurationEstimator& aDurations,
-                         WallTime aWall) const;
+                         WallTime aWall);
   void AddDemand(const fleet::State& aState,
                  const DurationEstimator& aDurations,
                  WallTime aWall,
-                 Pools& aPools) const;
+                 Pools& aPools);
   void RefillOrderTokens(TimePoint aNow);
   bool HasOrderBudget() const;
   void TrackIdleWorkers(const fleet::State& aState,
@@ -218,6 +219,7 @@
              CapacityPlan& aPlan);
 
   CapacityOptions m_options;
+  OpenJobIndex m_openJobs;
   TimePoint m_leaderSince;
   /** Instances in standby, and when this leader first saw each listed as up. */
   std::map<InstanceId, TimePoint> m_standby;
--- a/include/bamboostile/placement/durations.h
+++ b/include/bamboostile/placement/durations.h
@@ -2,6 +2,7 @@
 
 #include "bamboostile/jobs/model.h"
 
+#include <optional>
 #include <unordered_map>
 
 namespace bamboostile::placement {
@@ -18,6 +19,9 @@
   /** Estimate for one task of the step: the caller's own until a run of the
    * same image has succeeded. */
   Millis Estimate(const jobs::StepSpec& aStep) const;
+  /** Mean of the successful runs of the image; unset if there are none or the
+   * image has no name. */
+  std::optional<Millis> Learned(const ImageId& aImage) const;
 
 private:
   struct ImageStatistics
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -32,28 +32,43 @@
 {
 }
 
-// The demands of the queues' services, by service. A route's position leads to
-// its service's demand without a comparison of strings.
+// The demands by service. What depends on a name is looked up once a tick for
+// each name, not for each job.
 CapacityPlanner::Demands
 CapacityPlanner::ComputeDemands(const fleet::State& aState,
                                 const DurationEstimator& aDurations,
-                                WallTime aWall) const
+                                WallTime aWall)
 {
   const std::vector<fleet::QueueRoute>& routes = aState.Routes().m_routes;
+  const jobs::JobTable& book = aState.Jobs();
+  const auto& entries = m_openJobs.Update(book.OpenJobsInOrder());
   Demands demands;
   std::vector<Demand*> byRoute;
   byRoute.reserve(routes.size());
   for (const fleet::QueueRoute& route : routes) {
     byRoute.push_back(&demands[route.m_service]);
   }
-  const jobs::JobTable& book = aState.Jobs();
-  for (const jobs::Job* job : book.OpenJobsInOrder()) {
-    if (job->m_state != jobs::JobState::kActive) {
+  std::vector<std::optional<std::size_t>> routeOf;
+  for (const QueueId& queue : m_openJobs.Queues()) {
+    routeOf.push_back(aState.RouteLookup().Find(queue));
+  }
+  std::vector<std::optional<Millis>> learned;
+  for (const ImageId& image : m_openJobs.Images()) {
+    learned.push_back(aDurations.Learned(image));
+  }
+  std::vector<Millis> estimates;
+  for (std::size_t i = 0; i < entries.size(); ++i) {
+    const jobs::Job& job = *book.OpenJobsInOrder()[i];
+    const auto route = routeOf[entries[i].m_queue];
+    if (job.m_state != jobs::JobState::kActive || !route) {
       continue;
     }
-    if (const auto found = aState.RouteLookup().Find(job->m_queue)) {
-      byRoute[*found]->Add(*job, routes[*found], aDurations, aWall);
+    estimates.clear();
+    for (std::size_t s = 0; s < job.m_spec.m_steps.size(); ++s) {
+      estimates.push_back(learned[entries[i].m_images[s]].value_or(
+        job.m_spec.m_steps[s].m_estimate));
     }
+    byRoute[*route]->Add(job, routes[*route], estimates, aWall);
   }
   const JobId* previous = nullptr;
   for (const jobs::TaskRef& task : book.TasksWithLosses()) {
@@ -74,7 +89,7 @@
 CapacityPlanner::AddDemand(const fleet::State& aState,
                            const DurationEstimator& aDurations,
                            WallTime aWall,
-                           Pools& aPools) const
+                           Pools& aPools)
 {
   const Demands demands = ComputeDemands(aState, aDurations, aWall);
   for (auto& [service, pool] : aPools) {
@@ -104,7 +119,7 @@
                               const std::set<WorkerIncarnation>& aReserved,
                               const DurationEstimator& aDurations,
                               TimePoint aNow,
-                              WallTime aWall) const
+                              WallTime aWall)
 {
   Pools pools;
   std::size_t anyCores = 0;
--- a/src/placement/demand.cpp
+++ b/src/placement/demand.cpp
@@ -75,7 +75,7 @@
 void
 Demand::Add(const jobs::Job& aJob,
             const jobs::Occurrence& aOccurrence,
-            const DurationEstimator& aDurations,
+            const std::vector<Millis>& aEstimates,
             Load& aLoad)
 {
   std::int64_t activeCpu = 0;
@@ -90,7 +90,7 @@
     if (cpu == 0) {
       continue;
     }
-    aLoad.m_work += cpu * aDurations.Estimate(step).count();
+    aLoad.m_work += cpu * aEstimates[s].count();
     if (jobs::JobTable::AreDependenciesDone(aOccurrence, step)) {
       activeCpu += cpu;
     } else {
@@ -103,7 +103,7 @@
 void
 Demand::Add(const jobs::Job& aJob,
             const fleet::QueueRoute& aRoute,
-            const DurationEstimator& aDurations,
+            const std::vector<Millis>& aEstimates,
             WallTime aWall)
 {
   const std::int64_t age = aWall.Get() - aJob.m_acceptedAt.Get();
@@ -117,7 +117,7 @@
   }
   // Long-running steps count regardless of their job's age.
   for (const auto& [number, occurrence] : aJob.m_occurrences) {
-    Add(aJob, occurrence, aDurations, *load);
+    Add(aJob, occurrence, aEstimates, *load);
   }
 }
 
--- a/src/placement/demand.h
+++ b/src/placement/demand.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "bamboostile/fleet/state.h"
-#include "bamboostile/placement/durations.h"
+
+#include <vector>
 
 namespace bamboostile::placement {
 
@@ -31,9 +32,10 @@
   /** Suspects that each need a worker of their own for an isolated run. */
   std::size_t m_isolatedRuns = 0;
 
+  /** aEstimates: how long a task of each step takes. */
   void Add(const jobs::Job& aJob,
            const fleet::QueueRoute& aRoute,
-           const DurationEstimator& aDurations,
+           const std::vector<Millis>& aEstimates,
            WallTime aWall);
 
   void AddIsolatedRuns(const jobs::Job& aJob);
@@ -43,7 +45,7 @@
   /** Adds tasks that end by themselves to aLoad, long-running ones to this. */
   void Add(const jobs::Job& aJob,
            const jobs::Occurrence& aOccurrence,
-           const DurationEstimator& aDurations,
+           const std::vector<Millis>& aEstimates,
            Load& aLoad);
 };
 
--- a/src/placement/durations.cpp
+++ b/src/placement/durations.cpp
@@ -22,17 +22,23 @@
   statistics.m_meanMs += (durationMs - statistics.m_meanMs) * weight;
 }
 
+std::optional<Millis>
+DurationEstimator::Learned(const ImageId& aImage) const
+{
+  if (aImage.Get().empty()) {
+    return std::nullopt;
+  }
+  const auto found = m_statistics.find(aImage);
+  return found == m_statistics.end()
+           ? std::nullopt
+           : std::optional{ Millis{
+               static_cast<std::int64_t>(found->second.m_meanMs) } };
+}
+
 Millis
 DurationEstimator::Estimate(const jobs::StepSpec& aStep) const
 {
-  if (aStep.m_image.Get().empty()) {
-    return aStep.m_estimate;
-  }
-  const auto found = m_statistics.find(aStep.m_image);
-  if (found == m_statistics.end()) {
-    return aStep.m_estimate;
-  }
-  return Millis{ static_cast<std::int64_t>(found->second.m_meanMs) };
+  return Learned(aStep.m_image).value_or(aStep.m_estimate);
 }
 
 } // namespace bamboostile::placement
