--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -144,9 +144,9 @@
       pool->second.m_cpu += worker.m_lastReport.m_capacity.m_cpuMillis;
       const jobs::WorkerUse* found = aState.Jobs().FindUse(id);
       const jobs::WorkerUse use = found == nullptr ? jobs::WorkerUse{} : *found;
-      pool->second.m_usedCpu += use.m_cpu;
+      pool->second.m_usedCpu += use.m_cpuMillis;
       if (use.m_longRunning == 0) {
-        pool->second.m_drainable.push_back({ &worker, use.m_cpu });
+        pool->second.m_drainable.push_back({ &worker, use.m_cpuMillis });
       }
     }
   }
