Job service tests: workers that report once stay responsive

Cause: in the test of jobs beyond a share the three workers report once, some 0.5 s before the first job, while the leader counts a worker as unresponsive after 1.5 s. When the test's process did not run for a second, the leader was right to take the service for full, and refused a job that fits.

Change: this test gives the leader a limit of 60 s for its workers' silence, which it does not check. It still checks that each job that fits is accepted, that the first one beyond is refused with a Retry-After and not recorded, and that a repeated submission is answered. The share itself needs 8 s to recover enough to accept that job.

--- a/tests/unit/control/job_service_test.cpp
+++ b/tests/unit/control/job_service_test.cpp
@@ -51,7 +51,17 @@
     while (!m_node->IsServing()) {
       RunEventLoopFor(5 * kj::MILLISECONDS);
     }
+    StartService({});
+    m_service->ReplaceRoutes(Fleet{}.State().Routes())
+      .wait(m_loop->m_io.waitScope);
+  }
+
+  /** Starts the service, in place of one that runs. */
+  void StartService(const placement::LeaseOptions& aLease)
+  {
+    m_service.reset();
     control::JobServiceOptions jobs;
+    jobs.m_lease = aLease;
     jobs.m_calls.m_move = [this](const auto& aOrder, Term, auto aDone) {
       m_movedInstances.push_back(aOrder.m_instance);
       m_answerMove = aDone;
@@ -72,8 +82,6 @@
     };
     m_service = std::make_unique<JobService>(
       *m_node, m_loop->m_io.provider->getTimer(), std::move(jobs));
-    m_service->ReplaceRoutes(Fleet{}.State().Routes())
-      .wait(m_loop->m_io.waitScope);
   }
 
   void AddStandby()
@@ -547,12 +555,16 @@
 // that will not be served in time. While capacity is free, they are accepted.
 TEST(JobService, JobsFarBeyondTheShare_AreRefusedOnlyWhileTheServiceIsFull)
 {
+  // The workers report only once. With the default, they would count as
+  // unresponsive, and the service as full, if this process did not run for a
+  // second between two jobs.
+  placement::LeaseOptions lease;
+  lease.m_unresponsiveAfter = std::chrono::seconds{ 60 };
+  StartService(lease);
   SetWorkspaces({ { "a", "key" } });
   const auto submit = [&](int aNumber) {
     return Call(jobs::CallKind::kSubmit, "j" + std::to_string(aNumber), "key");
   };
-  // The reports are held. One after the other would take so long that the first
-  // worker might count as unresponsive before the last job is submitted.
   std::vector<kj::Promise<WorkerAnswer>> reports;
   for (const char* worker : { "w1", "w2", "w3" }) {
     reports.push_back(Send(Report(worker, 0)));
