Consensus tests: fragments of two leaders are not joined

Mutations of the product showed that no test required fragments of different leaders to be kept apart: a new leader's first entry is never in fragments, so the history test cannot produce that case, and its comment claimed more than it checks. The new test plays both leaders; it fails if the leader and its term are not compared.

--- a/tests/unit/consensus/catch_up_test.cpp
+++ b/tests/unit/consensus/catch_up_test.cpp
@@ -628,6 +628,50 @@
   }
 }
 
+// Guards against an entry joined from fragments of two leaders, which may have
+// different entries at the same index.
+TEST(CatchUp, Fragments_OfTwoLeaders_AreNotJoined)
+{
+  using consensus::AppendReply;
+  using consensus::AppendRequest;
+  const auto id = [](const char* aName) {
+    return consensus::ReplicaId{ InstanceId{ aName }, Incarnation{ 1 } };
+  };
+  const TimePoint now{ std::chrono::hours{ 1 } };
+  consensus::Replica follower{ id("f"), {}, {}, now };
+  const auto send = [&](const char* aLeader,
+                        std::uint64_t aTerm,
+                        std::uint64_t aOffset,
+                        const char* aBytes) {
+    AppendRequest append{ {}, {}, {}, {}, now };
+    append.m_fragment =
+      consensus::EntryFragment{ Term{ aTerm }, 4, aOffset, aBytes };
+    follower.Receive(
+      consensus::Message{ id(aLeader), id("f"), Term{ aTerm }, append }, now);
+    // Each write is synced at once; the answer may wait for it.
+    std::uint64_t received = 0;
+    for (auto actions = follower.TakeActions(); !actions.empty();
+         actions = follower.TakeActions()) {
+      for (const auto& action : actions) {
+        if (const auto* persist = std::get_if<consensus::Persist>(&action)) {
+          follower.OnPersisted(persist->m_ticket, now);
+        }
+        if (const auto* sent = std::get_if<consensus::Send>(&action)) {
+          const auto& reply = std::get<AppendReply>(sent->m_message.m_body);
+          received = reply.m_fragment.value().m_received;
+        }
+      }
+    }
+    return received;
+  };
+  UNSIGNED_LONGS_EQUAL(2, send("a", 1, 0, "ab"));
+  UNSIGNED_LONGS_EQUAL(0, send("b", 2, 2, "CD"));
+  CHECK(follower.LastIndex() == Index{});
+  UNSIGNED_LONGS_EQUAL(2, send("b", 2, 0, "AB"));
+  UNSIGNED_LONGS_EQUAL(4, send("b", 2, 2, "CD"));
+  CHECK(follower.LastIndex() == Index{ 1 });
+}
+
 // Guards against a replica that finds the log cut each time it has written a
 // snapshot, because that takes longer than the leader retains entries for it.
 TEST(CatchUp, EmptiedReplica_HangsAfterEachSnapshot_VotesInTheEnd)
