jobs, placement: keep the use of workers and workspaces, and startable jobs

A pass looked up the job of each running task, and visited each open job, although most of them had nothing to start. A pass looks for long-running tasks to move only if a leaving worker has any, and HasLaterIncarnation does not build a key where no worker waits for confirmation.

--- a/include/bamboostile/jobs/book.h
+++ b/include/bamboostile/jobs/book.h
@@ -115,6 +115,29 @@
  * applied. */
 using AttemptLimit = std::function<std::uint32_t(const QueueId&)>;
 
+/** What the tasks of a worker reserve, and how many of each kind there are. */
+struct WorkerUse
+{
+  std::int64_t m_cpuMillis = 0;
+  std::int64_t m_memoryMb = 0;
+  std::int64_t m_accelerators = 0;
+  std::uint32_t m_runs = 0;
+  std::uint32_t m_longRunning = 0;
+  std::uint32_t m_inGang = 0;
+  std::uint32_t m_latencySensitive = 0;
+
+  bool operator==(const WorkerUse&) const = default;
+};
+
+/** What the running tasks of a workspace need. */
+struct WorkspaceUse
+{
+  workspaces::Resources m_resources;
+  std::uint32_t m_runs = 0;
+
+  bool operator==(const WorkspaceUse&) const = default;
+};
+
 /**
  * @brief The replicated state of jobs, tasks and runs.
  *
@@ -138,6 +161,23 @@
   {
     return m_tasksByWorker;
   }
+  /** The sums over TasksByWorker(), of each worker and of each workspace that
+   * has running tasks. */
+  const std::unordered_map<WorkerIncarnation, WorkerUse>& UseByWorker() const
+  {
+    return m_useByWorker;
+  }
+  const std::unordered_map<WorkspaceId, WorkspaceUse>& UseByWorkspace() const
+  {
+    return m_useByWorkspace;
+  }
+  /** Open jobs, in order of acceptance, except those of which no task may be
+   * started: their tasks are running, done, or wait for earlier steps. Repeated
+   * jobs are among them while they are active. */
+  const std::map<std::uint64_t, JobId>& StartableJobs() const
+  {
+    return m_startable;
+  }
   const Task* FindTask(const TaskRef& aTask) const;
   /** The worker losses of an existing task; for a gang, those of all its
    * members. */
@@ -176,7 +216,20 @@
 
   Job* FindJob(const JobId& aId);
   Task* FindMutableTask(const TaskRef& aTask);
-  void RemoveFromWorker(const WorkerIncarnation& aWorker, const TaskRef& aTask);
+  void AddToWorker(const WorkerIncarnation& aWorker,
+                   const Job& aJob,
+                   const TaskRef& aTask);
+  void RemoveFromWorker(const WorkerIncarnation& aWorker,
+                        const Job& aJob,
+                        const TaskRef& aTask);
+  /** Adds a running task aTimes times to what is in use; -1 removes it. */
+  void AddUse(const WorkerIncarnation& aWorker,
+              const Job& aJob,
+              const StepSpec& aStep,
+              int aTimes);
+  static bool IsStartable(const Job& aJob);
+  /** Called after each change of the job's tasks or state. */
+  void UpdateStartable(const Job& aJob);
   void Finish(Job& aJob, JobState aState, WallTime aAt);
   void MarkStarted(Job& aJob);
   void MarkPendingIfNoProgress(Job& aJob);
@@ -196,6 +249,9 @@
   std::uint64_t m_nextOrder = 1;
   std::map<std::uint64_t, JobId> m_open;
   std::unordered_map<WorkerIncarnation, std::vector<TaskRef>> m_tasksByWorker;
+  std::unordered_map<WorkerIncarnation, WorkerUse> m_useByWorker;
+  std::unordered_map<WorkspaceId, WorkspaceUse> m_useByWorkspace;
+  std::map<std::uint64_t, JobId> m_startable;
   std::unordered_map<QueueId, std::uint64_t> m_pending;
   std::set<TaskRef> m_tasksWithLosses;
 };
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -211,6 +211,7 @@
     ++m_pending[job.m_queue];
   }
   m_open.emplace(job.m_order, job.m_id);
+  UpdateStartable(job);
   return CallOutcome::kAccepted;
 }
 
@@ -254,8 +255,9 @@
   task.m_isStable = false;
   ++step.m_running;
   ++job->m_running;
-  m_tasksByWorker[aStart.m_worker].push_back(aStart.m_task);
+  AddToWorker(aStart.m_worker, *job, aStart.m_task);
   MarkStarted(*job);
+  UpdateStartable(*job);
   return CallOutcome::kNone;
 }
 
@@ -271,20 +273,91 @@
   }
 }
 
+void
+JobTable::AddToWorker(const WorkerIncarnation& aWorker,
+                      const Job& aJob,
+                      const TaskRef& aTask)
+{
+  m_tasksByWorker[aWorker].push_back(aTask);
+  AddUse(aWorker, aJob, aJob.m_spec.m_steps[aTask.m_step], 1);
+}
+
 void
 JobTable::RemoveFromWorker(const WorkerIncarnation& aWorker,
+                           const Job& aJob,
                            const TaskRef& aTask)
 {
   const auto placed = m_tasksByWorker.find(aWorker);
-  if (placed == m_tasksByWorker.end()) {
+  if (placed == m_tasksByWorker.end() ||
+      std::erase(placed->second, aTask) == 0) {
     return;
   }
-  std::erase(placed->second, aTask);
+  AddUse(aWorker, aJob, aJob.m_spec.m_steps[aTask.m_step], -1);
   if (placed->second.empty()) {
     m_tasksByWorker.erase(placed);
   }
 }
 
+void
+JobTable::AddUse(const WorkerIncarnation& aWorker,
+                 const Job& aJob,
+                 const StepSpec& aStep,
+                 int aTimes)
+{
+  const auto times = static_cast<std::uint32_t>(aTimes);
+  const Resources& needs = aStep.m_resources;
+  WorkerUse& use = m_useByWorker[aWorker];
+  use.m_cpuMillis += aStep.ReservedCpu() * aTimes;
+  use.m_memoryMb += std::int64_t{ needs.m_memoryMb } * aTimes;
+  use.m_accelerators += std::int64_t{ needs.m_accelerators } * aTimes;
+  use.m_runs += times;
+  use.m_longRunning += aStep.m_longRunning ? times : 0;
+  use.m_inGang += aStep.m_gang ? times : 0;
+  use.m_latencySensitive += aStep.m_latencyTarget > Millis::zero() ? times : 0;
+  if (use.m_runs == 0) {
+    m_useByWorker.erase(aWorker);
+  }
+  WorkspaceUse& ofWorkspace = m_useByWorkspace[aJob.m_workspace];
+  workspaces::Resources& total = ofWorkspace.m_resources;
+  total.m_cpuMillis += std::int64_t{ needs.m_cpuMillis } * aTimes;
+  total.m_memoryMb += std::int64_t{ needs.m_memoryMb } * aTimes;
+  total.m_accelerators += std::int64_t{ needs.m_accelerators } * aTimes;
+  ofWorkspace.m_runs += times;
+  if (ofWorkspace.m_runs == 0) {
+    m_useByWorkspace.erase(aJob.m_workspace);
+  }
+}
+
+bool
+JobTable::IsStartable(const Job& aJob)
+{
+  if (aJob.m_state != JobState::kActive) {
+    return false;
+  }
+  const auto first = aJob.m_occurrences.find(0);
+  if (aJob.m_spec.m_repeatCount != 0 || first == aJob.m_occurrences.end()) {
+    return true;
+  }
+  const Occurrence& occurrence = first->second;
+  for (std::size_t s = 0; s < occurrence.m_steps.size(); ++s) {
+    if (occurrence.m_steps[s].Waiting() > 0 &&
+        AreDependenciesDone(occurrence, aJob.m_spec.m_steps[s])) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+JobTable::UpdateStartable(const Job& aJob)
+{
+  if (IsStartable(aJob)) {
+    m_startable.try_emplace(aJob.m_order, aJob.m_id);
+  } else {
+    m_startable.erase(aJob.m_order);
+  }
+}
+
 void
 JobTable::StopRunning(Job& aJob, const TaskRef& aTask)
 {
@@ -297,7 +370,7 @@
   task.m_phase = TaskPhase::kWaiting;
   --step.m_running;
   --aJob.m_running;
-  RemoveFromWorker(task.m_worker, aTask);
+  RemoveFromWorker(task.m_worker, aJob, aTask);
 }
 
 void
@@ -374,6 +447,7 @@
     MarkPendingIfNoProgress(*job);
   }
   CloseIfIdle(*job);
+  UpdateStartable(*job);
   return CallOutcome::kNone;
 }
 
@@ -470,9 +544,10 @@
   if (task != nullptr && task->m_phase == TaskPhase::kRunning &&
       task->m_lastRun == aChange.m_run && !task->m_worker.HasStartTime() &&
       task->m_worker.m_id == aChange.m_worker.m_id) {
-    RemoveFromWorker(task->m_worker, aChange.m_task);
+    const Job& job = *Find(aChange.m_task.m_job);
+    RemoveFromWorker(task->m_worker, job, aChange.m_task);
     task->m_worker = aChange.m_worker;
-    m_tasksByWorker[task->m_worker].push_back(aChange.m_task);
+    AddToWorker(task->m_worker, job, aChange.m_task);
   }
   return CallOutcome::kNone;
 }
@@ -503,6 +578,7 @@
     --m_pending[aJob.m_queue];
   }
   CloseIfIdle(aJob);
+  UpdateStartable(aJob);
 }
 
 void
@@ -530,6 +606,9 @@
 {
   m_open.clear();
   m_tasksByWorker.clear();
+  m_useByWorker.clear();
+  m_useByWorkspace.clear();
+  m_startable.clear();
   m_pending.clear();
   m_tasksWithLosses.clear();
   for (auto& [id, job] : m_jobs) {
@@ -549,8 +628,7 @@
           } else if (task.m_phase == TaskPhase::kRunning) {
             ++step.m_running;
             ++job.m_running;
-            m_tasksByWorker[task.m_worker].push_back(
-              TaskRef{ id, number, s, i });
+            AddToWorker(task.m_worker, job, TaskRef{ id, number, s, i });
           }
         }
         occurrence.m_stepsDone += step.IsDone() ? 1 : 0;
@@ -562,6 +640,7 @@
     if (job.m_state == JobState::kActive || job.m_running > 0) {
       m_open.emplace(job.m_order, id);
     }
+    UpdateStartable(job);
     if (job.m_state == JobState::kActive && !job.m_started &&
         job.m_spec.m_repeatCount == 0) {
       ++m_pending[job.m_queue];
--- a/src/placement/durations.cpp
+++ b/src/placement/durations.cpp
@@ -25,8 +25,11 @@
 Millis
 DurationEstimator::Estimate(const jobs::StepSpec& aStep) const
 {
+  if (aStep.m_image.Get().empty()) {
+    return aStep.m_estimate;
+  }
   const auto found = m_statistics.find(aStep.m_image);
-  if (aStep.m_image.Get().empty() || found == m_statistics.end()) {
+  if (found == m_statistics.end()) {
     return aStep.m_estimate;
   }
   return Millis{ static_cast<std::int64_t>(found->second.m_meanMs) };
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -38,6 +38,13 @@
   return (aStep.m_count + kSpreadDivisor - 1) / kSpreadDivisor;
 }
 
+bool
+HostsLongRunning(const jobs::JobTable& aBook, const WorkerIncarnation& aWorker)
+{
+  const auto use = aBook.UseByWorker().find(aWorker);
+  return use != aBook.UseByWorker().end() && use->second.m_longRunning > 0;
+}
+
 /** Tasks of other steps are packed. */
 bool
 IsSpread(const jobs::StepSpec& aStep)
@@ -145,15 +152,11 @@
     target.m_isUnresponsive = aWorkers.IsUnresponsive(worker, aNow);
     target.m_mayBeOrdered =
       hasSuspects && aWorkers.MayBeOrderedAfter(worker, aNow);
-    const auto placed = book.TasksByWorker().find(id);
-    if (placed != book.TasksByWorker().end()) {
-      for (const jobs::TaskRef& ref : placed->second) {
-        const jobs::StepSpec& step =
-          book.Find(ref.m_job)->m_spec.m_steps[ref.m_step];
-        target.Allocate(step);
-      }
+    const auto use = book.UseByWorker().find(id);
+    if (use != book.UseByWorker().end()) {
+      target.Allocate(use->second);
       if (hasSuspects) {
-        FindIsolatedRuns(worker, placed->second, book, target);
+        FindIsolatedRuns(worker, book.TasksByWorker().at(id), book, target);
       }
     }
     pools[worker.m_lastReport.m_service].Add(std::move(target));
@@ -210,13 +213,12 @@
   std::vector<Candidate> candidates;
   const jobs::JobTable& book = aState.Jobs();
   const fleet::RouteTable& routes = aState.Routes();
-  for (const auto& [order, id] : book.OpenJobs()) {
+  for (const auto& [order, id] : book.StartableJobs()) {
     const jobs::Job& job = *book.Find(id);
     const auto route = aState.RouteLookup().Find(job.m_queue);
     // A route with an advice policy lets the advice of a service decide which
     // workers may run a step, so nothing may start without that advice.
-    if (job.m_state != jobs::JobState::kActive || !route ||
-        routes.m_routes[*route].m_advice) {
+    if (!route || routes.m_routes[*route].m_advice) {
       continue;
     }
     const fleet::QueueRoute& queue = routes.m_routes[*route];
@@ -568,6 +570,17 @@
                               Plan& aPlan) const
 {
   const jobs::JobTable& book = aState.Jobs();
+  const bool hasTasksToMove = std::any_of(
+    aWorkers.Workers().begin(),
+    aWorkers.Workers().end(),
+    [&](const auto& aEntry) {
+      const auto& [id, worker] = aEntry;
+      return (worker.m_lastReport.m_draining || aCordoned.contains(id)) &&
+             HostsLongRunning(book, id);
+    });
+  if (!hasTasksToMove) {
+    return;
+  }
   for (const auto& [worker, tasks] : book.TasksByWorker()) {
     const Worker* from = aWorkers.Find(worker);
     const bool leaves = from != nullptr && (from->m_lastReport.m_draining ||
--- a/src/placement/target_pool.cpp
+++ b/src/placement/target_pool.cpp
@@ -25,6 +25,18 @@
   ++m_runs;
 }
 
+void
+Planner::Target::Allocate(const jobs::WorkerUse& aUse)
+{
+  m_freeCpuMillis -= aUse.m_cpuMillis;
+  m_freeMemoryMb -= aUse.m_memoryMb;
+  m_freeAccelerators -= aUse.m_accelerators;
+  m_hostsLatencySensitive = aUse.m_latencySensitive > 0;
+  m_hostsLongRunning = aUse.m_longRunning > 0;
+  m_hostsGang = aUse.m_inGang > 0;
+  m_runs = aUse.m_runs;
+}
+
 void
 Planner::Pool::Allocate(Target& aTarget, const jobs::StepSpec& aStep)
 {
--- a/src/placement/target_pool.h
+++ b/src/placement/target_pool.h
@@ -43,6 +43,9 @@
     return !m_isReserved && !m_isolatedTask && !m_isUnresponsive;
   }
   void Allocate(const jobs::StepSpec& aStep);
+  /** Takes what the tasks reserve that the state has on a worker without any
+   * others. */
+  void Allocate(const jobs::WorkerUse& aUse);
   bool AcceptsIsolatedRunOf(const IsolatedRun& aRun) const;
   bool MayBeJoinedBy(const IsolatedRun& aRun) const;
   void AddIsolatedRun(const IsolatedRun& aRun);
--- a/src/placement/worker_lives.cpp
+++ b/src/placement/worker_lives.cpp
@@ -39,15 +39,17 @@
 bool
 WorkerTable::HasLaterIncarnation(const Worker& aWorker) const
 {
-  if (m_candidates.contains(HostOf(aWorker.m_lastReport))) {
+  if (!m_candidates.empty() &&
+      m_candidates.contains(HostOf(aWorker.m_lastReport))) {
     return true;
   }
   const auto& incarnations = IncarnationsOf(aWorker.m_lastReport.m_instance);
   return std::any_of(incarnations.begin(),
                      incarnations.end(),
                      [&](const WorkerIncarnation& aIncarnation) {
-                       return Find(aIncarnation)->m_firstReportAt >
-                              aWorker.m_lastReportAt;
+                       return aIncarnation != aWorker.m_lastReport.m_worker &&
+                              Find(aIncarnation)->m_firstReportAt >
+                                aWorker.m_lastReportAt;
                      });
 }
 
--- a/src/placement/workspace_accounts.cpp
+++ b/src/placement/workspace_accounts.cpp
@@ -4,21 +4,6 @@
 
 namespace bamboostile::placement {
 
-namespace {
-
-void
-AddRunning(const jobs::Job& aJob, workspaces::Account& aAccount)
-{
-  for (const auto& [number, occurrence] : aJob.m_occurrences) {
-    for (std::size_t s = 0; s < occurrence.m_steps.size(); ++s) {
-      aAccount.Add(ChargeOf(aJob.m_spec.m_steps[s]),
-                   occurrence.m_steps[s].m_running);
-    }
-  }
-}
-
-} // namespace
-
 workspaces::Resources
 ChargeOf(const jobs::StepSpec& aStep)
 {
@@ -39,10 +24,9 @@
     return accounts;
   }
   const jobs::JobTable& book = aState.Jobs();
-  for (const auto& [order, id] : book.OpenJobs()) {
-    const jobs::Job& job = *book.Find(id);
-    if (auto* account = accounts.Find(job.m_workspace)) {
-      AddRunning(job, *account);
+  for (const auto& [workspace, use] : book.UseByWorkspace()) {
+    if (auto* account = accounts.Find(workspace)) {
+      account->Add(use.m_resources);
     }
   }
   for (const auto& [id, worker] : aWorkers.Workers()) {
--- a/tests/unit/placement/placement_pass_test.cpp
+++ b/tests/unit/placement/placement_pass_test.cpp
@@ -141,6 +141,18 @@
     m_fleet.Apply(plan.m_changes);
   }
 
+  /** Whether the sums that the state keeps up to date are those that a replica
+   * computes from a snapshot. */
+  bool IsEqualToSnapshot() const
+  {
+    const auto restored = fleet::State::Decode(m_fleet.State().Encode());
+    const JobTable& kept = m_fleet.Book();
+    const JobTable& computed = restored->Jobs();
+    return kept.UseByWorker() == computed.UseByWorker() &&
+           kept.UseByWorkspace() == computed.UseByWorkspace() &&
+           kept.StartableJobs() == computed.StartableJobs();
+  }
+
   const std::string& Text() const { return m_text; }
   const std::string& ReferenceText() const { return m_referenceText; }
 
@@ -325,3 +337,17 @@
   }
   CHECK(lines > 20 * kRounds * SeedCount());
 }
+
+// Guards against a worker that counts as fuller or emptier than it is, and a
+// job that is never looked at, because a change of a task was not counted.
+TEST(PlacementPass, RandomFleets_SumsEqualThoseOfASnapshot)
+{
+  constexpr unsigned kSeedsDivisor = 4;
+  for (unsigned seed = 1; seed <= SeedCount() / kSeedsDivisor; ++seed) {
+    RandomFleet fleet(seed);
+    for (int round = 0; round < kRounds; ++round) {
+      fleet.PlayRound();
+      CHECK(fleet.IsEqualToSnapshot());
+    }
+  }
+}
