Jobs: a copy of the job table has its own order of open jobs

Change: a copy points its order of open jobs into itself. Result: unit tests compare the order and the use of workers in copied, moved and restored tables.

--- a/include/bamboostile/jobs/book.h
+++ b/include/bamboostile/jobs/book.h
@@ -135,9 +135,8 @@
 {
 public:
   JobTable() = default;
-  /** Not copied: the order of open jobs points into the table. */
-  JobTable(const JobTable&) = delete;
-  JobTable& operator=(const JobTable&) = delete;
+  JobTable(const JobTable& aOther);
+  JobTable& operator=(const JobTable& aOther);
   JobTable(JobTable&&) = default;
   JobTable& operator=(JobTable&&) = default;
   ~JobTable() = default;
@@ -217,6 +216,8 @@
                                const StepRun& aStep,
                                const AttemptLimit& aLimit);
   void AddLoss(Job& aJob, const EndRun& aEnd, StepRun& aStep);
+  /** Rebuilds m_openJobs from m_open. */
+  void PointToOpenJobs();
   /** Rebuilds the state derived from m_jobs after a snapshot was read. */
   void RebuildIndexes();
 
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -60,6 +60,34 @@
   return "unknown";
 }
 
+// All members but m_openJobs, whose pointers lead into the table itself.
+JobTable::JobTable(const JobTable& aOther)
+  : m_jobs(aOther.m_jobs)
+  , m_nextOrder(aOther.m_nextOrder)
+  , m_open(aOther.m_open)
+  , m_tasksByWorker(aOther.m_tasksByWorker)
+  , m_useByWorker(aOther.m_useByWorker)
+  , m_pending(aOther.m_pending)
+  , m_tasksWithLosses(aOther.m_tasksWithLosses)
+{
+  PointToOpenJobs();
+}
+
+JobTable&
+JobTable::operator=(const JobTable& aOther)
+{
+  return *this = JobTable(aOther);
+}
+
+void
+JobTable::PointToOpenJobs()
+{
+  m_openJobs.clear();
+  for (const auto& [order, id] : m_open) {
+    m_openJobs.push_back(Find(id));
+  }
+}
+
 BatchReply
 JobTable::Apply(const Batch& aBatch, const AttemptLimit& aLimit)
 {
@@ -608,9 +636,7 @@
       ++m_pending[job.m_queue];
     }
   }
-  for (const auto& [order, id] : m_open) {
-    m_openJobs.push_back(Find(id));
-  }
+  PointToOpenJobs();
 }
 
 } // namespace bamboostile::jobs
--- a/tests/unit/jobs/book_test.cpp
+++ b/tests/unit/jobs/book_test.cpp
@@ -227,3 +227,47 @@
   CHECK(!DecodeBatch(bytes.substr(0, bytes.size() / 2)).has_value());
   CHECK(!fleet::DecodeCommand(bytes).has_value());
 }
+
+// Guards against an order of open jobs that leads into a table which has been
+// replaced: a copy is encoded as a snapshot, and a replica adopts another's.
+TEST(JobTable, CopiedMovedAndRestored_OpenJobsAreItsOwn)
+{
+  const auto check = [](const JobTable& aBook) {
+    std::size_t position = 0;
+    LONGS_EQUAL(aBook.OpenJobs().size(), aBook.OpenJobsInOrder().size());
+    for (const auto& [order, id] : aBook.OpenJobs()) {
+      CHECK(aBook.OpenJobsInOrder()[position++] == aBook.Find(id));
+    }
+  };
+  for (int i = 0; i < 5; ++i) {
+    m_fleet.Submit("job" + std::to_string(i), Spec({ Step(1) }));
+  }
+  m_fleet.Apply({ Cancel{ JobId{ "job2" }, WallTime{ 1 } } });
+  LONGS_EQUAL(4, m_fleet.Book().OpenJobs().size());
+  check(m_fleet.Book());
+  JobTable copy = m_fleet.Book();
+  check(copy);
+  check(JobTable(std::move(copy)));
+  m_fleet.Restore();
+  check(m_fleet.Book());
+}
+
+TEST(JobTable, TasksStartAndEnd_UseOfTheWorkerFollows)
+{
+  StepSpec lasting = Step(1, 500);
+  lasting.m_longRunning = true;
+  m_fleet.Submit("a", Spec({ Step(2, 1000), lasting }));
+  CHECK(m_fleet.Book().FindUse(Life("w")) == nullptr);
+  m_fleet.Start(Ref("a", 0), "w");
+  m_fleet.Start(Ref("a", 1), "w");
+  m_fleet.Start(Ref("a", 0, 1), "w");
+  LONGS_EQUAL(2500, m_fleet.Book().FindUse(Life("w"))->m_cpu);
+  LONGS_EQUAL(1, m_fleet.Book().FindUse(Life("w"))->m_longRunning);
+  m_fleet.End(Ref("a", 0, 1), RunEnd::kStopped);
+  m_fleet.Restore();
+  LONGS_EQUAL(2000, m_fleet.Book().FindUse(Life("w"))->m_cpu);
+  LONGS_EQUAL(0, m_fleet.Book().FindUse(Life("w"))->m_longRunning);
+  m_fleet.End(Ref("a", 0), RunEnd::kDone);
+  m_fleet.End(Ref("a", 1), RunEnd::kDone);
+  CHECK(m_fleet.Book().FindUse(Life("w")) == nullptr);
+}
