Inflow: pools are sized for the work that is about to arrive

Cause: the desired size follows the backlog, so instances were ordered only once jobs waited, and arrived 1.5 s later; the backlog then overshot. Change: the library inflow measures the work that accepted jobs add to each pool, over 700 ms, and forecasts it for the time of a move. With inflowForecast on, the desired size adds what current and arriving instances will not have done of it, divided by the backlog target. The planner measures all pools, also with the mechanism off, and reports why a short pool is short.

--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bamboostile/fleet/state.h"
+#include "bamboostile/inflow/meter.h"
 #include "bamboostile/placement/durations.h"
 #include "bamboostile/placement/maintenance.h"
 #include "bamboostile/placement/open_job_index.h"
@@ -20,6 +21,21 @@
   std::uint64_t m_number = 0;
 };
 
+/** What keeps a pool short of instances at the end of a tick. */
+enum class PoolWait
+{
+  /** The pool is not short. */
+  kNothing,
+  /** No orders are sent: the leader is new or sheds load. */
+  kLeader,
+  kOrderRate,
+  kUnansweredOrders,
+  /** Standby is empty and no other pool has an idle instance to spare. */
+  kIdleInstances,
+};
+
+const char* Describe(PoolWait aWait) noexcept;
+
 /** Actual and desired capacity of a pool, shown to operators. */
 struct PoolCapacity
 {
@@ -33,11 +49,23 @@
   /** Cores of the workers that report, and those that runs occupy. */
   std::int64_t m_cores = 0;
   std::int64_t m_usedCores = 0;
+  /** Part of m_workCoreSeconds that belongs to late jobs; abandoned jobs count
+   * in neither. */
+  std::int64_t m_lateCoreSeconds = 0;
+  /** Part of m_actual that is being moved into the pool. */
+  std::size_t m_arriving = 0;
+  /** In thousandths of a core. */
+  inflow::Forecast m_inflow;
+  PoolWait m_waitsFor = PoolWait::kNothing;
 };
 
 struct CapacityPlan
 {
   std::vector<PoolCapacity> m_pools;
+  /** Instances in standby that are not being moved, as far as is known. */
+  std::size_t m_standby = 0;
+  std::size_t m_unanswered = 0;
+  std::size_t m_unansweredLimit = 0;
   /** Workers that get no new work: they are about to leave their pool, or are
    * being drained for another one. */
   std::set<WorkerIncarnation> m_cordoned;
@@ -135,6 +163,12 @@
     /** Cores of one worker, in thousandths. */
     std::size_t m_cores = 0;
     std::int64_t m_work = 0;
+    std::int64_t m_lateWork = 0;
+    std::size_t m_arriving = 0;
+    /** CPU that reporting and arriving workers can spend until an instance that
+     * is ordered now arrives. */
+    inflow::Supply m_supply;
+    inflow::Forecast m_inflow;
     std::int64_t m_cpu = 0;
     std::int64_t m_usedCpu = 0;
     /** Workers whose runs all end by themselves. */
@@ -166,8 +200,13 @@
                          WallTime aWall);
   void AddDemand(const fleet::State& aState,
                  const DurationEstimator& aDurations,
+                 TimePoint aNow,
                  WallTime aWall,
                  Pools& aPools);
+  void AddForecast(const Demands& aDemands, TimePoint aNow, Pools& aPools);
+  /** CPU for work that is expected to arrive, in thousandths of a core. */
+  std::int64_t CpuAhead(const Demand& aDemand, const Pool& aPool) const;
+  PoolWait WhyShort() const;
   void RefillOrderTokens(TimePoint aNow);
   bool HasOrderBudget() const;
   void TrackIdleWorkers(const fleet::State& aState,
@@ -220,6 +259,10 @@
 
   CapacityOptions m_options;
   OpenJobIndex m_openJobs;
+  /** Rank of the last job that has been counted as arrived; unset before the
+   * first tick, when it is unknown how long ago the open jobs arrived. */
+  std::optional<std::uint64_t> m_lastArrived;
+  std::map<ServiceId, inflow::Meter> m_meters;
   TimePoint m_leaderSince;
   /** Instances in standby, and when this leader first saw each listed as up. */
   std::map<InstanceId, TimePoint> m_standby;
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -26,6 +26,24 @@
 
 } // namespace
 
+const char*
+Describe(PoolWait aWait) noexcept
+{
+  switch (aWait) {
+    case PoolWait::kNothing:
+      return "nothing";
+    case PoolWait::kLeader:
+      return "leader sends no orders";
+    case PoolWait::kOrderRate:
+      return "rate of orders";
+    case PoolWait::kUnansweredOrders:
+      return "answers to orders";
+    case PoolWait::kIdleInstances:
+      return "idle instances";
+  }
+  return "unknown";
+}
+
 CapacityPlanner::CapacityPlanner(CapacityOptions aOptions)
   : m_options(aOptions)
   , m_unanswered(aOptions.m_ordersPerSecond * kRateShare)
@@ -69,7 +87,12 @@
         job.m_spec.m_steps[s].m_estimate));
     }
     byRoute[*route]->Add(job, routes[*route], estimates, aWall);
+    if (m_lastArrived && job.m_order > *m_lastArrived) {
+      byRoute[*route]->AddArrival(job, estimates);
+    }
   }
+  m_lastArrived = std::max(m_lastArrived.value_or(0),
+                           entries.empty() ? 0 : entries.back().m_order);
   const JobId* previous = nullptr;
   for (const jobs::TaskRef& task : book.TasksWithLosses()) {
     if (previous != nullptr && task.m_job == *previous) {
@@ -85,20 +108,59 @@
   return demands;
 }
 
+// Every pool is measured, whether or not the forecast is used: operators
+// compare its error before they switch it on.
+void
+CapacityPlanner::AddForecast(const Demands& aDemands,
+                             TimePoint aNow,
+                             Pools& aPools)
+{
+  std::erase_if(m_meters, [&](const auto& aEntry) {
+    return !aPools.contains(aEntry.first);
+  });
+  for (auto& [service, pool] : aPools) {
+    inflow::MeterOptions options;
+    options.m_horizon = m_options.m_moveDuration;
+    const auto [meter, isNew] = m_meters.try_emplace(service, options);
+    meter->second.Add(static_cast<double>(aDemands.at(service).m_arrivedWork),
+                      aNow);
+    pool.m_inflow = meter->second.Get();
+  }
+}
+
+std::int64_t
+CapacityPlanner::CpuAhead(const Demand& aDemand, const Pool& aPool) const
+{
+  if (!m_options.m_mechanisms.Has(Mechanism::kInflowForecast)) {
+    return 0;
+  }
+  inflow::Supply supply = aPool.m_supply;
+  supply.Add(static_cast<double>(std::max<std::int64_t>(
+               aPool.m_cpu - aDemand.m_longRunningCpu, 0)),
+             m_options.m_moveDuration);
+  return static_cast<std::int64_t>(inflow::CpuAhead(aPool.m_inflow,
+                                                    supply,
+                                                    m_options.m_moveDuration,
+                                                    m_options.m_backlogTarget));
+}
+
 void
 CapacityPlanner::AddDemand(const fleet::State& aState,
                            const DurationEstimator& aDurations,
+                           TimePoint aNow,
                            WallTime aWall,
                            Pools& aPools)
 {
   const Demands demands = ComputeDemands(aState, aDurations, aWall);
+  AddForecast(demands, aNow, aPools);
   for (auto& [service, pool] : aPools) {
     const Demand& demand = demands.at(service);
+    pool.m_lateWork = demand.m_late.m_work;
     pool.m_work = demand.m_onTime.m_work + demand.m_late.m_work;
     const std::int64_t cpu =
       demand.m_onTime.CpuToFinishIn(m_options.m_backlogTarget) +
       demand.m_late.CpuToFinishIn(m_options.m_lateBacklogTarget) +
-      demand.m_longRunningCpu;
+      demand.m_longRunningCpu + CpuAhead(demand, pool);
     const auto cores =
       static_cast<std::int64_t>(std::max<std::size_t>(pool.m_cores, 1));
     const auto byWork = static_cast<std::size_t>((cpu + cores - 1) / cores);
@@ -157,14 +219,18 @@
   if (anyCores == 0) {
     return pools;
   }
-  AddDemand(aState, aDurations, aWall, pools);
   CountUnreportedWorkers(aState, aWorkers, aNow, pools);
   for (const auto& [instance, move] : m_moves) {
     const auto pool = pools.find(move.m_to);
     if (pool != pools.end()) {
       ++pool->second.m_actual;
+      ++pool->second.m_arriving;
+      pool->second.m_supply.Add(
+        static_cast<double>(pool->second.m_cores),
+        std::min<Duration>(aNow - move.m_since, m_options.m_moveDuration));
     }
   }
+  AddDemand(aState, aDurations, aNow, aWall, pools);
   return pools;
 }
 
@@ -246,7 +312,10 @@
     const jobs::Job& job = *aState.Jobs().Find(tasks.front().m_job);
     const auto route = aState.RouteLookup().Find(job.m_queue);
     if (route) {
-      ++aPools[aState.Routes().m_routes[*route].m_service].m_actual;
+      Pool& pool = aPools[aState.Routes().m_routes[*route].m_service];
+      ++pool.m_actual;
+      pool.m_supply.Add(static_cast<double>(pool.m_cores),
+                        m_options.m_moveDuration);
     }
   }
 }
@@ -362,6 +431,18 @@
   return m_isAllowed && m_orderTokens >= 1 && !m_unanswered.IsFull();
 }
 
+PoolWait
+CapacityPlanner::WhyShort() const
+{
+  if (!m_isAllowed) {
+    return PoolWait::kLeader;
+  }
+  if (m_unanswered.IsFull()) {
+    return PoolWait::kUnansweredOrders;
+  }
+  return m_orderTokens < 1 ? PoolWait::kOrderRate : PoolWait::kIdleInstances;
+}
+
 // Gives one instance at a time to the pool with the smallest ratio of actual to
 // desired size, so that two concurrent peaks share the available instances.
 // Instances in standby are moved first, as no other queue needs them.
@@ -510,12 +591,21 @@
                              pool.m_desired,
                              pool.m_work / kMilliPerCoreSecond,
                              pool.m_cpu / kMilliPerCore,
-                             pool.m_usedCpu / kMilliPerCore });
+                             pool.m_usedCpu / kMilliPerCore,
+                             pool.m_lateWork / kMilliPerCoreSecond,
+                             pool.m_arriving,
+                             pool.m_inflow });
   }
-  if (aNow >= m_leaderSince + m_options.m_reportWait) {
+  const bool isReady = aNow >= m_leaderSince + m_options.m_reportWait;
+  if (isReady) {
     FillPools(aWorkers, aReserved, aRecord, aNow, pools, plan);
     DrainSurplus(aReserved, aNow, pools);
   }
+  for (PoolCapacity& pool : plan.m_pools) {
+    if (pools.at(pool.m_service).IsShort()) {
+      pool.m_waitsFor = isReady ? WhyShort() : PoolWait::kLeader;
+    }
+  }
   const bool isSettled = aNow >= m_leaderSince + m_options.m_handoverDelay;
   if (isSettled && standby != nullptr &&
       m_options.m_mechanisms.Has(Mechanism::kStandby)) {
@@ -527,6 +617,12 @@
       plan.m_cordoned.insert(worker->m_lastReport.m_worker);
     }
   }
+  plan.m_unanswered = m_unanswered.Unanswered();
+  plan.m_unansweredLimit = m_unanswered.Limit();
+  plan.m_standby = static_cast<std::size_t>(
+    std::count_if(m_standby.begin(), m_standby.end(), [&](const auto& aEntry) {
+      return !m_moves.contains(aEntry.first);
+    }));
   plan.m_drained = m_drainingWorkers;
   plan.m_cordoned.insert(plan.m_drained.begin(), plan.m_drained.end());
   return plan;
--- a/src/placement/demand.cpp
+++ b/src/placement/demand.cpp
@@ -50,6 +50,21 @@
   m_minWorkers = std::max(m_minWorkers, minWorkers);
 }
 
+void
+Demand::AddArrival(const jobs::Job& aJob, const std::vector<Millis>& aEstimates)
+{
+  if (aJob.m_spec.m_repeatCount != 0) {
+    return;
+  }
+  for (std::size_t s = 0; s < aJob.m_spec.m_steps.size(); ++s) {
+    const jobs::StepSpec& step = aJob.m_spec.m_steps[s];
+    if (!step.m_longRunning) {
+      m_arrivedWork += std::int64_t{ step.m_count } * step.ReservedCpu() *
+                       aEstimates[s].count();
+    }
+  }
+}
+
 // Counts suspects regardless of their job's age: until an isolated run shows
 // which of them crashes its workers, they delay the pool's healthy work.
 void
--- a/src/placement/demand.h
+++ b/src/placement/demand.h
@@ -27,6 +27,8 @@
   /** Jobs that are late, but whose callers still wait. */
   Load m_late;
   std::int64_t m_longRunningCpu = 0;
+  /** Work of the jobs accepted since the last tick, in the unit of Load. */
+  std::int64_t m_arrivedWork = 0;
   /** Workers that long-running tasks need, given the limit per worker. */
   std::size_t m_minWorkers = 0;
   /** Suspects that each need a worker of their own for an isolated run. */
@@ -38,6 +40,10 @@
            const std::vector<Millis>& aEstimates,
            WallTime aWall);
 
+  /** A scheduled job does not count: it is known ahead of its start, and its
+   * occurrences are demand when they are due. */
+  void AddArrival(const jobs::Job& aJob, const std::vector<Millis>& aEstimates);
+
   void AddIsolatedRuns(const jobs::Job& aJob);
 
 private:
--- a/tests/unit/placement/capacity_test.cpp
+++ b/tests/unit/placement/capacity_test.cpp
@@ -351,6 +351,81 @@
   CHECK(orders <= 4 * 64);
 }
 
+// A peak of 20 cores begins: within its first second, instances for what
+// arrives until an ordered one could serve it are ordered, not only for the
+// backlog.
+TEST(CapacityPlanner, PeakBegins_ForecastOrdersAheadOfTheBacklog)
+{
+  CapacityOptions options;
+  options.m_mechanisms.SwitchOn(Mechanism::kInflowForecast);
+  placement::CapacityPlanner ahead(options);
+  AddPool("desk", 3);
+  std::size_t desired = 0;
+  std::size_t followed = 0;
+  for (std::int64_t at = 10'000; at <= 10'800; at += 100) {
+    if (at > 10'000) {
+      m_fleet.Submit("job" + std::to_string(at), Spec({ Step(2) }));
+    }
+    followed = Next(at).m_pools.at(0).m_desired;
+    desired = ahead
+                .Next(m_fleet.State(),
+                      m_table,
+                      m_reserved,
+                      m_durations,
+                      m_record,
+                      At(at),
+                      WallTime{ 0 })
+                .m_pools.at(0)
+                .m_desired;
+  }
+  LONGS_EQUAL(3, followed);
+  CHECK(desired >= 5);
+}
+
+// Guards against a peak of moves after each election: the jobs that a new
+// leader finds have not all arrived at once.
+TEST(CapacityPlanner, NewLeader_OpenJobsAreNoInflow)
+{
+  AddPool("desk", 3);
+  m_fleet.Submit("old", Spec({ Step(500) }));
+  for (std::int64_t at = 10'000; at < 12'000; at += 100) {
+    DOUBLES_EQUAL(0, Next(at).m_pools.at(0).m_inflow.m_rate, 0.001);
+  }
+}
+
+TEST(CapacityPlanner, LongRunningAndScheduledJobs_AreNoInflow)
+{
+  AddPool("desk", 3);
+  Next(10'000);
+  StepSpec lasting = Step(4);
+  lasting.m_longRunning = true;
+  m_fleet.Submit("lasting", Spec({ lasting }));
+  JobSpec scheduled = Spec({ Step(4) });
+  scheduled.m_repeatCount = 2;
+  m_fleet.Submit("scheduled", scheduled);
+  for (std::int64_t at = 10'100; at < 12'000; at += 100) {
+    DOUBLES_EQUAL(0, Next(at).m_pools.at(0).m_inflow.m_rate, 0.001);
+  }
+}
+
+// A pool that cannot be filled tells the operator why.
+TEST(CapacityPlanner, ShortPool_TellsWhatItWaitsFor)
+{
+  AddPool("desk", 3);
+  m_fleet.Submit("peak", Spec({ Step(1200, 1000) }));
+  CHECK(Next(10'000).m_pools.at(0).m_waitsFor == PoolWait::kIdleInstances);
+  ListStandby(200);
+  CHECK(Next(10'100).m_pools.at(0).m_waitsFor == PoolWait::kOrderRate);
+  CHECK(Next(12'000).m_pools.at(0).m_waitsFor == PoolWait::kOrderRate);
+  for (std::int64_t at = 12'100; at < 14'000; at += 100) {
+    Next(at);
+  }
+  CHECK(Next(14'000).m_pools.at(0).m_waitsFor == PoolWait::kUnansweredOrders);
+  m_planner.AllowOrders(false);
+  CHECK(Next(14'100).m_pools.at(0).m_waitsFor == PoolWait::kLeader);
+  CHECK(Next(14'100).m_pools.at(1).m_waitsFor == PoolWait::kLeader);
+}
+
 // Jobs of four dependent steps have four times the work that can run
 // concurrently. Instances for all of it would be moved and paid for, but idle,
 // and no caller would be served sooner.
