--- a/include/bamboostile/jobs/book.h
+++ b/include/bamboostile/jobs/book.h
@@ -151,7 +151,7 @@
 public:
   JobTable() = default;
   JobTable(const JobTable& aOther);
-  JobTable& operator=(const JobTable&) = delete;
+  JobTable& operator=(const JobTable& aOther);
   JobTable(JobTable&&) = default;
   JobTable& operator=(JobTable&&) = default;
   ~JobTable() = default;
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -75,6 +75,12 @@
   ListOpenJobs();
 }
 
+JobTable&
+JobTable::operator=(const JobTable& aOther)
+{
+  return *this = JobTable(aOther);
+}
+
 BatchReply
 JobTable::Apply(const Batch& aBatch, const AttemptLimit& aLimit)
 {
