control: test of a job resubmitted while its proposal is open

A caller that gives up waiting sends its job again while the log still commits the first submission. A refusal then would be untrue. The test lets the disk hang in between; without the check in the library it fails: the resubmission is refused.

--- a/tests/unit/control/job_service_test.cpp
+++ b/tests/unit/control/job_service_test.cpp
@@ -84,6 +84,21 @@
       .wait(m_loop->m_io.waitScope);
   }
 
+  /** Refuses jobs that cannot end in time; three workers of four cores. */
+  void ServeWithAdmission()
+  {
+    placement::Mechanisms mechanisms;
+    mechanisms.SwitchOn(placement::Mechanism::kAdmission);
+    Serve(mechanisms);
+    std::vector<kj::Promise<WorkerAnswer>> reports;
+    for (const char* worker : { "w1", "w2", "w3" }) {
+      reports.push_back(Send(Report(worker, 0)));
+    }
+    for (auto& report : reports) {
+      CHECK(Await(kj::mv(report)).has_value());
+    }
+  }
+
   void AddStandby()
   {
     fleet::RouteTable table = Fleet{}.State().Routes();
@@ -585,19 +600,10 @@
 // again once there is room.
 TEST(JobService, JobThatCannotEndInTime_IsRefusedUntilThePoolHasCapacity)
 {
-  placement::Mechanisms mechanisms;
-  mechanisms.SwitchOn(placement::Mechanism::kAdmission);
-  Serve(mechanisms);
+  ServeWithAdmission();
   const auto submit = [&](const char* aJob) {
     return Call(jobs::CallKind::kSubmit, aJob, "");
   };
-  std::vector<kj::Promise<WorkerAnswer>> reports;
-  for (const char* worker : { "w1", "w2", "w3" }) {
-    reports.push_back(Send(Report(worker, 0)));
-  }
-  for (auto& report : reports) {
-    CHECK(Await(kj::mv(report)).has_value());
-  }
   CHECK(submit("fits").m_outcome == jobs::QueueOutcome::kOk);
   // 12 cores, and a limit of 13.8 s for a job of one second.
   Submit("large", Spec({ Step(200) }));
@@ -621,6 +627,40 @@
   CHECK(m_node->State().Jobs().Find(JobId{ "late" }) != nullptr);
 }
 
+// Guards against a refusal of a job that the log has accepted by the time the
+// caller hears of it.
+TEST(JobService, JobIsResubmittedWhileItsProposalIsOpen_IsNotRefused)
+{
+  ServeWithAdmission();
+  Submit("full", Spec({ Step(13) }));
+  RunEventLoopFor(300 * kj::MILLISECONDS);
+  const auto submit =
+    [&](const char* aJob, std::uint32_t aTasks, Millis aEstimate) {
+      jobs::StepSpec step = Step(aTasks);
+      step.m_estimate = aEstimate;
+      jobs::QueueCall call;
+      call.m_kind = jobs::CallKind::kSubmit;
+      call.m_host = "host";
+      call.m_path = std::string{ "/q/" } + aJob;
+      call.m_spec = Spec({ step });
+      return m_service->Call(std::move(call));
+    };
+  m_isSyncHanging = true;
+  auto first = submit("job", 1, Millis{ 100 });
+  // More than the 11.1 s in which the short jobs have to end.
+  auto large = submit("large", 135, Millis{ 1000 });
+  auto refused = submit("late", 1, Millis{ 100 });
+  CHECK(refused.poll(m_loop->m_io.waitScope));
+  CHECK(refused.wait(m_loop->m_io.waitScope).m_outcome ==
+        jobs::QueueOutcome::kRefused);
+  auto repeated = submit("job", 1, Millis{ 100 });
+  m_isSyncHanging = false;
+  CHECK(first.wait(m_loop->m_io.waitScope).m_outcome ==
+        jobs::QueueOutcome::kOk);
+  CHECK(repeated.wait(m_loop->m_io.waitScope).m_outcome ==
+        jobs::QueueOutcome::kOk);
+}
+
 // Guards against callers being told that no job is pending while dozens wait on
 // workers that crashed before the start reached them.
 TEST(JobService, StartIsNotShownByAReport_JobIsStillPending)
