placement: cheaper candidates, reservations and lookups of a pass

Each job's critical path was computed twice, candidates were sorted by keys read from their jobs and routes, each candidate looked up its pool by name, each reservation visited all workers and moved half of the index, and each worker looked up its instance. Both critical paths now come from one visit, made only if a step is ready; short keys are sorted; the pool is found by its route; the emptiest worker is the top of a heap, and reserved workers stay in the index; instances are looked up only if two workers share one; without losses no suspects are looked for.

--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -6,6 +6,7 @@
 #include "bamboostile/placement/workers.h"
 #include "bamboostile/placement/workspace_accounts.h"
 
+#include <algorithm>
 #include <functional>
 #include <unordered_map>
 
@@ -130,6 +131,20 @@
   struct Target;
   class Pool;
 
+  /** The longest chain of dependent steps of a job, and of those that are not
+   * done. */
+  struct CriticalPaths
+  {
+    Millis m_whole{};
+    Millis m_remaining{};
+
+    void ExtendTo(const CriticalPaths& aOther)
+    {
+      m_whole = std::max(m_whole, aOther.m_whole);
+      m_remaining = std::max(m_remaining, aOther.m_remaining);
+    }
+  };
+
   struct Candidate
   {
     const jobs::Job* m_job = nullptr;
@@ -314,8 +329,10 @@
                             TimePoint aNow,
                             Pools& aPools,
                             Plan& aPlan) const;
-  Millis CriticalPath(const jobs::Job& aJob,
-                      const jobs::Occurrence* aProgress) const;
+  CriticalPaths FindCriticalPaths(const jobs::Job& aJob,
+                                  const jobs::Occurrence* aProgress) const;
+  static std::vector<Candidate> SortCandidates(
+    const std::vector<Candidate>& aCandidates);
 
   Mechanisms m_mechanisms;
   Search m_search = Search::kIndexed;
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -106,24 +106,26 @@
   }
 }
 
-Millis
-Planner::CriticalPath(const jobs::Job& aJob,
-                      const jobs::Occurrence* aProgress) const
+Planner::CriticalPaths
+Planner::FindCriticalPaths(const jobs::Job& aJob,
+                           const jobs::Occurrence* aProgress) const
 {
-  std::vector<Millis> finishTimes;
-  Millis latestFinish{};
-  for (std::size_t stepIndex = 0; stepIndex < aJob.m_spec.m_steps.size();
-       ++stepIndex) {
-    const jobs::StepSpec& step = aJob.m_spec.m_steps[stepIndex];
-    Millis finishTime{};
+  const std::vector<jobs::StepSpec>& steps = aJob.m_spec.m_steps;
+  std::vector<CriticalPaths> finishTimes;
+  finishTimes.reserve(steps.size());
+  CriticalPaths latestFinish;
+  for (std::size_t stepIndex = 0; stepIndex < steps.size(); ++stepIndex) {
+    const jobs::StepSpec& step = steps[stepIndex];
+    CriticalPaths& finish = finishTimes.emplace_back();
     for (const std::uint32_t dependency : step.m_dependsOn) {
-      finishTime = std::max(finishTime, finishTimes[dependency]);
+      finish.ExtendTo(finishTimes[dependency]);
     }
+    const Millis estimate = m_durations.Estimate(step);
+    finish.m_whole += estimate;
     if (aProgress == nullptr || !aProgress->m_steps[stepIndex].IsDone()) {
-      finishTime += m_durations.Estimate(step);
+      finish.m_remaining += estimate;
     }
-    finishTimes.push_back(finishTime);
-    latestFinish = std::max(latestFinish, finishTime);
+    latestFinish.ExtendTo(finish);
   }
   return latestFinish;
 }
@@ -175,27 +177,36 @@
   const auto found = aJob.m_occurrences.find(aOccurrence);
   const jobs::Occurrence* progress =
     found == aJob.m_occurrences.end() ? nullptr : &found->second;
-  const auto criticalPath =
-    static_cast<double>(CriticalPath(aJob, nullptr).count());
+  const auto isReady = [&](std::size_t aStep) {
+    const jobs::StepSpec& step = aJob.m_spec.m_steps[aStep];
+    return progress == nullptr
+             ? step.m_dependsOn.empty()
+             : progress->m_steps[aStep].Waiting() > 0 &&
+                 jobs::JobTable::AreDependenciesDone(*progress, step);
+  };
+  std::uint32_t stepIndex = 0;
+  const auto stepCount = static_cast<std::uint32_t>(aJob.m_spec.m_steps.size());
+  while (stepIndex < stepCount && !isReady(stepIndex)) {
+    ++stepIndex;
+  }
+  if (stepIndex == stepCount) {
+    return;
+  }
+  const CriticalPaths paths = FindCriticalPaths(aJob, progress);
+  const auto criticalPath = static_cast<double>(paths.m_whole.count());
   const std::int64_t due =
     aReadyAt.Get() +
     static_cast<std::int64_t>(criticalPath * aRoute.m_stretch) +
     aRoute.m_objective.count();
-  const Millis remaining = CriticalPath(aJob, progress);
   const std::int64_t expectedEnd =
-    aWall.Get() + remaining.count() * (100 + kDurationMarginPercent) / 100 +
+    aWall.Get() +
+    paths.m_remaining.count() * (100 + kDurationMarginPercent) / 100 +
     kStepOverhead.count();
   const bool isLate =
     expectedEnd > due && m_mechanisms.Has(Mechanism::kLateLast);
-  for (std::uint32_t stepIndex = 0; stepIndex < aJob.m_spec.m_steps.size();
-       ++stepIndex) {
-    const jobs::StepSpec& step = aJob.m_spec.m_steps[stepIndex];
-    const bool isReady =
-      progress == nullptr
-        ? step.m_dependsOn.empty()
-        : progress->m_steps[stepIndex].Waiting() > 0 &&
-            jobs::JobTable::AreDependenciesDone(*progress, step);
-    if (isReady) {
+  for (; stepIndex < stepCount; ++stepIndex) {
+    if (isReady(stepIndex)) {
+      const jobs::StepSpec& step = aJob.m_spec.m_steps[stepIndex];
       aCandidates.push_back({ &aJob,
                               &aRoute,
                               aOccurrence,
@@ -237,22 +248,34 @@
       AddCandidates(job, queue, occurrence, scheduledAt, aWall, candidates);
     }
   }
-  std::sort(candidates.begin(),
-            candidates.end(),
-            [](const Candidate& aLeft, const Candidate& aRight) {
-              const auto key = [](const Candidate& aCandidate) {
-                return std::make_tuple(!aCandidate.m_isLongRunning,
-                                       aCandidate.m_job->m_isBeyondShare,
-                                       aCandidate.m_isLate,
-                                       aCandidate.m_route->m_priority,
-                                       aCandidate.m_due,
-                                       aCandidate.m_job->m_order,
-                                       aCandidate.m_occurrence,
-                                       aCandidate.m_step);
-              };
-              return key(aLeft) < key(aRight);
-            });
-  return candidates;
+  return SortCandidates(candidates);
+}
+
+// The candidates come in order of their jobs, occurrences and steps, so that
+// their positions decide between equals. Short keys of their own are several
+// times faster to sort than the candidates.
+std::vector<Planner::Candidate>
+Planner::SortCandidates(const std::vector<Candidate>& aCandidates)
+{
+  using Key =
+    std::tuple<bool, bool, bool, std::uint32_t, WallTime, std::size_t>;
+  std::vector<Key> keys;
+  keys.reserve(aCandidates.size());
+  for (const Candidate& candidate : aCandidates) {
+    keys.emplace_back(!candidate.m_isLongRunning,
+                      candidate.m_job->m_isBeyondShare,
+                      candidate.m_isLate,
+                      candidate.m_route->m_priority,
+                      candidate.m_due,
+                      keys.size());
+  }
+  std::sort(keys.begin(), keys.end());
+  std::vector<Candidate> sorted;
+  sorted.reserve(keys.size());
+  for (const Key& key : keys) {
+    sorted.push_back(aCandidates[std::get<std::size_t>(key)]);
+  }
+  return sorted;
 }
 
 std::uint32_t
@@ -634,9 +657,14 @@
     }
     return found->second;
   };
+  std::unordered_map<const fleet::QueueRoute*, Pool*> poolOfRoute;
   const auto placeAll = [&](auto aFrom, auto aTo) {
     for (auto it = aFrom; it != aTo; ++it) {
-      Place(*it, pools[it->m_route->m_service], plan);
+      Pool*& pool = poolOfRoute[it->m_route];
+      if (pool == nullptr) {
+        pool = &pools[it->m_route->m_service];
+      }
+      Place(*it, *pool, plan);
     }
     PlaceSuspects(OrderSuspects(aFrom, aTo, aState.Jobs()),
                   isQuietPeriod,
--- a/src/placement/target_pool.cpp
+++ b/src/placement/target_pool.cpp
@@ -79,22 +79,39 @@
   }
 }
 
+// Free CPU only decreases while no trial is under way, so a top entry that
+// still shows what its target has is the greatest of all.
 Planner::Target&
 Planner::Pool::FindEmptiest()
 {
-  if (!m_emptiest) {
-    const auto rank = [](const Target& aTarget) {
-      return std::make_pair(!aTarget.m_isReserved, aTarget.m_freeCpuMillis);
-    };
-    const auto emptiest =
-      std::max_element(m_targets.begin(),
-                       m_targets.end(),
-                       [&](const Target& aLeft, const Target& aRight) {
-                         return rank(aLeft) < rank(aRight);
-                       });
-    m_emptiest = PositionOf(*emptiest);
+  const auto isLess = [](const FreeCpuIndex::Entry& aLeft,
+                         const FreeCpuIndex::Entry& aRight) {
+    return aLeft.m_freeCpuMillis != aRight.m_freeCpuMillis
+             ? aLeft.m_freeCpuMillis < aRight.m_freeCpuMillis
+             : aLeft.m_position > aRight.m_position;
+  };
+  if (m_byEmptiest.empty()) {
+    for (std::size_t i = 0; i < m_targets.size(); ++i) {
+      if (!m_targets[i].m_isReserved) {
+        m_byEmptiest.push_back(EntryOf(i, m_targets[i].m_freeCpuMillis));
+      }
+    }
+    std::make_heap(m_byEmptiest.begin(), m_byEmptiest.end(), isLess);
+  }
+  for (;;) {
+    FreeCpuIndex::Entry& top = m_byEmptiest.front();
+    Target& target = m_targets[top.m_position];
+    if (!target.m_isReserved && target.m_freeCpuMillis == top.m_freeCpuMillis) {
+      return target;
+    }
+    std::pop_heap(m_byEmptiest.begin(), m_byEmptiest.end(), isLess);
+    if (target.m_isReserved) {
+      m_byEmptiest.pop_back();
+    } else {
+      m_byEmptiest.back().m_freeCpuMillis = target.m_freeCpuMillis;
+      std::push_heap(m_byEmptiest.begin(), m_byEmptiest.end(), isLess);
+    }
   }
-  return m_targets[*m_emptiest];
 }
 
 void
@@ -118,9 +135,6 @@
 void
 Planner::Pool::BeforeChange(const Target& aTarget)
 {
-  if (m_emptiest == PositionOf(aTarget)) {
-    m_emptiest.reset();
-  }
   if (m_isTrial) {
     m_saved.push_back({ PositionOf(aTarget), aTarget });
   }
@@ -210,7 +224,7 @@
   for (auto it = aIndex.FindFirst(aStep.ReservedCpu()); it != aIndex.End();
        ++it) {
     Target& target = m_targets[it->m_position];
-    if (target.Fits(aStep) &&
+    if (!target.m_isReserved && target.Fits(aStep) &&
         IsAllowed(aStep,
                   TasksOnWorker(target.m_worker->m_lastReport.m_worker,
                                 aTasksPerWorker),
--- a/src/placement/target_pool.h
+++ b/src/placement/target_pool.h
@@ -37,11 +37,9 @@
   bool m_isUnresponsive = false;
 
   bool Fits(const jobs::StepSpec& aStep) const;
-  /** Whether tasks that are not isolated may be started here at all. */
-  bool IsOpen() const
-  {
-    return !m_isReserved && !m_isolatedTask && !m_isUnresponsive;
-  }
+  /** Whether tasks that are not isolated may be started here, unless it is
+   * reserved. */
+  bool IsOpen() const { return !m_isolatedTask && !m_isUnresponsive; }
   void Allocate(const jobs::StepSpec& aStep);
   /** Takes what the tasks reserve that the state has on a worker without any
    * others. */
@@ -86,8 +84,8 @@
   void RecordFailure(const jobs::StepSpec& aStep);
 
   std::size_t CountReserved() const { return m_reserved; }
-  /** The target with the most free CPU that is not reserved, or if there is
-   * none, that is; the first among equals. The pool must not be empty. */
+  /** The target with the most free CPU that is not reserved, the first among
+   * equals. There must be one. */
   Target& FindEmptiest();
 
   /** From here, changes are kept until Commit() or undone by Rollback(). */
@@ -123,14 +121,17 @@
   std::vector<Target> m_targets;
   FailedRequests m_failed;
   std::size_t m_reserved = 0;
-  /** Position of the emptiest target, unset once that target has changed. The
-   * others only lose free capacity. */
-  std::optional<std::size_t> m_emptiest;
+  /** A heap of the targets that are not reserved, the emptiest on top, built at
+   * its first use. An entry may show more free CPU than its target has by now.
+   */
+  std::vector<FreeCpuIndex::Entry> m_byEmptiest;
   bool m_isTrial = false;
   /** The changed targets of a trial as they were, the latest last. */
   std::vector<SavedTarget> m_saved;
 
-  /** The indexes contain the open targets. They are built at their first use,
+  /** The indexes contain the open targets, with those that are reserved: they
+   * are few, and have the most free CPU, so that a search seldom comes to them.
+   * The indexes are built at their first use,
    * as many passes look for nothing in some pools. */
   bool m_isIndexed = false;
   FreeCpuIndex m_all;
--- a/src/placement/trials.cpp
+++ b/src/placement/trials.cpp
@@ -322,6 +322,9 @@
                        const jobs::JobTable& aBook)
 {
   std::vector<SuspectStep> steps;
+  if (aBook.TasksWithLosses().empty()) {
+    return steps;
+  }
   for (auto it = aFrom; it != aTo; ++it) {
     if (!aBook.HasLosses(it->m_job->m_id)) {
       continue;
--- a/src/placement/worker_lives.cpp
+++ b/src/placement/worker_lives.cpp
@@ -43,6 +43,10 @@
       m_candidates.contains(HostOf(aWorker.m_lastReport))) {
     return true;
   }
+  // Each worker has an instance of its own, and no lookup is needed.
+  if (m_incarnations.size() == m_workers.size()) {
+    return false;
+  }
   const auto& incarnations = IncarnationsOf(aWorker.m_lastReport.m_instance);
   return std::any_of(incarnations.begin(),
                      incarnations.end(),
