benchmark: full pools by index and by scan in one run, with bounds

The cost of a pass could grow again unnoticed. Passes now alternate between the index and the scan; with the index a pass may take 0.8 of one that scans, and at 3,000 workers 12 times as long as at 350.

--- a/benchmark/jobs.cpp
+++ b/benchmark/jobs.cpp
@@ -163,6 +163,14 @@
 /** One running task in this many ends before a pass with free capacity. */
 constexpr std::size_t kEndedTasksDivisor = 50;
 
+/** A pass must cost at most this part of one that compares all workers for each
+ * task. Both share the other stages, so that the part is larger in a small pool
+ * and for a machine under load. */
+constexpr double kMaxRatioToScan = 0.8;
+/** 3,000 workers are 8.6 times 350; the time of a pass may grow in proportion,
+ * with a margin for caches that are too small for the larger fleet. */
+constexpr double kMaxGrowth = 12;
+
 /** A pool without free capacity, and tasks of several sizes that
  * wait for it. */
 class FullFleet
@@ -194,9 +202,11 @@
     SubmitTasks(kWaitingTasks - std::min(kWaitingTasks, CountWaiting()));
   }
 
-  placement::Plan ComputePlan()
+  placement::Plan ComputePlan(
+    placement::Search aSearch = placement::Search::kIndexed)
   {
-    return m_planner.ComputePlan(m_state, m_table, {}, kNow, WallTime{ 2000 });
+    return placement::Planner{ {}, aSearch }.ComputePlan(
+      m_state, m_table, {}, kNow, WallTime{ 2000 });
   }
 
   /** Ends some of the running tasks, spread over the fleet. */
@@ -278,43 +288,73 @@
   Index m_index;
   fleet::State m_state;
   placement::WorkerTable m_table{ placement::LeaseOptions{}, TimePoint{} };
-  placement::Planner m_planner;
   std::size_t m_jobs = 0;
   std::size_t m_submitted = 0;
   std::vector<jobs::StartRun> m_started;
 };
 
-double
-TimePass(FullFleet& aFleet)
+/** Median times of passes that plan in both ways, alternating, so that both see
+ * the same load of the machine. */
+struct PassTimes
 {
-  std::vector<double> micros;
-  for (int i = 0; i < kPlanningPasses; ++i) {
+  explicit PassTimes(FullFleet& aFleet)
+  {
+    std::vector<double> indexed;
+    std::vector<double> scan;
+    for (int i = 0; i < kPlanningPasses; ++i) {
+      indexed.push_back(Time(aFleet, placement::Search::kIndexed));
+      scan.push_back(Time(aFleet, placement::Search::kScan));
+    }
+    m_indexedMicros = benchmark::Quantile(indexed, 0.5);
+    m_scanMicros = benchmark::Quantile(scan, 0.5);
+  }
+
+  static double Time(FullFleet& aFleet, placement::Search aSearch)
+  {
     const auto start = std::chrono::steady_clock::now();
-    aFleet.ComputePlan();
-    micros.push_back(MicrosSince(start, 1));
+    aFleet.ComputePlan(aSearch);
+    return MicrosSince(start, 1);
   }
-  return benchmark::Quantile(micros, 0.5);
+
+  double m_indexedMicros = 0;
+  double m_scanMicros = 0;
+};
+
+void
+AddFigures(const std::string& aPass,
+           const std::string& aWorkers,
+           const PassTimes& aTimes,
+           benchmark::Report& aReport)
+{
+  aReport.Set(aPass + ", us at " + aWorkers, aTimes.m_indexedMicros);
+  aReport.Set(aPass + " by scan, us at " + aWorkers, aTimes.m_scanMicros);
+  aReport.AddBound(aPass + " beside a scan at " + aWorkers,
+                   aTimes.m_indexedMicros / aTimes.m_scanMicros,
+                   0,
+                   kMaxRatioToScan);
+  std::cout << aPass << ", us at " << aWorkers << ": " << aTimes.m_indexedMicros
+            << ", by scan " << aTimes.m_scanMicros << "\n";
 }
 
-/** Passes of fleets of three sizes with the same number of waiting tasks. */
+/** Passes of pools of three sizes with the same number of waiting tasks. */
 void
 MeasureFullFleets(benchmark::Report& aReport)
 {
   for (const std::size_t workers : { 350UL, 875UL, 3000UL }) {
     FullFleet fleet(workers);
     const std::string count = std::to_string(workers);
-    const auto waiting = static_cast<double>(fleet.CountWaiting());
-    const auto running = static_cast<double>(fleet.CountRunning());
-    const double full = TimePass(fleet);
+    std::cout << "pool of " << count << ": " << fleet.CountRunning()
+              << " tasks running, " << fleet.CountWaiting() << " waiting\n";
+    AddFigures("pass of a full pool", count, PassTimes(fleet), aReport);
     fleet.EndSome();
-    const double freed = TimePass(fleet);
-    aReport.Set("pass of a full fleet, us at " + count, full);
-    aReport.Set("pass with some capacity free, us at " + count, freed);
-    std::cout << "fleet of " << count << ", " << running << " running, "
-              << waiting << " waiting: pass when full " << full
-              << " us, with some capacity free " << freed << " us for "
-              << fleet.ComputePlan().m_changes.size() << " starts\n";
+    AddFigures(
+      "pass with some capacity free", count, PassTimes(fleet), aReport);
   }
+  aReport.AddBound("pass of a full pool at 3000 beside 350",
+                   aReport.Get("pass of a full pool, us at 3000") /
+                     aReport.Get("pass of a full pool, us at 350"),
+                   0,
+                   kMaxGrowth);
 }
 
 } // namespace
