--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -7,6 +7,7 @@
 #include "bamboostile/placement/workers.h"
 #include "bamboostile/placement/workspace_accounts.h"
 
+#include <algorithm>
 #include <functional>
 #include <unordered_map>
 
@@ -134,6 +135,20 @@
   struct Target;
   class Pool;
 
+  /** The longest chain of dependent steps of a job, and of those that are not
+   * done. */
+  struct CriticalPaths
+  {
+    Millis m_whole{};
+    Millis m_remaining{};
+
+    void ExtendTo(const CriticalPaths& aOther)
+    {
+      m_whole = std::max(m_whole, aOther.m_whole);
+      m_remaining = std::max(m_remaining, aOther.m_remaining);
+    }
+  };
+
   struct Candidate
   {
     const jobs::Job* m_job = nullptr;
@@ -320,8 +335,10 @@
                             TimePoint aNow,
                             Pools& aPools,
                             Plan& aPlan) const;
-  Millis CriticalPath(const jobs::Job& aJob,
-                      const jobs::Occurrence* aProgress) const;
+  CriticalPaths FindCriticalPaths(const jobs::Job& aJob,
+                                  const jobs::Occurrence* aProgress) const;
+  static std::vector<Candidate> SortCandidates(
+    const std::vector<Candidate>& aCandidates);
   /** Sums what the pass leaves waiting, and the capacity of each pool. */
   void SumLoads(const std::vector<Candidate>& aCandidates,
                 const Pools& aPools,
