--- a/include/bamboostile.h
+++ b/include/bamboostile.h
@@ -5,7 +5,7 @@
  * @brief Everything a program may build on. Each folder beside this file is
  * one library; its headers say what it is for.
  *
- * The decision libraries (consensus, outcome, fleet, jobs, membership,
+ * The decision libraries (consensus, outcome, fleet, inflow, jobs, membership,
  * placement, routing, admission, request, waves, workspaces) take the time and
  * an event and return typed actions; they read no clock and do no input or
  * output.
@@ -16,6 +16,7 @@
 #include "bamboostile/consensus/membership_policy.h"
 #include "bamboostile/consensus/replica.h"
 #include "bamboostile/fleet/state.h"
+#include "bamboostile/inflow/meter.h"
 #include "bamboostile/jobs/book.h"
 #include "bamboostile/jobs/crash_loop.h"
 #include "bamboostile/membership/registry.h"
