placement: the limit on unanswered moves is constant again

Admission refused 72 jobs in the second after an election, as pools looked small until their workers had reported; a new leader now has no estimates until all that respond have.

--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -6,7 +6,6 @@
 #include "bamboostile/placement/maintenance.h"
 #include "bamboostile/placement/open_job_index.h"
 #include "bamboostile/placement/order_record.h"
-#include "bamboostile/placement/order_window.h"
 #include "bamboostile/placement/workers.h"
 
 #include <algorithm>
@@ -292,7 +291,7 @@
   double m_orderTokens = 0;
   bool m_isAllowed = true;
   std::uint64_t m_lastNumber = 0;
-  OrderWindow m_unanswered;
+  std::set<std::uint64_t> m_unanswered;
   TimePoint m_refilledAt;
 };
 
--- a/include/bamboostile/placement/maintenance.h
+++ b/include/bamboostile/placement/maintenance.h
@@ -44,8 +44,8 @@
   AdvanceCause m_cause = AdvanceCause::kScheduled;
 };
 
-/** Limit on unanswered maintenance orders, and the least limit on unanswered
- * moves. Each order costs the leader time, and a delayed one acts on a state
+/** Limit on unanswered orders; moves and maintenance orders each have their
+ * own. Each order costs the leader time, and a delayed one acts on a state
  * that has changed since. A healthy platform never reaches the limit. */
 inline constexpr std::size_t kMaxUnansweredOrders = 32;
 
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -319,7 +319,11 @@
 void
 JobService::UpdateIntake(placement::PoolLoads aLoads, TimePoint aNow)
 {
-  if (!RefusesLate()) {
+  // Workers report to a new leader one by one: until all have, a pool looks
+  // smaller than it is, and jobs would be refused beside free capacity.
+  const TimePoint allHaveReportedAt =
+    m_workers->LeaderSince() + m_options.m_lease.m_unresponsiveAfter;
+  if (!RefusesLate() || aNow < allHaveReportedAt) {
     return;
   }
   intake::PassResult pass{ std::move(aLoads), m_fullServices, {} };
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -46,7 +46,6 @@
 
 CapacityPlanner::CapacityPlanner(CapacityOptions aOptions)
   : m_options(aOptions)
-  , m_unanswered(aOptions.m_ordersPerSecond * kRateShare)
 {
 }
 
@@ -379,7 +378,7 @@
     move.m_targetIncarnation = aWorker->m_lastReport.m_worker;
   }
   m_orderTokens -= 1;
-  m_unanswered.OnOrdered(move.m_number, aNow);
+  m_unanswered.insert(move.m_number);
   aPlan.m_orders.push_back({ aInstance, aTo, move.m_number });
 }
 
@@ -430,7 +429,8 @@
 bool
 CapacityPlanner::HasOrderBudget() const
 {
-  return m_isAllowed && m_orderTokens >= 1 && !m_unanswered.IsFull();
+  return m_isAllowed && m_orderTokens >= 1 &&
+         m_unanswered.size() < kMaxUnansweredOrders;
 }
 
 PoolWait
@@ -439,7 +439,7 @@
   if (!m_isAllowed) {
     return PoolWait::kLeader;
   }
-  if (m_unanswered.IsFull()) {
+  if (m_unanswered.size() >= kMaxUnansweredOrders) {
     return PoolWait::kUnansweredOrders;
   }
   return m_orderTokens < 1 ? PoolWait::kOrderRate : PoolWait::kIdleInstances;
@@ -621,8 +621,8 @@
       plan.m_cordoned.insert(worker->m_lastReport.m_worker);
     }
   }
-  plan.m_unanswered = m_unanswered.Unanswered();
-  plan.m_unansweredLimit = m_unanswered.Limit();
+  plan.m_unanswered = m_unanswered.size();
+  plan.m_unansweredLimit = kMaxUnansweredOrders;
   plan.m_standby = static_cast<std::size_t>(
     std::count_if(m_standby.begin(), m_standby.end(), [&](const auto& aEntry) {
       return !m_moves.contains(aEntry.first);
@@ -652,7 +652,7 @@
                           InstanceAnswer aAnswer,
                           TimePoint aNow)
 {
-  m_unanswered.OnAnswered(aOrder.m_number, aAnswer, aNow);
+  m_unanswered.erase(aOrder.m_number);
   const auto move = m_moves.find(aOrder.m_instance);
   // The instance has arrived already, and may have a newer order.
   if (move == m_moves.end() || move->second.m_number != aOrder.m_number) {
--- a/tests/unit/control/job_service_test.cpp
+++ b/tests/unit/control/job_service_test.cpp
@@ -92,6 +92,8 @@
     placement::Mechanisms mechanisms;
     mechanisms.SwitchOn(placement::Mechanism::kAdmission);
     StartService({}, mechanisms);
+    // Until then, a new leader has no estimates.
+    RunEventLoopFor(1600 * kj::MILLISECONDS);
     std::vector<kj::Promise<WorkerAnswer>> reports;
     for (const char* worker : { "w1", "w2", "w3" }) {
       reports.push_back(Send(Report(worker, 0)));
