--- a/tests/unit/jobs/book_test.cpp
+++ b/tests/unit/jobs/book_test.cpp
@@ -261,11 +261,11 @@
   m_fleet.Start(Ref("a", 0), "w");
   m_fleet.Start(Ref("a", 1), "w");
   m_fleet.Start(Ref("a", 0, 1), "w");
-  LONGS_EQUAL(2500, m_fleet.Book().FindUse(Life("w"))->m_cpu);
+  LONGS_EQUAL(2500, m_fleet.Book().FindUse(Life("w"))->m_cpuMillis);
   LONGS_EQUAL(1, m_fleet.Book().FindUse(Life("w"))->m_longRunning);
   m_fleet.End(Ref("a", 0, 1), RunEnd::kStopped);
   m_fleet.Restore();
-  LONGS_EQUAL(2000, m_fleet.Book().FindUse(Life("w"))->m_cpu);
+  LONGS_EQUAL(2000, m_fleet.Book().FindUse(Life("w"))->m_cpuMillis);
   LONGS_EQUAL(0, m_fleet.Book().FindUse(Life("w"))->m_longRunning);
   m_fleet.End(Ref("a", 0), RunEnd::kDone);
   m_fleet.End(Ref("a", 1), RunEnd::kDone);
