--- a/include/bamboostile/placement/mechanisms.h
+++ b/include/bamboostile/placement/mechanisms.h
@@ -39,8 +39,6 @@
   kAdmission,
   /** Sizes pools for the work that is expected to arrive. */
   kInflowForecast,
-  /** Lets a task wait for a worker in the rack of its data. */
-  kDataLocality,
 };
 
 /** The name in the settings. */
@@ -64,9 +62,8 @@
     return 1U << static_cast<std::uint32_t>(aMechanism);
   }
 
-  std::uint32_t m_disabled = Bit(Mechanism::kAdmission) |
-                             Bit(Mechanism::kInflowForecast) |
-                             Bit(Mechanism::kDataLocality);
+  std::uint32_t m_disabled =
+    Bit(Mechanism::kAdmission) | Bit(Mechanism::kInflowForecast);
 };
 
 } // namespace bamboostile::placement
--- a/include/bamboostile/settings/settings.h
+++ b/include/bamboostile/settings/settings.h
@@ -64,9 +64,6 @@
   Millis m_handoverDelay{ 3000 };
   /** Time the platform needs to move an instance to another pool. */
   Millis m_moveDuration{ 1500 };
-  /** Duration of a task outside the rack of its data, as a multiple of its
-   * duration there. */
-  double m_remoteSlowdown = 1;
   /** Time for which maintenance by the platform keeps an instance down. */
   Millis m_expectedDowntime{ 2000 };
 };
--- a/src/placement/mechanisms.cpp
+++ b/src/placement/mechanisms.cpp
@@ -29,7 +29,6 @@
   NamedMechanism{ Mechanism::kHeldReports, "heldReports" },
   NamedMechanism{ Mechanism::kAdmission, "admission" },
   NamedMechanism{ Mechanism::kInflowForecast, "inflowForecast" },
-  NamedMechanism{ Mechanism::kDataLocality, "dataLocality" },
 };
 
 } // namespace
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -211,7 +211,6 @@
   ReadIfPresent(from, "ordersPerSecond", to.m_ordersPerSecond);
   ReadSeconds(from, "maintenanceSeconds", to.m_expectedDowntime);
   ReadSeconds(from, "moveSeconds", to.m_moveDuration);
-  ReadIfPresent(from, "remoteSlowdown", to.m_remoteSlowdown);
   to.m_handoverDelay =
     Millis{ from.value("leaderGapMs", to.m_handoverDelay.count()) };
   if (from.contains("rpcPort")) {
--- a/tests/differential/consensus_history_test.cpp
+++ b/tests/differential/consensus_history_test.cpp
@@ -150,9 +150,9 @@
   PlaySeeds(consensus::ReplicaOptions{}.m_maxBatchBytes);
 }
 
-// Guards against an entry that differs, or is never whole, on a replica to which
-// fragments of it were lost, sent twice or reordered. Each command is sent in
-// fragments of one byte.
+// Guards against an entry that differs, or is never whole, on a replica to
+// which fragments of it were lost, sent twice or reordered. Each command is
+// sent in fragments of one byte.
 TEST(ConsensusHistory, RandomFaults_EntriesInFragments_EqualsOneCopyMachine)
 {
   PlaySeeds(1);
