control: no refusal of a job whose earlier submission may be accepted

A job submitted again while its first proposal was open could get 429, because its workspace was beyond its share, because the group's disks took no writes, or because the second proposal was not made, although the log accepted the first. A 429 says that no part of the job ever runs. The leader now keeps the jobs whose proposals are open or undecided in its term, and answers these as undecided or proposes them again. The test failed without the check of the share (refused in place of accepted).

--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -244,6 +244,9 @@
   std::map<QueueId, std::uint64_t> m_pendingJobs;
   TimePoint m_nextPendingCount;
   workspaces::ShareLimiter m_shares;
+  /** Jobs that this leader has proposed and that are not decided, with the
+   * number of their proposals; undecided ones stay until the next term. */
+  std::unordered_map<JobId, std::uint32_t> m_openProposals;
   intake::Intake m_intake;
   /** Services with tasks that had no room in the last placement pass. */
   std::set<ServiceId> m_fullServices;
--- a/src/control/job_calls.cpp
+++ b/src/control/job_calls.cpp
@@ -230,6 +230,11 @@
   }
   using intake::ProposalOutcome;
   const bool isNotProposed = aResult.m_error == consensus::Error::kNotReady;
+  const auto open = m_openProposals.find(aJob);
+  const bool isDecided = ReplyOf(aResult) != nullptr || isNotProposed;
+  if (open != m_openProposals.end() && isDecided && --open->second == 0) {
+    m_openProposals.erase(open);
+  }
   m_intake.OnDecided(aJob,
                      ReplyOf(aResult) != nullptr ? ProposalOutcome::kAccepted
                      : isNotProposed             ? ProposalOutcome::kNotProposed
@@ -250,17 +255,22 @@
   if (m_node.State().Jobs().Find(aJob) != nullptr) {
     return ReplyToRepeatedSubmit(aJob, aWorkspace);
   }
+  // A refusal says that no part of the job ever runs.
+  const bool mayBeAccepted = m_openProposals.contains(aJob);
   if (m_node.IsStalled()) {
-    jobs::QueueReply refused = ReplyWith(jobs::QueueOutcome::kRefused);
-    refused.m_retryAfter = kRetryAfter;
-    return refused;
+    jobs::QueueReply stalled =
+      ReplyWith(mayBeAccepted ? jobs::QueueOutcome::kUndecided
+                              : jobs::QueueOutcome::kRefused);
+    stalled.m_retryAfter = kRetryAfter;
+    return stalled;
   }
   const auto weight = m_node.State().Workspaces().WeightOf(aWorkspace);
   workspaces::ShareUse share;
   if (weight) {
     share = m_shares.Assess(aWorkspace, *weight, MonotonicNow());
     // Work beyond the share may use capacity that is free.
-    if (share.m_retryAfter && m_fullServices.contains(aRoute.m_service)) {
+    if (share.m_retryAfter && !mayBeAccepted &&
+        m_fullServices.contains(aRoute.m_service)) {
       return RefuseBeyondShare(aWorkspace, *share.m_retryAfter);
     }
   }
@@ -271,6 +281,7 @@
   if (weight) {
     m_shares.Charge(aWorkspace, *weight, MonotonicNow());
   }
+  ++m_openProposals[aJob];
   jobs::Batch batch;
   batch.m_changes.emplace_back(jobs::Submit{ aJob,
                                              aRoute.Queue(),
@@ -286,7 +297,8 @@
       if (reply == nullptr) {
         // The job was never proposed, so no part of it can ever run.
         const bool isNotProposed =
-          aResult.m_error == consensus::Error::kNotReady;
+          aResult.m_error == consensus::Error::kNotReady &&
+          !m_openProposals.contains(aJob);
         jobs::QueueReply answer =
           ReplyWith(isNotProposed ? jobs::QueueOutcome::kRefused
                                   : jobs::QueueOutcome::kUndecided);
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -89,6 +89,7 @@
     m_pendingJobs.clear();
     m_nextPendingCount = TimePoint{};
     RebuildShares();
+    m_openProposals.clear();
     m_intake = intake::Intake{};
     m_fullServices.clear();
     m_needsPlan = true;
--- a/tests/unit/control/job_service_test.cpp
+++ b/tests/unit/control/job_service_test.cpp
@@ -688,6 +688,38 @@
         jobs::QueueOutcome::kOk);
 }
 
+// Guards against a workspace beyond its share that is told that a job never
+// runs while the log accepts it.
+TEST(JobService, JobBeyondTheShareIsResubmittedWhileOpen_IsNotRefused)
+{
+  // One job within the share and one in debt; the next one after 5 s.
+  constexpr double kJobsPerSecond = 0.2;
+  SetWorkspaces({ { "a", "key" } }, false, kJobsPerSecond);
+  Await(Send(Report("w1", 0)));
+  const auto submit = [&](const std::string& aJob, std::uint32_t aTasks) {
+    jobs::QueueCall call;
+    call.m_kind = jobs::CallKind::kSubmit;
+    call.m_host = "host";
+    call.m_path = "/q/" + aJob;
+    call.m_key = workspaces::DigestKey("key");
+    call.m_spec = Spec({ Step(aTasks) });
+    return m_service->Call(std::move(call));
+  };
+  submit("fills the pool", 50).wait(m_loop->m_io.waitScope);
+  RunEventLoopFor(300 * kj::MILLISECONDS);
+  m_isSyncHanging = true;
+  auto first = submit("job", 1);
+  auto other = submit("other", 1);
+  auto repeated = submit("job", 1);
+  m_isSyncHanging = false;
+  CHECK(first.wait(m_loop->m_io.waitScope).m_outcome ==
+        jobs::QueueOutcome::kOk);
+  CHECK(other.wait(m_loop->m_io.waitScope).m_outcome ==
+        jobs::QueueOutcome::kRefused);
+  CHECK(repeated.wait(m_loop->m_io.waitScope).m_outcome !=
+        jobs::QueueOutcome::kRefused);
+}
+
 // Guards against callers being told that no job is pending while dozens wait on
 // workers that crashed before the start reached them.
 TEST(JobService, StartIsNotShownByAReport_JobIsStillPending)
