--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -1,13 +1,19 @@
 #pragma once
 
 #include "bamboostile/fleet/state.h"
+#include "bamboostile/inflow/meter.h"
 #include "bamboostile/placement/durations.h"
 #include "bamboostile/placement/maintenance.h"
+#include "bamboostile/placement/open_job_index.h"
 #include "bamboostile/placement/order_record.h"
 #include "bamboostile/placement/workers.h"
 
+#include <algorithm>
+
 namespace bamboostile::placement {
 
+struct Demand;
+
 struct MoveOrder
 {
   InstanceId m_instance;
@@ -16,6 +22,21 @@
   std::uint64_t m_number = 0;
 };
 
+/** What keeps a pool short of instances at the end of a tick. */
+enum class PoolWait
+{
+  /** The pool is not short. */
+  kNothing,
+  /** No orders are sent: the leader is new or sheds load. */
+  kLeader,
+  kOrderRate,
+  kUnansweredOrders,
+  /** Standby is empty and no other pool has an idle instance to spare. */
+  kIdleInstances,
+};
+
+const char* Describe(PoolWait aWait) noexcept;
+
 /** Actual and desired capacity of a pool, shown to operators. */
 struct PoolCapacity
 {
@@ -29,11 +50,27 @@
   /** Cores of the workers that report, and those that runs occupy. */
   std::int64_t m_cores = 0;
   std::int64_t m_usedCores = 0;
+  /** CPU of the instances being moved into the pool, in thousandths of a core,
+   * and the mean time until they report. */
+  std::int64_t m_arrivingCpu = 0;
+  Duration m_arrivesAfter{};
+  /** Part of m_workCoreSeconds that belongs to late jobs; abandoned jobs count
+   * in neither. */
+  std::int64_t m_lateCoreSeconds = 0;
+  /** Part of m_actual that is being moved into the pool. */
+  std::size_t m_arriving = 0;
+  /** In thousandths of a core. */
+  inflow::Forecast m_inflow;
+  PoolWait m_waitsFor = PoolWait::kNothing;
 };
 
 struct CapacityPlan
 {
   std::vector<PoolCapacity> m_pools;
+  /** Instances in standby that are not being moved, as far as is known. */
+  std::size_t m_standby = 0;
+  std::size_t m_unanswered = 0;
+  std::size_t m_unansweredLimit = 0;
   /** Workers that get no new work: they are about to leave their pool, or are
    * being drained for another one. */
   std::set<WorkerIncarnation> m_cordoned;
@@ -83,10 +120,7 @@
 class CapacityPlanner
 {
 public:
-  explicit CapacityPlanner(CapacityOptions aOptions = {})
-    : m_options(aOptions)
-  {
-  }
+  explicit CapacityPlanner(CapacityOptions aOptions = {});
 
   /** aReserved: workers whose instances maintenance is about to take down. */
   CapacityPlan Next(const fleet::State& aState,
@@ -134,13 +168,29 @@
     /** Cores of one worker, in thousandths. */
     std::size_t m_cores = 0;
     std::int64_t m_work = 0;
+    std::int64_t m_lateWork = 0;
+    std::size_t m_arriving = 0;
+    /** CPU that reporting and arriving workers can spend until an instance that
+     * is ordered now arrives. */
+    inflow::Supply m_supply;
+    inflow::Forecast m_inflow;
     std::int64_t m_cpu = 0;
     std::int64_t m_usedCpu = 0;
+    /** Sum of the times until they report. */
+    Duration m_arrivalTimes{};
     /** Workers whose runs all end by themselves. */
     std::vector<Drainable> m_drainable;
 
     bool IsShort() const { return m_actual < m_desired; }
     bool HasSurplus() const { return m_actual > m_desired; }
+    std::int64_t ArrivingCpu() const
+    {
+      return static_cast<std::int64_t>(m_arriving * m_cores);
+    }
+    Duration MeanArrival() const
+    {
+      return m_arrivalTimes / std::max<std::int64_t>(1, m_arriving);
+    }
     /** Mean cores of the workers that report, in thousandths; one whose
      * reported capacity has shrunk counts little. */
     std::optional<std::size_t> MeanCores() const
@@ -152,17 +202,26 @@
   };
 
   using Pools = std::map<ServiceId, Pool>;
+  using Demands = std::map<ServiceId, Demand>;
 
   Pools ComputePools(const fleet::State& aState,
                      const WorkerTable& aWorkers,
                      const std::set<WorkerIncarnation>& aReserved,
                      const DurationEstimator& aDurations,
                      TimePoint aNow,
-                     WallTime aWall) const;
+                     WallTime aWall);
+  Demands ComputeDemands(const fleet::State& aState,
+                         const DurationEstimator& aDurations,
+                         WallTime aWall);
   void AddDemand(const fleet::State& aState,
                  const DurationEstimator& aDurations,
+                 TimePoint aNow,
                  WallTime aWall,
-                 Pools& aPools) const;
+                 Pools& aPools);
+  void AddForecast(const Demands& aDemands, TimePoint aNow, Pools& aPools);
+  /** CPU for work that is expected to arrive, in thousandths of a core. */
+  std::int64_t CpuAhead(const Demand& aDemand, const Pool& aPool) const;
+  PoolWait WhyShort() const;
   void RefillOrderTokens(TimePoint aNow);
   bool HasOrderBudget() const;
   void TrackIdleWorkers(const fleet::State& aState,
@@ -214,6 +273,11 @@
              CapacityPlan& aPlan);
 
   CapacityOptions m_options;
+  OpenJobIndex m_openJobs;
+  /** Rank of the last job that has been counted as arrived; unset before the
+   * first tick, when it is unknown how long ago the open jobs arrived. */
+  std::optional<std::uint64_t> m_lastArrived;
+  std::map<ServiceId, inflow::Meter> m_meters;
   TimePoint m_leaderSince;
   /** Instances in standby, and when this leader first saw each listed as up. */
   std::map<InstanceId, TimePoint> m_standby;
--- a/include/bamboostile/placement/maintenance.h
+++ b/include/bamboostile/placement/maintenance.h
@@ -45,8 +45,8 @@
 };
 
 /** Limit on unanswered orders; moves and maintenance orders each have their
- * own. Each order costs the leader time, and a delayed one acts on a state that
- * has changed since. A healthy platform never reaches the limit. */
+ * own. Each order costs the leader time, and a delayed one acts on a state
+ * that has changed since. A healthy platform never reaches the limit. */
 inline constexpr std::size_t kMaxUnansweredOrders = 32;
 
 struct MaintenancePlan
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -3,10 +3,12 @@
 #include "batch_reply.h"
 #include "worker_log.h"
 
+#include "bamboostile/placement/workspace_accounts.h"
 #include "bamboostile/telemetry/log.h"
 #include "bamboostile/units/visit.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace bamboostile::control {
 
@@ -86,13 +88,27 @@
     m_waiting = WaitingMonitor{};
     m_pendingJobs.clear();
     m_nextPendingCount = TimePoint{};
-    m_shares = workspaces::ShareLimiter{};
+    RebuildShares();
+    m_openProposals.clear();
+    m_intake = intake::Intake{};
     m_fullServices.clear();
     m_needsPlan = true;
   }
   return true;
 }
 
+void
+JobService::RebuildShares()
+{
+  const TimePoint now = MonotonicNow();
+  m_shares = placement::RebuildShares(m_node.State(), WallNow(), now);
+  LogLine(Level::kInfo, "shares of workspaces rebuilt")
+    .With("jobs", m_node.State().Jobs().Jobs().size())
+    .With("version", m_node.State().Routes().m_version)
+    .With("tookUs", (MonotonicNow() - now).count())
+    .Write();
+}
+
 WorkerAnswer
 JobService::NotLeaderAnswer() const
 {
@@ -282,6 +298,7 @@
     m_node.State(), *m_workers, m_instances->Cordoned(), aNow, WallNow());
   m_workers->SetAccounts(std::move(plan.m_accounts));
   m_fullServices = std::move(plan.m_fullServices);
+  UpdateIntake(std::move(plan.m_loads), aNow);
   m_waiting.OnPlanned(plan.m_waiting, aNow);
   m_workspaces.OnPlanned(plan.m_atCap, m_node.State().Routes().m_version, aNow);
   for (const placement::StopOrder& stop : plan.m_stops) {
@@ -300,6 +317,39 @@
   m_pacer.OnPassEnded(aNow, ended, m_sheddingLevel);
 }
 
+void
+JobService::UpdateIntake(placement::PoolLoads aLoads, TimePoint aNow)
+{
+  // Workers report to a new leader one by one: until all have, a pool looks
+  // smaller than it is, and jobs would be refused beside free capacity.
+  const TimePoint allHaveReportedAt =
+    m_workers->LeaderSince() + m_options.m_lease.m_unresponsiveAfter;
+  if (!RefusesLate() || aNow < allHaveReportedAt) {
+    return;
+  }
+  intake::PassResult pass{ std::move(aLoads), m_fullServices, {} };
+  for (const placement::PoolCapacity& pool : m_instances->Pools()) {
+    if (pool.m_arrivingCpu > 0) {
+      pass.m_arriving[pool.m_service] = { pool.m_arrivingCpu,
+                                          aNow + pool.m_arrivesAfter };
+    }
+  }
+  m_intake.OnPlanned(std::move(pass), aNow);
+}
+
+void
+JobService::RecordInIntake(const jobs::Job& aJob, TimePoint aNow)
+{
+  if (aJob.m_state != jobs::JobState::kCompleted) {
+    m_intake.OnAbandoned(aJob.m_id);
+    return;
+  }
+  if (const auto error = m_intake.OnCompleted(aJob.m_id, aNow)) {
+    m_metrics.Observe("admission_estimate_error_seconds",
+                      std::abs(std::chrono::duration<double>(*error).count()));
+  }
+}
+
 // Called only between batches, as a batch in progress may contain the same
 // ends. Under load, batches follow each other for seconds, so every cycle calls
 // this; otherwise the long-running tasks of a crashed worker would stay down
@@ -415,6 +465,7 @@
         .With("reason", job->m_reason)
         .With("afterMs", tookMs)
         .Write();
+      RecordInIntake(*job, aNow);
       RecordIfCrashLoop(*job, *end);
     }
   }
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -24,59 +24,142 @@
 constexpr std::size_t kMinIsolatedRunWorkers = 4;
 constexpr std::size_t kWorkersPerIsolatedRun = 2;
 
-/** Resources of a worker that its runs occupy. */
-struct RunUsage
+} // namespace
+
+const char*
+Describe(PoolWait aWait) noexcept
 {
-  /** CPU in thousandths of a core. */
-  std::int64_t m_cpu = 0;
-  bool m_isDrainable = true;
-};
+  switch (aWait) {
+    case PoolWait::kNothing:
+      return "nothing";
+    case PoolWait::kLeader:
+      return "leader sends no orders";
+    case PoolWait::kOrderRate:
+      return "rate of orders";
+    case PoolWait::kUnansweredOrders:
+      return "answers to orders";
+    case PoolWait::kIdleInstances:
+      return "idle instances";
+  }
+  return "unknown";
+}
 
-RunUsage
-ComputeRunUsage(const jobs::JobTable& aBook, const WorkerIncarnation& aWorker)
+CapacityPlanner::CapacityPlanner(CapacityOptions aOptions)
+  : m_options(aOptions)
 {
-  RunUsage usage;
-  const auto placed = aBook.TasksByWorker().find(aWorker);
-  if (placed == aBook.TasksByWorker().end()) {
-    return usage;
-  }
-  for (const jobs::TaskRef& task : placed->second) {
-    const jobs::StepSpec& step =
-      aBook.Find(task.m_job)->m_spec.m_steps[task.m_step];
-    usage.m_cpu += step.ReservedCpu();
-    usage.m_isDrainable = usage.m_isDrainable && !step.m_longRunning;
-  }
-  return usage;
 }
 
-} // namespace
+// The demands by service. What depends on a name is looked up once a tick for
+// each name, not for each job.
+CapacityPlanner::Demands
+CapacityPlanner::ComputeDemands(const fleet::State& aState,
+                                const DurationEstimator& aDurations,
+                                WallTime aWall)
+{
+  const std::vector<fleet::QueueRoute>& routes = aState.Routes().m_routes;
+  const jobs::JobTable& book = aState.Jobs();
+  const auto& entries = m_openJobs.Update(book.OpenJobsInOrder());
+  Demands demands;
+  std::vector<Demand*> byRoute;
+  byRoute.reserve(routes.size());
+  for (const fleet::QueueRoute& route : routes) {
+    byRoute.push_back(&demands[route.m_service]);
+  }
+  std::vector<std::optional<std::size_t>> routeOf;
+  for (const QueueId& queue : m_openJobs.Queues()) {
+    routeOf.push_back(aState.RouteLookup().Find(queue));
+  }
+  std::vector<std::optional<Millis>> learned;
+  for (const ImageId& image : m_openJobs.Images()) {
+    learned.push_back(aDurations.Learned(image));
+  }
+  std::vector<Millis> estimates;
+  for (std::size_t i = 0; i < entries.size(); ++i) {
+    const jobs::Job& job = *book.OpenJobsInOrder()[i];
+    const auto route = routeOf[entries[i].m_queue];
+    if (job.m_state != jobs::JobState::kActive || !route) {
+      continue;
+    }
+    estimates.clear();
+    for (std::size_t s = 0; s < job.m_spec.m_steps.size(); ++s) {
+      estimates.push_back(learned[entries[i].m_images[s]].value_or(
+        job.m_spec.m_steps[s].m_estimate));
+    }
+    byRoute[*route]->Add(job, routes[*route], estimates, aWall);
+    if (m_lastArrived && job.m_order > *m_lastArrived) {
+      byRoute[*route]->AddArrival(job, estimates);
+    }
+  }
+  m_lastArrived = std::max(m_lastArrived.value_or(0),
+                           entries.empty() ? 0 : entries.back().m_order);
+  const JobId* previous = nullptr;
+  for (const jobs::TaskRef& task : book.TasksWithLosses()) {
+    if (previous != nullptr && task.m_job == *previous) {
+      continue;
+    }
+    previous = &task.m_job;
+    const jobs::Job& job = *book.Find(task.m_job);
+    const auto found = aState.RouteLookup().Find(job.m_queue);
+    if (job.m_state == jobs::JobState::kActive && found) {
+      byRoute[*found]->AddIsolatedRuns(job);
+    }
+  }
+  return demands;
+}
+
+// Every pool is measured, whether or not the forecast is used: operators
+// compare its error before they switch it on.
+void
+CapacityPlanner::AddForecast(const Demands& aDemands,
+                             TimePoint aNow,
+                             Pools& aPools)
+{
+  std::erase_if(m_meters, [&](const auto& aEntry) {
+    return !aPools.contains(aEntry.first);
+  });
+  for (auto& [service, pool] : aPools) {
+    inflow::MeterOptions options;
+    options.m_horizon = m_options.m_moveDuration;
+    const auto [meter, isNew] = m_meters.try_emplace(service, options);
+    meter->second.Add(static_cast<double>(aDemands.at(service).m_arrivedWork),
+                      aNow);
+    pool.m_inflow = meter->second.Get();
+  }
+}
+
+std::int64_t
+CapacityPlanner::CpuAhead(const Demand& aDemand, const Pool& aPool) const
+{
+  if (!m_options.m_mechanisms.Has(Mechanism::kInflowForecast)) {
+    return 0;
+  }
+  inflow::Supply supply = aPool.m_supply;
+  supply.Add(static_cast<double>(std::max<std::int64_t>(
+               aPool.m_cpu - aDemand.m_longRunningCpu, 0)),
+             m_options.m_moveDuration);
+  return static_cast<std::int64_t>(inflow::CpuAhead(aPool.m_inflow,
+                                                    supply,
+                                                    m_options.m_moveDuration,
+                                                    m_options.m_backlogTarget));
+}
 
 void
 CapacityPlanner::AddDemand(const fleet::State& aState,
                            const DurationEstimator& aDurations,
+                           TimePoint aNow,
                            WallTime aWall,
-                           Pools& aPools) const
+                           Pools& aPools)
 {
-  std::map<ServiceId, Demand> demands;
-  for (const auto& [order, id] : aState.Jobs().OpenJobs()) {
-    const jobs::Job& job = *aState.Jobs().Find(id);
-    const auto found = aState.RouteLookup().Find(job.m_queue);
-    if (job.m_state == jobs::JobState::kActive && found) {
-      const fleet::QueueRoute& route = aState.Routes().m_routes[*found];
-      Demand& demand = demands[route.m_service];
-      demand.Add(job, route, aDurations, aWall);
-      if (aState.Jobs().HasLosses(id)) {
-        demand.AddIsolatedRuns(job);
-      }
-    }
-  }
+  const Demands demands = ComputeDemands(aState, aDurations, aWall);
+  AddForecast(demands, aNow, aPools);
   for (auto& [service, pool] : aPools) {
-    const Demand& demand = demands[service];
+    const Demand& demand = demands.at(service);
+    pool.m_lateWork = demand.m_late.m_work;
     pool.m_work = demand.m_onTime.m_work + demand.m_late.m_work;
     const std::int64_t cpu =
       demand.m_onTime.CpuToFinishIn(m_options.m_backlogTarget) +
       demand.m_late.CpuToFinishIn(m_options.m_lateBacklogTarget) +
-      demand.m_longRunningCpu;
+      demand.m_longRunningCpu + CpuAhead(demand, pool);
     const auto cores =
       static_cast<std::int64_t>(std::max<std::size_t>(pool.m_cores, 1));
     const auto byWork = static_cast<std::size_t>((cpu + cores - 1) / cores);
@@ -97,7 +180,7 @@
                               const std::set<WorkerIncarnation>& aReserved,
                               const DurationEstimator& aDurations,
                               TimePoint aNow,
-                              WallTime aWall) const
+                              WallTime aWall)
 {
   Pools pools;
   std::size_t anyCores = 0;
@@ -120,10 +203,11 @@
       pool->second.m_actual += isReplaced ? 0 : 1;
       ++pool->second.m_reporting;
       pool->second.m_cpu += worker.m_lastReport.m_capacity.m_cpuMillis;
-      const RunUsage usage = ComputeRunUsage(aState.Jobs(), id);
-      pool->second.m_usedCpu += usage.m_cpu;
-      if (usage.m_isDrainable) {
-        pool->second.m_drainable.push_back({ &worker, usage.m_cpu });
+      const jobs::WorkerUse* found = aState.Jobs().FindUse(id);
+      const jobs::WorkerUse use = found == nullptr ? jobs::WorkerUse{} : *found;
+      pool->second.m_usedCpu += use.m_cpuMillis;
+      if (use.m_longRunning == 0) {
+        pool->second.m_drainable.push_back({ &worker, use.m_cpuMillis });
       }
     }
   }
@@ -134,14 +218,20 @@
   if (anyCores == 0) {
     return pools;
   }
-  AddDemand(aState, aDurations, aWall, pools);
   CountUnreportedWorkers(aState, aWorkers, aNow, pools);
   for (const auto& [instance, move] : m_moves) {
     const auto pool = pools.find(move.m_to);
     if (pool != pools.end()) {
       ++pool->second.m_actual;
+      ++pool->second.m_arriving;
+      pool->second.m_arrivalTimes +=
+        std::max(Duration{}, move.m_since + m_options.m_moveDuration - aNow);
+      pool->second.m_supply.Add(
+        static_cast<double>(pool->second.m_cores),
+        std::min<Duration>(aNow - move.m_since, m_options.m_moveDuration));
     }
   }
+  AddDemand(aState, aDurations, aNow, aWall, pools);
   return pools;
 }
 
@@ -150,10 +240,6 @@
                                   const WorkerTable& aWorkers,
                                   TimePoint aNow)
 {
-  std::erase_if(m_idleSince, [&](const auto& aEntry) {
-    return aWorkers.Find(aEntry.first) == nullptr ||
-           aState.Jobs().TasksByWorker().contains(aEntry.first);
-  });
   // A report may come from a foreign writer. An instance whose service is not
   // configured does not belong to this fleet and is never moved.
   const auto& services = aState.Routes().m_services;
@@ -163,13 +249,23 @@
         return aConfigured.m_id == aService;
       });
   };
+  // Both maps are in the order of their keys: one pass over both needs no
+  // lookups.
+  auto idle = m_idleSince.begin();
   for (const auto& [id, worker] : aWorkers.Workers()) {
-    if (isConfigured(worker.m_lastReport.m_service) &&
-        !aState.Jobs().TasksByWorker().contains(id) &&
-        worker.m_lastReport.m_active.empty()) {
-      m_idleSince.try_emplace(id, aNow);
+    while (idle != m_idleSince.end() && idle->first < id) {
+      idle = m_idleSince.erase(idle);
+    }
+    const bool isKnown = idle != m_idleSince.end() && idle->first == id;
+    const bool hasTasks = aState.Jobs().FindUse(id) != nullptr;
+    if (isKnown) {
+      idle = hasTasks ? m_idleSince.erase(idle) : std::next(idle);
+    } else if (!hasTasks && worker.m_lastReport.m_active.empty() &&
+               isConfigured(worker.m_lastReport.m_service)) {
+      m_idleSince.emplace_hint(idle, id, aNow);
     }
   }
+  m_idleSince.erase(idle, m_idleSince.end());
 }
 
 // A move is complete when the instance reports from its new pool. An instance
@@ -217,7 +313,10 @@
     const jobs::Job& job = *aState.Jobs().Find(tasks.front().m_job);
     const auto route = aState.RouteLookup().Find(job.m_queue);
     if (route) {
-      ++aPools[aState.Routes().m_routes[*route].m_service].m_actual;
+      Pool& pool = aPools[aState.Routes().m_routes[*route].m_service];
+      ++pool.m_actual;
+      pool.m_supply.Add(static_cast<double>(pool.m_cores),
+                        m_options.m_moveDuration);
     }
   }
 }
@@ -334,6 +433,18 @@
          m_unanswered.size() < kMaxUnansweredOrders;
 }
 
+PoolWait
+CapacityPlanner::WhyShort() const
+{
+  if (!m_isAllowed) {
+    return PoolWait::kLeader;
+  }
+  if (m_unanswered.size() >= kMaxUnansweredOrders) {
+    return PoolWait::kUnansweredOrders;
+  }
+  return m_orderTokens < 1 ? PoolWait::kOrderRate : PoolWait::kIdleInstances;
+}
+
 // Gives one instance at a time to the pool with the smallest ratio of actual to
 // desired size, so that two concurrent peaks share the available instances.
 // Instances in standby are moved first, as no other queue needs them.
@@ -345,6 +456,13 @@
                            Pools& aPools,
                            CapacityPlan& aPlan)
 {
+  const bool isAnyShort =
+    std::any_of(aPools.begin(), aPools.end(), [](const auto& aPool) {
+      return aPool.second.IsShort();
+    });
+  if (!isAnyShort || !HasOrderBudget()) {
+    return;
+  }
   auto movable = FindMovable(aWorkers,
                              aReserved,
                              aRecord,
@@ -404,6 +522,9 @@
     shortage += pool.IsShort() ? pool.m_desired - pool.m_actual : 0;
   }
   for (auto& [service, pool] : aPools) {
+    if (shortage == 0 || !pool.HasSurplus()) {
+      continue;
+    }
     std::erase_if(pool.m_drainable, [&](const Drainable& aCandidate) {
       const WorkerReport& report = aCandidate.m_worker->m_lastReport;
       return aReserved.contains(report.m_worker) ||
@@ -415,8 +536,7 @@
               [](const Drainable& aLeft, const Drainable& aRight) {
                 return aLeft.m_usedCpu < aRight.m_usedCpu;
               });
-    const std::size_t surplus =
-      pool.HasSurplus() ? pool.m_actual - pool.m_desired : 0;
+    const std::size_t surplus = pool.m_actual - pool.m_desired;
     const std::size_t count =
       std::min({ surplus, shortage, pool.m_drainable.size() });
     for (std::size_t i = 0; i < count; ++i) {
@@ -436,6 +556,9 @@
                                    Pools& aPools,
                                    CapacityPlan& aPlan)
 {
+  if (!HasOrderBudget()) {
+    return;
+  }
   const auto idle = FindMovable(
     aWorkers, aReserved, aRecord, m_options.m_idleBeforeStandby, {}, aNow);
   for (const Worker* worker : idle) {
@@ -470,12 +593,23 @@
                              pool.m_desired,
                              pool.m_work / kMilliPerCoreSecond,
                              pool.m_cpu / kMilliPerCore,
-                             pool.m_usedCpu / kMilliPerCore });
+                             pool.m_usedCpu / kMilliPerCore,
+                             pool.ArrivingCpu(),
+                             pool.MeanArrival(),
+                             pool.m_lateWork / kMilliPerCoreSecond,
+                             pool.m_arriving,
+                             pool.m_inflow });
   }
-  if (aNow >= m_leaderSince + m_options.m_reportWait) {
+  const bool isReady = aNow >= m_leaderSince + m_options.m_reportWait;
+  if (isReady) {
     FillPools(aWorkers, aReserved, aRecord, aNow, pools, plan);
     DrainSurplus(aReserved, aNow, pools);
   }
+  for (PoolCapacity& pool : plan.m_pools) {
+    if (pools.at(pool.m_service).IsShort()) {
+      pool.m_waitsFor = isReady ? WhyShort() : PoolWait::kLeader;
+    }
+  }
   const bool isSettled = aNow >= m_leaderSince + m_options.m_handoverDelay;
   if (isSettled && standby != nullptr &&
       m_options.m_mechanisms.Has(Mechanism::kStandby)) {
@@ -487,6 +621,12 @@
       plan.m_cordoned.insert(worker->m_lastReport.m_worker);
     }
   }
+  plan.m_unanswered = m_unanswered.size();
+  plan.m_unansweredLimit = kMaxUnansweredOrders;
+  plan.m_standby = static_cast<std::size_t>(
+    std::count_if(m_standby.begin(), m_standby.end(), [&](const auto& aEntry) {
+      return !m_moves.contains(aEntry.first);
+    }));
   plan.m_drained = m_drainingWorkers;
   plan.m_cordoned.insert(plan.m_drained.begin(), plan.m_drained.end());
   return plan;
--- a/src/placement/demand.cpp
+++ b/src/placement/demand.cpp
@@ -50,6 +50,21 @@
   m_minWorkers = std::max(m_minWorkers, minWorkers);
 }
 
+void
+Demand::AddArrival(const jobs::Job& aJob, const std::vector<Millis>& aEstimates)
+{
+  if (aJob.m_spec.m_repeatCount != 0) {
+    return;
+  }
+  for (std::size_t s = 0; s < aJob.m_spec.m_steps.size(); ++s) {
+    const jobs::StepSpec& step = aJob.m_spec.m_steps[s];
+    if (!step.m_longRunning) {
+      m_arrivedWork += std::int64_t{ step.m_count } * step.ReservedCpu() *
+                       aEstimates[s].count();
+    }
+  }
+}
+
 // Counts suspects regardless of their job's age: until an isolated run shows
 // which of them crashes its workers, they delay the pool's healthy work.
 void
@@ -75,7 +90,7 @@
 void
 Demand::Add(const jobs::Job& aJob,
             const jobs::Occurrence& aOccurrence,
-            const DurationEstimator& aDurations,
+            const std::vector<Millis>& aEstimates,
             Load& aLoad)
 {
   std::int64_t activeCpu = 0;
@@ -87,7 +102,10 @@
       continue;
     }
     const std::int64_t cpu = RemainingCpu(step, aOccurrence.m_steps[s]);
-    aLoad.m_work += cpu * aDurations.Estimate(step).count();
+    if (cpu == 0) {
+      continue;
+    }
+    aLoad.m_work += cpu * aEstimates[s].count();
     if (jobs::JobTable::AreDependenciesDone(aOccurrence, step)) {
       activeCpu += cpu;
     } else {
@@ -100,7 +118,7 @@
 void
 Demand::Add(const jobs::Job& aJob,
             const fleet::QueueRoute& aRoute,
-            const DurationEstimator& aDurations,
+            const std::vector<Millis>& aEstimates,
             WallTime aWall)
 {
   const std::int64_t age = aWall.Get() - aJob.m_acceptedAt.Get();
@@ -114,7 +132,7 @@
   }
   // Long-running steps count regardless of their job's age.
   for (const auto& [number, occurrence] : aJob.m_occurrences) {
-    Add(aJob, occurrence, aDurations, *load);
+    Add(aJob, occurrence, aEstimates, *load);
   }
 }
 
--- a/src/placement/demand.h
+++ b/src/placement/demand.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "bamboostile/fleet/state.h"
-#include "bamboostile/placement/durations.h"
+
+#include <vector>
 
 namespace bamboostile::placement {
 
@@ -26,16 +27,23 @@
   /** Jobs that are late, but whose callers still wait. */
   Load m_late;
   std::int64_t m_longRunningCpu = 0;
+  /** Work of the jobs accepted since the last tick, in the unit of Load. */
+  std::int64_t m_arrivedWork = 0;
   /** Workers that long-running tasks need, given the limit per worker. */
   std::size_t m_minWorkers = 0;
   /** Suspects that each need a worker of their own for an isolated run. */
   std::size_t m_isolatedRuns = 0;
 
+  /** aEstimates: how long a task of each step takes. */
   void Add(const jobs::Job& aJob,
            const fleet::QueueRoute& aRoute,
-           const DurationEstimator& aDurations,
+           const std::vector<Millis>& aEstimates,
            WallTime aWall);
 
+  /** A scheduled job does not count: it is known ahead of its start, and its
+   * occurrences are demand when they are due. */
+  void AddArrival(const jobs::Job& aJob, const std::vector<Millis>& aEstimates);
+
   void AddIsolatedRuns(const jobs::Job& aJob);
 
 private:
@@ -43,7 +51,7 @@
   /** Adds tasks that end by themselves to aLoad, long-running ones to this. */
   void Add(const jobs::Job& aJob,
            const jobs::Occurrence& aOccurrence,
-           const DurationEstimator& aDurations,
+           const std::vector<Millis>& aEstimates,
            Load& aLoad);
 };
 
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -1,5 +1,7 @@
 #include "bamboostile/placement/planner.h"
 
+#include "target_pool.h"
+
 #include "bamboostile/jobs/crash_loop.h"
 
 #include <algorithm>
@@ -36,6 +38,20 @@
   return (aStep.m_count + kSpreadDivisor - 1) / kSpreadDivisor;
 }
 
+bool
+HostsLongRunning(const jobs::JobTable& aBook, const WorkerIncarnation& aWorker)
+{
+  const auto use = aBook.UseByWorker().find(aWorker);
+  return use != aBook.UseByWorker().end() && use->second.m_longRunning > 0;
+}
+
+/** Tasks of other steps are packed. */
+bool
+IsSpread(const jobs::StepSpec& aStep)
+{
+  return aStep.m_longRunning || aStep.m_bestEffort;
+}
+
 } // namespace
 
 const char*
@@ -60,27 +76,6 @@
   return "unknown";
 }
 
-bool
-Planner::Target::Fits(const jobs::StepSpec& aStep) const
-{
-  return !m_isUnresponsive && aStep.ReservedCpu() <= m_freeCpuMillis &&
-         aStep.m_resources.m_memoryMb <= m_freeMemoryMb &&
-         aStep.m_resources.m_accelerators <= m_freeAccelerators;
-}
-
-void
-Planner::Target::Allocate(const jobs::StepSpec& aStep)
-{
-  m_freeCpuMillis -= aStep.ReservedCpu();
-  m_freeMemoryMb -= aStep.m_resources.m_memoryMb;
-  m_freeAccelerators -= aStep.m_resources.m_accelerators;
-  m_hostsLatencySensitive =
-    m_hostsLatencySensitive || aStep.m_latencyTarget > Millis::zero();
-  m_hostsLongRunning = m_hostsLongRunning || aStep.m_longRunning;
-  m_hostsGang = m_hostsGang || aStep.m_gang;
-  ++m_runs;
-}
-
 bool
 Planner::Candidate::CheckCap(Plan& aPlan) const
 {
@@ -111,24 +106,26 @@
   }
 }
 
-Millis
-Planner::CriticalPath(const jobs::Job& aJob,
-                      const jobs::Occurrence* aProgress) const
+Planner::CriticalPaths
+Planner::FindCriticalPaths(const jobs::Job& aJob,
+                           const jobs::Occurrence* aProgress) const
 {
-  std::vector<Millis> finishTimes;
-  Millis latestFinish{};
-  for (std::size_t stepIndex = 0; stepIndex < aJob.m_spec.m_steps.size();
-       ++stepIndex) {
-    const jobs::StepSpec& step = aJob.m_spec.m_steps[stepIndex];
-    Millis finishTime{};
+  const std::vector<jobs::StepSpec>& steps = aJob.m_spec.m_steps;
+  std::vector<CriticalPaths> finishTimes;
+  finishTimes.reserve(steps.size());
+  CriticalPaths latestFinish;
+  for (std::size_t stepIndex = 0; stepIndex < steps.size(); ++stepIndex) {
+    const jobs::StepSpec& step = steps[stepIndex];
+    CriticalPaths& finish = finishTimes.emplace_back();
     for (const std::uint32_t dependency : step.m_dependsOn) {
-      finishTime = std::max(finishTime, finishTimes[dependency]);
+      finish.ExtendTo(finishTimes[dependency]);
     }
+    const Millis estimate = m_durations.Estimate(step);
+    finish.m_whole += estimate;
     if (aProgress == nullptr || !aProgress->m_steps[stepIndex].IsDone()) {
-      finishTime += m_durations.Estimate(step);
+      finish.m_remaining += estimate;
     }
-    finishTimes.push_back(finishTime);
-    latestFinish = std::max(latestFinish, finishTime);
+    latestFinish.ExtendTo(finish);
   }
   return latestFinish;
 }
@@ -157,18 +154,14 @@
     target.m_isUnresponsive = aWorkers.IsUnresponsive(worker, aNow);
     target.m_mayBeOrdered =
       hasSuspects && aWorkers.MayBeOrderedAfter(worker, aNow);
-    const auto placed = book.TasksByWorker().find(id);
-    if (placed != book.TasksByWorker().end()) {
-      for (const jobs::TaskRef& ref : placed->second) {
-        const jobs::StepSpec& step =
-          book.Find(ref.m_job)->m_spec.m_steps[ref.m_step];
-        target.Allocate(step);
-      }
+    const auto use = book.UseByWorker().find(id);
+    if (use != book.UseByWorker().end()) {
+      target.Allocate(use->second);
       if (hasSuspects) {
-        FindIsolatedRuns(worker, placed->second, book, target);
+        FindIsolatedRuns(worker, book.TasksByWorker().at(id), book, target);
       }
     }
-    pools[worker.m_lastReport.m_service].push_back(target);
+    pools[worker.m_lastReport.m_service].Add(std::move(target));
   }
   return pools;
 }
@@ -184,27 +177,36 @@
   const auto found = aJob.m_occurrences.find(aOccurrence);
   const jobs::Occurrence* progress =
     found == aJob.m_occurrences.end() ? nullptr : &found->second;
-  const auto criticalPath =
-    static_cast<double>(CriticalPath(aJob, nullptr).count());
+  const auto isReady = [&](std::size_t aStep) {
+    const jobs::StepSpec& step = aJob.m_spec.m_steps[aStep];
+    return progress == nullptr
+             ? step.m_dependsOn.empty()
+             : progress->m_steps[aStep].Waiting() > 0 &&
+                 jobs::JobTable::AreDependenciesDone(*progress, step);
+  };
+  std::uint32_t stepIndex = 0;
+  const auto stepCount = static_cast<std::uint32_t>(aJob.m_spec.m_steps.size());
+  while (stepIndex < stepCount && !isReady(stepIndex)) {
+    ++stepIndex;
+  }
+  if (stepIndex == stepCount) {
+    return;
+  }
+  const CriticalPaths paths = FindCriticalPaths(aJob, progress);
+  const auto criticalPath = static_cast<double>(paths.m_whole.count());
   const std::int64_t due =
     aReadyAt.Get() +
     static_cast<std::int64_t>(criticalPath * aRoute.m_stretch) +
     aRoute.m_objective.count();
-  const Millis remaining = CriticalPath(aJob, progress);
   const std::int64_t expectedEnd =
-    aWall.Get() + remaining.count() * (100 + kDurationMarginPercent) / 100 +
+    aWall.Get() +
+    paths.m_remaining.count() * (100 + kDurationMarginPercent) / 100 +
     kStepOverhead.count();
   const bool isLate =
     expectedEnd > due && m_mechanisms.Has(Mechanism::kLateLast);
-  for (std::uint32_t stepIndex = 0; stepIndex < aJob.m_spec.m_steps.size();
-       ++stepIndex) {
-    const jobs::StepSpec& step = aJob.m_spec.m_steps[stepIndex];
-    const bool isReady =
-      progress == nullptr
-        ? step.m_dependsOn.empty()
-        : progress->m_steps[stepIndex].Waiting() > 0 &&
-            jobs::JobTable::AreDependenciesDone(*progress, step);
-    if (isReady) {
+  for (; stepIndex < stepCount; ++stepIndex) {
+    if (isReady(stepIndex)) {
+      const jobs::StepSpec& step = aJob.m_spec.m_steps[stepIndex];
       aCandidates.push_back({ &aJob,
                               &aRoute,
                               aOccurrence,
@@ -222,13 +224,12 @@
   std::vector<Candidate> candidates;
   const jobs::JobTable& book = aState.Jobs();
   const fleet::RouteTable& routes = aState.Routes();
-  for (const auto& [order, id] : book.OpenJobs()) {
+  for (const auto& [order, id] : book.StartableJobs()) {
     const jobs::Job& job = *book.Find(id);
     const auto route = aState.RouteLookup().Find(job.m_queue);
     // A route with an advice policy lets the advice of a service decide which
     // workers may run a step, so nothing may start without that advice.
-    if (job.m_state != jobs::JobState::kActive || !route ||
-        routes.m_routes[*route].m_advice) {
+    if (!route || routes.m_routes[*route].m_advice) {
       continue;
     }
     const fleet::QueueRoute& queue = routes.m_routes[*route];
@@ -247,28 +248,43 @@
       AddCandidates(job, queue, occurrence, scheduledAt, aWall, candidates);
     }
   }
-  std::sort(candidates.begin(),
-            candidates.end(),
-            [](const Candidate& aLeft, const Candidate& aRight) {
-              const auto key = [](const Candidate& aCandidate) {
-                return std::make_tuple(!aCandidate.m_isLongRunning,
-                                       aCandidate.m_job->m_isBeyondShare,
-                                       aCandidate.m_isLate,
-                                       aCandidate.m_route->m_priority,
-                                       aCandidate.m_due,
-                                       aCandidate.m_job->m_order,
-                                       aCandidate.m_occurrence,
-                                       aCandidate.m_step);
-              };
-              return key(aLeft) < key(aRight);
-            });
-  return candidates;
+  return SortCandidates(candidates);
+}
+
+// The candidates come in order of their jobs, occurrences and steps, so that
+// their positions decide between equals. Short keys of their own are several
+// times faster to sort than the candidates.
+std::vector<Planner::Candidate>
+Planner::SortCandidates(const std::vector<Candidate>& aCandidates)
+{
+  using Key =
+    std::tuple<bool, bool, bool, std::uint32_t, WallTime, std::size_t>;
+  std::vector<Key> keys;
+  keys.reserve(aCandidates.size());
+  for (const Candidate& candidate : aCandidates) {
+    keys.emplace_back(!candidate.m_isLongRunning,
+                      candidate.m_job->m_isBeyondShare,
+                      candidate.m_isLate,
+                      candidate.m_route->m_priority,
+                      candidate.m_due,
+                      keys.size());
+  }
+  std::sort(keys.begin(), keys.end());
+  std::vector<Candidate> sorted;
+  sorted.reserve(keys.size());
+  for (const Key& key : keys) {
+    sorted.push_back(aCandidates[std::get<std::size_t>(key)]);
+  }
+  return sorted;
 }
 
 std::uint32_t
 Planner::TasksOnWorker(const WorkerIncarnation& aWorker,
                        const TasksPerWorker& aTasksPerWorker)
 {
+  if (aTasksPerWorker.empty()) {
+    return 0;
+  }
   const auto found = aTasksPerWorker.find(aWorker);
   return found == aTasksPerWorker.end() ? 0 : found->second;
 }
@@ -288,10 +304,32 @@
 Planner::Choose(const jobs::StepSpec& aStep,
                 const TasksPerWorker& aTasksPerWorker,
                 Pool& aPool) const
+{
+  if (m_search == Search::kScan) {
+    return ChooseByScan(aStep, aTasksPerWorker, aPool);
+  }
+  if (aPool.IsKnownToFail(aStep)) {
+    return nullptr;
+  }
+  const bool isPacked =
+    !IsSpread(aStep) && m_mechanisms.Has(Mechanism::kPacking);
+  Target* target = isPacked ? aPool.FindTightest(aStep, aTasksPerWorker)
+                            : ChooseByScan(aStep, aTasksPerWorker, aPool);
+  const bool isLimited = aStep.m_maxPerWorker > 0 && !aTasksPerWorker.empty();
+  if (target == nullptr && !isLimited) {
+    aPool.RecordFailure(aStep);
+  }
+  return target;
+}
+
+Planner::Target*
+Planner::ChooseByScan(const jobs::StepSpec& aStep,
+                      const TasksPerWorker& aTasksPerWorker,
+                      Pool& aPool) const
 {
   Target* best = nullptr;
   auto bestRank = std::make_tuple(true, true, true, true, true, std::int64_t{});
-  for (Target& target : aPool) {
+  for (Target& target : aPool.Targets()) {
     const WorkerReport& report = target.m_worker->m_lastReport;
     if (target.m_isReserved || target.m_isolatedTask || !target.Fits(aStep)) {
       continue;
@@ -311,7 +349,7 @@
     // something: one on each worker would keep the whole pool from ever being
     // idle. Other tasks are packed, so that free capacity for large tasks is
     // not fragmented.
-    const bool isSpread = aStep.m_longRunning || aStep.m_bestEffort;
+    const bool isSpread = IsSpread(aStep);
     const bool isCrowded = isSpread && tasksOnWorker >= SpreadLimit(aStep);
     const bool isEmpty =
       isSpread && m_mechanisms.Has(Mechanism::kSharing) &&
@@ -342,32 +380,27 @@
   if (!m_mechanisms.Has(Mechanism::kRoomForLarge)) {
     return;
   }
-  const auto reserved = static_cast<std::size_t>(
-    std::count_if(aPool.begin(), aPool.end(), [](const Target& aTarget) {
-      return aTarget.m_isReserved;
-    }));
+  const std::vector<Target>& targets = aPool.Targets();
   const std::size_t maxReserved =
-    std::max<std::size_t>(1, aPool.size() / kWorkersPerReservation);
-  if (aPool.size() < kMinPoolSizeForReservation || reserved >= maxReserved) {
+    std::max<std::size_t>(1, targets.size() / kWorkersPerReservation);
+  if (targets.size() < kMinPoolSizeForReservation ||
+      aPool.CountReserved() >= maxReserved) {
     return;
   }
-  const auto rank = [](const Target& aTarget) {
-    return std::make_pair(!aTarget.m_isReserved, aTarget.m_freeCpuMillis);
-  };
-  Target& emptiest = *std::max_element(
-    aPool.begin(), aPool.end(), [&](const Target& aLeft, const Target& aRight) {
-      return rank(aLeft) < rank(aRight);
-    });
+  Target& emptiest = aPool.FindEmptiest();
   const jobs::Resources& capacity = emptiest.m_worker->m_lastReport.m_capacity;
   const jobs::Resources& needs = aStep.m_resources;
   // A worker whose capacity has shrunk may be too small even when empty.
   if (!ReservedCapacity{}.LeavesCapacityFor(capacity, aStep)) {
     return;
   }
-  emptiest.m_isReserved =
+  const bool isLarge =
     aStep.ReservedCpu() * kLargeTaskDivisor > capacity.m_cpuMillis ||
     needs.m_memoryMb * kLargeTaskDivisor > capacity.m_memoryMb ||
     needs.m_accelerators > 0;
+  if (isLarge) {
+    aPool.Reserve(emptiest);
+  }
 }
 
 void
@@ -408,11 +441,12 @@
       }
       return;
     }
-    target->Allocate(step);
+    aPool.Start(*target, step);
     aCandidate.ChargeStart();
-    ++target->m_unconfirmed;
     const WorkerIncarnation& worker = target->m_worker->m_lastReport.m_worker;
-    ++tasksPerWorker[worker];
+    if (step.m_maxPerWorker > 0 || IsSpread(step)) {
+      ++tasksPerWorker[worker];
+    }
     aPlan.m_changes.emplace_back(jobs::StartRun{
       aCandidate.TaskAt(i), RunNumber{ task.m_lastRun.Get() + 1 }, worker });
   }
@@ -443,8 +477,6 @@
       lastRun = std::max(lastRun, task.m_lastRun);
     }
   }
-  Pool tentativePool = aPool;
-  TasksPerWorker tasksPerWorker;
   std::vector<jobs::Change> starts;
   Candidate tentative = aCandidate;
   workspaces::Account account;
@@ -452,37 +484,59 @@
     account = *aCandidate.m_account;
     tentative.m_account = &account;
   }
+  aPool.BeginTrial();
+  if (!PlaceMembers(tentative,
+                    losses,
+                    aTimeSinceDelay,
+                    RunNumber{ lastRun.Get() + 1 },
+                    aPool,
+                    aPlan,
+                    starts)) {
+    aPool.Rollback();
+    return false;
+  }
+  aPool.Commit();
+  if (aCandidate.m_account != nullptr) {
+    *aCandidate.m_account = account;
+  }
+  std::move(starts.begin(), starts.end(), std::back_inserter(aPlan.m_changes));
+  return true;
+}
+
+bool
+Planner::PlaceMembers(const Candidate& aCandidate,
+                      const std::vector<jobs::WorkerLoss>& aLosses,
+                      std::optional<Millis> aTimeSinceDelay,
+                      RunNumber aRun,
+                      Pool& aPool,
+                      Plan& aPlan,
+                      std::vector<jobs::Change>& aStarts) const
+{
+  const jobs::StepSpec& step = aCandidate.Step();
+  TasksPerWorker tasksPerWorker;
   for (std::uint32_t i = 0; i < step.m_count; ++i) {
-    if (!tentative.CheckCap(aPlan)) {
+    if (!aCandidate.CheckCap(aPlan)) {
       return false;
     }
     const IsolatedRun run{
-      aCandidate.TaskAt(i), losses, true, step.m_longRunning
+      aCandidate.TaskAt(i), aLosses, true, step.m_longRunning
     };
-    Target* target =
-      aTimeSinceDelay
-        ? ChooseForIsolatedRun(
-            run, step, tasksPerWorker, *aTimeSinceDelay, tentativePool)
-        : Choose(step, tasksPerWorker, tentativePool);
+    Target* target = aTimeSinceDelay
+                       ? ChooseForIsolatedRun(
+                           run, step, tasksPerWorker, *aTimeSinceDelay, aPool)
+                       : Choose(step, tasksPerWorker, aPool);
     if (target == nullptr) {
       return false;
     }
-    target->Allocate(step);
-    tentative.ChargeStart();
-    ++target->m_unconfirmed;
+    aPool.Start(*target, step);
+    aCandidate.ChargeStart();
     if (aTimeSinceDelay) {
-      target->AddIsolatedRun(run);
+      aPool.AddIsolatedRun(*target, run);
     }
     const WorkerIncarnation& worker = target->m_worker->m_lastReport.m_worker;
     ++tasksPerWorker[worker];
-    starts.emplace_back(jobs::StartRun{
-      aCandidate.TaskAt(i), RunNumber{ lastRun.Get() + 1 }, worker });
-  }
-  aPool = std::move(tentativePool);
-  if (aCandidate.m_account != nullptr) {
-    *aCandidate.m_account = account;
+    aStarts.emplace_back(jobs::StartRun{ run.m_task, aRun, worker });
   }
-  std::move(starts.begin(), starts.end(), std::back_inserter(aPlan.m_changes));
   return true;
 }
 
@@ -539,6 +593,17 @@
                               Plan& aPlan) const
 {
   const jobs::JobTable& book = aState.Jobs();
+  const bool hasTasksToMove = std::any_of(
+    aWorkers.Workers().begin(),
+    aWorkers.Workers().end(),
+    [&](const auto& aEntry) {
+      const auto& [id, worker] = aEntry;
+      return (worker.m_lastReport.m_draining || aCordoned.contains(id)) &&
+             HostsLongRunning(book, id);
+    });
+  if (!hasTasksToMove) {
+    return;
+  }
   for (const auto& [worker, tasks] : book.TasksByWorker()) {
     const Worker* from = aWorkers.Find(worker);
     const bool leaves = from != nullptr && (from->m_lastReport.m_draining ||
@@ -554,11 +619,10 @@
       const jobs::StepSpec& step = job.m_spec.m_steps[ref.m_step];
       const auto& tasksOfStep =
         job.m_occurrences.at(ref.m_occurrence).m_steps[ref.m_step].m_tasks;
-      Target* target = Choose(step,
-                              CountTasksPerWorker(tasksOfStep),
-                              aPools[from->m_lastReport.m_service]);
+      Pool& pool = aPools[from->m_lastReport.m_service];
+      Target* target = Choose(step, CountTasksPerWorker(tasksOfStep), pool);
       if (target != nullptr) {
-        target->Allocate(step);
+        pool.Allocate(*target, step);
         aPlan.m_stops.push_back({ ref, book.FindTask(ref)->m_lastRun });
       }
     }
@@ -593,9 +657,14 @@
     }
     return found->second;
   };
+  std::unordered_map<const fleet::QueueRoute*, Pool*> poolOfRoute;
   const auto placeAll = [&](auto aFrom, auto aTo) {
     for (auto it = aFrom; it != aTo; ++it) {
-      Place(*it, pools[it->m_route->m_service], plan);
+      Pool*& pool = poolOfRoute[it->m_route];
+      if (pool == nullptr) {
+        pool = &pools[it->m_route->m_service];
+      }
+      Place(*it, *pool, plan);
     }
     PlaceSuspects(OrderSuspects(aFrom, aTo, aState.Jobs()),
                   isQuietPeriod,
@@ -606,6 +675,9 @@
   placeAll(candidates.cbegin(), firstNotLongRunning);
   MoveLongRunningTasks(aState, aWorkers, aCordoned, aNow, pools, plan);
   placeAll(firstNotLongRunning, candidates.cend());
+  if (m_mechanisms.Has(Mechanism::kAdmission)) {
+    SumLoads(candidates, pools, aState.Jobs(), plan);
+  }
   return plan;
 }
 
--- /dev/null
+++ b/src/placement/target_pool.cpp
@@ -0,0 +1,240 @@
+#include "target_pool.h"
+
+#include <algorithm>
+
+namespace bamboostile::placement {
+
+bool
+Planner::Target::Fits(const jobs::StepSpec& aStep) const
+{
+  return !m_isUnresponsive && aStep.ReservedCpu() <= m_freeCpuMillis &&
+         aStep.m_resources.m_memoryMb <= m_freeMemoryMb &&
+         aStep.m_resources.m_accelerators <= m_freeAccelerators;
+}
+
+void
+Planner::Target::Allocate(const jobs::StepSpec& aStep)
+{
+  m_freeCpuMillis -= aStep.ReservedCpu();
+  m_freeMemoryMb -= aStep.m_resources.m_memoryMb;
+  m_freeAccelerators -= aStep.m_resources.m_accelerators;
+  m_hostsLatencySensitive =
+    m_hostsLatencySensitive || aStep.m_latencyTarget > Millis::zero();
+  m_hostsLongRunning = m_hostsLongRunning || aStep.m_longRunning;
+  m_longRunningCpuMillis += aStep.m_longRunning ? aStep.ReservedCpu() : 0;
+  m_hostsGang = m_hostsGang || aStep.m_gang;
+  ++m_runs;
+}
+
+void
+Planner::Target::Allocate(const jobs::WorkerUse& aUse)
+{
+  m_freeCpuMillis -= aUse.m_cpuMillis;
+  m_freeMemoryMb -= aUse.m_memoryMb;
+  m_freeAccelerators -= aUse.m_accelerators;
+  m_hostsLatencySensitive = aUse.m_latencySensitive > 0;
+  m_hostsLongRunning = aUse.m_longRunning > 0;
+  m_longRunningCpuMillis = aUse.m_longRunningCpuMillis;
+  m_hostsGang = aUse.m_inGang > 0;
+  m_runs = aUse.m_runs;
+}
+
+void
+Planner::Pool::Allocate(Target& aTarget, const jobs::StepSpec& aStep)
+{
+  BeforeChange(aTarget);
+  aTarget.Allocate(aStep);
+  AfterChange(PositionOf(aTarget));
+}
+
+void
+Planner::Pool::Start(Target& aTarget, const jobs::StepSpec& aStep)
+{
+  Allocate(aTarget, aStep);
+  ++aTarget.m_unconfirmed;
+}
+
+void
+Planner::Pool::AddIsolatedRun(Target& aTarget, const IsolatedRun& aRun)
+{
+  BeforeChange(aTarget);
+  aTarget.AddIsolatedRun(aRun);
+  AfterChange(PositionOf(aTarget));
+}
+
+void
+Planner::Pool::Reserve(Target& aTarget)
+{
+  BeforeChange(aTarget);
+  aTarget.m_isReserved = true;
+  ++m_reserved;
+  AfterChange(PositionOf(aTarget));
+}
+
+// The failure of a gang's later member may be due to the earlier ones, whose
+// starts may be undone.
+void
+Planner::Pool::RecordFailure(const jobs::StepSpec& aStep)
+{
+  if (m_saved.empty()) {
+    m_failed.Add(aStep);
+  }
+}
+
+// Free CPU only decreases while no trial is under way, so a top entry that
+// still shows what its target has is the greatest of all.
+Planner::Target&
+Planner::Pool::FindEmptiest()
+{
+  const auto isLess = [](const FreeCpuIndex::Entry& aLeft,
+                         const FreeCpuIndex::Entry& aRight) {
+    return aLeft.m_freeCpuMillis != aRight.m_freeCpuMillis
+             ? aLeft.m_freeCpuMillis < aRight.m_freeCpuMillis
+             : aLeft.m_position > aRight.m_position;
+  };
+  if (m_byEmptiest.empty()) {
+    for (std::size_t i = 0; i < m_targets.size(); ++i) {
+      if (!m_targets[i].m_isReserved) {
+        m_byEmptiest.push_back(EntryOf(i, m_targets[i].m_freeCpuMillis));
+      }
+    }
+    std::make_heap(m_byEmptiest.begin(), m_byEmptiest.end(), isLess);
+  }
+  for (;;) {
+    FreeCpuIndex::Entry& top = m_byEmptiest.front();
+    Target& target = m_targets[top.m_position];
+    if (!target.m_isReserved && target.m_freeCpuMillis == top.m_freeCpuMillis) {
+      return target;
+    }
+    std::pop_heap(m_byEmptiest.begin(), m_byEmptiest.end(), isLess);
+    if (target.m_isReserved) {
+      m_byEmptiest.pop_back();
+    } else {
+      m_byEmptiest.back().m_freeCpuMillis = target.m_freeCpuMillis;
+      std::push_heap(m_byEmptiest.begin(), m_byEmptiest.end(), isLess);
+    }
+  }
+}
+
+void
+Planner::Pool::Commit()
+{
+  m_isTrial = false;
+  m_saved.clear();
+}
+
+void
+Planner::Pool::Rollback()
+{
+  m_isTrial = false;
+  for (; !m_saved.empty(); m_saved.pop_back()) {
+    SavedTarget& saved = m_saved.back();
+    m_targets[saved.m_position] = std::move(saved.m_target);
+    AfterChange(saved.m_position);
+  }
+}
+
+void
+Planner::Pool::BeforeChange(const Target& aTarget)
+{
+  if (m_isTrial) {
+    m_saved.push_back({ PositionOf(aTarget), aTarget });
+  }
+}
+
+void
+Planner::Pool::AfterChange(std::size_t aPosition)
+{
+  if (!m_isIndexed) {
+    return;
+  }
+  const Target& target = m_targets[aPosition];
+  const auto before = m_indexedCpu[aPosition];
+  const auto after =
+    target.IsOpen() ? std::optional{ target.m_freeCpuMillis } : std::nullopt;
+  if (before == after) {
+    return;
+  }
+  m_indexedCpu[aPosition] = after;
+  for (FreeCpuIndex* index : { &m_all, &m_racks[m_rackOf[aPosition]] }) {
+    if (before && after) {
+      index->Replace(EntryOf(aPosition, *before), EntryOf(aPosition, *after));
+    } else if (before) {
+      index->Erase(EntryOf(aPosition, *before));
+    } else {
+      index->Insert(EntryOf(aPosition, *after));
+    }
+  }
+}
+
+void
+Planner::Pool::BuildIndex()
+{
+  m_isIndexed = true;
+  m_rackOf.resize(m_targets.size());
+  m_indexedCpu.resize(m_targets.size());
+  for (std::size_t i = 0; i < m_targets.size(); ++i) {
+    const Target& target = m_targets[i];
+    const auto [rack, isNew] = m_rackNumbers.try_emplace(
+      target.m_worker->m_lastReport.m_rack, m_racks.size());
+    if (isNew) {
+      m_racks.emplace_back();
+    }
+    m_rackOf[i] = rack->second;
+    if (target.IsOpen()) {
+      m_indexedCpu[i] = target.m_freeCpuMillis;
+      m_all.Append(EntryOf(i, target.m_freeCpuMillis));
+      m_racks[rack->second].Append(EntryOf(i, target.m_freeCpuMillis));
+    }
+  }
+  m_all.Sort();
+  for (FreeCpuIndex& rack : m_racks) {
+    rack.Sort();
+  }
+}
+
+FreeCpuIndex*
+Planner::Pool::FindRack(const RackId& aRack)
+{
+  const auto found = m_rackNumbers.find(aRack);
+  return found == m_rackNumbers.end() ? nullptr : &m_racks[found->second];
+}
+
+Planner::Target*
+Planner::Pool::FindTightest(const jobs::StepSpec& aStep,
+                            const TasksPerWorker& aTasksPerWorker)
+{
+  if (!m_isIndexed) {
+    BuildIndex();
+  }
+  if (!aStep.m_preferredRack.Get().empty()) {
+    const FreeCpuIndex* rack = FindRack(aStep.m_preferredRack);
+    Target* target =
+      rack == nullptr ? nullptr : FindTightest(*rack, aStep, aTasksPerWorker);
+    if (target != nullptr) {
+      return target;
+    }
+  }
+  return FindTightest(m_all, aStep, aTasksPerWorker);
+}
+
+Planner::Target*
+Planner::Pool::FindTightest(const FreeCpuIndex& aIndex,
+                            const jobs::StepSpec& aStep,
+                            const TasksPerWorker& aTasksPerWorker)
+{
+  for (auto it = aIndex.FindFirst(aStep.ReservedCpu()); it != aIndex.End();
+       ++it) {
+    Target& target = m_targets[it->m_position];
+    if (!target.m_isReserved && target.Fits(aStep) &&
+        IsAllowed(aStep,
+                  TasksOnWorker(target.m_worker->m_lastReport.m_worker,
+                                aTasksPerWorker),
+                  target)) {
+      return &target;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace bamboostile::placement
--- a/tests/unit/consensus/catch_up_test.cpp
+++ b/tests/unit/consensus/catch_up_test.cpp
@@ -562,6 +562,116 @@
   }
 }
 
+// Guards against an entry that begins anew with each lost connection: a link on
+// which connections often end would never transfer it.
+TEST(CatchUp, Entry_LinkIsCutDuringTransfer_ContinuesWhereItStopped)
+{
+  constexpr std::size_t kBytes = 2 * 1000 * 1000;
+  // What is under way to a voter when the link is cut.
+  constexpr std::size_t kMaxLostPerCut = 256 * 1024;
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    Faults slow;
+    slow.m_linkRate = 1000 * 1000;
+    slow.m_maxDelay = Duration::zero();
+    Replicas replicas(2, seed, slow);
+    CHECK(replicas.Form());
+    const std::size_t leader = *replicas.Leader();
+    const std::size_t other = 1 - leader;
+    const std::string large(kBytes, 'z');
+    replicas.Propose(large);
+    constexpr int kCuts = 3;
+    for (int i = 0; i < kCuts; ++i) {
+      replicas.Run(Millis{ 400 });
+      replicas.Cut(leader, other, true);
+      replicas.Run(Millis{ 300 });
+      replicas.Cut(leader, other, false);
+    }
+    const auto isCommitted = [&]() { return IsAcknowledged(replicas, large); };
+    CHECK(replicas.RunUntil(isCommitted, kMaxWait));
+    CHECK(replicas.FragmentBytesSent() >= kBytes);
+    CHECK(replicas.FragmentBytesSent() <= kBytes + kCuts * kMaxLostPerCut);
+    CheckNoViolation(replicas);
+  }
+}
+
+// Guards against a group of two versions that does not commit: a replica of an
+// earlier version takes a fragment for a heartbeat and never holds the entry.
+TEST(CatchUp,
+     Entry_Large_OneReplicaOfEarlierVersion_CommitsAndAppliesEverywhere)
+{
+  for (std::size_t earlier = 0; earlier < 3; ++earlier) {
+    Replicas replicas(3, 1, {});
+    replicas.SetEarlierVersion(earlier);
+    CHECK(replicas.Form());
+    // Without a third replica, the entry needs the one of the earlier version.
+    const std::size_t leader = *replicas.Leader();
+    for (std::size_t node = 0; node < 3; ++node) {
+      if (node != leader && node != earlier) {
+        replicas.Crash(node);
+        break;
+      }
+    }
+    const std::string large(400 * 1000, 'z');
+    replicas.Propose(large);
+    const auto isCommitted = [&]() { return IsAcknowledged(replicas, large); };
+    CHECK(replicas.RunUntil(isCommitted, kMaxWait));
+    for (std::size_t node = 0; node < 3; ++node) {
+      if (!replicas.IsUp(node)) {
+        replicas.Start(node);
+      }
+    }
+    replicas.Run(kPastTimeouts);
+    for (std::size_t node = 0; node < 3; ++node) {
+      CHECK(replicas.AppliedBy(node) == replicas.AppliedBy(leader));
+    }
+    CheckNoViolation(replicas);
+  }
+}
+
+// Guards against an entry joined from fragments of two leaders, which may have
+// different entries at the same index.
+TEST(CatchUp, Fragments_OfTwoLeaders_AreNotJoined)
+{
+  using consensus::AppendReply;
+  using consensus::AppendRequest;
+  const auto id = [](const char* aName) {
+    return consensus::ReplicaId{ InstanceId{ aName }, Incarnation{ 1 } };
+  };
+  const TimePoint now{ std::chrono::hours{ 1 } };
+  consensus::Replica follower{ id("f"), {}, {}, now };
+  const auto send = [&](const char* aLeader,
+                        std::uint64_t aTerm,
+                        std::uint64_t aOffset,
+                        const char* aBytes) {
+    AppendRequest append{ {}, {}, {}, {}, now };
+    append.m_fragment =
+      consensus::EntryFragment{ Term{ aTerm }, 4, aOffset, aBytes };
+    follower.Receive(
+      consensus::Message{ id(aLeader), id("f"), Term{ aTerm }, append }, now);
+    // Each write is synced at once; the answer may wait for it.
+    std::uint64_t received = 0;
+    for (auto actions = follower.TakeActions(); !actions.empty();
+         actions = follower.TakeActions()) {
+      for (const auto& action : actions) {
+        if (const auto* persist = std::get_if<consensus::Persist>(&action)) {
+          follower.OnPersisted(persist->m_ticket, now);
+        }
+        if (const auto* sent = std::get_if<consensus::Send>(&action)) {
+          const auto& reply = std::get<AppendReply>(sent->m_message.m_body);
+          received = reply.m_fragment.value().m_received;
+        }
+      }
+    }
+    return received;
+  };
+  UNSIGNED_LONGS_EQUAL(2, send("a", 1, 0, "ab"));
+  UNSIGNED_LONGS_EQUAL(0, send("b", 2, 2, "CD"));
+  CHECK(follower.LastIndex() == Index{});
+  UNSIGNED_LONGS_EQUAL(2, send("b", 2, 0, "AB"));
+  UNSIGNED_LONGS_EQUAL(4, send("b", 2, 2, "CD"));
+  CHECK(follower.LastIndex() == Index{ 1 });
+}
+
 // Guards against a replica that finds the log cut each time it has written a
 // snapshot, because that takes longer than the leader retains entries for it.
 TEST(CatchUp, EmptiedReplica_HangsAfterEachSnapshot_VotesInTheEnd)
@@ -590,3 +700,29 @@
     CheckNoViolation(group.All());
   }
 }
+
+// Guards against a log that is retained for ever for a replica that received a
+// snapshot and is gone for good.
+TEST(CatchUp, EmptiedReplica_SilentAfterSnapshot_LogIsRetainedForAMinute)
+{
+  for (const int silence : { 50, 70 }) {
+    BusyGroup group(1);
+    CHECK(group.Form(100 * 1000));
+    const std::size_t emptied = (*group.All().Leader() + 1) % 5;
+    group.All().LoseDisk(emptied);
+    group.All().Start(emptied);
+    CHECK(group.Admit(emptied));
+    const auto isInstalled = [&]() {
+      return group.All().At(emptied).SnapshotIndex() > Index{};
+    };
+    CHECK(group.All().RunUntil(isInstalled, kMaxWait));
+    const std::size_t before = group.All().SnapshotBytesSent();
+    group.All().Freeze(emptied, true);
+    group.Run(std::chrono::seconds{ silence }, 200);
+    group.All().Freeze(emptied, false);
+    group.Run(std::chrono::seconds{ 20 }, 200);
+    CHECK(group.IsVoter(emptied));
+    CHECK_EQUAL(silence > 60, group.All().SnapshotBytesSent() > before);
+    CheckNoViolation(group.All());
+  }
+}
--- a/tests/unit/control/job_service_test.cpp
+++ b/tests/unit/control/job_service_test.cpp
@@ -51,7 +51,19 @@
     while (!m_node->IsServing()) {
       RunEventLoopFor(5 * kj::MILLISECONDS);
     }
+    StartService();
+    m_service->ReplaceRoutes(Fleet{}.State().Routes())
+      .wait(m_loop->m_io.waitScope);
+  }
+
+  /** Starts the service, in place of one that runs. */
+  void StartService(const placement::LeaseOptions& aLease = {},
+                    placement::Mechanisms aMechanisms = {})
+  {
+    m_service.reset();
     control::JobServiceOptions jobs;
+    jobs.m_lease = aLease;
+    jobs.m_mechanisms = aMechanisms;
     jobs.m_calls.m_move = [this](const auto& aOrder, Term, auto aDone) {
       m_movedInstances.push_back(aOrder.m_instance);
       m_answerMove = aDone;
@@ -72,8 +84,23 @@
     };
     m_service = std::make_unique<JobService>(
       *m_node, m_loop->m_io.provider->getTimer(), std::move(jobs));
-    m_service->ReplaceRoutes(Fleet{}.State().Routes())
-      .wait(m_loop->m_io.waitScope);
+  }
+
+  /** Refuses jobs that cannot end in time; three workers of four cores. */
+  void ServeWithAdmission()
+  {
+    placement::Mechanisms mechanisms;
+    mechanisms.SwitchOn(placement::Mechanism::kAdmission);
+    StartService({}, mechanisms);
+    // Until then, a new leader has no estimates.
+    RunEventLoopFor(1600 * kj::MILLISECONDS);
+    std::vector<kj::Promise<WorkerAnswer>> reports;
+    for (const char* worker : { "w1", "w2", "w3" }) {
+      reports.push_back(Send(Report(worker, 0)));
+    }
+    for (auto& report : reports) {
+      CHECK(Await(kj::mv(report)).has_value());
+    }
   }
 
   void AddStandby()
@@ -180,7 +207,8 @@
   /** Puts a table in force in which each workspace has one key. */
   void SetWorkspaces(
     const std::vector<std::pair<const char*, const char*>>& aKeys,
-    bool aIsPublic = false)
+    bool aIsPublic = false,
+    double aWeight = 1)
   {
     fleet::RouteTable table = Fleet{}.State().Routes();
     table.m_version = m_node->State().Routes().m_version + 1;
@@ -188,7 +216,7 @@
     table.m_workspaces.emplace();
     for (const auto& [name, key] : aKeys) {
       table.m_workspaces->push_back(
-        { WorkspaceId{ name }, { workspaces::DigestKey(key) }, 1, {} });
+        { WorkspaceId{ name }, { workspaces::DigestKey(key) }, aWeight, {} });
     }
     m_service->ReplaceRoutes(table).wait(m_loop->m_io.waitScope);
   }
@@ -547,12 +575,16 @@
 // that will not be served in time. While capacity is free, they are accepted.
 TEST(JobService, JobsFarBeyondTheShare_AreRefusedOnlyWhileTheServiceIsFull)
 {
+  // The workers report only once. With the default, they would count as
+  // unresponsive, and the service as full, if this process did not run for a
+  // second between two jobs.
+  placement::LeaseOptions lease;
+  lease.m_unresponsiveAfter = std::chrono::seconds{ 60 };
+  StartService(lease);
   SetWorkspaces({ { "a", "key" } });
   const auto submit = [&](int aNumber) {
     return Call(jobs::CallKind::kSubmit, "j" + std::to_string(aNumber), "key");
   };
-  // The reports are held. One after the other would take so long that the first
-  // worker might count as unresponsive before the last job is submitted.
   std::vector<kj::Promise<WorkerAnswer>> reports;
   for (const char* worker : { "w1", "w2", "w3" }) {
     reports.push_back(Send(Report(worker, 0)));
@@ -573,6 +605,121 @@
   CHECK(submit(0).m_outcome == jobs::QueueOutcome::kOk);
 }
 
+// Guards against a workspace beyond its share that each new leader serves as if
+// it were within it.
+TEST(JobService, NewLeader_CountsTheJobsOfTheOldOne)
+{
+  constexpr double kOneJobPerHour = 1.0 / 3600;
+  SetWorkspaces({ { "a", "key" } }, false, kOneJobPerHour);
+  CheckOutcome(
+    jobs::QueueOutcome::kOk, jobs::CallKind::kSubmit, "first", "key");
+  m_service.reset();
+  m_service = std::make_unique<JobService>(
+    *m_node, m_loop->m_io.provider->getTimer(), control::JobServiceOptions{});
+  CheckOutcome(
+    jobs::QueueOutcome::kOk, jobs::CallKind::kSubmit, "second", "key");
+  const jobs::JobTable& jobs = m_node->State().Jobs();
+  CHECK_FALSE(jobs.Find(JobId{ "first" })->m_isBeyondShare);
+  CHECK(jobs.Find(JobId{ "second" })->m_isBeyondShare);
+}
+
+// Guards against a refused job of which parts run, and against refusing it
+// again once there is room.
+TEST(JobService, JobThatCannotEndInTime_IsRefusedUntilThePoolHasCapacity)
+{
+  ServeWithAdmission();
+  const auto submit = [&](const char* aJob) {
+    return Call(jobs::CallKind::kSubmit, aJob, "");
+  };
+  CHECK(submit("fits").m_outcome == jobs::QueueOutcome::kOk);
+  // 12 cores, and a limit of 13.8 s for a job of one second.
+  Submit("large", Spec({ Step(200) }));
+  RunEventLoopFor(300 * kj::MILLISECONDS);
+  const auto refused = submit("late");
+  CHECK(refused.m_outcome == jobs::QueueOutcome::kRefused);
+  CHECK(refused.m_retryAfter >= Millis{ 200 });
+  POINTERS_EQUAL(nullptr, m_node->State().Jobs().Find(JobId{ "late" }));
+  CHECK(submit("large").m_outcome == jobs::QueueOutcome::kOk);
+  CHECK(m_service->RenderMetrics().find("jobs_refused_late_total 1") !=
+        std::string::npos);
+  const std::string report = *m_service->AdmissionJson();
+  CHECK(report.find("\"estimatesAvailable\":true") != std::string::npos);
+  CHECK(report.find("\"accepted\":2") != std::string::npos);
+  CHECK(report.find("\"refused\":1") != std::string::npos);
+  CHECK(report.find("\"cores\":12") != std::string::npos);
+
+  Call(jobs::CallKind::kCancel, "large", "");
+  RunEventLoopFor(400 * kj::MILLISECONDS);
+  CHECK(submit("late").m_outcome == jobs::QueueOutcome::kOk);
+  CHECK(m_node->State().Jobs().Find(JobId{ "late" }) != nullptr);
+}
+
+// Guards against a refusal of a job that the log has accepted by the time the
+// caller hears of it.
+TEST(JobService, JobIsResubmittedWhileItsProposalIsOpen_IsNotRefused)
+{
+  ServeWithAdmission();
+  Submit("full", Spec({ Step(13) }));
+  RunEventLoopFor(300 * kj::MILLISECONDS);
+  const auto submit =
+    [&](const char* aJob, std::uint32_t aTasks, Millis aEstimate) {
+      jobs::StepSpec step = Step(aTasks);
+      step.m_estimate = aEstimate;
+      jobs::QueueCall call;
+      call.m_kind = jobs::CallKind::kSubmit;
+      call.m_host = "host";
+      call.m_path = std::string{ "/q/" } + aJob;
+      call.m_spec = Spec({ step });
+      return m_service->Call(std::move(call));
+    };
+  m_isSyncHanging = true;
+  auto first = submit("job", 1, Millis{ 100 });
+  // More than the 11.1 s in which the short jobs have to end.
+  auto large = submit("large", 135, Millis{ 1000 });
+  auto refused = submit("late", 1, Millis{ 100 });
+  CHECK(refused.poll(m_loop->m_io.waitScope));
+  CHECK(refused.wait(m_loop->m_io.waitScope).m_outcome ==
+        jobs::QueueOutcome::kRefused);
+  auto repeated = submit("job", 1, Millis{ 100 });
+  m_isSyncHanging = false;
+  CHECK(first.wait(m_loop->m_io.waitScope).m_outcome ==
+        jobs::QueueOutcome::kOk);
+  CHECK(repeated.wait(m_loop->m_io.waitScope).m_outcome ==
+        jobs::QueueOutcome::kOk);
+}
+
+// Guards against a workspace beyond its share that is told that a job never
+// runs while the log accepts it.
+TEST(JobService, JobBeyondTheShareIsResubmittedWhileOpen_IsNotRefused)
+{
+  // One job within the share and one in debt; the next one after 5 s.
+  constexpr double kJobsPerSecond = 0.2;
+  SetWorkspaces({ { "a", "key" } }, false, kJobsPerSecond);
+  Await(Send(Report("w1", 0)));
+  const auto submit = [&](const std::string& aJob, std::uint32_t aTasks) {
+    jobs::QueueCall call;
+    call.m_kind = jobs::CallKind::kSubmit;
+    call.m_host = "host";
+    call.m_path = "/q/" + aJob;
+    call.m_key = workspaces::DigestKey("key");
+    call.m_spec = Spec({ Step(aTasks) });
+    return m_service->Call(std::move(call));
+  };
+  submit("fills the pool", 50).wait(m_loop->m_io.waitScope);
+  RunEventLoopFor(300 * kj::MILLISECONDS);
+  m_isSyncHanging = true;
+  auto first = submit("job", 1);
+  auto other = submit("other", 1);
+  auto repeated = submit("job", 1);
+  m_isSyncHanging = false;
+  CHECK(first.wait(m_loop->m_io.waitScope).m_outcome ==
+        jobs::QueueOutcome::kOk);
+  CHECK(other.wait(m_loop->m_io.waitScope).m_outcome ==
+        jobs::QueueOutcome::kRefused);
+  CHECK(repeated.wait(m_loop->m_io.waitScope).m_outcome !=
+        jobs::QueueOutcome::kRefused);
+}
+
 // Guards against callers being told that no job is pending while dozens wait on
 // workers that crashed before the start reached them.
 TEST(JobService, StartIsNotShownByAReport_JobIsStillPending)
