--- a/tests/unit/intake/load_test.cpp
+++ b/tests/unit/intake/load_test.cpp
@@ -28,42 +28,33 @@
 constexpr int kAttempts = 4;
 constexpr std::int64_t kGiveUpMs = 3000;
 
-/** One way to decide on submissions. A refusal is the time to come back. */
-struct Way
+/** A policy decides on submissions. A refusal is the time to come back. */
+struct RefuseNothing
 {
-  virtual ~Way() = default;
-  virtual std::optional<Millis> Refuse(const JobId& aJob, TimePoint aNow) = 0;
-  virtual void OnPass(const PassResult& aPass, TimePoint aNow) = 0;
-  virtual void OnFirstStart(Millis aWait, TimePoint aNow) = 0;
-  virtual void OnDone(const JobId& aJob, TimePoint aNow) = 0;
-};
-
-struct RefuseNothing : Way
-{
-  std::optional<Millis> Refuse(const JobId&, TimePoint) override { return {}; }
-  void OnPass(const PassResult&, TimePoint) override {}
-  void OnFirstStart(Millis, TimePoint) override {}
-  void OnDone(const JobId&, TimePoint) override {}
+  std::optional<Millis> Refuse(const JobId&, TimePoint) { return {}; }
+  void OnPass(const PassResult&, TimePoint) {}
+  void OnFirstStart(Millis, TimePoint) {}
+  void OnDone(const JobId&, TimePoint) {}
 };
 
 /** Refuses while no job has waited less than the target for an interval. */
-struct ControlledDelay final : RefuseNothing
+struct ControlledDelay : RefuseNothing
 {
   /** A job that waits longer than half of its objective may be late. */
   static constexpr Millis kTarget = kObjective / 2;
   static constexpr Millis kInterval{ 500 };
 
-  std::optional<Millis> Refuse(const JobId&, TimePoint aNow) override
+  std::optional<Millis> Refuse(const JobId&, TimePoint aNow)
   {
     const bool refuses =
       m_isFull && m_aboveSince && aNow >= *m_aboveSince + Duration{ kInterval };
     return refuses ? std::optional{ Millis{ 1000 } } : std::nullopt;
   }
-  void OnPass(const PassResult& aPass, TimePoint) override
+  void OnPass(const PassResult& aPass, TimePoint)
   {
     m_isFull = !aPass.m_full.empty();
   }
-  void OnFirstStart(Millis aWait, TimePoint aNow) override
+  void OnFirstStart(Millis aWait, TimePoint aNow)
   {
     if (aWait <= kTarget) {
       m_aboveSince.reset();
@@ -76,9 +67,9 @@
   std::optional<TimePoint> m_aboveSince;
 };
 
-struct PredictedEnd final : RefuseNothing
+struct PredictedEnd : RefuseNothing
 {
-  std::optional<Millis> Refuse(const JobId& aJob, TimePoint aNow) override
+  std::optional<Millis> Refuse(const JobId& aJob, TimePoint aNow)
   {
     constexpr std::int64_t kCpu = 1000;
     const JobDemand demand{ kPath,
@@ -96,11 +87,11 @@
     m_intake.OnDecided(aJob, ProposalOutcome::kAccepted);
     return {};
   }
-  void OnPass(const PassResult& aPass, TimePoint aNow) override
+  void OnPass(const PassResult& aPass, TimePoint aNow)
   {
     m_intake.OnPlanned(aPass, aNow);
   }
-  void OnDone(const JobId& aJob, TimePoint aNow) override
+  void OnDone(const JobId& aJob, TimePoint aNow)
   {
     m_intake.OnCompleted(aJob, aNow);
   }
@@ -120,11 +111,15 @@
 
 /** A pool of one size that places tasks as the planner does: late jobs last,
  * then by due time. Tasks take up to 30 % more or less than estimated. */
-class Day
+template<typename Policy>
+class Simulation
 {
 public:
-  Day(double aLoad, bool aHasValleys, std::uint64_t aSeed, Way& aWay)
-    : m_way(aWay)
+  Simulation(double aLoad,
+             bool aHasValleys,
+             std::uint64_t aSeed,
+             Policy& aPolicy)
+    : m_policy(aPolicy)
     , m_random(aSeed)
   {
     const double jobsPerMs = aLoad * kCores /
@@ -192,7 +187,7 @@
   {
     Job& job = m_jobs[aJob];
     ++job.m_attempts;
-    const auto retryAfter = m_way.Refuse(IdOf(aJob), Now());
+    const auto retryAfter = m_policy.Refuse(IdOf(aJob), Now());
     if (!retryAfter) {
       job.m_acceptedAt = m_now;
       m_open.push_back(aJob);
@@ -221,7 +216,7 @@
         continue;
       }
       job.m_doneAt = m_now;
-      m_way.OnDone(IdOf(id), Now());
+      m_policy.OnDone(IdOf(id), Now());
       std::erase(m_open, id);
     }
   }
@@ -240,7 +235,7 @@
   {
     Job& job = m_jobs[aJob];
     if (job.m_step == 0 && job.m_waiting == kTasksPerStep) {
-      m_way.OnFirstStart(Millis{ m_now - job.m_acceptedAt }, Now());
+      m_policy.OnFirstStart(Millis{ m_now - job.m_acceptedAt }, Now());
     }
     std::uniform_int_distribution<std::int64_t> duration(
       kTask.count() * 7 / 10, kTask.count() * 13 / 10);
@@ -280,7 +275,7 @@
     load.m_freeCpu = m_free * 1000;
     load.m_largestFreeCpu = std::min(m_free, 4) * 1000;
     m_isFull = !pass.m_full.empty();
-    m_way.OnPass(pass, Now());
+    m_policy.OnPass(pass, Now());
   }
 
   Outcome Summarize()
@@ -303,7 +298,7 @@
     return m_outcome;
   }
 
-  Way& m_way;
+  Policy& m_policy;
   std::mt19937_64 m_random;
   std::int64_t m_now = 0;
   std::vector<Job> m_jobs;
@@ -323,8 +318,8 @@
   constexpr int kSeeds = 3;
   Outcome sum;
   for (int seed = 1; seed <= kSeeds; ++seed) {
-    T way;
-    const Outcome outcome = Day(aLoad, aHasValleys, seed, way).Play();
+    T policy;
+    const Outcome outcome = Simulation(aLoad, aHasValleys, seed, policy).Play();
     sum.m_onTime += outcome.m_onTime / kSeeds;
     sum.m_byLimit += outcome.m_byLimit / kSeeds;
     sum.m_refused += outcome.m_refused / kSeeds;
