--- a/include/bamboostile/intake/intake.h
+++ b/include/bamboostile/intake/intake.h
@@ -115,7 +115,8 @@
   kUndecided,
 };
 
-/** Of one queue, since this leader was elected. */
+/** Decisions on the jobs of one queue since this leader was elected, and how
+ * its estimates compared with what followed. */
 struct QueueRecord
 {
   std::uint64_t m_accepted = 0;
--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -74,8 +74,8 @@
   /** Suspects and long-running tasks that were not started; of each step that
    * found no capacity, only the first. */
   std::map<jobs::TaskRef, WaitingTask> m_waiting;
-  /** Of each pool with workers or waiting jobs; empty unless jobs are refused
-   * by their expected end. */
+  /** Load of each pool with workers or waiting jobs; empty unless jobs are
+   * refused by their expected end. */
   PoolLoads m_loads;
 };
 
--- a/include/bamboostile/placement/pool_load.h
+++ b/include/bamboostile/placement/pool_load.h
@@ -13,9 +13,9 @@
 struct WaitingWork
 {
   std::int64_t m_onTime = 0;
-  /** Of jobs that cannot be on time any more; placed after the others. */
+  /** Work of jobs that cannot be on time any more; placed after the others. */
   std::int64_t m_late = 0;
-  /** Of jobs beyond the share of their workspace; placed last. */
+  /** Work of jobs beyond the share of their workspace; placed last. */
   std::int64_t m_beyondShare = 0;
 };
 
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -18,7 +18,8 @@
 constexpr Duration kAdmissionTimeout = Millis{ 350 };
 /** Interval between two requests for admission. */
 constexpr Duration kJoinInterval = Millis{ 300 };
-/** Longer than an election usually takes. */
+/** Time without a leader after which a member asks for admission again, in case
+ * it was removed; most elections end sooner. */
 constexpr Duration kMaxLeaderlessTime = Millis{ 3000 };
 constexpr Duration kIndexTimeInterval = Millis{ 5000 };
 /** Far above a commit on slow disks, and well below the time that callers wait.
--- a/tools/bamboostile/main.cpp
+++ b/tools/bamboostile/main.cpp
@@ -95,11 +95,11 @@
       { RunApply,
         "apply FILE\n  Carries out a reviewed JSON file of operator calls; "
         "calls whose result is already in place are skipped.\n  Example: "
-        "bamboostile apply examples/corrib.json\n" } },
+        "bamboostile apply examples/fleet.json\n" } },
     { "diff",
       { RunDiff,
         "diff FILE\n  Shows what apply would change, and changes nothing.\n  "
-        "Example: bamboostile diff examples/corrib.json\n" } },
+        "Example: bamboostile diff examples/fleet.json\n" } },
   };
   return kCommands;
 }
