jobs, control: until when a task last ran, in the log and in state

Cause: waitedMs counts from the last loss of a worker, also of one that the start never reached, so that a task without a run for 20 s looked like one that waits for 1 s, and nothing said which starts had never been sent.

Change: the end of a run that is lost with its worker carries the time of the last report that showed the run; the state keeps it over starts that none showed. New: withoutRunMs in the lines on waiting tasks, shownMsAgo in run ended, unsent in worker lost, the gauge long_running_tasks_longest_without_run_ms. No decision reads it yet.

Tests: unit.jobs LaterStartsAreNotShown, unit.placement WorkerIsLost_EndsTell, unit.control StartsOfLongRunningTaskAreLost.

--- a/include/bamboostile/jobs/book.h
+++ b/include/bamboostile/jobs/book.h
@@ -46,6 +46,9 @@
   InstanceId m_lostInstance{};
   /** The run was reported as done after the system had ended it. */
   bool m_isLate = false;
+  /** Time of the last report that showed the run; unset if none did, or if that
+   * is unknown. */
+  std::optional<WallTime> m_ranUntil{};
 };
 
 /** Marks a long-running task's run as stable: it has run for so long that the
--- a/include/bamboostile/jobs/model.h
+++ b/include/bamboostile/jobs/model.h
@@ -143,6 +143,9 @@
   WorkerIncarnation m_worker;
   std::string m_checkpoint;
   std::vector<WorkerLoss> m_losses;
+  /** Until when the last run that reports showed is known to have lasted. Runs
+   * that no report showed may never have begun. */
+  std::optional<WallTime> m_ranUntil;
   /** Set for a long-running task whose run has lasted so long that the loss of
    * its worker says nothing about the task. */
   bool m_isStable = false;
--- a/include/bamboostile/placement/losses.h
+++ b/include/bamboostile/placement/losses.h
@@ -46,6 +46,8 @@
   std::size_t m_runs = 0;
   /** Number of those runs whose start was sent and is unconfirmed. */
   std::size_t m_unconfirmedStarts = 0;
+  /** Number of those runs whose start this leader never sent. */
+  std::size_t m_unsentStarts = 0;
   /** Number of other workers whose last report was at about the same time,
    * without an isolated run on them. */
   std::size_t m_concurrentLosses = 0;
--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -55,6 +55,9 @@
   /** Time since its last loss was noticed, also by an earlier leader; unset
    * if it is no suspect. */
   std::optional<Millis> m_sinceLoss{};
+  /** Time since the last run that a report showed; unset if none has been, or
+   * its end is not known. */
+  std::optional<Millis> m_withoutRun{};
   /** The isolated run that it waits for, with kOtherRunOfJob. */
   std::optional<jobs::TaskRef> m_blockedBy{};
 };
@@ -124,6 +127,8 @@
     std::vector<jobs::WorkerLoss> m_losses;
     bool m_isGang = false;
     bool m_isLongRunning = false;
+    /** Until when its last run that a report showed lasted. */
+    std::optional<WallTime> m_ranUntil{};
 
     /** Whether it may share its worker with other isolated runs. */
     bool MayShare() const;
@@ -165,8 +170,11 @@
     {
       return { m_job->m_id, m_occurrence, m_step, aIndex };
     }
+    /** aTask: its state. */
     void AddWaiting(std::uint32_t aIndex,
+                    const jobs::Task& aTask,
                     WaitReason aReason,
+                    WallTime aWall,
                     Plan& aPlan) const;
     const jobs::StepSpec& Step() const { return m_job->m_spec.m_steps[m_step]; }
     /** Returns whether a task of the step may start; if not, adds the
@@ -206,7 +214,10 @@
                      WallTime aReadyAt,
                      WallTime aWall,
                      std::vector<Candidate>& aCandidates) const;
-  void Place(const Candidate& aCandidate, Pool& aPool, Plan& aPlan) const;
+  void Place(const Candidate& aCandidate,
+             WallTime aWall,
+             Pool& aPool,
+             Plan& aPlan) const;
   void ReserveEmptiest(const jobs::StepSpec& aStep, Pool& aPool) const;
   /** aTimeSinceDelay: for a gang of suspects, the time since its retry delay
    * ended; otherwise unset. Returns false if no member was started. */
@@ -308,6 +319,9 @@
     const jobs::TaskRef& aTask,
     const std::vector<jobs::WorkerLoss>& aLosses,
     WallTime aWall);
+  /** Not negative; unset if aTime is. */
+  static std::optional<Millis> TimeSince(std::optional<WallTime> aTime,
+                                         WallTime aWall);
   static std::uint32_t TasksOnWorker(const WorkerIncarnation& aWorker,
                                      const TasksPerWorker& aTasksPerWorker);
   /** aTasksOnWorker: running tasks of the step on this worker. */
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -187,6 +187,7 @@
 {
   WorkerReport m_lastReport;
   TimePoint m_lastReportAt;
+  WallTime m_lastReportWall;
   TimePoint m_firstReportAt;
   /** When everything that the worker runs has ended, unless a new lease is
    * granted. */
--- a/schema/jobs.capnp
+++ b/schema/jobs.capnp
@@ -76,6 +76,9 @@
       evidence @18 :UInt8;
       lostInstance @19 :Text;
       late @27 :Bool;
+      # 0 if no report showed the run; otherwise 1 + the time from the last one
+      # that did to the end.
+      shownBeforeEndMs @30 :UInt32;
     }
     fail :group {
       failed @14 :Text;
@@ -111,6 +114,8 @@
   losses @5 :List(WorkerLoss);
   settled @6 :Bool;
   workerStartedAtMs @7 :Int64;
+  # 0 if no report has shown a run.
+  ranUntilMs @8 :Int64;
 }
 
 struct WorkerLoss {
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -195,6 +195,7 @@
       .With("silentMs", ToMillis(lost.m_unresponsiveFor).count())
       .With("runs", lost.m_runs)
       .With("starting", lost.m_unconfirmedStarts)
+      .With("unsent", lost.m_unsentStarts)
       .With("lostBeside", lost.m_concurrentLosses)
       .With("withSameJob", lost.m_isLostWithSameJob)
       .With("exempt", placement::Describe(lost.m_exemption));
@@ -209,18 +210,22 @@
                     jobs::Describe(end.m_endReason) + "\"}");
     const jobs::Task* task = m_node.State().Jobs().FindTask(end.m_task);
     if (end.m_endReason != jobs::RunEnd::kDone || end.m_isLate) {
-      WorkerLogLine(Level::kInfo,
-                    "run ended",
-                    task == nullptr ? WorkerIncarnation{} : task->m_worker)
-        .With("job", end.m_task.m_job.Get())
+      LogLine line =
+        WorkerLogLine(Level::kInfo,
+                      "run ended",
+                      task == nullptr ? WorkerIncarnation{} : task->m_worker);
+      line.With("job", end.m_task.m_job.Get())
         .With("occurrence", end.m_task.m_occurrence)
         .With("step", end.m_task.m_step)
         .With("task", end.m_task.m_index)
         .With("run", end.m_run.Get())
         .With("how", jobs::Describe(end.m_endReason))
         .With("late", end.m_isLate)
-        .With("evidence", jobs::Describe(end.m_evidence))
-        .Write();
+        .With("evidence", jobs::Describe(end.m_evidence));
+      if (end.m_ranUntil) {
+        line.With("shownMsAgo", end.m_at.Get() - end.m_ranUntil->Get());
+      }
+      line.Write();
     }
     m_queuedChanges.emplace_back(std::move(end));
   }
--- a/src/control/waiting_monitor.cpp
+++ b/src/control/waiting_monitor.cpp
@@ -40,6 +40,9 @@
     .With("task", aTask.m_index)
     .With("reason", placement::Describe(aWaiting.m_last.m_reason))
     .With("waitedMs", ToMillis(aWaiting.WaitedAt(aNow)).count());
+  if (aWaiting.m_last.m_withoutRun) {
+    line.With("withoutRunMs", aWaiting.m_last.m_withoutRun->count());
+  }
   if (aWaiting.m_last.m_blockedBy) {
     line.With("behindTask", aWaiting.m_last.m_blockedBy->m_index)
       .With("behindStep", aWaiting.m_last.m_blockedBy->m_step);
@@ -95,11 +98,14 @@
   std::size_t suspects = 0;
   Duration longest{};
   Duration longestOfSuspects{};
+  Millis longestWithoutRun{};
   for (const auto& [task, waiting] : m_waiting) {
     const Duration waited = waiting.WaitedAt(aNow);
     if (waiting.m_last.m_isLongRunning) {
       ++longRunning;
       longest = std::max(longest, waited);
+      longestWithoutRun = std::max(
+        longestWithoutRun, waiting.m_last.m_withoutRun.value_or(Millis{}));
     }
     if (waiting.m_last.m_sinceLoss) {
       ++suspects;
@@ -111,6 +117,7 @@
   };
   set("long_running_tasks_waiting", longRunning);
   set("long_running_tasks_longest_wait_ms", ToMillis(longest).count());
+  set("long_running_tasks_longest_without_run_ms", longestWithoutRun.count());
   set("suspects_waiting", suspects);
   set("suspects_longest_wait_ms", ToMillis(longestOfSuspects).count());
 }
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -452,6 +452,9 @@
   if (!aEnd.m_checkpoint.empty()) {
     task.m_checkpoint = aEnd.m_checkpoint;
   }
+  if (aEnd.m_ranUntil) {
+    task.m_ranUntil = aEnd.m_ranUntil;
+  }
   if (aEnd.m_endReason == RunEnd::kDone && !spec.m_longRunning) {
     MarkDone(*job, aEnd.m_task);
     // All members of a gang are done together; the ends of the other members
@@ -562,6 +565,7 @@
       task->m_lastRun == aMark.m_run) {
     task->m_isStable = true;
     task->m_losses.clear();
+    task->m_ranUntil.reset();
     m_tasksWithLosses.erase(aMark.m_task);
   }
   return CallOutcome::kNone;
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -9,6 +9,9 @@
 #include <capnp/serialize-packed.h>
 #include <kj/io.h>
 
+#include <algorithm>
+#include <limits>
+
 namespace bamboostile::jobs {
 
 namespace {
@@ -67,6 +70,24 @@
   return { WorkerId{ Text(aId) }, WallTime{ aStartedAtMs } };
 }
 
+// A small number takes fewer bytes than a second time of day. The wall clock
+// may have been set back in between.
+std::uint32_t
+EncodeTimeBefore(const EndRun& aEnd)
+{
+  constexpr std::int64_t kMax = std::numeric_limits<std::uint32_t>::max() - 1;
+  const std::int64_t before = aEnd.m_at.Get() - aEnd.m_ranUntil->Get();
+  return static_cast<std::uint32_t>(
+    1 + std::clamp(before, std::int64_t{ 0 }, kMax));
+}
+
+std::optional<WallTime>
+DecodeTimeBefore(std::uint32_t aEncoded, WallTime aEnd)
+{
+  return aEncoded == 0 ? std::nullopt
+                       : std::optional{ WallTime{ aEnd.Get() + 1 - aEncoded } };
+}
+
 void
 Write(const Change& aChange, schema::Change::Builder aTo)
 {
@@ -106,6 +127,9 @@
                    to.setEvidence(static_cast<std::uint8_t>(aEnd.m_evidence));
                    to.setLostInstance(aEnd.m_lostInstance.Get());
                  }
+                 if (aEnd.m_ranUntil) {
+                   to.setShownBeforeEndMs(EncodeTimeBefore(aEnd));
+                 }
                },
                [&](const FailJob& aFail) {
                  auto to = aTo.initFail();
@@ -167,7 +191,9 @@
                      WallTime{ from.getEndAtMs() },
                      static_cast<CrashEvidence>(from.getEvidence()),
                      InstanceId{ Text(from.getLostInstance()) },
-                     from.getLate() };
+                     from.getLate(),
+                     DecodeTimeBefore(from.getShownBeforeEndMs(),
+                                      WallTime{ from.getEndAtMs() }) };
     }
     case schema::Change::FAIL: {
       const auto from = aFrom.getFail();
@@ -265,6 +291,9 @@
           list[i].setWorkerStartedAtMs(tasks[i].m_worker.m_startedAt.Get());
           list[i].setCheckpoint(tasks[i].m_checkpoint);
           list[i].setSettled(tasks[i].m_isStable);
+          if (tasks[i].m_ranUntil) {
+            list[i].setRanUntilMs(tasks[i].m_ranUntil->Get());
+          }
           WriteLosses(tasks[i].m_losses, list[i]);
         }
       }
@@ -299,6 +328,9 @@
           task.m_checkpoint = Text(taskState.getCheckpoint());
           task.m_isStable = taskState.getSettled();
           task.m_losses = ReadLosses(taskState);
+          if (taskState.getRanUntilMs() != 0) {
+            task.m_ranUntil = WallTime{ taskState.getRanUntilMs() };
+          }
         }
       }
     }
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -89,15 +89,28 @@
 
 void
 Planner::Candidate::AddWaiting(std::uint32_t aIndex,
+                               const jobs::Task& aTask,
                                WaitReason aReason,
+                               WallTime aWall,
                                Plan& aPlan) const
 {
   if (m_isLongRunning) {
-    aPlan.m_waiting.insert_or_assign(TaskAt(aIndex),
-                                     WaitingTask{ aReason, true });
+    WaitingTask waiting{ aReason, true };
+    waiting.m_withoutRun = TimeSince(aTask.m_ranUntil, aWall);
+    aPlan.m_waiting.insert_or_assign(TaskAt(aIndex), std::move(waiting));
   }
 }
 
+// The wall clock may have been set back.
+std::optional<Millis>
+Planner::TimeSince(std::optional<WallTime> aTime, WallTime aWall)
+{
+  if (!aTime) {
+    return std::nullopt;
+  }
+  return std::max(Millis::zero(), Millis{ aWall.Get() - aTime->Get() });
+}
+
 void
 Planner::Candidate::ChargeStart() const
 {
@@ -404,7 +417,10 @@
 }
 
 void
-Planner::Place(const Candidate& aCandidate, Pool& aPool, Plan& aPlan) const
+Planner::Place(const Candidate& aCandidate,
+               WallTime aWall,
+               Pool& aPool,
+               Plan& aPlan) const
 {
   const jobs::StepSpec& step =
     aCandidate.m_job->m_spec.m_steps[aCandidate.m_step];
@@ -429,12 +445,12 @@
       continue;
     }
     if (!aCandidate.CheckCap(aPlan)) {
-      aCandidate.AddWaiting(i, WaitReason::kWorkspaceCap, aPlan);
+      aCandidate.AddWaiting(i, task, WaitReason::kWorkspaceCap, aWall, aPlan);
       return;
     }
     Target* target = Choose(step, tasksPerWorker, aPool);
     if (target == nullptr) {
-      aCandidate.AddWaiting(i, WaitReason::kNoCapacity, aPlan);
+      aCandidate.AddWaiting(i, task, WaitReason::kNoCapacity, aWall, aPlan);
       aPlan.m_fullServices.insert(aCandidate.m_route->m_service);
       if (!aCandidate.m_isLate) {
         ReserveEmptiest(step, aPool);
@@ -664,7 +680,7 @@
       if (pool == nullptr) {
         pool = &pools[it->m_route->m_service];
       }
-      Place(*it, *pool, plan);
+      Place(*it, aWall, *pool, plan);
     }
     PlaceSuspects(OrderSuspects(aFrom, aTo, aState.Jobs()),
                   isQuietPeriod,
--- a/src/placement/trials.cpp
+++ b/src/placement/trials.cpp
@@ -301,7 +301,8 @@
       suspects.push_back({ aCandidate.TaskAt(i),
                            std::move(losses),
                            step.m_gang,
-                           step.m_longRunning });
+                           step.m_longRunning,
+                           run.m_tasks[i].m_ranUntil });
     }
   }
   std::stable_sort(suspects.begin(),
@@ -420,6 +421,7 @@
       waiting->m_isLongRunning = aStep.m_candidate.m_isLongRunning;
       waiting->m_sinceLoss =
         Millis{ aWall.Get() - run.m_losses.back().m_at.Get() };
+      waiting->m_withoutRun = TimeSince(run.m_ranUntil, aWall);
       aPlan.m_waiting.insert_or_assign(run.m_task, std::move(*waiting));
     } else if (!run.MayShare()) {
       return true;
--- a/src/placement/worker_losses.cpp
+++ b/src/placement/worker_losses.cpp
@@ -266,18 +266,19 @@
   }
   const std::size_t workers = CountWorkers(aWorker.m_lastReport.m_service);
   const LossCount others = CountConcurrentLosses(aWorker, aBook, aNow);
-  const LostWorker lost{ id,
-                         aWorker.m_lastReport.m_instance,
-                         HasLaterIncarnation(aWorker)
-                           ? LossCause::kLaterIncarnation
-                           : aCause,
-                         aNow - aWorker.m_lastReportAt,
-                         placed->second.size(),
-                         unconfirmed.size(),
-                         others.m_inFleet,
-                         IsLossDistinct(others, workers),
-                         IsLostWithSameJob(aWorker, aBook, aNow),
-                         ExemptionOf(aWorker) };
+  const LostWorker lost{
+    id,
+    aWorker.m_lastReport.m_instance,
+    HasLaterIncarnation(aWorker) ? LossCause::kLaterIncarnation : aCause,
+    aNow - aWorker.m_lastReportAt,
+    placed->second.size(),
+    unconfirmed.size(),
+    FindPending(aWorker, aBook).size() - unconfirmed.size(),
+    others.m_inFleet,
+    IsLossDistinct(others, workers),
+    IsLostWithSameJob(aWorker, aBook, aNow),
+    ExemptionOf(aWorker)
+  };
   m_lost.push_back(lost);
   if (lost.m_exemption != LossExemption::kNone) {
     return;
@@ -347,15 +348,21 @@
   if (placed == aBook.TasksByWorker().end()) {
     return ends;
   }
+  const Worker* worker = Find(aWorker);
   for (const jobs::TaskRef& ref : placed->second) {
     const auto saved = m_checkpoints.find(ref);
+    const RunNumber run = aBook.FindTask(ref)->m_lastRun;
     ends.push_back({ ref,
-                     aBook.FindTask(ref)->m_lastRun,
+                     run,
                      jobs::RunEnd::kWorkerLost,
                      saved == m_checkpoints.end() ? "" : saved->second,
                      aWall,
                      EvidenceOf(ref, aWorker, aBook),
                      aInstance });
+    if (worker != nullptr &&
+        Contains(worker->m_lastReport.m_active, ref, run)) {
+      ends.back().m_ranUntil = worker->m_lastReportWall;
+    }
   }
   return ends;
 }
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -191,6 +191,7 @@
   const bool hadIsolatedRun = HasIsolatedRun(worker, aBook);
   worker.m_lastReport = aReport;
   worker.m_lastReportAt = aNow;
+  worker.m_lastReportWall = aWall;
   worker.m_isLost = false;
   worker.m_lostIsolatedRuns.clear();
   worker.m_evidence.clear();
@@ -360,6 +361,9 @@
     aResult.m_ends.push_back(
       { end.m_task, end.m_run, end.m_endReason, end.m_checkpoint, aWall });
     aResult.m_ends.back().m_isLate = isLate;
+    if (end.m_endReason != jobs::RunEnd::kRefused) {
+      aResult.m_ends.back().m_ranUntil = aWall;
+    }
   }
 }
 
--- a/tests/unit/control/job_service_test.cpp
+++ b/tests/unit/control/job_service_test.cpp
@@ -780,6 +780,23 @@
   CHECK(text.find("long_running_tasks_waiting 0") != std::string::npos);
 }
 
+// Guards against a wait whose gauge counts only from the loss of its last
+// start, which never ran.
+TEST(JobService, StartsOfLongRunningTaskAreLost_GaugeCountsFromItsLastRun)
+{
+  placement::WaitingTask waiting{ placement::WaitReason::kRetryDelay, true };
+  waiting.m_sinceLoss = Millis{ 500 };
+  waiting.m_withoutRun = Millis{ 16'000 };
+  control::WaitingMonitor monitor;
+  telemetry::Metrics metrics;
+  const TimePoint now{ Millis{ 1'000 } };
+  monitor.OnPlanned({ { { JobId{ "a" }, 0, 0, 0 }, waiting } }, now);
+  monitor.Export(now, metrics);
+  CHECK(
+    metrics.Render().find("long_running_tasks_longest_without_run_ms 16000") !=
+    std::string::npos);
+}
+
 // Guards against metrics that grow with every workspace there ever was.
 TEST(JobService, RemovedWorkspace_HasNoMetricsAnyMore)
 {
--- a/tests/unit/jobs/book_test.cpp
+++ b/tests/unit/jobs/book_test.cpp
@@ -219,6 +219,27 @@
   CHECK(std::get<EndRun>(decoded->m_changes.at(0)).m_isLate);
 }
 
+// Guards against a time without a run that begins anew with each start that
+// never ran, or with each leader.
+TEST(JobTable, LaterStartsAreNotShown_EndOfLastShownRunIsKept)
+{
+  const auto lose = [&](std::uint32_t aRun, std::optional<WallTime> aRanUntil) {
+    m_fleet.Start(Ref("a"), "w", aRun);
+    EndRun end{
+      Ref("a"), RunNumber{ aRun }, RunEnd::kWorkerLost, "", WallTime{ 9000 }
+    };
+    end.m_ranUntil = aRanUntil;
+    m_fleet.Apply(DecodeBatch(EncodeBatch({ { end } }))->m_changes);
+  };
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  lose(1, std::nullopt);
+  CHECK(!m_fleet.Book().FindTask(Ref("a"))->m_ranUntil);
+  lose(2, WallTime{ 4250 });
+  lose(3, std::nullopt);
+  m_fleet.Restore();
+  LONGS_EQUAL(4250, m_fleet.Book().FindTask(Ref("a"))->m_ranUntil->Get());
+}
+
 TEST(JobTable, CorruptBytes_AreRejected)
 {
   const Batch batch{ { Cancel{ JobId{ "some job" }, WallTime{ 1 } } } };
--- a/tests/unit/placement/workers_test.cpp
+++ b/tests/unit/placement/workers_test.cpp
@@ -545,3 +545,20 @@
   STRCMP_EQUAL("had just started",
                Describe(lost(kLater + 5'100)[0].m_evidence));
 }
+
+// Guards against a start that never ran and counts as the task's last run.
+TEST(WorkerTable, WorkerIsLost_EndsTellWhichRunsWereShown)
+{
+  m_fleet.Submit("a", Spec({ Step(2) }));
+  m_fleet.Start(Ref("a"), "w");
+  WorkerReport report = Report("w", 1);
+  report.m_active.push_back(Active(Ref("a")));
+  Receive(report, kLater);
+  m_fleet.Start(Ref("a", 1), "w");
+  const auto ends = m_table.CollectLostRuns(
+    m_fleet.Book(), At(kLater + 10'000), WallTime{ kWall + 10'000 });
+  LONGS_EQUAL(2, ends.size());
+  LONGS_EQUAL(kWall, ends[0].m_ranUntil->Get());
+  CHECK(!ends[1].m_ranUntil);
+  LONGS_EQUAL(1, m_table.TakeLostWorkers().at(0).m_unsentStarts);
+}
