placement: a quiet period counts from losses, not from when they are noticed

Callers saw long-running tasks without a run, with room for them.

Cause: a suspect waits until no worker has been lost for 3 s. The time counted from when losses were noticed, up to 4.75 s after they happened, so that 3 s took up to 7.75 s; workers that drained or were under an order counted too.

Change: a loss counts from its worker's last report, and exempt losses do not count.

--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -601,8 +601,6 @@
   /** Workers with accepted ends that are not on a receipt yet. */
   std::set<WorkerIncarnation> m_withoutReceipt;
   std::vector<LostWorker> m_lost;
-  /** When losses without an isolated run were noticed. */
-  RecentLosses m_noticedLosses;
   /** Last report times of lost workers that are no longer in m_workers. */
   RecentLosses m_recentLosses;
   workspaces::Accounts m_accounts;
--- a/src/placement/worker_lives.cpp
+++ b/src/placement/worker_lives.cpp
@@ -200,7 +200,8 @@
     for (const jobs::TaskRef& task : worker.m_lostIsolatedRuns) {
       m_recentLosses.AddIsolated(worker.m_lastReportAt, task);
     }
-    if (worker.m_lostIsolatedRuns.empty()) {
+    if (worker.m_lostIsolatedRuns.empty() &&
+        ExemptionOf(worker) == LossExemption::kNone) {
       m_recentLosses.Add(worker.m_lastReportAt, worker.m_lastReport.m_service);
     }
     health = worker.m_health;
--- a/src/placement/worker_losses.cpp
+++ b/src/placement/worker_losses.cpp
@@ -57,6 +57,8 @@
     }));
 }
 
+// Losses count from their workers' last reports. They are noticed some seconds
+// later, when further losses with the same cause are no longer expected.
 bool
 WorkerTable::IsQuietPeriod(const ServiceId& aService,
                            const jobs::JobTable& aBook,
@@ -65,11 +67,14 @@
   if (aNow < m_leaderSince + m_options.m_quietPeriod) {
     return false;
   }
-  LossCount count =
-    m_noticedLosses.CountAfter(aNow - m_options.m_quietPeriod, aService);
+  const TimePoint since = aNow - m_options.m_quietPeriod;
+  LossCount count = m_recentLosses.CountAfter(since, aService);
   for (const auto& [id, worker] : m_workers) {
-    if (!worker.m_isLost && IsUnresponsive(worker, aNow) &&
-        !HasIsolatedRun(worker, aBook)) {
+    const bool isRecentLoss = worker.m_lastReportAt > since &&
+                              IsUnresponsive(worker, aNow) &&
+                              ExemptionOf(worker) == LossExemption::kNone &&
+                              !HasIsolatedRun(worker, aBook);
+    if (isRecentLoss) {
       ++count.m_inFleet;
       count.m_inService += worker.m_lastReport.m_service == aService ? 1 : 0;
     }
@@ -258,9 +263,6 @@
   const auto placed = aBook.TasksByWorker().find(id);
   const auto unconfirmed = FindUnconfirmed(aWorker, aBook);
   aWorker.m_lostIsolatedRuns = FindIsolatedRuns(aWorker, aBook);
-  if (aWorker.m_lostIsolatedRuns.empty()) {
-    m_noticedLosses.Add(aNow, aWorker.m_lastReport.m_service);
-  }
   if (placed == aBook.TasksByWorker().end()) {
     return;
   }
