placement: waits of a long-running task count from its last run

Callers saw long-running tasks without a run for up to 21 s after a series of crashes, while most of the pool was idle.

Cause: each attempt kept its bound, their sum had none. The retry delay and the wait for a quiet period began anew with each loss, also of a start that never ran.

Change: for long-running tasks both count from the last run that a report showed, which the state keeps. The wait for a quiet period is over 8 s after it, up to four losses; from five on it backs off as before.

--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -130,6 +130,9 @@
     /** Until when its last run that a report showed lasted. */
     std::optional<WallTime> m_ranUntil{};
 
+    /** Time since the task's last run that a report showed, or since its first
+     * loss if none did. */
+    Millis TimeWithoutRun(WallTime aWall) const;
     /** Whether it may share its worker with other isolated runs. */
     bool MayShare() const;
     /** Whether it may join others on their worker where it has waited for
@@ -278,9 +281,7 @@
                                Target& aTarget,
                                Pool& aPool,
                                Plan& aPlan);
-  static bool MustAwaitQuietPeriod(const jobs::StepSpec& aStep,
-                                   const std::vector<jobs::WorkerLoss>& aLosses,
-                                   WallTime aWall);
+  static bool MustAwaitQuietPeriod(const IsolatedRun& aRun, WallTime aWall);
   void FindIsolatedRuns(const Worker& aWorker,
                         const std::vector<jobs::TaskRef>& aPlaced,
                         const jobs::JobTable& aBook,
@@ -315,10 +316,8 @@
     const IsolationQuota& aQuota);
   /** Time since the retry delay before the next isolated run ended; unset
    * while it lasts. */
-  static std::optional<Millis> TimeSinceRetryDelay(
-    const jobs::TaskRef& aTask,
-    const std::vector<jobs::WorkerLoss>& aLosses,
-    WallTime aWall);
+  static std::optional<Millis> TimeSinceRetryDelay(const IsolatedRun& aRun,
+                                                   WallTime aWall);
   /** Not negative; unset if aTime is. */
   static std::optional<Millis> TimeSince(std::optional<WallTime> aTime,
                                          WallTime aWall);
--- a/src/placement/trials.cpp
+++ b/src/placement/trials.cpp
@@ -33,11 +33,14 @@
 /** Maximum number of unconfirmed isolated runs on a worker. The loss of the
  * worker makes their tasks suspect to the same degree. */
 constexpr std::uint32_t kMaxUnconfirmedTogether = 2;
-/** Maximum time from the end of a long-running task's last run to the moment
- * from which its next one no longer waits for a quiet period. A loss is noticed
- * within 5 s, and a start takes half a second, so that the task is without a
- * run for less than 9 s. */
+/** Maximum time from a loss of a long-running task to the moment from which its
+ * next run no longer waits for a quiet period. A loss is noticed within 5 s,
+ * and a start takes half a second, so that the task is without a run for less
+ * than 9 s. */
 constexpr Millis kQuietPeriodTimeout{ 3000 };
+/** The same bound, counted from the end of the task's last run that a report
+ * showed. It also covers starts that were lost before they ran. */
+constexpr Millis kMaxWaitWithoutRun{ 8000 };
 /** Number of losses from which that time doubles with each loss. A task that
  * crashes its workers where its losses cannot be told apart from others takes
  * fewer and fewer of them. */
@@ -48,9 +51,9 @@
   kQuietPeriodTimeout * (1 << kMaxBackoffDoublings);
 
 Millis
-QuietPeriodTimeout(const jobs::StepSpec& aStep, std::size_t aLosses)
+QuietPeriodTimeout(bool aIsLongRunning, std::size_t aLosses)
 {
-  if (!aStep.m_longRunning) {
+  if (!aIsLongRunning) {
     return kMaxQuietPeriodTimeout;
   }
   const std::size_t doublings =
@@ -60,6 +63,15 @@
 
 } // namespace
 
+// Starts that no report showed may never have run, so their losses do not
+// begin the time anew.
+Millis
+Planner::IsolatedRun::TimeWithoutRun(WallTime aWall) const
+{
+  const WallTime since = m_ranUntil.value_or(m_losses.front().m_at);
+  return *TimeSince(std::min(since, m_losses.back().m_at), aWall);
+}
+
 bool
 Planner::IsolatedRun::MayShare() const
 {
@@ -258,29 +270,34 @@
 // If the wall clock was set back, the delay counts as ended, so that the task
 // is not held up for long.
 std::optional<Millis>
-Planner::TimeSinceRetryDelay(const jobs::TaskRef& aTask,
-                             const std::vector<jobs::WorkerLoss>& aLosses,
-                             WallTime aWall)
+Planner::TimeSinceRetryDelay(const IsolatedRun& aRun, WallTime aWall)
 {
-  const Millis sinceLoss{ aWall.Get() - aLosses.back().m_at.Get() };
-  const Millis delay = ToMillis(jobs::RetryDelay(aTask, aLosses));
+  const Millis sinceLoss{ aWall.Get() - aRun.m_losses.back().m_at.Get() };
+  const Millis delay = ToMillis(jobs::RetryDelay(aRun.m_task, aRun.m_losses));
   if (sinceLoss < Millis::zero()) {
     return Millis::zero();
   }
-  return sinceLoss < delay ? std::nullopt : std::optional{ sinceLoss - delay };
+  const Millis waited =
+    aRun.m_isLongRunning ? aRun.TimeWithoutRun(aWall) : sinceLoss;
+  return waited < delay ? std::nullopt : std::optional{ waited - delay };
 }
 
 // The loss of an isolated run says most in a quiet period. But in a small pool,
 // or a bad hour, there may be none for as long as workers go on being lost, and
-// their losses must not keep a healthy task away for good.
+// their losses must not keep a healthy task away for good. Without a bound on
+// the time without a run, each start that is lost before it runs would add
+// another wait.
 bool
-Planner::MustAwaitQuietPeriod(const jobs::StepSpec& aStep,
-                              const std::vector<jobs::WorkerLoss>& aLosses,
-                              WallTime aWall)
+Planner::MustAwaitQuietPeriod(const IsolatedRun& aRun, WallTime aWall)
 {
-  const Millis sinceLoss{ aWall.Get() - aLosses.back().m_at.Get() };
-  return jobs::NeedsQuietPeriod(aLosses) && sinceLoss >= Millis::zero() &&
-         sinceLoss < QuietPeriodTimeout(aStep, aLosses.size());
+  const std::vector<jobs::WorkerLoss>& losses = aRun.m_losses;
+  const Millis sinceLoss{ aWall.Get() - losses.back().m_at.Get() };
+  const bool isOverdue = aRun.m_isLongRunning && aRun.m_ranUntil &&
+                         losses.size() < kMinLossesForBackoff &&
+                         aRun.TimeWithoutRun(aWall) >= kMaxWaitWithoutRun;
+  return jobs::NeedsQuietPeriod(losses) && sinceLoss >= Millis::zero() &&
+         sinceLoss < QuietPeriodTimeout(aRun.m_isLongRunning, losses.size()) &&
+         !isOverdue;
 }
 
 std::vector<Planner::IsolatedRun>
@@ -441,11 +458,10 @@
 {
   const Candidate& candidate = aStep.m_candidate;
   const jobs::StepSpec& step = candidate.Step();
-  if (!aIsQuietPeriod && MustAwaitQuietPeriod(step, aRun.m_losses, aWall)) {
+  if (!aIsQuietPeriod && MustAwaitQuietPeriod(aRun, aWall)) {
     return WaitingTask{ WaitReason::kQuietPeriod };
   }
-  const auto timeSinceDelay =
-    TimeSinceRetryDelay(aRun.m_task, aRun.m_losses, aWall);
+  const auto timeSinceDelay = TimeSinceRetryDelay(aRun, aWall);
   if (!timeSinceDelay) {
     return WaitingTask{ WaitReason::kRetryDelay };
   }
