placement: mass losses are no evidence against a task

Callers saw a healthy long-running job fail after a series of crashes, with all its tasks gone for good.

Cause: a task whose start was lost counted as a suspect cause of the loss, however many workers were lost with it, and under a new leader also where it was unknown whether it had been started. Five losses, three of them such, gave the job up. Each restart in the middle of a series added one. The number of a service's workers, which tells whether losses are few, also counted each worker that had come back twice.

Change: a loss with a quarter of the service, or one of several workers that were lost before they reported to a new leader, is evidence of its own kind and weighs half as much. The leader fails the job of a task with five losses that weigh enough; what replicas apply by themselves is unchanged, so that mixed versions agree. With three losses or more a task waits while a quarter of the service is being lost, as its next run would be lost as well.

Ruled out: shorter waits alone, which give more healthy jobs up; no weight for mass losses, which lets a crashing task take a sixth worker.

--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -160,7 +160,13 @@
   void AnswerHeld(bool aIsLeader, TimePoint aNow);
   void RecordCommitted(const std::vector<jobs::Change>& aChanges,
                        TimePoint aNow);
-  void RecordIfCrashLoop(const jobs::Job& aJob, const jobs::EndRun& aEnd);
+  /** aAt: when the committed change ended the job, if it did. aIsWorkerLost:
+   * because of the loss of a worker. */
+  void RecordIfEnded(const JobId& aJob,
+                     WallTime aAt,
+                     bool aIsWorkerLost,
+                     TimePoint aNow);
+  void RecordCrashLoop(const jobs::Job& aJob);
   void StopStuckRuns(TimePoint aNow);
   void OnIncarnationEnded(const WorkerIncarnation& aWorker);
   void OnOrderAccepted(const WorkerIncarnation& aWorker, TimePoint aOrderedAt);
--- a/include/bamboostile/jobs/crash_loop.h
+++ b/include/bamboostile/jobs/crash_loop.h
@@ -53,15 +53,26 @@
  */
 bool HasProof(const std::vector<WorkerLoss>& aLosses);
 
-/** Whether the task must not be started again. */
+/** Whether the task must not be started again. Every replica fails its job when
+ * it applies the last loss. */
 bool IsProvenCrasher(const std::vector<WorkerLoss>& aLosses);
 
+/** Whether the leader must fail the task's job in place of starting it again:
+ * it has as many losses as the service allows, and mass losses alone hardly
+ * explain them. */
+bool IsLikelyCrasher(const std::vector<WorkerLoss>& aLosses);
+
 /** Returns the delay between the end of the last run and the next isolated run.
  * It grows with each loss and is the same on all replicas. */
 Duration RetryDelay(const TaskRef& aTask,
                     const std::vector<WorkerLoss>& aLosses);
 
-/** Formats losses as "crashed 2 workers: w1 (run 1), w2 (run 2)". */
-std::string DescribeLosses(const std::vector<WorkerLoss>& aLosses);
+/** Formats a task's name as "step 0 task 1", for the reason of a failed job. */
+std::string NameOf(const TaskRef& aTask);
+
+/** Formats losses as "step 0 task 1 crashed 2 workers: w1 (run 1), w2 (run 2)".
+ */
+std::string DescribeCrashes(const TaskRef& aTask,
+                            const std::vector<WorkerLoss>& aLosses);
 
 } // namespace bamboostile::jobs
--- a/include/bamboostile/jobs/model.h
+++ b/include/bamboostile/jobs/model.h
@@ -121,6 +121,9 @@
    * lost at about the same time. The worker may be cut off and still running.
    */
   kRunningIsolated = 5,
+  /** The task may have just been started there, and a large part of the workers
+   * was lost at about the same time. */
+  kStartingInMassLoss = 6,
 };
 
 /** The loss, for an unknown reason, of a worker that was running a task. */
--- a/include/bamboostile/placement/losses.h
+++ b/include/bamboostile/placement/losses.h
@@ -53,6 +53,10 @@
   std::size_t m_concurrentLosses = 0;
   /** The loss is distinct from those of other workers. */
   bool m_isDistinct = false;
+  /** A large part of the service's workers was lost with it. */
+  bool m_isMassLoss = false;
+  /** A large part was lost within LeaseOptions::m_quietPeriod of it. */
+  bool m_isAmongMassLosses = false;
   /** Whether another worker with an isolated run of the same job stopped
    * reporting at about the same time. */
   bool m_isLostWithSameJob = false;
@@ -68,6 +72,9 @@
 {
   std::size_t m_inFleet = 0;
   std::size_t m_inService = 0;
+
+  /** With one more worker of the service. */
+  LossCount WithOneMore() const { return { m_inFleet + 1, m_inService + 1 }; }
 };
 
 /**
@@ -80,6 +87,24 @@
  */
 bool IsLossDistinct(const LossCount& aOthers, std::size_t aWorkersOfService);
 
+/** How many workers of a service are being lost. */
+enum class LossActivity : std::uint8_t
+{
+  /** Hardly any: the next loss would be distinct. */
+  kQuiet,
+  kSome,
+  /** A large part of them. */
+  kMass,
+};
+
+/** Whether losses are so many that any worker of the service may be lost next,
+ * as in a series of crashes of its racks. */
+bool IsMassLoss(const LossCount& aLosses, std::size_t aWorkersOfService);
+
+/** The same for workers, of any service, that were lost before they reported to
+ * a new leader. */
+bool IsUnseenMassLoss(std::size_t aWorkers);
+
 /**
  * @brief Moments of recent losses, such as when the lost workers last reported.
  *
@@ -92,8 +117,10 @@
   /** Adds the loss of a worker with an isolated run; the other counts leave it
    * out. */
   void AddIsolated(TimePoint aMoment, const jobs::TaskRef& aTask);
-  /** Counts the losses within kConcurrentLossWindow of a moment. */
-  LossCount CountAround(TimePoint aMoment, const ServiceId& aService) const;
+  /** Counts the losses within aWindow of a moment. */
+  LossCount CountAround(TimePoint aMoment,
+                        Duration aWindow,
+                        const ServiceId& aService) const;
   /** Moments of the losses with an isolated run, and its task. */
   const std::vector<std::pair<TimePoint, jobs::TaskRef>>& Isolated() const
   {
--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -246,14 +246,14 @@
    * one of each step, until no further one may start. */
   void PlaceSuspects(
     std::vector<SuspectStep> aSteps,
-    const std::function<bool(const ServiceId&)>& aIsQuietPeriod,
+    const std::function<LossActivity(const ServiceId&)>& aAssessLosses,
     WallTime aWall,
     Pools& aPools,
     Plan& aPlan) const;
   /** Starts the step's next isolated run, and those that share a worker up to
    * it. Returns false if there is none. */
   bool PlaceNextSuspect(SuspectStep& aStep,
-                        bool aIsQuietPeriod,
+                        LossActivity aActivity,
                         WallTime aWall,
                         IsolationQuota& aQuota,
                         Pool& aPool,
@@ -261,7 +261,7 @@
   /** Returns why the suspect was not started; unset if it was. */
   std::optional<WaitingTask> PlaceSuspect(SuspectStep& aStep,
                                           const IsolatedRun& aRun,
-                                          bool aIsQuietPeriod,
+                                          LossActivity aActivity,
                                           WallTime aWall,
                                           IsolationQuota& aQuota,
                                           Pool& aPool,
@@ -281,7 +281,9 @@
                                Target& aTarget,
                                Pool& aPool,
                                Plan& aPlan);
-  static bool MustAwaitQuietPeriod(const IsolatedRun& aRun, WallTime aWall);
+  static bool MustAwaitQuietPeriod(const IsolatedRun& aRun,
+                                   LossActivity aActivity,
+                                   WallTime aWall);
   void FindIsolatedRuns(const Worker& aWorker,
                         const std::vector<jobs::TaskRef>& aPlaced,
                         const jobs::JobTable& aBook,
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -311,12 +311,11 @@
                                             TimePoint aNow,
                                             WallTime aWall);
 
-  /** The loss of a worker of the service would be distinct: hardly any other
-   * worker is unresponsive or was lost recently, except for those with an
-   * isolated run. */
-  bool IsQuietPeriod(const ServiceId& aService,
-                     const jobs::JobTable& aBook,
-                     TimePoint aNow) const;
+  /** What the losses of workers in the last LeaseOptions::m_quietPeriod, except
+   * for those with an isolated run, say about the next one in the service. */
+  LossActivity AssessLosses(const ServiceId& aService,
+                            const jobs::JobTable& aBook,
+                            TimePoint aNow) const;
   /** Returns the workers that were lost with runs since the last call. */
   std::vector<LostWorker> TakeLostWorkers()
   {
@@ -552,9 +551,15 @@
   /** Returns starts that were sent and that no report has shown. */
   std::vector<jobs::TaskRef> FindUnconfirmed(const Worker& aWorker,
                                              const jobs::JobTable& aBook) const;
-  LossCount CountConcurrentLosses(const Worker& aWorker,
-                                  const jobs::JobTable& aBook,
-                                  TimePoint aNow) const;
+  /** Counts the other workers without an isolated run whose last report is at
+   * least aSilentFor ago and within aWindow of this one's. */
+  LossCount CountLossesAround(const Worker& aWorker,
+                              Duration aWindow,
+                              Duration aSilentFor,
+                              const jobs::JobTable& aBook,
+                              TimePoint aNow) const;
+  /** Updates m_mostUnseen. */
+  void CountUnseen(const jobs::JobTable& aBook, TimePoint aNow);
   /** Workers of the service that are not lost. */
   std::size_t CountWorkers(const ServiceId& aService) const;
   LossExemption ExemptionOf(const Worker& aWorker) const;
@@ -597,6 +602,9 @@
    * are committed. */
   std::map<std::pair<WorkerIncarnation, jobs::TaskRef>, jobs::CrashEvidence>
     m_evidenceOfEnded;
+  /** The most workers that earlier leaders had placed runs on and that had not
+   * reported to this leader by the time at which live workers have. */
+  std::size_t m_mostUnseen = 0;
   std::shared_ptr<const OrderEffects> m_orderEffects;
   /** Workers with accepted ends that are not on a receipt yet. */
   std::set<WorkerIncarnation> m_withoutReceipt;
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -444,6 +444,10 @@
       m_metrics.Count("runs_started_total");
       continue;
     }
+    if (const auto* failed = std::get_if<jobs::FailJob>(&change)) {
+      RecordIfEnded(failed->m_job, failed->m_at, true, aNow);
+      continue;
+    }
     const auto* end = std::get_if<jobs::EndRun>(&change);
     if (end == nullptr) {
       continue;
@@ -458,33 +462,44 @@
     if (started != m_startedAt.end()) {
       m_startedAt.erase(started);
     }
-    if (job != nullptr && job->m_state != jobs::JobState::kActive &&
-        job->m_endedAt == end->m_at) {
-      const std::int64_t tookMs =
-        job->m_endedAt.Get() - job->m_acceptedAt.Get();
-      m_metrics.Observe("job_seconds", static_cast<double>(tookMs) / 1000);
-      LogLine(Level::kInfo, "job ended")
-        .With("job", job->m_id.Get())
-        .With("queue", job->m_queue.Get())
-        .With("state", jobs::Describe(job->m_state))
-        .With("reason", job->m_reason)
-        .With("afterMs", tookMs)
-        .Write();
-      RecordInIntake(*job, aNow);
-      RecordIfCrashLoop(*job, *end);
-    }
+    RecordIfEnded(end->m_task.m_job,
+                  end->m_at,
+                  end->m_endReason == jobs::RunEnd::kWorkerLost,
+                  aNow);
   }
 }
 
-// Jobs that crash workers are given up one by one. The metric and the log line
-// show operators that a queue keeps sending such jobs.
 void
-JobService::RecordIfCrashLoop(const jobs::Job& aJob, const jobs::EndRun& aEnd)
+JobService::RecordIfEnded(const JobId& aJob,
+                          WallTime aAt,
+                          bool aIsWorkerLost,
+                          TimePoint aNow)
 {
-  if (aEnd.m_endReason != jobs::RunEnd::kWorkerLost ||
-      aJob.m_state != jobs::JobState::kFailed) {
+  const jobs::Job* job = m_node.State().Jobs().Find(aJob);
+  if (job == nullptr || job->m_state == jobs::JobState::kActive ||
+      job->m_endedAt != aAt) {
     return;
   }
+  const std::int64_t tookMs = job->m_endedAt.Get() - job->m_acceptedAt.Get();
+  m_metrics.Observe("job_seconds", static_cast<double>(tookMs) / 1000);
+  LogLine(Level::kInfo, "job ended")
+    .With("job", job->m_id.Get())
+    .With("queue", job->m_queue.Get())
+    .With("state", jobs::Describe(job->m_state))
+    .With("reason", job->m_reason)
+    .With("afterMs", tookMs)
+    .Write();
+  RecordInIntake(*job, aNow);
+  if (aIsWorkerLost && job->m_state == jobs::JobState::kFailed) {
+    RecordCrashLoop(*job);
+  }
+}
+
+// Jobs that crash workers are given up one by one. The metric and the log line
+// show operators that a queue keeps sending such jobs.
+void
+JobService::RecordCrashLoop(const jobs::Job& aJob)
+{
   m_metrics.Count("jobs_crashing_workers_total{queue=\"" + aJob.m_queue.Get() +
                   "\"}");
   LogLine(Level::kWarning, "a job crashes its workers")
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -8,18 +8,6 @@
 
 namespace bamboostile::jobs {
 
-namespace {
-
-/** Formats a task's name for the reason of a failed job. */
-std::string
-NameOf(const TaskRef& aTask)
-{
-  return "step " + std::to_string(aTask.m_step) + " task " +
-         std::to_string(aTask.m_index);
-}
-
-} // namespace
-
 const char*
 Describe(RunEnd aEnd) noexcept
 {
@@ -551,7 +539,7 @@
   const auto losses = jobs::LossesOf(
     aJob.m_spec.m_steps[aEnd.m_task.m_step], aStep, aEnd.m_task.m_index);
   if (IsProvenCrasher(losses)) {
-    aJob.m_reason = NameOf(aEnd.m_task) + " " + DescribeLosses(losses);
+    aJob.m_reason = DescribeCrashes(aEnd.m_task, losses);
     Finish(aJob, JobState::kFailed, aEnd.m_at);
   }
 }
--- a/src/jobs/crash_loop.cpp
+++ b/src/jobs/crash_loop.cpp
@@ -35,6 +35,12 @@
  * when the run was started. */
 constexpr std::size_t kMinLossesWithoutProof = 5;
 constexpr std::size_t kMinDistinctLossesWithoutProof = 3;
+/** Number of losses of any kind with which a likely crasher is given up, and
+ * what they must weigh together. */
+constexpr std::size_t kMinLossesOfLikelyCrasher = 5;
+constexpr std::size_t kMinWeightOfLikelyCrasher = 5;
+constexpr std::size_t kWeightOfDistinctLoss = 2;
+constexpr std::size_t kWeightOfMassLoss = 1;
 constexpr std::size_t kMaxDoublings = 3;
 constexpr Millis kFirstDelay{ 250 };
 
@@ -63,6 +69,7 @@
     case CrashEvidence::kConcurrent:
       return 0;
     case CrashEvidence::kRunning:
+    case CrashEvidence::kStartingInMassLoss:
       return 1;
     case CrashEvidence::kStarting:
     case CrashEvidence::kRunningIsolated:
@@ -73,6 +80,13 @@
   return 0;
 }
 
+std::size_t
+CountStarting(const std::vector<WorkerLoss>& aLosses)
+{
+  return Count(aLosses, CrashEvidence::kStarting) +
+         Count(aLosses, CrashEvidence::kStartingInMassLoss);
+}
+
 /** Counts the losses that point to the task more than to others. */
 std::size_t
 CountDistinct(const std::vector<WorkerLoss>& aLosses)
@@ -100,6 +114,8 @@
       return "was running, other workers were lost as well";
     case CrashEvidence::kRunningIsolated:
       return "was running, alone";
+    case CrashEvidence::kStartingInMassLoss:
+      return "had just started, many workers were lost as well";
   }
   return "unknown";
 }
@@ -142,7 +158,7 @@
 bool
 IsSuspect(const std::vector<WorkerLoss>& aLosses)
 {
-  return CountDistinct(aLosses) > 0 ||
+  return CountDistinct(aLosses) > 0 || CountStarting(aLosses) > 0 ||
          Count(aLosses, CrashEvidence::kRunning) >=
            kMinRunningLossesOfSuspect ||
          aLosses.size() >= kMinLossesOfSuspect;
@@ -171,8 +187,8 @@
 bool
 IsIsolatedForWholeRun(const std::vector<WorkerLoss>& aLosses)
 {
-  return IsSuspect(aLosses) && (Count(aLosses, CrashEvidence::kStarting) == 0 ||
-                                aLosses.size() >= kMinLossesOfSuspect);
+  return IsSuspect(aLosses) &&
+         (CountStarting(aLosses) == 0 || aLosses.size() >= kMinLossesOfSuspect);
 }
 
 bool
@@ -208,6 +224,18 @@
           CountDistinct(aLosses) >= kMinDistinctLossesWithoutProof);
 }
 
+// Not part of IsProvenCrasher: replicas of earlier versions, which do not know
+// mass losses, would apply it differently.
+bool
+IsLikelyCrasher(const std::vector<WorkerLoss>& aLosses)
+{
+  const std::size_t weight =
+    kWeightOfDistinctLoss * CountDistinct(aLosses) +
+    kWeightOfMassLoss * Count(aLosses, CrashEvidence::kStartingInMassLoss);
+  return aLosses.size() >= kMinLossesOfLikelyCrasher &&
+         weight >= kMinWeightOfLikelyCrasher;
+}
+
 // Jitter prevents the tasks that became suspects in one crash from restarting
 // at the same moment.
 Duration
@@ -230,9 +258,17 @@
 }
 
 std::string
-DescribeLosses(const std::vector<WorkerLoss>& aLosses)
+NameOf(const TaskRef& aTask)
+{
+  return "step " + std::to_string(aTask.m_step) + " task " +
+         std::to_string(aTask.m_index);
+}
+
+std::string
+DescribeCrashes(const TaskRef& aTask, const std::vector<WorkerLoss>& aLosses)
 {
-  std::string text = "crashed " + std::to_string(aLosses.size()) + " workers: ";
+  std::string text =
+    NameOf(aTask) + " crashed " + std::to_string(aLosses.size()) + " workers: ";
   const char* separator = "";
   for (const WorkerLoss& loss : aLosses) {
     text += separator + loss.m_worker.m_id.Get() + " (run " +
--- a/src/placement/losses.cpp
+++ b/src/placement/losses.cpp
@@ -13,6 +13,11 @@
  * worker per this many of its service. */
 constexpr std::size_t kWorkersPerDistinctLoss = 8;
 
+/** Minimum share of the service's workers in a mass loss. */
+constexpr std::size_t kMassLossPercent = 25;
+/** Minimum number of workers in a mass loss. */
+constexpr std::size_t kMinWorkersInMassLoss = 4;
+
 } // namespace
 
 const char*
@@ -51,6 +56,19 @@
            aWorkersOfService;
 }
 
+bool
+IsMassLoss(const LossCount& aLosses, std::size_t aWorkersOfService)
+{
+  return aLosses.m_inService >= kMinWorkersInMassLoss &&
+         aLosses.m_inService * 100 >= aWorkersOfService * kMassLossPercent;
+}
+
+bool
+IsUnseenMassLoss(std::size_t aWorkers)
+{
+  return aWorkers >= kMinWorkersInMassLoss;
+}
+
 void
 RecentLosses::Add(TimePoint aMoment, const ServiceId& aService)
 {
@@ -84,10 +102,11 @@
 }
 
 LossCount
-RecentLosses::CountAround(TimePoint aMoment, const ServiceId& aService) const
+RecentLosses::CountAround(TimePoint aMoment,
+                          Duration aWindow,
+                          const ServiceId& aService) const
 {
-  return CountBetween(
-    aMoment - kConcurrentLossWindow, aMoment + kConcurrentLossWindow, aService);
+  return CountBetween(aMoment - aWindow, aMoment + aWindow, aService);
 }
 
 LossCount
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -665,11 +665,11 @@
     candidates.cbegin(), candidates.cend(), [](const Candidate& aCandidate) {
       return !aCandidate.m_isLongRunning;
     });
-  std::map<ServiceId, bool> quietPeriods;
-  const auto isQuietPeriod = [&](const ServiceId& aService) {
-    const auto [found, isNew] = quietPeriods.try_emplace(aService);
+  std::map<ServiceId, LossActivity> activities;
+  const auto assessLosses = [&](const ServiceId& aService) {
+    const auto [found, isNew] = activities.try_emplace(aService);
     if (isNew) {
-      found->second = aWorkers.IsQuietPeriod(aService, aState.Jobs(), aNow);
+      found->second = aWorkers.AssessLosses(aService, aState.Jobs(), aNow);
     }
     return found->second;
   };
@@ -683,7 +683,7 @@
       Place(*it, aWall, *pool, plan);
     }
     PlaceSuspects(OrderSuspects(aFrom, aTo, aState.Jobs()),
-                  isQuietPeriod,
+                  assessLosses,
                   aWall,
                   pools,
                   plan);
--- a/src/placement/trials.cpp
+++ b/src/placement/trials.cpp
@@ -286,18 +286,28 @@
 // or a bad hour, there may be none for as long as workers go on being lost, and
 // their losses must not keep a healthy task away for good. Without a bound on
 // the time without a run, each start that is lost before it runs would add
-// another wait.
+// another wait. While a large part of the service is being lost, the next run
+// would most likely be lost as well, and a task that is lost often enough looks
+// like one that crashes its workers.
 bool
-Planner::MustAwaitQuietPeriod(const IsolatedRun& aRun, WallTime aWall)
+Planner::MustAwaitQuietPeriod(const IsolatedRun& aRun,
+                              LossActivity aActivity,
+                              WallTime aWall)
 {
   const std::vector<jobs::WorkerLoss>& losses = aRun.m_losses;
   const Millis sinceLoss{ aWall.Get() - losses.back().m_at.Get() };
+  if (aActivity == LossActivity::kQuiet || !jobs::NeedsQuietPeriod(losses) ||
+      sinceLoss < Millis::zero()) {
+    return false;
+  }
+  if (aActivity == LossActivity::kMass) {
+    return sinceLoss < kMaxQuietPeriodTimeout;
+  }
   const bool isOverdue = aRun.m_isLongRunning && aRun.m_ranUntil &&
                          losses.size() < kMinLossesForBackoff &&
                          aRun.TimeWithoutRun(aWall) >= kMaxWaitWithoutRun;
-  return jobs::NeedsQuietPeriod(losses) && sinceLoss >= Millis::zero() &&
-         sinceLoss < QuietPeriodTimeout(aRun.m_isLongRunning, losses.size()) &&
-         !isOverdue;
+  return !isOverdue &&
+         sinceLoss < QuietPeriodTimeout(aRun.m_isLongRunning, losses.size());
 }
 
 std::vector<Planner::IsolatedRun>
@@ -368,7 +378,7 @@
 void
 Planner::PlaceSuspects(
   std::vector<SuspectStep> aSteps,
-  const std::function<bool(const ServiceId&)>& aIsQuietPeriod,
+  const std::function<LossActivity(const ServiceId&)>& aAssessLosses,
   WallTime aWall,
   Pools& aPools,
   Plan& aPlan) const
@@ -387,7 +397,7 @@
     for (SuspectStep& step : aSteps) {
       const ServiceId& service = step.m_candidate.m_route->m_service;
       hasPlaced = PlaceNextSuspect(step,
-                                   aIsQuietPeriod(service),
+                                   aAssessLosses(service),
                                    aWall,
                                    quotas.at(service),
                                    aPools[service],
@@ -424,7 +434,7 @@
 
 bool
 Planner::PlaceNextSuspect(SuspectStep& aStep,
-                          bool aIsQuietPeriod,
+                          LossActivity aActivity,
                           WallTime aWall,
                           IsolationQuota& aQuota,
                           Pool& aPool,
@@ -432,8 +442,16 @@
 {
   while (aStep.m_next < aStep.m_suspects.size()) {
     const IsolatedRun& run = aStep.m_suspects[aStep.m_next++];
+    if (jobs::IsLikelyCrasher(run.m_losses)) {
+      aPlan.m_changes.emplace_back(
+        jobs::FailJob{ run.m_task.m_job,
+                       jobs::DescribeCrashes(run.m_task, run.m_losses),
+                       aWall });
+      aStep.m_next = aStep.m_suspects.size();
+      return false;
+    }
     auto waiting =
-      PlaceSuspect(aStep, run, aIsQuietPeriod, aWall, aQuota, aPool, aPlan);
+      PlaceSuspect(aStep, run, aActivity, aWall, aQuota, aPool, aPlan);
     if (waiting) {
       waiting->m_isLongRunning = aStep.m_candidate.m_isLongRunning;
       waiting->m_sinceLoss =
@@ -450,7 +468,7 @@
 std::optional<WaitingTask>
 Planner::PlaceSuspect(SuspectStep& aStep,
                       const IsolatedRun& aRun,
-                      bool aIsQuietPeriod,
+                      LossActivity aActivity,
                       WallTime aWall,
                       IsolationQuota& aQuota,
                       Pool& aPool,
@@ -458,7 +476,7 @@
 {
   const Candidate& candidate = aStep.m_candidate;
   const jobs::StepSpec& step = candidate.Step();
-  if (!aIsQuietPeriod && MustAwaitQuietPeriod(aRun, aWall)) {
+  if (MustAwaitQuietPeriod(aRun, aActivity, aWall)) {
     return WaitingTask{ WaitReason::kQuietPeriod };
   }
   const auto timeSinceDelay = TimeSinceRetryDelay(aRun, aWall);
--- a/src/placement/worker_losses.cpp
+++ b/src/placement/worker_losses.cpp
@@ -27,17 +27,20 @@
 }
 
 LossCount
-WorkerTable::CountConcurrentLosses(const Worker& aWorker,
-                                   const jobs::JobTable& aBook,
-                                   TimePoint aNow) const
+WorkerTable::CountLossesAround(const Worker& aWorker,
+                               Duration aWindow,
+                               Duration aSilentFor,
+                               const jobs::JobTable& aBook,
+                               TimePoint aNow) const
 {
   const ServiceId& service = aWorker.m_lastReport.m_service;
-  LossCount count = m_recentLosses.CountAround(aWorker.m_lastReportAt, service);
+  LossCount count =
+    m_recentLosses.CountAround(aWorker.m_lastReportAt, aWindow, service);
   for (const auto& [id, other] : m_workers) {
-    const bool isUnresponsive = IsUnresponsive(other, aNow);
+    const bool isUnresponsive = aNow >= other.m_lastReportAt + aSilentFor;
     const bool isConcurrent =
-      other.m_lastReportAt <= aWorker.m_lastReportAt + kConcurrentLossWindow &&
-      aWorker.m_lastReportAt <= other.m_lastReportAt + kConcurrentLossWindow;
+      other.m_lastReportAt <= aWorker.m_lastReportAt + aWindow &&
+      aWorker.m_lastReportAt <= other.m_lastReportAt + aWindow;
     if (&other != &aWorker && isUnresponsive && isConcurrent &&
         other.m_lostIsolatedRuns.empty() && !HasIsolatedRun(other, aBook)) {
       ++count.m_inFleet;
@@ -52,21 +55,19 @@
 {
   return static_cast<std::size_t>(
     std::count_if(m_workers.begin(), m_workers.end(), [&](const auto& aEntry) {
-      return !aEntry.second.m_isLost &&
-             aEntry.second.m_lastReport.m_service == aService;
+      const Worker& worker = aEntry.second;
+      return !worker.m_isLost && worker.m_lastReport.m_service == aService &&
+             !HasLaterIncarnation(worker);
     }));
 }
 
 // Losses count from their workers' last reports. They are noticed some seconds
 // later, when further losses with the same cause are no longer expected.
-bool
-WorkerTable::IsQuietPeriod(const ServiceId& aService,
-                           const jobs::JobTable& aBook,
-                           TimePoint aNow) const
+LossActivity
+WorkerTable::AssessLosses(const ServiceId& aService,
+                          const jobs::JobTable& aBook,
+                          TimePoint aNow) const
 {
-  if (aNow < m_leaderSince + m_options.m_quietPeriod) {
-    return false;
-  }
   const TimePoint since = aNow - m_options.m_quietPeriod;
   LossCount count = m_recentLosses.CountAfter(since, aService);
   for (const auto& [id, worker] : m_workers) {
@@ -79,7 +80,13 @@
       count.m_inService += worker.m_lastReport.m_service == aService ? 1 : 0;
     }
   }
-  return IsLossDistinct(count, CountWorkers(aService));
+  const std::size_t workers = CountWorkers(aService);
+  if (IsMassLoss(count, workers)) {
+    return LossActivity::kMass;
+  }
+  const bool isQuiet = aNow >= m_leaderSince + m_options.m_quietPeriod &&
+                       IsLossDistinct(count, workers);
+  return isQuiet ? LossActivity::kQuiet : LossActivity::kSome;
 }
 
 bool
@@ -169,7 +176,9 @@
 // only has to be distinct. A worker whose lease has ended may still run behind
 // a broken link, and an instance on which the task was lost before may itself
 // be faulty. A worker that returns before others would count as unresponsive
-// may have been lost together with them.
+// may have been lost together with them. A mass loss explains the loss of any
+// worker. Long-running tasks are also started between two mass losses, so for
+// them a mass loss explains others for as long as a quiet period takes.
 jobs::CrashEvidence
 WorkerTable::AssessEvidence(const jobs::TaskRef& aTask,
                             const Worker& aWorker,
@@ -183,12 +192,16 @@
   const bool isShared = aLost.m_concurrentLosses > 0;
   const bool isDistinct =
     jobs::NeedsQuietPeriod(losses) ? aLost.m_isDistinct : !isShared;
+  const bool isExplained =
+    aLost.m_isMassLoss ||
+    (aLost.m_isAmongMassLosses && jobs::NeedsQuietPeriod(losses) &&
+     StepOf(*aBook.Find(aTask.m_job), aTask).m_longRunning);
   const bool isOtherInstance =
     !jobs::HasLossOn(losses, aWorker.m_lastReport.m_instance) ||
     jobs::CountInstances(losses) >= kMinInstancesForProof;
   const bool isProofOfCrash =
     aLost.m_cause == LossCause::kLaterIncarnation && isDistinct &&
-    !aLost.m_isLostWithSameJob &&
+    !isExplained && !aLost.m_isLostWithSameJob &&
     aLost.m_unresponsiveFor >= m_options.m_unresponsiveAfter && isOtherInstance;
   const auto& placed = aBook.TasksByWorker().at(aWorker.m_lastReport.m_worker);
   const bool hasOtherIsolatedRun =
@@ -205,6 +218,9 @@
       aUnconfirmed.begin(), aUnconfirmed.end(), [&](const auto& aOther) {
         return aOther == aTask || aBook.AreInSameGang(aOther, aTask);
       });
+    if (isExplained) {
+      return CrashEvidence::kStartingInMassLoss;
+    }
     return jobs::IsSuspect(losses) && isProofOfCrash && isAlone &&
                !hasOtherIsolatedRun
              ? CrashEvidence::kIsolated
@@ -218,7 +234,7 @@
       !hasOtherIsolatedRun) {
     return CrashEvidence::kIsolated;
   }
-  if (isShared) {
+  if (isShared || isExplained) {
     return CrashEvidence::kConcurrent;
   }
   if (isIsolated && hasOtherIsolatedRun) {
@@ -267,7 +283,10 @@
     return;
   }
   const std::size_t workers = CountWorkers(aWorker.m_lastReport.m_service);
-  const LossCount others = CountConcurrentLosses(aWorker, aBook, aNow);
+  const LossCount others = CountLossesAround(
+    aWorker, kConcurrentLossWindow, m_options.m_unresponsiveAfter, aBook, aNow);
+  const LossCount recent = CountLossesAround(
+    aWorker, m_options.m_quietPeriod, kConcurrentLossWindow, aBook, aNow);
   const LostWorker lost{
     id,
     aWorker.m_lastReport.m_instance,
@@ -278,6 +297,8 @@
     FindPending(aWorker, aBook).size() - unconfirmed.size(),
     others.m_inFleet,
     IsLossDistinct(others, workers),
+    IsMassLoss(others.WithOneMore(), workers),
+    IsMassLoss(recent.WithOneMore(), workers),
     IsLostWithSameJob(aWorker, aBook, aNow),
     ExemptionOf(aWorker)
   };
@@ -335,8 +356,12 @@
   if (task.m_isStable) {
     return jobs::CrashEvidence::kNone;
   }
-  return jobs::IsSuspect(task.m_losses) ? jobs::CrashEvidence::kStarting
-                                        : jobs::CrashEvidence::kRunning;
+  if (!jobs::IsSuspect(task.m_losses)) {
+    return jobs::CrashEvidence::kRunning;
+  }
+  return IsUnseenMassLoss(m_mostUnseen)
+           ? jobs::CrashEvidence::kStartingInMassLoss
+           : jobs::CrashEvidence::kStarting;
 }
 
 std::vector<jobs::EndRun>
@@ -369,6 +394,20 @@
   return ends;
 }
 
+void
+WorkerTable::CountUnseen(const jobs::JobTable& aBook, TimePoint aNow)
+{
+  if (aNow < m_leaderSince + m_options.m_unresponsiveAfter) {
+    return;
+  }
+  const auto& placed = aBook.TasksByWorker();
+  const auto unseen = static_cast<std::size_t>(
+    std::count_if(placed.begin(), placed.end(), [&](const auto& aEntry) {
+      return !m_workers.contains(aEntry.first) && !HasEnded(aEntry.first);
+    }));
+  m_mostUnseen = std::max(m_mostUnseen, unseen);
+}
+
 std::vector<jobs::EndRun>
 WorkerTable::CollectLostRuns(const jobs::JobTable& aBook,
                              TimePoint aNow,
@@ -393,6 +432,7 @@
     }
   }
   ForgetCandidates(aNow);
+  CountUnseen(aBook, aNow);
   std::erase_if(m_evidenceOfEnded, [&](const auto& aEntry) {
     return !aBook.TasksByWorker().contains(aEntry.first.first);
   });
--- a/tests/unit/jobs/crash_loop_test.cpp
+++ b/tests/unit/jobs/crash_loop_test.cpp
@@ -231,3 +231,18 @@
     Losses({ kRunning, kRunning, kRunning, kStarting, kStarting })));
   CHECK_FALSE(IsProvenCrasher(Losses({ kStarting, kStarting, kStarting })));
 }
+
+// Guards against a healthy task that is given up because it was lost in one
+// mass loss after the other.
+TEST(CrashLoop, LossesInMassLosses_WeighHalfAsMuch)
+{
+  using enum CrashEvidence;
+  const CrashEvidence mass = kStartingInMassLoss;
+  CHECK(IsSuspect(Losses({ mass })));
+  CHECK_FALSE(
+    IsLikelyCrasher(Losses({ kConcurrent, kConcurrent, mass, mass, mass })));
+  CHECK_FALSE(IsLikelyCrasher(Losses({ mass, mass, mass, mass })));
+  CHECK(IsLikelyCrasher(Losses({ mass, mass, mass, mass, mass })));
+  CHECK(IsLikelyCrasher(Losses({ kRunning, kStarting, mass, mass, mass })));
+  CHECK_FALSE(IsProvenCrasher(Losses({ mass, mass, mass, mass, mass })));
+}
--- a/tests/unit/placement/crash_series_test.cpp
+++ b/tests/unit/placement/crash_series_test.cpp
@@ -122,8 +122,10 @@
   {
     for (Millis passed{}; passed < aTime; passed += kTick) {
       m_pool.Pass(kTick);
+      const bool isLoss = m_pool.CrashesByTasks() != m_crashesByTasks;
+      m_crashesByTasks = m_pool.CrashesByTasks();
+      m_sinceLoss = isLoss ? Millis{} : m_sinceLoss + kTick;
       Observe();
-      m_sinceLoss += kTick;
     }
   }
 
@@ -156,6 +158,7 @@
   std::set<std::uint32_t> m_overdue;
   Millis m_longestOverdue{};
   Millis m_sinceLoss{};
+  std::uint32_t m_crashesByTasks = 0;
 };
 
 unsigned
--- a/tests/unit/placement/workers_test.cpp
+++ b/tests/unit/placement/workers_test.cpp
@@ -562,3 +562,40 @@
   CHECK(!ends[1].m_ranUntil);
   LONGS_EQUAL(1, m_table.TakeLostWorkers().at(0).m_unsentStarts);
 }
+
+// Guards against a task that is suspected as much for a start in a mass loss as
+// for one after which its worker alone was lost.
+TEST(WorkerTable, ManyWorkersAreLostTogether_StartsAreWeakEvidence)
+{
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  for (int i = 0; i < 4; ++i) {
+    Receive(Report("w" + std::to_string(i), 1), kLater);
+  }
+  m_fleet.Start(Ref("a"), "w0");
+  Answer("w0", kLater);
+  const auto ends = m_table.CollectLostRuns(
+    m_fleet.Book(), At(kLater + 10'000), WallTime{ kWall });
+  LONGS_EQUAL(1, ends.size());
+  CHECK(ends[0].m_evidence == CrashEvidence::kStartingInMassLoss);
+}
+
+// Guards against a quiet period that never comes, because workers that leave by
+// order, or announce that they drain, count as lost.
+TEST(WorkerTable, WorkersDrainAndLossesAreOld_PeriodIsQuiet)
+{
+  for (int i = 0; i < 8; ++i) {
+    Receive(Report("w" + std::to_string(i), 1), kLater);
+  }
+  const auto activity = [&](std::int64_t aAtMs) {
+    return m_table.AssessLosses(ServiceId{ "desk" }, m_fleet.Book(), At(aAtMs));
+  };
+  CHECK(activity(kLater + 1'000) == LossActivity::kQuiet);
+  CHECK(activity(kLater + 2'000) == LossActivity::kMass);
+  CHECK(activity(kLater + 3'000) == LossActivity::kQuiet);
+  for (int i = 0; i < 8; ++i) {
+    WorkerReport report = Report("w" + std::to_string(i), 2);
+    report.m_draining = true;
+    Receive(report, kLater + 4'000);
+  }
+  CHECK(activity(kLater + 6'000) == LossActivity::kQuiet);
+}
