jobs: a loss while a task was running weighs something against it

Cause: five losses that weigh four of five: twice running when its worker alone was lost, twice at the start of a mass loss, once had just started.

Change: a loss that strikes one worker under a running task weighs a quarter of one that points to the task; losses beside others still weigh nothing.

--- a/src/jobs/crash_loop.cpp
+++ b/src/jobs/crash_loop.cpp
@@ -38,9 +38,10 @@
 /** Number of losses of any kind with which a likely crasher is given up, and
  * what they must weigh together. */
 constexpr std::size_t kMinLossesOfLikelyCrasher = 5;
-constexpr std::size_t kMinWeightOfLikelyCrasher = 5;
-constexpr std::size_t kWeightOfDistinctLoss = 2;
-constexpr std::size_t kWeightOfMassLoss = 1;
+constexpr std::size_t kMinWeightOfLikelyCrasher = 10;
+constexpr std::size_t kWeightOfDistinctLoss = 4;
+constexpr std::size_t kWeightOfMassLoss = 2;
+constexpr std::size_t kWeightOfRunningLoss = 1;
 constexpr std::size_t kMaxDoublings = 3;
 constexpr Millis kFirstDelay{ 250 };
 
@@ -231,7 +232,8 @@
 {
   const std::size_t weight =
     kWeightOfDistinctLoss * CountDistinct(aLosses) +
-    kWeightOfMassLoss * Count(aLosses, CrashEvidence::kStartingInMassLoss);
+    kWeightOfMassLoss * Count(aLosses, CrashEvidence::kStartingInMassLoss) +
+    kWeightOfRunningLoss * Count(aLosses, CrashEvidence::kRunning);
   return aLosses.size() >= kMinLossesOfLikelyCrasher &&
          weight >= kMinWeightOfLikelyCrasher;
 }
--- a/tests/unit/jobs/crash_loop_test.cpp
+++ b/tests/unit/jobs/crash_loop_test.cpp
@@ -243,6 +243,7 @@
     IsLikelyCrasher(Losses({ kConcurrent, kConcurrent, mass, mass, mass })));
   CHECK_FALSE(IsLikelyCrasher(Losses({ mass, mass, mass, mass })));
   CHECK(IsLikelyCrasher(Losses({ mass, mass, mass, mass, mass })));
-  CHECK(IsLikelyCrasher(Losses({ kRunning, kStarting, mass, mass, mass })));
+  CHECK(IsLikelyCrasher(Losses({ kConcurrent, kStarting, mass, mass, mass })));
+  CHECK(IsLikelyCrasher(Losses({ kRunning, kRunning, mass, mass, kStarting })));
   CHECK_FALSE(IsProvenCrasher(Losses({ mass, mass, mass, mass, mass })));
 }
