placement, control: where long-running tasks restart, in the log

A task whose start was on its way to a dead worker counted as running: no line and no gauge showed it, and nothing said why its worker had been chosen. Now each restart is logged with what speaks against its worker at that moment (an overdue report, a start that no report has shown, a run that has just begun) and with the time without a run; the gauge of the longest time without a run includes tasks that are placed and not shown. No decision changes.

--- a/include/bamboostile/control/waiting_monitor.h
+++ b/include/bamboostile/control/waiting_monitor.h
@@ -5,15 +5,20 @@
 
 namespace bamboostile::control {
 
-/** Logs why suspects and long-running tasks wait, and for how long, and exports
- * how many do. */
+/** Logs why suspects and long-running tasks wait, for how long, and where
+ * long-running tasks restart, and exports how many wait. */
 class WaitingMonitor
 {
 public:
   void OnPlanned(
     const std::map<jobs::TaskRef, placement::WaitingTask>& aWaiting,
     TimePoint aNow);
-  void Export(TimePoint aNow, telemetry::Metrics& aMetrics) const;
+  /** aRestarts: of one pass. */
+  static void OnRestarted(const std::vector<placement::Restart>& aRestarts);
+  /** aLongestWithoutRun: of the long-running tasks that do not wait. */
+  void Export(TimePoint aNow,
+              telemetry::Metrics& aMetrics,
+              Millis aLongestWithoutRun = {}) const;
 
 private:
   struct Waiting
--- a/include/bamboostile/placement/losses.h
+++ b/include/bamboostile/placement/losses.h
@@ -33,6 +33,21 @@
 
 const char* Describe(LossExemption aExemption) noexcept;
 
+/** Signs that a worker may be lost already, or may be lost soon, the weakest
+ * first. */
+enum class LossRisk : std::uint8_t
+{
+  kNone,
+  /** A run began so recently that it may still crash the worker. */
+  kRecentRun,
+  /** No report has shown one of its starts yet. */
+  kUnconfirmedStart,
+  /** Its next report is overdue. */
+  kReportOverdue,
+};
+
+const char* Describe(LossRisk aRisk) noexcept;
+
 /** A worker that was lost with runs on it, for a reason that the leader does
  * not know. */
 struct LostWorker
--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -62,6 +62,21 @@
   std::optional<jobs::TaskRef> m_blockedBy{};
 };
 
+/** The next start of a long-running task that had been started before. */
+struct Restart
+{
+  jobs::TaskRef m_task;
+  RunNumber m_run;
+  WorkerIncarnation m_worker;
+  /** What speaks against the worker, and the age of its last report. */
+  LossRisk m_risk = LossRisk::kNone;
+  Millis m_reportAge{};
+  /** Time since the last run that a report showed; unset if none has been. */
+  std::optional<Millis> m_withoutRun{};
+  /** Its lost runs that count as evidence. */
+  std::size_t m_losses = 0;
+};
+
 /** The decisions of one placement pass. */
 struct Plan
 {
@@ -77,6 +92,7 @@
   /** Suspects and long-running tasks that were not started; of each step that
    * found no capacity, only the first. */
   std::map<jobs::TaskRef, WaitingTask> m_waiting;
+  std::vector<Restart> m_restarts;
   /** Load of each pool with workers or waiting jobs; empty unless jobs are
    * refused by their expected end. */
   PoolLoads m_loads;
@@ -354,6 +370,12 @@
                                   const jobs::Occurrence* aProgress) const;
   static std::vector<Candidate> SortCandidates(
     const std::vector<Candidate>& aCandidates);
+  /** Lists the starts in the plan that restart long-running tasks. */
+  static void ListRestarts(const jobs::JobTable& aBook,
+                           const WorkerTable& aWorkers,
+                           TimePoint aNow,
+                           WallTime aWall,
+                           Plan& aPlan);
   /** Sums what the pass leaves waiting, and the capacity of each pool. */
   void SumLoads(const std::vector<Candidate>& aCandidates,
                 const Pools& aPools,
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -140,6 +140,12 @@
   /** A worker without a report for this long has missed two reports in a row
    * and may be lost together with its tasks. */
   Duration m_unresponsiveAfter = Millis{ 1500 };
+  /** Time that a report may take beyond the interval that its worker was asked
+   * for. */
+  Duration m_reportTolerance = Millis{ 200 };
+  /** Most tasks that crash their worker do so within this time from the report
+   * that first shows them. */
+  Duration m_recentRunPeriod = Millis{ 1000 };
 };
 
 /** The ends accepted from the reports of a worker, up to this number. */
@@ -173,12 +179,14 @@
   TimePoint m_excludedUntil;
 };
 
-/** The last reported progress of a run, and since when it is unchanged. */
+/** The last reported progress of a run, since when it is unchanged, and since
+ * when reports show the run. */
 struct RunProgress
 {
   RunNumber m_run;
   std::uint32_t m_percent = 0;
   TimePoint m_since;
+  TimePoint m_shownSince;
 };
 
 /** State of one incarnation of a worker. It ends with the incarnation, except
@@ -189,6 +197,8 @@
   TimePoint m_lastReportAt;
   WallTime m_lastReportWall;
   TimePoint m_firstReportAt;
+  /** When the next report is due at the latest, if the worker is alive. */
+  TimePoint m_reportDueAt;
   /** When everything that the worker runs has ended, unless a new lease is
    * granted. */
   TimePoint m_leaseEnd;
@@ -415,6 +425,13 @@
   {
     return aNow >= aWorker.m_lastReportAt + m_options.m_unresponsiveAfter;
   }
+  /** The strongest sign that the worker may be lost. */
+  LossRisk AssessRisk(const Worker& aWorker,
+                      const jobs::JobTable& aBook,
+                      TimePoint aNow) const;
+  /** For the long-running task that has been without a run for longest since
+   * its last one, that time; also of tasks whose start no report has shown. */
+  Millis LongestWithoutRun(const jobs::JobTable& aBook, WallTime aWall) const;
   /** A suspect has an isolated run on the worker. */
   bool HasIsolatedRun(const Worker& aWorker, const jobs::JobTable& aBook) const;
   /** An order may take effect on the worker after aTime. */
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -169,7 +169,9 @@
   m_node.ExportMetrics(m_metrics);
   if (m_workers) {
     m_workspaces.Export(m_node.State(), *m_workers, MonotonicNow(), m_metrics);
-    m_waiting.Export(MonotonicNow(), m_metrics);
+    m_waiting.Export(MonotonicNow(),
+                     m_metrics,
+                     m_workers->LongestWithoutRun(jobTable, WallNow()));
   }
   return m_metrics.Render();
 }
@@ -305,6 +307,7 @@
   m_fullServices = std::move(plan.m_fullServices);
   UpdateIntake(std::move(plan.m_loads), aNow);
   m_waiting.OnPlanned(plan.m_waiting, aNow);
+  WaitingMonitor::OnRestarted(plan.m_restarts);
   m_workspaces.OnPlanned(plan.m_atCap, m_node.State().Routes().m_version, aNow);
   for (const placement::StopOrder& stop : plan.m_stops) {
     LogLine(Level::kInfo, "moving a long-running task")
--- a/src/control/waiting_monitor.cpp
+++ b/src/control/waiting_monitor.cpp
@@ -2,6 +2,8 @@
 
 #include "bamboostile/telemetry/log.h"
 
+#include "worker_log.h"
+
 #include <algorithm>
 
 namespace bamboostile::control {
@@ -92,13 +94,39 @@
 }
 
 void
-WaitingMonitor::Export(TimePoint aNow, telemetry::Metrics& aMetrics) const
+WaitingMonitor::OnRestarted(const std::vector<placement::Restart>& aRestarts)
+{
+  std::size_t lines = 0;
+  for (const placement::Restart& restart : aRestarts) {
+    if (++lines > kMaxLines) {
+      break;
+    }
+    LogLine line = WorkerLogLine(
+      Level::kInfo, "long-running task restarts", restart.m_worker);
+    line.With("job", restart.m_task.m_job.Get())
+      .With("step", restart.m_task.m_step)
+      .With("task", restart.m_task.m_index)
+      .With("run", restart.m_run.Get())
+      .With("losses", restart.m_losses)
+      .With("workerRisk", placement::Describe(restart.m_risk))
+      .With("reportAgeMs", restart.m_reportAge.count());
+    if (restart.m_withoutRun) {
+      line.With("withoutRunMs", restart.m_withoutRun->count());
+    }
+    line.Write();
+  }
+}
+
+void
+WaitingMonitor::Export(TimePoint aNow,
+                       telemetry::Metrics& aMetrics,
+                       Millis aLongestWithoutRun) const
 {
   std::size_t longRunning = 0;
   std::size_t suspects = 0;
   Duration longest{};
   Duration longestOfSuspects{};
-  Millis longestWithoutRun{};
+  Millis longestWithoutRun = aLongestWithoutRun;
   for (const auto& [task, waiting] : m_waiting) {
     const Duration waited = waiting.WaitedAt(aNow);
     if (waiting.m_last.m_isLongRunning) {
--- a/src/placement/losses.cpp
+++ b/src/placement/losses.cpp
@@ -48,6 +48,22 @@
   return "unknown";
 }
 
+const char*
+Describe(LossRisk aRisk) noexcept
+{
+  switch (aRisk) {
+    case LossRisk::kNone:
+      return "none";
+    case LossRisk::kRecentRun:
+      return "one of its runs has just begun";
+    case LossRisk::kUnconfirmedStart:
+      return "one of its starts is unconfirmed";
+    case LossRisk::kReportOverdue:
+      return "its report is overdue";
+  }
+  return "unknown";
+}
+
 bool
 IsLossDistinct(const LossCount& aOthers, std::size_t aWorkersOfService)
 {
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -1,5 +1,6 @@
 #include "bamboostile/placement/planner.h"
 
+#include "run_lookup.h"
 #include "target_pool.h"
 
 #include "bamboostile/jobs/crash_loop.h"
@@ -645,6 +646,32 @@
   }
 }
 
+void
+Planner::ListRestarts(const jobs::JobTable& aBook,
+                      const WorkerTable& aWorkers,
+                      TimePoint aNow,
+                      WallTime aWall,
+                      Plan& aPlan)
+{
+  for (const jobs::Change& change : aPlan.m_changes) {
+    const auto* start = std::get_if<jobs::StartRun>(&change);
+    if (start == nullptr || start->m_run <= RunNumber{ 1 } ||
+        !StepOf(*aBook.Find(start->m_task.m_job), start->m_task)
+           .m_longRunning) {
+      continue;
+    }
+    const Worker& worker = *aWorkers.Find(start->m_worker);
+    const jobs::Task& task = *aBook.FindTask(start->m_task);
+    aPlan.m_restarts.push_back({ start->m_task,
+                                 start->m_run,
+                                 start->m_worker,
+                                 aWorkers.AssessRisk(worker, aBook, aNow),
+                                 ToMillis(aNow - worker.m_lastReportAt),
+                                 TimeSince(task.m_ranUntil, aWall),
+                                 task.m_losses.size() });
+  }
+}
+
 Plan
 Planner::ComputePlan(const fleet::State& aState,
                      const WorkerTable& aWorkers,
@@ -691,6 +718,7 @@
   placeAll(candidates.cbegin(), firstNotLongRunning);
   MoveLongRunningTasks(aState, aWorkers, aCordoned, aNow, pools, plan);
   placeAll(firstNotLongRunning, candidates.cend());
+  ListRestarts(aState.Jobs(), aWorkers, aNow, aWall, plan);
   if (m_mechanisms.Has(Mechanism::kAdmission)) {
     SumLoads(candidates, pools, aState.Jobs(), plan);
   }
--- a/src/placement/worker_orders.cpp
+++ b/src/placement/worker_orders.cpp
@@ -162,6 +162,8 @@
   orders.m_lease = m_options.m_lease;
   orders.m_nextReport = ReportInterval(worker, aBook);
   worker.m_leaseEnd = aNow + MaxLeaseDuration();
+  worker.m_reportDueAt =
+    aNow + orders.m_nextReport + m_options.m_reportTolerance;
   for (const RunReport& run : report.m_active) {
     const jobs::Job* job = aBook.Find(run.m_task.m_job);
     const bool isWanted =
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -17,6 +17,9 @@
 constexpr std::uint32_t kFailuresToExclude = 3;
 constexpr Duration kExclusionPeriod = Millis{ 6000 };
 
+/** A worker drops an answer that takes longer, and reports again. */
+constexpr Duration kAnswerTimeout = Millis{ 1000 };
+
 /** Whether the report also shows the run as active or with another end. */
 bool
 HasOtherReport(const WorkerReport& aReport, const EndReport& aEnd)
@@ -191,6 +194,7 @@
   const bool hadIsolatedRun = HasIsolatedRun(worker, aBook);
   worker.m_lastReport = aReport;
   worker.m_lastReportAt = aNow;
+  worker.m_reportDueAt = aNow + kAnswerTimeout + m_options.m_reportTolerance;
   worker.m_lastReportWall = aWall;
   worker.m_isLost = false;
   worker.m_lostIsolatedRuns.clear();
@@ -223,12 +227,15 @@
   std::map<jobs::TaskRef, RunProgress> progress;
   for (const RunReport& run : aWorker.m_lastReport.m_active) {
     const auto previous = aWorker.m_progress.find(run.m_task);
-    const bool isUnchanged = previous != aWorker.m_progress.end() &&
-                             previous->second.m_run == run.m_run &&
-                             previous->second.m_percent == run.m_percent;
-    progress[run.m_task] = isUnchanged
-                             ? previous->second
-                             : RunProgress{ run.m_run, run.m_percent, aNow };
+    const bool isKnown = previous != aWorker.m_progress.end() &&
+                         previous->second.m_run == run.m_run;
+    RunProgress& current = progress[run.m_task];
+    current = isKnown ? previous->second
+                      : RunProgress{ run.m_run, run.m_percent, aNow, aNow };
+    if (current.m_percent != run.m_percent) {
+      current.m_percent = run.m_percent;
+      current.m_since = aNow;
+    }
   }
   aWorker.m_progress = std::move(progress);
 }
