placement: long-running tasks restart on workers that show no sign of being lost

Callers saw a long-running task stay away while there was room for it. It was restarted on a worker that was dead already, or died within the same report interval, and again on the next: each such start lasts until the loss is noticed, some 4.7 s. A step of long-running tasks prefers workers that run something, and of these the one with the most free CPU. That is a worker that has just crashed: its runs never end, its peers' do. Neither the age of its last report nor what had just been started there was asked.

Now a worker with an overdue report, an unconfirmed start, a suspect or a run that has just begun comes after all others. Of the workers' losses in the past minute as a further sign: no better.

--- a/include/bamboostile/placement/losses.h
+++ b/include/bamboostile/placement/losses.h
@@ -40,6 +40,8 @@
   kNone,
   /** A run began so recently that it may still crash the worker. */
   kRecentRun,
+  /** It runs a task that is suspected of the loss of other workers. */
+  kSuspect,
   /** No report has shown one of its starts yet. */
   kUnconfirmedStart,
   /** Its next report is overdue. */
--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -101,7 +101,8 @@
 /**
  * @brief Decides which waiting task starts on which worker.
  *
- * Long-running tasks come first. The others are ordered by share (jobs beyond
+ * Long-running tasks come first, on workers that show no sign of being lost,
+ * if there are such. The others are ordered by share (jobs beyond
  * the share of their workspace last), then lateness (late jobs last), then
  * priority, then due time. A large task that does not fit reserves
  * the emptiest worker, so that small tasks do not starve it. Suspects, tasks
@@ -221,9 +222,11 @@
     std::set<bool> m_noWorkerIfShared;
   };
 
+  /** aAssessesRisks: whether the targets' m_lossRisk is needed. */
   Pools FindTargets(const fleet::State& aState,
                     const WorkerTable& aWorkers,
                     const std::set<WorkerIncarnation>& aCordoned,
+                    bool aAssessesRisks,
                     TimePoint aNow) const;
   std::vector<Candidate> FindCandidates(const fleet::State& aState,
                                         WallTime aWall) const;
--- a/src/placement/losses.cpp
+++ b/src/placement/losses.cpp
@@ -56,6 +56,8 @@
       return "none";
     case LossRisk::kRecentRun:
       return "one of its runs has just begun";
+    case LossRisk::kSuspect:
+      return "it runs a suspect";
     case LossRisk::kUnconfirmedStart:
       return "one of its starts is unconfirmed";
     case LossRisk::kReportOverdue:
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -148,6 +148,7 @@
 Planner::FindTargets(const fleet::State& aState,
                      const WorkerTable& aWorkers,
                      const std::set<WorkerIncarnation>& aCordoned,
+                     bool aAssessesRisks,
                      TimePoint aNow) const
 {
   Pools pools;
@@ -166,6 +167,9 @@
                    capacity.m_memoryMb - untrackedUse.m_memoryMb,
                    capacity.m_accelerators - untrackedUse.m_accelerators };
     target.m_isUnresponsive = aWorkers.IsUnresponsive(worker, aNow);
+    if (aAssessesRisks) {
+      target.m_lossRisk = aWorkers.AssessRisk(worker, book, aNow);
+    }
     target.m_mayBeOrdered =
       hasSuspects && aWorkers.MayBeOrderedAfter(worker, aNow);
     const auto use = book.UseByWorker().find(id);
@@ -342,7 +346,8 @@
                       Pool& aPool) const
 {
   Target* best = nullptr;
-  auto bestRank = std::make_tuple(true, true, true, true, true, std::int64_t{});
+  auto bestRank = std::make_tuple(
+    LossRisk::kReportOverdue, true, true, true, true, true, std::int64_t{});
   for (Target& target : aPool.Targets()) {
     const WorkerReport& report = target.m_worker->m_lastReport;
     if (target.m_isReserved || target.m_isolatedTask || !target.Fits(aStep)) {
@@ -358,6 +363,11 @@
     // Best-effort tasks disturb tasks with a latency target on the same worker.
     const bool interferes =
       aStep.m_bestEffort && target.m_hostsLatencySensitive;
+    // A worker that a task has just crashed is often the one with the most free
+    // CPU. A long-running task that is started there is away for as long as it
+    // takes to notice the loss, and two such starts are one too many.
+    const LossRisk risk =
+      aStep.m_longRunning ? target.m_lossRisk : LossRisk::kNone;
     // Long-running tasks are spread, so that the loss of one worker stops few
     // of them, but preferably over workers that already host some, or else run
     // something: one on each worker would keep the whole pool from ever being
@@ -372,7 +382,8 @@
                            !target.m_hostsLongRunning;
     const bool isPacked = !isSpread && m_mechanisms.Has(Mechanism::kPacking);
     const std::int64_t cpuLeft = target.m_freeCpuMillis - aStep.ReservedCpu();
-    const auto rank = std::make_tuple(isFarFromData,
+    const auto rank = std::make_tuple(risk,
+                                      isFarFromData,
                                       interferes,
                                       isCrowded,
                                       isNewHost,
@@ -680,9 +691,11 @@
                      WallTime aWall)
 {
   Plan plan;
-  Pools pools = FindTargets(aState, aWorkers, aCordoned, aNow);
-  plan.m_accounts = ComputeAccounts(aState, aWorkers, aNow);
   std::vector<Candidate> candidates = FindCandidates(aState, aWall);
+  const bool hasLongRunning =
+    !candidates.empty() && candidates.front().m_isLongRunning;
+  Pools pools = FindTargets(aState, aWorkers, aCordoned, hasLongRunning, aNow);
+  plan.m_accounts = ComputeAccounts(aState, aWorkers, aNow);
   if (!plan.m_accounts.IsEmpty()) {
     for (Candidate& candidate : candidates) {
       candidate.m_account = plan.m_accounts.Find(candidate.m_job->m_workspace);
--- a/src/placement/target_pool.h
+++ b/src/placement/target_pool.h
@@ -37,6 +37,8 @@
   bool m_mayBeOrdered = false;
   /** The worker may be lost: it counts in the pool but gets no new tasks. */
   bool m_isUnresponsive = false;
+  /** Assessed only in passes with long-running tasks to place. */
+  LossRisk m_lossRisk = LossRisk::kNone;
 
   bool Fits(const jobs::StepSpec& aStep) const;
   /** Whether tasks that are not isolated may be started here, unless it is
--- a/src/placement/worker_risk.cpp
+++ b/src/placement/worker_risk.cpp
@@ -1,5 +1,6 @@
 #include "run_lookup.h"
 
+#include "bamboostile/jobs/crash_loop.h"
 #include "bamboostile/placement/workers.h"
 
 #include <algorithm>
@@ -19,17 +20,26 @@
   }
   const WorkerReport& report = aWorker.m_lastReport;
   const auto placed = aBook.TasksByWorker().find(report.m_worker);
-  const bool hasUnconfirmed =
-    placed != aBook.TasksByWorker().end() &&
-    std::any_of(
-      placed->second.begin(), placed->second.end(), [&](const auto& aTask) {
-        const RunNumber run = aBook.FindTask(aTask)->m_lastRun;
-        return !Contains(report.m_active, aTask, run) &&
-               !Contains(report.m_ended, aTask, run);
-      });
-  if (hasUnconfirmed) {
+  if (placed == aBook.TasksByWorker().end()) {
+    return LossRisk::kNone;
+  }
+  const std::vector<jobs::TaskRef>& tasks = placed->second;
+  const auto isUnconfirmed = [&](const jobs::TaskRef& aTask) {
+    const RunNumber run = aBook.FindTask(aTask)->m_lastRun;
+    return !Contains(report.m_active, aTask, run) &&
+           !Contains(report.m_ended, aTask, run);
+  };
+  if (std::any_of(tasks.begin(), tasks.end(), isUnconfirmed)) {
     return LossRisk::kUnconfirmedStart;
   }
+  const auto isSuspect = [&](const jobs::TaskRef& aTask) {
+    return !aBook.FindTask(aTask)->m_isStable &&
+           jobs::IsSuspect(aBook.LossesOf(aTask));
+  };
+  if (!aBook.TasksWithLosses().empty() &&
+      std::any_of(tasks.begin(), tasks.end(), isSuspect)) {
+    return LossRisk::kSuspect;
+  }
   const bool hasRecent = std::any_of(
     aWorker.m_progress.begin(),
     aWorker.m_progress.end(),
