placement: a large task reserves a worker that may run it

Read in a review of the incident, and shown by tests: a large task that fits nowhere reserves the emptiest worker, also where that worker can never take it: it hosts a task of the same step (one a worker), lacks the label, has an isolated run, or its long-running tasks leave too little memory. So capacity was kept idle where it did not help, small tasks took what became free elsewhere, and a long-running task beside dying workers went on waiting.

The emptiest open worker that may run the task beside its long-running tasks is reserved now; without one, none is.

unit.placement EmptiestWorkerMayNotRunTheTask and LongRunningTaskFillsEmptiestWorker failed before (6 and 9 starts, 7 and 13 expected).

--- a/include/bamboostile/jobs/book.h
+++ b/include/bamboostile/jobs/book.h
@@ -125,6 +125,8 @@
   std::int64_t m_memoryMb = 0;
   std::int64_t m_accelerators = 0;
   std::int64_t m_longRunningCpuMillis = 0;
+  std::int64_t m_longRunningMemoryMb = 0;
+  std::int64_t m_longRunningAccelerators = 0;
   std::uint32_t m_runs = 0;
   std::uint32_t m_longRunning = 0;
   std::uint32_t m_inGang = 0;
--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -105,9 +105,10 @@
  * if there are such. The others are ordered by share (jobs beyond
  * the share of their workspace last), then lateness (late jobs last), then
  * priority, then due time. A large task that does not fit reserves
- * the emptiest worker, so that small tasks do not starve it. Suspects, tasks
- * that may crash their workers, come last: each gets an isolated run on a
- * worker that is given no other work, on a share of the pool at a time.
+ * the emptiest worker that may run it, so that small tasks do not starve it.
+ * Suspects, tasks that may crash their workers, come last: each gets an
+ * isolated run on a worker that is given no other work, on a share of the pool
+ * at a time.
  *
  * No task starts that would bring its workspace over its cap.
  */
@@ -240,7 +241,9 @@
              WallTime aWall,
              Pool& aPool,
              Plan& aPlan) const;
-  void ReserveEmptiest(const jobs::StepSpec& aStep, Pool& aPool) const;
+  void ReserveEmptiest(const jobs::StepSpec& aStep,
+                       const TasksPerWorker& aTasksPerWorker,
+                       Pool& aPool) const;
   /** aTimeSinceDelay: for a gang of suspects, the time since its retry delay
    * ended; otherwise unset. Returns false if no member was started. */
   bool PlaceGang(const Candidate& aCandidate,
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -329,8 +329,12 @@
   use.m_accelerators += std::int64_t{ needs.m_accelerators } * aTimes;
   use.m_runs += times;
   use.m_longRunning += aStep.m_longRunning ? times : 0;
-  use.m_longRunningCpuMillis +=
-    aStep.m_longRunning ? aStep.ReservedCpu() * aTimes : 0;
+  if (aStep.m_longRunning) {
+    use.m_longRunningCpuMillis += aStep.ReservedCpu() * aTimes;
+    use.m_longRunningMemoryMb += std::int64_t{ needs.m_memoryMb } * aTimes;
+    use.m_longRunningAccelerators +=
+      std::int64_t{ needs.m_accelerators } * aTimes;
+  }
   use.m_inGang += aStep.m_gang ? times : 0;
   use.m_latencySensitive += aStep.m_latencyTarget > Millis::zero() ? times : 0;
   if (use.m_runs == 0) {
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -398,9 +398,12 @@
 }
 
 // A large task that does not fit would starve, because small tasks take all
-// capacity that becomes free, so the emptiest worker is reserved for it.
+// capacity that becomes free, so the emptiest worker that may run it is
+// reserved for it.
 void
-Planner::ReserveEmptiest(const jobs::StepSpec& aStep, Pool& aPool) const
+Planner::ReserveEmptiest(const jobs::StepSpec& aStep,
+                         const TasksPerWorker& aTasksPerWorker,
+                         Pool& aPool) const
 {
   if (!m_mechanisms.Has(Mechanism::kRoomForLarge)) {
     return;
@@ -412,19 +415,18 @@
       aPool.CountReserved() >= maxReserved) {
     return;
   }
-  Target& emptiest = aPool.FindEmptiest();
-  const jobs::Resources& capacity = emptiest.m_worker->m_lastReport.m_capacity;
-  const jobs::Resources& needs = aStep.m_resources;
-  // A worker whose capacity has shrunk may be too small even when empty.
-  if (!ReservedCapacity{}.LeavesCapacityFor(capacity, aStep)) {
+  Target* emptiest = aPool.FindEmptiest(aStep, aTasksPerWorker);
+  if (emptiest == nullptr) {
     return;
   }
+  const jobs::Resources& capacity = emptiest->m_worker->m_lastReport.m_capacity;
+  const jobs::Resources& needs = aStep.m_resources;
   const bool isLarge =
     aStep.ReservedCpu() * kLargeTaskDivisor > capacity.m_cpuMillis ||
     needs.m_memoryMb * kLargeTaskDivisor > capacity.m_memoryMb ||
     needs.m_accelerators > 0;
   if (isLarge) {
-    aPool.Reserve(emptiest);
+    aPool.Reserve(*emptiest);
   }
 }
 
@@ -465,7 +467,7 @@
       aCandidate.AddWaiting(i, task, WaitReason::kNoCapacity, aWall, aPlan);
       aPlan.m_fullServices.insert(aCandidate.m_route->m_service);
       if (!aCandidate.m_isLate) {
-        ReserveEmptiest(step, aPool);
+        ReserveEmptiest(step, tasksPerWorker, aPool);
       }
       return;
     }
--- a/src/placement/pool_load.cpp
+++ b/src/placement/pool_load.cpp
@@ -39,7 +39,7 @@
     return;
   }
   const jobs::Resources& capacity = m_worker->m_lastReport.m_capacity;
-  aLoad.m_cpu += capacity.m_cpuMillis - m_longRunningCpuMillis;
+  aLoad.m_cpu += capacity.m_cpuMillis - m_longRunningUse.m_cpuMillis;
   if (m_isReserved || m_isolatedTask || capacity.m_memoryMb == 0) {
     return;
   }
--- a/src/placement/target_pool.cpp
+++ b/src/placement/target_pool.cpp
@@ -12,6 +12,13 @@
          aStep.m_resources.m_accelerators <= m_freeAccelerators;
 }
 
+bool
+Planner::Target::FitsBesideLongRunning(const jobs::StepSpec& aStep) const
+{
+  return m_longRunningUse.LeavesCapacityFor(m_worker->m_lastReport.m_capacity,
+                                            aStep);
+}
+
 void
 Planner::Target::Allocate(const jobs::StepSpec& aStep)
 {
@@ -21,7 +28,9 @@
   m_hostsLatencySensitive =
     m_hostsLatencySensitive || aStep.m_latencyTarget > Millis::zero();
   m_hostsLongRunning = m_hostsLongRunning || aStep.m_longRunning;
-  m_longRunningCpuMillis += aStep.m_longRunning ? aStep.ReservedCpu() : 0;
+  if (aStep.m_longRunning) {
+    m_longRunningUse.Add(aStep);
+  }
   m_hostsGang = m_hostsGang || aStep.m_gang;
   ++m_runs;
 }
@@ -34,7 +43,9 @@
   m_freeAccelerators -= aUse.m_accelerators;
   m_hostsLatencySensitive = aUse.m_latencySensitive > 0;
   m_hostsLongRunning = aUse.m_longRunning > 0;
-  m_longRunningCpuMillis = aUse.m_longRunningCpuMillis;
+  m_longRunningUse = { aUse.m_longRunningCpuMillis,
+                       aUse.m_longRunningMemoryMb,
+                       aUse.m_longRunningAccelerators };
   m_hostsGang = aUse.m_inGang > 0;
   m_runs = aUse.m_runs;
 }
@@ -83,8 +94,9 @@
 
 // Free CPU only decreases while no trial is under way, so a top entry that
 // still shows what its target has is the greatest of all.
-Planner::Target&
-Planner::Pool::FindEmptiest()
+Planner::Target*
+Planner::Pool::FindEmptiest(const jobs::StepSpec& aStep,
+                            const TasksPerWorker& aTasksPerWorker)
 {
   const auto isLess = [](const FreeCpuIndex::Entry& aLeft,
                          const FreeCpuIndex::Entry& aRight) {
@@ -92,28 +104,41 @@
              ? aLeft.m_freeCpuMillis < aRight.m_freeCpuMillis
              : aLeft.m_position > aRight.m_position;
   };
-  if (m_byEmptiest.empty()) {
+  const auto push = [&](FreeCpuIndex::Entry aEntry) {
+    m_byEmptiest.push_back(aEntry);
+    std::push_heap(m_byEmptiest.begin(), m_byEmptiest.end(), isLess);
+  };
+  if (!m_isSortedByEmptiest) {
+    m_isSortedByEmptiest = true;
     for (std::size_t i = 0; i < m_targets.size(); ++i) {
-      if (!m_targets[i].m_isReserved) {
-        m_byEmptiest.push_back(EntryOf(i, m_targets[i].m_freeCpuMillis));
-      }
+      m_byEmptiest.push_back(EntryOf(i, m_targets[i].m_freeCpuMillis));
     }
     std::make_heap(m_byEmptiest.begin(), m_byEmptiest.end(), isLess);
   }
-  for (;;) {
-    FreeCpuIndex::Entry& top = m_byEmptiest.front();
+  Target* emptiest = nullptr;
+  std::vector<FreeCpuIndex::Entry> examined;
+  while (emptiest == nullptr && !m_byEmptiest.empty()) {
+    std::pop_heap(m_byEmptiest.begin(), m_byEmptiest.end(), isLess);
+    const FreeCpuIndex::Entry top = m_byEmptiest.back();
+    m_byEmptiest.pop_back();
     Target& target = m_targets[top.m_position];
-    if (!target.m_isReserved && target.m_freeCpuMillis == top.m_freeCpuMillis) {
-      return target;
+    if (target.m_isReserved || !target.IsOpen()) {
+      continue;
     }
-    std::pop_heap(m_byEmptiest.begin(), m_byEmptiest.end(), isLess);
-    if (target.m_isReserved) {
-      m_byEmptiest.pop_back();
-    } else {
-      m_byEmptiest.back().m_freeCpuMillis = target.m_freeCpuMillis;
-      std::push_heap(m_byEmptiest.begin(), m_byEmptiest.end(), isLess);
+    if (target.m_freeCpuMillis != top.m_freeCpuMillis) {
+      push(EntryOf(top.m_position, target.m_freeCpuMillis));
+      continue;
+    }
+    examined.push_back(top);
+    const std::uint32_t tasksOnWorker =
+      TasksOnWorker(target.m_worker->m_lastReport.m_worker, aTasksPerWorker);
+    if (IsAllowed(aStep, tasksOnWorker, target) &&
+        target.FitsBesideLongRunning(aStep)) {
+      emptiest = &target;
     }
   }
+  std::for_each(examined.begin(), examined.end(), push);
+  return emptiest;
 }
 
 void
--- a/src/placement/target_pool.h
+++ b/src/placement/target_pool.h
@@ -14,8 +14,8 @@
   std::int64_t m_freeCpuMillis = 0;
   std::int64_t m_freeMemoryMb = 0;
   std::int64_t m_freeAccelerators = 0;
-  /** Reserved by long-running tasks. */
-  std::int64_t m_longRunningCpuMillis = 0;
+  /** Resources that long-running tasks reserve. */
+  ReservedCapacity m_longRunningUse{};
   bool m_hostsLatencySensitive = false;
   bool m_hostsLongRunning = false;
   bool m_hostsGang = false;
@@ -41,6 +41,9 @@
   LossRisk m_lossRisk = LossRisk::kNone;
 
   bool Fits(const jobs::StepSpec& aStep) const;
+  /** Whether a task of the step would fit if only long-running tasks ran here.
+   */
+  bool FitsBesideLongRunning(const jobs::StepSpec& aStep) const;
   /** Whether tasks that are not isolated may be started here, unless it is
    * reserved. */
   bool IsOpen() const { return !m_isolatedTask && !m_isUnresponsive; }
@@ -89,9 +92,11 @@
   void RecordFailure(const jobs::StepSpec& aStep);
 
   std::size_t CountReserved() const { return m_reserved; }
-  /** The target with the most free CPU that is not reserved, the first among
-   * equals. There must be one. */
-  Target& FindEmptiest();
+  /** The open target with the most free CPU, the first among equals, that is
+   * not reserved and may take a task of the step once others have ended; null
+   * if there is none. */
+  Target* FindEmptiest(const jobs::StepSpec& aStep,
+                       const TasksPerWorker& aTasksPerWorker);
 
   /** From here, changes are kept until Commit() or undone by Rollback(). */
   void BeginTrial() { m_isTrial = true; }
@@ -130,6 +135,7 @@
    * its first use. An entry may show more free CPU than its target has by now.
    */
   std::vector<FreeCpuIndex::Entry> m_byEmptiest;
+  bool m_isSortedByEmptiest = false;
   bool m_isTrial = false;
   /** The changed targets of a trial as they were, the latest last. */
   std::vector<SavedTarget> m_saved;
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -197,6 +197,49 @@
   LONGS_EQUAL(9, StartPlanned());
 }
 
+// Guards against a large task that starves behind a reservation of no use: the
+// emptiest worker already hosts a task of its step.
+TEST(PlacementPlanner, EmptiestWorkerMayNotRunTheTask_ReservesAnother)
+{
+  StepSpec step = Step(2, 3000);
+  step.m_longRunning = true;
+  step.m_maxPerWorker = 1;
+  m_fleet.Submit("lasting", Spec({ step }));
+  for (int i = 1; i <= 4; ++i) {
+    const std::string worker = "w" + std::to_string(i);
+    WorkerReport report = Report(worker, 1);
+    report.m_capacity.m_cpuMillis = i == 1 ? 8000 : 4000;
+    Receive(report);
+    m_fleet.Submit("running-" + worker, Spec({ Step(1, 2000) }));
+    m_fleet.Start(Ref("running-" + worker), worker);
+  }
+  m_fleet.Start(Ref("lasting"), "w1");
+  m_fleet.Submit("small", Spec({ Step(12, 1000) }));
+  LONGS_EQUAL(3 + 2 * 2, StartPlanned());
+}
+
+// The same for a worker whose long-running tasks leave no memory for it.
+TEST(PlacementPlanner, LongRunningTaskFillsEmptiestWorker_ReservesAnother)
+{
+  StepSpec large = Step(1, 500);
+  large.m_longRunning = true;
+  large.m_resources.m_memoryMb = 3000;
+  for (int i = 1; i <= 4; ++i) {
+    const std::string worker = "w" + std::to_string(i);
+    WorkerReport report = Report(worker, 1);
+    report.m_capacity.m_cpuMillis = i == 1 ? 8000 : 4000;
+    Receive(report);
+    StepSpec step = Step(1, 1000);
+    step.m_longRunning = i == 1;
+    step.m_resources.m_memoryMb = 1500;
+    m_fleet.Submit("running-" + worker, Spec({ step }));
+    m_fleet.Start(Ref("running-" + worker), worker);
+  }
+  m_fleet.Submit("large", Spec({ large }));
+  m_fleet.Submit("small", Spec({ Step(20, 1000) }));
+  LONGS_EQUAL(7 + 2 * 3, StartPlanned());
+}
+
 // Guards against idle cores: sixteen workers have one free core each, and tasks
 // of two cores come first. If each of these reserved a worker, the tasks of one
 // core behind them would wait while cores stay unused.
