placement: long-running tasks that are away go before new ones

Callers saw a long-running task wait for free capacity while new jobs were placed. Nothing asked how long a task had been without a run: it stood in the order of due times, and a suspect behind all tasks of its kind, also those of jobs that had just been submitted.

Steps with long-running tasks to restart come first now, those without a run for longest before others, and their suspects before jobs that never ran.

unit.placement LongRunningTaskIsToRestart and LongRunningSuspectIsToRestart failed before: the new job had the only worker.

--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -101,8 +101,9 @@
 /**
  * @brief Decides which waiting task starts on which worker.
  *
- * Long-running tasks come first, on workers that show no sign of being lost,
- * if there are such. The others are ordered by share (jobs beyond
+ * Long-running tasks come first, those that have been without a run for longest
+ * before those that never ran, on workers that show no sign of being lost, if
+ * there are such. The others are ordered by share (jobs beyond
  * the share of their workspace last), then lateness (late jobs last), then
  * priority, then due time. A large task that does not fit reserves
  * the emptiest worker that may run it, so that small tasks do not starve it.
@@ -184,6 +185,9 @@
     bool m_isLongRunning = false;
     bool m_isLate = false;
     WallTime m_due;
+    /** For a long-running step with tasks to restart: since when the first of
+     * them has been without a run. */
+    std::optional<WallTime> m_withoutRunSince{};
     /** Null if the job belongs to no workspace. */
     workspaces::Account* m_account = nullptr;
 
@@ -374,6 +378,9 @@
                             Plan& aPlan) const;
   CriticalPaths FindCriticalPaths(const jobs::Job& aJob,
                                   const jobs::Occurrence* aProgress) const;
+  /** The earliest time at which the last run, or else the first loss, of a
+   * waiting task of the step ended; unset if none has had either. */
+  static std::optional<WallTime> FindEarliestEnd(const jobs::StepRun& aStep);
   static std::vector<Candidate> SortCandidates(
     const std::vector<Candidate>& aCandidates);
   /** Lists the starts in the plan that restart long-running tasks. */
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -6,6 +6,7 @@
 #include "bamboostile/jobs/crash_loop.h"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace bamboostile::placement {
@@ -232,8 +233,31 @@
                               step.m_longRunning,
                               isLate && !step.m_longRunning,
                               WallTime{ due } });
+      if (step.m_longRunning && progress != nullptr) {
+        aCandidates.back().m_withoutRunSince =
+          FindEarliestEnd(progress->m_steps[stepIndex]);
+      }
+    }
+  }
+}
+
+std::optional<WallTime>
+Planner::FindEarliestEnd(const jobs::StepRun& aStep)
+{
+  std::optional<WallTime> earliest;
+  for (const jobs::Task& task : aStep.m_tasks) {
+    if (task.m_phase != jobs::TaskPhase::kWaiting) {
+      continue;
+    }
+    std::optional<WallTime> end = task.m_ranUntil;
+    if (!end && !task.m_losses.empty()) {
+      end = task.m_losses.front().m_at;
+    }
+    if (end && (!earliest || *end < *earliest)) {
+      earliest = end;
     }
   }
+  return earliest;
 }
 
 std::vector<Planner::Candidate>
@@ -275,12 +299,14 @@
 std::vector<Planner::Candidate>
 Planner::SortCandidates(const std::vector<Candidate>& aCandidates)
 {
-  using Key =
-    std::tuple<bool, bool, bool, std::uint32_t, WallTime, std::size_t>;
+  using Key = std::
+    tuple<bool, WallTime, bool, bool, std::uint32_t, WallTime, std::size_t>;
+  const WallTime never{ std::numeric_limits<WallTime::Value>::max() };
   std::vector<Key> keys;
   keys.reserve(aCandidates.size());
   for (const Candidate& candidate : aCandidates) {
     keys.emplace_back(!candidate.m_isLongRunning,
+                      candidate.m_withoutRunSince.value_or(never),
                       candidate.m_job->m_isBeyondShare,
                       candidate.m_isLate,
                       candidate.m_route->m_priority,
@@ -707,6 +733,10 @@
     candidates.cbegin(), candidates.cend(), [](const Candidate& aCandidate) {
       return !aCandidate.m_isLongRunning;
     });
+  const auto firstNotRestarted = std::find_if(
+    candidates.cbegin(), firstNotLongRunning, [](const Candidate& aCandidate) {
+      return !aCandidate.m_withoutRunSince;
+    });
   std::map<ServiceId, LossActivity> activities;
   const auto assessLosses = [&](const ServiceId& aService) {
     const auto [found, isNew] = activities.try_emplace(aService);
@@ -730,7 +760,8 @@
                   pools,
                   plan);
   };
-  placeAll(candidates.cbegin(), firstNotLongRunning);
+  placeAll(candidates.cbegin(), firstNotRestarted);
+  placeAll(firstNotRestarted, firstNotLongRunning);
   MoveLongRunningTasks(aState, aWorkers, aCordoned, aNow, pools, plan);
   placeAll(firstNotLongRunning, candidates.cend());
   ListRestarts(aState.Jobs(), aWorkers, aNow, aWall, plan);
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -40,6 +40,20 @@
     return plan.m_changes.size();
   }
 
+  /** The task's first run was shown until then. */
+  void LoseWorkerOf(const TaskRef& aTask, CrashEvidence aEvidence)
+  {
+    m_fleet.Apply({ EndRun{ aTask,
+                            RunNumber{ 1 },
+                            RunEnd::kWorkerLost,
+                            "",
+                            WallTime{ 5 },
+                            aEvidence,
+                            InstanceId{},
+                            false,
+                            WallTime{ 5 } } });
+  }
+
   std::string WorkerOf(const TaskRef& aTask)
   {
     return m_fleet.Book().FindTask(aTask)->m_worker.m_id.Get();
@@ -275,6 +289,35 @@
   LONGS_EQUAL(16, StartPlanned());
 }
 
+// Guards against a task that has been away for seconds and waits behind new
+// ones that are due earlier.
+TEST(PlacementPlanner, LongRunningTaskIsToRestart_GoesBeforeNewOnes)
+{
+  Receive(Report("w1", 1));
+  StepSpec step = Step(1, 4000);
+  step.m_longRunning = true;
+  m_fleet.Submit("new", Spec({ step }), -100'000);
+  m_fleet.Submit("away", Spec({ step }));
+  m_fleet.Start(Ref("away"), "w0");
+  LoseWorkerOf(Ref("away"), CrashEvidence::kNone);
+  StartPlanned();
+  STRCMP_EQUAL("w1", WorkerOf(Ref("away")).c_str());
+}
+
+// The same for a suspect, whose turn is after all other long-running tasks.
+TEST(PlacementPlanner, LongRunningSuspectIsToRestart_GoesBeforeNewOnes)
+{
+  Receive(Report("w1", 1));
+  StepSpec step = Step(1, 4000);
+  step.m_longRunning = true;
+  m_fleet.Submit("new", Spec({ step }), -100'000);
+  m_fleet.Submit("away", Spec({ step }));
+  m_fleet.Start(Ref("away"), "w0");
+  LoseWorkerOf(Ref("away"), CrashEvidence::kStarting);
+  StartPlanned();
+  STRCMP_EQUAL("w1", WorkerOf(Ref("away")).c_str());
+}
+
 TEST(PlacementPlanner, LateJob_GoesAfterOneThatCanBeInTime)
 {
   Receive(Report("w1", 1));
