placement: a start that was never sent to a silent worker is withdrawn

Callers saw a long-running task away for two leases in a row. Its start was placed on a worker that never reported again, so it never left, and yet the task waited until the lease ended, 4.7 s later.

The leader knows which starts it has placed and not sent. Those of long-running tasks are withdrawn once the worker is unresponsive, after 1.5 s: their end is proposed, and no later answer contains them. Starts of an earlier leader may have been sent and wait as before.

Withdrawing the starts of all tasks was tried: tasks that crash their workers then take the next one sooner, and two tests of unit.crash_loops failed (39 of 40 sound jobs, over four crashes a job). So was ending a life at the second report of the next one, where it is silent: three tests failed the same way, one of them with a sixth worker for a crashing task.

--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -189,6 +189,14 @@
   TimePoint m_shownSince;
 };
 
+/** A start that this leader has placed and not sent. */
+struct UnsentStart
+{
+  RunNumber m_run;
+  /** Its end is proposed, so it must not be sent any more. */
+  bool m_isWithdrawn = false;
+};
+
 /** State of one incarnation of a worker. It ends with the incarnation, except
  * for m_health, which the next incarnation on the instance inherits. */
 struct Worker
@@ -221,6 +229,7 @@
   /** Ends that were accepted. Those up to m_ackedUpTo are committed as well. */
   std::uint64_t m_acceptedUpTo = 0;
   std::uint64_t m_ackedUpTo = 0;
+  std::map<jobs::TaskRef, UnsentStart> m_unsent;
   /** When each unconfirmed start was last sent. */
   std::map<jobs::TaskRef, TimePoint> m_sentAt;
   std::set<std::pair<jobs::TaskRef, RunNumber>> m_toStop;
@@ -316,7 +325,12 @@
    * repeat them. */
   void Rollback(const std::vector<Receipt>& aReceipts);
 
-  /** Returns the runs that ended because their worker's lease ended. */
+  /** Called with each plan before its changes are committed. */
+  void OnPlanned(const std::vector<jobs::Change>& aChanges);
+
+  /** Returns the runs that ended because their worker's lease ended, and the
+   * starts of long-running tasks that were never sent to a worker that is
+   * unresponsive. */
   std::vector<jobs::EndRun> CollectLostRuns(const jobs::JobTable& aBook,
                                             TimePoint aNow,
                                             WallTime aWall);
@@ -542,6 +556,12 @@
                                        const InstanceId& aInstance,
                                        const jobs::JobTable& aBook,
                                        WallTime aWall);
+  /** Ends the starts of long-running tasks that were never sent to the worker.
+   */
+  static void WithdrawUnsent(Worker& aWorker,
+                             const jobs::JobTable& aBook,
+                             WallTime aWall,
+                             std::vector<jobs::EndRun>& aEnds);
   void CountActive(Worker& aWorker, const jobs::JobTable& aBook) const;
   bool IsWithinCap(const jobs::Job& aJob, const jobs::StepSpec& aStep) const;
   std::vector<PendingStart> FindPending(const Worker& aWorker,
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -303,6 +303,7 @@
   }
   placement::Plan plan = m_planner.ComputePlan(
     m_node.State(), *m_workers, m_instances->Cordoned(), aNow, WallNow());
+  m_workers->OnPlanned(plan.m_changes);
   m_workers->SetAccounts(std::move(plan.m_accounts));
   m_fullServices = std::move(plan.m_fullServices);
   UpdateIntake(std::move(plan.m_loads), aNow);
--- a/src/placement/worker_losses.cpp
+++ b/src/placement/worker_losses.cpp
@@ -408,6 +408,36 @@
   m_mostUnseen = std::max(m_mostUnseen, unseen);
 }
 
+void
+WorkerTable::OnPlanned(const std::vector<jobs::Change>& aChanges)
+{
+  for (const jobs::Change& change : aChanges) {
+    const auto* start = std::get_if<jobs::StartRun>(&change);
+    const auto worker =
+      start == nullptr ? m_workers.end() : m_workers.find(start->m_worker);
+    if (worker != m_workers.end()) {
+      worker->second.m_unsent[start->m_task] = { start->m_run };
+    }
+  }
+}
+
+// Starts leave with the answers to reports. One that has not left will not run
+// if no later answer contains it, so a long-running task need not be away until
+// the lease ends. Starts of an earlier leader may have been sent.
+void
+WorkerTable::WithdrawUnsent(Worker& aWorker,
+                            const jobs::JobTable& aBook,
+                            WallTime aWall,
+                            std::vector<jobs::EndRun>& aEnds)
+{
+  for (auto& [task, start] : aWorker.m_unsent) {
+    if (StepOf(*aBook.Find(task.m_job), task).m_longRunning) {
+      start.m_isWithdrawn = true;
+      aEnds.push_back({ task, start.m_run, jobs::RunEnd::kStopped, "", aWall });
+    }
+  }
+}
+
 std::vector<jobs::EndRun>
 WorkerTable::CollectLostRuns(const jobs::JobTable& aBook,
                              TimePoint aNow,
@@ -423,12 +453,18 @@
     if (!worker.m_isLost && aNow > worker.m_leaseEnd) {
       RecordLoss(worker, LossCause::kLeaseEnded, aBook, aNow);
       worker.m_isLost = true;
+      worker.m_unsent.clear();
       worker.m_sentAt.clear();
       worker.m_toStop.clear();
       worker.m_stopSentAt.clear();
     }
+    std::erase_if(worker.m_unsent, [&](const auto& aEntry) {
+      return !IsPlaced(aBook, id, aEntry.first, aEntry.second.m_run);
+    });
     if (worker.m_isLost) {
       add(id, worker.m_lastReport.m_instance);
+    } else if (IsUnresponsive(worker, aNow)) {
+      WithdrawUnsent(worker, aBook, aWall, ends);
     }
   }
   ForgetCandidates(aNow);
--- a/src/placement/worker_orders.cpp
+++ b/src/placement/worker_orders.cpp
@@ -176,9 +176,15 @@
   }
   if (!report.m_draining) {
     for (const PendingStart& start : FindPending(worker, aBook)) {
-      if (start.m_job->m_state != jobs::JobState::kActive || !start.m_fits) {
+      const auto unsent = worker.m_unsent.find(start.m_task);
+      const bool isWithdrawn = unsent != worker.m_unsent.end() &&
+                               unsent->second.m_run == start.m_run &&
+                               unsent->second.m_isWithdrawn;
+      if (start.m_job->m_state != jobs::JobState::kActive || !start.m_fits ||
+          isWithdrawn) {
         continue;
       }
+      worker.m_unsent.erase(start.m_task);
       worker.m_sentAt[start.m_task] = aNow;
       orders.m_starts.push_back({ start.m_task,
                                   start.m_run,
--- a/tests/unit/placement/workers_test.cpp
+++ b/tests/unit/placement/workers_test.cpp
@@ -79,6 +79,43 @@
   LONGS_EQUAL(1, CountLostAt(kLater + lease * 102 / 100 + 200));
 }
 
+// Guards against a task that waits for a whole lease for a start that has never
+// left, and against a second run where that start leaves after all.
+TEST(WorkerTable, WorkerIsUnresponsiveBeforeStartIsSent_StartIsWithdrawn)
+{
+  SubmitLongRunning(1, 1);
+  Receive(Report("w1", 1), kLater);
+  Answer("w1", kLater);
+  const StartRun start{ Ref("a"), RunNumber{ 1 }, Life("w1") };
+  m_table.OnPlanned({ start });
+  m_fleet.Apply({ start });
+  LONGS_EQUAL(0, CountLostAt(kLater + 1'400));
+  LONGS_EQUAL(1, CountLostAt(kLater + 1'600));
+  Receive(Report("w1", 2), kLater + 1'610);
+  CHECK(Answer("w1", kLater + 1'610).m_starts.empty());
+}
+
+TEST(WorkerTable, WorkerIsUnresponsiveAfterStartWasSent_RunIsKeptUntilLeaseEnds)
+{
+  SubmitLongRunning(1, 1);
+  Receive(Report("w1", 1), kLater);
+  const StartRun start{ Ref("a"), RunNumber{ 1 }, Life("w1") };
+  m_table.OnPlanned({ start });
+  m_fleet.Apply({ start });
+  LONGS_EQUAL(1, Answer("w1", kLater).m_starts.size());
+  LONGS_EQUAL(0, CountLostAt(kLater + 4'500));
+  LONGS_EQUAL(1, CountLostAt(kLater + 5'000));
+}
+
+// Starts of an earlier leader may have been sent.
+TEST(WorkerTable, WorkerIsUnresponsiveUnderNewLeader_RunIsKeptUntilLeaseEnds)
+{
+  SubmitLongRunning(1, 1);
+  m_fleet.Start(Ref("a"), "w1");
+  Receive(Report("w1", 1), kLater);
+  LONGS_EQUAL(0, CountLostAt(kLater + 4'500));
+}
+
 // A new leader does not know the leases that an earlier one granted.
 TEST(WorkerTable, WorkerNeverReportsToNewLeader_LosesRunsAfterMaxLease)
 {
