--- a/tests/unit/placement/crashing_jobs_test.cpp
+++ b/tests/unit/placement/crashing_jobs_test.cpp
@@ -216,3 +216,18 @@
   CheckDays(
     { .m_crashingJobEvery = Millis{ 700 }, .m_crashingJobWidth = 1 }, 5, 2);
 }
+
+// Guards against tasks whose crashes all count for little, since other workers
+// are being lost at about the same time.
+TEST(CrashingJobs, LoneTasksCrashTheirWorkersMoreOften_BoundHolds)
+{
+  constexpr std::uint32_t kMaxStartsAfterThreeCrashes = 2;
+  for (unsigned seed = 5; seed <= 6; ++seed) {
+    CrashingDay day{
+      { .m_crashingJobEvery = Millis{ 700 }, .m_crashingJobWidth = 1 }, seed
+    };
+    day.Play();
+    CHECK_COMPARE(
+      day.StartsAfterThreeCrashes(), <=, kMaxStartsAfterThreeCrashes);
+  }
+}
