placement: losses between two mass losses are no task's own

A new leader failed a healthy job of 24 long-running tasks 5.75 s after a series of crashes of 45% of its service. One task had five losses. The third came with one of the crashes, but when it was noticed, most workers lost with it had isolated runs, which are left out of the count: 12 of 62 within a second, where 16 make a mass loss, though 55 within three seconds. That longer window was asked only for tasks with three losses or more. So the loss counted in full.

Long-running tasks are started between two mass losses whatever their losses, so the longer window explains any of them.

Leaving workers with isolated runs out of the size of the service as well was tried on the old code: the job was still given up. unit.crash_loops, crash_loop_bound, isolated_runs, crashing_jobs and absence hold.

--- a/src/placement/worker_losses.cpp
+++ b/src/placement/worker_losses.cpp
@@ -194,7 +194,7 @@
     jobs::NeedsQuietPeriod(losses) ? aLost.m_isDistinct : !isShared;
   const bool isExplained =
     aLost.m_isMassLoss ||
-    (aLost.m_isAmongMassLosses && jobs::NeedsQuietPeriod(losses) &&
+    (aLost.m_isAmongMassLosses &&
      StepOf(*aBook.Find(aTask.m_job), aTask).m_longRunning);
   const bool isOtherInstance =
     !jobs::HasLossOn(losses, aWorker.m_lastReport.m_instance) ||
