placement: what a review of the restarts found

A reviewer who had not seen the work showed by a trial that a whole step starts on one worker where all others have runs that have just begun: eight of eight tasks, and its loss takes them all. The sign of a loss came before the spread of the step. Now a crowded worker comes after all others, and a run that has just begun counts only after the rack of the data and interference.

Also from the review: an isolated run of a long-running task avoids a worker whose report is overdue (the emptiest was taken, by trial); a withdrawn start is proposed as ended until it is, also if its worker reports again; a former leader exports no growing gauge; the search for unconfirmed starts is skipped where all are shown.

unit.placement AllWorkersButOneHaveRecentRuns failed before.

--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -185,8 +185,9 @@
     bool m_isLongRunning = false;
     bool m_isLate = false;
     WallTime m_due;
-    /** For a long-running step with tasks to restart: since when the first of
-     * them has been without a run. */
+    /** For a long-running step with tasks to restart: the end of the
+     * earliest last run among them, or of the first loss where none was shown.
+     */
     std::optional<WallTime> m_withoutRunSince{};
     /** Null if the job belongs to no workspace. */
     workspaces::Account* m_account = nullptr;
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -326,7 +326,7 @@
   void Rollback(const std::vector<Receipt>& aReceipts);
 
   /** Called with each plan before its changes are committed. */
-  void OnPlanned(const std::vector<jobs::Change>& aChanges);
+  void RecordPlannedStarts(const std::vector<jobs::Change>& aChanges);
 
   /** Returns the runs that ended because their worker's lease ended, and the
    * starts of long-running tasks that were never sent to a worker that is
@@ -556,12 +556,13 @@
                                        const InstanceId& aInstance,
                                        const jobs::JobTable& aBook,
                                        WallTime aWall);
-  /** Ends the starts of long-running tasks that were never sent to the worker.
-   */
-  static void WithdrawUnsent(Worker& aWorker,
-                             const jobs::JobTable& aBook,
-                             WallTime aWall,
-                             std::vector<jobs::EndRun>& aEnds);
+  /** Ends the starts of long-running tasks that were never sent to the worker,
+   * if it is unresponsive or was when their end was first proposed. */
+  void WithdrawUnsent(Worker& aWorker,
+                      const jobs::JobTable& aBook,
+                      TimePoint aNow,
+                      WallTime aWall,
+                      std::vector<jobs::EndRun>& aEnds) const;
   void CountActive(Worker& aWorker, const jobs::JobTable& aBook) const;
   bool IsWithinCap(const jobs::Job& aJob, const jobs::StepSpec& aStep) const;
   std::vector<PendingStart> FindPending(const Worker& aWorker,
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -171,7 +171,9 @@
     m_workspaces.Export(m_node.State(), *m_workers, MonotonicNow(), m_metrics);
     m_waiting.Export(MonotonicNow(),
                      m_metrics,
-                     m_workers->LongestWithoutRun(jobTable, WallNow()));
+                     EnsureLeading()
+                       ? m_workers->LongestWithoutRun(jobTable, WallNow())
+                       : Millis{});
   }
   return m_metrics.Render();
 }
@@ -303,7 +305,7 @@
   }
   placement::Plan plan = m_planner.ComputePlan(
     m_node.State(), *m_workers, m_instances->Cordoned(), aNow, WallNow());
-  m_workers->OnPlanned(plan.m_changes);
+  m_workers->RecordPlannedStarts(plan.m_changes);
   m_workers->SetAccounts(std::move(plan.m_accounts));
   m_fullServices = std::move(plan.m_fullServices);
   UpdateIntake(std::move(plan.m_loads), aNow);
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -372,8 +372,15 @@
                       Pool& aPool) const
 {
   Target* best = nullptr;
-  auto bestRank = std::make_tuple(
-    LossRisk::kReportOverdue, true, true, true, true, true, std::int64_t{});
+  auto bestRank = std::make_tuple(true,
+                                  LossRisk::kReportOverdue,
+                                  true,
+                                  true,
+                                  true,
+                                  true,
+                                  true,
+                                  true,
+                                  std::int64_t{});
   for (Target& target : aPool.Targets()) {
     const WorkerReport& report = target.m_worker->m_lastReport;
     if (target.m_isReserved || target.m_isolatedTask || !target.Fits(aStep)) {
@@ -389,11 +396,6 @@
     // Best-effort tasks disturb tasks with a latency target on the same worker.
     const bool interferes =
       aStep.m_bestEffort && target.m_hostsLatencySensitive;
-    // A worker that a task has just crashed is often the one with the most free
-    // CPU. A long-running task that is started there is away for as long as it
-    // takes to notice the loss, and two such starts are one too many.
-    const LossRisk risk =
-      aStep.m_longRunning ? target.m_lossRisk : LossRisk::kNone;
     // Long-running tasks are spread, so that the loss of one worker stops few
     // of them, but preferably over workers that already host some, or else run
     // something: one on each worker would keep the whole pool from ever being
@@ -408,10 +410,19 @@
                            !target.m_hostsLongRunning;
     const bool isPacked = !isSpread && m_mechanisms.Has(Mechanism::kPacking);
     const std::int64_t cpuLeft = target.m_freeCpuMillis - aStep.ReservedCpu();
-    const auto rank = std::make_tuple(risk,
+    // A worker that a task has just crashed is often the one with the most free
+    // CPU. A long-running task that is started there is away until the loss is
+    // noticed, and no bound holds for several such starts in a row. But
+    // avoiding these workers must not put a whole step on one of the others.
+    const LossRisk risk =
+      aStep.m_longRunning ? target.m_lossRisk : LossRisk::kNone;
+    const bool isRecent = risk == LossRisk::kRecentRun;
+    const auto rank = std::make_tuple(aStep.m_longRunning && isCrowded,
+                                      isRecent ? LossRisk::kNone : risk,
                                       isFarFromData,
                                       interferes,
                                       isCrowded,
+                                      isRecent,
                                       isNewHost,
                                       isEmpty,
                                       isPacked ? cpuLeft : -cpuLeft);
--- a/src/placement/trials.cpp
+++ b/src/placement/trials.cpp
@@ -162,6 +162,8 @@
   const auto rank = [&](const Target& aTarget) {
     return std::make_tuple(!aTarget.m_isShared,
                            wasLostOnInstance(aTarget),
+                           aStep.m_longRunning &&
+                             aTarget.m_lossRisk == LossRisk::kReportOverdue,
                            isFragile(aTarget),
                            aTarget.m_runs);
   };
--- a/src/placement/worker_losses.cpp
+++ b/src/placement/worker_losses.cpp
@@ -409,7 +409,7 @@
 }
 
 void
-WorkerTable::OnPlanned(const std::vector<jobs::Change>& aChanges)
+WorkerTable::RecordPlannedStarts(const std::vector<jobs::Change>& aChanges)
 {
   for (const jobs::Change& change : aChanges) {
     const auto* start = std::get_if<jobs::StartRun>(&change);
@@ -427,12 +427,15 @@
 void
 WorkerTable::WithdrawUnsent(Worker& aWorker,
                             const jobs::JobTable& aBook,
+                            TimePoint aNow,
                             WallTime aWall,
-                            std::vector<jobs::EndRun>& aEnds)
+                            std::vector<jobs::EndRun>& aEnds) const
 {
   for (auto& [task, start] : aWorker.m_unsent) {
-    if (StepOf(*aBook.Find(task.m_job), task).m_longRunning) {
-      start.m_isWithdrawn = true;
+    start.m_isWithdrawn = start.m_isWithdrawn ||
+                          (IsUnresponsive(aWorker, aNow) &&
+                           StepOf(*aBook.Find(task.m_job), task).m_longRunning);
+    if (start.m_isWithdrawn) {
       aEnds.push_back({ task, start.m_run, jobs::RunEnd::kStopped, "", aWall });
     }
   }
@@ -463,8 +466,8 @@
     });
     if (worker.m_isLost) {
       add(id, worker.m_lastReport.m_instance);
-    } else if (IsUnresponsive(worker, aNow)) {
-      WithdrawUnsent(worker, aBook, aWall, ends);
+    } else {
+      WithdrawUnsent(worker, aBook, aNow, aWall, ends);
     }
   }
   ForgetCandidates(aNow);
--- a/src/placement/worker_risk.cpp
+++ b/src/placement/worker_risk.cpp
@@ -29,11 +29,12 @@
     return !Contains(report.m_active, aTask, run) &&
            !Contains(report.m_ended, aTask, run);
   };
-  if (std::any_of(tasks.begin(), tasks.end(), isUnconfirmed)) {
+  if (aWorker.m_reportedRuns < tasks.size() &&
+      std::any_of(tasks.begin(), tasks.end(), isUnconfirmed)) {
     return LossRisk::kUnconfirmedStart;
   }
   const auto isSuspect = [&](const jobs::TaskRef& aTask) {
-    return !aBook.FindTask(aTask)->m_isStable &&
+    return aBook.HasLosses(aTask.m_job) && !aBook.FindTask(aTask)->m_isStable &&
            jobs::IsSuspect(aBook.LossesOf(aTask));
   };
   if (!aBook.TasksWithLosses().empty() &&
--- a/tests/support/simulated_pool.cpp
+++ b/tests/support/simulated_pool.cpp
@@ -401,7 +401,7 @@
     for (const placement::StopOrder& stop : plan.m_stops) {
       m_table->RequestStop(stop.m_task, stop.m_run);
     }
-    m_table->OnPlanned(plan.m_changes);
+    m_table->RecordPlannedStarts(plan.m_changes);
     m_fleet.Apply(std::move(plan.m_changes));
     m_table->SetAccounts(std::move(plan.m_accounts));
   }
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -289,6 +289,31 @@
   LONGS_EQUAL(16, StartPlanned());
 }
 
+// Guards against a step whose tasks all start on the only worker without a run
+// that has just begun.
+TEST(PlacementPlanner, AllWorkersButOneHaveRecentRuns_LongRunningStepIsSpread)
+{
+  std::map<std::string, int> tasksOn;
+  for (int i = 1; i <= 8; ++i) {
+    const std::string worker = "w" + std::to_string(i);
+    WorkerReport report = Report(worker, 1);
+    report.m_capacity.m_cpuMillis = 16'000;
+    if (i > 1) {
+      m_fleet.Submit("running-" + worker, Spec({ Step(1) }));
+      m_fleet.Start(Ref("running-" + worker), worker);
+      report.m_active.push_back(Active(Ref("running-" + worker)));
+    }
+    Receive(report);
+  }
+  StepSpec step = Step(8);
+  step.m_longRunning = true;
+  m_fleet.Submit("lasting", Spec({ step }));
+  StartPlanned();
+  for (std::uint32_t i = 0; i < step.m_count; ++i) {
+    LONGS_EQUAL(1, ++tasksOn[WorkerOf(Ref("lasting", i))]);
+  }
+}
+
 // Guards against a task that has been away for seconds and waits behind new
 // ones that are due earlier.
 TEST(PlacementPlanner, LongRunningTaskIsToRestart_GoesBeforeNewOnes)
--- a/tests/unit/placement/workers_test.cpp
+++ b/tests/unit/placement/workers_test.cpp
@@ -87,7 +87,7 @@
   Receive(Report("w1", 1), kLater);
   Answer("w1", kLater);
   const StartRun start{ Ref("a"), RunNumber{ 1 }, Life("w1") };
-  m_table.OnPlanned({ start });
+  m_table.RecordPlannedStarts({ start });
   m_fleet.Apply({ start });
   LONGS_EQUAL(0, CountLostAt(kLater + 1'400));
   LONGS_EQUAL(1, CountLostAt(kLater + 1'600));
@@ -100,7 +100,7 @@
   SubmitLongRunning(1, 1);
   Receive(Report("w1", 1), kLater);
   const StartRun start{ Ref("a"), RunNumber{ 1 }, Life("w1") };
-  m_table.OnPlanned({ start });
+  m_table.RecordPlannedStarts({ start });
   m_fleet.Apply({ start });
   LONGS_EQUAL(1, Answer("w1", kLater).m_starts.size());
   LONGS_EQUAL(0, CountLostAt(kLater + 4'500));
