--- a/src/placement/worker_losses.cpp
+++ b/src/placement/worker_losses.cpp
@@ -461,8 +461,8 @@
       worker.m_toStop.clear();
       worker.m_stopSentAt.clear();
     }
-    std::erase_if(worker.m_unsent, [&](const auto& aEntry) {
-      return !IsPlaced(aBook, id, aEntry.first, aEntry.second.m_run);
+    std::erase_if(worker.m_unsent, [&, &self = id](const auto& aEntry) {
+      return !IsPlaced(aBook, self, aEntry.first, aEntry.second.m_run);
     });
     if (worker.m_isLost) {
       add(id, worker.m_lastReport.m_instance);
