placement: a start is unconfirmed also where another run has ended

The shortcut that came with the review compared the number of runs in the last report, ended ones included, with those placed since: an end and a start cancelled out, and the worker showed no sign of a loss. Each task is looked at again.

unit.placement RunEndsAndAnotherStarts failed before.

--- a/src/placement/worker_risk.cpp
+++ b/src/placement/worker_risk.cpp
@@ -29,8 +29,7 @@
     return !Contains(report.m_active, aTask, run) &&
            !Contains(report.m_ended, aTask, run);
   };
-  if (aWorker.m_reportedRuns < tasks.size() &&
-      std::any_of(tasks.begin(), tasks.end(), isUnconfirmed)) {
+  if (std::any_of(tasks.begin(), tasks.end(), isUnconfirmed)) {
     return LossRisk::kUnconfirmedStart;
   }
   const auto isSuspect = [&](const jobs::TaskRef& aTask) {
--- a/tests/unit/placement/worker_risk_test.cpp
+++ b/tests/unit/placement/worker_risk_test.cpp
@@ -73,6 +73,20 @@
   STRCMP_EQUAL(Describe(LossRisk::kNone), RiskAt(kLater + 1200).c_str());
 }
 
+// Guards against a start that is hidden by a run that ended at the same time.
+TEST(WorkerRisk, RunEndsAndAnotherStarts_StartIsUnconfirmed)
+{
+  m_fleet.Submit("b", Spec({ Step(2) }));
+  Receive(Report("w1", 1), kLater);
+  m_fleet.Start(Ref("b", 0), "w1");
+  WorkerReport report = Report("w1", 2);
+  report.m_ended.push_back(End(1, Ref("b", 0), RunEnd::kDone));
+  Receive(report, kLater + 200);
+  m_fleet.Start(Ref("b", 1), "w1");
+  STRCMP_EQUAL(Describe(LossRisk::kUnconfirmedStart),
+               RiskAt(kLater + 200).c_str());
+}
+
 // Guards against a gauge that counts a task as running whose start went to a
 // dead worker.
 TEST(WorkerRisk, StartIsLostOnItsWay_TimeWithoutRunGoesOn)
