review: work is given to the writer of a heartbeat without an address

A heartbeat of another writer, in which fields are missing, gets a lease and starts; the tasks that are placed on it never run, and their accepted jobs are shown as running for good.

It takes the place of the case of a gang's failed run.

Processes are started again when they end, as DEPLOY.md says.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 set -uo pipefail
 source "$(dirname "${BASH_SOURCE[0]}")/../common.sh"
-play review/2 gang_failure
+play review/2 foreign_writer
--- a/review/common.sh
+++ b/review/common.sh
@@ -6,32 +6,32 @@
 
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 work=""
-pids=()
+supervisors=()
 
 cleanup() {
-  for pid in "${pids[@]}"; do
-    kill -CONT "$pid" 2>/dev/null || true
+  local pid
+  for pid in "${supervisors[@]}"; do
     kill -KILL "$pid" 2>/dev/null || true
   done
-  for pid in "${pids[@]}"; do
+  for pid in $(cat "$work"/*.pid 2>/dev/null); do
+    kill -KILL "$pid" 2>/dev/null || true
     while kill -0 "$pid" 2>/dev/null; do sleep 0.05; done
   done
   [ -z "$work" ] || rm -rf "$work"
 }
 
-# start MACHINE ROLE NUMBER ZONE
-start() {
-  local ip="$net.$3" file="$work/$1-$2.json"
+# settings MACHINE ROLE IP ZONE BOOTSTRAP
+settings() {
   {
     echo "node_name=\"$1\""
     echo "zone=\"$4\""
-    echo "ip=\"$ip\""
+    echo "ip=\"$3\""
     echo "seeds=[\"$net.1:8623\",\"$net.2:8623\",\"$net.3:8623\"]"
     echo "port_range=[7060,7075]"
-    echo "listen.front=\"$ip:8624\""
-    echo "listen.readiness=\"$ip:8622\""
-    echo "listen.control=\"$ip:8623\""
-    echo "bootstrap=true"
+    echo "listen.front=\"$3:8624\""
+    echo "listen.readiness=\"$3:8622\""
+    echo "listen.control=\"$3:8623\""
+    echo "bootstrap=$5"
     echo "fault_tolerance.machines=1"
     echo "cloud_api.address=\"$net.100:8621\""
     echo "cloud_api.duty_per_s=64.0"
@@ -39,13 +39,33 @@
     echo "bounds.migrate_s=1.5"
     echo "bounds.maintenance_s=2"
     [ "$2" = entry ] || echo "data_dir=\"$work/data-$1\""
-  } | target/review/render_settings "deploy/$2.json" >"$file"
-  local run
+  } | target/review/render_settings "deploy/$2.json" >"$work/$1-$2.json"
+}
+
+# Runs a process and starts it again after a short delay whenever it has ended.
+# supervise MACHINE ROLE IP ZONE COMMAND...
+supervise() {
+  local name="$1-$2" bootstrap=true
+  while :; do
+    settings "$1" "$2" "$3" "$4" "$bootstrap"
+    "${@:5}" &
+    echo $! >"$work/$name.pid.new"
+    mv "$work/$name.pid.new" "$work/$name.pid"
+    wait
+    bootstrap=false
+    sleep 0.3
+  done >>"$work/$name.log" 2>&1
+}
+
+# start MACHINE ROLE NUMBER ZONE
+start() {
+  local file="$work/$1-$2.json" run
   run=$(sed -n "/^\[roles\.$2\]/,/^\$/s/^run = \"\(.*\)\"/\1/p" deploy/system.toml)
-  ${run//\/etc\/bamboostile\/settings.conf/$file} >"$work/$1-$2.log" 2>&1 &
-  pids+=($!)
+  # shellcheck disable=SC2086
+  supervise "$1" "$2" "$net.$3" "$4" ${run//\/etc\/bamboostile\/settings.conf/$file} &
+  supervisors+=($!)
   disown "$!"
-  echo "$1 $2 $ip ${pids[-1]}" >>"$work/processes"
+  echo "$1 $2 $net.$3 $work/$1-$2.pid" >>"$work/processes"
 }
 
 play() {
--- a/review/stand_ins/deployment.h
+++ b/review/stand_ins/deployment.h
@@ -18,7 +18,8 @@
   /** "entry" or "control". */
   std::string m_role;
   std::string m_ip;
-  pid_t m_pid = 0;
+  /** Holds the id of the process, which changes when it is started again. */
+  std::string m_pidFile;
 };
 
 /** Ports, the same on all machines. */
@@ -31,7 +32,7 @@
 class Deployment
 {
 public:
-  /** aFile: a line "MACHINE ROLE IP PID" for each process, and a line
+  /** aFile: a line "MACHINE ROLE IP PIDFILE" for each process, and a line
    * "platform IP". */
   Deployment(const std::string& aFile, Record& aRecord)
     : m_record(aRecord)
@@ -42,7 +43,7 @@
         file >> m_platformIp;
         continue;
       }
-      file >> process.m_role >> process.m_ip >> process.m_pid;
+      file >> process.m_role >> process.m_ip >> process.m_pidFile;
       m_processes.push_back(process);
     }
   }
@@ -76,7 +77,11 @@
   {
     for (const Process& process : m_processes) {
       if (process.m_machine == aMachine) {
-        kill(process.m_pid, aSignal);
+        pid_t pid = 0;
+        std::ifstream(process.m_pidFile) >> pid;
+        if (pid > 0) {
+          kill(pid, aSignal);
+        }
       }
     }
     m_record.Add("machine " + aMachine + " gets " + strsignal(aSignal));
