--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 set -uo pipefail
 source "$(dirname "${BASH_SOURCE[0]}")/../common.sh"
-play review/3 gang_checkpoint
+play review/3 drain_cut
