placement: other starts of the pass beside a restart, in the log

A restart of a long-running task logs what speaks against its worker before the pass. Whether the same pass starts other tasks there, which may crash the worker, was in no line.

--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -75,6 +75,8 @@
   std::optional<Millis> m_withoutRun{};
   /** Its lost runs that count as evidence. */
   std::size_t m_losses = 0;
+  /** Other starts of the same pass on the worker. */
+  std::size_t m_startsBeside = 0;
 };
 
 /** The decisions of one placement pass. */
--- a/src/control/waiting_monitor.cpp
+++ b/src/control/waiting_monitor.cpp
@@ -109,7 +109,8 @@
       .With("run", restart.m_run.Get())
       .With("losses", restart.m_losses)
       .With("workerRisk", placement::Describe(restart.m_risk))
-      .With("reportAgeMs", restart.m_reportAge.count());
+      .With("reportAgeMs", restart.m_reportAge.count())
+      .With("startsBeside", restart.m_startsBeside);
     if (restart.m_withoutRun) {
       line.With("withoutRunMs", restart.m_withoutRun->count());
     }
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -703,6 +703,12 @@
                       WallTime aWall,
                       Plan& aPlan)
 {
+  std::unordered_map<WorkerIncarnation, std::size_t> starts;
+  for (const jobs::Change& change : aPlan.m_changes) {
+    if (const auto* start = std::get_if<jobs::StartRun>(&change)) {
+      ++starts[start->m_worker];
+    }
+  }
   for (const jobs::Change& change : aPlan.m_changes) {
     const auto* start = std::get_if<jobs::StartRun>(&change);
     if (start == nullptr || start->m_run <= RunNumber{ 1 } ||
@@ -718,7 +724,8 @@
                                  aWorkers.AssessRisk(worker, aBook, aNow),
                                  ToMillis(aNow - worker.m_lastReportAt),
                                  TimeSince(task.m_ranUntil, aWall),
-                                 task.m_losses.size() });
+                                 task.m_losses.size(),
+                                 starts.at(start->m_worker) - 1 });
   }
 }
 
