placement: failing tests of a change of leader beside crashing jobs

A long-running task is without a run for up to 12.35 s, 9 allowed, when the leader is lost while jobs crash their workers.

--- a/tests/unit/placement/crashing_jobs_test.cpp
+++ b/tests/unit/placement/crashing_jobs_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <numeric>
 
 using namespace bamboostile;
 using namespace bamboostile::jobs;
@@ -26,10 +27,19 @@
 constexpr Millis kOtherDuration{ 1'200 };
 constexpr jobs::Resources kCapacity{ 64'000, 262'144, 0 };
 
+/** The leader is lost, and with it a part of the workers. */
+struct LeaderLoss
+{
+  Millis m_at{ 12'000 };
+  Millis m_untilNext{ 2'000 };
+  std::uint32_t m_workersPercent = 0;
+};
+
 /** Jobs that crash their workers, beside long-running steps with one task a
- * worker, and other work. Nothing else goes wrong. */
+ * worker, and other work. */
 struct Day
 {
+  Millis m_length = kMinute;
   std::uint32_t m_workers = 70;
   std::uint32_t m_longRunningJobs = 2;
   std::uint32_t m_longRunningTasks = 24;
@@ -41,6 +51,12 @@
   bool m_allTasksCrash = false;
   Millis m_restartTakes{ 2'500 };
   bool m_keepsIds = false;
+  /** Time from the start of a crashing task to the crash; differs from seed to
+   * seed if unset. */
+  std::optional<Millis> m_crashAfter{};
+  std::int64_t m_longRunningMemoryMb = 0;
+  std::int64_t m_otherMemoryMb = 0;
+  std::optional<LeaderLoss> m_leaderLoss{};
 };
 
 class CrashingDay
@@ -54,6 +70,7 @@
                    aDay.m_longRunningTasks)
   {
     StepSpec step = Step(aDay.m_longRunningTasks, kLongRunningCpu);
+    step.m_resources.m_memoryMb = aDay.m_longRunningMemoryMb;
     step.m_longRunning = true;
     step.m_maxPerWorker = 1;
     for (std::uint32_t i = 0; i < aDay.m_longRunningJobs; ++i) {
@@ -63,9 +80,12 @@
 
   void Play()
   {
-    for (; m_time < kMinute; m_time += kTick) {
+    for (; m_time < m_day.m_length; m_time += kTick) {
       SubmitOtherWork();
       SubmitCrashingJob();
+      if (m_day.m_leaderLoss && m_time == m_day.m_leaderLoss->m_at) {
+        LoseLeader(*m_day.m_leaderLoss);
+      }
       m_pool.Pass(kTick);
       Observe();
     }
@@ -107,7 +127,8 @@
     options.m_seed = aSeed;
     options.m_capacity = kCapacity;
     options.m_restartTakes = aDay.m_restartTakes;
-    options.m_crashAfter = Millis{ 50 + aSeed * 37 % 700 };
+    options.m_crashAfter =
+      aDay.m_crashAfter.value_or(Millis{ 50 + aSeed * 37 % 700 });
     options.m_keepsIds = aDay.m_keepsIds;
     return options;
   }
@@ -121,6 +142,7 @@
          m_owed > 0;
          m_owed -= kWorkOfJob) {
       StepSpec step = Step(kOtherWidth, kOtherCpu);
+      step.m_resources.m_memoryMb = m_day.m_otherMemoryMb;
       step.m_estimate = kOtherDuration;
       m_pool.Submit("other" + std::to_string(m_others++), Spec({ step }));
     }
@@ -139,6 +161,18 @@
     m_pool.Submit("crashing" + std::to_string(m_crashing++), spec);
   }
 
+  void LoseLeader(const LeaderLoss& aLoss)
+  {
+    std::vector<std::uint32_t> workers(m_day.m_workers);
+    std::iota(workers.begin(), workers.end(), 0);
+    std::shuffle(workers.begin(), workers.end(), m_random);
+    workers.resize(m_day.m_workers * aLoss.m_workersPercent / 100);
+    for (const std::uint32_t worker : workers) {
+      m_pool.CrashWorker(worker, m_day.m_restartTakes);
+    }
+    m_pool.ReplaceLeader(aLoss.m_untilNext);
+  }
+
   void Observe()
   {
     for (std::uint32_t i = 0; i < m_withoutRun.size(); ++i) {
@@ -217,6 +251,53 @@
     { .m_crashingJobEvery = Millis{ 700 }, .m_crashingJobWidth = 1 }, 5, 2);
 }
 
+// Guards against a new leader that takes whole leases to notice dead workers,
+// and then restarts tasks beside jobs that crash the next ones.
+TEST(CrashingJobs, LeaderIsLost_LongRunningTasksReturn)
+{
+  CheckDays({ .m_length = kMinute / 2,
+              .m_workers = 85,
+              .m_loadPercent = 60,
+              .m_crashingJobWidth = 1,
+              .m_crashAfter = Millis{ 10 },
+              .m_longRunningMemoryMb = 62'000,
+              .m_otherMemoryMb = 23'000,
+              .m_leaderLoss = LeaderLoss{} },
+            7,
+            3);
+}
+
+TEST(CrashingJobs, LeaderIsLostAndCrashesAreMany_LongRunningTasksReturn)
+{
+  CheckDays({ .m_length = kMinute / 2,
+              .m_workers = 85,
+              .m_loadPercent = 60,
+              .m_crashingJobEvery = Millis{ 700 },
+              .m_crashingJobWidth = 1,
+              .m_crashAfter = Millis{ 10 },
+              .m_longRunningMemoryMb = 62'000,
+              .m_otherMemoryMb = 23'000,
+              .m_leaderLoss = LeaderLoss{ .m_untilNext = Millis{ 3'000 } } },
+            1,
+            3);
+}
+
+TEST(CrashingJobs, LeaderIsLostWithHalfOfWorkers_LongRunningTasksReturn)
+{
+  CheckDays({ .m_length = kMinute / 2,
+              .m_workers = 85,
+              .m_longRunningJobs = 1,
+              .m_loadPercent = 30,
+              .m_crashingJobEvery = Millis{ 700 },
+              .m_crashingJobWidth = 1,
+              .m_crashAfter = Millis{ 10 },
+              .m_longRunningMemoryMb = 62'000,
+              .m_otherMemoryMb = 23'000,
+              .m_leaderLoss = LeaderLoss{ .m_workersPercent = 50 } },
+            1,
+            2);
+}
+
 // Guards against tasks whose crashes all count for little, since other workers
 // are being lost at about the same time.
 TEST(CrashingJobs, LoneTasksCrashTheirWorkersMoreOften_BoundHolds)
