placement: nothing starts beside a restart until it runs

What callers saw: a long-running task that has been away for a lease restarts, and its worker dies before the run begins; the next lease adds to the first.

Cause: one pass restarts the long-running tasks that waited and starts all else that waited with them, jobs that have never run among them. What speaks against a worker is asked before the pass; what the pass itself starts there isn't.

Change: a worker on which a long-running task restarts gets nothing but other long-running tasks until a report shows the run, in the same pass and in later ones, isolated runs included.

Evidence: LongRunningTaskRestarts_NothingStartsBesideItUntilItRuns fails on the old code (2 starts in the pass, 1 expected).

--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -354,6 +354,8 @@
                                          WallTime aWall);
   static std::uint32_t TasksOnWorker(const WorkerIncarnation& aWorker,
                                      const TasksPerWorker& aTasksPerWorker);
+  /** Whether the run restarts a long-running task. */
+  static bool IsRestart(const jobs::StepSpec& aStep, RunNumber aRun);
   /** aTasksOnWorker: running tasks of the step on this worker. */
   static bool IsAllowed(const jobs::StepSpec& aStep,
                         std::uint32_t aTasksOnWorker,
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -443,6 +443,9 @@
   LossRisk AssessRisk(const Worker& aWorker,
                       const jobs::JobTable& aBook,
                       TimePoint aNow) const;
+  /** A long-running task is placed there to restart, and no report has shown
+   * its run yet. */
+  bool AwaitsRestart(const Worker& aWorker, const jobs::JobTable& aBook) const;
   /** For the long-running task that has been without a run for longest since
    * its last one, that time; also of tasks whose start no report has shown. */
   Millis LongestWithoutRun(const jobs::JobTable& aBook, WallTime aWall) const;
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -176,6 +176,8 @@
     const auto use = book.UseByWorker().find(id);
     if (use != book.UseByWorker().end()) {
       target.Allocate(use->second);
+      target.m_awaitsRestart =
+        use->second.m_longRunning > 0 && aWorkers.AwaitsRestart(worker, book);
       if (hasSuspects) {
         FindIsolatedRuns(worker, book.TasksByWorker().at(id), book, target);
       }
@@ -383,7 +385,7 @@
                                   std::int64_t{});
   for (Target& target : aPool.Targets()) {
     const WorkerReport& report = target.m_worker->m_lastReport;
-    if (target.m_isReserved || target.m_isolatedTask || !target.Fits(aStep)) {
+    if (!target.MayStart(aStep)) {
       continue;
     }
     const std::uint32_t tasksOnWorker =
@@ -508,14 +510,15 @@
       }
       return;
     }
-    aPool.Start(*target, step);
+    const RunNumber run{ task.m_lastRun.Get() + 1 };
+    aPool.Start(*target, step, run);
     aCandidate.ChargeStart();
     const WorkerIncarnation& worker = target->m_worker->m_lastReport.m_worker;
     if (step.m_maxPerWorker > 0 || IsSpread(step)) {
       ++tasksPerWorker[worker];
     }
-    aPlan.m_changes.emplace_back(jobs::StartRun{
-      aCandidate.TaskAt(i), RunNumber{ task.m_lastRun.Get() + 1 }, worker });
+    aPlan.m_changes.emplace_back(
+      jobs::StartRun{ aCandidate.TaskAt(i), run, worker });
   }
 }
 
@@ -595,7 +598,7 @@
     if (target == nullptr) {
       return false;
     }
-    aPool.Start(*target, step);
+    aPool.Start(*target, step, aRun);
     aCandidate.ChargeStart();
     if (aTimeSinceDelay) {
       aPool.AddIsolatedRun(*target, run);
@@ -711,9 +714,9 @@
   }
   for (const jobs::Change& change : aPlan.m_changes) {
     const auto* start = std::get_if<jobs::StartRun>(&change);
-    if (start == nullptr || start->m_run <= RunNumber{ 1 } ||
-        !StepOf(*aBook.Find(start->m_task.m_job), start->m_task)
-           .m_longRunning) {
+    if (start == nullptr ||
+        !IsRestart(StepOf(*aBook.Find(start->m_task.m_job), start->m_task),
+                   start->m_run)) {
       continue;
     }
     const Worker& worker = *aWorkers.Find(start->m_worker);
--- a/src/placement/target_pool.cpp
+++ b/src/placement/target_pool.cpp
@@ -12,6 +12,22 @@
          aStep.m_resources.m_accelerators <= m_freeAccelerators;
 }
 
+// The next crash of a worker may come from any task that is started there. A
+// long-running task that is away again before it has run adds another lease to
+// its absence, so nothing else is started beside it until it has run.
+bool
+Planner::IsRestart(const jobs::StepSpec& aStep, RunNumber aRun)
+{
+  return aStep.m_longRunning && aRun > RunNumber{ 1 };
+}
+
+bool
+Planner::Target::MayStart(const jobs::StepSpec& aStep) const
+{
+  return !m_isReserved && !m_isolatedTask &&
+         (!m_awaitsRestart || aStep.m_longRunning) && Fits(aStep);
+}
+
 bool
 Planner::Target::FitsBesideLongRunning(const jobs::StepSpec& aStep) const
 {
@@ -59,10 +75,15 @@
 }
 
 void
-Planner::Pool::Start(Target& aTarget, const jobs::StepSpec& aStep)
+Planner::Pool::Start(Target& aTarget,
+                     const jobs::StepSpec& aStep,
+                     RunNumber aRun)
 {
-  Allocate(aTarget, aStep);
+  BeforeChange(aTarget);
+  aTarget.Allocate(aStep);
   ++aTarget.m_unconfirmed;
+  aTarget.m_awaitsRestart = aTarget.m_awaitsRestart || IsRestart(aStep, aRun);
+  AfterChange(PositionOf(aTarget));
 }
 
 void
@@ -251,7 +272,7 @@
   for (auto it = aIndex.FindFirst(aStep.ReservedCpu()); it != aIndex.End();
        ++it) {
     Target& target = m_targets[it->m_position];
-    if (!target.m_isReserved && target.Fits(aStep) &&
+    if (target.MayStart(aStep) &&
         IsAllowed(aStep,
                   TasksOnWorker(target.m_worker->m_lastReport.m_worker,
                                 aTasksPerWorker),
--- a/src/placement/target_pool.h
+++ b/src/placement/target_pool.h
@@ -33,6 +33,8 @@
   bool m_isJoinable = true;
   /** Reserved for a large task that does not fit anywhere yet. */
   bool m_isReserved = false;
+  /** No report has shown yet that a long-running task has restarted here. */
+  bool m_awaitsRestart = false;
   /** An order may still end the worker, and the loss would prove nothing. */
   bool m_mayBeOrdered = false;
   /** The worker may be lost: it counts in the pool but gets no new tasks. */
@@ -41,12 +43,17 @@
   LossRisk m_lossRisk = LossRisk::kNone;
 
   bool Fits(const jobs::StepSpec& aStep) const;
+  /** Whether a task of the step, other than in isolation, may start here. */
+  bool MayStart(const jobs::StepSpec& aStep) const;
   /** Whether a task of the step would fit if only long-running tasks ran here.
    */
   bool FitsBesideLongRunning(const jobs::StepSpec& aStep) const;
   /** Whether tasks that are not isolated may be started here, unless it is
    * reserved. */
-  bool IsOpen() const { return !m_isolatedTask && !m_isUnresponsive; }
+  bool IsOpen() const
+  {
+    return !m_isolatedTask && !m_isUnresponsive && !m_awaitsRestart;
+  }
   void Allocate(const jobs::StepSpec& aStep);
   /** Takes what the tasks reserve that the state has on a worker without any
    * others. */
@@ -72,8 +79,8 @@
 
   /** Takes capacity for a task that is to be started there later. */
   void Allocate(Target& aTarget, const jobs::StepSpec& aStep);
-  /** Takes capacity for a task whose start is in the plan. */
-  void Start(Target& aTarget, const jobs::StepSpec& aStep);
+  /** Takes capacity for a run whose start is in the plan. */
+  void Start(Target& aTarget, const jobs::StepSpec& aStep, RunNumber aRun);
   void AddIsolatedRun(Target& aTarget, const IsolatedRun& aRun);
   void Reserve(Target& aTarget);
 
--- a/src/placement/trials.cpp
+++ b/src/placement/trials.cpp
@@ -101,6 +101,9 @@
   if (!m_isolatedTask) {
     return m_unconfirmed == 0;
   }
+  if (m_awaitsRestart && !aRun.m_isLongRunning) {
+    return false;
+  }
   const bool isSameStep =
     m_isolatedTask->m_job == aRun.m_task.m_job &&
     m_isolatedTask->m_occurrence == aRun.m_task.m_occurrence &&
@@ -565,12 +568,12 @@
     candidate.m_job->m_occurrences.at(candidate.m_occurrence)
       .m_steps[candidate.m_step]
       .m_tasks[aRun.m_task.m_index];
-  aPool.Start(aTarget, candidate.Step());
+  const RunNumber run{ task.m_lastRun.Get() + 1 };
+  aPool.Start(aTarget, candidate.Step(), run);
   candidate.ChargeStart();
   aPool.AddIsolatedRun(aTarget, aRun);
   ++aStep.m_tasksPerWorker[worker];
-  aPlan.m_changes.emplace_back(jobs::StartRun{
-    aRun.m_task, RunNumber{ task.m_lastRun.Get() + 1 }, worker });
+  aPlan.m_changes.emplace_back(jobs::StartRun{ aRun.m_task, run, worker });
 }
 
 } // namespace bamboostile::placement
--- a/src/placement/worker_risk.cpp
+++ b/src/placement/worker_risk.cpp
@@ -49,6 +49,25 @@
   return hasRecent ? LossRisk::kRecentRun : LossRisk::kNone;
 }
 
+bool
+WorkerTable::AwaitsRestart(const Worker& aWorker,
+                           const jobs::JobTable& aBook) const
+{
+  const WorkerReport& report = aWorker.m_lastReport;
+  const auto placed = aBook.TasksByWorker().find(report.m_worker);
+  if (placed == aBook.TasksByWorker().end()) {
+    return false;
+  }
+  return std::any_of(
+    placed->second.begin(), placed->second.end(), [&](const auto& aTask) {
+      const jobs::Task& task = *aBook.FindTask(aTask);
+      return task.m_lastRun > RunNumber{ 1 } &&
+             StepOf(*aBook.Find(aTask.m_job), aTask).m_longRunning &&
+             !Contains(report.m_active, aTask, task.m_lastRun) &&
+             !Contains(report.m_ended, aTask, task.m_lastRun);
+    });
+}
+
 Millis
 WorkerTable::LongestWithoutRun(const jobs::JobTable& aBook,
                                WallTime aWall) const
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -343,6 +343,28 @@
   STRCMP_EQUAL("w1", WorkerOf(Ref("away")).c_str());
 }
 
+// Guards against a restart that is lost before it runs, under a task that the
+// same pass started beside it.
+TEST(PlacementPlanner, LongRunningTaskRestarts_NothingStartsBesideItUntilItRuns)
+{
+  StepSpec step = Step(1);
+  step.m_longRunning = true;
+  m_fleet.Submit("lasting", Spec({ step }));
+  m_fleet.Start(Ref("lasting"), "w0");
+  LoseWorkerOf(Ref("lasting"), CrashEvidence::kNone);
+  m_fleet.Submit("new", Spec({ Step(1) }));
+  Receive(Report("w1", 1));
+  LONGS_EQUAL(1, StartPlanned());
+  CHECK_STRING("w1", WorkerOf(Ref("lasting")));
+  Receive(Report("w1", 2));
+  LONGS_EQUAL(0, StartPlanned());
+  WorkerReport running = Report("w1", 3);
+  running.m_active = { Active(Ref("lasting"), 2) };
+  Receive(running);
+  LONGS_EQUAL(1, StartPlanned());
+  CHECK_STRING("w1", WorkerOf(Ref("new")));
+}
+
 TEST(PlacementPlanner, LateJob_GoesAfterOneThatCanBeInTime)
 {
   Receive(Report("w1", 1));
