placement: the platform's list proves the end of a worker

What callers saw: a long-running task that is to last and doesn't run for more than 9 s, though there is capacity for it, when the leader is lost while jobs crash their workers.

Cause: a lease was the only proof that a worker has ended. A leader waits 4.75 s from its last answer, a new leader as long from its own election, so a worker that dies just before a change of leader is noticed up to 4.75 s + the time without a leader + 4.75 s later. The platform lists an instance whose worker has ended as down, or with its next worker, at once.

Change: while a worker with long-running tasks is unresponsive, or hasn't reported to a new leader, the list is read each 0.5 s (each 1 ms an instance in larger fleets). An instance that is listed without the worker proves its end if the list was requested after the worker's last report; a worker that the leader doesn't know has to be missing in two lists in a row that name workers it knows. The runs end 2.5 s after the last report, when what was lost together can be told.

Without the platform's answers all is as before.

Ruled out: cutting the lease short by time alone, as nothing tells a crash from a cut; a worker that is cut off is listed as up.

--- a/include/bamboostile/control/instance_service.h
+++ b/include/bamboostile/control/instance_service.h
@@ -62,15 +62,18 @@
   using EndedHandler =
     std::function<void(const WorkerIncarnation&, TimePoint aOrderedAt)>;
 
+  using ListedHandler = std::function<void(const placement::InstanceList&)>;
+
   /** aOnEnded is called for each worker incarnation that an order has ended for
-   * certain. */
+   * certain, aOnListed for each list of instances that was read. */
   InstanceService(Node& aNode,
                   const InstanceCalls& aCalls,
                   placement::MaintenanceOptions aMaintenance,
                   placement::CapacityOptions aCapacity,
                   Term aTerm,
                   StageLatencies& aLatencies,
-                  EndedHandler aOnEnded);
+                  EndedHandler aOnEnded,
+                  ListedHandler aOnListed);
 
   std::size_t PendingOrders() const
   {
@@ -145,7 +148,9 @@
                  WallTime aWall);
   void LogCapacity(const std::vector<placement::PoolCapacity>& aPools,
                    TimePoint aNow);
+  /** aIsWorkerMissing: the list would show whether a worker has ended. */
   void RequestList(const placement::MaintenancePlan& aMaintenance,
+                   bool aIsWorkerMissing,
                    TimePoint aNow);
   void HandleList(List aList);
   void InheritEffects();
@@ -164,6 +169,7 @@
   Term m_term;
   StageLatencies& m_latencies;
   EndedHandler m_onEnded;
+  ListedHandler m_onListed;
   bool m_movesEnabled;
   placement::MaintenancePlanner m_maintenance;
   placement::CapacityPlanner m_capacity;
@@ -180,6 +186,7 @@
   std::size_t m_pendingMoves = 0;
   TimePoint m_nextList;
   TimePoint m_listRequestedAt;
+  std::size_t m_listSize = 0;
   bool m_isListPending = false;
   TimePoint m_nextCapacityLog;
   std::shared_ptr<Answers> m_answers = std::make_shared<Answers>();
--- a/include/bamboostile/placement/listed_instance.h
+++ b/include/bamboostile/placement/listed_instance.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bamboostile/jobs/worker_life.h"
 #include "bamboostile/units/ids.h"
 #include "bamboostile/units/time.h"
 
@@ -24,6 +25,8 @@
   InstanceId m_id;
   ServiceId m_pool;
   InstanceState m_state = InstanceState::kUnknown;
+  /** The worker that runs on it; empty if there is none. */
+  WorkerId m_worker{};
 };
 
 /** The platform's list. Each entry shows a state no older than the request for
--- a/include/bamboostile/placement/losses.h
+++ b/include/bamboostile/placement/losses.h
@@ -16,6 +16,9 @@
   /** An earlier leader placed runs on it, and it has never reported to this
    * leader. */
   kNeverReported,
+  /** The platform's list shows its instance without it, or does not show it at
+   * all. */
+  kListedEnd,
 };
 
 const char* Describe(LossCause aCause) noexcept;
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -2,6 +2,7 @@
 
 #include "bamboostile/jobs/book.h"
 #include "bamboostile/placement/ended_lives.h"
+#include "bamboostile/placement/listed_instance.h"
 #include "bamboostile/placement/losses.h"
 #include "bamboostile/placement/mechanisms.h"
 #include "bamboostile/placement/order_effects.h"
@@ -210,8 +211,12 @@
   /** When everything that the worker runs has ended, unless a new lease is
    * granted. */
   TimePoint m_leaseEnd;
-  /** The worker's lease has ended without a report. */
+  /** The worker's lease has ended without a report, or its end is proven. */
   bool m_isLost = false;
+  /** When the list was requested that shows the worker as ended. */
+  std::optional<TimePoint> m_listedEndAt;
+  /** Whether it ended in a mass loss; assessed once its end is proven. */
+  std::optional<bool> m_endedInMassLoss;
   /** For a lost worker: the suspects that had isolated runs on it. */
   std::vector<jobs::TaskRef> m_lostIsolatedRuns;
   /** For a lost worker: what its loss implies about each of its tasks. */
@@ -241,7 +246,7 @@
 
   bool IsUsable(TimePoint aNow) const
   {
-    return !m_isLost && !m_lastReport.m_draining &&
+    return !m_isLost && !m_listedEndAt && !m_lastReport.m_draining &&
            aNow >= m_health.m_excludedUntil;
   }
 };
@@ -328,9 +333,15 @@
   /** Called with each plan before its changes are committed. */
   void RecordPlannedStarts(const std::vector<jobs::Change>& aChanges);
 
-  /** Returns the runs that ended because their worker's lease ended, and the
-   * starts of long-running tasks that were never sent to a worker that is
-   * unresponsive. */
+  /** A worker with a long-running task may have ended. The platform's list
+   * would show it before the lease is over. */
+  bool NeedsList(const jobs::JobTable& aBook, TimePoint aNow) const;
+  /** Records which workers the platform's list shows as ended. */
+  void OnListed(const InstanceList& aList, const jobs::JobTable& aBook);
+
+  /** Returns the runs that ended because their worker's lease ended or its end
+   * is proven, and the starts of long-running tasks that were never sent to a
+   * worker that is unresponsive. */
   std::vector<jobs::EndRun> CollectLostRuns(const jobs::JobTable& aBook,
                                             TimePoint aNow,
                                             WallTime aWall);
@@ -528,6 +539,12 @@
   void KeepEvidence(const WorkerIncarnation& aWorker,
                     const std::vector<jobs::EndRun>& aEnds);
   void ForgetCandidates(TimePoint aNow);
+  /** Whether the runs of the worker are over because its end is proven. */
+  bool HasListedEnd(Worker& aWorker,
+                    const jobs::JobTable& aBook,
+                    TimePoint aNow) const;
+  /** The same for a worker that has not reported to this leader. */
+  bool HasListedEnd(const WorkerIncarnation& aUnseen, TimePoint aNow) const;
   void Forget(const WorkerIncarnation& aWorker);
   bool HasEnded(const WorkerIncarnation& aWorker) const
   {
@@ -646,6 +663,10 @@
   /** The most workers that earlier leaders had placed runs on and that had not
    * reported to this leader by the time at which live workers have. */
   std::size_t m_mostUnseen = 0;
+  /** Workers that have not reported to this leader and are missing in the last
+   * list, and those that were missing in the list before it as well. */
+  std::set<WorkerIncarnation> m_missingOnce;
+  std::set<WorkerIncarnation> m_missingTwice;
   std::shared_ptr<const OrderEffects> m_orderEffects;
   /** Workers with accepted ends that are not on a receipt yet. */
   std::set<WorkerIncarnation> m_withoutReceipt;
--- a/src/control/instance_service.cpp
+++ b/src/control/instance_service.cpp
@@ -14,6 +14,11 @@
 constexpr Duration kListInterval = Millis{ 5000 };
 /** Interval while a maintenance wave waits for an instance in the list. */
 constexpr Duration kUrgentListInterval = Millis{ 250 };
+/** Interval while a worker with long-running tasks may have ended. */
+constexpr Duration kMissingWorkerListInterval = Millis{ 500 };
+/** Minimum interval for each instance in the list: in a large fleet some worker
+ * is always missing, and the list is long. */
+constexpr Duration kListIntervalPerInstance = Millis{ 1 };
 /** An order whose record takes longer than this to commit is dropped: the
  * decision is out of date, and the next tick decides again. */
 constexpr Duration kMaxRecordDelay = Millis{ 250 };
@@ -42,12 +47,14 @@
                                  placement::CapacityOptions aCapacity,
                                  Term aTerm,
                                  StageLatencies& aLatencies,
-                                 EndedHandler aOnEnded)
+                                 EndedHandler aOnEnded,
+                                 ListedHandler aOnListed)
   : m_node(aNode)
   , m_calls(aCalls)
   , m_term(aTerm)
   , m_latencies(aLatencies)
   , m_onEnded(std::move(aOnEnded))
+  , m_onListed(std::move(aOnListed))
   , m_movesEnabled(aCapacity.m_mechanisms.Has(placement::Mechanism::kMoves))
   , m_maintenance(aMaintenance)
   , m_capacity(aCapacity)
@@ -113,7 +120,9 @@
   m_cordoned.clear();
   m_previousCordons = std::exchange(m_cordons, {});
   m_capacity.AllowOrders(aOrdersAllowed);
-  RequestList(PlanMaintenance(aWorkers, aOrdersAllowed, aNow), aNow);
+  RequestList(PlanMaintenance(aWorkers, aOrdersAllowed, aNow),
+              aWorkers.NeedsList(m_node.State().Jobs(), aNow),
+              aNow);
   PlanMoves(aWorkers, aDurations, aNow, aWall);
 }
 
@@ -372,13 +381,20 @@
 
 void
 InstanceService::RequestList(const placement::MaintenancePlan& aMaintenance,
+                             bool aIsWorkerMissing,
                              TimePoint aNow)
 {
+  if (aIsWorkerMissing) {
+    const auto size = static_cast<std::int64_t>(m_listSize);
+    const Duration interval =
+      std::max(kMissingWorkerListInterval, size * kListIntervalPerInstance);
+    m_nextList = std::min<TimePoint>(m_nextList, m_listRequestedAt + interval);
+  }
   if (aMaintenance.m_needsInstanceList) {
     m_nextList =
       std::min<TimePoint>(m_nextList, m_listRequestedAt + kUrgentListInterval);
   }
-  const bool isNeeded = aMaintenance.m_hasOpenWave ||
+  const bool isNeeded = aMaintenance.m_hasOpenWave || aIsWorkerMissing ||
                         m_node.State().Routes().StandbyPool() != nullptr;
   if (!m_calls.m_list || m_isListPending || aNow < m_nextList || !isNeeded) {
     return;
@@ -407,12 +423,15 @@
   if (!aList.m_instances) {
     return;
   }
+  const placement::InstanceList list{ aList.m_requestedAt,
+                                      std::move(*aList.m_instances) };
+  m_listSize = list.m_instances.size();
   const ServiceId* standby = m_node.State().Routes().StandbyPool();
   if (standby != nullptr) {
-    m_capacity.OnListed(*aList.m_instances, *standby, MonotonicNow());
+    m_capacity.OnListed(list.m_instances, *standby, MonotonicNow());
   }
-  m_maintenance.OnListed(
-    { aList.m_requestedAt, std::move(*aList.m_instances) });
+  m_maintenance.OnListed(list);
+  m_onListed(list);
 }
 
 } // namespace bamboostile::control
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -80,6 +80,9 @@
       m_latencies,
       [this](const WorkerIncarnation& aWorker, TimePoint aOrderedAt) {
         OnOrderAccepted(aWorker, aOrderedAt);
+      },
+      [this](const placement::InstanceList& aList) {
+        m_workers->OnListed(aList, m_node.State().Jobs());
       });
     m_workers->SetOrderEffects(m_instances->Effects());
     m_queuedChanges.clear();
--- /dev/null
+++ b/src/placement/listed_ends.cpp
@@ -0,0 +1,170 @@
+#include "run_lookup.h"
+
+#include "bamboostile/placement/workers.h"
+
+#include <algorithm>
+#include <map>
+
+namespace bamboostile::placement {
+
+namespace {
+
+/** Time after which a new leader takes a worker without a report for one that
+ * may have ended. Live workers report within it. */
+constexpr Duration kFirstReportTimeout = Millis{ 700 };
+
+class ListIndex
+{
+public:
+  explicit ListIndex(const InstanceList& aList)
+  {
+    for (const ListedInstance& instance : aList.m_instances) {
+      const auto [found, isNew] =
+        m_byInstance.try_emplace(instance.m_id, &instance);
+      if (!isNew) {
+        found->second = nullptr;
+      }
+      m_workers.insert(instance.m_worker);
+    }
+  }
+
+  bool HasWorker(const WorkerId& aWorker) const
+  {
+    return m_workers.contains(aWorker);
+  }
+
+  /** Whether the worker's instance is listed without it. An instance that is
+   * listed twice proves nothing. */
+  bool ShowsEndOf(const WorkerReport& aLastReport) const
+  {
+    const auto found = m_byInstance.find(aLastReport.m_instance);
+    if (found == m_byInstance.end() || found->second == nullptr) {
+      return false;
+    }
+    const ListedInstance& listed = *found->second;
+    switch (listed.m_state) {
+      case InstanceState::kUnknown:
+        return false;
+      case InstanceState::kUp:
+        return !listed.m_worker.Get().empty() &&
+               !HasWorker(aLastReport.m_worker.m_id);
+      case InstanceState::kMoving:
+      case InstanceState::kMaintenance:
+      case InstanceState::kDown:
+        return true;
+    }
+    return false;
+  }
+
+private:
+  /** Null for an instance that is listed more than once. */
+  std::map<InstanceId, const ListedInstance*> m_byInstance;
+  std::set<WorkerId> m_workers;
+};
+
+bool
+HasLongRunning(const std::vector<jobs::TaskRef>& aTasks,
+               const jobs::JobTable& aBook)
+{
+  return std::any_of(
+    aTasks.begin(), aTasks.end(), [&](const jobs::TaskRef& aTask) {
+      return StepOf(*aBook.Find(aTask.m_job), aTask).m_longRunning;
+    });
+}
+
+} // namespace
+
+bool
+WorkerTable::NeedsList(const jobs::JobTable& aBook, TimePoint aNow) const
+{
+  const auto mayHaveEnded = [&](const WorkerIncarnation& aId) {
+    const Worker* worker = Find(aId);
+    if (worker != nullptr) {
+      return !worker->m_isLost && !worker->m_listedEndAt &&
+             IsUnresponsive(*worker, aNow);
+    }
+    return aNow >= m_leaderSince + kFirstReportTimeout && !HasEnded(aId) &&
+           !m_missingTwice.contains(aId);
+  };
+  const auto& placed = aBook.TasksByWorker();
+  return std::any_of(placed.begin(), placed.end(), [&](const auto& aEntry) {
+    return mayHaveEnded(aEntry.first) && HasLongRunning(aEntry.second, aBook);
+  });
+}
+
+// Each entry of a list is no older than its request. A worker that existed
+// before the request, and whose instance is listed without it, has ended: an
+// instance never returns to an earlier worker. The instance of a worker that
+// has not reported to this leader is unknown, so such a worker has to be
+// missing altogether. Lists are read page by page, and one that shifts between
+// two pages may leave out a live worker, but not twice in a row. A list that
+// names none of the workers that report proves nothing.
+void
+WorkerTable::OnListed(const InstanceList& aList, const jobs::JobTable& aBook)
+{
+  const ListIndex index{ aList };
+  for (auto& [id, worker] : m_workers) {
+    if (!worker.m_isLost && !worker.m_listedEndAt &&
+        worker.m_lastReportAt < aList.m_askedAt &&
+        index.ShowsEndOf(worker.m_lastReport)) {
+      worker.m_listedEndAt = aList.m_askedAt;
+    }
+  }
+  const auto missingBefore = std::exchange(m_missingOnce, {});
+  m_missingTwice.clear();
+  const bool namesWorkers =
+    std::any_of(m_workers.begin(), m_workers.end(), [&](const auto& aEntry) {
+      return index.HasWorker(aEntry.first.m_id);
+    });
+  if (!namesWorkers) {
+    return;
+  }
+  for (const auto& [id, tasks] : aBook.TasksByWorker()) {
+    if (m_workers.contains(id) || HasEnded(id) || index.HasWorker(id.m_id)) {
+      continue;
+    }
+    m_missingOnce.insert(id);
+    if (missingBefore.contains(id)) {
+      m_missingTwice.insert(id);
+    }
+  }
+}
+
+// The evidence depends on which other workers were lost at about the same time.
+// Those count as unresponsive only after a while. In a series of mass losses, a
+// task that restarts sooner is lost more often, and each loss makes it more of
+// a suspect; so there only tasks that have missed a restart already are spared
+// the rest of the lease.
+bool
+WorkerTable::HasListedEnd(Worker& aWorker,
+                          const jobs::JobTable& aBook,
+                          TimePoint aNow) const
+{
+  const bool isAssessable =
+    aWorker.m_listedEndAt && aNow >= aWorker.m_lastReportAt +
+                                       m_options.m_unresponsiveAfter +
+                                       kConcurrentLossWindow;
+  if (!isAssessable) {
+    return false;
+  }
+  if (!aWorker.m_endedInMassLoss) {
+    const LossCount others = CountLossesAround(aWorker,
+                                               kConcurrentLossWindow,
+                                               m_options.m_unresponsiveAfter,
+                                               aBook,
+                                               aNow);
+    aWorker.m_endedInMassLoss = IsMassLoss(
+      others.WithOneMore(), CountWorkers(aWorker.m_lastReport.m_service));
+  }
+  return !*aWorker.m_endedInMassLoss || AwaitsRestart(aWorker, aBook);
+}
+
+bool
+WorkerTable::HasListedEnd(const WorkerIncarnation& aUnseen,
+                          TimePoint aNow) const
+{
+  return m_missingTwice.contains(aUnseen) &&
+         aNow >= m_leaderSince + m_options.m_unresponsiveAfter;
+}
+
+} // namespace bamboostile::placement
--- a/src/placement/losses.cpp
+++ b/src/placement/losses.cpp
@@ -30,6 +30,8 @@
       return "its lease ended";
     case LossCause::kNeverReported:
       return "this leader never heard of it";
+    case LossCause::kListedEnd:
+      return "the platform lists it no longer";
   }
   return "unknown";
 }
--- a/src/placement/worker_losses.cpp
+++ b/src/placement/worker_losses.cpp
@@ -200,8 +200,8 @@
     !jobs::HasLossOn(losses, aWorker.m_lastReport.m_instance) ||
     jobs::CountInstances(losses) >= kMinInstancesForProof;
   const bool isProofOfCrash =
-    aLost.m_cause == LossCause::kLaterIncarnation && isDistinct &&
-    !isExplained && !aLost.m_isLostWithSameJob &&
+    aLost.m_cause != LossCause::kLeaseEnded && isDistinct && !isExplained &&
+    !aLost.m_isLostWithSameJob &&
     aLost.m_unresponsiveFor >= m_options.m_unresponsiveAfter && isOtherInstance;
   const auto& placed = aBook.TasksByWorker().at(aWorker.m_lastReport.m_worker);
   const bool hasOtherIsolatedRun =
@@ -453,8 +453,12 @@
     std::move(lost.begin(), lost.end(), std::back_inserter(ends));
   };
   for (auto& [id, worker] : m_workers) {
-    if (!worker.m_isLost && aNow > worker.m_leaseEnd) {
-      RecordLoss(worker, LossCause::kLeaseEnded, aBook, aNow);
+    const bool isListed = !worker.m_isLost && HasListedEnd(worker, aBook, aNow);
+    if (isListed || (!worker.m_isLost && aNow > worker.m_leaseEnd)) {
+      RecordLoss(worker,
+                 isListed ? LossCause::kListedEnd : LossCause::kLeaseEnded,
+                 aBook,
+                 aNow);
       worker.m_isLost = true;
       worker.m_unsent.clear();
       worker.m_sentAt.clear();
@@ -484,12 +488,14 @@
     // it was never sent; or its end was proposed and is not committed yet.
     if (HasEnded(id)) {
       add(id, InstanceId{});
-    } else if (knowsAllLeases) {
-      m_lost.push_back({ id,
-                         InstanceId{},
-                         LossCause::kNeverReported,
-                         aNow - m_leaderSince,
-                         tasks.size() });
+    } else if (const bool isListed = HasListedEnd(id, aNow);
+               isListed || knowsAllLeases) {
+      m_lost.push_back(
+        { id,
+          InstanceId{},
+          isListed ? LossCause::kListedEnd : LossCause::kNeverReported,
+          aNow - m_leaderSince,
+          tasks.size() });
       add(id, InstanceId{});
     }
   }
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -163,6 +163,13 @@
   // A stale report shows an outdated state. Its worker has dropped the
   // connection and will not read the answer.
   const Worker* known = Find(aReport.m_worker);
+  const bool isDelayed =
+    known != nullptr && known->m_listedEndAt &&
+    aNow < *known->m_listedEndAt + m_options.m_maxReportDelay;
+  if (isDelayed) {
+    result.m_ignored = IgnoreReason::kWorkerEnded;
+    return result;
+  }
   if (known != nullptr &&
       aReport.m_sequence <= known->m_lastReport.m_sequence) {
     result.m_ignored = IgnoreReason::kStale;
@@ -197,6 +204,8 @@
   worker.m_reportDueAt = aNow + kAnswerTimeout + m_options.m_reportTolerance;
   worker.m_lastReportWall = aWall;
   worker.m_isLost = false;
+  worker.m_listedEndAt.reset();
+  worker.m_endedInMassLoss.reset();
   worker.m_lostIsolatedRuns.clear();
   worker.m_evidence.clear();
   for (const RunReport& run : aReport.m_active) {
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -100,6 +100,18 @@
   CHECK(report->m_ended.at(0).m_endReason == jobs::RunEnd::kLeaseExpired);
 }
 
+TEST(PlatformDecode, ListedInstance_NamesItsWorker)
+{
+  const auto page = platform::ReadInstances(
+    R"({"machines":[{"machine":"m-1","pool":"s","state":"up","id":"i-1"},
+        {"machine":"m-2","pool":"s","state":"down"}],"next_token":"t"})",
+    m_invalid);
+  CHECK(page.has_value());
+  CHECK_STRING("i-1", page->m_instances.at(0).m_worker.Get());
+  CHECK(page->m_instances.at(1).m_state == placement::InstanceState::kDown);
+  CHECK_STRING("", page->m_instances.at(1).m_worker.Get());
+}
+
 TEST(PlatformDecode, BadReports_NameTheField)
 {
   const auto rejects = [&](const char* aField, const char* aBody) {
--- a/tests/support/simulated_pool.cpp
+++ b/tests/support/simulated_pool.cpp
@@ -11,6 +11,7 @@
 constexpr Millis kEndReportDelay{ 50 };
 constexpr Millis kReportInterval{ 200 };
 constexpr Millis kMovePollInterval{ 100 };
+constexpr Millis kListInterval{ 500 };
 constexpr Millis kMoveDuration{ 1'500 };
 constexpr Millis kMaxOrderDelay{ 3'000 };
 constexpr Millis kDrainTimeout{ 4'000 };
@@ -383,6 +384,7 @@
       answered.push_back(worker);
     }
   }
+  ListInstances();
   add(m_table->CollectLostRuns(book, Time(), Wall()));
   MoveInstances(ends);
   std::vector<jobs::Change> changes{ ends.begin(), ends.end() };
@@ -543,6 +545,31 @@
   m_capacity.OnListed(standby, ServiceId{ kStandby }, Time());
 }
 
+void
+SimulatedPool::ListInstances()
+{
+  if (m_list && m_now >= m_listAt) {
+    m_table->OnListed(*m_list, m_fleet.Book());
+    m_list.reset();
+  }
+  if (!m_options.m_listTakes || m_list || m_now < m_nextList ||
+      !m_table->NeedsList(m_fleet.Book(), Time())) {
+    return;
+  }
+  m_nextList = m_now + kListInterval;
+  m_listAt = m_now + *m_options.m_listTakes;
+  m_list.emplace();
+  m_list->m_askedAt = Time();
+  for (const SimulatedWorker& worker : m_workers) {
+    const bool isUp = !worker.m_downUntil;
+    m_list->m_instances.push_back(
+      { InstanceId{ worker.m_instance },
+        ServiceId{ "desk" },
+        isUp ? placement::InstanceState::kUp : placement::InstanceState::kDown,
+        isUp ? IncarnationOf(worker).m_id : WorkerId{} });
+  }
+}
+
 void
 SimulatedPool::MoveInstances(std::vector<jobs::EndRun>& aEnds)
 {
@@ -820,6 +847,7 @@
   m_fleet.Restore();
   m_leaderStartsAt = m_now + aGap;
   BeginLeading();
+  m_list.reset();
   m_planner = placement::Planner{};
   m_capacity = placement::CapacityPlanner{};
   m_cordoned.clear();
--- a/tests/support/simulated_pool.h
+++ b/tests/support/simulated_pool.h
@@ -39,6 +39,9 @@
   Millis m_answerTakes{};
   /** Percentage of answers that are lost. */
   std::uint32_t m_answersLost = 0;
+  /** Time that the platform takes to answer requests for its list of
+   * instances; unset if it does not answer. */
+  std::optional<Millis> m_listTakes = Millis{ 50 };
   /** Time after which ended jobs are forgotten. */
   std::optional<Millis> m_keepEnded;
   unsigned m_seed = 1;
@@ -227,6 +230,8 @@
   void StepLeader(const std::vector<SimulatedWorker*>& aReporting);
   void MoveInstances(std::vector<jobs::EndRun>& aEnds);
   void ListStandby();
+  /** Requests the list of instances, and reads it once it has arrived. */
+  void ListInstances();
   std::vector<placement::WorkerReport> TakeDelayedReports();
   bool IsRunning(const jobs::TaskRef& aTask) const
   {
@@ -266,6 +271,10 @@
   placement::OrderRecord m_moveRecord{ Millis{ 3000 } };
   std::set<WorkerIncarnation> m_cordoned;
   Millis m_nextMoves{};
+  /** A list that is under way. */
+  std::optional<placement::InstanceList> m_list;
+  Millis m_listAt{};
+  Millis m_nextList{};
   Millis m_leaderStartsAt{};
   Millis m_nextPass{};
   std::map<jobs::TaskRef, TaskRecord> m_records;
--- a/tests/unit/control/job_service_test.cpp
+++ b/tests/unit/control/job_service_test.cpp
@@ -76,12 +76,7 @@
       ++m_maintenanceOrders;
       m_answerMaintenance = aDone;
     };
-    jobs.m_calls.m_list = [](const auto& aDone) {
-      aDone(std::vector<placement::ListedInstance>{
-        { InstanceId{ "off" },
-          ServiceId{ "spare" },
-          placement::InstanceState::kUp } });
-    };
+    jobs.m_calls.m_list = [this](const auto& aDone) { aDone(m_listed); };
     m_service = std::make_unique<JobService>(
       *m_node, m_loop->m_io.provider->getTimer(), std::move(jobs));
   }
@@ -286,6 +281,9 @@
   std::uint64_t m_sequence = 0;
   /** Start time of all workers. */
   WallTime m_startedAt;
+  std::vector<placement::ListedInstance> m_listed{
+    { InstanceId{ "off" }, ServiceId{ "spare" }, placement::InstanceState::kUp }
+  };
   std::vector<InstanceId> m_movedInstances;
   bool m_areMovesAnswered = true;
   control::InstanceCalls::AnswerHandler m_answerMove;
@@ -797,6 +795,21 @@
     std::string::npos);
 }
 
+// Guards against a long-running task that waits for the lease of a dead worker.
+TEST(JobService, WorkerIsListedAsDown_ItsRunsEndBeforeItsLease)
+{
+  Submit("a", LongRunning());
+  AwaitStart("w1");
+  m_listed.push_back({ InstanceId{ "instance-of-w1" },
+                       ServiceId{ "desk" },
+                       placement::InstanceState::kDown });
+  const std::string lost =
+    std::string{ "workers_lost_total{cause=\"" } +
+    placement::Describe(placement::LossCause::kListedEnd) + "\"}";
+  AwaitStart("w2");
+  CHECK(m_service->RenderMetrics().find(lost) != std::string::npos);
+}
+
 // Guards against metrics that grow with every workspace there ever was.
 TEST(JobService, RemovedWorkspace_HasNoMetricsAnyMore)
 {
--- a/tests/unit/placement/workers_test.cpp
+++ b/tests/unit/placement/workers_test.cpp
@@ -44,6 +44,22 @@
       .size();
   }
 
+  void List(std::int64_t aAskedAtMs, std::vector<ListedInstance> aInstances)
+  {
+    m_table.OnListed({ At(aAskedAtMs), std::move(aInstances) }, m_fleet.Book());
+  }
+
+  /** An entry for the instance on which aWorker reported. */
+  static ListedInstance Listed(const std::string& aWorker,
+                               InstanceState aState,
+                               const std::string& aListedWorker = "")
+  {
+    return { InstanceId{ "instance-of-" + aWorker },
+             ServiceId{ "desk" },
+             aState,
+             WorkerId{ aListedWorker } };
+  }
+
   void SubmitLongRunning(std::uint32_t aCount, std::uint32_t aBudget)
   {
     StepSpec step = Step(aCount);
@@ -125,6 +141,107 @@
   LONGS_EQUAL(1, CountLostAt(5000));
 }
 
+TEST(WorkerTable, PlatformListsWorkerAsEnded_LosesRunsBeforeItsLeaseEnds)
+{
+  SubmitLongRunning(1, 1);
+  Receive(Report("w1", 1), kLater);
+  m_fleet.Start(Ref("a"), "w1");
+  CHECK_FALSE(m_table.NeedsList(m_fleet.Book(), At(kLater + 1'400)));
+  CHECK(m_table.NeedsList(m_fleet.Book(), At(kLater + 1'500)));
+  List(kLater + 1'600, { Listed("w1", InstanceState::kDown) });
+  CHECK_FALSE(m_table.NeedsList(m_fleet.Book(), At(kLater + 1'700)));
+  LONGS_EQUAL(0, CountLostAt(kLater + 2'400));
+  LONGS_EQUAL(1, CountLostAt(kLater + 2'500));
+}
+
+TEST(WorkerTable, PlatformListsAnotherWorkerOfInstance_LosesRunsBeforeLeaseEnds)
+{
+  SubmitLongRunning(1, 1);
+  Receive(Report("w1", 1), kLater);
+  m_fleet.Start(Ref("a"), "w1");
+  List(kLater + 1'600, { Listed("w1", InstanceState::kUp, "w2") });
+  LONGS_EQUAL(1, CountLostAt(kLater + 2'500));
+}
+
+// Guards against a task that runs twice: its worker is cut off and runs on.
+TEST(WorkerTable, PlatformListProvesNoEnd_RunIsKeptUntilLeaseEnds)
+{
+  SubmitLongRunning(1, 1);
+  Receive(Report("w1", 1), kLater);
+  m_fleet.Start(Ref("a"), "w1");
+  const std::int64_t asked = kLater + 1'600;
+  List(asked, { Listed("w1", InstanceState::kUp, "w1") });
+  List(asked, { Listed("w1", InstanceState::kUnknown) });
+  List(asked, { Listed("w1", InstanceState::kUp) });
+  List(asked,
+       { Listed("w1", InstanceState::kUp, "w1"),
+         Listed("w1", InstanceState::kDown) });
+  List(asked,
+       { Listed("w1", InstanceState::kUp, "w2"),
+         Listed("w3", InstanceState::kUp, "w1") });
+  List(asked, {});
+  List(kLater - 1, { Listed("w1", InstanceState::kDown) });
+  LONGS_EQUAL(0, CountLostAt(kLater + 4'500));
+}
+
+TEST(WorkerTable, LateReportOfWorkerListedAsEnded_IsIgnored)
+{
+  SubmitLongRunning(1, 1);
+  Receive(Report("w1", 1), kLater);
+  m_fleet.Start(Ref("a"), "w1");
+  List(kLater + 1'600, { Listed("w1", InstanceState::kDown) });
+  CHECK(Receive(Report("w1", 2), kLater + 4'500).m_ignored ==
+        IgnoreReason::kWorkerEnded);
+  CHECK_FALSE(Receive(Report("w1", 3), kLater + 4'700).m_ignored.has_value());
+}
+
+// Guards against a new leader that waits for a whole lease of a dead worker.
+TEST(WorkerTable, WorkerNeverReportsAndIsMissingInTwoLists_LosesRunsBeforeLease)
+{
+  SubmitLongRunning(2, 1);
+  m_fleet.Start(Ref("a", 0), "dead");
+  m_fleet.Start(Ref("a", 1), "cut");
+  Receive(Report("w1", 1), 100);
+  const std::vector<ListedInstance> listed{
+    Listed("cut", InstanceState::kUp, "cut"),
+    Listed("w1", InstanceState::kUp, "w1")
+  };
+  List(800, listed);
+  LONGS_EQUAL(0, CountLostAt(1'600));
+  List(1'300, listed);
+  LONGS_EQUAL(0, CountLostAt(1'400));
+  LONGS_EQUAL(1, CountLostAt(1'600));
+}
+
+TEST(WorkerTable, ListsNameNoKnownWorker_RunsAreKeptUntilLeasesEnd)
+{
+  SubmitLongRunning(1, 1);
+  m_fleet.Start(Ref("a"), "cut");
+  Receive(Report("w1", 1), 100);
+  List(800, { Listed("w1", InstanceState::kUp) });
+  List(1'300, { Listed("w1", InstanceState::kUp) });
+  LONGS_EQUAL(0, CountLostAt(4'500));
+}
+
+// Guards against restarts that the next crashes of a series end again.
+TEST(WorkerTable, PlatformListsManyWorkersAsEnded_RunsAreKeptUntilLeasesEnd)
+{
+  SubmitLongRunning(4, 4);
+  std::vector<ListedInstance> listed;
+  for (std::uint32_t i = 0; i < 4; ++i) {
+    const std::string worker = "w" + std::to_string(i);
+    Receive(Report(worker, 1), kLater);
+    m_fleet.Start(Ref("a", i), worker);
+    WorkerReport running = Report(worker, 2);
+    running.m_active = { Active(Ref("a", i)) };
+    Receive(running, kLater);
+    listed.push_back(Listed(worker, InstanceState::kDown));
+  }
+  List(kLater + 1'600, listed);
+  LONGS_EQUAL(0, CountLostAt(kLater + 4'500));
+  LONGS_EQUAL(4, CountLostAt(kLater + 5'000));
+}
+
 // Guards against a job that runs twice: a worker that begins to drain reports
 // at once, while an answer with a start is under way to it. The report lacks
 // the run, but the run starts when the answer arrives, so no other worker may
