placement: the starts of one answer are limited in size

What callers saw: an accepted job of 1,200 tasks with a spec of 4,000 bytes never starts, and the worker that it is placed on loses its lease.

Cause: all pending starts go into one answer, each with the whole spec: 4.8 MB, over the 4 MiB from which a worker drops an answer, again and again.

Change: an answer carries starts of 512 KiB at most, before encoding, which may take six bytes for a character; the next answers carry the rest.

Evidence: StartsExceedAnAnswer_LaterAnswersHaveTheRest fails on the old code (28.8 MB encoded, 4 MiB allowed).

--- a/src/placement/worker_orders.cpp
+++ b/src/placement/worker_orders.cpp
@@ -23,6 +23,18 @@
  * before its lease ends. */
 constexpr Duration kMaxReportInterval = Millis{ 700 };
 
+/** Maximum size of the starts in one answer, before they are encoded. A worker
+ * drops an answer of more than 4 MiB, and characters of a payload may take six
+ * bytes each. */
+constexpr std::size_t kMaxStartBytes = 512 * 1024;
+
+std::size_t
+SizeOf(const StartOrder& aStart)
+{
+  constexpr std::size_t kNameAndNumbers = 64;
+  return kNameAndNumbers + aStart.m_payload.size() + aStart.m_checkpoint.size();
+}
+
 /** Whether the run needs no attention: a ready long-running task. Best-effort
  * tasks are excluded because reports control their rate, and tasks that are
  * warming up because others wait for them. */
@@ -175,7 +187,11 @@
     }
   }
   if (!report.m_draining) {
+    std::size_t bytes = 0;
     for (const PendingStart& start : FindPending(worker, aBook)) {
+      if (bytes >= kMaxStartBytes) {
+        break;
+      }
       const auto unsent = worker.m_unsent.find(start.m_task);
       const bool isWithdrawn = unsent != worker.m_unsent.end() &&
                                unsent->second.m_run == start.m_run &&
@@ -190,6 +206,7 @@
                                   start.m_run,
                                   start.m_job->m_spec.m_payload,
                                   aBook.FindTask(start.m_task)->m_checkpoint });
+      bytes += SizeOf(orders.m_starts.back());
     }
   }
   AddRates(worker, aBook, orders);
--- a/tests/unit/placement/workers_test.cpp
+++ b/tests/unit/placement/workers_test.cpp
@@ -132,6 +132,37 @@
   LONGS_EQUAL(0, CountLostAt(kLater + 4'500));
 }
 
+// Guards against a worker that drops each answer because all starts are in it.
+TEST(WorkerTable, StartsExceedAnAnswer_LaterAnswersHaveTheRest)
+{
+  constexpr std::uint32_t kTasks = 1'200;
+  constexpr std::size_t kMaxAnswer = 4 * 1024 * 1024;
+  constexpr std::size_t kMaxBytesPerCharacter = 6;
+  JobSpec spec = Spec({ Step(kTasks, 1) });
+  spec.m_steps[0].m_resources.m_memoryMb = 0;
+  spec.m_payload = std::string(4'000, 'x');
+  m_fleet.Submit("a", spec);
+  WorkerReport report = Report("w1", 1);
+  Receive(report, kLater);
+  std::vector<Change> starts;
+  for (std::uint32_t i = 0; i < kTasks; ++i) {
+    starts.push_back(StartRun{ Ref("a", i), RunNumber{ 1 }, Life("w1") });
+  }
+  m_fleet.Apply(starts);
+  while (report.m_active.size() < kTasks) {
+    const Orders orders = Answer("w1", kLater);
+    CHECK_FALSE(orders.m_starts.empty());
+    std::size_t bytes = 0;
+    for (const StartOrder& start : orders.m_starts) {
+      bytes += start.m_payload.size() * kMaxBytesPerCharacter;
+      report.m_active.push_back(Active(start.m_task));
+    }
+    CHECK_COMPARE(bytes, <=, kMaxAnswer);
+    ++report.m_sequence;
+    Receive(report, kLater);
+  }
+}
+
 // A new leader does not know the leases that an earlier one granted.
 TEST(WorkerTable, WorkerNeverReportsToNewLeader_LosesRunsAfterMaxLease)
 {
