platform: a heartbeat without an address names no worker

What callers saw: accepted jobs stay running for good beside idle workers, after a heartbeat of another writer, without an address and other fields, got a lease and starts.

Cause: a heartbeat was taken for a worker's if it had a service and a state.

The reports of two test fixtures lacked them, unlike any worker's; they have them now.

--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -81,6 +81,7 @@
   const auto report = platform::ReadReport(
     "i-1",
     R"({"service":"s","zone":"z","state":"draining","machine":"m-1","seq":4,
+        "address":"10.0.0.9:80","capacity":8,
         "free_capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},
         "labels":["a","r1-3"],"remaining_ms":1200,"born":1791418000123,
         "active":[["5c0e.7.1.17",2,"saved",41,12.6]],
@@ -135,6 +136,22 @@
               "finished":[[1,"a.0.0.0",1,"vanished",""]]})");
 }
 
+// Guards against tasks that are placed on the writer of such a heartbeat.
+TEST(PlatformDecode, HeartbeatThatNamesNoWorker_IsRejected)
+{
+  const auto rejects = [&](const char* aField, const std::string& aFields) {
+    const std::string body =
+      R"({"service":"s","zone":"z","state":"ready","seq":4)" + aFields + "}";
+    CHECK(!platform::ReadReport("i-1", body, m_invalid));
+    CHECK_STRING(aField, m_invalid.m_field);
+  };
+  rejects("address", R"(,"capacity":8)");
+  rejects("address", R"(,"capacity":8,"address":"")");
+  rejects("address", R"(,"capacity":8,"address":7)");
+  rejects("capacity", R"(,"address":"10.0.0.9:80")");
+  rejects("capacity", R"(,"address":"10.0.0.9:80","capacity":"8")");
+}
+
 TEST(PlatformDecode, Leave_NamesIncarnationOrInvalidField)
 {
   const auto incarnation =
--- a/tests/platform/restart_test.cpp
+++ b/tests/platform/restart_test.cpp
@@ -36,6 +36,8 @@
   std::string Report()
   {
     Json body{ { "service", "desk" },
+               { "address", "10.0.0.9:80" },
+               { "capacity", 8 },
                { "state", m_isDraining ? "draining" : "ready" },
                { "machine", "m1" },
                { "born", m_born },
