placement: an order for an instance concerns the worker that it runs

What callers saw: a task that crashes its workers is started on a sixth one (BUDGET); long-running tasks that have just restarted are ended by a move.

Cause: a worker crashes, and the next one of its instance reports, unconfirmed, before the lease of the crashed one ends. From then until the next report the crashed one is lost, so the instance isn't ambiguous any more, but still the current one. A move ordered in between is for the idle next worker, but cordons the crashed one: the same pass places tasks on the next worker, and the order ends them, with evidence none. Maintenance looked for long-running tasks on the crashed one likewise.

Both new tests fail on the old code.

Change: while the current worker of an instance is lost, the one that reports is taken for it; an order cordons all workers of its instance.

Ruled out: a pass that doesn't know the order, as both run between batches, the tick first.

--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -438,6 +438,8 @@
   /** Returns the incarnation with this id if exactly one is known. */
   std::optional<WorkerIncarnation> FindOnlyIncarnation(
     const WorkerId& aWorker) const;
+  /** Returns the incarnation that the instance runs, as far as is known; null
+   * if it has none. */
   const Worker* FindByInstance(const InstanceId& aInstance) const;
   /** Incarnations on the instance that are not known to have ended. */
   const std::vector<WorkerIncarnation>& IncarnationsOf(
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -617,9 +617,8 @@
       *standby, aWorkers, aReserved, aRecord, aNow, pools, plan);
   }
   for (const auto& [instance, move] : m_moves) {
-    if (const Worker* worker = aWorkers.FindByInstance(instance)) {
-      plan.m_cordoned.insert(worker->m_lastReport.m_worker);
-    }
+    const auto& incarnations = aWorkers.IncarnationsOf(instance);
+    plan.m_cordoned.insert(incarnations.begin(), incarnations.end());
   }
   plan.m_unanswered = m_unanswered.size();
   plan.m_unansweredLimit = kMaxUnansweredOrders;
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -125,13 +125,26 @@
   return found == m_workers.end() ? nullptr : &found->second;
 }
 
+// The lease of the current incarnation may end between two reports of the next
+// one, which becomes the current one only with its next report.
 const Worker*
 WorkerTable::FindByInstance(const InstanceId& aInstance) const
 {
   const auto found = m_currentIncarnations.find(aInstance);
-  return found == m_currentIncarnations.end()
-           ? nullptr
-           : Find(found->second.m_incarnation);
+  if (found == m_currentIncarnations.end()) {
+    return nullptr;
+  }
+  const Worker* current = Find(found->second.m_incarnation);
+  if (current == nullptr || !current->m_isLost) {
+    return current;
+  }
+  for (const WorkerIncarnation& id : IncarnationsOf(aInstance)) {
+    const Worker* other = Find(id);
+    if (!other->m_isLost) {
+      return other;
+    }
+  }
+  return current;
 }
 
 const RunReport*
--- a/tests/unit/placement/two_lives_test.cpp
+++ b/tests/unit/placement/two_lives_test.cpp
@@ -23,6 +23,8 @@
 {
   Fleet m_fleet;
   placement::WorkerTable m_table{ LeaseOptions{}, At(0) };
+  placement::CapacityPlanner m_capacity;
+  placement::OrderRecord m_record{ Millis{ 3000 } };
 
   void setup() override
   {
@@ -46,6 +48,40 @@
     m_fleet.Start(Ref("lasting"), aIncarnation);
   }
 
+  /** Adds six idle workers and a standby pool, so that instances are moved. */
+  void AddIdleWorkersAndStandby(std::int64_t aAtMs)
+  {
+    for (int i = 0; i < 6; ++i) {
+      WorkerReport other = Report("other" + std::to_string(i), 1);
+      m_table.OnReport(other, m_fleet.Book(), At(aAtMs), WallTime{ 0 });
+    }
+    fleet::RouteTable table = m_fleet.State().Routes();
+    table.m_version = 2;
+    table.m_services.push_back({ ServiceId{ "spare" }, true, true });
+    m_fleet.Do(fleet::ReplaceRoutes{ table });
+  }
+
+  CapacityPlan PlanMoves(std::int64_t aAtMs)
+  {
+    return m_capacity.Next(m_fleet.State(),
+                           m_table,
+                           {},
+                           placement::DurationEstimator{},
+                           m_record,
+                           At(aAtMs),
+                           WallTime{ 0 });
+  }
+
+  /** The next incarnation's last report is just before the lease of the
+   * previous one ends. */
+  void LoseEarlierIncarnation()
+  {
+    Receive("next", kLater + 900);
+    m_table.CollectLostRuns(m_fleet.Book(), At(kLater + 4'800), WallTime{ 0 });
+    CHECK(m_table.Find(Life("before"))->m_isLost);
+    CHECK_FALSE(m_table.Find(Life("next"))->m_isLost);
+  }
+
   std::size_t OrdersOfWaveAt(std::int64_t aAtMs)
   {
     MaintenancePlanner maintenance;
@@ -66,31 +102,37 @@
 TEST(TwoIncarnations, EarlierIncarnationIsIdle_InstanceIsNotMoved)
 {
   StartLongRunningOn("next");
-  for (int i = 0; i < 6; ++i) {
-    WorkerReport other = Report("other" + std::to_string(i), 1);
-    m_table.OnReport(other, m_fleet.Book(), At(kLater + 600), WallTime{ 0 });
-  }
-  fleet::RouteTable table = m_fleet.State().Routes();
-  table.m_version = 2;
-  table.m_services.push_back({ ServiceId{ "spare" }, true, true });
-  m_fleet.Do(fleet::ReplaceRoutes{ table });
-  placement::CapacityPlanner capacity;
-  const OrderRecord record{ Millis{ 3000 } };
-  const auto next = [&](std::int64_t aAtMs) {
-    return capacity.Next(m_fleet.State(),
-                         m_table,
-                         {},
-                         placement::DurationEstimator{},
-                         record,
-                         At(aAtMs),
-                         WallTime{ 0 });
-  };
-  next(kLater + 600);
-  for (const MoveOrder& order : next(kLater + 1400).m_orders) {
+  AddIdleWorkersAndStandby(kLater + 600);
+  PlanMoves(kLater + 600);
+  for (const MoveOrder& order : PlanMoves(kLater + 1400).m_orders) {
     CHECK(order.m_instance != InstanceId{ "i" });
   }
 }
 
+// Guards against starts on a worker that an order is about to end: the
+// incarnation before it was cordoned in its place.
+TEST(TwoIncarnations, EarlierIncarnationIsLost_NextOneIsCordonedForItsMove)
+{
+  LoseEarlierIncarnation();
+  AddIdleWorkersAndStandby(kLater + 4'000);
+  PlanMoves(kLater + 4'000);
+  const CapacityPlan plan = PlanMoves(kLater + 4'800);
+  CHECK(std::any_of(
+    plan.m_orders.begin(), plan.m_orders.end(), [](const MoveOrder& aOrder) {
+      return aOrder.m_instance == InstanceId{ "i" };
+    }));
+  CHECK(plan.m_cordoned.contains(Life("next")));
+}
+
+// Guards against maintenance that ends long-running tasks, since the
+// incarnation before the one that runs them has none.
+TEST(TwoIncarnations, EarlierIncarnationIsLost_TasksOfNextOneDelayTheWave)
+{
+  LoseEarlierIncarnation();
+  StartLongRunningOn("next");
+  LONGS_EQUAL(0, OrdersOfWaveAt(kLater + 4'800));
+}
+
 TEST(TwoIncarnations, EarlierIncarnationIsIdle_WaveWaits)
 {
   LONGS_EQUAL(0, OrdersOfWaveAt(kLater + 600));
