jobs: an id that another queue uses is rejected

What callers saw: a POST of an id that a job of another queue has is answered 200, and the job is dropped; a GET in its own queue is answered 410.

Cause: jobs are kept by id alone, and a submission of a known id is taken for a repeated one whatever its queue.

Change: it is answered 400 with the field, unless the queue is the same.

Evidence: IdIsInUseInAnotherQueue_JobIsRejected fails on the old code (ok).

--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -204,6 +204,7 @@
   }
   /** Returns the reply to the submission of a job that exists already. */
   jobs::QueueReply ReplyToRepeatedSubmit(const JobId& aJob,
+                                         const QueueId& aQueue,
                                          const WorkspaceId& aWorkspace) const;
 
   Node& m_node;
--- a/src/control/job_calls.cpp
+++ b/src/control/job_calls.cpp
@@ -178,10 +178,12 @@
 // for any other unusable id, and shows nothing of that job.
 jobs::QueueReply
 JobService::ReplyToRepeatedSubmit(const JobId& aJob,
+                                  const QueueId& aQueue,
                                   const WorkspaceId& aWorkspace) const
 {
   const jobs::Job* job = m_node.State().Jobs().Find(aJob);
-  if (job == nullptr || workspaces::MayAccess(aWorkspace, job->m_workspace)) {
+  if (job == nullptr || (job->m_queue == aQueue &&
+                         workspaces::MayAccess(aWorkspace, job->m_workspace))) {
     return ReplyWith(jobs::QueueOutcome::kOk);
   }
   jobs::QueueReply reply = ReplyWith(jobs::QueueOutcome::kBadJob);
@@ -253,7 +255,7 @@
     return reply;
   }
   if (m_node.State().Jobs().Find(aJob) != nullptr) {
-    return ReplyToRepeatedSubmit(aJob, aWorkspace);
+    return ReplyToRepeatedSubmit(aJob, aRoute.Queue(), aWorkspace);
   }
   // A refusal says that no part of the job ever runs.
   const bool mayBeAccepted = m_openProposals.contains(aJob);
@@ -316,7 +318,7 @@
         .Write();
       m_needsPlan = true;
       ScheduleCycle();
-      return ReplyToRepeatedSubmit(aJob, aWorkspace);
+      return ReplyToRepeatedSubmit(aJob, queue, aWorkspace);
     });
 }
 
--- a/tests/unit/control/job_service_test.cpp
+++ b/tests/unit/control/job_service_test.cpp
@@ -810,6 +810,28 @@
   CHECK(m_service->RenderMetrics().find(lost) != std::string::npos);
 }
 
+// Guards against a job that is accepted and dropped, since another queue has a
+// job of the same id.
+TEST(JobService, IdIsInUseInAnotherQueue_JobIsRejected)
+{
+  fleet::RouteTable table = Fleet{}.State().Routes();
+  table.m_version = 2;
+  table.m_routes.push_back(table.m_routes[0]);
+  table.m_routes[1].m_name = "other";
+  table.m_routes[1].m_pathPrefix = "/other/";
+  m_service->ReplaceRoutes(table).wait(m_loop->m_io.waitScope);
+  Submit("a", Spec({ Step(1) }));
+  jobs::QueueCall call;
+  call.m_kind = jobs::CallKind::kSubmit;
+  call.m_host = "host";
+  call.m_path = "/other/a";
+  call.m_spec = Spec({ Step(1) });
+  const auto reply =
+    m_service->Call(std::move(call)).wait(m_loop->m_io.waitScope);
+  STRCMP_EQUAL(jobs::Describe(jobs::QueueOutcome::kBadJob),
+               jobs::Describe(reply.m_outcome));
+}
+
 // Guards against metrics that grow with every workspace there ever was.
 TEST(JobService, RemovedWorkspace_HasNoMetricsAnyMore)
 {
