placement: the members of a gang start from one checkpoint

Cause: each member is started with what it saved itself, and members save at different moments.

Change: all get the first member's that saved any, which is valid for all.

Evidence: MembersSavedDifferentCheckpoints_AllStartFromOne fails on the old code (no checkpoint for the first member).

--- a/include/bamboostile/jobs/book.h
+++ b/include/bamboostile/jobs/book.h
@@ -200,6 +200,9 @@
   /** The worker losses of an existing task; for a gang, those of all its
    * members. */
   std::vector<WorkerLoss> LossesOf(const TaskRef& aTask) const;
+  /** Returns what the next run of the task starts from: its own checkpoint, or
+   * one for all members of its gang. Empty if there is none. */
+  const std::string& CheckpointOf(const TaskRef& aTask) const;
   /** Whether the system has ended this run while its task is not done yet. A
    * late report that the run is done then completes the task, whether or not
    * the task has been started again. */
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -133,6 +133,25 @@
     aTask.m_index);
 }
 
+// Members save at different moments. The checkpoint of any of them is valid for
+// all, and all have to start from the same one.
+const std::string&
+JobTable::CheckpointOf(const TaskRef& aTask) const
+{
+  const Job& job = *Find(aTask.m_job);
+  const StepRun& step =
+    job.m_occurrences.at(aTask.m_occurrence).m_steps[aTask.m_step];
+  if (!job.m_spec.m_steps[aTask.m_step].m_gang) {
+    return step.m_tasks[aTask.m_index].m_checkpoint;
+  }
+  const auto saved = std::find_if(
+    step.m_tasks.begin(), step.m_tasks.end(), [](const Task& aMember) {
+      return !aMember.m_checkpoint.empty();
+    });
+  return saved == step.m_tasks.end() ? step.m_tasks.front().m_checkpoint
+                                     : saved->m_checkpoint;
+}
+
 bool
 JobTable::HasLosses(const JobId& aJob) const
 {
--- a/src/placement/worker_orders.cpp
+++ b/src/placement/worker_orders.cpp
@@ -205,7 +205,7 @@
       orders.m_starts.push_back({ start.m_task,
                                   start.m_run,
                                   start.m_job->m_spec.m_payload,
-                                  aBook.FindTask(start.m_task)->m_checkpoint });
+                                  aBook.CheckpointOf(start.m_task) });
       bytes += SizeOf(orders.m_starts.back());
     }
   }
--- a/tests/unit/placement/workers_test.cpp
+++ b/tests/unit/placement/workers_test.cpp
@@ -132,6 +132,35 @@
   LONGS_EQUAL(0, CountLostAt(kLater + 4'500));
 }
 
+// Guards against a gang whose members start from different checkpoints.
+TEST(WorkerTable, MembersSavedDifferentCheckpoints_AllStartFromOne)
+{
+  StepSpec step = Step(3);
+  step.m_gang = true;
+  m_fleet.Submit("a", Spec({ step }));
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    m_fleet.Start(Ref("a", i), "w0");
+  }
+  for (const auto& [index, checkpoint] :
+       { std::pair{ 2U, "late" }, std::pair{ 1U, "early" } }) {
+    m_fleet.Apply({ EndRun{ Ref("a", index),
+                            RunNumber{ 1 },
+                            RunEnd::kGangBroken,
+                            checkpoint,
+                            WallTime{ 5 } } });
+  }
+  m_fleet.End(Ref("a"), RunEnd::kGangBroken);
+  Receive(Report("w1", 1), kLater);
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    m_fleet.Start(Ref("a", i), "w1", 2);
+  }
+  const Orders orders = Answer("w1", kLater);
+  LONGS_EQUAL(3, orders.m_starts.size());
+  for (const StartOrder& start : orders.m_starts) {
+    CHECK_STRING("early", start.m_checkpoint);
+  }
+}
+
 // Guards against a worker that drops each answer because all starts are in it.
 TEST(WorkerTable, StartsExceedAnAnswer_LaterAnswersHaveTheRest)
 {
