placement: a task whose attempts are used up is not started again

Cause: the limit is the route's, and is asked only when a run ends.

Change: it is asked before a start as well, and the job fails.

Evidence: AttemptsWereUsedUpWithoutARoute_JobFails fails on the old code (active).

--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -497,6 +497,16 @@
         jobs::IsSuspect(task.m_losses)) {
       continue;
     }
+    // No limit was in force while the queue had no route.
+    if (!step.m_longRunning &&
+        task.m_failures >= aCandidate.m_route->m_maxAttempts) {
+      aPlan.m_changes.emplace_back(
+        jobs::FailJob{ aCandidate.m_job->m_id,
+                       jobs::NameOf(aCandidate.TaskAt(i)) + " failed " +
+                         std::to_string(task.m_failures) + " times",
+                       aWall });
+      return;
+    }
     if (!aCandidate.CheckCap(aPlan)) {
       aCandidate.AddWaiting(i, task, WaitReason::kWorkspaceCap, aWall, aPlan);
       return;
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -343,6 +343,28 @@
   STRCMP_EQUAL("w1", WorkerOf(Ref("away")).c_str());
 }
 
+// Guards against one more start after all attempts have failed while the queue
+// had no route, and so no limit.
+TEST(PlacementPlanner, AttemptsWereUsedUpWithoutARoute_JobFails)
+{
+  const fleet::RouteTable routes = m_fleet.State().Routes();
+  fleet::RouteTable table = routes;
+  ++table.m_version;
+  table.m_routes.clear();
+  Receive(Report("w1", 1));
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  for (std::uint32_t run = 1; run <= routes.m_routes[0].m_maxAttempts; ++run) {
+    m_fleet.Start(Ref("a"), "w1", run);
+    m_fleet.Do(fleet::ReplaceRoutes{ table });
+    m_fleet.End(Ref("a"), RunEnd::kFailed, run);
+  }
+  table = routes;
+  table.m_version += 2;
+  m_fleet.Do(fleet::ReplaceRoutes{ table });
+  StartPlanned();
+  STRCMP_EQUAL("failed", Describe(m_fleet.StateOf("a")));
+}
+
 // Guards against a restart that is lost before it runs, under a task that the
 // same pass started beside it.
 TEST(PlacementPlanner, LongRunningTaskRestarts_NothingStartsBesideItUntilItRuns)
