--- a/tests/unit/jobs/book_test.cpp
+++ b/tests/unit/jobs/book_test.cpp
@@ -61,6 +61,22 @@
   LONGS_EQUAL(1, TaskOf(Ref("a")).m_lastRun.Get());
 }
 
+// Guards against a gang that is given up after one run, in which each of its
+// members failed.
+TEST(JobTable, AllMembersOfGangFailInOneRun_CountsAsOneAttempt)
+{
+  StepSpec step = Step(3);
+  step.m_gang = true;
+  m_fleet.Submit("a", Spec({ step }));
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    m_fleet.Start(Ref("a", i), "w" + std::to_string(i));
+  }
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    m_fleet.End(Ref("a", i), RunEnd::kFailed);
+  }
+  CHECK(m_fleet.StateOf("a") == JobState::kActive);
+}
+
 TEST(JobTable, AttemptsExhausted_JobFailsWithReason)
 {
   m_fleet.Submit("a", Spec({ Step(1) }));
