placement: a list proves no end of a worker that reports

Change: only an unresponsive worker that no entry names is taken for ended; a list must name eight workers that report for each that it leaves out; reports of a worker whose runs ended because it was missing are ignored for 3 s. Each asks for more proof than before, so what is left is a lease.

--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -517,6 +517,8 @@
     HealthRecord m_health;
   };
 
+  class ListIndex;
+
   bool IsReady(const jobs::TaskRef& aTask,
                const jobs::Task& aState,
                TimePoint aNow) const;
@@ -541,6 +543,9 @@
   void KeepEvidence(const WorkerIncarnation& aWorker,
                     const std::vector<jobs::EndRun>& aEnds);
   void ForgetCandidates(TimePoint aNow);
+  /** Whether a list that was requested at aAskedAt names most of the workers
+   * that reported just before. */
+  bool NamesMostWorkers(const ListIndex& aIndex, TimePoint aAskedAt) const;
   /** Whether the runs of the worker are over because its end is proven. */
   bool HasListedEnd(Worker& aWorker,
                     const jobs::JobTable& aBook,
@@ -669,6 +674,9 @@
    * list, and those that were missing in the list before it as well. */
   std::set<WorkerIncarnation> m_missingOnce;
   std::set<WorkerIncarnation> m_missingTwice;
+  /** When runs of workers ended because they were missing. Their reports are
+   * delayed ones until LeaseOptions::m_maxReportDelay later. */
+  std::map<WorkerIncarnation, TimePoint> m_endedUnseen;
   std::shared_ptr<const OrderEffects> m_orderEffects;
   /** Workers with accepted ends that are not on a receipt yet. */
   std::set<WorkerIncarnation> m_withoutReceipt;
--- a/src/placement/listed_ends.cpp
+++ b/src/placement/listed_ends.cpp
@@ -12,8 +12,14 @@
 /** Time after which a new leader takes a worker without a report for one that
  * may have ended. Live workers report within it. */
 constexpr Duration kFirstReportTimeout = Millis{ 700 };
+/** Minimum number of workers that report for each of them that a list does not
+ * name: those that crashed since their last report. */
+constexpr std::size_t kMinWorkersPerMissing = 8;
 
-class ListIndex
+} // namespace
+
+/** The instances and workers of a list. */
+class WorkerTable::ListIndex
 {
 public:
   explicit ListIndex(const InstanceList& aList)
@@ -38,7 +44,8 @@
   bool ShowsEndOf(const WorkerReport& aLastReport) const
   {
     const auto found = m_byInstance.find(aLastReport.m_instance);
-    if (found == m_byInstance.end() || found->second == nullptr) {
+    if (found == m_byInstance.end() || found->second == nullptr ||
+        HasWorker(aLastReport.m_worker.m_id)) {
       return false;
     }
     const ListedInstance& listed = *found->second;
@@ -46,8 +53,7 @@
       case InstanceState::kUnknown:
         return false;
       case InstanceState::kUp:
-        return !listed.m_worker.Get().empty() &&
-               !HasWorker(aLastReport.m_worker.m_id);
+        return !listed.m_worker.Get().empty();
       case InstanceState::kMoving:
       case InstanceState::kMaintenance:
       case InstanceState::kDown:
@@ -62,6 +68,8 @@
   std::set<WorkerId> m_workers;
 };
 
+namespace {
+
 bool
 HasLongRunning(const std::vector<jobs::TaskRef>& aTasks,
                const jobs::JobTable& aBook)
@@ -94,29 +102,26 @@
 
 // Each entry of a list is no older than its request. A worker that existed
 // before the request, and whose instance is listed without it, has ended: an
-// instance never returns to an earlier worker. The instance of a worker that
-// has not reported to this leader is unknown, so such a worker has to be
-// missing altogether. Lists are read page by page, and one that shifts between
-// two pages may leave out a live worker, but not twice in a row. A list that
-// names none of the workers that report proves nothing.
+// instance never returns to an earlier worker. A worker that reports has not
+// ended, whatever instance it names. The instance of a worker that has not
+// reported to this leader is unknown, so such a worker has to be missing
+// altogether. Lists are read page by page, and one that shifts between two
+// pages may leave out a live worker, but not twice in a row. A list that leaves
+// out many workers that report proves nothing.
 void
 WorkerTable::OnListed(const InstanceList& aList, const jobs::JobTable& aBook)
 {
   const ListIndex index{ aList };
   for (auto& [id, worker] : m_workers) {
     if (!worker.m_isLost && !worker.m_listedEndAt &&
-        worker.m_lastReportAt < aList.m_askedAt &&
+        IsUnresponsive(worker, aList.m_askedAt) &&
         index.ShowsEndOf(worker.m_lastReport)) {
       worker.m_listedEndAt = aList.m_askedAt;
     }
   }
   const auto missingBefore = std::exchange(m_missingOnce, {});
   m_missingTwice.clear();
-  const bool namesWorkers =
-    std::any_of(m_workers.begin(), m_workers.end(), [&](const auto& aEntry) {
-      return index.HasWorker(aEntry.first.m_id);
-    });
-  if (!namesWorkers) {
+  if (!NamesMostWorkers(index, aList.m_askedAt)) {
     return;
   }
   for (const auto& [id, tasks] : aBook.TasksByWorker()) {
@@ -130,6 +135,21 @@
   }
 }
 
+bool
+WorkerTable::NamesMostWorkers(const ListIndex& aIndex, TimePoint aAskedAt) const
+{
+  std::size_t reporting = 0;
+  std::size_t missing = 0;
+  for (const auto& [id, worker] : m_workers) {
+    if (!IsUnresponsive(worker, aAskedAt) &&
+        worker.m_firstReportAt < aAskedAt) {
+      ++reporting;
+      missing += aIndex.HasWorker(id.m_id) ? 0 : 1;
+    }
+  }
+  return reporting > missing * kMinWorkersPerMissing;
+}
+
 // The evidence depends on which other workers were lost at about the same time.
 // Those count as unresponsive only after a while. In a series of mass losses, a
 // task that restarts sooner is lost more often, and each loss makes it more of
--- a/src/placement/worker_losses.cpp
+++ b/src/placement/worker_losses.cpp
@@ -490,6 +490,9 @@
       add(id, InstanceId{});
     } else if (const bool isListed = HasListedEnd(id, aNow);
                isListed || knowsAllLeases) {
+      if (isListed) {
+        m_endedUnseen.try_emplace(id, aNow);
+      }
       m_lost.push_back(
         { id,
           InstanceId{},
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -176,9 +176,12 @@
   // A stale report shows an outdated state. Its worker has dropped the
   // connection and will not read the answer.
   const Worker* known = Find(aReport.m_worker);
+  const auto endedUnseen = m_endedUnseen.find(aReport.m_worker);
   const bool isDelayed =
-    known != nullptr && known->m_listedEndAt &&
-    aNow < *known->m_listedEndAt + m_options.m_maxReportDelay;
+    (known != nullptr && known->m_listedEndAt &&
+     aNow < *known->m_listedEndAt + m_options.m_maxReportDelay) ||
+    (endedUnseen != m_endedUnseen.end() &&
+     aNow < endedUnseen->second + m_options.m_maxReportDelay);
   if (isDelayed) {
     result.m_ignored = IgnoreReason::kWorkerEnded;
     return result;
--- a/tests/unit/placement/workers_test.cpp
+++ b/tests/unit/placement/workers_test.cpp
@@ -240,6 +240,10 @@
        { Listed("w1", InstanceState::kUp, "w2"),
          Listed("w3", InstanceState::kUp, "w1") });
   List(asked, {});
+  List(asked, { Listed("w1", InstanceState::kDown, "w1") });
+  List(asked,
+       { Listed("w1", InstanceState::kDown),
+         Listed("w3", InstanceState::kUp, "w1") });
   List(kLater - 1, { Listed("w1", InstanceState::kDown) });
   LONGS_EQUAL(0, CountLostAt(kLater + 4'500));
 }
@@ -273,6 +277,39 @@
   LONGS_EQUAL(1, CountLostAt(1'600));
 }
 
+TEST(WorkerTable, WorkerReportsBesideListWithoutIt_ReportIsAccepted)
+{
+  Receive(Report("w1", 1), kLater);
+  List(kLater + 100, { Listed("w1", InstanceState::kDown) });
+  CHECK_FALSE(Receive(Report("w1", 2), kLater + 200).m_ignored.has_value());
+}
+
+// Guards against restarts on a dead worker whose last report arrives late.
+TEST(WorkerTable, LateReportOfWorkerMissingInTwoLists_IsIgnored)
+{
+  SubmitLongRunning(1, 1);
+  m_fleet.Start(Ref("a"), "dead");
+  Receive(Report("w1", 1), 100);
+  Receive(Report("w1", 2), 1'000);
+  List(800, { Listed("w1", InstanceState::kUp, "w1") });
+  List(1'300, { Listed("w1", InstanceState::kUp, "w1") });
+  LONGS_EQUAL(1, CountLostAt(1'600));
+  CHECK(Receive(Report("dead", 9), 2'500).m_ignored ==
+        IgnoreReason::kWorkerEnded);
+  CHECK_FALSE(Receive(Report("dead", 10), 4'700).m_ignored.has_value());
+}
+
+TEST(WorkerTable, ListsDoNotNameAllKnownWorkers_RunsAreKeptUntilLeasesEnd)
+{
+  SubmitLongRunning(1, 1);
+  m_fleet.Start(Ref("a"), "cut");
+  Receive(Report("w1", 1), 100);
+  Receive(Report("w2", 1), 100);
+  List(800, { Listed("w1", InstanceState::kUp, "w1") });
+  List(1'300, { Listed("w1", InstanceState::kUp, "w1") });
+  LONGS_EQUAL(0, CountLostAt(4'500));
+}
+
 TEST(WorkerTable, ListsNameNoKnownWorker_RunsAreKeptUntilLeasesEnd)
 {
   SubmitLongRunning(1, 1);
