placement: losses beside others wait for the lease

In its pool a rack of 12 workers is lost every 2.4 s.

Cause: the list ends runs 2.2 s before the lease does unless a quarter of the service is lost at once. A smaller rack that is lost again and again hits the sooner restarts as often, and each loss makes a task more of a suspect.

Change: the list spares the rest of the lease only to losses that are distinct from others, alone or a small part of the service, and to restarts that were lost with their worker, as before.

--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -215,8 +215,9 @@
   bool m_isLost = false;
   /** When the list was requested that shows the worker as ended. */
   std::optional<TimePoint> m_listedEndAt;
-  /** Whether it ended in a mass loss; assessed once its end is proven. */
-  std::optional<bool> m_endedInMassLoss;
+  /** Whether its loss is distinct from those of others; assessed once its end
+   * is proven. */
+  std::optional<bool> m_isDistinctLoss;
   /** For a lost worker: the suspects that had isolated runs on it. */
   std::vector<jobs::TaskRef> m_lostIsolatedRuns;
   /** For a lost worker: what its loss implies about each of its tasks. */
--- a/src/placement/listed_ends.cpp
+++ b/src/placement/listed_ends.cpp
@@ -151,10 +151,10 @@
 }
 
 // The evidence depends on which other workers were lost at about the same time.
-// Those count as unresponsive only after a while. In a series of mass losses, a
-// task that restarts sooner is lost more often, and each loss makes it more of
-// a suspect; so there only tasks that have missed a restart already are spared
-// the rest of the lease.
+// Those count as unresponsive only after a while. Where a rack or more is lost
+// again and again, a task that restarts sooner is lost more often, and each
+// loss makes it more of a suspect. There, only tasks whose restart was lost
+// with the worker are spared the rest of the lease.
 bool
 WorkerTable::HasListedEnd(Worker& aWorker,
                           const jobs::JobTable& aBook,
@@ -167,16 +167,16 @@
   if (!isAssessable) {
     return false;
   }
-  if (!aWorker.m_endedInMassLoss) {
+  if (!aWorker.m_isDistinctLoss) {
     const LossCount others = CountLossesAround(aWorker,
                                                kConcurrentLossWindow,
                                                m_options.m_unresponsiveAfter,
                                                aBook,
                                                aNow);
-    aWorker.m_endedInMassLoss = IsMassLoss(
-      others.WithOneMore(), CountWorkers(aWorker.m_lastReport.m_service));
+    aWorker.m_isDistinctLoss =
+      IsLossDistinct(others, CountWorkers(aWorker.m_lastReport.m_service));
   }
-  return !*aWorker.m_endedInMassLoss || AwaitsRestart(aWorker, aBook);
+  return *aWorker.m_isDistinctLoss || AwaitsRestart(aWorker, aBook);
 }
 
 bool
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -221,7 +221,7 @@
   worker.m_lastReportWall = aWall;
   worker.m_isLost = false;
   worker.m_listedEndAt.reset();
-  worker.m_endedInMassLoss.reset();
+  worker.m_isDistinctLoss.reset();
   worker.m_lostIsolatedRuns.clear();
   worker.m_evidence.clear();
   for (const RunReport& run : aReport.m_active) {
