--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -81,7 +81,8 @@
   const auto report = platform::ReadReport(
     "i-1",
     R"({"service":"s","zone":"z","state":"draining","machine":"m-1","seq":4,
-        "address":"10.0.0.9:80","capacity":8,
+        "address":"10.0.0.9:80","capacity":8,"version":"v1",
+        "warmup_left_ms":0,"clock_ms":482113,
         "free_capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},
         "labels":["a","r1-3"],"remaining_ms":1200,"born":1791418000123,
         "active":[["5c0e.7.1.17",2,"saved",41,12.6]],
@@ -152,6 +153,38 @@
   rejects("capacity", R"(,"address":"10.0.0.9:80","capacity":"8")");
 }
 
+// Guards against tasks that are placed on a writer that sends all fields but
+// one, or one with another type.
+TEST(PlatformDecode, HeartbeatWithOneFieldMissingOrOfOtherType_IsRejected)
+{
+  const json::Json heartbeat =
+    json::Json::parse(R"({"service":"s","address":"10.0.0.9:80","zone":"z",
+        "version":"v1","capacity":8,"state":"ready","warmup_left_ms":0,
+        "machine":"m-1","free_capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},
+        "labels":["a","r1-3"],"clock_ms":482113,"seq":4,"active":[],
+        "finished":[]})");
+  const auto isRejected = [&](const json::Json& aBody, const char* aField) {
+    return !platform::ReadReport("i-1", aBody.dump(), m_invalid) &&
+           m_invalid.m_field == aField;
+  };
+  CHECK(platform::ReadReport("i-1", heartbeat.dump(), m_invalid).has_value());
+  const json::Json other = json::Json::parse(R"({"a":1.5})");
+  for (const auto& [field, value] : heartbeat.items()) {
+    json::Json body = heartbeat;
+    body[field] = field == "free_capacity" ? json::Json{ "a" } : other;
+    CHECK_TEXT(isRejected(body, field.c_str()), field.c_str());
+    body.erase(field);
+    CHECK_TEXT(isRejected(body, field.c_str()), field.c_str());
+  }
+  for (const char* resource : { "cpu", "mem_mb", "gpu" }) {
+    json::Json body = heartbeat;
+    body["free_capacity"][resource] = "many";
+    CHECK_TEXT(isRejected(body, resource), resource);
+    body["free_capacity"].erase(resource);
+    CHECK_TEXT(isRejected(body, resource), resource);
+  }
+}
+
 TEST(PlatformDecode, Leave_NamesIncarnationOrInvalidField)
 {
   const auto incarnation =
--- a/tests/platform/mutated_test.cpp
+++ b/tests/platform/mutated_test.cpp
@@ -25,7 +25,8 @@
   R"("slo_ms":3600,"max_attempts":3,"stretch":1.6,)"
   R"("advice":{"decision_ms":5,"per_worker_ms":1,"valid_ms":900}}]})",
   R"({"machine":"m","service":"s","zone":"z","labels":["a","r1-3"],"seq":4,)"
-  R"("address":"10.0.0.9:80","capacity":8,)"
+  R"("address":"10.0.0.9:80","capacity":8,"version":"v1",)"
+  R"("warmup_left_ms":0,"clock_ms":5000,)"
   R"("free_capacity":{"cpu":64000,"mem_mb":9,"gpu":0},"state":"draining",)"
   R"("remaining_ms":700,"active":[["5c0e.0.1.17",2,"saved",41,12]],)"
   R"("finished":[[58,"5c0e.0.1.9",1,"done",""]]})",
--- a/tests/platform/restart_test.cpp
+++ b/tests/platform/restart_test.cpp
@@ -37,12 +37,18 @@
   {
     Json body{ { "service", "desk" },
                { "address", "10.0.0.9:80" },
+               { "zone", "z" },
+               { "version", "v1" },
                { "capacity", 8 },
+               { "warmup_left_ms", 0 },
+               { "labels", { "a", "r1-3" } },
+               { "clock_ms", 5000 },
                { "state", m_isDraining ? "draining" : "ready" },
                { "machine", "m1" },
                { "born", m_born },
                { "seq", ++m_sequence },
-               { "free_capacity", { { "cpu", 4000 }, { "mem_mb", 4000 } } },
+               { "free_capacity",
+                 { { "cpu", 4000 }, { "mem_mb", 4000 }, { "gpu", 0 } } },
                { "active", Json::array() },
                { "finished", m_finished } };
     for (const auto& [name, run] : m_running) {
