placement: a list with an entry that names no worker proves no end

What callers would see: after a change of leader beside a cut, a task runs twice, while the entry of its worker in the platform's list comes from another writer.

Cause: an entry that cannot be read is left out, and the worker that it stands for counts as missing. Missing in two lists in a row, a worker that has not reported to the new leader counts as ended.

Change: entries that cannot be read, lack the worker's id or have an unknown state are counted over all pages. A list with any of them proves no worker missing; leases do, as before. Entries that show another worker on an instance hold.

--- a/include/bamboostile/control/instance_service.h
+++ b/include/bamboostile/control/instance_service.h
@@ -40,9 +40,9 @@
   };
 
   using AnswerHandler = std::function<void(const Answer&)>;
-  /** Receives std::nullopt if the list could not be read in full. */
+  /** Receives std::nullopt if a page of the list could not be read. */
   using ListHandler =
-    std::function<void(std::optional<std::vector<placement::ListedInstance>>)>;
+    std::function<void(std::optional<placement::ListedInstances>)>;
 
   std::function<void(const placement::MaintenanceOrder&, Term, AnswerHandler)>
     m_maintenance;
@@ -116,8 +116,8 @@
   struct List
   {
     TimePoint m_requestedAt;
-    /** std::nullopt if the list could not be read in full. */
-    std::optional<std::vector<placement::ListedInstance>> m_instances;
+    /** std::nullopt if a page of the list could not be read. */
+    std::optional<placement::ListedInstances> m_instances;
   };
 
   /** Answers from any thread; outlives this object, as answers may arrive
--- a/include/bamboostile/placement/listed_instance.h
+++ b/include/bamboostile/placement/listed_instance.h
@@ -4,6 +4,7 @@
 #include "bamboostile/units/ids.h"
 #include "bamboostile/units/time.h"
 
+#include <cstddef>
 #include <vector>
 
 namespace bamboostile::placement {
@@ -29,12 +30,23 @@
   WorkerId m_worker{};
 };
 
+/** The entries of the platform's list, as far as they can be read. */
+struct ListedInstances
+{
+  std::vector<ListedInstance> m_readable;
+  /** Number of entries, readable or not, that do not tell whether there is a
+   * worker and which one. */
+  std::size_t m_unnamedWorkerCount = 0;
+};
+
 /** The platform's list. Each entry shows a state no older than the request for
  * the list. */
 struct InstanceList
 {
   TimePoint m_askedAt;
   std::vector<ListedInstance> m_instances;
+  /** As in ListedInstances. */
+  std::size_t m_unnamedWorkerCount = 0;
 };
 
 } // namespace bamboostile::placement
--- a/src/control/instance_service.cpp
+++ b/src/control/instance_service.cpp
@@ -424,7 +424,8 @@
     return;
   }
   const placement::InstanceList list{ aList.m_requestedAt,
-                                      std::move(*aList.m_instances) };
+                                      std::move(aList.m_instances->m_readable),
+                                      aList.m_instances->m_unnamedWorkerCount };
   m_listSize = list.m_instances.size();
   const ServiceId* standby = m_node.State().Routes().StandbyPool();
   if (standby != nullptr) {
--- a/src/placement/listed_ends.cpp
+++ b/src/placement/listed_ends.cpp
@@ -23,6 +23,7 @@
 {
 public:
   explicit ListIndex(const InstanceList& aList)
+    : m_namesAllWorkers(aList.m_unnamedWorkerCount == 0)
   {
     for (const ListedInstance& instance : aList.m_instances) {
       const auto [found, isNew] =
@@ -39,6 +40,10 @@
     return m_workers.contains(aWorker);
   }
 
+  /** Whether a worker that the list does not name is missing in it. Any worker
+   * may be that of an entry that does not name its own. */
+  bool NamesAllWorkers() const { return m_namesAllWorkers; }
+
   /** Whether the worker's instance is listed without it. An instance that is
    * listed twice proves nothing. */
   bool ShowsEndOf(const WorkerReport& aLastReport) const
@@ -66,6 +71,7 @@
   /** Null for an instance that is listed more than once. */
   std::map<InstanceId, const ListedInstance*> m_byInstance;
   std::set<WorkerId> m_workers;
+  bool m_namesAllWorkers;
 };
 
 namespace {
@@ -107,7 +113,8 @@
 // reported to this leader is unknown, so such a worker has to be missing
 // altogether. Lists are read page by page, and one that shifts between two
 // pages may leave out a live worker, but not twice in a row. A list that leaves
-// out many workers that report proves nothing.
+// out many workers that report proves nothing, and neither does one with an
+// entry of another writer, which may stand in place of a worker's own.
 void
 WorkerTable::OnListed(const InstanceList& aList, const jobs::JobTable& aBook)
 {
@@ -121,7 +128,7 @@
   }
   const auto missingBefore = std::exchange(m_missingOnce, {});
   m_missingTwice.clear();
-  if (!NamesMostWorkers(index, aList.m_askedAt)) {
+  if (!index.NamesAllWorkers() || !NamesMostWorkers(index, aList.m_askedAt)) {
     return;
   }
   for (const auto& [id, tasks] : aBook.TasksByWorker()) {
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -185,6 +185,21 @@
   }
 }
 
+// Guards against a list that proves the end of a worker whose entry lacks its
+// id.
+TEST(PlatformDecode, ListedInstanceWithoutWorkerOrKnownState_IsCounted)
+{
+  const auto page = platform::ReadInstances(
+    R"({"machines":[{"machine":"m-1","pool":"s","state":"up","id":"i-1"},
+        {"machine":"m-2","pool":"s","state":"up","id":""},
+        {"machine":"m-3","pool":"s","state":"up"},
+        {"machine":"m-4","pool":"s","state":"asleep","id":"i-4"}]})",
+    m_invalid);
+  LONGS_EQUAL(4, page->m_instances.size());
+  LONGS_EQUAL(0, page->m_unreadableCount);
+  LONGS_EQUAL(2, page->m_unnamedWorkerCount);
+}
+
 TEST(PlatformDecode, Leave_NamesIncarnationOrInvalidField)
 {
   const auto incarnation =
--- a/tests/platform/instances_client_test.cpp
+++ b/tests/platform/instances_client_test.cpp
@@ -104,3 +104,28 @@
     });
   }
 }
+
+// Guards against a list that is taken for whole when an entry on one of its
+// pages cannot be read.
+TEST(InstancesClient, ListWithUnreadableEntry_TellsThatAWorkerIsUnnamed)
+{
+  RawServer server([&](int aSocket, int) {
+    for (std::string head = ReadHead(aSocket); !head.empty();
+         head = ReadHead(aSocket)) {
+      const bool isFirst = head.find("page_token") == std::string::npos;
+      Answer(aSocket,
+             200,
+             isFirst ? R"({"machines":[{"machine":7}],"next_token":"2"})"
+                     : R"({"machines":[{"machine":"m","state":"up"}]})");
+    }
+  });
+  platform::InstancesClient client(*settings::ParseAddress(server.Address()),
+                                   InstanceId{ "c1" });
+  std::promise<std::optional<placement::ListedInstances>> listed;
+  client.Calls().m_list(
+    [&](auto aListed) { listed.set_value(std::move(aListed)); });
+  const auto list = listed.get_future().get();
+  CHECK(list.has_value());
+  LONGS_EQUAL(1, list->m_readable.size());
+  LONGS_EQUAL(2, list->m_unnamedWorkerCount);
+}
--- a/tests/unit/control/job_service_test.cpp
+++ b/tests/unit/control/job_service_test.cpp
@@ -76,7 +76,9 @@
       ++m_maintenanceOrders;
       m_answerMaintenance = aDone;
     };
-    jobs.m_calls.m_list = [this](const auto& aDone) { aDone(m_listed); };
+    jobs.m_calls.m_list = [this](const auto& aDone) {
+      aDone(placement::ListedInstances{ m_listed });
+    };
     m_service = std::make_unique<JobService>(
       *m_node, m_loop->m_io.provider->getTimer(), std::move(jobs));
   }
--- a/tests/unit/placement/workers_test.cpp
+++ b/tests/unit/placement/workers_test.cpp
@@ -44,9 +44,13 @@
       .size();
   }
 
-  void List(std::int64_t aAskedAtMs, std::vector<ListedInstance> aInstances)
+  void List(std::int64_t aAskedAtMs,
+            std::vector<ListedInstance> aInstances,
+            std::size_t aUnnamedWorkerCount = 0)
   {
-    m_table.OnListed({ At(aAskedAtMs), std::move(aInstances) }, m_fleet.Book());
+    m_table.OnListed(
+      { At(aAskedAtMs), std::move(aInstances), aUnnamedWorkerCount },
+      m_fleet.Book());
   }
 
   /** An entry for the instance on which aWorker reported. */
@@ -277,6 +281,18 @@
   LONGS_EQUAL(1, CountLostAt(1'600));
 }
 
+// Guards against a task that runs twice: the entry of the worker that runs it
+// cannot be read or lacks its id.
+TEST(WorkerTable, ListsHaveEntryThatNamesNoWorker_RunsAreKeptUntilLeasesEnd)
+{
+  SubmitLongRunning(1, 1);
+  m_fleet.Start(Ref("a"), "cut");
+  Receive(Report("w1", 1), 100);
+  List(800, { Listed("w1", InstanceState::kUp, "w1") }, 1);
+  List(1'300, { Listed("w1", InstanceState::kUp, "w1") }, 1);
+  LONGS_EQUAL(0, CountLostAt(4'500));
+}
+
 TEST(WorkerTable, WorkerReportsBesideListWithoutIt_ReportIsAccepted)
 {
   Receive(Report("w1", 1), kLater);
