placement: a worker that ignores starts loses them and gets one at a time

What callers saw: tasks wait for good on a program that sends valid reports and carries out none of its orders, as no lease ends and nothing is refused.

Cause: a start that no report shows is sent again for as long as it is wanted. A heartbeat of another writer and an answer that is too large were two ways into this state; a worker process that hangs while its reports go on is another.

Change: a start that three answers over 1.5 s have carried, and that no report shows as active or ended, counts as ignored. Its worker is excluded for 6 s, then for twice as long each time, up to 96 s, and its unshown starts are no longer sent. Each ends 3 s after the last answer with it, the longest that a report is delayed, and may start elsewhere with a higher run.

What keeps a late start: a report that shows it within the 3 s. What keeps one whose answers were dropped: two lost answers exclude nobody. An end that is proposed withdraws its start, so that it is not sent again while it is committed.

Ruled out: ending the lease of such a worker; its other runs may be sound.

--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -131,6 +131,7 @@
                      TimePoint aNow);
   void RecordSkippedEnds(const placement::WorkerReport& aReport,
                          std::size_t aCount);
+  void RecordIgnoringStarts(const WorkerIncarnation& aWorker);
   void QueueEnds(std::vector<jobs::EndRun> aEnds);
   void ScheduleCycle();
   /** Ends the runs of workers whose lease has expired. */
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -129,6 +129,10 @@
    * capacity differs from what the leader assumes, and only its next report
    * shows the difference. */
   Duration m_pauseAfterRefusal = Millis{ 300 };
+  /** A start that was sent with several answers over this long, and that no
+   * report shows as active or ended, counts as ignored by its worker. A worker
+   * shows a start with its next report, unless an answer was lost. */
+  Duration m_startTimeout = Millis{ 1500 };
   /** A run without progress for this long counts as stuck, unless its estimate
    * implies that one percent of it takes longer than a third of this. */
   Duration m_stuckAfter = Millis{ 3000 };
@@ -177,6 +181,9 @@
 {
   /** Failures since the last run that ended as done. */
   std::uint32_t m_consecutiveFailures = 0;
+  /** Exclusions for ignored starts since the last start that was carried out or
+   * refused. */
+  std::uint32_t m_ignoredStarts = 0;
   TimePoint m_excludedUntil;
 };
 
@@ -190,7 +197,7 @@
   TimePoint m_shownSince;
 };
 
-/** A start that this leader has placed and not sent. */
+/** A start that this leader has placed and not sent, or has given up. */
 struct UnsentStart
 {
   RunNumber m_run;
@@ -198,6 +205,15 @@
   bool m_isWithdrawn = false;
 };
 
+/** A start that was sent, and that no report since shows as active or ended. */
+struct UnshownStart
+{
+  RunNumber m_run;
+  TimePoint m_firstSentAt;
+  /** Number of answers with the start. */
+  std::uint32_t m_answers = 0;
+};
+
 /** State of one incarnation of a worker. It ends with the incarnation, except
  * for m_health, which the next incarnation on the instance inherits. */
 struct Worker
@@ -238,6 +254,7 @@
   std::map<jobs::TaskRef, UnsentStart> m_unsent;
   /** When each unconfirmed start was last sent. */
   std::map<jobs::TaskRef, TimePoint> m_sentAt;
+  std::map<jobs::TaskRef, UnshownStart> m_unshownStarts;
   std::set<std::pair<jobs::TaskRef, RunNumber>> m_toStop;
   /** When the stop of a run in m_toStop was last sent. */
   std::map<std::pair<jobs::TaskRef, RunNumber>, TimePoint> m_stopSentAt;
@@ -250,6 +267,14 @@
     return !m_isLost && !m_listedEndAt && !m_lastReport.m_draining &&
            aNow >= m_health.m_excludedUntil;
   }
+  /** The worker has ignored starts and gets no others for a while. */
+  bool IsIgnoringStarts(TimePoint aNow) const
+  {
+    return m_health.m_ignoredStarts > 0 && aNow < m_health.m_excludedUntil;
+  }
+  /** The worker has ignored starts, and one has yet to show that it no longer
+   * does. */
+  bool IsOnProbation() const { return m_health.m_ignoredStarts > 0; }
 };
 
 /** What is known about the other tasks of a task's step. */
@@ -291,6 +316,8 @@
   /** Number of reported ends with already acknowledged numbers, whose runs the
    * state still has on this worker. */
   std::size_t m_skippedEnds = 0;
+  /** The worker is excluded from now on because it has ignored starts. */
+  bool m_isIgnoringStarts = false;
   /** Capacity or ends have changed, so that a placement pass may have
    * something to do. */
   bool m_changed = false;
@@ -571,6 +598,12 @@
                   TimePoint aNow,
                   WallTime aWall,
                   ReportResult& aResult);
+  /** Removes the starts that the last report shows or that have ended. */
+  static void TrackUnshownStarts(Worker& aWorker, const jobs::JobTable& aBook);
+  /** Excludes a worker that ignores starts, for longer each time. */
+  void ExcludeIfIgnoringStarts(Worker& aWorker,
+                               TimePoint aNow,
+                               ReportResult& aResult) const;
   void EndLostStarts(Worker& aWorker,
                      const jobs::JobTable& aBook,
                      TimePoint aNow,
@@ -649,6 +682,9 @@
   Duration ReportInterval(const Worker& aWorker,
                           const jobs::JobTable& aBook) const;
   void AddRates(Worker& aWorker, const jobs::JobTable& aBook, Orders& aOrders);
+  static void RecordSent(Worker& aWorker,
+                         const PendingStart& aStart,
+                         TimePoint aNow);
 
   LeaseOptions m_options;
   int m_reportIntervalFactor = 1;
--- a/src/control/worker_reports.cpp
+++ b/src/control/worker_reports.cpp
@@ -43,6 +43,9 @@
   if (result.m_skippedEnds > 0) {
     RecordSkippedEnds(aReport, result.m_skippedEnds);
   }
+  if (result.m_isIgnoringStarts) {
+    RecordIgnoringStarts(worker);
+  }
   if (result.m_ignored) {
     RecordIgnored(aReport, *result.m_ignored, now);
     WorkerAnswer late;
@@ -287,6 +290,20 @@
     .Write();
 }
 
+void
+JobService::RecordIgnoringStarts(const WorkerIncarnation& aWorker)
+{
+  m_metrics.Count("workers_ignoring_starts_total");
+  const placement::Worker& worker = *m_workers->Find(aWorker);
+  WorkerLogLine(Level::kWarning, "worker excluded: it ignores starts", aWorker)
+    .With("ofInstance", worker.m_lastReport.m_instance.Get())
+    .With("starts", worker.m_unshownStarts.size())
+    .With("exclusions", worker.m_health.m_ignoredStarts)
+    .With("forMs",
+          ToMillis(worker.m_health.m_excludedUntil - MonotonicNow()).count())
+    .Write();
+}
+
 // The worker forgets ends that are acknowledged; if such an end was not
 // accepted, the run would stay placed there forever.
 void
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -161,6 +161,11 @@
         aWorkers.HasLaterIncarnation(worker)) {
       continue;
     }
+    const bool isProbed =
+      !worker.m_unsent.empty() || !worker.m_unshownStarts.empty();
+    if (worker.IsOnProbation() && isProbed) {
+      continue;
+    }
     const jobs::Resources& capacity = worker.m_lastReport.m_capacity;
     const ReservedCapacity& untrackedUse = worker.m_reservedByUntracked;
     Target target{ &worker,
@@ -168,6 +173,7 @@
                    capacity.m_memoryMb - untrackedUse.m_memoryMb,
                    capacity.m_accelerators - untrackedUse.m_accelerators };
     target.m_isUnresponsive = aWorkers.IsUnresponsive(worker, aNow);
+    target.m_isOnProbation = worker.IsOnProbation();
     if (aAssessesRisks) {
       target.m_lossRisk = aWorkers.AssessRisk(worker, book, aNow);
     }
--- a/src/placement/target_pool.cpp
+++ b/src/placement/target_pool.cpp
@@ -24,7 +24,7 @@
 bool
 Planner::Target::MayStart(const jobs::StepSpec& aStep) const
 {
-  return !m_isReserved && !m_isolatedTask &&
+  return !m_isReserved && !m_isolatedTask && !AwaitsProbe() &&
          (!m_awaitsRestart || aStep.m_longRunning) && Fits(aStep);
 }
 
--- a/src/placement/target_pool.h
+++ b/src/placement/target_pool.h
@@ -39,6 +39,8 @@
   bool m_mayBeOrdered = false;
   /** The worker may be lost: it counts in the pool but gets no new tasks. */
   bool m_isUnresponsive = false;
+  /** The worker has ignored starts and gets one at a time. */
+  bool m_isOnProbation = false;
   /** Assessed only in passes with long-running tasks to place. */
   LossRisk m_lossRisk = LossRisk::kNone;
 
@@ -52,8 +54,11 @@
    * reserved. */
   bool IsOpen() const
   {
-    return !m_isolatedTask && !m_isUnresponsive && !m_awaitsRestart;
+    return !m_isolatedTask && !m_isUnresponsive && !m_awaitsRestart &&
+           !AwaitsProbe();
   }
+  /** The one start that a worker on probation gets is in the plan. */
+  bool AwaitsProbe() const { return m_isOnProbation && m_unconfirmed > 0; }
   void Allocate(const jobs::StepSpec& aStep);
   /** Takes what the tasks reserve that the state has on a worker without any
    * others. */
--- a/src/placement/worker_losses.cpp
+++ b/src/placement/worker_losses.cpp
@@ -462,6 +462,7 @@
       worker.m_isLost = true;
       worker.m_unsent.clear();
       worker.m_sentAt.clear();
+      worker.m_unshownStarts.clear();
       worker.m_toStop.clear();
       worker.m_stopSentAt.clear();
     }
--- a/src/placement/worker_orders.cpp
+++ b/src/placement/worker_orders.cpp
@@ -162,6 +162,20 @@
   return false;
 }
 
+void
+WorkerTable::RecordSent(Worker& aWorker,
+                        const PendingStart& aStart,
+                        TimePoint aNow)
+{
+  aWorker.m_unsent.erase(aStart.m_task);
+  aWorker.m_sentAt[aStart.m_task] = aNow;
+  UnshownStart& unshown = aWorker.m_unshownStarts[aStart.m_task];
+  if (unshown.m_run != aStart.m_run) {
+    unshown = { aStart.m_run, aNow };
+  }
+  ++unshown.m_answers;
+}
+
 Orders
 WorkerTable::Answer(const WorkerIncarnation& aWorker,
                     const jobs::JobTable& aBook,
@@ -186,7 +200,7 @@
       orders.m_stops.push_back({ run.m_task, run.m_run });
     }
   }
-  if (!report.m_draining) {
+  if (!report.m_draining && !worker.IsIgnoringStarts(aNow)) {
     std::size_t bytes = 0;
     for (const PendingStart& start : FindPending(worker, aBook)) {
       if (bytes >= kMaxStartBytes) {
@@ -200,8 +214,7 @@
           isWithdrawn) {
         continue;
       }
-      worker.m_unsent.erase(start.m_task);
-      worker.m_sentAt[start.m_task] = aNow;
+      RecordSent(worker, start, aNow);
       orders.m_starts.push_back({ start.m_task,
                                   start.m_run,
                                   start.m_job->m_spec.m_payload,
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -16,6 +16,11 @@
  * in a row. */
 constexpr std::uint32_t kFailuresToExclude = 3;
 constexpr Duration kExclusionPeriod = Millis{ 6000 };
+/** Minimum number of answers with a start before it counts as ignored: a
+ * broken connection or a leader that answers too late loses one or two. */
+constexpr std::uint32_t kMinAnswersToIgnore = 3;
+/** Limits the exclusion of a worker that ignores starts to 16 periods. */
+constexpr std::uint32_t kMaxExclusionDoublings = 4;
 
 /** A worker drops an answer that takes longer, and reports again. */
 constexpr Duration kAnswerTimeout = Millis{ 1000 };
@@ -238,6 +243,7 @@
   std::erase_if(worker.m_superseded,
                 [&](const auto& aRun) { return aNow >= aRun.second; });
   CountActive(worker, aBook);
+  TrackUnshownStarts(worker, aBook);
   result.m_changed =
     result.m_changed || (hadIsolatedRun && !HasIsolatedRun(worker, aBook));
   TrackProgress(worker, aNow);
@@ -564,13 +570,56 @@
   return pending;
 }
 
+void
+WorkerTable::TrackUnshownStarts(Worker& aWorker, const jobs::JobTable& aBook)
+{
+  const WorkerReport& report = aWorker.m_lastReport;
+  std::erase_if(aWorker.m_unshownStarts, [&](const auto& aEntry) {
+    const auto& [task, start] = aEntry;
+    const bool isShown = Contains(report.m_active, task, start.m_run) ||
+                         Contains(report.m_ended, task, start.m_run);
+    if (isShown) {
+      aWorker.m_health.m_ignoredStarts = 0;
+    }
+    return isShown || !IsPlaced(aBook, report.m_worker, task, start.m_run);
+  });
+}
+
+// Another program may send valid reports and execute no order, and a process
+// may hang while its reports go on. Its tasks would wait for good, as no lease
+// ends and nothing fails. It gets one start at a time, after ever longer
+// pauses, until a report shows one.
+void
+WorkerTable::ExcludeIfIgnoringStarts(Worker& aWorker,
+                                     TimePoint aNow,
+                                     ReportResult& aResult) const
+{
+  const auto& starts = aWorker.m_unshownStarts;
+  const bool isIgnoring =
+    std::any_of(starts.begin(), starts.end(), [&](const auto& aEntry) {
+      const UnshownStart& start = aEntry.second;
+      return start.m_answers >= kMinAnswersToIgnore &&
+             aNow >= start.m_firstSentAt + m_options.m_startTimeout;
+    });
+  HealthRecord& health = aWorker.m_health;
+  if (!isIgnoring || aWorker.IsIgnoringStarts(aNow)) {
+    return;
+  }
+  const auto doublings =
+    std::min(health.m_ignoredStarts, kMaxExclusionDoublings);
+  ++health.m_ignoredStarts;
+  health.m_excludedUntil = aNow + kExclusionPeriod * (1 << doublings);
+  aResult.m_isIgnoringStarts = true;
+  aResult.m_changed = true;
+}
+
 // A start that no report shows long after it was sent was lost together with
-// its answer. If the run is no longer wanted there, or does not fit, its
-// reservation is released; other starts are simply sent again. Without this, a
-// task whose start was lost on a draining worker would wait until that worker
-// ends. The next report alone proves nothing: one that announces draining is
-// sent while an answer is under way, and a run that starts with that answer
-// would run a second time elsewhere.
+// its answer, or its worker ignores starts. If the run is no longer wanted
+// there, or does not fit, its reservation is released; other starts are simply
+// sent again. Without this, a task whose start was lost on a draining worker
+// would wait until that worker ends. The next report alone proves nothing: one
+// that announces draining is sent while an answer is under way, and a run that
+// starts with that answer would run a second time elsewhere.
 void
 WorkerTable::EndLostStarts(Worker& aWorker,
                            const jobs::JobTable& aBook,
@@ -583,10 +632,12 @@
       placed->second.size() == aWorker.m_reportedRuns) {
     return;
   }
+  ExcludeIfIgnoringStarts(aWorker, aNow, aResult);
   for (const PendingStart& start : FindPending(aWorker, aBook)) {
     const jobs::TaskRef& ref = start.m_task;
     const bool isWanted = start.m_job->m_state == jobs::JobState::kActive &&
-                          !aWorker.m_lastReport.m_draining && start.m_fits;
+                          !aWorker.m_lastReport.m_draining && start.m_fits &&
+                          !aWorker.IsIgnoringStarts(aNow);
     if (isWanted) {
       continue;
     }
@@ -596,6 +647,8 @@
     const bool isLostStart = aNow >= since + m_options.m_maxReportDelay;
     if (isLostStart) {
       aWorker.m_sentAt.erase(ref);
+      aWorker.m_unshownStarts.erase(ref);
+      aWorker.m_unsent[ref] = { start.m_run, true };
       aResult.m_changed = true;
       aResult.m_ends.push_back(
         { ref, start.m_run, jobs::RunEnd::kStopped, "", aWall });
