placement: starts that exceed an answer follow within 50 ms

What callers would see: a gang of many members with long specs on one worker times out, as its members' starts come with one report after another.

Cause: an answer carries starts of 512 KiB at most, and the next report comes only after the usual interval of 200 ms, or 500 ms at a full worker.

Change: an answer that leaves starts over asks for the next report after 50 ms, times the factor of an overloaded leader.

Ruled out: a bound on stops and rates. Each is shorter than the row of the report that it answers, and a report over 4 MiB is refused.

Evidence: StartsOfGangExceedAnAnswer_AllAreSentBeforeItTimesOut, 2,400 members with the longest spec, fails on the old code (3 s allowed).

--- a/src/placement/worker_orders.cpp
+++ b/src/placement/worker_orders.cpp
@@ -188,8 +188,6 @@
   orders.m_lease = m_options.m_lease;
   orders.m_nextReport = ReportInterval(worker, aBook);
   worker.m_leaseEnd = aNow + MaxLeaseDuration();
-  worker.m_reportDueAt =
-    aNow + orders.m_nextReport + m_options.m_reportTolerance;
   for (const RunReport& run : report.m_active) {
     const jobs::Job* job = aBook.Find(run.m_task.m_job);
     const bool isWanted =
@@ -203,7 +201,10 @@
   if (!report.m_draining && !worker.IsIgnoringStarts(aNow)) {
     std::size_t bytes = 0;
     for (const PendingStart& start : FindPending(worker, aBook)) {
+      // The other members of a gang wait for those in the next answers.
       if (bytes >= kMaxStartBytes) {
+        orders.m_nextReport =
+          m_options.m_steadyReportDelay * m_reportIntervalFactor;
         break;
       }
       const auto unsent = worker.m_unsent.find(start.m_task);
@@ -222,6 +223,8 @@
       bytes += SizeOf(orders.m_starts.back());
     }
   }
+  worker.m_reportDueAt =
+    aNow + orders.m_nextReport + m_options.m_reportTolerance;
   AddRates(worker, aBook, orders);
   return orders;
 }
--- a/tests/unit/placement/workers_test.cpp
+++ b/tests/unit/placement/workers_test.cpp
@@ -64,6 +64,25 @@
              WorkerId{ aListedWorker } };
   }
 
+  /** Places tasks with the longest payload on "w1", whose first report is
+   * returned. */
+  WorkerReport PlaceWithLongPayload(std::uint32_t aTasks, bool aIsGang)
+  {
+    JobSpec spec = Spec({ Step(aTasks, 1) });
+    spec.m_steps[0].m_resources.m_memoryMb = 0;
+    spec.m_steps[0].m_gang = aIsGang;
+    spec.m_payload = std::string(4'000, 'x');
+    m_fleet.Submit("a", spec);
+    WorkerReport report = Report("w1", 1);
+    Receive(report, kLater);
+    std::vector<Change> starts;
+    for (std::uint32_t i = 0; i < aTasks; ++i) {
+      starts.push_back(StartRun{ Ref("a", i), RunNumber{ 1 }, Life("w1") });
+    }
+    m_fleet.Apply(starts);
+    return report;
+  }
+
   void SubmitLongRunning(std::uint32_t aCount, std::uint32_t aBudget)
   {
     StepSpec step = Step(aCount);
@@ -168,21 +187,10 @@
 // Guards against a worker that drops each answer because all starts are in it.
 TEST(WorkerTable, StartsExceedAnAnswer_LaterAnswersHaveTheRest)
 {
-  constexpr std::uint32_t kTasks = 1'200;
   constexpr std::size_t kMaxAnswer = 4 * 1024 * 1024;
   constexpr std::size_t kMaxBytesPerCharacter = 6;
-  JobSpec spec = Spec({ Step(kTasks, 1) });
-  spec.m_steps[0].m_resources.m_memoryMb = 0;
-  spec.m_payload = std::string(4'000, 'x');
-  m_fleet.Submit("a", spec);
-  WorkerReport report = Report("w1", 1);
-  Receive(report, kLater);
-  std::vector<Change> starts;
-  for (std::uint32_t i = 0; i < kTasks; ++i) {
-    starts.push_back(StartRun{ Ref("a", i), RunNumber{ 1 }, Life("w1") });
-  }
-  m_fleet.Apply(starts);
-  while (report.m_active.size() < kTasks) {
+  WorkerReport report = PlaceWithLongPayload(1'200, false);
+  while (report.m_active.size() < 1'200) {
     const Orders orders = Answer("w1", kLater);
     CHECK_FALSE(orders.m_starts.empty());
     std::size_t bytes = 0;
@@ -196,6 +204,27 @@
   }
 }
 
+// Guards against a gang that times out because its members' starts come with
+// several answers.
+TEST(WorkerTable, StartsOfGangExceedAnAnswer_AllAreSentBeforeItTimesOut)
+{
+  constexpr std::uint32_t kMembers = 2'400;
+  constexpr Duration kGangTimeout = Millis{ 3'000 };
+  WorkerReport report = PlaceWithLongPayload(kMembers, true);
+  Duration sinceFirst{};
+  while (report.m_active.size() < kMembers) {
+    const Orders orders = Answer("w1", kLater);
+    CHECK_FALSE(orders.m_starts.empty());
+    for (const StartOrder& start : orders.m_starts) {
+      report.m_active.push_back(Active(start.m_task));
+    }
+    sinceFirst += orders.m_nextReport;
+    ++report.m_sequence;
+    Receive(report, kLater);
+  }
+  CHECK(sinceFirst < kGangTimeout);
+}
+
 // A new leader does not know the leases that an earlier one granted.
 TEST(WorkerTable, WorkerNeverReportsToNewLeader_LosesRunsAfterMaxLease)
 {
