consensus: a leader that is stopped hands its leadership over

What callers saw: each planned stop of a leader leaves them without one for an election timeout, and with little of a drain left, requests at another stopping entry get 503 or 504 for it.

Cause: a control process ends at its SIGTERM; the others wait for its lease.

Change: at SIGTERM a leader steps down, which ends its lease, and asks the voter that holds most of the log to start an election at once. Its vote requests say so, and voters need not wait for the lease. A late handover is ignored: it counts only from the leader that the receiver follows in that term. Orders to the platform that have not been sent are dropped, as the next leader's first order comes a fixed time after its election. The process ends once the next leader is known, after 300 ms at most. Replicas of earlier versions ignore the message and elect as before.

Ruled out: handing over while keeping the lease until it ends; voters would have to wait for it.

--- a/include/bamboostile/consensus/replica.h
+++ b/include/bamboostile/consensus/replica.h
@@ -83,6 +83,11 @@
   Error AddMember(Member aMember, TimePoint aNow);
   Error RemoveMember(const InstanceId& aInstance, TimePoint aNow);
 
+  /** Steps down as leader and makes the voter that holds most of the log start
+   * an election at once. Returns false, and changes nothing, if this replica
+   * does not lead or no other voter answers. */
+  bool HandOver(TimePoint aNow);
+
   /** Replaces the log up to aApplied by a snapshot of the state there. A leader
    * keeps the entries that members which are catching up still need. */
   void Compact(Index aApplied, std::string aState, TimePoint aNow);
@@ -217,6 +222,8 @@
               Term,
               TimePoint);
 
+  void Handle(const ReplicaId& aFrom, const Handover&, Term, TimePoint);
+
   void HandlePreVoteAfterRestart(const ReplicaId& aFrom,
                                  const VoteRequest& aVote,
                                  Term aTerm,
@@ -224,9 +231,9 @@
 
   void BecomeFollower(Term aTerm, TimePoint aNow);
   void StartPreVote(TimePoint aNow);
-  void StartElection(TimePoint aNow);
+  void StartElection(TimePoint aNow, bool aIsHandover = false);
   void BecomeLeader(TimePoint aNow);
-  void RequestVotes(bool aPreVote);
+  void RequestVotes(bool aPreVote, bool aIsHandover = false);
   void NoteElectionLost();
   bool HasVoteQuorum() const;
   bool KnowsNoLeader() const;
--- a/include/bamboostile/consensus/types.h
+++ b/include/bamboostile/consensus/types.h
@@ -83,6 +83,9 @@
   bool m_preVote = false;
   Index m_lastIndex;
   Term m_lastTerm;
+  /** The leader of the previous term has stepped down in favour of the sender:
+   * its lease is over. */
+  bool m_isHandover = false;
 };
 
 struct VoteReply
@@ -163,12 +166,18 @@
   TimePoint m_sentAt;
 };
 
+/** Asks a voter to start an election at once. The sender led the message's term
+ * and has stepped down. */
+struct Handover
+{};
+
 using MessageBody = std::variant<VoteRequest,
                                  VoteReply,
                                  AppendRequest,
                                  AppendReply,
                                  SnapshotChunk,
-                                 SnapshotProgress>;
+                                 SnapshotProgress,
+                                 Handover>;
 
 struct Message
 {
--- a/include/bamboostile/control/node.h
+++ b/include/bamboostile/control/node.h
@@ -84,6 +84,9 @@
   void Deliver(const consensus::Message& aMessage, std::string aReplyTo);
   consensus::Error Bootstrap();
   consensus::Error RemoveMember(const InstanceId& aInstance);
+  /** Hands leadership over to another replica, if this one leads. Resolves once
+   * another leader is known, or after a timeout. */
+  kj::Promise<void> HandOver();
   std::string StatusJson() const;
   /** Adds the metrics of this replica and, on the leader, of the others. */
   void ExportMetrics(telemetry::Metrics& aMetrics) const;
@@ -139,6 +142,7 @@
   void AdvanceWaves(TimePoint aNow);
   void ProposeDuty(const fleet::Command& aCommand);
   void MaybeCompact();
+  kj::Promise<void> AwaitLeader(TimePoint aUntil);
   std::optional<std::string> AddressOf(const consensus::ReplicaId& aId) const;
 
   NodeOptions m_options;
--- a/schema/internal.capnp
+++ b/schema/internal.capnp
@@ -67,6 +67,8 @@
       preVote @3 :Bool;
       lastIndex @4 :UInt64;
       lastTerm @5 :UInt64;
+      isHandover @30 :Bool;
+      # Replicas of earlier versions refuse the vote while they hear a leader.
     }
     voteReply :group {
       replyPreVote @6 :Bool;
@@ -110,6 +112,8 @@
       received @24 :UInt64;
       progressSentAt @25 :Int64;
     }
+    handover @31 :Void;
+    # Replicas of earlier versions ignore it.
   }
 }
 
--- a/src/consensus/elections.cpp
+++ b/src/consensus/elections.cpp
@@ -159,7 +159,7 @@
 }
 
 void
-Replica::StartElection(TimePoint aNow)
+Replica::StartElection(TimePoint aNow, bool aIsHandover)
 {
   m_role = Role::kCandidate;
   m_inPreVote = false;
@@ -173,18 +173,19 @@
     BecomeLeader(aNow);
     return;
   }
-  RequestVotes(false);
+  RequestVotes(false, aIsHandover);
 }
 
 void
-Replica::RequestVotes(bool aPreVote)
+Replica::RequestVotes(bool aPreVote, bool aIsHandover)
 {
   m_actions.push_back(
     ElectionStarted{ m_hardState.m_term, LastIndex(), aPreVote });
   for (const Member& member : CurrentMembership().m_members) {
     if (member.m_voter && member.m_id != m_self) {
-      SendWhenSynced(member.m_id,
-                     VoteRequest{ aPreVote, LastIndex(), LastTerm() });
+      SendWhenSynced(
+        member.m_id,
+        VoteRequest{ aPreVote, LastIndex(), LastTerm(), aIsHandover });
     }
   }
 }
@@ -281,7 +282,10 @@
   const bool isExpectedCandidate =
     noLeaderReply != m_noLeaderReplies.end() &&
     aTerm == Term{ noLeaderReply->second.Get() + 1 };
-  if (isLeaderAlive && !isExpectedCandidate) {
+  const bool hasHandedOver = aVote.m_isHandover && !aVote.m_preVote &&
+                             m_role != Role::kLeader &&
+                             aTerm > m_hardState.m_term;
+  if (isLeaderAlive && !isExpectedCandidate && !hasHandedOver) {
     return;
   }
   if (aVote.m_preVote) {
@@ -367,4 +371,43 @@
   }
 }
 
+// A leader that is about to stop would leave its callers without one for an
+// election timeout. Its lease ends as it steps down, before any message asks
+// for a vote, so voters need not wait for the lease.
+bool
+Replica::HandOver(TimePoint aNow)
+{
+  const Progress* most = nullptr;
+  ReplicaId successor;
+  for (const auto& [id, progress] : m_progress) {
+    const bool isCandidate = m_role == Role::kLeader &&
+                             CurrentMembership().IsVoter(id) &&
+                             IsAnswering(id, aNow);
+    if (isCandidate && (most == nullptr || progress.m_match > most->m_match)) {
+      most = &progress;
+      successor = id;
+    }
+  }
+  if (most == nullptr) {
+    return false;
+  }
+  BecomeFollower(m_hardState.m_term, aNow);
+  SendNow(successor, Handover{});
+  return true;
+}
+
+// A handover that arrives late must not end the term of a later leader.
+void
+Replica::Handle(const ReplicaId& aFrom,
+                const Handover&,
+                Term aTerm,
+                TimePoint aNow)
+{
+  const bool isFromLeader = aTerm == m_hardState.m_term && m_leader == aFrom;
+  if (isFromLeader && m_role == Role::kFollower &&
+      CurrentMembership().IsVoter(m_self)) {
+    StartElection(aNow, true);
+  }
+}
+
 } // namespace bamboostile::consensus
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -25,6 +25,8 @@
 /** Far above a commit on slow disks, and well below the time that callers wait.
  */
 constexpr Duration kStallThreshold = Millis{ 800 };
+/** Longer than an election without timeouts on slow disks. */
+constexpr Duration kHandoverTimeout = Millis{ 300 };
 
 kj::Duration
 ToKj(Duration aDuration)
@@ -317,6 +319,33 @@
   WakeViewWaiters();
 }
 
+kj::Promise<void>
+Node::HandOver()
+{
+  if (!m_replica.HandOver(MonotonicNow())) {
+    return kj::READY_NOW;
+  }
+  LogLine(Level::kInfo, "leadership handed over")
+    .With("term", m_replica.CurrentTerm().Get())
+    .Write();
+  Pump();
+  UpdateRole();
+  return AwaitLeader(MonotonicNow() + kHandoverTimeout);
+}
+
+// Until then this process answers calls, so that its callers are told about the
+// next leader.
+kj::Promise<void>
+Node::AwaitLeader(TimePoint aUntil)
+{
+  if (m_replica.Leader() || MonotonicNow() >= aUntil) {
+    return kj::READY_NOW;
+  }
+  return m_timer.afterDelay(ToKj(kTickInterval)).then([this, aUntil]() {
+    return AwaitLeader(aUntil);
+  });
+}
+
 void
 Node::ProposeDuty(const fleet::Command& aCommand)
 {
--- a/src/wire/consensus_codec.cpp
+++ b/src/wire/consensus_codec.cpp
@@ -17,6 +17,7 @@
 using consensus::CommandBytes;
 using consensus::EntryFragment;
 using consensus::FragmentProgress;
+using consensus::Handover;
 using consensus::LogEntry;
 using consensus::Member;
 using consensus::Membership;
@@ -141,6 +142,7 @@
   to.setPreVote(aBody.m_preVote);
   to.setLastIndex(aBody.m_lastIndex.Get());
   to.setLastTerm(aBody.m_lastTerm.Get());
+  to.setIsHandover(aBody.m_isHandover);
 }
 
 void
@@ -206,6 +208,12 @@
   to.setProgressSentAt(FromTime(aBody.m_sentAt));
 }
 
+void
+WriteBody(const Handover&, schema::Message::Builder aTo)
+{
+  aTo.setHandover();
+}
+
 SnapshotChunk
 ToChunk(Snapshot aPart,
         std::uint64_t aSize,
@@ -256,8 +264,11 @@
       auto from = aFrom.getVoteRequest();
       return VoteRequest{ from.getPreVote(),
                           Index{ from.getLastIndex() },
-                          Term{ from.getLastTerm() } };
+                          Term{ from.getLastTerm() },
+                          from.getIsHandover() };
     }
+    case schema::Message::HANDOVER:
+      return Handover{};
     case schema::Message::VOTE_REPLY: {
       auto from = aFrom.getVoteReply();
       return VoteReply{ from.getReplyPreVote(),
--- a/tests/differential/consensus_history_test.cpp
+++ b/tests/differential/consensus_history_test.cpp
@@ -104,7 +104,7 @@
  * that crash between write and sync, freeze, and are cut off in one direction
  * or both, and snapshots at any point. */
 void
-PlaySeeds(std::size_t aMaxBatchBytes)
+PlaySeeds(std::size_t aMaxBatchBytes, bool aHasHandovers = false)
 {
   for (std::uint64_t seed = 1; seed <= 400; ++seed) {
     Faults faults;
@@ -128,6 +128,9 @@
     for (int round = 0; round < 100; ++round) {
       replicas.Propose("c" + std::to_string(round));
       InjectFault(replicas, maxDown);
+      if (aHasHandovers && round % 4 == 0) {
+        replicas.HandOver();
+      }
       replicas.Run(Millis{ 10 + replicas.Random()() % 250 });
     }
     Heal(replicas, noFaults);
@@ -157,3 +160,10 @@
 {
   PlaySeeds(1);
 }
+
+// Guards against a leader that answers reads under a lease while its successor
+// already leads.
+TEST(ConsensusHistory, RandomFaultsAndHandovers_EqualsOneCopyMachine)
+{
+  PlaySeeds(consensus::ReplicaOptions{}.m_maxBatchBytes, true);
+}
--- a/tests/platform/instances_client_test.cpp
+++ b/tests/platform/instances_client_test.cpp
@@ -129,3 +129,19 @@
   LONGS_EQUAL(1, list->m_readable.size());
   LONGS_EQUAL(2, list->m_unnamedWorkerCount);
 }
+
+// Guards against an order that a stopping leader sends beside its successor's.
+TEST(InstancesClient, OrdersAreStopped_OrderIsNotSent)
+{
+  RawServer server([&](int, int) { ++m_orders; });
+  platform::InstancesClient client(*settings::ParseAddress(server.Address()),
+                                   InstanceId{ "c1" });
+  client.StopOrders();
+  std::promise<InstanceAnswer> answered;
+  client.Calls().m_move(
+    { InstanceId{ "i1" }, ServiceId{ "desk" }, 1 },
+    Term{ 1 },
+    [&](const auto& aAnswer) { answered.set_value(aAnswer.m_answer); });
+  CHECK(answered.get_future().get() == InstanceAnswer::kNotSent);
+  LONGS_EQUAL(0, m_orders);
+}
--- a/tests/support/replicas.cpp
+++ b/tests/support/replicas.cpp
@@ -493,6 +493,17 @@
   return leader;
 }
 
+bool
+Replicas::HandOver()
+{
+  const auto leader = Leader();
+  const bool isHandedOver = leader && At(*leader).HandOver(LocalNow(*leader));
+  if (isHandedOver) {
+    Drain(*leader);
+  }
+  return isHandedOver;
+}
+
 bool
 Replicas::Propose(const std::string& aCommand)
 {
--- a/tests/support/replicas.h
+++ b/tests/support/replicas.h
@@ -72,6 +72,8 @@
     m_delayTo[aNode] = aDelay;
   }
 
+  /** Lets the leader hand over; returns whether it found a successor. */
+  bool HandOver();
   /** Proposes a command to the leader; returns false if there is none or it
    * refuses. */
   bool Propose(const std::string& aCommand);
--- a/tests/unit/consensus/replica_test.cpp
+++ b/tests/unit/consensus/replica_test.cpp
@@ -51,6 +51,63 @@
   CheckNoViolation(replicas);
 }
 
+// Guards against callers that wait for an election timeout while a leader is
+// stopped as planned.
+TEST(Replica, LeaderHandsOver_AnotherLeadsBeforeAnElectionTimeout)
+{
+  for (const std::size_t size : { 2, 3, 5 }) {
+    Replicas replicas(size, size, {});
+    CHECK(replicas.Form());
+    CHECK(ProposeAndWait(replicas, "a"));
+    const std::size_t old = *replicas.Leader();
+    CHECK(replicas.HandOver());
+    CHECK_FALSE(replicas.At(old).HoldsLease(replicas.LocalNow(old)));
+    const auto isElected = [&]() {
+      const auto leader = replicas.Leader();
+      return leader && *leader != old;
+    };
+    CHECK(replicas.RunUntil(
+      isElected, consensus::ReplicaOptions{}.m_minElectionTimeout / 2));
+    CHECK(ProposeAndWait(replicas, "b"));
+    CheckNoViolation(replicas);
+  }
+}
+
+// Guards against a delayed handover that ends the term of a later leader.
+TEST(Replica, HandoverArrivesLate_IsIgnored)
+{
+  Replicas replicas(3, 7, {});
+  CHECK(replicas.Form());
+  const std::size_t old = *replicas.Leader();
+  const Term oldTerm = replicas.At(old).CurrentTerm();
+  replicas.Crash(old);
+  replicas.Run(kPastTimeouts);
+  const std::size_t leader = *replicas.Leader();
+  const std::size_t follower = 3 - old - leader;
+  replicas.Start(old);
+  replicas.Run(kPastTimeouts);
+  for (const std::size_t sender : { old, leader }) {
+    replicas.At(follower).Receive({ replicas.At(sender).Self(),
+                                    replicas.At(follower).Self(),
+                                    oldTerm,
+                                    consensus::Handover{} },
+                                  replicas.LocalNow(follower));
+    replicas.Drain(follower);
+  }
+  replicas.Run(kPastTimeouts);
+  LONGS_EQUAL(leader, *replicas.Leader());
+  CHECK(replicas.At(leader).CurrentTerm() ==
+        replicas.At(follower).CurrentTerm());
+}
+
+TEST(Replica, NoOtherVoterAnswers_LeaderDoesNotHandOver)
+{
+  Replicas replicas(1, 8, {});
+  CHECK(replicas.Form());
+  CHECK_FALSE(replicas.HandOver());
+  CHECK(ProposeAndWait(replicas, "a"));
+}
+
 // All processes die at once, with writes between the queue and the disk.
 // Everything acknowledged had been synced by a quorum and must be recovered.
 TEST(Replica, AllKilledAtOnce_Restarted_NothingAcknowledgedIsLost)
--- a/tests/unit/control/peer_links_test.cpp
+++ b/tests/unit/control/peer_links_test.cpp
@@ -102,6 +102,13 @@
   UNSIGNED_LONGS_EQUAL(65, reply.m_fragment->m_received);
 }
 
+TEST(ConsensusCodec, Handover_WrittenAndRead_IsEqual)
+{
+  Transmit(consensus::Handover{});
+  CHECK(Transmit(consensus::VoteRequest{ false, {}, {}, true }).m_isHandover);
+  CHECK_FALSE(Transmit(consensus::VoteRequest{ false, {}, {} }).m_isHandover);
+}
+
 // Guards against fragments for a replica of an earlier version, whose replies
 // have no fields for them.
 TEST(ConsensusCodec, AppendReply_OfEarlierVersion_AcceptsNoFragments)
--- a/tools/bamboostiled/main.cpp
+++ b/tools/bamboostiled/main.cpp
@@ -426,30 +426,42 @@
 
   kj::Promise<int> WaitForStop()
   {
-    return StopSignal().then([this]() -> kj::Promise<int> {
+    return StopSignal().then([this]() {
       LogLine(Level::kInfo, "stopping").Write();
-      if (m_callerFront) {
-        return m_callerFront->Drain().then([]() { return kExitDone; });
+      if (!m_node) {
+        return Drain();
       }
-      if (!m_frontend) {
-        return kExitDone;
+      // The next leader gives its orders a fixed time after its election.
+      if (m_instances) {
+        m_instances->StopOrders();
       }
-      auto pair = kj::newPromiseAndCrossThreadFulfiller<void>();
-      m_drainFulfiller = kj::mv(pair.fulfiller);
-      m_frontend->Drain([this]() {
-        if (m_drainFulfiller->isWaiting()) {
-          m_drainFulfiller->fulfill();
-        }
-      });
-      auto finished = pair.promise.then([]() { return kExitDone; });
-      auto forced = StopSignal().then([this]() {
-        LogLine(Level::kWarning, "drain interrupted by a second signal")
-          .With("abandonedRequests", m_frontend->OpenRequests())
-          .Write();
-        return kExitFailed;
-      });
-      return finished.exclusiveJoin(kj::mv(forced));
+      return m_node->HandOver().then([this]() { return Drain(); });
+    });
+  }
+
+  kj::Promise<int> Drain()
+  {
+    if (m_callerFront) {
+      return m_callerFront->Drain().then([]() { return kExitDone; });
+    }
+    if (!m_frontend) {
+      return kExitDone;
+    }
+    auto pair = kj::newPromiseAndCrossThreadFulfiller<void>();
+    m_drainFulfiller = kj::mv(pair.fulfiller);
+    m_frontend->Drain([this]() {
+      if (m_drainFulfiller->isWaiting()) {
+        m_drainFulfiller->fulfill();
+      }
+    });
+    auto finished = pair.promise.then([]() { return kExitDone; });
+    auto forced = StopSignal().then([this]() {
+      LogLine(Level::kWarning, "drain interrupted by a second signal")
+        .With("abandonedRequests", m_frontend->OpenRequests())
+        .Write();
+      return kExitFailed;
     });
+    return finished.exclusiveJoin(kj::mv(forced));
   }
 
   settings::Settings m_settings;
