--- a/tests/unit/placement/ignored_starts_test.cpp
+++ b/tests/unit/placement/ignored_starts_test.cpp
@@ -43,8 +43,7 @@
       m_fleet.State(), m_table, {}, At(m_nowMs), WallTime{ 1 });
     m_table.RecordPlannedStarts(plan.m_changes);
     m_fleet.Apply(plan.m_changes);
-    m_starts =
-      m_table.Answer(Life("w1"), m_fleet.Book(), At(m_nowMs)).m_starts;
+    m_starts = m_table.Answer(Life("w1"), m_fleet.Book(), At(m_nowMs)).m_starts;
     return result;
   }
 
@@ -130,8 +129,8 @@
     m_table.OnReport(report, m_fleet.Book(), At(m_nowMs), WallTime{ 1 })
       .m_ends.size());
   m_nowMs += 60'000;
-  CHECK(m_table.Answer(Life("w1"), m_fleet.Book(), At(m_nowMs))
-          .m_starts.empty());
+  CHECK(
+    m_table.Answer(Life("w1"), m_fleet.Book(), At(m_nowMs)).m_starts.empty());
 }
 
 TEST(IgnoredStarts, TwoAnswersAreLost_WorkerIsKept)
@@ -168,11 +167,9 @@
   m_fleet.Submit("a", Spec({ Step(3) }));
   AwaitExclusion(1);
   ReportUntil([&]() { return !m_starts.empty(); });
-  m_ended = { { 1,
-                m_starts.front().m_task,
-                m_starts.front().m_run,
-                RunEnd::kRefused,
-                "" } };
+  m_ended = {
+    { 1, m_starts.front().m_task, m_starts.front().m_run, RunEnd::kRefused, "" }
+  };
   m_starts.clear();
   ReportUntil([&]() { return !m_starts.empty(); });
   LONGS_EQUAL(3, m_starts.size());
