tests: an order counts as sent when its bytes arrive, not its connection

The client asks whether it may send right before the first byte, on a connection that is open by then, and the test's server counted the connection. The answer, that nothing was sent, was right. The server now counts what it reads, and the test waits until the connection has ended, so that it cannot pass for being early.

The comment of a timeout names what waits.

--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -25,7 +25,8 @@
 /** Far above a commit on slow disks, and well below the time that callers wait.
  */
 constexpr Duration kStallThreshold = Millis{ 800 };
-/** Longer than an election without timeouts on slow disks. */
+/** Maximum time that a stopping leader waits for its successor. An election
+ * without timeouts takes less, even on slow disks. */
 constexpr Duration kHandoverTimeout = Millis{ 300 };
 
 kj::Duration
--- a/tests/platform/instances_client_test.cpp
+++ b/tests/platform/instances_client_test.cpp
@@ -133,7 +133,11 @@
 // Guards against an order that a stopping leader sends beside its successor's.
 TEST(InstancesClient, OrdersAreStopped_OrderIsNotSent)
 {
-  RawServer server([&](int, int) { ++m_orders; });
+  std::promise<void> connectionEnded;
+  RawServer server([&](int aSocket, int) {
+    m_orders += ReadHead(aSocket).empty() ? 0 : 1;
+    connectionEnded.set_value();
+  });
   platform::InstancesClient client(*settings::ParseAddress(server.Address()),
                                    InstanceId{ "c1" });
   client.StopOrders();
@@ -143,5 +147,6 @@
     Term{ 1 },
     [&](const auto& aAnswer) { answered.set_value(aAnswer.m_answer); });
   CHECK(answered.get_future().get() == InstanceAnswer::kNotSent);
+  connectionEnded.get_future().wait();
   LONGS_EQUAL(0, m_orders);
 }
