placement: the log says what keeps a waiting long-running task from each worker

A task that finds no worker now has a census of the workers of its service: each counts once, as excluded, unresponsive, disallowed, full or withheld. A move says which pool it leaves and for how long its worker has reported. The census is made only for long-running tasks that wait.

Test: PlacementPlanner LongRunningTaskFindsNoWorker_PlanCountsWorkersByReason (new fields: it does not compile on the old code).

--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -47,6 +47,22 @@
   kScan,
 };
 
+/** What keeps a task from the workers of its service. Each worker that is not
+ * lost counts once, for the first reason that applies. */
+struct WorkerCensus
+{
+  /** It is draining, cordoned, excluded or about to be replaced. */
+  std::size_t m_excluded = 0;
+  std::size_t m_unresponsive = 0;
+  /** It lacks the label, or has as many tasks of the step as allowed. */
+  std::size_t m_disallowed = 0;
+  /** It lacks capacity. */
+  std::size_t m_full = 0;
+  /** It has capacity that is kept for others: an isolated run, a restart, a
+   * probe or a reservation. */
+  std::size_t m_withheld = 0;
+};
+
 /** A task that was looked at in a placement pass and not started. */
 struct WaitingTask
 {
@@ -60,6 +76,8 @@
   std::optional<Millis> m_withoutRun{};
   /** The isolated run that it waits for, with kOtherRunOfJob. */
   std::optional<jobs::TaskRef> m_blockedBy{};
+  /** For a long-running task that found no worker. */
+  std::optional<WorkerCensus> m_workers{};
 };
 
 /** The next start of a long-running task that had been started before. */
--- a/src/control/instance_service.cpp
+++ b/src/control/instance_service.cpp
@@ -268,10 +268,14 @@
   CordonWorkers(plan.m_cordoned, CordonCause::kMove, aNow);
   LogCapacity(plan.m_pools, aNow);
   for (const placement::MoveOrder& order : plan.m_orders) {
-    LogLine(Level::kInfo, "moving an instance")
-      .With("ofInstance", order.m_instance.Get())
-      .With("to", order.m_to.Get())
-      .Write();
+    LogLine line{ Level::kInfo, "moving an instance" };
+    line.With("ofInstance", order.m_instance.Get())
+      .With("to", order.m_to.Get());
+    if (const auto* worker = aWorkers.FindByInstance(order.m_instance)) {
+      line.With("from", worker->m_lastReport.m_service.Get())
+        .With("reportsForMs", ToMillis(aNow - worker->m_firstReportAt).count());
+    }
+    line.Write();
   }
   RecordAndSend(plan.m_orders, aNow);
   m_pools = std::move(plan.m_pools);
--- a/src/control/waiting_monitor.cpp
+++ b/src/control/waiting_monitor.cpp
@@ -49,6 +49,13 @@
     line.With("behindTask", aWaiting.m_last.m_blockedBy->m_index)
       .With("behindStep", aWaiting.m_last.m_blockedBy->m_step);
   }
+  if (const auto& workers = aWaiting.m_last.m_workers) {
+    line.With("workersExcluded", workers->m_excluded)
+      .With("workersUnresponsive", workers->m_unresponsive)
+      .With("workersDisallowed", workers->m_disallowed)
+      .With("workersFull", workers->m_full)
+      .With("workersWithheld", workers->m_withheld);
+  }
   line.Write();
 }
 
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -156,14 +156,16 @@
   const jobs::JobTable& book = aState.Jobs();
   const bool hasSuspects = book.HasSuspects();
   for (const auto& [id, worker] : aWorkers.Workers()) {
-    if (!worker.IsUsable(aNow) || aCordoned.contains(id) ||
-        worker.m_reservedByUntracked.m_isUnknown ||
-        aWorkers.HasLaterIncarnation(worker)) {
-      continue;
-    }
     const bool isProbed =
       !worker.m_unsent.empty() || !worker.m_unshownStarts.empty();
-    if (worker.IsOnProbation() && isProbed) {
+    const bool isExcluded = !worker.IsUsable(aNow) || aCordoned.contains(id) ||
+                            worker.m_reservedByUntracked.m_isUnknown ||
+                            aWorkers.HasLaterIncarnation(worker) ||
+                            (worker.IsOnProbation() && isProbed);
+    if (isExcluded) {
+      if (!worker.m_isLost) {
+        pools[worker.m_lastReport.m_service].AddExcluded();
+      }
       continue;
     }
     const jobs::Resources& capacity = worker.m_lastReport.m_capacity;
@@ -520,6 +522,10 @@
     Target* target = Choose(step, tasksPerWorker, aPool);
     if (target == nullptr) {
       aCandidate.AddWaiting(i, task, WaitReason::kNoCapacity, aWall, aPlan);
+      if (step.m_longRunning) {
+        aPlan.m_waiting.at(aCandidate.TaskAt(i)).m_workers =
+          aPool.CountWorkers(step, tasksPerWorker);
+      }
       aPlan.m_fullServices.insert(aCandidate.m_route->m_service);
       if (!aCandidate.m_isLate) {
         ReserveEmptiest(step, tasksPerWorker, aPool);
--- a/src/placement/target_pool.cpp
+++ b/src/placement/target_pool.cpp
@@ -113,6 +113,28 @@
   }
 }
 
+WorkerCensus
+Planner::Pool::CountWorkers(const jobs::StepSpec& aStep,
+                            const TasksPerWorker& aTasksPerWorker) const
+{
+  WorkerCensus census;
+  census.m_excluded = m_excluded;
+  for (const Target& target : m_targets) {
+    const std::uint32_t tasksOnWorker =
+      TasksOnWorker(target.m_worker->m_lastReport.m_worker, aTasksPerWorker);
+    if (target.m_isUnresponsive) {
+      ++census.m_unresponsive;
+    } else if (!IsAllowed(aStep, tasksOnWorker, target)) {
+      ++census.m_disallowed;
+    } else if (!target.Fits(aStep)) {
+      ++census.m_full;
+    } else {
+      ++census.m_withheld;
+    }
+  }
+  return census;
+}
+
 // Free CPU only decreases while no trial is under way, so a top entry that
 // still shows what its target has is the greatest of all.
 Planner::Target*
--- a/src/placement/target_pool.h
+++ b/src/placement/target_pool.h
@@ -103,6 +103,11 @@
    * than its limit of tasks on one worker. */
   void RecordFailure(const jobs::StepSpec& aStep);
 
+  /** Counts a worker of the service that gets no tasks in this pass. */
+  void AddExcluded() { ++m_excluded; }
+  WorkerCensus CountWorkers(const jobs::StepSpec& aStep,
+                            const TasksPerWorker& aTasksPerWorker) const;
+
   std::size_t CountReserved() const { return m_reserved; }
   /** The open target with the most free CPU, the first among equals, that is
    * not reserved and may take a task of the step once others have ended; null
@@ -143,6 +148,7 @@
   std::vector<Target> m_targets;
   FailedRequests m_failed;
   std::size_t m_reserved = 0;
+  std::size_t m_excluded = 0;
   /** A heap of the targets that are not reserved, the emptiest on top, built at
    * its first use. An entry may show more free CPU than its target has by now.
    */
--- a/src/placement/trials.cpp
+++ b/src/placement/trials.cpp
@@ -462,6 +462,11 @@
       waiting->m_sinceLoss =
         Millis{ aWall.Get() - run.m_losses.back().m_at.Get() };
       waiting->m_withoutRun = TimeSince(run.m_ranUntil, aWall);
+      if (run.m_isLongRunning &&
+          waiting->m_reason == WaitReason::kNoWorkerForIsolatedRun) {
+        waiting->m_workers =
+          aPool.CountWorkers(aStep.m_candidate.Step(), aStep.m_tasksPerWorker);
+      }
       aPlan.m_waiting.insert_or_assign(run.m_task, std::move(*waiting));
     } else if (!run.MayShare()) {
       return true;
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -78,8 +78,33 @@
   const Plan plan = MakePlan();
   LONGS_EQUAL(4, plan.m_changes.size());
   LONGS_EQUAL(1, plan.m_waiting.size());
-  STRCMP_EQUAL("no worker has room",
-               Describe(plan.m_waiting.begin()->second.m_reason));
+  const WaitingTask& waiting = plan.m_waiting.begin()->second;
+  STRCMP_EQUAL("no worker has room", Describe(waiting.m_reason));
+  LONGS_EQUAL(1, waiting.m_workers->m_full);
+}
+
+// Guards against a wait whose log does not tell workers that are full from
+// those that the leader keeps the task from.
+TEST(PlacementPlanner, LongRunningTaskFindsNoWorker_PlanCountsWorkersByReason)
+{
+  WorkerReport draining = Report("w1", 1);
+  draining.m_draining = true;
+  Receive(draining);
+  Receive(Report("w2", 1));
+  Receive(Report("w3", 1));
+  StepSpec step = Step(2, 3000);
+  step.m_longRunning = true;
+  step.m_maxPerWorker = 1;
+  m_fleet.Submit("running", Spec({ Step(1, 2000) }));
+  m_fleet.Start(Ref("running"), "w3");
+  m_fleet.Submit("lasting", Spec({ step }));
+  m_fleet.Start(Ref("lasting"), "w2");
+  const Plan plan = MakePlan();
+  const WorkerCensus& workers = *plan.m_waiting.at(Ref("lasting", 1)).m_workers;
+  LONGS_EQUAL(1, workers.m_excluded);
+  LONGS_EQUAL(1, workers.m_disallowed);
+  LONGS_EQUAL(1, workers.m_full);
+  LONGS_EQUAL(0, workers.m_withheld);
 }
 
 TEST(PlacementPlanner, DependentStep_WaitsForItsDependency)
