placement: lost answers say nothing about a worker that ignores starts

Callers saw long-running tasks without a run for up to 44.6 s while the network lost the leader's answers for 4 s at a time: three answers that don't arrive within 1.5 s looked like a worker that ignores its starts. One fault of the network excluded all workers of a pool for 6, 12, 24 s and more, the next worker of the instance inherited it, and only a start that it showed ended it.

The class: a judgement of one worker from evidence that a common cause explains as well. A worker that receives an answer reports again within its timeout of 1 s, by its own clock, or stops repeating ends; only answers that were received count now. An exclusion for ignored starts lasts for as long as the worker has ignored them, 3 s at least, and ends with the worker: the next one has ignored nothing. A worker that no answer reaches for as long as a lease lasts, so that it runs nothing, gets no starts until the first answer that arrives.

Ruled out: a limit on how many workers may be excluded at once (it would still judge the first ones wrongly); the time between reports by the leader's clock alone (reports that a full leader handles late follow each other at once).

--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -132,6 +132,7 @@
   void RecordSkippedEnds(const placement::WorkerReport& aReport,
                          std::size_t aCount);
   void RecordIgnoringStarts(const WorkerIncarnation& aWorker);
+  void RecordReachability(const WorkerIncarnation& aWorker, bool aIsReachable);
   void QueueEnds(std::vector<jobs::EndRun> aEnds);
   void ScheduleCycle();
   /** Ends the runs of workers whose lease has expired. */
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -55,6 +55,9 @@
   std::optional<Millis> m_remaining;
   /** Increases with each report of one incarnation. */
   std::uint64_t m_sequence = 0;
+  /** When the report was sent, by the worker's own steady clock; unset where it
+   * does not report that. */
+  std::optional<Millis> m_sentAt;
   std::vector<RunReport> m_active;
   std::vector<EndReport> m_ended;
 };
@@ -92,6 +95,9 @@
   Duration m_nextReport{};
 };
 
+/** A worker drops an answer that takes longer, and reports again. */
+constexpr Duration kAnswerTimeout = Millis{ 1000 };
+
 struct LeaseOptions
 {
   Mechanisms m_mechanisms;
@@ -130,8 +136,8 @@
    * shows the difference. */
   Duration m_pauseAfterRefusal = Millis{ 300 };
   /** A start that was sent with several answers over this long, and that no
-   * report shows as active or ended, counts as ignored by its worker. A worker
-   * shows a start with its next report, unless an answer was lost. */
+   * report shows as active or ended, counts as ignored by its worker if the
+   * answers were received. A worker shows a start with its next report. */
   Duration m_startTimeout = Millis{ 1500 };
   /** A run without progress for this long counts as stuck, unless its estimate
    * implies that one percent of it takes longer than a third of this. */
@@ -181,9 +187,17 @@
 {
   /** Failures since the last run that ended as done. */
   std::uint32_t m_consecutiveFailures = 0;
-  /** Exclusions for ignored starts since the last start that was carried out or
-   * refused. */
-  std::uint32_t m_ignoredStarts = 0;
+  TimePoint m_excludedUntil;
+};
+
+/** Starts that one incarnation of a worker has ignored since it last carried
+ * out or refused one. */
+struct IgnoredStarts
+{
+  /** Number of exclusions for them. */
+  std::uint32_t m_exclusions = 0;
+  /** When the first of them was sent. */
+  TimePoint m_since;
   TimePoint m_excludedUntil;
 };
 
@@ -210,8 +224,11 @@
 {
   RunNumber m_run;
   TimePoint m_firstSentAt;
-  /** Number of answers with the start. */
+  /** Number of answers with the start, and of those among them that the worker
+   * has received. */
   std::uint32_t m_answers = 0;
+  std::uint32_t m_answersReceived = 0;
+  bool m_isInLastAnswer = false;
 };
 
 /** State of one incarnation of a worker. It ends with the incarnation, except
@@ -261,20 +278,28 @@
   std::map<jobs::TaskRef, std::uint32_t> m_rates;
   std::map<jobs::TaskRef, RunProgress> m_progress;
   HealthRecord m_health;
+  IgnoredStarts m_ignored;
+  /** When a report last proved that the worker had received an answer. */
+  TimePoint m_answerReceivedAt;
+  /** Starts were given up because no answer reached the worker, and none has
+   * reached it since. */
+  bool m_isUnreachable = false;
 
   bool IsUsable(TimePoint aNow) const
   {
     return !m_isLost && !m_listedEndAt && !m_lastReport.m_draining &&
-           aNow >= m_health.m_excludedUntil;
+           !m_isUnreachable && aNow >= m_health.m_excludedUntil &&
+           aNow >= m_ignored.m_excludedUntil;
   }
-  /** The worker has ignored starts and gets no others for a while. */
+  /** The worker gets no starts: it has ignored some, or its answers do not
+   * reach it. */
   bool IsIgnoringStarts(TimePoint aNow) const
   {
-    return m_health.m_ignoredStarts > 0 && aNow < m_health.m_excludedUntil;
+    return m_isUnreachable || aNow < m_ignored.m_excludedUntil;
   }
   /** The worker has ignored starts, and one has yet to show that it no longer
    * does. */
-  bool IsOnProbation() const { return m_health.m_ignoredStarts > 0; }
+  bool IsOnProbation() const { return m_ignored.m_exclusions > 0; }
 };
 
 /** What is known about the other tasks of a task's step. */
@@ -318,6 +343,10 @@
   std::size_t m_skippedEnds = 0;
   /** The worker is excluded from now on because it has ignored starts. */
   bool m_isIgnoringStarts = false;
+  /** The worker gets no more starts until an answer reaches it. */
+  bool m_hasBecomeUnreachable = false;
+  /** An answer has reached a worker that was unreachable. */
+  bool m_isReachableAgain = false;
   /** Capacity or ends have changed, so that a placement pass may have
    * something to do. */
   bool m_changed = false;
@@ -598,9 +627,17 @@
                   TimePoint aNow,
                   WallTime aWall,
                   ReportResult& aResult);
+  /** Called with each report before it replaces the last one. */
+  static void TrackReceipt(Worker& aWorker,
+                           const WorkerReport& aReport,
+                           TimePoint aNow,
+                           ReportResult& aResult);
   /** Removes the starts that the last report shows or that have ended. */
-  static void TrackUnshownStarts(Worker& aWorker, const jobs::JobTable& aBook);
-  /** Excludes a worker that ignores starts, for longer each time. */
+  static void TrackUnshownStarts(Worker& aWorker,
+                                 const jobs::JobTable& aBook,
+                                 TimePoint aNow);
+  /** Excludes a worker that ignores starts, for longer each time, or that no
+   * answer reaches, until one does. */
   void ExcludeIfIgnoringStarts(Worker& aWorker,
                                TimePoint aNow,
                                ReportResult& aResult) const;
--- a/src/control/worker_reports.cpp
+++ b/src/control/worker_reports.cpp
@@ -46,6 +46,9 @@
   if (result.m_isIgnoringStarts) {
     RecordIgnoringStarts(worker);
   }
+  if (result.m_hasBecomeUnreachable || result.m_isReachableAgain) {
+    RecordReachability(worker, result.m_isReachableAgain);
+  }
   if (result.m_ignored) {
     RecordIgnored(aReport, *result.m_ignored, now);
     WorkerAnswer late;
@@ -298,9 +301,25 @@
   WorkerLogLine(Level::kWarning, "worker excluded: it ignores starts", aWorker)
     .With("ofInstance", worker.m_lastReport.m_instance.Get())
     .With("starts", worker.m_unshownStarts.size())
-    .With("exclusions", worker.m_health.m_ignoredStarts)
+    .With("exclusions", worker.m_ignored.m_exclusions)
     .With("forMs",
-          ToMillis(worker.m_health.m_excludedUntil - MonotonicNow()).count())
+          ToMillis(worker.m_ignored.m_excludedUntil - MonotonicNow()).count())
+    .Write();
+}
+
+void
+JobService::RecordReachability(const WorkerIncarnation& aWorker,
+                               bool aIsReachable)
+{
+  m_metrics.Count(aIsReachable ? "workers_reachable_again_total"
+                               : "workers_unreachable_total");
+  const placement::Worker& worker = *m_workers->Find(aWorker);
+  WorkerLogLine(Level::kWarning,
+                aIsReachable ? "worker gets starts again: an answer reached it"
+                             : "worker excluded: no answer reaches it",
+                aWorker)
+    .With("ofInstance", worker.m_lastReport.m_instance.Get())
+    .With("starts", worker.m_unshownStarts.size())
     .Write();
 }
 
--- a/src/placement/worker_orders.cpp
+++ b/src/placement/worker_orders.cpp
@@ -87,8 +87,9 @@
     return m_options.m_steadyAnswerDelay + m_options.m_steadyReportDelay;
   }
   // An isolated run blocks the worker for all other tasks until a report shows
-  // its outcome.
-  if (IsSteady(id, aBook) || HasIsolatedRun(aWorker, aBook)) {
+  // its outcome, and so does the suspicion that no answer reaches it.
+  if (aWorker.m_isUnreachable || IsSteady(id, aBook) ||
+      HasIsolatedRun(aWorker, aBook)) {
     return m_options.m_steadyReportDelay;
   }
   const auto placed = aBook.TasksByWorker().find(id);
@@ -174,6 +175,7 @@
     unshown = { aStart.m_run, aNow };
   }
   ++unshown.m_answers;
+  unshown.m_isInLastAnswer = true;
 }
 
 Orders
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -16,14 +16,6 @@
  * in a row. */
 constexpr std::uint32_t kFailuresToExclude = 3;
 constexpr Duration kExclusionPeriod = Millis{ 6000 };
-/** Minimum number of answers with a start before it counts as ignored: a
- * broken connection or a leader that answers too late loses one or two. */
-constexpr std::uint32_t kMinAnswersToIgnore = 3;
-/** Limits the exclusion of a worker that ignores starts to 16 periods. */
-constexpr std::uint32_t kMaxExclusionDoublings = 4;
-
-/** A worker drops an answer that takes longer, and reports again. */
-constexpr Duration kAnswerTimeout = Millis{ 1000 };
 
 /** Whether the report also shows the run as active or with another end. */
 bool
@@ -205,11 +197,14 @@
   Worker& worker = found->second;
   if (isNew) {
     worker.m_firstReportAt = aNow;
+    worker.m_answerReceivedAt = aNow;
     worker.m_health = admission.m_health;
     if (!aReport.m_instance.Get().empty()) {
       m_incarnations[aReport.m_instance].push_back(aReport.m_worker);
     }
     result.m_changed = true;
+  } else {
+    TrackReceipt(worker, aReport, aNow, result);
   }
   // The answer that is about to be sent grants a lease. The worker counts as
   // holding it already: otherwise it would be taken for lost before the answer
@@ -243,7 +238,7 @@
   std::erase_if(worker.m_superseded,
                 [&](const auto& aRun) { return aNow >= aRun.second; });
   CountActive(worker, aBook);
-  TrackUnshownStarts(worker, aBook);
+  TrackUnshownStarts(worker, aBook, aNow);
   result.m_changed =
     result.m_changed || (hadIsolatedRun && !HasIsolatedRun(worker, aBook));
   TrackProgress(worker, aNow);
@@ -530,132 +525,6 @@
   }
 }
 
-// A worker may report less free capacity after a start was decided. A worker
-// that does not check its capacity would accept the start anyway.
-// The account of the workspace includes the start itself.
-bool
-WorkerTable::IsWithinCap(const jobs::Job& aJob,
-                         const jobs::StepSpec& aStep) const
-{
-  const workspaces::Account* account = m_accounts.Find(aJob.m_workspace);
-  return account == nullptr || account->MayKeep(ChargeOf(aStep));
-}
-
-std::vector<WorkerTable::PendingStart>
-WorkerTable::FindPending(const Worker& aWorker,
-                         const jobs::JobTable& aBook) const
-{
-  std::vector<PendingStart> pending;
-  const WorkerReport& report = aWorker.m_lastReport;
-  const auto placed = aBook.TasksByWorker().find(report.m_worker);
-  if (placed == aBook.TasksByWorker().end()) {
-    return pending;
-  }
-  ReservedCapacity use = aWorker.m_reservedByActive;
-  for (const jobs::TaskRef& ref : placed->second) {
-    const RunNumber run = aBook.FindTask(ref)->m_lastRun;
-    if (Contains(report.m_active, ref, run) ||
-        Contains(report.m_ended, ref, run)) {
-      continue;
-    }
-    const jobs::Job* job = aBook.Find(ref.m_job);
-    const jobs::StepSpec& step = StepOf(*job, ref);
-    const bool fits =
-      use.LeavesCapacityFor(report.m_capacity, step) && IsWithinCap(*job, step);
-    if (fits) {
-      use.Add(step);
-    }
-    pending.push_back({ ref, run, job, fits });
-  }
-  return pending;
-}
-
-void
-WorkerTable::TrackUnshownStarts(Worker& aWorker, const jobs::JobTable& aBook)
-{
-  const WorkerReport& report = aWorker.m_lastReport;
-  std::erase_if(aWorker.m_unshownStarts, [&](const auto& aEntry) {
-    const auto& [task, start] = aEntry;
-    const bool isShown = Contains(report.m_active, task, start.m_run) ||
-                         Contains(report.m_ended, task, start.m_run);
-    if (isShown) {
-      aWorker.m_health.m_ignoredStarts = 0;
-    }
-    return isShown || !IsPlaced(aBook, report.m_worker, task, start.m_run);
-  });
-}
-
-// Another program may send valid reports and execute no order, and a process
-// may hang while its reports go on. Its tasks would wait for good, as no lease
-// ends and nothing fails. It gets one start at a time, after ever longer
-// pauses, until a report shows one.
-void
-WorkerTable::ExcludeIfIgnoringStarts(Worker& aWorker,
-                                     TimePoint aNow,
-                                     ReportResult& aResult) const
-{
-  const auto& starts = aWorker.m_unshownStarts;
-  const bool isIgnoring =
-    std::any_of(starts.begin(), starts.end(), [&](const auto& aEntry) {
-      const UnshownStart& start = aEntry.second;
-      return start.m_answers >= kMinAnswersToIgnore &&
-             aNow >= start.m_firstSentAt + m_options.m_startTimeout;
-    });
-  HealthRecord& health = aWorker.m_health;
-  if (!isIgnoring || aWorker.IsIgnoringStarts(aNow)) {
-    return;
-  }
-  const auto doublings =
-    std::min(health.m_ignoredStarts, kMaxExclusionDoublings);
-  ++health.m_ignoredStarts;
-  health.m_excludedUntil = aNow + kExclusionPeriod * (1 << doublings);
-  aResult.m_isIgnoringStarts = true;
-  aResult.m_changed = true;
-}
-
-// A start that no report shows long after it was sent was lost together with
-// its answer, or its worker ignores starts. If the run is no longer wanted
-// there, or does not fit, its reservation is released; other starts are simply
-// sent again. Without this, a task whose start was lost on a draining worker
-// would wait until that worker ends. The next report alone proves nothing: one
-// that announces draining is sent while an answer is under way, and a run that
-// starts with that answer would run a second time elsewhere.
-void
-WorkerTable::EndLostStarts(Worker& aWorker,
-                           const jobs::JobTable& aBook,
-                           TimePoint aNow,
-                           WallTime aWall,
-                           ReportResult& aResult)
-{
-  const auto placed = aBook.TasksByWorker().find(aWorker.m_lastReport.m_worker);
-  if (placed == aBook.TasksByWorker().end() ||
-      placed->second.size() == aWorker.m_reportedRuns) {
-    return;
-  }
-  ExcludeIfIgnoringStarts(aWorker, aNow, aResult);
-  for (const PendingStart& start : FindPending(aWorker, aBook)) {
-    const jobs::TaskRef& ref = start.m_task;
-    const bool isWanted = start.m_job->m_state == jobs::JobState::kActive &&
-                          !aWorker.m_lastReport.m_draining && start.m_fits &&
-                          !aWorker.IsIgnoringStarts(aNow);
-    if (isWanted) {
-      continue;
-    }
-    const auto sent = aWorker.m_sentAt.find(ref);
-    const TimePoint since =
-      sent == aWorker.m_sentAt.end() ? m_leaderSince : sent->second;
-    const bool isLostStart = aNow >= since + m_options.m_maxReportDelay;
-    if (isLostStart) {
-      aWorker.m_sentAt.erase(ref);
-      aWorker.m_unshownStarts.erase(ref);
-      aWorker.m_unsent[ref] = { start.m_run, true };
-      aResult.m_changed = true;
-      aResult.m_ends.push_back(
-        { ref, start.m_run, jobs::RunEnd::kStopped, "", aWall });
-    }
-  }
-}
-
 bool
 WorkerTable::IsReady(const jobs::TaskRef& aTask,
                      const jobs::Task& aState,
--- a/tests/support/simulated_pool.h
+++ b/tests/support/simulated_pool.h
@@ -107,6 +107,12 @@
   /** Like DelayReport(), for a report that the leader did not get at its time.
    */
   void HoldBackReport(std::uint32_t aWorker, Millis aDelay);
+  /** Percentage of answers that are lost from now on; takes effect only if
+   * answers take time. */
+  void SetAnswersLost(std::uint32_t aPercent)
+  {
+    m_options.m_answersLost = aPercent;
+  }
   /** Starts a new leader after aGap from the snapshot of the previous one. */
   void ReplaceLeader(Millis aGap);
 
--- a/tests/unit/placement/ignored_starts_test.cpp
+++ b/tests/unit/placement/ignored_starts_test.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::int64_t kReportIntervalMs = 200;
+/** Report interval of a worker that no answer reaches. */
+constexpr std::int64_t kLostAnswerMs = 1'000;
+constexpr std::int64_t kLimitMs = 300'000;
 /** Time without a run after which a task counts as lost. */
 constexpr std::int64_t kMaxWithoutRunMs = 6'000;
 
@@ -25,16 +28,18 @@
   std::uint64_t m_sequence = 0;
   std::vector<RunReport> m_active;
   std::vector<EndReport> m_ended;
+  std::optional<Millis> m_sentAt;
   std::vector<StartOrder> m_starts;
 
   /** The worker reports, ends are committed, starts are planned, and the worker
    * gets its answer. */
-  ReportResult Report()
+  ReportResult Report(std::int64_t aIntervalMs = kReportIntervalMs)
   {
-    m_nowMs += kReportIntervalMs;
+    m_nowMs += aIntervalMs;
     WorkerReport report = job_fixtures::Report("w1", ++m_sequence);
     report.m_active = m_active;
     report.m_ended = m_ended;
+    report.m_sentAt = m_sentAt;
     ReportResult result =
       m_table.OnReport(report, m_fleet.Book(), At(m_nowMs), WallTime{ 1 });
     m_fleet.Apply({ result.m_ends.begin(), result.m_ends.end() });
@@ -51,7 +56,6 @@
   template<typename Condition>
   std::int64_t ReportUntil(const Condition& aIsReached)
   {
-    constexpr std::int64_t kLimitMs = 300'000;
     const std::int64_t sinceMs = m_nowMs;
     do {
       Report();
@@ -67,7 +71,7 @@
   void AwaitExclusion(std::uint32_t aTimes)
   {
     ReportUntil([&]() {
-      return m_table.Find(Life("w1"))->m_health.m_ignoredStarts == aTimes;
+      return m_table.Find(Life("w1"))->m_ignored.m_exclusions == aTimes;
     });
   }
 };
@@ -99,7 +103,7 @@
     CHECK(Report().m_ends.empty());
   }
   CHECK(PhaseOf(Ref("a")) == TaskPhase::kRunning);
-  LONGS_EQUAL(0, m_table.Find(Life("w1"))->m_health.m_ignoredStarts);
+  LONGS_EQUAL(0, m_table.Find(Life("w1"))->m_ignored.m_exclusions);
 }
 
 // Guards against a task that runs twice: the last answer with its start is
@@ -147,6 +151,64 @@
   CHECK(m_table.Find(Life("w1"))->IsUsable(At(m_nowMs)));
 }
 
+// Guards against a fault of the network that excludes all workers of a pool.
+TEST(IgnoredStarts, AnswersAreLostForAWhile_WorkerIsKept)
+{
+  m_fleet.Submit("a", Spec({ Step(2) }));
+  for (int i = 0; i < 4; ++i) {
+    const ReportResult result = Report(kLostAnswerMs);
+    CHECK(!result.m_isIgnoringStarts && !result.m_hasBecomeUnreachable);
+  }
+  LONGS_EQUAL(2, m_starts.size());
+  CHECK(m_table.Find(Life("w1"))->IsUsable(At(m_nowMs)));
+}
+
+// Guards against reports that are handled late, one right after the other, and
+// look as if an answer had arrived between them.
+TEST(IgnoredStarts, ReportsAreHandledLate_WorkersClockCounts)
+{
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  std::int64_t sentAtMs = 0;
+  for (int i = 0; i < 20; ++i) {
+    sentAtMs += kLostAnswerMs;
+    m_sentAt = Millis{ sentAtMs };
+    CHECK(!Report().m_isIgnoringStarts);
+  }
+}
+
+// Guards against tasks that wait for good on a worker that no answer reaches,
+// and against an exclusion that outlasts the fault.
+TEST(IgnoredStarts, NoAnswerArrivesForALease_WorkerIsExcludedUntilOneDoes)
+{
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  while (!Report(kLostAnswerMs).m_hasBecomeUnreachable) {
+    CHECK(m_nowMs < kLimitMs);
+  }
+  while (PhaseOf(Ref("a")) == TaskPhase::kRunning) {
+    Report(kLostAnswerMs);
+    CHECK(m_starts.empty() && m_nowMs < kLimitMs);
+  }
+  Report(kLostAnswerMs);
+  CHECK(m_starts.empty());
+  CHECK(Report().m_isReachableAgain);
+  LONGS_EQUAL(1, m_starts.size());
+}
+
+// Guards against the exclusion of a worker for what the one before it ignored.
+TEST(IgnoredStarts, NextWorkerReports_GetsStarts)
+{
+  m_fleet.Submit("a", Spec({ Step(1) }));
+  AwaitExclusion(1);
+  for (std::uint64_t sequence = 1; sequence < 8; ++sequence) {
+    m_nowMs += kReportIntervalMs;
+    WorkerReport next = job_fixtures::Report("w2", sequence);
+    next.m_instance = job_fixtures::Report("w1", 1).m_instance;
+    m_table.OnReport(next, m_fleet.Book(), At(m_nowMs), WallTime{ 1 });
+  }
+  CHECK(m_table.Find(Life("w2"))->IsUsable(At(m_nowMs)));
+  CHECK(!m_table.Find(Life("w2"))->IsOnProbation());
+}
+
 // Guards against a worker that takes many tasks away again and again.
 TEST(IgnoredStarts, WorkerWasExcluded_GetsOneStartAtATimeAndEverLater)
 {
