placement: an instance counts once while its crashed worker holds a lease

Callers saw long-running tasks that waited for 11 to 15 s after crashes. A worker that has crashed counts in its pool until its lease ends; the next one of its instance reports 1 to 3 s before that, and both counted.

A worker that another one of its instance has followed doesn't count any more; one whose successor has yet to prove itself still does.

Ruled out: to keep new workers where they are for some seconds (instances would also stay where no one needs them, as after a wave).

Test: CapacityPlanner WorkerIsBackBeforeItsLeaseHasEnded_InstanceCountsOnce.

--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -526,6 +526,9 @@
   /** Another incarnation on its instance first reported after the worker's
    * last report. */
   bool HasLaterIncarnation(const Worker& aWorker) const;
+  /** The same, unless the other incarnation has yet to prove that it is the
+   * later one. */
+  bool HasConfirmedSuccessor(const Worker& aWorker) const;
   /** Returns the run if its worker's last report shows it, or null. */
   const RunReport* FindRun(const jobs::TaskRef& aTask,
                            const jobs::Task& aState) const;
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -189,7 +189,11 @@
   }
   for (const auto& [id, worker] : aWorkers.Workers()) {
     const auto pool = pools.find(worker.m_lastReport.m_service);
-    if (worker.m_isLost || worker.m_lastReport.m_draining) {
+    // Until the lease of a worker that has crashed ends, the next one on its
+    // instance reports beside it. If both counted, the pool would seem to have
+    // a surplus, and the next one, which is idle, would be moved away.
+    if (worker.m_isLost || worker.m_lastReport.m_draining ||
+        aWorkers.HasConfirmedSuccessor(worker)) {
       continue;
     }
     anyCores = std::max<std::size_t>(
--- a/src/placement/worker_lives.cpp
+++ b/src/placement/worker_lives.cpp
@@ -43,6 +43,12 @@
       m_candidates.contains(HostOf(aWorker.m_lastReport))) {
     return true;
   }
+  return HasConfirmedSuccessor(aWorker);
+}
+
+bool
+WorkerTable::HasConfirmedSuccessor(const Worker& aWorker) const
+{
   // Each worker has an instance of its own, and no lookup is needed.
   if (m_incarnations.size() == m_workers.size()) {
     return false;
--- a/tests/unit/placement/capacity_test.cpp
+++ b/tests/unit/placement/capacity_test.cpp
@@ -193,6 +193,21 @@
   LONGS_EQUAL(2, Next(12'600).m_orders.size());
 }
 
+// Guards against a new worker that is moved away while its pool needs it: the
+// crashed one before it still holds its lease.
+TEST(CapacityPlanner, WorkerIsBackBeforeItsLeaseHasEnded_InstanceCountsOnce)
+{
+  AddPool("desk", 5);
+  StartFourOnSeparateWorkers();
+  WorkerReport next = Report("desk4-next", 1);
+  next.m_instance = InstanceId{ "instance-of-desk4" };
+  m_table.OnReport(next, m_fleet.Book(), At(9500), WallTime{ 0 });
+  Next(10'000);
+  const CapacityPlan plan = Next(12'600);
+  LONGS_EQUAL(0, plan.m_orders.size());
+  LONGS_EQUAL(5, plan.m_pools[0].m_actual);
+}
+
 // A new leader must not order an instance within 3 s of the earlier leader's
 // order for it, which is on record. An instance seen up was not ordered in the
 // 1.5 s that a move takes, so 1.5 s more suffice; 3 s after the election the
