--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -164,9 +164,12 @@
   {
     std::size_t m_actual = 0;
     std::size_t m_desired = 0;
+    /** Workers without which long-running tasks would lack capacity. */
+    std::size_t m_minimum = 0;
     std::size_t m_reporting = 0;
     /** Cores of one worker, in thousandths. */
     std::size_t m_cores = 0;
+    jobs::Resources m_worker;
     std::int64_t m_work = 0;
     std::int64_t m_lateWork = 0;
     std::size_t m_arriving = 0;
@@ -174,7 +177,10 @@
      * is ordered now arrives. */
     inflow::Supply m_supply;
     inflow::Forecast m_inflow;
+    /** Capacity of the workers that report. */
     std::int64_t m_cpu = 0;
+    std::int64_t m_memoryMb = 0;
+    std::int64_t m_accelerators = 0;
     std::int64_t m_usedCpu = 0;
     /** Sum of the times until they report. */
     Duration m_arrivalTimes{};
@@ -199,6 +205,15 @@
                ? std::nullopt
                : std::optional{ static_cast<std::size_t>(m_cpu) / m_reporting };
     }
+    /** Mean capacity of the workers that report, of which there are some. */
+    jobs::Resources MeanWorker() const
+    {
+      const auto mean = [this](std::int64_t aSum) {
+        return static_cast<std::uint32_t>(
+          aSum / static_cast<std::int64_t>(m_reporting));
+      };
+      return { mean(m_cpu), mean(m_memoryMb), mean(m_accelerators) };
+    }
   };
 
   using Pools = std::map<ServiceId, Pool>;
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -135,7 +135,7 @@
   }
   inflow::Supply supply = aPool.m_supply;
   supply.Add(static_cast<double>(std::max<std::int64_t>(
-               aPool.m_cpu - aDemand.m_longRunningCpu, 0)),
+               aPool.m_cpu - aDemand.LongRunningCpu(aPool.m_worker), 0)),
              m_options.m_moveDuration);
   return static_cast<std::int64_t>(inflow::CpuAhead(aPool.m_inflow,
                                                     supply,
@@ -154,19 +154,20 @@
   AddForecast(demands, aNow, aPools);
   for (auto& [service, pool] : aPools) {
     const Demand& demand = demands.at(service);
+    pool.m_minimum = demand.MinWorkers(pool.m_worker);
     pool.m_lateWork = demand.m_late.m_work;
     pool.m_work = demand.m_onTime.m_work + demand.m_late.m_work;
     const std::int64_t cpu =
       demand.m_onTime.CpuToFinishIn(m_options.m_backlogTarget) +
       demand.m_late.CpuToFinishIn(m_options.m_lateBacklogTarget) +
-      demand.m_longRunningCpu + CpuAhead(demand, pool);
+      demand.LongRunningCpu(pool.m_worker) + CpuAhead(demand, pool);
     const auto cores =
       static_cast<std::int64_t>(std::max<std::size_t>(pool.m_cores, 1));
     const auto byWork = static_cast<std::size_t>((cpu + cores - 1) / cores);
     // One more worker than the long-running tasks need, so that a task whose
     // worker is lost finds free capacity at once.
     pool.m_desired =
-      std::max({ byWork, demand.m_minWorkers + 1, m_options.m_minPerPool });
+      std::max({ byWork, pool.m_minimum + 1, m_options.m_minPerPool });
     pool.m_desired +=
       std::min(demand.m_isolatedRuns,
                std::max(kMinIsolatedRunWorkers,
@@ -183,7 +184,7 @@
                               WallTime aWall)
 {
   Pools pools;
-  std::size_t anyCores = 0;
+  jobs::Resources anyWorker;
   for (const fleet::QueueRoute& route : aState.Routes().m_routes) {
     pools[route.m_service];
   }
@@ -196,8 +197,10 @@
         aWorkers.HasConfirmedSuccessor(worker)) {
       continue;
     }
-    anyCores = std::max<std::size_t>(
-      anyCores, worker.m_lastReport.m_capacity.m_cpuMillis);
+    const jobs::Resources& capacity = worker.m_lastReport.m_capacity;
+    if (capacity.m_cpuMillis > anyWorker.m_cpuMillis) {
+      anyWorker = capacity;
+    }
     if (pool != pools.end()) {
       // A worker that maintenance is about to take down does not count: its
       // long-running tasks need capacity elsewhere before it can go down.
@@ -206,7 +209,9 @@
         m_options.m_mechanisms.Has(Mechanism::kReplacement);
       pool->second.m_actual += isReplaced ? 0 : 1;
       ++pool->second.m_reporting;
-      pool->second.m_cpu += worker.m_lastReport.m_capacity.m_cpuMillis;
+      pool->second.m_cpu += capacity.m_cpuMillis;
+      pool->second.m_memoryMb += capacity.m_memoryMb;
+      pool->second.m_accelerators += capacity.m_accelerators;
       const jobs::WorkerUse* found = aState.Jobs().FindUse(id);
       const jobs::WorkerUse use = found == nullptr ? jobs::WorkerUse{} : *found;
       pool->second.m_usedCpu += use.m_cpuMillis;
@@ -216,10 +221,11 @@
     }
   }
   for (auto& [service, pool] : pools) {
-    pool.m_cores = pool.MeanCores().value_or(anyCores);
+    pool.m_cores = pool.MeanCores().value_or(anyWorker.m_cpuMillis);
+    pool.m_worker = pool.m_cpu == 0 ? anyWorker : pool.MeanWorker();
   }
   // The size of a worker is unknown until one has reported.
-  if (anyCores == 0) {
+  if (anyWorker.m_cpuMillis == 0) {
     return pools;
   }
   CountUnreportedWorkers(aState, aWorkers, aNow, pools);
--- a/src/placement/demand.cpp
+++ b/src/placement/demand.cpp
@@ -27,6 +27,18 @@
   return remaining * aStep.ReservedCpu();
 }
 
+/** CPU of a worker that a task takes from others, if its memory counts in
+ * proportion to CPU. */
+std::int64_t
+DominantCpu(const jobs::StepSpec& aStep, const jobs::Resources& aWorker)
+{
+  const std::int64_t byMemory =
+    aWorker.m_memoryMb == 0 ? 0
+                            : std::int64_t{ aStep.m_resources.m_memoryMb } *
+                                aWorker.m_cpuMillis / aWorker.m_memoryMb;
+  return std::max<std::int64_t>(aStep.ReservedCpu(), byMemory);
+}
+
 } // namespace
 
 // A step waits for the steps it depends on, however many instances there are:
@@ -39,15 +51,50 @@
                   m_maxConcurrentCpu * kInUsePercent / kPercent);
 }
 
-void
-Demand::AddLongRunning(const jobs::StepSpec& aStep)
+std::int64_t
+Demand::LongRunningCpu(const jobs::Resources& aWorker) const
+{
+  std::int64_t cpu = 0;
+  for (const jobs::StepSpec* step : m_longRunningSteps) {
+    cpu += std::int64_t{ step->m_count } * DominantCpu(*step, aWorker);
+  }
+  return cpu;
+}
+
+// Packs the largest tasks first, each on the first worker that has room. A task
+// that fits on no worker of this size gets one of its own, as workers may
+// differ in size.
+std::size_t
+Demand::MinWorkers(const jobs::Resources& aWorker) const
 {
-  m_longRunningCpu += std::int64_t{ aStep.m_count } * aStep.ReservedCpu();
-  const std::size_t minWorkers =
-    aStep.m_maxPerWorker == 0
-      ? 1
-      : (aStep.m_count + aStep.m_maxPerWorker - 1) / aStep.m_maxPerWorker;
-  m_minWorkers = std::max(m_minWorkers, minWorkers);
+  std::vector<const jobs::StepSpec*> steps = m_longRunningSteps;
+  std::stable_sort(
+    steps.begin(), steps.end(), [&](const auto* aLeft, const auto* aRight) {
+      return DominantCpu(*aLeft, aWorker) > DominantCpu(*aRight, aWorker);
+    });
+  std::vector<ReservedCapacity> workers;
+  for (const jobs::StepSpec* step : steps) {
+    const std::uint32_t limit =
+      step->m_maxPerWorker == 0 ? step->m_count : step->m_maxPerWorker;
+    std::uint32_t remaining = step->m_count;
+    const auto place = [&](ReservedCapacity& aUse) {
+      std::uint32_t placed = 0;
+      while (placed < std::min(limit, remaining) &&
+             aUse.LeavesCapacityFor(aWorker, *step)) {
+        aUse.Add(*step);
+        ++placed;
+      }
+      remaining -= placed;
+      return placed;
+    };
+    std::for_each(workers.begin(), workers.end(), place);
+    while (remaining > 0) {
+      if (place(workers.emplace_back()) == 0) {
+        --remaining;
+      }
+    }
+  }
+  return workers.size();
 }
 
 void
@@ -98,7 +145,7 @@
   for (std::size_t s = 0; s < aOccurrence.m_steps.size(); ++s) {
     const jobs::StepSpec& step = aJob.m_spec.m_steps[s];
     if (step.m_longRunning) {
-      AddLongRunning(step);
+      m_longRunningSteps.push_back(&step);
       continue;
     }
     const std::int64_t cpu = RemainingCpu(step, aOccurrence.m_steps[s]);
--- a/src/placement/demand.h
+++ b/src/placement/demand.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bamboostile/fleet/state.h"
+#include "bamboostile/placement/workers.h"
 
 #include <vector>
 
@@ -26,11 +27,9 @@
   Load m_onTime;
   /** Jobs that are late, but whose callers still wait. */
   Load m_late;
-  std::int64_t m_longRunningCpu = 0;
+  std::vector<const jobs::StepSpec*> m_longRunningSteps;
   /** Work of the jobs accepted since the last tick, in the unit of Load. */
   std::int64_t m_arrivedWork = 0;
-  /** Workers that long-running tasks need, given the limit per worker. */
-  std::size_t m_minWorkers = 0;
   /** Suspects that each need a worker of their own for an isolated run. */
   std::size_t m_isolatedRuns = 0;
 
@@ -46,8 +45,14 @@
 
   void AddIsolatedRuns(const jobs::Job& aJob);
 
+  /** CPU of workers of this size that long-running tasks reserve, in
+   * thousandths of a core; memory counts in proportion. */
+  std::int64_t LongRunningCpu(const jobs::Resources& aWorker) const;
+  /** Number of workers of this size on which all long-running tasks fit, given
+   * their limits per worker. */
+  std::size_t MinWorkers(const jobs::Resources& aWorker) const;
+
 private:
-  void AddLongRunning(const jobs::StepSpec& aStep);
   /** Adds tasks that end by themselves to aLoad, long-running ones to this. */
   void Add(const jobs::Job& aJob,
            const jobs::Occurrence& aOccurrence,
--- a/tests/unit/placement/capacity_test.cpp
+++ b/tests/unit/placement/capacity_test.cpp
@@ -208,6 +208,19 @@
   LONGS_EQUAL(5, plan.m_pools[0].m_actual);
 }
 
+// Guards against a pool that is too small for its long-running tasks: their
+// memory takes six workers, their CPU a part of one.
+TEST(CapacityPlanner, LongRunningTasksNeedMemory_KeepTheirWorkersAndOneMore)
+{
+  AddPool("desk", 9);
+  StepSpec step = Step(6, 100);
+  step.m_resources.m_memoryMb = 3000;
+  step.m_longRunning = true;
+  m_fleet.Submit("lasting", Spec({ step }));
+  Next(10'000);
+  LONGS_EQUAL(2, Next(12'600).m_orders.size());
+}
+
 // A new leader must not order an instance within 3 s of the earlier leader's
 // order for it, which is on record. An instance seen up was not ordered in the
 // 1.5 s that a move takes, so 1.5 s more suffice; 3 s after the election the
