--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -214,6 +214,8 @@
       };
       return { mean(m_cpu), mean(m_memoryMb), mean(m_accelerators) };
     }
+    bool IsBelowMinimum() const { return m_actual < m_minimum; }
+    bool IsAboveMinimum() const { return m_actual > m_minimum; }
   };
 
   using Pools = std::map<ServiceId, Pool>;
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -457,7 +457,11 @@
 
 // Gives one instance at a time to the pool with the smallest ratio of actual to
 // desired size, so that two concurrent peaks share the available instances.
-// Instances in standby are moved first, as no other queue needs them.
+// Instances in standby are moved first, as no other queue needs them. A pool
+// that lacks workers for its long-running tasks comes before all others and may
+// take instances from pools that have more than theirs need: work that ends by
+// itself waits for a moment, a long-running task would wait for the next
+// valley.
 void
 CapacityPlanner::FillPools(const WorkerTable& aWorkers,
                            const std::set<WorkerIncarnation>& aReserved,
@@ -479,13 +483,17 @@
                              m_options.m_idleBeforeMove,
                              m_drainingWorkers,
                              aNow);
-  const auto isSurplus = [&](const Worker* aWorker) {
+  const auto isSpare = [&](const Worker* aWorker, const Pool& aNeediest) {
     const auto pool = aPools.find(aWorker->m_lastReport.m_service);
-    return pool == aPools.end() || pool->second.HasSurplus();
+    return pool == aPools.end() || pool->second.HasSurplus() ||
+           (aNeediest.IsBelowMinimum() && pool->second.IsAboveMinimum());
   };
   const auto isNeedier = [](const auto& aLeft, const auto& aRight) {
     const Pool& left = aLeft.second;
     const Pool& right = aRight.second;
+    if (left.IsBelowMinimum() != right.IsBelowMinimum()) {
+      return left.IsBelowMinimum();
+    }
     return left.m_actual * right.m_desired < right.m_actual * left.m_desired;
   };
   while (HasOrderBudget()) {
@@ -499,7 +507,10 @@
       ++neediest->second.m_actual;
       continue;
     }
-    const auto next = std::find_if(movable.begin(), movable.end(), isSurplus);
+    const auto next =
+      std::find_if(movable.begin(), movable.end(), [&](const Worker* aWorker) {
+        return isSpare(aWorker, neediest->second);
+      });
     if (next == movable.end()) {
       return;
     }
@@ -528,11 +539,18 @@
     return;
   }
   std::size_t shortage = 0;
+  std::size_t belowMinimum = 0;
   for (const auto& [service, pool] : aPools) {
     shortage += pool.IsShort() ? pool.m_desired - pool.m_actual : 0;
+    belowMinimum += pool.IsBelowMinimum() ? pool.m_minimum - pool.m_actual : 0;
   }
   for (auto& [service, pool] : aPools) {
-    if (shortage == 0 || !pool.HasSurplus()) {
+    const std::size_t spare =
+      pool.HasSurplus() ? pool.m_actual - pool.m_desired
+      : pool.IsAboveMinimum()
+        ? std::min(belowMinimum, pool.m_actual - pool.m_minimum)
+        : 0;
+    if (shortage == 0 || spare == 0) {
       continue;
     }
     std::erase_if(pool.m_drainable, [&](const Drainable& aCandidate) {
@@ -546,14 +564,14 @@
               [](const Drainable& aLeft, const Drainable& aRight) {
                 return aLeft.m_usedCpu < aRight.m_usedCpu;
               });
-    const std::size_t surplus = pool.m_actual - pool.m_desired;
     const std::size_t count =
-      std::min({ surplus, shortage, pool.m_drainable.size() });
+      std::min({ spare, shortage, pool.m_drainable.size() });
     for (std::size_t i = 0; i < count; ++i) {
       m_drainingWorkers.insert(
         pool.m_drainable[i].m_worker->m_lastReport.m_worker);
     }
     shortage -= count;
+    belowMinimum -= std::min(belowMinimum, count);
   }
 }
 
--- a/tests/unit/placement/capacity_test.cpp
+++ b/tests/unit/placement/capacity_test.cpp
@@ -221,6 +221,27 @@
   LONGS_EQUAL(2, Next(12'600).m_orders.size());
 }
 
+// Guards against long-running tasks that wait for the end of another pool's
+// peak.
+TEST(CapacityPlanner, PoolLacksWorkersForLongRunningTasks_ComesBeforePeaks)
+{
+  AddPool("desk", 3);
+  AddPool("other", 5);
+  StartFourOnSeparateWorkers();
+  m_fleet.Apply({ Submit{ JobId{ "peak" },
+                          QueueId{ "host/o/" },
+                          Spec({ Step(100, 1000) }),
+                          WallTime{ 0 } } });
+  for (std::uint32_t i = 0; i < 20; ++i) {
+    m_fleet.Start(Ref("peak", i), "other" + std::to_string(i / 4));
+  }
+  LONGS_EQUAL(1, Next(10'000).m_drained.size());
+  ListAsStandby("off", 0);
+  const CapacityPlan plan = Next(10'100);
+  LONGS_EQUAL(1, plan.m_orders.size());
+  STRCMP_EQUAL("desk", plan.m_orders[0].m_to.Get().c_str());
+}
+
 // A new leader must not order an instance within 3 s of the earlier leader's
 // order for it, which is on record. An instance seen up was not ordered in the
 // 1.5 s that a move takes, so 1.5 s more suffice; 3 s after the election the
