--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -269,6 +269,12 @@
   void ReserveEmptiest(const jobs::StepSpec& aStep,
                        const TasksPerWorker& aTasksPerWorker,
                        Pool& aPool) const;
+  /** Reserves a worker for each of aCount tasks of the step, as far as there
+   * are any that will have room. */
+  void ReserveForRestarts(const jobs::StepSpec& aStep,
+                          std::size_t aCount,
+                          TasksPerWorker aTasksPerWorker,
+                          Pool& aPool) const;
   /** aTimeSinceDelay: for a gang of suspects, the time since its retry delay
    * ended; otherwise unset. Returns false if no member was started. */
   bool PlaceGang(const Candidate& aCandidate,
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -18,6 +18,9 @@
 constexpr std::size_t kWorkersPerReservation = 16;
 /** Pools of fewer workers than this reserve none. */
 constexpr std::size_t kMinPoolSizeForReservation = 4;
+/** At most one worker per this many is reserved for long-running tasks that
+ * have lost their runs. */
+constexpr std::size_t kWorkersPerRestart = 2;
 /** A task is large if it needs more than a fourth of a worker, or any
  * accelerator. Capacity that smaller tasks leave free, or free when they end,
  * often adds up to a fourth. */
@@ -54,6 +57,14 @@
   return aStep.m_longRunning || aStep.m_bestEffort;
 }
 
+/** Whether a task waits that has been started before and is no suspect. */
+bool
+NeedsRestart(const jobs::Task& aTask)
+{
+  return aTask.m_phase == jobs::TaskPhase::kWaiting &&
+         aTask.m_lastRun > RunNumber{} && !jobs::IsSuspect(aTask.m_losses);
+}
+
 } // namespace
 
 const char*
@@ -477,6 +488,31 @@
   }
 }
 
+// All tasks of a step that have lost their runs wait for room at the same time.
+// If room were kept for one of them in each pass, they would restart one after
+// the other, each after the runs of another worker have ended.
+void
+Planner::ReserveForRestarts(const jobs::StepSpec& aStep,
+                            std::size_t aCount,
+                            TasksPerWorker aTasksPerWorker,
+                            Pool& aPool) const
+{
+  if (!m_mechanisms.Has(Mechanism::kRoomForLarge)) {
+    return;
+  }
+  const std::size_t maxReserved =
+    std::max<std::size_t>(1, aPool.Targets().size() / kWorkersPerRestart);
+  for (std::size_t i = 0; i < aCount && aPool.CountReserved() < maxReserved;
+       ++i) {
+    Target* emptiest = aPool.FindEmptiest(aStep, aTasksPerWorker);
+    if (emptiest == nullptr) {
+      return;
+    }
+    aPool.ReserveForRestart(*emptiest);
+    ++aTasksPerWorker[emptiest->m_worker->m_lastReport.m_worker];
+  }
+}
+
 void
 Planner::Place(const Candidate& aCandidate,
                WallTime aWall,
@@ -527,7 +563,12 @@
           aPool.CountWorkers(step, tasksPerWorker);
       }
       aPlan.m_fullServices.insert(aCandidate.m_route->m_service);
-      if (!aCandidate.m_isLate) {
+      if (aCandidate.m_withoutRunSince) {
+        const auto restarts =
+          std::count_if(tasks->begin() + i, tasks->end(), NeedsRestart);
+        ReserveForRestarts(
+          step, static_cast<std::size_t>(restarts), tasksPerWorker, aPool);
+      } else if (!aCandidate.m_isLate) {
         ReserveEmptiest(step, tasksPerWorker, aPool);
       }
       return;
--- a/src/placement/target_pool.cpp
+++ b/src/placement/target_pool.cpp
@@ -103,6 +103,13 @@
   AfterChange(PositionOf(aTarget));
 }
 
+void
+Planner::Pool::ReserveForRestart(Target& aTarget)
+{
+  Reserve(aTarget);
+  aTarget.m_isReservedForRestart = true;
+}
+
 // The failure of a gang's later member may be due to the earlier ones, whose
 // starts may be undone.
 void
--- a/src/placement/target_pool.h
+++ b/src/placement/target_pool.h
@@ -33,6 +33,8 @@
   bool m_isJoinable = true;
   /** Reserved for a large task that does not fit anywhere yet. */
   bool m_isReserved = false;
+  /** Reserved for a long-running task that has lost its run. */
+  bool m_isReservedForRestart = false;
   /** No report has shown yet that a long-running task has restarted here. */
   bool m_awaitsRestart = false;
   /** An order may still end the worker, and the loss would prove nothing. */
@@ -88,6 +90,7 @@
   void Start(Target& aTarget, const jobs::StepSpec& aStep, RunNumber aRun);
   void AddIsolatedRun(Target& aTarget, const IsolatedRun& aRun);
   void Reserve(Target& aTarget);
+  void ReserveForRestart(Target& aTarget);
 
   /** The target with the least free CPU that may take a task of the step, if
    * possible in the rack of its data; null if there is none. */
--- a/src/placement/trials.cpp
+++ b/src/placement/trials.cpp
@@ -188,7 +188,9 @@
   for (Target& target : aPool.Targets()) {
     const bool isExcluded =
       !target.m_isolatedTask &&
-      (!mayIsolateAnother || (isFragile(target) && !allowsFragile) ||
+      (!mayIsolateAnother ||
+       (target.m_isReservedForRestart && !aStep.m_longRunning) ||
+       (isFragile(target) && !allowsFragile) ||
        (wasLostOnInstance(target) && !allowsSameInstance));
     if (isExcluded || target.m_mayBeOrdered ||
         !target.AcceptsIsolatedRunOf(aRun) || !target.Fits(aStep) ||
@@ -466,6 +468,8 @@
           waiting->m_reason == WaitReason::kNoWorkerForIsolatedRun) {
         waiting->m_workers =
           aPool.CountWorkers(aStep.m_candidate.Step(), aStep.m_tasksPerWorker);
+        ReserveForRestarts(
+          aStep.m_candidate.Step(), 1, aStep.m_tasksPerWorker, aPool);
       }
       aPlan.m_waiting.insert_or_assign(run.m_task, std::move(*waiting));
     } else if (!run.MayShare()) {
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -54,6 +54,28 @@
                             WallTime{ 5 } } });
   }
 
+  /** On each of eight workers, three of four cores are in use. Three
+   * long-running tasks, one a worker, have lost their runs; then come eight
+   * tasks that fit. */
+  void LoseThreeRunsInABusyPool(CrashEvidence aEvidence)
+  {
+    for (int i = 1; i <= 8; ++i) {
+      const std::string worker = "w" + std::to_string(i);
+      Receive(Report(worker, 1));
+      m_fleet.Submit("running-" + worker, Spec({ Step(1, 3000) }));
+      m_fleet.Start(Ref("running-" + worker), worker);
+    }
+    StepSpec step = Step(3, 3000);
+    step.m_longRunning = true;
+    step.m_maxPerWorker = 1;
+    m_fleet.Submit("lasting", Spec({ step }));
+    for (std::uint32_t i = 0; i < 3; ++i) {
+      m_fleet.Start(Ref("lasting", i), "lost" + std::to_string(i));
+      LoseWorkerOf(Ref("lasting", i), aEvidence);
+    }
+    m_fleet.Submit("small", Spec({ Step(8, 1000) }));
+  }
+
   std::string WorkerOf(const TaskRef& aTask)
   {
     return m_fleet.Book().FindTask(aTask)->m_worker.m_id.Get();
@@ -236,6 +258,21 @@
   LONGS_EQUAL(9, StartPlanned());
 }
 
+// Guards against long-running tasks that restart one after the other in a full
+// pool.
+TEST(PlacementPlanner, LongRunningTasksLostTheirRuns_EachReservesOneWorker)
+{
+  LoseThreeRunsInABusyPool(CrashEvidence::kNone);
+  LONGS_EQUAL(8 - 3, StartPlanned());
+}
+
+// Guards against long-running suspects that starve in a full pool.
+TEST(PlacementPlanner, LongRunningSuspectsLostTheirRuns_EachReservesOneWorker)
+{
+  LoseThreeRunsInABusyPool(CrashEvidence::kStarting);
+  LONGS_EQUAL(8 - 3, StartPlanned());
+}
+
 // Guards against a large task that starves behind a reservation of no use: the
 // emptiest worker already hosts a task of its step.
 TEST(PlacementPlanner, EmptiestWorkerMayNotRunTheTask_ReservesAnother)
