placement: an exclusion for ignored starts needs new evidence each time

A worker that had ignored a start a minute ago was excluded for a minute for the next one; one whose exclusion ended before its start was withdrawn was excluded again without a new start; and where a full leader's answers can't be proven to arrive, three lost ones made a worker unreachable at once.

A worker is unreachable only if a start has been sent for as long as a lease lasts. An answer whose connection was reset, after which a worker reports to another node at once, isn't taken for received.

--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -196,8 +196,6 @@
 {
   /** Number of exclusions for them. */
   std::uint32_t m_exclusions = 0;
-  /** When the first of them was sent. */
-  TimePoint m_since;
   TimePoint m_excludedUntil;
 };
 
@@ -229,6 +227,8 @@
   std::uint32_t m_answers = 0;
   std::uint32_t m_answersReceived = 0;
   bool m_isInLastAnswer = false;
+  /** Its worker has ignored it: it is not sent again. */
+  bool m_isGivenUp = false;
 };
 
 /** State of one incarnation of a worker. It ends with the incarnation, except
@@ -644,6 +644,8 @@
   void ExcludeIfIgnoringStarts(Worker& aWorker,
                                TimePoint aNow,
                                ReportResult& aResult) const;
+  void Exclude(Worker& aWorker, TimePoint aNow) const;
+  static bool IsGivenUp(const Worker& aWorker, const jobs::TaskRef& aTask);
   void EndLostStarts(Worker& aWorker,
                      const jobs::JobTable& aBook,
                      TimePoint aNow,
--- a/src/placement/worker_orders.cpp
+++ b/src/placement/worker_orders.cpp
@@ -214,7 +214,7 @@
                                unsent->second.m_run == start.m_run &&
                                unsent->second.m_isWithdrawn;
       if (start.m_job->m_state != jobs::JobState::kActive || !start.m_fits ||
-          isWithdrawn) {
+          isWithdrawn || IsGivenUp(worker, start.m_task)) {
         continue;
       }
       RecordSent(worker, start, aNow);
--- a/src/placement/worker_starts.cpp
+++ b/src/placement/worker_starts.cpp
@@ -14,13 +14,16 @@
 /** Minimum number of received answers with a start before it counts as ignored:
  * a report may be sent while an answer is under way. */
 constexpr std::uint32_t kMinAnswersToIgnore = 3;
+/** Minimum time from an answer that arrives to the next report. A connection
+ * that is reset takes less, as the worker reports to another node at once. */
+constexpr Duration kMinIntervalAfterReceipt = Millis{ 40 };
 /** Time between two reports up to which the answer to the first one has
  * arrived. Clocks of workers that are slow by LeaseOptions::m_driftPercent are
  * covered.
  */
 constexpr Duration kMaxIntervalAfterReceipt = kAnswerTimeout * 9 / 10;
-/** Longest exclusion of a worker that ignores starts. */
-constexpr Duration kMaxExclusion = std::chrono::seconds{ 96 };
+/** Limits how often the exclusion of a worker that ignores starts doubles. */
+constexpr std::uint32_t kMaxExclusionDoublings = 5;
 
 // A worker waits kAnswerTimeout for an answer before it reports again, so an
 // earlier report proves that the answer has arrived. Its own clock shows the
@@ -39,7 +42,8 @@
     aReport.m_sentAt && last.m_sentAt
       ? Duration{ *aReport.m_sentAt - *last.m_sentAt }
       : aNow - aWorker.m_lastReportAt;
-  return hasForgottenEnds || betweenReports < kMaxIntervalAfterReceipt;
+  return hasForgottenEnds || (betweenReports >= kMinIntervalAfterReceipt &&
+                              betweenReports < kMaxIntervalAfterReceipt);
 }
 
 } // namespace
@@ -138,24 +142,21 @@
   if (aWorker.IsIgnoringStarts(aNow)) {
     return;
   }
-  IgnoredStarts& ignored = aWorker.m_ignored;
   for (const auto& [task, start] : aWorker.m_unshownStarts) {
-    const bool isOld = aNow >= start.m_firstSentAt + m_options.m_startTimeout;
-    if (isOld && start.m_answersReceived >= kMinAnswersToIgnore) {
-      ignored.m_since = ignored.m_exclusions == 0
-                          ? start.m_firstSentAt
-                          : std::min(ignored.m_since, start.m_firstSentAt);
-      ++ignored.m_exclusions;
-      ignored.m_excludedUntil =
-        aNow + std::clamp<Duration>(aNow - ignored.m_since,
-                                    m_options.m_maxReportDelay,
-                                    kMaxExclusion);
+    const TimePoint since = start.m_firstSentAt;
+    if (start.m_isGivenUp) {
+      continue;
+    }
+    if (start.m_answersReceived >= kMinAnswersToIgnore &&
+        aNow >= since + m_options.m_startTimeout) {
+      Exclude(aWorker, aNow);
       aResult.m_isIgnoringStarts = true;
       aResult.m_changed = true;
       return;
     }
-    if (isOld && start.m_answers >= kMinAnswersToIgnore &&
-        aNow >= aWorker.m_answerReceivedAt + MaxLeaseDuration()) {
+    if (start.m_answers >= kMinAnswersToIgnore &&
+        aNow >=
+          std::max(since, aWorker.m_answerReceivedAt) + MaxLeaseDuration()) {
       aWorker.m_isUnreachable = true;
       aResult.m_hasBecomeUnreachable = true;
       aResult.m_changed = true;
@@ -164,6 +165,26 @@
   }
 }
 
+void
+WorkerTable::Exclude(Worker& aWorker, TimePoint aNow) const
+{
+  IgnoredStarts& ignored = aWorker.m_ignored;
+  const auto doublings = std::min(ignored.m_exclusions, kMaxExclusionDoublings);
+  ignored.m_excludedUntil =
+    aNow + m_options.m_maxReportDelay * (1 << doublings);
+  ++ignored.m_exclusions;
+  for (auto& [task, start] : aWorker.m_unshownStarts) {
+    start.m_isGivenUp = true;
+  }
+}
+
+bool
+WorkerTable::IsGivenUp(const Worker& aWorker, const jobs::TaskRef& aTask)
+{
+  const auto found = aWorker.m_unshownStarts.find(aTask);
+  return found != aWorker.m_unshownStarts.end() && found->second.m_isGivenUp;
+}
+
 // A start that no report shows long after it was sent was lost together with
 // its answer, or its worker ignores starts. If the run is no longer wanted
 // there, or does not fit, its reservation is released; other starts are simply
@@ -188,7 +209,8 @@
     const jobs::TaskRef& ref = start.m_task;
     const bool isWanted = start.m_job->m_state == jobs::JobState::kActive &&
                           !aWorker.m_lastReport.m_draining && start.m_fits &&
-                          !aWorker.IsIgnoringStarts(aNow);
+                          !aWorker.IsIgnoringStarts(aNow) &&
+                          !IsGivenUp(aWorker, ref);
     if (isWanted) {
       continue;
     }
