placement: room kept for a restart serves other long-running tasks as well

Found by a review, by reading: a worker reserved for a large long-running task was closed to a smaller one that would fit at once, to tasks that have to move off draining workers, and open to suspects only. Isolated runs and reservations together could take a whole pool from other work, and each task reserved a worker of its own, whatever its size.

Long-running tasks may start on workers that are reserved for restarts. Isolated runs and reservations for restarts take half of a pool together, and tasks that will fit on one worker reserve it together. A step in which only suspects have had runs reserves as it did before.

Test: PlacementPlanner WorkersAreReservedForRestarts_SmallerRestartsUseThem.

--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -269,8 +269,8 @@
   void ReserveEmptiest(const jobs::StepSpec& aStep,
                        const TasksPerWorker& aTasksPerWorker,
                        Pool& aPool) const;
-  /** Reserves a worker for each of aCount tasks of the step, as far as there
-   * are any that will have room. */
+  /** Reserves workers for aCount tasks of the step, as far as there are any
+   * that will have room. Other long-running tasks may still start there. */
   void ReserveForRestarts(const jobs::StepSpec& aStep,
                           std::size_t aCount,
                           TasksPerWorker aTasksPerWorker,
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -18,8 +18,8 @@
 constexpr std::size_t kWorkersPerReservation = 16;
 /** Pools of fewer workers than this reserve none. */
 constexpr std::size_t kMinPoolSizeForReservation = 4;
-/** At most one worker per this many is reserved for long-running tasks that
- * have lost their runs. */
+/** At most one worker per this many has isolated runs or is reserved for
+ * long-running tasks that have lost their runs. */
 constexpr std::size_t kWorkersPerRestart = 2;
 /** A task is large if it needs more than a fourth of a worker, or any
  * accelerator. Capacity that smaller tasks leave free, or free when they end,
@@ -57,12 +57,16 @@
   return aStep.m_longRunning || aStep.m_bestEffort;
 }
 
-/** Whether a task waits that has been started before and is no suspect. */
-bool
-NeedsRestart(const jobs::Task& aTask)
+/** Counts the tasks from aFirst on that wait, have been started before and are
+ * no suspects. */
+std::size_t
+CountRestarts(const std::vector<jobs::Task>& aTasks, std::uint32_t aFirst)
 {
-  return aTask.m_phase == jobs::TaskPhase::kWaiting &&
-         aTask.m_lastRun > RunNumber{} && !jobs::IsSuspect(aTask.m_losses);
+  return static_cast<std::size_t>(std::count_if(
+    aTasks.begin() + aFirst, aTasks.end(), [](const jobs::Task& aTask) {
+      return aTask.m_phase == jobs::TaskPhase::kWaiting &&
+             aTask.m_lastRun > RunNumber{} && !jobs::IsSuspect(aTask.m_losses);
+    }));
 }
 
 } // namespace
@@ -500,16 +504,22 @@
   if (!m_mechanisms.Has(Mechanism::kRoomForLarge)) {
     return;
   }
-  const std::size_t maxReserved =
+  const std::size_t isolated =
+    CountIsolatedWorkers(aPool, true) + CountIsolatedWorkers(aPool, false);
+  const std::size_t maxWithheld =
     std::max<std::size_t>(1, aPool.Targets().size() / kWorkersPerRestart);
-  for (std::size_t i = 0; i < aCount && aPool.CountReserved() < maxReserved;
-       ++i) {
+  while (aCount > 0 && aPool.CountReserved() + isolated < maxWithheld) {
     Target* emptiest = aPool.FindEmptiest(aStep, aTasksPerWorker);
     if (emptiest == nullptr) {
       return;
     }
     aPool.ReserveForRestart(*emptiest);
-    ++aTasksPerWorker[emptiest->m_worker->m_lastReport.m_worker];
+    std::uint32_t& tasksOnWorker =
+      aTasksPerWorker[emptiest->m_worker->m_lastReport.m_worker];
+    const std::uint32_t limit = aStep.m_maxPerWorker == 0
+                                  ? SpreadLimit(aStep)
+                                  : aStep.m_maxPerWorker - tasksOnWorker;
+    aCount -= std::min(aCount, emptiest->CountFitting(aStep, limit));
   }
 }
 
@@ -563,11 +573,10 @@
           aPool.CountWorkers(step, tasksPerWorker);
       }
       aPlan.m_fullServices.insert(aCandidate.m_route->m_service);
-      if (aCandidate.m_withoutRunSince) {
-        const auto restarts =
-          std::count_if(tasks->begin() + i, tasks->end(), NeedsRestart);
-        ReserveForRestarts(
-          step, static_cast<std::size_t>(restarts), tasksPerWorker, aPool);
+      const std::size_t restarts =
+        aCandidate.m_withoutRunSince ? CountRestarts(*tasks, i) : 0;
+      if (restarts > 0) {
+        ReserveForRestarts(step, restarts, tasksPerWorker, aPool);
       } else if (!aCandidate.m_isLate) {
         ReserveEmptiest(step, tasksPerWorker, aPool);
       }
--- a/src/placement/target_pool.cpp
+++ b/src/placement/target_pool.cpp
@@ -24,7 +24,9 @@
 bool
 Planner::Target::MayStart(const jobs::StepSpec& aStep) const
 {
-  return !m_isReserved && !m_isolatedTask && !AwaitsProbe() &&
+  const bool isReserved =
+    m_isReserved && !(m_isReservedForRestart && aStep.m_longRunning);
+  return !isReserved && !m_isolatedTask && !AwaitsProbe() &&
          (!m_awaitsRestart || aStep.m_longRunning) && Fits(aStep);
 }
 
@@ -103,6 +105,21 @@
   AfterChange(PositionOf(aTarget));
 }
 
+// Several of the tasks may share the worker once its other runs have ended.
+std::size_t
+Planner::Target::CountFitting(const jobs::StepSpec& aStep,
+                              std::uint32_t aLimit) const
+{
+  ReservedCapacity use = m_longRunningUse;
+  std::size_t count = 0;
+  while (count < aLimit &&
+         use.LeavesCapacityFor(m_worker->m_lastReport.m_capacity, aStep)) {
+    use.Add(aStep);
+    ++count;
+  }
+  return count;
+}
+
 void
 Planner::Pool::ReserveForRestart(Target& aTarget)
 {
--- a/src/placement/target_pool.h
+++ b/src/placement/target_pool.h
@@ -52,6 +52,9 @@
   /** Whether a task of the step would fit if only long-running tasks ran here.
    */
   bool FitsBesideLongRunning(const jobs::StepSpec& aStep) const;
+  /** How many tasks of the step, at most aLimit, would fit then. */
+  std::size_t CountFitting(const jobs::StepSpec& aStep,
+                           std::uint32_t aLimit) const;
   /** Whether tasks that are not isolated may be started here, unless it is
    * reserved. */
   bool IsOpen() const
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -273,6 +273,23 @@
   LONGS_EQUAL(8 - 3, StartPlanned());
 }
 
+// Guards against room for a long-running task that is kept from another one.
+TEST(PlacementPlanner, WorkersAreReservedForRestarts_SmallerRestartsUseThem)
+{
+  LoseThreeRunsInABusyPool(CrashEvidence::kNone);
+  StepSpec step = Step(8, 1000);
+  step.m_longRunning = true;
+  step.m_maxPerWorker = 1;
+  m_fleet.Submit("smaller", Spec({ step }));
+  for (std::uint32_t i = 0; i < 8; ++i) {
+    m_fleet.Start(Ref("smaller", i), "gone" + std::to_string(i));
+    LoseWorkerOf(Ref("smaller", i), CrashEvidence::kNone);
+  }
+  LONGS_EQUAL(8, StartPlanned());
+  CHECK(m_fleet.Book().FindTask(Ref("smaller", 7))->m_lastRun ==
+        RunNumber{ 2 });
+}
+
 // Guards against a large task that starves behind a reservation of no use: the
 // emptiest worker already hosts a task of its step.
 TEST(PlacementPlanner, EmptiestWorkerMayNotRunTheTask_ReservesAnother)
