placement: a pool gives instances away only above its least size

Found by a review, by reading: for a pool below its minimum, another one without long-running tasks gave up all its workers; steps that can't start (a cap, a label, a step that waits for others) counted as a minimum; busy workers of pools that are short were cordoned while no order could be sent; and workers with accelerators in a mixed pool counted as having none.

A pool keeps what its long-running tasks need and one more, at least the least size of a pool. Only steps that have had runs make a minimum. Surplus and standby are used before workers of pools that are short, and these are drained only while orders can be sent.

Test: CapacityPlanner AnotherPoolIsBelowItsMinimum_PoolKeepsItsLeastSize.

--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -164,8 +164,11 @@
   {
     std::size_t m_actual = 0;
     std::size_t m_desired = 0;
-    /** Workers without which long-running tasks would lack capacity. */
+    /** Workers without which long-running tasks that have had runs would lack
+     * capacity. */
     std::size_t m_minimum = 0;
+    /** Workers that stay when another pool is below its minimum. */
+    std::size_t m_floor = 0;
     std::size_t m_reporting = 0;
     /** Cores of one worker, in thousandths. */
     std::size_t m_cores = 0;
@@ -180,7 +183,8 @@
     /** Capacity of the workers that report. */
     std::int64_t m_cpu = 0;
     std::int64_t m_memoryMb = 0;
-    std::int64_t m_accelerators = 0;
+    /** Of one worker: most have none. */
+    std::uint32_t m_maxAccelerators = 0;
     std::int64_t m_usedCpu = 0;
     /** Sum of the times until they report. */
     Duration m_arrivalTimes{};
@@ -205,17 +209,18 @@
                ? std::nullopt
                : std::optional{ static_cast<std::size_t>(m_cpu) / m_reporting };
     }
-    /** Mean capacity of the workers that report, of which there are some. */
+    /** Mean capacity of the workers that report, of which there are some, with
+     * the most accelerators of one. */
     jobs::Resources MeanWorker() const
     {
       const auto mean = [this](std::int64_t aSum) {
         return static_cast<std::uint32_t>(
           aSum / static_cast<std::int64_t>(m_reporting));
       };
-      return { mean(m_cpu), mean(m_memoryMb), mean(m_accelerators) };
+      return { mean(m_cpu), mean(m_memoryMb), m_maxAccelerators };
     }
     bool IsBelowMinimum() const { return m_actual < m_minimum; }
-    bool IsAboveMinimum() const { return m_actual > m_minimum; }
+    bool IsAboveFloor() const { return m_actual > m_floor; }
   };
 
   using Pools = std::map<ServiceId, Pool>;
@@ -276,6 +281,15 @@
   void DrainSurplus(const std::set<WorkerIncarnation>& aReserved,
                     TimePoint aNow,
                     Pools& aPools);
+  /** Workers that pools below their minimum lack and that neither standby nor
+   * draining workers will supply; 0 while no orders can be sent. */
+  std::size_t CountBelowMinimum(const Pools& aPools) const;
+  std::size_t CountStandby() const;
+  /** Returns how many workers of the pool, at most aCount, are drained. */
+  std::size_t DrainWorkers(std::size_t aCount,
+                           const std::set<WorkerIncarnation>& aReserved,
+                           TimePoint aNow,
+                           Pool& aPool);
   void MoveIdleToStandby(const ServiceId& aStandby,
                          const WorkerTable& aWorkers,
                          const std::set<WorkerIncarnation>& aReserved,
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -154,7 +154,9 @@
   AddForecast(demands, aNow, aPools);
   for (auto& [service, pool] : aPools) {
     const Demand& demand = demands.at(service);
-    pool.m_minimum = demand.MinWorkers(pool.m_worker);
+    pool.m_minimum = Demand::MinWorkers(demand.m_startedSteps, pool.m_worker);
+    const std::size_t longRunning =
+      Demand::MinWorkers(demand.m_longRunningSteps, pool.m_worker);
     pool.m_lateWork = demand.m_late.m_work;
     pool.m_work = demand.m_onTime.m_work + demand.m_late.m_work;
     const std::int64_t cpu =
@@ -166,8 +168,8 @@
     const auto byWork = static_cast<std::size_t>((cpu + cores - 1) / cores);
     // One more worker than the long-running tasks need, so that a task whose
     // worker is lost finds free capacity at once.
-    pool.m_desired =
-      std::max({ byWork, pool.m_minimum + 1, m_options.m_minPerPool });
+    pool.m_floor = std::max(longRunning + 1, m_options.m_minPerPool);
+    pool.m_desired = std::max(byWork, pool.m_floor);
     pool.m_desired +=
       std::min(demand.m_isolatedRuns,
                std::max(kMinIsolatedRunWorkers,
@@ -211,7 +213,8 @@
       ++pool->second.m_reporting;
       pool->second.m_cpu += capacity.m_cpuMillis;
       pool->second.m_memoryMb += capacity.m_memoryMb;
-      pool->second.m_accelerators += capacity.m_accelerators;
+      pool->second.m_maxAccelerators =
+        std::max(pool->second.m_maxAccelerators, capacity.m_accelerators);
       const jobs::WorkerUse* found = aState.Jobs().FindUse(id);
       const jobs::WorkerUse use = found == nullptr ? jobs::WorkerUse{} : *found;
       pool->second.m_usedCpu += use.m_cpuMillis;
@@ -483,10 +486,12 @@
                              m_options.m_idleBeforeMove,
                              m_drainingWorkers,
                              aNow);
-  const auto isSpare = [&](const Worker* aWorker, const Pool& aNeediest) {
+  const auto isSurplus = [&](const Worker* aWorker) {
     const auto pool = aPools.find(aWorker->m_lastReport.m_service);
-    return pool == aPools.end() || pool->second.HasSurplus() ||
-           (aNeediest.IsBelowMinimum() && pool->second.IsAboveMinimum());
+    return pool == aPools.end() || pool->second.HasSurplus();
+  };
+  const auto isAboveFloor = [&](const Worker* aWorker) {
+    return aPools.at(aWorker->m_lastReport.m_service).IsAboveFloor();
   };
   const auto isNeedier = [](const auto& aLeft, const auto& aRight) {
     const Pool& left = aLeft.second;
@@ -507,10 +512,10 @@
       ++neediest->second.m_actual;
       continue;
     }
-    const auto next =
-      std::find_if(movable.begin(), movable.end(), [&](const Worker* aWorker) {
-        return isSpare(aWorker, neediest->second);
-      });
+    auto next = std::find_if(movable.begin(), movable.end(), isSurplus);
+    if (next == movable.end() && neediest->second.IsBelowMinimum()) {
+      next = std::find_if(movable.begin(), movable.end(), isAboveFloor);
+    }
     if (next == movable.end()) {
       return;
     }
@@ -539,42 +544,82 @@
     return;
   }
   std::size_t shortage = 0;
-  std::size_t belowMinimum = 0;
   for (const auto& [service, pool] : aPools) {
     shortage += pool.IsShort() ? pool.m_desired - pool.m_actual : 0;
-    belowMinimum += pool.IsBelowMinimum() ? pool.m_minimum - pool.m_actual : 0;
   }
   for (auto& [service, pool] : aPools) {
-    const std::size_t spare =
-      pool.HasSurplus() ? pool.m_actual - pool.m_desired
-      : pool.IsAboveMinimum()
-        ? std::min(belowMinimum, pool.m_actual - pool.m_minimum)
-        : 0;
-    if (shortage == 0 || spare == 0) {
-      continue;
+    if (shortage > 0 && pool.HasSurplus()) {
+      shortage -=
+        DrainWorkers(std::min(shortage, pool.m_actual - pool.m_desired),
+                     aReserved,
+                     aNow,
+                     pool);
     }
-    std::erase_if(pool.m_drainable, [&](const Drainable& aCandidate) {
-      const WorkerReport& report = aCandidate.m_worker->m_lastReport;
-      return aReserved.contains(report.m_worker) ||
-             m_moves.contains(report.m_instance) ||
-             !aCandidate.m_worker->IsUsable(aNow);
-    });
-    std::sort(pool.m_drainable.begin(),
-              pool.m_drainable.end(),
-              [](const Drainable& aLeft, const Drainable& aRight) {
-                return aLeft.m_usedCpu < aRight.m_usedCpu;
-              });
-    const std::size_t count =
-      std::min({ spare, shortage, pool.m_drainable.size() });
-    for (std::size_t i = 0; i < count; ++i) {
-      m_drainingWorkers.insert(
-        pool.m_drainable[i].m_worker->m_lastReport.m_worker);
+  }
+  std::size_t belowMinimum = CountBelowMinimum(aPools);
+  for (auto& [service, pool] : aPools) {
+    if (belowMinimum > 0 && !pool.HasSurplus() && pool.IsAboveFloor()) {
+      belowMinimum -=
+        DrainWorkers(std::min(belowMinimum, pool.m_actual - pool.m_floor),
+                     aReserved,
+                     aNow,
+                     pool);
     }
-    shortage -= count;
-    belowMinimum -= std::min(belowMinimum, count);
   }
 }
 
+// Instances in standby and those that surplus pools drain come first. Workers
+// of pools that are short themselves are drained only while orders can be sent:
+// otherwise they would stand idle for as long as the platform does not answer.
+std::size_t
+CapacityPlanner::CountBelowMinimum(const Pools& aPools) const
+{
+  if (!m_isAllowed || m_unanswered.size() >= kMaxUnansweredOrders) {
+    return 0;
+  }
+  std::size_t missing = 0;
+  for (const auto& [service, pool] : aPools) {
+    missing += pool.IsBelowMinimum() ? pool.m_minimum - pool.m_actual : 0;
+  }
+  const std::size_t available = m_drainingWorkers.size() + CountStandby();
+  return missing - std::min(missing, available);
+}
+
+std::size_t
+CapacityPlanner::CountStandby() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(m_standby.begin(), m_standby.end(), [&](const auto& aEntry) {
+      return !m_moves.contains(aEntry.first);
+    }));
+}
+
+// The workers with the least to finish are drained first.
+std::size_t
+CapacityPlanner::DrainWorkers(std::size_t aCount,
+                              const std::set<WorkerIncarnation>& aReserved,
+                              TimePoint aNow,
+                              Pool& aPool)
+{
+  std::erase_if(aPool.m_drainable, [&](const Drainable& aCandidate) {
+    const WorkerReport& report = aCandidate.m_worker->m_lastReport;
+    return aReserved.contains(report.m_worker) ||
+           m_moves.contains(report.m_instance) ||
+           !aCandidate.m_worker->IsUsable(aNow);
+  });
+  std::sort(aPool.m_drainable.begin(),
+            aPool.m_drainable.end(),
+            [](const Drainable& aLeft, const Drainable& aRight) {
+              return aLeft.m_usedCpu < aRight.m_usedCpu;
+            });
+  const std::size_t count = std::min(aCount, aPool.m_drainable.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    m_drainingWorkers.insert(
+      aPool.m_drainable[i].m_worker->m_lastReport.m_worker);
+  }
+  return count;
+}
+
 void
 CapacityPlanner::MoveIdleToStandby(const ServiceId& aStandby,
                                    const WorkerTable& aWorkers,
@@ -650,10 +695,7 @@
   }
   plan.m_unanswered = m_unanswered.size();
   plan.m_unansweredLimit = kMaxUnansweredOrders;
-  plan.m_standby = static_cast<std::size_t>(
-    std::count_if(m_standby.begin(), m_standby.end(), [&](const auto& aEntry) {
-      return !m_moves.contains(aEntry.first);
-    }));
+  plan.m_standby = CountStandby();
   plan.m_drained = m_drainingWorkers;
   plan.m_cordoned.insert(plan.m_drained.begin(), plan.m_drained.end());
   return plan;
--- a/src/placement/demand.cpp
+++ b/src/placement/demand.cpp
@@ -65,15 +65,15 @@
 // that fits on no worker of this size gets one of its own, as workers may
 // differ in size.
 std::size_t
-Demand::MinWorkers(const jobs::Resources& aWorker) const
+Demand::MinWorkers(std::vector<const jobs::StepSpec*> aSteps,
+                   const jobs::Resources& aWorker)
 {
-  std::vector<const jobs::StepSpec*> steps = m_longRunningSteps;
   std::stable_sort(
-    steps.begin(), steps.end(), [&](const auto* aLeft, const auto* aRight) {
+    aSteps.begin(), aSteps.end(), [&](const auto* aLeft, const auto* aRight) {
       return DominantCpu(*aLeft, aWorker) > DominantCpu(*aRight, aWorker);
     });
   std::vector<ReservedCapacity> workers;
-  for (const jobs::StepSpec* step : steps) {
+  for (const jobs::StepSpec* step : aSteps) {
     const std::uint32_t limit =
       step->m_maxPerWorker == 0 ? step->m_count : step->m_maxPerWorker;
     std::uint32_t remaining = step->m_count;
@@ -146,6 +146,14 @@
     const jobs::StepSpec& step = aJob.m_spec.m_steps[s];
     if (step.m_longRunning) {
       m_longRunningSteps.push_back(&step);
+      const std::vector<jobs::Task>& tasks = aOccurrence.m_steps[s].m_tasks;
+      const bool hasStarted =
+        std::any_of(tasks.begin(), tasks.end(), [](const jobs::Task& aTask) {
+          return aTask.m_lastRun > RunNumber{};
+        });
+      if (hasStarted) {
+        m_startedSteps.push_back(&step);
+      }
       continue;
     }
     const std::int64_t cpu = RemainingCpu(step, aOccurrence.m_steps[s]);
--- a/src/placement/demand.h
+++ b/src/placement/demand.h
@@ -28,6 +28,8 @@
   /** Jobs that are late, but whose callers still wait. */
   Load m_late;
   std::vector<const jobs::StepSpec*> m_longRunningSteps;
+  /** Those of them that have had runs. */
+  std::vector<const jobs::StepSpec*> m_startedSteps;
   /** Work of the jobs accepted since the last tick, in the unit of Load. */
   std::int64_t m_arrivedWork = 0;
   /** Suspects that each need a worker of their own for an isolated run. */
@@ -48,9 +50,10 @@
   /** CPU of workers of this size that long-running tasks reserve, in
    * thousandths of a core; memory counts in proportion. */
   std::int64_t LongRunningCpu(const jobs::Resources& aWorker) const;
-  /** Number of workers of this size on which all long-running tasks fit, given
+  /** Number of workers of this size on which all tasks of the steps fit, given
    * their limits per worker. */
-  std::size_t MinWorkers(const jobs::Resources& aWorker) const;
+  static std::size_t MinWorkers(std::vector<const jobs::StepSpec*> aSteps,
+                                const jobs::Resources& aWorker);
 
 private:
   /** Adds tasks that end by themselves to aLoad, long-running ones to this. */
--- a/tests/unit/placement/capacity_test.cpp
+++ b/tests/unit/placement/capacity_test.cpp
@@ -242,6 +242,18 @@
   STRCMP_EQUAL("desk", plan.m_orders[0].m_to.Get().c_str());
 }
 
+// Guards against a pool that gives up all its workers to another one.
+TEST(CapacityPlanner, AnotherPoolIsBelowItsMinimum_PoolKeepsItsLeastSize)
+{
+  AddPool("desk", 1);
+  AddPool("other", 3);
+  StartFourOnSeparateWorkers();
+  Next(10'000);
+  const CapacityPlan plan = Next(10'500);
+  LONGS_EQUAL(0, plan.m_orders.size());
+  LONGS_EQUAL(0, plan.m_drained.size());
+}
+
 // A new leader must not order an instance within 3 s of the earlier leader's
 // order for it, which is on record. An instance seen up was not ordered in the
 // 1.5 s that a move takes, so 1.5 s more suffice; 3 s after the election the
