placement: an instance under order counts in the pool that it moves to

Found by a review, by reading: until the platform answers an order, the worker of its instance counted in the pool that it leaves and the instance in the one that it moves to. While answers take a second, a pool with a surplus of five gave five at each tick, and ended up short itself. The same class as a crashed worker and the next one of its instance: one instance, counted twice.

Test: CapacityPlanner OrdersAreNotAnsweredYet_InstancesCountOnce (on the code before, 7 in place of 5 are counted).

--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -268,6 +268,8 @@
     Duration aIdleFor,
     const std::set<WorkerIncarnation>& aDraining,
     TimePoint aNow) const;
+  /** An order that is not known to have failed moves it to another pool. */
+  bool IsLeaving(const Worker& aWorker) const;
   bool IsBackingOff(const InstanceId& aInstance, TimePoint aNow) const;
   std::optional<InstanceId> FindStandby(const WorkerTable& aWorkers,
                                         const OrderRecord& aRecord,
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -177,6 +177,15 @@
   }
 }
 
+// An instance under order counts in the pool that it moves to.
+bool
+CapacityPlanner::IsLeaving(const Worker& aWorker) const
+{
+  const auto move = m_moves.find(aWorker.m_lastReport.m_instance);
+  return move != m_moves.end() &&
+         move->second.m_to != aWorker.m_lastReport.m_service;
+}
+
 CapacityPlanner::Pools
 CapacityPlanner::ComputePools(const fleet::State& aState,
                               const WorkerTable& aWorkers,
@@ -196,7 +205,7 @@
     // instance reports beside it. If both counted, the pool would seem to have
     // a surplus, and the next one, which is idle, would be moved away.
     if (worker.m_isLost || worker.m_lastReport.m_draining ||
-        aWorkers.HasConfirmedSuccessor(worker)) {
+        aWorkers.HasConfirmedSuccessor(worker) || IsLeaving(worker)) {
       continue;
     }
     const jobs::Resources& capacity = worker.m_lastReport.m_capacity;
--- a/tests/unit/placement/capacity_test.cpp
+++ b/tests/unit/placement/capacity_test.cpp
@@ -242,6 +242,19 @@
   STRCMP_EQUAL("desk", plan.m_orders[0].m_to.Get().c_str());
 }
 
+// Guards against a pool that gives more instances than its surplus while the
+// platform takes long to answer.
+TEST(CapacityPlanner, OrdersAreNotAnsweredYet_InstancesCountOnce)
+{
+  AddPool("desk", 7);
+  AddPool("other", 1);
+  Next(10'000);
+  LONGS_EQUAL(2, Next(10'500).m_orders.size());
+  const CapacityPlan plan = Next(10'600);
+  LONGS_EQUAL(5, plan.m_pools[0].m_actual);
+  LONGS_EQUAL(3, plan.m_pools[1].m_actual);
+}
+
 // Guards against a pool that gives up all its workers to another one.
 TEST(CapacityPlanner, AnotherPoolIsBelowItsMinimum_PoolKeepsItsLeastSize)
 {
