placement: failures that many workers have exclude few of them

A worker with three failures in a row gets no tasks for 6 s, and its next worker inherits that. Tasks that fail on their own, or a service that all of them need, do this to every worker of a pool, and nothing bounded how many were excluded at once.

At most a quarter of the workers of a service, one at least, is excluded for failures at a time: more than that have a common cause.

Test: WorkerTable AllWorkersHaveFailures_FewAreExcluded (8 of 8 before, 2 now).

--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -655,6 +655,9 @@
                          const jobs::JobTable& aBook,
                          TimePoint aNow);
   void CountOutcome(Worker& aWorker, jobs::RunEnd aEnd, TimePoint aNow);
+  /** Whether few enough workers of its service are excluded for failures that
+   * the failures are likely to be the worker's own. */
+  bool MayExcludeForFailures(const Worker& aWorker, TimePoint aNow) const;
   std::vector<jobs::EndRun> EndAllRuns(const WorkerIncarnation& aWorker,
                                        const InstanceId& aInstance,
                                        const jobs::JobTable& aBook,
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -16,6 +16,8 @@
  * in a row. */
 constexpr std::uint32_t kFailuresToExclude = 3;
 constexpr Duration kExclusionPeriod = Millis{ 6000 };
+/** At most one worker of a service per this many is excluded for failures. */
+constexpr std::size_t kWorkersPerExclusion = 4;
 
 /** Whether the report also shows the run as active or with another end. */
 bool
@@ -486,13 +488,36 @@
   } else if (aEnd == jobs::RunEnd::kFailed &&
              m_options.m_mechanisms.Has(Mechanism::kSettingAside) &&
              ++aWorker.m_health.m_consecutiveFailures >= kFailuresToExclude) {
-    aWorker.m_health.m_excludedUntil = aNow + kExclusionPeriod;
+    if (MayExcludeForFailures(aWorker, aNow)) {
+      aWorker.m_health.m_excludedUntil = aNow + kExclusionPeriod;
+    }
   } else if (aEnd == jobs::RunEnd::kRefused) {
     aWorker.m_health.m_excludedUntil = std::max(
       aWorker.m_health.m_excludedUntil, aNow + m_options.m_pauseAfterRefusal);
   }
 }
 
+// Tasks that fail on their own, or a service that they need and that is down,
+// fail on any worker. If many workers seem to be faulty at once, that is the
+// likelier cause, and without them their pool would lack room.
+bool
+WorkerTable::MayExcludeForFailures(const Worker& aWorker, TimePoint aNow) const
+{
+  const ServiceId& service = aWorker.m_lastReport.m_service;
+  std::size_t workers = 0;
+  std::size_t excluded = 0;
+  for (const auto& [id, other] : m_workers) {
+    const bool isOfService =
+      !other.m_isLost && other.m_lastReport.m_service == service;
+    const bool isExcluded =
+      other.m_health.m_consecutiveFailures >= kFailuresToExclude &&
+      aNow < other.m_health.m_excludedUntil;
+    workers += isOfService ? 1 : 0;
+    excluded += isOfService && isExcluded && &other != &aWorker ? 1 : 0;
+  }
+  return excluded < std::max<std::size_t>(1, workers / kWorkersPerExclusion);
+}
+
 // A run that is being stopped reserves its resources until it ends, even if
 // the state has already placed it elsewhere.
 void
--- a/tests/unit/placement/workers_test.cpp
+++ b/tests/unit/placement/workers_test.cpp
@@ -634,6 +634,32 @@
   CHECK(m_table.Find(Life("w1"))->IsUsable(At(kLater + 6001)));
 }
 
+// Guards against a pool without workers where every task fails, whatever worker
+// it runs on.
+TEST(WorkerTable, AllWorkersHaveFailures_FewAreExcluded)
+{
+  constexpr std::uint32_t kWorkers = 8;
+  m_fleet.Submit("a", Spec({ Step(3 * kWorkers) }));
+  std::vector<WorkerReport> reports;
+  for (std::uint32_t w = 0; w < kWorkers; ++w) {
+    const std::string worker = "w" + std::to_string(w);
+    reports.push_back(Report(worker, 2));
+    Receive(Report(worker, 1), kLater);
+    for (std::uint32_t i = 0; i < 3; ++i) {
+      const TaskRef task = Ref("a", 3 * w + i);
+      m_fleet.Start(task, worker);
+      reports.back().m_ended.push_back(End(i + 1, task, RunEnd::kFailed));
+    }
+  }
+  std::size_t excluded = 0;
+  for (const WorkerReport& report : reports) {
+    Receive(report, kLater + 100);
+    excluded +=
+      m_table.Find(report.m_worker)->IsUsable(At(kLater + 1000)) ? 0 : 1;
+  }
+  LONGS_EQUAL(kWorkers / 4, excluded);
+}
+
 // Reports of steady workers are answered late to reduce their number. A worker
 // with news or with pending orders must not wait with them.
 TEST(WorkerTable, WorkerWithoutPendingWork_IsSteady)
