--- a/tests/support/simulated_pool.cpp
+++ b/tests/support/simulated_pool.cpp
@@ -214,6 +214,7 @@
   aWorker.m_ended.clear();
   aWorker.m_crashAt.reset();
   aWorker.m_isDraining = false;
+  aWorker.m_hungUntil = {};
   aWorker.m_downUntil = m_now + aDown;
   aWorker.m_startedAt = NextStart(*aWorker.m_downUntil);
   BreakGangs(lost);
@@ -428,10 +429,11 @@
   if (m_random() % 100 < m_options.m_answersLost) {
     return;
   }
-  m_delayedAnswers.push_back({ m_now + Millis{ m_random() % max },
-                               &aWorker,
-                               aWorker.m_incarnation,
-                               std::move(aOrders) });
+  const Millis delay{ m_random() % max };
+  if (delay <= kAnswerTimeout) {
+    m_delayedAnswers.push_back(
+      { m_now + delay, &aWorker, aWorker.m_incarnation, std::move(aOrders) });
+  }
 }
 
 void
@@ -666,6 +668,9 @@
     }
   }
   EndRuns(aWorker);
+  if (m_now < aWorker.m_hungUntil) {
+    return;
+  }
   for (const placement::StartOrder& start : aOrders.m_starts) {
     Start(aWorker, start);
   }
@@ -800,6 +805,12 @@
   m_workers[aWorker].m_cutUntil = m_now + aTime;
 }
 
+void
+SimulatedPool::HangWorker(std::uint32_t aWorker, Millis aTime)
+{
+  m_workers[aWorker].m_hungUntil = m_now + aTime;
+}
+
 void
 SimulatedPool::Cordon(std::uint32_t aWorker)
 {
@@ -916,4 +927,79 @@
   return static_cast<std::uint32_t>(m_workers[aWorker].m_runs.size());
 }
 
+std::set<std::uint32_t>
+SimulatedPool::RunningTasksOf(const std::string& aJob) const
+{
+  std::set<std::uint32_t> running;
+  for (const SimulatedWorker& worker : m_workers) {
+    for (const Run& run : worker.m_runs) {
+      if (AreOfSameStep(run.m_order.m_task, job_fixtures::Ref(aJob))) {
+        running.insert(run.m_order.m_task.m_index);
+      }
+    }
+  }
+  return running;
+}
+
+bool
+SimulatedPool::IsInService(const SimulatedWorker& aWorker) const
+{
+  return !aWorker.m_downUntil && m_now >= aWorker.m_cutUntil &&
+         m_now >= aWorker.m_hungUntil && !aWorker.m_isDraining &&
+         !aWorker.m_isCordoned;
+}
+
+bool
+SimulatedPool::IsInService(std::uint32_t aWorker) const
+{
+  return IsInService(m_workers[aWorker]);
+}
+
+bool
+SimulatedPool::IsReporting(std::uint32_t aWorker) const
+{
+  const SimulatedWorker& worker = m_workers[aWorker];
+  return !worker.m_downUntil && m_now >= worker.m_cutUntil &&
+         m_now > m_leaderStartsAt + kReportInterval;
+}
+
+bool
+SimulatedPool::HasRoom(const SimulatedWorker& aWorker,
+                       const jobs::TaskRef& aTask,
+                       const jobs::StepSpec& aStep) const
+{
+  const auto hosted = std::count_if(
+    aWorker.m_runs.begin(), aWorker.m_runs.end(), [&](const Run& aRun) {
+      return AreOfSameStep(aRun.m_order.m_task, aTask);
+    });
+  const bool isAllowed =
+    aStep.m_maxPerWorker == 0 || hosted < aStep.m_maxPerWorker;
+  return isAllowed && IsInService(aWorker) &&
+         UseOf(aWorker).LeavesCapacityFor(aWorker.m_capacity, aStep);
+}
+
+std::uint32_t
+SimulatedPool::CountWorkersWithRoom(const std::string& aJob) const
+{
+  const jobs::StepSpec& step = JobOf(aJob).m_spec.m_steps.front();
+  return static_cast<std::uint32_t>(std::count_if(
+    m_workers.begin(), m_workers.end(), [&](const SimulatedWorker& aWorker) {
+      return HasRoom(aWorker, job_fixtures::Ref(aJob), step);
+    }));
+}
+
+std::string
+SimulatedPool::ExclusionOf(std::uint32_t aWorker) const
+{
+  const placement::Worker* worker =
+    m_table->Find(IncarnationOf(m_workers[aWorker]));
+  if (worker == nullptr) {
+    return "not known";
+  }
+  if (!worker->IsUsable(Time())) {
+    return "not usable";
+  }
+  return worker->IsOnProbation() ? "on probation" : "";
+}
+
 } // namespace simulated_pool
--- a/tests/support/simulated_pool.h
+++ b/tests/support/simulated_pool.h
@@ -113,6 +113,12 @@
   {
     m_options.m_answersLost = aPercent;
   }
+  /** Maximum time of answers from now on. A worker drops those that take longer
+   * than its timeout. */
+  void SetAnswerTakes(Millis aMax) { m_options.m_answerTakes = aMax; }
+  /** The worker reports and receives answers, but carries out no start for
+   * aTime. */
+  void HangWorker(std::uint32_t aWorker, Millis aTime);
   /** Starts a new leader after aGap from the snapshot of the previous one. */
   void ReplaceLeader(Millis aGap);
 
@@ -148,6 +154,18 @@
   std::uint32_t RunningOn(std::uint32_t aWorker) const;
   /** Returns the worker that runs the task, if there is one. */
   std::optional<std::uint32_t> WorkerOf(const jobs::TaskRef& aTask) const;
+  /** Returns the indexes of the job's tasks that run, in its first step. */
+  std::set<std::uint32_t> RunningTasksOf(const std::string& aJob) const;
+  /** The worker is up, reachable, and neither about to leave nor hung. */
+  bool IsInService(std::uint32_t aWorker) const;
+  /** The worker's reports reach a leader. */
+  bool IsReporting(std::uint32_t aWorker) const;
+  /** Counts workers in service that may run one more task of the job's first
+   * step beside what runs on them, whatever the leader knows. */
+  std::uint32_t CountWorkersWithRoom(const std::string& aJob) const;
+  /** Why the leader gives the worker no starts or only one; empty if that is
+   * not so. */
+  std::string ExclusionOf(std::uint32_t aWorker) const;
   Millis Now() const { return m_now; }
 
 private:
@@ -187,6 +205,7 @@
     std::optional<Millis> m_crashAt;
     std::optional<Millis> m_downUntil;
     Millis m_cutUntil{};
+    Millis m_hungUntil{};
     bool m_isCordoned = false;
     std::optional<Millis> m_maintenanceAt;
     placement::InstanceAnswer m_maintenanceAnswer{};
@@ -256,6 +275,10 @@
                  const jobs::StepSpec& aStep) const;
   Millis StopDuration();
   bool IsFaulty(const SimulatedWorker& aWorker) const;
+  bool IsInService(const SimulatedWorker& aWorker) const;
+  bool HasRoom(const SimulatedWorker& aWorker,
+               const jobs::TaskRef& aTask,
+               const jobs::StepSpec& aStep) const;
   void Start(SimulatedWorker& aWorker, const placement::StartOrder& aOrder);
   TimePoint Time() const { return TimePoint{ m_now }; }
   WallTime Wall() const { return WallTime{ m_now.count() }; }
