placement: an exclusion for ignored starts doesn't outlast the worker's fault

Found by the generator (unit.random_series). An exclusion grows by half now, not by double, so that it stays below the time since the worker began to ignore starts, and starts at 3 s again if the worker has had 3 s after the last one without ignoring any.

--- a/src/placement/worker_starts.cpp
+++ b/src/placement/worker_starts.cpp
@@ -22,8 +22,9 @@
  * covered.
  */
 constexpr Duration kMaxIntervalAfterReceipt = kAnswerTimeout * 9 / 10;
-/** Limits how often the exclusion of a worker that ignores starts doubles. */
-constexpr std::uint32_t kMaxExclusionDoublings = 5;
+/** Limits how often the exclusion of a worker that ignores starts grows, each
+ * time by half. */
+constexpr std::uint32_t kMaxExclusionSteps = 8;
 
 // A worker waits kAnswerTimeout for an answer before it reports again, so an
 // earlier report proves that the answer has arrived. Its own clock shows the
@@ -169,10 +170,17 @@
 WorkerTable::Exclude(Worker& aWorker, TimePoint aNow) const
 {
   IgnoredStarts& ignored = aWorker.m_ignored;
-  const auto doublings = std::min(ignored.m_exclusions, kMaxExclusionDoublings);
-  ignored.m_excludedUntil =
-    aNow + m_options.m_maxReportDelay * (1 << doublings);
-  ++ignored.m_exclusions;
+  const Duration first = m_options.m_maxReportDelay;
+  // A start that is ignored long after the last exclusion is another fault.
+  const bool isRecent = aNow < ignored.m_excludedUntil + first;
+  const std::uint32_t steps =
+    isRecent ? std::min(ignored.m_exclusions, kMaxExclusionSteps) : 0;
+  Duration period = first;
+  for (std::uint32_t i = 0; i < steps; ++i) {
+    period += period / 2;
+  }
+  ignored.m_excludedUntil = aNow + period;
+  ignored.m_exclusions = steps + 1;
   for (auto& [task, start] : aWorker.m_unshownStarts) {
     start.m_isGivenUp = true;
   }
