--- a/src/placement/worker_starts.cpp
+++ b/src/placement/worker_starts.cpp
@@ -18,9 +18,8 @@
  * that is reset takes less, as the worker reports to another node at once. */
 constexpr Duration kMinIntervalAfterReceipt = Millis{ 40 };
 /** Time between two reports up to which the answer to the first one has
- * arrived. Clocks of workers that are slow by LeaseOptions::m_driftPercent are
- * covered.
- */
+ * arrived. Workers whose clock is slow by LeaseOptions::m_driftPercent are
+ * covered. */
 constexpr Duration kMaxIntervalAfterReceipt = kAnswerTimeout * 9 / 10;
 /** Limits how often the exclusion of a worker that ignores starts grows, each
  * time by half. */
@@ -132,9 +131,8 @@
 // ends and nothing fails. It gets one start at a time, after ever longer
 // pauses, until a report shows one. Answers that are lost say nothing about
 // their worker: a fault of the network or of the leader loses those to many
-// workers at once. Once none has arrived for as long as a lease lasts, the
-// worker runs nothing, and it gets starts again with the first answer that
-// arrives.
+// workers at once. A worker for which no answer is known to have arrived in the
+// time of a lease gets starts again with the first one that arrives.
 void
 WorkerTable::ExcludeIfIgnoringStarts(Worker& aWorker,
                                      TimePoint aNow,
