--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -183,7 +183,7 @@
     /** Capacity of the workers that report. */
     std::int64_t m_cpu = 0;
     std::int64_t m_memoryMb = 0;
-    /** Of one worker: most have none. */
+    /** The most accelerators of one worker; most workers have none. */
     std::uint32_t m_maxAccelerators = 0;
     std::int64_t m_usedCpu = 0;
     /** Sum of the times until they report. */
