placement, control: a waiting task's log tells of what workers are full

A long-running task without a worker logs how many workers of its service are full, but not whether room will come when other work ends, nor whether the workers' own reports would show room. Now it counts those that are full of long-running tasks alone, and those that are full by their last report alone.

unit_placement -n WorkersAreFull_PlanTellsOfWhatAndByWhoseAccount

--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -58,6 +58,12 @@
   std::size_t m_disallowed = 0;
   /** It lacks capacity. */
   std::size_t m_full = 0;
+  /** Part of m_full that would lack capacity with its long-running tasks alone.
+   */
+  std::size_t m_fullOfLongRunning = 0;
+  /** Part of m_full that lacks capacity by the runs of its last report alone,
+   * without starts that none has shown yet and runs that cannot be told. */
+  std::size_t m_fullByReport = 0;
   /** It has capacity that is kept for others: an isolated run, a restart, a
    * probe or a reservation. */
   std::size_t m_withheld = 0;
@@ -263,6 +269,7 @@
                      WallTime aWall,
                      std::vector<Candidate>& aCandidates) const;
   void Place(const Candidate& aCandidate,
+             const jobs::JobTable& aBook,
              WallTime aWall,
              Pool& aPool,
              Plan& aPlan) const;
@@ -299,6 +306,7 @@
    * one of each step, until no further one may start. */
   void PlaceSuspects(
     std::vector<SuspectStep> aSteps,
+    const jobs::JobTable& aBook,
     const std::function<LossActivity(const ServiceId&)>& aAssessLosses,
     WallTime aWall,
     Pools& aPools,
@@ -306,6 +314,7 @@
   /** Starts the step's next isolated run, and those that share a worker up to
    * it. Returns false if there is none. */
   bool PlaceNextSuspect(SuspectStep& aStep,
+                        const jobs::JobTable& aBook,
                         LossActivity aActivity,
                         WallTime aWall,
                         IsolationQuota& aQuota,
--- a/src/control/waiting_monitor.cpp
+++ b/src/control/waiting_monitor.cpp
@@ -54,6 +54,8 @@
       .With("workersUnresponsive", workers->m_unresponsive)
       .With("workersDisallowed", workers->m_disallowed)
       .With("workersFull", workers->m_full)
+      .With("workersFullOfLongRunning", workers->m_fullOfLongRunning)
+      .With("workersFullByReport", workers->m_fullByReport)
       .With("workersWithheld", workers->m_withheld);
   }
   line.Write();
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -525,6 +525,7 @@
 
 void
 Planner::Place(const Candidate& aCandidate,
+               const jobs::JobTable& aBook,
                WallTime aWall,
                Pool& aPool,
                Plan& aPlan) const
@@ -570,7 +571,7 @@
       aCandidate.AddWaiting(i, task, WaitReason::kNoCapacity, aWall, aPlan);
       if (step.m_longRunning) {
         aPlan.m_waiting.at(aCandidate.TaskAt(i)).m_workers =
-          aPool.CountWorkers(step, tasksPerWorker);
+          aPool.CountWorkers(step, tasksPerWorker, aBook);
       }
       aPlan.m_fullServices.insert(aCandidate.m_route->m_service);
       const std::size_t restarts =
@@ -845,9 +846,10 @@
       if (pool == nullptr) {
         pool = &pools[it->m_route->m_service];
       }
-      Place(*it, aWall, *pool, plan);
+      Place(*it, aState.Jobs(), aWall, *pool, plan);
     }
     PlaceSuspects(OrderSuspects(aFrom, aTo, aState.Jobs()),
+                  aState.Jobs(),
                   assessLosses,
                   aWall,
                   pools,
--- a/src/placement/target_pool.cpp
+++ b/src/placement/target_pool.cpp
@@ -1,5 +1,7 @@
 #include "target_pool.h"
 
+#include "run_lookup.h"
+
 #include <algorithm>
 
 namespace bamboostile::placement {
@@ -37,6 +39,20 @@
                                             aStep);
 }
 
+bool
+Planner::Target::FitsByReport(const jobs::StepSpec& aStep,
+                              const jobs::JobTable& aBook) const
+{
+  const WorkerReport& report = m_worker->m_lastReport;
+  ReservedCapacity use;
+  for (const RunReport& run : report.m_active) {
+    if (const jobs::StepSpec* step = FindStep(aBook, run.m_task)) {
+      use.Add(*step);
+    }
+  }
+  return use.LeavesCapacityFor(report.m_capacity, aStep);
+}
+
 void
 Planner::Target::Allocate(const jobs::StepSpec& aStep)
 {
@@ -139,7 +155,8 @@
 
 WorkerCensus
 Planner::Pool::CountWorkers(const jobs::StepSpec& aStep,
-                            const TasksPerWorker& aTasksPerWorker) const
+                            const TasksPerWorker& aTasksPerWorker,
+                            const jobs::JobTable& aBook) const
 {
   WorkerCensus census;
   census.m_excluded = m_excluded;
@@ -152,6 +169,8 @@
       ++census.m_disallowed;
     } else if (!target.Fits(aStep)) {
       ++census.m_full;
+      census.m_fullOfLongRunning += target.FitsBesideLongRunning(aStep) ? 0 : 1;
+      census.m_fullByReport += target.FitsByReport(aStep, aBook) ? 0 : 1;
     } else {
       ++census.m_withheld;
     }
--- a/src/placement/target_pool.h
+++ b/src/placement/target_pool.h
@@ -55,6 +55,10 @@
   /** How many tasks of the step, at most aLimit, would fit then. */
   std::size_t CountFitting(const jobs::StepSpec& aStep,
                            std::uint32_t aLimit) const;
+  /** Whether a task of the step would fit if only the runs of the worker's last
+   * report ran here. */
+  bool FitsByReport(const jobs::StepSpec& aStep,
+                    const jobs::JobTable& aBook) const;
   /** Whether tasks that are not isolated may be started here, unless it is
    * reserved. */
   bool IsOpen() const
@@ -112,7 +116,8 @@
   /** Counts a worker of the service that gets no tasks in this pass. */
   void AddExcluded() { ++m_excluded; }
   WorkerCensus CountWorkers(const jobs::StepSpec& aStep,
-                            const TasksPerWorker& aTasksPerWorker) const;
+                            const TasksPerWorker& aTasksPerWorker,
+                            const jobs::JobTable& aBook) const;
 
   std::size_t CountReserved() const { return m_reserved; }
   /** The open target with the most free CPU, the first among equals, that is
--- a/src/placement/trials.cpp
+++ b/src/placement/trials.cpp
@@ -389,6 +389,7 @@
 void
 Planner::PlaceSuspects(
   std::vector<SuspectStep> aSteps,
+  const jobs::JobTable& aBook,
   const std::function<LossActivity(const ServiceId&)>& aAssessLosses,
   WallTime aWall,
   Pools& aPools,
@@ -408,6 +409,7 @@
     for (SuspectStep& step : aSteps) {
       const ServiceId& service = step.m_candidate.m_route->m_service;
       hasPlaced = PlaceNextSuspect(step,
+                                   aBook,
                                    aAssessLosses(service),
                                    aWall,
                                    quotas.at(service),
@@ -445,6 +447,7 @@
 
 bool
 Planner::PlaceNextSuspect(SuspectStep& aStep,
+                          const jobs::JobTable& aBook,
                           LossActivity aActivity,
                           WallTime aWall,
                           IsolationQuota& aQuota,
@@ -470,8 +473,8 @@
       waiting->m_withoutRun = TimeSince(run.m_ranUntil, aWall);
       if (run.m_isLongRunning &&
           waiting->m_reason == WaitReason::kNoWorkerForIsolatedRun) {
-        waiting->m_workers =
-          aPool.CountWorkers(aStep.m_candidate.Step(), aStep.m_tasksPerWorker);
+        waiting->m_workers = aPool.CountWorkers(
+          aStep.m_candidate.Step(), aStep.m_tasksPerWorker, aBook);
         ReserveForRestarts(
           aStep.m_candidate.Step(), 1, aStep.m_tasksPerWorker, aPool);
       }
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -129,6 +129,33 @@
   LONGS_EQUAL(0, workers.m_withheld);
 }
 
+// Guards against a log that does not tell workers that are full for good from
+// those that will have room, and from those that only the leader takes for
+// full.
+TEST(PlacementPlanner, WorkersAreFull_PlanTellsOfWhatAndByWhoseAccount)
+{
+  StepSpec step = Step(1, 3000);
+  step.m_longRunning = true;
+  for (const char* name : { "hosts", "starts" }) {
+    m_fleet.Submit(name, Spec({ step }));
+    m_fleet.Start(Ref(name), name);
+  }
+  m_fleet.Submit("short", Spec({ Step(1, 3000) }));
+  m_fleet.Start(Ref("short"), "short");
+  for (const char* name : { "hosts", "short" }) {
+    WorkerReport report = Report(name, 1);
+    report.m_active = { Active(Ref(name)) };
+    Receive(report);
+  }
+  Receive(Report("starts", 1));
+  m_fleet.Submit("waits", Spec({ step }));
+  const Plan plan = MakePlan();
+  const WorkerCensus& workers = *plan.m_waiting.at(Ref("waits")).m_workers;
+  LONGS_EQUAL(3, workers.m_full);
+  LONGS_EQUAL(2, workers.m_fullOfLongRunning);
+  LONGS_EQUAL(2, workers.m_fullByReport);
+}
+
 TEST(PlacementPlanner, DependentStep_WaitsForItsDependency)
 {
   Receive(Report("w1", 1));
