placement: a task that no worker of its pool can take is demand for another worker

Callers saw a long-running task that does not run, with room for it.

Cause: two parts of the leader answer whether a pool has room by different sums. Its least size packs all long-running tasks, largest first, on workers of the mean size; a placement pass has to place the next task beside those that run, on the workers that are there. The first said that 13 workers are enough, the second needed a fourteenth, and neither hears of the other. The tasks that run do not end, so nothing bounds the wait.

Change: a pass lists the long-running tasks that it finds no worker for, and those of them that no worker of the pool will have room for once other tasks have ended. The size is bounded by twice the packing and four, for tasks that no instance can take.

--- a/include/bamboostile.h
+++ b/include/bamboostile.h
@@ -27,6 +27,7 @@
 #include "bamboostile/placement/losses.h"
 #include "bamboostile/placement/maintenance.h"
 #include "bamboostile/placement/planner.h"
+#include "bamboostile/placement/unplaced_tasks.h"
 #include "bamboostile/placement/workers.h"
 #include "bamboostile/request/engine.h"
 #include "bamboostile/routing/router.h"
--- a/include/bamboostile/control/instance_service.h
+++ b/include/bamboostile/control/instance_service.h
@@ -87,6 +87,11 @@
             bool aOrdersAllowed,
             TimePoint aNow,
             WallTime aWall);
+  /** Takes the long-running tasks that a placement pass could not place. */
+  void OnPlanned(const placement::UnplacedBySteps& aUnplaced, TimePoint aNow)
+  {
+    m_capacity.OnPlanned(aUnplaced, aNow);
+  }
   /** The pools as of the last tick; empty if instances are not moved. */
   const std::vector<placement::PoolCapacity>& Pools() const { return m_pools; }
   /** Workers that get no new tasks. */
--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -6,6 +6,7 @@
 #include "bamboostile/placement/maintenance.h"
 #include "bamboostile/placement/open_job_index.h"
 #include "bamboostile/placement/order_record.h"
+#include "bamboostile/placement/unplaced_tasks.h"
 #include "bamboostile/placement/workers.h"
 
 #include <algorithm>
@@ -61,6 +62,8 @@
   std::size_t m_arriving = 0;
   /** In thousandths of a core. */
   inflow::Forecast m_inflow;
+  /** Long-running tasks that wait and need other workers than the pool's. */
+  std::uint32_t m_unplaced = 0;
   PoolWait m_waitsFor = PoolWait::kNothing;
 };
 
@@ -131,6 +134,11 @@
                     TimePoint aNow,
                     WallTime aWall);
 
+  /** Takes the long-running tasks that a placement pass could not place. */
+  void OnPlanned(const UnplacedBySteps& aUnplaced, TimePoint aNow)
+  {
+    m_unplaced.OnPlanned(aUnplaced, aNow);
+  }
   void AllowOrders(bool aAllowed) { m_isAllowed = aAllowed; }
   /** Counts maintenance orders, which have priority, against the same rate. */
   void OnMaintenanceOrders(std::size_t aCount);
@@ -170,6 +178,9 @@
     /** Workers that stay when another pool is below its minimum. */
     std::size_t m_floor = 0;
     std::size_t m_reporting = 0;
+    /** Part of m_reporting that placement passes have had time to use. */
+    std::size_t m_established = 0;
+    std::uint32_t m_unplaced = 0;
     /** Cores of one worker, in thousandths. */
     std::size_t m_cores = 0;
     jobs::Resources m_worker;
@@ -240,6 +251,11 @@
                  TimePoint aNow,
                  WallTime aWall,
                  Pools& aPools);
+  /** Raises the size of pools with tasks that their workers cannot take. */
+  void AddUnplaced(const fleet::State& aState,
+                   const Demands& aDemands,
+                   TimePoint aNow,
+                   Pools& aPools) const;
   void AddForecast(const Demands& aDemands, TimePoint aNow, Pools& aPools);
   /** CPU for work that is expected to arrive, in thousandths of a core. */
   std::int64_t CpuAhead(const Demand& aDemand, const Pool& aPool) const;
@@ -306,6 +322,7 @@
              CapacityPlan& aPlan);
 
   CapacityOptions m_options;
+  UnplacedTaskRecord m_unplaced;
   OpenJobIndex m_openJobs;
   /** Rank of the last job that has been counted as arrived; unset before the
    * first tick, when it is unknown how long ago the open jobs arrived. */
--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -4,6 +4,7 @@
 #include "bamboostile/placement/durations.h"
 #include "bamboostile/placement/mechanisms.h"
 #include "bamboostile/placement/pool_load.h"
+#include "bamboostile/placement/unplaced_tasks.h"
 #include "bamboostile/placement/workers.h"
 #include "bamboostile/placement/workspace_accounts.h"
 
@@ -118,6 +119,7 @@
   /** Suspects and long-running tasks that were not started; of each step that
    * found no capacity, only the first. */
   std::map<jobs::TaskRef, WaitingTask> m_waiting;
+  UnplacedBySteps m_unplaced;
   std::vector<Restart> m_restarts;
   /** Load of each pool with workers or waiting jobs; empty unless jobs are
    * refused by their expected end. */
@@ -187,6 +189,8 @@
 
   struct Target;
   class Pool;
+  /** Number of running tasks of one step on each worker. */
+  using TasksPerWorker = std::unordered_map<WorkerIncarnation, std::uint32_t>;
 
   /** The longest chain of dependent steps of a job, and of those that are not
    * done. */
@@ -233,12 +237,16 @@
      * workspace to those at their cap. */
     bool CheckCap(Plan& aPlan) const;
     void ChargeStart() const;
+    /** Adds aCount waiting tasks of a long-running step to those that no worker
+     * can take. */
+    void AddUnplaced(std::uint32_t aCount,
+                     const TasksPerWorker& aTasksPerWorker,
+                     Pool& aPool,
+                     Plan& aPlan) const;
     /** Waiting tasks of the step, before the pass. */
     std::uint32_t CountWaiting() const;
   };
 
-  /** Number of running tasks of one step on each worker. */
-  using TasksPerWorker = std::unordered_map<WorkerIncarnation, std::uint32_t>;
   using Pools = std::unordered_map<ServiceId, Pool>;
 
   /** The waiting suspects of a step, and how far a pass has come with them. */
--- a/src/control/instance_service.cpp
+++ b/src/control/instance_service.cpp
@@ -345,6 +345,7 @@
       .With("workCoreSeconds", pool.m_workCoreSeconds)
       .With("cores", pool.m_cores)
       .With("usedCores", pool.m_usedCores)
+      .With("unplaced", pool.m_unplaced)
       .Write();
   }
 }
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -313,6 +313,7 @@
   m_fullServices = std::move(plan.m_fullServices);
   UpdateIntake(std::move(plan.m_loads), aNow);
   m_waiting.OnPlanned(plan.m_waiting, aNow);
+  m_instances->OnPlanned(plan.m_unplaced, aNow);
   WaitingMonitor::OnRestarted(plan.m_restarts);
   m_workspaces.OnPlanned(plan.m_atCap, m_node.State().Routes().m_version, aNow);
   for (const placement::StopOrder& stop : plan.m_stops) {
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -23,6 +23,13 @@
  * is more. */
 constexpr std::size_t kMinIsolatedRunWorkers = 4;
 constexpr std::size_t kWorkersPerIsolatedRun = 2;
+/** Time in which the placement passes use a worker that has begun to report. */
+constexpr Duration kEstablishedAfter = Millis{ 1000 };
+/** Maximum size of a pool for tasks that its workers cannot take: this multiple
+ * of the size that a packing of all long-running tasks needs, and some workers
+ * more. A task that no instance of the fleet can take would get all others. */
+constexpr std::size_t kMaxFragmentation = 2;
+constexpr std::size_t kMaxWorkersForUnplaced = 4;
 
 } // namespace
 
@@ -175,6 +182,40 @@
                std::max(kMinIsolatedRunWorkers,
                         pool.m_desired / kWorkersPerIsolatedRun));
   }
+  AddUnplaced(aState, demands, aNow, aPools);
+}
+
+// Workers on the way to the pool, and those that no pass has used yet, count as
+// part of what the tasks need.
+void
+CapacityPlanner::AddUnplaced(const fleet::State& aState,
+                             const Demands& aDemands,
+                             TimePoint aNow,
+                             Pools& aPools) const
+{
+  for (const auto& [service, shortage] : m_unplaced.Assess(aState, aNow)) {
+    const auto found = aPools.find(service);
+    if (found == aPools.end()) {
+      continue;
+    }
+    Pool& pool = found->second;
+    for (const TaskGroup& tasks : shortage.m_needWorkers) {
+      pool.m_unplaced += tasks.m_count;
+    }
+    const std::size_t packed = Demand::MinWorkers(
+      aDemands.at(service).m_longRunningSteps, pool.m_worker);
+    const std::size_t more =
+      Demand::MinWorkers(shortage.m_needWorkers, pool.m_worker);
+    std::size_t size =
+      std::min(more == 0 ? 0 : pool.m_established + more,
+               kMaxFragmentation * packed + kMaxWorkersForUnplaced);
+    if (shortage.m_holdsWorkers) {
+      size = std::max(size, pool.m_actual);
+    }
+    pool.m_minimum = std::max(pool.m_minimum, size);
+    pool.m_floor = std::max(pool.m_floor, size);
+    pool.m_desired = std::max(pool.m_desired, size);
+  }
 }
 
 // An instance under order counts in the pool that it moves to.
@@ -220,6 +261,8 @@
         m_options.m_mechanisms.Has(Mechanism::kReplacement);
       pool->second.m_actual += isReplaced ? 0 : 1;
       ++pool->second.m_reporting;
+      pool->second.m_established +=
+        aNow >= worker.m_firstReportAt + kEstablishedAfter ? 1 : 0;
       pool->second.m_cpu += capacity.m_cpuMillis;
       pool->second.m_memoryMb += capacity.m_memoryMb;
       pool->second.m_maxAccelerators =
@@ -680,7 +723,8 @@
                              pool.MeanArrival(),
                              pool.m_lateWork / kMilliPerCoreSecond,
                              pool.m_arriving,
-                             pool.m_inflow });
+                             pool.m_inflow,
+                             pool.m_unplaced });
   }
   const bool isReady = aNow >= m_leaderSince + m_options.m_reportWait;
   if (isReady) {
--- a/src/placement/demand.cpp
+++ b/src/placement/demand.cpp
@@ -55,8 +55,8 @@
 Demand::LongRunningCpu(const jobs::Resources& aWorker) const
 {
   std::int64_t cpu = 0;
-  for (const jobs::StepSpec* step : m_longRunningSteps) {
-    cpu += std::int64_t{ step->m_count } * DominantCpu(*step, aWorker);
+  for (const TaskGroup& tasks : m_longRunningSteps) {
+    cpu += std::int64_t{ tasks.m_count } * DominantCpu(*tasks.m_step, aWorker);
   }
   return cpu;
 }
@@ -65,23 +65,25 @@
 // that fits on no worker of this size gets one of its own, as workers may
 // differ in size.
 std::size_t
-Demand::MinWorkers(std::vector<const jobs::StepSpec*> aSteps,
+Demand::MinWorkers(std::vector<TaskGroup> aTasks,
                    const jobs::Resources& aWorker)
 {
-  std::stable_sort(
-    aSteps.begin(), aSteps.end(), [&](const auto* aLeft, const auto* aRight) {
-      return DominantCpu(*aLeft, aWorker) > DominantCpu(*aRight, aWorker);
-    });
+  const auto needsMore = [&](const TaskGroup& aLeft, const TaskGroup& aRight) {
+    return DominantCpu(*aLeft.m_step, aWorker) >
+           DominantCpu(*aRight.m_step, aWorker);
+  };
+  std::stable_sort(aTasks.begin(), aTasks.end(), needsMore);
   std::vector<ReservedCapacity> workers;
-  for (const jobs::StepSpec* step : aSteps) {
+  for (const TaskGroup& tasks : aTasks) {
+    const jobs::StepSpec& step = *tasks.m_step;
     const std::uint32_t limit =
-      step->m_maxPerWorker == 0 ? step->m_count : step->m_maxPerWorker;
-    std::uint32_t remaining = step->m_count;
+      step.m_maxPerWorker == 0 ? tasks.m_count : step.m_maxPerWorker;
+    std::uint32_t remaining = tasks.m_count;
     const auto place = [&](ReservedCapacity& aUse) {
       std::uint32_t placed = 0;
       while (placed < std::min(limit, remaining) &&
-             aUse.LeavesCapacityFor(aWorker, *step)) {
-        aUse.Add(*step);
+             aUse.LeavesCapacityFor(aWorker, step)) {
+        aUse.Add(step);
         ++placed;
       }
       remaining -= placed;
@@ -145,14 +147,14 @@
   for (std::size_t s = 0; s < aOccurrence.m_steps.size(); ++s) {
     const jobs::StepSpec& step = aJob.m_spec.m_steps[s];
     if (step.m_longRunning) {
-      m_longRunningSteps.push_back(&step);
+      m_longRunningSteps.push_back({ &step, step.m_count });
       const std::vector<jobs::Task>& tasks = aOccurrence.m_steps[s].m_tasks;
       const bool hasStarted =
         std::any_of(tasks.begin(), tasks.end(), [](const jobs::Task& aTask) {
           return aTask.m_lastRun > RunNumber{};
         });
       if (hasStarted) {
-        m_startedSteps.push_back(&step);
+        m_startedSteps.push_back({ &step, step.m_count });
       }
       continue;
     }
--- a/src/placement/demand.h
+++ b/src/placement/demand.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bamboostile/fleet/state.h"
+#include "bamboostile/placement/unplaced_tasks.h"
 #include "bamboostile/placement/workers.h"
 
 #include <vector>
@@ -27,9 +28,9 @@
   Load m_onTime;
   /** Jobs that are late, but whose callers still wait. */
   Load m_late;
-  std::vector<const jobs::StepSpec*> m_longRunningSteps;
+  std::vector<TaskGroup> m_longRunningSteps;
   /** Those of them that have had runs. */
-  std::vector<const jobs::StepSpec*> m_startedSteps;
+  std::vector<TaskGroup> m_startedSteps;
   /** Work of the jobs accepted since the last tick, in the unit of Load. */
   std::int64_t m_arrivedWork = 0;
   /** Suspects that each need a worker of their own for an isolated run. */
@@ -50,9 +51,9 @@
   /** CPU of workers of this size that long-running tasks reserve, in
    * thousandths of a core; memory counts in proportion. */
   std::int64_t LongRunningCpu(const jobs::Resources& aWorker) const;
-  /** Number of workers of this size on which all tasks of the steps fit, given
-   * their limits per worker. */
-  static std::size_t MinWorkers(std::vector<const jobs::StepSpec*> aSteps,
+  /** Number of workers of this size on which all of the tasks fit, given the
+   * limits per worker of their steps. */
+  static std::size_t MinWorkers(std::vector<TaskGroup> aTasks,
                                 const jobs::Resources& aWorker);
 
 private:
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -57,6 +57,23 @@
   return aStep.m_longRunning || aStep.m_bestEffort;
 }
 
+/** Counts the tasks from aFirst on that wait and are no suspects; aTasks is
+ * null if none has started. */
+std::uint32_t
+CountWaiting(const jobs::StepSpec& aStep,
+             const std::vector<jobs::Task>* aTasks,
+             std::uint32_t aFirst)
+{
+  if (aTasks == nullptr) {
+    return aStep.m_count - aFirst;
+  }
+  return static_cast<std::uint32_t>(std::count_if(
+    aTasks->begin() + aFirst, aTasks->end(), [](const jobs::Task& aTask) {
+      return aTask.m_phase == jobs::TaskPhase::kWaiting &&
+             !jobs::IsSuspect(aTask.m_losses);
+    }));
+}
+
 /** Counts the tasks from aFirst on that wait, have been started before and are
  * no suspects. */
 std::size_t
@@ -128,6 +145,16 @@
   return std::max(Millis::zero(), Millis{ aWall.Get() - aTime->Get() });
 }
 
+void
+Planner::Candidate::AddUnplaced(std::uint32_t aCount,
+                                const TasksPerWorker& aTasksPerWorker,
+                                Pool& aPool,
+                                Plan& aPlan) const
+{
+  aPlan.m_unplaced[TaskAt(0)].Add(
+    { aCount, aPool.CountWithoutRoom(Step(), aCount, aTasksPerWorker) });
+}
+
 void
 Planner::Candidate::ChargeStart() const
 {
@@ -572,6 +599,8 @@
       if (step.m_longRunning) {
         aPlan.m_waiting.at(aCandidate.TaskAt(i)).m_workers =
           aPool.CountWorkers(step, tasksPerWorker, aBook);
+        aCandidate.AddUnplaced(
+          CountWaiting(step, tasks, i), tasksPerWorker, aPool, aPlan);
       }
       aPlan.m_fullServices.insert(aCandidate.m_route->m_service);
       const std::size_t restarts =
--- a/src/placement/target_pool.cpp
+++ b/src/placement/target_pool.cpp
@@ -178,6 +178,30 @@
   return census;
 }
 
+std::uint32_t
+Planner::Pool::CountWithoutRoom(const jobs::StepSpec& aStep,
+                                std::uint32_t aCount,
+                                const TasksPerWorker& aTasksPerWorker)
+{
+  for (Target& target : m_targets) {
+    if (aCount == 0) {
+      break;
+    }
+    const WorkerReport& report = target.m_worker->m_lastReport;
+    ReservedCapacity use =
+      target.m_expectedUse.value_or(target.m_longRunningUse);
+    std::uint32_t tasks = TasksOnWorker(report.m_worker, aTasksPerWorker);
+    while (aCount > 0 && IsAllowed(aStep, tasks, target) &&
+           use.LeavesCapacityFor(report.m_capacity, aStep)) {
+      use.Add(aStep);
+      ++tasks;
+      --aCount;
+    }
+    target.m_expectedUse = use;
+  }
+  return aCount;
+}
+
 // Free CPU only decreases while no trial is under way, so a top entry that
 // still shows what its target has is the greatest of all.
 Planner::Target*
--- a/src/placement/target_pool.h
+++ b/src/placement/target_pool.h
@@ -16,6 +16,8 @@
   std::int64_t m_freeAccelerators = 0;
   /** Resources that long-running tasks reserve. */
   ReservedCapacity m_longRunningUse{};
+  /** The same with those that wait for this worker's other tasks to end. */
+  std::optional<ReservedCapacity> m_expectedUse{};
   bool m_hostsLatencySensitive = false;
   bool m_hostsLongRunning = false;
   bool m_hostsGang = false;
@@ -119,6 +121,13 @@
                             const TasksPerWorker& aTasksPerWorker,
                             const jobs::JobTable& aBook) const;
 
+  /** Counts the tasks, of aCount that wait, for which no target will have
+   * capacity beside its long-running tasks. Those for which one will have count
+   * against it in later calls. */
+  std::uint32_t CountWithoutRoom(const jobs::StepSpec& aStep,
+                                 std::uint32_t aCount,
+                                 const TasksPerWorker& aTasksPerWorker);
+
   std::size_t CountReserved() const { return m_reserved; }
   /** The open target with the most free CPU, the first among equals, that is
    * not reserved and may take a task of the step once others have ended; null
--- /dev/null
+++ b/src/placement/unplaced_tasks.cpp
@@ -0,0 +1,67 @@
+#include "bamboostile/placement/unplaced_tasks.h"
+
+namespace bamboostile::placement {
+
+namespace {
+
+/** Time after which tasks that wait for others to end count as demand for
+ * workers. A worker that is ordered then comes later than most of those ends.
+ */
+constexpr Duration kMaxWaitForRoom = Millis{ 1000 };
+/** The same time for tasks that no worker of the pool will have room for.
+ * Workers that were to leave it get tasks again within this time. */
+constexpr Duration kMaxWaitWithoutRoom = Millis{ 200 };
+/** Time after which a pool may give workers away again, as they have not helped
+ * the tasks that wait. */
+constexpr Duration kMaxHold = Millis{ 10'000 };
+
+} // namespace
+
+void
+UnplacedTaskRecord::OnPlanned(const UnplacedBySteps& aUnplaced, TimePoint aNow)
+{
+  std::erase_if(m_waits, [&](const auto& aEntry) {
+    return !aUnplaced.contains(aEntry.first);
+  });
+  for (const auto& [step, tasks] : aUnplaced) {
+    Wait& wait =
+      m_waits.try_emplace(step, Wait{ {}, aNow, aNow }).first->second;
+    wait.m_tasks = tasks;
+    if (tasks.m_withoutRoom == 0) {
+      wait.m_withoutRoomSince = aNow;
+    }
+  }
+}
+
+std::map<ServiceId, PlacementShortage>
+UnplacedTaskRecord::Assess(const fleet::State& aState, TimePoint aNow) const
+{
+  std::map<ServiceId, PlacementShortage> shortages;
+  for (const auto& [first, wait] : m_waits) {
+    const jobs::Job* job = aState.Jobs().Find(first.m_job);
+    if (job == nullptr || job->m_state != jobs::JobState::kActive) {
+      continue;
+    }
+    const auto route = aState.RouteLookup().Find(job->m_queue);
+    if (!route) {
+      continue;
+    }
+    PlacementShortage& shortage =
+      shortages[aState.Routes().m_routes[*route].m_service];
+    shortage.m_holdsWorkers =
+      shortage.m_holdsWorkers || aNow < wait.m_since + kMaxHold;
+    std::uint32_t count = 0;
+    if (aNow >= wait.m_since + kMaxWaitForRoom) {
+      count = wait.m_tasks.m_count;
+    } else if (aNow >= wait.m_withoutRoomSince + kMaxWaitWithoutRoom) {
+      count = wait.m_tasks.m_withoutRoom;
+    }
+    if (count > 0) {
+      shortage.m_needWorkers.push_back(
+        { &job->m_spec.m_steps[first.m_step], count });
+    }
+  }
+  return shortages;
+}
+
+} // namespace bamboostile::placement
--- a/tests/support/simulated_pool.cpp
+++ b/tests/support/simulated_pool.cpp
@@ -405,6 +405,7 @@
       m_table->RequestStop(stop.m_task, stop.m_run);
     }
     m_table->RecordPlannedStarts(plan.m_changes);
+    m_capacity.OnPlanned(plan.m_unplaced, Time());
     m_fleet.Apply(std::move(plan.m_changes));
     m_table->SetAccounts(std::move(plan.m_accounts));
   }
