tests: the simulated pool has neighbours to exchange instances with

Several services, each with its queue and workers, exchange instances through the capacity planner, so that a test can see a pool that is too small.

--- a/tests/support/job_fixtures.h
+++ b/tests/support/job_fixtures.h
@@ -112,13 +112,31 @@
     Do(jobs::Batch{ std::move(aChanges) });
   }
 
+  /** Adds the service "desk-N" with a queue, "host/qN/". */
+  void AddService(std::uint32_t aNumber)
+  {
+    const std::string number = std::to_string(aNumber);
+    fleet::RouteTable table = m_state.Routes();
+    ++table.m_version;
+    table.m_services.push_back({ ServiceId{ "desk-" + number }, true, false });
+    fleet::QueueRoute route = table.m_routes.front();
+    route.m_name = "q" + number;
+    route.m_pathPrefix = "/q" + number + "/";
+    route.m_service = table.m_services.back().m_id;
+    table.m_routes.push_back(route);
+    Do(fleet::ReplaceRoutes{ table });
+  }
+
+  /** aQueue: the number of an added service; 0 for "desk". */
   void Submit(const std::string& aJob,
               jobs::JobSpec aSpec,
               std::int64_t aAtMs = 0,
-              const std::string& aWorkspace = "")
+              const std::string& aWorkspace = "",
+              std::uint32_t aQueue = 0)
   {
+    const std::string queue = aQueue == 0 ? "" : std::to_string(aQueue);
     Apply({ jobs::Submit{ JobId{ aJob },
-                          QueueId{ "host/q/" },
+                          QueueId{ "host/q" + queue + "/" },
                           std::move(aSpec),
                           WallTime{ aAtMs },
                           WorkspaceId{ aWorkspace } } });
--- a/tests/support/simulated_pool.cpp
+++ b/tests/support/simulated_pool.cpp
@@ -37,6 +37,7 @@
          aLeft.m_step == aRight.m_step;
 }
 
+constexpr const char* kFirstService = "desk";
 constexpr const char* kStandby = "spare";
 
 bool
@@ -53,23 +54,36 @@
   , m_random(aOptions.m_seed)
 {
   BeginLeading();
-  for (std::uint32_t i = 0; i < m_options.m_workers + m_options.m_spares; ++i) {
+  AddWorkers(m_options.m_workers, ServiceId{ kFirstService });
+  for (std::uint32_t i = 0; i < m_options.m_otherPools.size(); ++i) {
+    m_fleet.AddService(i + 1);
+    AddWorkers(m_options.m_otherPools[i],
+               ServiceId{ kFirstService + ("-" + std::to_string(i + 1)) });
+  }
+  AddWorkers(m_options.m_spares, ServiceId{ kStandby });
+  if (m_options.m_spares > 0) {
+    fleet::RouteTable table = m_fleet.State().Routes();
+    ++table.m_version;
+    table.m_services.push_back({ ServiceId{ kStandby }, true, true });
+    m_fleet.Do(fleet::ReplaceRoutes{ table });
+  }
+}
+
+void
+SimulatedPool::AddWorkers(std::uint32_t aCount, const ServiceId& aService)
+{
+  for (std::uint32_t i = 0; i < aCount; ++i) {
     SimulatedWorker& worker = m_workers.emplace_back();
-    worker.m_instance = "i" + std::to_string(i);
+    worker.m_instance = "i" + std::to_string(m_workers.size() - 1);
+    worker.m_service = aService;
     worker.m_capacity = m_options.m_capacity;
     worker.m_startedAt = kInitialWallTimeMs;
     worker.m_nextReport =
       m_now + Millis{ m_random() % kReportInterval.count() };
-    if (i >= m_options.m_workers) {
+    if (aService.Get() == kStandby) {
       worker.m_downUntil = Millis::max();
     }
   }
-  if (m_options.m_spares > 0) {
-    fleet::RouteTable table = m_fleet.State().Routes();
-    table.m_version = 2;
-    table.m_services.push_back({ ServiceId{ kStandby }, true, true });
-    m_fleet.Do(fleet::ReplaceRoutes{ table });
-  }
 }
 
 void
@@ -83,9 +97,10 @@
 void
 SimulatedPool::Submit(const std::string& aJob,
                       jobs::JobSpec aSpec,
-                      const std::string& aWorkspace)
+                      const std::string& aWorkspace,
+                      std::uint32_t aQueue)
 {
-  m_fleet.Submit(aJob, std::move(aSpec), Wall().Get(), aWorkspace);
+  m_fleet.Submit(aJob, std::move(aSpec), Wall().Get(), aWorkspace, aQueue);
 }
 
 void
@@ -350,7 +365,7 @@
   placement::WorkerReport report;
   report.m_worker = IncarnationOf(aWorker);
   report.m_instance = InstanceId{ aWorker.m_instance };
-  report.m_service = ServiceId{ "desk" };
+  report.m_service = aWorker.m_service;
   report.m_capacity = aWorker.m_capacity;
   report.m_draining = aWorker.m_isDraining;
   report.m_sequence = ++aWorker.m_sequence;
@@ -537,9 +552,12 @@
 void
 SimulatedPool::ListStandby()
 {
+  if (m_options.m_spares == 0) {
+    return;
+  }
   std::vector<placement::ListedInstance> standby;
   for (const SimulatedWorker& worker : m_workers) {
-    if (worker.m_downUntil == Millis::max()) {
+    if (IsInStandby(worker)) {
       standby.push_back({ InstanceId{ worker.m_instance },
                           ServiceId{ kStandby },
                           placement::InstanceState::kUp });
@@ -567,7 +585,7 @@
     const bool isUp = !worker.m_downUntil;
     m_list->m_instances.push_back(
       { InstanceId{ worker.m_instance },
-        ServiceId{ "desk" },
+        worker.m_service,
         isUp ? placement::InstanceState::kUp : placement::InstanceState::kDown,
         isUp ? IncarnationOf(worker).m_id : WorkerId{} });
   }
@@ -576,7 +594,7 @@
 void
 SimulatedPool::MoveInstances(std::vector<jobs::EndRun>& aEnds)
 {
-  if (m_options.m_spares == 0 || m_now < m_nextMoves) {
+  if (!MovesInstances() || m_now < m_nextMoves) {
     return;
   }
   m_nextMoves = m_now + kMovePollInterval;
@@ -589,6 +607,12 @@
                                     Time(),
                                     Wall());
   m_cordoned = plan.m_cordoned;
+  m_poolsWithSurplus.clear();
+  for (const placement::PoolCapacity& pool : plan.m_pools) {
+    if (pool.m_actual > pool.m_desired) {
+      m_poolsWithSurplus.insert(pool.m_service);
+    }
+  }
   for (const placement::MoveOrder& order : plan.m_orders) {
     SimulatedWorker& worker = *std::find_if(
       m_workers.begin(), m_workers.end(), [&](const SimulatedWorker& aWorker) {
@@ -601,6 +625,7 @@
     m_effects->OnSent(order.m_instance, Time());
     Crash(worker, kMoveDuration);
     worker.m_downUntil = isOut ? Millis::max() : worker.m_downUntil;
+    worker.m_service = order.m_to;
     const auto ended =
       m_capacity.OnAnswer(order, placement::InstanceAnswer::kAccepted, Time());
     m_effects->OnAnswered(
@@ -746,7 +771,9 @@
 void
 SimulatedPool::CrashWorker(std::uint32_t aWorker, Millis aDown)
 {
-  Crash(m_workers[aWorker], aDown);
+  if (!IsInStandby(m_workers[aWorker])) {
+    Crash(m_workers[aWorker], aDown);
+  }
 }
 
 void
@@ -829,6 +856,9 @@
 SimulatedPool::DrainWorker(std::uint32_t aWorker, Millis aTime)
 {
   SimulatedWorker& worker = m_workers[aWorker];
+  if (IsInStandby(worker)) {
+    return;
+  }
   const Millis at = m_now + aTime;
   worker.m_isDraining = true;
   worker.m_crashAt = std::min(worker.m_crashAt.value_or(at), at);
@@ -985,10 +1015,38 @@
   const jobs::StepSpec& step = JobOf(aJob).m_spec.m_steps.front();
   return static_cast<std::uint32_t>(std::count_if(
     m_workers.begin(), m_workers.end(), [&](const SimulatedWorker& aWorker) {
-      return HasRoom(aWorker, job_fixtures::Ref(aJob), step);
+      return aWorker.m_service == ServiceOf(aJob) &&
+             HasRoom(aWorker, job_fixtures::Ref(aJob), step);
     }));
 }
 
+const ServiceId&
+SimulatedPool::ServiceOf(const std::string& aJob) const
+{
+  const auto route = m_fleet.State().RouteLookup().Find(JobOf(aJob).m_queue);
+  return m_fleet.State().Routes().m_routes[*route].m_service;
+}
+
+std::uint32_t
+SimulatedPool::CountInstancesToSpare(const std::string& aJob) const
+{
+  const jobs::StepSpec& step = JobOf(aJob).m_spec.m_steps.front();
+  const auto isSpare = [&](const SimulatedWorker& aWorker) {
+    const bool isSurplus = IsInService(aWorker) &&
+                           aWorker.m_service != ServiceOf(aJob) &&
+                           m_poolsWithSurplus.contains(aWorker.m_service);
+    const bool hostsLongRunning =
+      std::any_of(aWorker.m_runs.begin(),
+                  aWorker.m_runs.end(),
+                  [](const Run& aRun) { return aRun.m_step.m_longRunning; });
+    return (IsInStandby(aWorker) || isSurplus) && !hostsLongRunning &&
+           placement::ReservedCapacity{}.LeavesCapacityFor(aWorker.m_capacity,
+                                                           step);
+  };
+  return static_cast<std::uint32_t>(
+    std::count_if(m_workers.begin(), m_workers.end(), isSpare));
+}
+
 std::string
 SimulatedPool::ExclusionOf(std::uint32_t aWorker) const
 {
--- a/tests/support/simulated_pool.h
+++ b/tests/support/simulated_pool.h
@@ -6,7 +6,7 @@
 
 #include <random>
 
-/** Simulates one pool of workers and its leader, in virtual time. */
+/** Simulates pools of workers and their leader, in virtual time. */
 namespace simulated_pool {
 
 using namespace bamboostile;
@@ -18,6 +18,9 @@
 struct PoolOptions
 {
   std::uint32_t m_workers = 12;
+  /** Numbers of workers of further services. Their queues are numbered from 1
+   * on. If there are any, the leader moves instances between the pools. */
+  std::vector<std::uint32_t> m_otherPools;
   /** Number of standby instances, which the leader moves in and out. If there
    * are any, the others can be moved out as well. */
   std::uint32_t m_spares = 0;
@@ -73,9 +76,11 @@
 public:
   explicit SimulatedPool(PoolOptions aOptions = {});
 
+  /** aQueue: 0, or the number of one of the further services. */
   void Submit(const std::string& aJob,
               jobs::JobSpec aSpec,
-              const std::string& aWorkspace = "");
+              const std::string& aWorkspace = "",
+              std::uint32_t aQueue = 0);
   /** Puts a configuration in force in which the workspace has this cap. */
   void SetCap(const std::string& aWorkspace, workspaces::Resources aCap);
   void Cancel(const std::string& aJob);
@@ -160,9 +165,18 @@
   bool IsInService(std::uint32_t aWorker) const;
   /** The worker's reports reach a leader. */
   bool IsReporting(std::uint32_t aWorker) const;
-  /** Counts workers in service that may run one more task of the job's first
-   * step beside what runs on them, whatever the leader knows. */
+  /** Counts workers of the job's service that are in service and may run one
+   * more task of its first step beside what runs on them, whatever the leader
+   * knows. */
   std::uint32_t CountWorkersWithRoom(const std::string& aJob) const;
+  /** Counts instances in standby, and those of other pools that have more than
+   * they want, that could run a task of the job's first step. */
+  std::uint32_t CountInstancesToSpare(const std::string& aJob) const;
+  /** All workers and spares, of all services. */
+  std::uint32_t CountInstances() const
+  {
+    return static_cast<std::uint32_t>(m_workers.size());
+  }
   /** Why the leader would give the worker no start now; empty if it would. */
   std::string ExclusionOf(std::uint32_t aWorker) const;
   Millis Now() const { return m_now; }
@@ -192,6 +206,7 @@
   struct SimulatedWorker
   {
     std::string m_instance;
+    ServiceId m_service;
     std::uint32_t m_incarnation = 0;
     std::int64_t m_startedAt = 0;
     std::uint64_t m_sequence = 0;
@@ -234,6 +249,7 @@
     placement::WorkerReport m_report;
   };
 
+  void AddWorkers(std::uint32_t aCount, const ServiceId& aService);
   void BeginLeading();
   void Step();
   void Advance(SimulatedWorker& aWorker);
@@ -275,6 +291,15 @@
   Millis StopDuration();
   bool IsFaulty(const SimulatedWorker& aWorker) const;
   bool IsInService(const SimulatedWorker& aWorker) const;
+  static bool IsInStandby(const SimulatedWorker& aWorker)
+  {
+    return aWorker.m_downUntil == Millis::max();
+  }
+  bool MovesInstances() const
+  {
+    return m_options.m_spares > 0 || !m_options.m_otherPools.empty();
+  }
+  const ServiceId& ServiceOf(const std::string& aJob) const;
   bool HasRoom(const SimulatedWorker& aWorker,
                const jobs::TaskRef& aTask,
                const jobs::StepSpec& aStep) const;
@@ -299,6 +324,8 @@
   placement::OrderRecord m_moveRecord{ Millis{ 3000 } };
   std::set<WorkerIncarnation> m_cordoned;
   Millis m_nextMoves{};
+  /** Pools that have more workers than they want, as of the last plan. */
+  std::set<ServiceId> m_poolsWithSurplus;
   /** A list that is under way. */
   std::optional<placement::InstanceList> m_list;
   Millis m_listAt{};
