tests: what a pool asks for a task that no worker can take

One instance until it has been tried, and no more than twice the packing and four if none helps.

unit_placement -n NoWorkerHasRoomForATask, -n NoInstanceHelpsATask

--- a/tests/unit/placement/capacity_test.cpp
+++ b/tests/unit/placement/capacity_test.cpp
@@ -221,6 +221,40 @@
   LONGS_EQUAL(2, Next(12'600).m_orders.size());
 }
 
+// Guards against a task without a worker whose pool has the size that its sums
+// ask for, and against an order more while the first instance is under way.
+TEST(CapacityPlanner, NoWorkerHasRoomForATask_OneInstanceIsOrdered)
+{
+  AddPool("desk", 5);
+  AddPool("other", 3);
+  StartFourOnSeparateWorkers();
+  ListStandby(9);
+  m_planner.OnPlanned({ { Ref("lasting"), { 1, 1 } } }, At(10'000));
+  LONGS_EQUAL(0, Next(10'100).m_orders.size());
+  LONGS_EQUAL(1, Next(10'200).m_orders.size());
+  LONGS_EQUAL(0, Next(11'500).m_orders.size());
+}
+
+// Guards against a pool that takes all instances for a task that none of them
+// can take.
+TEST(CapacityPlanner, NoInstanceHelpsATask_PoolStopsGrowing)
+{
+  AddPool("other", 3);
+  StartFourOnSeparateWorkers();
+  ListStandby(20);
+  m_planner.OnPlanned({ { Ref("lasting"), { 1, 1 } } }, At(9'000));
+  int workers = 0;
+  std::size_t wanted = 0;
+  for (std::int64_t at = 9'000; at < 60'000; at += 500) {
+    for (int i = 0; i < workers; ++i) {
+      SendReport("desk" + std::to_string(i), "desk", at, at);
+    }
+    wanted = Next(at).m_pools[0].m_desired;
+    workers = static_cast<int>(wanted);
+  }
+  LONGS_EQUAL(12, wanted);
+}
+
 // Guards against long-running tasks that wait for the end of another pool's
 // peak.
 TEST(CapacityPlanner, PoolLacksWorkersForLongRunningTasks_ComesBeforePeaks)
