placement: a pool gets an instance that can take the task that waits

Callers would see a long-running task wait for 6 s and more while its pool gets one instance after the other that turns out to be too small: workers differ in size, and the planner took the first instance that was free, tried it for a second, and only then ordered the next (random series of several pools, seeds 413 and 762).

Now instances that are known to be able to take a waiting task come first, those of unknown capacity next; and every 3 s of waiting one instance more is under way at a time. The capacity of an instance is known if this leader has moved it or it reports.

unit_random_series -n InstancesDifferInSize, unit_placement -n StandbyInstancesDiffer

--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -162,6 +162,14 @@
     bool m_isAccepted = false;
   };
 
+  enum class Suitability
+  {
+    /** It can take a task that waits, or none waits. */
+    kSuits,
+    kUnknown,
+    kDoesNotSuit,
+  };
+
   struct Drainable
   {
     const Worker* m_worker = nullptr;
@@ -181,6 +189,8 @@
     /** Part of m_reporting that placement passes have had time to use. */
     std::size_t m_established = 0;
     std::uint32_t m_unplaced = 0;
+    /** The tasks that m_unplaced counts. */
+    std::vector<TaskGroup> m_needWorkers;
     /** Cores of one worker, in thousandths. */
     std::size_t m_cores = 0;
     jobs::Resources m_worker;
@@ -287,9 +297,15 @@
   /** An order that is not known to have failed moves it to another pool. */
   bool IsLeaving(const Worker& aWorker) const;
   bool IsBackingOff(const InstanceId& aInstance, TimePoint aNow) const;
-  std::optional<InstanceId> FindStandby(const WorkerTable& aWorkers,
+  /** Prefers an instance that suits the pool. */
+  std::optional<InstanceId> FindStandby(const Pool& aPool,
+                                        const WorkerTable& aWorkers,
                                         const OrderRecord& aRecord,
                                         TimePoint aNow) const;
+  /** How well a worker of this capacity, which may be unknown, suits the tasks
+   * of the pool that wait for another one. */
+  static Suitability AssessSuitability(const Pool& aPool,
+                                       const jobs::Resources* aCapacity);
   void FillPools(const WorkerTable& aWorkers,
                  const std::set<WorkerIncarnation>& aReserved,
                  const OrderRecord& aRecord,
@@ -332,6 +348,8 @@
   /** Instances in standby, and when this leader first saw each listed as up. */
   std::map<InstanceId, TimePoint> m_standby;
   std::map<InstanceId, Move> m_moves;
+  /** Capacities that instances reported before they were moved. */
+  std::map<InstanceId, jobs::Resources> m_capacities;
   std::map<WorkerIncarnation, TimePoint> m_idleSince;
   std::map<InstanceId, TimePoint> m_retryNotBefore;
   /** Workers that get no new work until they are idle and moved, or until no
--- a/include/bamboostile/placement/unplaced_tasks.h
+++ b/include/bamboostile/placement/unplaced_tasks.h
@@ -40,6 +40,8 @@
   /** Tasks that other workers than the pool's have to take. The steps are those
    * of the state. */
   std::vector<TaskGroup> m_needWorkers;
+  /** Time that the longest of these waits has lasted. */
+  Duration m_waited{};
   /** Workers of the pool may be about to take a task: none should leave it. */
   bool m_holdsWorkers = false;
 };
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -30,6 +30,10 @@
  * more. A task that no instance of the fleet can take would get all others. */
 constexpr std::size_t kMaxFragmentation = 2;
 constexpr std::size_t kMaxWorkersForUnplaced = 4;
+/** Time in which an instance is moved and its worker used. A task that waits
+ * for longer was not helped by it: workers differ in size, and one more is
+ * ordered each time. */
+constexpr Duration kTrialTime = Millis{ 3000 };
 
 } // namespace
 
@@ -204,8 +208,11 @@
     }
     const std::size_t packed = Demand::MinWorkers(
       aDemands.at(service).m_longRunningSteps, pool.m_worker);
+    const auto trials =
+      static_cast<std::size_t>(shortage.m_waited / kTrialTime);
     const std::size_t more =
-      Demand::MinWorkers(shortage.m_needWorkers, pool.m_worker);
+      Demand::MinWorkers(shortage.m_needWorkers, pool.m_worker) + trials;
+    pool.m_needWorkers = shortage.m_needWorkers;
     std::size_t size =
       std::min(more == 0 ? 0 : pool.m_established + more,
                kMaxFragmentation * packed + kMaxWorkersForUnplaced);
@@ -441,6 +448,7 @@
   move = { aTo, aNow, std::nullopt, ++m_lastNumber };
   if (aWorker != nullptr) {
     move.m_targetIncarnation = aWorker->m_lastReport.m_worker;
+    m_capacities[aInstance] = aWorker->m_lastReport.m_capacity;
   }
   m_orderTokens -= 1;
   m_unanswered.insert(move.m_number);
@@ -459,18 +467,50 @@
 // serves another pool, would end all its runs at once, including several tasks
 // of one step. Instances in standby are off, so one that reports is excluded.
 std::optional<InstanceId>
-CapacityPlanner::FindStandby(const WorkerTable& aWorkers,
+CapacityPlanner::FindStandby(const Pool& aPool,
+                             const WorkerTable& aWorkers,
                              const OrderRecord& aRecord,
                              TimePoint aNow) const
 {
+  std::optional<InstanceId> best;
+  auto bestSuitability = Suitability::kDoesNotSuit;
   for (const auto& [instance, upSince] : m_standby) {
-    if (aWorkers.FindByInstance(instance) == nullptr &&
-        !m_moves.contains(instance) && !IsBackingOff(instance, aNow) &&
-        CanOrder(instance, aRecord, upSince, aNow)) {
-      return instance;
+    if (aWorkers.FindByInstance(instance) != nullptr ||
+        m_moves.contains(instance) || IsBackingOff(instance, aNow) ||
+        !CanOrder(instance, aRecord, upSince, aNow)) {
+      continue;
+    }
+    const auto known = m_capacities.find(instance);
+    const auto suitability = AssessSuitability(
+      aPool, known == m_capacities.end() ? nullptr : &known->second);
+    if (!best || suitability < bestSuitability) {
+      best = instance;
+      bestSuitability = suitability;
+    }
+    if (bestSuitability == Suitability::kSuits) {
+      break;
     }
   }
-  return std::nullopt;
+  return best;
+}
+
+CapacityPlanner::Suitability
+CapacityPlanner::AssessSuitability(const Pool& aPool,
+                                   const jobs::Resources* aCapacity)
+{
+  if (aPool.m_needWorkers.empty()) {
+    return Suitability::kSuits;
+  }
+  if (aCapacity == nullptr) {
+    return Suitability::kUnknown;
+  }
+  const bool fits = std::any_of(aPool.m_needWorkers.begin(),
+                                aPool.m_needWorkers.end(),
+                                [&](const TaskGroup& aTasks) {
+                                  return ReservedCapacity{}.LeavesCapacityFor(
+                                    *aCapacity, *aTasks.m_step);
+                                });
+  return fits ? Suitability::kSuits : Suitability::kDoesNotSuit;
 }
 
 // The token bucket holds little more than the orders of one pass, so that a
@@ -559,14 +599,26 @@
     if (neediest == aPools.end() || !neediest->second.IsShort()) {
       return;
     }
-    if (const auto standby = FindStandby(aWorkers, aRecord, aNow)) {
+    const Pool& pool = neediest->second;
+    if (const auto standby = FindStandby(pool, aWorkers, aRecord, aNow)) {
       Order(*standby, nullptr, neediest->first, aNow, aPlan);
       ++neediest->second.m_actual;
       continue;
     }
-    auto next = std::find_if(movable.begin(), movable.end(), isSurplus);
-    if (next == movable.end() && neediest->second.IsBelowMinimum()) {
-      next = std::find_if(movable.begin(), movable.end(), isAboveFloor);
+    const auto find = [&](const auto& aMayLeave) {
+      const auto suits = [&](const Worker* aWorker) {
+        return aMayLeave(aWorker) &&
+               AssessSuitability(pool, &aWorker->m_lastReport.m_capacity) ==
+                 Suitability::kSuits;
+      };
+      const auto best = std::find_if(movable.begin(), movable.end(), suits);
+      return best != movable.end()
+               ? best
+               : std::find_if(movable.begin(), movable.end(), aMayLeave);
+    };
+    auto next = find(isSurplus);
+    if (next == movable.end() && pool.IsBelowMinimum()) {
+      next = find(isAboveFloor);
     }
     if (next == movable.end()) {
       return;
--- a/src/placement/unplaced_tasks.cpp
+++ b/src/placement/unplaced_tasks.cpp
@@ -1,5 +1,7 @@
 #include "bamboostile/placement/unplaced_tasks.h"
 
+#include <algorithm>
+
 namespace bamboostile::placement {
 
 namespace {
@@ -59,6 +61,8 @@
     if (count > 0) {
       shortage.m_needWorkers.push_back(
         { &job->m_spec.m_steps[first.m_step], count });
+      shortage.m_waited =
+        std::max<Duration>(shortage.m_waited, aNow - wait.m_since);
     }
   }
   return shortages;
--- a/tests/unit/placement/capacity_test.cpp
+++ b/tests/unit/placement/capacity_test.cpp
@@ -235,6 +235,28 @@
   LONGS_EQUAL(0, Next(11'500).m_orders.size());
 }
 
+// Guards against instances that are moved to a task one after the other, though
+// each has shown before that it is too small.
+TEST(CapacityPlanner, StandbyInstancesDiffer_OneThatCanTakeTheTaskIsOrdered)
+{
+  AddPool("desk", 5);
+  AddPool("other", 6);
+  StepSpec step = Step(4, 100);
+  step.m_resources.m_memoryMb = 5000;
+  step.m_longRunning = true;
+  m_fleet.Submit("lasting", Spec({ step }));
+  WorkerReport large = Report("other6", 1);
+  large.m_service = ServiceId{ "other" };
+  large.m_capacity.m_memoryMb = 6000;
+  m_table.OnReport(large, m_fleet.Book(), At(9000), WallTime{ 0 });
+  m_planner.OnPlanned({ { Ref("lasting"), { 1, 1 } } }, At(9'800));
+  Next(9'500);
+  const CapacityPlan plan = Next(10'000);
+  CHECK_FALSE(plan.m_orders.empty());
+  STRCMP_EQUAL("instance-of-other6",
+               plan.m_orders.front().m_instance.Get().c_str());
+}
+
 // Guards against a pool that takes all instances for a task that none of them
 // can take.
 TEST(CapacityPlanner, NoInstanceHelpsATask_PoolStopsGrowing)
--- a/tests/unit/placement/random_series_test.cpp
+++ b/tests/unit/placement/random_series_test.cpp
@@ -382,6 +382,14 @@
   CheckSeeds(20, Scene::kExchange);
 }
 
+// Guards against a task that waits while one instance after the other turns out
+// to be too small for it.
+TEST(RandomSeries, InstancesDifferInSize_TaskSoonGetsOneThatTakesIt)
+{
+  STRCMP_EQUAL("", PlaySeed(413, Scene::kExchange).c_str());
+  STRCMP_EQUAL("", PlaySeed(762, Scene::kExchange).c_str());
+}
+
 // Guards against a long-running suspect that waits behind the isolated runs of
 // others beside workers with room.
 TEST(RandomSeries, HalfOfPoolHasIsolatedRuns_SuspectDoesNotWaitForItsTurn)
