placement: a long-running gang that finds no room counts as waiting

Found by the review of the fix, by reading: a pass that found no room for a long-running gang neither listed it as waiting nor asked for workers, so that its wait had no bound and no log line. Now all its members are listed; a gang of suspects counts with all of them, not with one. What a worker's last report reserves is summed up once in a pass.

unit_placement -n LongRunningGangFindsNoRoom

--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -296,6 +296,12 @@
                  std::optional<Millis> aTimeSinceDelay,
                  Pool& aPool,
                  Plan& aPlan) const;
+  /** Lists a long-running gang that waits for room. */
+  static void AddUnplacedGang(const Candidate& aCandidate,
+                              const jobs::JobTable& aBook,
+                              WallTime aWall,
+                              Pool& aPool,
+                              Plan& aPlan);
   /** Starts the members one by one; returns false if one does not fit. */
   bool PlaceMembers(const Candidate& aCandidate,
                     const std::vector<jobs::WorkerLoss>& aLosses,
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -560,7 +560,9 @@
   const jobs::StepSpec& step =
     aCandidate.m_job->m_spec.m_steps[aCandidate.m_step];
   if (step.m_gang) {
-    PlaceGang(aCandidate, std::nullopt, aPool, aPlan);
+    if (!PlaceGang(aCandidate, std::nullopt, aPool, aPlan)) {
+      AddUnplacedGang(aCandidate, aBook, aWall, aPool, aPlan);
+    }
     return;
   }
   const auto found =
@@ -675,6 +677,37 @@
   return true;
 }
 
+void
+Planner::AddUnplacedGang(const Candidate& aCandidate,
+                         const jobs::JobTable& aBook,
+                         WallTime aWall,
+                         Pool& aPool,
+                         Plan& aPlan)
+{
+  const jobs::StepSpec& step = aCandidate.Step();
+  const bool isAtCap = aPlan.m_atCap.contains(aCandidate.m_job->m_workspace);
+  if (!step.m_longRunning || isAtCap ||
+      aCandidate.CountWaiting() < step.m_count) {
+    return;
+  }
+  static const jobs::Task kNeverStarted;
+  const auto found =
+    aCandidate.m_job->m_occurrences.find(aCandidate.m_occurrence);
+  const jobs::Task& first =
+    found == aCandidate.m_job->m_occurrences.end()
+      ? kNeverStarted
+      : found->second.m_steps[aCandidate.m_step].m_tasks.front();
+  if (found != aCandidate.m_job->m_occurrences.end() &&
+      jobs::IsSuspect(
+        jobs::LossesOf(step, found->second.m_steps[aCandidate.m_step], 0))) {
+    return;
+  }
+  aCandidate.AddWaiting(0, first, WaitReason::kNoCapacity, aWall, aPlan);
+  aPlan.m_waiting.at(aCandidate.TaskAt(0)).m_workers =
+    aPool.CountWorkers(step, {}, aBook);
+  aCandidate.AddUnplaced(step.m_count, {}, aPool, aPlan);
+}
+
 bool
 Planner::PlaceMembers(const Candidate& aCandidate,
                       const std::vector<jobs::WorkerLoss>& aLosses,
--- a/src/placement/target_pool.cpp
+++ b/src/placement/target_pool.cpp
@@ -41,16 +41,18 @@
 
 bool
 Planner::Target::FitsByReport(const jobs::StepSpec& aStep,
-                              const jobs::JobTable& aBook) const
+                              const jobs::JobTable& aBook)
 {
   const WorkerReport& report = m_worker->m_lastReport;
-  ReservedCapacity use;
-  for (const RunReport& run : report.m_active) {
-    if (const jobs::StepSpec* step = FindStep(aBook, run.m_task)) {
-      use.Add(*step);
+  if (!m_reportedUse) {
+    m_reportedUse.emplace();
+    for (const RunReport& run : report.m_active) {
+      if (const jobs::StepSpec* step = FindStep(aBook, run.m_task)) {
+        m_reportedUse->Add(*step);
+      }
     }
   }
-  return use.LeavesCapacityFor(report.m_capacity, aStep);
+  return m_reportedUse->LeavesCapacityFor(report.m_capacity, aStep);
 }
 
 void
@@ -156,11 +158,11 @@
 WorkerCensus
 Planner::Pool::CountWorkers(const jobs::StepSpec& aStep,
                             const TasksPerWorker& aTasksPerWorker,
-                            const jobs::JobTable& aBook) const
+                            const jobs::JobTable& aBook)
 {
   WorkerCensus census;
   census.m_excluded = m_excluded;
-  for (const Target& target : m_targets) {
+  for (Target& target : m_targets) {
     const std::uint32_t tasksOnWorker =
       TasksOnWorker(target.m_worker->m_lastReport.m_worker, aTasksPerWorker);
     if (target.m_isUnresponsive) {
--- a/src/placement/target_pool.h
+++ b/src/placement/target_pool.h
@@ -18,6 +18,8 @@
   ReservedCapacity m_longRunningUse{};
   /** The same with those that wait for this worker's other tasks to end. */
   std::optional<ReservedCapacity> m_expectedUse{};
+  /** What the runs of the last report reserve; computed at its first use. */
+  std::optional<ReservedCapacity> m_reportedUse{};
   bool m_hostsLatencySensitive = false;
   bool m_hostsLongRunning = false;
   bool m_hostsGang = false;
@@ -59,8 +61,7 @@
                            std::uint32_t aLimit) const;
   /** Whether a task of the step would fit if only the runs of the worker's last
    * report ran here. */
-  bool FitsByReport(const jobs::StepSpec& aStep,
-                    const jobs::JobTable& aBook) const;
+  bool FitsByReport(const jobs::StepSpec& aStep, const jobs::JobTable& aBook);
   /** Whether tasks that are not isolated may be started here, unless it is
    * reserved. */
   bool IsOpen() const
@@ -119,7 +120,7 @@
   void AddExcluded() { ++m_excluded; }
   WorkerCensus CountWorkers(const jobs::StepSpec& aStep,
                             const TasksPerWorker& aTasksPerWorker,
-                            const jobs::JobTable& aBook) const;
+                            const jobs::JobTable& aBook);
 
   /** Counts the tasks, of aCount that wait, for which no target will have
    * capacity beside its long-running tasks. Those for which one will have count
--- a/src/placement/trials.cpp
+++ b/src/placement/trials.cpp
@@ -475,7 +475,9 @@
           waiting->m_reason == WaitReason::kNoWorkerForIsolatedRun) {
         waiting->m_workers = aPool.CountWorkers(
           aStep.m_candidate.Step(), aStep.m_tasksPerWorker, aBook);
-        aStep.m_candidate.AddUnplaced(1, aStep.m_tasksPerWorker, aPool, aPlan);
+        const jobs::StepSpec& spec = aStep.m_candidate.Step();
+        aStep.m_candidate.AddUnplaced(
+          spec.m_gang ? spec.m_count : 1, aStep.m_tasksPerWorker, aPool, aPlan);
         ReserveForRestarts(
           aStep.m_candidate.Step(), 1, aStep.m_tasksPerWorker, aPool);
       }
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -156,6 +156,20 @@
   LONGS_EQUAL(2, workers.m_fullByReport);
 }
 
+// Guards against a long-running gang that waits and nothing says so.
+TEST(PlacementPlanner, LongRunningGangFindsNoRoom_PlanListsItsMembers)
+{
+  Receive(Report("w1", 1));
+  StepSpec step = Step(2, 3000);
+  step.m_longRunning = true;
+  step.m_gang = true;
+  m_fleet.Submit("gang", Spec({ step }));
+  const Plan plan = MakePlan();
+  LONGS_EQUAL(2, plan.m_unplaced.at(Ref("gang")).m_count);
+  LONGS_EQUAL(1, plan.m_unplaced.at(Ref("gang")).m_withoutRoom);
+  LONGS_EQUAL(1, plan.m_waiting.count(Ref("gang")));
+}
+
 TEST(PlacementPlanner, DependentStep_WaitsForItsDependency)
 {
   Receive(Report("w1", 1));
