placement: the size for tasks that wait follows the workers that can take them

- The limit of a pool's size was a multiple of what a packing needs.
A pool with more workers than that, each with long-running tasks and so unable to leave, got none for a task that none of them can take.
Those workers count in the limit now.
- Standby instances that are known to be too small were ordered before a large idle one of another pool, until the limit was reached, and then kept it.
They are ordered only for a pool that its other work makes short; at its limit, a pool gives up idle workers that cannot take any of the tasks.
A pool that no instance suits no longer keeps others from being served.
- Labels that a task requires count in the choice of an instance.
- One waiting task kept all workers of its pool for 10 s.
It does so for a second now, when a task begins to wait, also for later tasks of a step.
- Tasks that are placed one after the other no longer raise the number of instances that are tried, workers under maintenance count as gone, and after 20 s the tasks no longer come before the peaks of other pools.

unit_placement -n ManyHostsAndNoRoom, -n StandbyInstanceIsTooSmall (both new), -n IdleInstancesDiffer (renamed: it has no standby)

--- a/include/bamboostile/placement/capacity.h
+++ b/include/bamboostile/placement/capacity.h
@@ -180,17 +180,21 @@
   {
     std::size_t m_actual = 0;
     std::size_t m_desired = 0;
-    /** Workers without which long-running tasks that have had runs would lack
-     * capacity. */
+    /** Workers without which long-running tasks that have had runs, or that no
+     * worker of the pool can take, would lack capacity. */
     std::size_t m_minimum = 0;
     /** Workers that stay when another pool is below its minimum. */
     std::size_t m_floor = 0;
     std::size_t m_reporting = 0;
-    /** Part of m_reporting that placement passes have had time to use. */
+    /** Part of m_actual that placement passes have had time to use. */
     std::size_t m_established = 0;
+    /** Part of m_reporting that has long-running tasks. */
+    std::size_t m_hosts = 0;
     std::uint32_t m_unplaced = 0;
     /** The tasks that m_unplaced counts. */
     std::vector<TaskGroup> m_needWorkers;
+    /** What m_desired would be without tasks that wait for another worker. */
+    std::size_t m_desiredBySums = 0;
     /** Cores of one worker, in thousandths. */
     std::size_t m_cores = 0;
     jobs::Resources m_worker;
@@ -266,6 +270,9 @@
                    const Demands& aDemands,
                    TimePoint aNow,
                    Pools& aPools) const;
+  static std::size_t SizeForUnplaced(const PlacementShortage& aShortage,
+                                     const Demand& aDemand,
+                                     const Pool& aPool);
   void AddForecast(const Demands& aDemands, TimePoint aNow, Pools& aPools);
   /** CPU for work that is expected to arrive, in thousandths of a core. */
   std::int64_t CpuAhead(const Demand& aDemand, const Pool& aPool) const;
@@ -302,10 +309,12 @@
                                         const WorkerTable& aWorkers,
                                         const OrderRecord& aRecord,
                                         TimePoint aNow) const;
-  /** How well a worker of this capacity, which may be unknown, suits the tasks
-   * of the pool that wait for another one. */
+  /** How well a worker suits the tasks of the pool that wait for another one.
+   * aReport: its last one, null if there is none. */
   static Suitability AssessSuitability(const Pool& aPool,
-                                       const jobs::Resources* aCapacity);
+                                       const WorkerReport* aReport);
+  /** Returns null if this leader has had no report from the instance. */
+  const WorkerReport* FindLastReport(const InstanceId& aInstance) const;
   void FillPools(const WorkerTable& aWorkers,
                  const std::set<WorkerIncarnation>& aReserved,
                  const OrderRecord& aRecord,
@@ -348,8 +357,8 @@
   /** Instances in standby, and when this leader first saw each listed as up. */
   std::map<InstanceId, TimePoint> m_standby;
   std::map<InstanceId, Move> m_moves;
-  /** Capacities that instances reported before they were moved. */
-  std::map<InstanceId, jobs::Resources> m_capacities;
+  /** The last reports of instances from before they were moved. */
+  std::map<InstanceId, WorkerReport> m_reportsBeforeMove;
   std::map<WorkerIncarnation, TimePoint> m_idleSince;
   std::map<InstanceId, TimePoint> m_retryNotBefore;
   /** Workers that get no new work until they are idle and moved, or until no
--- a/include/bamboostile/placement/unplaced_tasks.h
+++ b/include/bamboostile/placement/unplaced_tasks.h
@@ -40,9 +40,10 @@
   /** Tasks that other workers than the pool's have to take. The steps are those
    * of the state. */
   std::vector<TaskGroup> m_needWorkers;
-  /** Time that the longest of these waits has lasted. */
+  /** The longest time for which none of the tasks of one step was placed. */
   Duration m_waited{};
-  /** Workers of the pool may be about to take a task: none should leave it. */
+  /** Tasks have begun to wait a moment ago. Workers that are about to leave the
+   * pool may take them, so none should. */
   bool m_holdsWorkers = false;
 };
 
@@ -67,6 +68,9 @@
     UnplacedTasks m_tasks;
     TimePoint m_since;
     TimePoint m_withoutRoomSince;
+    /** The last time that there were more of them, or fewer. */
+    TimePoint m_grewAt;
+    TimePoint m_shrankAt;
   };
 
   std::map<jobs::TaskRef, Wait> m_waits;
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -25,11 +25,14 @@
 constexpr std::size_t kWorkersPerIsolatedRun = 2;
 /** Time in which the placement passes use a worker that has begun to report. */
 constexpr Duration kEstablishedAfter = Millis{ 1000 };
-/** Maximum size of a pool for tasks that its workers cannot take: this multiple
- * of the size that a packing of all long-running tasks needs, and some workers
- * more. A task that no instance of the fleet can take would get all others. */
-constexpr std::size_t kMaxFragmentation = 2;
-constexpr std::size_t kMaxWorkersForUnplaced = 4;
+/** A pool gets workers for tasks that its own cannot take up to this multiple
+ * of what a packing of all long-running tasks needs, and some more. Otherwise a
+ * task that no instance of the fleet can take would get all others. */
+constexpr std::size_t kPackingMultiple = 2;
+constexpr std::size_t kWorkersBesidePacking = 4;
+/** Time for which tasks that wait for another worker come before the peaks of
+ * other pools. If none has helped by then, there may be none that does. */
+constexpr Duration kMaxPrecedence = Millis{ 20'000 };
 /** Time in which an instance is moved and its worker used. A task that waits
  * for longer was not helped by it: workers differ in size, and one more is
  * ordered each time. */
@@ -190,7 +193,8 @@
 }
 
 // Workers on the way to the pool, and those that no pass has used yet, count as
-// part of what the tasks need.
+// part of what the tasks need. A worker with long-running tasks cannot leave,
+// so a pool may have more of them than the packing needs; each may be full.
 void
 CapacityPlanner::AddUnplaced(const fleet::State& aState,
                              const Demands& aDemands,
@@ -203,28 +207,54 @@
       continue;
     }
     Pool& pool = found->second;
-    for (const TaskGroup& tasks : shortage.m_needWorkers) {
+    pool.m_desiredBySums = pool.m_desired;
+    pool.m_needWorkers = shortage.m_needWorkers;
+    for (const TaskGroup& tasks : pool.m_needWorkers) {
       pool.m_unplaced += tasks.m_count;
     }
-    const std::size_t packed = Demand::MinWorkers(
-      aDemands.at(service).m_longRunningSteps, pool.m_worker);
-    const auto trials =
-      static_cast<std::size_t>(shortage.m_waited / kTrialTime);
-    const std::size_t more =
-      Demand::MinWorkers(shortage.m_needWorkers, pool.m_worker) + trials;
-    pool.m_needWorkers = shortage.m_needWorkers;
-    std::size_t size =
-      std::min(more == 0 ? 0 : pool.m_established + more,
-               kMaxFragmentation * packed + kMaxWorkersForUnplaced);
-    if (shortage.m_holdsWorkers) {
-      size = std::max(size, pool.m_actual);
+    std::size_t size = shortage.m_holdsWorkers ? pool.m_actual : 0;
+    if (!pool.m_needWorkers.empty()) {
+      size =
+        std::max(size, SizeForUnplaced(shortage, aDemands.at(service), pool));
+    }
+    if (shortage.m_waited < kMaxPrecedence) {
+      pool.m_minimum = std::max(pool.m_minimum, size);
     }
-    pool.m_minimum = std::max(pool.m_minimum, size);
     pool.m_floor = std::max(pool.m_floor, size);
     pool.m_desired = std::max(pool.m_desired, size);
   }
 }
 
+// At its limit, a pool gives up idle workers that cannot take any of the tasks,
+// so that others can be tried.
+std::size_t
+CapacityPlanner::SizeForUnplaced(const PlacementShortage& aShortage,
+                                 const Demand& aDemand,
+                                 const Pool& aPool)
+{
+  const std::size_t missing =
+    Demand::MinWorkers(aShortage.m_needWorkers, aPool.m_worker);
+  const auto trials = static_cast<std::size_t>(aShortage.m_waited / kTrialTime);
+  const std::size_t packed =
+    Demand::MinWorkers(aDemand.m_longRunningSteps, aPool.m_worker);
+  const std::size_t limit =
+    kWorkersBesidePacking +
+    std::max(kPackingMultiple * packed, aPool.m_hosts + missing);
+  const std::size_t size = aPool.m_established + missing + trials;
+  if (size <= limit) {
+    return size;
+  }
+  const auto useless = std::count_if(
+    aPool.m_drainable.begin(),
+    aPool.m_drainable.end(),
+    [&](const Drainable& aCandidate) {
+      return aCandidate.m_usedCpu == 0 &&
+             AssessSuitability(aPool, &aCandidate.m_worker->m_lastReport) ==
+               Suitability::kDoesNotSuit;
+    });
+  return limit - std::min(limit, static_cast<std::size_t>(useless));
+}
+
 // An instance under order counts in the pool that it moves to.
 bool
 CapacityPlanner::IsLeaving(const Worker& aWorker) const
@@ -268,8 +298,9 @@
         m_options.m_mechanisms.Has(Mechanism::kReplacement);
       pool->second.m_actual += isReplaced ? 0 : 1;
       ++pool->second.m_reporting;
-      pool->second.m_established +=
-        aNow >= worker.m_firstReportAt + kEstablishedAfter ? 1 : 0;
+      const bool isEstablished =
+        !isReplaced && aNow >= worker.m_firstReportAt + kEstablishedAfter;
+      pool->second.m_established += isEstablished ? 1 : 0;
       pool->second.m_cpu += capacity.m_cpuMillis;
       pool->second.m_memoryMb += capacity.m_memoryMb;
       pool->second.m_maxAccelerators =
@@ -279,6 +310,8 @@
       pool->second.m_usedCpu += use.m_cpuMillis;
       if (use.m_longRunning == 0) {
         pool->second.m_drainable.push_back({ &worker, use.m_cpuMillis });
+      } else {
+        ++pool->second.m_hosts;
       }
     }
   }
@@ -448,7 +481,7 @@
   move = { aTo, aNow, std::nullopt, ++m_lastNumber };
   if (aWorker != nullptr) {
     move.m_targetIncarnation = aWorker->m_lastReport.m_worker;
-    m_capacities[aInstance] = aWorker->m_lastReport.m_capacity;
+    m_reportsBeforeMove[aInstance] = aWorker->m_lastReport;
   }
   m_orderTokens -= 1;
   m_unanswered.insert(move.m_number);
@@ -480,9 +513,7 @@
         !CanOrder(instance, aRecord, upSince, aNow)) {
       continue;
     }
-    const auto known = m_capacities.find(instance);
-    const auto suitability = AssessSuitability(
-      aPool, known == m_capacities.end() ? nullptr : &known->second);
+    const auto suitability = AssessSuitability(aPool, FindLastReport(instance));
     if (!best || suitability < bestSuitability) {
       best = instance;
       bestSuitability = suitability;
@@ -496,23 +527,33 @@
 
 CapacityPlanner::Suitability
 CapacityPlanner::AssessSuitability(const Pool& aPool,
-                                   const jobs::Resources* aCapacity)
+                                   const WorkerReport* aReport)
 {
   if (aPool.m_needWorkers.empty()) {
     return Suitability::kSuits;
   }
-  if (aCapacity == nullptr) {
+  if (aReport == nullptr) {
     return Suitability::kUnknown;
   }
-  const bool fits = std::any_of(aPool.m_needWorkers.begin(),
-                                aPool.m_needWorkers.end(),
-                                [&](const TaskGroup& aTasks) {
-                                  return ReservedCapacity{}.LeavesCapacityFor(
-                                    *aCapacity, *aTasks.m_step);
-                                });
+  const bool fits = std::any_of(
+    aPool.m_needWorkers.begin(),
+    aPool.m_needWorkers.end(),
+    [&](const TaskGroup& aTasks) {
+      const jobs::StepSpec& step = *aTasks.m_step;
+      return (step.m_requiredLabel.empty() ||
+              aReport->m_labels.contains(step.m_requiredLabel)) &&
+             ReservedCapacity{}.LeavesCapacityFor(aReport->m_capacity, step);
+    });
   return fits ? Suitability::kSuits : Suitability::kDoesNotSuit;
 }
 
+const WorkerReport*
+CapacityPlanner::FindLastReport(const InstanceId& aInstance) const
+{
+  const auto found = m_reportsBeforeMove.find(aInstance);
+  return found == m_reportsBeforeMove.end() ? nullptr : &found->second;
+}
+
 // The token bucket holds little more than the orders of one pass, so that a
 // peak does not cause more concurrent calls than the platform answers.
 void
@@ -583,7 +624,8 @@
     return pool == aPools.end() || pool->second.HasSurplus();
   };
   const auto isAboveFloor = [&](const Worker* aWorker) {
-    return aPools.at(aWorker->m_lastReport.m_service).IsAboveFloor();
+    const auto pool = aPools.find(aWorker->m_lastReport.m_service);
+    return pool == aPools.end() || pool->second.IsAboveFloor();
   };
   const auto isNeedier = [](const auto& aLeft, const auto& aRight) {
     const Pool& left = aLeft.second;
@@ -593,41 +635,64 @@
     }
     return left.m_actual * right.m_desired < right.m_actual * left.m_desired;
   };
+  // Pools that no available instance suits.
+  std::set<ServiceId> unserved;
+  const auto comesFirst = [&](const auto& aLeft, const auto& aRight) {
+    const bool isLeftServed = !unserved.contains(aLeft.first);
+    const bool isRightServed = !unserved.contains(aRight.first);
+    return isLeftServed != isRightServed ? isLeftServed
+                                         : isNeedier(aLeft, aRight);
+  };
   while (HasOrderBudget()) {
     const auto neediest =
-      std::min_element(aPools.begin(), aPools.end(), isNeedier);
-    if (neediest == aPools.end() || !neediest->second.IsShort()) {
+      std::min_element(aPools.begin(), aPools.end(), comesFirst);
+    if (neediest == aPools.end() || !neediest->second.IsShort() ||
+        unserved.contains(neediest->first)) {
       return;
     }
-    const Pool& pool = neediest->second;
-    if (const auto standby = FindStandby(pool, aWorkers, aRecord, aNow)) {
+    Pool& pool = neediest->second;
+    // An instance that does not suit the tasks that wait still serves a pool
+    // that its other work makes short.
+    const auto worst = pool.m_actual < pool.m_desiredBySums
+                         ? Suitability::kDoesNotSuit
+                         : Suitability::kUnknown;
+    const auto find = [&](Suitability aWorst) {
+      const auto findAmong = [&](const auto& aMayLeave) {
+        return std::find_if(
+          movable.begin(), movable.end(), [&](const Worker* aWorker) {
+            return aMayLeave(aWorker) &&
+                   AssessSuitability(pool, &aWorker->m_lastReport) <= aWorst;
+          });
+      };
+      const auto next = findAmong(isSurplus);
+      return next == movable.end() && pool.IsBelowMinimum()
+               ? findAmong(isAboveFloor)
+               : next;
+    };
+    const auto standby = FindStandby(pool, aWorkers, aRecord, aNow);
+    const auto ofStandby = standby
+                             ? AssessSuitability(pool, FindLastReport(*standby))
+                             : Suitability::kDoesNotSuit;
+    auto next = standby && ofStandby == Suitability::kSuits
+                  ? movable.end()
+                  : find(Suitability::kSuits);
+    if (next == movable.end() && standby && ofStandby <= worst) {
       Order(*standby, nullptr, neediest->first, aNow, aPlan);
-      ++neediest->second.m_actual;
+      ++pool.m_actual;
       continue;
     }
-    const auto find = [&](const auto& aMayLeave) {
-      const auto suits = [&](const Worker* aWorker) {
-        return aMayLeave(aWorker) &&
-               AssessSuitability(pool, &aWorker->m_lastReport.m_capacity) ==
-                 Suitability::kSuits;
-      };
-      const auto best = std::find_if(movable.begin(), movable.end(), suits);
-      return best != movable.end()
-               ? best
-               : std::find_if(movable.begin(), movable.end(), aMayLeave);
-    };
-    auto next = find(isSurplus);
-    if (next == movable.end() && pool.IsBelowMinimum()) {
-      next = find(isAboveFloor);
+    if (next == movable.end()) {
+      next = find(worst);
     }
     if (next == movable.end()) {
-      return;
+      unserved.insert(neediest->first);
+      continue;
     }
     const auto from = aPools.find((*next)->m_lastReport.m_service);
     if (from != aPools.end()) {
       --from->second.m_actual;
     }
-    ++neediest->second.m_actual;
+    ++pool.m_actual;
     Order(
       (*next)->m_lastReport.m_instance, *next, neediest->first, aNow, aPlan);
     movable.erase(next);
--- a/src/placement/unplaced_tasks.cpp
+++ b/src/placement/unplaced_tasks.cpp
@@ -9,13 +9,10 @@
 /** Time after which tasks that wait for others to end count as demand for
  * workers. A worker that is ordered then comes later than most of those ends.
  */
-constexpr Duration kMaxWaitForRoom = Millis{ 1000 };
+constexpr Duration kDemandAfter = Millis{ 1000 };
 /** The same time for tasks that no worker of the pool will have room for.
  * Workers that were to leave it get tasks again within this time. */
-constexpr Duration kMaxWaitWithoutRoom = Millis{ 200 };
-/** Time after which a pool may give workers away again, as they have not helped
- * the tasks that wait. */
-constexpr Duration kMaxHold = Millis{ 10'000 };
+constexpr Duration kDemandWithoutRoomAfter = Millis{ 200 };
 
 } // namespace
 
@@ -26,8 +23,14 @@
     return !aUnplaced.contains(aEntry.first);
   });
   for (const auto& [step, tasks] : aUnplaced) {
-    Wait& wait =
-      m_waits.try_emplace(step, Wait{ {}, aNow, aNow }).first->second;
+    Wait& wait = m_waits.try_emplace(step, Wait{ {}, aNow, aNow, aNow, aNow })
+                   .first->second;
+    if (tasks.m_count > wait.m_tasks.m_count) {
+      wait.m_grewAt = aNow;
+    }
+    if (tasks.m_count < wait.m_tasks.m_count) {
+      wait.m_shrankAt = aNow;
+    }
     wait.m_tasks = tasks;
     if (tasks.m_withoutRoom == 0) {
       wait.m_withoutRoomSince = aNow;
@@ -51,18 +54,18 @@
     PlacementShortage& shortage =
       shortages[aState.Routes().m_routes[*route].m_service];
     shortage.m_holdsWorkers =
-      shortage.m_holdsWorkers || aNow < wait.m_since + kMaxHold;
+      shortage.m_holdsWorkers || aNow < wait.m_grewAt + kDemandAfter;
     std::uint32_t count = 0;
-    if (aNow >= wait.m_since + kMaxWaitForRoom) {
+    if (aNow >= wait.m_since + kDemandAfter) {
       count = wait.m_tasks.m_count;
-    } else if (aNow >= wait.m_withoutRoomSince + kMaxWaitWithoutRoom) {
+    } else if (aNow >= wait.m_withoutRoomSince + kDemandWithoutRoomAfter) {
       count = wait.m_tasks.m_withoutRoom;
     }
     if (count > 0) {
       shortage.m_needWorkers.push_back(
         { &job->m_spec.m_steps[first.m_step], count });
       shortage.m_waited =
-        std::max<Duration>(shortage.m_waited, aNow - wait.m_since);
+        std::max<Duration>(shortage.m_waited, aNow - wait.m_shrankAt);
     }
   }
   return shortages;
--- a/tests/unit/placement/capacity_test.cpp
+++ b/tests/unit/placement/capacity_test.cpp
@@ -237,7 +237,7 @@
 
 // Guards against instances that are moved to a task one after the other, though
 // each has shown before that it is too small.
-TEST(CapacityPlanner, StandbyInstancesDiffer_OneThatCanTakeTheTaskIsOrdered)
+TEST(CapacityPlanner, IdleInstancesDiffer_OneThatCanTakeTheTaskIsOrdered)
 {
   AddPool("desk", 5);
   AddPool("other", 6);
@@ -249,14 +249,78 @@
   large.m_service = ServiceId{ "other" };
   large.m_capacity.m_memoryMb = 6000;
   m_table.OnReport(large, m_fleet.Book(), At(9000), WallTime{ 0 });
-  m_planner.OnPlanned({ { Ref("lasting"), { 1, 1 } } }, At(9'800));
   Next(9'500);
+  m_planner.OnPlanned({ { Ref("lasting"), { 1, 1 } } }, At(9'800));
   const CapacityPlan plan = Next(10'000);
   CHECK_FALSE(plan.m_orders.empty());
   STRCMP_EQUAL("instance-of-other6",
                plan.m_orders.front().m_instance.Get().c_str());
 }
 
+// Guards against standby instances that are known to be too small and keep a
+// large idle one of another pool from the task.
+TEST(CapacityPlanner, StandbyInstanceIsTooSmall_LargeIdleOneIsOrdered)
+{
+  AddPool("desk", 5);
+  AddPool("other", 4);
+  ListStandby(0);
+  Next(9'000);
+  const CapacityPlan leaving = Next(9'800);
+  LONGS_EQUAL(3, leaving.m_orders.size());
+  for (const MoveOrder& order : leaving.m_orders) {
+    m_planner.OnAnswer(order, InstanceAnswer::kAccepted, At(9'800));
+    m_table.RetireInstance(
+      Life(order.m_instance.Get().substr(std::string("instance-of-").size())),
+      At(9'800),
+      m_fleet.Book(),
+      WallTime{ 0 });
+  }
+  StepSpec step = Step(1, 100);
+  step.m_resources.m_memoryMb = 5000;
+  step.m_longRunning = true;
+  m_fleet.Submit("lasting", Spec({ step }));
+  WorkerReport large = Report("other9", 1);
+  large.m_service = ServiceId{ "other" };
+  large.m_capacity.m_memoryMb = 6000;
+  m_table.OnReport(large, m_fleet.Book(), At(11'300), WallTime{ 0 });
+  m_fleet.Apply({ Submit{ JobId{ "busy" },
+                          QueueId{ "host/o/" },
+                          Spec({ Step(3, 1000) }),
+                          WallTime{ 0 } } });
+  for (int i = 1; i < 4; ++i) {
+    m_fleet.Start(Ref("busy", static_cast<std::uint32_t>(i - 1)),
+                  "other" + std::to_string(i));
+    SendReport("desk" + std::to_string(i + 1), "desk", 11'300, 2);
+    SendReport("other" + std::to_string(i), "other", 11'300, 2);
+  }
+  m_planner.OnPlanned({ { Ref("lasting"), { 1, 1 } } }, At(11'300));
+  Next(11'400);
+  const CapacityPlan plan = Next(11'700);
+  CHECK_FALSE(plan.m_orders.empty());
+  STRCMP_EQUAL("instance-of-other9",
+               plan.m_orders.front().m_instance.Get().c_str());
+}
+
+// Guards against a pool whose hosts of long-running tasks are more than a
+// packing needs, and that would get no worker for one that none of them can
+// take.
+TEST(CapacityPlanner, ManyHostsAndNoRoomForATask_OneInstanceIsOrdered)
+{
+  constexpr int kHosts = 20;
+  AddPool("desk", kHosts);
+  AddPool("other", 3);
+  StepSpec step = Step(kHosts, 100);
+  step.m_longRunning = true;
+  m_fleet.Submit("lasting", Spec({ step }));
+  for (int i = 0; i < kHosts; ++i) {
+    m_fleet.Start(Ref("lasting", static_cast<std::uint32_t>(i)),
+                  "desk" + std::to_string(i));
+  }
+  ListStandby(9);
+  m_planner.OnPlanned({ { Ref("lasting"), { 1, 1 } } }, At(10'000));
+  LONGS_EQUAL(1, Next(10'200).m_orders.size());
+}
+
 // Guards against a pool that takes all instances for a task that none of them
 // can take.
 TEST(CapacityPlanner, NoInstanceHelpsATask_PoolStopsGrowing)
--- a/tests/unit/placement/unplaceable_tasks_test.cpp
+++ b/tests/unit/placement/unplaceable_tasks_test.cpp
@@ -39,7 +39,7 @@
 } // namespace
 
 // Small tasks leave each worker of the pool less memory than a large one needs,
-// though all of them would fit if they were packed anew.
+// though fewer workers would do if the tasks were packed anew.
 TEST_GROUP(UnplaceableTasks)
 {
   SimulatedPool m_pool{ PoolWithStandby() };
