placement: a pool keeps the worker that has just arrived for a task that waits

As many tasks of the step waited as before, so the pool saw nothing new, and the worker was not yet counted among those that have been tried.

Now another task of a step that begins to wait counts as a change, and a pool with tasks that wait keeps what it has, up to its limit.

unit_placement -n AnotherTaskBeginsToWait

--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -237,9 +237,10 @@
      * workspace to those at their cap. */
     bool CheckCap(Plan& aPlan) const;
     void ChargeStart() const;
-    /** Adds aCount waiting tasks of a long-running step to those that no worker
-     * can take. */
-    void AddUnplaced(std::uint32_t aCount,
+    /** Adds aCount waiting tasks of a long-running step, from aIndex on, to
+     * those that no worker can take. */
+    void AddUnplaced(std::uint32_t aIndex,
+                     std::uint32_t aCount,
                      const TasksPerWorker& aTasksPerWorker,
                      Pool& aPool,
                      Plan& aPlan) const;
--- a/include/bamboostile/placement/unplaced_tasks.h
+++ b/include/bamboostile/placement/unplaced_tasks.h
@@ -23,11 +23,14 @@
   /** Those of them that no worker of the pool has capacity for, even once all
    * tasks that end by themselves have ended there. */
   std::uint32_t m_withoutRoom = 0;
+  /** Index of one of them, which changes when others have begun to wait. */
+  std::uint32_t m_task = 0;
 
   void Add(const UnplacedTasks& aOther)
   {
     m_count += aOther.m_count;
     m_withoutRoom += aOther.m_withoutRoom;
+    m_task = aOther.m_task;
   }
 };
 
@@ -68,8 +71,8 @@
     UnplacedTasks m_tasks;
     TimePoint m_since;
     TimePoint m_withoutRoomSince;
-    /** The last time that there were more of them, or fewer. */
-    TimePoint m_grewAt;
+    /** The last time that there were other tasks among them, or fewer. */
+    TimePoint m_changedAt;
     TimePoint m_shrankAt;
   };
 
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -225,8 +225,9 @@
   }
 }
 
-// At its limit, a pool gives up idle workers that cannot take any of the tasks,
-// so that others can be tried.
+// Up to its limit, a pool keeps what it has: a worker that has just arrived may
+// be about to take a task. At the limit, it gives up idle workers that cannot
+// take any, so that others can be tried.
 std::size_t
 CapacityPlanner::SizeForUnplaced(const PlacementShortage& aShortage,
                                  const Demand& aDemand,
@@ -242,7 +243,7 @@
     std::max(kPackingMultiple * packed, aPool.m_hosts + missing);
   const std::size_t size = aPool.m_established + missing + trials;
   if (size <= limit) {
-    return size;
+    return std::max(size, std::min(aPool.m_actual, limit));
   }
   const auto useless = std::count_if(
     aPool.m_drainable.begin(),
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -146,13 +146,16 @@
 }
 
 void
-Planner::Candidate::AddUnplaced(std::uint32_t aCount,
+Planner::Candidate::AddUnplaced(std::uint32_t aIndex,
+                                std::uint32_t aCount,
                                 const TasksPerWorker& aTasksPerWorker,
                                 Pool& aPool,
                                 Plan& aPlan) const
 {
   aPlan.m_unplaced[TaskAt(0)].Add(
-    { aCount, aPool.CountWithoutRoom(Step(), aCount, aTasksPerWorker) });
+    { aCount,
+      aPool.CountWithoutRoom(Step(), aCount, aTasksPerWorker),
+      aIndex });
 }
 
 void
@@ -602,7 +605,7 @@
         aPlan.m_waiting.at(aCandidate.TaskAt(i)).m_workers =
           aPool.CountWorkers(step, tasksPerWorker, aBook);
         aCandidate.AddUnplaced(
-          CountWaiting(step, tasks, i), tasksPerWorker, aPool, aPlan);
+          i, CountWaiting(step, tasks, i), tasksPerWorker, aPool, aPlan);
       }
       aPlan.m_fullServices.insert(aCandidate.m_route->m_service);
       const std::size_t restarts =
@@ -705,7 +708,7 @@
   aCandidate.AddWaiting(0, first, WaitReason::kNoCapacity, aWall, aPlan);
   aPlan.m_waiting.at(aCandidate.TaskAt(0)).m_workers =
     aPool.CountWorkers(step, {}, aBook);
-  aCandidate.AddUnplaced(step.m_count, {}, aPool, aPlan);
+  aCandidate.AddUnplaced(0, step.m_count, {}, aPool, aPlan);
 }
 
 bool
--- a/src/placement/trials.cpp
+++ b/src/placement/trials.cpp
@@ -476,8 +476,11 @@
         waiting->m_workers = aPool.CountWorkers(
           aStep.m_candidate.Step(), aStep.m_tasksPerWorker, aBook);
         const jobs::StepSpec& spec = aStep.m_candidate.Step();
-        aStep.m_candidate.AddUnplaced(
-          spec.m_gang ? spec.m_count : 1, aStep.m_tasksPerWorker, aPool, aPlan);
+        aStep.m_candidate.AddUnplaced(run.m_task.m_index,
+                                      spec.m_gang ? spec.m_count : 1,
+                                      aStep.m_tasksPerWorker,
+                                      aPool,
+                                      aPlan);
         ReserveForRestarts(
           aStep.m_candidate.Step(), 1, aStep.m_tasksPerWorker, aPool);
       }
--- a/src/placement/unplaced_tasks.cpp
+++ b/src/placement/unplaced_tasks.cpp
@@ -25,8 +25,9 @@
   for (const auto& [step, tasks] : aUnplaced) {
     Wait& wait = m_waits.try_emplace(step, Wait{ {}, aNow, aNow, aNow, aNow })
                    .first->second;
-    if (tasks.m_count > wait.m_tasks.m_count) {
-      wait.m_grewAt = aNow;
+    if (tasks.m_count > wait.m_tasks.m_count ||
+        tasks.m_task != wait.m_tasks.m_task) {
+      wait.m_changedAt = aNow;
     }
     if (tasks.m_count < wait.m_tasks.m_count) {
       wait.m_shrankAt = aNow;
@@ -54,7 +55,7 @@
     PlacementShortage& shortage =
       shortages[aState.Routes().m_routes[*route].m_service];
     shortage.m_holdsWorkers =
-      shortage.m_holdsWorkers || aNow < wait.m_grewAt + kDemandAfter;
+      shortage.m_holdsWorkers || aNow < wait.m_changedAt + kDemandAfter;
     std::uint32_t count = 0;
     if (aNow >= wait.m_since + kDemandAfter) {
       count = wait.m_tasks.m_count;
--- a/tests/unit/placement/capacity_test.cpp
+++ b/tests/unit/placement/capacity_test.cpp
@@ -229,7 +229,7 @@
   AddPool("other", 3);
   StartFourOnSeparateWorkers();
   ListStandby(9);
-  m_planner.OnPlanned({ { Ref("lasting"), { 1, 1 } } }, At(10'000));
+  m_planner.OnPlanned({ { Ref("lasting"), { 1, 1, 0 } } }, At(10'000));
   LONGS_EQUAL(0, Next(10'100).m_orders.size());
   LONGS_EQUAL(1, Next(10'200).m_orders.size());
   LONGS_EQUAL(0, Next(11'500).m_orders.size());
@@ -250,13 +250,26 @@
   large.m_capacity.m_memoryMb = 6000;
   m_table.OnReport(large, m_fleet.Book(), At(9000), WallTime{ 0 });
   Next(9'500);
-  m_planner.OnPlanned({ { Ref("lasting"), { 1, 1 } } }, At(9'800));
+  m_planner.OnPlanned({ { Ref("lasting"), { 1, 1, 0 } } }, At(9'800));
   const CapacityPlan plan = Next(10'000);
   CHECK_FALSE(plan.m_orders.empty());
   STRCMP_EQUAL("instance-of-other6",
                plan.m_orders.front().m_instance.Get().c_str());
 }
 
+// Guards against an instance that is given away on its arrival, while the next
+// task of the step begins to wait.
+TEST(CapacityPlanner, AnotherTaskBeginsToWait_PoolKeepsTheNewWorker)
+{
+  AddPool("desk", 7);
+  AddPool("other", 3);
+  StartFourOnSeparateWorkers();
+  m_planner.OnPlanned({ { Ref("lasting"), { 1, 0, 1 } } }, At(9'000));
+  Next(9'000);
+  m_planner.OnPlanned({ { Ref("lasting"), { 1, 0, 2 } } }, At(9'900));
+  LONGS_EQUAL(0, Next(9'950).m_orders.size());
+}
+
 // Guards against standby instances that are known to be too small and keep a
 // large idle one of another pool from the task.
 TEST(CapacityPlanner, StandbyInstanceIsTooSmall_LargeIdleOneIsOrdered)
@@ -293,7 +306,7 @@
     SendReport("desk" + std::to_string(i + 1), "desk", 11'300, 2);
     SendReport("other" + std::to_string(i), "other", 11'300, 2);
   }
-  m_planner.OnPlanned({ { Ref("lasting"), { 1, 1 } } }, At(11'300));
+  m_planner.OnPlanned({ { Ref("lasting"), { 1, 1, 0 } } }, At(11'300));
   Next(11'400);
   const CapacityPlan plan = Next(11'700);
   CHECK_FALSE(plan.m_orders.empty());
@@ -317,7 +330,7 @@
                   "desk" + std::to_string(i));
   }
   ListStandby(9);
-  m_planner.OnPlanned({ { Ref("lasting"), { 1, 1 } } }, At(10'000));
+  m_planner.OnPlanned({ { Ref("lasting"), { 1, 1, 0 } } }, At(10'000));
   LONGS_EQUAL(1, Next(10'200).m_orders.size());
 }
 
@@ -328,7 +341,7 @@
   AddPool("other", 3);
   StartFourOnSeparateWorkers();
   ListStandby(20);
-  m_planner.OnPlanned({ { Ref("lasting"), { 1, 1 } } }, At(9'000));
+  m_planner.OnPlanned({ { Ref("lasting"), { 1, 1, 0 } } }, At(9'000));
   int workers = 0;
   std::size_t wanted = 0;
   for (std::int64_t at = 9'000; at < 60'000; at += 500) {
