jobs: the loss of a worker that ran on is retracted

Callers saw a healthy job as failed after five workers under it had been cut off for a few seconds each. No run had failed and no worker had crashed.

Cause: a lease that ends is the only timely sign of a crash, so it counts as a loss at once. Nothing took it back when the same incarnation reported again, so such losses added up until the task was done.

Change: a report disproves a loss of its worker if it shows that the worker ended the run because of its lease, or if the worker has kept reporting under the same start time for longer than a report can be delayed. The leader then proposes RetractLoss. It works from the replicated losses, so a new leader does the same. A member that does not know the change would fail the job alone, so members tell the leader which version of the state they apply, and the leader proposes retractions once the state records that all apply it.

Ruled out: the weights of the evidence, each right for what is known at its time; not counting a lapsed lease until the end of the worker is known, as a crashed worker that never comes back would never count.

--- a/include/bamboostile/consensus/replica.h
+++ b/include/bamboostile/consensus/replica.h
@@ -38,6 +38,8 @@
    * a voter. 0 means no limit. Should be odd: if four voters are split into
    * halves, neither half is a majority; of three voters, one side always is. */
   std::size_t m_maxVoters = 0;
+  /** Highest version of the replicated state that this process applies. */
+  std::uint32_t m_stateVersion = 0;
   std::uint64_t m_seed = 1;
 };
 
@@ -116,6 +118,9 @@
   std::vector<ReplicaId> LearnersCaughtUp(TimePoint aNow) const;
   /** Leader only: the other members and how far they are. */
   std::vector<FollowerStatus> Followers() const;
+  /** Leader only: the highest version of the replicated state that all members
+   * apply; 0 until all have answered this leader. */
+  std::uint32_t CommonStateVersion() const;
   /** Peers that hold less than they had acknowledged, because their folder was
    * replaced by an old copy. They are no longer counted. */
   const std::set<ReplicaId>& RegressedPeers() const { return m_regressed; }
@@ -181,6 +186,7 @@
     std::optional<FragmentedEntry> m_fragmented;
     /** As of the peer's last answer; false for replicas of earlier versions. */
     bool m_acceptsFragments = false;
+    std::uint32_t m_stateVersion = 0;
     bool m_probing = true;
     /** A round ends when the peer holds the log as it was at its start. */
     Index m_roundTarget;
--- a/include/bamboostile/consensus/types.h
+++ b/include/bamboostile/consensus/types.h
@@ -142,6 +142,8 @@
   /** Whether the sender assembles fragments; replicas of earlier versions do
    * not. */
   bool m_acceptsFragments = true;
+  /** As in ReplicaOptions; 0 for replicas of earlier versions. */
+  std::uint32_t m_stateVersion = 0;
 };
 
 /** Part of a snapshot's state. A chunk without bytes is a heartbeat. */
--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -134,6 +134,9 @@
   void RecordIgnoringStarts(const WorkerIncarnation& aWorker);
   void RecordReachability(const WorkerIncarnation& aWorker, bool aIsReachable);
   void QueueEnds(std::vector<jobs::EndRun> aEnds);
+  /** Retracts losses that a report of their worker disproves. */
+  void QueueRetractions(const WorkerIncarnation& aWorker,
+                        const std::vector<jobs::RetractLoss>& aRetractions);
   void ScheduleCycle();
   /** Ends the runs of workers whose lease has expired. */
   void QueueLostRuns(TimePoint aNow);
--- a/include/bamboostile/control/node.h
+++ b/include/bamboostile/control/node.h
@@ -124,6 +124,8 @@
   std::vector<std::string> SeedsWithLog() const;
   void FormGroup();
   void RemoveUnresponsiveVoter(TimePoint aNow);
+  /** Records the version of the state that all members apply. */
+  void RaiseStateVersion();
   bool IsSafelyFormed() const;
   void RecordFormation(TimePoint aNow);
   bool NeedsAdmission(TimePoint aNow);
--- a/include/bamboostile/fleet/commands.h
+++ b/include/bamboostile/fleet/commands.h
@@ -145,6 +145,20 @@
   std::vector<InstanceId> m_settled;
 };
 
+/** Version of the replicated state that this build applies. A change that
+ * earlier builds do not know may be proposed once State::Version() shows that
+ * every member of the group applies it. */
+constexpr std::uint32_t kStateVersion = 1;
+/** From this version on, losses of workers can be retracted. */
+constexpr std::uint32_t kVersionWithRetractions = 1;
+
+/** Records that all members of the group apply this version of the state.
+ * Never lowers it. */
+struct RaiseVersion
+{
+  std::uint32_t m_version = 0;
+};
+
 using Command = std::variant<OperatorCall,
                              AnnounceInstances,
                              LoseInstances,
@@ -158,7 +172,8 @@
                              AdvanceMaintenance,
                              jobs::Batch,
                              MarkFormed,
-                             RecordOrders>;
+                             RecordOrders,
+                             RaiseVersion>;
 
 // Replies to operator calls.
 
--- a/include/bamboostile/fleet/state.h
+++ b/include/bamboostile/fleet/state.h
@@ -64,6 +64,8 @@
   const outcome::Ledger& Outcomes() const { return m_outcomes; }
   const jobs::JobTable& Jobs() const { return m_jobs; }
   bool IsFormed() const { return m_isFormed; }
+  /** The version that all members of the group apply; see kStateVersion. */
+  std::uint32_t Version() const { return m_version; }
   const RouteTable& Routes() const { return m_routes; }
   const RouteIndex& RouteLookup() const { return m_routeIndex; }
   /** Returns the workspace on whose behalf a call with this key to the route
@@ -112,6 +114,7 @@
   void Apply(Index aIndex, const CloseWave& aClose);
   void Apply(Index aIndex, const ReplaceRoutes& aReplace);
   void Apply(Index aIndex, const MarkFormed& aMark);
+  void Apply(Index aIndex, const RaiseVersion& aRaise);
   void Apply(Index aIndex, const StartMaintenance& aStart);
   void Apply(Index aIndex, const AdvanceMaintenance& aAdvance);
   void Apply(Index aIndex, const RecordOrders& aRecord);
@@ -138,6 +141,7 @@
   std::deque<OperationId> m_replyOrder;
   outcome::Ledger m_outcomes;
   bool m_isFormed = false;
+  std::uint32_t m_version = 0;
   jobs::JobTable m_jobs;
   RouteTable m_routes;
   /** Derived from m_routes. */
--- a/include/bamboostile/jobs/book.h
+++ b/include/bamboostile/jobs/book.h
@@ -83,6 +83,14 @@
   WallTime m_before;
 };
 
+/** Removes a loss from the evidence against a task: the worker had not crashed.
+ * Proposed only to groups whose replicas all know it. */
+struct RetractLoss
+{
+  TaskRef m_task;
+  RunNumber m_run;
+};
+
 using Change = std::variant<Submit,
                             Cancel,
                             StartRun,
@@ -90,7 +98,8 @@
                             FailJob,
                             RemoveEndedJobs,
                             MarkRunStable,
-                            SetRunIncarnation>;
+                            SetRunIncarnation,
+                            RetractLoss>;
 
 /** The changes of one log entry, made durable by a single disk sync. */
 struct Batch
@@ -210,6 +219,8 @@
   bool AreInSameGang(const TaskRef& aLeft, const TaskRef& aRight) const;
   /** Tasks of active jobs that were running on workers that were lost. */
   const std::set<TaskRef>& TasksWithLosses() const { return m_tasksWithLosses; }
+  /** Runs of those tasks that count as losses of the incarnation, if any. */
+  std::vector<RetractLoss> LossesOn(const WorkerIncarnation& aWorker) const;
   bool HasLosses(const JobId& aJob) const;
   /** Whether any task's next or current run is an isolated run. */
   bool HasSuspects() const;
@@ -234,6 +245,7 @@
   CallOutcome ApplyChange(const MarkRunStable& aMark, const AttemptLimit&);
   CallOutcome ApplyChange(const SetRunIncarnation& aChange,
                           const AttemptLimit&);
+  CallOutcome ApplyChange(const RetractLoss& aRetraction, const AttemptLimit&);
 
   Job* FindJob(const JobId& aId);
   Task* FindMutableTask(const TaskRef& aTask);
@@ -263,6 +275,9 @@
                                const StepRun& aStep,
                                const AttemptLimit& aLimit);
   void AddLoss(Job& aJob, const EndRun& aEnd, StepRun& aStep);
+  /** Adds or removes the index entries of a task's losses. */
+  void IndexLosses(const TaskRef& aTask, const Task& aState);
+  void UnindexLosses(const TaskRef& aTask, const Task& aState);
   /** Rebuilds the state derived from m_jobs after a snapshot was read. */
   void RebuildIndexes();
   /** Fills m_openJobs from m_open. */
@@ -279,6 +294,8 @@
   std::map<std::uint64_t, JobId> m_startable;
   std::unordered_map<QueueId, std::uint64_t> m_pending;
   std::set<TaskRef> m_tasksWithLosses;
+  /** The same tasks by the workers that were lost. */
+  std::map<WorkerIncarnation, std::set<TaskRef>> m_tasksByLostWorker;
 };
 
 std::string EncodeBatch(const Batch& aBatch);
--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -239,6 +239,9 @@
   TimePoint m_lastReportAt;
   WallTime m_lastReportWall;
   TimePoint m_firstReportAt;
+  /** When the first report after the last loss of the worker arrived, or its
+   * first one. */
+  TimePoint m_reportsSince;
   /** When the next report is due at the latest, if the worker is alive. */
   TimePoint m_reportDueAt;
   /** When everything that the worker runs has ended, unless a new lease is
@@ -354,6 +357,8 @@
   /** Runs that the report shows and the state has under the worker's id only,
    * without an incarnation. */
   std::vector<jobs::SetRunIncarnation> m_adopted;
+  /** Losses of this worker that it has survived. */
+  std::vector<jobs::RetractLoss> m_retractions;
 };
 
 /** Identifies what runs one incarnation of a worker at a time: its instance,
@@ -624,6 +629,11 @@
                      WallTime aWall,
                      ReportResult& aResult);
   void TrackProgress(Worker& aWorker, TimePoint aNow);
+  /** Returns the losses that the worker's last report disproves. */
+  std::vector<jobs::RetractLoss> FindDisprovedLosses(
+    const Worker& aWorker,
+    const jobs::JobTable& aBook,
+    TimePoint aNow) const;
   void AcceptEnds(Worker& aWorker,
                   const WorkerReport& aReport,
                   const jobs::JobTable& aBook,
--- a/schema/internal.capnp
+++ b/schema/internal.capnp
@@ -94,6 +94,9 @@
       fragmentIndex @28 :UInt64;
       # Position of the entry of which a fragment was sent; 0 if none was.
       fragmentReceived @29 :UInt64;
+      stateVersion @32 :UInt32;
+      # Highest version of the replicated state that the sender applies; 0 for
+      # replicas of earlier versions.
     }
     installSnapshot :group {
       # No longer sent; replicas of earlier versions send a snapshot as a whole.
--- a/schema/jobs.capnp
+++ b/schema/jobs.capnp
@@ -98,6 +98,11 @@
       adopter @25 :Text;
       adopterStartedAtMs @26 :Int64;
     }
+    retract :group {
+      # Proposed only to groups of state version 1.
+      retracted @31 :TaskRef;
+      retractedRun @32 :UInt32;
+    }
   }
 }
 
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -164,6 +164,22 @@
   return followers;
 }
 
+std::uint32_t
+Replica::CommonStateVersion() const
+{
+  std::uint32_t common = m_options.m_stateVersion;
+  for (const Member& member : CurrentMembership().m_members) {
+    if (member.m_id == m_self) {
+      continue;
+    }
+    const auto found = m_progress.find(member.m_id);
+    const std::uint32_t version =
+      found == m_progress.end() ? 0 : found->second.m_stateVersion;
+    common = std::min(common, version);
+  }
+  return common;
+}
+
 std::vector<Action>
 Replica::TakeActions()
 {
@@ -557,6 +573,7 @@
   EndTransferIfHeld(aFrom, progress, aNow);
   UpdateRound(progress, aNow);
   progress.m_acceptsFragments = aReply.m_acceptsFragments;
+  progress.m_stateVersion = aReply.m_stateVersion;
   UpdateFragments(progress, aReply);
   if (!progress.m_transfer && IsCaughtUp(aFrom, aNow)) {
     progress.m_isCatchingUp = false;
@@ -1124,6 +1141,9 @@
   if (vote != nullptr && vote->m_preVote) {
     term = Term{ term.Get() + 1 };
   }
+  if (auto* reply = std::get_if<AppendReply>(&aBody)) {
+    reply->m_stateVersion = m_options.m_stateVersion;
+  }
   return Message{ m_self, aTo, term, std::move(aBody) };
 }
 
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -36,9 +36,10 @@
 }
 
 consensus::ReplicaOptions
-WithSeed(consensus::ReplicaOptions aOptions, const consensus::ReplicaId& aSelf)
+OptionsOf(consensus::ReplicaOptions aOptions, const consensus::ReplicaId& aSelf)
 {
   aOptions.m_seed = aSelf.m_incarnation.Get();
+  aOptions.m_stateVersion = fleet::kStateVersion;
   return aOptions;
 }
 
@@ -54,7 +55,7 @@
   , m_timer(aProvider.getTimer())
   , m_onDiskFailure(std::move(aOnDiskFailure))
   , m_replica(aOpened.m_self,
-              WithSeed(m_options.m_replica, aOpened.m_self),
+              OptionsOf(m_options.m_replica, aOpened.m_self),
               std::move(aOpened.m_recovered),
               MonotonicNow())
   , m_registry(m_options.m_membership)
@@ -370,6 +371,20 @@
   ExpireOutcomes(aNow);
   AdvanceWaves(aNow);
   RemoveUnresponsiveVoter(aNow);
+  RaiseStateVersion();
+}
+
+void
+Node::RaiseStateVersion()
+{
+  const std::uint32_t common = m_replica.CommonStateVersion();
+  if (common > m_state.Version()) {
+    LogLine(Level::kInfo, "all replicas apply a later version of the state")
+      .With("version", common)
+      .With("before", m_state.Version())
+      .Write();
+    ProposeDuty(fleet::RaiseVersion{ common });
+  }
 }
 
 void
--- a/src/control/worker_reports.cpp
+++ b/src/control/worker_reports.cpp
@@ -72,6 +72,7 @@
   QueueEnds(std::move(result.m_ends));
   m_queuedChanges.insert(
     m_queuedChanges.end(), result.m_adopted.begin(), result.m_adopted.end());
+  QueueRetractions(worker, result.m_retractions);
   auto pair = kj::newPromiseAndFulfiller<WorkerAnswer>();
   // The report waits for the result of a batch in progress, but not for long.
   const bool nothingToDo =
@@ -90,6 +91,27 @@
   return kj::mv(pair.promise);
 }
 
+void
+JobService::QueueRetractions(const WorkerIncarnation& aWorker,
+                             const std::vector<jobs::RetractLoss>& aRetractions)
+{
+  if (m_node.State().Version() < fleet::kVersionWithRetractions) {
+    return;
+  }
+  for (const jobs::RetractLoss& loss : aRetractions) {
+    m_metrics.Count("losses_retracted_total");
+    WorkerLogLine(Level::kInfo, "loss retracted: its worker runs on", aWorker)
+      .With("job", loss.m_task.m_job.Get())
+      .With("occurrence", loss.m_task.m_occurrence)
+      .With("step", loss.m_task.m_step)
+      .With("task", loss.m_task.m_index)
+      .With("run", loss.m_run.Get())
+      .Write();
+    m_queuedChanges.emplace_back(loss);
+    m_needsPlan = true;
+  }
+}
+
 kj::Promise<WorkerAnswer>
 JobService::Leave(const WorkerIncarnation& aWorker)
 {
--- a/src/fleet/codec.cpp
+++ b/src/fleet/codec.cpp
@@ -126,6 +126,7 @@
 }
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecordOrders, m_ordered, m_settled)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RaiseVersion, m_version)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StartMaintenance, m_wave)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdvanceMaintenance, m_wave, m_instance, m_to)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Change, m_revision, m_operation, m_operator)
@@ -269,6 +270,7 @@
   static void ReadJobs(const Json& aJson, State& aState)
   {
     aState.m_isFormed = aJson.value("isFormed", false);
+    aState.m_version = aJson.value("version", std::uint32_t{ 0 });
     aState.SetRoutes(aJson.at("routes").get<RouteTable>());
     aJson.at("maintenance").get_to(aState.m_maintenance);
     aState.m_recentOrders = aJson.value("recentOrders", std::set<InstanceId>{});
@@ -303,6 +305,7 @@
                  { "replies", replies },
                  { "outcomes", outcomes },
                  { "isFormed", aState.m_isFormed },
+                 { "version", aState.m_version },
                  { "routes", aState.m_routes },
                  { "maintenance", aState.m_maintenance },
                  { "recentOrders", aState.m_recentOrders },
--- a/src/fleet/state.cpp
+++ b/src/fleet/state.cpp
@@ -576,6 +576,12 @@
   m_isFormed = true;
 }
 
+void
+State::Apply(Index /*aIndex*/, const RaiseVersion& aRaise)
+{
+  m_version = std::max(m_version, aRaise.m_version);
+}
+
 void
 State::Apply(Index /*aIndex*/, const StartMaintenance& aStart)
 {
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -59,6 +59,7 @@
   , m_startable(aOther.m_startable)
   , m_pending(aOther.m_pending)
   , m_tasksWithLosses(aOther.m_tasksWithLosses)
+  , m_tasksByLostWorker(aOther.m_tasksByLostWorker)
 {
   ListOpenJobs();
 }
@@ -152,6 +153,46 @@
                                      : saved->m_checkpoint;
 }
 
+void
+JobTable::IndexLosses(const TaskRef& aTask, const Task& aState)
+{
+  for (const WorkerLoss& loss : aState.m_losses) {
+    m_tasksWithLosses.insert(aTask);
+    m_tasksByLostWorker[loss.m_worker].insert(aTask);
+  }
+}
+
+void
+JobTable::UnindexLosses(const TaskRef& aTask, const Task& aState)
+{
+  m_tasksWithLosses.erase(aTask);
+  for (const WorkerLoss& loss : aState.m_losses) {
+    const auto lost = m_tasksByLostWorker.find(loss.m_worker);
+    if (lost != m_tasksByLostWorker.end() && lost->second.erase(aTask) > 0 &&
+        lost->second.empty()) {
+      m_tasksByLostWorker.erase(lost);
+    }
+  }
+}
+
+std::vector<RetractLoss>
+JobTable::LossesOn(const WorkerIncarnation& aWorker) const
+{
+  std::vector<RetractLoss> losses;
+  const auto lost = m_tasksByLostWorker.find(aWorker);
+  if (lost == m_tasksByLostWorker.end()) {
+    return losses;
+  }
+  for (const TaskRef& ref : lost->second) {
+    for (const WorkerLoss& loss : FindTask(ref)->m_losses) {
+      if (loss.m_worker == aWorker) {
+        losses.push_back({ ref, loss.m_run });
+      }
+    }
+  }
+  return losses;
+}
+
 bool
 JobTable::HasLosses(const JobId& aJob) const
 {
@@ -427,8 +468,8 @@
   StopRunning(aJob, aTask);
   task.m_phase = TaskPhase::kDone;
   task.m_checkpoint.clear();
+  UnindexLosses(aTask, task);
   task.m_losses.clear();
-  m_tasksWithLosses.erase(aTask);
   ++step.m_done;
   if (!step.IsDone()) {
     return;
@@ -558,7 +599,7 @@
                             aEnd.m_run,
                             aEnd.m_evidence,
                             aEnd.m_at });
-  m_tasksWithLosses.insert(aEnd.m_task);
+  IndexLosses(aEnd.m_task, task);
   const auto losses = jobs::LossesOf(
     aJob.m_spec.m_steps[aEnd.m_task.m_step], aStep, aEnd.m_task.m_index);
   if (IsProvenCrasher(losses)) {
@@ -575,9 +616,9 @@
   if (task != nullptr && task->m_phase == TaskPhase::kRunning &&
       task->m_lastRun == aMark.m_run) {
     task->m_isStable = true;
+    UnindexLosses(aMark.m_task, *task);
     task->m_losses.clear();
     task->m_ranUntil.reset();
-    m_tasksWithLosses.erase(aMark.m_task);
   }
   return CallOutcome::kNone;
 }
@@ -598,6 +639,21 @@
   return CallOutcome::kNone;
 }
 
+CallOutcome
+JobTable::ApplyChange(const RetractLoss& aRetraction,
+                      const AttemptLimit& /*aLimit*/)
+{
+  Task* task = FindMutableTask(aRetraction.m_task);
+  if (task != nullptr && m_tasksWithLosses.contains(aRetraction.m_task)) {
+    UnindexLosses(aRetraction.m_task, *task);
+    std::erase_if(task->m_losses, [&](const WorkerLoss& aLoss) {
+      return aLoss.m_run == aRetraction.m_run;
+    });
+    IndexLosses(aRetraction.m_task, *task);
+  }
+  return CallOutcome::kNone;
+}
+
 CallOutcome
 JobTable::ApplyChange(const FailJob& aFail, const AttemptLimit& /*aLimit*/)
 {
@@ -614,12 +670,10 @@
 {
   aJob.m_state = aState;
   aJob.m_endedAt = aAt;
-  const auto first = m_tasksWithLosses.lower_bound(TaskRef{ aJob.m_id });
-  const auto last =
-    std::find_if(first, m_tasksWithLosses.end(), [&](const auto& aTask) {
-      return aTask.m_job != aJob.m_id;
-    });
-  m_tasksWithLosses.erase(first, last);
+  while (HasLosses(aJob.m_id)) {
+    const TaskRef task = *m_tasksWithLosses.lower_bound(TaskRef{ aJob.m_id });
+    UnindexLosses(task, *FindTask(task));
+  }
   if (!aJob.m_started && aJob.m_spec.m_repeatCount == 0) {
     --m_pending[aJob.m_queue];
   }
@@ -667,6 +721,7 @@
   m_startable.clear();
   m_pending.clear();
   m_tasksWithLosses.clear();
+  m_tasksByLostWorker.clear();
   for (auto& [id, job] : m_jobs) {
     job.m_running = 0;
     job.m_occurrencesDone = 0;
@@ -677,7 +732,7 @@
         for (std::uint32_t i = 0; i < step.m_tasks.size(); ++i) {
           const Task& task = step.m_tasks[i];
           if (!task.m_losses.empty() && job.m_state == JobState::kActive) {
-            m_tasksWithLosses.insert(TaskRef{ id, number, s, i });
+            IndexLosses(TaskRef{ id, number, s, i }, task);
           }
           if (task.m_phase == TaskPhase::kDone) {
             ++step.m_done;
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -153,6 +153,11 @@
                  to.setAdopterStartedAtMs(
                    aSetIncarnation.m_worker.m_startedAt.Get());
                },
+               [&](const RetractLoss& aRetraction) {
+                 auto to = aTo.initRetract();
+                 Write(aRetraction.m_task, to.initRetracted());
+                 to.setRetractedRun(aRetraction.m_run.Get());
+               },
              },
              aChange);
 }
@@ -216,6 +221,11 @@
                                 ReadIncarnation(from.getAdopter(),
                                                 from.getAdopterStartedAtMs()) };
     }
+    case schema::Change::RETRACT: {
+      const auto from = aFrom.getRetract();
+      return RetractLoss{ Read(from.getRetracted()),
+                          RunNumber{ from.getRetractedRun() } };
+    }
   }
   KJ_FAIL_REQUIRE("unknown kind of change");
 }
--- a/src/placement/worker_losses.cpp
+++ b/src/placement/worker_losses.cpp
@@ -315,6 +315,31 @@
   }
 }
 
+// A worker that was cut off or frozen looks like a crashed one until it reports
+// again under the same start time. A single report may be a delayed one of a
+// worker that crashed since it sent it; a later one was sent after the loss. A
+// run that the worker ended because its lease ran out was never crashed.
+std::vector<jobs::RetractLoss>
+WorkerTable::FindDisprovedLosses(const Worker& aWorker,
+                                 const jobs::JobTable& aBook,
+                                 TimePoint aNow) const
+{
+  const WorkerReport& report = aWorker.m_lastReport;
+  const bool isAlive =
+    report.m_worker.HasStartTime() &&
+    aNow >= aWorker.m_reportsSince + m_options.m_maxReportDelay;
+  std::vector<jobs::RetractLoss> losses = aBook.LossesOn(report.m_worker);
+  std::erase_if(losses, [&](const jobs::RetractLoss& aLoss) {
+    const bool isEndedByWorker = std::any_of(
+      report.m_ended.begin(), report.m_ended.end(), [&](const auto& aEnd) {
+        return aEnd.m_task == aLoss.m_task && aEnd.m_run == aLoss.m_run &&
+               aEnd.m_endReason == jobs::RunEnd::kLeaseExpired;
+      });
+    return !isAlive && !isEndedByWorker;
+  });
+  return losses;
+}
+
 std::vector<jobs::MarkRunStable>
 WorkerTable::FindStableRuns(const jobs::JobTable& aBook, TimePoint aNow) const
 {
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -217,6 +217,9 @@
                      worker.m_lastReport.m_draining != aReport.m_draining ||
                      worker.m_lastReport.m_capacity != aReport.m_capacity;
   const bool hadIsolatedRun = HasIsolatedRun(worker, aBook);
+  if (isNew || worker.m_isLost) {
+    worker.m_reportsSince = aNow;
+  }
   worker.m_lastReport = aReport;
   worker.m_lastReportAt = aNow;
   worker.m_reportDueAt = aNow + kAnswerTimeout + m_options.m_reportTolerance;
@@ -246,6 +249,7 @@
   TrackProgress(worker, aNow);
   AcceptEnds(worker, aReport, aBook, aNow, aWall, result);
   EndLostStarts(worker, aBook, aNow, aWall, result);
+  result.m_retractions = FindDisprovedLosses(worker, aBook, aNow);
   return result;
 }
 
--- a/src/wire/consensus_codec.cpp
+++ b/src/wire/consensus_codec.cpp
@@ -180,6 +180,7 @@
   to.setMatch(aBody.m_match.Get());
   to.setReplySentAt(FromTime(aBody.m_sentAt));
   to.setAcceptsFragments(aBody.m_acceptsFragments);
+  to.setStateVersion(aBody.m_stateVersion);
   if (aBody.m_fragment) {
     to.setFragmentIndex(aBody.m_fragment->m_index.Get());
     to.setFragmentReceived(aBody.m_fragment->m_received);
@@ -250,6 +251,7 @@
                      Index{ aFrom.getMatch() },
                      ToTime(aFrom.getReplySentAt()) };
   reply.m_acceptsFragments = aFrom.getAcceptsFragments();
+  reply.m_stateVersion = aFrom.getStateVersion();
   if (const Index index{ aFrom.getFragmentIndex() }; index != Index{}) {
     reply.m_fragment = FragmentProgress{ index, aFrom.getFragmentReceived() };
   }
--- a/tests/support/replicas.cpp
+++ b/tests/support/replicas.cpp
@@ -316,6 +316,7 @@
   if (auto* reply = std::get_if<consensus::AppendReply>(&aMessage.m_body)) {
     reply->m_fragment.reset();
     reply->m_acceptsFragments = false;
+    reply->m_stateVersion = 0;
   }
 }
 
--- a/tests/support/simulated_pool.cpp
+++ b/tests/support/simulated_pool.cpp
@@ -388,6 +388,7 @@
     add(m_table->OnReport(report, book, Time(), Wall()).m_ends);
   }
   bool hasChanged = false;
+  std::vector<jobs::RetractLoss> retractions;
   std::vector<SimulatedWorker*> answered;
   for (SimulatedWorker* worker : aReporting) {
     worker->m_latest = ReportOf(*worker);
@@ -395,6 +396,9 @@
     const auto result =
       m_table->OnReport(worker->m_latest, book, Time(), Wall());
     add(result.m_ends);
+    retractions.insert(retractions.end(),
+                       result.m_retractions.begin(),
+                       result.m_retractions.end());
     hasChanged = hasChanged || result.m_changed;
     if (!result.m_ignored) {
       answered.push_back(worker);
@@ -404,6 +408,7 @@
   add(m_table->CollectLostRuns(book, Time(), Wall()));
   MoveInstances(ends);
   std::vector<jobs::Change> changes{ ends.begin(), ends.end() };
+  changes.insert(changes.end(), retractions.begin(), retractions.end());
   const auto settled = m_table->FindStableRuns(book, Time());
   changes.insert(changes.end(), settled.begin(), settled.end());
   if (m_options.m_keepEnded) {
--- a/tests/unit/consensus/catch_up_test.cpp
+++ b/tests/unit/consensus/catch_up_test.cpp
@@ -726,3 +726,26 @@
     CheckNoViolation(group.All());
   }
 }
+
+// Guards against a change that a replica of an earlier version would not apply:
+// the states of the group would differ from then on.
+TEST(CatchUp, MemberOfEarlierVersion_NewerVersionOfStateIsNotCommon)
+{
+  Faults faults;
+  faults.m_options.m_stateVersion = 1;
+  Replicas replicas(3, 1, faults);
+  replicas.SetEarlierVersion(2);
+  CHECK(replicas.Form());
+  replicas.Run(kPastTimeouts);
+  LONGS_EQUAL(0, replicas.At(*replicas.Leader()).CommonStateVersion());
+  const consensus::ReplicaId earlier = replicas.At(2).Self();
+  replicas.Crash(2);
+  replicas.Run(kPastTimeouts);
+  const std::size_t leader = *replicas.Leader();
+  LONGS_EQUAL(0, replicas.At(leader).CommonStateVersion());
+  replicas.At(leader).RemoveMember(earlier.m_instance,
+                                   replicas.LocalNow(leader));
+  replicas.Drain(leader);
+  replicas.Run(kPastTimeouts);
+  LONGS_EQUAL(1, replicas.At(*replicas.Leader()).CommonStateVersion());
+}
--- a/tests/unit/jobs/crash_loop_test.cpp
+++ b/tests/unit/jobs/crash_loop_test.cpp
@@ -97,6 +97,40 @@
     Losses({ kRunning, kRunning, kStarting, kStarting, kIsolated })));
 }
 
+// Guards against evidence that stays against a task although its worker had not
+// crashed.
+TEST(CrashLoop, LossIsRetracted_OnlyOtherLossesCount)
+{
+  m_fleet.Submit("a", Spec({ Step(2) }));
+  StartAndLoseWorker(Ref("a", 1), CrashEvidence::kIsolated);
+  StartAndLoseWorker(Ref("a", 1), CrashEvidence::kStarting);
+  LONGS_EQUAL(1, m_fleet.Book().LossesOn(Life("w1")).size());
+  m_fleet.Apply({ RetractLoss{ Ref("a", 1), RunNumber{ 1 } } });
+  m_fleet.Restore();
+  LONGS_EQUAL(0, m_fleet.Book().LossesOn(Life("w1")).size());
+  LONGS_EQUAL(1, m_fleet.Book().LossesOf(Ref("a", 1)).size());
+  StartAndLoseWorker(Ref("a", 1), CrashEvidence::kIsolated);
+  CHECK(m_fleet.StateOf("a") == JobState::kActive);
+  m_fleet.Apply({ RetractLoss{ Ref("a", 1), RunNumber{ 2 } },
+                  RetractLoss{ Ref("a", 1), RunNumber{ 3 } },
+                  RetractLoss{ Ref("a", 1), RunNumber{ 3 } },
+                  RetractLoss{ Ref("unknown"), RunNumber{ 1 } } });
+  LONGS_EQUAL(0, m_fleet.Book().TasksWithLosses().size());
+}
+
+// Guards against a gang that is given up for members whose workers ran on.
+TEST(CrashLoop, LossOfGangMemberIsRetracted_LossesOfOtherMembersCount)
+{
+  StepSpec gang = Step(2);
+  gang.m_gang = true;
+  m_fleet.Submit("a", Spec({ gang }));
+  StartAndLoseWorker(Ref("a", 0), CrashEvidence::kRunning);
+  StartAndLoseWorker(Ref("a", 1), CrashEvidence::kRunning);
+  LONGS_EQUAL(2, m_fleet.Book().LossesOf(Ref("a", 0)).size());
+  m_fleet.Apply({ RetractLoss{ Ref("a", 1), RunNumber{ 2 } } });
+  LONGS_EQUAL(1, m_fleet.Book().LossesOf(Ref("a", 0)).size());
+}
+
 // Guards against missing tasks that crash their workers at the same time: each
 // crash could be explained by the others.
 TEST(CrashLoop, ConcurrentLosses_MakeASuspectButProveNothing)
