consensus: caught-up replicas vote while more run than are needed

Callers got 503, operators and workers found no leader, and nothing ended that state: two machines of the core had been replaced, successors first, and the old ones were stopped 3 s apart, while three replicas ran that held everything.

Cause: the group had three voters, as one tolerated loss asks for, however many replicas ran. The successors stayed learners until a voter had been silent for 6 s. With two old voters gone before that, no change of the members could be committed.

Change: caught-up learners that answer become voters in pairs while more replicas run than voters are needed, up to twice the target and one. A majority of the replicas then always holds a majority of the votes. Silent voters above the target are removed one at a time, as before, and an even number that is left becomes odd again by taking one vote back.

Ruled out: SIGTERM that keeps its place (SIGKILL and both at once do the same), and a shorter silence, which narrows the gap and does not close it.

--- a/include/bamboostile/consensus/membership_policy.h
+++ b/include/bamboostile/consensus/membership_policy.h
@@ -34,6 +34,8 @@
   {
   }
 
+  std::size_t TargetVoters() const { return m_options.m_targetVoters; }
+
   /** Called when this replica becomes leader: message times of earlier terms no
    * longer apply. */
   void Reset() { m_lastMessageAt.clear(); }
--- a/include/bamboostile/consensus/replica.h
+++ b/include/bamboostile/consensus/replica.h
@@ -34,10 +34,16 @@
   /** Maximum size of the entries that a leader keeps, beyond its snapshot, for
    * members that are behind; or twice the snapshot, if that is more. */
   std::size_t m_maxRetainedBytes = 32 * 1024 * 1024;
-  /** Maximum number of voters; further replicas stay learners, ready to replace
-   * a voter. 0 means no limit. Should be odd: if four voters are split into
-   * halves, neither half is a majority; of three voters, one side always is. */
+  /** Number of voters to which the group grows by itself; further replicas stay
+   * learners, ready to replace a voter. 0 means no limit. Should be odd: if
+   * four voters are split into halves, neither half is a majority; of three
+   * voters, one side always is. */
   std::size_t m_maxVoters = 0;
+  /** Maximum number of voters while more replicas run than m_maxVoters:
+   * caught-up learners are added in pairs, so that a majority of the replicas
+   * always holds a majority of the votes. No more than m_maxVoters by default.
+   */
+  std::size_t m_maxVotersInReplacement = 0;
   /** Highest version of the replicated state that this process applies. */
   std::uint32_t m_stateVersion = 0;
   std::uint64_t m_seed = 1;
@@ -252,7 +258,15 @@
   void AppendToLog(Payload aPayload, TimePoint aNow);
   Error ProposeMembership(Membership aMembership, TimePoint aNow);
   bool IsMembershipChangePending() const;
-  void PromoteCaughtUpLearner(TimePoint aNow);
+  /** Adds a voter for a learner that has caught up, or takes a vote back. */
+  void AdjustVoters(TimePoint aNow);
+  /** Whether one of the learners may become a voter. */
+  bool HasVoterPlace(TimePoint aNow) const;
+  /** Whether the member is a learner that could vote at once. */
+  bool IsReadyToVote(const Member& aMember, TimePoint aNow) const;
+  /** Returns the voter that makes the number of voters even, if it should
+   * become a learner again. */
+  std::optional<ReplicaId> FindSurplusVoter(TimePoint aNow) const;
   void UpdateRound(Progress& aProgress, TimePoint aNow);
   bool IsCaughtUp(const ReplicaId& aId, TimePoint aNow) const;
   bool IsAnswering(const ReplicaId& aId, TimePoint aNow) const;
--- a/include/bamboostile/consensus/types.h
+++ b/include/bamboostile/consensus/types.h
@@ -38,6 +38,7 @@
   /** Returns a member that is another incarnation of the same replica. */
   const Member* FindOtherIncarnation(const ReplicaId& aId) const;
   Membership WithVoter(const ReplicaId& aId) const;
+  Membership WithLearner(const ReplicaId& aId) const;
   Membership Without(const ReplicaId& aId) const;
   bool IsVoter(const ReplicaId& aId) const;
   std::size_t VoterCount() const;
--- a/src/consensus/elections.cpp
+++ b/src/consensus/elections.cpp
@@ -64,7 +64,7 @@
       BecomeFollower(m_hardState.m_term, aNow);
       return;
     }
-    PromoteCaughtUpLearner(aNow);
+    AdjustVoters(aNow);
     if (aNow >= m_nextHeartbeat) {
       SendAppends(aNow, true);
     }
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -948,18 +948,76 @@
   return learners;
 }
 
+bool
+Replica::IsReadyToVote(const Member& aMember, TimePoint aNow) const
+{
+  const auto found = m_progress.find(aMember.m_id);
+  return !aMember.m_voter && found != m_progress.end() &&
+         CurrentMembership().FindOtherIncarnation(aMember.m_id) == nullptr &&
+         IsCaughtUp(aMember.m_id, aNow) &&
+         aNow <= found->second.m_lastAnswerAt + m_options.m_minElectionTimeout;
+}
+
+// While machines are replaced, their successors run beside them. If only the
+// old machines voted, their loss would end the group although most of the
+// replicas run and hold everything. Learners are added in pairs: an even number
+// of voters, split into halves, has no majority on either side.
+bool
+Replica::HasVoterPlace(TimePoint aNow) const
+{
+  const Membership& current = CurrentMembership();
+  const std::size_t voters = current.VoterCount();
+  if (m_options.m_maxVoters == 0 || voters < m_options.m_maxVoters) {
+    return true;
+  }
+  const auto ready = static_cast<std::size_t>(std::count_if(
+    current.m_members.begin(),
+    current.m_members.end(),
+    [&](const Member& aMember) { return IsReadyToVote(aMember, aNow); }));
+  const std::size_t needed = voters % 2 == 0 ? 1 : 2;
+  return ready >= needed &&
+         voters + needed <= m_options.m_maxVotersInReplacement;
+}
+
+// Only while all voters answer: otherwise the silent one is removed. A learner
+// that answers is about to catch up and make the number odd.
+std::optional<ReplicaId>
+Replica::FindSurplusVoter(TimePoint aNow) const
+{
+  const Membership& current = CurrentMembership();
+  const std::size_t voters = current.VoterCount();
+  if (m_options.m_maxVoters == 0 || voters <= m_options.m_maxVoters ||
+      voters % 2 != 0) {
+    return std::nullopt;
+  }
+  std::optional<ReplicaId> last;
+  for (const Member& member : current.m_members) {
+    if (member.m_id == m_self) {
+      continue;
+    }
+    if (member.m_voter != IsAnswering(member.m_id, aNow)) {
+      return std::nullopt;
+    }
+    if (member.m_voter) {
+      last = member.m_id;
+    }
+  }
+  return last;
+}
+
 // The earlier incarnation of a replica leaves the group just before the later
 // one becomes a voter. If two did so at once, the group would be two voters
 // short for a moment, and a fault then could cost it its quorum.
 void
-Replica::PromoteCaughtUpLearner(TimePoint aNow)
+Replica::AdjustVoters(TimePoint aNow)
 {
   if (!IsReady() || IsMembershipChangePending()) {
     return;
   }
   const Membership current = CurrentMembership();
-  const bool isFull =
-    m_options.m_maxVoters > 0 && current.VoterCount() >= m_options.m_maxVoters;
+  const bool hasPlace = HasVoterPlace(aNow);
+  const bool isBelowTarget =
+    m_options.m_maxVoters == 0 || current.VoterCount() < m_options.m_maxVoters;
   bool isReplacing = false;
   std::optional<Membership> removal;
   for (const Member& member : current.m_members) {
@@ -967,8 +1025,9 @@
       continue;
     }
     const Member* earlier = current.FindOtherIncarnation(member.m_id);
-    if (earlier == nullptr && !isFull) {
-      if (IsCaughtUp(member.m_id, aNow)) {
+    if (earlier == nullptr && hasPlace) {
+      if (isBelowTarget ? IsCaughtUp(member.m_id, aNow)
+                        : IsReadyToVote(member, aNow)) {
         ProposeMembership(current.WithVoter(member.m_id), aNow);
         return;
       }
@@ -979,6 +1038,8 @@
   }
   if (removal && !isReplacing) {
     ProposeMembership(std::move(*removal), aNow);
+  } else if (const auto surplus = FindSurplusVoter(aNow)) {
+    ProposeMembership(current.WithLearner(*surplus), aNow);
   }
 }
 
--- a/src/consensus/types.cpp
+++ b/src/consensus/types.cpp
@@ -34,6 +34,16 @@
   return changed;
 }
 
+Membership
+Membership::WithLearner(const ReplicaId& aId) const
+{
+  Membership changed = *this;
+  for (Member& member : changed.m_members) {
+    member.m_voter = member.m_voter && member.m_id != aId;
+  }
+  return changed;
+}
+
 Membership
 Membership::Without(const ReplicaId& aId) const
 {
--- a/tests/support/replicas.cpp
+++ b/tests/support/replicas.cpp
@@ -121,11 +121,11 @@
 }
 
 bool
-Replicas::Form()
+Replicas::Form(std::optional<std::size_t> aCount)
 {
   At(0).Bootstrap(AddressOf(0), LocalNow(0));
   Drain(0);
-  for (std::size_t i = 1; i < Size(); ++i) {
+  for (std::size_t i = 1; i < aCount.value_or(Size()); ++i) {
     const auto admitted = [&]() {
       const auto leader = Leader();
       if (leader && IsUp(i)) {
--- a/tests/support/replicas.h
+++ b/tests/support/replicas.h
@@ -38,8 +38,9 @@
 public:
   Replicas(std::size_t aCount, std::uint64_t aSeed, Faults aFaults);
 
-  /** Bootstraps the group on the first replica and adds the others. */
-  bool Form();
+  /** Bootstraps the group on the first replica and adds the others, or as many
+   * as aCount says. */
+  bool Form(std::optional<std::size_t> aCount = std::nullopt);
   void Run(Duration aTime);
   bool RunUntil(const std::function<bool()>& aDone, Duration aLimit);
 
--- a/tools/bamboostiled/main.cpp
+++ b/tools/bamboostiled/main.cpp
@@ -244,6 +244,8 @@
       options.m_membershipPolicy.m_targetVoters =
         2 * std::max(1U, m_settings.m_hosting->m_toleratedLosses) + 1;
       options.m_replica.m_maxVoters = options.m_membershipPolicy.m_targetVoters;
+      options.m_replica.m_maxVotersInReplacement =
+        2 * options.m_replica.m_maxVoters + 1;
       options.m_seeds = settings::SeedsOf(m_settings);
       options.m_membershipPolicy.m_minVoters = options.m_seeds.size();
     }
