--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -61,6 +61,7 @@
   placement::LeaseOptions m_lease;
   placement::MaintenanceOptions m_maintenance;
   placement::CapacityOptions m_capacity;
+  jobs::MemoryLimit m_memory;
   /** How long callers can query the state of an ended job. */
   Duration m_endedJobRetention = std::chrono::seconds{ 180 };
   InstanceCalls m_calls;
@@ -186,6 +187,11 @@
                                       const fleet::QueueRoute& aRoute);
   jobs::QueueReply RefuseBeyondShare(const WorkspaceId& aWorkspace,
                                      Millis aRetryAfter);
+  /** Returns the refusal of a job for which there is no memory. */
+  std::optional<jobs::QueueReply> RefuseIfTooLarge(
+    const JobId& aJob,
+    const jobs::JobSpec& aSpec,
+    const WorkspaceId& aWorkspace);
   /** Returns the refusal of a job that cannot end in time; otherwise records
    * that it is about to be proposed. */
   std::optional<jobs::QueueReply> RefuseIfLate(const fleet::QueueRoute& aRoute,
@@ -194,6 +200,7 @@
                                                const jobs::JobSpec& aSpec,
                                                bool aIsBeyondShare);
   void RecordProposal(const JobId& aJob,
+                      std::size_t aBytes,
                       Term aTerm,
                       const ProposalResult& aResult);
   jobs::QueueReply RefuseLate(const intake::Submission& aSubmission,
@@ -250,6 +257,7 @@
   telemetry::LogRateLimiter m_beyondShareLog{ Millis{ 200 } };
   /** Limited, as each job is refused while a pool is overloaded. */
   telemetry::LogRateLimiter m_lateLog{ Millis{ 200 } };
+  telemetry::LogRateLimiter m_memoryLog{ Millis{ 200 } };
   WorkspaceMonitor m_workspaces;
   WaitingMonitor m_waiting;
   /** By queue, as of the last count. */
@@ -259,6 +267,8 @@
   /** Jobs that this leader has proposed and that are not decided, with the
    * number of their proposals; undecided ones stay until the next term. */
   std::unordered_map<JobId, std::uint32_t> m_openProposals;
+  /** What the jobs of those proposals take, at most. */
+  std::size_t m_openProposalBytes = 0;
   intake::Intake m_intake;
   /** Services with tasks that had no room in the last placement pass. */
   std::set<ServiceId> m_fullServices;
--- a/include/bamboostile/jobs/book.h
+++ b/include/bamboostile/jobs/book.h
@@ -172,6 +172,18 @@
 
   BatchReply Apply(const Batch& aBatch, const AttemptLimit& aLimit);
 
+  /** Stops keeping occurrences that are done. Called at the same position of
+   * the log on all replicas. */
+  void ForgetDoneOccurrences();
+
+  /** Estimated size in memory of all jobs, including those that have ended and
+   * can still be queried; in bytes. The same on all replicas. */
+  std::size_t Bytes() const { return m_bytes; }
+  /** What a job adds to Bytes() when it is accepted. */
+  static std::size_t BytesOf(const JobId& aJob, const JobSpec& aSpec);
+  /** What a step adds to Bytes() when its first task is started. */
+  static std::size_t BytesOfTasks(std::uint32_t aCount);
+
   const Job* Find(const JobId& aId) const;
   /** Jobs that are active or still have running tasks, in order of
    * acceptance. */
@@ -266,10 +278,24 @@
   void Finish(Job& aJob, JobState aState, WallTime aAt);
   void MarkStarted(Job& aJob);
   void MarkPendingIfNoProgress(Job& aJob);
-  void CloseIfIdle(const Job& aJob);
+  void CloseIfIdle(Job& aJob);
   /** Returns a running task to the waiting phase. */
   void StopRunning(Job& aJob, const TaskRef& aTask);
   void MarkDone(Job& aJob, const TaskRef& aTask);
+  /** Creates the states of a step's tasks if it has none yet. */
+  void CreateTasks(Job& aJob, StepRun& aStep);
+  void RemoveTasks(Job& aJob, StepRun& aStep);
+  /** The same for a job that has ended. */
+  void RemoveTasks(Job& aJob);
+  void SetCheckpoint(Job& aJob,
+                     StepRun& aStep,
+                     Task& aTask,
+                     const std::string& aCheckpoint);
+  void AddBytes(Job& aJob, std::size_t aBytes);
+  void SubtractBytes(Job& aJob, std::size_t aBytes);
+  /** Removes the leading occurrences that are done. */
+  void RemoveDoneOccurrences(Job& aJob);
+  static std::size_t BytesOf(const Occurrence& aOccurrence);
   void FailIfAttemptsExhausted(Job& aJob,
                                const EndRun& aEnd,
                                const StepRun& aStep,
@@ -296,11 +322,14 @@
   std::set<TaskRef> m_tasksWithLosses;
   /** The same tasks by the workers that were lost. */
   std::map<WorkerIncarnation, std::set<TaskRef>> m_tasksByLostWorker;
+  std::size_t m_bytes = 0;
+  bool m_forgetsDoneOccurrences = false;
 };
 
 std::string EncodeBatch(const Batch& aBatch);
 std::optional<Batch> DecodeBatch(const std::string& aBytes);
-std::string EncodeJobTable(const JobTable& aBook);
+/** aIsCompact: only replicas of state version 2 or later read it. */
+std::string EncodeJobTable(const JobTable& aBook, bool aIsCompact);
 std::optional<JobTable> DecodeJobTable(const std::string& aBytes);
 
 } // namespace bamboostile::jobs
--- a/include/bamboostile/jobs/model.h
+++ b/include/bamboostile/jobs/model.h
@@ -160,15 +160,20 @@
 
 struct StepRun
 {
+  /** Empty until a task is first started, and again once all are done. */
   std::vector<Task> m_tasks;
+  /** Number of tasks. */
+  std::uint32_t m_count = 0;
   std::uint32_t m_running = 0;
   std::uint32_t m_done = 0;
-
-  std::uint32_t Waiting() const
-  {
-    return static_cast<std::uint32_t>(m_tasks.size()) - m_running - m_done;
-  }
-  bool IsDone() const { return m_done == m_tasks.size(); }
+  /** Size of the tasks' checkpoints. */
+  std::size_t m_checkpointBytes = 0;
+
+  std::uint32_t Waiting() const { return m_count - m_running - m_done; }
+  bool IsDone() const { return m_done == m_count; }
+  bool HasTasks() const { return !m_tasks.empty(); }
+  /** Returns the state of a task, aIndex < m_count. */
+  const Task& TaskAt(std::uint32_t aIndex) const;
 };
 
 struct Occurrence
@@ -206,8 +211,12 @@
   /** Number of running tasks in all occurrences. */
   std::uint32_t m_running = 0;
   std::uint32_t m_occurrencesDone = 0;
+  /** All occurrences before this one are done and no longer kept. */
+  std::uint32_t m_firstOccurrence = 0;
   /** Occurrences that are due or started, created when first needed. */
   std::map<std::uint32_t, Occurrence> m_occurrences;
+  /** What the job takes in memory, as JobTable::Bytes() counts it. */
+  std::size_t m_bytes = 0;
 
   std::uint32_t OccurrenceCount() const
   {
--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bamboostile/fleet/state.h"
+#include "bamboostile/jobs/memory_limit.h"
 #include "bamboostile/placement/durations.h"
 #include "bamboostile/placement/mechanisms.h"
 #include "bamboostile/placement/pool_load.h"
@@ -10,6 +11,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <unordered_map>
 
 namespace bamboostile::placement {
@@ -32,6 +34,8 @@
   kIsolationLimit,
   /** No worker is fit for an isolated run. */
   kNoWorkerForIsolatedRun,
+  /** Its step has not begun, and the jobs use all memory that they may. */
+  kNoMemory,
 };
 
 const char* Describe(WaitReason aReason) noexcept;
@@ -124,6 +128,8 @@
   /** Load of each pool with workers or waiting jobs; empty unless jobs are
    * refused by their expected end. */
   PoolLoads m_loads;
+  /** Bytes that the states of tasks of steps may take that have none yet. */
+  std::size_t m_roomForTasks = std::numeric_limits<std::size_t>::max();
 };
 
 /**
@@ -145,8 +151,10 @@
 {
 public:
   explicit Planner(Mechanisms aMechanisms = {},
-                   Search aSearch = Search::kIndexed)
+                   Search aSearch = Search::kIndexed,
+                   jobs::MemoryLimit aMemory = {})
     : m_mechanisms(aMechanisms)
+    , m_memory(aMemory)
     , m_search(aSearch)
   {
   }
@@ -237,6 +245,11 @@
      * workspace to those at their cap. */
     bool CheckCap(Plan& aPlan) const;
     void ChargeStart() const;
+    /** Whether the states of the step's tasks exist, or there is room for them.
+     */
+    bool HasRoomForTasks(const Plan& aPlan) const;
+    /** Called when tasks of the step are started. */
+    void ChargeTasks(Plan& aPlan) const;
     /** Adds aCount waiting tasks of a long-running step, from aIndex on, to
      * those that no worker can take. */
     void AddUnplaced(std::uint32_t aIndex,
@@ -246,6 +259,10 @@
                      Plan& aPlan) const;
     /** Waiting tasks of the step, before the pass. */
     std::uint32_t CountWaiting() const;
+
+  private:
+    /** What the states of the step's tasks take, if they do not exist yet. */
+    std::size_t BytesOfNewTasks() const;
   };
 
   using Pools = std::unordered_map<ServiceId, Pool>;
@@ -271,6 +288,12 @@
                     TimePoint aNow) const;
   std::vector<Candidate> FindCandidates(const fleet::State& aState,
                                         WallTime aWall) const;
+  std::size_t RoomForTasks(const jobs::JobTable& aBook) const;
+  /** Adds the occurrences of a repeated job that are due and not done. */
+  void AddDueOccurrences(const jobs::Job& aJob,
+                         const fleet::QueueRoute& aRoute,
+                         WallTime aWall,
+                         std::vector<Candidate>& aCandidates) const;
   void AddCandidates(const jobs::Job& aJob,
                      const fleet::QueueRoute& aRoute,
                      std::uint32_t aOccurrence,
@@ -449,6 +472,7 @@
                 Plan& aPlan) const;
 
   Mechanisms m_mechanisms;
+  jobs::MemoryLimit m_memory;
   Search m_search = Search::kIndexed;
   placement::DurationEstimator m_durations;
 };
--- a/include/bamboostile/settings/settings.h
+++ b/include/bamboostile/settings/settings.h
@@ -66,6 +66,8 @@
   Millis m_moveDuration{ 1500 };
   /** Time for which maintenance by the platform keeps an instance down. */
   Millis m_expectedDowntime{ 2000 };
+  /** Memory that this process may use, in MiB; 0 for no limit. */
+  std::uint32_t m_memoryMb = 0;
 };
 
 struct Settings;
--- a/schema/jobs.capnp
+++ b/schema/jobs.capnp
@@ -145,6 +145,7 @@
   occurrences @9 :List(Occurrence);
   workspace @10 :Text;
   beyondShare @11 :Bool;
+  firstOccurrence @12 :UInt32;
 
   struct Occurrence {
     number @0 :UInt32;
@@ -152,6 +153,9 @@
   }
   struct Step {
     tasks @0 :List(TaskState);
+    # In a compact snapshot, empty if no task has been started or all are done.
+    count @1 :UInt32;
+    done @2 :Bool;
   }
 }
 
--- a/src/control/job_calls.cpp
+++ b/src/control/job_calls.cpp
@@ -20,6 +20,9 @@
 
 /** Retry delay sent to a caller whose job was not accepted. */
 constexpr Millis kRetryAfter{ 1000 };
+/** The same where memory is missing: jobs that have ended are removed as often.
+ */
+constexpr Millis kRetryAfterFull{ 5000 };
 /** Callers of all queues poll, and a count visits each run: minimum time from
  * one to the next, absolute and as a multiple of the time that it takes. */
 constexpr Duration kPendingCountInterval = Millis{ 500 };
@@ -191,6 +194,44 @@
   return reply;
 }
 
+// A step or an occurrence costs little until it begins, so the number of tasks
+// is no measure: what counts is the sum over all jobs, also of those that have
+// ended and are still kept.
+std::optional<jobs::QueueReply>
+JobService::RefuseIfTooLarge(const JobId& aJob,
+                             const jobs::JobSpec& aSpec,
+                             const WorkspaceId& aWorkspace)
+{
+  const std::size_t bytes = jobs::JobTable::BytesOf(aJob, aSpec);
+  const std::size_t used = m_node.State().Jobs().Bytes() + m_openProposalBytes;
+  const jobs::MemoryVerdict verdict = m_options.m_memory.Assess(used, bytes);
+  if (verdict == jobs::MemoryVerdict::kFits) {
+    return std::nullopt;
+  }
+  m_metrics.Count("jobs_refused_for_memory_total");
+  m_workspaces.OnRefused(aWorkspace);
+  const std::size_t limit = m_options.m_memory.MaxAcceptedBytes();
+  if (const auto suppressed = m_memoryLog.Admit(MonotonicNow())) {
+    LogLine(Level::kWarning, "job refused: no memory for it")
+      .With("job", aJob.Get())
+      .With("bytes", bytes)
+      .With("usedBytes", used)
+      .With("limitBytes", limit)
+      .With("unloggedBefore", *suppressed)
+      .Write();
+  }
+  if (verdict == jobs::MemoryVerdict::kNeverFits) {
+    jobs::QueueReply reply = ReplyWith(jobs::QueueOutcome::kBadJob);
+    reply.m_detail = "steps: they take " + std::to_string(bytes) +
+                     " bytes, of which no more than " + std::to_string(limit) +
+                     " are accepted";
+    return reply;
+  }
+  jobs::QueueReply reply = ReplyWith(jobs::QueueOutcome::kRefused);
+  reply.m_retryAfter = kRetryAfterFull;
+  return reply;
+}
+
 // Decided by the leader before anything is proposed, so that a refused job
 // never runs.
 std::optional<jobs::QueueReply>
@@ -224,6 +265,7 @@
 
 void
 JobService::RecordProposal(const JobId& aJob,
+                           std::size_t aBytes,
                            Term aTerm,
                            const ProposalResult& aResult)
 {
@@ -234,8 +276,11 @@
   const bool isNotProposed = aResult.m_error == consensus::Error::kNotReady;
   const auto open = m_openProposals.find(aJob);
   const bool isDecided = ReplyOf(aResult) != nullptr || isNotProposed;
-  if (open != m_openProposals.end() && isDecided && --open->second == 0) {
-    m_openProposals.erase(open);
+  if (open != m_openProposals.end() && isDecided) {
+    m_openProposalBytes -= aBytes;
+    if (--open->second == 0) {
+      m_openProposals.erase(open);
+    }
   }
   m_intake.OnDecided(aJob,
                      ReplyOf(aResult) != nullptr ? ProposalOutcome::kAccepted
@@ -266,6 +311,11 @@
     stalled.m_retryAfter = kRetryAfter;
     return stalled;
   }
+  if (!mayBeAccepted) {
+    if (auto refused = RefuseIfTooLarge(aJob, aSpec, aWorkspace)) {
+      return std::move(*refused);
+    }
+  }
   const auto weight = m_node.State().Workspaces().WeightOf(aWorkspace);
   workspaces::ShareUse share;
   if (weight) {
@@ -283,7 +333,9 @@
   if (weight) {
     m_shares.Charge(aWorkspace, *weight, MonotonicNow());
   }
+  const std::size_t bytes = jobs::JobTable::BytesOf(aJob, aSpec);
   ++m_openProposals[aJob];
+  m_openProposalBytes += bytes;
   jobs::Batch batch;
   batch.m_changes.emplace_back(jobs::Submit{ aJob,
                                              aRoute.Queue(),
@@ -292,9 +344,9 @@
                                              aWorkspace,
                                              share.m_isBeyond });
   return m_node.Propose(batch).then(
-    [this, aJob, aWorkspace, queue = aRoute.Queue(), term = m_term](
+    [this, aJob, aWorkspace, bytes, queue = aRoute.Queue(), term = m_term](
       const ProposalResult& aResult) {
-      RecordProposal(aJob, term, aResult);
+      RecordProposal(aJob, bytes, term, aResult);
       const jobs::BatchReply* reply = ReplyOf(aResult);
       if (reply == nullptr) {
         // The job was never proposed, so no part of it can ever run.
--- a/src/control/job_service.cpp
+++ b/src/control/job_service.cpp
@@ -45,7 +45,9 @@
   : m_node(aNode)
   , m_timer(aTimer)
   , m_options(std::move(aOptions))
-  , m_planner(m_options.m_mechanisms)
+  , m_planner(m_options.m_mechanisms,
+              placement::Search::kIndexed,
+              m_options.m_memory)
   , m_tickDueAt(MonotonicNow())
   , m_tasks(*this)
 {
@@ -93,6 +95,7 @@
     m_nextPendingCount = TimePoint{};
     RebuildShares();
     m_openProposals.clear();
+    m_openProposalBytes = 0;
     m_intake = intake::Intake{};
     m_fullServices.clear();
     m_needsPlan = true;
@@ -165,6 +168,7 @@
   m_metrics.Set("routes_version",
                 static_cast<double>(m_node.State().Routes().m_version));
   m_metrics.Set("jobs_open", static_cast<double>(jobTable.OpenJobs().size()));
+  m_metrics.Set("jobs_memory_bytes", static_cast<double>(jobTable.Bytes()));
   m_metrics.Set("tasks_lost_with_workers",
                 static_cast<double>(jobTable.TasksWithLosses().size()));
   m_metrics.Set("workers_with_runs",
--- a/src/fleet/codec.cpp
+++ b/src/fleet/codec.cpp
@@ -281,6 +281,9 @@
         503, "the job table of a snapshot is damaged", &aJson);
     }
     aState.m_jobs = std::move(*table);
+    if (aState.m_version >= kVersionWithCompactJobs) {
+      aState.m_jobs.ForgetDoneOccurrences();
+    }
   }
 
   static Json Write(const State& aState)
@@ -309,7 +312,10 @@
                  { "routes", aState.m_routes },
                  { "maintenance", aState.m_maintenance },
                  { "recentOrders", aState.m_recentOrders },
-                 { "jobs", Binary(jobs::EncodeJobTable(aState.m_jobs)) } };
+                 { "jobs",
+                   Binary(jobs::EncodeJobTable(aState.m_jobs,
+                                               aState.m_version >=
+                                                 kVersionWithCompactJobs)) } };
   }
 
   static State Read(const Json& aJson)
--- a/src/fleet/state.cpp
+++ b/src/fleet/state.cpp
@@ -580,6 +580,9 @@
 State::Apply(Index /*aIndex*/, const RaiseVersion& aRaise)
 {
   m_version = std::max(m_version, aRaise.m_version);
+  if (m_version >= kVersionWithCompactJobs) {
+    m_jobs.ForgetDoneOccurrences();
+  }
 }
 
 void
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -48,6 +48,21 @@
   return "unknown";
 }
 
+const Task&
+StepRun::TaskAt(std::uint32_t aIndex) const
+{
+  static const Task kNeverStarted;
+  static const Task kIsDone = []() {
+    Task task;
+    task.m_phase = TaskPhase::kDone;
+    return task;
+  }();
+  if (HasTasks()) {
+    return m_tasks[aIndex];
+  }
+  return IsDone() ? kIsDone : kNeverStarted;
+}
+
 // The list of open jobs points into its own table.
 JobTable::JobTable(const JobTable& aOther)
   : m_jobs(aOther.m_jobs)
@@ -60,6 +75,8 @@
   , m_pending(aOther.m_pending)
   , m_tasksWithLosses(aOther.m_tasksWithLosses)
   , m_tasksByLostWorker(aOther.m_tasksByLostWorker)
+  , m_bytes(aOther.m_bytes)
+  , m_forgetsDoneOccurrences(aOther.m_forgetsDoneOccurrences)
 {
   ListOpenJobs();
 }
@@ -102,7 +119,13 @@
 Task*
 JobTable::FindMutableTask(const TaskRef& aTask)
 {
-  return const_cast<Task*>(std::as_const(*this).FindTask(aTask));
+  Job* job = FindJob(aTask.m_job);
+  if (job == nullptr || FindTask(aTask) == nullptr) {
+    return nullptr;
+  }
+  StepRun& step =
+    job->m_occurrences.at(aTask.m_occurrence).m_steps[aTask.m_step];
+  return step.HasTasks() ? &step.m_tasks[aTask.m_index] : nullptr;
 }
 
 const Task*
@@ -117,14 +140,14 @@
       aTask.m_step >= occurrence->second.m_steps.size()) {
     return nullptr;
   }
-  const auto& tasks = occurrence->second.m_steps[aTask.m_step].m_tasks;
-  return aTask.m_index < tasks.size() ? &tasks[aTask.m_index] : nullptr;
+  const StepRun& step = occurrence->second.m_steps[aTask.m_step];
+  return aTask.m_index < step.m_count ? &step.TaskAt(aTask.m_index) : nullptr;
 }
 
 std::vector<WorkerLoss>
 JobTable::LossesOf(const TaskRef& aTask) const
 {
-  if (m_tasksWithLosses.empty()) {
+  if (m_tasksWithLosses.empty() || FindTask(aTask) == nullptr) {
     return {};
   }
   const Job& job = *Find(aTask.m_job);
@@ -143,13 +166,13 @@
   const StepRun& step =
     job.m_occurrences.at(aTask.m_occurrence).m_steps[aTask.m_step];
   if (!job.m_spec.m_steps[aTask.m_step].m_gang) {
-    return step.m_tasks[aTask.m_index].m_checkpoint;
+    return step.TaskAt(aTask.m_index).m_checkpoint;
   }
   const auto saved = std::find_if(
     step.m_tasks.begin(), step.m_tasks.end(), [](const Task& aMember) {
       return !aMember.m_checkpoint.empty();
     });
-  return saved == step.m_tasks.end() ? step.m_tasks.front().m_checkpoint
+  return saved == step.m_tasks.end() ? step.TaskAt(0).m_checkpoint
                                      : saved->m_checkpoint;
 }
 
@@ -255,7 +278,7 @@
 {
   Occurrence occurrence;
   for (const StepSpec& step : aSpec.m_steps) {
-    occurrence.m_steps.emplace_back().m_tasks.resize(step.m_count);
+    occurrence.m_steps.emplace_back().m_count = step.m_count;
   }
   return occurrence;
 }
@@ -275,6 +298,7 @@
   job.m_spec = aSubmit.m_spec;
   job.m_acceptedAt = aSubmit.m_at;
   job.m_order = m_nextOrder++;
+  AddBytes(job, BytesOf(job.m_id, job.m_spec));
   if (job.m_spec.m_repeatCount == 0) {
     job.m_occurrences.emplace(0, MakeOccurrence(job.m_spec));
     ++m_pending[job.m_queue];
@@ -303,22 +327,24 @@
 {
   Job* job = FindJob(aStart.m_task.m_job);
   if (job == nullptr || job->m_state != JobState::kActive ||
+      aStart.m_task.m_occurrence < job->m_firstOccurrence ||
       aStart.m_task.m_occurrence >= job->OccurrenceCount() ||
       aStart.m_task.m_step >= job->m_spec.m_steps.size()) {
     return CallOutcome::kNone;
   }
-  Occurrence& occurrence =
-    job->m_occurrences
-      .try_emplace(aStart.m_task.m_occurrence, MakeOccurrence(job->m_spec))
-      .first->second;
-  StepRun& step = occurrence.m_steps[aStart.m_task.m_step];
-  if (aStart.m_task.m_index >= step.m_tasks.size()) {
-    return CallOutcome::kNone;
+  const auto [found, isNew] = job->m_occurrences.try_emplace(
+    aStart.m_task.m_occurrence, MakeOccurrence(job->m_spec));
+  StepRun& step = found->second.m_steps[aStart.m_task.m_step];
+  if (isNew) {
+    AddBytes(*job, BytesOf(found->second));
   }
-  Task& task = step.m_tasks[aStart.m_task.m_index];
-  if (task.m_phase != TaskPhase::kWaiting || aStart.m_run <= task.m_lastRun) {
+  if (aStart.m_task.m_index >= step.m_count ||
+      step.TaskAt(aStart.m_task.m_index).m_phase != TaskPhase::kWaiting ||
+      aStart.m_run <= step.TaskAt(aStart.m_task.m_index).m_lastRun) {
     return CallOutcome::kNone;
   }
+  CreateTasks(*job, step);
+  Task& task = step.m_tasks[aStart.m_task.m_index];
   task.m_phase = TaskPhase::kRunning;
   task.m_lastRun = aStart.m_run;
   task.m_worker = aStart.m_worker;
@@ -446,10 +472,10 @@
 {
   StepRun& step =
     aJob.m_occurrences.at(aTask.m_occurrence).m_steps[aTask.m_step];
-  Task& task = step.m_tasks[aTask.m_index];
-  if (task.m_phase != TaskPhase::kRunning) {
+  if (step.TaskAt(aTask.m_index).m_phase != TaskPhase::kRunning) {
     return;
   }
+  Task& task = step.m_tasks[aTask.m_index];
   task.m_phase = TaskPhase::kWaiting;
   --step.m_running;
   --aJob.m_running;
@@ -461,19 +487,21 @@
 {
   Occurrence& occurrence = aJob.m_occurrences.at(aTask.m_occurrence);
   StepRun& step = occurrence.m_steps[aTask.m_step];
-  Task& task = step.m_tasks[aTask.m_index];
-  if (task.m_phase == TaskPhase::kDone) {
+  if (step.TaskAt(aTask.m_index).m_phase == TaskPhase::kDone) {
     return;
   }
+  CreateTasks(aJob, step);
+  Task& task = step.m_tasks[aTask.m_index];
   StopRunning(aJob, aTask);
   task.m_phase = TaskPhase::kDone;
-  task.m_checkpoint.clear();
+  SetCheckpoint(aJob, step, task, "");
   UnindexLosses(aTask, task);
   task.m_losses.clear();
   ++step.m_done;
   if (!step.IsDone()) {
     return;
   }
+  RemoveTasks(aJob, step);
   ++occurrence.m_stepsDone;
   if (occurrence.m_stepsDone == occurrence.m_steps.size()) {
     ++aJob.m_occurrencesDone;
@@ -496,13 +524,14 @@
   StepRun& step =
     job->m_occurrences.at(aEnd.m_task.m_occurrence).m_steps[aEnd.m_task.m_step];
   const StepSpec& spec = job->m_spec.m_steps[aEnd.m_task.m_step];
+  CreateTasks(*job, step);
   Task& task = step.m_tasks[aEnd.m_task.m_index];
   StopRunning(*job, aEnd.m_task);
   if (!isRunning) {
     MarkStarted(*job);
   }
   if (!aEnd.m_checkpoint.empty()) {
-    task.m_checkpoint = aEnd.m_checkpoint;
+    SetCheckpoint(*job, step, task, aEnd.m_checkpoint);
   }
   if (aEnd.m_ranUntil) {
     task.m_ranUntil = aEnd.m_ranUntil;
@@ -511,7 +540,7 @@
     MarkDone(*job, aEnd.m_task);
     // All members of a gang are done together; the ends of the other members
     // may arrive later, or never if a member's worker is lost in between.
-    for (std::uint32_t i = 0; spec.m_gang && i < step.m_tasks.size(); ++i) {
+    for (std::uint32_t i = 0; spec.m_gang && i < step.m_count; ++i) {
       TaskRef member = aEnd.m_task;
       member.m_index = i;
       MarkDone(*job, member);
@@ -532,6 +561,9 @@
   if (job->m_running == 0 && !spec.m_longRunning) {
     MarkPendingIfNoProgress(*job);
   }
+  if (m_forgetsDoneOccurrences) {
+    RemoveDoneOccurrences(*job);
+  }
   CloseIfIdle(*job);
   UpdateStartable(*job);
   return CallOutcome::kNone;
@@ -555,7 +587,8 @@
     return;
   }
   for (const StepRun& step : aJob.m_occurrences.at(0).m_steps) {
-    if (std::any_of(step.m_tasks.begin(), step.m_tasks.end(), HasProgress)) {
+    if (step.m_done > 0 ||
+        std::any_of(step.m_tasks.begin(), step.m_tasks.end(), HasProgress)) {
       return;
     }
   }
@@ -563,6 +596,130 @@
   ++m_pending[aJob.m_queue];
 }
 
+// The memory of jobs. A step whose tasks have not been started, or are all
+// done, is a count.
+
+namespace {
+
+/** Overhead of a container's node or of an allocation. */
+constexpr std::size_t kNodeBytes = 64;
+
+} // namespace
+
+std::size_t
+JobTable::BytesOfTasks(std::uint32_t aCount)
+{
+  constexpr std::size_t kWorkerIdBytes = 32;
+  return aCount * (sizeof(Task) + kWorkerIdBytes);
+}
+
+std::size_t
+JobTable::BytesOf(const Occurrence& aOccurrence)
+{
+  return kNodeBytes + sizeof(Occurrence) +
+         aOccurrence.m_steps.size() * sizeof(StepRun);
+}
+
+std::size_t
+JobTable::BytesOf(const JobId& aJob, const JobSpec& aSpec)
+{
+  std::size_t bytes = sizeof(Job) + 4 * (kNodeBytes + aJob.Get().size()) +
+                      aSpec.m_payload.size() + kNodeBytes + sizeof(Occurrence);
+  for (const StepSpec& step : aSpec.m_steps) {
+    bytes += sizeof(StepSpec) + sizeof(StepRun) +
+             step.m_dependsOn.size() * sizeof(step.m_dependsOn.front()) +
+             step.m_requiredLabel.size() + step.m_preferredRack.Get().size() +
+             step.m_image.Get().size();
+  }
+  return bytes;
+}
+
+void
+JobTable::AddBytes(Job& aJob, std::size_t aBytes)
+{
+  aJob.m_bytes += aBytes;
+  m_bytes += aBytes;
+}
+
+void
+JobTable::SubtractBytes(Job& aJob, std::size_t aBytes)
+{
+  aJob.m_bytes -= aBytes;
+  m_bytes -= aBytes;
+}
+
+void
+JobTable::CreateTasks(Job& aJob, StepRun& aStep)
+{
+  if (!aStep.HasTasks()) {
+    aStep.m_tasks.resize(aStep.m_count);
+    AddBytes(aJob, BytesOfTasks(aStep.m_count));
+  }
+}
+
+void
+JobTable::RemoveTasks(Job& aJob, StepRun& aStep)
+{
+  if (aStep.HasTasks()) {
+    SubtractBytes(aJob, BytesOfTasks(aStep.m_count) + aStep.m_checkpointBytes);
+    aStep.m_tasks = {};
+    aStep.m_checkpointBytes = 0;
+  }
+}
+
+void
+JobTable::RemoveTasks(Job& aJob)
+{
+  for (auto& [number, occurrence] : aJob.m_occurrences) {
+    for (StepRun& step : occurrence.m_steps) {
+      RemoveTasks(aJob, step);
+    }
+  }
+  if (aJob.m_spec.m_repeatCount != 0) {
+    aJob.m_occurrences.clear();
+    SubtractBytes(aJob, aJob.m_bytes - BytesOf(aJob.m_id, aJob.m_spec));
+  }
+}
+
+void
+JobTable::SetCheckpoint(Job& aJob,
+                        StepRun& aStep,
+                        Task& aTask,
+                        const std::string& aCheckpoint)
+{
+  SubtractBytes(aJob, aTask.m_checkpoint.size());
+  aStep.m_checkpointBytes -= aTask.m_checkpoint.size();
+  aTask.m_checkpoint = aCheckpoint;
+  aTask.m_checkpoint.shrink_to_fit();
+  aStep.m_checkpointBytes += aCheckpoint.size();
+  AddBytes(aJob, aCheckpoint.size());
+}
+
+void
+JobTable::RemoveDoneOccurrences(Job& aJob)
+{
+  if (aJob.m_spec.m_repeatCount == 0) {
+    return;
+  }
+  for (auto first = aJob.m_occurrences.begin();
+       first != aJob.m_occurrences.end() &&
+       first->first == aJob.m_firstOccurrence &&
+       first->second.m_stepsDone == first->second.m_steps.size();
+       first = aJob.m_occurrences.erase(first)) {
+    SubtractBytes(aJob, BytesOf(first->second));
+    ++aJob.m_firstOccurrence;
+  }
+}
+
+void
+JobTable::ForgetDoneOccurrences()
+{
+  m_forgetsDoneOccurrences = true;
+  for (auto& [id, job] : m_jobs) {
+    RemoveDoneOccurrences(job);
+  }
+}
+
 void
 JobTable::FailIfAttemptsExhausted(Job& aJob,
                                   const EndRun& aEnd,
@@ -682,9 +839,10 @@
 }
 
 void
-JobTable::CloseIfIdle(const Job& aJob)
+JobTable::CloseIfIdle(Job& aJob)
 {
   if (aJob.m_state != JobState::kActive && aJob.m_running == 0) {
+    RemoveTasks(aJob);
     m_open.erase(aJob.m_order);
     const auto found =
       std::lower_bound(m_openJobs.begin(),
@@ -705,8 +863,11 @@
 {
   std::erase_if(m_jobs, [&](const auto& aEntry) {
     const Job& job = aEntry.second;
-    return job.m_state != JobState::kActive && job.m_running == 0 &&
-           job.m_endedAt < aRemoval.m_before;
+    const bool isRemoved = job.m_state != JobState::kActive &&
+                           job.m_running == 0 &&
+                           job.m_endedAt < aRemoval.m_before;
+    m_bytes -= isRemoved ? job.m_bytes : 0;
+    return isRemoved;
   });
   return CallOutcome::kNone;
 }
@@ -722,11 +883,17 @@
   m_pending.clear();
   m_tasksWithLosses.clear();
   m_tasksByLostWorker.clear();
+  m_bytes = 0;
   for (auto& [id, job] : m_jobs) {
     job.m_running = 0;
-    job.m_occurrencesDone = 0;
+    job.m_occurrencesDone = job.m_firstOccurrence;
+    job.m_bytes = 0;
+    AddBytes(job, BytesOf(id, job.m_spec));
     for (auto& [number, occurrence] : job.m_occurrences) {
       occurrence.m_stepsDone = 0;
+      if (job.m_spec.m_repeatCount != 0) {
+        AddBytes(job, BytesOf(occurrence));
+      }
       for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
         StepRun& step = occurrence.m_steps[s];
         for (std::uint32_t i = 0; i < step.m_tasks.size(); ++i) {
@@ -734,6 +901,7 @@
           if (!task.m_losses.empty() && job.m_state == JobState::kActive) {
             IndexLosses(TaskRef{ id, number, s, i }, task);
           }
+          step.m_checkpointBytes += task.m_checkpoint.size();
           if (task.m_phase == TaskPhase::kDone) {
             ++step.m_done;
           } else if (task.m_phase == TaskPhase::kRunning) {
@@ -742,7 +910,13 @@
             AddToWorker(task.m_worker, job, TaskRef{ id, number, s, i });
           }
         }
-        occurrence.m_stepsDone += step.IsDone() ? 1 : 0;
+        if (step.HasTasks()) {
+          AddBytes(job, BytesOfTasks(step.m_count) + step.m_checkpointBytes);
+        }
+        if (step.IsDone()) {
+          RemoveTasks(job, step);
+          ++occurrence.m_stepsDone;
+        }
       }
       if (occurrence.m_stepsDone == occurrence.m_steps.size()) {
         ++job.m_occurrencesDone;
@@ -750,6 +924,8 @@
     }
     if (job.m_state == JobState::kActive || job.m_running > 0) {
       m_open.emplace(job.m_order, id);
+    } else {
+      CloseIfIdle(job);
     }
     UpdateStartable(job);
     if (job.m_state == JobState::kActive && !job.m_started &&
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -269,7 +269,37 @@
 
 struct JobTableCodec
 {
-  static void Write(const Job& aJob, schema::JobState::Builder aTo)
+  /** A step without states of tasks is written as a count where all replicas
+   * read that. */
+  static void Write(const StepRun& aStep,
+                    schema::JobState::Step::Builder aTo,
+                    bool aIsCompact)
+  {
+    if (aIsCompact && !aStep.HasTasks()) {
+      aTo.setCount(aStep.m_count);
+      aTo.setDone(aStep.IsDone());
+      return;
+    }
+    auto list = aTo.initTasks(aStep.m_count);
+    for (unsigned i = 0; i < list.size(); ++i) {
+      const Task& task = aStep.TaskAt(i);
+      list[i].setPhase(static_cast<std::uint8_t>(task.m_phase));
+      list[i].setLastRun(task.m_lastRun.Get());
+      list[i].setFailures(task.m_failures);
+      list[i].setWorker(task.m_worker.m_id.Get());
+      list[i].setWorkerStartedAtMs(task.m_worker.m_startedAt.Get());
+      list[i].setCheckpoint(task.m_checkpoint);
+      list[i].setSettled(task.m_isStable);
+      if (task.m_ranUntil) {
+        list[i].setRanUntilMs(task.m_ranUntil->Get());
+      }
+      WriteLosses(task.m_losses, list[i]);
+    }
+  }
+
+  static void Write(const Job& aJob,
+                    schema::JobState::Builder aTo,
+                    bool aIsCompact)
   {
     aTo.setId(aJob.m_id.Get());
     aTo.setQueue(aJob.m_queue.Get());
@@ -282,6 +312,7 @@
     aTo.setReason(aJob.m_reason);
     aTo.setOrder(aJob.m_order);
     aTo.setStarted(aJob.m_started);
+    aTo.setFirstOccurrence(aJob.m_firstOccurrence);
     auto occurrences =
       aTo.initOccurrences(static_cast<unsigned>(aJob.m_occurrences.size()));
     unsigned at = 0;
@@ -291,25 +322,41 @@
       auto steps =
         to.initSteps(static_cast<unsigned>(occurrence.m_steps.size()));
       for (unsigned s = 0; s < steps.size(); ++s) {
-        const auto& tasks = occurrence.m_steps[s].m_tasks;
-        auto list = steps[s].initTasks(static_cast<unsigned>(tasks.size()));
-        for (unsigned i = 0; i < list.size(); ++i) {
-          list[i].setPhase(static_cast<std::uint8_t>(tasks[i].m_phase));
-          list[i].setLastRun(tasks[i].m_lastRun.Get());
-          list[i].setFailures(tasks[i].m_failures);
-          list[i].setWorker(tasks[i].m_worker.m_id.Get());
-          list[i].setWorkerStartedAtMs(tasks[i].m_worker.m_startedAt.Get());
-          list[i].setCheckpoint(tasks[i].m_checkpoint);
-          list[i].setSettled(tasks[i].m_isStable);
-          if (tasks[i].m_ranUntil) {
-            list[i].setRanUntilMs(tasks[i].m_ranUntil->Get());
-          }
-          WriteLosses(tasks[i].m_losses, list[i]);
-        }
+        Write(occurrence.m_steps[s], steps[s], aIsCompact);
       }
     }
   }
 
+  static StepRun Read(schema::JobState::Step::Reader aFrom)
+  {
+    StepRun run;
+    run.m_count = std::max(aFrom.getCount(), aFrom.getTasks().size());
+    run.m_done = aFrom.getDone() ? run.m_count : 0;
+    for (auto taskState : aFrom.getTasks()) {
+      Task& task = run.m_tasks.emplace_back();
+      task.m_phase = static_cast<TaskPhase>(taskState.getPhase());
+      task.m_lastRun = RunNumber{ taskState.getLastRun() };
+      task.m_failures = taskState.getFailures();
+      task.m_worker = ReadIncarnation(taskState.getWorker(),
+                                      taskState.getWorkerStartedAtMs());
+      task.m_checkpoint = Text(taskState.getCheckpoint());
+      task.m_isStable = taskState.getSettled();
+      task.m_losses = ReadLosses(taskState);
+      if (taskState.getRanUntilMs() != 0) {
+        task.m_ranUntil = WallTime{ taskState.getRanUntilMs() };
+      }
+    }
+    const bool isUnused = std::all_of(
+      run.m_tasks.begin(), run.m_tasks.end(), [](const Task& aTask) {
+        return aTask.m_phase == TaskPhase::kWaiting &&
+               aTask.m_lastRun == RunNumber{};
+      });
+    if (isUnused) {
+      run.m_tasks = {};
+    }
+    return run;
+  }
+
   static Job Read(schema::JobState::Reader aFrom)
   {
     Job job;
@@ -324,30 +371,17 @@
     job.m_reason = Text(aFrom.getReason());
     job.m_order = aFrom.getOrder();
     job.m_started = aFrom.getStarted();
+    job.m_firstOccurrence = aFrom.getFirstOccurrence();
     for (auto from : aFrom.getOccurrences()) {
       Occurrence& occurrence = job.m_occurrences[from.getNumber()];
       for (auto step : from.getSteps()) {
-        StepRun& run = occurrence.m_steps.emplace_back();
-        for (auto taskState : step.getTasks()) {
-          Task& task = run.m_tasks.emplace_back();
-          task.m_phase = static_cast<TaskPhase>(taskState.getPhase());
-          task.m_lastRun = RunNumber{ taskState.getLastRun() };
-          task.m_failures = taskState.getFailures();
-          task.m_worker = ReadIncarnation(taskState.getWorker(),
-                                          taskState.getWorkerStartedAtMs());
-          task.m_checkpoint = Text(taskState.getCheckpoint());
-          task.m_isStable = taskState.getSettled();
-          task.m_losses = ReadLosses(taskState);
-          if (taskState.getRanUntilMs() != 0) {
-            task.m_ranUntil = WallTime{ taskState.getRanUntilMs() };
-          }
-        }
+        occurrence.m_steps.push_back(Read(step));
       }
     }
     return job;
   }
 
-  static std::string Write(const JobTable& aJobTable)
+  static std::string Write(const JobTable& aJobTable, bool aIsCompact)
   {
     capnp::MallocMessageBuilder message;
     auto root = message.initRoot<schema::Jobs>();
@@ -355,7 +389,7 @@
     auto list = root.initJobs(static_cast<unsigned>(aJobTable.m_jobs.size()));
     unsigned at = 0;
     for (const auto& [id, job] : aJobTable.m_jobs) {
-      Write(job, list[at++]);
+      Write(job, list[at++], aIsCompact);
     }
     return ToBytes(message);
   }
@@ -398,9 +432,9 @@
 }
 
 std::string
-EncodeJobTable(const JobTable& aJobTable)
+EncodeJobTable(const JobTable& aJobTable, bool aIsCompact)
 {
-  return JobTableCodec::Write(aJobTable);
+  return JobTableCodec::Write(aJobTable, aIsCompact);
 }
 
 std::optional<JobTable>
--- a/src/jobs/crash_loop.cpp
+++ b/src/jobs/crash_loop.cpp
@@ -127,7 +127,7 @@
 LossesOf(const StepSpec& aSpec, const StepRun& aStep, std::uint32_t aIndex)
 {
   if (!aSpec.m_gang) {
-    return aStep.m_tasks[aIndex].m_losses;
+    return aStep.TaskAt(aIndex).m_losses;
   }
   std::vector<WorkerLoss> losses;
   for (const Task& member : aStep.m_tasks) {
--- a/src/placement/demand.cpp
+++ b/src/placement/demand.cpp
@@ -22,8 +22,7 @@
 std::int64_t
 RemainingCpu(const jobs::StepSpec& aStep, const jobs::StepRun& aRun)
 {
-  const std::int64_t remaining =
-    static_cast<std::int64_t>(aRun.m_tasks.size()) - aRun.m_done;
+  const std::int64_t remaining = std::int64_t{ aRun.m_count } - aRun.m_done;
   return remaining * aStep.ReservedCpu();
 }
 
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <numeric>
 #include <tuple>
 
 namespace bamboostile::placement {
@@ -37,6 +38,12 @@
  * stops no more than that. */
 constexpr std::uint32_t kSpreadDivisor = 8;
 
+/** Number of tasks in a repeated job's occurrences that are considered at a
+ * time. */
+constexpr std::size_t kMaxOpenTasksOfJob = 10'000;
+/** The largest step that a caller may submit. */
+constexpr std::uint32_t kMaxTasksOfStep = 10'000;
+
 std::uint32_t
 SpreadLimit(const jobs::StepSpec& aStep)
 {
@@ -106,6 +113,8 @@
       return "too many workers have isolated runs";
     case WaitReason::kNoWorkerForIsolatedRun:
       return "no worker for an isolated run";
+    case WaitReason::kNoMemory:
+      return "no memory for the states of its tasks";
   }
   return "unknown";
 }
@@ -166,6 +175,27 @@
   }
 }
 
+std::size_t
+Planner::Candidate::BytesOfNewTasks() const
+{
+  const auto found = m_job->m_occurrences.find(m_occurrence);
+  const bool hasTasks = found != m_job->m_occurrences.end() &&
+                        found->second.m_steps[m_step].HasTasks();
+  return hasTasks ? 0 : jobs::JobTable::BytesOfTasks(Step().m_count);
+}
+
+bool
+Planner::Candidate::HasRoomForTasks(const Plan& aPlan) const
+{
+  return BytesOfNewTasks() <= aPlan.m_roomForTasks;
+}
+
+void
+Planner::Candidate::ChargeTasks(Plan& aPlan) const
+{
+  aPlan.m_roomForTasks -= std::min(aPlan.m_roomForTasks, BytesOfNewTasks());
+}
+
 Planner::CriticalPaths
 Planner::FindCriticalPaths(const jobs::Job& aJob,
                            const jobs::Occurrence* aProgress) const
@@ -315,6 +345,40 @@
   return earliest;
 }
 
+// Occurrences that are due pile up while workers are missing. Those that come
+// first keep more workers busy than a pool has; the others wait uncounted.
+void
+Planner::AddDueOccurrences(const jobs::Job& aJob,
+                           const fleet::QueueRoute& aRoute,
+                           WallTime aWall,
+                           std::vector<Candidate>& aCandidates) const
+{
+  const std::int64_t elapsed = aWall.Get() - aJob.m_spec.m_startAt.Get();
+  const std::int64_t interval =
+    std::max<std::int64_t>(1, aJob.m_spec.m_interval.count());
+  std::size_t openTasks = 0;
+  for (std::uint32_t number = aJob.m_firstOccurrence;
+       number < aJob.m_spec.m_repeatCount && number * interval <= elapsed &&
+       openTasks < kMaxOpenTasksOfJob;
+       ++number) {
+    const auto found = aJob.m_occurrences.find(number);
+    const bool isDone =
+      found != aJob.m_occurrences.end() &&
+      found->second.m_stepsDone == found->second.m_steps.size();
+    if (!isDone) {
+      openTasks += std::accumulate(aJob.m_spec.m_steps.begin(),
+                                   aJob.m_spec.m_steps.end(),
+                                   std::size_t{ 0 },
+                                   [](std::size_t aSum, const auto& aStep) {
+                                     return aSum + aStep.m_count;
+                                   });
+      const WallTime scheduledAt{ aJob.m_spec.m_startAt.Get() +
+                                  number * interval };
+      AddCandidates(aJob, aRoute, number, scheduledAt, aWall, aCandidates);
+    }
+  }
+}
+
 std::vector<Planner::Candidate>
 Planner::FindCandidates(const fleet::State& aState, WallTime aWall) const
 {
@@ -334,16 +398,7 @@
       AddCandidates(job, queue, 0, job.m_acceptedAt, aWall, candidates);
       continue;
     }
-    const std::int64_t elapsed = aWall.Get() - job.m_spec.m_startAt.Get();
-    const std::int64_t interval =
-      std::max<std::int64_t>(1, job.m_spec.m_interval.count());
-    for (std::uint32_t occurrence = 0; occurrence < job.m_spec.m_repeatCount &&
-                                       occurrence * interval <= elapsed;
-         ++occurrence) {
-      const WallTime scheduledAt{ job.m_spec.m_startAt.Get() +
-                                  occurrence * interval };
-      AddCandidates(job, queue, occurrence, scheduledAt, aWall, candidates);
-    }
+    AddDueOccurrences(job, queue, aWall, candidates);
   }
   return SortCandidates(candidates);
 }
@@ -574,10 +629,18 @@
   TasksPerWorker tasksPerWorker;
   const bool isNew = found == aCandidate.m_job->m_occurrences.end();
   const std::vector<jobs::Task>* tasks =
-    isNew ? nullptr : &found->second.m_steps[aCandidate.m_step].m_tasks;
+    isNew || !found->second.m_steps[aCandidate.m_step].HasTasks()
+      ? nullptr
+      : &found->second.m_steps[aCandidate.m_step].m_tasks;
   if ((step.m_maxPerWorker > 0 || step.m_longRunning) && tasks != nullptr) {
     tasksPerWorker = CountTasksPerWorker(*tasks);
   }
+  if (!aCandidate.HasRoomForTasks(aPlan)) {
+    aCandidate.AddWaiting(
+      0, kNeverStarted, WaitReason::kNoMemory, aWall, aPlan);
+    return;
+  }
+  bool hasStarted = false;
   for (std::uint32_t i = 0; i < step.m_count; ++i) {
     const jobs::Task& task = tasks == nullptr ? kNeverStarted : (*tasks)[i];
     if (task.m_phase != jobs::TaskPhase::kWaiting ||
@@ -620,6 +683,9 @@
     const RunNumber run{ task.m_lastRun.Get() + 1 };
     aPool.Start(*target, step, run);
     aCandidate.ChargeStart();
+    if (!std::exchange(hasStarted, true)) {
+      aCandidate.ChargeTasks(aPlan);
+    }
     const WorkerIncarnation& worker = target->m_worker->m_lastReport.m_worker;
     if (step.m_maxPerWorker > 0 || IsSpread(step)) {
       ++tasksPerWorker[worker];
@@ -641,6 +707,9 @@
     aCandidate.m_job->m_spec.m_steps[aCandidate.m_step];
   const auto found =
     aCandidate.m_job->m_occurrences.find(aCandidate.m_occurrence);
+  if (!aCandidate.HasRoomForTasks(aPlan)) {
+    return false;
+  }
   RunNumber lastRun;
   std::vector<jobs::WorkerLoss> losses;
   if (found != aCandidate.m_job->m_occurrences.end()) {
@@ -676,6 +745,7 @@
   if (aCandidate.m_account != nullptr) {
     *aCandidate.m_account = account;
   }
+  aCandidate.ChargeTasks(aPlan);
   std::move(starts.begin(), starts.end(), std::back_inserter(aPlan.m_changes));
   return true;
 }
@@ -699,7 +769,7 @@
   const jobs::Task& first =
     found == aCandidate.m_job->m_occurrences.end()
       ? kNeverStarted
-      : found->second.m_steps[aCandidate.m_step].m_tasks.front();
+      : found->second.m_steps[aCandidate.m_step].TaskAt(0);
   if (found != aCandidate.m_job->m_occurrences.end() &&
       jobs::IsSuspect(
         jobs::LossesOf(step, found->second.m_steps[aCandidate.m_step], 0))) {
@@ -870,6 +940,17 @@
   }
 }
 
+// Tasks that run make room when they end. If none runs, the largest step may
+// begin all the same.
+std::size_t
+Planner::RoomForTasks(const jobs::JobTable& aBook) const
+{
+  const std::size_t room = m_memory.RoomForTasks(aBook.Bytes());
+  return aBook.TasksByWorker().empty()
+           ? std::max(room, jobs::JobTable::BytesOfTasks(kMaxTasksOfStep))
+           : room;
+}
+
 Plan
 Planner::ComputePlan(const fleet::State& aState,
                      const WorkerTable& aWorkers,
@@ -878,6 +959,7 @@
                      WallTime aWall)
 {
   Plan plan;
+  plan.m_roomForTasks = RoomForTasks(aState.Jobs());
   std::vector<Candidate> candidates = FindCandidates(aState, aWall);
   const bool hasLongRunning =
     !candidates.empty() && candidates.front().m_isLongRunning;
--- a/src/placement/unbegun_jobs.cpp
+++ b/src/placement/unbegun_jobs.cpp
@@ -24,6 +24,9 @@
 {
   const auto& steps = aJob.m_occurrences.at(0).m_steps;
   for (std::uint32_t step = 0; step < steps.size(); ++step) {
+    if (steps[step].m_done > 0) {
+      return true;
+    }
     for (std::uint32_t i = 0; i < steps[step].m_tasks.size(); ++i) {
       const jobs::Task& task = steps[step].m_tasks[i];
       const bool isShown = task.m_phase == jobs::TaskPhase::kRunning &&
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -209,6 +209,7 @@
   ReadIfPresent(from, "formGroup", to.m_formGroup);
   ReadIfPresent(from, "toleratedLosses", to.m_toleratedLosses);
   ReadIfPresent(from, "ordersPerSecond", to.m_ordersPerSecond);
+  ReadIfPresent(from, "memoryMb", to.m_memoryMb);
   ReadSeconds(from, "maintenanceSeconds", to.m_expectedDowntime);
   ReadSeconds(from, "moveSeconds", to.m_moveDuration);
   to.m_handoverDelay =
--- a/tests/unit/control/job_service_test.cpp
+++ b/tests/unit/control/job_service_test.cpp
@@ -58,12 +58,14 @@
 
   /** Starts the service, in place of one that runs. */
   void StartService(const placement::LeaseOptions& aLease = {},
-                    placement::Mechanisms aMechanisms = {})
+                    placement::Mechanisms aMechanisms = {},
+                    jobs::MemoryLimit aMemory = {})
   {
     m_service.reset();
     control::JobServiceOptions jobs;
     jobs.m_lease = aLease;
     jobs.m_mechanisms = aMechanisms;
+    jobs.m_memory = aMemory;
     jobs.m_calls.m_move = [this](const auto& aOrder, Term, auto aDone) {
       m_movedInstances.push_back(aOrder.m_instance);
       m_answerMove = aDone;
@@ -845,3 +847,43 @@
   CHECK(metrics.find("workspace=\"old\"") == std::string::npos);
   CHECK(metrics.find("workspace=\"a\"") != std::string::npos);
 }
+
+// Guards against accepted jobs that fill the memory of every replica. A job
+// that has been accepted is accepted again, and calls that make room get
+// through.
+TEST(JobService, JobsUseTheirMemory_NextOneIsRefusedUntilOneIsRemoved)
+{
+  using jobs::CallKind;
+  using jobs::QueueOutcome;
+  StartService({}, {}, jobs::MemoryLimit{ 1 });
+  jobs::JobSpec large = Spec({ Step(1) });
+  large.m_steps[0].m_image = ImageId{ std::string(200'000, 'x') };
+  std::size_t accepted = 0;
+  const auto submit = [&](std::size_t aNumber) {
+    jobs::QueueCall call;
+    call.m_kind = CallKind::kSubmit;
+    call.m_host = "host";
+    call.m_path = "/q/" + std::to_string(aNumber);
+    call.m_spec = large;
+    return m_service->Call(std::move(call)).wait(m_loop->m_io.waitScope);
+  };
+  while (submit(accepted).m_outcome == QueueOutcome::kOk && accepted < 100) {
+    ++accepted;
+  }
+  CHECK_COMPARE(accepted, >, 1);
+  const auto refused = submit(accepted);
+  STRCMP_EQUAL(jobs::Describe(QueueOutcome::kRefused),
+               jobs::Describe(refused.m_outcome));
+  CHECK(refused.m_retryAfter > Millis::zero());
+  CheckOutcome(QueueOutcome::kOk, CallKind::kSubmit, "0", "");
+  CheckOutcome(QueueOutcome::kOk, CallKind::kCancel, "0", "");
+  jobs::Batch removal{ { jobs::RemoveEndedJobs{
+    WallTime{ control::WallNow().Get() + 1000 } } } };
+  m_node->Propose(removal).wait(m_loop->m_io.waitScope);
+  CHECK(submit(accepted).m_outcome == QueueOutcome::kOk);
+  large.m_steps[0].m_image = ImageId{ std::string(4'000'000, 'x') };
+  const auto never = submit(accepted + 1);
+  STRCMP_EQUAL(jobs::Describe(QueueOutcome::kBadJob),
+               jobs::Describe(never.m_outcome));
+  CHECK(never.m_detail.starts_with("steps: "));
+}
--- a/tests/unit/jobs/book_test.cpp
+++ b/tests/unit/jobs/book_test.cpp
@@ -308,3 +308,106 @@
   m_fleet.End(Ref("a", 1), RunEnd::kDone);
   CHECK(m_fleet.Book().FindUse(Life("w")) == nullptr);
 }
+
+namespace {
+
+/** Each task saves its progress, then ends in one of several ways. */
+void
+PlayTask(Fleet& aFleet, const TaskRef& aTask, std::uint32_t aNumber)
+{
+  aFleet.Start(aTask, "worker", 1);
+  EndRun end{
+    aTask, RunNumber{ 1 }, RunEnd::kStopped, "progress", WallTime{ 1 }
+  };
+  aFleet.Apply({ end });
+  aFleet.Start(aTask, "worker", 2);
+  if (aNumber % 3 != 0) {
+    aFleet.End(aTask, aNumber % 3 == 1 ? RunEnd::kDone : RunEnd::kFailed, 2);
+  }
+}
+
+} // namespace
+
+// Guards against a sum that differs after a change of the leader or a restart,
+// so that a replica accepts what it has no memory for.
+TEST(JobTable, StateIsRestoredFromSnapshot_BytesAreTheSame)
+{
+  for (const bool isCompact : { false, true }) {
+    Fleet fleet;
+    if (isCompact) {
+      fleet.Do(fleet::RaiseVersion{ fleet::kStateVersion });
+    }
+    JobSpec repeated = Spec({ Step(2) });
+    repeated.m_repeatCount = 5;
+    fleet.Submit("single", Spec({ Step(5), Step(3) }));
+    fleet.Submit("repeated", repeated);
+    fleet.Submit("ended", Spec({ Step(1) }));
+    for (std::uint32_t i = 0; i < 5; ++i) {
+      PlayTask(fleet, Ref("single", i), i);
+      for (std::uint32_t task = 0; task < 2; ++task) {
+        TaskRef ref = Ref("repeated", task);
+        ref.m_occurrence = i;
+        PlayTask(fleet, ref, i == 3 ? 0 : 1);
+      }
+      const std::size_t bytes = fleet.Book().Bytes();
+      fleet.Restore();
+      LONGS_EQUAL(bytes, fleet.Book().Bytes());
+    }
+    PlayTask(fleet, Ref("ended"), 1);
+    for (const char* job : { "single", "repeated", "ended" }) {
+      fleet.Apply({ Cancel{ JobId{ job }, WallTime{ 1 } } });
+      fleet.End(Ref("single"), RunEnd::kStopped, 2);
+    }
+    LONGS_EQUAL(isCompact ? 3 : 0,
+                fleet.Book().Find(JobId{ "repeated" })->m_firstOccurrence);
+    fleet.Restore();
+    TaskRef open = Ref("repeated");
+    open.m_occurrence = 3;
+    fleet.End(open, RunEnd::kStopped, 2);
+    open.m_index = 1;
+    fleet.End(open, RunEnd::kStopped, 2);
+    fleet.End(Ref("single", 3), RunEnd::kStopped, 2);
+    fleet.Apply({ RemoveEndedJobs{ WallTime{ 10 } } });
+    LONGS_EQUAL(0, fleet.Book().Bytes());
+  }
+}
+
+// Guards against memory for tasks that have not begun or are done.
+TEST(JobTable, JobHasManyTasks_TakesMemoryOnlyForStepsInProgress)
+{
+  Fleet fleet;
+  fleet.Do(fleet::RaiseVersion{ fleet::kStateVersion });
+  fleet.Submit("a", Spec(std::vector<StepSpec>(64, Step(10'000))));
+  const std::size_t accepted = fleet.Book().Bytes();
+  CHECK_COMPARE(accepted, <, 64 * 1024);
+  CHECK_COMPARE(fleet.State().Encode().size(), <, 64 * 1024);
+  fleet.Start(Ref("a", 7), "worker");
+  LONGS_EQUAL(accepted + JobTable::BytesOfTasks(10'000), fleet.Book().Bytes());
+  fleet.End(Ref("a", 7), RunEnd::kStopped);
+  fleet.Apply({ Cancel{ JobId{ "a" }, WallTime{ 1 } } });
+  LONGS_EQUAL(accepted, fleet.Book().Bytes());
+}
+
+// Guards against done occurrences of a repeated job that fill the memory, or
+// that run again because they are no longer kept.
+TEST(JobTable, OccurrencesAreDone_TheyAreNotKeptAndDoNotRunAgain)
+{
+  Fleet fleet;
+  fleet.Do(fleet::RaiseVersion{ fleet::kStateVersion });
+  JobSpec repeated = Spec({ Step(1) });
+  repeated.m_repeatCount = 100;
+  fleet.Submit("a", repeated);
+  const std::size_t accepted = fleet.Book().Bytes();
+  TaskRef task = Ref("a");
+  for (task.m_occurrence = 0; task.m_occurrence < 99; ++task.m_occurrence) {
+    fleet.Start(task, "worker");
+    fleet.End(task, RunEnd::kDone);
+    LONGS_EQUAL(accepted, fleet.Book().Bytes());
+    fleet.Start(task, "worker", 2);
+    CHECK(fleet.Book().TasksByWorker().empty());
+  }
+  fleet.Restore();
+  fleet.Start(task, "worker");
+  fleet.End(task, RunEnd::kDone);
+  CHECK(fleet.StateOf("a") == JobState::kCompleted);
+}
--- a/tests/unit/placement/absence_test.cpp
+++ b/tests/unit/placement/absence_test.cpp
@@ -79,7 +79,7 @@
 private:
   const Task& TaskState() const
   {
-    return m_pool.JobOf("lasting").m_occurrences.at(0).m_steps[0].m_tasks[0];
+    return m_pool.JobOf("lasting").m_occurrences.at(0).m_steps[0].TaskAt(0);
   }
 
   // A start that was under way when its worker was lost counts as a run: that
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -623,3 +623,45 @@
     InstanceId{ "instance-of-w1" }, InstanceAnswer::kBusy, At(kSteadyMs - 50));
   LONGS_EQUAL(1, StartPlanned());
 }
+
+// Guards against states of tasks that fill the memory: accepted steps take
+// little until they begin. A step in progress goes on.
+TEST(PlacementPlanner, NoMemoryForAnotherStep_OnlyStepsInProgressGoOn)
+{
+  m_planner = Planner{ {}, Search::kIndexed, MemoryLimit{ 1 } };
+  WorkerReport report = Report("w1", 1);
+  report.m_capacity = { 12'000, 12'000, 0 };
+  Receive(report);
+  m_fleet.Submit("a", Spec({ Step(10'000) }));
+  m_fleet.Submit("b", Spec({ Step(10'000) }));
+  m_fleet.Start(Ref("a"), "w1");
+  const std::size_t inUse = m_fleet.Book().Bytes();
+  for (int number = 0; number < 30; ++number) {
+    JobSpec text = Spec({ Step(1, 100'000) });
+    text.m_payload = std::string(10'000, 'x');
+    m_fleet.Submit("text" + std::to_string(number), text);
+  }
+  CHECK_COMPARE(m_fleet.Book().Bytes(), >, inUse);
+  for (const jobs::Change& change : MakePlan().m_changes) {
+    STRCMP_EQUAL("a", std::get<StartRun>(change).m_task.m_job.Get().c_str());
+  }
+  m_fleet.End(Ref("a"), RunEnd::kStopped);
+  CHECK(!MakePlan().m_changes.empty());
+}
+
+// Guards against a pass whose time and memory grow with all occurrences that
+// have ever been due.
+TEST(PlacementPlanner, ManyOccurrencesAreDue_FirstOnesAreConsidered)
+{
+  m_fleet.Do(fleet::RaiseVersion{ fleet::kStateVersion });
+  Receive(Report("w1", 1));
+  JobSpec spec = Spec({ Step(8), Step(8) });
+  spec.m_repeatCount = 1'000'000'000;
+  m_fleet.Submit("a", spec);
+  LONGS_EQUAL(4, StartPlanned());
+  for (std::uint32_t i = 0; i < 4; ++i) {
+    m_fleet.End(Ref("a", i), RunEnd::kDone);
+  }
+  LONGS_EQUAL(4, StartPlanned());
+  CHECK(m_fleet.Book().FindTask(Ref("a", 7))->m_phase == TaskPhase::kRunning);
+}
--- a/tools/bamboostiled/main.cpp
+++ b/tools/bamboostiled/main.cpp
@@ -39,6 +39,13 @@
 /** Interval between attempts to open a data folder after a disk error. */
 constexpr auto kReopenInterval = 500 * kj::MILLISECONDS;
 
+std::size_t
+MemoryBytes(const settings::Hosting& aHosting)
+{
+  constexpr std::size_t kMiB = 1024 * 1024;
+  return aHosting.m_memoryMb * kMiB;
+}
+
 std::uint64_t
 RandomUint63()
 {
@@ -288,6 +295,9 @@
     options.m_lease.m_mechanisms = m_settings.m_mechanisms;
     options.m_capacity.m_mechanisms = m_settings.m_mechanisms;
     const auto& hosting = m_settings.m_hosting;
+    if (hosting && hosting->m_memoryMb > 0) {
+      options.m_memory = jobs::MemoryLimit{ MemoryBytes(*hosting) };
+    }
     if (hosting) {
       options.m_maintenance.m_expectedDowntime = hosting->m_expectedDowntime;
       options.m_maintenance.m_maxOrderDelay = hosting->m_handoverDelay;
