--- a/include/bamboostile/control/node.h
+++ b/include/bamboostile/control/node.h
@@ -23,7 +23,9 @@
   std::string m_address;
   consensus::ReplicaOptions m_replica;
   membership::Options m_membership;
+  /** A snapshot is due after this many entries, or bytes of commands. */
   std::uint64_t m_snapshotEvery = 2000;
+  std::size_t m_snapshotEveryBytes = std::size_t{ 8 } * 1024 * 1024;
   Duration m_syncHold = Millis{ 500 };
   Duration m_inForceTimeout = Millis{ 4000 };
   /** Asks the platform to restart a released instance; called repeatedly until
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -275,7 +275,9 @@
 {
   const std::uint64_t applied = m_state.Applied().Get();
   const std::uint64_t snapshot = m_replica.SnapshotIndex().Get();
-  const bool isDue = applied >= snapshot + m_options.m_snapshotEvery;
+  const bool isDue = applied >= snapshot + m_options.m_snapshotEvery ||
+                     (applied > snapshot &&
+                      m_bytesSinceSnapshot >= m_options.m_snapshotEveryBytes);
   // A large state is encoded again only after as many bytes of commands, so
   // that snapshots never cost more than the log itself.
   if (isDue && !m_isEncoding && m_bytesSinceSnapshot >= m_snapshotBytes) {
--- a/tests/unit/control/job_service_test.cpp
+++ b/tests/unit/control/job_service_test.cpp
@@ -887,3 +887,22 @@
                jobs::Describe(never.m_outcome));
   CHECK(never.m_detail.starts_with("steps: "));
 }
+
+// Guards against a log of few large entries that fits the disk and that no
+// process can read within its memory.
+TEST(JobService, ChangesAreLarge_SnapshotIsTakenByTheirSize)
+{
+  fleet::RouteTable table = Fleet{}.State().Routes();
+  table.m_document = std::string(400'000, 'x');
+  for (int change = 0; change < 40; ++change) {
+    ++table.m_version;
+    m_service->ReplaceRoutes(table).wait(m_loop->m_io.waitScope);
+  }
+  for (int wait = 0; wait < 500; ++wait) {
+    if (m_node->Replica().SnapshotIndex() > Index{}) {
+      return;
+    }
+    RunEventLoopFor(10 * kj::MILLISECONDS);
+  }
+  FAIL("no snapshot was taken");
+}
--- a/tools/bamboostiled/main.cpp
+++ b/tools/bamboostiled/main.cpp
@@ -39,6 +39,10 @@
 /** Interval between attempts to open a data folder after a disk error. */
 constexpr auto kReopenInterval = 500 * kj::MILLISECONDS;
 
+/** The log since the last snapshot takes one part of this many of the memory.
+ */
+constexpr std::size_t kSnapshotsInMemory = 32;
+
 std::size_t
 MemoryBytes(const settings::Hosting& aHosting)
 {
@@ -246,6 +250,10 @@
         m_restartClient->Restart(aInstance);
       };
     }
+    if (m_settings.m_hosting && m_settings.m_hosting->m_memoryMb > 0) {
+      options.m_snapshotEveryBytes =
+        MemoryBytes(*m_settings.m_hosting) / kSnapshotsInMemory;
+    }
     if (m_settings.m_hosting) {
       options.m_formGroup = m_settings.m_hosting->m_formGroup;
       options.m_membershipPolicy.m_targetVoters =
