entry: calls reach the members of the group that have never led

Callers got 503 for good from every entry that ran before, though the control replicas served: all machines that the entries were started with had been replaced one after the other, the leader last, without a SIGHUP.

Cause: an entry knew its seeds and the replicas that answers had named as leaders. A replica that joined as a follower was never named.

Change: the leader's answer to a call has the addresses of all members, unless the caller names the revision of the members that it knows. They come first among the replicas that an entry asks.

Ruled out: the readiness poll, which reaches the leader twice a second until its end; its answers named no other member.

--- a/include/bamboostile/consensus/replica.h
+++ b/include/bamboostile/consensus/replica.h
@@ -118,6 +118,8 @@
   Index LastIndex() const;
   Index SnapshotIndex() const { return m_snapshot->m_index; }
   const Membership& CurrentMembership() const;
+  /** Position of the log at which CurrentMembership() began. */
+  Index MembershipIndex() const { return m_memberships.back().m_index; }
   /** Leader only: the last index that aId is known to hold. */
   Index MatchIndexOf(const ReplicaId& aId) const;
   /** Leader only: the learners that keep up with the log. */
--- a/include/bamboostile/entry/leader_client.h
+++ b/include/bamboostile/entry/leader_client.h
@@ -82,6 +82,10 @@
   kj::Promise<jobs::QueueReply> FailUnlessConnected(
     std::shared_ptr<const bool> aIsConnected);
   void LearnLeader(const std::string& aAddress);
+  /** Puts these addresses before the others that are known. */
+  void PutFirst(const std::vector<std::string>& aAddresses);
+  /** Limits the number of known addresses. */
+  void ForgetExcess();
   Target& TargetAt(const std::string& aAddress);
 
   kj::AsyncIoProvider& m_provider;
@@ -89,6 +93,8 @@
   LeaderClientOptions m_options;
   /** Replica addresses; the last known leader comes first. */
   std::vector<std::string> m_replicas;
+  /** Revision of the group's members that a leader sent last. */
+  Index m_membersRevision;
   std::map<std::string, Target> m_targets;
   /** Time of the last answer from any replica. */
   TimePoint m_lastAnyAnswerAt;
--- a/schema/internal.capnp
+++ b/schema/internal.capnp
@@ -229,7 +229,10 @@
   announce @7 (announcements :List(Announcement))
       -> (outcome :SyncOutcome, leaderAddress :Text);
   # Replies once the announcements are committed.
-  queueCall @8 (call :Ops.QueueCall) -> (reply :Ops.QueueReply);
+  queueCall @8 (call :Ops.QueueCall, knownMembers :UInt64)
+      -> (reply :Ops.QueueReply, members :List(Text), membersRevision :UInt64);
+  # The leader adds the addresses of the group's members, unless the caller knows
+  # those of this revision.
   join @9 (id :ReplicaId, address :Text)
       -> (outcome :SyncOutcome, leaderAddress :Text, hasNoLog :Bool);
   # Requests admission to the group, as a learner at first.
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -427,9 +427,13 @@
   kj::Promise<void> queueCall(QueueCallContext aContext) override
   {
     KJ_REQUIRE(m_jobs != nullptr, "this replica serves no jobs");
+    const Index known{ aContext.getParams().getKnownMembers() };
     return m_jobs->Call(wire::Read(aContext.getParams().getCall()))
-      .then([aContext](const jobs::QueueReply& aReply) mutable {
+      .then([this, aContext, known](const jobs::QueueReply& aReply) mutable {
         wire::Write(aReply, aContext.getResults().initReply());
+        if (m_node.IsServing() && m_node.Replica().MembershipIndex() != known) {
+          WriteMembers(aContext.getResults());
+        }
       });
   }
 
@@ -456,6 +460,16 @@
   }
 
 private:
+  void WriteMembers(QueueCallResults::Builder aTo) const
+  {
+    const auto& members = m_node.Replica().CurrentMembership().m_members;
+    auto list = aTo.initMembers(static_cast<unsigned>(members.size()));
+    for (unsigned i = 0; i < list.size(); ++i) {
+      list.set(i, members[i].m_address);
+    }
+    aTo.setMembersRevision(m_node.Replica().MembershipIndex().Get());
+  }
+
   template<typename Reply>
   void RefuseAsFollower(Reply aReply)
   {
--- a/src/entry/leader_client.cpp
+++ b/src/entry/leader_client.cpp
@@ -10,7 +10,7 @@
 
 /** More than a control group ever has; further addresses drop off the end of
  * the list. */
-constexpr std::size_t kMaxReplicas = 12;
+constexpr std::size_t kMaxReplicas = 24;
 /** Limits redirects per call: two replicas may each name the other as leader
  * while neither leads. */
 constexpr std::size_t kMaxRedirects = 2;
@@ -65,10 +65,7 @@
   }
   std::erase(m_replicas, aAddress);
   m_replicas.insert(m_replicas.begin(), aAddress);
-  if (m_replicas.size() > kMaxReplicas) {
-    m_targets.erase(m_replicas.back());
-    m_replicas.pop_back();
-  }
+  ForgetExcess();
 }
 
 kj::Promise<jobs::QueueReply>
@@ -76,8 +73,40 @@
 {
   auto request = TargetAt(aAddress).m_channel->Get().queueCallRequest();
   wire::Write(aCall, request.initCall());
-  return request.send().then(
-    [](auto&& aReply) { return wire::Read(aReply.getReply()); });
+  request.setKnownMembers(m_membersRevision.Get());
+  return request.send().then([this, aAddress](auto&& aReply) {
+    if (const Index revision{ aReply.getMembersRevision() };
+        revision != Index{}) {
+      std::vector<std::string> addresses{ aAddress };
+      for (const auto member : aReply.getMembers()) {
+        addresses.emplace_back(member.cStr());
+      }
+      m_membersRevision = revision;
+      PutFirst(addresses);
+    }
+    return wire::Read(aReply.getReply());
+  });
+}
+
+// All seeds may have been replaced by the time that the leader is lost, and no
+// other answer names a member that has never led. Other known addresses stay
+// behind the members: the group may have been formed anew.
+void
+LeaderClient::PutFirst(const std::vector<std::string>& aAddresses)
+{
+  const std::vector<std::string> before = std::exchange(m_replicas, {});
+  SetSeeds(aAddresses);
+  SetSeeds(before);
+  ForgetExcess();
+}
+
+void
+LeaderClient::ForgetExcess()
+{
+  while (m_replicas.size() > kMaxReplicas) {
+    m_targets.erase(m_replicas.back());
+    m_replicas.pop_back();
+  }
 }
 
 kj::Promise<jobs::QueueReply>
