consensus: a voter that stops gives its vote to a caught-up learner

The group of a core with one successor ended, and callers got no answer, if a voter was stopped for good and another one was lost within 6 s: one vote and a learner were left of four disks.

A voter kept its vote until it had been silent for 6 s, also when it was told to stop.

Change: a process that is told to stop hands leadership over, if it leads, and then tells the leader that it departs. A learner that has caught up becomes a voter first, then the departing voter leaves the group. The process waits for that for up to 0.5 s. Without a learner, and with no voter above the target, it keeps its vote. Replicas of earlier versions ignore the message.

--- a/include/bamboostile/consensus/replica.h
+++ b/include/bamboostile/consensus/replica.h
@@ -96,6 +96,11 @@
    * does not lead or no other voter answers. */
   bool HandOver(TimePoint aNow);
 
+  /** Tells the leader that this replica is about to stop, so that a caught-up
+   * learner gets its vote. Returns whether that is to be expected: it votes,
+   * and there is a learner or another voter more than needed. */
+  bool AnnounceDeparture();
+
   /** Replaces the log up to aApplied by a snapshot of the state there. A leader
    * keeps the entries that members which are catching up still need. */
   void Compact(Index aApplied, std::string aState, TimePoint aNow);
@@ -237,6 +242,7 @@
               TimePoint);
 
   void Handle(const ReplicaId& aFrom, const Handover&, Term, TimePoint);
+  void Handle(const ReplicaId& aFrom, const Departure&, Term, TimePoint);
 
   void HandlePreVoteAfterRestart(const ReplicaId& aFrom,
                                  const VoteRequest& aVote,
@@ -266,6 +272,9 @@
   bool HasVoterPlace(TimePoint aNow) const;
   /** Whether the member is a learner that could vote at once. */
   bool IsReadyToVote(const Member& aMember, TimePoint aNow) const;
+  /** Returns a departing voter that the group can do without. */
+  std::optional<ReplicaId> FindDepartedVoter() const;
+  std::size_t CountDepartingVoters() const;
   /** Returns the voter that makes the number of voters even, if it should
    * become a learner again. */
   std::optional<ReplicaId> FindSurplusVoter(TimePoint aNow) const;
@@ -367,6 +376,8 @@
   std::map<ReplicaId, Term> m_noLeaderReplies;
   std::map<ReplicaId, Progress> m_progress;
   std::set<ReplicaId> m_regressed;
+  /** Leader: voters that are about to stop, and when they said so. */
+  std::map<ReplicaId, TimePoint> m_departing;
 
   std::uint64_t m_lastTicket = 0;
   std::uint64_t m_syncedTicket = 0;
--- a/include/bamboostile/consensus/types.h
+++ b/include/bamboostile/consensus/types.h
@@ -174,13 +174,18 @@
 struct Handover
 {};
 
+/** Tells the leader that the sender is about to stop, perhaps for good. */
+struct Departure
+{};
+
 using MessageBody = std::variant<VoteRequest,
                                  VoteReply,
                                  AppendRequest,
                                  AppendReply,
                                  SnapshotChunk,
                                  SnapshotProgress,
-                                 Handover>;
+                                 Handover,
+                                 Departure>;
 
 struct Message
 {
--- a/include/bamboostile/control/node.h
+++ b/include/bamboostile/control/node.h
@@ -86,9 +86,10 @@
   void Deliver(const consensus::Message& aMessage, std::string aReplyTo);
   consensus::Error Bootstrap();
   consensus::Error RemoveMember(const InstanceId& aInstance);
-  /** Hands leadership over to another replica, if this one leads. Resolves once
-   * another leader is known, or after a timeout. */
-  kj::Promise<void> HandOver();
+  /** Called before the process stops: hands leadership over, if this replica
+   * leads, and its vote, if another replica can have it. Resolves once both are
+   * done, or after a timeout. */
+  kj::Promise<void> Depart();
   std::string StatusJson() const;
   /** Adds the metrics of this replica and, on the leader, of the others. */
   void ExportMetrics(telemetry::Metrics& aMetrics) const;
@@ -146,6 +147,9 @@
   void AdvanceWaves(TimePoint aNow);
   void ProposeDuty(const fleet::Command& aCommand);
   void MaybeCompact();
+  /** Resolves once another leader is known, or after a timeout. */
+  kj::Promise<void> HandOver();
+  kj::Promise<void> AwaitReplacement(TimePoint aUntil);
   kj::Promise<void> AwaitLeader(TimePoint aUntil);
   std::optional<std::string> AddressOf(const consensus::ReplicaId& aId) const;
 
--- a/schema/internal.capnp
+++ b/schema/internal.capnp
@@ -117,6 +117,8 @@
     }
     handover @31 :Void;
     # Replicas of earlier versions ignore it.
+    departure @33 :Void;
+    # The same.
   }
 }
 
--- a/src/consensus/elections.cpp
+++ b/src/consensus/elections.cpp
@@ -97,6 +97,7 @@
   m_votersWithoutLeader.clear();
   m_progress.clear();
   m_regressed.clear();
+  m_departing.clear();
   ResetElectionDeadline(aNow);
 }
 
@@ -410,4 +411,30 @@
   }
 }
 
+bool
+Replica::AnnounceDeparture()
+{
+  const Membership& current = CurrentMembership();
+  const std::size_t voters = current.VoterCount();
+  const bool hasSpare =
+    voters < current.m_members.size() || voters > m_options.m_maxVoters;
+  if (!m_leader || m_role == Role::kLeader || m_options.m_maxVoters == 0 ||
+      !current.IsVoter(m_self) || !hasSpare) {
+    return false;
+  }
+  SendNow(*m_leader, Departure{});
+  return true;
+}
+
+void
+Replica::Handle(const ReplicaId& aFrom,
+                const Departure&,
+                Term aTerm,
+                TimePoint aNow)
+{
+  if (m_role == Role::kLeader && aTerm == m_hardState.m_term) {
+    m_departing[aFrom] = aNow;
+  }
+}
+
 } // namespace bamboostile::consensus
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -966,7 +966,7 @@
 Replica::HasVoterPlace(TimePoint aNow) const
 {
   const Membership& current = CurrentMembership();
-  const std::size_t voters = current.VoterCount();
+  const std::size_t voters = current.VoterCount() - CountDepartingVoters();
   if (m_options.m_maxVoters == 0 || voters < m_options.m_maxVoters) {
     return true;
   }
@@ -979,6 +979,34 @@
          voters + needed <= m_options.m_maxVotersInReplacement;
 }
 
+std::size_t
+Replica::CountDepartingVoters() const
+{
+  return static_cast<std::size_t>(std::count_if(
+    m_departing.begin(), m_departing.end(), [&](const auto& aEntry) {
+      return CurrentMembership().IsVoter(aEntry.first);
+    }));
+}
+
+// A machine that is replaced stops with a signal, and its successor has caught
+// up before. If its vote stayed until it has been silent for long, the loss of
+// another voter in the meantime would end the group. The learner votes first,
+// so that the group never has fewer voters than needed.
+std::optional<ReplicaId>
+Replica::FindDepartedVoter() const
+{
+  if (m_options.m_maxVoters == 0 ||
+      CurrentMembership().VoterCount() <= m_options.m_maxVoters) {
+    return std::nullopt;
+  }
+  for (const auto& [id, since] : m_departing) {
+    if (CurrentMembership().IsVoter(id)) {
+      return id;
+    }
+  }
+  return std::nullopt;
+}
+
 // Only while all voters answer: otherwise the silent one is removed. A learner
 // that answers is about to catch up and make the number odd.
 std::optional<ReplicaId>
@@ -1014,7 +1042,14 @@
   if (!IsReady() || IsMembershipChangePending()) {
     return;
   }
+  std::erase_if(m_departing, [&](const auto& aEntry) {
+    return aNow > aEntry.second + kMaxSilence;
+  });
   const Membership current = CurrentMembership();
+  if (const auto departed = FindDepartedVoter()) {
+    ProposeMembership(current.Without(*departed), aNow);
+    return;
+  }
   const bool hasPlace = HasVoterPlace(aNow);
   const bool isBelowTarget =
     m_options.m_maxVoters == 0 || current.VoterCount() < m_options.m_maxVoters;
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -28,6 +28,9 @@
 /** Maximum time that a stopping leader waits for its successor. An election
  * without timeouts takes less, even on slow disks. */
 constexpr Duration kHandoverTimeout = Millis{ 300 };
+/** Maximum time that a stopping voter waits until a learner has its vote. Two
+ * changes of the members take less, even on slow disks. */
+constexpr Duration kDepartureTimeout = Millis{ 500 };
 
 kj::Duration
 ToKj(Duration aDuration)
@@ -337,6 +340,27 @@
   return AwaitLeader(MonotonicNow() + kHandoverTimeout);
 }
 
+kj::Promise<void>
+Node::Depart()
+{
+  return HandOver().then(
+    [this]() { return AwaitReplacement(MonotonicNow() + kDepartureTimeout); });
+}
+
+// The departure is announced again until the vote is gone: a message may be
+// lost, and a new leader knows of none.
+kj::Promise<void>
+Node::AwaitReplacement(TimePoint aUntil)
+{
+  if (MonotonicNow() >= aUntil || !m_replica.AnnounceDeparture()) {
+    return kj::READY_NOW;
+  }
+  Pump();
+  return m_timer.afterDelay(ToKj(kTickInterval)).then([this, aUntil]() {
+    return AwaitReplacement(aUntil);
+  });
+}
+
 // Until then this process answers calls, so that its callers are told about the
 // next leader.
 kj::Promise<void>
--- a/src/wire/consensus_codec.cpp
+++ b/src/wire/consensus_codec.cpp
@@ -15,6 +15,7 @@
 using consensus::AppendReply;
 using consensus::AppendRequest;
 using consensus::CommandBytes;
+using consensus::Departure;
 using consensus::EntryFragment;
 using consensus::FragmentProgress;
 using consensus::Handover;
@@ -215,6 +216,12 @@
   aTo.setHandover();
 }
 
+void
+WriteBody(const Departure&, schema::Message::Builder aTo)
+{
+  aTo.setDeparture();
+}
+
 SnapshotChunk
 ToChunk(Snapshot aPart,
         std::uint64_t aSize,
@@ -271,6 +278,8 @@
     }
     case schema::Message::HANDOVER:
       return Handover{};
+    case schema::Message::DEPARTURE:
+      return Departure{};
     case schema::Message::VOTE_REPLY: {
       auto from = aFrom.getVoteReply();
       return VoteReply{ from.getReplyPreVote(),
--- a/tests/unit/consensus/replacement_test.cpp
+++ b/tests/unit/consensus/replacement_test.cpp
@@ -193,6 +193,40 @@
   }
 }
 
+// Guards against a voter that stops for good and keeps its vote, so that the
+// loss of another one ends the group although a successor has caught up.
+TEST(Replacement, VoterDepartsAndAnotherIsLost_GroupCommits)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    ReplacedGroup group(3, 4, seed);
+    group.AddSuccessor();
+    group.Run(kCatchUp);
+    const std::size_t leader = *group.All().Leader();
+    const std::size_t departing = (leader + 1) % 3;
+    CHECK(group.All().At(departing).AnnounceDeparture());
+    group.All().Drain(departing);
+    group.Run(Millis{ 400 });
+    LONGS_EQUAL(3, group.Members().VoterCount());
+    group.Lose(departing);
+    group.Lose(seed % 2 == 0 ? leader : (leader + 2) % 3);
+    CHECK(group.Commits("after"));
+    CheckNoViolation(group);
+  }
+}
+
+// Guards against a group that becomes smaller than its target because voters
+// are restarted.
+TEST(Replacement, VoterDepartsWithoutSuccessor_ItKeepsItsVote)
+{
+  ReplacedGroup group(3, 3, 1);
+  group.Run(kCatchUp);
+  const std::size_t departing = (*group.All().Leader() + 1) % 3;
+  CHECK_FALSE(group.All().At(departing).AnnounceDeparture());
+  group.All().Drain(departing);
+  group.Run(kCatchUp);
+  LONGS_EQUAL(3, group.Members().VoterCount());
+}
+
 // Guards against a silent learner that counts as a vote of the group.
 TEST(Replacement, SecondSuccessorIsSilent_NeitherVotes)
 {
--- a/tools/bamboostiled/main.cpp
+++ b/tools/bamboostiled/main.cpp
@@ -455,7 +455,7 @@
       if (m_instances) {
         m_instances->StopOrders();
       }
-      return m_node->HandOver().then([this]() { return Drain(); });
+      return m_node->Depart().then([this]() { return Drain(); });
     });
   }
 
