--- a/include/bamboostile/jobs/book.h
+++ b/include/bamboostile/jobs/book.h
@@ -231,7 +231,7 @@
   bool AreInSameGang(const TaskRef& aLeft, const TaskRef& aRight) const;
   /** Tasks of active jobs that were running on workers that were lost. */
   const std::set<TaskRef>& TasksWithLosses() const { return m_tasksWithLosses; }
-  /** Runs of those tasks that count as losses of the incarnation, if any. */
+  /** Returns a retraction of each loss of the incarnation that counts. */
   std::vector<RetractLoss> LossesOn(const WorkerIncarnation& aWorker) const;
   bool HasLosses(const JobId& aJob) const;
   /** Whether any task's next or current run is an isolated run. */
--- a/src/control/job_calls.cpp
+++ b/src/control/job_calls.cpp
@@ -20,8 +20,8 @@
 
 /** Retry delay sent to a caller whose job was not accepted. */
 constexpr Millis kRetryAfter{ 1000 };
-/** The same where memory is missing: jobs that have ended are removed as often.
- */
+/** The same for a job that was refused for lack of memory: ended jobs are
+ * removed at this interval. */
 constexpr Millis kRetryAfterFull{ 5000 };
 /** Callers of all queues poll, and a count visits each run: minimum time from
  * one to the next, absolute and as a multiple of the time that it takes. */
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -269,8 +269,7 @@
 
 struct JobTableCodec
 {
-  /** A step without states of tasks is written as a count where all replicas
-   * read that. */
+  /** aIsCompact: a step without states of tasks is written as a count. */
   static void Write(const StepRun& aStep,
                     schema::JobState::Step::Builder aTo,
                     bool aIsCompact)
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -345,8 +345,9 @@
   return earliest;
 }
 
-// Occurrences that are due pile up while workers are missing. Those that come
-// first keep more workers busy than a pool has; the others wait uncounted.
+// Due occurrences pile up while workers are missing. The first ones are enough
+// to keep a pool busy; with all of them, a pass would take as long as the
+// backlog is.
 void
 Planner::AddDueOccurrences(const jobs::Job& aJob,
                            const fleet::QueueRoute& aRoute,
