tests: the bound on tasks' memory is what holds a step back

Cause: in NoMemoryForAnotherStep the first step took all capacity, so the second one was never considered, and the test held with the bound switched off. Change: the step in progress may have two tasks on the worker. Stricter than before: exactly one start, of that step.

--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -632,7 +632,9 @@
   WorkerReport report = Report("w1", 1);
   report.m_capacity = { 12'000, 12'000, 0 };
   Receive(report);
-  m_fleet.Submit("a", Spec({ Step(10'000) }));
+  StepSpec inProgress = Step(10'000);
+  inProgress.m_maxPerWorker = 2;
+  m_fleet.Submit("a", Spec({ inProgress }));
   m_fleet.Submit("b", Spec({ Step(10'000) }));
   m_fleet.Start(Ref("a"), "w1");
   const std::size_t inUse = m_fleet.Book().Bytes();
@@ -642,9 +644,10 @@
     m_fleet.Submit("text" + std::to_string(number), text);
   }
   CHECK_COMPARE(m_fleet.Book().Bytes(), >, inUse);
-  for (const jobs::Change& change : MakePlan().m_changes) {
-    STRCMP_EQUAL("a", std::get<StartRun>(change).m_task.m_job.Get().c_str());
-  }
+  const Plan plan = MakePlan();
+  LONGS_EQUAL(1, plan.m_changes.size());
+  STRCMP_EQUAL(
+    "a", std::get<StartRun>(plan.m_changes[0]).m_task.m_job.Get().c_str());
   m_fleet.End(Ref("a"), RunEnd::kStopped);
   CHECK(!MakePlan().m_changes.empty());
 }
