--- a/tests/support/processes.cpp
+++ b/tests/support/processes.cpp
@@ -9,6 +9,7 @@
 #include <thread>
 
 #include <fcntl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -99,9 +100,22 @@
   return Loopback(m_basePort + 61);
 }
 
+std::string
+Processes::CallersHttp() const
+{
+  return Loopback(m_basePort + 62);
+}
+
+std::string
+Processes::ReadinessHttp() const
+{
+  return Loopback(m_basePort + 63);
+}
+
 pid_t
 Processes::Spawn(const std::string& aName,
-                 const std::vector<std::string>& aArguments)
+                 const std::vector<std::string>& aArguments,
+                 std::optional<std::uint64_t> aMaxDescriptors)
 {
   const fs::path log = m_folder / (aName + ".log");
   std::vector<char*> arguments;
@@ -114,6 +128,10 @@
     const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     dup2(fd, STDOUT_FILENO);
     dup2(fd, STDERR_FILENO);
+    if (aMaxDescriptors) {
+      const rlimit limit{ *aMaxDescriptors, *aMaxDescriptors };
+      setrlimit(RLIMIT_NOFILE, &limit);
+    }
     execv(arguments[0], arguments.data());
     _exit(127);
   }
@@ -162,6 +180,32 @@
                          { "maintenanceSeconds", 2 } } } });
 }
 
+void
+Processes::StartHostedControl(const Json& aHosting,
+                              std::optional<std::uint64_t> aMaxDescriptors)
+{
+  Json hosting{ { "formGroup", true }, { "workers", ControlFrontHttp() } };
+  hosting.update(aHosting);
+  StartControlWith(
+    1, { { "control", { Rpc(1) } }, { "hosting", hosting } }, aMaxDescriptors);
+}
+
+void
+Processes::StartHostedEntry(const Json& aHosting,
+                            const Json& aLimits,
+                            std::optional<std::uint64_t> aMaxDescriptors)
+{
+  Json hosting{ { "callers", CallersHttp() },
+                { "readiness", ReadinessHttp() } };
+  hosting.update(aHosting);
+  const Json settings{ { "instance", "e1" },     { "zone", "z1" },
+                       { "roles", { "entry" } }, { "control", { Rpc(1) } },
+                       { "hosting", hosting },   { "limits", aLimits } };
+  const fs::path file = m_folder / "e1.json";
+  std::ofstream(file) << settings.dump();
+  Spawn("e1", { DaemonPath(), "--settings", file.string() }, aMaxDescriptors);
+}
+
 void
 Processes::StartPlatform(int aWorkers, std::vector<std::string> aExtra)
 {
@@ -251,7 +295,9 @@
 }
 
 void
-Processes::StartControlWith(int aNumber, Json aExtra)
+Processes::StartControlWith(int aNumber,
+                            Json aExtra,
+                            std::optional<std::uint64_t> aMaxDescriptors)
 {
   const std::string name = "c" + std::to_string(aNumber);
   Json settings{
@@ -266,7 +312,7 @@
   }
   const fs::path file = m_folder / (name + ".json");
   std::ofstream(file) << settings.dump();
-  Spawn(name, { DaemonPath(), "--settings", file.string() });
+  Spawn(name, { DaemonPath(), "--settings", file.string() }, aMaxDescriptors);
 }
 
 void
@@ -383,6 +429,85 @@
   Wait(aName);
 }
 
+bool
+Processes::IsRunning(const std::string& aName)
+{
+  const auto found = m_running.find(aName);
+  if (found == m_running.end()) {
+    return false;
+  }
+  int status = 0;
+  if (waitpid(found->second, &status, WNOHANG) == 0) {
+    return true;
+  }
+  m_running.erase(found);
+  return false;
+}
+
+std::uint64_t
+Processes::PeakMemory(const std::string& aName) const
+{
+  const std::string key = "VmHWM:";
+  constexpr std::uint64_t kKiB = 1024;
+  std::ifstream in("/proc/" + std::to_string(m_running.at(aName)) + "/status");
+  for (std::string line; std::getline(in, line);) {
+    if (line.rfind(key, 0) == 0) {
+      return std::stoull(line.substr(key.size())) * kKiB;
+    }
+  }
+  return 0;
+}
+
+std::uint64_t
+Processes::ProcessorTicks(const std::string& aName) const
+{
+  // proc(5): the name, in parentheses, may contain blanks; user and system time
+  // are the 12th and 13th field after it.
+  constexpr int kFieldsBefore = 11;
+  const std::string text =
+    ReadAll("/proc/" + std::to_string(m_running.at(aName)) + "/stat");
+  const std::size_t nameEnd = text.rfind(')');
+  if (nameEnd == std::string::npos) {
+    return 0;
+  }
+  std::istringstream fields(text.substr(nameEnd + 1));
+  std::string skipped;
+  for (int i = 0; i < kFieldsBefore; ++i) {
+    fields >> skipped;
+  }
+  std::uint64_t user = 0;
+  std::uint64_t system = 0;
+  fields >> user >> system;
+  return user + system;
+}
+
+void
+Processes::AwaitIdle(const std::string& aName)
+{
+  constexpr Millis kWindow{ 300 };
+  constexpr std::uint64_t kIdleTicks = 2;
+  constexpr int kIdleWindows = 3;
+  int idleWindows = 0;
+  Until(
+    [&]() {
+      const std::uint64_t before = ProcessorTicks(aName);
+      std::this_thread::sleep_for(kWindow);
+      const bool isIdle = ProcessorTicks(aName) <= before + kIdleTicks;
+      idleWindows = isIdle ? idleWindows + 1 : 0;
+      return idleWindows == kIdleWindows;
+    },
+    kStartupTimeout);
+}
+
+std::size_t
+Processes::CountDescriptors(const std::string& aName) const
+{
+  const fs::path folder =
+    "/proc/" + std::to_string(m_running.at(aName)) + "/fd";
+  return static_cast<std::size_t>(
+    std::distance(fs::directory_iterator(folder), fs::directory_iterator{}));
+}
+
 Output
 Processes::Cli(std::vector<std::string> aArguments)
 {
--- a/tests/support/processes.h
+++ b/tests/support/processes.h
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -44,6 +45,14 @@
   void StartControlWithoutDisk(int aNumber);
   /** Starts a group of one replica whose instances the fake platform hosts. */
   void StartHostedControl();
+  /** Starts a control replica that forms a group by itself, for callers that
+   * the test doesn't trust. */
+  void StartHostedControl(const nlohmann::json& aHosting,
+                          std::optional<std::uint64_t> aMaxDescriptors);
+  /** Starts an entry for callers of queues, whose leader is replica 1. */
+  void StartHostedEntry(const nlohmann::json& aHosting,
+                        const nlohmann::json& aLimits,
+                        std::optional<std::uint64_t> aMaxDescriptors);
   /** Starts a fake platform that hosts workers 1 to aWorkers and restarts them
    * as ordered. */
   void StartPlatform(int aWorkers, std::vector<std::string> aExtra = {});
@@ -53,6 +62,9 @@
   std::vector<std::string> PlatformLines(const std::string& aWord) const;
   /** Address where the platform's operators call the control group. */
   std::string ControlFrontHttp() const;
+  /** Addresses of the entry that StartHostedEntry() starts. */
+  std::string CallersHttp() const;
+  std::string ReadinessHttp() const;
   /** Starts a fake worker, which logs the tasks that it starts. */
   void StartWorker(int aNumber, std::vector<std::string> aExtra = {});
   /** Counts the worker's starts of tasks whose end as done had already been
@@ -76,6 +88,13 @@
   /** Returns whether the process has exited by itself with code 0. */
   bool HasExitedCleanly(const std::string& aName);
   void Kill(const std::string& aName);
+  bool IsRunning(const std::string& aName);
+  /** Returns the largest resident size that the process has had, in bytes; 0
+   * once it has ended. */
+  std::uint64_t PeakMemory(const std::string& aName) const;
+  std::size_t CountDescriptors(const std::string& aName) const;
+  /** Waits until the process has dealt with all that it was sent. */
+  void AwaitIdle(const std::string& aName);
 
   Output Cli(std::vector<std::string> aArguments);
   nlohmann::json Status();
@@ -104,9 +123,16 @@
   std::uint64_t TotalAt(int aUpstream);
 
 private:
+  /** With aMaxDescriptors, the process may open no more. */
   pid_t Spawn(const std::string& aName,
-              const std::vector<std::string>& aArguments);
-  void StartControlWith(int aNumber, nlohmann::json aExtra);
+              const std::vector<std::string>& aArguments,
+              std::optional<std::uint64_t> aMaxDescriptors = std::nullopt);
+  /** Returns the processor time that the process has used, in clock ticks. */
+  std::uint64_t ProcessorTicks(const std::string& aName) const;
+  void StartControlWith(
+    int aNumber,
+    nlohmann::json aExtra,
+    std::optional<std::uint64_t> aMaxDescriptors = std::nullopt);
   std::vector<std::string> CallerArguments(
     std::vector<std::string> aExtra) const;
 
