http: requests are read with Boost.Beast, which keeps no list of chunks

A body far over the limit was not answered: the connection was closed.

Cause: RESTinio keeps 16 bytes for each chunk until the request has been handled, and its limit on a body doesn't see them. It checks its limits while it parses, and closes the connection if one is exceeded, so ours had to be four times lower to be answered at all.

What was ruled out: RESTinio's traits take a socket and a listener of ours, but both see raw bytes; the list of chunks could only be kept short by rewriting the framing of what is read before RESTinio parses it again. Its acceptor also drops a pending accept for each error, without a hook, so a listener that has run out of descriptors once stays silent.

Change: Beast's parser hands each piece of a body to a parser of ours, which appends it. A request that cannot be read is answered with 400, 413, 414 or 431, `not-run`, and what still arrives is dropped for up to 2 s, so that its sender can read the answer. A connection that waits for a request has no buffer.

--- a/include/bamboostile/http/server.h
+++ b/include/bamboostile/http/server.h
@@ -37,7 +37,7 @@
  * @brief An HTTP/1.1 server with a thread of its own.
  *
  * The handler and all tasks given to Post() and Every() run on that thread, so
- * data that only they use needs no lock. Built on RESTinio.
+ * data that only they use needs no lock. Built on Boost.Beast.
  */
 class Server
 {
--- /dev/null
+++ b/src/http/connection.cpp
@@ -0,0 +1,345 @@
+#include "connection.h"
+
+#include "bamboostile/telemetry/log.h"
+
+#include <boost/asio/write.hpp>
+
+#include <utility>
+
+namespace bamboostile::http {
+
+namespace {
+
+namespace asio = boost::asio;
+using ErrorCode = boost::system::error_code;
+using Socket = asio::ip::tcp::socket;
+using telemetry::Level;
+using telemetry::LogLine;
+
+/** Reads of one connection before others get their turn. */
+constexpr int kReadsPerTurn = 4;
+/** Bytes dropped after a refusal. A connection that is closed with unread bytes
+ * is reset, and its client may lose the response. */
+constexpr std::size_t kMaxDiscarded = std::size_t{ 8 } * 1024 * 1024;
+constexpr std::uint32_t kBadRequest = 400;
+constexpr std::uint32_t kPayloadTooLarge = 413;
+constexpr std::uint32_t kUriTooLong = 414;
+constexpr std::uint32_t kHeadersTooLarge = 431;
+
+std::uint32_t
+StatusOf(ParseFailure aFailure)
+{
+  switch (aFailure) {
+    case ParseFailure::kMalformed:
+      return kBadRequest;
+    case ParseFailure::kBodyTooLarge:
+      return kPayloadTooLarge;
+    case ParseFailure::kTargetTooLong:
+      return kUriTooLong;
+    case ParseFailure::kHeadTooLarge:
+      return kHeadersTooLarge;
+  }
+  return kBadRequest;
+}
+
+const char*
+ReasonOf(ParseFailure aFailure)
+{
+  return aFailure == ParseFailure::kMalformed ? "Bad Request" : "Too Large";
+}
+
+std::string
+WriteHead(const Response& aResponse, bool aKeepsAlive)
+{
+  std::string head =
+    "HTTP/1.1 " + std::to_string(aResponse.m_status) + " " +
+    (aResponse.m_reason.empty() ? "Status" : aResponse.m_reason) +
+    "\r\nConnection: " + (aKeepsAlive ? "keep-alive" : "close") +
+    "\r\nContent-Length: " + std::to_string(aResponse.m_body.size()) + "\r\n";
+  for (const Header& header : aResponse.m_headers) {
+    head += header.m_name + ": " + header.m_value + "\r\n";
+  }
+  return head + "\r\n";
+}
+
+class ConnectionExchange final : public Exchange
+{
+public:
+  ConnectionExchange(std::weak_ptr<Connection> aConnection, Request aRequest)
+    : m_connection(std::move(aConnection))
+    , m_request(std::move(aRequest))
+  {
+  }
+
+  const Request& Incoming() const override { return m_request; }
+  std::string TakeBody() override { return std::move(m_request.m_body); }
+
+  void Respond(Response aResponse) override
+  {
+    // Only the first response counts: the connection may read its next request
+    // meanwhile.
+    if (const auto connection = std::exchange(m_connection, {}).lock()) {
+      connection->Respond(std::move(aResponse));
+    }
+  }
+
+private:
+  std::weak_ptr<Connection> m_connection;
+  Request m_request;
+};
+
+} // namespace
+
+ConnectionContext::ConnectionContext(PhaseTimeouts aTimeouts,
+                                     RequestLimits aLimits)
+  : m_table(aTimeouts)
+  , m_limits(aLimits)
+{
+}
+
+Connection::Connection(ConnectionId aId,
+                       Socket aSocket,
+                       ConnectionContext& aContext)
+  : m_id(aId)
+  , m_socket(std::move(aSocket))
+  , m_context(aContext)
+{
+}
+
+void
+Connection::Start()
+{
+  m_context.m_table.Add(m_id, MonotonicNow());
+  ErrorCode error;
+  m_socket.non_blocking(true, error);
+  if (error) {
+    Close();
+    return;
+  }
+  AwaitInput();
+}
+
+void
+Connection::Close()
+{
+  if (!m_socket.is_open()) {
+    return;
+  }
+  ErrorCode ignored;
+  m_socket.shutdown(Socket::shutdown_both, ignored);
+  m_socket.close(ignored);
+  m_parser.reset();
+  m_input = {};
+  m_context.m_table.Remove(m_id);
+  m_context.m_onClosed(m_id);
+}
+
+void
+Connection::Enter(Phase aPhase)
+{
+  if (m_phase != aPhase) {
+    m_phase = aPhase;
+    m_context.m_table.Enter(m_id, aPhase, MonotonicNow());
+  }
+}
+
+void
+Connection::AwaitInput()
+{
+  if (m_isAwaitingInput) {
+    return;
+  }
+  m_isAwaitingInput = true;
+  m_socket.async_wait(Socket::wait_read,
+                      [self = shared_from_this()](const ErrorCode& aError) {
+                        self->m_isAwaitingInput = false;
+                        if (!aError) {
+                          self->OnReadable();
+                        }
+                      });
+}
+
+bool
+Connection::IsReading() const
+{
+  return m_socket.is_open() && m_phase != Phase::kHandling &&
+         m_phase != Phase::kWriting;
+}
+
+void
+Connection::OnReadable()
+{
+  for (int i = 0; i < kReadsPerTurn && IsReading(); ++i) {
+    if (ReadOnce() == Progress::kStop) {
+      break;
+    }
+  }
+  if (IsReading()) {
+    AwaitInput();
+  }
+}
+
+Connection::Progress
+Connection::ReadOnce()
+{
+  ErrorCode error;
+  auto& buffer = m_context.m_received;
+  const std::size_t bytes = m_socket.read_some(asio::buffer(buffer), error);
+  if (error == asio::error::would_block) {
+    return Progress::kStop;
+  }
+  if (error) {
+    Close();
+    return Progress::kStop;
+  }
+  Consume({ buffer.data(), bytes });
+  return bytes == buffer.size() ? Progress::kContinue : Progress::kStop;
+}
+
+void
+Connection::Consume(std::string_view aBytes)
+{
+  if (m_phase == Phase::kDiscarding) {
+    m_discarded += aBytes.size();
+    if (m_discarded > kMaxDiscarded) {
+      Close();
+    }
+    return;
+  }
+  m_input += aBytes;
+  ParseInput();
+}
+
+void
+Connection::ParseInput()
+{
+  if (!m_parser) {
+    // RFC 9112, 2.2: empty lines before a request are ignored.
+    m_input.erase(0, m_input.find_first_not_of("\r\n"));
+    if (m_input.empty()) {
+      return;
+    }
+    m_parser = std::make_unique<RequestParser>(m_context.m_limits);
+    Enter(Phase::kReadingHead);
+  }
+  m_input.erase(0, m_parser->Read(m_input));
+  if (const auto failure = m_parser->Failure()) {
+    Refuse(StatusOf(*failure), ReasonOf(*failure));
+  } else if (m_parser->IsComplete()) {
+    Dispatch();
+  } else if (m_parser->HasHead()) {
+    Enter(Phase::kReadingBody);
+  }
+}
+
+void
+Connection::Dispatch()
+{
+  Enter(Phase::kHandling);
+  Request request = std::move(m_parser->Message());
+  m_keepsAlive = m_parser->KeepsAlive();
+  m_isHead = request.m_method == "HEAD";
+  m_parser.reset();
+  Handle(
+    std::make_shared<ConnectionExchange>(weak_from_this(), std::move(request)));
+}
+
+void
+Connection::Handle(std::shared_ptr<Exchange> aExchange)
+{
+  try {
+    m_context.m_handler(std::move(aExchange));
+  } catch (const std::exception& error) {
+    LogLine(Level::kError, "request handler failed")
+      .With("reason", std::string{ error.what() })
+      .Write();
+    Close();
+  }
+}
+
+// The handler has not seen the request, so it has not run.
+void
+Connection::Refuse(std::uint32_t aStatus, const char* aReason)
+{
+  m_isHead = false;
+  m_isRefusing = true;
+  m_parser.reset();
+  m_input = {};
+  Response response;
+  response.m_status = aStatus;
+  response.m_reason = aReason;
+  response.m_headers = { { "Bamboostile-Outcome", "not-run" } };
+  response.m_close = true;
+  LogRefusal(response);
+  Write(std::move(response));
+}
+
+void
+Connection::LogRefusal(const Response& aResponse)
+{
+  if (const auto unlogged = m_context.m_refusalLog.Admit(MonotonicNow())) {
+    LogLine(Level::kInfo, "request refused before it was read")
+      .With("status", aResponse.m_status)
+      .With("reason", aResponse.m_reason)
+      .With("connections", m_context.m_table.Size())
+      .With("unloggedBefore", *unlogged)
+      .Write();
+  }
+}
+
+void
+Connection::Respond(Response aResponse)
+{
+  if (m_phase == Phase::kHandling && m_socket.is_open()) {
+    Write(std::move(aResponse));
+  }
+}
+
+void
+Connection::Write(Response aResponse)
+{
+  Enter(Phase::kWriting);
+  m_keepsAlive = m_keepsAlive && !aResponse.m_close;
+  m_responseHead = WriteHead(aResponse, m_keepsAlive);
+  m_responseBody = m_isHead ? std::string{} : std::move(aResponse.m_body);
+  const std::array<asio::const_buffer, 2> buffers{
+    asio::buffer(m_responseHead), asio::buffer(m_responseBody)
+  };
+  asio::async_write(
+    m_socket,
+    buffers,
+    [self = shared_from_this()](const ErrorCode& aError, std::size_t) {
+      self->OnWritten(!aError);
+    });
+}
+
+void
+Connection::OnWritten(bool aIsWritten)
+{
+  m_responseHead = {};
+  m_responseBody = {};
+  if (!aIsWritten || !m_socket.is_open()) {
+    Close();
+  } else if (m_isRefusing) {
+    ErrorCode ignored;
+    m_socket.shutdown(Socket::shutdown_send, ignored);
+    Enter(Phase::kDiscarding);
+    AwaitInput();
+  } else if (m_keepsAlive) {
+    AwaitNextRequest();
+  } else {
+    Close();
+  }
+}
+
+void
+Connection::AwaitNextRequest()
+{
+  Enter(Phase::kIdle);
+  ParseInput();
+  if (IsReading()) {
+    AwaitInput();
+  }
+}
+
+} // namespace bamboostile::http
--- /dev/null
+++ b/src/http/connection.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "connection_table.h"
+#include "request_parser.h"
+
+#include "bamboostile/http/server.h"
+#include "bamboostile/telemetry/log_limit.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace bamboostile::http {
+
+class Connection;
+
+/** What the connections of a server share. Used on the server's thread. */
+struct ConnectionContext
+{
+  ConnectionContext(PhaseTimeouts aTimeouts, RequestLimits aLimits);
+
+  ConnectionTable m_table;
+  RequestLimits m_limits;
+  std::function<void(std::shared_ptr<Exchange>)> m_handler;
+  telemetry::LogRateLimiter m_refusalLog{ Millis{ 200 } };
+  /** Called when a connection has closed. */
+  std::function<void(ConnectionId)> m_onClosed;
+  /** What one read receives. A connection that waits needs no buffer. */
+  std::array<char, std::size_t{ 16 } * 1024> m_received{};
+};
+
+/** A connection of a client: reads a request, waits for its response, writes
+ * it, and reads the next one. */
+class Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+  Connection(ConnectionId aId,
+             boost::asio::ip::tcp::socket aSocket,
+             ConnectionContext& aContext);
+
+  void Start();
+  /** Sends the response to the request that is being handled. */
+  void Respond(Response aResponse);
+  void Close();
+
+private:
+  enum class Progress
+  {
+    kContinue,
+    kStop
+  };
+
+  void Enter(Phase aPhase);
+  void AwaitInput();
+  bool IsReading() const;
+  void OnReadable();
+  Progress ReadOnce();
+  void Consume(std::string_view aBytes);
+  void ParseInput();
+  void Dispatch();
+  void Handle(std::shared_ptr<Exchange> aExchange);
+  void Refuse(std::uint32_t aStatus, const char* aReason);
+  void LogRefusal(const Response& aResponse);
+  void Write(Response aResponse);
+  void OnWritten(bool aIsWritten);
+  void AwaitNextRequest();
+
+  ConnectionId m_id;
+  boost::asio::ip::tcp::socket m_socket;
+  ConnectionContext& m_context;
+  Phase m_phase = Phase::kIdle;
+  /** Exists while a request is being read. */
+  std::unique_ptr<RequestParser> m_parser;
+  /** Received, not yet used up by the parser. */
+  std::string m_input;
+  std::size_t m_discarded = 0;
+  bool m_isAwaitingInput = false;
+  bool m_keepsAlive = true;
+  bool m_isHead = false;
+  bool m_isRefusing = false;
+  std::string m_responseHead;
+  std::string m_responseBody;
+};
+
+} // namespace bamboostile::http
--- /dev/null
+++ b/src/http/connection_table.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "bamboostile/units/strong.h"
+#include "bamboostile/units/time.h"
+
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+namespace bamboostile::http {
+
+using ConnectionId = Strong<struct ConnectionIdTag, std::uint64_t>;
+
+/** What a connection of a server is doing. */
+enum class Phase
+{
+  /** Open, without a byte of its next request. */
+  kIdle,
+  kReadingHead,
+  kReadingBody,
+  /** Its request is with the handler. */
+  kHandling,
+  kWriting,
+  /** Answered before its request was read; what still arrives is dropped. */
+  kDiscarding
+};
+
+/** Longest times in each phase. */
+struct PhaseTimeouts
+{
+  Millis m_idle{};
+  /** From the first byte of a request to its last. */
+  Millis m_request{};
+  Millis m_handle{};
+  Millis m_write{};
+  Millis m_discard{};
+};
+
+/** Decides, without I/O, which connections of a server are closed. */
+class ConnectionTable
+{
+public:
+  explicit ConnectionTable(PhaseTimeouts aTimeouts);
+
+  void Add(ConnectionId aId, TimePoint aNow);
+  void Remove(ConnectionId aId);
+  /** Moving from a request's head to its body extends no timeout. */
+  void Enter(ConnectionId aId, Phase aPhase, TimePoint aNow);
+  std::size_t Size() const { return m_connections.size(); }
+  /** Returns the connections that have been in a phase for too long. */
+  std::vector<ConnectionId> Expired(TimePoint aNow) const;
+
+private:
+  struct Connection
+  {
+    Phase m_phase = Phase::kIdle;
+    TimePoint m_since;
+  };
+
+  Millis TimeoutOf(Phase aPhase) const;
+
+  PhaseTimeouts m_timeouts;
+  std::unordered_map<ConnectionId, Connection> m_connections;
+};
+
+} // namespace bamboostile::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,77 +1,32 @@
 #include "bamboostile/http/server.h"
 
-#include <restinio/all.hpp>
+#include "connection.h"
 
-#include <asio/steady_timer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <thread>
+#include <unordered_map>
 
 namespace bamboostile::http {
 
 namespace {
 
-struct Traits : public restinio::default_single_thread_traits_t
-{
-  static constexpr bool use_connection_count_limiter = true;
-};
+namespace asio = boost::asio;
+using ErrorCode = boost::system::error_code;
+using asio::ip::tcp;
 
-using RestinioServer = restinio::http_server_t<Traits>;
-
-/** Factor between the server's limits and those set in RESTinio, which closes
- * the connection without an answer if one of its own is exceeded. A request
- * slightly over the server's limits thus still gets an answer. */
-constexpr std::uint64_t kRestinioLimitFactor = 4;
-constexpr std::size_t kMaxHeaderFields = 200;
-constexpr std::size_t kMaxFieldName = 1024;
-constexpr std::size_t kMaxTarget = 8192;
 /** Connections accepted per iteration of the event loop. With one, a busy
  * process reads requests at the end of the backlog only after their senders
  * have timed out and reconnected at the end of the backlog. */
-constexpr std::size_t kAcceptsPerIteration = 64;
-constexpr std::uint16_t kPayloadTooLarge = 413;
-constexpr std::uint16_t kUriTooLong = 414;
-constexpr std::uint16_t kHeadersTooLarge = 431;
-
-class RestinioExchange final : public Exchange
-{
-public:
-  explicit RestinioExchange(restinio::request_handle_t aRequest)
-    : m_restinio(std::move(aRequest))
-  {
-    const auto& header = m_restinio->header();
-    m_request.m_method = header.method().c_str();
-    m_request.m_target = header.request_target();
-    header.for_each_field([&](const auto& aField) {
-      m_request.m_headers.push_back({ aField.name(), aField.value() });
-    });
-    m_request.m_body = m_restinio->body();
-  }
-
-  const Request& Incoming() const override { return m_request; }
-  std::string TakeBody() override { return std::move(m_request.m_body); }
-
-  void Respond(Response aResponse) override
-  {
-    auto response = m_restinio->create_response(restinio::http_status_line_t{
-      restinio::http_status_code_t{
-        static_cast<std::uint16_t>(aResponse.m_status) },
-      aResponse.m_reason.empty() ? "Status" : aResponse.m_reason });
-    for (const Header& header : aResponse.m_headers) {
-      response.append_header(header.m_name, header.m_value);
-    }
-    if (aResponse.m_close) {
-      response.connection_close();
-    }
-    if (!aResponse.m_body.empty() && m_request.m_method != "HEAD") {
-      response.set_body(std::move(aResponse.m_body));
-    }
-    response.done();
-  }
-
-private:
-  restinio::request_handle_t m_restinio;
-  Request m_request;
-};
+constexpr int kAcceptsPerIteration = 64;
+/** Time in which a refused client can still read its response. */
+constexpr Millis kDiscardTimeout{ 2'000 };
+constexpr Millis kMaxCheckInterval{ 1'000 };
+/** Checks of timeouts within the shortest one that is set. */
+constexpr int kChecksPerTimeout = 2;
 
 } // namespace
 
@@ -79,8 +34,18 @@
 {
   Impl(ServerOptions aOptions, Handler aHandler)
     : m_options(std::move(aOptions))
-    , m_handler(std::move(aHandler))
+    , m_acceptor(m_context)
+    , m_checkTimer(m_context)
+    , m_connections(
+        PhaseTimeouts{ m_options.m_readTimeout,
+                       m_options.m_readTimeout,
+                       m_options.m_handleTimeout,
+                       m_options.m_readTimeout,
+                       kDiscardTimeout },
+        RequestLimits{ m_options.m_maxBodyBytes, m_options.m_maxHeaderBytes })
   {
+    m_connections.m_handler = std::move(aHandler);
+    m_connections.m_onClosed = [this](ConnectionId aId) { OnClosed(aId); };
   }
 
   struct Periodic
@@ -90,63 +55,112 @@
     std::unique_ptr<asio::steady_timer> m_timer;
   };
 
-  restinio::request_handling_status_t Handle(
-    const restinio::request_handle_t& aRequest)
+  void ScheduleNext(Periodic& aPeriodic)
   {
-    auto exchange = std::make_shared<RestinioExchange>(aRequest);
-    if (const std::uint16_t status = CheckSize(exchange->Incoming())) {
-      Response tooLarge;
-      tooLarge.m_status = status;
-      tooLarge.m_reason = "Too Large";
-      tooLarge.m_headers = { { "Bamboostile-Outcome", "not-run" } };
-      tooLarge.m_close = true;
-      exchange->Respond(std::move(tooLarge));
-    } else {
-      m_handler(std::move(exchange));
-    }
-    return restinio::request_accepted();
+    aPeriodic.m_timer->expires_after(aPeriodic.m_period);
+    aPeriodic.m_timer->async_wait([this, &aPeriodic](const auto& aError) {
+      if (!aError) {
+        aPeriodic.m_task();
+        ScheduleNext(aPeriodic);
+      }
+    });
   }
 
-  std::uint16_t CheckSize(const Request& aRequest) const
+  void Listen()
   {
-    if (aRequest.m_body.size() > m_options.m_maxBodyBytes) {
-      return kPayloadTooLarge;
-    }
-    if (aRequest.m_target.size() > kMaxTarget) {
-      return kUriTooLong;
+    const tcp::endpoint endpoint{ asio::ip::make_address(m_options.m_address),
+                                  m_options.m_port };
+    m_acceptor.open(endpoint.protocol());
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+    m_acceptor.bind(endpoint);
+    m_acceptor.listen(asio::socket_base::max_listen_connections);
+    m_acceptor.non_blocking(true);
+  }
+
+  void AwaitClients()
+  {
+    if (m_isAwaitingClients || !m_acceptor.is_open()) {
+      return;
     }
-    std::size_t bytes = 0;
-    for (const Header& header : aRequest.m_headers) {
-      bytes += header.m_name.size() + header.m_value.size();
+    m_isAwaitingClients = true;
+    m_acceptor.async_wait(tcp::acceptor::wait_read, [this](const auto& aError) {
+      m_isAwaitingClients = false;
+      if (!aError) {
+        Accept();
+      }
+    });
+  }
+
+  void Accept()
+  {
+    for (int i = 0; i < kAcceptsPerIteration; ++i) {
+      if (m_open.size() >= m_options.m_maxConnections) {
+        return;
+      }
+      ErrorCode error;
+      tcp::socket socket = m_acceptor.accept(error);
+      if (error == asio::error::would_block) {
+        break;
+      }
+      if (!error) {
+        Open(std::move(socket));
+      }
     }
-    return bytes > m_options.m_maxHeaderBytes ? kHeadersTooLarge : 0;
+    AwaitClients();
   }
 
-  void ScheduleNext(Periodic& aPeriodic)
+  void Open(tcp::socket aSocket)
   {
-    aPeriodic.m_timer->expires_after(aPeriodic.m_period);
-    aPeriodic.m_timer->async_wait([this, &aPeriodic](const auto& aError) {
+    const ConnectionId id{ ++m_lastId };
+    const auto connection =
+      std::make_shared<Connection>(id, std::move(aSocket), m_connections);
+    m_open.emplace(id, connection);
+    connection->Start();
+  }
+
+  void OnClosed(ConnectionId aId)
+  {
+    m_open.erase(aId);
+    AwaitClients();
+  }
+
+  Millis CheckInterval() const
+  {
+    return std::min(kMaxCheckInterval,
+                    m_options.m_readTimeout / kChecksPerTimeout);
+  }
+
+  void CheckTimeouts()
+  {
+    m_checkTimer.expires_after(CheckInterval());
+    m_checkTimer.async_wait([this](const auto& aError) {
       if (!aError) {
-        aPeriodic.m_task();
-        ScheduleNext(aPeriodic);
+        for (const ConnectionId id :
+             m_connections.m_table.Expired(MonotonicNow())) {
+          Close(id);
+        }
+        CheckTimeouts();
       }
     });
   }
 
-  restinio::incoming_http_msg_limits_t RestinioLimits() const
+  void Close(ConnectionId aId)
   {
-    return restinio::incoming_http_msg_limits_t{}
-      .max_url_size(kMaxTarget * kRestinioLimitFactor)
-      .max_field_name_size(kMaxFieldName)
-      .max_field_value_size(m_options.m_maxHeaderBytes * kRestinioLimitFactor)
-      .max_field_count(kMaxHeaderFields)
-      .max_body_size(m_options.m_maxBodyBytes * kRestinioLimitFactor);
+    if (const auto found = m_open.find(aId); found != m_open.end()) {
+      const auto connection = found->second;
+      connection->Close();
+    }
   }
 
   ServerOptions m_options;
-  Handler m_handler;
-  asio::io_context m_context;
-  std::unique_ptr<RestinioServer> m_server;
+  /** Outlives the connections: their handlers are destroyed with it. */
+  asio::io_context m_context{ 1 };
+  tcp::acceptor m_acceptor;
+  asio::steady_timer m_checkTimer;
+  ConnectionContext m_connections;
+  std::unordered_map<ConnectionId, std::shared_ptr<Connection>> m_open;
+  std::uint64_t m_lastId = 0;
+  bool m_isAwaitingClients = false;
   std::vector<std::unique_ptr<Periodic>> m_periodic;
   std::thread m_thread;
 };
@@ -165,29 +179,15 @@
 Server::Start(std::string& aReason)
 {
   Impl& impl = *m_impl;
-  const ServerOptions& options = impl.m_options;
-  impl.m_server = std::make_unique<RestinioServer>(
-    restinio::external_io_context(impl.m_context), [&](auto& aSettings) {
-      aSettings.port(options.m_port)
-        .address(options.m_address)
-        .max_parallel_connections(options.m_maxConnections)
-        .max_pipelined_requests(1)
-        .concurrent_accepts_count(kAcceptsPerIteration)
-        .incoming_http_msg_limits(impl.RestinioLimits())
-        .read_next_http_message_timelimit(options.m_readTimeout)
-        .write_http_response_timelimit(options.m_readTimeout)
-        .handle_request_timeout(options.m_handleTimeout)
-        .request_handler([&impl](const restinio::request_handle_t& aRequest) {
-          return impl.Handle(aRequest);
-        });
-    });
   try {
-    impl.m_server->open_sync();
+    impl.Listen();
   } catch (const std::exception& error) {
-    aReason = options.m_address + ":" + std::to_string(options.m_port) + ": " +
-              error.what();
+    aReason = impl.m_options.m_address + ":" +
+              std::to_string(impl.m_options.m_port) + ": " + error.what();
     return false;
   }
+  impl.AwaitClients();
+  impl.CheckTimeouts();
   for (auto& periodic : impl.m_periodic) {
     periodic->m_timer = std::make_unique<asio::steady_timer>(impl.m_context);
     impl.ScheduleNext(*periodic);
@@ -214,7 +214,10 @@
 void
 Server::StopAccepting()
 {
-  Post([impl = m_impl.get()]() { impl->m_server->close_sync(); });
+  Post([impl = m_impl.get()]() {
+    ErrorCode ignored;
+    impl->m_acceptor.close(ignored);
+  });
 }
 
 void
--- a/tests/unit/http/server_test.cpp
+++ b/tests/unit/http/server_test.cpp
@@ -72,6 +72,43 @@
   CheckServes();
 }
 
+TEST(HttpServer, AnnouncedBodyFarTooLong_Is413NotRun)
+{
+  const auto answer = test::Exchange(
+    kPort,
+    "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000000000\r\n\r\nx",
+    kIdleTimeoutMs);
+  CHECK(answer.rfind("HTTP/1.1 413", 0) == 0);
+  CHECK(answer.find("Bamboostile-Outcome: not-run") != std::string::npos);
+  CheckServes();
+}
+
+TEST(HttpServer, ChunksWithoutEnd_Are413)
+{
+  std::string body;
+  for (int i = 0; i < 50'000; ++i) {
+    body += "5\r\nabcde\r\n";
+  }
+  const auto answer = test::Exchange(kPort,
+                                     "POST /x HTTP/1.1\r\nHost: h\r\n"
+                                     "Transfer-Encoding: chunked\r\n\r\n" +
+                                       body,
+                                     kIdleTimeoutMs);
+  CHECK(answer.rfind("HTTP/1.1 413", 0) == 0);
+  CheckServes();
+}
+
+TEST(HttpServer, TwoRequestsAtOnce_AreAnsweredInOrder)
+{
+  const std::string request =
+    "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n";
+  const auto answer =
+    test::Exchange(kPort, request + "1" + request + "2", kIdleTimeoutMs);
+  const std::size_t first = answer.find("\r\n\r\n1HTTP/1.1 200");
+  CHECK(first != std::string::npos);
+  CHECK(answer.find("\r\n\r\n2", first) != std::string::npos);
+}
+
 // A length that overflows, a negative one, one that no body follows and a list
 // of two must not be served and must not affect other connections.
 TEST(HttpServer, InvalidContentLengths_CloseTheConnectionOnly)
