http: the bytes of clients are bounded for the whole process

What callers saw: a process ended by its memory while many clients sent bodies, or waited for answers: 300 unfinished bodies at an entry took 113 MiB, 300 without an end 339 MiB, 200 at the port for probes 234 MiB, 32 at a control replica 151 MiB, 300 requests that waited for a frozen leader 72 MiB, each on a machine of 64 MiB.

Cause: bytes were bounded for a connection, by the limit of a body, and never for the process: connections times that limit is many times the memory.

It counts what is being read, requests that are being handled and responses that are being written. Each listener may always use an equal share. When it is used up, the largest request that is being read goes, the oldest of similar size first, with 503, Retry-After and `not-run`; then responses that are not read. Requests with the handler stay. Probes have no body. The system's receive buffer is 32 KiB a connection: bytes that are not read while a request is handled count for the memory as well.

--- a/include/bamboostile/entry/frontend.h
+++ b/include/bamboostile/entry/frontend.h
@@ -3,6 +3,7 @@
 #include "bamboostile/entry/link.h"
 #include "bamboostile/entry/queue_gateway.h"
 #include "bamboostile/http/client.h"
+#include "bamboostile/http/client_limits.h"
 #include "bamboostile/http/server.h"
 #include "bamboostile/request/engine.h"
 #include "bamboostile/settings/settings.h"
@@ -19,6 +20,7 @@
   settings::Settings m_settings;
   outcome::EntryId m_self;
   request::Options m_engine;
+  http::ClientLimits m_clientLimits;
 };
 
 /**
--- a/include/bamboostile/http/server.h
+++ b/include/bamboostile/http/server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bamboostile/http/client_limits.h"
 #include "bamboostile/http/message.h"
 #include "bamboostile/units/time.h"
 
@@ -19,6 +20,8 @@
   /** Must be longer than any request may take. */
   Millis m_handleTimeout{ 70'000 };
   std::size_t m_maxConnections = 4096;
+  /** Shared by the listeners of a process. */
+  std::shared_ptr<MemoryBudget> m_memory = MemoryBudget::ForMachine();
 };
 
 /** A request and the means to send its only response. */
--- a/src/entry/frontend.cpp
+++ b/src/entry/frontend.cpp
@@ -91,6 +91,7 @@
   options.m_readTimeout = settings.m_limits.m_readTimeout;
   options.m_handleTimeout = settings.m_limits.m_maxTimeout + Millis{ 10'000 };
   options.m_maxConnections = settings.m_limits.m_connections;
+  options.m_memory = m_options.m_clientLimits.m_memory;
   m_server = std::make_unique<http::Server>(
     options, [this](auto aExchange) { Handle(std::move(aExchange)); });
   m_server->Every(kTickPeriod, [this]() { Tick(); });
--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -21,10 +21,13 @@
 /** Bytes dropped after a refusal. A connection that is closed with unread bytes
  * is reset, and its client may lose the response. */
 constexpr std::size_t kMaxDiscarded = std::size_t{ 8 } * 1024 * 1024;
+/** What an open connection takes without a request. */
+constexpr std::size_t kConnectionBytes = 2048;
 constexpr std::uint32_t kBadRequest = 400;
 constexpr std::uint32_t kPayloadTooLarge = 413;
 constexpr std::uint32_t kUriTooLong = 414;
 constexpr std::uint32_t kHeadersTooLarge = 431;
+constexpr std::uint32_t kUnavailable = 503;
 
 std::uint32_t
 StatusOf(ParseFailure aFailure)
@@ -65,9 +68,12 @@
 class ConnectionExchange final : public Exchange
 {
 public:
-  ConnectionExchange(std::weak_ptr<Connection> aConnection, Request aRequest)
+  ConnectionExchange(std::weak_ptr<Connection> aConnection,
+                     Request aRequest,
+                     Reservation aMemory)
     : m_connection(std::move(aConnection))
     , m_request(std::move(aRequest))
+    , m_memory(std::move(aMemory))
   {
   }
 
@@ -86,6 +92,9 @@
 private:
   std::weak_ptr<Connection> m_connection;
   Request m_request;
+  /** Held until the exchange ends: a body that was taken out exists elsewhere,
+   * as received or decoded. */
+  Reservation m_memory;
 };
 
 } // namespace
@@ -103,6 +112,7 @@
   : m_id(aId)
   , m_socket(std::move(aSocket))
   , m_context(aContext)
+  , m_memory(aContext.m_memory)
 {
 }
 
@@ -116,6 +126,7 @@
     Close();
     return;
   }
+  TrackMemory();
   AwaitInput();
 }
 
@@ -130,6 +141,7 @@
   m_socket.close(ignored);
   m_parser.reset();
   m_input = {};
+  m_memory.Resize(0);
   m_context.m_table.Remove(m_id);
   m_context.m_onClosed(m_id);
 }
@@ -208,6 +220,22 @@
   }
   m_input += aBytes;
   ParseInput();
+  TrackMemory();
+}
+
+void
+Connection::TrackMemory()
+{
+  if (!m_socket.is_open()) {
+    return;
+  }
+  const std::uint64_t parsed = m_parser ? m_parser->Bytes() : 0;
+  m_memory.Resize(kConnectionBytes + m_input.capacity() + parsed +
+                  m_responseHead.capacity() + m_responseBody.capacity());
+  m_context.m_table.SetBytes(m_id, m_memory.Bytes());
+  if (m_context.m_memory->MustShed()) {
+    m_context.m_onMemoryShort();
+  }
 }
 
 void
@@ -224,7 +252,7 @@
   }
   m_input.erase(0, m_parser->Read(m_input));
   if (const auto failure = m_parser->Failure()) {
-    Refuse(StatusOf(*failure), ReasonOf(*failure));
+    Refuse(StatusOf(*failure), ReasonOf(*failure), {});
   } else if (m_parser->IsComplete()) {
     Dispatch();
   } else if (m_parser->HasHead()) {
@@ -236,12 +264,14 @@
 Connection::Dispatch()
 {
   Enter(Phase::kHandling);
+  Reservation memory(m_context.m_memory);
+  memory.Resize(m_parser->Bytes());
   Request request = std::move(m_parser->Message());
   m_keepsAlive = m_parser->KeepsAlive();
   m_isHead = request.m_method == "HEAD";
   m_parser.reset();
-  Handle(
-    std::make_shared<ConnectionExchange>(weak_from_this(), std::move(request)));
+  Handle(std::make_shared<ConnectionExchange>(
+    weak_from_this(), std::move(request), std::move(memory)));
 }
 
 void
@@ -259,7 +289,7 @@
 
 // The handler has not seen the request, so it has not run.
 void
-Connection::Refuse(std::uint32_t aStatus, const char* aReason)
+Connection::Refuse(std::uint32_t aStatus, const char* aReason, Headers aHeaders)
 {
   m_isHead = false;
   m_isRefusing = true;
@@ -268,7 +298,8 @@
   Response response;
   response.m_status = aStatus;
   response.m_reason = aReason;
-  response.m_headers = { { "Bamboostile-Outcome", "not-run" } };
+  response.m_headers = std::move(aHeaders);
+  response.m_headers.push_back({ "Bamboostile-Outcome", "not-run" });
   response.m_close = true;
   LogRefusal(response);
   Write(std::move(response));
@@ -287,6 +318,16 @@
   }
 }
 
+void
+Connection::Shed()
+{
+  if (m_phase == Phase::kReadingHead || m_phase == Phase::kReadingBody) {
+    Refuse(kUnavailable, "Out of Memory", { { "Retry-After", "1" } });
+  } else {
+    Close();
+  }
+}
+
 void
 Connection::Respond(Response aResponse)
 {
@@ -311,6 +352,7 @@
     [self = shared_from_this()](const ErrorCode& aError, std::size_t) {
       self->OnWritten(!aError);
     });
+  TrackMemory();
 }
 
 void
@@ -318,6 +360,7 @@
 {
   m_responseHead = {};
   m_responseBody = {};
+  TrackMemory();
   if (!aIsWritten || !m_socket.is_open()) {
     Close();
   } else if (m_isRefusing) {
@@ -337,6 +380,7 @@
 {
   Enter(Phase::kIdle);
   ParseInput();
+  TrackMemory();
   if (IsReading()) {
     AwaitInput();
   }
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -3,6 +3,7 @@
 #include "connection_table.h"
 #include "request_parser.h"
 
+#include "bamboostile/http/memory_budget.h"
 #include "bamboostile/http/server.h"
 #include "bamboostile/telemetry/log_limit.h"
 
@@ -26,6 +27,9 @@
   ConnectionTable m_table;
   RequestLimits m_limits;
   std::function<void(std::shared_ptr<Exchange>)> m_handler;
+  std::shared_ptr<MemoryAccount> m_memory;
+  /** Called when the clients hold more than they may. */
+  std::function<void()> m_onMemoryShort;
   telemetry::LogRateLimiter m_refusalLog{ Millis{ 200 } };
   /** Called when a connection has closed. */
   std::function<void(ConnectionId)> m_onClosed;
@@ -46,6 +50,9 @@
   /** Sends the response to the request that is being handled. */
   void Respond(Response aResponse);
   void Close();
+  /** Releases what the connection holds: answers a request that is being read
+   * with 503, and gives up a response that is being written. */
+  void Shed();
 
 private:
   enum class Progress
@@ -63,8 +70,9 @@
   void ParseInput();
   void Dispatch();
   void Handle(std::shared_ptr<Exchange> aExchange);
-  void Refuse(std::uint32_t aStatus, const char* aReason);
+  void Refuse(std::uint32_t aStatus, const char* aReason, Headers aHeaders);
   void LogRefusal(const Response& aResponse);
+  void TrackMemory();
   void Write(Response aResponse);
   void OnWritten(bool aIsWritten);
   void AwaitNextRequest();
@@ -82,6 +90,7 @@
   bool m_keepsAlive = true;
   bool m_isHead = false;
   bool m_isRefusing = false;
+  Reservation m_memory;
   std::string m_responseHead;
   std::string m_responseBody;
 };
--- a/src/http/connection_table.cpp
+++ b/src/http/connection_table.cpp
@@ -1,7 +1,17 @@
 #include "connection_table.h"
 
+#include <bit>
+#include <tuple>
+
 namespace bamboostile::http {
 
+namespace {
+
+/** Giving up smaller responses, in bytes, would release next to nothing. */
+constexpr std::uint64_t kLargeResponse = 16 * 1024;
+
+} // namespace
+
 ConnectionTable::ConnectionTable(PhaseTimeouts aTimeouts)
   : m_timeouts(aTimeouts)
 {
@@ -31,6 +41,37 @@
   }
 }
 
+void
+ConnectionTable::SetBytes(ConnectionId aId, std::uint64_t aBytes)
+{
+  m_connections.at(aId).m_bytes = aBytes;
+}
+
+// A client that sends what it has begun holds little, or holds it for a short
+// time: the largest go first, and of those of similar size the oldest. A
+// response that is being written goes last.
+std::optional<ConnectionId>
+ConnectionTable::FindLargest() const
+{
+  const auto rank = [](const Connection& aConnection) {
+    return std::tuple{ aConnection.m_phase != Phase::kWriting,
+                       std::bit_width(aConnection.m_bytes),
+                       -aConnection.m_since.time_since_epoch() };
+  };
+  const std::pair<const ConnectionId, Connection>* largest = nullptr;
+  for (const auto& entry : m_connections) {
+    const Phase phase = entry.second.m_phase;
+    const bool holdsMemory =
+      phase == Phase::kReadingHead || phase == Phase::kReadingBody ||
+      (phase == Phase::kWriting && entry.second.m_bytes >= kLargeResponse);
+    if (holdsMemory &&
+        (largest == nullptr || rank(entry.second) > rank(largest->second))) {
+      largest = &entry;
+    }
+  }
+  return largest == nullptr ? std::nullopt : std::optional{ largest->first };
+}
+
 std::vector<ConnectionId>
 ConnectionTable::Expired(TimePoint aNow) const
 {
--- a/src/http/connection_table.h
+++ b/src/http/connection_table.h
@@ -4,6 +4,7 @@
 #include "bamboostile/units/time.h"
 
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -47,6 +48,11 @@
   /** Moving from a request's head to its body extends no timeout. */
   void Enter(ConnectionId aId, Phase aPhase, TimePoint aNow);
   std::size_t Size() const { return m_connections.size(); }
+  /** Bytes that the connection holds beside what its handler has. */
+  void SetBytes(ConnectionId aId, std::uint64_t aBytes);
+  /** Returns a connection to close when memory is short; nothing if all of it
+   * is with the handler. */
+  std::optional<ConnectionId> FindLargest() const;
   /** Returns the connections that have been in a phase for too long. */
   std::vector<ConnectionId> Expired(TimePoint aNow) const;
 
@@ -55,6 +61,7 @@
   {
     Phase m_phase = Phase::kIdle;
     TimePoint m_since;
+    std::uint64_t m_bytes = 0;
   };
 
   Millis TimeoutOf(Phase aPhase) const;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -22,6 +22,9 @@
  * process reads requests at the end of the backlog only after their senders
  * have timed out and reconnected at the end of the backlog. */
 constexpr int kAcceptsPerIteration = 64;
+/** Bytes that the system keeps for a connection that isn't read while its
+ * request is being handled. */
+constexpr int kReceiveBuffer = 32 * 1024;
 /** Time in which a refused client can still read its response. */
 constexpr Millis kDiscardTimeout{ 2'000 };
 constexpr Millis kMaxCheckInterval{ 1'000 };
@@ -45,9 +48,18 @@
         RequestLimits{ m_options.m_maxBodyBytes, m_options.m_maxHeaderBytes })
   {
     m_connections.m_handler = std::move(aHandler);
+    m_connections.m_memory =
+      std::make_shared<MemoryAccount>(m_options.m_memory, [this]() {
+        asio::post(m_context, [this]() { Shed(); });
+      });
+    m_connections.m_onMemoryShort = [this]() { Shed(); };
     m_connections.m_onClosed = [this](ConnectionId aId) { OnClosed(aId); };
   }
 
+  ~Impl() { m_connections.m_memory->Detach(); }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
   struct Periodic
   {
     Millis m_period;
@@ -72,6 +84,10 @@
                                   m_options.m_port };
     m_acceptor.open(endpoint.protocol());
     m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+    // Accepted sockets inherit the size.
+    ErrorCode ignored;
+    m_acceptor.set_option(
+      asio::socket_base::receive_buffer_size(kReceiveBuffer), ignored);
     m_acceptor.bind(endpoint);
     m_acceptor.listen(asio::socket_base::max_listen_connections);
     m_acceptor.non_blocking(true);
@@ -124,6 +140,18 @@
     AwaitClients();
   }
 
+  void Shed()
+  {
+    while (m_connections.m_memory->MustShed()) {
+      const auto largest = m_connections.m_table.FindLargest();
+      if (!largest) {
+        return;
+      }
+      const auto connection = m_open.at(*largest);
+      connection->Shed();
+    }
+  }
+
   Millis CheckInterval() const
   {
     return std::min(kMaxCheckInterval,
--- a/tests/failure/clients_fixture.h
+++ b/tests/failure/clients_fixture.h
@@ -102,6 +102,15 @@
     return "/q/" + std::string{ id };
   }
 
+  /** Returns a configuration with the queue. */
+  static std::string ConfigurationOf(int aVersion)
+  {
+    return R"({"version":)" + std::to_string(aVersion) +
+           R"(,"routes":[{"name":"q","host":"host","path_prefix":"/q/",)"
+           R"("service":"desk","timeout_ms":3000,"slo_ms":3000}],)"
+           R"("services":[{"name":"desk"}],"limits":{}})";
+  }
+
   test::Processes& Processes() { return m_processes; }
 
   static inline const std::string kJob =
@@ -118,14 +127,9 @@
 
   bool PutQueue()
   {
-    const std::string body = R"({"version":1,"routes":[{"name":"q",)"
-                             R"("host":"host","path_prefix":"/q/",)"
-                             R"("service":"desk","timeout_ms":3000,)"
-                             R"("slo_ms":3000}],"services":[{"name":"desk"}],)"
-                             R"("limits":{}})";
     return Post(m_processes.ControlFrontHttp(),
                 "/bamboostile/config/replace",
-                body) == 200;
+                ConfigurationOf(1)) == 200;
   }
 
   std::uint32_t ReadQueues()
--- a/tests/failure/clients_test.cpp
+++ b/tests/failure/clients_test.cpp
@@ -113,6 +113,17 @@
   deployment.CheckSound();
 }
 
+// Guards against copies of large bodies whose requests are being handled.
+TEST(Clients, ManyLargeConfigurationsAtControl_AreWhole_MemoryIsBounded)
+{
+  Deployment deployment(26600);
+  Crowd crowd(deployment.Processes().ControlFrontHttp(), 32);
+  std::string body = Deployment::ConfigurationOf(2);
+  body += std::string(kMiB - body.size(), ' ');
+  crowd.Write(PostHead(kConfigTarget, Length(body.size())) + body);
+  deployment.CheckSound();
+}
+
 // Guards against requests that wait for an answer, each with its body.
 TEST(Clients, ManyRequestsWaitForFrozenLeader_MemoryIsBounded)
 {
--- a/tools/bamboostiled/main.cpp
+++ b/tools/bamboostiled/main.cpp
@@ -50,6 +50,19 @@
   return aHosting.m_memoryMb * kMiB;
 }
 
+http::ClientLimits
+ClientLimitsOf(const settings::Settings& aSettings)
+{
+  const auto& hosting = aSettings.m_hosting;
+  const std::uint64_t memory = hosting && hosting->m_memoryMb > 0
+                                 ? MemoryBytes(*hosting)
+                                 : http::MemoryBudget::MachineMemory();
+  http::ClientLimits limits;
+  limits.m_memory =
+    std::make_shared<http::MemoryBudget>(http::MemoryBudget::LimitFor(memory));
+  return limits;
+}
+
 std::uint64_t
 RandomUint63()
 {
@@ -100,6 +113,7 @@
   Daemon(settings::Settings aSettings, std::string aSettingsFile)
     : m_settings(std::move(aSettings))
     , m_settingsFile(std::move(aSettingsFile))
+    , m_clientLimits(ClientLimitsOf(m_settings))
   {
   }
 
@@ -170,7 +184,8 @@
     if (!m_settings.m_hosting->m_workers) {
       return true;
     }
-    m_relayFront = std::make_unique<platform::RelayFront>(m_settings, leader);
+    m_relayFront = std::make_unique<platform::RelayFront>(
+      m_settings, leader, m_clientLimits);
     return StartFront(*m_relayFront);
   }
 
@@ -284,7 +299,7 @@
     if (m_settings.m_http && !m_settings.m_entry) {
       std::string reason;
       m_probes = std::make_unique<daemon::ProbeServer>(
-        *m_settings.m_http, *m_jobs, reason);
+        *m_settings.m_http, *m_jobs, m_clientLimits, reason);
       if (!m_probes->IsStarted()) {
         LogLine(Level::kError, "cannot listen for HTTP")
           .With("reason", reason)
@@ -323,15 +338,15 @@
     if (!hosting || !hosting->m_workers) {
       return true;
     }
-    m_controlFront =
-      std::make_unique<platform::ControlFront>(m_settings, *m_jobs);
+    m_controlFront = std::make_unique<platform::ControlFront>(
+      m_settings, *m_jobs, m_clientLimits);
     return StartFront(*m_controlFront);
   }
 
   bool StartHostedEntry()
   {
-    m_callerFront =
-      std::make_unique<platform::CallerFront>(m_settings, *m_io->provider);
+    m_callerFront = std::make_unique<platform::CallerFront>(
+      m_settings, *m_io->provider, m_clientLimits);
     return StartFront(*m_callerFront);
   }
 
@@ -375,6 +390,7 @@
     }
     entry::FrontendOptions options;
     options.m_settings = m_settings;
+    options.m_clientLimits = m_clientLimits;
     options.m_self = { m_settings.m_instance, Incarnation{ RandomUint63() } };
     options.m_engine.m_routing.m_seed = RandomUint63();
     m_tracer = MakeTracer(m_settings);
@@ -486,6 +502,7 @@
 
   settings::Settings m_settings;
   std::string m_settingsFile;
+  http::ClientLimits m_clientLimits;
   kj::AsyncIoContext* m_io = nullptr;
   std::unique_ptr<daemon::RestartClient> m_restartClient;
   std::unique_ptr<control::Node> m_node;
--- a/tools/bamboostiled/probe_server.cpp
+++ b/tools/bamboostiled/probe_server.cpp
@@ -4,12 +4,14 @@
 
 ProbeServer::ProbeServer(const settings::Address& aAddress,
                          control::JobService& aJobs,
+                         const http::ClientLimits& aLimits,
                          std::string& aReason)
   : m_workerApi(aJobs)
 {
   http::ServerOptions options;
   options.m_address = aAddress.m_host;
   options.m_port = aAddress.m_port;
+  options.m_memory = aLimits.m_memory;
   m_server = std::make_unique<http::Server>(
     options, [this](const std::shared_ptr<http::Exchange>& aExchange) {
       Answer(aExchange);
--- a/tools/bamboostiled/probe_server.h
+++ b/tools/bamboostiled/probe_server.h
@@ -12,6 +12,7 @@
 public:
   ProbeServer(const settings::Address& aAddress,
               control::JobService& aJobs,
+              const http::ClientLimits& aLimits,
               std::string& aReason);
 
   bool IsStarted() const { return m_started; }
