http: listeners leave descriptors to the process, and accept again

What callers saw: after a crowd of 4,000 idle clients a control replica accepted nothing any more, also after the crowd had gone. It lived, so nothing restarted it.

Connections allowed (4,096, or 2,000 twice) are more than the descriptors of a process (3,900 here). And an accept that failed for want of a descriptor was not tried again; the server before gave up a pending accept for each failure (seen in its header: only success continues).

An accept that fails is tried again after 100 ms.

--- a/include/bamboostile/settings/settings.h
+++ b/include/bamboostile/settings/settings.h
@@ -68,6 +68,9 @@
   Millis m_expectedDowntime{ 2000 };
   /** Memory that this process may use, in MiB; 0 for no limit. */
   std::uint32_t m_memoryMb = 0;
+  /** Descriptors that this process may open, if the system's limit is higher; 0
+   * for the system's limit. */
+  std::uint32_t m_maxDescriptors = 0;
 };
 
 struct Settings;
--- a/src/entry/frontend.cpp
+++ b/src/entry/frontend.cpp
@@ -90,7 +90,9 @@
   options.m_maxHeaderBytes = settings.m_limits.m_headerBytes;
   options.m_readTimeout = settings.m_limits.m_readTimeout;
   options.m_handleTimeout = settings.m_limits.m_maxTimeout + Millis{ 10'000 };
-  options.m_maxConnections = settings.m_limits.m_connections;
+  // Each request may need a connection to an upstream as well.
+  options.m_maxConnections =
+    std::max<std::size_t>(1, m_options.m_clientLimits.m_requestConnections / 2);
   options.m_memory = m_options.m_clientLimits.m_memory;
   m_server = std::make_unique<http::Server>(
     options, [this](auto aExchange) { Handle(std::move(aExchange)); });
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -28,6 +28,9 @@
 /** Time in which a refused client can still read its response. */
 constexpr Millis kDiscardTimeout{ 2'000 };
 constexpr Millis kMaxCheckInterval{ 1'000 };
+/** Interval between attempts to accept while there is no place, or no
+ * descriptor for a connection. */
+constexpr Millis kAcceptRetryInterval{ 100 };
 /** Checks of timeouts within the shortest one that is set. */
 constexpr int kChecksPerTimeout = 2;
 
@@ -39,12 +42,13 @@
     : m_options(std::move(aOptions))
     , m_acceptor(m_context)
     , m_checkTimer(m_context)
+    , m_acceptTimer(m_context)
     , m_connections(
-        PhaseTimeouts{ m_options.m_readTimeout,
-                       m_options.m_readTimeout,
-                       m_options.m_handleTimeout,
-                       m_options.m_readTimeout,
-                       kDiscardTimeout },
+        PhaseTimeouts{ .m_idle = m_options.m_readTimeout,
+                       .m_request = m_options.m_readTimeout,
+                       .m_handle = m_options.m_handleTimeout,
+                       .m_write = m_options.m_readTimeout,
+                       .m_discard = kDiscardTimeout },
         RequestLimits{ m_options.m_maxBodyBytes, m_options.m_maxHeaderBytes })
   {
     m_connections.m_handler = std::move(aHandler);
@@ -111,6 +115,7 @@
   {
     for (int i = 0; i < kAcceptsPerIteration; ++i) {
       if (m_open.size() >= m_options.m_maxConnections) {
+        RetryAccept();
         return;
       }
       ErrorCode error;
@@ -120,11 +125,28 @@
       }
       if (!error) {
         Open(std::move(socket));
+      } else if (error != asio::error::connection_aborted) {
+        // The process or the machine is out of descriptors or memory. The
+        // client stays in the backlog.
+        RetryAccept();
+        return;
       }
     }
     AwaitClients();
   }
 
+  void RetryAccept()
+  {
+    m_isAwaitingClients = true;
+    m_acceptTimer.expires_after(kAcceptRetryInterval);
+    m_acceptTimer.async_wait([this](const auto& aError) {
+      m_isAwaitingClients = false;
+      if (!aError && m_acceptor.is_open()) {
+        Accept();
+      }
+    });
+  }
+
   void Open(tcp::socket aSocket)
   {
     const ConnectionId id{ ++m_lastId };
@@ -134,11 +156,7 @@
     connection->Start();
   }
 
-  void OnClosed(ConnectionId aId)
-  {
-    m_open.erase(aId);
-    AwaitClients();
-  }
+  void OnClosed(ConnectionId aId) { m_open.erase(aId); }
 
   void Shed()
   {
@@ -185,9 +203,11 @@
   asio::io_context m_context{ 1 };
   tcp::acceptor m_acceptor;
   asio::steady_timer m_checkTimer;
+  asio::steady_timer m_acceptTimer;
   ConnectionContext m_connections;
   std::unordered_map<ConnectionId, std::shared_ptr<Connection>> m_open;
   std::uint64_t m_lastId = 0;
+  /** Also set until the next attempt to accept. */
   bool m_isAwaitingClients = false;
   std::vector<std::unique_ptr<Periodic>> m_periodic;
   std::thread m_thread;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -210,6 +210,7 @@
   ReadIfPresent(from, "toleratedLosses", to.m_toleratedLosses);
   ReadIfPresent(from, "ordersPerSecond", to.m_ordersPerSecond);
   ReadIfPresent(from, "memoryMb", to.m_memoryMb);
+  ReadIfPresent(from, "maxDescriptors", to.m_maxDescriptors);
   ReadSeconds(from, "maintenanceSeconds", to.m_expectedDowntime);
   ReadSeconds(from, "moveSeconds", to.m_moveDuration);
   to.m_handoverDelay =
--- a/tools/bamboostiled/main.cpp
+++ b/tools/bamboostiled/main.cpp
@@ -57,9 +57,14 @@
   const std::uint64_t memory = hosting && hosting->m_memoryMb > 0
                                  ? MemoryBytes(*hosting)
                                  : http::MemoryBudget::MachineMemory();
-  http::ClientLimits limits;
-  limits.m_memory =
-    std::make_shared<http::MemoryBudget>(http::MemoryBudget::LimitFor(memory));
+  std::uint64_t descriptors = http::ClientLimits::MaxDescriptors();
+  if (hosting && hosting->m_maxDescriptors > 0) {
+    descriptors =
+      std::min<std::uint64_t>(descriptors, hosting->m_maxDescriptors);
+  }
+  http::ClientLimits limits = http::ClientLimits::For(memory, descriptors);
+  limits.m_requestConnections = std::min<std::size_t>(
+    limits.m_requestConnections, aSettings.m_limits.m_connections);
   return limits;
 }
 
--- a/tools/bamboostiled/probe_server.cpp
+++ b/tools/bamboostiled/probe_server.cpp
@@ -12,6 +12,7 @@
   options.m_address = aAddress.m_host;
   options.m_port = aAddress.m_port;
   options.m_memory = aLimits.m_memory;
+  options.m_maxConnections = aLimits.m_requestConnections;
   m_server = std::make_unique<http::Server>(
     options, [this](const std::shared_ptr<http::Exchange>& aExchange) {
       Answer(aExchange);
