http: idle connections and halves of heads make way for new clients

What callers saw: with 2,100 idle clients, or halves of heads, at an entry an ordinary request got no answer until the read timeout of 15 s had closed them; with clients that come again, now and then again.

Cause: a connection kept its place for the whole read timeout, whether or not a request had begun, and new ones waited in the backlog meanwhile.

Change: when all places are taken, the connection that has been without a whole request for the longest time is closed for a new one, if it has had 500 ms. Bytes that trickle in don't count, so a slow sender gains nothing by them. Only the idle time and the whole request keep the read timeout. After a suspension of the process nothing is closed before what arrived meanwhile is read.

--- a/include/bamboostile/http/server.h
+++ b/include/bamboostile/http/server.h
@@ -15,10 +15,15 @@
   std::uint16_t m_port = 0;
   std::uint64_t m_maxBodyBytes = 1024 * 1024;
   std::uint64_t m_maxHeaderBytes = 16 * 1024;
-  /** Time within which a request must have arrived completely. */
+  /** Time within which a request must have arrived completely, and after which
+   * an idle connection is closed. */
   Millis m_readTimeout{ 10'000 };
+  /** Time within which a request's head must have arrived. */
+  Millis m_headTimeout{ 5'000 };
   /** Must be longer than any request may take. */
   Millis m_handleTimeout{ 70'000 };
+  /** Once so many are open, those without a whole request make way for new
+   * ones. */
   std::size_t m_maxConnections = 4096;
   /** Shared by the listeners of a process. */
   std::shared_ptr<MemoryBudget> m_memory = MemoryBudget::ForMachine();
--- a/include/bamboostile/settings/settings.h
+++ b/include/bamboostile/settings/settings.h
@@ -31,6 +31,8 @@
   /** Longest timeout that a caller may request. */
   Millis m_maxTimeout{ 60'000 };
   std::uint32_t m_connections = 4096;
+  /** Time within which a request's head must have arrived. */
+  Millis m_headTimeout{ 5'000 };
 };
 
 struct Trace
--- a/src/entry/frontend.cpp
+++ b/src/entry/frontend.cpp
@@ -90,6 +90,7 @@
   options.m_maxHeaderBytes = settings.m_limits.m_headerBytes;
   options.m_readTimeout = settings.m_limits.m_readTimeout;
   options.m_handleTimeout = settings.m_limits.m_maxTimeout + Millis{ 10'000 };
+  options.m_headTimeout = settings.m_limits.m_headTimeout;
   // Each request may need a connection to an upstream as well.
   options.m_maxConnections =
     std::max<std::size_t>(1, m_options.m_clientLimits.m_requestConnections / 2);
--- a/src/http/connection_table.cpp
+++ b/src/http/connection_table.cpp
@@ -9,6 +9,8 @@
 
 /** Giving up smaller responses, in bytes, would release next to nothing. */
 constexpr std::uint64_t kLargeResponse = 16 * 1024;
+/** Time in which the first request of a new connection can arrive. */
+constexpr Millis kMinWait{ 500 };
 
 } // namespace
 
@@ -20,7 +22,7 @@
 void
 ConnectionTable::Add(ConnectionId aId, TimePoint aNow)
 {
-  m_connections[aId] = { Phase::kIdle, aNow };
+  m_connections[aId] = { Phase::kIdle, aNow, aNow };
 }
 
 void
@@ -39,6 +41,9 @@
   if (!isSameRequest) {
     connection.m_since = aNow;
   }
+  if (aPhase == Phase::kIdle) {
+    connection.m_waitingSince = aNow;
+  }
 }
 
 void
@@ -72,6 +77,27 @@
   return largest == nullptr ? std::nullopt : std::optional{ largest->first };
 }
 
+std::optional<ConnectionId>
+ConnectionTable::FindLongestWaiting(TimePoint aNow) const
+{
+  std::optional<ConnectionId> longest;
+  TimePoint since = aNow - kMinWait;
+  for (const auto& [id, connection] : m_connections) {
+    const Phase phase = connection.m_phase;
+    if (phase == Phase::kDiscarding) {
+      return id;
+    }
+    const bool isWaiting = phase == Phase::kIdle ||
+                           phase == Phase::kReadingHead ||
+                           phase == Phase::kReadingBody;
+    if (isWaiting && connection.m_waitingSince <= since) {
+      longest = id;
+      since = connection.m_waitingSince;
+    }
+  }
+  return longest;
+}
+
 std::vector<ConnectionId>
 ConnectionTable::Expired(TimePoint aNow) const
 {
@@ -91,6 +117,7 @@
     case Phase::kIdle:
       return m_timeouts.m_idle;
     case Phase::kReadingHead:
+      return m_timeouts.m_head;
     case Phase::kReadingBody:
       return m_timeouts.m_request;
     case Phase::kHandling:
--- a/src/http/connection_table.h
+++ b/src/http/connection_table.h
@@ -30,6 +30,8 @@
 struct PhaseTimeouts
 {
   Millis m_idle{};
+  /** From the first byte of a request to the end of its head. */
+  Millis m_head{};
   /** From the first byte of a request to its last. */
   Millis m_request{};
   Millis m_handle{};
@@ -53,6 +55,9 @@
   /** Returns a connection to close when memory is short; nothing if all of it
    * is with the handler. */
   std::optional<ConnectionId> FindLargest() const;
+  /** Returns a connection to close when there is no place for a new one: the
+   * one that has been without a whole request for the longest time. */
+  std::optional<ConnectionId> FindLongestWaiting(TimePoint aNow) const;
   /** Returns the connections that have been in a phase for too long. */
   std::vector<ConnectionId> Expired(TimePoint aNow) const;
 
@@ -61,6 +66,8 @@
   {
     Phase m_phase = Phase::kIdle;
     TimePoint m_since;
+    /** When the connection was opened or its last response was written. */
+    TimePoint m_waitingSince;
     std::uint64_t m_bytes = 0;
   };
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -28,6 +28,7 @@
 /** Time in which a refused client can still read its response. */
 constexpr Millis kDiscardTimeout{ 2'000 };
 constexpr Millis kMaxCheckInterval{ 1'000 };
+constexpr Millis kMaxCheckDelay{ 2'000 };
 /** Interval between attempts to accept while there is no place, or no
  * descriptor for a connection. */
 constexpr Millis kAcceptRetryInterval{ 100 };
@@ -44,11 +45,13 @@
     , m_checkTimer(m_context)
     , m_acceptTimer(m_context)
     , m_connections(
-        PhaseTimeouts{ .m_idle = m_options.m_readTimeout,
-                       .m_request = m_options.m_readTimeout,
-                       .m_handle = m_options.m_handleTimeout,
-                       .m_write = m_options.m_readTimeout,
-                       .m_discard = kDiscardTimeout },
+        PhaseTimeouts{
+          .m_idle = m_options.m_readTimeout,
+          .m_head = std::min(m_options.m_headTimeout, m_options.m_readTimeout),
+          .m_request = m_options.m_readTimeout,
+          .m_handle = m_options.m_handleTimeout,
+          .m_write = m_options.m_readTimeout,
+          .m_discard = kDiscardTimeout },
         RequestLimits{ m_options.m_maxBodyBytes, m_options.m_maxHeaderBytes })
   {
     m_connections.m_handler = std::move(aHandler);
@@ -114,7 +117,7 @@
   void Accept()
   {
     for (int i = 0; i < kAcceptsPerIteration; ++i) {
-      if (m_open.size() >= m_options.m_maxConnections) {
+      if (m_open.size() >= m_options.m_maxConnections && !MakePlace()) {
         RetryAccept();
         return;
       }
@@ -128,6 +131,7 @@
       } else if (error != asio::error::connection_aborted) {
         // The process or the machine is out of descriptors or memory. The
         // client stays in the backlog.
+        MakePlace();
         RetryAccept();
         return;
       }
@@ -135,6 +139,17 @@
     AwaitClients();
   }
 
+  /** Closes a connection in favor of a new one. */
+  bool MakePlace()
+  {
+    const auto longest =
+      m_connections.m_table.FindLongestWaiting(MonotonicNow());
+    if (longest) {
+      Close(*longest);
+    }
+    return longest.has_value();
+  }
+
   void RetryAccept()
   {
     m_isAwaitingClients = true;
@@ -181,15 +196,27 @@
     m_checkTimer.expires_after(CheckInterval());
     m_checkTimer.async_wait([this](const auto& aError) {
       if (!aError) {
-        for (const ConnectionId id :
-             m_connections.m_table.Expired(MonotonicNow())) {
-          Close(id);
-        }
+        CloseExpired();
         CheckTimeouts();
       }
     });
   }
 
+  void CloseExpired()
+  {
+    const TimePoint now = MonotonicNow();
+    // After a suspension of the process, what clients sent meanwhile is read
+    // first.
+    const bool wasSuspended = now - m_lastCheck > kMaxCheckDelay;
+    m_lastCheck = now;
+    if (wasSuspended) {
+      return;
+    }
+    for (const ConnectionId id : m_connections.m_table.Expired(now)) {
+      Close(id);
+    }
+  }
+
   void Close(ConnectionId aId)
   {
     if (const auto found = m_open.find(aId); found != m_open.end()) {
@@ -209,6 +236,7 @@
   std::uint64_t m_lastId = 0;
   /** Also set until the next attempt to accept. */
   bool m_isAwaitingClients = false;
+  TimePoint m_lastCheck = MonotonicNow();
   std::vector<std::unique_ptr<Periodic>> m_periodic;
   std::thread m_thread;
 };
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -134,13 +134,16 @@
 {
   Limits limits;
   std::int64_t readTimeoutMs = limits.m_readTimeout.count();
+  std::int64_t headTimeoutMs = limits.m_headTimeout.count();
   std::int64_t maxTimeoutMs = limits.m_maxTimeout.count();
   ReadIfPresent(aJson, "bodyBytes", limits.m_bodyBytes);
   ReadIfPresent(aJson, "headerBytes", limits.m_headerBytes);
   ReadIfPresent(aJson, "connections", limits.m_connections);
   ReadIfPresent(aJson, "readTimeoutMs", readTimeoutMs);
+  ReadIfPresent(aJson, "headTimeoutMs", headTimeoutMs);
   ReadIfPresent(aJson, "maxTimeoutMs", maxTimeoutMs);
   limits.m_readTimeout = Millis{ readTimeoutMs };
+  limits.m_headTimeout = Millis{ headTimeoutMs };
   limits.m_maxTimeout = Millis{ maxTimeoutMs };
   return limits;
 }
--- a/tests/unit/http/connection_table_test.cpp
+++ b/tests/unit/http/connection_table_test.cpp
@@ -22,6 +22,7 @@
 TEST_GROUP(ConnectionTable)
 {
   ConnectionTable m_table{ { .m_idle = Millis{ 15'000 },
+                             .m_head = Millis{ 5'000 },
                              .m_request = Millis{ 15'000 },
                              .m_handle = Millis{ 70'000 },
                              .m_write = Millis{ 15'000 },
@@ -39,6 +40,43 @@
   }
 };
 
+// Guards against callers that wait behind idle clients.
+TEST(ConnectionTable, NoPlace_LongestWithoutRequestGoes)
+{
+  Add(0, Phase::kHandling);
+  Add(0, Phase::kWriting);
+  const ConnectionId half = Add(100, Phase::kReadingHead);
+  Add(200);
+  CHECK(m_table.FindLongestWaiting(At(10'000)) == half);
+}
+
+// Guards against clients that send a byte now and then to keep their place.
+TEST(ConnectionTable, NoPlace_PartsOfRequestDoNotCount)
+{
+  const ConnectionId slow = Add(0);
+  Add(100);
+  m_table.Enter(slow, Phase::kReadingHead, At(4'000));
+  m_table.Enter(slow, Phase::kReadingBody, At(8'000));
+  CHECK(m_table.FindLongestWaiting(At(10'000)) == slow);
+}
+
+TEST(ConnectionTable, NoPlace_ServedConnectionStaysLonger)
+{
+  const ConnectionId served = Add(0, Phase::kWriting);
+  m_table.Enter(served, Phase::kIdle, At(5'000));
+  const ConnectionId idle = Add(1'000);
+  CHECK(m_table.FindLongestWaiting(At(10'000)) == idle);
+}
+
+// Guards against new clients that drive each other out before their first
+// requests can arrive.
+TEST(ConnectionTable, NoPlace_NewConnectionsStay)
+{
+  Add(0);
+  CHECK(!m_table.FindLongestWaiting(At(400)));
+  CHECK(m_table.FindLongestWaiting(At(600)).has_value());
+}
+
 TEST(ConnectionTable, MemoryIsShort_LargestGoesAndOldestOfSimilarSize)
 {
   Add(0, Phase::kReadingHead, 2 * kKiB);
@@ -66,3 +104,13 @@
   Add(0, Phase::kIdle, 2 * kKiB);
   CHECK(!m_table.FindLargest());
 }
+
+TEST(ConnectionTable, HeadIsLate_ExpiresBeforeBody)
+{
+  const ConnectionId head = Add(0, Phase::kReadingHead);
+  const ConnectionId body = Add(0, Phase::kReadingHead);
+  m_table.Enter(body, Phase::kReadingBody, At(3'000));
+  CHECK(m_table.Expired(At(6'000)) == std::vector{ head });
+  m_table.Remove(head);
+  CHECK(m_table.Expired(At(16'000)) == std::vector{ body });
+}
