control: a peer that cannot be accepted doesn't end the process

What operators saw: nothing yet. A control replica whose descriptors were used up ended as soon as a peer connected ("cannot listen for RPC", "accept: Too many open files").

Cause: the accept loop passed any failure on to the handler for a port that cannot be bound, which exits. Connections were not bounded.

As many connections are open as the process has descriptors for peers; then the one that has begun no read for the longest time makes way. Peers send several messages a second, a crowd that is idle does not.

--- a/include/bamboostile/control/node.h
+++ b/include/bamboostile/control/node.h
@@ -7,6 +7,7 @@
 #include "bamboostile/control/snapshot_thread.h"
 #include "bamboostile/control/transfer_thread.h"
 #include "bamboostile/fleet/state.h"
+#include "bamboostile/http/client_limits.h"
 #include "bamboostile/membership/registry.h"
 #include "bamboostile/rpc/channel.h"
 #include "bamboostile/waves/planner.h"
@@ -204,6 +205,7 @@
 /** Accepts RPC connections until the promise is dropped. */
 kj::Promise<void> Listen(schema::Control::Client aServer,
                          kj::AsyncIoProvider& aProvider,
-                         const std::string& aAddress);
+                         const std::string& aAddress,
+                         const http::ClientLimits& aLimits);
 
 } // namespace bamboostile::control
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -8,6 +8,7 @@
 #include "bamboostile/wire/queue_codec.h"
 
 #include "../wire/text.h"
+#include "peer_acceptor.h"
 
 #include <algorithm>
 
@@ -525,35 +526,6 @@
   JobService* m_jobs;
 };
 
-/** An accepted connection with its own reader limits. */
-struct Accepted
-{
-  kj::Own<kj::AsyncIoStream> m_stream;
-  capnp::TwoPartyVatNetwork m_network;
-  capnp::RpcSystem<capnp::rpc::twoparty::VatId> m_rpc;
-
-  Accepted(kj::Own<kj::AsyncIoStream> aStream,
-           capnp::Capability::Client aBootstrap)
-    : m_stream(kj::mv(aStream))
-    , m_network(*m_stream, capnp::rpc::twoparty::Side::SERVER)
-    , m_rpc(capnp::makeRpcServer(m_network, kj::mv(aBootstrap)))
-  {
-  }
-};
-
-kj::Promise<void>
-AcceptLoop(schema::Control::Client aServer, kj::ConnectionReceiver& aReceiver)
-{
-  return aReceiver.accept().then(
-    [server = kj::mv(aServer),
-     &aReceiver](kj::Own<kj::AsyncIoStream>&& aStream) mutable {
-      auto accepted = kj::heap<Accepted>(kj::mv(aStream), server);
-      auto ended = accepted->m_network.onDisconnect();
-      ended.attach(kj::mv(accepted)).detach([](kj::Exception&&) {});
-      return AcceptLoop(kj::mv(server), aReceiver);
-    });
-}
-
 } // namespace
 
 schema::Control::Client
@@ -565,13 +537,16 @@
 kj::Promise<void>
 Listen(schema::Control::Client aServer,
        kj::AsyncIoProvider& aProvider,
-       const std::string& aAddress)
+       const std::string& aAddress,
+       const http::ClientLimits& aLimits)
 {
   return aProvider.getNetwork().parseAddress(aAddress).then(
-    [server = kj::mv(aServer)](kj::Own<kj::NetworkAddress>&& aParsed) mutable {
-      auto receiver = aParsed->listen();
-      auto loop = AcceptLoop(kj::mv(server), *receiver);
-      return loop.attach(kj::mv(receiver));
+    [server = kj::mv(aServer), &timer = aProvider.getTimer(), aLimits](
+      kj::Own<kj::NetworkAddress>&& aParsed) mutable {
+      auto acceptor = kj::heap<PeerAcceptor>(
+        kj::mv(server), aParsed->listen(), timer, aLimits);
+      auto loop = acceptor->Run();
+      return loop.attach(kj::mv(acceptor));
     });
 }
 
--- a/tests/unit/control/leader_client_test.cpp
+++ b/tests/unit/control/leader_client_test.cpp
@@ -61,7 +61,8 @@
   {
     return control::Listen(kj::heap<Leader>(std::move(aMembers), aIsLost),
                            *m_loop->m_io.provider,
-                           aAddress)
+                           aAddress,
+                           http::ClientLimits{})
       .eagerlyEvaluate(nullptr);
   }
 
--- a/tools/bamboostiled/main.cpp
+++ b/tools/bamboostiled/main.cpp
@@ -216,8 +216,10 @@
   void ListenForRpc(schema::Control::Client aServer)
   {
     m_rpcListener =
-      control::Listen(
-        kj::mv(aServer), *m_io->provider, m_settings.m_rpc->ToText())
+      control::Listen(kj::mv(aServer),
+                      *m_io->provider,
+                      m_settings.m_rpc->ToText(),
+                      m_clientLimits)
         .eagerlyEvaluate([](kj::Exception&& aException) {
           LogLine(Level::kError, "cannot listen for RPC")
             .With("reason", std::string{ aException.getDescription().cStr() })
