control: messages of peers count for the memory of clients

What was seen: 24 clients at the RPC port that each sent all but the last byte of an 8 MiB message took 208 MiB on a machine of 64 MiB.

Cause: a message's buffer is allocated as its frame announces, up to 64 MiB, for each connection. Calls that wait for an answer were not bounded either.

Change: a stream of ours counts the buffer that is being read in the process's budget; when it is used up, the connection with the largest message goes, the oldest of similar size first. The parameters of the open calls of one connection are limited to 4 MiB; further messages stay in the socket.

--- a/src/control/peer_acceptor.cpp
+++ b/src/control/peer_acceptor.cpp
@@ -5,7 +5,10 @@
 #include <capnp/rpc-twoparty.h>
 
 #include <algorithm>
+#include <bit>
+#include <functional>
 #include <map>
+#include <tuple>
 
 namespace bamboostile::control {
 
@@ -15,20 +18,37 @@
 using telemetry::LogLine;
 
 constexpr kj::Duration kRetryInterval = 100 * kj::MILLISECONDS;
-/** Tells when its peer was last heard. */
-class PeerStream final : public kj::AsyncIoStream
+/** What an open connection takes without a message. */
+constexpr std::uint64_t kConnectionBytes = 8 * 1024;
+/** Parameters of the calls of one connection that have no answer yet, in words
+ * of 8 bytes. Above this, its further messages stay in the socket. */
+constexpr std::size_t kMaxCallWords = std::size_t{ 512 } * 1024;
+
+/** Counts the message that is being read into the memory of the clients. */
+class MeteredStream final : public kj::AsyncIoStream
 {
 public:
-  explicit PeerStream(kj::Own<kj::AsyncIoStream> aStream)
+  MeteredStream(kj::Own<kj::AsyncIoStream> aStream,
+                std::shared_ptr<http::MemoryAccount> aMemory,
+                std::function<void()> aOnMemoryShort)
     : m_stream(kj::mv(aStream))
+    , m_account(aMemory)
+    , m_memory(std::move(aMemory))
+    , m_onMemoryShort(std::move(aOnMemoryShort))
   {
+    m_memory.Resize(kConnectionBytes);
   }
 
+  /** The buffer exists before its content arrives; it is counted as a whole. */
   kj::Promise<std::size_t> tryRead(void* aBuffer,
                                    std::size_t aMin,
                                    std::size_t aMax) override
   {
     m_lastReadAt = MonotonicNow();
+    m_memory.Resize(kConnectionBytes + aMin);
+    if (m_account->MustShed()) {
+      m_onMemoryShort();
+    }
     return m_stream->tryRead(aBuffer, aMin, aMax);
   }
 
@@ -53,25 +73,31 @@
 
   /** When the read that is under way began: after the last message. */
   TimePoint LastReadAt() const { return m_lastReadAt; }
+  std::uint64_t Bytes() const { return m_memory.Bytes(); }
+  void ReleaseMemory() { m_memory.Resize(0); }
 
 private:
   kj::Own<kj::AsyncIoStream> m_stream;
+  std::shared_ptr<http::MemoryAccount> m_account;
+  http::Reservation m_memory;
+  std::function<void()> m_onMemoryShort;
   TimePoint m_lastReadAt = MonotonicNow();
 };
 
 /** An accepted connection with its own reader limits. */
 struct Accepted
 {
-  kj::Own<PeerStream> m_stream;
+  kj::Own<MeteredStream> m_stream;
   capnp::TwoPartyVatNetwork m_network;
   capnp::RpcSystem<capnp::rpc::twoparty::VatId> m_rpc;
   kj::Own<kj::PromiseFulfiller<void>> m_close;
 
-  Accepted(kj::Own<PeerStream> aStream, capnp::Capability::Client aBootstrap)
+  Accepted(kj::Own<MeteredStream> aStream, capnp::Capability::Client aBootstrap)
     : m_stream(kj::mv(aStream))
     , m_network(*m_stream, capnp::rpc::twoparty::Side::SERVER)
     , m_rpc(capnp::makeRpcServer(m_network, kj::mv(aBootstrap)))
   {
+    m_rpc.setFlowLimit(kMaxCallWords);
   }
 };
 
@@ -83,6 +109,7 @@
 public:
   explicit Connections(const http::ClientLimits& aLimits)
     : m_max(aLimits.m_peerConnections)
+    , m_memory(std::make_shared<http::MemoryAccount>(aLimits.m_memory, []() {}))
   {
   }
 
@@ -92,8 +119,9 @@
       CloseLongestIdle();
     }
     const std::uint64_t id = ++m_lastId;
-    auto accepted = kj::heap<Accepted>(kj::heap<PeerStream>(kj::mv(aStream)),
-                                       kj::mv(aServer));
+    auto accepted = kj::heap<Accepted>(
+      kj::heap<MeteredStream>(kj::mv(aStream), m_memory, [this]() { Shed(); }),
+      kj::mv(aServer));
     auto closed = kj::newPromiseAndFulfiller<void>();
     accepted->m_close = kj::mv(closed.fulfiller);
     m_open.emplace(id, accepted.get());
@@ -105,23 +133,43 @@
       .detach([](kj::Exception&&) {});
   }
 
+  void CloseLongestIdle()
+  {
+    CloseGreatest([](const MeteredStream& aStream) {
+      return -aStream.LastReadAt().time_since_epoch();
+    });
+  }
+
+private:
+  /** Of messages of similar size, the oldest goes first. */
+  void Shed()
+  {
+    while (m_memory->MustShed() && !m_open.empty()) {
+      CloseGreatest([](const MeteredStream& aStream) {
+        return std::tuple{ std::bit_width(aStream.Bytes()),
+                           -aStream.LastReadAt().time_since_epoch() };
+      });
+    }
+  }
+
   /** The connection is destroyed later: the caller may be inside one of its
    * callbacks. */
-  void CloseLongestIdle()
+  template<typename Rank>
+  void CloseGreatest(Rank aRank)
   {
-    const auto longest = std::min_element(
-      m_open.begin(), m_open.end(), [](const auto& aLeft, const auto& aRight) {
-        return aLeft.second->m_stream->LastReadAt() <
-               aRight.second->m_stream->LastReadAt();
+    const auto greatest = std::max_element(
+      m_open.begin(), m_open.end(), [&](const auto& aLeft, const auto& aRight) {
+        return aRank(*aLeft.second->m_stream) < aRank(*aRight.second->m_stream);
       });
-    if (longest != m_open.end()) {
-      longest->second->m_close->fulfill();
-      m_open.erase(longest);
+    if (greatest != m_open.end()) {
+      greatest->second->m_stream->ReleaseMemory();
+      greatest->second->m_close->fulfill();
+      m_open.erase(greatest);
     }
   }
 
-private:
   std::size_t m_max;
+  std::shared_ptr<http::MemoryAccount> m_memory;
   std::uint64_t m_lastId = 0;
   std::map<std::uint64_t, Accepted*> m_open;
 };
