json: a body may have so many values, however short they are

What was seen: one body of 4 MiB of brackets at a control replica took 328 MiB.

Cause: each value takes some 80 bytes once parsed, and as few as one byte of text.

Change: a body of more than 256 KiB is scanned for its values first, and refused with 400 if there are more than 262,144; a shorter one cannot have more.

--- a/include/bamboostile/json/fields.h
+++ b/include/bamboostile/json/fields.h
@@ -39,6 +39,9 @@
 [[noreturn]] void Reject(const std::string& aField,
                          const std::string& aAllowed);
 
+/** Returns a discarded value if the body is no JSON, or has so many values that
+ * it would take many times its bytes. */
+Json ParseUntrusted(const std::string& aBody);
 Json ParseObject(const std::string& aBody);
 /** Returns null if the field is absent or null. */
 const Json* Find(const Json& aObject, const char* aKey);
--- a/src/entry/announcement_json.cpp
+++ b/src/entry/announcement_json.cpp
@@ -1,5 +1,6 @@
 #include "announcement_json.h"
 
+#include "bamboostile/json/fields.h"
 #include "bamboostile/settings/settings.h"
 
 #include <nlohmann/json.hpp>
@@ -90,7 +91,7 @@
                   const std::string& aBody,
                   FieldProblem& aProblem)
 {
-  const Json json = Json::parse(aBody, nullptr, false);
+  const Json json = json::ParseUntrusted(aBody);
   if (!json.is_object()) {
     aProblem = { "(body)", "a JSON object" };
     return std::nullopt;
--- a/src/json/fields.cpp
+++ b/src/json/fields.cpp
@@ -4,6 +4,35 @@
 
 namespace bamboostile::json {
 
+namespace {
+
+/** Values of a document, counting those inside others. Each takes up to some
+ * 100 bytes once parsed, however short it is. A body of so many bytes cannot
+ * hold more. */
+constexpr std::size_t kMaxValues = std::size_t{ 256 } * 1024;
+
+/** Returns an upper bound of the values of a document: each but the first one
+ * follows an opening bracket or a comma, or a key that does. */
+std::size_t
+CountValues(const std::string& aBody)
+{
+  std::size_t count = 1;
+  bool isInString = false;
+  for (std::size_t i = 0; i < aBody.size(); ++i) {
+    const char next = aBody[i];
+    if (next == '"') {
+      isInString = !isInString;
+    } else if (isInString) {
+      i += next == '\\' ? 1 : 0;
+    } else {
+      count += next == '[' || next == '{' || next == ',' ? 1 : 0;
+    }
+  }
+  return count;
+}
+
+} // namespace
+
 std::string
 ToJson(const InvalidField& aInvalid)
 {
@@ -18,12 +47,23 @@
   throw InvalidFieldError{ { aField, aAllowed } };
 }
 
+Json
+ParseUntrusted(const std::string& aBody)
+{
+  const bool isTooMuch =
+    aBody.size() > kMaxValues && CountValues(aBody) > kMaxValues;
+  return isTooMuch ? Json(Json::value_t::discarded)
+                   : Json::parse(aBody, nullptr, false);
+}
+
 Json
 ParseObject(const std::string& aBody)
 {
-  Json json = Json::parse(aBody, nullptr, false);
+  Json json = ParseUntrusted(aBody);
   if (!json.is_object()) {
-    Reject("(body)", "a whole JSON object");
+    Reject("(body)",
+           "a whole JSON object of at most " + std::to_string(kMaxValues) +
+             " values");
   }
   return json;
 }
