--- a/include/bamboostile/http/server.h
+++ b/include/bamboostile/http/server.h
@@ -37,6 +37,9 @@
   virtual const Request& Incoming() const = 0;
   /** Moves the request's body out, to avoid a copy. */
   virtual std::string TakeBody() = 0;
+  /** Counts bytes that the handler keeps until it responds, in addition to
+   * those of the request. */
+  virtual void Hold(std::uint64_t aBytes) = 0;
   /** Must be called once, on the server's thread. */
   virtual void Respond(Response aResponse) = 0;
 };
--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -79,6 +79,10 @@
 
   const Request& Incoming() const override { return m_request; }
   std::string TakeBody() override { return std::move(m_request.m_body); }
+  void Hold(std::uint64_t aBytes) override
+  {
+    m_memory.Resize(m_memory.Bytes() + aBytes);
+  }
 
   void Respond(Response aResponse) override
   {
--- a/tests/failure/clients_fixture.h
+++ b/tests/failure/clients_fixture.h
@@ -102,13 +102,15 @@
     return "/q/" + std::string{ id };
   }
 
-  /** Returns a configuration with the queue. */
-  static std::string ConfigurationOf(int aVersion)
+  /** Returns a configuration with the queue, and with others. */
+  static std::string ConfigurationOf(int aVersion, int aOthers = 0)
   {
-    return R"({"version":)" + std::to_string(aVersion) +
-           R"(,"routes":[{"name":"q","host":"host","path_prefix":"/q/",)"
-           R"("service":"desk","timeout_ms":3000,"slo_ms":3000}],)"
-           R"("services":[{"name":"desk"}],"limits":{}})";
+    std::string routes = RouteOf("q");
+    for (int i = 0; i < aOthers; ++i) {
+      routes += "," + RouteOf("q" + std::to_string(i));
+    }
+    return R"({"version":)" + std::to_string(aVersion) + R"(,"routes":[)" +
+           routes + R"(],"services":[{"name":"desk"}],"limits":{}})";
   }
 
   test::Processes& Processes() { return m_processes; }
@@ -117,6 +119,12 @@
     R"({"spec":"x","steps":[{"count":1}]})";
 
 private:
+  static std::string RouteOf(const std::string& aName)
+  {
+    return R"({"name":")" + aName + R"(","host":"host","path_prefix":"/)" +
+           aName + R"(/","service":"desk","timeout_ms":3000,"slo_ms":3000})";
+  }
+
   void CheckPeakMemory(const std::string& aName)
   {
     const std::uint64_t peak = m_processes.PeakMemory(aName);
--- a/tests/failure/clients_test.cpp
+++ b/tests/failure/clients_test.cpp
@@ -113,6 +113,17 @@
   deployment.CheckSound();
 }
 
+// Guards against a configuration that takes many times its bytes once it is in
+// force.
+TEST(Clients, LargeConfigurationAtControl_IsWhole_MemoryIsBounded)
+{
+  Deployment deployment(26700);
+  Crowd crowd(deployment.Processes().ControlFrontHttp(), 1);
+  const std::string body = Deployment::ConfigurationOf(2, 30'000);
+  crowd.Write(PostHead(kConfigTarget, Length(body.size())) + body);
+  deployment.CheckSound();
+}
+
 // Guards against copies of large bodies whose requests are being handled.
 TEST(Clients, ManyLargeConfigurationsAtControl_AreWhole_MemoryIsBounded)
 {
