--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -2,6 +2,9 @@
 
 #include "connection.h"
 
+#include "bamboostile/telemetry/log.h"
+#include "bamboostile/telemetry/log_limit.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -145,11 +148,26 @@
     const auto longest =
       m_connections.m_table.FindLongestWaiting(MonotonicNow());
     if (longest) {
+      LogMadePlace();
       Close(*longest);
     }
     return longest.has_value();
   }
 
+  void LogMadePlace()
+  {
+    const auto unlogged = m_placeLog.Admit(MonotonicNow());
+    if (!unlogged) {
+      return;
+    }
+    telemetry::LogLine(telemetry::Level::kInfo,
+                       "connection without a request closed for a new one")
+      .With("port", m_options.m_port)
+      .With("connections", m_open.size())
+      .With("unloggedBefore", *unlogged)
+      .Write();
+  }
+
   void RetryAccept()
   {
     m_isAwaitingClients = true;
@@ -234,6 +252,7 @@
   ConnectionContext m_connections;
   std::unordered_map<ConnectionId, std::shared_ptr<Connection>> m_open;
   std::uint64_t m_lastId = 0;
+  telemetry::LogRateLimiter m_placeLog{ Millis{ 1'000 } };
   /** Also set until the next attempt to accept. */
   bool m_isAwaitingClients = false;
   TimePoint m_lastCheck = MonotonicNow();
