--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -365,17 +365,17 @@
   m_responseHead = {};
   m_responseBody = {};
   TrackMemory();
-  if (!aIsWritten || !m_socket.is_open()) {
+  const bool staysOpen =
+    aIsWritten && m_socket.is_open() && (m_isRefusing || m_keepsAlive);
+  if (!staysOpen) {
     Close();
   } else if (m_isRefusing) {
     ErrorCode ignored;
     m_socket.shutdown(Socket::shutdown_send, ignored);
     Enter(Phase::kDiscarding);
     AwaitInput();
-  } else if (m_keepsAlive) {
-    AwaitNextRequest();
   } else {
-    Close();
+    AwaitNextRequest();
   }
 }
 
