--- a/src/control/peer_acceptor.cpp
+++ b/src/control/peer_acceptor.cpp
@@ -24,7 +24,7 @@
  * of 8 bytes. Above this, its further messages stay in the socket. */
 constexpr std::size_t kMaxCallWords = std::size_t{ 512 } * 1024;
 
-/** Counts the message that is being read into the memory of the clients. */
+/** A stream that counts the message that is being read as memory of clients. */
 class MeteredStream final : public kj::AsyncIoStream
 {
 public:
@@ -141,7 +141,8 @@
   }
 
 private:
-  /** Of messages of similar size, the oldest goes first. */
+  /** Closes the connections with the largest messages, the oldest of similar
+   * size first, until the others may stay. */
   void Shed()
   {
     while (m_memory->MustShed() && !m_open.empty()) {
