--- a/tests/unit/settings/settings_test.cpp
+++ b/tests/unit/settings/settings_test.cpp
@@ -48,6 +48,19 @@
   ExpectError(m_valid, "limits.bodyBytes", "0");
 }
 
+TEST(Settings, LimitsOfClients_AreRead)
+{
+  m_valid["limits"] = { { "headTimeoutMs", 700 } };
+  m_valid["hosting"] = { { "maxDescriptors", 500 } };
+  settings::ValidationError error;
+  const auto settings = settings::Parse(m_valid.dump(), "file.json", error);
+  CHECK(settings.has_value());
+  LONGS_EQUAL(700, settings->m_limits.m_headTimeout.count());
+  LONGS_EQUAL(500, settings->m_hosting->m_maxDescriptors);
+  m_valid["hosting"] = { { "maxDescriptors", 1 } };
+  ExpectError(m_valid, "hosting.maxDescriptors", "1");
+}
+
 TEST(Settings, UnknownRole_IsNamed)
 {
   m_valid["roles"] = { "worker" };
