http: reading and writing cost the system calls that they did before

Cause, as far as found: a read that waits until the socket is readable costs an epoll_ctl for each request, and a response that is written asynchronously another turn of the event loop (strace).

Change: each connection reads into a buffer of 4 KiB, what is longer into one that all share; a response is written at once if the socket takes it; connections use the steady clock, which stands still while the machine is suspended, so that no check for that is needed; no hint.

--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
+
 #include <utility>
 
 namespace bamboostile::http {
@@ -22,7 +24,7 @@
  * is reset, and its client may lose the response. */
 constexpr std::size_t kMaxDiscarded = std::size_t{ 8 } * 1024 * 1024;
 /** What an open connection takes without a request. */
-constexpr std::size_t kConnectionBytes = 2048;
+constexpr std::size_t kConnectionBytes = std::size_t{ 6 } * 1024;
 constexpr std::uint32_t kBadRequest = 400;
 constexpr std::uint32_t kPayloadTooLarge = 413;
 constexpr std::uint32_t kUriTooLong = 414;
@@ -123,7 +125,7 @@
 void
 Connection::Start()
 {
-  m_context.m_table.Add(m_id, MonotonicNow());
+  m_context.m_table.Add(m_id, SteadyNow());
   ErrorCode error;
   m_socket.non_blocking(true, error);
   if (error) {
@@ -155,10 +157,12 @@
 {
   if (m_phase != aPhase) {
     m_phase = aPhase;
-    m_context.m_table.Enter(m_id, aPhase, MonotonicNow());
+    m_context.m_table.Enter(m_id, aPhase, SteadyNow());
   }
 }
 
+// A read into a buffer costs one system call less for each request than to wait
+// until the socket is readable.
 void
 Connection::AwaitInput()
 {
@@ -166,13 +170,16 @@
     return;
   }
   m_isAwaitingInput = true;
-  m_socket.async_wait(Socket::wait_read,
-                      [self = shared_from_this()](const ErrorCode& aError) {
-                        self->m_isAwaitingInput = false;
-                        if (!aError) {
-                          self->OnReadable();
-                        }
-                      });
+  m_socket.async_read_some(
+    asio::buffer(m_received),
+    [self = shared_from_this()](const ErrorCode& aError, std::size_t aBytes) {
+      self->m_isAwaitingInput = false;
+      if (aError) {
+        self->Close();
+      } else {
+        self->OnReceived(aBytes);
+      }
+    });
 }
 
 bool
@@ -183,39 +190,42 @@
 }
 
 void
-Connection::OnReadable()
+Connection::OnReceived(std::size_t aBytes)
 {
-  for (int i = 0; i < kReadsPerTurn && IsReading(); ++i) {
-    if (ReadOnce() == Progress::kStop) {
-      break;
-    }
+  Consume({ m_received.data(), aBytes });
+  bool hasMore = aBytes == m_received.size();
+  for (int i = 0; i < kReadsPerTurn && hasMore && IsReading(); ++i) {
+    hasMore = ReadMore();
   }
   if (IsReading()) {
     AwaitInput();
   }
 }
 
-Connection::Progress
-Connection::ReadOnce()
+/** Reads what has arrived beyond the connection's own buffer. Returns whether
+ * there may be still more. */
+bool
+Connection::ReadMore()
 {
   ErrorCode error;
   auto& buffer = m_context.m_received;
   const std::size_t bytes = m_socket.read_some(asio::buffer(buffer), error);
   if (error == asio::error::would_block) {
-    return Progress::kStop;
+    return false;
   }
   if (error) {
     Close();
-    return Progress::kStop;
+    return false;
   }
   Consume({ buffer.data(), bytes });
-  return bytes == buffer.size() ? Progress::kContinue : Progress::kStop;
+  return bytes == buffer.size();
 }
 
 void
 Connection::Consume(std::string_view aBytes)
 {
-  if (m_phase == Phase::kDiscarding) {
+  // After a refusal, a read that was under way still ends.
+  if (m_isRefusing) {
     m_discarded += aBytes.size();
     if (m_discarded > kMaxDiscarded) {
       Close();
@@ -244,12 +254,23 @@
 
 void
 Connection::ParseInput()
+{
+  m_isParsing = true;
+  while (ParseRequest()) {
+  }
+  m_isParsing = false;
+}
+
+/** Returns whether a request was answered at once, so that the next one can be
+ * read. */
+bool
+Connection::ParseRequest()
 {
   if (!m_parser) {
     // RFC 9112, 2.2: empty lines before a request are ignored.
     m_input.erase(0, m_input.find_first_not_of("\r\n"));
     if (m_input.empty()) {
-      return;
+      return false;
     }
     m_parser = std::make_unique<RequestParser>(m_context.m_limits);
     Enter(Phase::kReadingHead);
@@ -262,6 +283,10 @@
   } else if (m_parser->HasHead()) {
     Enter(Phase::kReadingBody);
   }
+  if (std::exchange(m_isWritten, false)) {
+    EndResponse();
+  }
+  return m_socket.is_open() && m_phase == Phase::kIdle;
 }
 
 void
@@ -312,7 +337,7 @@
 void
 Connection::LogRefusal(const Response& aResponse)
 {
-  if (const auto unlogged = m_context.m_refusalLog.Admit(MonotonicNow())) {
+  if (const auto unlogged = m_context.m_refusalLog.Admit(SteadyNow())) {
     LogLine(Level::kInfo, "request refused before it was read")
       .With("status", aResponse.m_status)
       .With("reason", aResponse.m_reason)
@@ -347,42 +372,82 @@
   m_keepsAlive = m_keepsAlive && !aResponse.m_close;
   m_responseHead = WriteHead(aResponse, m_keepsAlive);
   m_responseBody = m_isHead ? std::string{} : std::move(aResponse.m_body);
+  TrackMemory();
+  if (m_socket.is_open()) {
+    WriteResponse();
+  }
+}
+
+// Most responses fit into the socket's buffer: to write them at once costs a
+// turn of the event loop less.
+void
+Connection::WriteResponse()
+{
   const std::array<asio::const_buffer, 2> buffers{
     asio::buffer(m_responseHead), asio::buffer(m_responseBody)
   };
+  ErrorCode error;
+  const std::size_t written = m_socket.write_some(buffers, error);
+  if (error && error != asio::error::would_block) {
+    Close();
+  } else if (written < asio::buffer_size(buffers)) {
+    WriteRest(written);
+  } else if (m_isParsing) {
+    m_isWritten = true;
+  } else {
+    EndResponse();
+    if (m_phase == Phase::kIdle) {
+      AwaitNextRequest();
+    }
+  }
+}
+
+void
+Connection::WriteRest(std::size_t aWritten)
+{
+  const std::size_t headBytes = std::min(aWritten, m_responseHead.size());
+  const std::array<asio::const_buffer, 2> buffers{
+    asio::buffer(m_responseHead) + headBytes,
+    asio::buffer(m_responseBody) + (aWritten - headBytes)
+  };
   asio::async_write(
     m_socket,
     buffers,
     [self = shared_from_this()](const ErrorCode& aError, std::size_t) {
-      self->OnWritten(!aError);
+      if (aError || !self->m_socket.is_open()) {
+        self->Close();
+        return;
+      }
+      self->EndResponse();
+      if (self->m_phase == Phase::kIdle) {
+        self->AwaitNextRequest();
+      }
     });
-  TrackMemory();
 }
 
+/** Closes the connection after its last response; otherwise it is idle, or
+ * drops what still arrives. */
 void
-Connection::OnWritten(bool aIsWritten)
+Connection::EndResponse()
 {
   m_responseHead = {};
   m_responseBody = {};
-  TrackMemory();
-  const bool staysOpen =
-    aIsWritten && m_socket.is_open() && (m_isRefusing || m_keepsAlive);
-  if (!staysOpen) {
-    Close();
-  } else if (m_isRefusing) {
+  if (m_isRefusing) {
     ErrorCode ignored;
     m_socket.shutdown(Socket::shutdown_send, ignored);
     Enter(Phase::kDiscarding);
     AwaitInput();
+  } else if (m_keepsAlive) {
+    Enter(Phase::kIdle);
   } else {
-    AwaitNextRequest();
+    Close();
   }
+  TrackMemory();
 }
 
 void
 Connection::AwaitNextRequest()
 {
-  Enter(Phase::kIdle);
   ParseInput();
   TrackMemory();
   if (IsReading()) {
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -33,8 +33,8 @@
   telemetry::LogRateLimiter m_refusalLog{ Millis{ 200 } };
   /** Called when a connection has closed. */
   std::function<void(ConnectionId)> m_onClosed;
-  /** What one read receives. A connection that waits needs no buffer. */
-  std::array<char, std::size_t{ 16 } * 1024> m_received{};
+  /** Receives what is more than a connection's own buffer takes. */
+  std::array<char, std::size_t{ 64 } * 1024> m_received{};
 };
 
 /** A connection of a client: reads a request, waits for its response, writes
@@ -55,38 +55,40 @@
   void Shed();
 
 private:
-  enum class Progress
-  {
-    kContinue,
-    kStop
-  };
-
   void Enter(Phase aPhase);
   void AwaitInput();
   bool IsReading() const;
-  void OnReadable();
-  Progress ReadOnce();
+  void OnReceived(std::size_t aBytes);
+  bool ReadMore();
   void Consume(std::string_view aBytes);
   void ParseInput();
+  bool ParseRequest();
   void Dispatch();
   void Handle(std::shared_ptr<Exchange> aExchange);
   void Refuse(std::uint32_t aStatus, const char* aReason, Headers aHeaders);
   void LogRefusal(const Response& aResponse);
   void TrackMemory();
   void Write(Response aResponse);
-  void OnWritten(bool aIsWritten);
+  void WriteResponse();
+  void WriteRest(std::size_t aWritten);
+  void EndResponse();
   void AwaitNextRequest();
 
   ConnectionId m_id;
   boost::asio::ip::tcp::socket m_socket;
   ConnectionContext& m_context;
   Phase m_phase = Phase::kIdle;
+  /** Large enough for most requests. */
+  std::array<char, std::size_t{ 4 } * 1024> m_received{};
   /** Exists while a request is being read. */
   std::unique_ptr<RequestParser> m_parser;
   /** Received, not yet used up by the parser. */
   std::string m_input;
   std::size_t m_discarded = 0;
   bool m_isAwaitingInput = false;
+  bool m_isParsing = false;
+  /** The response to a request that is being parsed has been written. */
+  bool m_isWritten = false;
   bool m_keepsAlive = true;
   bool m_isHead = false;
   bool m_isRefusing = false;
--- a/src/http/connection_table.h
+++ b/src/http/connection_table.h
@@ -39,6 +39,15 @@
   Millis m_discard{};
 };
 
+/** Reads the clock of connections. It does not count the time in which the
+ * machine is suspended: what clients sent meanwhile is read first. */
+inline TimePoint
+SteadyNow()
+{
+  return TimePoint{ std::chrono::duration_cast<Duration>(
+    std::chrono::steady_clock::now().time_since_epoch()) };
+}
+
 /** Decides, without I/O, which connections of a server are closed. */
 class ConnectionTable
 {
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -31,7 +31,6 @@
 /** Time in which a refused client can still read its response. */
 constexpr Millis kDiscardTimeout{ 2'000 };
 constexpr Millis kMaxCheckInterval{ 1'000 };
-constexpr Millis kMaxCheckDelay{ 2'000 };
 /** Interval between attempts to accept while there is no place, or no
  * descriptor for a connection. */
 constexpr Millis kAcceptRetryInterval{ 100 };
@@ -145,8 +144,7 @@
   /** Closes a connection in favor of a new one. */
   bool MakePlace()
   {
-    const auto longest =
-      m_connections.m_table.FindLongestWaiting(MonotonicNow());
+    const auto longest = m_connections.m_table.FindLongestWaiting(SteadyNow());
     if (longest) {
       LogMadePlace();
       Close(*longest);
@@ -156,7 +154,7 @@
 
   void LogMadePlace()
   {
-    const auto unlogged = m_placeLog.Admit(MonotonicNow());
+    const auto unlogged = m_placeLog.Admit(SteadyNow());
     if (!unlogged) {
       return;
     }
@@ -193,14 +191,19 @@
 
   void Shed()
   {
+    // Closing a connection may find again that memory is short.
+    if (std::exchange(m_isShedding, true)) {
+      return;
+    }
     while (m_connections.m_memory->MustShed()) {
       const auto largest = m_connections.m_table.FindLargest();
       if (!largest) {
-        return;
+        break;
       }
       const auto connection = m_open.at(*largest);
       connection->Shed();
     }
+    m_isShedding = false;
   }
 
   Millis CheckInterval() const
@@ -222,15 +225,7 @@
 
   void CloseExpired()
   {
-    const TimePoint now = MonotonicNow();
-    // After a suspension of the process, what clients sent meanwhile is read
-    // first.
-    const bool wasSuspended = now - m_lastCheck > kMaxCheckDelay;
-    m_lastCheck = now;
-    if (wasSuspended) {
-      return;
-    }
-    for (const ConnectionId id : m_connections.m_table.Expired(now)) {
+    for (const ConnectionId id : m_connections.m_table.Expired(SteadyNow())) {
       Close(id);
     }
   }
@@ -245,17 +240,17 @@
 
   ServerOptions m_options;
   /** Outlives the connections: their handlers are destroyed with it. */
-  asio::io_context m_context{ 1 };
+  asio::io_context m_context;
   tcp::acceptor m_acceptor;
   asio::steady_timer m_checkTimer;
   asio::steady_timer m_acceptTimer;
   ConnectionContext m_connections;
   std::unordered_map<ConnectionId, std::shared_ptr<Connection>> m_open;
   std::uint64_t m_lastId = 0;
+  bool m_isShedding = false;
   telemetry::LogRateLimiter m_placeLog{ Millis{ 1'000 } };
   /** Also set until the next attempt to accept. */
   bool m_isAwaitingClients = false;
-  TimePoint m_lastCheck = MonotonicNow();
   std::vector<std::unique_ptr<Periodic>> m_periodic;
   std::thread m_thread;
 };
