--- a/src/control/worker_reports.cpp
+++ b/src/control/worker_reports.cpp
@@ -61,8 +61,8 @@
   }
   if (isNew) {
     WorkerLogLine(Level::kInfo, "first report from worker", worker)
-      .With("ofInstance", aReport.m_instance.Get())
-      .With("service", aReport.m_service.Get())
+      .With("ofInstance", Excerpt(aReport.m_instance.Get()))
+      .With("service", Excerpt(aReport.m_service.Get()))
       .With("cpuMillis", aReport.m_capacity.m_cpuMillis)
       .With("active", aReport.m_active.size())
       .Write();
@@ -294,6 +294,8 @@
   m_metrics.Count("reports_ignored_total{reason=\"" + reason + "\"}");
   if (const auto unlogged = m_ignoredLog.Admit(aNow)) {
     WorkerLogLine(Level::kInfo, "report ignored", aReport.m_worker)
+      .With("ofInstance", Excerpt(aReport.m_instance.Get()))
+      .With("service", Excerpt(aReport.m_service.Get()))
       .With("sequence", aReport.m_sequence)
       .With("reason", reason)
       .With("unloggedBefore", *unlogged)
@@ -307,7 +309,8 @@
 {
   m_metrics.Count("worker_restarts_total");
   WorkerLogLine(Level::kInfo, "worker has started again", aReport.m_worker)
-    .With("ofInstance", aReport.m_instance.Get())
+    .With("ofInstance", Excerpt(aReport.m_instance.Get()))
+    .With("service", Excerpt(aReport.m_service.Get()))
     .With("sequence", aReport.m_sequence)
     .With("previous", aResult.m_superseded->m_id.Get())
     .With("previousStartedAtMs", aResult.m_superseded->m_startedAt.Get())
