placement: a report of another fleet has no effect

Cause: reports were taken in before anything asked whether they are from this fleet; a later start time on an instance then proves that the earlier incarnation has ended. The comparison of start times is right for workers. TrackIdleWorkers compared the service with the configuration, for moves only.

Change: CheckOrigin decides before any table is touched. A report counts if its service is in the routes or was in earlier ones, and if its incarnation hasn't reported for another service. Until the first routes are in force a report is answered without a lease and nothing is kept of it. A refusal names its reason in the body of the 409.

Ruled out: comparing with the current routes alone (the ends of workers whose service is missing would not be accepted); the check in Admit (ends, draining and sequence numbers under the worker's own id come after it).

--- a/include/bamboostile/control/job_service.h
+++ b/include/bamboostile/control/job_service.h
@@ -127,9 +127,10 @@
   WorkerAnswer NotLeaderAnswer() const;
   void RecordRestart(const placement::WorkerReport& aReport,
                      const placement::ReportResult& aResult);
-  void RecordIgnored(const placement::WorkerReport& aReport,
-                     placement::IgnoreReason aReason,
-                     TimePoint aNow);
+  /** Answers a report that has no effect. */
+  WorkerAnswer Ignore(const placement::WorkerReport& aReport,
+                      placement::IgnoreReason aReason,
+                      TimePoint aNow);
   void RecordSkippedEnds(const placement::WorkerReport& aReport,
                          std::size_t aCount);
   void RecordIgnoringStarts(const WorkerIncarnation& aWorker);
--- a/include/bamboostile/fleet/routes.h
+++ b/include/bamboostile/fleet/routes.h
@@ -69,6 +69,7 @@
   /** The table as the operator sent it, returned when it is read. */
   std::string m_document;
 
+  bool HasService(const ServiceId& aService) const;
   /** The pool whose instances are powered off; null if there is none. */
   const ServiceId* StandbyPool() const;
 };
--- a/include/bamboostile/fleet/state.h
+++ b/include/bamboostile/fleet/state.h
@@ -68,6 +68,9 @@
   std::uint32_t Version() const { return m_version; }
   const RouteTable& Routes() const { return m_routes; }
   const RouteIndex& RouteLookup() const { return m_routeIndex; }
+  /** Whether the route table in force or an earlier one has the service. The
+   * workers of a service that was removed may still run tasks. */
+  bool KnowsService(const ServiceId& aService) const;
   /** Returns the workspace on whose behalf a call with this key to the route
    * is made, empty if the route needs no key. Unset if the call is not
    * allowed. */
@@ -122,6 +125,9 @@
   void ReleaseFromWave(Index aIndex, const Wave& aWave);
   std::optional<PoolId> FindPoolFor(const Announcement& aAnnouncement) const;
   void SetRoutes(RouteTable aTable);
+  /** Records the services that the next table removes, and forgets those that
+   * it adds again. */
+  void UpdateFormerServices(const RouteTable& aNext);
   void AdvanceViewRevision(Index aIndex) { m_viewRevision = aIndex; }
   void RecordRemoval(Index aIndex,
                      std::variant<PoolId, ServiceId, InstanceId> aObject);
@@ -146,6 +152,8 @@
   RouteTable m_routes;
   /** Derived from m_routes. */
   RouteIndex m_routeIndex;
+  /** Services of earlier route tables, those removed last at the end. */
+  std::vector<ServiceId> m_formerServices;
   workspaces::Directory m_directory;
   std::map<std::uint64_t, MaintenanceWave> m_maintenance;
   std::set<InstanceId> m_recentOrders;
--- /dev/null
+++ b/include/bamboostile/placement/origin.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "bamboostile/fleet/state.h"
+#include "bamboostile/placement/workers.h"
+
+#include <optional>
+
+namespace bamboostile::placement {
+
+/** Returns why a report is not taken for one of this fleet's workers, or
+ * nothing if it is. aKnown: the incarnation that the report names, or null if
+ * it has not reported to this leader. */
+std::optional<IgnoreReason> CheckOrigin(const WorkerReport& aReport,
+                                        const fleet::State& aState,
+                                        const Worker* aKnown);
+
+} // namespace bamboostile::placement
--- a/src/control/worker_reports.cpp
+++ b/src/control/worker_reports.cpp
@@ -2,6 +2,8 @@
 
 #include "worker_log.h"
 
+#include "bamboostile/placement/origin.h"
+
 #include <algorithm>
 
 namespace bamboostile::control {
@@ -34,7 +36,12 @@
   m_shedder.RecordWait(now - aReceivedAt, now);
   const WorkerIncarnation worker = aReport.m_worker;
   const std::uint64_t sequence = aReport.m_sequence;
-  const bool isNew = m_workers->Find(worker) == nullptr;
+  const placement::Worker* known = m_workers->Find(worker);
+  if (const auto foreign =
+        placement::CheckOrigin(aReport, m_node.State(), known)) {
+    return Ignore(aReport, *foreign, now);
+  }
+  const bool isNew = known == nullptr;
   placement::ReportResult result =
     m_workers->OnReport(aReport, m_node.State().Jobs(), now, WallNow());
   if (result.m_superseded) {
@@ -50,14 +57,7 @@
     RecordReachability(worker, result.m_isReachableAgain);
   }
   if (result.m_ignored) {
-    RecordIgnored(aReport, *result.m_ignored, now);
-    WorkerAnswer late;
-    late.m_refusal = placement::Describe(*result.m_ignored);
-    if (result.m_ignored == placement::IgnoreReason::kUnconfirmed) {
-      late.m_orders = m_workers->AnswerUnconfirmed();
-      late.m_fencingToken = m_term;
-    }
-    return late;
+    return Ignore(aReport, *result.m_ignored, now);
   }
   if (isNew) {
     WorkerLogLine(Level::kInfo, "first report from worker", worker)
@@ -285,10 +285,10 @@
   }
 }
 
-void
-JobService::RecordIgnored(const placement::WorkerReport& aReport,
-                          placement::IgnoreReason aReason,
-                          TimePoint aNow)
+WorkerAnswer
+JobService::Ignore(const placement::WorkerReport& aReport,
+                   placement::IgnoreReason aReason,
+                   TimePoint aNow)
 {
   const std::string reason = placement::Describe(aReason);
   m_metrics.Count("reports_ignored_total{reason=\"" + reason + "\"}");
@@ -301,6 +301,16 @@
       .With("unloggedBefore", *unlogged)
       .Write();
   }
+  WorkerAnswer answer;
+  answer.m_refusal = reason;
+  // Without a lease, the worker waits for its next report rather than trying
+  // another control process at once.
+  if (aReason == placement::IgnoreReason::kUnconfirmed ||
+      aReason == placement::IgnoreReason::kNoRoutes) {
+    answer.m_orders = m_workers->AnswerUnconfirmed();
+    answer.m_fencingToken = m_term;
+  }
+  return answer;
 }
 
 void
--- a/src/fleet/codec.cpp
+++ b/src/fleet/codec.cpp
@@ -272,6 +272,8 @@
     aState.m_isFormed = aJson.value("isFormed", false);
     aState.m_version = aJson.value("version", std::uint32_t{ 0 });
     aState.SetRoutes(aJson.at("routes").get<RouteTable>());
+    aState.m_formerServices =
+      aJson.value("formerServices", std::vector<ServiceId>{});
     aJson.at("maintenance").get_to(aState.m_maintenance);
     aState.m_recentOrders = aJson.value("recentOrders", std::set<InstanceId>{});
     const auto& bytes = aJson.at("jobs").get_binary();
@@ -310,6 +312,7 @@
                  { "isFormed", aState.m_isFormed },
                  { "version", aState.m_version },
                  { "routes", aState.m_routes },
+                 { "formerServices", aState.m_formerServices },
                  { "maintenance", aState.m_maintenance },
                  { "recentOrders", aState.m_recentOrders },
                  { "jobs",
--- a/src/fleet/routes.cpp
+++ b/src/fleet/routes.cpp
@@ -35,6 +35,15 @@
            : Describe(m_problem);
 }
 
+bool
+RouteTable::HasService(const ServiceId& aService) const
+{
+  return std::any_of(
+    m_services.begin(), m_services.end(), [&](const auto& aConfigured) {
+      return aConfigured.m_id == aService;
+    });
+}
+
 const ServiceId*
 RouteTable::StandbyPool() const
 {
--- a/src/fleet/state.cpp
+++ b/src/fleet/state.cpp
@@ -14,6 +14,7 @@
  * A call resent later is refused because its expected revision is outdated. */
 constexpr std::size_t kMaxKeptReplies = 10'000;
 constexpr std::size_t kMaxKeptRemovals = 2'000;
+constexpr std::size_t kMaxFormerServices = 1'000;
 constexpr std::uint32_t kMaxPercent = 100;
 
 CallReply
@@ -546,10 +547,35 @@
 State::Apply(Index /*aIndex*/, const ReplaceRoutes& aReplace)
 {
   if (aReplace.m_table.m_version > m_routes.m_version) {
+    UpdateFormerServices(aReplace.m_table);
     SetRoutes(aReplace.m_table);
   }
 }
 
+bool
+State::KnowsService(const ServiceId& aService) const
+{
+  return m_routes.HasService(aService) ||
+         std::find(m_formerServices.begin(),
+                   m_formerServices.end(),
+                   aService) != m_formerServices.end();
+}
+
+void
+State::UpdateFormerServices(const RouteTable& aNext)
+{
+  for (const ServicePolicy& service : m_routes.m_services) {
+    m_formerServices.push_back(service.m_id);
+  }
+  std::erase_if(m_formerServices, [&](const ServiceId& aService) {
+    return aNext.HasService(aService);
+  });
+  if (m_formerServices.size() > kMaxFormerServices) {
+    m_formerServices.erase(m_formerServices.begin(),
+                           m_formerServices.end() - kMaxFormerServices);
+  }
+}
+
 void
 State::SetRoutes(RouteTable aTable)
 {
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -346,15 +346,7 @@
                                   const WorkerTable& aWorkers,
                                   TimePoint aNow)
 {
-  // A report may come from a foreign writer. An instance whose service is not
-  // configured does not belong to this fleet and is never moved.
-  const auto& services = aState.Routes().m_services;
-  const auto isConfigured = [&](const ServiceId& aService) {
-    return std::any_of(
-      services.begin(), services.end(), [&](const auto& aConfigured) {
-        return aConfigured.m_id == aService;
-      });
-  };
+  // The service may have been removed: its instances stay where they are.
   // Both maps are in the order of their keys: one pass over both needs no
   // lookups.
   auto idle = m_idleSince.begin();
@@ -367,7 +359,7 @@
     if (isKnown) {
       idle = hasTasks ? m_idleSince.erase(idle) : std::next(idle);
     } else if (!hasTasks && worker.m_lastReport.m_active.empty() &&
-               isConfigured(worker.m_lastReport.m_service)) {
+               aState.Routes().HasService(worker.m_lastReport.m_service)) {
       m_idleSince.emplace_hint(idle, id, aNow);
     }
   }
--- /dev/null
+++ b/src/placement/origin.cpp
@@ -0,0 +1,26 @@
+#include "bamboostile/placement/origin.h"
+
+namespace bamboostile::placement {
+
+// A program of another fleet may run on an instance of this one, or report
+// under the id of one of its workers. Taken for a worker, it would prove that
+// the runs on the instance have ended, and they would run twice.
+std::optional<IgnoreReason>
+CheckOrigin(const WorkerReport& aReport,
+            const fleet::State& aState,
+            const Worker* aKnown)
+{
+  if (aState.Routes().m_version == 0) {
+    return IgnoreReason::kNoRoutes;
+  }
+  if (!aState.KnowsService(aReport.m_service)) {
+    return IgnoreReason::kUnknownService;
+  }
+  // An incarnation ends when its instance moves to another service. A lost one
+  // may have been another program's under the same id.
+  const bool isOther = aKnown != nullptr && !aKnown->m_isLost &&
+                       aKnown->m_lastReport.m_service != aReport.m_service;
+  return isOther ? std::optional{ IgnoreReason::kOtherService } : std::nullopt;
+}
+
+} // namespace bamboostile::placement
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -94,6 +94,12 @@
       return "its worker has ended";
     case IgnoreReason::kUnconfirmed:
       return "it may be of an earlier life";
+    case IgnoreReason::kNoRoutes:
+      return "no routes are in force yet";
+    case IgnoreReason::kUnknownService:
+      return "its service is not configured";
+    case IgnoreReason::kOtherService:
+      return "its worker reports for another service";
   }
   return "unknown";
 }
--- a/tests/unit/control/job_service_test.cpp
+++ b/tests/unit/control/job_service_test.cpp
@@ -799,6 +799,43 @@
     std::string::npos);
 }
 
+// Guards against tasks that run twice: a program of another fleet reports from
+// the instance of a worker, or under its id, and the worker's runs count as
+// ended.
+TEST(JobService, ReportOfAnotherFleet_LeavesWorkerAndItsRunAsTheyAre)
+{
+  placement::LeaseOptions lease;
+  lease.m_maxReportDelay = Millis{};
+  StartService(lease);
+  m_startedAt = WallTime{ 1000 };
+  Submit("a", Spec({ Step(1) }));
+  const placement::StartOrder start = AwaitStart("w1");
+  placement::WorkerReport foreign = Report("w1", 1'000'000);
+  foreign.m_service = ServiceId{ "another-fleet" };
+  foreign.m_draining = true;
+  foreign.m_ended.push_back(End(1, start.m_task, jobs::RunEnd::kDone));
+  for (const auto& worker :
+       { Life("x", 2000), Life("w1", 2000), Life("w1", 1000) }) {
+    foreign.m_worker = worker;
+    const auto refused = Await(m_service->Report(foreign, MonotonicNow()));
+    CHECK(refused.has_value());
+    CHECK_FALSE(refused->m_orders.has_value());
+  }
+  placement::WorkerReport own = Report("w1", 0);
+  own.m_active.push_back(Active(start.m_task));
+  const auto answer = Await(Send(own));
+  CHECK(answer.has_value());
+  CHECK(answer->m_orders.has_value());
+  CHECK(answer->m_orders->m_lease > Duration{});
+  CHECK(answer->m_orders->m_stops.empty());
+  const jobs::Task* task = m_node->State().Jobs().FindTask(start.m_task);
+  CHECK(task->m_phase == jobs::TaskPhase::kRunning);
+  CHECK(task->m_worker == Life("w1", 1000));
+  CHECK(m_service->RenderMetrics().find(
+          "reports_ignored_total{reason=\"its service is not configured\"} "
+          "3") != std::string::npos);
+}
+
 // Guards against a long-running task that waits for the lease of a dead worker.
 TEST(JobService, WorkerIsListedAsDown_ItsRunsEndBeforeItsLease)
 {
