placement: an entry of another fleet in the platform's list proves nothing

Change: entries of unknown pools are left out when a list arrives, as unreadable ones are, and each counts as one that names no worker.

Measured: Origin ListedPoolIsUnknown (new; the function didn't exist).

--- a/include/bamboostile/placement/origin.h
+++ b/include/bamboostile/placement/origin.h
@@ -14,4 +14,8 @@
                                         const fleet::State& aState,
                                         const Worker* aKnown);
 
+/** Removes the entries of pools that are not of this fleet. Each of them counts
+ * as one that names no worker. */
+void RemoveForeignEntries(ListedInstances& aList, const fleet::State& aState);
+
 } // namespace bamboostile::placement
--- a/src/control/instance_service.cpp
+++ b/src/control/instance_service.cpp
@@ -1,5 +1,6 @@
 #include "bamboostile/control/instance_service.h"
 
+#include "bamboostile/placement/origin.h"
 #include "bamboostile/telemetry/log.h"
 
 namespace bamboostile::control {
@@ -428,6 +429,7 @@
   if (!aList.m_instances) {
     return;
   }
+  placement::RemoveForeignEntries(*aList.m_instances, m_node.State());
   const placement::InstanceList list{ aList.m_requestedAt,
                                       std::move(aList.m_instances->m_readable),
                                       aList.m_instances->m_unnamedWorkerCount };
--- a/src/placement/origin.cpp
+++ b/src/placement/origin.cpp
@@ -23,4 +23,13 @@
   return isOther ? std::optional{ IgnoreReason::kOtherService } : std::nullopt;
 }
 
+void
+RemoveForeignEntries(ListedInstances& aList, const fleet::State& aState)
+{
+  aList.m_unnamedWorkerCount +=
+    std::erase_if(aList.m_readable, [&](const ListedInstance& aEntry) {
+      return !aState.KnowsService(aEntry.m_pool);
+    });
+}
+
 } // namespace bamboostile::placement
--- a/tests/unit/placement/origin_test.cpp
+++ b/tests/unit/placement/origin_test.cpp
@@ -125,3 +125,22 @@
   m_known.m_isLost = true;
   CheckReason(std::nullopt, report, &m_known);
 }
+
+// Guards against an entry of another fleet that proves the end of a worker
+// that runs on, or hides the entry of its instance.
+TEST(Origin, ListedPoolIsUnknown_EntryIsRemoved)
+{
+  ListedInstances list;
+  list.m_readable = { { InstanceId{ "i1" },
+                        ServiceId{ "another-fleet" },
+                        InstanceState::kDown,
+                        WorkerId{ "x" } },
+                      { InstanceId{ "i1" },
+                        ServiceId{ "desk" },
+                        InstanceState::kUp,
+                        WorkerId{ "w1" } } };
+  RemoveForeignEntries(list, m_fleet.State());
+  LONGS_EQUAL(1, list.m_readable.size());
+  STRCMP_EQUAL("w1", list.m_readable[0].m_worker.Get().c_str());
+  LONGS_EQUAL(1, list.m_unnamedWorkerCount);
+}
