schema: texts are passed with their length

Cause: a std::string is converted to kj::StringPtr by its c_str(). The entry cut the spec when it passed the job on, so all later copies were the short ones.

Change: ToText passes a text with its length. The encoding stays as it was.

--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -1,5 +1,6 @@
 #include "bamboostile/control/node.h"
 
+#include "bamboostile/schema/text.h"
 #include "bamboostile/telemetry/log.h"
 #include "bamboostile/units/visit.h"
 #include "bamboostile/wire/consensus_codec.h"
@@ -661,7 +662,7 @@
   auto channel = kj::refcounted<rpc::Channel>(m_provider.getNetwork(), aSeed);
   auto request = channel->Get().joinRequest();
   wire::Write(m_replica.Self(), request.initId());
-  request.setAddress(m_options.m_address);
+  request.setAddress(ToText(m_options.m_address));
   auto admission =
     request.send().then([this, aSeed](auto&& aReply) -> kj::Promise<void> {
       if (aReply.getHasNoLog()) {
@@ -676,7 +677,7 @@
       auto next = kj::refcounted<rpc::Channel>(m_provider.getNetwork(), leader);
       auto again = next->Get().joinRequest();
       wire::Write(m_replica.Self(), again.initId());
-      again.setAddress(m_options.m_address);
+      again.setAddress(ToText(m_options.m_address));
       return again.send().ignoreResult().attach(kj::mv(next));
     });
   // A seed that is down or unreachable is asked again in the next round.
--- a/src/control/peer_links.cpp
+++ b/src/control/peer_links.cpp
@@ -1,5 +1,6 @@
 #include "bamboostile/control/peer_links.h"
 
+#include "bamboostile/schema/text.h"
 #include "bamboostile/telemetry/log.h"
 #include "bamboostile/wire/consensus_codec.h"
 
@@ -108,7 +109,7 @@
   ++peer.m_outstanding;
   auto request = peer.m_channel->Get().deliverRequest();
   wire::Write(aMessage, request.initMessage());
-  request.setReplyTo(m_replyTo);
+  request.setReplyTo(ToText(m_replyTo));
   m_tasks.add(request.send().ignoreResult().then(
     [&peer]() {
       --peer.m_outstanding;
--- a/src/control/relay.cpp
+++ b/src/control/relay.cpp
@@ -1,4 +1,5 @@
 #include "bamboostile/control/relay.h"
+#include "bamboostile/schema/text.h"
 
 namespace bamboostile::control {
 
@@ -19,7 +20,7 @@
   {
     auto reply = aContext.getResults().initReply();
     reply.setOutcome(schema::SyncOutcome::NOT_LEADER);
-    reply.setLeaderAddress(m_leader());
+    reply.setLeaderAddress(ToText(m_leader()));
     return kj::READY_NOW;
   }
 
@@ -27,7 +28,7 @@
   {
     auto results = aContext.getResults();
     results.setOutcome(schema::SyncOutcome::NOT_LEADER);
-    results.setLeaderAddress(m_leader());
+    results.setLeaderAddress(ToText(m_leader()));
     return kj::READY_NOW;
   }
 
@@ -50,7 +51,7 @@
   {
     auto reply = aContext.getResults().initReply();
     reply.setOutcome(schema::QueueOutcome::NOT_LEADER);
-    reply.setLeaderAddress(m_leader());
+    reply.setLeaderAddress(ToText(m_leader()));
     return kj::READY_NOW;
   }
 
@@ -58,7 +59,7 @@
   {
     auto results = aContext.getResults();
     results.setOutcome(schema::SyncOutcome::NOT_LEADER);
-    results.setLeaderAddress(m_leader());
+    results.setLeaderAddress(ToText(m_leader()));
     // A group may be formed without a seed that never keeps a log, but not
     // without one that only waits for its disk: that seed would form a second
     // group.
@@ -70,7 +71,7 @@
   kj::Promise<void> RefuseLedger(schema::LedgerReply::Builder aReply)
   {
     aReply.setOutcome(schema::LedgerOutcome::NOT_LEADER);
-    aReply.setLeaderAddress(m_leader());
+    aReply.setLeaderAddress(ToText(m_leader()));
     return kj::READY_NOW;
   }
 
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -76,7 +76,7 @@
     const auto call = wire::Read(aContext.getParams().getCall(), error);
     if (!call) {
       reply.setOutcome(schema::CallOutcome::INVALID);
-      reply.setMessage(error.m_message);
+      reply.setMessage(ToText(error.m_message));
       return kj::READY_NOW;
     }
     LogLine(Level::kInfo, "operator call")
@@ -96,7 +96,7 @@
       RefuseAsFollower(results.initReply());
       return kj::READY_NOW;
     }
-    results.setJson(m_node.StatusJson());
+    results.setJson(ToText(m_node.StatusJson()));
     return kj::READY_NOW;
   }
 
@@ -153,7 +153,7 @@
     if (finding.m_problem != fleet::RouteProblem::kNone) {
       auto reply = aContext.getResults().initReply();
       reply.setOutcome(schema::CallOutcome::INVALID);
-      reply.setMessage(finding.m_name + ": " + finding.Reason());
+      reply.setMessage(ToText(finding.m_name + ": " + finding.Reason()));
       return kj::READY_NOW;
     }
     const std::uint64_t version = table.m_version;
@@ -206,7 +206,7 @@
       RefuseAsFollower(aResults.initReply());
       return;
     }
-    aResults.setJson(*aJson);
+    aResults.setJson(ToText(*aJson));
     aResults.initReply().setOutcome(schema::CallOutcome::DONE);
   }
 
@@ -236,8 +236,8 @@
     aReply.setOutcome(inForce == aVersion ? schema::CallOutcome::DONE
                                           : schema::CallOutcome::CONFLICT);
     if (inForce != aVersion) {
-      aReply.setMessage("version " + std::to_string(inForce) +
-                        " is in force; send a higher one");
+      aReply.setMessage(ToText("version " + std::to_string(inForce) +
+                               " is in force; send a higher one"));
     }
   }
 
@@ -245,7 +245,7 @@
   {
     aReply.setOutcome(schema::CallOutcome::NOT_LEADER);
     aReply.setMessage("this replica does not lead, or is cut off");
-    aReply.setLeaderAddress(m_node.LeaderAddress());
+    aReply.setLeaderAddress(ToText(m_node.LeaderAddress()));
   }
 
   void Report(schema::CallReply::Builder aReply, consensus::Error aError)
@@ -351,7 +351,7 @@
     auto results = aContext.getResults();
     if (!m_node.IsServing()) {
       results.setOutcome(schema::SyncOutcome::NOT_LEADER);
-      results.setLeaderAddress(m_node.LeaderAddress());
+      results.setLeaderAddress(ToText(m_node.LeaderAddress()));
       return kj::READY_NOW;
     }
     fleet::AnnounceInstances command;
@@ -443,7 +443,7 @@
     auto results = aContext.getResults();
     if (m_node.Replica().CurrentRole() != consensus::Role::kLeader) {
       results.setOutcome(schema::SyncOutcome::NOT_LEADER);
-      results.setLeaderAddress(m_node.LeaderAddress());
+      results.setLeaderAddress(ToText(m_node.LeaderAddress()));
       return kj::READY_NOW;
     }
     const auto params = aContext.getParams();
@@ -466,7 +466,7 @@
     const auto& members = m_node.Replica().CurrentMembership().m_members;
     auto list = aTo.initMembers(static_cast<unsigned>(members.size()));
     for (unsigned i = 0; i < list.size(); ++i) {
-      list.set(i, members[i].m_address);
+      list.set(i, ToText(members[i].m_address));
     }
     aTo.setMembersRevision(m_node.Replica().MembershipIndex().Get());
   }
@@ -476,7 +476,7 @@
   {
     using Outcome = decltype(aReply.asReader().getOutcome());
     aReply.setOutcome(Outcome::NOT_LEADER);
-    aReply.setLeaderAddress(m_node.LeaderAddress());
+    aReply.setLeaderAddress(ToText(m_node.LeaderAddress()));
   }
 
   void Write(const outcome::Record& aRecord, schema::LedgerReply::Builder aTo)
@@ -518,7 +518,7 @@
     const auto& members = m_node.Replica().CurrentMembership().m_members;
     auto addresses = reply.initControlAddresses(members.size());
     for (std::size_t i = 0; i < members.size(); ++i) {
-      addresses.set(i, members[i].m_address);
+      addresses.set(i, ToText(members[i].m_address));
     }
   }
 
@@ -540,9 +540,10 @@
        const std::string& aAddress,
        const http::ClientLimits& aLimits)
 {
-  return aProvider.getNetwork().parseAddress(aAddress).then(
-    [server = kj::mv(aServer), &timer = aProvider.getTimer(), aLimits](
-      kj::Own<kj::NetworkAddress>&& aParsed) mutable {
+  return aProvider.getNetwork()
+    .parseAddress(ToText(aAddress))
+    .then([server = kj::mv(aServer), &timer = aProvider.getTimer(), aLimits](
+            kj::Own<kj::NetworkAddress>&& aParsed) mutable {
       auto acceptor = kj::heap<PeerAcceptor>(
         kj::mv(server), aParsed->listen(), timer, aLimits);
       auto loop = acceptor->Run();
--- a/src/entry/link.cpp
+++ b/src/entry/link.cpp
@@ -190,8 +190,8 @@
   auto call = CurrentChannel().Get().syncRequest();
   auto request = call.initRequest();
   wire::Write(m_options.m_self, request.initEntry());
-  request.setZone(m_options.m_zone.Get());
-  request.setHttp(m_options.m_httpAddress);
+  request.setZone(ToText(m_options.m_zone.Get()));
+  request.setHttp(ToText(m_options.m_httpAddress));
   request.setRevision(m_applied.m_revision.Get());
   const bool leaving = m_pendingLeave.has_value();
   request.setLeaving(leaving);
@@ -203,7 +203,7 @@
   }
   auto inFlight = request.initInFlight(m_applied.m_inFlight.size());
   for (std::size_t i = 0; i < m_applied.m_inFlight.size(); ++i) {
-    inFlight[i].setId(m_applied.m_inFlight[i].m_instance.Get());
+    inFlight[i].setId(ToText(m_applied.m_inFlight[i].m_instance.Get()));
     inFlight[i].setCount(m_applied.m_inFlight[i].m_count);
   }
   // The lease is measured from before the request is sent, so that network
@@ -436,7 +436,7 @@
   const TimePoint until = MonotonicNow() + aLookup.m_timeout;
   SendAttempt attempt = [this, request = std::move(aLookup.m_request)]() {
     auto call = CurrentChannel().Get().lookupRequest();
-    call.setRequest(request.Get());
+    call.setRequest(ToText(request.Get()));
     return call.send().then([this, address = m_currentAddress](auto aResponse) {
       return ToResultFrom(aResponse.getReply(), address);
     });
--- a/src/jobs/codec.cpp
+++ b/src/jobs/codec.cpp
@@ -49,7 +49,7 @@
 void
 Write(const TaskRef& aTask, schema::TaskRef::Builder aTo)
 {
-  aTo.setJob(aTask.m_job.Get());
+  aTo.setJob(ToText(aTask.m_job.Get()));
   aTo.setOccurrence(aTask.m_occurrence);
   aTo.setStep(aTask.m_step);
   aTo.setIndex(aTask.m_index);
@@ -94,25 +94,25 @@
   std::visit(Overloaded{
                [&](const Submit& aSubmit) {
                  auto to = aTo.initSubmit();
-                 to.setJob(aSubmit.m_job.Get());
-                 to.setQueue(aSubmit.m_queue.Get());
+                 to.setJob(ToText(aSubmit.m_job.Get()));
+                 to.setQueue(ToText(aSubmit.m_queue.Get()));
                  jobs::Write(aSubmit.m_spec, to.initSpec());
                  to.setAtMs(aSubmit.m_at.Get());
                  if (!aSubmit.m_workspace.Get().empty()) {
-                   to.setWorkspace(aSubmit.m_workspace.Get());
+                   to.setWorkspace(ToText(aSubmit.m_workspace.Get()));
                    to.setBeyondShare(aSubmit.m_isBeyondShare);
                  }
                },
                [&](const Cancel& aCancel) {
                  auto to = aTo.initCancel();
-                 to.setCancelled(aCancel.m_job.Get());
+                 to.setCancelled(ToText(aCancel.m_job.Get()));
                  to.setCancelAtMs(aCancel.m_at.Get());
                },
                [&](const StartRun& aStart) {
                  auto to = aTo.initStart();
                  Write(aStart.m_task, to.initTask());
                  to.setRun(aStart.m_run.Get());
-                 to.setWorker(aStart.m_worker.m_id.Get());
+                 to.setWorker(ToText(aStart.m_worker.m_id.Get()));
                  to.setWorkerStartedAtMs(aStart.m_worker.m_startedAt.Get());
                },
                [&](const EndRun& aEnd) {
@@ -120,12 +120,12 @@
                  Write(aEnd.m_task, to.initEnded());
                  to.setEndedRun(aEnd.m_run.Get());
                  to.setHow(static_cast<std::uint8_t>(aEnd.m_endReason));
-                 to.setCheckpoint(aEnd.m_checkpoint);
+                 to.setCheckpoint(ToText(aEnd.m_checkpoint));
                  to.setEndAtMs(aEnd.m_at.Get());
                  to.setLate(aEnd.m_isLate);
                  if (aEnd.m_evidence != CrashEvidence::kNone) {
                    to.setEvidence(static_cast<std::uint8_t>(aEnd.m_evidence));
-                   to.setLostInstance(aEnd.m_lostInstance.Get());
+                   to.setLostInstance(ToText(aEnd.m_lostInstance.Get()));
                  }
                  if (aEnd.m_ranUntil) {
                    to.setShownBeforeEndMs(EncodeTimeBefore(aEnd));
@@ -133,8 +133,8 @@
                },
                [&](const FailJob& aFail) {
                  auto to = aTo.initFail();
-                 to.setFailed(aFail.m_job.Get());
-                 to.setReason(aFail.m_reason);
+                 to.setFailed(ToText(aFail.m_job.Get()));
+                 to.setReason(ToText(aFail.m_reason));
                  to.setFailAtMs(aFail.m_at.Get());
                },
                [&](const RemoveEndedJobs& aRemoval) {
@@ -149,7 +149,7 @@
                  auto to = aTo.initAdopt();
                  Write(aSetIncarnation.m_task, to.initAdopted());
                  to.setAdoptedRun(aSetIncarnation.m_run.Get());
-                 to.setAdopter(aSetIncarnation.m_worker.m_id.Get());
+                 to.setAdopter(ToText(aSetIncarnation.m_worker.m_id.Get()));
                  to.setAdopterStartedAtMs(
                    aSetIncarnation.m_worker.m_startedAt.Get());
                },
@@ -241,9 +241,9 @@
   }
   auto list = aTo.initLosses(static_cast<unsigned>(aLosses.size()));
   for (unsigned i = 0; i < list.size(); ++i) {
-    list[i].setWorker(aLosses[i].m_worker.m_id.Get());
+    list[i].setWorker(ToText(aLosses[i].m_worker.m_id.Get()));
     list[i].setWorkerStartedAtMs(aLosses[i].m_worker.m_startedAt.Get());
-    list[i].setInstance(aLosses[i].m_instance.Get());
+    list[i].setInstance(ToText(aLosses[i].m_instance.Get()));
     list[i].setRun(aLosses[i].m_run.Get());
     list[i].setEvidence(static_cast<std::uint8_t>(aLosses[i].m_evidence));
     list[i].setAtMs(aLosses[i].m_at.Get());
@@ -285,9 +285,9 @@
       list[i].setPhase(static_cast<std::uint8_t>(task.m_phase));
       list[i].setLastRun(task.m_lastRun.Get());
       list[i].setFailures(task.m_failures);
-      list[i].setWorker(task.m_worker.m_id.Get());
+      list[i].setWorker(ToText(task.m_worker.m_id.Get()));
       list[i].setWorkerStartedAtMs(task.m_worker.m_startedAt.Get());
-      list[i].setCheckpoint(task.m_checkpoint);
+      list[i].setCheckpoint(ToText(task.m_checkpoint));
       list[i].setSettled(task.m_isStable);
       if (task.m_ranUntil) {
         list[i].setRanUntilMs(task.m_ranUntil->Get());
@@ -300,15 +300,15 @@
                     schema::JobState::Builder aTo,
                     bool aIsCompact)
   {
-    aTo.setId(aJob.m_id.Get());
-    aTo.setQueue(aJob.m_queue.Get());
-    aTo.setWorkspace(aJob.m_workspace.Get());
+    aTo.setId(ToText(aJob.m_id.Get()));
+    aTo.setQueue(ToText(aJob.m_queue.Get()));
+    aTo.setWorkspace(ToText(aJob.m_workspace.Get()));
     aTo.setBeyondShare(aJob.m_isBeyondShare);
     jobs::Write(aJob.m_spec, aTo.initSpec());
     aTo.setState(static_cast<std::uint8_t>(aJob.m_state));
     aTo.setAcceptedAtMs(aJob.m_acceptedAt.Get());
     aTo.setEndedAtMs(aJob.m_endedAt.Get());
-    aTo.setReason(aJob.m_reason);
+    aTo.setReason(ToText(aJob.m_reason));
     aTo.setOrder(aJob.m_order);
     aTo.setStarted(aJob.m_started);
     aTo.setFirstOccurrence(aJob.m_firstOccurrence);
--- a/src/jobs/spec_codec.cpp
+++ b/src/jobs/spec_codec.cpp
@@ -25,10 +25,10 @@
   aTo.setSpeculative(aStep.m_speculative);
   aTo.setLongRunning(aStep.m_longRunning);
   aTo.setFills(aStep.m_bestEffort);
-  aTo.setRequiredLabel(aStep.m_requiredLabel);
-  aTo.setPreferredRack(aStep.m_preferredRack.Get());
+  aTo.setRequiredLabel(ToText(aStep.m_requiredLabel));
+  aTo.setPreferredRack(ToText(aStep.m_preferredRack.Get()));
   aTo.setMaxPerWorker(aStep.m_maxPerWorker);
-  aTo.setImage(aStep.m_image.Get());
+  aTo.setImage(ToText(aStep.m_image.Get()));
   aTo.setLatencyTargetMs(aStep.m_latencyTarget.count());
   aTo.setHasDisruptionBudget(aStep.m_disruptionBudget.has_value());
   aTo.setDisruptionBudget(aStep.m_disruptionBudget.value_or(0));
@@ -68,7 +68,7 @@
 void
 Write(const JobSpec& aSpec, schema::JobSpec::Builder aTo)
 {
-  aTo.setPayload(aSpec.m_payload);
+  aTo.setPayload(ToText(aSpec.m_payload));
   auto steps = aTo.initSteps(static_cast<unsigned>(aSpec.m_steps.size()));
   for (unsigned i = 0; i < steps.size(); ++i) {
     Write(aSpec.m_steps[i], steps[i]);
--- a/src/jobs/text.h
+++ b/src/jobs/text.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "bamboostile/schema/text.h"
+
 #include <capnp/blob.h>
 
 #include <string>
--- a/src/rpc/channel.cpp
+++ b/src/rpc/channel.cpp
@@ -1,4 +1,5 @@
 #include "bamboostile/rpc/channel.h"
+#include "bamboostile/schema/text.h"
 
 namespace bamboostile::rpc {
 
@@ -17,7 +18,7 @@
   const std::uint64_t generation = m_generation;
   m_isConnected = std::make_shared<bool>(false);
   auto connected =
-    m_network.parseAddress(m_address)
+    m_network.parseAddress(ToText(m_address))
       .then([](kj::Own<kj::NetworkAddress>&& aAddress) {
         return aAddress->connect().attach(kj::mv(aAddress));
       })
--- a/src/wire/consensus_codec.cpp
+++ b/src/wire/consensus_codec.cpp
@@ -50,7 +50,7 @@
   for (std::size_t i = 0; i < aFrom.m_members.size(); ++i) {
     const Member& member = aFrom.m_members[i];
     wire::Write(member.m_id, aTo[i].initId());
-    aTo[i].setAddress(member.m_address);
+    aTo[i].setAddress(ToText(member.m_address));
     aTo[i].setVoter(member.m_voter);
   }
 }
@@ -319,7 +319,7 @@
 void
 Write(const consensus::ReplicaId& aId, schema::ReplicaId::Builder aTo)
 {
-  aTo.setInstance(aId.m_instance.Get());
+  aTo.setInstance(ToText(aId.m_instance.Get()));
   aTo.setIncarnation(aId.m_incarnation.Get());
 }
 
--- a/src/wire/entry_codec.cpp
+++ b/src/wire/entry_codec.cpp
@@ -8,14 +8,14 @@
 void
 Write(const fleet::Announcement& aFrom, schema::Announcement::Builder aTo)
 {
-  aTo.setId(aFrom.m_id.Get());
+  aTo.setId(ToText(aFrom.m_id.Get()));
   aTo.setIncarnation(aFrom.m_incarnation.Get());
   aTo.setSequence(aFrom.m_sequence);
-  aTo.setService(aFrom.m_service.Get());
-  aTo.setPool(aFrom.m_pool ? aFrom.m_pool->Get() : std::string{});
-  aTo.setZone(aFrom.m_zone.Get());
-  aTo.setRack(aFrom.m_rack.Get());
-  aTo.setAddress(aFrom.m_address);
+  aTo.setService(ToText(aFrom.m_service.Get()));
+  aTo.setPool(ToText(aFrom.m_pool ? aFrom.m_pool->Get() : std::string{}));
+  aTo.setZone(ToText(aFrom.m_zone.Get()));
+  aTo.setRack(ToText(aFrom.m_rack.Get()));
+  aTo.setAddress(ToText(aFrom.m_address));
   aTo.setSlots(aFrom.m_slots);
   aTo.setConnections(aFrom.m_connections);
   aTo.setCores(aFrom.m_cores);
@@ -51,7 +51,7 @@
 void
 Write(const outcome::EntryId& aFrom, schema::EntryId::Builder aTo)
 {
-  aTo.setInstance(aFrom.m_instance.Get());
+  aTo.setInstance(ToText(aFrom.m_instance.Get()));
   aTo.setIncarnation(aFrom.m_incarnation.Get());
 }
 
@@ -65,7 +65,7 @@
 void
 Write(const outcome::Begin& aFrom, schema::Begin::Builder aTo)
 {
-  aTo.setRequest(aFrom.m_request.Get());
+  aTo.setRequest(ToText(aFrom.m_request.Get()));
   aTo.setAttempt(aFrom.m_attempt);
   aTo.setDigest(ToData(aFrom.m_digest));
   Write(aFrom.m_holder, aTo.initHolder());
@@ -87,7 +87,7 @@
 void
 Write(const outcome::Resolve& aFrom, schema::Resolve::Builder aTo)
 {
-  aTo.setRequest(aFrom.m_request.Get());
+  aTo.setRequest(ToText(aFrom.m_request.Get()));
   aTo.setAttempt(aFrom.m_attempt);
   Write(aFrom.m_holder, aTo.initHolder());
   aTo.setTicket(aFrom.m_ticket);
--- a/src/wire/operator_codec.cpp
+++ b/src/wire/operator_codec.cpp
@@ -193,9 +193,9 @@
 {
   aTo.setOutcome(ToOutcome(aReply.m_refusal));
   aTo.setRevision(aReply.m_revision.Get());
-  aTo.setMessage(aReply.m_message);
-  aTo.setWinner(aReply.m_winner.Get());
-  aTo.setWinnerOperator(aReply.m_winnerOperator);
+  aTo.setMessage(ToText(aReply.m_message));
+  aTo.setWinner(ToText(aReply.m_winner.Get()));
+  aTo.setWinnerOperator(ToText(aReply.m_winnerOperator));
 }
 
 } // namespace bamboostile::wire
--- a/src/wire/queue_codec.cpp
+++ b/src/wire/queue_codec.cpp
@@ -17,9 +17,9 @@
 Write(const jobs::QueueCall& aCall, schema::QueueCall::Builder aTo)
 {
   aTo.setKind(static_cast<schema::QueueCall::Kind>(aCall.m_kind));
-  aTo.setHost(aCall.m_host);
-  aTo.setPath(aCall.m_path);
-  aTo.setKeyDigest(aCall.m_key.Get());
+  aTo.setHost(ToText(aCall.m_host));
+  aTo.setPath(ToText(aCall.m_path));
+  aTo.setKeyDigest(ToText(aCall.m_key.Get()));
   if (aCall.m_kind == jobs::CallKind::kSubmit) {
     jobs::Write(aCall.m_spec, aTo.initSpec());
   }
@@ -43,12 +43,12 @@
 Write(const jobs::QueueReply& aReply, schema::QueueReply::Builder aTo)
 {
   aTo.setOutcome(static_cast<schema::QueueOutcome>(aReply.m_outcome));
-  aTo.setLeaderAddress(aReply.m_leaderAddress);
+  aTo.setLeaderAddress(ToText(aReply.m_leaderAddress));
   aTo.setState(static_cast<schema::QueueReply::State>(aReply.m_state));
   aTo.setIsQueue(aReply.m_pending.has_value());
   aTo.setPending(aReply.m_pending.value_or(0));
   aTo.setRetryAfterMs(static_cast<std::uint32_t>(aReply.m_retryAfter.count()));
-  aTo.setDetail(aReply.m_detail);
+  aTo.setDetail(ToText(aReply.m_detail));
 }
 
 jobs::QueueReply
@@ -92,12 +92,12 @@
 WriteWorkspace(const workspaces::Workspace& aWorkspace,
                schema::Workspace::Builder aTo)
 {
-  aTo.setName(aWorkspace.m_id.Get());
+  aTo.setName(ToText(aWorkspace.m_id.Get()));
   aTo.setWeight(aWorkspace.m_weight);
   auto digests =
     aTo.initKeyDigests(static_cast<unsigned>(aWorkspace.m_keys.size()));
   for (unsigned i = 0; i < digests.size(); ++i) {
-    digests.set(i, aWorkspace.m_keys[i].Get());
+    digests.set(i, ToText(aWorkspace.m_keys[i].Get()));
   }
   auto cap = aTo.initCap();
   cap.setCpuMillis(aWorkspace.m_cap.m_cpuMillis);
@@ -153,8 +153,8 @@
   auto rows = aTo.initQueues(static_cast<unsigned>(aTable.m_routes.size()));
   for (unsigned i = 0; i < rows.size(); ++i) {
     const fleet::QueueRoute& route = aTable.m_routes[i];
-    rows[i].setName(route.m_name);
-    rows[i].setService(route.m_service.Get());
+    rows[i].setName(ToText(route.m_name));
+    rows[i].setService(ToText(route.m_service.Get()));
     rows[i].setTimeoutMs(static_cast<std::uint32_t>(route.m_timeout.count()));
     rows[i].setObjectiveMs(
       static_cast<std::uint32_t>(route.m_objective.count()));
--- a/tests/unit/control/leader_client_test.cpp
+++ b/tests/unit/control/leader_client_test.cpp
@@ -1,5 +1,6 @@
 #include "bamboostile/control/node.h"
 #include "bamboostile/entry/leader_client.h"
+#include "bamboostile/schema/text.h"
 #include "bamboostile/wire/queue_codec.h"
 
 #include "check.h"
@@ -32,7 +33,7 @@
     wire::Write(reply, results.initReply());
     auto members = results.initMembers(static_cast<unsigned>(m_members.size()));
     for (unsigned i = 0; i < members.size(); ++i) {
-      members.set(i, m_members[i]);
+      members.set(i, ToText(m_members[i]));
     }
     results.setMembersRevision(m_members.size());
     return kj::READY_NOW;
--- a/tools/bamboostile/file_commands.cpp
+++ b/tools/bamboostile/file_commands.cpp
@@ -2,6 +2,7 @@
 #include "output.h"
 #include "review.h"
 
+#include "bamboostile/schema/text.h"
 #include "bamboostile/units/hash.h"
 
 #include <capnp/compat/json.h>
@@ -33,8 +34,7 @@
   capnp::JsonCodec codec;
   codec.setRejectUnknownFields(true);
   const auto failure = kj::runCatchingExceptions([&]() {
-    codec.decode(kj::StringPtr(text.str().c_str()),
-                 aMessage.initRoot<schema::CallList>());
+    codec.decode(ToText(text.str()), aMessage.initRoot<schema::CallList>());
   });
   KJ_IF_MAYBE (exception, failure) {
     aError = aFile + ": " + exception->getDescription().cStr();
@@ -117,14 +117,14 @@
       continue;
     }
     if (!call.hasOperator()) {
-      call.setOperator(aOptions.m_operator);
+      call.setOperator(ToText(aOptions.m_operator));
     }
     if (call.getExpectedRevision() == 0) {
       call.setExpectedRevision(diff.m_revision);
     }
     if (!call.hasOperationId()) {
-      call.setOperationId(
-        DerivedOperationId(call.asReader(), call.getExpectedRevision()));
+      call.setOperationId(ToText(
+        DerivedOperationId(call.asReader(), call.getExpectedRevision())));
     }
     const Reply reply = session.Submit(call.asReader());
     PrintReply(aOptions, diff.m_object, call.getOperationId().cStr(), reply);
--- a/tools/bamboostile/job_commands.cpp
+++ b/tools/bamboostile/job_commands.cpp
@@ -1,6 +1,7 @@
 #include "commands.h"
 #include "output.h"
 
+#include "bamboostile/schema/text.h"
 #include "bamboostile/wire/jobs_json.h"
 #include "bamboostile/wire/queue_codec.h"
 #include "bamboostile/workspaces/key_digest.h"
@@ -124,7 +125,7 @@
     list[i].disownApiKeys();
     auto to = list[i].initKeyDigests(static_cast<unsigned>(digests.size()));
     for (unsigned k = 0; k < to.size(); ++k) {
-      to.set(k, digests[k].Get());
+      to.set(k, ToText(digests[k].Get()));
     }
   }
 }
@@ -163,8 +164,8 @@
   }
   capnp::JsonCodec codec;
   codec.setRejectUnknownFields(true);
-  const auto failure = kj::runCatchingExceptions(
-    [&]() { codec.decode(kj::StringPtr(text->c_str()), aTable); });
+  const auto failure =
+    kj::runCatchingExceptions([&]() { codec.decode(ToText(*text), aTable); });
   KJ_IF_MAYBE (exception, failure) {
     PrintInputError(aFile + ": " + exception->getDescription().cStr());
     return false;
--- a/tools/bamboostile/operator_commands.cpp
+++ b/tools/bamboostile/operator_commands.cpp
@@ -41,8 +41,8 @@
   const std::string operationId = aOptions.m_operationId.empty()
                                     ? RandomOperationId()
                                     : aOptions.m_operationId;
-  call.setOperationId(operationId);
-  call.setOperator(aOptions.m_operator);
+  call.setOperationId(ToText(operationId));
+  call.setOperator(ToText(aOptions.m_operator));
   Session session(aOptions.m_control, aOptions.m_timeoutMs);
   std::string object;
   if (aOptions.m_expectedRevision) {
@@ -197,21 +197,22 @@
     }
     return SubmitCall(aOptions, [&](CallBuilder aCall) {
       auto put = aCall.initPutPool();
-      put.setPool(parsed.m_id);
-      put.setService(parsed.StringOption("service"));
-      put.setHome(parsed.StringOption("home"));
+      put.setPool(ToText(parsed.m_id));
+      put.setService(ToText(parsed.StringOption("service")));
+      put.setHome(ToText(parsed.StringOption("home")));
     });
   }
   if (parsed.m_action == "drain" || parsed.m_action == "resume") {
     return SubmitCall(aOptions, [&](CallBuilder aCall) {
       auto drain = aCall.initDrainPool();
-      drain.setPool(parsed.m_id);
+      drain.setPool(ToText(parsed.m_id));
       drain.setDraining(parsed.m_action == "drain");
     });
   }
   if (parsed.m_action == "remove") {
-    return SubmitCall(
-      aOptions, [&](CallBuilder aCall) { aCall.setRemovePool(parsed.m_id); });
+    return SubmitCall(aOptions, [&](CallBuilder aCall) {
+      aCall.setRemovePool(ToText(parsed.m_id));
+    });
   }
   return UnknownAction("pool", parsed);
 }
@@ -244,7 +245,7 @@
   }
   if (parsed.m_action == "remove") {
     return SubmitCall(aOptions, [&](CallBuilder aCall) {
-      aCall.setRemoveService(parsed.m_id);
+      aCall.setRemoveService(ToText(parsed.m_id));
     });
   }
   if (parsed.m_action != "put") {
@@ -267,7 +268,7 @@
   };
   return SubmitCall(aOptions, [&](CallBuilder aCall) {
     auto put = aCall.initPutService();
-    put.setId(parsed.m_id);
+    put.setId(ToText(parsed.m_id));
     put.setMaxUnavailablePercent(number("max-unavailable-percent",
                                         "maxUnavailablePercent",
                                         put.getMaxUnavailablePercent()));
@@ -312,20 +313,20 @@
     }
     return SubmitCall(aOptions, [&](CallBuilder aCall) {
       auto move = aCall.initMoveInstance();
-      move.setInstance(parsed.m_id);
-      move.setPool(parsed.StringOption("pool"));
+      move.setInstance(ToText(parsed.m_id));
+      move.setPool(ToText(parsed.StringOption("pool")));
     });
   }
   if (parsed.m_action == "cordon" || parsed.m_action == "uncordon") {
     return SubmitCall(aOptions, [&](CallBuilder aCall) {
       auto cordon = aCall.initCordonInstance();
-      cordon.setInstance(parsed.m_id);
+      cordon.setInstance(ToText(parsed.m_id));
       cordon.setCordoned(parsed.m_action == "cordon");
     });
   }
   if (parsed.m_action == "remove") {
     return SubmitCall(aOptions, [&](CallBuilder aCall) {
-      aCall.setRemoveInstance(parsed.m_id);
+      aCall.setRemoveInstance(ToText(parsed.m_id));
     });
   }
   return UnknownAction("instance", parsed);
@@ -368,14 +369,14 @@
     }
     return SubmitCall(aOptions, [&](CallBuilder aCall) {
       auto create = aCall.initCreateWave();
-      create.setWave(parsed.m_id);
-      create.setPool(parsed.StringOption("pool"));
+      create.setWave(ToText(parsed.m_id));
+      create.setPool(ToText(parsed.StringOption("pool")));
     });
   }
   const auto set = [&](schema::WaveTarget aState) {
     return SubmitCall(aOptions, [&](CallBuilder aCall) {
       auto change = aCall.initSetWaveState();
-      change.setWave(parsed.m_id);
+      change.setWave(ToText(parsed.m_id));
       change.setState(aState);
     });
   };
@@ -447,7 +448,7 @@
   return SubmitCall(options, [&](CallBuilder aCall) {
     auto set = aCall.initSetConfig();
     const capnp::JsonCodec codec;
-    codec.decode(kj::StringPtr(config.dump().c_str()), set);
+    codec.decode(ToText(config.dump()), set);
   });
 }
 
--- a/tools/bamboostile/session.cpp
+++ b/tools/bamboostile/session.cpp
@@ -3,6 +3,7 @@
 #include "bamboostile/wire/queue_codec.h"
 
 #include "bamboostile/rpc/channel.h"
+#include "bamboostile/schema/text.h"
 #include "bamboostile/units/time.h"
 
 namespace bamboostile::cli {
@@ -323,8 +324,8 @@
     [&](schema::Operators::Client aOperators, std::string& aLeader) {
       auto request = aOperators.controlRequest();
       request.setChange(aChange);
-      request.setInstance(aInstance);
-      request.setAddress(aAddress);
+      request.setInstance(ToText(aInstance));
+      request.setAddress(ToText(aAddress));
       return request.send().then([&aLeader](auto aResponse) {
         aLeader = aResponse.getReply().getLeaderAddress();
         return ReadReply(aResponse.getReply());
