json: a body that is nested deep is refused before it is parsed

Cause: the JSON library copies and writes values by recursion; ReadReport copied free_capacity, and the copy overran the thread's stack. The check before parsing bounded the number of values, not their depth.

Change: one scan before parsing bounds both; 32 levels, of which no message has more than five.

--- a/include/bamboostile/json/fields.h
+++ b/include/bamboostile/json/fields.h
@@ -39,8 +39,9 @@
 [[noreturn]] void Reject(const std::string& aField,
                          const std::string& aAllowed);
 
-/** Returns a discarded value if the body is no JSON, or has so many values that
- * it would take many times its bytes. */
+/** Returns a discarded value if the body is no JSON, has so many values that it
+ * would take many times its bytes, or is nested so deep that copying it would
+ * overrun the stack. */
 Json ParseUntrusted(const std::string& aBody);
 Json ParseObject(const std::string& aBody);
 /** Returns null if the field is absent or null. */
--- a/src/json/fields.cpp
+++ b/src/json/fields.cpp
@@ -1,5 +1,6 @@
 #include "bamboostile/json/fields.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace bamboostile::json {
@@ -7,16 +8,27 @@
 namespace {
 
 /** Values of a document, counting those inside others. Each takes up to some
- * 100 bytes once parsed, however short it is. A body of so many bytes cannot
- * hold more. */
+ * 100 bytes once parsed, however short it is. */
 constexpr std::size_t kMaxValues = std::size_t{ 256 } * 1024;
 
-/** Returns an upper bound of the values of a document: each but the first one
- * follows an opening bracket or a comma, or a key that does. */
-std::size_t
-CountValues(const std::string& aBody)
+/** Lists and objects inside each other. No message has more than five; the
+ * parser's values are copied and written by recursion. */
+constexpr std::size_t kMaxDepth = 32;
+
+/** Upper bounds of what a document holds. */
+struct Extent
+{
+  /** Each value but the first one follows an opening bracket or a comma, or a
+   * key that does. */
+  std::size_t m_values = 1;
+  std::size_t m_depth = 0;
+};
+
+Extent
+Measure(const std::string& aBody)
 {
-  std::size_t count = 1;
+  Extent extent;
+  std::size_t depth = 0;
   bool isInString = false;
   for (std::size_t i = 0; i < aBody.size(); ++i) {
     const char next = aBody[i];
@@ -24,11 +36,16 @@
       isInString = !isInString;
     } else if (isInString) {
       i += next == '\\' ? 1 : 0;
-    } else {
-      count += next == '[' || next == '{' || next == ',' ? 1 : 0;
+    } else if (next == '[' || next == '{') {
+      ++extent.m_values;
+      extent.m_depth = std::max(extent.m_depth, ++depth);
+    } else if (next == ']' || next == '}') {
+      depth -= depth > 0 ? 1 : 0;
+    } else if (next == ',') {
+      ++extent.m_values;
     }
   }
-  return count;
+  return extent;
 }
 
 } // namespace
@@ -50,8 +67,9 @@
 Json
 ParseUntrusted(const std::string& aBody)
 {
+  const Extent extent = Measure(aBody);
   const bool isTooMuch =
-    aBody.size() > kMaxValues && CountValues(aBody) > kMaxValues;
+    extent.m_values > kMaxValues || extent.m_depth > kMaxDepth;
   return isTooMuch ? Json(Json::value_t::discarded)
                    : Json::parse(aBody, nullptr, false);
 }
@@ -63,7 +81,7 @@
   if (!json.is_object()) {
     Reject("(body)",
            "a whole JSON object of at most " + std::to_string(kMaxValues) +
-             " values");
+             " values, nested at most " + std::to_string(kMaxDepth) + " deep");
   }
   return json;
 }
--- a/tests/unit/json/fields_test.cpp
+++ b/tests/unit/json/fields_test.cpp
@@ -44,3 +44,22 @@
     R"(["5c0e7a21d94b36f8.0.1.17",2,"00000bb87a21d94b",41])";
   LONGS_EQUAL(40'000, json::ParseUntrusted(ListOf(40'000, row)).size());
 }
+
+// Guards against a process that ends as it copies or writes what it has read:
+// both recurse, and overrun the stack.
+TEST(JsonFields, BodyIsNestedDeep_IsDiscarded)
+{
+  const auto nested = [](std::size_t aDepth, const std::string& aInner) {
+    return std::string(aDepth, '[') + aInner + std::string(aDepth, ']');
+  };
+  CHECK(json::ParseUntrusted(nested(250'000, "")).is_discarded());
+  CHECK(json::ParseUntrusted(nested(33, "")).is_discarded());
+  CHECK(json::ParseUntrusted(nested(31, R"({"a":{}})")).is_discarded());
+  CHECK(json::ParseUntrusted(nested(32, "")).is_array());
+  CHECK(json::ParseUntrusted(nested(31, R"("[[\"{{")")).is_array());
+  std::string list = "[";
+  for (int i = 0; i < 100; ++i) {
+    list += nested(20, "") + ",";
+  }
+  LONGS_EQUAL(101, json::ParseUntrusted(list + "0]").size());
+}
