jobs: ids have at most 128 visible ASCII characters

Cause: only the length of a request's target bounded the id, and any byte was taken. Each start in the log and each run in the index by worker carries it, uncounted by the memory limit; the orders that name it are JSON.

Change: IsIdText says what an id may be, for jobs, workers and requests; others get 400 with the field. The name of a worker's instance, which losses in the replicated state carry, has the same length. Tasks count the id in JobTable::Bytes; the test of it names the id's length now.

--- a/include/bamboostile/jobs/book.h
+++ b/include/bamboostile/jobs/book.h
@@ -182,7 +182,7 @@
   /** What a job adds to Bytes() when it is accepted. */
   static std::size_t BytesOf(const JobId& aJob, const JobSpec& aSpec);
   /** What a step adds to Bytes() when its first task is started. */
-  static std::size_t BytesOfTasks(std::uint32_t aCount);
+  static std::size_t BytesOfTasks(std::size_t aIdBytes, std::uint32_t aCount);
 
   const Job* Find(const JobId& aId) const;
   /** Jobs that are active or still have running tasks, in order of
--- a/include/bamboostile/json/fields.h
+++ b/include/bamboostile/json/fields.h
@@ -68,6 +68,11 @@
 /** Rejects a field that is absent or empty. */
 std::string NonEmptyStringAt(const Json& aObject, const char* aKey);
 
+/** Rejects an id that IsIdText() does not allow. */
+void CheckId(const std::string& aText, const char* aField);
+/** Rejects a name that is longer than an id may be. */
+void CheckLength(const std::string& aText, const char* aField);
+
 /** Runs a reader; if it rejects a field, returns nullopt and sets aInvalid. */
 template<typename Fn>
 auto
--- a/src/control/job_calls.cpp
+++ b/src/control/job_calls.cpp
@@ -7,6 +7,7 @@
 #include "bamboostile/intake/job_demand.h"
 #include "bamboostile/placement/unbegun_jobs.h"
 #include "bamboostile/telemetry/log.h"
+#include "bamboostile/units/id_text.h"
 #include "bamboostile/workspaces/directory.h"
 
 #include <algorithm>
@@ -294,9 +295,10 @@
                    const WorkspaceId& aWorkspace,
                    jobs::JobSpec aSpec)
 {
-  if (aJob.Get().empty() || aJob.Get().find('/') != std::string::npos) {
+  if (!IsIdText(aJob.Get())) {
     jobs::QueueReply reply = ReplyWith(jobs::QueueOutcome::kBadJob);
-    reply.m_detail = "id: the path must be the queue's prefix and an id";
+    reply.m_detail =
+      std::string{ "id: " } + kIdTextAllowed + ", after the queue's prefix";
     return reply;
   }
   if (m_node.State().Jobs().Find(aJob) != nullptr) {
--- a/src/entry/caller_headers.cpp
+++ b/src/entry/caller_headers.cpp
@@ -1,5 +1,7 @@
 #include "caller_headers.h"
 
+#include "bamboostile/units/id_text.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -8,7 +10,6 @@
 
 namespace {
 
-constexpr std::size_t kMaxKeyLength = 128;
 constexpr std::uint32_t kMaxAttempt = 1000;
 
 std::optional<std::uint64_t>
@@ -24,15 +25,6 @@
   return isValid ? std::optional{ value } : std::nullopt;
 }
 
-bool
-IsKey(const std::string& aText)
-{
-  return !aText.empty() && aText.size() <= kMaxKeyLength &&
-         std::all_of(aText.begin(), aText.end(), [](char aChar) {
-           return aChar > ' ' && aChar < '\x7f' && aChar != '/';
-         });
-}
-
 std::optional<admission::Class>
 ParseClass(const std::string& aText)
 {
@@ -86,8 +78,8 @@
   request::Arrival arrival;
   arrival.m_idempotentMethod = IsIdempotentMethod(aRequest.m_method);
   if (const auto key = http::FindHeader(aRequest.m_headers, kKeyHeader)) {
-    if (!IsKey(*key)) {
-      aProblem = { kKeyHeader, "1 to 128 visible ASCII characters, no slash" };
+    if (!IsIdText(*key)) {
+      aProblem = { kKeyHeader, kIdTextAllowed };
       return std::nullopt;
     }
     arrival.m_hasCallerId = true;
--- a/src/jobs/book.cpp
+++ b/src/jobs/book.cpp
@@ -607,10 +607,11 @@
 } // namespace
 
 std::size_t
-JobTable::BytesOfTasks(std::uint32_t aCount)
+JobTable::BytesOfTasks(std::size_t aIdBytes, std::uint32_t aCount)
 {
   constexpr std::size_t kWorkerIdBytes = 32;
-  return aCount * (sizeof(Task) + kWorkerIdBytes);
+  // The index by worker names each task that runs.
+  return aCount * (sizeof(Task) + kWorkerIdBytes + sizeof(TaskRef) + aIdBytes);
 }
 
 std::size_t
@@ -653,7 +654,7 @@
 {
   if (!aStep.HasTasks()) {
     aStep.m_tasks.resize(aStep.m_count);
-    AddBytes(aJob, BytesOfTasks(aStep.m_count));
+    AddBytes(aJob, BytesOfTasks(aJob.m_id.Get().size(), aStep.m_count));
   }
 }
 
@@ -661,7 +662,9 @@
 JobTable::RemoveTasks(Job& aJob, StepRun& aStep)
 {
   if (aStep.HasTasks()) {
-    SubtractBytes(aJob, BytesOfTasks(aStep.m_count) + aStep.m_checkpointBytes);
+    SubtractBytes(aJob,
+                  BytesOfTasks(aJob.m_id.Get().size(), aStep.m_count) +
+                    aStep.m_checkpointBytes);
     aStep.m_tasks = {};
     aStep.m_checkpointBytes = 0;
   }
@@ -911,7 +914,9 @@
           }
         }
         if (step.HasTasks()) {
-          AddBytes(job, BytesOfTasks(step.m_count) + step.m_checkpointBytes);
+          AddBytes(job,
+                   BytesOfTasks(id.Get().size(), step.m_count) +
+                     step.m_checkpointBytes);
         }
         if (step.IsDone()) {
           RemoveTasks(job, step);
--- a/src/json/fields.cpp
+++ b/src/json/fields.cpp
@@ -1,5 +1,7 @@
 #include "bamboostile/json/fields.h"
 
+#include "bamboostile/units/id_text.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -205,4 +207,20 @@
   return name;
 }
 
+void
+CheckId(const std::string& aText, const char* aField)
+{
+  if (!IsIdText(aText)) {
+    Reject(aField, kIdTextAllowed);
+  }
+}
+
+void
+CheckLength(const std::string& aText, const char* aField)
+{
+  if (aText.size() > kMaxIdBytes) {
+    Reject(aField, "at most " + std::to_string(kMaxIdBytes) + " bytes");
+  }
+}
+
 } // namespace bamboostile::json
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -4,6 +4,7 @@
 #include "target_pool.h"
 
 #include "bamboostile/jobs/crash_loop.h"
+#include "bamboostile/units/id_text.h"
 
 #include <algorithm>
 #include <limits>
@@ -181,7 +182,9 @@
   const auto found = m_job->m_occurrences.find(m_occurrence);
   const bool hasTasks = found != m_job->m_occurrences.end() &&
                         found->second.m_steps[m_step].HasTasks();
-  return hasTasks ? 0 : jobs::JobTable::BytesOfTasks(Step().m_count);
+  return hasTasks ? 0
+                  : jobs::JobTable::BytesOfTasks(m_job->m_id.Get().size(),
+                                                 Step().m_count);
 }
 
 bool
@@ -948,7 +951,8 @@
 {
   const std::size_t room = m_memory.RoomForTasks(aBook.Bytes());
   return aBook.TasksByWorker().empty()
-           ? std::max(room, jobs::JobTable::BytesOfTasks(kMaxTasksOfStep))
+           ? std::max(
+               room, jobs::JobTable::BytesOfTasks(kMaxIdBytes, kMaxTasksOfStep))
            : room;
 }
 
--- a/src/wire/jobs_json.cpp
+++ b/src/wire/jobs_json.cpp
@@ -86,6 +86,7 @@
 WorkerIncarnation
 ReadIncarnation(const std::string& aWorker, const Json& aFrom)
 {
+  CheckId(aWorker, "id");
   return { WorkerId{ aWorker }, WallTime{ IntegerAt(aFrom, "startedAtMs") } };
 }
 
@@ -164,6 +165,7 @@
     placement::WorkerReport report;
     report.m_worker = ReadIncarnation(aWorker, body);
     report.m_instance = InstanceId{ NonEmptyStringAt(body, "instance") };
+    CheckLength(report.m_instance.Get(), "instance");
     report.m_service = ServiceId{ NonEmptyStringAt(body, "service") };
     report.m_zone = ZoneId{ StringAt(body, "zone") };
     report.m_rack = RackId{ StringAt(body, "rack") };
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -185,6 +185,30 @@
   }
 }
 
+// Guards against replicas over their memory, as runs and losses carry the ids,
+// and against answers that cannot be written, as JSON has to be UTF-8.
+TEST(PlatformDecode, IdOfWorkerOrMachineIsLongOrNoText_IsRejected)
+{
+  json::Json heartbeat =
+    json::Json::parse(R"({"service":"s","address":"10.0.0.9:80","zone":"z",
+        "version":"v1","capacity":8,"state":"ready","warmup_left_ms":0,
+        "machine":"m-1","free_capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},
+        "labels":["a","r1-3"],"clock_ms":482113,"seq":4,"active":[],
+        "finished":[]})");
+  for (const std::string& id :
+       { std::string(129, 'i'), std::string{ "i\xff" }, std::string{ "" } }) {
+    CHECK(!platform::ReadReport(id, heartbeat.dump(), m_invalid));
+    CHECK_STRING("id", m_invalid.m_field);
+    CHECK(!platform::ReadLeave(id, "", m_invalid));
+    CHECK_STRING("id", m_invalid.m_field);
+  }
+  CHECK(platform::ReadReport(std::string(128, 'i'), heartbeat.dump(), m_invalid)
+          .has_value());
+  heartbeat["machine"] = std::string(129, 'm');
+  CHECK(!platform::ReadReport("i-1", heartbeat.dump(), m_invalid));
+  CHECK_STRING("machine", m_invalid.m_field);
+}
+
 // Guards against a list that proves the end of a worker whose entry lacks its
 // id.
 TEST(PlatformDecode, ListedInstanceWithoutWorkerOrKnownState_IsCounted)
--- a/tests/unit/control/job_service_test.cpp
+++ b/tests/unit/control/job_service_test.cpp
@@ -873,6 +873,28 @@
                jobs::Describe(reply.m_outcome));
 }
 
+// Guards against replicas over their memory, as each task and run carries the
+// id, and against orders that cannot be written, as JSON has to be UTF-8.
+TEST(JobService, IdIsLongOrNotVisibleAscii_JobIsRejected)
+{
+  using jobs::CallKind;
+  using jobs::QueueOutcome;
+  for (const std::string& id : { std::string(129, '5'),
+                                 std::string(8'000, '5'),
+                                 std::string{ "a\xff" },
+                                 std::string{ "a b" },
+                                 std::string{ "\xc3\xa9" },
+                                 std::string(1, '\0'),
+                                 std::string{} }) {
+    const auto reply = Call(CallKind::kSubmit, id, "");
+    STRCMP_EQUAL(jobs::Describe(QueueOutcome::kBadJob),
+                 jobs::Describe(reply.m_outcome));
+    CHECK(reply.m_detail.starts_with("id: "));
+  }
+  CHECK(m_node->State().Jobs().Jobs().empty());
+  CheckOutcome(QueueOutcome::kOk, CallKind::kSubmit, std::string(128, '5'), "");
+}
+
 // Guards against metrics that grow with every workspace there ever was.
 TEST(JobService, RemovedWorkspace_HasNoMetricsAnyMore)
 {
--- a/tests/unit/jobs/book_test.cpp
+++ b/tests/unit/jobs/book_test.cpp
@@ -382,7 +382,8 @@
   CHECK_COMPARE(accepted, <, 64 * 1024);
   CHECK_COMPARE(fleet.State().Encode().size(), <, 64 * 1024);
   fleet.Start(Ref("a", 7), "worker");
-  LONGS_EQUAL(accepted + JobTable::BytesOfTasks(10'000), fleet.Book().Bytes());
+  LONGS_EQUAL(accepted + JobTable::BytesOfTasks(1, 10'000),
+              fleet.Book().Bytes());
   fleet.End(Ref("a", 7), RunEnd::kStopped);
   fleet.Apply({ Cancel{ JobId{ "a" }, WallTime{ 1 } } });
   LONGS_EQUAL(accepted, fleet.Book().Bytes());
