placement: a pass considers due occurrences of all jobs in shares

Cause: a pass considered due occurrences of up to 10,000 tasks of each repeated job, whatever their sum, and found a critical path for each.

Change: 10,000 steps of due occurrences a pass, in fair shares: what a job doesn't need goes to the others, and each gets one at least. Occurrences of which nothing has begun have one critical path a job.

Ruled out: a lower bound for each job (a single job would use less of a large pool).

--- a/include/bamboostile/placement/planner.h
+++ b/include/bamboostile/placement/planner.h
@@ -289,16 +289,21 @@
   std::vector<Candidate> FindCandidates(const fleet::State& aState,
                                         WallTime aWall) const;
   std::size_t RoomForTasks(const jobs::JobTable& aBook) const;
-  /** Adds the occurrences of a repeated job that are due and not done. */
+  /** Adds the occurrences of a repeated job that are due and not done, until
+   * they have aMaxSteps steps that may start. */
   void AddDueOccurrences(const jobs::Job& aJob,
                          const fleet::QueueRoute& aRoute,
                          WallTime aWall,
+                         std::size_t aMaxSteps,
                          std::vector<Candidate>& aCandidates) const;
+  /** aUnbegunPaths: the critical paths of an occurrence of which nothing has
+   * begun; null if they are not known. */
   void AddCandidates(const jobs::Job& aJob,
                      const fleet::QueueRoute& aRoute,
                      std::uint32_t aOccurrence,
                      WallTime aReadyAt,
                      WallTime aWall,
+                     const CriticalPaths* aUnbegunPaths,
                      std::vector<Candidate>& aCandidates) const;
   void Place(const Candidate& aCandidate,
              const jobs::JobTable& aBook,
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -1,5 +1,6 @@
 #include "bamboostile/placement/planner.h"
 
+#include "due_occurrences.h"
 #include "run_lookup.h"
 #include "target_pool.h"
 
@@ -42,6 +43,9 @@
 /** Number of tasks in a repeated job's occurrences that are considered at a
  * time. */
 constexpr std::size_t kMaxOpenTasksOfJob = 10'000;
+/** Number of steps of due occurrences, of all repeated jobs together, that a
+ * pass considers. The leader renews its lease between passes. */
+constexpr std::size_t kMaxDueStepsOfPass = 10'000;
 /** The largest step that a caller may submit. */
 constexpr std::uint32_t kMaxTasksOfStep = 10'000;
 
@@ -279,6 +283,7 @@
                        std::uint32_t aOccurrence,
                        WallTime aReadyAt,
                        WallTime aWall,
+                       const CriticalPaths* aUnbegunPaths,
                        std::vector<Candidate>& aCandidates) const
 {
   const auto found = aJob.m_occurrences.find(aOccurrence);
@@ -299,7 +304,9 @@
   if (stepIndex == stepCount) {
     return;
   }
-  const CriticalPaths paths = FindCriticalPaths(aJob, progress);
+  const CriticalPaths paths = progress == nullptr && aUnbegunPaths != nullptr
+                                ? *aUnbegunPaths
+                                : FindCriticalPaths(aJob, progress);
   const auto criticalPath = static_cast<double>(paths.m_whole.count());
   const std::int64_t due =
     aReadyAt.Get() +
@@ -350,20 +357,24 @@
 
 // Due occurrences pile up while workers are missing. The first ones are enough
 // to keep a pool busy; with all of them, a pass would take as long as the
-// backlog is.
+// backlog is, and the leader would lose its lease meanwhile.
 void
 Planner::AddDueOccurrences(const jobs::Job& aJob,
                            const fleet::QueueRoute& aRoute,
                            WallTime aWall,
+                           std::size_t aMaxSteps,
                            std::vector<Candidate>& aCandidates) const
 {
+  const CriticalPaths unbegunPaths = FindCriticalPaths(aJob, nullptr);
+  const std::size_t candidatesBefore = aCandidates.size();
   const std::int64_t elapsed = aWall.Get() - aJob.m_spec.m_startAt.Get();
   const std::int64_t interval =
     std::max<std::int64_t>(1, aJob.m_spec.m_interval.count());
   std::size_t openTasks = 0;
   for (std::uint32_t number = aJob.m_firstOccurrence;
        number < aJob.m_spec.m_repeatCount && number * interval <= elapsed &&
-       openTasks < kMaxOpenTasksOfJob;
+       openTasks < kMaxOpenTasksOfJob &&
+       aCandidates.size() < candidatesBefore + aMaxSteps;
        ++number) {
     const auto found = aJob.m_occurrences.find(number);
     const bool isDone =
@@ -378,7 +389,8 @@
                                    });
       const WallTime scheduledAt{ aJob.m_spec.m_startAt.Get() +
                                   number * interval };
-      AddCandidates(aJob, aRoute, number, scheduledAt, aWall, aCandidates);
+      AddCandidates(
+        aJob, aRoute, number, scheduledAt, aWall, &unbegunPaths, aCandidates);
     }
   }
 }
@@ -386,7 +398,8 @@
 std::vector<Planner::Candidate>
 Planner::FindCandidates(const fleet::State& aState, WallTime aWall) const
 {
-  std::vector<Candidate> candidates;
+  std::vector<std::pair<const jobs::Job*, const fleet::QueueRoute*>> startable;
+  std::vector<std::size_t> dueSteps;
   const jobs::JobTable& book = aState.Jobs();
   const fleet::RouteTable& routes = aState.Routes();
   for (const auto& [order, id] : book.StartableJobs()) {
@@ -397,12 +410,22 @@
     if (!route || routes.m_routes[*route].m_advice) {
       continue;
     }
-    const fleet::QueueRoute& queue = routes.m_routes[*route];
-    if (job.m_spec.m_repeatCount == 0) {
-      AddCandidates(job, queue, 0, job.m_acceptedAt, aWall, candidates);
-      continue;
+    startable.emplace_back(&job, &routes.m_routes[*route]);
+    if (job.m_spec.m_repeatCount > 0) {
+      dueSteps.push_back(CountDue(job, aWall, kMaxOpenTasksOfJob) *
+                         job.m_spec.m_steps.size());
+    }
+  }
+  const std::size_t maxSteps =
+    FindFairLimit(std::move(dueSteps), kMaxDueStepsOfPass);
+  std::vector<Candidate> candidates;
+  for (const auto& [job, queue] : startable) {
+    if (job->m_spec.m_repeatCount == 0) {
+      AddCandidates(
+        *job, *queue, 0, job->m_acceptedAt, aWall, nullptr, candidates);
+    } else {
+      AddDueOccurrences(*job, *queue, aWall, maxSteps, candidates);
     }
-    AddDueOccurrences(job, queue, aWall, candidates);
   }
   return SortCandidates(candidates);
 }
--- a/tests/unit/placement/planner_test.cpp
+++ b/tests/unit/placement/planner_test.cpp
@@ -652,6 +652,34 @@
   CHECK(!MakePlan().m_changes.empty());
 }
 
+// Guards against passes that take as long as the backlogs of all repeated jobs
+// are, and with them the leader's lease.
+TEST(PlacementPlanner, ManyRepeatedJobsAreDue_PassConsidersThemInShares)
+{
+  constexpr std::size_t kJobs = 60;
+  Receive(Report("w1", 1));
+  // A plan lists the long-running tasks that it leaves waiting.
+  StepSpec unplaceable = Step(1);
+  unplaceable.m_requiredLabel = "none";
+  unplaceable.m_longRunning = true;
+  JobSpec spec = Spec({ unplaceable, unplaceable });
+  spec.m_repeatCount = 36'000;
+  for (std::size_t i = 0; i < kJobs; ++i) {
+    m_fleet.Submit("backlog" + std::to_string(i), spec);
+  }
+  JobSpec placeable = Spec({ Step(1) });
+  placeable.m_repeatCount = 3;
+  m_fleet.Submit("few", placeable);
+  const Plan plan = MakePlan();
+  LONGS_EQUAL(3, plan.m_changes.size());
+  CHECK_COMPARE(plan.m_waiting.size(), <=, 10'000);
+  std::set<JobId> considered;
+  for (const auto& [task, waiting] : plan.m_waiting) {
+    considered.insert(task.m_job);
+  }
+  LONGS_EQUAL(kJobs, considered.size());
+}
+
 // Guards against a pass whose time and memory grow with all occurrences that
 // have ever been due.
 TEST(PlacementPlanner, ManyOccurrencesAreDue_FirstOnesAreConsidered)
