--- a/tests/unit/control/job_service_test.cpp
+++ b/tests/unit/control/job_service_test.cpp
@@ -707,7 +707,7 @@
     call.m_spec = Spec({ Step(aTasks) });
     return m_service->Call(std::move(call));
   };
-  submit("fills the pool", 50).wait(m_loop->m_io.waitScope);
+  submit("fills-the-pool", 50).wait(m_loop->m_io.waitScope);
   RunEventLoopFor(300 * kj::MILLISECONDS);
   m_isSyncHanging = true;
   auto first = submit("job", 1);
