placement: reports count before there are routes

Its fleet has no queues, so no worker was admitted and the wave didn't begin.

Cause: nothing was admitted without routes, to keep strangers out until there is something to tell them by. But operators run waves without queues, and without routes there are no jobs that could run twice.

Change: without routes all reports count, as before. A stranger that has taken a worker's incarnation by then, with a higher sequence number, would lock it out for good; a report for another service than that of a lost incarnation now begins anew.

--- a/include/bamboostile/placement/workers.h
+++ b/include/bamboostile/placement/workers.h
@@ -331,9 +331,6 @@
   /** It may be a delayed report of an incarnation that ended before the
    * current one began. */
   kUnconfirmed,
-  /** No route table is in force yet, so it is unknown which services are of
-   * this fleet. */
-  kNoRoutes,
   /** No route table has had its service: it is from another fleet. */
   kUnknownService,
   /** The worker that it names reports for another service. */
--- a/src/control/worker_reports.cpp
+++ b/src/control/worker_reports.cpp
@@ -303,10 +303,7 @@
   }
   WorkerAnswer answer;
   answer.m_refusal = reason;
-  // Without a lease, the worker waits for its next report rather than trying
-  // another control process at once.
-  if (aReason == placement::IgnoreReason::kUnconfirmed ||
-      aReason == placement::IgnoreReason::kNoRoutes) {
+  if (aReason == placement::IgnoreReason::kUnconfirmed) {
     answer.m_orders = m_workers->AnswerUnconfirmed();
     answer.m_fencingToken = m_term;
   }
--- a/src/placement/origin.cpp
+++ b/src/placement/origin.cpp
@@ -10,8 +10,9 @@
             const fleet::State& aState,
             const Worker* aKnown)
 {
+  // Without routes there are no jobs, so nothing can run twice.
   if (aState.Routes().m_version == 0) {
-    return IgnoreReason::kNoRoutes;
+    return std::nullopt;
   }
   if (!aState.KnowsService(aReport.m_service)) {
     return IgnoreReason::kUnknownService;
--- a/src/placement/workers.cpp
+++ b/src/placement/workers.cpp
@@ -94,8 +94,6 @@
       return "its worker has ended";
     case IgnoreReason::kUnconfirmed:
       return "it may be of an earlier life";
-    case IgnoreReason::kNoRoutes:
-      return "no routes are in force yet";
     case IgnoreReason::kUnknownService:
       return "its service is not configured";
     case IgnoreReason::kOtherService:
@@ -181,6 +179,13 @@
   // A stale report shows an outdated state. Its worker has dropped the
   // connection and will not read the answer.
   const Worker* known = Find(aReport.m_worker);
+  const bool wasOtherProgram =
+    known != nullptr && known->m_isLost &&
+    known->m_lastReport.m_service != aReport.m_service;
+  if (wasOtherProgram) {
+    Forget(aReport.m_worker);
+    known = nullptr;
+  }
   const auto endedUnseen = m_endedUnseen.find(aReport.m_worker);
   const bool isDelayed =
     (known != nullptr && known->m_listedEndAt &&
