schema: the deleted conversions are declared so that clang reads them

clang-tidy of the changed files ended with errors: clang wants the deleted specialisations of constructors without their template arguments. Both compilers refuse a setter without ToText now.

--- a/include/bamboostile/schema/text.h
+++ b/include/bamboostile/schema/text.h
@@ -19,7 +19,6 @@
 // The conversion of Cap'n Proto takes a std::string by its c_str(), and cuts it
 // at the first U+0000.
 template<>
-kj::StringPtr::StringPtr<std::string, const char*>(const std::string&) = delete;
+kj::StringPtr::StringPtr(const std::string&) = delete;
 template<>
-capnp::Text::Reader::Reader<std::string, const char*>(const std::string&) =
-  delete;
+capnp::Text::Reader::Reader(const std::string&) = delete;
