placement: entries of the platform's list count before there are routes

Same as for reports: without routes all entries were left out, so a wave couldn't see from the list that an instance is up again.

--- a/src/placement/origin.cpp
+++ b/src/placement/origin.cpp
@@ -27,6 +27,9 @@
 void
 RemoveForeignEntries(ListedInstances& aList, const fleet::State& aState)
 {
+  if (aState.Routes().m_version == 0) {
+    return;
+  }
   aList.m_unnamedWorkerCount +=
     std::erase_if(aList.m_readable, [&](const ListedInstance& aEntry) {
       return !aState.KnowsService(aEntry.m_pool);
--- a/tests/unit/placement/origin_test.cpp
+++ b/tests/unit/placement/origin_test.cpp
@@ -160,4 +160,6 @@
   LONGS_EQUAL(1, list.m_readable.size());
   STRCMP_EQUAL("w1", list.m_readable[0].m_worker.Get().c_str());
   LONGS_EQUAL(1, list.m_unnamedWorkerCount);
+  RemoveForeignEntries(list, fleet::State{});
+  LONGS_EQUAL(1, list.m_readable.size());
 }
