--- a/include/bamboostile/jobs/book.h
+++ b/include/bamboostile/jobs/book.h
@@ -181,7 +181,8 @@
   std::size_t Bytes() const { return m_bytes; }
   /** What a job adds to Bytes() when it is accepted. */
   static std::size_t BytesOf(const JobId& aJob, const JobSpec& aSpec);
-  /** What a step adds to Bytes() when its first task is started. */
+  /** What a step adds to Bytes() when its first task is started. aIdBytes: size
+   * of the job's id. */
   static std::size_t BytesOfTasks(std::size_t aIdBytes, std::uint32_t aCount);
 
   const Job* Find(const JobId& aId) const;
--- a/src/fleet/codec.cpp
+++ b/src/fleet/codec.cpp
@@ -379,7 +379,8 @@
       bytes.size() < kMinDeflatedBytes) {
     return bytes;
   }
-  return kDeflatedMark + Deflate(bytes);
+  const auto deflated = Deflate(bytes);
+  return deflated ? kDeflatedMark + *deflated : bytes;
 }
 
 std::optional<Command>
--- a/src/fleet/deflate.cpp
+++ b/src/fleet/deflate.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-std::string
+std::optional<std::string>
 Deflate(const std::string& aBytes)
 {
   std::string deflated;
@@ -30,11 +30,15 @@
   }
   uLongf size = compressBound(aBytes.size());
   deflated.resize(kSizeBytes + size);
-  compress2(reinterpret_cast<Bytef*>(deflated.data()) + kSizeBytes,
-            &size,
-            BytesOf(aBytes),
-            aBytes.size(),
-            Z_BEST_SPEED);
+  const int result =
+    compress2(reinterpret_cast<Bytef*>(deflated.data()) + kSizeBytes,
+              &size,
+              BytesOf(aBytes),
+              aBytes.size(),
+              Z_BEST_SPEED);
+  if (result != Z_OK) {
+    return std::nullopt;
+  }
   deflated.resize(kSizeBytes + size);
   return deflated;
 }
